Consensus core, storage, state machine, bundles and placement

Cause: a router for long shared prompts needs a control group that survives faults and a placement that every router derives alone.

Change: the pure consensus core, its checked log files, the replicated state machine, the bundle schema with signatures and deltas, and the placement policies.

--- /dev/null
+++ b/internal/bundle/bundle.go
@@ -0,0 +1,246 @@
+// Package bundle is the versioned configuration of a whole deployment: models,
+// tenants, routes, shared prompts and events. Operators write it in YAML, sign
+// it off, and control puts it in force in every router.
+//
+// Collections are maps keyed by name, so that the difference of two bundles is
+// small even when a bundle has tens of thousands of tenants.
+package bundle
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"quinceridge.example/quinceridge/internal/config"
+)
+
+// Bundle is one version of the configuration.
+type Bundle struct {
+	// Version is one more than the version of the parent. The first is 1.
+	Version uint64 `yaml:"version" json:"version" validate:"required,min=1"`
+	// Parent is the digest of the bundle that this one replaces, as printed by
+	// `quinceridge bundle status`. It is empty in the first version only.
+	Parent string `yaml:"parent" json:"parent,omitempty"`
+	// Approvals is how many operators must sign the next bundle.
+	Approvals int `yaml:"approvals" json:"approvals" validate:"min=0,max=16"`
+	// Operators maps operator names to Ed25519 public keys in hex. Removing a
+	// name revokes the key for all later bundles.
+	Operators map[string]string `yaml:"operators" json:"operators,omitempty" validate:"dive,hexadecimal,len=64"`
+	// Models maps model names to their settings.
+	Models map[string]Model `yaml:"models" json:"models" validate:"required,min=1,dive"`
+	// Classes maps priority class names to their settings.
+	Classes map[string]Class `yaml:"classes" json:"classes" validate:"required,min=1,dive"`
+	// Tenants maps tenant names to their settings.
+	Tenants map[string]Tenant `yaml:"tenants" json:"tenants" validate:"required,min=1,dive"`
+	// Routes maps route names to application calls.
+	Routes map[string]Route `yaml:"routes" json:"routes,omitempty" validate:"dive"`
+	// SharedPrompts maps names to prompts that several tenants may share in an
+	// engine's cache. Whoever signs the bundle vouches that the text is no
+	// tenant's secret.
+	SharedPrompts map[string]SharedPrompt `yaml:"shared_prompts" json:"shared_prompts,omitempty" validate:"dive"`
+	// Events maps names to surges with a known start.
+	Events map[string]Event `yaml:"events" json:"events,omitempty" validate:"dive"`
+}
+
+// Model says how a model is served.
+type Model struct {
+	// WeightsVersion is the least version of the weights that may answer.
+	WeightsVersion int `yaml:"weights_version" json:"weights_version" validate:"required,min=1"`
+	// HomeBlocks is the depth, in blocks of 256 bytes, whose digest names a
+	// prompt's home engine. Default 16.
+	HomeBlocks int `yaml:"home_blocks" json:"home_blocks,omitempty" validate:"omitempty,min=4,max=4096"`
+	// PrefillTokensPerSecond is one engine's measured prefill rate.
+	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second" json:"prefill_tokens_per_second" validate:"required,gt=0"`
+	// MaxOutputTokens bounds the answer that a caller may ask for.
+	MaxOutputTokens int `yaml:"max_output_tokens" json:"max_output_tokens" validate:"required,min=1"`
+	// Continuation allows that an answer begun by a lost engine is continued by
+	// another one, from the prompt and the text already given.
+	Continuation bool `yaml:"continuation" json:"continuation,omitempty"`
+}
+
+// Class is a priority class.
+type Class struct {
+	// Priority orders waiting work: larger goes first. 0 to 100.
+	Priority int `yaml:"priority" json:"priority" validate:"min=0,max=100"`
+	// FirstToken is the longest wait for the first token that still helps the
+	// caller. Work that is expected to wait longer is refused at once.
+	FirstToken time.Duration `yaml:"first_token" json:"first_token" validate:"required,min=10ms,max=10m"`
+}
+
+// Tenant is one customer of the deployment.
+type Tenant struct {
+	// KeySHA256 is the SHA-256 of the tenant's API key, in hex.
+	KeySHA256 string `yaml:"key_sha256" json:"key_sha256" validate:"required,hexadecimal,len=64"`
+	// Weight is the tenant's share under contention, relative to the others.
+	Weight float64 `yaml:"weight" json:"weight" validate:"required,gt=0,max=1000"`
+	// Class is the priority class of requests that name none.
+	Class string `yaml:"class" json:"class" validate:"required"`
+}
+
+// Route is an application call under /app/.
+type Route struct {
+	// Path is the call's path after /app, such as /charges.
+	Path string `yaml:"path" json:"path" validate:"required,startswith=/"`
+	// Repeatable says that a second run does no harm. Calls on other routes
+	// need an Idempotency-Key and run at most once.
+	Repeatable bool `yaml:"repeatable" json:"repeatable,omitempty"`
+	// Deadline is the longest time that a call may take.
+	Deadline time.Duration `yaml:"deadline" json:"deadline" validate:"required,min=10ms,max=10m"`
+}
+
+// SharedPrompt declares a text that several tenants share.
+type SharedPrompt struct {
+	// SHA256 is the digest of the text, in hex.
+	SHA256 string `yaml:"sha256" json:"sha256" validate:"required,hexadecimal,len=64"`
+	// Bytes is the length of the text. Prompts that start with it share it.
+	Bytes int `yaml:"bytes" json:"bytes" validate:"required,min=1024"`
+	// Tenants lists who may share it.
+	Tenants []string `yaml:"tenants" json:"tenants" validate:"required,min=1"`
+}
+
+// Event is a surge with a known start.
+type Event struct {
+	// Start is when the surge begins, as an RFC 3339 time.
+	Start time.Time `yaml:"start" json:"start" validate:"required"`
+	// Duration is how long it is expected to last.
+	Duration time.Duration `yaml:"duration" json:"duration" validate:"required,min=1s,max=24h"`
+	// Tenants lists the tenants that take part.
+	Tenants []string `yaml:"tenants" json:"tenants" validate:"required,min=1"`
+	// Weight multiplies the tenants' weights while the event lasts.
+	Weight float64 `yaml:"weight" json:"weight" validate:"required,gt=0,max=1000"`
+}
+
+// Check implements config.Checker: references between the parts.
+func (b *Bundle) Check() []config.Problem {
+	var out []config.Problem
+	if (b.Version == 1) != (b.Parent == "") {
+		out = append(out, config.Problem{Path: "$.parent", Message: "must be empty in version 1 and the parent's digest in every later one"})
+	}
+	if b.Approvals > len(b.Operators) {
+		out = append(out, config.Problem{Path: "$.approvals", Message: "is more than the operators listed"})
+	}
+	for _, name := range sortedKeys(b.Tenants) {
+		if _, ok := b.Classes[b.Tenants[name].Class]; !ok {
+			out = append(out, config.Problem{Path: "$.tenants." + name + ".class", Message: "names no class of this bundle"})
+		}
+	}
+	out = append(out, b.checkKeys()...)
+	for _, name := range sortedKeys(b.SharedPrompts) {
+		out = append(out, b.checkTenants("$.shared_prompts."+name, b.SharedPrompts[name].Tenants)...)
+	}
+	for _, name := range sortedKeys(b.Events) {
+		out = append(out, b.checkTenants("$.events."+name, b.Events[name].Tenants)...)
+	}
+	return append(out, b.checkRoutes()...)
+}
+
+func (b *Bundle) checkKeys() []config.Problem {
+	var out []config.Problem
+	owners := map[string]string{}
+	for _, name := range sortedKeys(b.Tenants) {
+		key := b.Tenants[name].KeySHA256
+		if owner, taken := owners[key]; taken {
+			out = append(out, config.Problem{Path: "$.tenants." + name + ".key_sha256", Message: "is the key of tenant " + owner + " too"})
+		}
+		owners[key] = name
+	}
+	return out
+}
+
+func (b *Bundle) checkRoutes() []config.Problem {
+	var out []config.Problem
+	paths := map[string]string{}
+	for _, name := range sortedKeys(b.Routes) {
+		path := b.Routes[name].Path
+		if other, taken := paths[path]; taken {
+			out = append(out, config.Problem{Path: "$.routes." + name + ".path", Message: "is the path of route " + other + " too"})
+		}
+		paths[path] = name
+	}
+	return out
+}
+
+func (b *Bundle) checkTenants(path string, tenants []string) []config.Problem {
+	var out []config.Problem
+	for _, tenant := range tenants {
+		if _, ok := b.Tenants[tenant]; !ok {
+			out = append(out, config.Problem{Path: path + ".tenants", Message: "names no tenant of this bundle: " + tenant})
+		}
+	}
+	return out
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Load reads and checks the bundle file at path.
+func Load(path string) (*Bundle, error) {
+	b := &Bundle{}
+	if err := config.Load(path, b); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Canonical returns the one JSON text of the bundle that digests and
+// signatures are made of.
+func (b *Bundle) Canonical() ([]byte, error) {
+	text, err := json.Marshal(b)
+	return text, errors.Wrap(err, "encode bundle")
+}
+
+// Parse reads a canonical text.
+func Parse(canonical []byte) (*Bundle, error) {
+	b := &Bundle{}
+	if err := json.Unmarshal(canonical, b); err != nil {
+		return nil, errors.Wrap(err, "decode bundle")
+	}
+	return b, nil
+}
+
+// Digest returns the SHA-256 of a canonical text, in hex.
+func Digest(canonical []byte) string {
+	sum := sha256.Sum256(canonical)
+	return hex.EncodeToString(sum[:])
+}
+
+// Delta returns the JSON merge patch that turns one canonical text into
+// another.
+func Delta(from, to []byte) ([]byte, error) {
+	patch, err := jsonpatch.CreateMergePatch(from, to)
+	return patch, errors.Wrap(err, "compute bundle delta")
+}
+
+// ErrDigest is returned when a patched bundle is not the one that was meant.
+var ErrDigest = errors.New("patched bundle has another digest")
+
+// Patch applies a delta and checks that the result has the wanted digest.
+func Patch(from, delta []byte, digest string) ([]byte, error) {
+	patched, err := jsonpatch.MergePatch(from, delta)
+	if err != nil {
+		return nil, errors.Wrap(err, "apply bundle delta")
+	}
+	b, err := Parse(patched)
+	if err != nil {
+		return nil, err
+	}
+	canonical, err := b.Canonical()
+	if err != nil {
+		return nil, err
+	}
+	if Digest(canonical) != digest {
+		return nil, ErrDigest
+	}
+	return canonical, nil
+}
--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,237 @@
+// Package control is the control node: the replicated state machine over the
+// consensus core, the routers' leases, and the rollout of bundles.
+//
+// Core holds the decisions and is driven by one goroutine (or by the
+// simulator); Server connects it to sockets, clocks and disks.
+package control
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"quinceridge.example/quinceridge/internal/raft"
+	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/storage"
+)
+
+// ErrLost is given to a proposer whose entry was replaced by another leader's,
+// or whose leader stepped down before the outcome was known. The command may
+// still be applied: the proposer sends it again with the same request ID.
+var ErrLost = errors.New("leadership changed before the outcome was known")
+
+// CoreConfig says how a Core behaves.
+type CoreConfig struct {
+	Raft raft.Config
+	// Initial is the membership of a new group.
+	Initial raft.Membership
+	// SnapshotEvery is the number of applied entries between snapshots.
+	SnapshotEvery uint64
+	// Lease is how long a router's lease lasts.
+	Lease time.Duration
+	// Bootstrap is whose signatures count before the first bundle.
+	Bootstrap state.Trust
+	// Random is the source for names of commands.
+	Random *rand.Rand
+}
+
+// Done receives the outcome of a proposal. It is called by Pump.
+type Done func(state.Result, error)
+
+type waiter struct {
+	term uint64
+	done Done
+}
+
+// Core is the decision logic of a control node. It is not safe for concurrent
+// use.
+type Core struct {
+	config  CoreConfig
+	node    *raft.Node
+	store   *storage.Storage
+	machine *state.Machine
+	waiting map[uint64]waiter
+	leases  leaseTable
+	deltas  deltaCache
+	// snapshotAt is the applied index of the last snapshot.
+	snapshotAt uint64
+	hard       raft.HardState
+}
+
+// NewCore opens the data folder and returns a node that starts at now.
+func NewCore(config CoreConfig, fs vfs.FS, dir string, now time.Duration) (*Core, error) {
+	store, stored, err := storage.Open(fs, dir)
+	if err != nil {
+		return nil, err
+	}
+	stored.Initial = config.Initial
+	node, err := raft.NewNode(config.Raft, stored, now)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{config: config, node: node, store: store, machine: state.New(), waiting: map[uint64]waiter{}, hard: stored.HardState}
+	c.leases.reset(now)
+	if s := stored.Snapshot; s != nil {
+		if err := c.machine.Restore(s.Data); err != nil {
+			return nil, err
+		}
+		c.snapshotAt = s.Index
+	}
+	return c, nil
+}
+
+// Close closes the data folder.
+func (c *Core) Close() error { return c.store.Close() }
+
+// Machine gives read access to the replicated state.
+func (c *Core) Machine() *state.Machine { return c.machine }
+
+// Status returns the consensus node's status.
+func (c *Core) Status() raft.Status { return c.node.Status() }
+
+// HoldsLease tells whether the node may act as the only leader at now.
+func (c *Core) HoldsLease(now time.Duration) bool { return c.node.HoldsLease(now) }
+
+// Syncs returns how many file syncs were made, and how many bytes written.
+func (c *Core) Syncs() (syncs, bytes uint64) { return c.store.Syncs, c.store.Bytes }
+
+// Tick tells the core the time.
+func (c *Core) Tick(now time.Duration) {
+	c.node.Tick(now)
+	c.followLeadership(now)
+	c.rollout(now)
+}
+
+// Step handles a consensus message.
+func (c *Core) Step(now time.Duration, m raft.Message) {
+	c.node.Step(now, m)
+	c.followLeadership(now)
+}
+
+// followLeadership starts the lease table anew when leadership begins, and
+// fails waiting proposals when it ends.
+func (c *Core) followLeadership(now time.Duration) {
+	status := c.node.Role()
+	if status == raft.Leader && !c.leases.leading {
+		c.leases.reset(now)
+		c.leases.leading = true
+	}
+	if status != raft.Leader && c.leases.leading {
+		c.leases.leading = false
+		c.failWaiting()
+	}
+}
+
+func (c *Core) failWaiting() {
+	waiting := c.waiting
+	c.waiting = map[uint64]waiter{}
+	for _, w := range waiting {
+		w.done(state.Result{}, ErrLost)
+	}
+}
+
+// Propose appends a command. Done is called once the outcome is known, unless
+// Propose returns an error: then nothing was appended.
+func (c *Core) Propose(now time.Duration, command state.Command, done Done) error {
+	data, err := json.Marshal(command)
+	if err != nil {
+		return errors.Wrap(err, "encode command")
+	}
+	index, err := c.node.Propose(now, data)
+	if err != nil {
+		return err
+	}
+	c.waiting[index] = waiter{term: c.node.Status().Term, done: done}
+	return nil
+}
+
+// Change proposes a membership change of the control group.
+func (c *Core) Change(now time.Duration, change raft.Change) error {
+	_, err := c.node.ProposeChange(now, change)
+	return err
+}
+
+// TransferLeadership starts a hand-over.
+func (c *Core) TransferLeadership(to uint64) error { return c.node.TransferLeadership(to) }
+
+// Pump makes all pending work durable, applies what is committed and returns
+// the messages to send. An error means that the disk failed: the node must
+// stop, for it no longer knows what it has promised.
+func (c *Core) Pump(now time.Duration) ([]raft.Message, error) {
+	var messages []raft.Message
+	for c.node.HasReady() {
+		ready := c.node.Ready()
+		if err := c.store.Save(ready); err != nil {
+			return nil, err
+		}
+		if ready.HardState != nil {
+			c.hard = *ready.HardState
+		}
+		messages = append(messages, ready.Messages...)
+		if err := c.apply(ready); err != nil {
+			return nil, err
+		}
+		c.node.Advance(ready)
+	}
+	c.followLeadership(now)
+	return messages, c.maybeSnapshot()
+}
+
+func (c *Core) apply(ready raft.Ready) error {
+	if ready.Snapshot != nil {
+		if err := c.machine.Restore(ready.Snapshot.Data); err != nil {
+			return err
+		}
+		c.snapshotAt = ready.Snapshot.Index
+	}
+	for _, e := range ready.Committed {
+		var command []byte
+		if e.Kind == raft.EntryCommand {
+			command = e.Data
+		}
+		result, err := c.machine.Apply(e.Index, e.Term, command)
+		if err != nil {
+			return err
+		}
+		c.complete(e, result)
+	}
+	return nil
+}
+
+func (c *Core) complete(e raft.Entry, result state.Result) {
+	w, ok := c.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(c.waiting, e.Index)
+	if w.term != e.Term {
+		w.done(state.Result{}, ErrLost)
+		return
+	}
+	w.done(result, nil)
+}
+
+// maybeSnapshot takes a snapshot when enough entries were applied.
+func (c *Core) maybeSnapshot() error {
+	applied := c.machine.Applied()
+	if applied < c.snapshotAt+c.config.SnapshotEvery {
+		return nil
+	}
+	return c.Snapshot()
+}
+
+// Snapshot makes the present state durable and shortens the log.
+func (c *Core) Snapshot() error {
+	applied := c.machine.Applied()
+	data, err := c.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	s := &raft.Snapshot{Index: applied, Term: c.node.Term(applied), Membership: c.node.MembershipAt(applied), Data: data}
+	c.node.Compact(s)
+	c.snapshotAt = applied
+	return c.store.SaveSnapshot(s, c.hard, c.node.Stable())
+}
--- /dev/null
+++ b/internal/controlapi/controlapi.go
@@ -0,0 +1,218 @@
+// Package controlapi holds the messages between routers, control nodes and
+// operators. They travel as JSON lines (package peer).
+package controlapi
+
+import (
+	"encoding/json"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/raft"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// Kinds of calls. The comment names who serves them.
+const (
+	KindRaft     = "raft"     // control: consensus messages, one way
+	KindLease    = "lease"    // control leader: router leases and bundles
+	KindView     = "view"     // any control node: machines and their load
+	KindSubmit   = "submit"   // control leader: a state machine command
+	KindStatus   = "status"   // any control node
+	KindChange   = "change"   // control leader: control group membership
+	KindTransfer = "transfer" // control leader: hand over leadership
+	KindHold     = "hold"     // router: another router lost its lease
+	KindTrace    = "trace"    // router: the trace of one request
+)
+
+// Stamp names a bundle by version and digest.
+type Stamp struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+// Offer carries a bundle, as a delta to one that the receiver has or whole.
+type Offer struct {
+	Stamp Stamp `json:"stamp"`
+	// Stage is the log index of the staging.
+	Stage uint64 `json:"stage"`
+	// Base is the digest that Delta builds on. It is empty when Whole is set.
+	Base  string          `json:"base,omitempty"`
+	Delta json.RawMessage `json:"delta,omitempty"`
+	Whole json.RawMessage `json:"whole,omitempty"`
+}
+
+// LeaseRequest renews a router's lease.
+type LeaseRequest struct {
+	Router state.Router `json:"router"`
+	// InForce is the bundle that the router serves by.
+	InForce Stamp `json:"in_force"`
+	// Staged is the latest staged bundle that the router has durable.
+	Staged Stamp `json:"staged"`
+	// Stage is the log index of that staging, or 0.
+	Stage uint64 `json:"stage"`
+	// RegistryDigest names the registry that the router knows.
+	RegistryDigest string `json:"registry_digest,omitempty"`
+	// Probe asks whether a lease could be had, without taking one.
+	Probe bool `json:"probe,omitempty"`
+}
+
+// LeaseReply answers a LeaseRequest.
+type LeaseReply struct {
+	// Granted says that the lease runs for Duration from when the request was
+	// sent, by the router's clock.
+	Granted  bool          `json:"granted"`
+	Duration time.Duration `json:"duration,omitempty"`
+	// Leader is the peer address of the leader, where this node is not it and
+	// knows.
+	Leader string `json:"leader,omitempty"`
+	// Accepted is the stamp of the bundle in force for all.
+	Accepted Stamp `json:"accepted"`
+	// Offers are bundles that the router lacks, oldest first.
+	Offers []Offer `json:"offers,omitempty"`
+	// Registry is sent when the router's is out of date.
+	Registry       []state.Router `json:"registry,omitempty"`
+	RegistryDigest string         `json:"registry_digest,omitempty"`
+}
+
+// HoldRequest asks another router for a promise, because the sender has lost
+// its lease and wants to know whether all others have.
+type HoldRequest struct {
+	Router string `json:"router"`
+	// Have is the digests of the bundles that the sender has.
+	Have []string `json:"have,omitempty"`
+}
+
+// HoldReply answers a HoldRequest.
+type HoldReply struct {
+	// Promised says that the receiver has no lease either, and takes none for
+	// Duration from now on.
+	Promised bool          `json:"promised"`
+	Duration time.Duration `json:"duration,omitempty"`
+	// Leased says that the receiver has a lease: the fault is the sender's
+	// alone.
+	Leased bool `json:"leased,omitempty"`
+	// Newest is the highest bundle, staged or in force, that the receiver has.
+	Newest Stamp `json:"newest"`
+	// Offer carries it when the sender lacks it.
+	Offer *Offer `json:"offer,omitempty"`
+}
+
+// MachineRole is the role of a machine on the platform's list.
+type MachineRole string
+
+// The roles of machines.
+const (
+	RoleEngine      MachineRole = "engine"
+	RoleApplication MachineRole = "application"
+)
+
+// Machine is one back end as control sees it.
+type Machine struct {
+	ID      string      `json:"id"`
+	Role    MachineRole `json:"role"`
+	Address string      `json:"address"`
+	Region  string      `json:"region"`
+	Zone    string      `json:"zone"`
+	// Leaving says that the machine is about to stop, by the platform's list
+	// or by its own word.
+	Leaving        bool   `json:"leaving,omitempty"`
+	Incarnation    string `json:"incarnation,omitempty"`
+	Model          string `json:"model,omitempty"`
+	WeightsVersion int    `json:"weights_version,omitempty"`
+	DecodeSlots    int    `json:"decode_slots,omitempty"`
+}
+
+// ViewRequest asks for machines and load.
+type ViewRequest struct {
+	// Revision is the machine list that the router has. It belongs to the
+	// control node named by Source.
+	Revision uint64 `json:"revision"`
+	Source   string `json:"source,omitempty"`
+	Region   string `json:"region"`
+}
+
+// ViewReply answers a ViewRequest.
+type ViewReply struct {
+	Revision uint64 `json:"revision"`
+	Source   string `json:"source"`
+	// Machines is the whole list when the router's is out of date.
+	Machines []Machine `json:"machines,omitempty"`
+	// Load has one row for each machine of the list, in its order.
+	Load []LoadRow `json:"load"`
+}
+
+// LoadRow is the load of one engine: running and waiting sequences, waiting
+// prompt tokens, and the age of the report in milliseconds. It is an array on
+// the wire to keep the message small.
+type LoadRow [4]int
+
+// Columns of a LoadRow.
+const (
+	LoadRunning = iota
+	LoadWaiting
+	LoadPrefillTokens
+	LoadAge
+)
+
+// SubmitRequest asks the leader to run a command.
+type SubmitRequest struct {
+	Command state.Command `json:"command"`
+}
+
+// SubmitReply answers a SubmitRequest.
+type SubmitReply struct {
+	Result state.Result `json:"result"`
+	// Leader is set when this node is not the leader. Nothing was run.
+	Leader    string `json:"leader,omitempty"`
+	NotLeader bool   `json:"not_leader,omitempty"`
+}
+
+// ChangeRequest asks for a change of the control group.
+type ChangeRequest struct {
+	Change raft.Change `json:"change"`
+}
+
+// TransferRequest asks the leader to hand over.
+type TransferRequest struct {
+	To uint64 `json:"to"`
+}
+
+// Acknowledgement answers a change or a transfer.
+type Acknowledgement struct {
+	OK        bool   `json:"ok"`
+	Message   string `json:"message,omitempty"`
+	Leader    string `json:"leader,omitempty"`
+	NotLeader bool   `json:"not_leader,omitempty"`
+}
+
+// PlaceStatus is what the leader knows of one router.
+type PlaceStatus struct {
+	Router state.Router `json:"router"`
+	// Leased says that the router holds a lease, as far as the leader knows.
+	Leased  bool   `json:"leased"`
+	InForce Stamp  `json:"in_force"`
+	Stage   uint64 `json:"stage"`
+	// Heard is how long ago the router last spoke, in seconds; -1 for never.
+	Heard float64 `json:"heard"`
+}
+
+// StatusRequest asks a control node about itself.
+type StatusRequest struct{}
+
+// StatusReply answers a StatusRequest.
+type StatusReply struct {
+	Raft        raft.Status     `json:"raft"`
+	HoldsLease  bool            `json:"holds_lease"`
+	StateDigest string          `json:"state_digest"`
+	Accepted    Stamp           `json:"accepted"`
+	Pending     *Stamp          `json:"pending,omitempty"`
+	PendingText string          `json:"pending_text,omitempty"`
+	Signed      []string        `json:"signed,omitempty"`
+	Staged      bool            `json:"staged,omitempty"`
+	History     []state.Version `json:"history,omitempty"`
+	// Places is filled by the leader only.
+	Places   []PlaceStatus `json:"places,omitempty"`
+	Machines []Machine     `json:"machines,omitempty"`
+	Claims   int           `json:"claims"`
+	// Head is the canonical text of the bundle in force.
+	Head json.RawMessage `json:"head,omitempty"`
+}
--- /dev/null
+++ b/internal/raft/log.go
@@ -0,0 +1,105 @@
+package raft
+
+import "slices"
+
+// log is the part of the replicated log after the last snapshot.
+//
+// Invariants: entries[i].Index == offset+1+i; offset <= commit <= last;
+// applied <= commit; stable <= last. Entries up to stable are durable.
+type log struct {
+	offset     uint64 // index of the last entry that the snapshot covers
+	offsetTerm uint64
+	entries    []Entry
+	stable     uint64
+	commit     uint64
+	applied    uint64
+}
+
+func (l *log) last() uint64 { return l.offset + uint64(len(l.entries)) }
+
+// term returns the term of the entry at index, and false when it is not held.
+func (l *log) term(index uint64) (uint64, bool) {
+	if index == l.offset {
+		return l.offsetTerm, true
+	}
+	if index < l.offset || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.offset-1].Term, true
+}
+
+func (l *log) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// slice returns entries from index on, at most limit of them.
+func (l *log) slice(from uint64, limit int) []Entry {
+	if from <= l.offset || from > l.last() {
+		return nil
+	}
+	entries := l.entries[from-l.offset-1:]
+	return slices.Clone(entries[:min(limit, len(entries))])
+}
+
+// upTo returns the entries with from < index <= to.
+func (l *log) upTo(from, to uint64) []Entry {
+	if to <= from {
+		return nil
+	}
+	return slices.Clone(l.entries[from-l.offset : to-l.offset])
+}
+
+func (l *log) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// merge adds entries that follow a matched entry. It drops held
+// entries only where terms differ, so that a late message cannot shorten the
+// log.
+func (l *log) merge(entries []Entry) {
+	for i, e := range entries {
+		term, held := l.term(e.Index)
+		if held && term == e.Term {
+			continue
+		}
+		l.truncate(e.Index)
+		l.append(entries[i:]...)
+		return
+	}
+}
+
+// truncate drops the entry at index and all later ones.
+func (l *log) truncate(index uint64) {
+	if index <= l.offset || index > l.last() {
+		return
+	}
+	l.entries = slices.Clone(l.entries[:index-l.offset-1])
+	l.stable = min(l.stable, index-1)
+}
+
+// compact drops entries up to index, which must be applied.
+func (l *log) compact(index uint64) {
+	if index <= l.offset {
+		return
+	}
+	term, _ := l.term(index)
+	l.entries = slices.Clone(l.entries[index-l.offset:])
+	l.offset, l.offsetTerm = index, term
+}
+
+// restore replaces the log by a snapshot.
+func (l *log) restore(index, term uint64) {
+	l.entries = nil
+	l.offset, l.offsetTerm = index, term
+	l.stable, l.commit, l.applied = index, index, index
+}
+
+// upToDate tells whether a log that ends in (index, term) holds at least what
+// this one does.
+func (l *log) upToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.last()
+}
--- /dev/null
+++ b/internal/scheduling/scheduling.go
@@ -0,0 +1,158 @@
+// Package scheduling decides which endpoint serves a request. A decision is
+// made over a snapshot of the endpoints by named steps: filters drop endpoints
+// that must not serve it, scorers give each of the rest a cost in seconds, and
+// a picker chooses.
+//
+// Nothing here is trusted for safety: the engine refuses a request whose
+// incarnation, tenant or weights version does not fit. The package is pure and
+// is run by the router process and by the simulator alike.
+package scheduling
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/prefix"
+)
+
+// ErrNoEndpoint is returned when every endpoint was filtered out.
+var ErrNoEndpoint = errors.New("no endpoint can serve the request")
+
+// State is what is known of an endpoint's willingness to work.
+type State int
+
+// The states of an endpoint.
+const (
+	// Live endpoints take new work.
+	Live State = iota
+	// Leaving endpoints finish what they have.
+	Leaving
+	// Suspect endpoints failed attempts lately. They are used only when no
+	// other is left.
+	Suspect
+)
+
+// Endpoint is one engine in a snapshot.
+type Endpoint struct {
+	// ID is the engine's name, stable over restarts.
+	ID string
+	// Key is the rendezvous key, derived from ID.
+	Key uint64
+	// Zone is where the engine stands.
+	Zone string
+	// Model is the model that is loaded.
+	Model string
+	// WeightsVersion is the version of the loaded weights.
+	WeightsVersion int
+	// Incarnation changes at every start of the engine.
+	Incarnation string
+	State       State
+	// Wait is the expected time in queue, from the reported load and the
+	// router's own work in flight.
+	Wait time.Duration
+	// Utilization is the share of decode slots in use, 0 to 1 and above.
+	Utilization float64
+}
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	Model          string
+	MinimumWeights int
+	// Chain and PromptTokens describe the prompt.
+	Chain        prefix.Chain
+	PromptTokens int
+	// SharedBlocks is how many leading blocks belong to a declared shared
+	// prompt.
+	SharedBlocks int
+	// Tenant salts the choice among several homes of a shared prompt.
+	Tenant string
+	// Excluded lists endpoints that already failed this request.
+	Excluded []string
+}
+
+// Snapshot is the endpoints at one time. It is never changed once in use.
+type Snapshot struct {
+	Endpoints []Endpoint
+	// MeanWait and Utilization describe the whole pool. They are filled by
+	// Summarize.
+	MeanWait    time.Duration
+	Utilization float64
+}
+
+// Summarize fills the pool's figures.
+func (s *Snapshot) Summarize() {
+	live := 0
+	var wait time.Duration
+	used := 0.0
+	for i := range s.Endpoints {
+		if s.Endpoints[i].State != Live {
+			continue
+		}
+		live++
+		wait += s.Endpoints[i].Wait
+		used += s.Endpoints[i].Utilization
+	}
+	if live > 0 {
+		s.MeanWait = wait / time.Duration(live)
+		s.Utilization = used / float64(live)
+	}
+}
+
+// Filter drops endpoints that must not serve a request.
+type Filter interface {
+	// Name is the fixed name of the filter in logs and traces.
+	Name() string
+	// Keep tells whether the endpoint may serve the request.
+	Keep(request *Request, endpoint *Endpoint) bool
+}
+
+// Candidate is an endpoint under decision.
+type Candidate struct {
+	Endpoint *Endpoint
+	// Rank is the endpoint's place in the request's rendezvous order, from 0.
+	Rank int
+	// ExpectedCached is how many prompt tokens the endpoint is expected to
+	// hold in its cache.
+	ExpectedCached int
+	// Cost is the sum of all scorers, in seconds.
+	Cost float64
+}
+
+// Scorer gives a candidate a cost.
+type Scorer interface {
+	// Name is the fixed name of the scorer in logs and traces.
+	Name() string
+	// Score returns a cost in seconds, 0 or more. Lower is better.
+	Score(request *Request, candidate *Candidate, snapshot *Snapshot) float64
+}
+
+// Picker chooses among scored candidates.
+type Picker interface {
+	// Name is the fixed name of the picker in logs and traces.
+	Name() string
+	// Pick returns the index of the chosen candidate of a non-empty list.
+	Pick(request *Request, candidates []Candidate) int
+}
+
+// Policy decides for requests.
+type Policy interface {
+	// Name is the policy's name on the command line and in reports.
+	Name() string
+	// Pick returns the chosen endpoint or ErrNoEndpoint.
+	Pick(now time.Duration, request *Request, snapshot *Snapshot) (Decision, error)
+	// Answered tells the policy what an engine's answer showed.
+	Answered(now time.Duration, request *Request, endpoint string, cachedTokens int)
+}
+
+// Decision is a chosen endpoint and why.
+type Decision struct {
+	Endpoint Endpoint
+	Rank     int
+	// ExpectedCached is in tokens.
+	ExpectedCached int
+	// Considered counts the candidates that were scored.
+	Considered int
+	// Cost is the winner's cost in seconds.
+	Cost float64
+}
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,235 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/engineapi"
+)
+
+// Limits of what the state machine remembers.
+const (
+	rememberedRequests = 4096
+	rememberedHistory  = 256
+	rememberedOrders   = 1024
+)
+
+// Version is one accepted bundle in the history.
+type Version struct {
+	Version   uint64   `json:"version"`
+	Digest    string   `json:"digest"`
+	Operators []string `json:"operators,omitempty"`
+	// Index is the log index at which the bundle was accepted.
+	Index uint64 `json:"index"`
+	// At is when it was accepted, in Unix milliseconds.
+	At int64 `json:"at"`
+}
+
+// Proposal is a bundle that waits for approvals or acceptance.
+type Proposal struct {
+	Version    uint64            `json:"version"`
+	Digest     string            `json:"digest"`
+	Canonical  json.RawMessage   `json:"canonical"`
+	Signatures map[string]string `json:"signatures,omitempty"`
+	// Stage is the log index at which enough operators had signed, or 0.
+	Stage uint64 `json:"stage,omitempty"`
+}
+
+// answer is the remembered result of an operator's command.
+type answer struct {
+	RequestID string `json:"request_id"`
+	Result    Result `json:"result"`
+}
+
+// data is everything that a snapshot holds.
+type data struct {
+	// Applied is the index of the last applied entry.
+	Applied uint64 `json:"applied"`
+	// Now is the state machine's own time in Unix milliseconds.
+	Now      int64               `json:"now"`
+	Head     *Proposal           `json:"head,omitempty"`
+	Pending  *Proposal           `json:"pending,omitempty"`
+	History  []Version           `json:"history,omitempty"`
+	Trust    Trust               `json:"trust"`
+	Routers  map[string]Router   `json:"routers,omitempty"`
+	Answers  []answer            `json:"answers,omitempty"`
+	Claims   map[string]*claim   `json:"claims,omitempty"`
+	Expiring []expiry            `json:"expiring,omitempty"`
+	Orders   []OrderRecord       `json:"orders,omitempty"`
+	Voids    map[string]struct{} `json:"voids,omitempty"`
+}
+
+// OrderRecord is an order with its fence.
+type OrderRecord struct {
+	Engine string          `json:"engine"`
+	Order  engineapi.Order `json:"order"`
+}
+
+// Machine is the state machine. It is not safe for concurrent use.
+type Machine struct {
+	data    data
+	answers map[string]Result
+}
+
+// New returns an empty machine.
+func New() *Machine {
+	m := &Machine{}
+	m.reset(data{})
+	return m
+}
+
+func (m *Machine) reset(d data) {
+	if d.Routers == nil {
+		d.Routers = map[string]Router{}
+	}
+	if d.Claims == nil {
+		d.Claims = map[string]*claim{}
+	}
+	if d.Voids == nil {
+		d.Voids = map[string]struct{}{}
+	}
+	m.data = d
+	m.answers = make(map[string]Result, len(d.Answers))
+	for _, a := range d.Answers {
+		m.answers[a.RequestID] = a.Result
+	}
+}
+
+// Apply applies the command of the entry at index, of the given term. Entries
+// that were applied before change nothing.
+func (m *Machine) Apply(index, term uint64, command []byte) (Result, error) {
+	if index <= m.data.Applied {
+		return Result{Code: CodeOK}, nil
+	}
+	m.data.Applied = index
+	if len(command) == 0 {
+		return Result{Code: CodeOK}, nil
+	}
+	var c Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		return Result{}, errors.Wrapf(err, "decode command %d", index)
+	}
+	m.data.Now = max(m.data.Now, c.At)
+	m.expireClaims()
+	if first, again := m.answers[c.RequestID]; again && c.RequestID != "" {
+		return first, nil
+	}
+	result := m.run(index, term, &c)
+	m.remember(c.RequestID, result)
+	return result, nil
+}
+
+func (m *Machine) run(index, term uint64, c *Command) Result {
+	switch {
+	case c.Propose != nil:
+		return m.propose(index, c.Propose)
+	case c.Approve != nil:
+		return m.approve(index, c.Approve)
+	case c.Withdraw != nil:
+		return m.withdraw(c.Withdraw)
+	case c.Accept != nil:
+		return m.accept(index, c.Accept)
+	case c.Register != nil:
+		return m.register(c.Register)
+	case c.Retire != nil:
+		return m.retire(c.Retire)
+	case c.Claims != nil:
+		return m.claims(c.Claims)
+	case c.Order != nil:
+		return m.order(index, term, c.Order)
+	}
+	return Result{Code: CodeRefused, Message: "the command is empty"}
+}
+
+func (m *Machine) remember(requestID string, result Result) {
+	if requestID == "" {
+		return
+	}
+	m.answers[requestID] = result
+	m.data.Answers = append(m.data.Answers, answer{RequestID: requestID, Result: result})
+	if len(m.data.Answers) > rememberedRequests {
+		delete(m.answers, m.data.Answers[0].RequestID)
+		m.data.Answers = m.data.Answers[1:]
+	}
+}
+
+func (m *Machine) register(r *Register) Result {
+	for _, router := range r.Routers {
+		m.data.Routers[router.Name] = router
+	}
+	return Result{Code: CodeOK}
+}
+
+func (m *Machine) retire(r *Retire) Result {
+	for _, name := range r.Names {
+		delete(m.data.Routers, name)
+	}
+	return Result{Code: CodeOK}
+}
+
+func (m *Machine) order(index, term uint64, o *Order) Result {
+	record := OrderRecord{Engine: o.Engine, Order: o.Order}
+	record.Order.Fence = engineapi.Fence{Term: term, Sequence: index}
+	m.data.Orders = append(m.data.Orders, record)
+	if len(m.data.Orders) > rememberedOrders {
+		m.data.Orders = m.data.Orders[1:]
+	}
+	return Result{Code: CodeOK, Fence: record.Order.Fence}
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() (json.RawMessage, error) {
+	text, err := json.Marshal(m.data)
+	return text, errors.Wrap(err, "encode snapshot")
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(snapshot json.RawMessage) error {
+	var d data
+	if err := json.Unmarshal(snapshot, &d); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	m.reset(d)
+	return nil
+}
+
+// Digest returns a digest of the whole state. Nodes that applied the same
+// entries have the same digest.
+func (m *Machine) Digest() (string, error) {
+	text, err := m.Snapshot()
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// Applied returns the index of the last applied entry.
+func (m *Machine) Applied() uint64 { return m.data.Applied }
+
+// Head returns the accepted bundle, or nil.
+func (m *Machine) Head() *Proposal { return m.data.Head }
+
+// Pending returns the bundle that waits for approval or acceptance, or nil.
+func (m *Machine) Pending() *Proposal { return m.data.Pending }
+
+// History returns the accepted versions, oldest first.
+func (m *Machine) History() []Version { return m.data.History }
+
+// Orders returns the latest orders, oldest first.
+func (m *Machine) Orders() []OrderRecord { return m.data.Orders }
+
+// Routers returns a copy of the registry.
+func (m *Machine) Routers() map[string]Router {
+	out := make(map[string]Router, len(m.data.Routers))
+	for name, router := range m.data.Routers {
+		out[name] = router
+	}
+	return out
+}
+
+// ClaimCount returns how many claims are remembered.
+func (m *Machine) ClaimCount() int { return len(m.data.Claims) }
