--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets: make demo (the main job), make check (all tests), make build.
+
+.PHONY: build demo check format lint test models clean
+
+build:
+	go build -o bin/ ./cmd/...
+
+# The main job: a whole deployment as separate processes, under a surge.
+demo: build
+	./bin/rehearse fleet --deployment grocery --seconds 30
+
+check: format lint test
+
+format:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+
+test:
+	go test -race -count=1 ./...
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/cmd/quinceridge/router.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/config"
+	"quinceridge.example/quinceridge/internal/router"
+	"quinceridge.example/quinceridge/internal/settings"
+	"quinceridge.example/quinceridge/internal/telemetry"
+)
+
+type routerCommand struct {
+	Config string `required:"" help:"Settings file (docs/SETTINGS.md)." placeholder:"FILE"`
+	Check  bool   `help:"Check the settings file and exit."`
+}
+
+// Run implements the command.
+func (c *routerCommand) Run() error {
+	var s settings.Router
+	if err := config.Load(c.Config, &s); err != nil {
+		return err
+	}
+	s.SetDefaults()
+	if c.Check {
+		fmt.Println("the settings are sound")
+		return nil
+	}
+	stopped := stopSignal()
+	r, err := router.New(s, telemetry.NewLogger(os.Stderr, s.Log, s.Name))
+	if err != nil {
+		return err
+	}
+	if err := r.Start(); err != nil {
+		return err
+	}
+	<-stopped
+	return r.Stop(context.Background())
+}
+
+// stopSignal returns a channel that closes on the first SIGTERM or interrupt.
+// A second one ends the process at once.
+func stopSignal() <-chan struct{} {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	stopped := make(chan struct{})
+	go func() {
+		<-signals
+		close(stopped)
+		<-signals
+		os.Exit(exitFailure)
+	}()
+	return stopped
+}
+
+// errDisk is returned when a control node ended because its disk failed.
+var errDisk = errors.New("the control node stopped by itself")
--- /dev/null
+++ b/cmd/rehearse/main.go
@@ -0,0 +1,64 @@
+// Command rehearse is the rehearsal kit: stand-ins for the outside systems,
+// whole fleets on loopback, and the bench. It is not part of the product.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitUsage    = 2
+	exitUnsound  = 3
+	resultsMode  = 0o600
+	foldersMode  = 0o700
+	maxOpenCalls = 2000
+)
+
+// errUnsound is returned when a run broke a promise.
+var errUnsound = errors.New("answers were lost, cut, doubled, wrong, or falsely called not run")
+
+type commandLine struct {
+	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment as processes and drive a surge."`
+	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
+	Appworker   appworkerCommand   `cmd:"" help:"Stand-in: one application worker."`
+	Platform    platformCommand    `cmd:"" help:"Stand-in: the platform's list of machines."`
+	Kvstore     kvstoreCommand     `cmd:"" help:"Stand-in: the store of kept KV cache."`
+	Weightstore weightstoreCommand `cmd:"" help:"Stand-in: the weight store."`
+	Callers     callersCommand     `cmd:"" help:"Stand-in: callers."`
+}
+
+func main() {
+	var line commandLine
+	parser, err := kong.New(&line, kong.Name("rehearse"), kong.Description("Rehearsal kit of quinceridge. All load stays on 127.0.0.0/8."),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fail(err, exitFailure)
+	}
+	command, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fail(err, exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	command.BindTo(ctx, (*context.Context)(nil))
+	if err := command.Run(); err != nil {
+		if errors.Is(err, errUnsound) {
+			fail(err, exitUnsound)
+		}
+		fail(err, exitFailure)
+	}
+}
+
+func fail(err error, code int) {
+	fmt.Fprintln(os.Stderr, "rehearse:", err)
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,192 @@
+// Package agent is the router's side of the agreement with control: which
+// bundle is in force here, whether the router may take new work, and what it
+// does when control cannot be reached.
+//
+// An Agent is pure. The router process drives it with sockets, a clock and a
+// file; the simulator drives it with virtual ones. The caller must make
+// Durable durable, and call Saved, before it sends any message or takes any
+// work that follows a change.
+//
+// The rule that keeps an accepted bundle in force everywhere: a router takes
+// new work only while it holds a lease from control, or while a majority of
+// all routers has promised that they hold none and take none meanwhile. The
+// leader accepts a bundle only after a majority of the routers has it durable
+// and the leases of all others have run out. The two majorities share a router,
+// and that one tells of the bundle.
+package agent
+
+import (
+	"time"
+
+	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+const (
+	// promiseDuration is how long a promise to another router holds.
+	promiseDuration = 2 * time.Second
+	// promiseKept is how long the promising router keeps its word: a quarter
+	// more, to cover clocks that drift apart.
+	promiseKept = promiseDuration + promiseDuration/4
+	// probeFreshness is how long a granted probe speaks for control being back.
+	probeFreshness = 3 * time.Second
+)
+
+// Durable is what a router must never forget.
+type Durable struct {
+	InForce  *Held          `json:"in_force,omitempty"`
+	Staged   *Held          `json:"staged,omitempty"`
+	Registry state.Registry `json:"registry"`
+	// Promised says that a promise to another router may be outstanding.
+	Promised bool `json:"promised,omitempty"`
+}
+
+// Mode says by what right the router takes new work.
+type Mode string
+
+// The modes of a router.
+const (
+	// ModeNone takes no new work: control may have counted the router out.
+	ModeNone Mode = "none"
+	// ModeLeased has a lease from control.
+	ModeLeased Mode = "leased"
+	// ModeHeld goes on with a majority of the routers, control being lost to
+	// all of them.
+	ModeHeld Mode = "held"
+)
+
+// promise is what another router promised.
+type promise struct {
+	until  time.Duration
+	newest uint64 // version of its highest bundle
+}
+
+// Agent is the state of one router. It is not safe for concurrent use.
+type Agent struct {
+	self    state.Router
+	durable Durable
+	dirty   bool
+
+	leaseEnd time.Duration
+	// promisedUntil is when the last promise given to another router ends.
+	promisedUntil time.Duration
+	probedAt      time.Duration
+	probed        bool
+	promises      map[string]promise
+	// wantWhole is set after an offer could not be applied.
+	wantWhole bool
+}
+
+// New returns the agent of a router that starts at now with what its disk held.
+// It has no lease. If it may have promised to take none before it stopped, it
+// keeps to that.
+func New(self state.Router, durable Durable, now time.Duration) *Agent {
+	durable.Registry = durable.Registry.Clone()
+	a := &Agent{self: self, durable: durable, promises: map[string]promise{}, leaseEnd: now, promisedUntil: now}
+	if durable.Promised {
+		a.promisedUntil = now + promiseKept
+	}
+	return a
+}
+
+// Durable returns what must be made durable.
+func (a *Agent) Durable() Durable { return a.durable }
+
+// Dirty tells whether Durable has changed since Saved.
+func (a *Agent) Dirty() bool { return a.dirty }
+
+// Saved says that Durable is durable.
+func (a *Agent) Saved() { a.dirty = false }
+
+// InForce returns the bundle that the router serves by, or nil.
+func (a *Agent) InForce() *Held { return a.durable.InForce }
+
+// Mode tells whether the router may take new work at now.
+func (a *Agent) Mode(now time.Duration) Mode {
+	switch {
+	case a.durable.InForce == nil:
+		return ModeNone
+	case now < a.leaseEnd:
+		return ModeLeased
+	case a.held(now):
+		return ModeHeld
+	}
+	return ModeNone
+}
+
+// newest returns the highest bundle that the router has, or nil.
+func (a *Agent) newest() *Held {
+	staged, inForce := a.durable.Staged, a.durable.InForce
+	if staged == nil || (inForce != nil && inForce.Stamp.Version >= staged.Stamp.Version) {
+		return inForce
+	}
+	return staged
+}
+
+// LeaseRequest returns the next heartbeat to control. While a promise to
+// another router holds it only probes.
+func (a *Agent) LeaseRequest(now time.Duration) controlapi.LeaseRequest {
+	r := controlapi.LeaseRequest{Router: a.self, Registry: a.durable.Registry.Version, Probe: now < a.promisedUntil}
+	if a.wantWhole {
+		return r
+	}
+	if held := a.durable.InForce; held != nil {
+		r.InForce = held.Stamp
+	}
+	if held := a.durable.Staged; held != nil {
+		r.Staged, r.Stage = held.Stamp, held.Stage
+	}
+	return r
+}
+
+// HandleLease takes the answer to a request that was sent at the given time.
+func (a *Agent) HandleLease(now, sent time.Duration, request controlapi.LeaseRequest, reply controlapi.LeaseReply) error {
+	a.learnRegistry(reply.Registry)
+	a.wantWhole = false
+	for _, offer := range reply.Offers {
+		if err := a.take(offer); err != nil {
+			a.wantWhole = true
+			return err
+		}
+	}
+	a.accept(reply.Accepted)
+	if !reply.Granted {
+		return nil
+	}
+	if request.Probe {
+		a.probed, a.probedAt = true, now
+		return nil
+	}
+	if a.serves(reply.Accepted) && sent >= a.promisedUntil {
+		a.leaseEnd = max(a.leaseEnd, sent+reply.Duration)
+		if a.durable.Promised {
+			a.durable.Promised = false
+			a.dirty = true
+		}
+	}
+	return nil
+}
+
+func (a *Agent) learnRegistry(registry *state.Registry) {
+	if registry == nil || registry.Version <= a.durable.Registry.Version {
+		return
+	}
+	a.durable.Registry = registry.Clone()
+	a.dirty = true
+}
+
+// accept puts the staged bundle in force when control has accepted it.
+func (a *Agent) accept(accepted controlapi.Stamp) {
+	staged := a.durable.Staged
+	if staged == nil || staged.Stamp != accepted || a.serves(accepted) {
+		return
+	}
+	a.durable.InForce = staged
+	a.dirty = true
+}
+
+// serves tells whether the bundle in force is the accepted one or a later one.
+func (a *Agent) serves(accepted controlapi.Stamp) bool {
+	held := a.durable.InForce
+	return accepted.Version == 0 || (held != nil && held.Stamp.Version >= accepted.Version)
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -7,7 +7,6 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,8 +33,6 @@
 	Lease time.Duration
 	// Bootstrap is whose signatures count before the first bundle.
 	Bootstrap state.Trust
-	// Random is the source for names of commands.
-	Random *rand.Rand
 }
 
 // Done receives the outcome of a proposal. It is called by Pump.
@@ -103,6 +100,7 @@
 	c.node.Tick(now)
 	c.followLeadership(now)
 	c.rollout(now)
+	c.admit(now)
 }
 
 // Step handles a consensus message.
@@ -114,12 +112,12 @@
 // followLeadership starts the lease table anew when leadership begins, and
 // fails waiting proposals when it ends.
 func (c *Core) followLeadership(now time.Duration) {
-	status := c.node.Role()
-	if status == raft.Leader && !c.leases.leading {
+	role := c.node.Role()
+	if role == raft.Leader && !c.leases.leading {
 		c.leases.reset(now)
 		c.leases.leading = true
 	}
-	if status != raft.Leader && c.leases.leading {
+	if role != raft.Leader && c.leases.leading {
 		c.leases.leading = false
 		c.failWaiting()
 	}
@@ -144,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	c.waiting[index] = waiter{term: c.node.Status().Term, done: done}
+	c.waiting[index] = waiter{term: c.node.Term(index), done: done}
 	return nil
 }
 
--- /dev/null
+++ b/internal/control/handlers.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/raft"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// ErrStopping is returned to calls that come while the node stops.
+var ErrStopping = errors.New("the node is stopping")
+
+// handle serves one call of a peer.
+func (s *Server) handle(ctx context.Context, kind string, body json.RawMessage) (any, error) {
+	switch kind {
+	case controlapi.KindRaft:
+		return peer.Decoded(body, s.handleRaft)
+	case controlapi.KindLease:
+		return peer.Decoded(body, func(r controlapi.LeaseRequest) (controlapi.LeaseReply, error) { return s.handleLease(ctx, r) })
+	case controlapi.KindView:
+		return peer.Decoded(body, func(r controlapi.ViewRequest) (controlapi.ViewReply, error) { return s.inventory.View(r), nil })
+	case controlapi.KindSubmit:
+		return peer.Decoded(body, func(r controlapi.SubmitRequest) (controlapi.SubmitReply, error) { return s.handleSubmit(ctx, r) })
+	case controlapi.KindStatus:
+		return peer.Decoded(body, func(controlapi.StatusRequest) (controlapi.StatusReply, error) { return s.handleStatus(ctx) })
+	case controlapi.KindChange:
+		return peer.Decoded(body, func(r controlapi.ChangeRequest) (controlapi.Acknowledgement, error) {
+			return s.acknowledge(ctx, func(now time.Duration) error { return s.core.Change(now, r.Change) })
+		})
+	case controlapi.KindTransfer:
+		return peer.Decoded(body, func(r controlapi.TransferRequest) (controlapi.Acknowledgement, error) {
+			return s.acknowledge(ctx, func(time.Duration) error { return s.core.TransferLeadership(r.To) })
+		})
+	}
+	return nil, errors.Wrap(peer.ErrUnknownKind, kind)
+}
+
+// handleRaft queues a consensus message. A full queue loses it, as a network
+// may.
+func (s *Server) handleRaft(m raft.Message) (struct{}, error) {
+	select {
+	case s.events <- func(now time.Duration) { s.core.Step(now, m) }:
+	default:
+	}
+	return struct{}{}, nil
+}
+
+func (s *Server) handleLease(ctx context.Context, r controlapi.LeaseRequest) (controlapi.LeaseReply, error) {
+	var reply controlapi.LeaseReply
+	if !s.do(ctx, func(now time.Duration) { reply = s.core.Lease(now, r) }) {
+		return reply, ErrStopping
+	}
+	return reply, nil
+}
+
+type submitted struct {
+	result state.Result
+	err    error
+}
+
+// handleSubmit runs a command through the log and waits for its result. The
+// trust of this node's settings goes with the command.
+func (s *Server) handleSubmit(ctx context.Context, r controlapi.SubmitRequest) (controlapi.SubmitReply, error) {
+	command := r.Command
+	command.At = time.Now().UnixMilli()
+	s.addBootstrap(&command)
+	done := make(chan submitted, 1)
+	var refused error
+	var leader string
+	ran := s.do(ctx, func(now time.Duration) {
+		refused = s.core.Propose(now, command, func(result state.Result, err error) { done <- submitted{result, err} })
+		leader = s.core.leaderAddress()
+	})
+	if !ran {
+		return controlapi.SubmitReply{}, ErrStopping
+	}
+	if errors.Is(refused, raft.ErrNotLeader) {
+		return controlapi.SubmitReply{NotLeader: true, Leader: leader}, nil
+	}
+	if refused != nil {
+		return controlapi.SubmitReply{}, refused
+	}
+	select {
+	case outcome := <-done:
+		return controlapi.SubmitReply{Result: outcome.result}, outcome.err
+	case <-ctx.Done():
+		return controlapi.SubmitReply{}, ErrStopping
+	case <-s.stopped:
+		return controlapi.SubmitReply{}, ErrStopping
+	}
+}
+
+func (s *Server) addBootstrap(command *state.Command) {
+	trust := s.core.config.Bootstrap
+	if command.Propose != nil {
+		command.Propose.Bootstrap = trust
+	}
+	if command.Approve != nil {
+		command.Approve.Bootstrap = trust
+	}
+}
+
+// acknowledge runs a change on the leader.
+func (s *Server) acknowledge(ctx context.Context, change func(now time.Duration) error) (controlapi.Acknowledgement, error) {
+	var err error
+	var leader string
+	ran := s.do(ctx, func(now time.Duration) {
+		err = change(now)
+		leader = s.core.leaderAddress()
+	})
+	switch {
+	case !ran:
+		return controlapi.Acknowledgement{}, ErrStopping
+	case errors.Is(err, raft.ErrNotLeader):
+		return controlapi.Acknowledgement{NotLeader: true, Leader: leader}, nil
+	case err != nil:
+		return controlapi.Acknowledgement{Message: err.Error()}, nil
+	}
+	return controlapi.Acknowledgement{OK: true}, nil
+}
+
+func (s *Server) handleStatus(ctx context.Context) (controlapi.StatusReply, error) {
+	var reply controlapi.StatusReply
+	var err error
+	ran := s.do(ctx, func(now time.Duration) { reply, err = s.core.Report(now) })
+	if !ran {
+		return reply, ErrStopping
+	}
+	reply.Machines = s.inventory.Machines()
+	return reply, err
+}
+
+// Report describes the node and its state.
+func (c *Core) Report(now time.Duration) (controlapi.StatusReply, error) {
+	digest, err := c.machine.Digest()
+	reply := controlapi.StatusReply{
+		Raft:        c.node.Status(),
+		HoldsLease:  c.node.HoldsLease(now),
+		StateDigest: digest,
+		History:     c.machine.History(),
+		Claims:      c.machine.ClaimCount(),
+	}
+	if head := c.machine.Head(); head != nil {
+		reply.Accepted = stampOf(head)
+		reply.Head = head.Canonical
+	}
+	if pending := c.machine.Pending(); pending != nil {
+		stamp := stampOf(pending)
+		reply.Pending = &stamp
+		reply.Staged = pending.Stage != 0
+		for operator := range pending.Signatures {
+			reply.Signed = append(reply.Signed, operator)
+		}
+	}
+	if reply.HoldsLease {
+		reply.Places = c.Places(now)
+	}
+	return reply, err
+}
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -49,14 +49,16 @@
 	Staged Stamp `json:"staged"`
 	// Stage is the log index of that staging, or 0.
 	Stage uint64 `json:"stage"`
-	// RegistryDigest names the registry that the router knows.
-	RegistryDigest string `json:"registry_digest,omitempty"`
+	// Registry is the version of the registry that the router has durable.
+	Registry uint64 `json:"registry,omitempty"`
 	// Probe asks whether a lease could be had, without taking one.
 	Probe bool `json:"probe,omitempty"`
 }
 
 // LeaseReply answers a LeaseRequest.
 type LeaseReply struct {
+	// Leading says that the answering node is the leader.
+	Leading bool `json:"leading,omitempty"`
 	// Granted says that the lease runs for Duration from when the request was
 	// sent, by the router's clock.
 	Granted  bool          `json:"granted"`
@@ -69,16 +71,17 @@
 	// Offers are bundles that the router lacks, oldest first.
 	Offers []Offer `json:"offers,omitempty"`
 	// Registry is sent when the router's is out of date.
-	Registry       []state.Router `json:"registry,omitempty"`
-	RegistryDigest string         `json:"registry_digest,omitempty"`
+	Registry *state.Registry `json:"registry,omitempty"`
 }
 
 // HoldRequest asks another router for a promise, because the sender has lost
 // its lease and wants to know whether all others have.
 type HoldRequest struct {
 	Router string `json:"router"`
-	// Have is the digests of the bundles that the sender has.
-	Have []string `json:"have,omitempty"`
+	// Newest is the highest bundle that the sender has.
+	Newest Stamp `json:"newest"`
+	// Registry is the version of the registry that the sender has.
+	Registry uint64 `json:"registry"`
 }
 
 // HoldReply answers a HoldRequest.
@@ -94,6 +97,8 @@
 	Newest Stamp `json:"newest"`
 	// Offer carries it when the sender lacks it.
 	Offer *Offer `json:"offer,omitempty"`
+	// Registry is sent when the sender's is older.
+	Registry *state.Registry `json:"registry,omitempty"`
 }
 
 // MachineRole is the role of a machine on the platform's list.
@@ -187,6 +192,8 @@
 // PlaceStatus is what the leader knows of one router.
 type PlaceStatus struct {
 	Router state.Router `json:"router"`
+	// Joining says that the router does not count yet.
+	Joining bool `json:"joining,omitempty"`
 	// Leased says that the router holds a lease, as far as the leader knows.
 	Leased  bool   `json:"leased"`
 	InForce Stamp  `json:"in_force"`
@@ -205,7 +212,6 @@
 	StateDigest string          `json:"state_digest"`
 	Accepted    Stamp           `json:"accepted"`
 	Pending     *Stamp          `json:"pending,omitempty"`
-	PendingText string          `json:"pending_text,omitempty"`
 	Signed      []string        `json:"signed,omitempty"`
 	Staged      bool            `json:"staged,omitempty"`
 	History     []state.Version `json:"history,omitempty"`
@@ -216,3 +222,8 @@
 	// Head is the canonical text of the bundle in force.
 	Head json.RawMessage `json:"head,omitempty"`
 }
+
+// TraceRequest asks a router for the trace of one request.
+type TraceRequest struct {
+	RequestID string `json:"request_id"`
+}
--- /dev/null
+++ b/internal/fleet/summary.go
@@ -0,0 +1,215 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/prefix"
+	"quinceridge.example/quinceridge/internal/standin/appworker"
+	"quinceridge.example/quinceridge/internal/standin/callers"
+	"quinceridge.example/quinceridge/internal/standin/engine"
+)
+
+// Summary is what a run came to.
+type Summary struct {
+	callers.Tally
+	Deployment string  `json:"deployment"`
+	Seed       uint64  `json:"seed"`
+	Seconds    float64 `json:"seconds"`
+	// DoubleRuns counts calls that may not be repeated and were run again.
+	DoubleRuns int `json:"double_runs"`
+	// FalseNotRun counts requests that were refused as not run and were run.
+	FalseNotRun int     `json:"false_not_run"`
+	HitRate     float64 `json:"hit_rate"`
+	// WastedRatio is the share of prompt tokens that were computed although a
+	// live engine held them, or for an attempt that was cancelled.
+	WastedRatio float64 `json:"wasted_ratio"`
+
+	SteadyP50 float64 `json:"ttft_p50_steady"`
+	SteadyP95 float64 `json:"ttft_p95_steady"`
+	SteadyP99 float64 `json:"ttft_p99_steady"`
+	SurgeP50  float64 `json:"ttft_p50_surge"`
+	SurgeP95  float64 `json:"ttft_p95_surge"`
+	SurgeP99  float64 `json:"ttft_p99_surge"`
+	// TokenGapP95 is the time between tokens for 95 in 100 answers.
+	TokenGapP95 float64                    `json:"token_gap_p95"`
+	TTFT        map[string]callers.Latency `json:"ttft"`
+	Stuck       []string                   `json:"stuck,omitempty"`
+	Errors      []string                   `json:"errors,omitempty"`
+	Faults      int                        `json:"faults,omitempty"`
+	FaultCounts map[string]int             `json:"fault_counts,omitempty"`
+}
+
+// Sound tells whether every promise about answers was kept.
+func (s *Summary) Sound() bool {
+	return s.Lost == 0 && s.IncompleteStreams == 0 && s.Wrong == 0 && s.DoubleRuns == 0 && s.FalseNotRun == 0 && len(s.Stuck) == 0
+}
+
+// Summarize reads what a stopped fleet left.
+func (f *Fleet) Summarize() (*Summary, error) {
+	data, err := os.ReadFile(f.callersFile())
+	if err != nil {
+		return nil, errors.Wrap(err, "read callers' report")
+	}
+	var report callers.Report
+	if err := json.Unmarshal(data, &report); err != nil {
+		return nil, errors.Wrap(err, "decode callers' report")
+	}
+	s := &Summary{Tally: report.Tally, Deployment: f.config.Deployment.Name, Seed: f.config.Seed, Seconds: report.Seconds,
+		TTFT: report.TTFT, TokenGapP95: report.TokenGap.P95, Errors: report.Errors}
+	steady, surge := report.TTFT["steady"], report.TTFT["surge"]
+	s.SteadyP50, s.SteadyP95, s.SteadyP99 = steady.P50, steady.P95, steady.P99
+	s.SurgeP50, s.SurgeP95, s.SurgeP99 = surge.P50, surge.P95, surge.P99
+	if err := f.addRuns(s, &report); err != nil {
+		return nil, err
+	}
+	return s, f.addCache(s, &report)
+}
+
+// readJournals calls take for each line of the named file in every folder that
+// matches.
+func readJournals[T any](folder, pattern, name string, take func(T)) error {
+	files, err := filepath.Glob(filepath.Join(folder, "data", pattern, name))
+	if err != nil {
+		return errors.Wrap(err, "find journals")
+	}
+	for _, file := range files {
+		if err := readJournal(file, take); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const maxJournalLine = 16 << 20
+
+func readJournal[T any](path string, take func(T)) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "open journal")
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxJournalLine)
+	for lines.Scan() {
+		var line T
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			continue // a kill may have cut the last line
+		}
+		take(line)
+	}
+	return errors.Wrap(lines.Err(), "read journal")
+}
+
+// addRuns checks the application workers' runs against the callers' answers.
+func (f *Fleet) addRuns(s *Summary, report *callers.Report) error {
+	runs := map[string]int{}
+	err := readJournals(f.config.Folder, "worker-*", appworker.JournalName, func(r appworker.Run) {
+		if r.Key != "" {
+			runs[r.Key]++
+		}
+	})
+	if err != nil {
+		return err
+	}
+	for _, count := range runs {
+		if count > 1 {
+			s.DoubleRuns += count - 1
+		}
+	}
+	for _, key := range report.Refused {
+		if runs[key] > 0 {
+			s.FalseNotRun++
+		}
+	}
+	for _, key := range report.Called {
+		if runs[key] == 0 {
+			s.Wrong++
+		}
+	}
+	return nil
+}
+
+// addCache replays the engines' journals: what was cached where at each time.
+func (f *Fleet) addCache(s *Summary, report *callers.Report) error {
+	var records []engine.Record
+	err := readJournals(f.config.Folder, "engine-*", engine.JournalName, func(r engine.Record) { records = append(records, r) })
+	if err != nil {
+		return err
+	}
+	sort.SliceStable(records, func(i, j int) bool { return records[i].At < records[j].At })
+	index := newCacheIndex()
+	for i := range records {
+		index.take(&records[i])
+	}
+	if index.prompt > 0 {
+		s.HitRate = float64(index.cached) / float64(index.prompt)
+		s.WastedRatio = float64(index.wasted) / float64(index.prompt)
+	}
+	for _, id := range report.RefusedRequests {
+		if id != "" && index.admitted[id] > 0 {
+			s.FalseNotRun++
+		}
+	}
+	return nil
+}
+
+// cacheIndex follows which engine holds which block.
+type cacheIndex struct {
+	holders  map[uint64]int
+	blocks   map[string]map[uint64]bool // by engine
+	admitted map[string]int             // uncached tokens by request
+	prompt   int
+	cached   int
+	wasted   int
+}
+
+func newCacheIndex() *cacheIndex {
+	return &cacheIndex{holders: map[uint64]int{}, blocks: map[string]map[uint64]bool{}, admitted: map[string]int{}}
+}
+
+func (x *cacheIndex) take(r *engine.Record) {
+	switch r.Kind {
+	case engine.RecordStart:
+		for block := range x.blocks[r.Engine] {
+			x.holders[block]--
+		}
+		x.blocks[r.Engine] = map[uint64]bool{}
+	case engine.RecordCache:
+		x.change(r)
+	case engine.RecordAdmit:
+		x.prompt += r.Prompt
+		x.cached += r.Cached
+		x.admitted[r.Request] = r.Prompt - r.Cached
+		for _, block := range r.Chain[min(r.Cached/prefix.BlockTokens, len(r.Chain)):] {
+			if x.holders[block] > 0 {
+				x.wasted += prefix.BlockTokens
+			}
+		}
+	case engine.RecordCancel:
+		x.wasted += x.admitted[r.Request]
+	}
+}
+
+func (x *cacheIndex) change(r *engine.Record) {
+	held := x.blocks[r.Engine]
+	if held == nil {
+		held = map[uint64]bool{}
+		x.blocks[r.Engine] = held
+	}
+	for _, event := range r.Events {
+		switch {
+		case event.Stored && !held[event.Block]:
+			held[event.Block] = true
+			x.holders[event.Block]++
+		case !event.Stored && held[event.Block]:
+			delete(held, event.Block)
+			x.holders[event.Block]--
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/application.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"quinceridge.example/quinceridge/internal/bundle"
+	"quinceridge.example/quinceridge/internal/claims"
+	"quinceridge.example/quinceridge/internal/dispatch"
+	"quinceridge.example/quinceridge/internal/membership"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// Limits of application calls.
+const (
+	workerDialTimeout = 500 * time.Millisecond
+	maxIdempotencyKey = 128
+	maxAnswer         = 8 << 20
+	maxWorkerTries    = 3
+	// claimTimeout bounds the wait for a claim.
+	claimTimeout = 2 * time.Second
+	// crashSlack is how long after a route's deadline a running attempt is
+	// taken for lost.
+	crashSlack = 5 * time.Second
+)
+
+// call is a checked application call.
+type call struct {
+	id     string
+	tenant string
+	path   string
+	route  bundle.Route
+	body   []byte
+	header http.Header
+}
+
+// answer is what a worker said.
+type answer struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+func newWorkerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: workerDialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				connection, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, errors.Mark(err, dispatch.ErrNotSent)
+				}
+				return connection, nil
+			},
+			MaxIdleConnsPerHost: 64,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// application serves the application routes of the bundle.
+func (g *Gateway) application(c echo.Context) error {
+	config, err := g.authority()
+	if err != nil {
+		return err
+	}
+	tenant, _, err := authenticate(c, config)
+	if err != nil {
+		return err
+	}
+	path := "/" + c.Param("*")
+	route, known := config.Route(path)
+	if !known {
+		return invalid(http.StatusNotFound, "", "no such route: "+path)
+	}
+	body, err := g.readBody(c)
+	if err != nil {
+		return err
+	}
+	g.metrics.open.Inc()
+	defer g.metrics.open.Dec()
+	r := &call{id: requestID(c), tenant: tenant, path: path, route: route, body: body, header: c.Request().Header}
+	var result answer
+	if route.Repeatable {
+		result, err = g.callRepeatable(c.Request().Context(), r)
+	} else {
+		result, err = g.callOnce(c.Request().Context(), r)
+	}
+	if err != nil {
+		return err
+	}
+	g.metrics.answered()
+	return c.Blob(result.status, result.contentType, result.body)
+}
+
+// callRepeatable tries workers until one answers.
+func (g *Gateway) callRepeatable(ctx context.Context, r *call) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.route.Deadline)
+	defer cancel()
+	var last error
+	for _, worker := range g.applications() {
+		result, err := g.callWorker(ctx, r, worker)
+		if err == nil {
+			return result, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if last == nil || errors.Is(last, dispatch.ErrNotSent) {
+		return answer{}, notRun(http.StatusServiceUnavailable, "no application worker can be reached", time.Second)
+	}
+	return answer{}, unknownOutcome("the application worker gave no answer")
+}
+
+// callOnce runs a call that may not be repeated, under a claim on its key.
+func (g *Gateway) callOnce(ctx context.Context, r *call) (answer, error) {
+	key := r.header.Get(headerIdempotencyKey)
+	if key == "" || len(key) > maxIdempotencyKey {
+		return answer{}, invalid(http.StatusBadRequest, headerIdempotencyKey, "this route needs an Idempotency-Key of at most 128 characters")
+	}
+	claim := state.ClaimOperation{Tenant: r.tenant, Key: key, Attempt: r.id, Request: digestOf(r)}
+	limited, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	held, err := g.config.Claims.Acquire(limited, claim)
+	if err != nil {
+		return answer{}, notRun(http.StatusServiceUnavailable, claims.ErrNoQuorum.Error(), time.Second)
+	}
+	if held.State != state.ClaimGranted {
+		return repeated(r, held)
+	}
+	return g.runOnce(r, claim)
+}
+
+// repeated answers a call whose key has been used before.
+func repeated(r *call, held state.ClaimResult) (answer, error) {
+	switch held.State {
+	case state.ClaimFinished:
+		switch {
+		case held.Outcome.Unknown:
+			return answer{}, unknownOutcome("the first attempt with this key was sent and gave no answer")
+		case held.Outcome.Truncated:
+			return answer{}, unknownOutcome("the call was run; its answer was too long to keep")
+		}
+		return answer{held.Outcome.Status, held.Outcome.ContentType, held.Outcome.Body}, nil
+	case state.ClaimMismatch:
+		return answer{}, invalid(http.StatusUnprocessableEntity, headerIdempotencyKey, "this key was used for another request")
+	case state.ClaimRunning:
+		if time.Duration(held.Age)*time.Millisecond > r.route.Deadline+crashSlack {
+			return answer{}, unknownOutcome("the first attempt with this key was lost with its router")
+		}
+		conflict := notRun(http.StatusConflict, "a request with this key is running", time.Second)
+		return answer{}, conflict
+	}
+	return answer{}, notRun(http.StatusServiceUnavailable, "the claim was given up", time.Second)
+}
+
+// runOnce runs the one attempt. It goes on when the caller goes away, so that
+// the outcome is known to the next who asks.
+func (g *Gateway) runOnce(r *call, claim state.ClaimOperation) (answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.route.Deadline)
+	defer cancel()
+	for tries, worker := range g.applications() {
+		result, err := g.callWorker(ctx, r, worker)
+		switch {
+		case err == nil:
+			g.config.Claims.Finish(claim, state.Outcome{Status: result.status, ContentType: result.contentType, Body: result.body})
+			return result, nil
+		case !errors.Is(err, dispatch.ErrNotSent):
+			g.config.Claims.Finish(claim, state.Outcome{Unknown: true})
+			return answer{}, unknownOutcome("the call was sent and no answer came")
+		}
+		if tries+1 >= maxWorkerTries || ctx.Err() != nil {
+			break
+		}
+	}
+	g.config.Claims.Release(claim)
+	return answer{}, notRun(http.StatusServiceUnavailable, "no application worker can be reached", time.Second)
+}
+
+// callWorker sends a call to one worker. ErrNotSent marks errors before any
+// byte was sent.
+func (g *Gateway) callWorker(ctx context.Context, r *call, worker membership.Application) (answer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+worker.Address+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return answer{}, errors.Mark(err, dispatch.ErrNotSent)
+	}
+	// Without GetBody the transport never sends a call a second time by itself.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", r.header.Get("Content-Type"))
+	request.Header.Set(headerRequestID, r.id)
+	request.Header.Set("Tenant", r.tenant)
+	request.Header.Set("Request-Key", r.header.Get(headerIdempotencyKey))
+	response, err := g.workers.Do(request)
+	if err != nil {
+		g.config.Pool.Failed(g.config.Now(), worker.ID)
+		return answer{}, errors.Wrap(err, "call worker")
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		g.config.Pool.Failed(g.config.Now(), worker.ID)
+		return answer{}, errors.Wrap(err, "read worker's answer")
+	}
+	g.config.Pool.Succeeded(worker.ID)
+	return answer{response.StatusCode, response.Header.Get("Content-Type"), body}, nil
+}
+
+// applications returns the workers in the order to try: the router's own zone
+// first, suspect ones last.
+func (g *Gateway) applications() []membership.Application {
+	workers := g.config.Pool.Applications(g.config.Now())
+	rand.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
+	var near, far, suspect []membership.Application
+	for _, w := range workers {
+		switch {
+		case w.Suspect:
+			suspect = append(suspect, w)
+		case w.Zone == g.config.Zone:
+			near = append(near, w)
+		default:
+			far = append(far, w)
+		}
+	}
+	return append(append(near, far...), suspect...)
+}
+
+func digestOf(r *call) string {
+	sum := sha256.New()
+	sum.Write([]byte(r.route.Path + "\x00"))
+	sum.Write(r.body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,155 @@
+// Package gateway is the callers' side of a router: an OpenAI-style HTTP API,
+// application routes, health and metrics.
+package gateway
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"quinceridge.example/quinceridge/internal/agent"
+	"quinceridge.example/quinceridge/internal/board"
+	"quinceridge.example/quinceridge/internal/claims"
+	"quinceridge.example/quinceridge/internal/dispatch"
+	"quinceridge.example/quinceridge/internal/membership"
+	"quinceridge.example/quinceridge/internal/telemetry"
+	"quinceridge.example/quinceridge/internal/trace"
+)
+
+// Headers of the callers' API.
+const (
+	headerRequestID      = "X-Request-Id"
+	headerClass          = "Priority-Class"
+	headerMinimumWeights = "Weights-Version-Min"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerLastEventID    = "Last-Event-ID"
+	headerRetryAfter     = "Retry-After"
+	// headerOutcome says on every error whether the request was run.
+	headerOutcome = "Request-Outcome"
+)
+
+// Limits towards callers.
+const (
+	readHeaderTimeout = 10 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	// writeTimeout bounds each write to a caller. A caller that does not read
+	// for so long is cut off.
+	writeTimeout = 10 * time.Second
+)
+
+// Config is what a Gateway works with.
+type Config struct {
+	Name       string
+	Zone       string
+	MaxBody    int64
+	Board      *board.Board
+	Pool       *membership.Pool
+	Dispatcher *dispatch.Dispatcher
+	Claims     *claims.Client
+	Traces     *trace.Recorder
+	Logger     *slog.Logger
+	Registry   *prometheus.Registry
+	Now        func() time.Duration
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	config    Config
+	logger    *slog.Logger
+	admission *admission
+	metrics   *metrics
+	workers   *http.Client
+	server    *http.Server
+}
+
+// New provisions a gateway. Server returns what serves it.
+func New(config Config) *Gateway {
+	g := &Gateway{config: config, logger: telemetry.Part(config.Logger, "gateway"), admission: newAdmission(),
+		metrics: newMetrics(config.Registry), workers: newWorkerClient()}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = g.handleError
+	e.Use(g.identify)
+	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/readyz", g.ready)
+	e.GET("/metrics", echo.WrapHandler(telemetry.Handler(config.Registry)))
+	e.POST("/v1/completions", g.completions)
+	e.POST("/v1/chat/completions", g.completions)
+	e.GET("/v1/models", g.models)
+	e.GET("/v1/models/:model", g.model)
+	e.POST("/app/*", g.application)
+	g.server = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+	}
+	return g
+}
+
+// Server returns the HTTP server, which the router's life cycle starts and
+// stops.
+func (g *Gateway) Server() *http.Server { return g.server }
+
+// ready tells whether the router takes new work.
+func (g *Gateway) ready(c echo.Context) error {
+	if _, err := g.authority(); err != nil {
+		return err
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// authority returns the bundle to serve by, or why the router takes no work.
+func (g *Gateway) authority() (*board.Config, error) {
+	if draining := g.config.Board.Draining.Load(); draining != nil && *draining {
+		return nil, notRun(http.StatusServiceUnavailable, "this router is stopping", time.Second)
+	}
+	authority, config := g.config.Board.Authority.Load(), g.config.Board.Config.Load()
+	if config == nil || authority == nil || authority.Mode == agent.ModeNone {
+		return nil, notRun(http.StatusServiceUnavailable, "this router has lost control and takes no new work", time.Second)
+	}
+	return config, nil
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+func (g *Gateway) models(c echo.Context) error {
+	config, err := g.authority()
+	if err != nil {
+		return err
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range sortedModels(config) {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "quinceridge"})
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+func (g *Gateway) model(c echo.Context) error {
+	config, err := g.authority()
+	if err != nil {
+		return err
+	}
+	name := c.Param("model")
+	if _, known := config.Bundle.Models[name]; !known {
+		return invalid(http.StatusNotFound, "model", "no such model: "+name)
+	}
+	return c.JSON(http.StatusOK, modelEntry{ID: name, Object: "model", OwnedBy: "quinceridge"})
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,271 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	dialTimeout = time.Second
+	// redialPause keeps a client from dialling a dead address all the time.
+	redialPause = 200 * time.Millisecond
+	// sendQueue bounds the one-way messages that wait for an address. More are
+	// dropped: their senders repeat them.
+	sendQueue = 1024
+)
+
+// ErrUnreachable is returned when no connection could be had. The call was not
+// sent.
+var ErrUnreachable = errors.New("address cannot be reached")
+
+// ErrBroken is returned when the connection ended before the reply. The call
+// may have been done.
+var ErrBroken = errors.New("connection ended before the reply")
+
+// Client calls any number of addresses over one connection each.
+type Client struct {
+	counters *Counters
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// NewClient returns a client without connections.
+func NewClient(counters *Counters) *Client {
+	return &Client{counters: counters, links: map[string]*link{}}
+}
+
+// Call sends a request to address and decodes the reply. The context's end
+// gives up waiting; the call may still be done.
+func (c *Client) Call(ctx context.Context, address, kind string, request, reply any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	answer, err := c.link(address).call(ctx, kind, body)
+	if err != nil {
+		return errors.Wrapf(err, "call %s at %s", kind, address)
+	}
+	if answer.Error != "" {
+		return errors.Mark(errors.Newf("%s at %s: %s", kind, address, answer.Error), ErrRemote)
+	}
+	return errors.Wrap(json.Unmarshal(answer.Body, reply), "decode reply")
+}
+
+// Send queues a one-way message. It never waits and may lose the message.
+func (c *Client) Send(address, kind string, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return
+	}
+	c.link(address).enqueue(envelope{Kind: kind, Body: body})
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		l.close()
+	}
+	c.links = map[string]*link{}
+}
+
+func (c *Client) link(address string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.links[address]
+	if !ok {
+		l = newLink(address, c.counters)
+		c.links[address] = l
+	}
+	return l
+}
+
+// link is the connection to one address. Lock order: link.mu only.
+type link struct {
+	address  string
+	counters *Counters
+	queue    chan envelope
+	stop     chan struct{}
+	stopOnce sync.Once
+
+	mu         sync.Mutex
+	connection net.Conn
+	waiting    map[uint64]chan envelope
+	number     uint64
+	failedAt   time.Time
+	dialling   chan struct{}
+}
+
+func newLink(address string, counters *Counters) *link {
+	l := &link{address: address, counters: counters, queue: make(chan envelope, sendQueue), stop: make(chan struct{}),
+		waiting: map[uint64]chan envelope{}}
+	go l.drain()
+	return l
+}
+
+func (l *link) enqueue(e envelope) {
+	select {
+	case l.queue <- e:
+	default:
+	}
+}
+
+// drain sends queued one-way messages.
+func (l *link) drain() {
+	for {
+		select {
+		case <-l.stop:
+			return
+		case e := <-l.queue:
+			connection, err := l.connect(context.Background())
+			if err != nil {
+				continue
+			}
+			_ = l.write(connection, e)
+		}
+	}
+}
+
+func (l *link) call(ctx context.Context, kind string, body json.RawMessage) (envelope, error) {
+	connection, err := l.connect(ctx)
+	if err != nil {
+		return envelope{}, err
+	}
+	answer := make(chan envelope, 1)
+	number := l.register(answer)
+	defer l.forget(number)
+	if err := l.write(connection, envelope{Number: number, Kind: kind, Body: body}); err != nil {
+		return envelope{}, errors.Mark(err, ErrBroken)
+	}
+	select {
+	case e, ok := <-answer:
+		if !ok {
+			return envelope{}, ErrBroken
+		}
+		return e, nil
+	case <-ctx.Done():
+		return envelope{}, errors.Wrap(ctx.Err(), "wait for reply")
+	}
+}
+
+func (l *link) register(answer chan envelope) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.number++
+	l.waiting[l.number] = answer
+	return l.number
+}
+
+func (l *link) forget(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, number)
+}
+
+// connect returns the connection, dialling if there is none. Callers that come
+// while another one dials wait for its result.
+func (l *link) connect(ctx context.Context) (net.Conn, error) {
+	for {
+		l.mu.Lock()
+		if l.connection != nil {
+			defer l.mu.Unlock()
+			return l.connection, nil
+		}
+		if time.Since(l.failedAt) < redialPause {
+			defer l.mu.Unlock()
+			return nil, ErrUnreachable
+		}
+		if l.dialling == nil {
+			l.dialling = make(chan struct{})
+			l.mu.Unlock()
+			return l.dial()
+		}
+		wait := l.dialling
+		l.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, errors.Wrap(ctx.Err(), "wait for connection")
+		}
+	}
+}
+
+func (l *link) dial() (net.Conn, error) {
+	connection, err := net.DialTimeout("tcp", l.address, dialTimeout)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.dialling)
+	l.dialling = nil
+	if err != nil {
+		l.failedAt = time.Now()
+		return nil, errors.Mark(errors.Wrap(err, "dial"), ErrUnreachable)
+	}
+	l.connection = connection
+	go l.receive(connection)
+	return connection, nil
+}
+
+func (l *link) write(connection net.Conn, e envelope) error {
+	line, err := encodeLine(e, l.counters)
+	if err != nil {
+		return err
+	}
+	// A net.Conn takes whole writes from several goroutines without mixing
+	// them.
+	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := connection.Write(line); err != nil {
+		l.drop(connection)
+		return errors.Wrap(err, "write message")
+	}
+	return nil
+}
+
+func (l *link) receive(connection net.Conn) {
+	lines := newLineReader(connection, l.counters)
+	for {
+		e, err := lines.next()
+		if err != nil {
+			l.drop(connection)
+			return
+		}
+		l.mu.Lock()
+		answer := l.waiting[e.Number]
+		delete(l.waiting, e.Number)
+		l.mu.Unlock()
+		if answer != nil {
+			answer <- e
+		}
+	}
+}
+
+// drop forgets a connection and fails the calls that wait on it.
+func (l *link) drop(connection net.Conn) {
+	_ = connection.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.connection != connection {
+		return
+	}
+	l.connection = nil
+	for number, answer := range l.waiting {
+		close(answer)
+		delete(l.waiting, number)
+	}
+}
+
+func (l *link) close() {
+	l.stopOnce.Do(func() { close(l.stop) })
+	l.mu.Lock()
+	connection := l.connection
+	l.mu.Unlock()
+	if connection != nil {
+		l.drop(connection)
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,75 @@
+// Package peer is the internal protocol: JSON lines over TCP between control
+// nodes, routers and operators. A line is one envelope; replies carry the
+// number of the call they answer and may come in any order.
+package peer
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLine bounds one message. The whole bundle of the target size is 6 MiB.
+const maxLine = 64 << 20
+
+// ErrRemote is the mark of an error that the called process reported.
+var ErrRemote = errors.New("remote error")
+
+// envelope is one line. A call with number 0 wants no reply.
+type envelope struct {
+	Number uint64          `json:"n,omitempty"`
+	Kind   string          `json:"kind,omitempty"`
+	Body   json.RawMessage `json:"body,omitempty"`
+	Error  string          `json:"error,omitempty"`
+}
+
+// Counters count the bytes and messages of all connections of a process.
+type Counters struct {
+	BytesIn     atomic.Uint64
+	BytesOut    atomic.Uint64
+	MessagesIn  atomic.Uint64
+	MessagesOut atomic.Uint64
+}
+
+// lineReader reads envelopes.
+type lineReader struct {
+	scanner  *bufio.Scanner
+	counters *Counters
+}
+
+const firstBuffer = 16 << 10
+
+func newLineReader(r io.Reader, counters *Counters) *lineReader {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, firstBuffer), maxLine)
+	return &lineReader{scanner: scanner, counters: counters}
+}
+
+func (l *lineReader) next() (envelope, error) {
+	var e envelope
+	if !l.scanner.Scan() {
+		if err := l.scanner.Err(); err != nil {
+			return e, errors.Wrap(err, "read message")
+		}
+		return e, io.EOF
+	}
+	l.counters.BytesIn.Add(uint64(len(l.scanner.Bytes()) + 1))
+	l.counters.MessagesIn.Add(1)
+	err := json.Unmarshal(l.scanner.Bytes(), &e)
+	return e, errors.Wrap(err, "decode message")
+}
+
+// encodeLine returns the line of an envelope.
+func encodeLine(e envelope, counters *Counters) ([]byte, error) {
+	line, err := json.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	line = append(line, '\n')
+	counters.BytesOut.Add(uint64(len(line)))
+	counters.MessagesOut.Add(1)
+	return line, nil
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -247,21 +247,28 @@
 
 // HasReady tells whether Ready has work.
 func (n *Node) HasReady() bool {
-	return n.hard != n.saved || n.pendingSnapshot != nil || len(n.messages) > 0 ||
+	return n.mustSave() || n.pendingSnapshot != nil || len(n.messages) > 0 ||
 		n.log.stable < n.log.last() || n.log.applied < n.log.commit
 }
 
+// mustSave tells whether the term or the vote changed. A new commit index alone
+// need not be durable: it is learned again. It is saved along with entries, as
+// a check that the log was not cut.
+func (n *Node) mustSave() bool {
+	return n.hard.Term != n.saved.Term || n.hard.Vote != n.saved.Vote
+}
+
 // Ready returns the work at hand. The caller does it and calls Advance before
 // it calls anything else.
 func (n *Node) Ready() Ready {
 	n.replicate()
 	n.hard.Commit = n.log.commit
 	r := Ready{Snapshot: n.pendingSnapshot, Messages: n.messages}
-	if n.hard != n.saved {
+	r.Entries = n.log.upTo(max(n.log.stable, n.log.offset), n.log.last())
+	if n.mustSave() || len(r.Entries) > 0 || r.Snapshot != nil {
 		state := n.hard
 		r.HardState = &state
 	}
-	r.Entries = n.log.upTo(max(n.log.stable, n.log.offset), n.log.last())
 	r.Committed = n.log.upTo(n.log.applied, n.log.commit)
 	n.messages = nil
 	return r
--- /dev/null
+++ b/internal/router/handlers.go
@@ -0,0 +1,31 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/trace"
+)
+
+// handle serves calls of other routers and of operators.
+func (r *Router) handle(_ context.Context, kind string, body json.RawMessage) (any, error) {
+	switch kind {
+	case controlapi.KindHold:
+		return peer.Decoded(body, r.rollout.handleHold)
+	case controlapi.KindTrace:
+		return peer.Decoded(body, r.handleTrace)
+	}
+	return nil, errors.Wrap(peer.ErrUnknownKind, kind)
+}
+
+func (r *Router) handleTrace(request controlapi.TraceRequest) (trace.Trace, error) {
+	found, ok := r.traces.Find(request.RequestID)
+	if !ok {
+		return found, errors.Newf("no trace of request %s here", request.RequestID)
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/router/membership.go
@@ -0,0 +1,118 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"quinceridge.example/quinceridge/internal/board"
+	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/controlclient"
+	"quinceridge.example/quinceridge/internal/membership"
+	"quinceridge.example/quinceridge/internal/storage"
+	"quinceridge.example/quinceridge/internal/telemetry"
+)
+
+const (
+	// machinesName is the file that keeps the last list of machines. It is a
+	// hint for the next start and may be stale.
+	machinesName = "machines.json"
+	// viewInterval is the time between two questions for machines and load.
+	viewInterval = 250 * time.Millisecond
+	// machinesSaved is the least time between two writes of the file.
+	machinesSaved = 5 * time.Second
+)
+
+// membershipController keeps the pool and the board's Machines up to date.
+type membershipController struct {
+	logger  *slog.Logger
+	control *controlclient.Client
+	clock   clock
+	region  string
+	pool    *membership.Pool
+	writer  *board.Writer[board.Machines]
+	file    *storage.File
+	ready   chan struct{}
+	once    sync.Once
+
+	current board.Machines
+	saved   time.Duration
+	unsaved bool
+}
+
+func newMembership(r *Router, pool *membership.Pool, clock clock) (*membershipController, error) {
+	m := &membershipController{logger: telemetry.Part(r.logger, "membership"), control: r.control, clock: clock,
+		region: r.settings.Region, pool: pool, ready: make(chan struct{}), saved: -machinesSaved}
+	var err error
+	if m.writer, err = r.board.Machines.Claim("membership"); err != nil {
+		return nil, err
+	}
+	if m.file, err = storage.OpenFile(vfs.Default, r.settings.DataDirectory, machinesName); err != nil {
+		return nil, err
+	}
+	var kept board.Machines
+	if json.Unmarshal(m.file.Content(), &kept) == nil && len(kept.Machines) > 0 {
+		m.take(kept)
+	}
+	return m, nil
+}
+
+// run asks for views until the context ends.
+func (m *membershipController) run(ctx context.Context) {
+	ticker := time.NewTicker(viewInterval)
+	defer ticker.Stop()
+	for {
+		m.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *membershipController) poll(ctx context.Context) {
+	reply, err := m.control.View(ctx, controlapi.ViewRequest{Revision: m.current.Revision, Source: m.current.Source, Region: m.region})
+	if err != nil {
+		m.logger.Debug("view failed", "error", err)
+		return
+	}
+	if reply.Machines != nil {
+		m.take(board.Machines{Revision: reply.Revision, Source: reply.Source, Machines: reply.Machines})
+		m.unsaved = true
+	}
+	if len(reply.Load) == len(m.current.Machines) {
+		for i, row := range reply.Load {
+			m.pool.SetLoad(m.clock.now(), m.current.Machines[i].ID, row)
+		}
+	}
+	if len(m.current.Machines) > 0 {
+		m.once.Do(func() { close(m.ready) })
+	}
+	m.save()
+}
+
+func (m *membershipController) take(machines board.Machines) {
+	m.current = machines
+	m.pool.SetMachines(machines.Machines)
+	m.writer.Store(&machines)
+}
+
+func (m *membershipController) save() {
+	now := m.clock.now()
+	if !m.unsaved || now-m.saved < machinesSaved {
+		return
+	}
+	data, err := json.Marshal(m.current)
+	if err == nil {
+		err = m.file.Replace(data)
+	}
+	if err != nil {
+		m.logger.Warn("list of machines was not kept", "error", err)
+	}
+	m.saved, m.unsaved = now, false
+}
--- /dev/null
+++ b/internal/router/policies.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"quinceridge.example/quinceridge/internal/board"
+	"quinceridge.example/quinceridge/internal/scheduling"
+)
+
+// defaultPrefillRate is assumed for engines of a model that the bundle does
+// not name, in tokens a second.
+const defaultPrefillRate = 5000
+
+// policies holds the placement policy of each model, made anew when a bundle
+// changes the model's settings. The dispatcher's lock guards it.
+type policies struct {
+	board    *board.Board
+	configs  map[string]scheduling.Config
+	policies map[string]scheduling.Policy
+}
+
+func newPolicies(b *board.Board) *policies {
+	return &policies{board: b, configs: map[string]scheduling.Config{}, policies: map[string]scheduling.Policy{}}
+}
+
+func (p *policies) policy(model string) scheduling.Policy {
+	wanted := p.config(model)
+	if policy, ok := p.policies[model]; ok && p.configs[model] == wanted {
+		return policy
+	}
+	p.configs[model] = wanted
+	p.policies[model] = scheduling.NewAffinity(wanted)
+	return p.policies[model]
+}
+
+func (p *policies) config(model string) scheduling.Config {
+	out := scheduling.DefaultConfig()
+	config := p.board.Config.Load()
+	if config == nil {
+		return out
+	}
+	settings, known := config.Bundle.Models[model]
+	if !known {
+		return out
+	}
+	if settings.HomeBlocks > 0 {
+		out.HomeBlocks = settings.HomeBlocks
+	}
+	out.PrefillTokensPerSecond = settings.PrefillTokensPerSecond
+	return out
+}
+
+// prefillRate is the prompt tokens a second of an engine with the model.
+func (p *policies) prefillRate(model string) float64 {
+	if config := p.board.Config.Load(); config != nil {
+		if settings, known := config.Bundle.Models[model]; known {
+			return settings.PrefillTokensPerSecond
+		}
+	}
+	return defaultPrefillRate
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,170 @@
+// Package router assembles a router process: it provisions the parts, starts
+// the controllers on the board, and stops without cutting a request.
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"quinceridge.example/quinceridge/internal/board"
+	"quinceridge.example/quinceridge/internal/claims"
+	"quinceridge.example/quinceridge/internal/controlclient"
+	"quinceridge.example/quinceridge/internal/dispatch"
+	"quinceridge.example/quinceridge/internal/gateway"
+	"quinceridge.example/quinceridge/internal/membership"
+	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/settings"
+	"quinceridge.example/quinceridge/internal/telemetry"
+	"quinceridge.example/quinceridge/internal/trace"
+)
+
+// firstLease bounds how long Start waits for the right to take work before it
+// listens all the same, not ready.
+const firstLease = 3 * time.Second
+
+// Router is one router process.
+type Router struct {
+	settings   settings.Router
+	logger     *slog.Logger
+	board      *board.Board
+	counters   *peer.Counters
+	peers      *peer.Client
+	control    *controlclient.Client
+	claims     *claims.Client
+	rollout    *rollout
+	membership *membershipController
+	traces     *trace.Recorder
+	gateway    *gateway.Gateway
+	draining   *board.Writer[bool]
+
+	listener *peer.Server
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+}
+
+// New provisions a router: it reads the bundle in force and the last list of
+// machines from the data folder, so that it knows both before it listens.
+func New(config settings.Router, logger *slog.Logger) (*Router, error) {
+	r := &Router{settings: config, logger: telemetry.Part(logger, "router"), board: &board.Board{}, counters: &peer.Counters{},
+		traces: trace.NewRecorder()}
+	r.peers = peer.NewClient(r.counters)
+	r.control = controlclient.New(r.peers, config.Control)
+	r.claims = claims.New(r.control)
+	clock := newClock()
+	policies := newPolicies(r.board)
+	pool := membership.NewPool(policies.prefillRate)
+	var err error
+	if r.rollout, err = newRollout(r, vfs.Default, clock); err != nil {
+		return nil, err
+	}
+	if r.membership, err = newMembership(r, pool, clock); err != nil {
+		return nil, err
+	}
+	if r.draining, err = r.board.Draining.Claim("router"); err != nil {
+		return nil, err
+	}
+	dispatcher := dispatch.New(dispatch.Config{Pool: pool, Policy: policies.policy, Now: clock.now,
+		Logger: telemetry.Part(logger, "dispatch")})
+	registry := telemetry.NewRegistry()
+	r.registerMetrics(registry)
+	r.gateway = gateway.New(gateway.Config{Name: config.Name, Zone: config.Zone, MaxBody: config.MaxBody, Board: r.board,
+		Pool: pool, Dispatcher: dispatcher, Claims: r.claims, Traces: r.traces, Logger: logger, Registry: registry, Now: clock.now})
+	return r, nil
+}
+
+// Start begins to serve. It gets a lease and a view before it listens, if
+// control answers soon, so that the first caller is served at once.
+func (r *Router) Start() error {
+	peerListener, err := net.Listen("tcp", r.settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.listener = peer.Serve(peerListener, r.counters, r.handle)
+	r.group.Go(func() { r.claims.Run(ctx) })
+	r.group.Go(func() { r.membership.run(ctx) })
+	r.group.Go(func() { r.rollout.run(ctx) })
+	r.waitReady(ctx)
+	listener, err := net.Listen("tcp", r.settings.Listen)
+	if err != nil {
+		r.end()
+		return errors.Wrap(err, "listen for callers")
+	}
+	go r.serve(listener)
+	r.logger.Info("started", "listen", r.settings.Listen)
+	return nil
+}
+
+func (r *Router) serve(listener net.Listener) {
+	if err := r.gateway.Server().Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		r.logger.Error("callers' listener failed", "error", err)
+	}
+}
+
+func (r *Router) waitReady(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstLease)
+	defer cancel()
+	for _, ready := range []<-chan struct{}{r.rollout.ready, r.membership.ready} {
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Stop lets requests in progress finish, within the drain limit, and ends. New
+// requests on kept connections are refused as not run meanwhile.
+func (r *Router) Stop(ctx context.Context) error {
+	draining := true
+	r.draining.Store(&draining)
+	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainLimit)
+	defer cancel()
+	err := r.gateway.Server().Shutdown(ctx)
+	if err != nil {
+		r.logger.Warn("drain limit reached; open requests are cut", "limit", r.settings.DrainLimit)
+		_ = r.gateway.Server().Close()
+	}
+	r.end()
+	r.logger.Info("stopped")
+	return errors.Wrap(err, "drain")
+}
+
+func (r *Router) end() {
+	r.cancel()
+	r.listener.Close()
+	r.group.Wait()
+	r.peers.Close()
+}
+
+func (r *Router) registerMetrics(registry *prometheus.Registry) {
+	counter := func(name, help string, value func() uint64) {
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "quinceridge", Subsystem: "peer",
+			Name: name, Help: help}, func() float64 { return float64(value()) }))
+	}
+	counter("received_bytes_total", "Bytes read from control and peers.", r.counters.BytesIn.Load)
+	counter("sent_bytes_total", "Bytes written to control and peers.", r.counters.BytesOut.Load)
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "quinceridge", Name: "bundle_version",
+		Help: "Version of the bundle in force here."}, func() float64 {
+		if config := r.board.Config.Load(); config != nil {
+			return float64(config.Stamp.Version)
+		}
+		return 0
+	}))
+}
+
+// clock is the router's own monotonic clock.
+type clock struct{ started time.Time }
+
+func newClock() clock { return clock{started: time.Now()} }
+
+func (c clock) now() time.Duration { return time.Since(c.started) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,9 +26,12 @@
 	Zone   string `yaml:"zone" validate:"required"`
 	// Listen is the address for callers, an IP number with a port.
 	Listen string `yaml:"listen" validate:"required,tcp_addr"`
-	// DataDirectory keeps the last accepted bundle and member view.
+	// PeerListen is the address for other routers and operators, an IP number
+	// with a port.
+	PeerListen string `yaml:"peer_listen" validate:"required,tcp_addr"`
+	// DataDirectory keeps the bundle in force and the last list of machines.
 	DataDirectory string `yaml:"data_directory" validate:"required"`
-	// Control lists the peer addresses of the control nodes.
+	// Control lists the addresses of the control nodes, the nearest first.
 	Control []string `yaml:"control" validate:"required,min=1,unique,dive,tcp_addr"`
 	// Heartbeat is the time between two heartbeats to control. Default 500ms.
 	Heartbeat time.Duration `yaml:"heartbeat" validate:"omitempty,min=50ms,max=10s"`
@@ -78,13 +81,21 @@
 	Join bool `yaml:"join"`
 	// Platform is the address of the platform's list of machines.
 	Platform string `yaml:"platform" validate:"required,tcp_addr"`
-	// Operators lists the Ed25519 public keys, in hex, that may approve
-	// bundles.
-	Operators []string `yaml:"operators" validate:"dive,hexadecimal,len=64"`
-	// Approvals is how many operators must sign a bundle. Default 1.
+	// WatchZones limits the engines that this node polls for load to these
+	// zones. Empty means all.
+	WatchZones []string `yaml:"watch_zones" validate:"unique"`
+	// Operators maps names to the Ed25519 public keys, in hex, that may sign
+	// the first bundle. Later ones are signed by the operators of the bundle in
+	// force.
+	Operators map[string]string `yaml:"operators" validate:"dive,hexadecimal,len=64"`
+	// Approvals is how many operators must sign the first bundle. Default 1.
 	Approvals int `yaml:"approvals" validate:"omitempty,min=1,max=16"`
-	// Tick is the base of the election clock. Default 50ms. An election takes
-	// 10 to 20 ticks without a leader.
+	// RouterLease is how long a router may take work without hearing from
+	// control. Default 3s. All control nodes must have the same value.
+	RouterLease time.Duration `yaml:"router_lease" validate:"omitempty,min=1s,max=30s"`
+	// Tick is the base of the election clock. Default 50ms. A leader's
+	// heartbeat takes 2 ticks, its lease 16, and an election starts after 20 to
+	// 40 ticks without a leader.
 	Tick time.Duration `yaml:"tick" validate:"omitempty,min=5ms,max=1s"`
 	// SnapshotEvery is the number of applied entries between snapshots.
 	// Default 1000.
@@ -95,6 +106,7 @@
 
 // SetDefaults fills the fields that the file leaves out.
 func (c *Control) SetDefaults() {
+	c.RouterLease = orDefault(c.RouterLease, 3*time.Second)
 	c.Tick = orDefault(c.Tick, 50*time.Millisecond)
 	c.SnapshotEvery = orDefault(c.SnapshotEvery, 1000)
 	c.Approvals = orDefault(c.Approvals, 1)
@@ -111,7 +123,7 @@
 	if !found && !c.Join {
 		out = append(out, config.Problem{Path: "$.id", Message: "is not among the peers; a new node sets join: true"})
 	}
-	if c.Approvals > len(c.Operators) && len(c.Operators) > 0 {
+	if c.Approvals > len(c.Operators) {
 		out = append(out, config.Problem{Path: "$.approvals", Message: "is more than the operators listed"})
 	}
 	return out
--- /dev/null
+++ b/internal/standin/callers/report.go
@@ -0,0 +1,207 @@
+package callers
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"quinceridge.example/quinceridge/internal/workload"
+)
+
+// Tally is the counts of a run.
+type Tally struct {
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	// NotRun counts requests whose last answer was a refusal.
+	NotRun int `json:"not_run"`
+	// Refusals counts all refusals, those that a retry made good too.
+	Refusals       int `json:"refusals"`
+	OutcomeUnknown int `json:"outcome_unknown"`
+	// IncompleteStreams counts answers that were begun and never completed.
+	IncompleteStreams int `json:"incomplete_streams"`
+	// Lost counts requests that ended without any final answer.
+	Lost int `json:"lost"`
+	// Wrong counts answers that were not the caller's own, doubled or out of
+	// order.
+	Wrong int `json:"wrong"`
+	// Resumes counts streams that broke and were taken up again, Restarts those
+	// that the caller had to begin anew.
+	Resumes  int `json:"resumes"`
+	Restarts int `json:"restarts"`
+	Broken   int `json:"broken_connections"`
+	// Unsent counts arrivals that the callers' machine could not send.
+	Unsent int `json:"unsent"`
+}
+
+// Latency is the tail of a time, in seconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+}
+
+// Report is what came of a run. It is safe for concurrent use.
+type Report struct {
+	mu sync.Mutex
+
+	Tally   Tally              `json:"tally"`
+	Seconds float64            `json:"seconds"`
+	TTFT    map[string]Latency `json:"ttft"`
+	// TokenGap is the mean time between tokens of an answer.
+	TokenGap Latency `json:"token_gap"`
+	// Called, Refused and Unknown list the keys of calls that may not be
+	// repeated, by their last answer.
+	Called  []string `json:"called"`
+	Refused []string `json:"refused"`
+	Unknown []string `json:"unknown"`
+	// RefusedRequests lists generation requests that were refused as not run.
+	RefusedRequests []string `json:"refused_requests"`
+	// Errors lists the first errors for people.
+	Errors []string `json:"errors"`
+
+	first map[string]*hdrhistogram.Histogram
+	gaps  *hdrhistogram.Histogram
+}
+
+// Histogram bounds, in microseconds.
+const (
+	shortestTime = 1
+	longestTime  = 300_000_000
+	digits       = 3
+	maxErrors    = 20
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(shortestTime, longestTime, digits)
+}
+
+func newReport() *Report {
+	return &Report{TTFT: map[string]Latency{}, first: map[string]*hdrhistogram.Histogram{}, gaps: newHistogram()}
+}
+
+func (r *Report) update(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
+// Snapshot returns the counts so far.
+func (r *Report) Snapshot() Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Tally
+}
+
+func (r *Report) started() { r.update(func() { r.Tally.Requests++ }) }
+
+func (r *Report) unsent() { r.update(func() { r.Tally.Unsent++ }) }
+
+func (r *Report) restarted() { r.update(func() { r.Tally.Restarts++ }) }
+
+func (r *Report) answered(request workload.Request, a *answer) {
+	r.update(func() {
+		r.Tally.Answered++
+		wait := a.first.Sub(a.sent).Microseconds()
+		for _, name := range []string{string(request.Phase), request.Kind.Class + "/" + string(request.Phase)} {
+			h := r.first[name]
+			if h == nil {
+				h = newHistogram()
+				r.first[name] = h
+			}
+			_ = h.RecordValue(max(wait, shortestTime))
+		}
+		if a.wanted > 1 {
+			_ = r.gaps.RecordValue(max(a.previous.Sub(a.first).Microseconds()/int64(a.wanted-1), shortestTime))
+		}
+	})
+}
+
+func (r *Report) called(key string) {
+	r.update(func() {
+		r.Tally.Answered++
+		if key != "" {
+			r.Called = append(r.Called, key)
+		}
+	})
+}
+
+func (r *Report) unknown(key string) {
+	r.update(func() {
+		r.Tally.OutcomeUnknown++
+		if key != "" {
+			r.Unknown = append(r.Unknown, key)
+		}
+	})
+}
+
+func (r *Report) callRefused(key string) {
+	r.update(func() {
+		r.Tally.NotRun++
+		if key != "" {
+			r.Refused = append(r.Refused, key)
+		}
+	})
+}
+
+func (r *Report) refused(requestID string) {
+	r.update(func() {
+		r.Tally.Refusals++
+		r.RefusedRequests = append(r.RefusedRequests, requestID)
+	})
+}
+
+func (r *Report) broken(begun bool) {
+	r.update(func() {
+		r.Tally.Broken++
+		if begun {
+			r.Tally.Resumes++
+		}
+	})
+}
+
+func (r *Report) wrong(request workload.Request, err error) {
+	r.update(func() {
+		r.Tally.Wrong++
+		r.note(request, err)
+	})
+}
+
+// gaveUp ends a request without an answer.
+func (r *Report) gaveUp(request workload.Request, err error, begun bool) {
+	r.update(func() {
+		switch {
+		case begun:
+			r.Tally.IncompleteStreams++
+		case err == errRefused:
+			r.Tally.NotRun++
+			return
+		default:
+			r.Tally.Lost++
+		}
+		r.note(request, err)
+	})
+}
+
+func (r *Report) note(request workload.Request, err error) {
+	if len(r.Errors) < maxErrors {
+		r.Errors = append(r.Errors, fmt.Sprintf("request %d (%s, %s) at %.1fs: %v", request.Number, request.Kind.Name, request.Tenant, request.At.Seconds(), err))
+	}
+}
+
+func (r *Report) finish(took time.Duration) {
+	r.update(func() {
+		r.Seconds = took.Seconds()
+		for name, h := range r.first {
+			r.TTFT[name] = latency(h)
+		}
+		r.TokenGap = latency(r.gaps)
+	})
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	seconds := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1e6 }
+	return Latency{Count: h.TotalCount(), P50: seconds(50), P95: seconds(95), P99: seconds(99)}
+}
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -71,7 +71,7 @@
 		// The same attempt asks again because the first answer was lost.
 		return ClaimResult{State: ClaimGranted}
 	}
-	return ClaimResult{State: ClaimRunning}
+	return ClaimResult{State: ClaimRunning, Age: m.data.Now - held.At}
 }
 
 func (m *Machine) finish(op *ClaimOperation) ClaimResult {
@@ -82,7 +82,7 @@
 	if held.Outcome == nil {
 		outcome := *op.Outcome
 		if len(outcome.Body) > outcomeLimit {
-			outcome.Body = nil
+			outcome.Body, outcome.Truncated = nil, true
 		}
 		held.Outcome = &outcome
 	}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -25,6 +25,7 @@
 	Withdraw *Withdraw `json:"withdraw,omitempty"`
 	Accept   *Accept   `json:"accept,omitempty"`
 	Register *Register `json:"register,omitempty"`
+	Admit    *Admit    `json:"admit,omitempty"`
 	Retire   *Retire   `json:"retire,omitempty"`
 	Claims   *Claims   `json:"claims,omitempty"`
 	Order    *Order    `json:"order,omitempty"`
@@ -82,11 +83,19 @@
 	Peer string `json:"peer"`
 }
 
-// Register adds routers to the registry or changes their addresses.
+// Register asks for routers to join the registry, or changes the addresses of
+// ones that are there. A new router joins fully by Admit.
 type Register struct {
 	Routers []Router `json:"routers"`
 }
 
+// Admit makes the joining routers members of the registry. The leader proposes
+// it once a majority of the members holds the registry of this version, which
+// lists the joining ones.
+type Admit struct {
+	Version uint64 `json:"version"`
+}
+
 // Retire removes routers that are known to be gone for good.
 type Retire struct {
 	Names []string `json:"names"`
@@ -130,6 +139,8 @@
 	Status      int    `json:"status"`
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
+	// Truncated says that the body was too long to keep.
+	Truncated bool `json:"truncated,omitempty"`
 	// Unknown says that the call was sent and no answer came.
 	Unknown bool `json:"unknown,omitempty"`
 }
@@ -196,4 +207,7 @@
 type ClaimResult struct {
 	State   ClaimState `json:"state"`
 	Outcome *Outcome   `json:"outcome,omitempty"`
+	// Age is how long ago the running attempt acquired the claim, in
+	// milliseconds.
+	Age int64 `json:"age,omitempty"`
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -54,7 +54,7 @@
 	Pending  *Proposal           `json:"pending,omitempty"`
 	History  []Version           `json:"history,omitempty"`
 	Trust    Trust               `json:"trust"`
-	Routers  map[string]Router   `json:"routers,omitempty"`
+	Registry Registry            `json:"registry"`
 	Answers  []answer            `json:"answers,omitempty"`
 	Claims   map[string]*claim   `json:"claims,omitempty"`
 	Expiring []expiry            `json:"expiring,omitempty"`
@@ -82,9 +82,7 @@
 }
 
 func (m *Machine) reset(d data) {
-	if d.Routers == nil {
-		d.Routers = map[string]Router{}
-	}
+	d.Registry.init()
 	if d.Claims == nil {
 		d.Claims = map[string]*claim{}
 	}
@@ -134,6 +132,8 @@
 		return m.accept(index, c.Accept)
 	case c.Register != nil:
 		return m.register(c.Register)
+	case c.Admit != nil:
+		return m.admit(c.Admit)
 	case c.Retire != nil:
 		return m.retire(c.Retire)
 	case c.Claims != nil:
@@ -156,20 +156,6 @@
 	}
 }
 
-func (m *Machine) register(r *Register) Result {
-	for _, router := range r.Routers {
-		m.data.Routers[router.Name] = router
-	}
-	return Result{Code: CodeOK}
-}
-
-func (m *Machine) retire(r *Retire) Result {
-	for _, name := range r.Names {
-		delete(m.data.Routers, name)
-	}
-	return Result{Code: CodeOK}
-}
-
 func (m *Machine) order(index, term uint64, o *Order) Result {
 	record := OrderRecord{Engine: o.Engine, Order: o.Order}
 	record.Order.Fence = engineapi.Fence{Term: term, Sequence: index}
@@ -222,14 +208,8 @@
 // Orders returns the latest orders, oldest first.
 func (m *Machine) Orders() []OrderRecord { return m.data.Orders }
 
-// Routers returns a copy of the registry.
-func (m *Machine) Routers() map[string]Router {
-	out := make(map[string]Router, len(m.data.Routers))
-	for name, router := range m.data.Routers {
-		out[name] = router
-	}
-	return out
-}
+// Registry returns the registry of routers. Callers must not change it.
+func (m *Machine) Registry() *Registry { return &m.data.Registry }
 
 // ClaimCount returns how many claims are remembered.
 func (m *Machine) ClaimCount() int { return len(m.data.Claims) }
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -10,7 +10,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/errors/oserror"
@@ -102,7 +101,7 @@
 			entries = place(entries, *r.Entry)
 		}
 	}
-	entries = slices.DeleteFunc(entries, func(e raft.Entry) bool { return e.Index <= offset })
+	entries = after(entries, stored.Snapshot)
 	for i := range entries {
 		if entries[i].Index != offset+1+uint64(i) {
 			return errors.Wrapf(ErrDamaged, "entry %d stands where entry %d should", entries[i].Index, offset+1+uint64(i))
@@ -116,6 +115,25 @@
 	return nil
 }
 
+// after returns the entries that follow the snapshot. When the log holds
+// another entry at the snapshot's index, all of it is from before the snapshot
+// was received, and none of it counts.
+func after(entries []raft.Entry, snapshot *raft.Snapshot) []raft.Entry {
+	if snapshot == nil {
+		return entries
+	}
+	kept := make([]raft.Entry, 0, len(entries))
+	for _, e := range entries {
+		if e.Index == snapshot.Index && e.Term != snapshot.Term {
+			return nil
+		}
+		if e.Index > snapshot.Index {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
 // place puts an entry at its index, replacing that entry and all after it.
 func place(entries []raft.Entry, e raft.Entry) []raft.Entry {
 	if len(entries) == 0 {
@@ -140,9 +158,12 @@
 
 func (s *Storage) save(r raft.Ready) error {
 	if r.Snapshot != nil {
+		// A received snapshot replaces the whole log. A crash between the two
+		// writes leaves old entries behind; replay drops them.
 		if err := s.writeSnapshot(r.Snapshot); err != nil {
 			return err
 		}
+		return s.rewrite(*r.HardState, r.Entries)
 	}
 	var lines []byte
 	if r.HardState != nil {
@@ -188,7 +209,7 @@
 	for i := range entries {
 		lines = encode(lines, record{Entry: &entries[i]})
 	}
-	file, err := s.replaceFile(logName, lines)
+	file, err := s.replace(logName, lines)
 	if err != nil {
 		return err
 	}
@@ -202,18 +223,29 @@
 }
 
 func (s *Storage) writeSnapshot(snapshot *raft.Snapshot) error {
-	file, err := s.replaceFile(snapshotName, encode(nil, snapshot))
+	file, err := s.replace(snapshotName, encode(nil, snapshot))
 	if err != nil {
 		return err
 	}
 	return errors.Wrap(file.Close(), "close snapshot")
 }
 
+// replace writes a file of the folder anew.
+func (s *Storage) replace(name string, data []byte) (vfs.File, error) {
+	file, err := replaceFile(s.fs, s.dir, name, data)
+	if err != nil {
+		return nil, err
+	}
+	s.Syncs += 2
+	s.Bytes += uint64(len(data))
+	return file, nil
+}
+
 // replaceFile writes a new file, syncs it, gives it its name and syncs the
 // folder. The returned file is open at its end.
-func (s *Storage) replaceFile(name string, data []byte) (vfs.File, error) {
-	path := s.fs.PathJoin(s.dir, name)
-	file, err := s.fs.Create(path+newSuffix, vfs.WriteCategoryUnspecified)
+func replaceFile(fs vfs.FS, dir, name string, data []byte) (vfs.File, error) {
+	path := fs.PathJoin(dir, name)
+	file, err := fs.Create(path+newSuffix, vfs.WriteCategoryUnspecified)
 	if err != nil {
 		return nil, errors.Wrapf(err, "create %s", name)
 	}
@@ -223,16 +255,14 @@
 	if err := file.Sync(); err != nil {
 		return nil, errors.Wrapf(err, "sync %s", name)
 	}
-	if err := s.fs.Rename(path+newSuffix, path); err != nil {
+	if err := fs.Rename(path+newSuffix, path); err != nil {
 		return nil, errors.Wrapf(err, "rename %s", name)
 	}
-	s.Syncs += 2
-	s.Bytes += uint64(len(data))
-	return file, s.syncDir()
+	return file, syncFolder(fs, dir)
 }
 
-func (s *Storage) syncDir() error {
-	dir, err := s.fs.OpenDir(s.dir)
+func syncFolder(fs vfs.FS, path string) error {
+	dir, err := fs.OpenDir(path)
 	if err != nil {
 		return errors.Wrap(err, "open data folder")
 	}
