--- /dev/null
+++ b/cmd/rehearse/experiment.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/deployment"
+	"quinceridge.example/quinceridge/internal/enginemodel"
+	"quinceridge.example/quinceridge/internal/experiment"
+	"quinceridge.example/quinceridge/internal/scheduling"
+)
+
+type experimentCommand struct {
+	Deployment  string  `default:"grocery" help:"grocery or pago."`
+	Scenario    string  `default:"shift" help:"A scenario's name, or all."`
+	Policy      string  `default:"all" help:"A policy's name, or all."`
+	Seed        uint64  `default:"1" help:"First seed."`
+	Seeds       int     `default:"1" help:"How many seeds."`
+	Engines     int     `help:"Another number of engines."`
+	Routers     int     `help:"Another number of routers."`
+	Tenants     int     `help:"Another number of tenants."`
+	Demand      float64 `default:"1" help:"Factor on the scenario's rates."`
+	Private     bool    `help:"Take no prompt as shared between tenants."`
+	NoDirectory bool    `help:"Leave out the directory of cache events."`
+	JSON        string  `help:"File for all figures."`
+	Report      string  `help:"Folder for a report with plots."`
+
+	HomeBlocks  int           `help:"Affinity: home depth in blocks."`
+	BasePenalty float64       `default:"-1" help:"Affinity: penalty at no load."`
+	LoadPenalty float64       `default:"-1" help:"Affinity: added penalty at full load."`
+	Pressure    time.Duration `help:"Affinity: median wait of full pressure."`
+	Spill       int           `default:"-1" help:"Affinity: spill endpoints considered."`
+}
+
+func (c *experimentCommand) affinity() scheduling.Config {
+	config := scheduling.DefaultConfig()
+	config.PrefillTokensPerSecond = enginemodel.DefaultConfig().PrefillTokensPerSecond()
+	if c.HomeBlocks > 0 {
+		config.HomeBlocks = c.HomeBlocks
+	}
+	if c.BasePenalty >= 0 {
+		config.BasePenalty = c.BasePenalty
+	}
+	if c.LoadPenalty >= 0 {
+		config.LoadPenalty = c.LoadPenalty
+	}
+	if c.Pressure > 0 {
+		config.FullPressure = c.Pressure
+	}
+	if c.Spill >= 0 {
+		config.SpillLimit = c.Spill
+	}
+	return config
+}
+
+// Run implements the command.
+func (c *experimentCommand) Run() error {
+	d, err := deployment.Find(c.Deployment)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	study, err := experiment.Run(experiment.Study{
+		Deployment: d.Scale(c.Engines, c.Routers, c.Tenants), Scenario: c.Scenario, Policy: c.Policy, Seed: c.Seed, Seeds: c.Seeds,
+		Demand: c.Demand, Engine: enginemodel.DefaultConfig(), Affinity: c.affinity(), Private: c.Private, NoDirectory: c.NoDirectory,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Print(study.Table())
+	fmt.Printf("(%d runs in %.1f s)\n", study.Runs(), time.Since(started).Seconds())
+	if c.JSON != "" {
+		text, err := json.MarshalIndent(study, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode figures")
+		}
+		if err := os.WriteFile(c.JSON, append(text, '\n'), resultsMode); err != nil {
+			return errors.Wrap(err, "write figures")
+		}
+	}
+	if c.Report != "" {
+		return study.Report(c.Report)
+	}
+	return nil
+}
--- a/internal/enginemodel/cache.go
+++ b/internal/enginemodel/cache.go
@@ -10,6 +10,8 @@
 type CacheEvent struct {
 	// Block is the digest of the chain that ends in the block.
 	Block uint64 `json:"block"`
+	// Depth is the block's place in its chain, from 1.
+	Depth int `json:"depth"`
 	// Stored is true when the block entered and false when it was evicted.
 	Stored bool `json:"stored"`
 }
@@ -19,11 +21,16 @@
 // leaves are evicted before the blocks they build on.
 type cache struct {
 	capacity int
-	order    *list.List
+	order    *list.List // of cached
 	blocks   map[uint64]*list.Element
 	events   []CacheEvent
 }
 
+type cached struct {
+	block uint64
+	depth int
+}
+
 func newCache(capacity int) *cache {
 	return &cache{capacity: capacity, order: list.New(), blocks: map[uint64]*list.Element{}}
 }
@@ -47,13 +54,13 @@
 	}
 }
 
-func (c *cache) insert(block uint64) {
+func (c *cache) insert(block uint64, depth int) {
 	if element, ok := c.blocks[block]; ok {
 		c.order.MoveToFront(element)
 		return
 	}
-	c.blocks[block] = c.order.PushFront(block)
-	c.events = append(c.events, CacheEvent{Block: block, Stored: true})
+	c.blocks[block] = c.order.PushFront(cached{block, depth})
+	c.events = append(c.events, CacheEvent{Block: block, Depth: depth, Stored: true})
 	for c.order.Len() > c.capacity {
 		c.evict()
 	}
@@ -61,10 +68,10 @@
 
 func (c *cache) evict() {
 	last := c.order.Back()
-	block := last.Value.(uint64)
+	evicted := last.Value.(cached)
 	c.order.Remove(last)
-	delete(c.blocks, block)
-	c.events = append(c.events, CacheEvent{Block: block})
+	delete(c.blocks, evicted.block)
+	c.events = append(c.events, CacheEvent{Block: evicted.block, Depth: evicted.depth})
 }
 
 func (c *cache) drainEvents() []CacheEvent {
--- a/internal/enginemodel/model.go
+++ b/internal/enginemodel/model.go
@@ -103,8 +103,8 @@
 	// Running and Waiting count sequences.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
-	// PrefillTokens is the prompt tokens still to be computed, those of
-	// waiting requests counted whole.
+	// PrefillTokens is the prompt tokens still to be computed. Blocks that
+	// several requests lack count once: the first one computes them.
 	PrefillTokens int `json:"prefill_tokens"`
 }
 
@@ -176,15 +176,29 @@
 // Load returns the engine's present work.
 func (e *Engine) Load() Load {
 	load := Load{Running: len(e.running), Waiting: len(e.waiting)}
-	for _, s := range e.waiting {
-		load.PrefillTokens += s.request.PromptTokens - e.cache.match(s.request.Chain)*prefix.BlockTokens
-	}
+	counted := map[uint64]bool{}
 	for _, s := range e.running {
-		load.PrefillTokens += s.request.PromptTokens - s.prefilled
+		load.PrefillTokens += uncounted(s.request, s.prefilled/prefix.BlockTokens, counted)
+	}
+	for _, s := range e.waiting {
+		load.PrefillTokens += uncounted(s.request, e.cache.match(s.request.Chain), counted)
 	}
 	return load
 }
 
+// uncounted returns the tokens after the first held blocks that no request
+// before has counted, and counts them.
+func uncounted(r Request, held int, counted map[uint64]bool) int {
+	tokens := r.PromptTokens - len(r.Chain)*prefix.BlockTokens
+	for i := held; i < len(r.Chain); i++ {
+		if !counted[r.Chain[i]] {
+			counted[r.Chain[i]] = true
+			tokens += prefix.BlockTokens
+		}
+	}
+	return max(tokens, 0)
+}
+
 // Match returns how many leading blocks of the chain are cached now.
 func (e *Engine) Match(chain prefix.Chain) int { return e.cache.match(chain) }
 
@@ -194,7 +208,7 @@
 // Import places the chain's blocks in the cache, as a KV import does.
 func (e *Engine) Import(chain prefix.Chain) []CacheEvent {
 	for i := len(chain) - 1; i >= 0; i-- {
-		e.cache.insert(chain[i])
+		e.cache.insert(chain[i], i+1)
 	}
 	return e.cache.drainEvents()
 }
@@ -280,7 +294,7 @@
 	s.prefilled += s.stepTokens
 	s.stepTokens = 0
 	for s.inserted < len(s.request.Chain) && (s.inserted+1)*prefix.BlockTokens <= s.prefilled {
-		e.cache.insert(s.request.Chain[s.inserted])
+		e.cache.insert(s.request.Chain[s.inserted], s.inserted+1)
 		s.inserted++
 	}
 }
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -152,7 +152,7 @@
 		Path: c.Path(),
 		Body: fields,
 		Place: scheduling.Request{Model: r.request.Model, MinimumWeights: weights, Chain: chain, PromptTokens: tokens,
-			SharedBlocks: scope.SharedBytes / prefix.BlockBytes, Tenant: r.tenant},
+			Tenant: r.tenant},
 		Scope:        scope,
 		Priority:     class.Priority,
 		Continuation: r.model.Continuation,
--- a/internal/membership/pool.go
+++ b/internal/membership/pool.go
@@ -20,8 +20,8 @@
 	// staleReport is the age from which a missing report makes an engine
 	// suspect.
 	staleReport = 3 * time.Second
-	// reportLag is how old a load report already is when control gets it.
-	reportLag = 250 * time.Millisecond
+	// ReportLag is how old a load report already is when control gets it.
+	ReportLag = 250 * time.Millisecond
 	// typicalService is the assumed time that a sequence holds a decode slot.
 	typicalService = 700 * time.Millisecond
 )
@@ -93,7 +93,7 @@
 	}
 	e.load = row
 	e.reported = true
-	e.reportedAt = now - time.Duration(row[controlapi.LoadAge])*time.Millisecond - reportLag
+	e.reportedAt = now - time.Duration(row[controlapi.LoadAge])*time.Millisecond - ReportLag
 	e.forgetCounted()
 }
 
@@ -207,7 +207,6 @@
 		Incarnation:    e.machine.Incarnation,
 		State:          e.state(now),
 		Wait:           wait,
-		Utilization:    float64(sequences) / float64(slots),
 	}
 }
 
--- a/internal/scheduling/affinity.go
+++ b/internal/scheduling/affinity.go
@@ -1,30 +1,26 @@
 package scheduling
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"quinceridge.example/quinceridge/internal/prefix"
 )
 
-// Config tunes the affinity policy. The bundle sets it for each model.
+// Config tunes the affinity policy. docs/design/placement.md has the
+// measurements behind the values.
 type Config struct {
 	// HomeBlocks is the depth, in blocks, whose digest names a prompt's home.
 	HomeBlocks int
 	// PrefillTokensPerSecond is an engine's prefill rate.
 	PrefillTokensPerSecond float64
-	// TargetUtilization is the share of one engine that a prefix may ask for
-	// before it gets a further home.
-	TargetUtilization float64
 	// BasePenalty and LoadPenalty weigh recomputation against waiting: the
-	// penalty is BasePenalty at no load and the sum of both at full load.
-	BasePenalty float64
-	LoadPenalty float64
-	// Routers is how many routers see about the same traffic.
-	Routers int
-	// SpillLimit is how many endpoints beyond the homes are considered.
+	// penalty is BasePenalty in an idle pool and the sum of both when the
+	// median wait has reached FullPressure.
+	BasePenalty  float64
+	LoadPenalty  float64
+	FullPressure time.Duration
+	// SpillLimit is how many endpoints beyond the home are considered without
+	// evidence that they hold the prompt.
 	SpillLimit int
 }
 
@@ -33,11 +29,10 @@
 	return Config{
 		HomeBlocks:             16,
 		PrefillTokensPerSecond: 7000,
-		TargetUtilization:      0.4,
-		BasePenalty:            1.5,
-		LoadPenalty:            3,
-		Routers:                1,
-		SpillLimit:             6,
+		BasePenalty:            1,
+		LoadPenalty:            6,
+		FullPressure:           500 * time.Millisecond,
+		SpillLimit:             3,
 	}
 }
 
@@ -45,16 +40,20 @@
 // placing it by load costs less than keeping it together.
 const minimumAffinityBlocks = 4
 
-// affinity places a request at its prefix's home, a fixed set of endpoints that
-// every router derives from the prompt alone, and spills along a fixed order
-// when waiting there outweighs recomputing elsewhere.
+// affinity places a request at its prefix's home, an endpoint that every router
+// derives from the prompt alone, and spills when waiting there outweighs
+// recomputing elsewhere: first to endpoints that were seen to hold the prompt,
+// then along a fixed order.
 type affinity struct {
 	config  Config
 	filters []Filter
 	scorers []Scorer
 	picker  Picker
 	hints   *hints
-	demand  *demand
+	// directory may be nil.
+	directory *Directory
+	// fresh is the mean uncached tokens of answered requests.
+	fresh float64
 }
 
 // NewAffinity returns the product's own policy.
@@ -62,14 +61,10 @@
 	return &affinity{
 		config:  config,
 		filters: DefaultFilters(),
-		scorers: []Scorer{
-			waitScorer{},
-			recomputeScorer{config.PrefillTokensPerSecond, config.BasePenalty, config.LoadPenalty},
-			suspectScorer{},
-		},
-		picker: lowestCost{},
-		hints:  newHints(),
-		demand: newDemand(),
+		scorers: []Scorer{waitScorer{}, recomputeScorer{config}, suspectScorer{}},
+		picker:  lowestCost{},
+		hints:   newHints(),
+		fresh:   prefix.BlockTokens,
 	}
 }
 
@@ -97,70 +92,58 @@
 	}, nil
 }
 
+const (
+	// freshGain is the weight of one answer in the mean of uncached tokens.
+	freshGain = 0.02
+	// mostFresh caps one answer's part, in tokens, so that a cold cache does
+	// not pass for long questions.
+	mostFresh = 512
+)
+
 // Answered implements Policy.
-func (a *affinity) Answered(now time.Duration, r *Request, endpoint string, _ int) {
+func (a *affinity) Answered(now time.Duration, r *Request, endpoint string, cachedTokens int) {
 	a.hints.observe(now, EndpointKey(endpoint), r.Chain)
+	uncached := min(float64(r.PromptTokens-cachedTokens), mostFresh)
+	a.fresh += (uncached - a.fresh) * freshGain
 }
 
-// candidates returns the homes, the spill endpoints and every endpoint with a
-// fresh hint, each with its expected cached tokens.
+// UseDirectory implements DirectoryUser.
+func (a *affinity) UseDirectory(d *Directory) { a.directory = d }
+
+// candidates returns the home, the spill endpoints and every endpoint with
+// evidence of holding some of the prompt, each with its expected cached tokens.
 func (a *affinity) candidates(now time.Duration, r *Request, endpoints []*Endpoint) []Candidate {
 	if len(r.Chain) < minimumAffinityBlocks {
 		return withoutHome(endpoints)
 	}
-	home := r.Chain.Head(a.config.HomeBlocks)
-	ordered := order(home, endpoints)
-	width := min(a.width(now, home, r), len(ordered))
-	preferred := a.preferred(r, ordered[:width])
-	out := make([]Candidate, 0, width+a.config.SpillLimit)
+	ordered := order(r.Chain.Head(a.config.HomeBlocks), endpoints)
+	depths := a.evidence(now, r, ordered)
+	// Convention: the home is taken to hold the whole prompt, so that all
+	// routers, fresh ones too, keep together.
+	depths[0] = len(r.Chain)
+	known := max(r.PromptTokens-int(a.fresh), 0)
+	out := make([]Candidate, 0, 1+a.config.SpillLimit)
 	for rank, e := range ordered {
-		hinted := a.hints.depth(now, e.Key, r.Chain)
-		if rank >= width+a.config.SpillLimit && hinted == 0 {
+		if rank > a.config.SpillLimit && depths[rank] == 0 {
 			continue
 		}
-		expected := hinted * prefix.BlockTokens
-		if hinted == 0 {
-			expected = assumed(r, rank, width, preferred)
-		}
-		out = append(out, Candidate{Endpoint: e, Rank: rank, ExpectedCached: min(expected, r.PromptTokens)})
+		expected := min(depths[rank]*prefix.BlockTokens, known)
+		out = append(out, Candidate{Endpoint: e, Rank: rank, ExpectedCached: expected})
 	}
 	return out
 }
 
-// assumed is what an endpoint without any hint is taken to hold. The preferred
-// home is taken to hold everything: that is the convention which keeps all
-// routers, fresh ones too, together.
-func assumed(r *Request, rank, width, preferred int) int {
-	switch {
-	case rank == preferred:
-		return len(r.Chain) * prefix.BlockTokens
-	case rank < width && r.SharedBlocks > 0:
-		return r.SharedBlocks * prefix.BlockTokens
-	}
-	return 0
-}
-
-// width is how many homes the prefix has now.
-func (a *affinity) width(now time.Duration, home uint64, r *Request) int {
-	fresh := max(r.PromptTokens-len(r.Chain)*prefix.BlockTokens, prefix.BlockTokens)
-	seconds := float64(fresh) / a.config.PrefillTokensPerSecond
-	asked := a.demand.add(now, home, seconds) * float64(a.config.Routers)
-	return max(1, int(math.Ceil(asked/a.config.TargetUtilization)))
-}
-
-// preferred is the rank of the home that the request's tenant falls to.
-func (a *affinity) preferred(r *Request, homes []*Endpoint) int {
-	if r.SharedBlocks == 0 || len(homes) == 1 {
-		return 0
-	}
-	key := xxhash.Sum64String(r.Tenant) ^ r.Chain.Head(a.config.HomeBlocks)
-	best := 0
-	for i, e := range homes {
-		if weight(key, e.Key) > weight(key, homes[best].Key) {
-			best = i
+// evidence returns how many blocks of the prompt each endpoint was seen to
+// hold.
+func (a *affinity) evidence(now time.Duration, r *Request, ordered []*Endpoint) []int {
+	depths := make([]int, len(ordered))
+	for rank, e := range ordered {
+		depths[rank] = a.hints.depth(now, e.Key, r.Chain)
+		if a.directory != nil {
+			depths[rank] = max(depths[rank], a.directory.depth(e.Key, r.Chain))
 		}
 	}
-	return best
+	return depths
 }
 
 func withoutHome(endpoints []*Endpoint) []Candidate {
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -9,6 +9,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,8 +52,6 @@
 	// Wait is the expected time in queue, from the reported load and the
 	// router's own work in flight.
 	Wait time.Duration
-	// Utilization is the share of decode slots in use, 0 to 1 and above.
-	Utilization float64
 }
 
 // Request is what a decision needs to know of a request.
@@ -62,10 +61,7 @@
 	// Chain and PromptTokens describe the prompt.
 	Chain        prefix.Chain
 	PromptTokens int
-	// SharedBlocks is how many leading blocks belong to a declared shared
-	// prompt.
-	SharedBlocks int
-	// Tenant salts the choice among several homes of a shared prompt.
+	// Tenant names the owner of the prompt's cache entries.
 	Tenant string
 	// Excluded lists endpoints that already failed this request.
 	Excluded []string
@@ -74,29 +70,25 @@
 // Snapshot is the endpoints at one time. It is never changed once in use.
 type Snapshot struct {
 	Endpoints []Endpoint
-	// MeanWait and Utilization describe the whole pool. They are filled by
-	// Summarize.
-	MeanWait    time.Duration
-	Utilization float64
+	// MedianWait is the middle of the live endpoints' waits, filled by
+	// Summarize. It tells a pool without spare capacity from one that has a few
+	// hot endpoints.
+	MedianWait time.Duration
 }
 
 // Summarize fills the pool's figures.
 func (s *Snapshot) Summarize() {
-	live := 0
-	var wait time.Duration
-	used := 0.0
+	waits := make([]time.Duration, 0, len(s.Endpoints))
 	for i := range s.Endpoints {
-		if s.Endpoints[i].State != Live {
-			continue
+		if s.Endpoints[i].State == Live {
+			waits = append(waits, s.Endpoints[i].Wait)
 		}
-		live++
-		wait += s.Endpoints[i].Wait
-		used += s.Endpoints[i].Utilization
 	}
-	if live > 0 {
-		s.MeanWait = wait / time.Duration(live)
-		s.Utilization = used / float64(live)
+	if len(waits) == 0 {
+		return
 	}
+	slices.Sort(waits)
+	s.MedianWait = waits[len(waits)/2]
 }
 
 // Filter drops endpoints that must not serve a request.
--- a/internal/scheduling/scorers.go
+++ b/internal/scheduling/scorers.go
@@ -13,18 +13,15 @@
 // expected to hold, times a penalty that rises with the pool's load. Near
 // capacity each needless copy of a prefix takes the capacity whose lack caused
 // it; a constant penalty lets that feed on itself. Range: 0 and up.
-type recomputeScorer struct {
-	prefillPerSecond float64
-	basePenalty      float64
-	loadPenalty      float64
-}
+type recomputeScorer struct{ config Config }
 
 func (recomputeScorer) Name() string { return "recompute" }
 
 func (s recomputeScorer) Score(r *Request, c *Candidate, snapshot *Snapshot) float64 {
 	missing := float64(r.PromptTokens - c.ExpectedCached)
-	penalty := s.basePenalty + s.loadPenalty*min(snapshot.Utilization, 1)
-	return missing / s.prefillPerSecond * penalty
+	pressure := min(float64(snapshot.MedianWait)/float64(s.config.FullPressure), 1)
+	penalty := s.config.BasePenalty + s.config.LoadPenalty*pressure
+	return missing / s.config.PrefillTokensPerSecond * penalty
 }
 
 // suspectScorer steers away from endpoints that failed attempts lately.
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -214,7 +214,7 @@
 
 // Chain returns the prompt's block digests and its length, without making the
 // text. The document's blocks are shared between tenants when shared is set.
-func (r Request) Chain(shared bool) (chain prefix.Chain, tokens, sharedBlocks int) {
+func (r Request) Chain(shared bool) (chain prefix.Chain, tokens int) {
 	previous := xxhash.Sum64String("document")
 	if !shared {
 		previous = xxhash.Sum64String("tenant " + r.Tenant)
@@ -227,8 +227,5 @@
 			chain = append(chain, previous)
 		}
 	}
-	if shared {
-		sharedBlocks = r.Kind.DocumentTokens / prefix.BlockTokens
-	}
-	return chain, tokens, sharedBlocks
+	return chain, tokens
 }
