Placement at scale: homes by demand in powers of two, patience across classes

Cause: at 160 engines and at 80 the policy collapsed: one home and three spill endpoints are too few for a prefix that needs a dozen engines, and routers whose demand estimates differ slightly disagree about the homes.

Change: homes by demand, rounded up to a power of two so that routers agree; target and penalty can be set for each model in the bundle. Admission takes the shortest patience among a class and those above it.

--- a/cmd/rehearse/experiment.go
+++ b/cmd/rehearse/experiment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -25,6 +26,7 @@
 	Tenants     int     `help:"Another number of tenants."`
 	Demand      float64 `default:"1" help:"Factor on the scenario's rates."`
 	Private     bool    `help:"Take no prompt as shared between tenants."`
+	Admission   bool    `help:"Refuse early in every scenario, as the product does."`
 	NoDirectory bool    `help:"Leave out the directory of cache events."`
 	JSON        string  `help:"File for all figures."`
 	Report      string  `help:"Folder for a report with plots."`
@@ -32,6 +34,7 @@
 	HomeBlocks  int           `help:"Affinity: home depth in blocks."`
 	BasePenalty float64       `default:"-1" help:"Affinity: penalty at no load."`
 	LoadPenalty float64       `default:"-1" help:"Affinity: added penalty at full load."`
+	Target      float64       `help:"Affinity: target utilization of a home."`
 	Pressure    time.Duration `help:"Affinity: median wait of full pressure."`
 	Spill       int           `default:"-1" help:"Affinity: spill endpoints considered."`
 }
@@ -51,6 +54,9 @@
 	if c.Pressure > 0 {
 		config.FullPressure = c.Pressure
 	}
+	if c.Target > 0 {
+		config.TargetUtilization = c.Target
+	}
 	if c.Spill >= 0 {
 		config.SpillLimit = c.Spill
 	}
@@ -58,15 +64,15 @@
 }
 
 // Run implements the command.
-func (c *experimentCommand) Run() error {
+func (c *experimentCommand) Run(ctx context.Context) error {
 	d, err := deployment.Find(c.Deployment)
 	if err != nil {
 		return err
 	}
 	started := time.Now()
-	study, err := experiment.Run(experiment.Study{
+	study, err := experiment.Run(ctx, experiment.Study{
 		Deployment: d.Scale(c.Engines, c.Routers, c.Tenants), Scenario: c.Scenario, Policy: c.Policy, Seed: c.Seed, Seeds: c.Seeds,
-		Demand: c.Demand, Engine: enginemodel.DefaultConfig(), Affinity: c.affinity(), Private: c.Private, NoDirectory: c.NoDirectory,
+		Demand: c.Demand, Engine: enginemodel.DefaultConfig(), Affinity: c.affinity(), Private: c.Private, NoDirectory: c.NoDirectory, Admission: c.Admission,
 	})
 	if err != nil {
 		return err
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -56,6 +56,13 @@
 	HomeBlocks int `yaml:"home_blocks" json:"home_blocks,omitempty" validate:"omitempty,min=4,max=4096"`
 	// PrefillTokensPerSecond is one engine's measured prefill rate.
 	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second" json:"prefill_tokens_per_second" validate:"required,gt=0"`
+	// TargetUtilization is the share of one engine's prefill that a prefix may
+	// ask for before it is given a further home. Default 1.5, which suits a
+	// dozen engines; 0.4 suits eighty and more.
+	TargetUtilization float64 `yaml:"target_utilization" json:"target_utilization,omitempty" validate:"omitempty,gt=0,max=10"`
+	// LoadPenalty is how much more recomputing a prompt weighs than waiting,
+	// when the whole pool is busy. Default 6; 12 suits eighty engines and more.
+	LoadPenalty float64 `yaml:"load_penalty" json:"load_penalty,omitempty" validate:"omitempty,gt=0,max=100"`
 	// MaxOutputTokens bounds the answer that a caller may ask for.
 	MaxOutputTokens int `yaml:"max_output_tokens" json:"max_output_tokens" validate:"required,min=1"`
 	// Continuation allows that an answer begun by a lost engine is continued by
@@ -175,6 +182,18 @@
 	return out
 }
 
+// Patience is the shortest FirstToken among a class and those above it. Work
+// that waits longer would hold up others that may not.
+func (b *Bundle) Patience(class Class) time.Duration {
+	patience := class.FirstToken
+	for _, other := range b.Classes {
+		if other.Priority >= class.Priority {
+			patience = min(patience, other.FirstToken)
+		}
+	}
+	return patience
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -169,3 +169,15 @@
 	}
 	return Class{}
 }
+
+// Patience is the shortest FirstToken among a class and those above it. Work
+// that waits longer would hold up others that may not.
+func (d Deployment) Patience(class Class) time.Duration {
+	patience := class.FirstToken
+	for _, other := range d.Classes {
+		if other.Priority >= class.Priority {
+			patience = min(patience, other.FirstToken)
+		}
+	}
+	return patience
+}
--- a/internal/experiment/engines.go
+++ b/internal/experiment/engines.go
@@ -33,6 +33,19 @@
 	// wakeAt is the time of the scheduled step, or 0.
 	wakeAt time.Duration
 	blocks map[uint64]bool
+	// known is the load when it was last asked for; changed says that it is out
+	// of date.
+	known   enginemodel.Load
+	changed bool
+}
+
+// load returns the engine's load. It is costly to make and often asked for.
+func (e *simulatedEngine) load() enginemodel.Load {
+	if e.changed {
+		e.known = e.model.Load()
+		e.changed = false
+	}
+	return e.known
 }
 
 func (e *simulatedEngine) machine(model, region string) controlapi.Machine {
@@ -42,7 +55,7 @@
 
 // trueWait is the time in queue that new work has now.
 func (e *simulatedEngine) trueWait(prefillRate float64) time.Duration {
-	load := e.model.Load()
+	load := e.load()
 	wait := time.Duration(float64(load.PrefillTokens) / prefillRate * float64(time.Second))
 	if excess := load.Running + load.Waiting - e.slots; excess > 0 {
 		wait += time.Duration(excess) * 700 * time.Millisecond / time.Duration(e.slots)
@@ -56,6 +69,7 @@
 		return
 	}
 	out := e.model.Step(s.now)
+	e.changed = true
 	for _, token := range out.Tokens {
 		s.token(e, token)
 	}
@@ -172,4 +186,5 @@
 	e.down, e.silent = false, false
 	e.model = enginemodel.New(s.options.Engine)
 	e.wakeAt = 0
+	e.changed = true
 }
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -31,7 +31,9 @@
 	case Hash:
 		return scheduling.NewHash(s.options.Affinity.HomeBlocks), nil
 	case Affinity:
-		return scheduling.NewAffinity(s.options.Affinity), nil
+		config := s.options.Affinity
+		config.Routers = len(s.routers)
+		return scheduling.NewAffinity(config), nil
 	case AllKnowing:
 		return &allKnowing{simulation: s}, nil
 	}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -2,11 +2,14 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/deployment"
 	"quinceridge.example/quinceridge/internal/enginemodel"
@@ -101,7 +104,7 @@
 }
 
 // Simulate runs one policy under one seed.
-func Simulate(options Options) (*Result, error) {
+func Simulate(ctx context.Context, options Options) (*Result, error) {
 	s := &simulation{options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), byID: map[string]*simulatedEngine{},
 		holders: map[uint64]int{}, directory: scheduling.NewDirectory(), metrics: newMetrics(options), prefillRate: options.Engine.PrefillTokensPerSecond()}
 	s.generator = workload.New(options.Deployment, options.Conditions.Plan, options.Seed)
@@ -109,6 +112,9 @@
 		return nil, err
 	}
 	for len(s.events) > 0 {
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(ctx.Err(), "simulate")
+		}
 		next := heap.Pop(&s.events).(event)
 		s.now = next.at
 		next.run()
@@ -203,7 +209,7 @@
 	rows := make([]controlapi.LoadRow, len(s.engines))
 	known := make([]bool, len(s.engines))
 	for i, e := range s.engines {
-		load := e.model.Load()
+		load := e.load()
 		rows[i] = controlapi.LoadRow{controlapi.LoadRunning: load.Running, controlapi.LoadWaiting: load.Waiting, controlapi.LoadPrefillTokens: load.PrefillTokens}
 		known[i] = !e.down && s.random.Float64() >= c.ReportLoss
 	}
@@ -275,7 +281,7 @@
 	missing := f.place.PromptTokens - decision.ExpectedCached
 	prefill := time.Duration(float64(missing) / s.prefillRate * float64(time.Second))
 	return router.admission.Admit(s.now, flowcontrol.Request{Tenant: f.request.Tenant, Weight: 1, Priority: f.class.Priority,
-		FirstToken: f.class.FirstToken, Expected: decision.Endpoint.Wait + prefill, Cost: missing + f.request.Kind.OutputTokens}).Admitted
+		FirstToken: s.options.Deployment.Patience(f.class), Expected: decision.Endpoint.Wait + prefill, Cost: missing + f.request.Kind.OutputTokens}).Admitted
 }
 
 // deliver hands a request to an engine.
@@ -292,6 +298,7 @@
 	e.running[id] = f
 	err := e.model.Add(enginemodel.Request{ID: id, Chain: f.place.Chain, PromptTokens: f.place.PromptTokens + f.generated,
 		OutputTokens: f.request.Kind.OutputTokens - f.generated, FirstIndex: f.generated, Priority: f.class.Priority})
+	e.changed = true
 	if err != nil {
 		delete(e.running, id)
 		f.place.Excluded = append(f.place.Excluded, e.id)
--- a/internal/experiment/study.go
+++ b/internal/experiment/study.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"strings"
@@ -29,6 +30,8 @@
 	Private    bool
 	// NoDirectory leaves out the directory of cache events.
 	NoDirectory bool
+	// Admission refuses early in every scenario, as the product does.
+	Admission bool
 }
 
 // Row is the figures of one policy in one scenario: the mean over the seeds.
@@ -51,7 +54,7 @@
 }
 
 // Run makes all runs of a study, several at once.
-func Run(study Study) (*Figures, error) {
+func Run(ctx context.Context, study Study) (*Figures, error) {
 	names, policies := Scenarios(), Policies()
 	if study.Scenario != all {
 		names = []string{study.Scenario}
@@ -67,6 +70,7 @@
 		if err != nil {
 			return nil, err
 		}
+		conditions.Admission = conditions.Admission || study.Admission
 		conditions.Plan.Demand = max(conditions.Plan.Demand, 1) * study.Demand
 		for _, policy := range policies {
 			row := &Row{Scenario: name, Policy: policy, Runs: make([]*Result, study.Seeds)}
@@ -77,7 +81,7 @@
 			}
 		}
 	}
-	if err := runAll(jobs); err != nil {
+	if err := runAll(ctx, jobs); err != nil {
 		return nil, err
 	}
 	for _, row := range figures.Rows {
@@ -92,7 +96,7 @@
 	options Options
 }
 
-func runAll(jobs []job) error {
+func runAll(ctx context.Context, jobs []job) error {
 	var group sync.WaitGroup
 	failures := make([]error, len(jobs))
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
@@ -100,7 +104,7 @@
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			j.row.Runs[j.index], failures[i] = Simulate(j.options)
+			j.row.Runs[j.index], failures[i] = Simulate(ctx, j.options)
 		})
 	}
 	group.Wait()
--- a/internal/flowcontrol/flowcontrol.go
+++ b/internal/flowcontrol/flowcontrol.go
@@ -41,7 +41,8 @@
 	Weight float64
 	// Priority is the class's, 0 to 100.
 	Priority int
-	// FirstToken is the longest useful wait.
+	// FirstToken is the longest useful wait for the first token, of the
+	// request's class and of those above it.
 	FirstToken time.Duration
 	// Expected is the wait for the first token at the chosen endpoint.
 	Expected time.Duration
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -158,7 +158,7 @@
 		Continuation: r.model.Continuation,
 	}
 	r.admit = flowcontrol.Request{Tenant: r.tenant, Weight: weight(config, r.tenant, tenant, r.started),
-		Priority: class.Priority, FirstToken: class.FirstToken}
+		Priority: class.Priority, FirstToken: config.Bundle.Patience(class)}
 }
 
 func authenticate(c echo.Context, config *board.Config) (string, bundle.Tenant, error) {
--- a/internal/router/policies.go
+++ b/internal/router/policies.go
@@ -44,6 +44,12 @@
 	if settings.HomeBlocks > 0 {
 		out.HomeBlocks = settings.HomeBlocks
 	}
+	if settings.TargetUtilization > 0 {
+		out.TargetUtilization = settings.TargetUtilization
+	}
+	if settings.LoadPenalty > 0 {
+		out.LoadPenalty = settings.LoadPenalty
+	}
 	out.PrefillTokensPerSecond = settings.PrefillTokensPerSecond
 	return out
 }
--- a/internal/scheduling/affinity.go
+++ b/internal/scheduling/affinity.go
@@ -1,8 +1,12 @@
 package scheduling
 
 import (
+	"math"
+	"math/bits"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quinceridge.example/quinceridge/internal/prefix"
 )
 
@@ -19,7 +23,12 @@
 	BasePenalty  float64
 	LoadPenalty  float64
 	FullPressure time.Duration
-	// SpillLimit is how many endpoints beyond the home are considered without
+	// TargetUtilization is the share of one engine's prefill that a prefix may
+	// ask for before it gets a further home.
+	TargetUtilization float64
+	// Routers is how many routers see about the same traffic.
+	Routers int
+	// SpillLimit is how many endpoints beyond the homes are considered without
 	// evidence that they hold the prompt.
 	SpillLimit int
 }
@@ -32,6 +41,8 @@
 		BasePenalty:            1,
 		LoadPenalty:            6,
 		FullPressure:           500 * time.Millisecond,
+		TargetUtilization:      1.5,
+		Routers:                1,
 		SpillLimit:             3,
 	}
 }
@@ -50,6 +61,7 @@
 	scorers []Scorer
 	picker  Picker
 	hints   *hints
+	demand  *demand
 	// directory may be nil.
 	directory *Directory
 	// fresh is the mean uncached tokens of answered requests.
@@ -64,6 +76,7 @@
 		scorers: []Scorer{waitScorer{}, recomputeScorer{config}, suspectScorer{}},
 		picker:  lowestCost{},
 		hints:   newHints(),
+		demand:  newDemand(),
 		fresh:   prefix.BlockTokens,
 	}
 }
@@ -110,21 +123,23 @@
 // UseDirectory implements DirectoryUser.
 func (a *affinity) UseDirectory(d *Directory) { a.directory = d }
 
-// candidates returns the home, the spill endpoints and every endpoint with
+// candidates returns the homes, the spill endpoints and every endpoint with
 // evidence of holding some of the prompt, each with its expected cached tokens.
 func (a *affinity) candidates(now time.Duration, r *Request, endpoints []*Endpoint) []Candidate {
 	if len(r.Chain) < minimumAffinityBlocks {
 		return withoutHome(endpoints)
 	}
-	ordered := order(r.Chain.Head(a.config.HomeBlocks), endpoints)
+	home := r.Chain.Head(a.config.HomeBlocks)
+	ordered := order(home, endpoints)
 	depths := a.evidence(now, r, ordered)
-	// Convention: the home is taken to hold the whole prompt, so that all
-	// routers, fresh ones too, keep together.
-	depths[0] = len(r.Chain)
+	width := min(a.width(now, home), len(ordered))
+	// Convention: the preferred home is taken to hold the whole prompt, so that
+	// all routers, fresh ones too, keep together.
+	depths[preferred(r, home, ordered[:width])] = len(r.Chain)
 	known := max(r.PromptTokens-int(a.fresh), 0)
-	out := make([]Candidate, 0, 1+a.config.SpillLimit)
+	out := make([]Candidate, 0, width+a.config.SpillLimit)
 	for rank, e := range ordered {
-		if rank > a.config.SpillLimit && depths[rank] == 0 {
+		if rank >= width+a.config.SpillLimit && depths[rank] == 0 {
 			continue
 		}
 		expected := min(depths[rank]*prefix.BlockTokens, known)
@@ -146,6 +161,34 @@
 	return depths
 }
 
+// width is how many homes the prefix has now: as many as its uncached work
+// needs. One prefix can be too much for an engine even when it is cached.
+func (a *affinity) width(now time.Duration, home uint64) int {
+	seconds := a.fresh / a.config.PrefillTokensPerSecond
+	asked := a.demand.add(now, home, seconds) * float64(a.config.Routers)
+	wanted := asked / a.config.TargetUtilization
+	if wanted <= 1 {
+		return 1
+	}
+	return 1 << bits.Len(uint(math.Ceil(wanted))-1)
+}
+
+// preferred is the rank of the home that the request's tenant falls to. Another
+// home moves only the tenants that fall to it.
+func preferred(r *Request, home uint64, homes []*Endpoint) int {
+	if len(homes) == 1 {
+		return 0
+	}
+	key := xxhash.Sum64String(r.Tenant) ^ home
+	best := 0
+	for i, e := range homes {
+		if weight(key, e.Key) > weight(key, homes[best].Key) {
+			best = i
+		}
+	}
+	return best
+}
+
 func withoutHome(endpoints []*Endpoint) []Candidate {
 	out := make([]Candidate, 0, len(endpoints))
 	for i, e := range endpoints {
