Simulator of control nodes and routers under faults; three faults of storage mended

Cause: the consensus core, the storage and the agent had never met a fault.

Records now carry their batch, and an unfinished last batch is dropped whole, with the commit index in it; - empty batches were counted, which made a hole look like damage.

Ruled out: the election code (the two leaders came from the lost folder).

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -29,6 +29,7 @@
 type commandLine struct {
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment as processes and drive a surge."`
 	Experiment  experimentCommand  `cmd:"" help:"Bench: policies over scenarios and seeds, in virtual time."`
+	Simulate    simulateCommand    `cmd:"" help:"Control nodes and routers in virtual time, under faults, over many seeds."`
 	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
 	Appworker   appworkerCommand   `cmd:"" help:"Stand-in: one application worker."`
 	Platform    platformCommand    `cmd:"" help:"Stand-in: the platform's list of machines."`
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -44,6 +44,8 @@
 // Authority says by what right the router takes new work.
 type Authority struct {
 	Mode agent.Mode
+	// Routers is how many routers the registry lists.
+	Routers int
 }
 
 // Machines is the latest list of back ends.
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -133,6 +133,26 @@
 	Revision uint64 `json:"revision"`
 	Source   string `json:"source,omitempty"`
 	Region   string `json:"region"`
+	// AfterChange is the last change of chain heads that the router has, or 0.
+	AfterChange uint64 `json:"after_change,omitempty"`
+}
+
+// HeadKind says how an engine's chain heads changed.
+type HeadKind int
+
+// The changes of chain heads.
+const (
+	HeadAdded HeadKind = iota
+	HeadDropped
+	// HeadsForgotten drops all heads of the engine.
+	HeadsForgotten
+)
+
+// HeadChange is one change of the chain heads that an engine holds.
+type HeadChange struct {
+	Engine string   `json:"e"`
+	Kind   HeadKind `json:"k,omitempty"`
+	Head   uint64   `json:"h,omitempty"`
 }
 
 // ViewReply answers a ViewRequest.
@@ -143,6 +163,11 @@
 	Machines []Machine `json:"machines,omitempty"`
 	// Load has one row for each machine of the list, in its order.
 	Load []LoadRow `json:"load"`
+	// LastChange numbers the last of Heads. WholeHeads says that they are all
+	// heads, not changes.
+	LastChange uint64       `json:"last_change,omitempty"`
+	WholeHeads bool         `json:"whole_heads,omitempty"`
+	Heads      []HeadChange `json:"heads,omitempty"`
 }
 
 // LoadRow is the load of one engine: running and waiting sequences, waiting
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -243,3 +243,22 @@
 	}
 	return decoded.Error
 }
+
+// CacheEvent says that a block entered or left an engine's cache.
+type CacheEvent struct {
+	// Block is the digest of the chain that ends in the block.
+	Block uint64 `json:"block"`
+	// Depth is the block's place in its chain, from 1.
+	Depth int `json:"depth"`
+	// Stored is true when the block entered and false when it was evicted.
+	Stored bool `json:"stored"`
+}
+
+// CachePage is a page of the cache events after a number that the asker names.
+type CachePage struct {
+	Incarnation string `json:"incarnation"`
+	// First is the number of the first event of the page, from 1. A gap to the
+	// number that was asked for says that events were lost.
+	First  uint64       `json:"first"`
+	Events []CacheEvent `json:"events"`
+}
--- a/internal/enginemodel/cache.go
+++ b/internal/enginemodel/cache.go
@@ -3,18 +3,12 @@
 import (
 	"container/list"
 
+	"quinceridge.example/quinceridge/internal/engineapi"
 	"quinceridge.example/quinceridge/internal/prefix"
 )
 
-// CacheEvent says that a block entered or left an engine's cache.
-type CacheEvent struct {
-	// Block is the digest of the chain that ends in the block.
-	Block uint64 `json:"block"`
-	// Depth is the block's place in its chain, from 1.
-	Depth int `json:"depth"`
-	// Stored is true when the block entered and false when it was evicted.
-	Stored bool `json:"stored"`
-}
+// CacheEvent is the engine protocol's.
+type CacheEvent = engineapi.CacheEvent
 
 // cache is a set of blocks of limited size that evicts the least recently used
 // block. Touching a chain leaves its first block the most recent one, so that
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -45,6 +45,7 @@
 	revision uint64
 	machines []controlapi.Machine
 	reports  map[string]report
+	heads    headTable
 }
 
 // report is an engine's latest status and when it came.
@@ -57,7 +58,7 @@
 func New(config Config) *Inventory {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 2048, IdleConnTimeout: time.Minute}
 	return &Inventory{config: config, client: &http.Client{Transport: transport, Timeout: time.Second},
-		reports: map[string]report{}}
+		reports: map[string]report{}, heads: newHeadTable()}
 }
 
 // Run polls until the context ends.
@@ -129,6 +130,7 @@
 }
 
 func (i *Inventory) pollEngine(ctx context.Context, m controlapi.Machine) {
+	i.pollEvents(ctx, m)
 	var status engineapi.Status
 	if err := i.get(ctx, "http://"+m.Address+engineapi.PathStatus, &status); err != nil {
 		return
@@ -158,6 +160,7 @@
 	for id := range i.reports {
 		if !listed[id] {
 			delete(i.reports, id)
+			i.heads.forget(id)
 		}
 	}
 	if !slices.Equal(machines, i.machines) {
@@ -186,10 +189,15 @@
 func (i *Inventory) View(r controlapi.ViewRequest) controlapi.ViewReply {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
-	reply := controlapi.ViewReply{Revision: i.revision, Source: i.config.Source}
+	reply := controlapi.ViewReply{Revision: i.revision, Source: i.config.Source, LastChange: i.heads.last()}
 	if r.Source != i.config.Source || r.Revision != i.revision {
 		reply.Machines = i.machines
 	}
+	after := r.AfterChange
+	if r.Source != i.config.Source {
+		after = 0
+	}
+	reply.Heads, reply.WholeHeads = i.heads.since(after)
 	now := time.Now()
 	reply.Load = make([]controlapi.LoadRow, len(i.machines))
 	for n, m := range i.machines {
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -13,6 +13,7 @@
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/controlclient"
 	"quinceridge.example/quinceridge/internal/membership"
+	"quinceridge.example/quinceridge/internal/scheduling"
 	"quinceridge.example/quinceridge/internal/storage"
 	"quinceridge.example/quinceridge/internal/telemetry"
 )
@@ -34,19 +35,23 @@
 	clock   clock
 	region  string
 	pool    *membership.Pool
-	writer  *board.Writer[board.Machines]
-	file    *storage.File
-	ready   chan struct{}
-	once    sync.Once
+	// directory is fed with the chain heads that engines hold.
+	directory *scheduling.Directory
+	// lastChange numbers the last change of heads that was taken.
+	lastChange uint64
+	writer     *board.Writer[board.Machines]
+	file       *storage.File
+	ready      chan struct{}
+	once       sync.Once
 
 	current board.Machines
 	saved   time.Duration
 	unsaved bool
 }
 
-func newMembership(r *Router, pool *membership.Pool, clock clock) (*membershipController, error) {
+func newMembership(r *Router, pool *membership.Pool, directory *scheduling.Directory, clock clock) (*membershipController, error) {
 	m := &membershipController{logger: telemetry.Part(r.logger, "membership"), control: r.control, clock: clock,
-		region: r.settings.Region, pool: pool, ready: make(chan struct{}), saved: -machinesSaved}
+		region: r.settings.Region, pool: pool, directory: directory, ready: make(chan struct{}), saved: -machinesSaved}
 	var err error
 	if m.writer, err = r.board.Machines.Claim("membership"); err != nil {
 		return nil, err
@@ -76,7 +81,8 @@
 }
 
 func (m *membershipController) poll(ctx context.Context) {
-	reply, err := m.control.View(ctx, controlapi.ViewRequest{Revision: m.current.Revision, Source: m.current.Source, Region: m.region})
+	reply, err := m.control.View(ctx, controlapi.ViewRequest{Revision: m.current.Revision, Source: m.current.Source, Region: m.region,
+		AfterChange: m.lastChange})
 	if err != nil {
 		m.logger.Debug("view failed", "error", err)
 		return
@@ -90,12 +96,32 @@
 			m.pool.SetLoad(m.clock.now(), m.current.Machines[i].ID, row)
 		}
 	}
+	m.takeHeads(&reply)
 	if len(m.current.Machines) > 0 {
 		m.once.Do(func() { close(m.ready) })
 	}
 	m.save()
 }
 
+// takeHeads brings the directory up to date.
+func (m *membershipController) takeHeads(reply *controlapi.ViewReply) {
+	if reply.WholeHeads {
+		m.directory.Clear()
+	}
+	for _, change := range reply.Heads {
+		endpoint := scheduling.EndpointKey(change.Engine)
+		switch change.Kind {
+		case controlapi.HeadAdded:
+			m.directory.Add(endpoint, change.Head)
+		case controlapi.HeadDropped:
+			m.directory.Remove(endpoint, change.Head)
+		case controlapi.HeadsForgotten:
+			m.directory.Forget(endpoint)
+		}
+	}
+	m.lastChange = reply.LastChange
+}
+
 func (m *membershipController) take(machines board.Machines) {
 	m.current = machines
 	m.pool.SetMachines(machines.Machines)
--- a/internal/router/policies.go
+++ b/internal/router/policies.go
@@ -12,13 +12,14 @@
 // policies holds the placement policy of each model, made anew when a bundle
 // changes the model's settings. The dispatcher's lock guards it.
 type policies struct {
-	board    *board.Board
-	configs  map[string]scheduling.Config
-	policies map[string]scheduling.Policy
+	board     *board.Board
+	directory *scheduling.Directory
+	configs   map[string]scheduling.Config
+	policies  map[string]scheduling.Policy
 }
 
-func newPolicies(b *board.Board) *policies {
-	return &policies{board: b, configs: map[string]scheduling.Config{}, policies: map[string]scheduling.Policy{}}
+func newPolicies(b *board.Board, directory *scheduling.Directory) *policies {
+	return &policies{board: b, directory: directory, configs: map[string]scheduling.Config{}, policies: map[string]scheduling.Policy{}}
 }
 
 func (p *policies) policy(model string) scheduling.Policy {
@@ -27,12 +28,17 @@
 		return policy
 	}
 	p.configs[model] = wanted
-	p.policies[model] = scheduling.NewAffinity(wanted)
-	return p.policies[model]
+	policy := scheduling.NewAffinity(wanted)
+	if user, ok := policy.(scheduling.DirectoryUser); ok {
+		user.UseDirectory(p.directory)
+	}
+	p.policies[model] = policy
+	return policy
 }
 
 func (p *policies) config(model string) scheduling.Config {
 	out := scheduling.DefaultConfig()
+	out.Routers = p.routers()
 	config := p.board.Config.Load()
 	if config == nil {
 		return out
@@ -63,3 +69,11 @@
 	}
 	return defaultPrefillRate
 }
+
+// routers is how many routers share the traffic.
+func (p *policies) routers() int {
+	if authority := p.board.Authority.Load(); authority != nil {
+		return max(authority.Routers, 1)
+	}
+	return 1
+}
--- a/internal/router/rollout.go
+++ b/internal/router/rollout.go
@@ -146,7 +146,7 @@
 		o.logger.Info("mode changed", "mode", string(mode))
 		o.mode = mode
 	}
-	o.authority.Store(&board.Authority{Mode: mode})
+	o.authority.Store(&board.Authority{Mode: mode, Routers: len(o.agent.Durable().Registry.Members)})
 	if mode != agent.ModeNone {
 		o.readyOnce.Do(func() { close(o.ready) })
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"quinceridge.example/quinceridge/internal/gateway"
 	"quinceridge.example/quinceridge/internal/membership"
 	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/scheduling"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/telemetry"
 	"quinceridge.example/quinceridge/internal/trace"
@@ -59,13 +60,14 @@
 	r.control = controlclient.New(r.peers, config.Control)
 	r.claims = claims.New(r.control)
 	clock := newClock()
-	policies := newPolicies(r.board)
+	directory := scheduling.NewDirectory()
+	policies := newPolicies(r.board, directory)
 	pool := membership.NewPool(policies.prefillRate)
 	var err error
 	if r.rollout, err = newRollout(r, vfs.Default, clock); err != nil {
 		return nil, err
 	}
-	if r.membership, err = newMembership(r, pool, clock); err != nil {
+	if r.membership, err = newMembership(r, pool, directory, clock); err != nil {
 		return nil, err
 	}
 	if r.draining, err = r.board.Draining.Claim("router"); err != nil {
--- a/internal/scheduling/directory.go
+++ b/internal/scheduling/directory.go
@@ -1,6 +1,10 @@
 package scheduling
 
-import "quinceridge.example/quinceridge/internal/prefix"
+import (
+	"sync"
+
+	"quinceridge.example/quinceridge/internal/prefix"
+)
 
 // HeadInterval is the distance, in blocks, between the chain depths whose
 // digests are published. Only they are kept and sent: one block in sixteen.
@@ -10,9 +14,10 @@
 func IsHead(depth int) bool { return depth > 0 && depth%HeadInterval == 0 }
 
 // Directory is what engines' cache events say about where chain heads are. It
-// is late and has gaps, and is never trusted for more than a cost. It is not
-// safe for concurrent use.
+// is late and has gaps, and is never trusted for more than a cost. It is safe
+// for concurrent use.
 type Directory struct {
+	mu    sync.RWMutex
 	heads map[uint64]map[uint64]struct{} // by endpoint key
 }
 
@@ -21,6 +26,9 @@
 
 // Add notes that the endpoint holds a head.
 func (d *Directory) Add(endpoint, head uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
 	held := d.heads[endpoint]
 	if held == nil {
 		held = map[uint64]struct{}{}
@@ -30,13 +38,30 @@
 }
 
 // Remove notes that the endpoint has dropped a head.
-func (d *Directory) Remove(endpoint, head uint64) { delete(d.heads[endpoint], head) }
+func (d *Directory) Remove(endpoint, head uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.heads[endpoint], head)
+}
 
 // Forget drops everything about an endpoint, such as after its restart.
-func (d *Directory) Forget(endpoint uint64) { delete(d.heads, endpoint) }
+func (d *Directory) Forget(endpoint uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.heads, endpoint)
+}
+
+// Clear drops everything.
+func (d *Directory) Clear() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.heads)
+}
 
 // Size returns how many heads are known.
 func (d *Directory) Size() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
 	n := 0
 	for _, held := range d.heads {
 		n += len(held)
@@ -48,6 +73,8 @@
 // holds, 0 for none. Engines drop the ends of chains first, so a deep head
 // stands for all before it even when their events were lost.
 func (d *Directory) depth(endpoint uint64, chain prefix.Chain) int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
 	held := d.heads[endpoint]
 	if len(held) == 0 {
 		return 0
--- /dev/null
+++ b/internal/simulation/node.go
@@ -0,0 +1,339 @@
+package simulation
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
+
+	"quinceridge.example/quinceridge/internal/control"
+	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/raft"
+	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/storage"
+)
+
+// Times of the simulated group, in the proportions of the product's defaults.
+const (
+	heartbeat       = 100 * time.Millisecond
+	electionTimeout = time.Second
+	leaderLease     = 800 * time.Millisecond
+	routerLease     = 3 * time.Second
+	snapshotEvery   = 40
+	// mostDrift is how much faster or slower than true time a clock may go.
+	mostDrift = 0.04
+)
+
+var errKilled = errors.New("killed at a write")
+
+// node is one control machine.
+type node struct {
+	world  *world
+	id     uint64
+	name   string
+	core   *control.Core
+	disk   *vfs.MemFS
+	join   bool
+	drift  float64
+	origin time.Duration
+	down   bool
+	lost   bool
+	frozen bool
+	// queued are messages that came while the node was frozen.
+	queued []func()
+	// checked is the applied entry that was checked last.
+	checked uint64
+	// writes counts down to a kill in the middle of a write; 0 means none.
+	writes int
+}
+
+func newNode(w *world, id uint64, join bool) *node {
+	n := &node{world: w, id: id, name: fmt.Sprintf("control-%d", id), disk: vfs.NewCrashableMem(), join: join,
+		drift: 1 + (w.random.Float64()*2-1)*mostDrift, origin: w.between(0, time.Hour)}
+	n.open()
+	return n
+}
+
+// clock is the node's own monotonic clock.
+func (n *node) clock() time.Duration {
+	return n.origin + time.Duration(float64(n.world.now)*n.drift)
+}
+
+func (n *node) config() control.CoreConfig {
+	config := control.CoreConfig{
+		Raft: raft.Config{ID: n.id, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeat, LeaseDuration: leaderLease,
+			Random: rand.New(rand.NewPCG(n.world.random.Uint64(), n.id))},
+		SnapshotEvery: snapshotEvery, Lease: routerLease, Bootstrap: trust(),
+	}
+	if !n.join {
+		config.Initial = raft.Membership{Addresses: map[uint64]string{}}
+		for id := uint64(1); id <= uint64(n.world.config.Nodes); id++ {
+			config.Initial.Voters = append(config.Initial.Voters, id)
+		}
+	}
+	return config
+}
+
+func (n *node) open() {
+	core, err := control.NewCore(n.config(), n.faultyDisk(), "data", n.clock())
+	if errors.Is(err, errKilled) {
+		n.down = true
+		n.world.after(100*time.Millisecond, n.restart)
+		return
+	}
+	if err != nil {
+		// A mutant's disk may be found damaged; that is a catch too.
+		n.world.checks.fail("%s cannot start: %v", n.name, err)
+		return
+	}
+	n.core = core
+}
+
+// faultyDisk fails a write when the countdown ends.
+func (n *node) faultyDisk() vfs.FS {
+	return errorfs.Wrap(n.disk, errorfs.InjectorFunc(func(op errorfs.Op) error {
+		if n.writes == 0 || op.Kind.ReadOrWrite() != errorfs.OpIsWrite {
+			return nil
+		}
+		n.writes--
+		if n.writes == 0 {
+			return errKilled
+		}
+		return nil
+	}))
+}
+
+func (n *node) running() bool { return !n.down && !n.lost && !n.frozen && n.core != nil }
+
+func (n *node) tick() {
+	if !n.running() {
+		return
+	}
+	n.core.Tick(n.clock())
+	n.pump()
+}
+
+// receive runs something on the node, now or after it thaws.
+func (n *node) receive(work func()) {
+	switch {
+	case n.frozen && !n.down:
+		n.queued = append(n.queued, work)
+	case n.running():
+		work()
+		n.pump()
+	}
+}
+
+func (n *node) pump() {
+	if !n.running() {
+		return
+	}
+	messages, err := n.core.Pump(n.clock())
+	if err != nil {
+		if !errors.Is(err, errKilled) && !errors.Is(err, storage.ErrDamaged) {
+			n.world.checks.fail("%s: %v", n.name, err)
+			return
+		}
+		n.world.count("kill at a write")
+		n.crash(n.world.between(50*time.Millisecond, 2*time.Second))
+		return
+	}
+	if applied := n.core.Machine().Applied(); applied != n.checked {
+		n.checked = applied
+		n.world.checks.applied(n)
+	}
+	for _, m := range messages {
+		if to := n.world.node(m.To); to != nil {
+			n.world.send(n.name, to.name, func() { to.receive(func() { to.core.Step(to.clock(), m) }) })
+		}
+	}
+}
+
+func (w *world) node(id uint64) *node {
+	for _, n := range w.nodes {
+		if n.id == id && !n.lost {
+			return n
+		}
+	}
+	return nil
+}
+
+// crash ends the node. What was not synced may be lost.
+func (n *node) crash(pause time.Duration) {
+	if n.down || n.lost {
+		return
+	}
+	n.down, n.frozen, n.queued, n.core, n.writes = true, false, nil, nil, 0
+	n.disk = n.crashedDisk()
+	if n.world.config.Mutant == MutantNoSync {
+		n.disk = vfs.NewCrashableMem()
+	}
+	n.world.after(pause, n.restart)
+}
+
+// crashedDisk returns what is left of the disk: what was synced, and at times
+// more, with a torn end of the log.
+//
+// The clone is always asked for all or nothing: for a part it would draw in the
+// order of a map, and equal seeds would not give equal runs.
+func (n *node) crashedDisk() *vfs.MemFS {
+	synced := n.disk.CrashClone(vfs.CrashCloneCfg{})
+	if n.world.chance(0.4) {
+		return synced
+	}
+	all := n.disk.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: 100, RNG: rand.New(rand.NewPCG(1, 1))})
+	kept, written := readAll(synced, logPath), readAll(all, logPath)
+	if !bytes.HasPrefix(written, kept) || len(written) == len(kept) {
+		return all
+	}
+	tail := written[len(kept):]
+	switch cut := n.world.random.IntN(len(tail) + 1); {
+	case n.world.chance(0.5):
+		tail = tail[:cut]
+	default:
+		clear(tail[cut/2 : cut]) // a block that was not written back
+	}
+	writeAll(all, logPath, append(kept, tail...))
+	return all
+}
+
+const logPath = "data/log.jsonl"
+
+func readAll(fs *vfs.MemFS, path string) []byte {
+	file, err := fs.Open(path)
+	if err != nil {
+		return nil
+	}
+	defer file.Close()
+	data, err := io.ReadAll(file)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func writeAll(fs *vfs.MemFS, path string, data []byte) {
+	file, err := fs.Create(path, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return
+	}
+	_, _ = file.Write(data)
+	_ = file.Sync()
+	_ = file.Close()
+}
+
+func (n *node) restart() {
+	if n.lost || n.core != nil {
+		return
+	}
+	n.down = false
+	n.open()
+}
+
+func (n *node) freeze(length time.Duration) {
+	if !n.running() {
+		return
+	}
+	n.frozen = true
+	n.world.after(length, func() {
+		if !n.frozen {
+			return
+		}
+		n.frozen = false
+		queued := n.queued
+		n.queued = nil
+		for _, work := range queued {
+			n.receive(work)
+		}
+	})
+}
+
+// leader returns the node that holds the lease, if any.
+func (w *world) leader() *node {
+	for _, n := range w.nodes {
+		if n.running() && n.core.HoldsLease(n.clock()) {
+			return n
+		}
+	}
+	return nil
+}
+
+// submit sends a command to a node and gives the answer to done, unless it is
+// lost.
+func (w *world) submit(from string, to *node, command state.Command, done func(state.Result, error)) {
+	w.send(from, to.name, func() {
+		to.receive(func() {
+			command.At = w.wallClock()
+			err := to.core.Propose(to.clock(), command, func(r state.Result, err error) {
+				w.send(to.name, from, func() { done(r, err) })
+			})
+			if err != nil {
+				w.send(to.name, from, func() { done(state.Result{}, err) })
+			}
+		})
+	})
+}
+
+// wallClock jumps back and forth, as wall clocks may.
+func (w *world) wallClock() int64 {
+	jump := w.random.Int64N(20_000) - 10_000
+	return 1_800_000_000_000 + w.now.Milliseconds() + jump
+}
+
+// anyNode returns a node to talk to.
+func (w *world) anyNode() *node { return w.nodes[w.random.IntN(len(w.nodes))] }
+
+// replaceLost does what an operator does for a machine whose disk is gone: add
+// a new one as a learner, promote it, remove the old one.
+func (w *world) replaceLost() {
+	leader := w.leader()
+	if leader == nil {
+		return
+	}
+	for _, old := range w.nodes {
+		if old.lost && w.replace(leader, old) {
+			return
+		}
+	}
+}
+
+func (w *world) replace(leader, old *node) (busy bool) {
+	members := leader.core.Status().Membership
+	newest := w.nodes[len(w.nodes)-1]
+	change := func(kind raft.ChangeKind, id uint64) {
+		leader.receive(func() { _ = leader.core.Change(leader.clock(), raft.Change{Kind: kind, ID: id}) })
+	}
+	switch {
+	case !members.IsVoter(old.id) && !members.IsLearner(old.id):
+		return false
+	case newest.lost || !newest.join || members.IsVoter(newest.id):
+		if len(members.Voters) > w.config.Nodes {
+			change(raft.RemoveMember, old.id)
+			return true
+		}
+		w.nextID++
+		w.nodes = append(w.nodes, newNode(w, w.nextID, true))
+		w.islands[w.nodes[len(w.nodes)-1].name] = w.islands[leader.name]
+		w.report.Replaced++
+	case members.IsLearner(newest.id):
+		change(raft.Promote, newest.id)
+	default:
+		change(raft.AddLearner, newest.id)
+	}
+	return true
+}
+
+// controlCall is a router's call of a control node.
+func (w *world) controlCall(from string, to *node, request controlapi.LeaseRequest, done func(controlapi.LeaseReply)) {
+	w.send(from, to.name, func() {
+		to.receive(func() {
+			reply := to.core.Lease(to.clock(), request)
+			w.send(to.name, from, func() { done(reply) })
+		})
+	})
+}
--- a/internal/standin/engine/journal.go
+++ b/internal/standin/engine/journal.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/engineapi"
 	"quinceridge.example/quinceridge/internal/enginemodel"
 	"quinceridge.example/quinceridge/internal/prefix"
 	"quinceridge.example/quinceridge/internal/standin"
@@ -50,14 +51,6 @@
 	events []loggedEvent
 }
 
-// EventPage is the answer to a question for cache events.
-type EventPage struct {
-	// First is the number of the first event of the page. A gap to the number
-	// that was asked for says that events were lost.
-	First  uint64                   `json:"first"`
-	Events []enginemodel.CacheEvent `json:"events"`
-}
-
 // publish journals events and offers those that are not lost. The caller holds
 // the lock.
 func (e *Engine) publish(events []enginemodel.CacheEvent) {
@@ -83,7 +76,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	start := max(after, e.events.first)
-	page := EventPage{First: start + 1, Events: []enginemodel.CacheEvent{}}
+	page := engineapi.CachePage{Incarnation: e.incarnation, First: start + 1, Events: []enginemodel.CacheEvent{}}
 	for i := start - e.events.first; i < uint64(len(e.events.events)); i++ {
 		logged := e.events.events[i]
 		if time.Since(logged.at) < e.config.EventLag {
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -16,8 +16,8 @@
 // OpenFile reads a file of the folder, creating the folder if needed. A file
 // that is not there is empty.
 func OpenFile(fs vfs.FS, dir, name string) (*File, error) {
-	if err := fs.MkdirAll(dir, 0o700); err != nil {
-		return nil, errors.Wrap(err, "create data folder")
+	if err := makeFolder(fs, dir); err != nil {
+		return nil, err
 	}
 	content, err := readFile(fs, fs.PathJoin(dir, name))
 	if err != nil {
--- a/internal/storage/lines.go
+++ b/internal/storage/lines.go
@@ -28,29 +28,54 @@
 	return append(lines, '\n')
 }
 
-// decodeAll reads all lines. Torn is the length of a damaged tail. Damage that
-// sound lines follow is ErrDamaged.
-func decodeAll[T any](data []byte) (values []T, torn int, err error) {
+// decodeLog reads the records of a log file. A last batch that a crash left
+// unfinished was never acknowledged and is dropped whole; torn is the length of
+// what cannot be read of it. A hole in an earlier batch is ErrDamaged.
+func decodeLog(data []byte) (records []record, torn int, err error) {
 	for len(data) > 0 {
 		line, rest, whole := bytes.Cut(data, []byte{'\n'})
-		var value T
-		if !whole || !decodeLine(line, &value) {
-			if soundLine(rest) {
-				return values, len(data), errors.Wrapf(ErrDamaged, "record %d", len(values)+1)
-			}
-			return values, len(data), nil
+		var r record
+		if whole && decodeLine(line, &r) {
+			records = append(records, r)
+			data = rest
+			continue
 		}
-		values = append(values, value)
-		data = rest
+		if laterBatch(rest, records) {
+			return records, len(data), errors.Wrapf(ErrDamaged, "record %d", len(records)+1)
+		}
+		return wholeBatches(records), len(data), nil
+	}
+	return wholeBatches(records), 0, nil
+}
+
+// wholeBatches drops the records of a last batch that lacks some.
+func wholeBatches(records []record) []record {
+	count := len(records)
+	if count == 0 || records[count-1].Left == 0 {
+		return records
+	}
+	unfinished := records[count-1].Batch
+	for count > 0 && records[count-1].Batch == unfinished {
+		count--
 	}
-	return values, 0, nil
+	return records[:count]
 }
 
-// soundLine tells whether any whole line of data has a right checksum.
-func soundLine(data []byte) bool {
+// laterBatch tells whether any sound line of data belongs to a batch after the
+// one that has a hole behind the given records.
+func laterBatch(data []byte, before []record) bool {
+	holed := uint64(1)
+	if count := len(before); count > 0 {
+		last := before[count-1]
+		holed = last.Batch
+		if last.Left == 0 {
+			holed++
+		}
+	}
 	for len(data) > 0 {
 		line, rest, whole := bytes.Cut(data, []byte{'\n'})
-		if whole && checked(line) != nil {
+		var r record
+		if whole && decodeLine(line, &r) && r.Batch > holed {
 			return true
 		}
 		data = rest
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -9,6 +9,7 @@
 package storage
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
@@ -29,18 +30,45 @@
 // be read any more. The node must be replaced, not restarted.
 var ErrDamaged = errors.New("stored state is damaged")
 
-// record is one line of the log file. Exactly one field is set.
+// record is one line of the log file. Exactly one of Hard and Entry is set.
+//
+// Records that are written and synced together are a batch. A crash may keep
+// any part of the last batch, so its holes are no damage; a hole that a later
+// batch follows is.
 type record struct {
+	Batch uint64 `json:"batch"`
+	// Left is how many records of the batch follow.
+	Left  int             `json:"left,omitempty"`
 	Hard  *raft.HardState `json:"hard,omitempty"`
 	Entry *raft.Entry     `json:"entry,omitempty"`
 }
 
+// batch encodes the records of one write.
+func (s *Storage) batch(hard *raft.HardState, entries []raft.Entry) []byte {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	var lines []byte
+	s.batches++
+	left := len(entries)
+	if hard != nil {
+		lines = encode(lines, record{Batch: s.batches, Left: left, Hard: hard})
+	}
+	for i := range entries {
+		left--
+		lines = encode(lines, record{Batch: s.batches, Left: left, Entry: &entries[i]})
+	}
+	return lines
+}
+
 // Storage is an open data folder. It is not safe for concurrent use.
 type Storage struct {
 	fs     vfs.FS
 	dir    string
 	log    vfs.File
 	failed error
+	// batches counts the batches of the present log file.
+	batches uint64
 	// Syncs and Bytes count what was made durable, for metrics.
 	Syncs uint64
 	Bytes uint64
@@ -49,8 +77,8 @@
 // Open reads the folder, creating it if needed, and returns what it held.
 func Open(fs vfs.FS, dir string) (*Storage, raft.Stored, error) {
 	s := &Storage{fs: fs, dir: dir}
-	if err := fs.MkdirAll(dir, 0o700); err != nil {
-		return nil, raft.Stored{}, errors.Wrap(err, "create data folder")
+	if err := makeFolder(fs, dir); err != nil {
+		return nil, raft.Stored{}, err
 	}
 	stored, _, err := Read(fs, dir)
 	if err != nil {
@@ -76,7 +104,7 @@
 	if err != nil {
 		return stored, 0, err
 	}
-	records, torn, err := decodeAll[record](data)
+	records, torn, err := decodeLog(data)
 	if err != nil {
 		return stored, torn, errors.Wrap(err, logName)
 	}
@@ -165,13 +193,7 @@
 		}
 		return s.rewrite(*r.HardState, r.Entries)
 	}
-	var lines []byte
-	if r.HardState != nil {
-		lines = encode(lines, record{Hard: r.HardState})
-	}
-	for i := range r.Entries {
-		lines = encode(lines, record{Entry: &r.Entries[i]})
-	}
+	lines := s.batch(r.HardState, r.Entries)
 	if len(lines) == 0 {
 		return nil
 	}
@@ -205,11 +227,8 @@
 
 // rewrite replaces the log file by one that holds just these records.
 func (s *Storage) rewrite(hard raft.HardState, entries []raft.Entry) error {
-	lines := encode(nil, record{Hard: &hard})
-	for i := range entries {
-		lines = encode(lines, record{Entry: &entries[i]})
-	}
-	file, err := s.replace(logName, lines)
+	s.batches = 0
+	file, err := s.replace(logName, s.batch(&hard, entries))
 	if err != nil {
 		return err
 	}
@@ -261,6 +280,15 @@
 	return file, syncFolder(fs, dir)
 }
 
+// makeFolder creates the data folder if needed. The parent is synced, or a
+// crash could lose the folder with all that was synced in it.
+func makeFolder(fs vfs.FS, dir string) error {
+	if err := fs.MkdirAll(dir, 0o700); err != nil {
+		return errors.Wrap(err, "create data folder")
+	}
+	return syncFolder(fs, fs.PathDir(dir))
+}
+
 func syncFolder(fs vfs.FS, path string) error {
 	dir, err := fs.OpenDir(path)
 	if err != nil {
@@ -280,11 +308,11 @@
 	if err != nil || len(data) == 0 {
 		return nil, err
 	}
-	snapshots, torn, err := decodeAll[raft.Snapshot](data)
-	if err != nil || torn > 0 || len(snapshots) != 1 {
+	var snapshot raft.Snapshot
+	if !decodeLine(bytes.TrimSuffix(data, []byte{'\n'}), &snapshot) {
 		return nil, errors.Wrapf(ErrDamaged, "%s", snapshotName)
 	}
-	return &snapshots[0], nil
+	return &snapshot, nil
 }
 
 func readFile(fs vfs.FS, path string) ([]byte, error) {
