Specifications model-checked; routers no longer promise to take no lease

Cause: the core protocol had no specification.

Found by the checker: the promise that a router gave to another one, to take no lease meanwhile, carries nothing: without it the model holds with the same bound. It is gone from the agent, with its durable flag, its probes, and the gap in service that it left when control came back. Waiting for the leases of the others before acceptance changes only when control says accepted; that is kept.

Ruled out: a too small model (the mutants without adoption and without the majority are refuted at the same size).

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 demo: build
 	./bin/rehearse fleet --deployment grocery --seconds 30
 
-check: format lint test
+check: format lint test models
 
 format:
 	@unformatted=$$(gofmt -l cmd internal); \
@@ -22,5 +22,9 @@
 test:
 	go test -race -count=1 ./...
 
+# Model checking needs spin and gcc; .ci/run installs them.
+models:
+	./spec/check.sh
+
 clean:
 	rm -rf bin run
--- a/cmd/rehearse/simulate.go
+++ b/cmd/rehearse/simulate.go
@@ -15,7 +15,7 @@
 type simulateCommand struct {
 	Seed   uint64 `default:"1" help:"First seed."`
 	Seeds  int    `default:"100" help:"How many seeds."`
-	Mutant string `help:"Remove a guard: no-sync, no-lease, no-promise, no-fence or no-void."`
+	Mutant string `help:"Remove a guard: no-sync, no-lease, no-adopt, no-fence or no-void."`
 }
 
 // Run implements the command.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,11 +8,11 @@
 // work that follows a change.
 //
 // The rule that keeps an accepted bundle in force everywhere: a router takes
-// new work only while it holds a lease from control, or while a majority of
-// all routers has promised that they hold none and take none meanwhile. The
+// new work only while it holds a lease from control, or for a short time after
+// a majority of all routers, itself included, said that they hold none. The
 // leader accepts a bundle only after a majority of the routers has it durable
 // and the leases of all others have run out. The two majorities share a router,
-// and that one tells of the bundle.
+// and that one tells of the bundle. spec/bundle.pml is the checked model.
 package agent
 
 import (
@@ -22,23 +22,14 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-const (
-	// promiseDuration is how long a promise to another router holds.
-	promiseDuration = 2 * time.Second
-	// promiseKept is how long the promising router keeps its word: a quarter
-	// more, to cover clocks that drift apart.
-	promiseKept = promiseDuration + promiseDuration/4
-	// probeFreshness is how long a granted probe speaks for control being back.
-	probeFreshness = 3 * time.Second
-)
+// holdDuration is how long a router goes on after it asked a majority.
+const holdDuration = 2 * time.Second
 
 // Durable is what a router must never forget.
 type Durable struct {
 	InForce  *Held          `json:"in_force,omitempty"`
 	Staged   *Held          `json:"staged,omitempty"`
 	Registry state.Registry `json:"registry"`
-	// Promised says that a promise to another router may be outstanding.
-	Promised bool `json:"promised,omitempty"`
 }
 
 // Mode says by what right the router takes new work.
@@ -55,38 +46,28 @@
 	ModeHeld Mode = "held"
 )
 
-// promise is what another router promised.
-type promise struct {
+// unleased is another router's word that it holds no lease.
+type unleased struct {
 	until  time.Duration
 	newest uint64 // version of its highest bundle
 }
 
 // Agent is the state of one router. It is not safe for concurrent use.
 type Agent struct {
-	self    state.Router
-	durable Durable
-	dirty   bool
-
+	self     state.Router
+	durable  Durable
+	dirty    bool
 	leaseEnd time.Duration
-	// promisedUntil is when the last promise given to another router ends.
-	promisedUntil time.Duration
-	probedAt      time.Duration
-	probed        bool
-	promises      map[string]promise
+	others   map[string]unleased
 	// wantWhole is set after an offer could not be applied.
 	wantWhole bool
 }
 
 // New returns the agent of a router that starts at now with what its disk held.
-// It has no lease. If it may have promised to take none before it stopped, it
-// keeps to that.
+// It has no lease.
 func New(self state.Router, durable Durable, now time.Duration) *Agent {
 	durable.Registry = durable.Registry.Clone()
-	a := &Agent{self: self, durable: durable, promises: map[string]promise{}, leaseEnd: now, promisedUntil: now}
-	if durable.Promised {
-		a.promisedUntil = now + promiseKept
-	}
-	return a
+	return &Agent{self: self, durable: durable, others: map[string]unleased{}, leaseEnd: now}
 }
 
 // Durable returns what must be made durable.
@@ -123,10 +104,9 @@
 	return staged
 }
 
-// LeaseRequest returns the next heartbeat to control. While a promise to
-// another router holds it only probes.
-func (a *Agent) LeaseRequest(now time.Duration) controlapi.LeaseRequest {
-	r := controlapi.LeaseRequest{Router: a.self, Registry: a.durable.Registry.Version, Probe: now < a.promisedUntil}
+// LeaseRequest returns the next heartbeat to control.
+func (a *Agent) LeaseRequest() controlapi.LeaseRequest {
+	r := controlapi.LeaseRequest{Router: a.self, Registry: a.durable.Registry.Version}
 	if a.wantWhole {
 		return r
 	}
@@ -140,7 +120,7 @@
 }
 
 // HandleLease takes the answer to a request that was sent at the given time.
-func (a *Agent) HandleLease(now, sent time.Duration, request controlapi.LeaseRequest, reply controlapi.LeaseReply) error {
+func (a *Agent) HandleLease(sent time.Duration, reply controlapi.LeaseReply) error {
 	a.learnRegistry(reply.Registry)
 	a.wantWhole = false
 	for _, offer := range reply.Offers {
@@ -150,19 +130,8 @@
 		}
 	}
 	a.accept(reply.Accepted)
-	if !reply.Granted {
-		return nil
-	}
-	if request.Probe {
-		a.probed, a.probedAt = true, now
-		return nil
-	}
-	if a.serves(reply.Accepted) && sent >= a.promisedUntil {
+	if reply.Granted && a.serves(reply.Accepted) {
 		a.leaseEnd = max(a.leaseEnd, sent+reply.Duration)
-		if a.durable.Promised {
-			a.durable.Promised = false
-			a.dirty = true
-		}
 	}
 	return nil
 }
--- a/internal/agent/hold.go
+++ b/internal/agent/hold.go
@@ -7,14 +7,10 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// WantsHold tells whether the router should ask the others for promises: it
-// has no lease, and control does not answer.
+// WantsHold tells whether the router should ask the others whether they have
+// lost control too: it has no lease.
 func (a *Agent) WantsHold(now time.Duration) bool {
-	return now >= a.leaseEnd && !a.controlIsBack(now) && a.newest() != nil
-}
-
-func (a *Agent) controlIsBack(now time.Duration) bool {
-	return a.probed && now < a.probedAt+probeFreshness
+	return now >= a.leaseEnd && a.newest() != nil
 }
 
 // Peers returns the routers to ask.
@@ -37,10 +33,9 @@
 	return r
 }
 
-// HandleHoldRequest answers another router that has lost its lease. A router
-// that holds a lease, or that sees control back, promises nothing.
+// HandleHoldRequest answers another router that has lost its lease.
 func (a *Agent) HandleHoldRequest(now time.Duration, r controlapi.HoldRequest) controlapi.HoldReply {
-	var reply controlapi.HoldReply
+	reply := controlapi.HoldReply{Leased: now < a.leaseEnd}
 	if newest := a.newest(); newest != nil {
 		reply.Newest = newest.Stamp
 		if newest.Stamp.Version > r.Newest.Version {
@@ -51,19 +46,6 @@
 		registry := a.durable.Registry.Clone()
 		reply.Registry = &registry
 	}
-	if now < a.leaseEnd {
-		reply.Leased = true
-		return reply
-	}
-	if a.controlIsBack(now) {
-		return reply
-	}
-	a.promisedUntil = max(a.promisedUntil, now+promiseKept)
-	if !a.durable.Promised {
-		a.durable.Promised = true
-		a.dirty = true
-	}
-	reply.Promised, reply.Duration = true, promiseDuration
 	return reply
 }
 
@@ -76,10 +58,11 @@
 			return err
 		}
 	}
-	if reply.Promised {
-		a.promises[from] = promise{until: sent + reply.Duration, newest: reply.Newest.Version}
+	delete(a.others, from)
+	if !reply.Leased {
+		a.others[from] = unleased{until: sent + holdDuration, newest: reply.Newest.Version}
 	}
-	if now >= a.leaseEnd && a.majorityPromised(now) {
+	if now >= a.leaseEnd && a.majorityUnleased(now) {
 		a.adoptNewest()
 	}
 	return nil
@@ -96,15 +79,15 @@
 	a.dirty = true
 }
 
-// held tells whether a majority promised and the bundle in force is the
+// held tells whether a majority has lost control and the bundle in force is the
 // highest among it.
 func (a *Agent) held(now time.Duration) bool {
-	return a.majorityPromised(now) && a.newest() == a.durable.InForce
+	return a.majorityUnleased(now) && a.newest() == a.durable.InForce
 }
 
-// majorityPromised tells whether a majority of the routers, this one included,
-// holds no lease at now and tells of no bundle that is not here.
-func (a *Agent) majorityPromised(now time.Duration) bool {
+// majorityUnleased tells whether a majority of the routers, this one included,
+// lately had no lease, and tells of no bundle that is not here.
+func (a *Agent) majorityUnleased(now time.Duration) bool {
 	newest := a.newest()
 	if newest == nil {
 		return false
@@ -113,7 +96,7 @@
 		if name == a.self.Name {
 			return true
 		}
-		p, known := a.promises[name]
-		return known && now < p.until && p.newest <= newest.Stamp.Version
+		other, known := a.others[name]
+		return known && now < other.until && other.newest <= newest.Stamp.Version
 	})
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -62,9 +62,7 @@
 		return reply
 	}
 	reply.Granted, reply.Duration = true, c.config.Lease
-	if !r.Probe {
-		c.noteLease(now, r)
-	}
+	c.noteLease(now, r)
 	return reply
 }
 
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -51,8 +51,6 @@
 	Stage uint64 `json:"stage"`
 	// Registry is the version of the registry that the router has durable.
 	Registry uint64 `json:"registry,omitempty"`
-	// Probe asks whether a lease could be had, without taking one.
-	Probe bool `json:"probe,omitempty"`
 }
 
 // LeaseReply answers a LeaseRequest.
@@ -74,8 +72,8 @@
 	Registry *state.Registry `json:"registry,omitempty"`
 }
 
-// HoldRequest asks another router for a promise, because the sender has lost
-// its lease and wants to know whether all others have.
+// HoldRequest asks another router whether it has lost its lease, as the sender
+// has.
 type HoldRequest struct {
 	Router string `json:"router"`
 	// Newest is the highest bundle that the sender has.
@@ -86,10 +84,6 @@
 
 // HoldReply answers a HoldRequest.
 type HoldReply struct {
-	// Promised says that the receiver has no lease either, and takes none for
-	// Duration from now on.
-	Promised bool          `json:"promised"`
-	Duration time.Duration `json:"duration,omitempty"`
 	// Leased says that the receiver has a lease: the fault is the sender's
 	// alone.
 	Leased bool `json:"leased,omitempty"`
--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -145,7 +145,8 @@
 	r.Placements = placements
 	r.Timeline = m.timeline()
 	r.Recovery = m.recovery(r)
-	return r
+	figures := *r // a pointer into m would keep its histograms
+	return &figures
 }
 
 func (m *metrics) timeline() []float64 {
--- a/internal/router/rollout.go
+++ b/internal/router/rollout.go
@@ -177,14 +177,14 @@
 		return false
 	}
 	sent := o.clock.now()
-	request := o.agent.LeaseRequest(sent)
+	request := o.agent.LeaseRequest()
 	o.mu.Unlock()
 	reply, err := o.control.Lease(ctx, request)
 	if err != nil {
 		o.logger.Debug("heartbeat failed", "error", err)
 		return false
 	}
-	o.update(func(now time.Duration) error { return o.agent.HandleLease(now, sent, request, reply) })
+	o.update(func(time.Duration) error { return o.agent.HandleLease(sent, reply) })
 	return len(reply.Offers) > 0 || reply.Registry != nil
 }
 
@@ -217,10 +217,5 @@
 		reply = o.agent.HandleHoldRequest(now, request)
 		return nil
 	})
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.agent.Dirty() {
-		return controlapi.HoldReply{}, errors.New("the promise could not be made durable")
-	}
 	return reply, nil
 }
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -95,10 +95,7 @@
 	r.target = (r.target + len(w.nodes)) % len(w.nodes)
 	to := w.nodes[r.target]
 	sent, life := r.clock(), r.life
-	request := r.agent.LeaseRequest(sent)
-	if w.config.Mutant == MutantNoPromise {
-		request.Probe = false
-	}
+	request := r.agent.LeaseRequest()
 	answered := false
 	w.controlCall(r.self.Name, to, request, func(reply controlapi.LeaseReply) {
 		if r.down || r.life != life {
@@ -109,12 +106,8 @@
 			r.target++
 			return
 		}
-		asked := sent
-		if w.config.Mutant == MutantNoPromise {
-			asked = r.clock()
-		}
 		// An offer that cannot be applied is asked for again in whole.
-		_ = r.agent.HandleLease(r.clock(), asked, request, reply)
+		_ = r.agent.HandleLease(sent, reply)
 		r.save()
 	})
 	w.after(4*longestDelay, func() {
@@ -139,6 +132,9 @@
 				if r.down || r.life != life {
 					return
 				}
+				if w.config.Mutant == MutantNoAdopt {
+					reply.Offer, reply.Newest = nil, controlapi.Stamp{}
+				}
 				if err := r.agent.HandleHoldReply(r.clock(), sent, peer.Name, reply); err != nil {
 					w.checks.fail("%s: %v", r.self.Name, err)
 				}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -34,8 +34,8 @@
 	MutantNoSync Mutant = "no-sync"
 	// MutantNoLease lets routers serve without any right.
 	MutantNoLease Mutant = "no-lease"
-	// MutantNoPromise lets routers take leases while they have promised not to.
-	MutantNoPromise Mutant = "no-promise"
+	// MutantNoAdopt lets routers without control go on by what they have.
+	MutantNoAdopt Mutant = "no-adopt"
 	// MutantNoFence lets engines obey old orders.
 	MutantNoFence Mutant = "no-fence"
 	// MutantNoVoid lets a released attempt run when its grant comes late.
@@ -44,7 +44,7 @@
 
 // Mutants lists all mutants.
 func Mutants() []Mutant {
-	return []Mutant{MutantNoSync, MutantNoLease, MutantNoPromise, MutantNoFence, MutantNoVoid}
+	return []Mutant{MutantNoSync, MutantNoLease, MutantNoAdopt, MutantNoFence, MutantNoVoid}
 }
 
 // DefaultConfig is the size of a run in tests.
