--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -28,6 +28,7 @@
 
 type commandLine struct {
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment as processes and drive a surge."`
+	Faults      faultsCommand      `cmd:"" help:"Run a whole deployment and break it: kills, freezes, herds, races."`
 	Experiment  experimentCommand  `cmd:"" help:"Bench: policies over scenarios and seeds, in virtual time."`
 	Simulate    simulateCommand    `cmd:"" help:"Control nodes and routers in virtual time, under faults, over many seeds."`
 	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/bundle"
+	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/deployment"
 	"quinceridge.example/quinceridge/internal/platformapi"
 	"quinceridge.example/quinceridge/internal/workload"
@@ -252,3 +253,10 @@
 	}
 	return stuck
 }
+
+// acceptedStamp reads the bundle in force from the output of bundle status.
+func acceptedStamp(status string) (controlapi.Stamp, error) {
+	var reply controlapi.StatusReply
+	err := json.Unmarshal([]byte(status), &reply)
+	return reply.Accepted, errors.Wrap(err, "decode status")
+}
