--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -31,6 +31,7 @@
 	Faults      faultsCommand      `cmd:"" help:"Run a whole deployment and break it: kills, freezes, herds, races."`
 	Experiment  experimentCommand  `cmd:"" help:"Bench: policies over scenarios and seeds, in virtual time."`
 	Simulate    simulateCommand    `cmd:"" help:"Control nodes and routers in virtual time, under faults, over many seeds."`
+	Hollow      hollowCommand      `cmd:"" help:"Hundreds of hollow routers and workers with real control nodes."`
 	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
 	Appworker   appworkerCommand   `cmd:"" help:"Stand-in: one application worker."`
 	Platform    platformCommand    `cmd:"" help:"Stand-in: the platform's list of machines."`
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -136,12 +136,20 @@
 // Stop hands over leadership, if any, and ends the node.
 func (s *Server) Stop(ctx context.Context) error {
 	s.handOver(ctx)
+	err := s.end()
+	s.logger.Info("stopped")
+	return err
+}
+
+// Kill ends the node without handing over, as a crash would.
+func (s *Server) Kill() { _ = s.end() }
+
+func (s *Server) end() error {
 	s.cancel()
 	<-s.stopped
 	s.listener.Close()
 	s.peers.Close()
 	_ = s.status.Close()
-	s.logger.Info("stopped")
 	return errors.CombineErrors(s.failure, s.core.Close())
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,13 +89,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	r.cancel = cancel
-	r.listener = peer.Serve(peerListener, r.counters, r.handle)
-	r.group.Go(func() { r.claims.Run(ctx) })
-	r.group.Go(func() { r.membership.run(ctx) })
-	r.group.Go(func() { r.rollout.run(ctx) })
-	r.waitReady(ctx)
+	r.waitReady(r.startControllers(peerListener))
 	listener, err := net.Listen("tcp", r.settings.Listen)
 	if err != nil {
 		r.end()
