Load rows of the watched zones only

Cause: 320 routers before 810 workers received 38.3 KB/s each, budget 11 KB/s: every view had a load row for every worker, four times a second.

Ruled out: the leases (0.8 KB/s) and the bundle deltas.

Change: a control node sends rows of the zones that it watches; engines without a report are the last choice; in fleets of more than 100 machines routers ask every 500 ms.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -7,6 +7,7 @@
 package board
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,22 @@
 	Revision uint64               `json:"revision"`
 	Source   string               `json:"source"`
 	Machines []controlapi.Machine `json:"machines"`
+	// Watched names the zones that loads are known of; empty means all.
+	Watched []string `json:"watched,omitempty"`
+}
+
+// Reported returns the machines that loads come for, in their order.
+func (m *Machines) Reported() []controlapi.Machine {
+	if len(m.Watched) == 0 {
+		return m.Machines
+	}
+	var out []controlapi.Machine
+	for _, machine := range m.Machines {
+		if slices.Contains(m.Watched, machine.Zone) {
+			out = append(out, machine)
+		}
+	}
+	return out
 }
 
 // Board is the tables of one router.
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -155,7 +155,10 @@
 	Source   string `json:"source"`
 	// Machines is the whole list when the router's is out of date.
 	Machines []Machine `json:"machines,omitempty"`
-	// Load has one row for each machine of the list, in its order.
+	// Watched names the zones whose engines the control node asks for load;
+	// empty means all. It comes with Machines.
+	Watched []string `json:"watched,omitempty"`
+	// Load has one row for each machine in a watched zone, in the list's order.
 	Load []LoadRow `json:"load"`
 	// LastChange numbers the last of Heads. WholeHeads says that they are all
 	// heads, not changes.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -191,7 +191,7 @@
 	defer i.mu.RUnlock()
 	reply := controlapi.ViewReply{Revision: i.revision, Source: i.config.Source, LastChange: i.heads.last()}
 	if r.Source != i.config.Source || r.Revision != i.revision {
-		reply.Machines = i.machines
+		reply.Machines, reply.Watched = i.machines, i.config.Zones
 	}
 	after := r.AfterChange
 	if r.Source != i.config.Source {
@@ -199,9 +199,10 @@
 	}
 	reply.Heads, reply.WholeHeads = i.heads.since(after)
 	now := time.Now()
-	reply.Load = make([]controlapi.LoadRow, len(i.machines))
-	for n, m := range i.machines {
-		reply.Load[n] = i.row(m.ID, now)
+	for _, m := range i.machines {
+		if i.watches(m.Zone) {
+			reply.Load = append(reply.Load, i.row(m.ID, now))
+		}
 	}
 	return reply
 }
--- a/internal/membership/pool.go
+++ b/internal/membership/pool.go
@@ -17,8 +17,7 @@
 	// It doubles with each further one up to longestSuspicion.
 	firstSuspicion   = time.Second
 	longestSuspicion = 8 * time.Second
-	// staleReport is the age from which a missing report makes an engine
-	// suspect.
+	// staleReport is the age from which a load report does not count.
 	staleReport = 3 * time.Second
 	// ReportLag is how old a load report already is when control gets it.
 	ReportLag = 250 * time.Millisecond
@@ -214,7 +213,9 @@
 	switch {
 	case e.leaving:
 		return scheduling.Leaving
-	case now < e.suspect || (e.reported && now-e.reportedAt > staleReport):
+	case now < e.suspect || !e.reported || now-e.reportedAt > staleReport:
+		// An engine whose load is not known, such as one of a zone that the
+		// control node does not watch, serves only when no other can.
 		return scheduling.Suspect
 	}
 	return scheduling.Live
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -22,8 +22,11 @@
 	// machinesName is the file that keeps the last list of machines. It is a
 	// hint for the next start and may be stale.
 	machinesName = "machines.json"
-	// viewInterval is the time between two questions for machines and load.
-	viewInterval = 250 * time.Millisecond
+	// viewInterval is the time between two questions for machines and load. In
+	// a large fleet it is largeInterval, to stay within the budget of bytes.
+	viewInterval  = 250 * time.Millisecond
+	largeInterval = 500 * time.Millisecond
+	largeFleet    = 100
 	// machinesSaved is the least time between two writes of the file.
 	machinesSaved = 5 * time.Second
 )
@@ -68,18 +71,24 @@
 
 // run asks for views until the context ends.
 func (m *membershipController) run(ctx context.Context) {
-	ticker := time.NewTicker(viewInterval)
-	defer ticker.Stop()
 	for {
+		started := time.Now()
 		m.poll(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(m.interval() - time.Since(started)):
 		}
 	}
 }
 
+func (m *membershipController) interval() time.Duration {
+	if len(m.current.Machines) > largeFleet {
+		return largeInterval
+	}
+	return viewInterval
+}
+
 func (m *membershipController) poll(ctx context.Context) {
 	reply, err := m.control.View(ctx, controlapi.ViewRequest{Revision: m.current.Revision, Source: m.current.Source, Region: m.region,
 		AfterChange: m.lastChange})
@@ -88,12 +97,13 @@
 		return
 	}
 	if reply.Machines != nil {
-		m.take(board.Machines{Revision: reply.Revision, Source: reply.Source, Machines: reply.Machines})
+		m.take(board.Machines{Revision: reply.Revision, Source: reply.Source, Machines: reply.Machines, Watched: reply.Watched})
 		m.unsaved = true
 	}
-	if len(reply.Load) == len(m.current.Machines) {
+	reported := m.current.Reported()
+	if len(reply.Load) == len(reported) {
 		for i, row := range reply.Load {
-			m.pool.SetLoad(m.clock.now(), m.current.Machines[i].ID, row)
+			m.pool.SetLoad(m.clock.now(), reported[i].ID, row)
 		}
 	}
 	m.takeHeads(&reply)
