--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -32,6 +32,7 @@
 	Experiment  experimentCommand  `cmd:"" help:"Bench: policies over scenarios and seeds, in virtual time."`
 	Simulate    simulateCommand    `cmd:"" help:"Control nodes and routers in virtual time, under faults, over many seeds."`
 	Hollow      hollowCommand      `cmd:"" help:"Hundreds of hollow routers and workers with real control nodes."`
+	Slopes      slopesCommand      `cmd:"" help:"Costs against sizes, for docs/CAPACITY.md."`
 	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
 	Appworker   appworkerCommand   `cmd:"" help:"Stand-in: one application worker."`
 	Platform    platformCommand    `cmd:"" help:"Stand-in: the platform's list of machines."`
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,35 @@
+package board
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/bundle"
+	"quinceridge.example/quinceridge/internal/controlapi"
+)
+
+func TestATableHasOneWriter(t *testing.T) {
+	var b Board
+	writer, err := b.Authority.Claim("rollout")
+	assert.NilError(t, err)
+	_, err = b.Authority.Claim("membership")
+	assert.ErrorIs(t, err, ErrTaken)
+	assert.ErrorContains(t, err, "membership asked, rollout has it")
+	writer.Store(&Authority{Mode: "leased"})
+	assert.Equal(t, string(b.Authority.Load().Mode), "leased")
+}
+
+func TestOnlyDeclaredTenantsShareAPrompt(t *testing.T) {
+	text := strings.Repeat("catalog ", 256)
+	sum := sha256.Sum256([]byte(text))
+	config := NewConfig(controlapi.Stamp{}, &bundle.Bundle{SharedPrompts: map[string]bundle.SharedPrompt{
+		"catalog": {SHA256: hex.EncodeToString(sum[:]), Bytes: len(text), Tenants: []string{"a", "b"}}}})
+	assert.Equal(t, config.Scope("a", []byte(text+"question")).Shared, "catalog")
+	assert.Equal(t, config.Scope("c", []byte(text+"question")).Shared, "")
+	assert.Equal(t, config.Scope("a", []byte("x"+text)).Shared, "")
+	assert.Equal(t, config.Scope("a", []byte(text[:100])).Shared, "")
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,8 +41,8 @@
 	maxAttempts = 5
 	// maxResumes bounds how often one attempt is resumed on its engine.
 	maxResumes = 2
-	// backoff is the mean pause before a retry.
-	backoff = 20 * time.Millisecond
+	// defaultBackoff is the mean pause before a first retry.
+	defaultBackoff = 20 * time.Millisecond
 )
 
 // ErrNotRun is the mark of errors that say that no part of the answer was
@@ -89,6 +89,8 @@
 	Policy func(model string) scheduling.Policy
 	Now    func() time.Duration
 	Logger *slog.Logger
+	// Backoff is the mean pause before a first retry. Default 20ms.
+	Backoff time.Duration
 }
 
 // Dispatcher runs jobs. It is safe for concurrent use. Lock order: policies
@@ -103,6 +105,9 @@
 
 // New returns a dispatcher.
 func New(config Config) *Dispatcher {
+	if config.Backoff == 0 {
+		config.Backoff = defaultBackoff
+	}
 	return &Dispatcher{config: config, client: newHTTPClient(), budget: flowcontrol.NewRetryBudget()}
 }
 
@@ -150,7 +155,7 @@
 		}
 		job.Place.Excluded = append(job.Place.Excluded, decision.Endpoint.ID)
 		job.Span.Step("retry", err.Error())
-		pause(ctx, attempt)
+		d.pause(ctx, attempt)
 		if decision, err = d.Place(&job.Place); err != nil {
 			return d.unplaced(p, err)
 		}
@@ -159,7 +164,6 @@
 
 // final returns the error to end with, or nil when another attempt is due.
 func (d *Dispatcher) final(ctx context.Context, job *Job, p *progress, err error, attempt int) error {
-	p.begun = p.begun || !notRun(err)
 	switch {
 	case isCallerError(err):
 		return err
@@ -215,13 +219,14 @@
 	for try := 0; try <= maxResumes; try++ {
 		var stage Stage
 		stage, err = d.stream(ctx, job, &endpoint, p, sink, resumable)
+		p.begun = p.begun || began(stage, err)
 		d.note(&endpoint, stage, err)
 		if err == nil || ctx.Err() != nil || stage < StageAccepted || isCallerError(err) {
 			break
 		}
 		resumable = true
 		job.Span.Step("resume", err.Error())
-		pause(ctx, try+1)
+		d.pause(ctx, try+1)
 	}
 	if err != nil && ctx.Err() == nil && !isCallerError(err) {
 		// A caller that is gone may come back with its last event id. The
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -63,6 +63,12 @@
 // ErrNotSent is the mark of attempts that ended before a byte was sent.
 var ErrNotSent = errors.New("nothing was sent")
 
+// began tells whether the engine may have begun when an attempt ended at a
+// stage. A refused resume says nothing of what went before it.
+func began(stage Stage, err error) bool {
+	return stage >= StageAccepted || (stage == StageSent && !notRun(err))
+}
+
 // notRun tells whether the engine surely did not begin.
 func notRun(err error) bool {
 	var refusal *RefusalError
@@ -70,8 +76,8 @@
 }
 
 // pause waits before a retry, with jitter, longer each time.
-func pause(ctx context.Context, attempt int) {
-	mean := backoff << min(attempt-1, 4)
+func (d *Dispatcher) pause(ctx context.Context, attempt int) {
+	mean := d.config.Backoff << min(attempt-1, 4)
 	wait := time.Duration(rand.Int64N(int64(2 * mean)))
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/storage/storage_test.go
@@ -0,0 +1,187 @@
+package storage
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/raft"
+)
+
+const folder = "data"
+
+func entry(index, term uint64) raft.Entry {
+	return raft.Entry{Index: index, Term: term, Kind: raft.EntryCommand, Data: json.RawMessage(fmt.Sprintf(`{"n":%d}`, index))}
+}
+
+func entries(from, to, term uint64) []raft.Entry {
+	var out []raft.Entry
+	for i := from; i <= to; i++ {
+		out = append(out, entry(i, term))
+	}
+	return out
+}
+
+func save(t *testing.T, s *Storage, hard raft.HardState, list ...raft.Entry) {
+	t.Helper()
+	assert.NilError(t, s.Save(raft.Ready{HardState: &hard, Entries: list}))
+}
+
+func readLog(t *testing.T, fs vfs.FS) []byte {
+	t.Helper()
+	file, err := fs.Open(fs.PathJoin(folder, logName))
+	assert.NilError(t, err)
+	defer file.Close()
+	data, err := io.ReadAll(file)
+	assert.NilError(t, err)
+	return data
+}
+
+func writeLog(t *testing.T, fs vfs.FS, data []byte) {
+	t.Helper()
+	file, err := fs.Create(fs.PathJoin(folder, logName), vfs.WriteCategoryUnspecified)
+	assert.NilError(t, err)
+	_, err = file.Write(data)
+	assert.NilError(t, err)
+	assert.NilError(t, file.Close())
+}
+
+// filled returns a folder with three batches.
+func filled(t *testing.T) *vfs.MemFS {
+	t.Helper()
+	fs := vfs.NewCrashableMem()
+	s, _, err := Open(fs, folder)
+	assert.NilError(t, err)
+	save(t, s, raft.HardState{Term: 1, Vote: 2}, entries(1, 3, 1)...)
+	save(t, s, raft.HardState{Term: 2, Vote: 1, Commit: 3}, entries(4, 6, 2)...)
+	return fs
+}
+
+func TestWhatWasSavedIsThereAfterACrash(t *testing.T) {
+	fs := filled(t).CrashClone(vfs.CrashCloneCfg{})
+	_, stored, err := Open(fs, folder)
+	assert.NilError(t, err)
+	assert.Equal(t, stored.HardState, raft.HardState{Term: 2, Vote: 1, Commit: 3})
+	assert.Equal(t, len(stored.Entries), 6)
+}
+
+func TestLaterEntriesReplaceEarlierOnes(t *testing.T) {
+	fs := filled(t)
+	s, _, err := Open(fs, folder)
+	assert.NilError(t, err)
+	save(t, s, raft.HardState{Term: 3, Commit: 3}, entry(5, 3))
+	_, stored, err := Open(fs, folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(stored.Entries), 5)
+	assert.Equal(t, stored.Entries[4].Term, uint64(3))
+}
+
+func TestAnUnfinishedLastBatchIsDroppedWhole(t *testing.T) {
+	whole := readLog(t, filled(t))
+	second := bytes.Index(whole, []byte(`"batch":2`)) - checksumDigits - 2
+	third := bytes.Index(whole, []byte(`"batch":3`)) - checksumDigits - 2
+	assert.Assert(t, 0 < second && second < third)
+	for cut := third + 1; cut < len(whole); cut++ {
+		fs := filled(t)
+		writeLog(t, fs, whole[:cut])
+		_, stored, err := Open(fs, folder)
+		assert.NilError(t, err, "cut at byte %d", cut)
+		assert.Equal(t, len(stored.Entries), 3, "cut at byte %d", cut)
+		assert.Equal(t, stored.HardState.Term, uint64(1), "cut at byte %d", cut)
+	}
+}
+
+func TestAHoleInTheLastBatchIsNoDamage(t *testing.T) {
+	fs := filled(t)
+	data := readLog(t, fs)
+	hole := bytes.Index(data, []byte(`"index":4`))
+	clear(data[hole : hole+20])
+	writeLog(t, fs, data)
+	_, stored, err := Open(fs, folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(stored.Entries), 3)
+}
+
+func TestAHoleInAnEarlierBatchIsDamage(t *testing.T) {
+	fs := filled(t)
+	data := readLog(t, fs)
+	hole := bytes.Index(data, []byte(`"index":2`))
+	data[hole] ^= 1
+	writeLog(t, fs, data)
+	_, _, err := Open(fs, folder)
+	assert.Assert(t, errors.Is(err, ErrDamaged), "%v", err)
+	assert.DeepEqual(t, readLog(t, fs), data) // nothing was changed
+}
+
+func TestALogThatEndsBeforeItsCommitIsDamage(t *testing.T) {
+	fs := vfs.NewCrashableMem()
+	s, _, err := Open(fs, folder)
+	assert.NilError(t, err)
+	save(t, s, raft.HardState{Term: 1, Commit: 9}, entries(1, 3, 1)...)
+	_, _, err = Open(fs, folder)
+	assert.Assert(t, errors.Is(err, ErrDamaged), "%v", err)
+}
+
+func TestASnapshotReplacesTheLogItDoesNotFit(t *testing.T) {
+	fs := filled(t)
+	s, _, err := Open(fs, folder)
+	assert.NilError(t, err)
+	hard := raft.HardState{Term: 4, Commit: 6}
+	snapshot := &raft.Snapshot{Index: 6, Term: 4, Data: json.RawMessage(`{}`)}
+	// The crash comes between the two writes.
+	assert.NilError(t, s.writeSnapshot(snapshot))
+	_, stored, err := Open(fs, folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(stored.Entries), 0)
+
+	s, _, err = Open(fs, folder)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Save(raft.Ready{HardState: &hard, Snapshot: snapshot}))
+	_, stored, err = Open(fs, folder)
+	assert.NilError(t, err)
+	assert.Equal(t, stored.Snapshot.Index, uint64(6))
+	assert.Equal(t, stored.HardState, hard)
+}
+
+func TestADamagedSnapshotIsRefused(t *testing.T) {
+	fs := filled(t)
+	s, _, err := Open(fs, folder)
+	assert.NilError(t, err)
+	assert.NilError(t, s.writeSnapshot(&raft.Snapshot{Index: 6, Term: 2, Data: json.RawMessage(`{}`)}))
+	file, err := fs.Create(fs.PathJoin(folder, snapshotName), vfs.WriteCategoryUnspecified)
+	assert.NilError(t, err)
+	_, err = file.Write([]byte("0000000f {\"index\":6}\n"))
+	assert.NilError(t, err)
+	_, _, err = Open(fs, folder)
+	assert.Assert(t, errors.Is(err, ErrDamaged), "%v", err)
+}
+
+func TestAFailedDiskTakesNoMoreWrites(t *testing.T) {
+	fs := filled(t)
+	s, _, err := Open(fs, folder)
+	assert.NilError(t, err)
+	s.failed = errors.New("disk full")
+	assert.ErrorContains(t, s.Save(raft.Ready{HardState: &raft.HardState{Term: 9}}), "disk full")
+}
+
+func FuzzDecodeLog(f *testing.F) {
+	f.Add([]byte("00000000 {}\n"))
+	f.Add([]byte("x\ny\n"))
+	f.Add(encode(nil, record{Batch: 1, Hard: &raft.HardState{Term: 1}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, torn, err := decodeLog(data)
+		assert.Assert(t, torn <= len(data))
+		if err != nil {
+			assert.Assert(t, errors.Is(err, ErrDamaged))
+		}
+		if count := len(records); count > 0 && err == nil {
+			assert.Equal(t, records[count-1].Left, 0)
+		}
+	})
+}
