--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -75,7 +75,9 @@
 	return out.String() + "data: " + engineapi.Done + "\n\n"
 }
 
-func answer(w http.ResponseWriter, r *http.Request, _ int64) { _, _ = io.WriteString(w, wholeAnswer(r)) }
+func answer(w http.ResponseWriter, r *http.Request, _ int64) {
+	_, _ = io.WriteString(w, wholeAnswer(r))
+}
 
 // cutAfter sends the first n bytes of the answer and resets the connection.
 func cutAfter(w http.ResponseWriter, r *http.Request, n int) {
--- a/internal/simulation/clients.go
+++ b/internal/simulation/clients.go
@@ -90,7 +90,7 @@
 func (o *operators) send(name string, command state.Command, digest string, left int) {
 	w := o.world
 	answered := false
-	w.submit(name, w.anyNode(), command, func(r state.Result, err error) {
+	w.submit(name, w.anyNode(), command, func() {}, func(r state.Result, err error) {
 		if err != nil || answered {
 			return
 		}
@@ -108,6 +108,7 @@
 type claimers struct {
 	world    *world
 	attempts int
+	calls    []*ClaimCall
 	// runs counts the attempts that ran, by key.
 	runs map[string]int
 	// told says which attempts were answered "not run".
@@ -134,7 +135,7 @@
 	key := fmt.Sprintf("key-%d", w.random.IntN(claimKeys)+int(w.now/(10*time.Second))*claimKeys)
 	op := state.ClaimOperation{Kind: state.ClaimAcquire, Tenant: "tenant", Key: key, Attempt: fmt.Sprintf("attempt-%d", c.attempts), Request: "r"}
 	over := false
-	w.submit(name, w.anyNode(), claims(op), func(r state.Result, err error) {
+	c.submit(name, op, func(r state.Result, err error) {
 		if err != nil || (over && w.config.Mutant != MutantNoVoid) {
 			return
 		}
@@ -155,6 +156,19 @@
 	})
 }
 
+// submit sends an operation to some node and records the call.
+func (c *claimers) submit(name string, op state.ClaimOperation, done func(state.Result, error)) {
+	w := c.world
+	call := &ClaimCall{Operation: op, Start: w.now, End: -1}
+	c.calls = append(c.calls, call)
+	w.submit(name, w.anyNode(), claims(op), func() { call.appended = true }, func(r state.Result, err error) {
+		if err == nil && call.End < 0 {
+			call.End, call.State = w.now, r.Claims[0].State
+		}
+		done(r, err)
+	})
+}
+
 func claims(op state.ClaimOperation) state.Command {
 	return state.Command{Claims: &state.Claims{Operations: []state.ClaimOperation{op}}}
 }
@@ -179,7 +193,7 @@
 	w := c.world
 	op.Kind = kind
 	answered := false
-	w.submit(name, w.anyNode(), claims(op), func(_ state.Result, err error) { answered = answered || err == nil })
+	c.submit(name, op, func(_ state.Result, err error) { answered = answered || err == nil })
 	w.after(resendAfter, func() {
 		if !answered && left > 0 {
 			c.resend(name, op, kind, left-1)
@@ -187,6 +201,15 @@
 	})
 }
 
+// hand gives the recorded calls away.
+func (c *claimers) hand(record func(ClaimCall)) {
+	for _, call := range c.calls {
+		if record != nil && call.appended {
+			record(*call)
+		}
+	}
+}
+
 // fencedEngine is an engine that takes orders.
 type fencedEngine struct {
 	world   *world
--- /dev/null
+++ b/internal/simulation/linearizability_test.go
@@ -0,0 +1,126 @@
+package simulation
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// claimState is the model of one key, as in spec/claims.pml.
+type claimState struct {
+	owner    string
+	finished bool
+	voids    string // names between commas
+}
+
+func (s claimState) void(attempt string) bool { return strings.Contains(s.voids, ","+attempt+",") }
+
+// step returns the state after an operation and the answer it gives.
+func (s claimState) step(op state.ClaimOperation) (claimState, state.ClaimState) {
+	mine := s.owner == op.Attempt
+	switch op.Kind {
+	case state.ClaimAcquire:
+		switch {
+		case s.void(op.Attempt):
+			return s, state.ClaimVoid
+		case s.owner == "":
+			s.owner = op.Attempt
+			return s, state.ClaimGranted
+		case s.finished:
+			return s, state.ClaimFinished
+		case mine:
+			return s, state.ClaimGranted
+		}
+		return s, state.ClaimRunning
+	case state.ClaimFinish:
+		if !mine {
+			return s, state.ClaimVoid
+		}
+		s.finished = true
+		return s, state.ClaimFinished
+	}
+	if mine && s.finished {
+		return s, state.ClaimFinished
+	}
+	if mine {
+		s.owner = ""
+	}
+	if !s.void(op.Attempt) {
+		s.voids += "," + op.Attempt + ","
+	}
+	return s, state.ClaimVoid
+}
+
+// unknownAnswer stands for a call without an answer.
+const unknownAnswer = state.ClaimState("")
+
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(state.ClaimOperation).Key
+			byKey[key] = append(byKey[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, part := range byKey {
+			out = append(out, part)
+		}
+		return out
+	},
+	Init: func() any { return claimState{} },
+	Step: func(before, input, output any) (bool, any) {
+		after, answer := before.(claimState).step(input.(state.ClaimOperation))
+		seen := output.(state.ClaimState)
+		return seen == unknownAnswer || seen == answer, after
+	},
+}
+
+const historySeeds = 10
+
+// history runs a seed and returns its calls. Calls without an answer may take
+// effect at any later time, or never: those that may not have been done are
+// given an end after all others.
+func history(t *testing.T, config Config) []porcupine.Operation {
+	t.Helper()
+	var out []porcupine.Operation
+	config.Record = func(c ClaimCall) {
+		op := porcupine.Operation{ClientId: len(out), Input: c.Operation, Call: int64(c.Start), Output: c.State, Return: int64(c.End)}
+		if c.End < 0 {
+			op.Output, op.Return = unknownAnswer, math.MaxInt64
+		}
+		out = append(out, op)
+	}
+	_, err := Run(config)
+	if config.Mutant == NoMutant {
+		assert.NilError(t, err)
+	}
+	return out
+}
+
+func TestClaimsAreLinearizable(t *testing.T) {
+	for seed := range uint64(historySeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			operations := history(t, DefaultConfig(seed))
+			assert.Assert(t, len(operations) > 20, "the history is too short")
+			assert.Equal(t, porcupine.CheckOperationsTimeout(claimModel, operations, time.Minute), porcupine.Ok)
+		})
+	}
+}
+
+// TestTheLinearizabilityCheckCanFail shows a history that it refuses: a key
+// granted to two attempts.
+func TestTheLinearizabilityCheckCanFail(t *testing.T) {
+	granted := func(attempt string, call int64) porcupine.Operation {
+		return porcupine.Operation{ClientId: int(call), Call: call, Return: call + 1, Output: state.ClaimGranted,
+			Input: state.ClaimOperation{Kind: state.ClaimAcquire, Key: "k", Attempt: attempt}}
+	}
+	assert.Equal(t, porcupine.CheckOperations(claimModel, []porcupine.Operation{granted("a", 1), granted("b", 3)}), false)
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -264,8 +264,8 @@
 }
 
 // submit sends a command to a node and gives the answer to done, unless it is
-// lost.
-func (w *world) submit(from string, to *node, command state.Command, done func(state.Result, error)) {
+// lost. Appended is called when the node has put it into its log.
+func (w *world) submit(from string, to *node, command state.Command, appended func(), done func(state.Result, error)) {
 	w.send(from, to.name, func() {
 		to.receive(func() {
 			command.At = w.wallClock()
@@ -274,7 +274,9 @@
 			})
 			if err != nil {
 				w.send(to.name, from, func() { done(state.Result{}, err) })
+				return
 			}
+			appended()
 		})
 	})
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -9,6 +9,8 @@
 	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // Config says what a run is made of.
@@ -22,6 +24,21 @@
 	Settle time.Duration
 	// Mutant removes one guard, to show that the checks can fail.
 	Mutant Mutant
+	// Record, unless nil, gets each call on a claim as its caller saw it.
+	Record func(ClaimCall)
+}
+
+// ClaimCall is one call on a claim.
+type ClaimCall struct {
+	Operation state.ClaimOperation
+	Start     time.Duration
+	// End is when the answer came; negative when none came, and the call may
+	// have been done or not.
+	End   time.Duration
+	State state.ClaimState
+	// appended says that some node put it into its log; otherwise it was
+	// surely not done.
+	appended bool
 }
 
 // Mutant names a removed guard.
@@ -171,6 +188,7 @@
 	if w.failure == nil {
 		w.checks.converged()
 	}
+	w.claim.hand(config.Record)
 	return w.report, w.failure
 }
 
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -252,7 +252,9 @@
 	g := d.machine.Registry()
 	assert.Equal(t, len(g.Members), 1)
 	assert.Equal(t, len(g.Joining), 1)
-	only := func(names string) func(string) bool { return func(name string) bool { return strings.Contains(names, name) } }
+	only := func(names string) func(string) bool {
+		return func(name string) bool { return strings.Contains(names, name) }
+	}
 	assert.Assert(t, !g.HasMajority(only("b")))
 	assert.Assert(t, !g.HasMajority(only("a"))) // half of both is no majority
 	assert.Assert(t, g.HasMajority(only("ab")))
