--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,87 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/bundle"
+	"quinceridge.example/quinceridge/internal/config"
+	"quinceridge.example/quinceridge/internal/finding"
+	"quinceridge.example/quinceridge/internal/settings"
+)
+
+const soundControl = `id: 1
+region: r
+zone: z
+listen: 127.0.0.1:7000
+status: 127.0.0.1:7001
+data_directory: data
+platform: 127.0.0.1:7100
+peers:
+  - {id: 1, address: "127.0.0.1:7000"}
+`
+
+func TestAllFindingsComeTogetherWithTheirPlaces(t *testing.T) {
+	text := strings.Replace(soundControl, "zone: z", "zone: z\nzune: x", 1)
+	text = strings.Replace(text, "127.0.0.1:7001", "nowhere", 1)
+	text = strings.Replace(text, "id: 1\nregion", "id: 7\nregion", 1)
+	var s settings.Control
+	err := config.Decode("control.yaml", []byte(text), &s)
+	var findings finding.List
+	assert.Assert(t, errors.As(err, &findings), "%v", err)
+	assert.Equal(t, len(findings), 3, "%v", err)
+	assert.ErrorContains(t, err, "control.yaml:1:1: $.id: is not among the peers")
+	assert.ErrorContains(t, err, "control.yaml:4:1: $.zune: unknown field")
+	assert.ErrorContains(t, err, "control.yaml:6:1: $.status: must be an IP number with a port")
+}
+
+func TestSoundSettingsGetTheirDefaults(t *testing.T) {
+	var s settings.Control
+	assert.NilError(t, config.Decode("control.yaml", []byte(soundControl), &s))
+	s.SetDefaults()
+	assert.Equal(t, s.RouterLease.String(), "3s")
+	assert.Equal(t, s.Tick.String(), "50ms")
+}
+
+func TestBrokenYAMLHasAPlace(t *testing.T) {
+	var s settings.Control
+	err := config.Decode("control.yaml", []byte("id: 1\nzone: [\n"), &s)
+	assert.ErrorContains(t, err, "control.yaml:2:")
+	assert.ErrorContains(t, config.Decode("x.yaml", nil, &s), "x.yaml:1:1")
+	assert.ErrorContains(t, config.Decode("x.yaml", []byte("id: abc\n"), &s), "x.yaml:1:")
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(soundControl))
+	f.Add([]byte("id: [1"))
+	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("? {x: y}\n: z"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var control settings.Control
+		_ = config.Decode("f", data, &control)
+		var router settings.Router
+		_ = config.Decode("f", data, &router)
+	})
+}
+
+func FuzzBundle(f *testing.F) {
+	f.Add([]byte("version: 1\nmodels:\n  m: {weights_version: 1}\n"))
+	f.Add([]byte("version: -1"))
+	f.Add([]byte("tenants: {a: {class: none}}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b := &bundle.Bundle{}
+		if config.Decode("f", data, b) != nil {
+			return
+		}
+		canonical, err := b.Canonical()
+		assert.NilError(t, err)
+		again, err := bundle.Parse(canonical)
+		assert.NilError(t, err)
+		text, err := again.Canonical()
+		assert.NilError(t, err)
+		assert.Equal(t, string(text), string(canonical))
+	})
+}
--- /dev/null
+++ b/internal/raft/raft_test.go
@@ -0,0 +1,208 @@
+package raft
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// group is nodes over a network that delivers at once, with disks that never
+// fail. The simulator has the faults; here are the rules one by one.
+type group struct {
+	t     *testing.T
+	now   time.Duration
+	nodes map[uint64]*Node
+	cut   map[uint64]bool
+}
+
+func newGroup(t *testing.T, ids ...uint64) *group {
+	g := &group{t: t, nodes: map[uint64]*Node{}, cut: map[uint64]bool{}}
+	for _, id := range ids {
+		g.add(id, Membership{Voters: ids})
+	}
+	return g
+}
+
+func (g *group) add(id uint64, initial Membership) *Node {
+	n, err := NewNode(Config{ID: id, ElectionTimeout: time.Second, HeartbeatInterval: 100 * time.Millisecond,
+		LeaseDuration: 800 * time.Millisecond, Random: rand.New(rand.NewPCG(id, 1))}, Stored{Initial: initial}, g.now)
+	assert.NilError(g.t, err)
+	g.nodes[id] = n
+	return n
+}
+
+// pass lets time go by and delivers all messages.
+func (g *group) pass(length time.Duration) {
+	for end := g.now + length; g.now < end; g.now += 20 * time.Millisecond {
+		for id := uint64(1); id <= 9; id++ {
+			if n := g.nodes[id]; n != nil {
+				n.Tick(g.now)
+			}
+		}
+		g.deliver()
+	}
+}
+
+func (g *group) deliver() {
+	for busy := true; busy; {
+		busy = false
+		for id := uint64(1); id <= 9; id++ {
+			n := g.nodes[id]
+			for n != nil && n.HasReady() {
+				busy = true
+				r := n.Ready()
+				n.Advance(r)
+				for _, m := range r.Messages {
+					if to := g.nodes[m.To]; to != nil && !g.cut[m.From] && !g.cut[m.To] {
+						to.Step(g.now, m)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (g *group) leader() *Node {
+	for _, n := range g.nodes {
+		if n.HoldsLease(g.now) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (g *group) propose(n *Node) uint64 {
+	index, err := n.Propose(g.now, json.RawMessage(`{}`))
+	assert.NilError(g.t, err)
+	g.deliver()
+	return index
+}
+
+func TestOneLeaderCommits(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	g.pass(4 * time.Second)
+	leader := g.leader()
+	assert.Assert(t, leader != nil)
+	index := g.propose(leader)
+	g.pass(200 * time.Millisecond)
+	for _, n := range g.nodes {
+		assert.Assert(t, n.Status().Commit >= index)
+	}
+	follower := g.nodes[leader.Status().ID%3+1]
+	_, err := follower.Propose(g.now, nil)
+	assert.ErrorIs(t, err, ErrNotLeader)
+}
+
+func TestACutLeaderLosesItsLeaseBeforeAnotherWins(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	g.pass(4 * time.Second)
+	old := g.leader()
+	term := old.Status().Term
+	g.cut[old.Status().ID] = true
+	for old.HoldsLease(g.now) {
+		assert.Equal(t, g.leader(), old)
+		g.pass(20 * time.Millisecond)
+	}
+	g.pass(4 * time.Second)
+	assert.Assert(t, g.leader() != nil && g.leader() != old)
+	assert.Assert(t, g.leader().Status().Term > term)
+	// The old one steps down by itself and joins in again.
+	assert.Equal(t, old.Role() == Leader, false)
+	g.cut[old.Status().ID] = false
+	g.pass(time.Second)
+	assert.Equal(t, old.Status().Leader, g.leader().Status().ID)
+}
+
+func TestAReturningNodeDoesNotDisturb(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	g.pass(4 * time.Second)
+	leader := g.leader()
+	other := g.nodes[leader.Status().ID%3+1]
+	g.cut[other.Status().ID] = true
+	g.pass(20 * time.Second)
+	term := leader.Status().Term
+	g.cut[other.Status().ID] = false
+	g.pass(5 * time.Second)
+	assert.Equal(t, g.leader(), leader)
+	assert.Equal(t, leader.Status().Term, term)
+}
+
+func TestALearnerCountsOnlyAfterItHasCaughtUp(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	g.pass(4 * time.Second)
+	leader := g.leader()
+	for range 100 {
+		g.propose(leader)
+	}
+	change := func(kind ChangeKind) error {
+		_, err := leader.ProposeChange(g.now, Change{Kind: kind, ID: 4})
+		g.deliver()
+		return err
+	}
+	assert.ErrorIs(t, change(Promote), ErrUnknownMember)
+	g.cut[4] = true
+	g.add(4, Membership{})
+	assert.NilError(t, change(AddLearner))
+	g.pass(time.Second)
+	assert.ErrorIs(t, change(Promote), ErrNotCaughtUp)
+	g.cut[4] = false
+	g.pass(5 * time.Second)
+	assert.NilError(t, change(Promote))
+	g.pass(time.Second)
+	assert.Equal(t, leader.Status().Membership.Quorum(), 3)
+	assert.ErrorContains(t, change(AddLearner), "never used again")
+}
+
+func TestOneChangeAtATime(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	g.pass(4 * time.Second)
+	leader := g.leader()
+	for _, id := range []uint64{1, 2, 3} {
+		g.cut[id] = id != leader.Status().ID
+	}
+	_, err := leader.ProposeChange(g.now, Change{Kind: AddLearner, ID: 5})
+	assert.NilError(t, err)
+	_, err = leader.ProposeChange(g.now, Change{Kind: AddLearner, ID: 6})
+	assert.ErrorIs(t, err, ErrChangePending)
+}
+
+func TestAFollowerFarBehindGetsASnapshot(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	g.pass(4 * time.Second)
+	leader := g.leader()
+	behind := g.nodes[leader.Status().ID%3+1]
+	g.cut[behind.Status().ID] = true
+	for range 2 * compactionSlack {
+		g.propose(leader)
+	}
+	applied := leader.Status().Applied
+	leader.Compact(&Snapshot{Index: applied, Term: leader.Term(applied), Membership: leader.MembershipAt(applied)})
+	assert.Assert(t, leader.Status().First > 1)
+	g.cut[behind.Status().ID] = false
+	g.pass(5 * time.Second)
+	assert.Equal(t, behind.Status().Applied, leader.Status().Applied)
+	assert.Assert(t, behind.Status().First > 1)
+}
+
+func TestLeadershipIsHandedOver(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	g.pass(4 * time.Second)
+	leader := g.leader()
+	to := leader.Status().ID%3 + 1
+	assert.NilError(t, leader.TransferLeadership(to))
+	assert.Assert(t, !leader.HoldsLease(g.now))
+	g.pass(300 * time.Millisecond)
+	assert.Equal(t, g.leader(), g.nodes[to])
+}
+
+func TestSettingsThatBreakTheLeaseAreRefused(t *testing.T) {
+	c := Config{ID: 1, ElectionTimeout: time.Second, HeartbeatInterval: 100 * time.Millisecond, LeaseDuration: time.Second}
+	assert.ErrorContains(t, c.Validate(), "not below the election timeout")
+	c.LeaseDuration, c.HeartbeatInterval = 800*time.Millisecond, 500*time.Millisecond
+	assert.ErrorContains(t, c.Validate(), "half of the election timeout")
+	c.ID = 0
+	assert.ErrorContains(t, c.Validate(), "ID is 0")
+}
