Fenced orders to load weights

Cause: orders were recorded and fenced, and nothing gave any.

Change: the leader orders engines to load the target weights of the bundle, a quarter of a model's engines at a time, through the log, with the fence of the entry. rehearse faults raises the target among its faults.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -51,6 +51,10 @@
 type Model struct {
 	// WeightsVersion is the least version of the weights that may answer.
 	WeightsVersion int `yaml:"weights_version" json:"weights_version" validate:"required,min=1"`
+	// TargetWeightsVersion is the version that engines are ordered to load, a
+	// quarter of them at a time. Raise it first, and weights_version once all
+	// have loaded. Default: no orders.
+	TargetWeightsVersion int `yaml:"target_weights_version" json:"target_weights_version,omitempty" validate:"omitempty,min=1"`
 	// HomeBlocks is the depth, in blocks of 256 bytes, whose digest names a
 	// prompt's home engine. Default 16.
 	HomeBlocks int `yaml:"home_blocks" json:"home_blocks,omitempty" validate:"omitempty,min=4,max=4096"`
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -120,6 +120,7 @@
 	s.metrics = newServerMetrics(registry, s.counters)
 	go s.run(ctx)
 	go s.inventory.Run(ctx)
+	go s.runOrders(ctx)
 	s.listener = peer.Serve(listener, s.counters, s.handle)
 	s.serveStatus(status, registry)
 	s.logger.Info("started", "id", s.settings.ID, "listen", s.settings.Listen, "applied", s.core.Machine().Applied())
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -65,6 +65,7 @@
 	}},
 	{"let an engine leave", 2, (*injector).leave},
 	{"race two bundles", 2, (*injector).race},
+	{"load new weights", 2, (*injector).load},
 }
 
 // Inject brings faults about until the context ends, then waits until all
@@ -197,23 +198,62 @@
 	})
 }
 
-// raceOperators proposes two bundles that follow the one in force.
-func (f *Fleet) raceOperators(ctx context.Context) {
+// load raises the weights version that engines are to load.
+func (i *injector) load(ctx context.Context) {
+	if !i.take("operators") {
+		return
+	}
+	i.group.Go(func() {
+		defer i.release("operators")
+		i.fleet.raiseWeights(ctx)
+	})
+}
+
+// following returns a copy of the fleet's bundle that follows the one in force.
+func (f *Fleet) following(ctx context.Context) (*bundle.Bundle, error) {
+	status, err := f.operator(ctx, "bundle", "status", "--json")
+	if err != nil {
+		return nil, err
+	}
+	stamp, err := acceptedStamp(status)
+	if err != nil {
+		return nil, err
+	}
+	next := *f.bundle
+	next.Version, next.Parent = stamp.Version+1, stamp.Digest
+	return &next, nil
+}
+
+func (f *Fleet) raiseWeights(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, drainWait)
 	defer cancel()
-	status, err := f.operator(ctx, "bundle", "status", "--json")
+	name := f.config.Deployment.Model
+	model := f.bundle.Models[name]
+	model.TargetWeightsVersion = max(model.TargetWeightsVersion, 1) + 1
+	f.bundle.Models[name] = model
+	next, err := f.following(ctx)
 	if err != nil {
 		return
 	}
-	stamp, err := acceptedStamp(status)
+	path := fmt.Sprintf("%s/weights-%d.yaml", f.config.Folder, next.Version)
+	if writeYAML(path, next) != nil {
+		return
+	}
+	_, _ = f.operator(ctx, "bundle", "propose", path, "--operator", operatorName, "--key", f.key)
+}
+
+// raceOperators proposes two bundles that follow the one in force.
+func (f *Fleet) raceOperators(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainWait)
+	defer cancel()
+	follower, err := f.following(ctx)
 	if err != nil {
 		return
 	}
 	var group sync.WaitGroup
 	for n := range 2 {
 		group.Go(func() {
-			next := *f.bundle
-			next.Version, next.Parent = stamp.Version+1, stamp.Digest
+			next := *follower
 			next.Routes = map[string]bundle.Route{}
 			for name, route := range f.bundle.Routes {
 				next.Routes[name] = route
