--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -33,6 +33,7 @@
 	Simulate    simulateCommand    `cmd:"" help:"Control nodes and routers in virtual time, under faults, over many seeds."`
 	Hollow      hollowCommand      `cmd:"" help:"Hundreds of hollow routers and workers with real control nodes."`
 	Slopes      slopesCommand      `cmd:"" help:"Costs against sizes, for docs/CAPACITY.md."`
+	Commits     commitsCommand     `cmd:"" help:"Commits a second, latency and restart on this disk."`
 	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
 	Appworker   appworkerCommand   `cmd:"" help:"Stand-in: one application worker."`
 	Platform    platformCommand    `cmd:"" help:"Stand-in: the platform's list of machines."`
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -394,3 +394,8 @@
 	f.cancel()
 	f.engines.Wait()
 }
+
+// Submit runs a command through the log.
+func (f *Fleet) Submit(ctx context.Context, command state.Command) (state.Result, error) {
+	return f.client.Submit(ctx, command)
+}
