--- a/internal/experiment/engines.go
+++ b/internal/experiment/engines.go
@@ -91,6 +91,7 @@
 func (s *simulation) cacheEvents(e *simulatedEngine, events []enginemodel.CacheEvent) {
 	s.publish(e, events)
 	for _, event := range events {
+		s.metrics.changed(event.Depth)
 		if event.Stored {
 			e.blocks[event.Block] = true
 			s.holders[event.Block]++
--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"quinceridge.example/quinceridge/internal/scheduling"
 	"quinceridge.example/quinceridge/internal/workload"
 )
 
@@ -39,6 +40,10 @@
 	TopInTime  float64 `json:"top_class_in_time"`
 	Recovery   float64 `json:"recovery_seconds"`
 	Placements uint64  `json:"placements"`
+	// BlockChanges counts blocks that entered or left a cache, HeadChanges those
+	// among them that are published.
+	BlockChanges int `json:"block_changes"`
+	HeadChanges  int `json:"head_changes"`
 	// Timeline is the 95th percentile of the first tokens that came in each
 	// second, -1 for none.
 	Timeline []float64 `json:"timeline"`
@@ -92,6 +97,13 @@
 	}
 }
 
+func (m *metrics) changed(depth int) {
+	m.figures.BlockChanges++
+	if scheduling.IsHead(depth) {
+		m.figures.HeadChanges++
+	}
+}
+
 func (c *counts) add(prompt, cached, wasted int) {
 	c.prompt += prompt
 	c.cached += cached
--- a/internal/experiment/study.go
+++ b/internal/experiment/study.go
@@ -126,6 +126,8 @@
 		row.Mean.Requests += run.Requests
 		row.Mean.Answered += run.Answered
 		row.Mean.Refused += run.Refused
+		row.Mean.BlockChanges += run.BlockChanges
+		row.Mean.HeadChanges += run.HeadChanges
 		row.Worst = max(row.Worst, run.SurgeP99)
 	}
 	row.Mean.Timeline = row.Runs[0].Timeline
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -114,6 +114,7 @@
 // heap returns the live heap in bytes.
 func heap() float64 {
 	runtime.GC()
+	runtime.GC() // the first only marks what finalizers hold
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc)
@@ -162,6 +163,10 @@
 			}
 		}))
 		memory.add(tenants, (heap()-before)/1e6)
+		// What was live at the first look must be live at the second.
+		runtime.KeepAlive(first)
+		runtime.KeepAlive(from)
+		runtime.KeepAlive(to)
 		runtime.KeepAlive(kept)
 		runtime.KeepAlive(config)
 	}
