--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -34,6 +34,7 @@
 	Hollow      hollowCommand      `cmd:"" help:"Hundreds of hollow routers and workers with real control nodes."`
 	Slopes      slopesCommand      `cmd:"" help:"Costs against sizes, for docs/CAPACITY.md."`
 	Commits     commitsCommand     `cmd:"" help:"Commits a second, latency and restart on this disk."`
+	Overhead    overheadCommand    `cmd:"" help:"What a router adds to a call, and what a streamed token costs it."`
 	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
 	Appworker   appworkerCommand   `cmd:"" help:"Stand-in: one application worker."`
 	Platform    platformCommand    `cmd:"" help:"Stand-in: the platform's list of machines."`
