--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -146,6 +146,8 @@
 func TestAnswerSurvivesAResetAtEveryByte(t *testing.T) {
 	sample := httptest.NewRequest(http.MethodPost, "/", nil)
 	sample.Header.Set(engineapi.HeaderRequestID, "request")
+	// The reset may overtake the headers; then the other engine answers.
+	other := newFakeEngine(t, answer)
 	for n := range len(wholeAnswer(sample)) {
 		engine := newFakeEngine(t, func(w http.ResponseWriter, r *http.Request, number int64) {
 			if number == 1 {
@@ -154,7 +156,7 @@
 			}
 			answer(w, r, number)
 		})
-		d, first := newDispatcher(engine)
+		d, first := newDispatcher(engine, other)
 		sink := &collected{}
 		assert.NilError(t, d.Run(context.Background(), newJob(), first, sink), "cut after byte %d", n)
 		sink.assertWhole(t)
--- a/internal/simulation/linearizability_test.go
+++ b/internal/simulation/linearizability_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
@@ -110,7 +109,7 @@
 			t.Parallel()
 			operations := history(t, DefaultConfig(seed))
 			assert.Assert(t, len(operations) > 20, "the history is too short")
-			assert.Equal(t, porcupine.CheckOperationsTimeout(claimModel, operations, time.Minute), porcupine.Ok)
+			assert.Assert(t, porcupine.CheckOperations(claimModel, operations))
 		})
 	}
 }
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -47,7 +47,8 @@
 	t.Helper()
 	file, err := fs.Create(fs.PathJoin(folder, logName), vfs.WriteCategoryUnspecified)
 	assert.NilError(t, err)
-	_, err = file.Write(data)
+	// Under the race detector the file system scrambles what it is given.
+	_, err = file.Write(bytes.Clone(data))
 	assert.NilError(t, err)
 	assert.NilError(t, file.Close())
 }
