--- a/cmd/rehearse/faults.go
+++ b/cmd/rehearse/faults.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"quinceridge.example/quinceridge/internal/fleet"
 )
 
@@ -19,40 +17,18 @@
 
 // Run implements the command.
 func (c *faultsCommand) Run(ctx context.Context) error {
-	config, remove, err := c.config()
-	if err != nil {
-		return err
-	}
-	f, err := fleet.Start(ctx, config)
-	if err != nil {
-		return errors.Wrapf(err, "start; logs are in %s", config.Folder)
-	}
-	faulty, cancel := context.WithTimeout(ctx, time.Duration(c.Seconds)*time.Second-quietEnd)
-	defer cancel()
-	counts := make(chan map[string]int, 1)
-	go func() { counts <- f.Inject(faulty, c.Seed) }()
-	driven := f.Drive(ctx)
-	cancel()
-	faults := <-counts
-	stuck := f.Stop()
-	if driven != nil {
-		return errors.Wrapf(driven, "logs are in %s", config.Folder)
-	}
-	summary, err := f.Summarize()
-	if err != nil {
-		return err
-	}
-	summary.Stuck, summary.FaultCounts = stuck, faults
-	for _, count := range faults {
-		summary.Faults += count
-	}
-	fmt.Printf("%d faults: %v\n", summary.Faults, faults)
-	if err := c.report(summary); err != nil {
-		return err
-	}
-	if !summary.Sound() {
-		return errors.Wrapf(errUnsound, "logs and data are in %s", config.Folder)
-	}
-	remove()
-	return nil
+	return c.rehearse(ctx, func(f *fleet.Fleet, brought *fleet.Summary) error {
+		faulty, cancel := context.WithTimeout(ctx, time.Duration(c.Seconds)*time.Second-quietEnd)
+		defer cancel()
+		counts := make(chan map[string]int, 1)
+		go func() { counts <- f.Inject(faulty, c.Seed) }()
+		driven := f.Drive(ctx)
+		cancel()
+		brought.FaultCounts = <-counts
+		for _, count := range brought.FaultCounts {
+			brought.Faults += count
+		}
+		fmt.Printf("%d faults: %v\n", brought.Faults, brought.FaultCounts)
+		return driven
+	})
 }
--- a/cmd/rehearse/fleet.go
+++ b/cmd/rehearse/fleet.go
@@ -67,7 +67,8 @@
 func (c *fleetFlags) report(s *fleet.Summary) error {
 	fmt.Printf("%s, seed %d: %d requests in %.0f s: %d answered, %d not run, %d outcome unknown\n",
 		s.Deployment, s.Seed, s.Requests, s.Seconds, s.Answered, s.NotRun, s.OutcomeUnknown)
-	fmt.Printf("  lost %d, incomplete %d, wrong %d, double runs %d, falsely not run %d\n", s.Lost, s.IncompleteStreams, s.Wrong, s.DoubleRuns, s.FalseNotRun)
+	fmt.Printf("  lost %d, incomplete %d, wrong %d, double runs %d, falsely not run %d, late work %d\n",
+		s.Lost, s.IncompleteStreams, s.Wrong, s.DoubleRuns, s.FalseNotRun, s.LateWork)
 	fmt.Printf("  broken connections %d, resumed %d, restarted %d, refusals %d, unsent %d\n", s.Broken, s.Resumes, s.Restarts, s.Refusals, s.Unsent)
 	fmt.Printf("  hit rate %.3f, wasted %.4f\n", s.HitRate, s.WastedRatio)
 	fmt.Printf("  first token, steady: p50 %.3f p95 %.3f p99 %.3f s; surge: p50 %.3f p95 %.3f p99 %.3f s; between tokens p95 %.1f ms\n",
@@ -88,12 +89,9 @@
 	return errors.Wrap(os.WriteFile(c.JSON, append(text, '\n'), resultsMode), "write summary")
 }
 
-type fleetCommand struct {
-	fleetFlags `embed:""`
-}
-
-// Run implements the command.
-func (c *fleetCommand) Run(ctx context.Context) error {
+// rehearse starts a fleet, runs work on it, stops it and reports. The folder is
+// kept unless all was sound.
+func (c *fleetFlags) rehearse(ctx context.Context, work func(*fleet.Fleet, *fleet.Summary) error) error {
 	config, remove, err := c.config()
 	if err != nil {
 		return err
@@ -104,16 +102,17 @@
 	}
 	fmt.Printf("%s is up: %d engines, %d routers, 3 control nodes, %d workers on 127.%d.0.0/16\n",
 		c.Deployment, config.Deployment.Engines, config.Deployment.Routers, config.Deployment.Workers, config.Network)
-	driven := f.Drive(ctx)
+	var brought fleet.Summary
+	worked := work(f, &brought)
 	stuck := f.Stop()
-	if driven != nil {
-		return errors.Wrapf(driven, "logs are in %s", config.Folder)
+	if worked != nil {
+		return errors.Wrapf(worked, "logs are in %s", config.Folder)
 	}
 	summary, err := f.Summarize()
 	if err != nil {
 		return err
 	}
-	summary.Stuck = stuck
+	summary.Stuck, summary.Faults, summary.FaultCounts = stuck, brought.Faults, brought.FaultCounts
 	if err := c.report(summary); err != nil {
 		return err
 	}
@@ -123,3 +122,12 @@
 	remove()
 	return nil
 }
+
+type fleetCommand struct {
+	fleetFlags `embed:""`
+}
+
+// Run implements the command.
+func (c *fleetCommand) Run(ctx context.Context) error {
+	return c.rehearse(ctx, func(f *fleet.Fleet, _ *fleet.Summary) error { return f.Drive(ctx) })
+}
--- a/internal/experiment/engines.go
+++ b/internal/experiment/engines.go
@@ -68,7 +68,7 @@
 	if e.down {
 		return
 	}
-	out := e.model.Step(s.now)
+	out := e.model.Step(s.now())
 	e.changed = true
 	for _, token := range out.Tokens {
 		s.token(e, token)
@@ -80,7 +80,7 @@
 	if out.Next > 0 && out.Next != e.wakeAt {
 		e.wakeAt = out.Next
 		incarnation := e.incarnation
-		s.at(out.Next, func() {
+		s.queue.At(out.Next, func() {
 			if e.incarnation == incarnation {
 				s.step(e)
 			}
@@ -113,7 +113,7 @@
 		if !scheduling.IsHead(event.Depth) || s.random.Float64() < s.options.Conditions.EventLoss {
 			continue
 		}
-		s.at(s.now+s.options.Conditions.EventLag, func() {
+		s.queue.After(s.options.Conditions.EventLag, func() {
 			switch {
 			case e.incarnation != incarnation:
 			case event.Stored:
@@ -138,7 +138,7 @@
 			wasted += prefix.BlockTokens
 		}
 	}
-	s.metrics.admitted(s.now, a.Request.PromptTokens, a.CachedTokens, wasted)
+	s.metrics.admitted(s.now(), a.Request.PromptTokens, a.CachedTokens, wasted)
 }
 
 func (s *simulation) token(e *simulatedEngine, token enginemodel.Token) {
@@ -149,11 +149,11 @@
 	f.generated = token.Index + 1
 	if !f.started {
 		f.started = true
-		s.metrics.firstToken(f, s.now+2*hop)
+		s.metrics.firstToken(f, s.now()+2*hop)
 	}
 	if token.Last {
 		delete(e.running, token.ID)
-		s.at(s.now+hop, func() { s.answered(f, e.id) })
+		s.queue.After(hop, func() { s.answered(f, e.id) })
 	}
 }
 
@@ -178,7 +178,7 @@
 	}
 	for _, id := range sortedKeys(lost) {
 		f := lost[id]
-		s.at(s.now+delay, func() { s.failed(f, e) })
+		s.queue.After(delay, func() { s.failed(f, e) })
 	}
 }
 
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -1,9 +1,9 @@
 package experiment
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,6 +16,7 @@
 	"quinceridge.example/quinceridge/internal/flowcontrol"
 	"quinceridge.example/quinceridge/internal/membership"
 	"quinceridge.example/quinceridge/internal/scheduling"
+	"quinceridge.example/quinceridge/internal/virtualtime"
 	"quinceridge.example/quinceridge/internal/workload"
 )
 
@@ -39,32 +40,6 @@
 // maxPlacements bounds how often a request is placed.
 const maxPlacements = 20
 
-// event is something that happens at a time.
-type event struct {
-	at     time.Duration
-	number uint64
-	run    func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].number < h[j].number
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*h = old[:len(old)-1]
-	return last
-}
-
 // simulatedRouter is one router of a run.
 type simulatedRouter struct {
 	pool      *membership.Pool
@@ -87,9 +62,7 @@
 // simulation is one run. Everything happens on one goroutine.
 type simulation struct {
 	options   Options
-	now       time.Duration
-	events    eventHeap
-	number    uint64
+	queue     virtualtime.Queue
 	random    *rand.Rand
 	generator *workload.Generator
 	engines   []*simulatedEngine
@@ -111,21 +84,15 @@
 	if err := s.setUp(); err != nil {
 		return nil, err
 	}
-	for len(s.events) > 0 {
+	for s.queue.Step(math.MaxInt64) {
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(ctx.Err(), "simulate")
 		}
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
 	}
 	return s.metrics.result(s.placements), nil
 }
 
-func (s *simulation) at(when time.Duration, run func()) {
-	s.number++
-	heap.Push(&s.events, event{at: when, number: s.number, run: run})
-}
+func (s *simulation) now() time.Duration { return s.queue.Now() }
 
 func (s *simulation) setUp() error {
 	d := s.options.Deployment
@@ -143,8 +110,8 @@
 		}
 		s.routers[i] = router
 	}
-	s.at(0, s.arrive)
-	s.at(0, s.report)
+	s.queue.At(0, s.arrive)
+	s.queue.At(0, s.report)
 	s.scheduleFaults()
 	return nil
 }
@@ -174,10 +141,10 @@
 func (s *simulation) scheduleFaults() {
 	c := s.options.Conditions
 	if c.HerdAt > 0 {
-		s.at(c.HerdAt, s.restartRouters)
+		s.queue.At(c.HerdAt, s.restartRouters)
 	}
 	if c.ZoneLostAt > 0 {
-		s.at(c.ZoneLostAt, func() {
+		s.queue.At(c.ZoneLostAt, func() {
 			for _, e := range s.engines {
 				if e.zone == s.options.Deployment.Zones[0] {
 					s.crash(e, true)
@@ -189,8 +156,8 @@
 	for i := range crashes {
 		when := surgeStart + (surgeEnd-surgeStart)*time.Duration(i+1)/time.Duration(crashes+1)
 		e := s.engines[i*len(s.engines)/crashes]
-		s.at(when, func() { s.crash(e, false) })
-		s.at(when+downTime, func() { s.recover(e) })
+		s.queue.At(when, func() { s.crash(e, false) })
+		s.queue.At(when+downTime, func() { s.recover(e) })
 	}
 }
 
@@ -213,9 +180,9 @@
 		rows[i] = controlapi.LoadRow{controlapi.LoadRunning: load.Running, controlapi.LoadWaiting: load.Waiting, controlapi.LoadPrefillTokens: load.PrefillTokens}
 		known[i] = !e.down && s.random.Float64() >= c.ReportLoss
 	}
-	s.at(s.now+c.ReportLag, func() { s.giveReports(rows, known, c.ReportLag) })
-	if s.now < s.options.Conditions.Plan.End {
-		s.at(s.now+reportInterval, s.report)
+	s.queue.After(c.ReportLag, func() { s.giveReports(rows, known, c.ReportLag) })
+	if s.now() < s.options.Conditions.Plan.End {
+		s.queue.After(reportInterval, s.report)
 	}
 }
 
@@ -227,7 +194,7 @@
 			if known[i] {
 				// The pool adds the engine's own lag; here the age is whole.
 				rows[i][controlapi.LoadAge] = int((age - membership.ReportLag).Milliseconds())
-				router.pool.SetLoad(s.now, s.engines[i].id, rows[i])
+				router.pool.SetLoad(s.now(), s.engines[i].id, rows[i])
 			}
 		}
 	}
@@ -239,7 +206,7 @@
 	if !more {
 		return
 	}
-	s.at(request.At, func() {
+	s.queue.At(request.At, func() {
 		s.arrive()
 		if !request.Application {
 			s.receive(request)
@@ -260,7 +227,7 @@
 	router := s.routers[f.router]
 	f.placements++
 	s.placements++
-	decision, err := router.policy.Pick(s.now, &f.place, router.pool.Snapshot(s.now))
+	decision, err := router.policy.Pick(s.now(), &f.place, router.pool.Snapshot(s.now()))
 	if err != nil || f.placements > maxPlacements {
 		s.metrics.refused(f)
 		return
@@ -270,8 +237,8 @@
 		return
 	}
 	e := s.byID[decision.Endpoint.ID]
-	router.pool.Dispatched(s.now, e.id, f.place.PromptTokens-decision.ExpectedCached)
-	s.at(s.now+2*hop, func() { s.deliver(f, e) })
+	router.pool.Dispatched(s.now(), e.id, f.place.PromptTokens-decision.ExpectedCached)
+	s.queue.After(2*hop, func() { s.deliver(f, e) })
 }
 
 func (s *simulation) admit(router *simulatedRouter, f *flight, decision *scheduling.Decision) bool {
@@ -280,7 +247,7 @@
 	}
 	missing := f.place.PromptTokens - decision.ExpectedCached
 	prefill := time.Duration(float64(missing) / s.prefillRate * float64(time.Second))
-	return router.admission.Admit(s.now, flowcontrol.Request{Tenant: f.request.Tenant, Weight: 1, Priority: f.class.Priority,
+	return router.admission.Admit(s.now(), flowcontrol.Request{Tenant: f.request.Tenant, Weight: 1, Priority: f.class.Priority,
 		FirstToken: s.options.Deployment.Patience(f.class), Expected: decision.Endpoint.Wait + prefill, Cost: missing + f.request.Kind.OutputTokens}).Admitted
 }
 
@@ -291,7 +258,7 @@
 		if e.silent {
 			delay = silentDelay
 		}
-		s.at(s.now+delay, func() { s.failed(f, e) })
+		s.queue.After(delay, func() { s.failed(f, e) })
 		return
 	}
 	id := fmt.Sprintf("%d/%d", f.request.Number, f.placements)
@@ -310,7 +277,7 @@
 
 // failed places a request again after its engine was lost.
 func (s *simulation) failed(f *flight, e *simulatedEngine) {
-	s.routers[f.router].pool.Failed(s.now, e.id)
+	s.routers[f.router].pool.Failed(s.now(), e.id)
 	if !slices.Contains(f.place.Excluded, e.id) {
 		f.place.Excluded = append(f.place.Excluded, e.id)
 	}
@@ -321,9 +288,9 @@
 func (s *simulation) answered(f *flight, engine string) {
 	router := s.routers[f.router]
 	router.pool.Succeeded(engine)
-	s.metrics.answered(f, s.now)
+	s.metrics.answered(f, s.now())
 	if s.random.Float64() >= s.options.Conditions.HintLoss {
-		router.policy.Answered(s.now, &f.place, engine, f.cached)
+		router.policy.Answered(s.now(), &f.place, engine, f.cached)
 	}
 }
 
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -18,7 +18,10 @@
 	shortestDown = 200 * time.Millisecond
 	longestDown  = 2 * time.Second
 	longFreeze   = 6 * time.Second
-	leavingTime  = 4 * time.Second
+	// leavingTime is how long a leaving engine stays, and leavingLimit how soon
+	// it must get nothing new.
+	leavingTime  = 5 * time.Second
+	leavingLimit = 3 * time.Second
 	drainWait    = 20 * time.Second
 )
 
@@ -178,14 +181,28 @@
 		machine := i.fleet.engineMachine(number)
 		machine.Leaving = true
 		_ = i.fleet.List(ctx, machine)
+		listed := time.Now()
 		time.Sleep(leavingTime)
 		p.terminate(drainWait)
+		i.fleet.noteLeaving(leaving{engine: machine.ID, from: listed.Add(leavingLimit), to: time.Now()})
 		_ = p.start()
 		machine.Leaving = false
 		_ = i.fleet.List(ctx, machine)
 	})
 }
 
+// leaving is a time in which an engine must get no new work.
+type leaving struct {
+	engine   string
+	from, to time.Time
+}
+
+func (f *Fleet) noteLeaving(l leaving) {
+	f.leavingMu.Lock()
+	defer f.leavingMu.Unlock()
+	f.leavings = append(f.leavings, l)
+}
+
 // race lets two operators propose bundles of equal version numbers at once.
 // Exactly one may win.
 func (i *injector) race(ctx context.Context) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,6 +58,9 @@
 	key       string // file of the operator's private key
 	public    string
 	bundle    *bundle.Bundle
+
+	leavingMu sync.Mutex
+	leavings  []leaving
 }
 
 // Start starts all processes and puts the first bundle in force.
--- a/internal/fleet/summary.go
+++ b/internal/fleet/summary.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,8 +25,11 @@
 	// DoubleRuns counts calls that may not be repeated and were run again.
 	DoubleRuns int `json:"double_runs"`
 	// FalseNotRun counts requests that were refused as not run and were run.
-	FalseNotRun int     `json:"false_not_run"`
-	HitRate     float64 `json:"hit_rate"`
+	FalseNotRun int `json:"false_not_run"`
+	// LateWork counts requests that an engine got 3 s and more after it was
+	// listed as leaving.
+	LateWork int     `json:"late_work"`
+	HitRate  float64 `json:"hit_rate"`
 	// WastedRatio is the share of prompt tokens that were computed although a
 	// live engine held them, or for an attempt that was cancelled.
 	WastedRatio float64 `json:"wasted_ratio"`
@@ -47,7 +51,7 @@
 
 // Sound tells whether every promise about answers was kept.
 func (s *Summary) Sound() bool {
-	return s.Lost == 0 && s.IncompleteStreams == 0 && s.Wrong == 0 && s.DoubleRuns == 0 && s.FalseNotRun == 0 && len(s.Stuck) == 0
+	return s.Lost == 0 && s.IncompleteStreams == 0 && s.Wrong == 0 && s.DoubleRuns == 0 && s.FalseNotRun == 0 && s.LateWork == 0 && len(s.Stuck) == 0
 }
 
 // Summarize reads what a stopped fleet left.
@@ -146,6 +150,9 @@
 	index := newCacheIndex()
 	for i := range records {
 		index.take(&records[i])
+		if records[i].Kind == engine.RecordAdmit && f.wasLeaving(records[i].Engine, time.UnixMicro(records[i].At)) {
+			s.LateWork++
+		}
 	}
 	if index.prompt > 0 {
 		s.HitRate = float64(index.cached) / float64(index.prompt)
@@ -159,6 +166,18 @@
 	return nil
 }
 
+// wasLeaving tells whether an engine must have got no new work at a time.
+func (f *Fleet) wasLeaving(name string, at time.Time) bool {
+	f.leavingMu.Lock()
+	defer f.leavingMu.Unlock()
+	for _, l := range f.leavings {
+		if l.engine == name && at.After(l.from) && at.Before(l.to) {
+			return true
+		}
+	}
+	return false
+}
+
 // cacheIndex follows which engine holds which block.
 type cacheIndex struct {
 	holders  map[uint64]int
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -42,7 +42,7 @@
 // fail ends the run. The first failure counts.
 func (c *checks) fail(format string, args ...any) {
 	if c.world.failure == nil {
-		c.world.failure = errors.Newf("seed %d at %v: "+format, append([]any{c.world.config.Seed, c.world.now}, args...)...)
+		c.world.failure = errors.Newf("seed %d at %v: "+format, append([]any{c.world.config.Seed, c.world.now()}, args...)...)
 	}
 }
 
@@ -88,7 +88,7 @@
 			continue
 		}
 		version := r.agent.InForce().Stamp.Version
-		if version < c.newest && c.world.now > c.since[version+1]+inForceLimit {
+		if version < c.newest && c.world.now() > c.since[version+1]+inForceLimit {
 			c.fail("%s serves (%s) by version %d, and version %d has been accepted since %v", r.self.Name, mode, version, version+1, c.since[version+1])
 		}
 		if version < c.served[r.self.Name] {
@@ -99,8 +99,8 @@
 }
 
 func (c *checks) measure() {
-	passed := c.world.now - c.last
-	c.last = c.world.now
+	passed := c.world.now() - c.last
+	c.last = c.world.now()
 	for _, r := range c.world.routers {
 		if r.mode() == agent.ModeHeld {
 			c.world.report.HeldTime += passed
@@ -136,7 +136,7 @@
 		return
 	}
 	c.accepted[version] = digest
-	c.since[version] = c.world.now
+	c.since[version] = c.world.now()
 	c.newest = max(c.newest, version)
 	c.world.report.Accepted = c.newest
 }
--- a/internal/simulation/clients.go
+++ b/internal/simulation/clients.go
@@ -49,7 +49,7 @@
 	for i := range operatorCount {
 		name := fmt.Sprintf("operator-%d", i+1)
 		w.every(operatorPause, func() {
-			if w.now < w.config.Faults {
+			if w.now() < w.config.Faults {
 				o.propose(name)
 			}
 		})
@@ -97,7 +97,7 @@
 		answered = true
 		w.checks.answered(command.RequestID, digest, r)
 	})
-	w.after(resendAfter, func() {
+	w.queue.After(resendAfter, func() {
 		if !answered && left > 0 {
 			o.send(name, command, digest, left-1)
 		}
@@ -120,7 +120,7 @@
 	for i := range 3 {
 		name := fmt.Sprintf("caller-%d", i+1)
 		w.every(claimPause, func() {
-			if w.now < w.config.Faults {
+			if w.now() < w.config.Faults {
 				c.attempt(name)
 			}
 		})
@@ -132,7 +132,7 @@
 func (c *claimers) attempt(name string) {
 	w := c.world
 	c.attempts++
-	key := fmt.Sprintf("key-%d", w.random.IntN(claimKeys)+int(w.now/(10*time.Second))*claimKeys)
+	key := fmt.Sprintf("key-%d", w.random.IntN(claimKeys)+int(w.now()/(10*time.Second))*claimKeys)
 	op := state.ClaimOperation{Kind: state.ClaimAcquire, Tenant: "tenant", Key: key, Attempt: fmt.Sprintf("attempt-%d", c.attempts), Request: "r"}
 	over := false
 	c.submit(name, op, func(r state.Result, err error) {
@@ -144,7 +144,7 @@
 			c.run(name, op)
 		}
 	})
-	w.after(claimPatience, func() {
+	w.queue.After(claimPatience, func() {
 		if over {
 			return
 		}
@@ -159,11 +159,11 @@
 // submit sends an operation to some node and records the call.
 func (c *claimers) submit(name string, op state.ClaimOperation, done func(state.Result, error)) {
 	w := c.world
-	call := &ClaimCall{Operation: op, Start: w.now, End: -1}
+	call := &ClaimCall{Operation: op, Start: w.now(), End: -1}
 	c.calls = append(c.calls, call)
 	w.submit(name, w.anyNode(), claims(op), func() { call.appended = true }, func(r state.Result, err error) {
 		if err == nil && call.End < 0 {
-			call.End, call.State = w.now, r.Claims[0].State
+			call.End, call.State = w.now(), r.Claims[0].State
 		}
 		done(r, err)
 	})
@@ -186,7 +186,7 @@
 		return
 	}
 	op.Outcome = &state.Outcome{Status: 200, Body: []byte(op.Attempt)}
-	c.world.after(finishAfter, func() { c.resend(name, op, state.ClaimFinish, resends) })
+	c.world.queue.After(finishAfter, func() { c.resend(name, op, state.ClaimFinish, resends) })
 }
 
 func (c *claimers) resend(name string, op state.ClaimOperation, kind state.ClaimKind, left int) {
@@ -194,7 +194,7 @@
 	op.Kind = kind
 	answered := false
 	c.submit(name, op, func(_ state.Result, err error) { answered = answered || err == nil })
-	w.after(resendAfter, func() {
+	w.queue.After(resendAfter, func() {
 		if !answered && left > 0 {
 			c.resend(name, op, kind, left-1)
 		}
@@ -238,7 +238,7 @@
 func (w *world) deliverOrder(from string, fence engineapi.Fence) {
 	w.send(from, "engine", func() { w.engine.obey(fence) })
 	if w.chance(0.3) {
-		w.after(w.between(0, doubleDelivery), func() { w.engine.obey(fence) })
+		w.queue.After(w.between(0, doubleDelivery), func() { w.engine.obey(fence) })
 	}
 }
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -38,7 +38,7 @@
 	}},
 	{"lossy network", 4, func(w *world) {
 		w.loss, w.double = 0.3*w.random.Float64(), 0.3*w.random.Float64()
-		w.after(w.between(time.Second, 5*time.Second), func() { w.loss, w.double = 0, 0 })
+		w.queue.After(w.between(time.Second, 5*time.Second), func() { w.loss, w.double = 0, 0 })
 	}},
 	{"restart routers", 4, func(w *world) {
 		for _, r := range w.routers {
@@ -71,7 +71,7 @@
 	}
 	var next func()
 	next = func() {
-		if w.now >= w.config.Faults {
+		if w.now() >= w.config.Faults {
 			return
 		}
 		at := w.random.IntN(total)
@@ -82,10 +82,10 @@
 				break
 			}
 		}
-		w.after(w.between(10*time.Millisecond, 3*time.Second), next)
+		w.queue.After(w.between(10*time.Millisecond, 3*time.Second), next)
 	}
-	w.after(3*time.Second, next)
-	w.at(w.config.Faults, w.heal)
+	w.queue.After(3*time.Second, next)
+	w.queue.At(w.config.Faults, w.heal)
 }
 
 func (w *world) heal() {
@@ -98,11 +98,11 @@
 
 // cut puts the named places on an island of their own for a time.
 func (w *world) cut(length time.Duration, names ...string) {
-	island := int(w.number) + 1
+	island := int(w.queue.Planned()) + 1
 	for _, name := range names {
 		w.islands[name] = island
 	}
-	w.after(length, func() {
+	w.queue.After(length, func() {
 		for _, name := range names {
 			if w.islands[name] == island {
 				delete(w.islands, name)
@@ -126,7 +126,7 @@
 		return
 	}
 	r.stop()
-	r.world.after(pause, r.start)
+	r.world.queue.After(pause, r.start)
 }
 
 // loseDisk loses a machine for good, unless another one is lost already and not
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -61,7 +61,7 @@
 
 // clock is the node's own monotonic clock.
 func (n *node) clock() time.Duration {
-	return n.origin + time.Duration(float64(n.world.now)*n.drift)
+	return n.origin + time.Duration(float64(n.world.now())*n.drift)
 }
 
 func (n *node) config() control.CoreConfig {
@@ -83,7 +83,7 @@
 	core, err := control.NewCore(n.config(), n.faultyDisk(), "data", n.clock())
 	if errors.Is(err, errKilled) {
 		n.down = true
-		n.world.after(100*time.Millisecond, n.restart)
+		n.world.queue.After(100*time.Millisecond, n.restart)
 		return
 	}
 	if err != nil {
@@ -173,7 +173,7 @@
 	if n.world.config.Mutant == MutantNoSync {
 		n.disk = vfs.NewCrashableMem()
 	}
-	n.world.after(pause, n.restart)
+	n.world.queue.After(pause, n.restart)
 }
 
 // crashedDisk returns what is left of the disk: what was synced, and at times
@@ -240,7 +240,7 @@
 		return
 	}
 	n.frozen = true
-	n.world.after(length, func() {
+	n.world.queue.After(length, func() {
 		if !n.frozen {
 			return
 		}
@@ -284,7 +284,7 @@
 // wallClock jumps back and forth, as wall clocks may.
 func (w *world) wallClock() int64 {
 	jump := w.random.Int64N(20_000) - 10_000
-	return 1_800_000_000_000 + w.now.Milliseconds() + jump
+	return 1_800_000_000_000 + w.now().Milliseconds() + jump
 }
 
 // anyNode returns a node to talk to.
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -35,7 +35,7 @@
 }
 
 func (r *router) clock() time.Duration {
-	return r.origin + time.Duration(float64(r.world.now)*r.drift)
+	return r.origin + time.Duration(float64(r.world.now())*r.drift)
 }
 
 func (r *router) start() {
@@ -110,7 +110,7 @@
 		_ = r.agent.HandleLease(sent, reply)
 		r.save()
 	})
-	w.after(4*longestDelay, func() {
+	w.queue.After(4*longestDelay, func() {
 		if !answered {
 			r.target++
 		}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -6,11 +6,11 @@
 package simulation
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/virtualtime"
 )
 
 // Config says what a run is made of.
@@ -75,36 +75,10 @@
 	longestDelay  = 40 * time.Millisecond
 )
 
-type event struct {
-	at     time.Duration
-	number uint64
-	run    func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].number < h[j].number
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // world is one run. Everything happens on one goroutine.
 type world struct {
 	config  Config
-	now     time.Duration
-	events  eventHeap
-	number  uint64
+	queue   virtualtime.Queue
 	random  *rand.Rand
 	islands map[string]int
 	// loss is the present share of lost messages, double that of doubled ones.
@@ -122,21 +96,16 @@
 	report  Report
 }
 
-func (w *world) at(when time.Duration, run func()) {
-	w.number++
-	heap.Push(&w.events, event{at: when, number: w.number, run: run})
-}
-
-func (w *world) after(delay time.Duration, run func()) { w.at(w.now+delay, run) }
+func (w *world) now() time.Duration { return w.queue.Now() }
 
 // every runs something again and again, with a little jitter.
 func (w *world) every(interval time.Duration, run func()) {
 	var again func()
 	again = func() {
 		run()
-		w.after(interval+time.Duration(w.random.Int64N(int64(interval)/8+1)), again)
+		w.queue.After(interval+time.Duration(w.random.Int64N(int64(interval)/8+1)), again)
 	}
-	w.after(time.Duration(w.random.Int64N(int64(interval))), again)
+	w.queue.After(time.Duration(w.random.Int64N(int64(interval))), again)
 }
 
 // send delivers a message between two places, unless the network loses it.
@@ -151,7 +120,7 @@
 			continue
 		}
 		delay := shortestDelay + time.Duration(w.random.Int64N(int64(longestDelay-shortestDelay)))
-		w.after(delay, func() {
+		w.queue.After(delay, func() {
 			if w.islands[from] == w.islands[to] {
 				deliver()
 			}
@@ -176,13 +145,7 @@
 	w.engine = &fencedEngine{world: w}
 	w.setUp()
 	end := config.Faults + config.Settle
-	for len(w.events) > 0 && w.failure == nil {
-		next := heap.Pop(&w.events).(event)
-		if next.at > end {
-			break
-		}
-		w.now = next.at
-		next.run()
+	for w.failure == nil && w.queue.Step(end) {
 		w.report.Events++
 	}
 	if w.failure == nil {
