Claims are remembered for as long as the bundle says; status costs less

Status made the digest of the whole state each time it was asked.

Change: claim_retention in the bundle, 2 hours by default in place of 24; a state with many claims is written less often; digest and bundle text come only when asked for.

--- a/cmd/quinceridge/bundle.go
+++ b/cmd/quinceridge/bundle.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/bundle"
+	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -125,7 +126,7 @@
 func (t *target) await(digest string) error {
 	started := time.Now()
 	for time.Since(started) < t.Timeout {
-		status, err := t.status()
+		status, err := t.status(controlapi.StatusRequest{})
 		if err == nil && status.Accepted.Digest == digest {
 			behind := 0
 			for _, place := range status.Places {
@@ -189,12 +190,11 @@
 
 // Run implements the command.
 func (c *bundleStatusCommand) Run() error {
-	status, err := c.status()
+	status, err := c.status(controlapi.StatusRequest{})
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		status.Head = nil
 		return printJSON(status)
 	}
 	printStamp("in force", status.Accepted)
@@ -222,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	status, err := c.status()
+	status, err := c.status(controlapi.StatusRequest{Head: true})
 	if err != nil {
 		return err
 	}
@@ -245,7 +245,7 @@
 
 // Run implements the command.
 func (c *bundleHistoryCommand) Run() error {
-	status, err := c.status()
+	status, err := c.status(controlapi.StatusRequest{})
 	if err != nil {
 		return err
 	}
--- a/cmd/quinceridge/client.go
+++ b/cmd/quinceridge/client.go
@@ -28,11 +28,11 @@
 }
 
 // status asks the leader, trying until the timeout.
-func (t *target) status() (controlapi.StatusReply, error) {
+func (t *target) status(request controlapi.StatusRequest) (controlapi.StatusReply, error) {
 	client, ctx, cancel := t.connect()
 	defer cancel()
 	for {
-		reply, err := client.Status(ctx)
+		reply, err := client.Status(ctx, request)
 		if err == nil && reply.HoldsLease {
 			return reply, nil
 		}
--- a/cmd/quinceridge/fleet.go
+++ b/cmd/quinceridge/fleet.go
@@ -30,7 +30,7 @@
 
 // Run implements the command.
 func (c *fleetStatusCommand) Run() error {
-	status, err := c.status()
+	status, err := c.status(controlapi.StatusRequest{Digest: true})
 	if err != nil {
 		return err
 	}
@@ -234,7 +234,7 @@
 }
 
 func (t *target) events() (map[string]bundle.Event, error) {
-	status, err := t.status()
+	status, err := t.status(controlapi.StatusRequest{Head: true})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -31,6 +31,10 @@
 	// Operators maps operator names to Ed25519 public keys in hex. Removing a
 	// name revokes the key for all later bundles.
 	Operators map[string]string `yaml:"operators" json:"operators,omitempty" validate:"dive,hexadecimal,len=64"`
+	// ClaimRetention is how long an idempotency key is remembered. A call that
+	// is repeated later may run again. Control keeps all of them in memory:
+	// about 220 bytes each, and the answer. Default 2h.
+	ClaimRetention time.Duration `yaml:"claim_retention" json:"claim_retention,omitempty" validate:"omitempty,min=1m,max=24h"`
 	// Models maps model names to their settings.
 	Models map[string]Model `yaml:"models" json:"models" validate:"required,min=1,dive"`
 	// Classes maps priority class names to their settings.
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -212,10 +212,16 @@
 	w.done(result, nil)
 }
 
+// claimsPerEntry is how many remembered claims put off a snapshot by an entry.
+const claimsPerEntry = 4
+
 // maybeSnapshot takes a snapshot when enough entries were applied.
 func (c *Core) maybeSnapshot() error {
 	applied := c.machine.Applied()
-	if applied < c.snapshotAt+c.config.SnapshotEvery {
+	// A large state is written less often, so that snapshots stay a small part
+	// of the work.
+	every := max(c.config.SnapshotEvery, uint64(c.machine.ClaimCount()/claimsPerEntry))
+	if applied < c.snapshotAt+every {
 		return nil
 	}
 	return c.Snapshot()
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -28,7 +28,7 @@
 	case controlapi.KindSubmit:
 		return peer.Decoded(body, func(r controlapi.SubmitRequest) (controlapi.SubmitReply, error) { return s.handleSubmit(ctx, r) })
 	case controlapi.KindStatus:
-		return peer.Decoded(body, func(controlapi.StatusRequest) (controlapi.StatusReply, error) { return s.handleStatus(ctx) })
+		return peer.Decoded(body, func(r controlapi.StatusRequest) (controlapi.StatusReply, error) { return s.handleStatus(ctx, r) })
 	case controlapi.KindChange:
 		return peer.Decoded(body, func(r controlapi.ChangeRequest) (controlapi.Acknowledgement, error) {
 			return s.acknowledge(ctx, func(now time.Duration) error { return s.core.Change(now, r.Change) })
@@ -125,10 +125,10 @@
 	return controlapi.Acknowledgement{OK: true}, nil
 }
 
-func (s *Server) handleStatus(ctx context.Context) (controlapi.StatusReply, error) {
+func (s *Server) handleStatus(ctx context.Context, r controlapi.StatusRequest) (controlapi.StatusReply, error) {
 	var reply controlapi.StatusReply
 	var err error
-	ran := s.do(ctx, func(now time.Duration) { reply, err = s.core.Report(now) })
+	ran := s.do(ctx, func(now time.Duration) { reply, err = s.core.Report(now, r) })
 	if !ran {
 		return reply, ErrStopping
 	}
@@ -137,18 +137,18 @@
 }
 
 // Report describes the node and its state.
-func (c *Core) Report(now time.Duration) (controlapi.StatusReply, error) {
-	digest, err := c.machine.Digest()
+func (c *Core) Report(now time.Duration, r controlapi.StatusRequest) (controlapi.StatusReply, error) {
 	reply := controlapi.StatusReply{
-		Raft:        c.node.Status(),
-		HoldsLease:  c.node.HoldsLease(now),
-		StateDigest: digest,
-		History:     c.machine.History(),
-		Claims:      c.machine.ClaimCount(),
+		Raft:       c.node.Status(),
+		HoldsLease: c.node.HoldsLease(now),
+		History:    c.machine.History(),
+		Claims:     c.machine.ClaimCount(),
 	}
 	if head := c.machine.Head(); head != nil {
 		reply.Accepted = stampOf(head)
-		reply.Head = head.Canonical
+		if r.Head {
+			reply.Head = head.Canonical
+		}
 	}
 	if pending := c.machine.Pending(); pending != nil {
 		stamp := stampOf(pending)
@@ -161,5 +161,10 @@
 	if reply.HoldsLease {
 		reply.Places = c.Places(now)
 	}
+	if !r.Digest {
+		return reply, nil
+	}
+	digest, err := c.machine.Digest()
+	reply.StateDigest = digest
 	return reply, err
 }
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -225,13 +225,18 @@
 }
 
 // StatusRequest asks a control node about itself.
-type StatusRequest struct{}
+type StatusRequest struct {
+	// Digest asks for the digest of the whole state, which is costly.
+	Digest bool `json:"digest,omitempty"`
+	// Head asks for the text of the bundle in force.
+	Head bool `json:"head,omitempty"`
+}
 
 // StatusReply answers a StatusRequest.
 type StatusReply struct {
 	Raft        raft.Status     `json:"raft"`
 	HoldsLease  bool            `json:"holds_lease"`
-	StateDigest string          `json:"state_digest"`
+	StateDigest string          `json:"state_digest,omitempty"`
 	Accepted    Stamp           `json:"accepted"`
 	Pending     *Stamp          `json:"pending,omitempty"`
 	Signed      []string        `json:"signed,omitempty"`
@@ -241,7 +246,7 @@
 	Places   []PlaceStatus `json:"places,omitempty"`
 	Machines []Machine     `json:"machines,omitempty"`
 	Claims   int           `json:"claims"`
-	// Head is the canonical text of the bundle in force.
+	// Head is the canonical text of the bundle in force, if it was asked for.
 	Head json.RawMessage `json:"head,omitempty"`
 }
 
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -171,10 +171,10 @@
 }
 
 // Status asks the leader, or any node when none leads.
-func (c *Client) Status(ctx context.Context) (controlapi.StatusReply, error) {
+func (c *Client) Status(ctx context.Context, request controlapi.StatusRequest) (controlapi.StatusReply, error) {
 	var first *controlapi.StatusReply
 	for _, address := range c.order() {
-		reply, err := c.StatusOf(ctx, address)
+		reply, err := c.StatusOf(ctx, address, request)
 		if err != nil {
 			continue
 		}
@@ -193,11 +193,11 @@
 }
 
 // StatusOf asks one node.
-func (c *Client) StatusOf(ctx context.Context, address string) (controlapi.StatusReply, error) {
+func (c *Client) StatusOf(ctx context.Context, address string, request controlapi.StatusRequest) (controlapi.StatusReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply controlapi.StatusReply
-	err := c.peers.Call(ctx, address, controlapi.KindStatus, controlapi.StatusRequest{}, &reply)
+	err := c.peers.Call(ctx, address, controlapi.KindStatus, request, &reply)
 	return reply, err
 }
 
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -334,7 +334,7 @@
 	leader := -1
 	for i := range f.nodes {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		status, err := f.client.StatusOf(ctx, f.controlAddresses()[i])
+		status, err := f.client.StatusOf(ctx, f.controlAddresses()[i], controlapi.StatusRequest{})
 		cancel()
 		if err == nil && status.HoldsLease {
 			leader = i
@@ -347,7 +347,7 @@
 	f.nodes[leader].Kill()
 	f.nodes = append(f.nodes[:leader:leader], f.nodes[leader+1:]...)
 	for time.Since(started) < settleLimit {
-		status, err := f.client.Status(context.Background())
+		status, err := f.client.Status(context.Background(), controlapi.StatusRequest{})
 		if err == nil && status.HoldsLease {
 			return time.Since(started), nil
 		}
--- a/internal/state/bundles.go
+++ b/internal/state/bundles.go
@@ -120,6 +120,7 @@
 		return Result{Code: CodeRefused, Message: err.Error()}
 	}
 	m.data.Head, m.data.Pending = pending, nil
+	m.data.Retention = b.ClaimRetention.Milliseconds()
 	m.data.Trust = Trust{Operators: b.Operators, Approvals: b.Approvals}
 	m.data.History = append(m.data.History, Version{Version: pending.Version, Digest: pending.Digest,
 		Operators: signers(pending), Index: index, At: m.data.Now})
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// claimRetention is how long a claim is remembered after it was made. A
-	// caller that repeats a key later than this may run the call again.
-	claimRetention = 24 * time.Hour
+	// defaultRetention is how long a claim is remembered after it was made,
+	// unless the bundle says otherwise. A caller that repeats a key later than
+	// this may run the call again.
+	defaultRetention = 2 * time.Hour
 	// outcomeLimit bounds the stored answer. A longer one is cut, and repeats
 	// are told so.
 	outcomeLimit = 64 << 10
@@ -16,7 +17,9 @@
 	Attempt string   `json:"attempt"`
 	Request string   `json:"request"`
 	Outcome *Outcome `json:"outcome,omitempty"`
-	At      int64    `json:"at"`
+	// At is when the claim was made, Until when it may be forgotten.
+	At    int64 `json:"at"`
+	Until int64 `json:"until"`
 }
 
 // expiry says when a claim or void may be forgotten.
@@ -58,7 +61,7 @@
 	}
 	held, taken := m.data.Claims[claimKey(op)]
 	if !taken {
-		m.data.Claims[claimKey(op)] = &claim{Attempt: op.Attempt, Request: op.Request, At: m.data.Now}
+		m.data.Claims[claimKey(op)] = &claim{Attempt: op.Attempt, Request: op.Request, At: m.data.Now, Until: m.data.Now + m.retention()}
 		m.expireLater(expiry{Key: claimKey(op)})
 		return ClaimResult{State: ClaimGranted}
 	}
@@ -106,12 +109,21 @@
 	return ClaimResult{State: ClaimVoid}
 }
 
+// retention is in milliseconds.
+func (m *Machine) retention() int64 {
+	if m.data.Retention > 0 {
+		return m.data.Retention
+	}
+	return defaultRetention.Milliseconds()
+}
+
 func (m *Machine) expireLater(e expiry) {
-	e.At = m.data.Now + claimRetention.Milliseconds()
+	e.At = m.data.Now + m.retention()
 	m.data.Expiring = append(m.data.Expiring, e)
 }
 
-// expireClaims forgets what is older than the retention.
+// expireClaims forgets what is older than the retention. The list is in order
+// of time but for changes of the retention, which delay what stands behind.
 func (m *Machine) expireClaims() {
 	due := 0
 	for due < len(m.data.Expiring) && m.data.Expiring[due].At <= m.data.Now {
@@ -122,7 +134,7 @@
 			continue
 		}
 		held, ok := m.data.Claims[e.Key]
-		if ok && held.At+claimRetention.Milliseconds() <= m.data.Now {
+		if ok && held.Until <= m.data.Now {
 			delete(m.data.Claims, e.Key)
 		}
 	}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -60,6 +60,9 @@
 	Expiring []expiry            `json:"expiring,omitempty"`
 	Orders   []OrderRecord       `json:"orders,omitempty"`
 	Voids    map[string]struct{} `json:"voids,omitempty"`
+	// Retention is how long claims are remembered, in milliseconds; 0 is the
+	// default. It comes from the bundle in force.
+	Retention int64 `json:"retention,omitempty"`
 }
 
 // OrderRecord is an order with its fence.
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -226,10 +226,10 @@
 		return d.apply(t, Command{At: at, Claims: &Claims{Operations: []ClaimOperation{op}}}).Claims[0].State
 	}
 	assert.Equal(t, acquire(1000, "a"), ClaimGranted)
-	assert.Equal(t, acquire(1000+claimRetention.Milliseconds()-1, "b"), ClaimRunning)
+	assert.Equal(t, acquire(1000+defaultRetention.Milliseconds()-1, "b"), ClaimRunning)
 	// A clock that goes back does not bring the claim's end nearer.
 	assert.Equal(t, acquire(5, "c"), ClaimRunning)
-	assert.Equal(t, acquire(1000+claimRetention.Milliseconds(), "d"), ClaimGranted)
+	assert.Equal(t, acquire(1000+defaultRetention.Milliseconds(), "d"), ClaimGranted)
 }
 
 func TestALongOutcomeIsNotKeptAndSaysSo(t *testing.T) {
