Leaving back ends come back

Cause: an application worker that was listed as leaving was never used again, for only a new incarnation ended the mark, and workers have none; the same held for an engine that drained and resumed.

Change: the list's word and the engine's own are kept apart.

--- a/internal/membership/pool.go
+++ b/internal/membership/pool.go
@@ -41,9 +41,13 @@
 	recent     []dispatch
 	failures   int
 	suspect    time.Duration
-	leaving    bool
+	// drained says that the machine itself refused new work, before control
+	// told.
+	drained bool
 }
 
+func (e *entry) leaving() bool { return e.drained || e.machine.Leaving }
+
 // Pool holds the back ends. It is safe for concurrent use; time is an
 // argument, so that the simulator runs it too.
 type Pool struct {
@@ -72,11 +76,10 @@
 		if e == nil || e.machine.Incarnation != m.Incarnation {
 			e = &entry{key: scheduling.EndpointKey(m.ID)}
 		}
-		e.machine = m
-		e.leaving = e.leaving || m.Leaving
-		if !m.Leaving && m.Incarnation != "" {
-			e.leaving = false
+		if e.machine.Leaving && !m.Leaving {
+			e.drained = false // it is back
 		}
+		e.machine = m
 		p.entries[m.ID] = e
 		p.order = append(p.order, m.ID)
 	}
@@ -143,7 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.entries[id]; e != nil {
-		e.leaving = true
+		e.drained = true
 	}
 }
 
@@ -211,7 +214,7 @@
 
 func (e *entry) state(now time.Duration) scheduling.State {
 	switch {
-	case e.leaving:
+	case e.leaving():
 		return scheduling.Leaving
 	case now < e.suspect || !e.reported || now-e.reportedAt > staleReport:
 		// An engine whose load is not known, such as one of a zone that the
@@ -236,7 +239,7 @@
 	var out []Application
 	for _, id := range p.order {
 		e := p.entries[id]
-		if e.machine.Role != controlapi.RoleApplication || e.leaving {
+		if e.machine.Role != controlapi.RoleApplication || e.leaving() {
 			continue
 		}
 		out = append(out, Application{ID: id, Address: e.machine.Address, Zone: e.machine.Zone, Suspect: now < e.suspect})
