--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/bundle"
+	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+func offer(t *testing.T, version uint64) controlapi.Offer {
+	t.Helper()
+	text, err := (&bundle.Bundle{Version: version}).Canonical()
+	assert.NilError(t, err)
+	return controlapi.Offer{Stamp: controlapi.Stamp{Version: version, Digest: bundle.Digest(text)}, Stage: 10 * version, Whole: text}
+}
+
+func registry(names ...string) *state.Registry {
+	g := &state.Registry{Version: 1, Members: map[string]state.Router{}}
+	for _, name := range names {
+		g.Members[name] = state.Router{Name: name}
+	}
+	return g
+}
+
+const lease = 3 * time.Second
+
+// leased returns an agent of three routers with version 1 in force and a lease.
+func leased(t *testing.T) *Agent {
+	t.Helper()
+	a := New(state.Router{Name: "a"}, Durable{}, 0)
+	first := offer(t, 1)
+	assert.NilError(t, a.HandleLease(0, controlapi.LeaseReply{Leading: true, Granted: true, Duration: lease, Accepted: first.Stamp,
+		Offers: []controlapi.Offer{first}, Registry: registry("a", "b", "c")}))
+	assert.Equal(t, a.Mode(0), ModeLeased)
+	return a
+}
+
+func TestALeaseEndsAndTheRouterStops(t *testing.T) {
+	a := leased(t)
+	assert.Equal(t, a.Mode(lease-1), ModeLeased)
+	assert.Equal(t, a.Mode(lease), ModeNone)
+	assert.Assert(t, a.WantsHold(lease))
+}
+
+func TestALeaseCountsFromWhenItWasAskedFor(t *testing.T) {
+	a := leased(t)
+	assert.NilError(t, a.HandleLease(time.Second, controlapi.LeaseReply{Granted: true, Duration: lease, Accepted: a.InForce().Stamp}))
+	assert.Equal(t, a.Mode(4*time.Second-1), ModeLeased)
+	assert.Equal(t, a.Mode(4*time.Second), ModeNone)
+}
+
+func TestAStagedBundleIsAcknowledgedAndNotServed(t *testing.T) {
+	a := leased(t)
+	second := offer(t, 2)
+	assert.NilError(t, a.HandleLease(0, controlapi.LeaseReply{Granted: true, Duration: lease, Accepted: a.InForce().Stamp, Offers: []controlapi.Offer{second}}))
+	assert.Assert(t, a.Dirty())
+	assert.Equal(t, a.LeaseRequest().Stage, second.Stage)
+	assert.Equal(t, a.InForce().Stamp.Version, uint64(1))
+	assert.NilError(t, a.HandleLease(0, controlapi.LeaseReply{Granted: true, Duration: lease, Accepted: second.Stamp}))
+	assert.Equal(t, a.InForce().Stamp, second.Stamp)
+	// An older acceptance, late on the way, changes nothing.
+	assert.NilError(t, a.HandleLease(0, controlapi.LeaseReply{Granted: true, Duration: lease, Accepted: offer(t, 1).Stamp, Offers: []controlapi.Offer{offer(t, 1)}}))
+	assert.Equal(t, a.InForce().Stamp, second.Stamp)
+}
+
+func TestNoLeaseIsTakenWithoutTheAcceptedBundle(t *testing.T) {
+	a := New(state.Router{Name: "a"}, Durable{}, 0)
+	broken := offer(t, 1)
+	broken.Base, broken.Delta, broken.Whole = "not here", []byte("{}"), nil
+	err := a.HandleLease(0, controlapi.LeaseReply{Granted: true, Duration: lease, Accepted: broken.Stamp, Offers: []controlapi.Offer{broken}})
+	assert.Assert(t, errors.Is(err, ErrOffer))
+	assert.Equal(t, a.Mode(0), ModeNone)
+	assert.DeepEqual(t, a.LeaseRequest().Staged, controlapi.Stamp{}) // asks for the whole
+	forged := offer(t, 1)
+	forged.Whole = []byte(`{"version":9}`)
+	assert.Assert(t, errors.Is(a.HandleLease(0, controlapi.LeaseReply{Offers: []controlapi.Offer{forged}}), ErrOffer))
+}
+
+func TestAMajorityWithoutLeaseGoesOnByTheNewestBundle(t *testing.T) {
+	a := leased(t)
+	now := lease
+	second := offer(t, 2)
+	assert.NilError(t, a.HandleHoldReply(now, now, "b", controlapi.HoldReply{Leased: true}))
+	assert.Equal(t, a.Mode(now), ModeNone) // the fault is this router's alone
+	assert.NilError(t, a.HandleHoldReply(now, now, "c", controlapi.HoldReply{Newest: second.Stamp, Offer: &second}))
+	assert.Equal(t, a.Mode(now), ModeHeld)
+	assert.Equal(t, a.InForce().Stamp, second.Stamp)
+	assert.Equal(t, a.Mode(now+holdDuration), ModeNone)
+}
+
+func TestANewerBundleThatIsNotHereStopsTheRouter(t *testing.T) {
+	a := leased(t)
+	assert.NilError(t, a.HandleHoldReply(lease, lease, "b", controlapi.HoldReply{Newest: offer(t, 2).Stamp}))
+	assert.Equal(t, a.Mode(lease), ModeNone)
+}
+
+func TestWhatIsDurableComesBack(t *testing.T) {
+	a := leased(t)
+	again := New(state.Router{Name: "a"}, a.Durable(), time.Minute)
+	assert.Equal(t, again.InForce().Stamp, a.InForce().Stamp)
+	assert.Equal(t, again.Mode(time.Minute), ModeNone) // no lease yet
+	assert.Equal(t, len(again.Peers()), 2)
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, handler Handler) (*Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := Serve(listener, &Counters{}, handler)
+	t.Cleanup(s.Close)
+	return s, listener.Addr().String()
+}
+
+func echo(_ context.Context, kind string, body json.RawMessage) (any, error) {
+	switch kind {
+	case "echo":
+		return body, nil
+	case "fail":
+		return nil, errors.New("broken on purpose")
+	}
+	return nil, errors.Wrap(ErrUnknownKind, kind)
+}
+
+func TestRepliesReachTheirOwnCalls(t *testing.T) {
+	_, address := serve(t, echo)
+	client := NewClient(&Counters{})
+	defer client.Close()
+	var group sync.WaitGroup
+	for i := range 100 {
+		group.Go(func() {
+			var reply int
+			assert.Check(t, client.Call(context.Background(), address, "echo", i, &reply) == nil)
+			assert.Check(t, reply == i)
+		})
+	}
+	group.Wait()
+}
+
+func TestErrorsSayWhoseTheyAre(t *testing.T) {
+	server, address := serve(t, echo)
+	client := NewClient(&Counters{})
+	defer client.Close()
+	err := client.Call(context.Background(), address, "fail", 1, nil)
+	assert.Assert(t, errors.Is(err, ErrRemote), "%v", err)
+	assert.ErrorContains(t, err, "broken on purpose")
+	assert.ErrorContains(t, client.Call(context.Background(), address, "other", 1, nil), "unknown kind")
+	server.Close()
+	for {
+		// The first calls may still meet the old connection's end.
+		err = client.Call(context.Background(), address, "echo", 1, nil)
+		if errors.Is(err, ErrUnreachable) {
+			break
+		}
+		assert.Assert(t, errors.Is(err, ErrBroken), "%v", err)
+	}
+}
+
+func TestACallThatTheServerDropsIsBroken(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		connection, err := listener.Accept()
+		if err == nil {
+			_, _ = connection.Read(make([]byte, 1))
+			_ = connection.Close()
+		}
+	}()
+	client := NewClient(&Counters{})
+	defer client.Close()
+	err = client.Call(context.Background(), listener.Addr().String(), "echo", 1, nil)
+	assert.Assert(t, errors.Is(err, ErrBroken), "%v", err)
+}
+
+func TestOneWayMessagesArrive(t *testing.T) {
+	got := make(chan string, 10)
+	_, address := serve(t, func(_ context.Context, kind string, body json.RawMessage) (any, error) {
+		got <- fmt.Sprint(kind, string(body))
+		return nil, nil
+	})
+	client := NewClient(&Counters{})
+	defer client.Close()
+	client.Send(address, "note", 7)
+	assert.Equal(t, <-got, "note7")
+}
+
+func TestTheCallersPatienceEndsTheWait(t *testing.T) {
+	release := make(chan struct{})
+	_, address := serve(t, func(context.Context, string, json.RawMessage) (any, error) {
+		<-release
+		return 1, nil
+	})
+	defer close(release)
+	client := NewClient(&Counters{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, client.Call(ctx, address, "echo", 1, nil), context.DeadlineExceeded)
+}
