--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -70,6 +70,7 @@
 // ends.
 func (s *Server) runOrders(ctx context.Context) {
 	keeper := newOrderKeeper()
+	defer keeper.client.CloseIdleConnections()
 	ticker := time.NewTicker(orderInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -126,7 +126,6 @@
 	// control node named by Source.
 	Revision uint64 `json:"revision"`
 	Source   string `json:"source,omitempty"`
-	Region   string `json:"region"`
 	// AfterChange is the last change of chain heads that the router has, or 0.
 	AfterChange uint64 `json:"after_change,omitempty"`
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,6 @@
 
 // Config is what a Gateway works with.
 type Config struct {
-	Name       string
 	Zone       string
 	MaxBody    int64
 	Board      *board.Board
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go keys.Run(ctx)
-	f.gateway = New(Config{Name: "r", MaxBody: 4096, Board: f.board, Pool: pool, Dispatcher: dispatcher, Claims: keys,
+	f.gateway = New(Config{MaxBody: 4096, Board: f.board, Pool: pool, Dispatcher: dispatcher, Claims: keys,
 		Traces: trace.NewRecorder(), Logger: logger, Registry: telemetry.NewRegistry(), Now: now})
 	return f
 }
--- a/internal/hollow/hollow.go
+++ b/internal/hollow/hollow.go
@@ -59,6 +59,7 @@
 	cancel   context.CancelFunc
 	nodes    []*control.Server
 	routers  []*router.Router
+	peers    *peer.Client
 	client   *controlclient.Client
 	private  string
 	public   string
@@ -172,7 +173,8 @@
 		}
 		f.nodes = append(f.nodes, node)
 	}
-	f.client = controlclient.New(peer.NewClient(&peer.Counters{}), f.controlAddresses())
+	f.peers = peer.NewClient(&peer.Counters{})
+	f.client = controlclient.New(f.peers, f.controlAddresses())
 	return nil
 }
 
@@ -388,6 +390,9 @@
 	for _, node := range f.nodes {
 		node.Kill()
 	}
+	if f.peers != nil {
+		f.peers.Close()
+	}
 	if f.platform != nil {
 		_ = f.platform.Close()
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -67,6 +67,7 @@
 	group.Go(func() { every(ctx, i.config.ListInterval, i.pollList) })
 	group.Go(func() { every(ctx, i.config.StatusInterval, i.pollEngines) })
 	group.Wait()
+	i.client.CloseIdleConnections()
 }
 
 func every(ctx context.Context, interval time.Duration, work func(context.Context)) {
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -36,7 +36,6 @@
 	logger  *slog.Logger
 	control *controlclient.Client
 	clock   clock
-	region  string
 	pool    *membership.Pool
 	// directory is fed with the chain heads that engines hold.
 	directory *scheduling.Directory
@@ -54,7 +53,7 @@
 
 func newMembership(r *Router, pool *membership.Pool, directory *scheduling.Directory, clock clock) (*membershipController, error) {
 	m := &membershipController{logger: telemetry.Part(r.logger, "membership"), control: r.control, clock: clock,
-		region: r.settings.Region, pool: pool, directory: directory, ready: make(chan struct{}), saved: -machinesSaved}
+		pool: pool, directory: directory, ready: make(chan struct{}), saved: -machinesSaved}
 	var err error
 	if m.writer, err = r.board.Machines.Claim("membership"); err != nil {
 		return nil, err
@@ -90,8 +89,7 @@
 }
 
 func (m *membershipController) poll(ctx context.Context) {
-	reply, err := m.control.View(ctx, controlapi.ViewRequest{Revision: m.current.Revision, Source: m.current.Source, Region: m.region,
-		AfterChange: m.lastChange})
+	reply, err := m.control.View(ctx, controlapi.ViewRequest{Revision: m.current.Revision, Source: m.current.Source, AfterChange: m.lastChange})
 	if err != nil {
 		m.logger.Debug("view failed", "error", err)
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,7 +77,7 @@
 		Logger: telemetry.Part(logger, "dispatch")})
 	registry := telemetry.NewRegistry()
 	r.registerMetrics(registry)
-	r.gateway = gateway.New(gateway.Config{Name: config.Name, Zone: config.Zone, MaxBody: config.MaxBody, Board: r.board,
+	r.gateway = gateway.New(gateway.Config{Zone: config.Zone, MaxBody: config.MaxBody, Board: r.board,
 		Pool: pool, Dispatcher: dispatcher, Claims: r.claims, Traces: r.traces, Logger: logger, Registry: registry, Now: clock.now})
 	return r, nil
 }
