Routers join only once a majority of the larger registry has the bundle

Cause: a bundle was accepted while the registry had one member, which had acknowledged it. Four joining routers then became members, and three of them, a majority of the five that had never heard of the bundle, lost control together and went on by the old one.

Ruled out: the age of a router's word (all were below 2 s); lost disks.

Change: an admission needs majorities of both registries that know the registry and have the bundle in force, names that bundle, and is refused while another one is staged.

Also: a router that has lost its lease asks one router for a missing bundle, in place of getting it from all; words are renewed when half of their time is over.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,10 @@
 	dirty    bool
 	leaseEnd time.Duration
 	others   map[string]unleased
+	// missing is a bundle that another router has and this one lacks, and
+	// source the router to get it from.
+	missing controlapi.Stamp
+	source  string
 	// wantWhole is set after an offer could not be applied.
 	wantWhole bool
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -87,7 +87,12 @@
 	second := offer(t, 2)
 	assert.NilError(t, a.HandleHoldReply(now, now, "b", controlapi.HoldReply{Leased: true}))
 	assert.Equal(t, a.Mode(now), ModeNone) // the fault is this router's alone
+	assert.NilError(t, a.HandleHoldReply(now, now, "c", controlapi.HoldReply{Newest: second.Stamp}))
+	assert.Equal(t, a.Mode(now), ModeNone) // the newest bundle is not here yet
+	assert.Equal(t, a.HoldRequest("b").Want, controlapi.Stamp{})
+	assert.Equal(t, a.HoldRequest("c").Want, second.Stamp)
 	assert.NilError(t, a.HandleHoldReply(now, now, "c", controlapi.HoldReply{Newest: second.Stamp, Offer: &second}))
+	assert.Equal(t, a.HoldRequest("c").Want, controlapi.Stamp{})
 	assert.Equal(t, a.Mode(now), ModeHeld)
 	assert.Equal(t, a.InForce().Stamp, second.Stamp)
 	assert.Equal(t, a.Mode(now+holdDuration), ModeNone)
@@ -104,5 +109,5 @@
 	again := New(state.Router{Name: "a"}, a.Durable(), time.Minute)
 	assert.Equal(t, again.InForce().Stamp, a.InForce().Stamp)
 	assert.Equal(t, again.Mode(time.Minute), ModeNone) // no lease yet
-	assert.Equal(t, len(again.Peers()), 2)
+	assert.Equal(t, len(again.Peers(time.Minute)), 2)
 }
--- a/internal/agent/hold.go
+++ b/internal/agent/hold.go
@@ -13,22 +13,28 @@
 	return now >= a.leaseEnd && a.newest() != nil
 }
 
-// Peers returns the routers to ask.
-func (a *Agent) Peers() []state.Router {
+// askAgain is how long before its end another router's word is renewed.
+const askAgain = holdDuration / 2
+
+// Peers returns the routers to ask at now: those whose word has ended or soon
+// does, and the one that has a missing bundle.
+func (a *Agent) Peers(now time.Duration) []state.Router {
 	var others []state.Router
 	for _, router := range a.durable.Registry.All() {
-		if router.Name != a.self.Name {
+		word, known := a.others[router.Name]
+		fresh := known && now < word.until-askAgain && router.Name != a.source
+		if router.Name != a.self.Name && !fresh {
 			others = append(others, router)
 		}
 	}
 	return others
 }
 
-// HoldRequest returns the question to the other routers.
-func (a *Agent) HoldRequest() controlapi.HoldRequest {
+// HoldRequest returns the question to another router.
+func (a *Agent) HoldRequest(to string) controlapi.HoldRequest {
 	r := controlapi.HoldRequest{Router: a.self.Name, Registry: a.durable.Registry.Version}
-	if newest := a.newest(); newest != nil {
-		r.Newest = newest.Stamp
+	if to == a.source {
+		r.Want = a.missing
 	}
 	return r
 }
@@ -38,7 +44,7 @@
 	reply := controlapi.HoldReply{Leased: now < a.leaseEnd}
 	if newest := a.newest(); newest != nil {
 		reply.Newest = newest.Stamp
-		if newest.Stamp.Version > r.Newest.Version {
+		if newest.Stamp == r.Want {
 			reply.Offer = &controlapi.Offer{Stamp: newest.Stamp, Stage: newest.Stage, Whole: newest.Canonical}
 		}
 	}
@@ -58,6 +64,7 @@
 			return err
 		}
 	}
+	a.seek(from, reply.Newest)
 	delete(a.others, from)
 	if !reply.Leased {
 		a.others[from] = unleased{until: sent + holdDuration, newest: reply.Newest.Version}
@@ -68,6 +75,20 @@
 	return nil
 }
 
+// seek notes where a bundle is that this router lacks.
+func (a *Agent) seek(from string, newest controlapi.Stamp) {
+	have := uint64(0)
+	if held := a.newest(); held != nil {
+		have = held.Stamp.Version
+	}
+	if a.missing.Version <= have || from == a.source {
+		a.missing, a.source = controlapi.Stamp{}, ""
+	}
+	if newest.Version > have && newest.Version > a.missing.Version {
+		a.missing, a.source = newest, from
+	}
+}
+
 // adoptNewest puts the highest bundle of the majority in force. A staged bundle
 // is decided: control has accepted it or will.
 func (a *Agent) adoptNewest() {
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -19,9 +19,10 @@
 	routers map[string]*routerLease
 	// proposed is the stage whose acceptance was proposed, or 0.
 	proposed uint64
-	// admitting is the registry version whose admission was proposed, or 0.
-	admitting uint64
-	joining   map[string]bool
+	// admitting says that an admission is under way.
+	admitting bool
+	// registering are routers whose registration is under way.
+	registering map[string]bool
 }
 
 type routerLease struct {
@@ -33,7 +34,7 @@
 }
 
 func (t *leaseTable) reset(now time.Duration) {
-	*t = leaseTable{since: now, routers: map[string]*routerLease{}, joining: map[string]bool{}}
+	*t = leaseTable{since: now, routers: map[string]*routerLease{}, registering: map[string]bool{}}
 }
 
 // Lease renews a router's lease. Only a leader that holds its own lease
@@ -48,10 +49,7 @@
 		c.registerRouter(now, r.Router)
 		return controlapi.LeaseReply{Leading: true}
 	}
-	reply := controlapi.LeaseReply{Leading: true, Offers: c.offers(r)}
-	if head := c.machine.Head(); head != nil {
-		reply.Accepted = stampOf(head)
-	}
+	reply := controlapi.LeaseReply{Leading: true, Offers: c.offers(r), Accepted: c.headStamp()}
 	if r.Registry != registry.Version {
 		current := registry.Clone()
 		reply.Registry = &current
@@ -59,16 +57,18 @@
 	if _, member := registry.Members[r.Router.Name]; !member {
 		// A joining router counts in no majority yet, so it gets no lease: an
 		// acceptance could pass it by.
+		c.note(now, r, now)
 		return reply
 	}
 	reply.Granted, reply.Duration = true, c.config.Lease
-	c.noteLease(now, r)
+	c.note(now, r, now+c.config.Lease+c.config.Lease/leaseSlack)
 	return reply
 }
 
-func (c *Core) noteLease(now time.Duration, r controlapi.LeaseRequest) {
+// note remembers what a router said, and until when its lease lasts.
+func (c *Core) note(now time.Duration, r controlapi.LeaseRequest, expires time.Duration) {
 	c.leases.routers[r.Router.Name] = &routerLease{
-		expires:  now + c.config.Lease + c.config.Lease/leaseSlack,
+		expires:  expires,
 		heard:    now,
 		inForce:  r.InForce,
 		stage:    r.Stage,
@@ -79,42 +79,42 @@
 }
 
 func (c *Core) registerRouter(now time.Duration, router state.Router) {
-	if c.leases.joining[router.Name] {
+	if c.leases.registering[router.Name] {
 		return
 	}
 	command := state.Command{Register: &state.Register{Routers: []state.Router{router}}}
-	err := c.Propose(now, command, func(state.Result, error) { delete(c.leases.joining, router.Name) })
+	err := c.Propose(now, command, func(state.Result, error) { delete(c.leases.registering, router.Name) })
 	if err == nil {
-		c.leases.joining[router.Name] = true
+		c.leases.registering[router.Name] = true
 	}
 }
 
-// admit proposes that joining routers count, once a majority of the members
-// has the registry that lists them.
+// admit proposes that joining routers count, once the majorities of both the
+// old and the new registry know of it and of the bundle in force.
 func (c *Core) admit(now time.Duration) {
 	registry := c.machine.Registry()
-	if len(registry.Joining) == 0 || c.leases.admitting == registry.Version {
+	if len(registry.Joining) == 0 || c.leases.admitting || !c.node.HoldsLease(now) {
 		return
 	}
-	informed := 0
-	for name := range registry.Members {
-		if lease := c.leases.routers[name]; lease != nil && lease.registry == registry.Version {
-			informed++
-		}
+	head := c.headStamp()
+	informed := func(name string) bool {
+		said := c.leases.routers[name]
+		return said != nil && said.registry == registry.Version && said.inForce.Version >= head.Version
 	}
-	if informed <= len(registry.Members)/2 {
+	if !registry.HasMajority(informed) {
 		return
 	}
-	version := registry.Version
-	command := state.Command{Admit: &state.Admit{Version: version}}
-	err := c.Propose(now, command, func(_ state.Result, err error) {
-		if err != nil && c.leases.admitting == version {
-			c.leases.admitting = 0
-		}
-	})
-	if err == nil {
-		c.leases.admitting = version
+	command := state.Command{Admit: &state.Admit{Version: registry.Version, Head: head.Digest}}
+	err := c.Propose(now, command, func(state.Result, error) { c.leases.admitting = false })
+	c.leases.admitting = err == nil
+}
+
+// headStamp returns the stamp of the bundle in force, zero for none.
+func (c *Core) headStamp() controlapi.Stamp {
+	if head := c.machine.Head(); head != nil {
+		return stampOf(head)
 	}
+	return controlapi.Stamp{}
 }
 
 func (c *Core) leaderAddress() string {
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -76,8 +76,9 @@
 // has.
 type HoldRequest struct {
 	Router string `json:"router"`
-	// Newest is the highest bundle that the sender has.
-	Newest Stamp `json:"newest"`
+	// Want asks for the bundle of this stamp. It goes to one router at a time,
+	// or all would send a large bundle at once.
+	Want Stamp `json:"want"`
 	// Registry is the version of the registry that the sender has.
 	Registry uint64 `json:"registry"`
 }
@@ -89,7 +90,7 @@
 	Leased bool `json:"leased,omitempty"`
 	// Newest is the highest bundle, staged or in force, that the receiver has.
 	Newest Stamp `json:"newest"`
-	// Offer carries it when the sender lacks it.
+	// Offer carries it when it was asked for.
 	Offer *Offer `json:"offer,omitempty"`
 	// Registry is sent when the sender's is older.
 	Registry *state.Registry `json:"registry,omitempty"`
--- a/internal/router/rollout.go
+++ b/internal/router/rollout.go
@@ -192,16 +192,19 @@
 func (o *rollout) askPeers(ctx context.Context) {
 	o.mu.Lock()
 	sent := o.clock.now()
-	request := o.agent.HoldRequest()
-	peers := o.agent.Peers()
+	peers := o.agent.Peers(sent)
+	requests := make([]controlapi.HoldRequest, len(peers))
+	for i, router := range peers {
+		requests[i] = o.agent.HoldRequest(router.Name)
+	}
 	o.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, router := range peers {
+	for i, router := range peers {
 		group.Go(func() {
 			var reply controlapi.HoldReply
-			if err := o.peers.Call(ctx, router.Peer, controlapi.KindHold, request, &reply); err != nil {
+			if err := o.peers.Call(ctx, router.Peer, controlapi.KindHold, requests[i], &reply); err != nil {
 				return
 			}
 			o.update(func(now time.Duration) error { return o.agent.HandleHoldReply(now, sent, router.Name, reply) })
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -119,8 +119,9 @@
 
 func (r *router) askPeers() {
 	w := r.world
-	request, sent, life := r.agent.HoldRequest(), r.clock(), r.life
-	for _, peer := range r.agent.Peers() {
+	sent, life := r.clock(), r.life
+	for _, peer := range r.agent.Peers(sent) {
+		request := r.agent.HoldRequest(peer.Name)
 		other := w.router(peer.Name)
 		w.send(r.self.Name, peer.Name, func() {
 			if other.down {
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,8 +11,18 @@
 // fixedSeeds is how many seeds CI runs.
 const fixedSeeds = 50
 
+// foundSeeds once failed, beyond the first fifty.
+//
+//   - 297: routers joined while a bundle was accepted by the smaller registry;
+//     a majority of the larger one did not know of it and went on by the old.
+var foundSeeds = []uint64{297}
+
 func TestPromisesHoldUnderFaults(t *testing.T) {
+	seeds := slices.Clone(foundSeeds)
 	for seed := range uint64(fixedSeeds) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			report, err := Run(DefaultConfig(seed))
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -90,10 +90,14 @@
 }
 
 // Admit makes the joining routers members of the registry. The leader proposes
-// it once a majority of the members holds the registry of this version, which
-// lists the joining ones.
+// it once a majority of the members, and one of members and joining routers
+// together, holds the registry of this version and has this bundle in force:
+// else a majority of the larger registry could miss a bundle that a majority of
+// the smaller one acknowledged.
 type Admit struct {
 	Version uint64 `json:"version"`
+	// Head is the digest of the bundle in force, empty for none.
+	Head string `json:"head,omitempty"`
 }
 
 // Retire removes routers that are known to be gone for good.
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -262,6 +262,17 @@
 	d.apply(t, Command{Admit: &Admit{Version: g.Version}})
 	assert.Equal(t, len(d.machine.Registry().Members), 2)
 	assert.Equal(t, d.apply(t, Command{Retire: &Retire{Names: []string{"x"}}}).Code, CodeUnknown)
+	// While a bundle is staged, or another one is in force than was looked at,
+	// nobody is admitted.
+	d.apply(t, Command{Register: router("c")})
+	p, digest := proposal(t, 1, "", "x")
+	staged := d.apply(t, Command{Propose: p})
+	assert.Assert(t, staged.Staged)
+	assert.Equal(t, d.apply(t, Command{Admit: &Admit{Version: g.Version}}).Code, CodeUnknown)
+	d.apply(t, Command{Accept: &Accept{Digest: digest, Stage: d.machine.Pending().Stage}})
+	assert.Equal(t, d.apply(t, Command{Admit: &Admit{Version: g.Version}}).Code, CodeUnknown)
+	assert.Equal(t, d.apply(t, Command{Admit: &Admit{Version: g.Version, Head: digest}}).Code, CodeOK)
+	d.apply(t, Command{Retire: &Retire{Names: []string{"c"}}})
 	d.apply(t, Command{Retire: &Retire{Names: []string{"a"}}})
 	assert.Equal(t, len(d.machine.Registry().Members), 1)
 }
--- a/internal/state/registry.go
+++ b/internal/state/registry.go
@@ -89,8 +89,13 @@
 
 func (m *Machine) admit(a *Admit) Result {
 	g := &m.data.Registry
-	if a.Version != g.Version {
-		return Result{Code: CodeUnknown, Message: "the registry has changed since"}
+	head := ""
+	if m.data.Head != nil {
+		head = m.data.Head.Digest
+	}
+	staged := m.data.Pending != nil && m.data.Pending.Stage != 0
+	if a.Version != g.Version || a.Head != head || staged {
+		return Result{Code: CodeUnknown, Message: "the registry or the bundle has changed since"}
 	}
 	maps.Copy(g.Members, g.Joining)
 	clear(g.Joining)
