A router that control answers does not ask the others

Cause: joining routers have a bundle and no lease until they are admitted, and asked all others meanwhile: 320 in one process used up its files at the start.

Change: a router asks the others only when control has been silent for a second.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,7 +58,10 @@
 	durable  Durable
 	dirty    bool
 	leaseEnd time.Duration
-	others   map[string]unleased
+	// heardAt is when a request was sent that control answered, if any was.
+	heard   bool
+	heardAt time.Duration
+	others  map[string]unleased
 	// missing is a bundle that another router has and this one lacks, and
 	// source the router to get it from.
 	missing controlapi.Stamp
@@ -126,6 +129,9 @@
 // HandleLease takes the answer to a request that was sent at the given time.
 func (a *Agent) HandleLease(sent time.Duration, reply controlapi.LeaseReply) error {
 	a.learnRegistry(reply.Registry)
+	if reply.Leading {
+		a.heard, a.heardAt = true, max(a.heardAt, sent)
+	}
 	a.wantWhole = false
 	for _, offer := range reply.Offers {
 		if err := a.take(offer); err != nil {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -45,6 +45,10 @@
 	assert.Equal(t, a.Mode(lease-1), ModeLeased)
 	assert.Equal(t, a.Mode(lease), ModeNone)
 	assert.Assert(t, a.WantsHold(lease))
+	// Control that answers without a lease is not lost.
+	assert.NilError(t, a.HandleLease(lease, controlapi.LeaseReply{Leading: true, Accepted: a.InForce().Stamp}))
+	assert.Assert(t, !a.WantsHold(lease))
+	assert.Assert(t, a.WantsHold(lease+controlSilence))
 }
 
 func TestALeaseCountsFromWhenItWasAskedFor(t *testing.T) {
--- a/internal/agent/hold.go
+++ b/internal/agent/hold.go
@@ -7,10 +7,15 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
+// controlSilence is how long control may be silent before it is taken for lost.
+const controlSilence = time.Second
+
 // WantsHold tells whether the router should ask the others whether they have
-// lost control too: it has no lease.
+// lost control too: it has no lease, and control is silent. A router that
+// control answers and gives no lease to, such as a joining one, need not ask.
 func (a *Agent) WantsHold(now time.Duration) bool {
-	return now >= a.leaseEnd && a.newest() != nil
+	silent := !a.heard || now >= a.heardAt+controlSilence
+	return now >= a.leaseEnd && silent && a.newest() != nil
 }
 
 // askAgain is how long before its end another router's word is renewed.
