--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -56,6 +56,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// A second signal ends commands that do not heed the first.
+	context.AfterFunc(ctx, stop)
 	command.BindTo(ctx, (*context.Context)(nil))
 	if err := command.Run(); err != nil {
 		if errors.Is(err, errUnsound) {
