--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -33,7 +33,7 @@
 	Operators map[string]string `yaml:"operators" json:"operators,omitempty" validate:"dive,hexadecimal,len=64"`
 	// ClaimRetention is how long an idempotency key is remembered. A call that
 	// is repeated later may run again. Control keeps all of them in memory:
-	// about 220 bytes each, and the answer. Default 2h.
+	// about 450 bytes each with a short answer. Default 2h.
 	ClaimRetention time.Duration `yaml:"claim_retention" json:"claim_retention,omitempty" validate:"omitempty,min=1m,max=24h"`
 	// Models maps model names to their settings.
 	Models map[string]Model `yaml:"models" json:"models" validate:"required,min=1,dive"`
