--- a/internal/experiment/engines.go
+++ b/internal/experiment/engines.go
@@ -6,6 +6,7 @@
 
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/enginemodel"
+	"quinceridge.example/quinceridge/internal/membership"
 	"quinceridge.example/quinceridge/internal/prefix"
 	"quinceridge.example/quinceridge/internal/scheduling"
 )
@@ -58,7 +59,7 @@
 	load := e.load()
 	wait := time.Duration(float64(load.PrefillTokens) / prefillRate * float64(time.Second))
 	if excess := load.Running + load.Waiting - e.slots; excess > 0 {
-		wait += time.Duration(excess) * 700 * time.Millisecond / time.Duration(e.slots)
+		wait += membership.TypicalService * time.Duration(excess) / time.Duration(e.slots)
 	}
 	return wait
 }
--- a/internal/membership/pool.go
+++ b/internal/membership/pool.go
@@ -21,8 +21,8 @@
 	staleReport = 3 * time.Second
 	// ReportLag is how old a load report already is when control gets it.
 	ReportLag = 250 * time.Millisecond
-	// typicalService is the assumed time that a sequence holds a decode slot.
-	typicalService = 700 * time.Millisecond
+	// TypicalService is the assumed time that a sequence holds a decode slot.
+	TypicalService = 700 * time.Millisecond
 )
 
 // dispatch is work that the router sent and that no report counts yet.
@@ -198,7 +198,7 @@
 	slots := max(e.machine.DecodeSlots, 1)
 	wait := time.Duration(float64(waiting) / p.prefillRate(e.machine.Model) * float64(time.Second))
 	if excess := sequences - slots; excess > 0 {
-		wait += typicalService * time.Duration(excess) / time.Duration(slots)
+		wait += TypicalService * time.Duration(excess) / time.Duration(slots)
 	}
 	return scheduling.Endpoint{
 		ID:             e.machine.ID,
