Read again: one histogram, no tight loop in the callers, stale words

- Four packages made and bounded their own histogram; internal/latency serves them.
- The rehearsal's callers asked anew at once after a cut or a lost answer.
With patience by time that was a tight loop; they pause 50 ms, as after a broken connection.
- Comments still spoke of promises between routers, which are gone; a constant had the name of a field; metrics took arguments that they did not read; the slopes repeated the sizes of their fleets.

--- a/internal/commits/commits.go
+++ b/internal/commits/commits.go
@@ -14,12 +14,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 
 	"quinceridge.example/quinceridge/internal/control"
 	"quinceridge.example/quinceridge/internal/hollow"
+	"quinceridge.example/quinceridge/internal/latency"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/storage"
@@ -34,12 +34,6 @@
 	P99  float64
 }
 
-// Histogram bounds, in microseconds.
-const (
-	longest = 60_000_000
-	digits  = 3
-)
-
 // Syncs returns how many appends of 200 bytes a second this disk makes durable,
 // one after the other.
 func Syncs(folder string, length time.Duration) (float64, error) {
@@ -69,7 +63,7 @@
 	defer cancel()
 	var done, failed atomic.Int64
 	var mu sync.Mutex
-	latency := hdrhistogram.New(1, longest, digits)
+	waits := latency.New()
 	var group sync.WaitGroup
 	started := time.Now()
 	for c := range clients {
@@ -87,7 +81,7 @@
 				}
 				done.Add(1)
 				mu.Lock()
-				_ = latency.RecordValue(time.Since(at).Microseconds())
+				waits.Record(time.Since(at))
 				mu.Unlock()
 			}
 		})
@@ -96,8 +90,7 @@
 	if failed.Load() > 0 {
 		return Load{}, errors.Newf("%d commits failed", failed.Load())
 	}
-	milliseconds := func(q float64) float64 { return float64(latency.ValueAtQuantile(q)) / 1000 }
-	return Load{Clients: clients, Rate: float64(done.Load()) / time.Since(started).Seconds(), P50: milliseconds(50), P99: milliseconds(99)}, nil
+	return Load{Clients: clients, Rate: float64(done.Load()) / time.Since(started).Seconds(), P50: waits.Milliseconds(50), P99: waits.Milliseconds(99)}, nil
 }
 
 // Restart returns how long a single node takes to open a data folder in which
--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -3,19 +3,11 @@
 import (
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
+	"quinceridge.example/quinceridge/internal/latency"
 	"quinceridge.example/quinceridge/internal/scheduling"
 	"quinceridge.example/quinceridge/internal/workload"
 )
 
-// Histogram bounds, in microseconds.
-const (
-	shortestTime = 1
-	longestTime  = 600_000_000
-	digits       = 3
-)
-
 // Result is the figures of one run. Times are in seconds.
 type Result struct {
 	Requests int `json:"requests"`
@@ -57,20 +49,16 @@
 	figures  Result
 	all      counts
 	surge    counts
-	steady   *hdrhistogram.Histogram
-	inSurge  *hdrhistogram.Histogram
-	seconds  map[int]*hdrhistogram.Histogram
+	steady   *latency.Histogram
+	inSurge  *latency.Histogram
+	seconds  map[int]*latency.Histogram
 	inTime   int
 	topTotal int
 	topTime  int
 }
 
 func newMetrics(options Options) *metrics {
-	return &metrics{options: options, steady: newHistogram(), inSurge: newHistogram(), seconds: map[int]*hdrhistogram.Histogram{}}
-}
-
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(shortestTime, longestTime, digits)
+	return &metrics{options: options, steady: latency.New(), inSurge: latency.New(), seconds: map[int]*latency.Histogram{}}
 }
 
 func (m *metrics) arrived(f *flight) {
@@ -83,9 +71,9 @@
 // top tells whether a request is of the highest class.
 func (m *metrics) top(f *flight) bool { return f.class.Priority == 100 }
 
-func (m *metrics) refused(*flight) { m.figures.Refused++ }
+func (m *metrics) refused() { m.figures.Refused++ }
 
-func (m *metrics) answered(*flight, time.Duration) { m.figures.Answered++ }
+func (m *metrics) answered() { m.figures.Answered++ }
 
 func (m *metrics) admitted(now time.Duration, prompt, cached, wasted int) {
 	if now < warmUp {
@@ -112,20 +100,19 @@
 
 func (m *metrics) firstToken(f *flight, now time.Duration) {
 	wait := now - f.request.At
-	microseconds := max(wait.Microseconds(), shortestTime)
 	second := int(now / time.Second)
 	if m.seconds[second] == nil {
-		m.seconds[second] = newHistogram()
+		m.seconds[second] = latency.New()
 	}
-	_ = m.seconds[second].RecordValue(microseconds)
+	m.seconds[second].Record(wait)
 	if f.request.At < warmUp {
 		return
 	}
 	switch f.request.Phase {
 	case workload.Steady:
-		_ = m.steady.RecordValue(microseconds)
+		m.steady.Record(wait)
 	case workload.Surge:
-		_ = m.inSurge.RecordValue(microseconds)
+		m.inSurge.Record(wait)
 		m.countInTime(f, wait)
 	}
 }
@@ -140,18 +127,14 @@
 	}
 }
 
-func quantile(h *hdrhistogram.Histogram, q float64) float64 {
-	return float64(h.ValueAtQuantile(q)) / 1e6
-}
-
 func (c counts) hitRate() float64 { return float64(c.cached) / float64(max(c.prompt, 1)) }
 
 func (m *metrics) result(placements uint64) *Result {
 	r := &m.figures
 	r.HitRate, r.SurgeHitRate = m.all.hitRate(), m.surge.hitRate()
 	r.Wasted = float64(m.all.wasted) / float64(max(m.all.prompt, 1))
-	r.SteadyP50, r.SteadyP95, r.SteadyP99 = quantile(m.steady, 50), quantile(m.steady, 95), quantile(m.steady, 99)
-	r.SurgeP50, r.SurgeP95, r.SurgeP99 = quantile(m.inSurge, 50), quantile(m.inSurge, 95), quantile(m.inSurge, 99)
+	r.SteadyP50, r.SteadyP95, r.SteadyP99 = m.steady.Seconds(50), m.steady.Seconds(95), m.steady.Seconds(99)
+	r.SurgeP50, r.SurgeP95, r.SurgeP99 = m.inSurge.Seconds(50), m.inSurge.Seconds(95), m.inSurge.Seconds(99)
 	r.Goodput = float64(m.inTime) / (surgeEnd - surgeStart).Seconds()
 	r.TopInTime = float64(m.topTime) / float64(max(m.topTotal, 1))
 	r.Placements = placements
@@ -170,7 +153,7 @@
 	for second := range out {
 		out[second] = -1
 		if h := m.seconds[second]; h != nil {
-			out[second] = quantile(h, 95)
+			out[second] = h.Seconds(95)
 		}
 	}
 	return out
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -229,11 +229,11 @@
 	s.placements++
 	decision, err := router.policy.Pick(s.now(), &f.place, router.pool.Snapshot(s.now()))
 	if err != nil || f.placements > maxPlacements {
-		s.metrics.refused(f)
+		s.metrics.refused()
 		return
 	}
 	if f.placements == 1 && !s.admit(router, f, &decision) {
-		s.metrics.refused(f)
+		s.metrics.refused()
 		return
 	}
 	e := s.byID[decision.Endpoint.ID]
@@ -288,7 +288,7 @@
 func (s *simulation) answered(f *flight, engine string) {
 	router := s.routers[f.router]
 	router.pool.Succeeded(engine)
-	s.metrics.answered(f, s.now())
+	s.metrics.answered()
 	if s.random.Float64() >= s.options.Conditions.HintLoss {
 		router.policy.Answered(s.now(), &f.place, engine, f.cached)
 	}
--- a/internal/fleet/overhead.go
+++ b/internal/fleet/overhead.go
@@ -13,12 +13,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
 	"quinceridge.example/quinceridge/internal/deployment"
 	"quinceridge.example/quinceridge/internal/engineapi"
+	"quinceridge.example/quinceridge/internal/latency"
 	"quinceridge.example/quinceridge/internal/workload"
 )
 
@@ -48,22 +48,21 @@
 // MeasureOverhead calls engines directly and through a router in turn, then
 // holds many streams open at one router.
 func (f *Fleet) MeasureOverhead(ctx context.Context) (Overhead, error) {
-	direct, routed := hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)
+	direct, routed := latency.New(), latency.New()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
 	for n := range overheadCalls {
 		wait, err := f.timeCall(ctx, client, f.layout.engine(n%f.config.Deployment.Engines)+engineapi.PathCompletions, fmt.Sprint("direct", n), overheadAnswer, nil)
 		if err != nil {
 			return Overhead{}, err
 		}
-		_ = direct.RecordValue(wait.Microseconds())
+		direct.Record(wait)
 		if wait, err = f.timeCall(ctx, client, f.layout.router(0)+"/v1/completions", fmt.Sprint("routed", n), overheadAnswer, nil); err != nil {
 			return Overhead{}, err
 		}
-		_ = routed.RecordValue(wait.Microseconds())
+		routed.Record(wait)
 	}
-	milliseconds := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-	out := Overhead{DirectP50: milliseconds(direct, 50), DirectP99: milliseconds(direct, 99),
-		RoutedP50: milliseconds(routed, 50), RoutedP99: milliseconds(routed, 99)}
+	out := Overhead{DirectP50: direct.Milliseconds(50), DirectP99: direct.Milliseconds(99),
+		RoutedP50: routed.Milliseconds(50), RoutedP99: routed.Milliseconds(99)}
 	return out, f.measureStreams(ctx, client, &out)
 }
 
--- a/internal/router/rollout.go
+++ b/internal/router/rollout.go
@@ -31,7 +31,7 @@
 )
 
 // rollout is the controller that drives the agent: heartbeats to control,
-// promises among routers, and the board's Config and Authority.
+// questions to other routers, and the board's Config and Authority.
 //
 // Lock order: rollout.mu only; it is held over a sync of the state file, so
 // that nothing leaves before what it rests on is durable.
@@ -188,7 +188,7 @@
 	return len(reply.Offers) > 0 || reply.Registry != nil
 }
 
-// askPeers asks all other routers for promises.
+// askPeers asks the other routers whether they have lost control too.
 func (o *rollout) askPeers(ctx context.Context) {
 	o.mu.Lock()
 	sent := o.clock.now()
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -198,11 +198,11 @@
 		}
 	}
 	for _, id := range leader.core.Status().Membership.Voters {
-		if n := w.node(id); n == nil || !n.running() || n.core.Machine().Applied()+promised < leader.core.Machine().Applied() {
+		if n := w.node(id); n == nil || !n.running() || n.core.Machine().Applied()+mostBehind < leader.core.Machine().Applied() {
 			c.fail("voter %d has not caught up at the end", id)
 		}
 	}
 }
 
-// promised is how many entries a healthy node may be behind.
-const promised = 10
+// mostBehind is how many entries a healthy node may be behind.
+const mostBehind = 10
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -48,8 +48,13 @@
 	return all, nil
 }
 
-// fleet runs a hollow fleet and hands it over.
-func fleet(config hollow.Config, use func(*hollow.Fleet) error) error {
+// fleet runs a hollow fleet of five control nodes and 500 tenants and hands it
+// over.
+func fleet(ctx context.Context, config hollow.Config, use func(*hollow.Fleet) error) error {
+	if ctx.Err() != nil {
+		return errors.Wrap(ctx.Err(), "measure")
+	}
+	config.Tenants, config.Controls = 500, 5
 	folder, err := os.MkdirTemp("", "slopes-")
 	if err != nil {
 		return errors.Wrap(err, "create folder")
@@ -70,10 +75,7 @@
 	bytes := &Series{Name: "bytes a second of one router", Size: "routers", Unit: "B/s", Target: targetRouters}
 	rollout := &Series{Name: "rollout until in force in every router", Size: "routers", Unit: "s", Target: targetRouters}
 	for _, routers := range []int{10, 40, 80, 160, 320} {
-		if ctx.Err() != nil {
-			return nil, errors.Wrap(ctx.Err(), "measure")
-		}
-		err := fleet(hollow.Config{Routers: routers, Workers: 100, Tenants: 500, Controls: 5, Network: network}, func(f *hollow.Fleet) error {
+		err := fleet(ctx, hollow.Config{Routers: routers, Workers: 100, Network: network}, func(f *hollow.Fleet) error {
 			usage := f.Measure(quiet)
 			processor.add(routers, usage.ProcessorSeconds/usage.Seconds)
 			bytes.add(routers, usage.BytesPerRouter)
@@ -93,10 +95,7 @@
 	bytes := &Series{Name: "bytes a second of one router, one zone of five watched", Size: "workers", Unit: "B/s", Target: targetWorkers}
 	processor := &Series{Name: "processor time of 5 control nodes, 20 routers and the engines' reports", Size: "workers", Unit: "cores", Target: targetWorkers}
 	for _, workers := range []int{110, 200, 400, 600, 810} {
-		if ctx.Err() != nil {
-			return nil, errors.Wrap(ctx.Err(), "measure")
-		}
-		err := fleet(hollow.Config{Routers: 20, Workers: workers, Tenants: 500, Controls: 5, Network: network}, func(f *hollow.Fleet) error {
+		err := fleet(ctx, hollow.Config{Routers: 20, Workers: workers, Network: network}, func(f *hollow.Fleet) error {
 			usage := f.Measure(quiet)
 			bytes.add(workers, usage.BytesPerRouter)
 			processor.add(workers, usage.ProcessorSeconds/usage.Seconds)
--- a/internal/standin/callers/generate.go
+++ b/internal/standin/callers/generate.go
@@ -75,6 +75,7 @@
 		case errors.Is(last, errCut), errors.Is(last, errNotHeld):
 			// The service has said that this answer cannot go on: ask anew.
 			c.report.restarted()
+			backoff(ctx, 50*time.Millisecond)
 			a = fresh
 			a.sent = time.Now()
 		}
--- a/internal/standin/callers/report.go
+++ b/internal/standin/callers/report.go
@@ -5,8 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
+	"quinceridge.example/quinceridge/internal/latency"
 	"quinceridge.example/quinceridge/internal/workload"
 )
 
@@ -62,24 +61,15 @@
 	// Errors lists the first errors for people.
 	Errors []string `json:"errors"`
 
-	first map[string]*hdrhistogram.Histogram
-	gaps  *hdrhistogram.Histogram
+	first map[string]*latency.Histogram
+	gaps  *latency.Histogram
 }
 
-// Histogram bounds, in microseconds.
-const (
-	shortestTime = 1
-	longestTime  = 300_000_000
-	digits       = 3
-	maxErrors    = 20
-)
-
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(shortestTime, longestTime, digits)
-}
+// maxErrors bounds the errors that are kept for people.
+const maxErrors = 20
 
 func newReport() *Report {
-	return &Report{TTFT: map[string]Latency{}, first: map[string]*hdrhistogram.Histogram{}, gaps: newHistogram()}
+	return &Report{TTFT: map[string]Latency{}, first: map[string]*latency.Histogram{}, gaps: latency.New()}
 }
 
 func (r *Report) update(change func()) {
@@ -104,17 +94,17 @@
 func (r *Report) answered(request workload.Request, a *answer) {
 	r.update(func() {
 		r.Tally.Answered++
-		wait := a.first.Sub(a.sent).Microseconds()
+		wait := a.first.Sub(a.sent)
 		for _, name := range []string{string(request.Phase), request.Kind.Class + "/" + string(request.Phase)} {
 			h := r.first[name]
 			if h == nil {
-				h = newHistogram()
+				h = latency.New()
 				r.first[name] = h
 			}
-			_ = h.RecordValue(max(wait, shortestTime))
+			h.Record(wait)
 		}
 		if a.wanted > 1 {
-			_ = r.gaps.RecordValue(max(a.previous.Sub(a.first).Microseconds()/int64(a.wanted-1), shortestTime))
+			r.gaps.Record(a.previous.Sub(a.first) / time.Duration(a.wanted-1))
 		}
 	})
 }
@@ -195,13 +185,12 @@
 	r.update(func() {
 		r.Seconds = took.Seconds()
 		for name, h := range r.first {
-			r.TTFT[name] = latency(h)
+			r.TTFT[name] = tail(h)
 		}
-		r.TokenGap = latency(r.gaps)
+		r.TokenGap = tail(r.gaps)
 	})
 }
 
-func latency(h *hdrhistogram.Histogram) Latency {
-	seconds := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1e6 }
-	return Latency{Count: h.TotalCount(), P50: seconds(50), P95: seconds(95), P99: seconds(99)}
+func tail(h *latency.Histogram) Latency {
+	return Latency{Count: h.Count(), P50: h.Seconds(50), P95: h.Seconds(95), P99: h.Seconds(99)}
 }
