Joined coordinators learn where to answer; failed orders are backed off

Ruled out: the promotion rule and the disk; the log showed add-learner and nothing after it. Consensus messages now name their sender's address. Orders to an engine that cannot be brought went out every 60 ms; they now wait 250 ms, doubling.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -13,12 +13,19 @@
 
 // Kinds of calls between processes.
 const (
-	// KindRaft carries one consensus message and has no reply.
+	// KindRaft carries a Consensus and has no reply.
 	KindRaft = "raft"
 	// KindCall carries a Request and is answered by a Reply.
 	KindCall = "call"
 )
 
+// Consensus is a consensus message with the peer address of its sender. A node
+// that has just joined knows no other way to answer.
+type Consensus struct {
+	Sender  string       `json:"sender"`
+	Message raft.Message `json:"message"`
+}
+
 // Request is one call to the leader of the coordinators. Exactly one field is
 // set.
 type Request struct {
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -10,7 +10,6 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
-	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -30,9 +29,13 @@
 
 // handleRaft queues a consensus message. A full queue loses it, as a network
 // may.
-func (s *Server) handleRaft(m raft.Message) (struct{}, error) {
+func (s *Server) handleRaft(c coordapi.Consensus) (struct{}, error) {
+	event := func(now time.Duration) {
+		s.members.heardFrom(c.Message.From, c.Sender)
+		s.core.Step(now, c.Message)
+	}
 	select {
-	case s.events <- func(now time.Duration) { s.core.Step(now, m) }:
+	case s.events <- event:
 	default:
 	}
 	return struct{}{}, nil
@@ -104,7 +107,7 @@
 	if status.Leader == 0 || status.Leader == status.ID {
 		return ""
 	}
-	return status.Membership.Addresses[status.Leader]
+	return s.members.addressOf(status.Membership, status.Leader)
 }
 
 // submit runs a command through the log and waits until it is in force.
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -21,9 +21,28 @@
 type memberKeeper struct {
 	// joining maps nodes that asked to join to their addresses.
 	joining map[uint64]string
+	// senders maps members to the addresses that their messages named.
+	senders map[uint64]string
 }
 
-func (k *memberKeeper) address(id uint64) string { return k.joining[id] }
+// addressOf returns where a member is reached, empty when that is not known.
+func (k *memberKeeper) addressOf(members raft.Membership, id uint64) string {
+	if address := members.Addresses[id]; address != "" {
+		return address
+	}
+	return k.senders[id]
+}
+
+// heardFrom notes the address that a member's message named.
+func (k *memberKeeper) heardFrom(id uint64, address string) {
+	if k.senders[id] == address {
+		return
+	}
+	if k.senders == nil {
+		k.senders = map[uint64]string{}
+	}
+	k.senders[id] = address
+}
 
 // ask notes that a node wants to be a member.
 func (k *memberKeeper) ask(id uint64, address string) {
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,9 @@
 	reportEvery = 200 * time.Millisecond
 	// loadLimit is how long a load may take before it is given up.
 	loadLimit = 10 * time.Second
+	// firstFailedPause is how long an engine is left alone after an order that
+	// came to nothing.
+	firstFailedPause = 250 * time.Millisecond
 	// holderSlack is added to the lease that another holder may still have.
 	holderSlack = 400 * time.Millisecond
 )
@@ -82,6 +86,26 @@
 	minimum map[string]int
 	// running are the engines that an order of this leader is under way to.
 	running map[string]bool
+	// failed are the engines whose last order came to nothing.
+	failed map[string]failedOrder
+}
+
+// failedOrder says how often in a row orders to an engine came to nothing.
+type failedOrder struct {
+	times int
+	until time.Duration
+}
+
+// finished notes the end of an order. An engine that cannot be brought is left
+// alone for a time that doubles.
+func (r *rollout) finished(now time.Duration, id string, held bool) {
+	delete(r.running, id)
+	if held {
+		delete(r.failed, id)
+		return
+	}
+	times := r.failed[id].times + 1
+	r.failed[id] = failedOrder{times: times, until: now + firstFailedPause<<min(times-1, 4)}
 }
 
 func planConfig(s settings.Coordinator) weights.Config {
@@ -104,6 +128,7 @@
 	if r.seen == nil {
 		r.seen = map[state.WeightsVersion]time.Duration{}
 		r.running = map[string]bool{}
+		r.failed = map[string]failedOrder{}
 	}
 	if len(r.seen) == len(d.Weights) {
 		return
@@ -171,7 +196,7 @@
 	var engines []weights.Engine
 	for id, b := range d.Backends {
 		version, holds := b.Weights[model]
-		if !holds || b.Draining || s.soft.quiet(now, id) > departAfter/4 {
+		if !holds || b.Draining || slices.Contains(s.soft.silent, id) {
 			continue
 		}
 		engines = append(engines, weights.Engine{ID: id, Version: version, Loading: s.rollout.running[id]})
@@ -181,12 +206,15 @@
 		return
 	}
 	for _, id := range plan.Load {
+		if now < s.rollout.failed[id].until {
+			continue
+		}
 		s.rollout.running[id] = true
 		row := d.Backends[id]
 		term := s.core.Status().Term
 		s.group.Go(func() {
-			s.bring(ctx, row, model, plan.Target, term)
-			s.do(context.WithoutCancel(ctx), func(time.Duration) { delete(s.rollout.running, row.ID) })
+			held := s.bring(ctx, row, model, plan.Target, term)
+			s.do(context.WithoutCancel(ctx), func(now time.Duration) { s.rollout.finished(now, row.ID, held) })
 		})
 	}
 }
@@ -206,7 +234,7 @@
 
 // bring takes one engine to a version: it announces the load, gives the order
 // and waits until the engine reports the version.
-func (s *Server) bring(ctx context.Context, row state.Backend, model string, version int, term uint64) {
+func (s *Server) bring(ctx context.Context, row state.Backend, model string, version int, term uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
 	started := s.now()
@@ -229,6 +257,7 @@
 	}
 	level("weights loaded", "part", "rollout", "backend", row.ID, "version", version, "held", held,
 		"took_ms", (s.now() - started).Milliseconds(), "error", errorText(err))
+	return held
 }
 
 func errorText(err error) string {
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -121,6 +121,11 @@
 // Stop hands over leadership, if any, and ends the node.
 func (s *Server) Stop(ctx context.Context) {
 	s.handOver(ctx)
+	s.abort()
+}
+
+// abort ends the node without a word to the others.
+func (s *Server) abort() {
 	s.cancel()
 	s.listener.Close()
 	s.peers.Close()
@@ -216,14 +221,10 @@
 	if len(messages) == 0 {
 		return
 	}
-	addresses := s.core.Status().Membership.Addresses
+	members := s.core.Status().Membership
 	for _, m := range messages {
-		address := addresses[m.To]
-		if address == "" {
-			address = s.members.address(m.To)
-		}
-		if address != "" {
-			s.peers.Send(address, coordapi.KindRaft, m)
+		if address := s.members.addressOf(members, m.To); address != "" {
+			s.peers.Send(address, coordapi.KindRaft, coordapi.Consensus{Sender: s.settings.PeerListen, Message: m})
 		}
 	}
 }
