--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,7 +133,7 @@
 	// request starts on an older one.
 	WeightsDeadline time.Duration `yaml:"weights_deadline" validate:"required,min=100ms"`
 	// WeightsGuard is how long before that routers stop using older versions.
-	// Default 400ms.
+	// Default 1400ms.
 	WeightsGuard time.Duration `yaml:"weights_guard"`
 	// LoadTime is the assumed time of one load of weights. Default 1300ms.
 	LoadTime time.Duration `yaml:"load_time"`
@@ -154,7 +154,7 @@
 
 // SetDefaults fills the fields that the file leaves out.
 func (c *Coordinator) SetDefaults() {
-	c.WeightsGuard = orDefault(c.WeightsGuard, 400*time.Millisecond)
+	c.WeightsGuard = orDefault(c.WeightsGuard, 1400*time.Millisecond)
 	c.LoadTime = orDefault(c.LoadTime, 1300*time.Millisecond)
 	c.LoadMargin = orDefault(c.LoadMargin, 700*time.Millisecond)
 	c.LoadDivisor = orDefault(c.LoadDivisor, 4)
