--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -12,8 +12,10 @@
 	Model string
 	// Key names the shared part of the prompt; requests with the same key
 	// prefer the same back end. Empty for none.
-	Key  string
-	Work Work
+	Key string
+	// Shared is how many tokens of the prompt other requests share.
+	Shared int
+	Work   Work
 	// Slots and Capacity describe one engine; 0 means no engine.
 	Slots    int
 	Capacity int
@@ -32,8 +34,10 @@
 	// it is known.
 	Version   int
 	Versioned bool
-	// Home says that the back end is the first for the query's key.
-	Home bool
+	// Home says that the back end is the first for the query's key, and
+	// HomeAddress is where that one is reached.
+	Home        bool
+	HomeAddress string
 	// Cost is the winner's cost in milliseconds and Considered how many
 	// passed the filters.
 	Cost       float64
@@ -49,13 +53,14 @@
 		return Choice{}, false
 	}
 	rank(q.Key, candidates)
+	home := candidates[0].Address
 	for i := range candidates {
 		candidates[i].cost = cost(now, p.zone, q, &candidates[i])
 	}
 	best := pick(candidates)
 	version, versioned := best.Weights[q.Model]
 	return Choice{ID: best.ID, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
-		Home: best.rank == 0, Cost: best.cost, Considered: len(candidates)}, true
+		Home: best.rank == 0, HomeAddress: home, Cost: best.cost, Considered: len(candidates)}, true
 }
 
 // Size returns how many back ends of a pool are listed and not draining.
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -16,10 +16,13 @@
 	failureCost = 3000
 	// farCost is the cost of leaving the zone.
 	farCost = 4
-	// rankCost is the cost of each step away from a prompt's home, up to
-	// rankLimit steps.
-	rankCost  = 12
-	rankLimit = 4
+	// strangeCost is the cost of each shared token at a back end that is not
+	// the prompt's home, for the first step away and in part for each further
+	// one, up to rankLimit steps. It is above the time that a move takes: a copy
+	// takes memory that other prompts need.
+	strangeCost = 0.012
+	strangeStep = 0.25
+	rankLimit   = 4
 	// prefillRate is the assumed prompt tokens a millisecond of an engine.
 	prefillRate = 38
 	// decodeCost is the cost of one running request: it slows each step.
@@ -48,8 +51,8 @@
 	total += share * float64(c.prefill) / prefillRate
 	total += share * float64(c.running) * decodeCost
 	total += crowdCost * crowding(q, c)
-	if q.Key != "" {
-		total += rankCost * float64(min(c.rank, rankLimit))
+	if q.Key != "" && c.rank > 0 {
+		total += strangeCost * float64(q.Shared) * (1 + strangeStep*float64(min(c.rank, rankLimit)))
 	}
 	return total
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,7 +51,7 @@
 	pool := backends.NewPool(config.Zone)
 	e.follower = follower.New(follower.Config{Name: config.Name, Seeds: config.Coordinators(), Right: config.RightLease(),
 		Decode: decode, Pool: pool, Peers: e.peers, Logger: logger})
-	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Pool: pool,
+	e.handler = forward.New(forward.Config{Name: config.Name, Headers: headers, Source: e.follower, Pool: pool,
 		Upstream: upstream.NewPool(headers.RequestID), Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -168,20 +168,7 @@
 	if choice.Versioned {
 		header.Set(names.Version, strconv.Itoa(choice.Version))
 	}
-	header.Set(names.Salt, salt(j, choice))
-	if store := j.table.Store(); store != nil && choice.Versioned {
-		header.Set(names.FetchFrom, store.Address)
-		header.Set(names.SaveTo, store.Address)
-	}
-}
-
-// salt separates kept prompts by model, version and isolated tenant.
-func salt(j *job, choice backends.Choice) string {
-	text := j.query.Model + "/" + strconv.Itoa(choice.Version)
-	if j.tenant != nil && j.tenant.Isolated {
-		text += "/" + j.tenant.Name
-	}
-	return text
+	h.prompts.address(h.now(), h.config.Source.Routers(), j, choice, header)
 }
 
 // noAnswer judges an attempt that got no head of an answer.
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -43,7 +43,11 @@
 	j.query.Model = r.Header.Get(names.Model)
 	j.query.Slots, j.query.Capacity = engine.Slots, engine.CapacityTokens
 	j.query.Work = usage(r.Header.Get(names.Usage))
-	j.query.Key = sharedPart(r.Header.Get(names.Prefix))
+	j.query.Key, j.query.Shared = sharedPart(r.Header.Get(names.Prefix))
+	j.query.Work.Prompt = max(j.query.Work.Prompt-j.query.Shared, 0)
+	if j.tenant != nil && j.tenant.Isolated && j.query.Key != "" {
+		j.query.Key += "/" + j.tenant.Name
+	}
 	header.Set(names.Priority, strconv.Itoa(urgency(j)))
 }
 
@@ -78,13 +82,16 @@
 	return backends.Work{Prompt: p, Most: p + m}
 }
 
-// sharedPart returns the ID of the last part that other requests may share:
-// the one before the last.
-func sharedPart(chain string) string {
+// sharedPart returns the ID of the last part that other requests share, the
+// one before the last, and the tokens up to its end.
+func sharedPart(chain string) (id string, tokens int) {
 	parts := strings.Split(chain, ",")
-	part := parts[max(len(parts)-2, 0)]
-	id, _, _ := strings.Cut(part, ":")
-	return strings.TrimSpace(id)
+	for _, part := range parts[:len(parts)-1] {
+		name, count, _ := strings.Cut(part, ":")
+		number, _ := strconv.Atoi(strings.TrimSpace(count))
+		id, tokens = strings.TrimSpace(name), tokens+number
+	}
+	return id, tokens
 }
 
 // splitter gives each part of a route its share by smooth weighted round
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -40,6 +40,8 @@
 
 // Config is what a Handler works with.
 type Config struct {
+	// Name tells routers apart.
+	Name     string
 	Headers  vocabulary.Headers
 	Source   Source
 	Pool     *backends.Pool
@@ -53,6 +55,7 @@
 	config    Config
 	budget    *budget
 	splits    *splitter
+	prompts   *prompts
 	started   time.Time
 	stopping  atomic.Bool
 	forbidden map[string]bool
@@ -61,7 +64,8 @@
 
 // New returns a handler.
 func New(config Config) *Handler {
-	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(), started: time.Now(),
+	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(),
+		prompts: newPrompts(config.Name, &config.Headers), started: time.Now(),
 		forbidden: map[string]bool{}}
 	for _, name := range hopHeaders {
 		h.forbidden[name] = true
