Routers tell each other what they save to the store

Each shared part is saved once by any router in 12 s, through the leader's soft state, instead of by three routers in seven.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -36,6 +36,7 @@
 	Beat        *Beat              `json:"beat,omitempty"`
 	Leave       *Leave             `json:"leave,omitempty"`
 	Join        *Join              `json:"join,omitempty"`
+	Saved       *Saved             `json:"saved,omitempty"`
 }
 
 // Reply answers a Request.
@@ -56,8 +57,10 @@
 	// Since is the revision of the last View, 0 for none.
 	Since uint64 `json:"since"`
 	// Leader is the token of the leader's own knowledge in the last View.
-	Leader string        `json:"leader,omitempty"`
-	Wait   time.Duration `json:"wait"`
+	Leader string `json:"leader,omitempty"`
+	// SavedSince is View.SavedUntil of the last View.
+	SavedSince uint64        `json:"saved_since,omitempty"`
+	Wait       time.Duration `json:"wait"`
 }
 
 // View is what changed. A leader that holds its lease vouches that nothing
@@ -81,6 +84,10 @@
 	Silent []string `json:"silent,omitempty"`
 	// Routers is how many routers share the retry budget.
 	Routers int `json:"routers"`
+	// Saved are prompt parts that routers have saved to the store since the
+	// watcher's SavedSince, in order; SavedUntil counts them.
+	Saved      []uint64 `json:"saved,omitempty"`
+	SavedUntil uint64   `json:"saved_until,omitempty"`
 	// Members are the peer addresses of the coordinators.
 	Members []string `json:"members,omitempty"`
 }
@@ -100,6 +107,12 @@
 	ID string `json:"id"`
 }
 
+// Saved tells the leader which prompt parts a router is saving to the store,
+// so that the others need not. A part is named by a hash of its salt and ID.
+type Saved struct {
+	Parts []uint64 `json:"parts"`
+}
+
 // Join asks for a coordinator to become a member of the group.
 type Join struct {
 	Change raft.Change `json:"change"`
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,6 +80,8 @@
 		return s.beat(ctx, *r.Beat)
 	case r.Leave != nil:
 		return s.leave(ctx, *r.Leave)
+	case r.Saved != nil:
+		return s.leading(ctx, func(now time.Duration) { s.soft.saved.add(now, r.Saved.Parts) })
 	case r.Join != nil:
 		return s.join(ctx, *r.Join)
 	}
@@ -256,7 +259,9 @@
 func (s *Server) view(now time.Duration, w coordapi.Watch, last bool) *coordapi.View {
 	s.soft.watched(now, w.Router)
 	d := s.core.Machine().Deployment()
-	if max(d.ConfiguredAt, d.BackendsAt) <= w.Since && w.Leader == s.soft.token() && !last {
+	sameLeader := strings.HasPrefix(w.Leader, s.soft.epoch)
+	news := s.soft.saved.announced > w.SavedSince || !sameLeader
+	if max(d.ConfiguredAt, d.BackendsAt) <= w.Since && w.Leader == s.soft.token() && !news && !last {
 		return nil
 	}
 	v := &coordapi.View{Revision: s.core.Machine().Applied(), Leader: s.soft.token(), Version: d.Version,
@@ -264,6 +269,10 @@
 	if d.ConfiguredAt > w.Since {
 		v.Document = d.Document
 	}
+	if !sameLeader {
+		w.SavedSince = 0
+	}
+	v.Saved, v.SavedUntil = s.soft.saved.after(w.SavedSince)
 	v.Backends, v.Departed, v.Whole = d.Changed(w.Since)
 	for _, address := range s.core.Status().Membership.Addresses {
 		v.Members = append(v.Members, address)
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -37,6 +37,7 @@
 	epoch   string
 	changes int
 	looked  time.Duration
+	saved   savedParts
 }
 
 // token changes whenever silent or minimum does.
@@ -132,6 +133,10 @@
 		s.notify.wake()
 		return
 	}
+	if s.lastRole == raft.Leader && s.soft.saved.announce(now, len(s.soft.routers)) {
+		s.notify.wake()
+		return
+	}
 	if revision := max(d.ConfiguredAt, d.BackendsAt); revision > s.notify.revision {
 		s.notify.revision = revision
 		s.notify.wake()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,9 +49,10 @@
 func New(config settings.DisklessRouter, headers vocabulary.Headers, decode follower.Decode, logger *slog.Logger) *Edge {
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool := backends.NewPool(config.Zone)
+	saved := forward.NewSaved()
 	e.follower = follower.New(follower.Config{Name: config.Name, Seeds: config.Coordinators(), Right: config.RightLease(),
-		Decode: decode, Pool: pool, Peers: e.peers, Logger: logger})
-	e.handler = forward.New(forward.Config{Name: config.Name, Headers: headers, Source: e.follower, Pool: pool,
+		Decode: decode, Pool: pool, Saved: saved, Peers: e.peers, Logger: logger})
+	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Pool: pool, Saved: saved,
 		Upstream: upstream.NewPool(headers.RequestID), Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -77,6 +78,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.group.Go(func() { e.follower.Run(ctx) })
+	e.group.Go(func() { e.follower.Tell(ctx) })
 	if err := e.listen(e.readiness, e.settings.Readiness); err != nil {
 		return err
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -40,6 +40,14 @@
 	Note(minimum map[string]int, silent []string)
 }
 
+// Saved is a router's knowledge of the prompt parts that the store holds.
+type Saved interface {
+	// Learn takes parts that other routers have saved.
+	Learn(parts []uint64)
+	// Fresh returns the parts that this router has saved since the last call.
+	Fresh() []uint64
+}
+
 // Follower watches the coordinators. Table and Fresh are safe for concurrent
 // use.
 type Follower struct {
@@ -50,10 +58,12 @@
 	// rightUntil is the end of the right to serve, by the process's clock.
 	rightUntil atomic.Int64
 	seeds      atomic.Pointer[[]string]
+	following  atomic.Pointer[string]
 	started    time.Time
 
 	// All below belongs to Run.
 	since   uint64
+	saved   uint64
 	token   string
 	leader  string
 	members []string
@@ -67,6 +77,8 @@
 	Right  time.Duration
 	Decode Decode
 	Pool   Pool
+	// Saved may be nil.
+	Saved  Saved
 	Peers  *peer.Client
 	Logger *slog.Logger
 }
@@ -92,6 +104,32 @@
 // Routers is how many routers follow the coordinators, at least 1.
 func (f *Follower) Routers() int { return max(int(f.routers.Load()), 1) }
 
+// tellEvery is how often the leader is told of newly saved prompt parts.
+const tellEvery = 50 * time.Millisecond
+
+// Tell passes newly saved prompt parts on to the leader until the context
+// ends. What is lost on the way is saved again by somebody.
+func (f *Follower) Tell(ctx context.Context) {
+	ticker := time.NewTicker(tellEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		parts := f.config.Saved.Fresh()
+		leader := f.following.Load()
+		if len(parts) == 0 || leader == nil || *leader == "" {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, firstTimeout)
+		var reply coordapi.Reply
+		_ = f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Saved: &coordapi.Saved{Parts: parts}}, &reply)
+		cancel()
+	}
+}
+
 // Run watches until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -114,7 +152,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, Wait: wait}}
+	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Wait: wait}}
 	sent := time.Since(f.started)
 	var reply coordapi.Reply
 	err := f.config.Peers.Call(ctx, address, coordapi.KindCall, request, &reply)
@@ -134,6 +172,7 @@
 	}
 	if f.leader != address {
 		f.leader = address
+		f.following.Store(&address)
 		f.config.Logger.Info("leader followed", "part", "follower", "address", address)
 	}
 	return f.take(sent, reply.View)
@@ -166,7 +205,10 @@
 	}
 	f.config.Pool.Note(v.Minimum, v.Silent)
 	f.routers.Store(int64(v.Routers))
-	f.since, f.token, f.members = v.Revision, v.Leader, v.Members
+	if len(v.Saved) > 0 && f.config.Saved != nil {
+		f.config.Saved.Learn(v.Saved)
+	}
+	f.since, f.token, f.members, f.saved = v.Revision, v.Leader, v.Members, v.SavedUntil
 	if f.table.Load() != nil {
 		f.rightUntil.Store(max(f.rightUntil.Load(), int64(sent+f.config.Right)))
 	}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -168,7 +168,7 @@
 	if choice.Versioned {
 		header.Set(names.Version, strconv.Itoa(choice.Version))
 	}
-	h.prompts.address(h.now(), h.config.Source.Routers(), j, choice, header)
+	h.addressPrompt(j, choice)
 }
 
 // noAnswer judges an attempt that got no head of an answer.
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -43,7 +43,10 @@
 	j.query.Model = r.Header.Get(names.Model)
 	j.query.Slots, j.query.Capacity = engine.Slots, engine.CapacityTokens
 	j.query.Work = usage(r.Header.Get(names.Usage))
-	j.query.Key, j.query.Shared = sharedPart(r.Header.Get(names.Prefix))
+	j.parts, j.query.Shared = sharedParts(r.Header.Get(names.Prefix))
+	if len(j.parts) > 0 {
+		j.query.Key = j.parts[len(j.parts)-1]
+	}
 	j.query.Work.Prompt = max(j.query.Work.Prompt-j.query.Shared, 0)
 	if j.tenant != nil && j.tenant.Isolated && j.query.Key != "" {
 		j.query.Key += "/" + j.tenant.Name
@@ -82,16 +85,17 @@
 	return backends.Work{Prompt: p, Most: p + m}
 }
 
-// sharedPart returns the ID of the last part that other requests share, the
-// one before the last, and the tokens up to its end.
-func sharedPart(chain string) (id string, tokens int) {
+// sharedParts returns the IDs of the parts that other requests share, all but
+// the last, and the tokens up to their end.
+func sharedParts(chain string) (ids []string, tokens int) {
 	parts := strings.Split(chain, ",")
 	for _, part := range parts[:len(parts)-1] {
 		name, count, _ := strings.Cut(part, ":")
 		number, _ := strconv.Atoi(strings.TrimSpace(count))
-		id, tokens = strings.TrimSpace(name), tokens+number
+		ids = append(ids, strings.TrimSpace(name))
+		tokens += number
 	}
-	return id, tokens
+	return ids, tokens
 }
 
 // splitter gives each part of a route its share by smooth weighted round
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -46,6 +46,7 @@
 	Source   Source
 	Pool     *backends.Pool
 	Upstream *upstream.Pool
+	Saved    *Saved
 	Budget   BudgetConfig
 	Logger   *slog.Logger
 }
@@ -55,7 +56,6 @@
 	config    Config
 	budget    *budget
 	splits    *splitter
-	prompts   *prompts
 	started   time.Time
 	stopping  atomic.Bool
 	forbidden map[string]bool
@@ -64,8 +64,7 @@
 
 // New returns a handler.
 func New(config Config) *Handler {
-	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(),
-		prompts: newPrompts(config.Name, &config.Headers), started: time.Now(),
+	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(), started: time.Now(),
 		forbidden: map[string]bool{}}
 	for _, name := range hopHeaders {
 		h.forbidden[name] = true
@@ -92,13 +91,15 @@
 
 // job is one request of a caller.
 type job struct {
-	id       string
-	table    *traffic.Table
-	route    *traffic.Route
-	tenant   *traffic.Tenant
-	pool     *traffic.Pool
-	request  *upstream.Request
-	query    backends.Query
+	id      string
+	table   *traffic.Table
+	route   *traffic.Route
+	tenant  *traffic.Tenant
+	pool    *traffic.Pool
+	request *upstream.Request
+	query   backends.Query
+	// parts are the IDs of the prompt's shared parts.
+	parts    []string
 	arrived  time.Duration
 	deadline time.Time
 	// reached says that an attempt may have run; ran counts them.
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -9,70 +8,92 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quinceridge.example/quinceridge/internal/backends"
-	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
 const (
-	// saversWanted is how many routers save a prompt's shared parts to the
-	// store. A save carries the request's own part too, which nobody fetches,
-	// so that saving at each request would wash the store out.
-	saversWanted = 3
-	// saveEvery is how often a router saves the same parts again.
-	saveEvery = 15 * time.Second
-	// maxSaved bounds what a router remembers of its saves.
-	maxSaved = 20000
+	// savedFor is how long a part that some router saved is taken to be in the
+	// store. A store drops what is not used.
+	savedFor = 12 * time.Second
+	// maxSaved bounds what a router remembers of saved parts.
+	maxSaved = 50000
 )
 
-// prompts decides where kept prompts are taken from and sent to. It is safe
-// for concurrent use.
-type prompts struct {
-	router string
-	names  *vocabulary.Headers
-	mu     sync.Mutex
-	saved  map[string]time.Duration
+// Saved is a router's knowledge of the prompt parts that the store holds. A
+// save carries the request's own part too, which nobody fetches, and the
+// store's link is narrow: parts that any router has saved lately are not saved
+// again. It is safe for concurrent use.
+type Saved struct {
+	started time.Time
+	mu      sync.Mutex
+	at      map[uint64]time.Duration
+	fresh   []uint64
 }
 
-func newPrompts(router string, names *vocabulary.Headers) *prompts {
-	return &prompts{router: router, names: names, saved: map[string]time.Duration{}}
+// NewSaved returns an empty knowledge.
+func NewSaved() *Saved { return &Saved{started: time.Now(), at: map[uint64]time.Duration{}} }
+
+// Learn takes parts that routers have saved.
+func (s *Saved) Learn(parts []uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Since(s.started)
+	for _, part := range parts {
+		s.at[part] = now
+	}
+	if len(s.at) > maxSaved {
+		clear(s.at)
+	}
 }
 
-// address fills the headers of a generation that is sent to a back end. A
+// Fresh returns the parts that this router has saved since the last call.
+func (s *Saved) Fresh() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh := s.fresh
+	s.fresh = nil
+	return fresh
+}
+
+// Due tells whether a request is to save its parts: some were not saved
+// lately. They count as saved from then on.
+func (s *Saved) Due(salt string, parts []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Since(s.started)
+	due := false
+	for _, part := range parts {
+		name := xxhash.Sum64String(salt + "/" + part)
+		if at, known := s.at[name]; known && now-at < savedFor {
+			continue
+		}
+		due = true
+		s.at[name] = now
+		s.fresh = append(s.fresh, name)
+	}
+	return due
+}
+
+// addressPrompt fills where kept prompts are taken from and sent to. A
 // prompt's home takes what it lacks from the store; any other engine takes it
 // from the home, whose link is free more often.
-func (p *prompts) address(now time.Duration, routers int, j *job, choice backends.Choice, header http.Header) {
-	header.Del(p.names.FetchFrom)
-	header.Del(p.names.SaveTo)
+func (h *Handler) addressPrompt(j *job, choice backends.Choice) {
+	names, header := &h.config.Headers, j.request.Header
+	header.Del(names.FetchFrom)
+	header.Del(names.SaveTo)
 	salt := salt(j, choice)
-	header.Set(p.names.Salt, salt)
-	if j.query.Key == "" || !choice.Versioned {
+	header.Set(names.Salt, salt)
+	if len(j.parts) == 0 || !choice.Versioned {
 		return
 	}
 	store := j.table.Store()
 	if !choice.Home {
-		header.Set(p.names.FetchFrom, choice.HomeAddress)
+		header.Set(names.FetchFrom, choice.HomeAddress)
 	} else if store != nil {
-		header.Set(p.names.FetchFrom, store.Address)
-	}
-	if store != nil && p.due(now, routers, salt+"/"+j.query.Key) {
-		header.Set(p.names.SaveTo, store.Address)
-	}
-}
-
-// due tells whether this router is to save the parts now.
-func (p *prompts) due(now time.Duration, routers int, parts string) bool {
-	if routers > saversWanted && xxhash.Sum64String(parts+"/"+p.router)%uint64(routers) >= saversWanted {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if at, known := p.saved[parts]; known && now-at < saveEvery {
-		return false
+		header.Set(names.FetchFrom, store.Address)
 	}
-	if len(p.saved) >= maxSaved {
-		clear(p.saved)
+	if store != nil && h.config.Saved.Due(salt, j.parts) {
+		header.Set(names.SaveTo, store.Address)
 	}
-	p.saved[parts] = now
-	return true
 }
 
 // salt separates kept prompts by model, version and isolated tenant.
