--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -16,6 +16,9 @@
 	// Shared is how many tokens of the prompt other requests share.
 	Shared int
 	Work   Work
+	// Cold tells whether the shared tokens must be read at a back end with this
+	// version, for all that is known; nil means never.
+	Cold func(version int) bool
 	// Slots and Capacity describe one engine; 0 means no engine.
 	Slots    int
 	Capacity int
@@ -42,6 +45,16 @@
 	// passed the filters.
 	Cost       float64
 	Considered int
+	// Work is what the request takes of the chosen back end.
+	Work Work
+}
+
+// unread is how many prompt tokens an engine with this version must read.
+func (q *Query) unread(version int) int {
+	if q.Cold != nil && q.Cold(version) {
+		return q.Work.Prompt + q.Shared
+	}
+	return q.Work.Prompt
 }
 
 // Choose returns the back end of least cost, and false when none may serve.
@@ -59,8 +72,9 @@
 	}
 	best := pick(candidates)
 	version, versioned := best.Weights[q.Model]
+	work := Work{Prompt: q.unread(version), Most: q.Work.Most}
 	return Choice{ID: best.ID, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
-		Home: best.rank == 0, HomeAddress: home, Cost: best.cost, Considered: len(candidates)}, true
+		Home: best.rank == 0, HomeAddress: home, Cost: best.cost, Considered: len(candidates), Work: work}, true
 }
 
 // Size returns how many back ends of a pool are listed and not draining.
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -128,7 +128,7 @@
 // Begin notes that a request is sent to a chosen back end. Cancel gives the
 // attempt up.
 func (p *Pool) Begin(choice *Choice, q *Query, cancel func(error)) *Attempt {
-	a := &Attempt{pool: p, id: choice.ID, work: q.Work, model: q.Model, version: choice.Version, cancel: cancel}
+	a := &Attempt{pool: p, id: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r := p.rows[a.id]; r != nil {
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -25,6 +25,11 @@
 	rankLimit   = 4
 	// prefillRate is the assumed prompt tokens a millisecond of an engine.
 	prefillRate = 38
+	// stallTokens is how much an engine may have to read before the streams that
+	// it serves pause for too long: it reads between their tokens. What is
+	// beyond costs stallFactor times as much more.
+	stallTokens = 9000
+	stallFactor = 3
 	// decodeCost is the cost of one running request: it slows each step.
 	decodeCost = 1.5
 	// crowdCost is the cost of a back end whose memory or slots are taken.
@@ -48,7 +53,9 @@
 		return total + float64(c.running)*typicalWork + c.latency/4
 	}
 	share := float64(min(max(q.Routers, 1), mostRouters))
-	total += share * float64(c.prefill) / prefillRate
+	reading := share*float64(c.prefill) + float64(q.unread(c.Weights[q.Model]))
+	total += reading / prefillRate
+	total += stallFactor * max(0, reading-stallTokens) / prefillRate
 	total += share * float64(c.running) * decodeCost
 	total += crowdCost * crowding(q, c)
 	if q.Key != "" && c.rank > 0 {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -37,6 +37,10 @@
 	lastNumber int64
 	events     int
 	firstAt    time.Duration
+	// lastAt is when the last event was passed on, and longestGap the longest
+	// pause between two.
+	lastAt     time.Duration
+	longestGap time.Duration
 }
 
 // whole is a back end's whole answer.
@@ -183,7 +187,9 @@
 		s.writer.WriteHeader(answer.StatusCode)
 		s.begun = true
 		s.firstAt = s.handler.now()
+		s.lastAt = s.firstAt
 	}
+	s.noteGap()
 	if _, err := s.writer.Write(event); err != nil {
 		return err
 	}
@@ -197,6 +203,13 @@
 	return nil
 }
 
+// noteGap measures the pause before an event.
+func (s *session) noteGap() {
+	now := s.handler.now()
+	s.longestGap = max(s.longestGap, now-s.lastAt)
+	s.lastAt = now
+}
+
 // eventID returns the value of an event's id line.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -256,6 +256,6 @@
 	h.metrics.Answered(s.status, false)
 	h.metrics.Took(took, s.firstAt-j.arrived)
 	h.config.Logger.Info(what, "part", "forward", "id", j.id, "route", j.route.Name, "pool", j.pool.Name,
-		"table", j.table.Version, "status", s.status, "events", s.events, "took_ms", took.Milliseconds(),
+		"table", j.table.Version, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
 		"first_ms", (s.firstAt - j.arrived).Milliseconds(), "attempts", strings.Join(j.trace, "; "))
 }
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -48,6 +48,8 @@
 		j.query.Key = j.parts[len(j.parts)-1]
 	}
 	j.query.Work.Prompt = max(j.query.Work.Prompt-j.query.Shared, 0)
+	shared := j.query.Key
+	j.query.Cold = func(version int) bool { return shared != "" && !h.config.Saved.Known(salt(j, version), shared) }
 	if j.tenant != nil && j.tenant.Isolated && j.query.Key != "" {
 		j.query.Key += "/" + j.tenant.Name
 	}
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -73,6 +73,14 @@
 	return due
 }
 
+// Known tells whether some router has saved a part lately.
+func (s *Saved) Known(salt, part string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, known := s.at[xxhash.Sum64String(salt+"/"+part)]
+	return known && time.Since(s.started)-at < savedFor
+}
+
 // addressPrompt fills where kept prompts are taken from and sent to. A
 // prompt's home takes what it lacks from the store; any other engine takes it
 // from the home, whose link is free more often.
@@ -80,7 +88,7 @@
 	names, header := &h.config.Headers, j.request.Header
 	header.Del(names.FetchFrom)
 	header.Del(names.SaveTo)
-	salt := salt(j, choice)
+	salt := salt(j, choice.Version)
 	header.Set(names.Salt, salt)
 	if len(j.parts) == 0 || !choice.Versioned {
 		return
@@ -97,8 +105,8 @@
 }
 
 // salt separates kept prompts by model, version and isolated tenant.
-func salt(j *job, choice backends.Choice) string {
-	text := j.query.Model + "/" + strconv.Itoa(choice.Version)
+func salt(j *job, version int) string {
+	text := j.query.Model + "/" + strconv.Itoa(version)
 	if j.tenant != nil && j.tenant.Isolated {
 		text += "/" + j.tenant.Name
 	}
