--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -81,9 +81,9 @@
 	return known && time.Since(s.started)-at < savedFor
 }
 
-// addressPrompt fills where kept prompts are taken from and sent to. A
-// prompt's home takes what it lacks from the store; any other engine takes it
-// from the home, whose link is free more often.
+// addressPrompt fills where kept prompts are taken from and sent to. Parts that
+// were saved lately come from the store; a home may have dropped them. Parts
+// that were not may be at the home.
 func (h *Handler) addressPrompt(j *job, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Del(names.FetchFrom)
@@ -94,10 +94,12 @@
 		return
 	}
 	store := j.table.Store()
-	if !choice.Home {
-		header.Set(names.FetchFrom, choice.HomeAddress)
-	} else if store != nil {
+	saved := store != nil && h.config.Saved.Known(salt, j.parts[len(j.parts)-1])
+	switch {
+	case saved || (choice.Home && store != nil):
 		header.Set(names.FetchFrom, store.Address)
+	case !choice.Home:
+		header.Set(names.FetchFrom, choice.HomeAddress)
 	}
 	if store != nil && h.config.Saved.Due(salt, j.parts) {
 		header.Set(names.SaveTo, store.Address)
