Routers share their loads through the leader

Cause: a router saw a seventh of an engine's work, so that several routers filled the same one: pauses above 500 ms and preemptions.

--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -40,6 +41,10 @@
 	running int
 	memory  int
 	prefill int
+	// others is the work of all other routers there, as of Pool.othersAt, and
+	// told what this router told of its own.
+	others coordapi.Load
+	told   coordapi.Load
 	// failures is the rate of failed requests, as of failedAt.
 	failures float64
 	failedAt time.Duration
@@ -54,6 +59,8 @@
 	mu      sync.Mutex
 	rows    map[string]*row
 	minimum map[string]int
+	// othersAt is when the others' work was heard of last.
+	othersAt time.Duration
 	// waiting are the attempts whose back ends have not begun.
 	waiting map[*Attempt]struct{}
 }
@@ -110,6 +117,36 @@
 	Most   int
 }
 
+// Others takes the work of all routers together, this one's among it.
+func (p *Pool) Others(now time.Duration, loads []coordapi.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.rows {
+		r.others = coordapi.Load{}
+	}
+	for _, l := range loads {
+		if r := p.rows[l.ID]; r != nil {
+			r.others = coordapi.Load{Running: max(l.Running-r.told.Running, 0), Memory: max(l.Memory-r.told.Memory, 0),
+				Prompt: max(l.Prompt-r.told.Prompt, 0)}
+		}
+	}
+	p.othersAt = now
+}
+
+// Own returns this router's work under way.
+func (p *Pool) Own() []coordapi.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []coordapi.Load
+	for id, r := range p.rows {
+		r.told = coordapi.Load{ID: id, Running: r.running, Memory: r.memory, Prompt: r.prefill}
+		if r.running > 0 {
+			out = append(out, r.told)
+		}
+	}
+	return out
+}
+
 // Attempt is a request under way at a back end.
 type Attempt struct {
 	pool    *Pool
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -34,10 +34,11 @@
 	decodeCost = 1.5
 	// crowdCost is the cost of a back end whose memory or slots are taken.
 	crowdCost = 400
+	// roomyShare is the part of an engine's memory that requests may take
+	// without a cost: the rest keeps prompts.
+	roomyShare = 0.6
 	// typicalWork is the assumed time of a request to a pool without engines.
 	typicalWork = 40
-	// mostRouters bounds by how much a router scales its own load up.
-	mostRouters = 3
 )
 
 // cost is the scorer: the expected delay of the request at a candidate.
@@ -50,13 +51,12 @@
 		total += farCost
 	}
 	if q.Slots == 0 {
-		return total + float64(c.running)*typicalWork + c.latency/4
+		return total + float64(c.running+c.others.Running)*typicalWork + c.latency/4
 	}
-	share := float64(min(max(q.Routers, 1), mostRouters))
-	reading := share*float64(c.prefill) + float64(q.unread(c.Weights[q.Model]))
+	reading := float64(c.prefill + c.others.Prompt + q.unread(c.Weights[q.Model]))
 	total += reading / prefillRate
 	total += stallFactor * max(0, reading-stallTokens) / prefillRate
-	total += share * float64(c.running) * decodeCost
+	total += float64(c.running+c.others.Running) * decodeCost
 	total += crowdCost * crowding(q, c)
 	if q.Key != "" && c.rank > 0 {
 		total += strangeCost * float64(q.Shared) * (1 + strangeStep*float64(min(c.rank, rankLimit)))
@@ -64,16 +64,14 @@
 	return total
 }
 
-// crowding is how far the request would overfill an engine, as this router can
-// tell: 0 while there is room.
+// crowding is how far the request would overfill an engine's memory or slots:
+// 0 while there is room.
 func crowding(q *Query, c *candidate) float64 {
-	routers := float64(max(q.Routers, 1))
 	over := 0.0
 	if q.Capacity > 0 {
-		over += max(0, (float64(c.memory)+float64(q.Work.Most))/float64(q.Capacity)-0.6)
-		over += max(0, (float64(c.memory)*routers/2+float64(q.Work.Most))/float64(q.Capacity)-1)
+		over += max(0, float64(c.memory+c.others.Memory+q.Work.Most)/float64(q.Capacity)-roomyShare)
 	}
-	return over + max(0, float64(c.running+1)*routers/2/float64(q.Slots)-1)
+	return over + max(0, float64(c.running+c.others.Running+1)/float64(q.Slots)-1)
 }
 
 // rank orders the candidates by rendezvous hashing of the key, so that all
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -36,7 +36,7 @@
 	Beat        *Beat              `json:"beat,omitempty"`
 	Leave       *Leave             `json:"leave,omitempty"`
 	Join        *Join              `json:"join,omitempty"`
-	Saved       *Saved             `json:"saved,omitempty"`
+	Tell        *Tell              `json:"tell,omitempty"`
 }
 
 // Reply answers a Request.
@@ -59,8 +59,10 @@
 	// Leader is the token of the leader's own knowledge in the last View.
 	Leader string `json:"leader,omitempty"`
 	// SavedSince is View.SavedUntil of the last View.
-	SavedSince uint64        `json:"saved_since,omitempty"`
-	Wait       time.Duration `json:"wait"`
+	SavedSince uint64 `json:"saved_since,omitempty"`
+	// Announced is View.Announced of the last View.
+	Announced uint64        `json:"announced,omitempty"`
+	Wait      time.Duration `json:"wait"`
 }
 
 // View is what changed. A leader that holds its lease vouches that nothing
@@ -91,6 +93,10 @@
 	// watcher's SavedSince, in order; SavedUntil counts them.
 	Saved      []uint64 `json:"saved,omitempty"`
 	SavedUntil uint64   `json:"saved_until,omitempty"`
+	// Loads is the work of all routers together.
+	Loads []Load `json:"loads,omitempty"`
+	// Announced counts the leader's announcements of Saved and Loads.
+	Announced uint64 `json:"announced,omitempty"`
 	// Members are the peer addresses of the coordinators.
 	Members []string `json:"members,omitempty"`
 }
@@ -110,10 +116,25 @@
 	ID string `json:"id"`
 }
 
-// Saved tells the leader which prompt parts a router is saving to the store,
-// so that the others need not. A part is named by a hash of its salt and ID.
-type Saved struct {
-	Parts []uint64 `json:"parts"`
+// Tell brings the leader what a router has done lately. It is a hint: what is
+// lost is told again.
+type Tell struct {
+	Router string `json:"router"`
+	// Saved are prompt parts that the router is saving to the store, so that
+	// the others need not. A part is named by a hash of its salt and ID.
+	Saved []uint64 `json:"saved,omitempty"`
+	// Loads is all work that the router has under way.
+	Loads []Load `json:"loads,omitempty"`
+}
+
+// Load is work under way at a back end.
+type Load struct {
+	ID string `json:"id"`
+	// Running counts requests, Memory is what they take at most and Prompt what
+	// is not read yet, in tokens.
+	Running int `json:"r,omitempty"`
+	Memory  int `json:"m,omitempty"`
+	Prompt  int `json:"p,omitempty"`
 }
 
 // Join asks for a coordinator to become a member of the group.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -80,8 +80,8 @@
 		return s.beat(ctx, *r.Beat)
 	case r.Leave != nil:
 		return s.leave(ctx, *r.Leave)
-	case r.Saved != nil:
-		return s.leading(ctx, func(now time.Duration) { s.soft.saved.add(now, r.Saved.Parts) })
+	case r.Tell != nil:
+		return s.leading(ctx, func(now time.Duration) { s.soft.told.take(now, r.Tell) })
 	case r.Join != nil:
 		return s.join(ctx, *r.Join)
 	}
@@ -260,7 +260,7 @@
 	s.soft.watched(now, w.Router)
 	d := s.core.Machine().Deployment()
 	sameLeader := strings.HasPrefix(w.Leader, s.soft.epoch)
-	news := s.soft.saved.announced > w.SavedSince || !sameLeader
+	news := s.soft.told.announcements > w.Announced || !sameLeader
 	if max(d.ConfiguredAt, d.BackendsAt) <= w.Since && w.Leader == s.soft.token() && !news && !last {
 		return nil
 	}
@@ -272,7 +272,8 @@
 	if !sameLeader {
 		w.SavedSince = 0
 	}
-	v.Saved, v.SavedUntil = s.soft.saved.after(w.SavedSince)
+	v.Saved, v.SavedUntil = s.soft.told.after(w.SavedSince)
+	v.Loads, v.Announced = s.soft.told.sums, s.soft.told.announcements
 	v.Backends, v.Departed, v.Whole = d.Changed(w.Since)
 	for _, address := range s.core.Status().Membership.Addresses {
 		v.Members = append(v.Members, address)
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -37,7 +37,7 @@
 	epoch   string
 	changes int
 	looked  time.Duration
-	saved   savedParts
+	told    told
 }
 
 // token changes whenever silent or minimum does.
@@ -133,7 +133,7 @@
 		s.notify.wake()
 		return
 	}
-	if s.lastRole == raft.Leader && s.soft.saved.announce(now, len(s.soft.routers)) {
+	if s.lastRole == raft.Leader && s.soft.told.announce(now, len(s.soft.routers)) {
 		s.notify.wake()
 		return
 	}
--- /dev/null
+++ b/internal/coordinator/told.go
@@ -0,0 +1,95 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+const (
+	// keptSaved bounds the saved parts that a leader remembers for watchers.
+	keptSaved = 8192
+	// announceEvery is the least time between two announcements, and
+	// announceStep what each watcher adds to it.
+	announceEvery = 80 * time.Millisecond
+	announceStep  = 3 * time.Millisecond
+	// loadKept is how long a router's load counts after it was told.
+	loadKept = 1500 * time.Millisecond
+)
+
+// told is what routers told the leader: the prompt parts that they saved, in
+// order, and their loads. An announcement wakes the watchers.
+type told struct {
+	// first is the number of the first of parts.
+	first uint64
+	parts []uint64
+	loads map[string]routerLoad
+	// fresh says that loads came since the last announcement.
+	fresh bool
+	sums  []coordapi.Load
+	// announcements counts them.
+	announcements uint64
+	at            time.Duration
+}
+
+// routerLoad is one router's work under way.
+type routerLoad struct {
+	at    time.Duration
+	loads []coordapi.Load
+}
+
+func (t *told) take(now time.Duration, news *coordapi.Tell) {
+	t.parts = append(t.parts, news.Saved...)
+	if excess := len(t.parts) - keptSaved; excess > 0 {
+		t.parts = slices.Clone(t.parts[excess:])
+		t.first += uint64(excess)
+	}
+	if t.loads == nil {
+		t.loads = map[string]routerLoad{}
+	}
+	t.loads[news.Router] = routerLoad{at: now, loads: news.Loads}
+	t.fresh = true
+}
+
+func (t *told) until() uint64 { return t.first + uint64(len(t.parts)) }
+
+// announce tells whether watchers should be woken for news now.
+func (t *told) announce(now time.Duration, watchers int) bool {
+	if !t.fresh || now < t.at+announceEvery+time.Duration(watchers)*announceStep {
+		return false
+	}
+	t.fresh, t.at = false, now
+	t.announcements++
+	t.sum(now)
+	return true
+}
+
+// sum adds the routers' loads up.
+func (t *told) sum(now time.Duration) {
+	sums := map[string]coordapi.Load{}
+	for router, r := range t.loads {
+		if now-r.at > loadKept {
+			delete(t.loads, router)
+			continue
+		}
+		for _, l := range r.loads {
+			s := sums[l.ID]
+			sums[l.ID] = coordapi.Load{ID: l.ID, Running: s.Running + l.Running, Memory: s.Memory + l.Memory, Prompt: s.Prompt + l.Prompt}
+		}
+	}
+	t.sums = make([]coordapi.Load, 0, len(sums))
+	for _, l := range sums {
+		t.sums = append(t.sums, l)
+	}
+	slices.SortFunc(t.sums, func(a, b coordapi.Load) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// after returns the parts behind a number, and the number of the next.
+func (t *told) after(since uint64) ([]uint64, uint64) {
+	if since >= t.until() {
+		return nil, t.until()
+	}
+	return t.parts[max(since, t.first)-t.first:], t.until()
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -38,6 +38,11 @@
 	Apply(rows []state.Backend, departed []string, whole bool)
 	// Note takes what only the leader knows.
 	Note(minimum, expired map[string]int, silent []string)
+	// Others takes the work of all routers together.
+	Others(now time.Duration, loads []coordapi.Load)
+	// Own returns the work of this router that is under way. What it returned
+	// last counts as part of what Others brings.
+	Own() []coordapi.Load
 }
 
 // Saved is a router's knowledge of the prompt parts that the store holds.
@@ -62,12 +67,14 @@
 	started    time.Time
 
 	// All below belongs to Run.
-	since   uint64
-	saved   uint64
-	token   string
-	leader  string
-	members []string
-	next    int
+	since uint64
+	saved uint64
+	// announced is the leader's last announcement that was taken.
+	announced uint64
+	token     string
+	leader    string
+	members   []string
+	next      int
 }
 
 // Config says what a Follower works with.
@@ -104,28 +111,36 @@
 // Routers is how many routers follow the coordinators, at least 1.
 func (f *Follower) Routers() int { return max(int(f.routers.Load()), 1) }
 
-// tellEvery is how often the leader is told of newly saved prompt parts.
-const tellEvery = 50 * time.Millisecond
+// tellEvery is the time between two words to the leader, and tellStep what
+// each router of the deployment adds to it.
+const (
+	tellEvery = 50 * time.Millisecond
+	tellStep  = 3 * time.Millisecond
+)
 
-// Tell passes newly saved prompt parts on to the leader until the context
-// ends. What is lost on the way is saved again by somebody.
+// Tell brings the leader the router's load and newly saved prompt parts until
+// the context ends.
 func (f *Follower) Tell(ctx context.Context) {
-	ticker := time.NewTicker(tellEvery)
-	defer ticker.Stop()
+	idle := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(tellEvery + tellStep*time.Duration(f.Routers())):
 		}
-		parts := f.config.Saved.Fresh()
 		leader := f.following.Load()
-		if len(parts) == 0 || leader == nil || *leader == "" {
+		if leader == nil {
 			continue
 		}
+		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own()}
+		quiet := len(news.Saved) == 0 && len(news.Loads) == 0
+		if quiet && idle {
+			continue
+		}
+		idle = quiet
 		call, cancel := context.WithTimeout(ctx, firstTimeout)
 		var reply coordapi.Reply
-		_ = f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Saved: &coordapi.Saved{Parts: parts}}, &reply)
+		_ = f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Tell: news}, &reply)
 		cancel()
 	}
 }
@@ -152,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Wait: wait}}
+	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Announced: f.announced, Wait: wait}}
 	sent := time.Since(f.started)
 	var reply coordapi.Reply
 	err := f.config.Peers.Call(ctx, address, coordapi.KindCall, request, &reply)
@@ -203,12 +218,15 @@
 	if len(v.Backends) > 0 || len(v.Departed) > 0 || v.Whole {
 		f.config.Pool.Apply(v.Backends, v.Departed, v.Whole)
 	}
+	if v.Announced != f.announced {
+		f.config.Pool.Others(time.Since(f.started), v.Loads)
+	}
 	f.config.Pool.Note(v.Minimum, v.Expired, v.Silent)
 	f.routers.Store(int64(v.Routers))
 	if len(v.Saved) > 0 && f.config.Saved != nil {
 		f.config.Saved.Learn(v.Saved)
 	}
-	f.since, f.token, f.members, f.saved = v.Revision, v.Leader, v.Members, v.SavedUntil
+	f.since, f.token, f.members, f.saved, f.announced = v.Revision, v.Leader, v.Members, v.SavedUntil, v.Announced
 	if f.table.Load() != nil {
 		f.rightUntil.Store(max(f.rightUntil.Load(), int64(sent+f.config.Right)))
 	}
