--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -23,6 +23,8 @@
 	failureHalfLife = 3 * time.Second
 	// busyPause is how long a back end that turned a request away is avoided.
 	busyPause = 150 * time.Millisecond
+	// unreachablePause is the same for one that could not be reached.
+	unreachablePause = 1500 * time.Millisecond
 	// latencyGain is the weight of one answer in the mean time of answers.
 	latencyGain = 0.1
 )
@@ -240,6 +242,11 @@
 	p.with(id, func(r *row) { r.busy = now + busyPause })
 }
 
+// Unreachable notes that no connection to a back end could be had.
+func (p *Pool) Unreachable(now time.Duration, id string) {
+	p.with(id, func(r *row) { r.busy = now + unreachablePause })
+}
+
 // Mismatch notes that the address answered as another instance, or that the
 // back end does not hold the version of a model.
 func (p *Pool) Mismatch(id, model string, version int, otherInstance bool) {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -41,6 +41,8 @@
 	// pause between two.
 	lastAt     time.Duration
 	longestGap time.Duration
+	// stall watches for pauses of a stream that may go on elsewhere.
+	stall *alarm
 }
 
 // whole is a back end's whole answer.
@@ -206,6 +208,7 @@
 // noteGap measures the pause before an event.
 func (s *session) noteGap() {
 	now := s.handler.now()
+	s.stall.putOff()
 	s.longestGap = max(s.longestGap, now-s.lastAt)
 	s.lastAt = now
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
 
@@ -24,6 +25,10 @@
 	// silenceFactor is how many latency targets a repeatable attempt may be
 	// silent before another back end is asked.
 	silenceFactor = 2
+	// stallFactor is how many gap targets a stream that may go on elsewhere may
+	// pause, and leastStall the least such time.
+	stallFactor = 4
+	leastStall  = 2 * time.Second
 	// fullRetry is when to come back after all back ends turned a request away.
 	fullRetry = 250 * time.Millisecond
 )
@@ -120,8 +125,8 @@
 	j := s.job
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stopSilence := h.watchSilence(j, s, cancel)
-	defer stopSilence()
+	silence := h.watchSilence(j, cancel)
+	defer silence.stop()
 	h.address(j, s, choice)
 	started := h.now()
 	running := h.config.Pool.Begin(&choice, &j.query, cancel)
@@ -131,9 +136,13 @@
 		return h.noAnswer(ctx, j, choice, err)
 	}
 	defer answer.Close()
-	stopSilence()
+	silence.stop()
 	running.Begun()
 	h.noteVersion(j, choice, answer.Header)
+	if j.route.Kind == traffic.KindStream && silence != nil {
+		s.stall = newAlarm(max(stallFactor*j.route.GapTarget, leastStall), cancel)
+		defer s.stall.stop()
+	}
 	result := h.take(ctx, s, answer)
 	h.note(ctx, j, choice, answer.StatusCode, result, h.now()-started)
 	return result
@@ -141,12 +150,34 @@
 
 // watchSilence gives up a repeatable attempt whose back end is silent for too
 // long while another one may be asked.
-func (h *Handler) watchSilence(j *job, s *session, cancel context.CancelCauseFunc) func() {
+func (h *Handler) watchSilence(j *job, cancel context.CancelCauseFunc) *alarm {
 	if !j.route.Repeatable() || j.ran+1 >= max(j.route.MaxAttempts, 1) || j.route.Target <= 0 {
-		return func() {}
+		return nil
+	}
+	return newAlarm(silenceFactor*j.route.Target, cancel)
+}
+
+// alarm cancels an attempt unless it is put off in time. A nil alarm does
+// nothing.
+type alarm struct {
+	limit time.Duration
+	timer *time.Timer
+}
+
+func newAlarm(limit time.Duration, cancel context.CancelCauseFunc) *alarm {
+	return &alarm{limit: limit, timer: time.AfterFunc(limit, func() { cancel(errSilent) })}
+}
+
+func (a *alarm) stop() {
+	if a != nil {
+		a.timer.Stop()
+	}
+}
+
+func (a *alarm) putOff() {
+	if a != nil {
+		a.timer.Reset(a.limit)
 	}
-	timer := time.AfterFunc(silenceFactor*j.route.Target, func() { cancel(errSilent) })
-	return func() { timer.Stop() }
 }
 
 var errSilent = errors.New("the back end was silent for too long")
@@ -179,6 +210,7 @@
 		h.config.Pool.Failed(h.now(), choice.ID)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
+		h.config.Pool.Unreachable(h.now(), choice.ID)
 		return outcome{verdict: notRun, err: err}
 	}
 	return outcome{verdict: mayHaveRun, err: err, arrived: true}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	dialTimeout = 600 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// userTimeout ends connections whose peer acknowledges nothing.
-	userTimeout    = 1500 * time.Millisecond
+	userTimeout    = 700 * time.Millisecond
 	tcpUserTimeout = 18
 	readBuffer     = 4 << 10
 	// asyncBody is the body size from which a request is written while the
