--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -38,7 +38,8 @@
 	Version   int
 	Versioned bool
 	// Home says that the back end is the first for the query's key, and
-	// HomeAddress is where that one is reached.
+	// HomeAddress is where that one is reached; empty unless it holds the same
+	// version, since what it keeps was made with its own.
 	Home        bool
 	HomeAddress string
 	// Cost is the winner's cost in milliseconds and Considered how many
@@ -66,15 +67,19 @@
 		return Choice{}, false
 	}
 	rank(q.Key, candidates)
-	home := candidates[0].Address
+	home := candidates[0].row
 	for i := range candidates {
 		candidates[i].cost = cost(now, p.zone, q, &candidates[i])
 	}
 	best := pick(candidates)
 	version, versioned := best.Weights[q.Model]
+	homeAddress := ""
+	if held, holds := home.Weights[q.Model]; holds && versioned && held == version {
+		homeAddress = home.Address
+	}
 	work := Work{Prompt: q.unread(version), Most: q.Work.Most}
 	return Choice{ID: best.ID, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
-		Home: best.rank == 0, HomeAddress: home, Cost: best.cost, Considered: len(candidates), Work: work}, true
+		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: len(candidates), Work: work}, true
 }
 
 // Size returns how many back ends of a pool are listed and not draining.
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -43,7 +43,7 @@
 	Instance string
 	Model    string
 	Version  int
-	// Truncate cuts running requests off instead of waiting for their end.
+	// Truncate cuts running requests off; else they go on with the new weights.
 	Truncate bool
 	Holder   string
 	Fence    uint64
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -98,7 +98,7 @@
 	switch {
 	case saved || (choice.Home && store != nil):
 		header.Set(names.FetchFrom, store.Address)
-	case !choice.Home:
+	case !choice.Home && choice.HomeAddress != "":
 		header.Set(names.FetchFrom, choice.HomeAddress)
 	}
 	if store != nil && h.config.Saved.Due(salt, j.parts) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -135,7 +135,7 @@
 	// WeightsGuard is how long before that routers stop using older versions.
 	// Default 1400ms.
 	WeightsGuard time.Duration `yaml:"weights_guard"`
-	// LoadTime is the assumed time of one load of weights. Default 1300ms.
+	// LoadTime is the assumed time of one load of weights. Default 800ms.
 	LoadTime time.Duration `yaml:"load_time"`
 	// LoadMargin is added to the time that the remaining loads need. Default
 	// 700ms.
@@ -155,7 +155,7 @@
 // SetDefaults fills the fields that the file leaves out.
 func (c *Coordinator) SetDefaults() {
 	c.WeightsGuard = orDefault(c.WeightsGuard, 1400*time.Millisecond)
-	c.LoadTime = orDefault(c.LoadTime, 1300*time.Millisecond)
+	c.LoadTime = orDefault(c.LoadTime, 800*time.Millisecond)
 	c.LoadMargin = orDefault(c.LoadMargin, 700*time.Millisecond)
 	c.LoadDivisor = orDefault(c.LoadDivisor, 4)
 	c.Log.setDefaults()
