Shorter elections, and a truer word on when to come back

Election timeout 800 -> 500 ms, lease 600 -> 375 ms; a router that may not serve yet says 1.2 s less its age, at least 0.5 s.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -27,10 +27,10 @@
 // Times of the consensus. The lease is below the election timeout by a
 // quarter, which bounds how far clocks may drift apart meanwhile.
 const (
-	tickInterval      = 40 * time.Millisecond
-	heartbeatInterval = 120 * time.Millisecond
-	electionTimeout   = 800 * time.Millisecond
-	leaseDuration     = 600 * time.Millisecond
+	tickInterval      = 30 * time.Millisecond
+	heartbeatInterval = 90 * time.Millisecond
+	electionTimeout   = 500 * time.Millisecond
+	leaseDuration     = 375 * time.Millisecond
 	snapshotEvery     = 256
 )
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -24,8 +24,11 @@
 	// answerMargin is how much before the caller's deadline the final answer is
 	// given.
 	answerMargin = 30 * time.Millisecond
-	// unpreparedRetry is when to come back to a router that may not serve.
-	unpreparedRetry = 300 * time.Millisecond
+	// preparation is about how long the coordinators take to agree again after
+	// all of them were lost, and leastRetry the least time after which a caller
+	// of a router that may not serve is told to come back.
+	preparation = 1200 * time.Millisecond
+	leastRetry  = 500 * time.Millisecond
 )
 
 // Source says what to serve by.
@@ -146,7 +149,7 @@
 func (h *Handler) check(r *http.Request, arrived time.Duration) (*job, *refusal) {
 	table := h.config.Source.Table()
 	if table == nil || !h.config.Source.Fresh() {
-		return nil, &refusal{http.StatusServiceUnavailable, "configuration is not known to be the newest", unpreparedRetry}
+		return nil, &refusal{http.StatusServiceUnavailable, "configuration is not known to be the newest", max(preparation-arrived, leastRetry)}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := table.Route(r.Host, path)
