Orders to load weights wait until prompts are read

A run that goes on over a load would keep the rest of its prompt under the old weights' name, and the store keeps what it got first.

--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -16,9 +16,13 @@
 
 const (
 	rolloutEvery = 60 * time.Millisecond
-	// announcePause lets routers hear that an engine is about to load before it
-	// gets the order and refuses requests.
-	announcePause = 25 * time.Millisecond
+	// announcePause lets routers hear that an engine is about to load and tell
+	// of the work that they sent before. The order then waits until nothing is
+	// being read there, at most for readLimit: a prompt whose reading went on
+	// with new weights would be kept under the old ones' name.
+	announcePause = 200 * time.Millisecond
+	readLimit     = 700 * time.Millisecond
+	readEvery     = 30 * time.Millisecond
 	orderTimeout  = 700 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 	// firstReport and reportEvery are when an engine is asked whether it has
@@ -244,7 +248,7 @@
 	defer cancel()
 	started := s.now()
 	s.change(ctx, row.ID, func(b *state.Backend) { b.Loading = &state.Loading{Model: model, Version: version} })
-	time.Sleep(announcePause)
+	s.awaitRead(ctx, row.ID)
 	err := s.order(ctx, row, model, version, term)
 	if err == nil {
 		err = s.awaitLoaded(ctx, row, model, version)
@@ -265,6 +269,18 @@
 	return held
 }
 
+// awaitRead waits until the prompts that an engine has been sent are read.
+func (s *Server) awaitRead(ctx context.Context, id string) {
+	pause(ctx, announcePause)
+	for limit := s.now() + readLimit; s.now() < limit && ctx.Err() == nil; pause(ctx, readEvery) {
+		unread := 0
+		s.do(ctx, func(time.Duration) { unread = s.soft.told.unread(id) })
+		if unread == 0 {
+			return
+		}
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -93,3 +93,17 @@
 	}
 	return t.parts[max(since, t.first)-t.first:], t.until()
 }
+
+// unread is how many prompt tokens an engine has still to read, for all that
+// routers have told.
+func (t *told) unread(id string) int {
+	total := 0
+	for _, r := range t.loads {
+		for _, l := range r.loads {
+			if l.ID == id {
+				total += l.Prompt
+			}
+		}
+	}
+	return total
+}
