--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -93,7 +93,7 @@
 	if len(j.parts) == 0 || !choice.Versioned {
 		return
 	}
-	store := j.table.Store()
+	store := j.table.Store(xxhash.Sum64String(j.query.Key))
 	saved := store != nil && h.config.Saved.Known(salt, j.parts[len(j.parts)-1])
 	switch {
 	case saved || (choice.Home && store != nil):
--- a/internal/traffic/check.go
+++ b/internal/traffic/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -46,7 +47,11 @@
 			c.add(fmt.Sprintf("$.pools[%d].name", i), "pool %q stands twice", p.Name)
 		}
 		t.pools[p.Name] = p
+		if p.Store != nil {
+			t.stores = append(t.stores, p.Store)
+		}
 	}
+	slices.SortFunc(t.stores, func(a, b *Store) int { return strings.Compare(a.Address, b.Address) })
 }
 
 func (c *checker) routes() {
@@ -132,12 +137,12 @@
 // Pool returns a pool by name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
-// Store returns the store of kept prompts, or nil when there is none.
-func (t *Table) Store() *Store {
-	for i := range t.Pools {
-		if t.Pools[i].Store != nil {
-			return t.Pools[i].Store
-		}
+// Store returns the store that keeps a prompt part, or nil when there is none.
+// Several stores share the parts by a hash of their name, which must be the
+// same in every router.
+func (t *Table) Store(part uint64) *Store {
+	if len(t.stores) == 0 {
+		return nil
 	}
-	return nil
+	return t.stores[part%uint64(len(t.stores))]
 }
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -34,6 +34,8 @@
 	hosts map[string][]*Route
 	keys  map[string]*Tenant
 	pools map[string]*Pool
+	// stores are the stores of kept prompts, in the order of their addresses.
+	stores []*Store
 }
 
 // Route sends the requests of a host and path prefix to pools.
