Unanswered orders are repeated at once; a change of leaders after the deadline gives no more time

Causes: each unanswered order cost 0.9 s of time-out and report, so a rollout of 12 engines took 9 s; and a new leader counted a version's 8 s anew although they were over. Ruled out: fences and counts (no order was carried out twice). Orders are repeated after 280 ms, a report is asked for only after a mismatch.

--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -23,7 +23,10 @@
 	announcePause = 200 * time.Millisecond
 	readLimit     = 700 * time.Millisecond
 	readEvery     = 30 * time.Millisecond
-	orderTimeout  = 700 * time.Millisecond
+	// orderTimeout is when an order that was not answered is given again. Its
+	// count keeps the first from being carried out as well.
+	orderTimeout  = 250 * time.Millisecond
+	orderPause    = 30 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 	// firstReport and reportEvery are when an engine is asked whether it has
 	// loaded, counted from the order.
@@ -121,11 +124,11 @@
 }
 
 // versions returns a model's named versions with the time that each began.
-func (r *rollout) versions(now, since time.Duration, d *state.Deployment, model string) []weights.Version {
+func (r *rollout) versions(since, deadline time.Duration, d *state.Deployment, model string) []weights.Version {
 	var out []weights.Version
 	for _, w := range d.Weights {
 		if w.Model == model {
-			out = append(out, weights.Version{Number: w.Version, From: max(r.seen[w], since)})
+			out = append(out, weights.Version{Number: w.Version, From: weights.Began(r.seen[w], since, deadline)})
 		}
 	}
 	return out
@@ -157,7 +160,7 @@
 	minimum, expired := map[string]int{}, map[string]int{}
 	for _, w := range d.Weights {
 		if _, done := minimum[w.Model]; !done {
-			plan := planConfig(s).Next(now, r.versions(now, since, d, w.Model), nil)
+			plan := planConfig(s).Next(now, r.versions(since, s.WeightsDeadline, d, w.Model), nil)
 			minimum[w.Model], expired[w.Model] = plan.Minimum, plan.Expired
 		}
 	}
@@ -210,7 +213,7 @@
 		}
 		engines = append(engines, weights.Engine{ID: id, Version: version, Loading: s.rollout.running[id]})
 	}
-	plan := planConfig(s.settings).Next(now, s.rollout.versions(now, s.soft.since, d, model), engines)
+	plan := planConfig(s.settings).Next(now, s.rollout.versions(s.soft.since, s.settings.WeightsDeadline, d, model), engines)
 	if len(plan.Load) == 0 || !s.mayOrder(now, d) {
 		return
 	}
@@ -334,21 +337,29 @@
 		case errors.Is(err, ErrHeld), errors.Is(err, ErrFenced), errors.Is(err, ErrOtherInstance):
 			return err
 		}
-		report, failure := s.report(ctx, row)
-		if failure == nil {
-			if report.Weights[model] >= version && !report.Busy {
-				return ErrHeld
-			}
-			if report.Busy && !errors.Is(err, ErrMismatch) {
-				return nil
-			}
-			order.Expected = report.Orders
+		if !errors.Is(err, ErrMismatch) {
+			pause(ctx, orderPause)
+			continue
+		}
+		if held, failure := s.expect(ctx, row, &order); failure == nil && held {
+			return ErrHeld
 		}
 		pause(ctx, reportEvery)
 	}
 	return ctx.Err()
 }
 
+// expect learns how many orders an engine took, and tells whether one of them
+// has brought it to the wanted version.
+func (s *Server) expect(ctx context.Context, row state.Backend, order *LoadOrder) (held bool, err error) {
+	report, err := s.report(ctx, row)
+	if err != nil {
+		return false, err
+	}
+	order.Expected = report.Orders
+	return report.Weights[order.Model] >= order.Version && !report.Busy, nil
+}
+
 // leads tells whether this node still leads in a term.
 func (s *Server) leads(ctx context.Context, term uint64) bool {
 	leads := false
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -18,6 +18,16 @@
 	From time.Duration
 }
 
+// Began returns when a version's time began, for a leader since the given time.
+// A change of leaders before the deadline means that the group was disturbed,
+// and the time counts anew; one after the deadline changes nothing.
+func Began(seen, since, deadline time.Duration) time.Duration {
+	if since > seen && since <= seen+deadline {
+		return since
+	}
+	return seen
+}
+
 // Engine is one engine that serves the model.
 type Engine struct {
 	ID string
--- /dev/null
+++ b/internal/weights/weights_test.go
@@ -0,0 +1,105 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func config() Config {
+	return Config{Deadline: 8 * time.Second, Guard: 1400 * time.Millisecond, Cut: 250 * time.Millisecond,
+		PerLoad: 800 * time.Millisecond, Margin: 700 * time.Millisecond, Divisor: 4}
+}
+
+func engines(count, version int) []Engine {
+	out := make([]Engine, count)
+	for i := range out {
+		out[i] = Engine{ID: fmt.Sprintf("e%02d", i), Version: version}
+	}
+	return out
+}
+
+func TestALoadIsPutOffUntilItsTimeIsShort(t *testing.T) {
+	c := config()
+	versions := []Version{{Number: 2, From: 0}}
+	assert.Equal(t, len(c.Next(0, versions, engines(12, 1)).Load), 0)
+	// 12 engines by threes are 4 loads of 0.8 s: due at 8 - 1.4 - 0.7 - 3.2.
+	assert.Equal(t, len(c.Next(2600*time.Millisecond, versions, engines(12, 1)).Load), 0)
+	assert.Equal(t, len(c.Next(2700*time.Millisecond, versions, engines(12, 1)).Load), 3)
+}
+
+func TestVersionsThatFollowShareALoad(t *testing.T) {
+	plan := config().Next(5*time.Second, []Version{{Number: 2}, {Number: 3, From: 3 * time.Second}}, engines(12, 1))
+	assert.Equal(t, plan.Target, 3)
+}
+
+func TestMinimumRisesBeforeTheDeadlineAndExpiryLater(t *testing.T) {
+	versions := []Version{{Number: 2}}
+	before := config().Next(6500*time.Millisecond, versions, nil)
+	guarded := config().Next(6600*time.Millisecond, versions, nil)
+	cut := config().Next(7750*time.Millisecond, versions, nil)
+	assert.Equal(t, before.Minimum, 0)
+	assert.Equal(t, guarded.Minimum, 2)
+	assert.Equal(t, guarded.Expired, 0)
+	assert.Equal(t, cut.Expired, 2)
+}
+
+// A leader that was killed at the deadline gave the version another 8 s under
+// the next leader, although its time was over.
+func TestAChangeOfLeadersAfterTheDeadlineGivesNoMoreTime(t *testing.T) {
+	deadline := 8 * time.Second
+	assert.Equal(t, Began(3*time.Second, 11500*time.Millisecond, deadline), 3*time.Second)
+	assert.Equal(t, Began(3*time.Second, 9*time.Second, deadline), 9*time.Second)
+	assert.Equal(t, Began(3*time.Second, time.Second, deadline), 3*time.Second)
+}
+
+// TestEveryEngineIsBroughtInTime plays rollouts with loads as long as assumed.
+func TestEveryEngineIsBroughtInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := config()
+		c.Divisor = rapid.IntRange(2, 6).Draw(t, "divisor")
+		count := rapid.IntRange(1, 60).Draw(t, "engines")
+		var versions []Version
+		at := time.Duration(0)
+		for i := range rapid.IntRange(1, 4).Draw(t, "versions") {
+			versions = append(versions, Version{Number: i + 2, From: at})
+			at += time.Duration(rapid.IntRange(1000, 6000).Draw(t, "gap")) * time.Millisecond
+		}
+		playRollout(t, c, versions, engines(count, 1))
+	})
+}
+
+// playRollout steps time and checks that no engine is older than the minimum,
+// but for those that are being loaded.
+func playRollout(t *rapid.T, c Config, versions []Version, pool []Engine) {
+	const step = 20 * time.Millisecond
+	until := map[string]time.Duration{}
+	target := map[string]int{}
+	for now := time.Duration(0); now < versions[len(versions)-1].From+c.Deadline; now += step {
+		named := 0
+		for named < len(versions) && versions[named].From <= now {
+			named++
+		}
+		for i := range pool {
+			if end, loading := until[pool[i].ID]; loading && now >= end {
+				pool[i].Loading, pool[i].Version = false, target[pool[i].ID]
+				delete(until, pool[i].ID)
+			}
+		}
+		plan := c.Next(now, versions[:named], pool)
+		for _, id := range plan.Load {
+			for i := range pool {
+				if pool[i].ID == id {
+					pool[i].Loading = true
+					until[id], target[id] = now+c.PerLoad, plan.Target
+				}
+			}
+		}
+		for _, e := range pool {
+			assert.Assert(t, e.Loading || e.Version >= plan.Minimum, "at %v engine %s has %d, minimum %d", now, e.ID, e.Version, plan.Minimum)
+		}
+	}
+}
