A load that a lost leader had announced is settled by the next

An engine stayed marked as loading when its leader died during the order. The test failed first (row still loading after 20 s). More tests of the coordinators: late heartbeats, unanswered orders, watches.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -17,26 +19,67 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// noEngines is a deployment without model engines.
-type noEngines struct{}
+// fakeEngines are the model engines of a deployment, by address. An order
+// loads at once; the first unanswered orders to each are lost on their way back.
+type fakeEngines struct {
+	mu         sync.Mutex
+	engines    map[string]*fakeEngine
+	unanswered int
+}
+
+type fakeEngine struct {
+	version, orders, lost int
+	holders               []string
+}
 
-func (noEngines) Load(context.Context, LoadOrder) error { return ErrHeld }
+func newFakeEngines() *fakeEngines { return &fakeEngines{engines: map[string]*fakeEngine{}} }
+
+func (f *fakeEngines) at(address string) *fakeEngine {
+	if f.engines[address] == nil {
+		f.engines[address] = &fakeEngine{version: 1}
+	}
+	return f.engines[address]
+}
 
-func (noEngines) Report(context.Context, string, string) (EngineReport, error) {
-	return EngineReport{}, nil
+func (f *fakeEngines) Load(_ context.Context, o LoadOrder) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.at(o.Address)
+	if e.lost < f.unanswered {
+		e.lost++
+		return errors.New("no answer")
+	}
+	if o.Expected != e.orders {
+		return ErrMismatch
+	}
+	if e.version >= o.Version {
+		return ErrHeld
+	}
+	e.orders++
+	e.version = o.Version
+	e.holders = append(e.holders, o.Holder)
+	return nil
+}
+
+func (f *fakeEngines) Report(_ context.Context, address, _ string) (EngineReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.at(address)
+	return EngineReport{Orders: e.orders, Weights: map[string]int{"m": e.version}}, nil
 }
 
 // group is a set of coordinators on loopback.
 type group struct {
 	t       *testing.T
 	config  []settings.Coordinator
+	engines *fakeEngines
 	servers []*Server
 }
 
 // newGroup starts coordinators of which the first three are the seeds.
 func newGroup(t *testing.T, size int) *group {
 	t.Helper()
-	g := &group{t: t}
+	g := &group{t: t, engines: newFakeEngines()}
 	var addresses []string
 	for range size {
 		addresses = append(addresses, freeAddress(t))
@@ -67,7 +110,7 @@
 
 func (g *group) start(i int) {
 	g.t.Helper()
-	server, err := New(g.config[i], noEngines{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	server, err := New(g.config[i], g.engines, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(g.t, err)
 	assert.NilError(g.t, server.Start())
 	g.servers[i] = server
@@ -153,3 +196,100 @@
 		g.waitVoters(i, 5)
 	}
 }
+
+// row returns a back end as a node knows it.
+func (g *group) row(i int, id string) state.Backend {
+	var row state.Backend
+	g.servers[i].do(context.Background(), func(time.Duration) { row = g.servers[i].core.Machine().Deployment().Backends[id] })
+	return row
+}
+
+func (g *group) leader() int {
+	leader := -1
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		for i := range g.servers {
+			g.servers[i].do(context.Background(), func(now time.Duration) {
+				if g.servers[i].core.HoldsLease(now) {
+					leader = i
+				}
+			})
+		}
+		if leader < 0 {
+			return poll.Continue("no leader")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	return leader
+}
+
+func beat(id string, sequence uint64, draining bool) coordapi.Request {
+	return coordapi.Request{Beat: &coordapi.Beat{Sequence: sequence, Backend: state.Backend{ID: id, Pool: "llm", Address: id,
+		Weights: map[string]int{"m": 1}, Draining: draining}}}
+}
+
+func TestALateHeartbeatDoesNotBringADrainingBackEndBack(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.call(1, beat("x", 3, true))
+	g.call(2, beat("x", 2, false))
+	g.call(0, beat("x", 4, false))
+	assert.Assert(t, g.row(g.leader(), "x").Draining)
+}
+
+func TestUnansweredOrdersAreRepeatedWithTheSameCount(t *testing.T) {
+	g := newGroup(t, 3)
+	g.engines.unanswered = 3
+	for _, s := range g.servers {
+		s.settings.WeightsDeadline = 2 * time.Second
+	}
+	g.call(0, beat("x", 1, false))
+	g.call(0, coordapi.Request{NameWeights: &state.NameWeights{Model: "m", Version: 2}})
+	g.waitVersion("x", 2)
+	assert.Equal(t, g.engines.at("x").orders, 1)
+	assert.Assert(t, g.row(g.leader(), "x").Loading == nil)
+}
+
+// A load that a lost leader had announced kept its engine out for good.
+func TestALoadOfALostLeaderIsSettled(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.call(0, coordapi.Request{NameWeights: &state.NameWeights{Model: "m", Version: 2}})
+	leader := g.servers[g.leader()]
+	g.engines.at("x").version, g.engines.at("x").orders = 2, 1
+	leader.change(context.Background(), "x", func(b *state.Backend) { b.Loading = &state.Loading{Model: "m", Version: 2} })
+	g.waitVersion("x", 2)
+	assert.Assert(t, g.row(g.leader(), "x").Loading == nil)
+	assert.Equal(t, g.row(g.leader(), "x").Orders, 1)
+}
+
+// waitVersion waits until the leader's row shows a version and no load.
+func (g *group) waitVersion(id string, version int) {
+	g.t.Helper()
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		row := g.row(g.leader(), id)
+		if row.Weights["m"] != version || row.Loading != nil {
+			return poll.Continue("row is %+v", row)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func TestAWatchHearsOfAChangeAtOnce(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, configure(1))
+	leader := g.leader()
+	watch := coordapi.Request{Watch: &coordapi.Watch{Router: "r"}}
+	first := g.call(leader, watch).View
+	assert.Equal(t, first.Version, uint64(1))
+	heard := make(chan *coordapi.View, 1)
+	go func() {
+		again := coordapi.Request{Watch: &coordapi.Watch{Router: "r", Since: first.Revision, Leader: first.Leader, Announced: first.Announced, Wait: 800 * time.Millisecond}}
+		reply, _ := g.servers[leader].Call(context.Background(), again)
+		heard <- reply.View
+	}()
+	g.call(0, configure(2))
+	view := <-heard
+	assert.Assert(t, view != nil)
+	assert.Equal(t, view.Version, uint64(2))
+	assert.Equal(t, string(view.Document), `{"version":2}`)
+}
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -207,6 +207,9 @@
 func (s *Server) orderModel(ctx context.Context, now time.Duration, d *state.Deployment, model string) {
 	var engines []weights.Engine
 	for id, b := range d.Backends {
+		if b.Loading != nil && b.Loading.Model == model && !s.rollout.running[id] {
+			s.settle(ctx, b)
+		}
 		version, holds := b.Weights[model]
 		if !holds || b.Draining || slices.Contains(s.soft.silent, id) {
 			continue
@@ -231,6 +234,31 @@
 	}
 }
 
+// settle finds out what became of a load that an earlier leader announced and
+// did not see the end of. Until then the engine counts as loading.
+func (s *Server) settle(ctx context.Context, row state.Backend) {
+	s.rollout.running[row.ID] = true
+	s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, loadLimit)
+		defer cancel()
+		var report EngineReport
+		err := errors.New("not asked")
+		for ctx.Err() == nil && (err != nil || report.Busy) {
+			pause(ctx, reportEvery)
+			report, err = s.report(ctx, row)
+		}
+		s.change(context.WithoutCancel(ctx), row.ID, func(b *state.Backend) {
+			b.Loading = nil
+			if version := report.Weights[row.Loading.Model]; err == nil && version > b.Weights[row.Loading.Model] {
+				b.Weights = raised(b.Weights, row.Loading.Model, version)
+				b.Orders = report.Orders
+			}
+		})
+		s.logger.Info("load of an earlier leader settled", "part", "rollout", "backend", row.ID, "error", errorText(err))
+		s.do(context.WithoutCancel(ctx), func(now time.Duration) { s.rollout.finished(now, row.ID, err == nil) })
+	})
+}
+
 // mayOrder tells whether this node may give orders: it did last, or the lease
 // of the node that did is over.
 func (s *Server) mayOrder(now time.Duration, d *state.Deployment) bool {
