A whole event is not held back behind half of the next

Found by a new test of broken streams: an event left only when the read buffer was empty, so that half of the next event held it back, and a break lost it. Events now wait only for another whole one.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 check: format lint test models
 
 format:
-	@unformatted=$$(gofmt -l cmd internal); \
+	@unformatted=$$(gofmt -l cmd internal platform); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 
 lint:
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -133,7 +133,7 @@
 			err = errHalfEvent
 		}
 		if err == nil {
-			err = s.passEvent(answer, event, reader.Buffered() == 0)
+			err = s.passEvent(answer, event, !eventWaits(reader))
 		}
 		if err != nil {
 			return outcome{verdict: mayHaveRun, err: err, arrived: true}
@@ -148,6 +148,13 @@
 	return outcome{verdict: done}
 }
 
+// eventWaits tells whether another whole event has been read already. Only then
+// is an event held back for a moment, to leave together with the next.
+func eventWaits(reader *bufio.Reader) bool {
+	waiting, _ := reader.Peek(reader.Buffered())
+	return bytes.Contains(waiting, []byte("\n\n")) || bytes.Contains(waiting, []byte("\n\r\n"))
+}
+
 // readEvent reads up to and with the empty line that ends an event.
 func readEvent(reader *bufio.Reader, event []byte) ([]byte, error) {
 	for {
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,377 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
+	"quinceridge.example/quinceridge/internal/upstream"
+	"quinceridge.example/quinceridge/internal/vocabulary"
+)
+
+var names = vocabulary.Default()
+
+// source serves one table.
+type source struct {
+	table *traffic.Table
+	fresh atomic.Bool
+}
+
+func (s *source) Table() *traffic.Table { return s.table }
+func (s *source) Fresh() bool           { return s.fresh.Load() }
+func (s *source) Routers() int          { return 1 }
+
+// rig is a router with scripted back ends.
+type rig struct {
+	t       *testing.T
+	source  *source
+	pool    *backends.Pool
+	handler *Handler
+	router  *httptest.Server
+	// runs counts what each back end ran, by back end.
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func table(t *testing.T) *traffic.Table {
+	t.Helper()
+	built, err := traffic.Build(&traffic.Table{
+		Version: 3,
+		Pools:   []traffic.Pool{{Name: "app"}, {Name: "llm", Engine: &traffic.Engine{Slots: 4, CapacityTokens: 10000}}},
+		Routes: []traffic.Route{
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: traffic.KindSafe, Timeout: time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2, Split: []traffic.Share{{Pool: "app", Weight: 1}}},
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: traffic.KindUnsafe, Timeout: 500 * time.Millisecond, Target: 100 * time.Millisecond, MaxAttempts: 1, Split: []traffic.Share{{Pool: "app", Weight: 1}}},
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: traffic.KindStream, Timeout: time.Second, Target: 100 * time.Millisecond, MaxAttempts: 1, Split: []traffic.Share{{Pool: "llm", Weight: 1}}},
+			{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: traffic.KindStream, Resumable: true, Timeout: 2 * time.Second, Target: 200 * time.Millisecond, MaxAttempts: 2, Split: []traffic.Share{{Pool: "llm", Weight: 1}}},
+			{Name: "public", Host: "h", Prefix: "/safe/public/", Kind: traffic.KindSafe, Timeout: time.Second, Public: true, Split: []traffic.Share{{Pool: "app", Weight: 1}}},
+		},
+		Tenants: []traffic.Tenant{{Name: "alice", Keys: []string{"ka"}}},
+		Limits:  traffic.Limits{MaxBodyBytes: 1000},
+	})
+	assert.NilError(t, err)
+	return built
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, source: &source{table: table(t)}, pool: backends.NewPool("a"), runs: map[string]int{}}
+	r.source.fresh.Store(true)
+	r.handler = New(Config{Headers: names, Source: r.source, Pool: r.pool, Upstream: upstream.NewPool(names.RequestID), Saved: NewSaved(),
+		Budget: BudgetConfig{Ratio: 0.2, Burst: 100, Window: time.Second}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	r.router = httptest.NewServer(r.handler)
+	t.Cleanup(r.router.Close)
+	return r
+}
+
+// add starts a back end of a pool.
+func (r *rig) add(pool, id string, serve http.HandlerFunc) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		r.mu.Lock()
+		r.runs[id]++
+		r.mu.Unlock()
+		w.Header().Set(names.RequestID, q.Header.Get(names.RequestID))
+		serve(w, q)
+	}))
+	r.t.Cleanup(server.CloseClientConnections)
+	row := state.Backend{ID: id, Pool: pool, Address: server.Listener.Addr().String(), Zone: "a"}
+	r.pool.Apply([]state.Backend{row}, nil, false)
+}
+
+func (r *rig) ran(ids ...string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for _, id := range ids {
+		total += r.runs[id]
+	}
+	return total
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request as a caller with a key.
+func (r *rig) ask(method, path string, change func(*http.Request)) result {
+	request, err := http.NewRequestWithContext(context.Background(), method, r.router.URL+path, strings.NewReader("body"))
+	assert.NilError(r.t, err)
+	request.Host = "h"
+	request.Header.Set(names.RequestID, "id-1")
+	request.Header.Set("Authorization", "Bearer ka")
+	if change != nil {
+		change(request)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, response.Header, string(body), err}
+}
+
+func good(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(names.Seal, "seal")
+	_, _ = io.WriteString(w, "fine")
+}
+
+func turnAway(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(names.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func failing(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+
+func dropping(w http.ResponseWriter, _ *http.Request) {
+	conn, _, _ := http.NewResponseController(w).Hijack()
+	_ = conn.Close()
+}
+
+func TestAnAnswerPassesWithItsSeal(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "x", good)
+	got := r.ask("GET", "/safe/1", nil)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, "fine")
+	assert.Equal(t, got.header.Get(names.Seal), "seal")
+}
+
+func TestWhoMayNotAskIsRefusedAndNothingRuns(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "x", good)
+	cases := map[string]struct {
+		path   string
+		change func(*http.Request)
+		status int
+	}{
+		"unknown route": {"/nowhere/", nil, 404},
+		"unknown host":  {"/safe/1", func(q *http.Request) { q.Host = "other" }, 404},
+		"unknown key":   {"/safe/1", func(q *http.Request) { q.Header.Set("Authorization", "Bearer zz") }, 401},
+		"no key":        {"/safe/1", func(q *http.Request) { q.Header.Del("Authorization") }, 401},
+		"no id":         {"/safe/1", func(q *http.Request) { q.Header.Del(names.RequestID) }, 400},
+		"long body": {"/safe/1", func(q *http.Request) {
+			q.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000)))
+			q.ContentLength = 2000
+		}, 413},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, r.ask("POST", c.path, c.change).status, c.status) })
+	}
+	assert.Equal(t, r.ran("x"), 0)
+	assert.Equal(t, r.ask("GET", "/safe/public/1", func(q *http.Request) { q.Header.Del("Authorization") }).status, 200)
+}
+
+func TestARouterThatIsNotFreshRefusesAndSaysWhenToComeBack(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "x", good)
+	r.source.fresh.Store(false)
+	got := r.ask("GET", "/safe/1", nil)
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, r.ran("x"), 0)
+}
+
+func TestTheTenantComesFromTheKeyAndTheKeyStays(t *testing.T) {
+	r := newRig(t)
+	seen := make(chan http.Header, 1)
+	r.add("app", "x", func(w http.ResponseWriter, q *http.Request) {
+		seen <- q.Header
+		good(w, q)
+	})
+	r.ask("GET", "/safe/1", func(q *http.Request) { q.Header.Set(names.Tenant, "mallory") })
+	header := <-seen
+	assert.DeepEqual(t, header[names.Tenant], []string{"alice"})
+	assert.Equal(t, header.Get("Authorization"), "")
+	assert.Equal(t, header.Get(names.Instance), "x")
+}
+
+func TestWhatWasTurnedAwayIsSentElsewhere(t *testing.T) {
+	for _, path := range []string{"/safe/1", "/unsafe/1"} {
+		r := newRig(t)
+		r.add("app", "full", turnAway)
+		r.add("app", "x", good)
+		for range 5 {
+			assert.Equal(t, r.ask("POST", path, nil).status, 200)
+		}
+	}
+}
+
+func TestWhenAllTurnAwayTheRefusalIsAPromise(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "full", turnAway)
+	got := r.ask("POST", "/unsafe/1", nil)
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
+
+func TestAnUnsafeRequestThatMayHaveRunIsNeverRepeatedNorPromised(t *testing.T) {
+	for name, serve := range map[string]http.HandlerFunc{"dropped": dropping, "failed": failing} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.add("app", "x", serve)
+			r.add("app", "y", serve)
+			got := r.ask("POST", "/unsafe/1", nil)
+			assert.Assert(t, got.status == 500 || got.status == 502, "%d", got.status)
+			assert.Equal(t, r.ran("x", "y"), 1)
+		})
+	}
+}
+
+func TestASafeRequestIsRepeatedWithinItsAttempts(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "x", failing)
+	r.add("app", "y", dropping)
+	r.add("app", "z", failing)
+	got := r.ask("GET", "/safe/1", nil)
+	assert.Assert(t, got.status >= 500)
+	assert.Equal(t, r.ran("x", "y", "z"), 2)
+}
+
+func TestTheTimeoutBringsAFinalAnswerAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "slow", func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() })
+	started := time.Now()
+	assert.Equal(t, r.ask("POST", "/unsafe/1", nil).status, 504)
+	assert.Assert(t, time.Since(started) < time.Second)
+}
+
+func TestTheDeadlineIsHandedOnAsWhatIsLeft(t *testing.T) {
+	r := newRig(t)
+	seen := make(chan string, 1)
+	r.add("app", "x", func(w http.ResponseWriter, q *http.Request) {
+		seen <- q.Header.Get(names.Deadline)
+		good(w, q)
+	})
+	r.ask("GET", "/safe/1", func(q *http.Request) { q.Header.Set(names.Deadline, "300") })
+	var left int
+	_, err := fmt.Sscan(<-seen, &left)
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left < 300, "%d", left)
+}
+
+func TestACallerThatLeavesCancelsTheBackEnd(t *testing.T) {
+	r := newRig(t)
+	gone := make(chan struct{})
+	r.add("app", "x", func(_ http.ResponseWriter, q *http.Request) {
+		<-q.Context().Done()
+		close(gone)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r.ask("GET", "/safe/1", func(q *http.Request) { *q = *q.WithContext(ctx) })
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		t.Fatal("the back end goes on")
+	}
+}
+
+func TestASuccessWithoutASealIsNoSuccess(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "x", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "unsigned") })
+	assert.Equal(t, r.ask("POST", "/unsafe/1", nil).status, 502)
+}
+
+// events writes the events from first to last of a stream.
+func events(w http.ResponseWriter, first, last int) {
+	w.Header().Set(names.Seal, "seal")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func wanted(last int) string {
+	var text strings.Builder
+	for i := 1; i <= last; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return text.String()
+}
+
+// breakOff ends a stream within an event.
+func breakOff(w http.ResponseWriter, number int) {
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: pie", number)
+	_ = http.NewResponseController(w).Flush()
+	dropping(w, nil)
+}
+
+func TestAStreamGoesOnElsewhereWithoutLossOrRepeat(t *testing.T) {
+	r := newRig(t)
+	var first sync.Once
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		from := 0
+		_, _ = fmt.Sscan(q.Header.Get(names.LastEvent), &from)
+		broken := false
+		first.Do(func() { broken = true })
+		if broken {
+			events(w, 1, 3)
+			breakOff(w, 4)
+			return
+		}
+		events(w, from+1, 6)
+	}
+	r.add("llm", "x", serve)
+	r.add("llm", "y", serve)
+	got := r.ask("POST", "/resumable/1", nil)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wanted(6))
+	assert.Equal(t, r.ran("x", "y"), 2)
+}
+
+func TestABrokenStreamThatMayNotGoOnNeverLooksComplete(t *testing.T) {
+	r := newRig(t)
+	serve := func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 2)
+		breakOff(w, 3)
+	}
+	r.add("llm", "x", serve)
+	r.add("llm", "y", serve)
+	got := r.ask("POST", "/chat/1", nil)
+	assert.Assert(t, got.err != nil)
+	assert.Equal(t, got.body, wanted(2))
+	assert.Equal(t, r.ran("x", "y"), 1)
+}
+
+func TestTheRetryBudgetEnds(t *testing.T) {
+	b := newBudget(BudgetConfig{Ratio: 0.2, Burst: 10, Window: 10 * time.Second})
+	spent := 0
+	for range 100 {
+		b.Request(0, "p")
+		if b.Spend(0, "p", 2) {
+			spent++
+		}
+	}
+	// 0.7 of 0.2 a request and 0.6 of half the burst.
+	assert.Equal(t, spent, 17)
+	assert.Assert(t, !b.Spend(9*time.Second, "p", 2))
+	assert.Assert(t, b.Spend(11*time.Second, "p", 2))
+}
+
+func TestSharesFollowTheirWeights(t *testing.T) {
+	s := newSplitter()
+	route := &traffic.Route{Name: "r", Split: []traffic.Share{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for range 1000 {
+		counts[s.next(route)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,251 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const idHeader = "X-Request-Id"
+
+// backend is a scripted back end: each accepted connection is handed to serve.
+type backend struct {
+	address  string
+	accepted atomic.Int32
+}
+
+func startBackend(t *testing.T, serve func(number int, conn net.Conn, requests *bufio.Reader)) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	b := &backend{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			number := int(b.accepted.Add(1))
+			go func() {
+				defer conn.Close()
+				serve(number, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return b
+}
+
+// next reads one request and returns its ID.
+func next(requests *bufio.Reader) (string, error) {
+	r, err := http.ReadRequest(requests)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.Header.Get(idHeader), err
+}
+
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func request(id string) *Request {
+	header := http.Header{}
+	header.Set(idHeader, id)
+	return &Request{Method: http.MethodPost, Target: "/a/b?c=%2F", Host: "h", Header: header, Body: []byte("body"), ID: id}
+}
+
+// fetch makes a call and reads its whole answer.
+func fetch(p *Pool, b *backend, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	answer, err := p.Do(ctx, b.address, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func TestAConnectionIsKeptForTheNextRequest(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for id, err := next(requests); err == nil; id, err = next(requests) {
+			_, _ = io.WriteString(conn, answerTo(id, "for "+id))
+		}
+	})
+	p := NewPool(idHeader)
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := fetch(p, b, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "for "+id)
+	}
+	assert.Equal(t, b.accepted.Load(), int32(1))
+}
+
+func TestALateSurplusAnswerIsNeverTakenForTheNext(t *testing.T) {
+	surplus := make(chan struct{})
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		first, _ := next(requests)
+		_, _ = io.WriteString(conn, answerTo(first, "first"))
+		second, err := next(requests)
+		if err != nil {
+			return
+		}
+		// The second answer to the first request comes where the answer to the
+		// second is due.
+		_, _ = io.WriteString(conn, answerTo(first, "again"))
+		close(surplus)
+		_, _ = io.WriteString(conn, answerTo(second, "second"))
+		_, _ = next(requests)
+	})
+	p := NewPool(idHeader)
+	body, err := fetch(p, b, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "first")
+	body, err = fetch(p, b, "2")
+	assert.NilError(t, err)
+	<-surplus
+	assert.Equal(t, body, "second")
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	b := startBackend(t, func(number int, conn net.Conn, requests *bufio.Reader) {
+		id, _ := next(requests)
+		tail := ""
+		if number == 1 {
+			tail = "garbage that belongs to nobody"
+		}
+		_, _ = io.WriteString(conn, answerTo(id, "whole")+tail)
+		_, _ = next(requests)
+	})
+	p := NewPool(idHeader)
+	for _, id := range []string{"1", "2"} {
+		body, err := fetch(p, b, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "whole")
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, b.accepted.Load(), int32(2))
+}
+
+func TestFailuresSayWhetherTheRequestCanHaveRun(t *testing.T) {
+	cases := map[string]struct {
+		answer string
+		reset  bool
+		mark   error
+	}{
+		"closed without an answer": {"", false, ErrUnknown},
+		"reset without an answer":  {"", true, ErrUnknown},
+		"no answer at all":         {"hello\r\n\r\n", false, ErrUnknown},
+		"cut in the body":          {"HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 9\r\n\r\nhalf", false, ErrUnknown},
+		"reset without a length":   {"HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n\r\nhalf", true, ErrUnknown},
+		"cut in a chunk":           {"HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", false, ErrUnknown},
+		"only foreign answers":     {answerTo("other", "x") + answerTo("another", "y"), false, ErrUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+				_, _ = next(requests)
+				_, _ = io.WriteString(conn, c.answer)
+				time.Sleep(20 * time.Millisecond)
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			_, err := fetch(NewPool(idHeader), b, "1")
+			assert.Assert(t, errors.Is(err, c.mark), "%v", err)
+		})
+	}
+}
+
+func TestAnAnswerWithoutALengthIsWholeAtACleanClose(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		id, _ := next(requests)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idHeader+": "+id+"\r\n\r\nall of it")
+	})
+	body, err := fetch(NewPool(idHeader), b, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "all of it")
+}
+
+func TestADeadPortWasNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err = fetch(NewPool(idHeader), &backend{address: address}, "1")
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+}
+
+func TestACancelledCallClosesTheConnectionAtOnce(t *testing.T) {
+	closed := make(chan struct{})
+	b := startBackend(t, func(_ int, _ net.Conn, requests *bufio.Reader) {
+		_, _ = next(requests)
+		_, _ = requests.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := NewPool(idHeader).Do(ctx, b.address, request("1"))
+	assert.Assert(t, errors.Is(err, ErrUnknown), "%v", err)
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the back end still holds the connection")
+	}
+}
+
+func TestAnEarlyAnswerToALongRequestIsTakenAndTheConnectionIsNot(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		_, _ = http.ReadRequest(requests) // the body stays unread
+		_, _ = io.WriteString(conn, answerTo("long", "early"))
+		time.Sleep(200 * time.Millisecond)
+	})
+	p := NewPool(idHeader)
+	long := request("long")
+	long.Body = []byte(strings.Repeat("x", 16<<20))
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	answer, err := p.Do(ctx, b.address, long)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(answer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "early")
+	answer.Close()
+	assert.Equal(t, len(p.idle[b.address]), 0)
+}
+
+func TestMethodPathAndBodyPassUnaltered(t *testing.T) {
+	seen := make(chan string, 1)
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		r, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		seen <- r.Method + " " + r.RequestURI + " " + r.Host + " " + string(body)
+		_, _ = io.WriteString(conn, answerTo("1", ""))
+	})
+	_, err := fetch(NewPool(idHeader), b, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, <-seen, "POST /a/b?c=%2F h body")
+}
+
+func TestTheBackEndsKeepTimeIsHeeded(t *testing.T) {
+	header := http.Header{}
+	header.Set("Keep-Alive", "timeout=10, max=4")
+	assert.Equal(t, keepTime(header), 10*time.Second-keepMargin)
+	assert.Equal(t, keepTime(http.Header{}), defaultKeep)
+}
