--- /dev/null
+++ b/cmd/quinceridge/deployment.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/config"
+	"quinceridge.example/quinceridge/internal/coordinator"
+	"quinceridge.example/quinceridge/internal/edge"
+	"quinceridge.example/quinceridge/internal/settings"
+	"quinceridge.example/quinceridge/internal/telemetry"
+	"quinceridge.example/quinceridge/internal/traffic"
+	"quinceridge.example/quinceridge/internal/vocabulary"
+)
+
+// edgeCommand runs a router that keeps no disk.
+type edgeCommand struct {
+	Config string `required:"" help:"Settings file (docs/SETTINGS.md)." placeholder:"FILE"`
+}
+
+// Run implements the command.
+func (c *edgeCommand) Run() error {
+	var s settings.DisklessRouter
+	if err := config.Load(c.Config, &s); err != nil {
+		return err
+	}
+	s.SetDefaults()
+	stopped := stopSignal()
+	out := telemetry.NewBuffer(os.Stdout)
+	defer out.Flush()
+	e := edge.New(s, vocabulary.Default(), traffic.Parse, telemetry.NewLogger(out, s.Log, s.Name))
+	if err := e.Start(); err != nil {
+		return err
+	}
+	<-stopped
+	e.Stop()
+	return nil
+}
+
+// coordinatorCommand runs a coordinator.
+type coordinatorCommand struct {
+	Config string `required:"" help:"Settings file (docs/SETTINGS.md)." placeholder:"FILE"`
+}
+
+const (
+	coordinatorHeaderTimeout = 5 * time.Second
+	coordinatorStopLimit     = 4 * time.Second
+	engineTimeout            = time.Second
+)
+
+// Run implements the command.
+func (c *coordinatorCommand) Run() error {
+	var s settings.Coordinator
+	if err := config.Load(c.Config, &s); err != nil {
+		return err
+	}
+	s.SetDefaults()
+	stopped := stopSignal()
+	out := telemetry.NewBuffer(os.Stdout)
+	defer out.Flush()
+	engines := coordinator.HTTPEngines{Client: &http.Client{Timeout: engineTimeout}}
+	node, err := coordinator.New(s, engines, telemetry.NewLogger(out, s.Log, s.Name))
+	if err != nil {
+		return err
+	}
+	if err := node.Start(); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	server := &http.Server{Handler: node.Handler(), ReadHeaderTimeout: coordinatorHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	<-stopped
+	ctx, cancel := context.WithTimeout(context.Background(), coordinatorStopLimit)
+	defer cancel()
+	node.Stop(ctx)
+	return errors.Wrap(server.Shutdown(ctx), "stop")
+}
--- a/cmd/quinceridge/main.go
+++ b/cmd/quinceridge/main.go
@@ -25,15 +25,17 @@
 usage; 3 refused by control, such as a conflict of versions.`
 
 type commandLine struct {
-	Router  routerCommand  `cmd:"" help:"Run a router: the process that callers talk to."`
-	Control controlCommand `cmd:"" help:"Run a control node, or look into its data folder."`
-	Bundle  bundleCommand  `cmd:"" help:"Check, propose, approve and follow bundles."`
-	Event   eventCommand   `cmd:"" help:"List and show the events of the bundle in force."`
-	Fleet   fleetCommand   `cmd:"" help:"Show control nodes, routers and machines; retire routers."`
-	Member  memberCommand  `cmd:"" help:"Change the members of the control group."`
-	Key     keyCommand     `cmd:"" help:"Make an operator's key."`
-	Trace   traceCommand   `cmd:"" help:"Show what happened to one request."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Router      routerCommand      `cmd:"" help:"Run a router: the process that callers talk to."`
+	Control     controlCommand     `cmd:"" help:"Run a control node, or look into its data folder."`
+	Edge        edgeCommand        `cmd:"" help:"Run a router that keeps no disk and follows coordinators."`
+	Coordinator coordinatorCommand `cmd:"" help:"Run a coordinator: a control node for routers without a disk."`
+	Bundle      bundleCommand      `cmd:"" help:"Check, propose, approve and follow bundles."`
+	Event       eventCommand       `cmd:"" help:"List and show the events of the bundle in force."`
+	Fleet       fleetCommand       `cmd:"" help:"Show control nodes, routers and machines; retire routers."`
+	Member      memberCommand      `cmd:"" help:"Change the members of the control group."`
+	Key         keyCommand         `cmd:"" help:"Make an operator's key."`
+	Trace       traceCommand       `cmd:"" help:"Show what happened to one request."`
+	Version     versionCommand     `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/coordinator/http.go
@@ -0,0 +1,145 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
+)
+
+const (
+	maxDocument = 8 << 20
+	maxCall     = 64 << 10
+)
+
+// Handler serves operators and back ends in the product's own words:
+//
+//	PUT  /v1/configuration            a traffic.Document
+//	GET  /v1/configuration            the one in force
+//	POST /v1/weights                  a state.NameWeights
+//	POST /v1/backends/{id}/heartbeat  a coordapi.Beat
+//	POST /v1/backends/{id}/leave
+//
+// 200 means that it is in force; 400 that it never will be; 503 that the
+// outcome is not known and the call may be sent again.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/configuration", s.putConfiguration)
+	mux.HandleFunc("GET /v1/configuration", s.getConfiguration)
+	mux.HandleFunc("POST /v1/weights", func(w http.ResponseWriter, r *http.Request) {
+		serveCall(s, w, r, func(named *state.NameWeights) coordapi.Request { return coordapi.Request{NameWeights: named} })
+	})
+	mux.HandleFunc("POST /v1/backends/{id}/heartbeat", func(w http.ResponseWriter, r *http.Request) {
+		serveCall(s, w, r, func(beat *coordapi.Beat) coordapi.Request {
+			beat.Backend.ID = r.PathValue("id")
+			return coordapi.Request{Beat: beat}
+		})
+	})
+	mux.HandleFunc("POST /v1/backends/{id}/leave", func(w http.ResponseWriter, r *http.Request) {
+		s.finish(w, r, coordapi.Request{Leave: &coordapi.Leave{ID: r.PathValue("id")}})
+	})
+	return mux
+}
+
+// serveCall decodes a body and runs the call that it asks for.
+func serveCall[Body any](s *Server, w http.ResponseWriter, r *http.Request, translate func(*Body) coordapi.Request) {
+	body := new(Body)
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.finish(w, r, translate(body))
+}
+
+func (s *Server) finish(w http.ResponseWriter, r *http.Request, request coordapi.Request) {
+	if _, err := s.Call(r.Context(), request); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) putConfiguration(w http.ResponseWriter, r *http.Request) {
+	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocument))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	table, err := traffic.Parse(document)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.finish(w, r, coordapi.Request{Configure: &state.Configure{Version: table.Version, Document: document}})
+}
+
+func (s *Server) getConfiguration(w http.ResponseWriter, r *http.Request) {
+	reply, err := s.Call(r.Context(), coordapi.Request{Read: &coordapi.Read{}})
+	if err != nil || len(reply.Document) == 0 {
+		http.Error(w, "the newest configuration is not known", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(reply.Document)
+}
+
+// HTTPEngines carries orders to engines that speak the product's own words:
+// POST /v1/load with a LoadOrder and GET /v1/state with an EngineReport.
+type HTTPEngines struct{ Client *http.Client }
+
+// Load implements Engines.
+func (e HTTPEngines) Load(ctx context.Context, order LoadOrder) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	status, _, err := e.call(ctx, http.MethodPost, "http://"+order.Address+"/v1/load", body)
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusAccepted:
+		return nil
+	case http.StatusOK:
+		return ErrHeld
+	case http.StatusConflict:
+		return ErrMismatch
+	case http.StatusPreconditionFailed:
+		return ErrFenced
+	case http.StatusMisdirectedRequest:
+		return ErrOtherInstance
+	}
+	return fmt.Errorf("the engine answered the order with %d", status)
+}
+
+// Report implements Engines.
+func (e HTTPEngines) Report(ctx context.Context, address, _ string) (EngineReport, error) {
+	var report EngineReport
+	status, body, err := e.call(ctx, http.MethodGet, "http://"+address+"/v1/state", nil)
+	if err != nil {
+		return report, err
+	}
+	if status != http.StatusOK {
+		return report, errors.New("the engine gave no report")
+	}
+	return report, json.Unmarshal(body, &report)
+}
+
+func (e HTTPEngines) call(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := e.Client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(io.LimitReader(response.Body, maxCall))
+	return response.StatusCode, read, err
+}
--- a/internal/coordinator/identity.go
+++ b/internal/coordinator/identity.go
@@ -45,10 +45,10 @@
 }
 
 func newIdentity(config settings.Coordinator) identity {
-	if !config.Bootstrap || !slices.Contains(config.Coordinators(), config.PeerListen) {
+	if !config.Bootstrap || !slices.Contains(config.Coordinators(), config.PeerAddress) {
 		return identity{ID: rand.Uint64()>>1 | 1}
 	}
-	first := identity{ID: founderID(config.PeerListen)}
+	first := identity{ID: founderID(config.PeerAddress)}
 	first.Initial.Addresses = map[uint64]string{}
 	for _, seed := range config.Coordinators() {
 		id := founderID(seed)
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -158,15 +158,15 @@
 }
 
 func (s *Server) askToJoin(ctx context.Context, address string) {
-	if address == s.settings.PeerListen {
+	if address == s.settings.PeerAddress {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request := coordapi.Request{Join: &coordapi.Join{Change: raft.Change{Kind: raft.AddLearner, ID: s.identity.ID, Address: s.settings.PeerListen}}}
+	request := coordapi.Request{Join: &coordapi.Join{Change: raft.Change{Kind: raft.AddLearner, ID: s.identity.ID, Address: s.settings.PeerAddress}}}
 	var reply coordapi.Reply
 	err := s.peers.Call(ctx, address, coordapi.KindCall, request, &reply)
-	if err == nil && reply.NotLeader && reply.Leader != "" && reply.Leader != s.settings.PeerListen {
+	if err == nil && reply.NotLeader && reply.Leader != "" && reply.Leader != s.settings.PeerAddress {
 		_ = s.peers.Call(ctx, reply.Leader, coordapi.KindCall, request, &reply)
 	}
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -114,7 +114,7 @@
 	s.group.Go(func() { s.joinLoop(ctx) })
 	s.group.Go(func() { s.rolloutLoop(ctx) })
 	s.listener = peer.Serve(listener, s.counters, s.handle)
-	s.logger.Info("started", "part", "coordinator", "id", s.identity.ID, "listen", s.settings.PeerListen)
+	s.logger.Info("started", "part", "coordinator", "id", s.identity.ID, "listen", s.settings.PeerAddress)
 	return nil
 }
 
@@ -224,7 +224,7 @@
 	members := s.core.Status().Membership
 	for _, m := range messages {
 		if address := s.members.addressOf(members, m.To); address != "" {
-			s.peers.Send(address, coordapi.KindRaft, coordapi.Consensus{Sender: s.settings.PeerListen, Message: m})
+			s.peers.Send(address, coordapi.KindRaft, coordapi.Consensus{Sender: s.settings.PeerAddress, Message: m})
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,6 +118,9 @@
 	Listen string `yaml:"listen" validate:"required,tcp_addr"`
 	// PeerListen is the address for routers and other coordinators.
 	PeerListen string `yaml:"peer_listen" validate:"required,tcp_addr"`
+	// PeerAddress is where the others reach PeerListen, when that is another
+	// address. Default PeerListen.
+	PeerAddress string `yaml:"peer_address" validate:"omitempty,tcp_addr"`
 	// Seeds are addresses of some coordinators. At the first start of the
 	// deployment they are the first members of the group.
 	Seeds []string `yaml:"seeds" validate:"required,min=1,unique,dive,tcp_addr"`
@@ -154,6 +157,7 @@
 
 // SetDefaults fills the fields that the file leaves out.
 func (c *Coordinator) SetDefaults() {
+	c.PeerAddress = orDefault(c.PeerAddress, c.PeerListen)
 	c.WeightsGuard = orDefault(c.WeightsGuard, 1400*time.Millisecond)
 	c.LoadTime = orDefault(c.LoadTime, 800*time.Millisecond)
 	c.LoadMargin = orDefault(c.LoadMargin, 700*time.Millisecond)
