rehearse soak: coordinators and diskless routers as real processes, under signals and cuts

Fifteen kinds of faults by signals and loopback proxies, promises checked: at most once, refused means not run, own and whole answers in order, drains, removed keys, fences, what was acknowledged is read back.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -30,6 +30,7 @@
 	Fleet       fleetCommand       `cmd:"" help:"Run a whole deployment as processes and drive a surge."`
 	Faults      faultsCommand      `cmd:"" help:"Run a whole deployment and break it: kills, freezes, herds, races."`
 	Experiment  experimentCommand  `cmd:"" help:"Bench: policies over scenarios and seeds, in virtual time."`
+	Soak        soakCommand        `cmd:"" help:"Coordinators and diskless routers as processes, under signals and cuts; promises checked."`
 	Simulate    simulateCommand    `cmd:"" help:"Control nodes and routers in virtual time, under faults, over many seeds."`
 	Hollow      hollowCommand      `cmd:"" help:"Hundreds of hollow routers and workers with real control nodes."`
 	Slopes      slopesCommand      `cmd:"" help:"Costs against sizes, for docs/CAPACITY.md."`
--- /dev/null
+++ b/cmd/rehearse/soak.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/soak"
+)
+
+type soakCommand struct {
+	Seeds   int    `default:"1" help:"How many seeds to run, one after the other."`
+	Seed    uint64 `default:"0" help:"The first seed; 0 takes the time of day."`
+	Seconds int    `default:"40" help:"Length of a run."`
+	Routers int    `default:"4" help:"Routers."`
+	Callers int    `default:"24" help:"Callers."`
+	Engines int    `default:"6" help:"Stand-ins of model engines."`
+	Workers int    `default:"4" help:"Stand-ins of application workers."`
+	Folder  string `default:"run/soak" help:"Folder for settings, data and logs; those of failed seeds are kept."`
+	Binary  string `default:"" help:"The quinceridge program; built if empty."`
+}
+
+// Run implements the command.
+func (c *soakCommand) Run(ctx context.Context) error {
+	binary, err := c.program(ctx)
+	if err != nil {
+		return err
+	}
+	first := c.Seed
+	if first == 0 {
+		first = uint64(time.Now().Unix())
+	}
+	failed := 0
+	for i := range c.Seeds {
+		sound, err := c.one(ctx, binary, first+uint64(i))
+		if err != nil {
+			return err
+		}
+		if !sound {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return errors.Wrapf(errUnsound, "%d of %d seeds", failed, c.Seeds)
+	}
+	return nil
+}
+
+func (c *soakCommand) program(ctx context.Context) (string, error) {
+	if c.Binary != "" {
+		return filepath.Abs(c.Binary)
+	}
+	path, err := filepath.Abs(filepath.Join("bin", "quinceridge"))
+	if err != nil {
+		return "", errors.Wrap(err, "find folder")
+	}
+	output, err := exec.CommandContext(ctx, "go", "build", "-o", path, "./cmd/quinceridge").CombinedOutput()
+	return path, errors.Wrapf(err, "build: %s", output)
+}
+
+// one runs a seed. The folder of a sound one is removed.
+func (c *soakCommand) one(ctx context.Context, binary string, seed uint64) (bool, error) {
+	folder, err := filepath.Abs(filepath.Join(c.Folder, fmt.Sprintf("seed-%d", seed)))
+	if err != nil {
+		return false, errors.Wrap(err, "find folder")
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return false, errors.Wrap(err, "clear folder")
+	}
+	if err := os.MkdirAll(folder, foldersMode); err != nil {
+		return false, errors.Wrap(err, "make folder")
+	}
+	report, err := soak.Run(ctx, soak.Config{Binary: binary, Folder: folder, Seed: seed, Length: time.Duration(c.Seconds) * time.Second,
+		Routers: c.Routers, Callers: c.Callers, Engines: c.Engines, Workers: c.Workers})
+	if err != nil {
+		return false, err
+	}
+	text, err := json.Marshal(report)
+	if err != nil {
+		return false, errors.Wrap(err, "encode report")
+	}
+	fmt.Println(string(text))
+	if len(report.Broken) > 0 {
+		return false, errors.Wrap(os.WriteFile(filepath.Join(folder, "report.json"), text, resultsMode), "keep report")
+	}
+	return true, errors.Wrap(os.RemoveAll(folder), "clear folder")
+}
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/bundle"
+	"quinceridge.example/quinceridge/internal/process"
 )
 
 // Times of faults.
@@ -122,7 +123,7 @@
 }
 
 // on runs work on a process that no other fault has.
-func (i *injector) on(name string, work func(p *process)) {
+func (i *injector) on(name string, work func(p *process.Process)) {
 	if !i.take(name) {
 		return
 	}
@@ -135,27 +136,27 @@
 // bounce kills a process without notice and starts it again.
 func (i *injector) bounce(_ context.Context, name string) {
 	down := i.between(shortestDown, longestDown)
-	i.on(name, func(p *process) {
-		p.kill()
+	i.on(name, func(p *process.Process) {
+		p.Kill()
 		time.Sleep(down)
-		_ = p.start()
+		_ = p.Start()
 	})
 }
 
 func (i *injector) freeze(_ context.Context, name string, length time.Duration) {
-	i.on(name, func(p *process) {
-		p.signal(syscallStop)
+	i.on(name, func(p *process.Process) {
+		p.Signal(syscallStop)
 		time.Sleep(length)
-		p.signal(syscallContinue)
+		p.Signal(syscallContinue)
 	})
 }
 
 // planStop stops a router as an operator does, and starts it again.
 func (i *injector) planStop(context.Context) {
 	name := routerName(i.random.IntN(i.fleet.config.Deployment.Routers))
-	i.on(name, func(p *process) {
-		p.terminate(drainWait)
-		_ = p.start()
+	i.on(name, func(p *process.Process) {
+		p.Terminate(drainWait)
+		_ = p.Start()
 	})
 }
 
@@ -177,15 +178,15 @@
 // brings it back.
 func (i *injector) leave(ctx context.Context) {
 	number := i.random.IntN(i.fleet.config.Deployment.Engines)
-	i.on(engineName(number), func(p *process) {
+	i.on(engineName(number), func(p *process.Process) {
 		machine := i.fleet.engineMachine(number)
 		machine.Leaving = true
 		_ = i.fleet.List(ctx, machine)
 		listed := time.Now()
 		time.Sleep(leavingTime)
-		p.terminate(drainWait)
+		p.Terminate(drainWait)
 		i.fleet.noteLeaving(leaving{engine: machine.ID, from: listed.Add(leavingLimit), to: time.Now()})
-		_ = p.start()
+		_ = p.Start()
 		machine.Leaving = false
 		_ = i.fleet.List(ctx, machine)
 	})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,3 +1,5 @@
+// Package fleet starts a whole deployment as separate processes on loopback
+// addresses, drives it and reads what it left.
 package fleet
 
 import (
@@ -20,6 +22,7 @@
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/deployment"
 	"quinceridge.example/quinceridge/internal/platformapi"
+	"quinceridge.example/quinceridge/internal/process"
 	"quinceridge.example/quinceridge/internal/workload"
 )
 
@@ -53,7 +56,7 @@
 type Fleet struct {
 	config    Config
 	layout    layout
-	processes map[string]*process
+	processes map[string]*process.Process
 	order     []string
 	key       string // file of the operator's private key
 	public    string
@@ -65,7 +68,7 @@
 
 // Start starts all processes and puts the first bundle in force.
 func Start(ctx context.Context, config Config) (*Fleet, error) {
-	f := &Fleet{config: config, processes: map[string]*process{},
+	f := &Fleet{config: config, processes: map[string]*process.Process{},
 		layout: layout{network: config.Network, folder: config.Folder, deployment: config.Deployment, controls: controls}}
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
@@ -94,7 +97,7 @@
 		return err
 	}
 	for i := range f.config.Deployment.Routers {
-		if err := awaitHTTP(ctx, "http://"+f.layout.router(i)+"/readyz"); err != nil {
+		if err := process.AwaitHTTP(ctx, "http://"+f.layout.router(i)+"/readyz"); err != nil {
 			return err
 		}
 	}
@@ -113,10 +116,10 @@
 
 // run starts a process and remembers it for Stop.
 func (f *Fleet) run(name, binary string, args ...string) error {
-	p := &process{name: name, binary: binary, args: args, folder: f.config.Folder}
+	p := &process.Process{Name: name, Binary: binary, Args: args, Folder: f.config.Folder}
 	f.processes[name] = p
 	f.order = append(f.order, name)
-	return p.start()
+	return p.Start()
 }
 
 func (f *Fleet) startStores(ctx context.Context) error {
@@ -126,7 +129,7 @@
 			return err
 		}
 	}
-	return awaitHTTP(ctx, "http://"+f.layout.platform()+platformapi.PathMachines)
+	return process.AwaitHTTP(ctx, "http://"+f.layout.platform()+platformapi.PathMachines)
 }
 
 func (f *Fleet) startEngines(ctx context.Context) error {
@@ -174,7 +177,7 @@
 		}
 	}
 	for i := range controls {
-		if err := awaitHTTP(ctx, "http://"+f.layout.status(i)+"/readyz"); err != nil {
+		if err := process.AwaitHTTP(ctx, "http://"+f.layout.status(i)+"/readyz"); err != nil {
 			return err
 		}
 	}
@@ -250,9 +253,9 @@
 func (f *Fleet) Stop() (stuck []string) {
 	for i := len(f.order) - 1; i >= 0; i-- {
 		p := f.processes[f.order[i]]
-		p.signal(syscallContinue)
-		if !p.terminate(stopLimit) {
-			stuck = append(stuck, p.name)
+		p.Signal(syscallContinue)
+		if !p.Terminate(stopLimit) {
+			stuck = append(stuck, p.Name)
 		}
 	}
 	return stuck
--- a/internal/fleet/overhead.go
+++ b/internal/fleet/overhead.go
@@ -150,11 +150,7 @@
 const ticksPerSecond = 100
 
 func (f *Fleet) usage(name string) (processUsage, error) {
-	p := f.processes[name]
-	p.mu.Lock()
-	id := p.command.Process.Pid
-	p.mu.Unlock()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", f.processes[name].ID()))
 	if err != nil {
 		return processUsage{}, errors.Wrap(err, "read usage")
 	}
--- a/internal/fleet/process.go
+++ b/internal/process/process.go
@@ -1,6 +1,5 @@
-// Package fleet starts a whole deployment as separate processes on loopback
-// addresses, drives it and reads what it left.
-package fleet
+// Package process runs programs for the rehearsal kit.
+package process
 
 import (
 	"context"
@@ -15,31 +14,32 @@
 	"github.com/cockroachdb/errors"
 )
 
-// process is one started program. Its output goes to a file of its own.
-type process struct {
-	name   string
-	binary string
-	args   []string
-	folder string
+// Process is one program that is started and ended again. Its output goes to
+// NAME.log in Folder.
+type Process struct {
+	Name   string
+	Binary string
+	Args   []string
+	Folder string
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
 }
 
-// start runs the program. The output of an earlier run is kept.
-func (p *process) start() error {
-	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+// Start runs the program. The output of an earlier run is kept.
+func (p *Process) Start() error {
+	log, err := os.OpenFile(filepath.Join(p.Folder, p.Name+".log"), os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
 	defer log.Close()
-	command := exec.Command(p.binary, p.args...)
+	command := exec.Command(p.Binary, p.Args...)
 	command.Stdout, command.Stderr = log, log
 	// A process that outlives its launcher would hold its addresses.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		return errors.Wrapf(err, "start %s", p.name)
+		return errors.Wrapf(err, "start %s", p.Name)
 	}
 	exited := make(chan struct{})
 	go func() {
@@ -52,8 +52,18 @@
 	return nil
 }
 
-// signal sends a signal to the running program.
-func (p *process) signal(s syscall.Signal) {
+// ID returns the number of the running program, 0 before the first start.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || p.command.Process == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
+// Signal sends a signal to the running program.
+func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil && p.command.Process != nil {
@@ -61,8 +71,8 @@
 	}
 }
 
-// wait waits for the program's end.
-func (p *process) wait(limit time.Duration) bool {
+// Wait waits for the program's end.
+func (p *Process) Wait(limit time.Duration) bool {
 	p.mu.Lock()
 	exited := p.exited
 	p.mu.Unlock()
@@ -77,19 +87,19 @@
 	}
 }
 
-// kill ends the program without notice.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	p.wait(killLimit)
+// Kill ends the program without notice.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	p.Wait(killLimit)
 }
 
-// terminate asks the program to stop, and kills it when it does not.
-func (p *process) terminate(limit time.Duration) bool {
-	p.signal(syscall.SIGTERM)
-	if p.wait(limit) {
+// Terminate asks the program to stop, and kills it when it does not.
+func (p *Process) Terminate(limit time.Duration) bool {
+	p.Signal(syscall.SIGTERM)
+	if p.Wait(limit) {
 		return true
 	}
-	p.kill()
+	p.Kill()
 	return false
 }
 
@@ -98,8 +108,8 @@
 	askPause  = 50 * time.Millisecond
 )
 
-// awaitHTTP asks a URL until it answers 200 or the context ends.
-func awaitHTTP(ctx context.Context, url string) error {
+// AwaitHTTP asks a URL until it answers 200 or the context ends.
+func AwaitHTTP(ctx context.Context, url string) error {
 	client := &http.Client{Timeout: time.Second}
 	for {
 		response, err := client.Get(url)
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"syscall"
+	"time"
+)
+
+// troubles of back ends.
+const (
+	troubleNone int32 = iota
+	troubleFail
+	troubleHang
+	troubleBreak
+	troubleFull
+	troubleKinds
+)
+
+const (
+	faultPause = 900 * time.Millisecond
+	shortest   = 200 * time.Millisecond
+	longest    = 3 * time.Second
+	stopLimit  = 15 * time.Second
+)
+
+// fault is one kind of trouble.
+type fault struct {
+	name string
+	run  func(s *Soak, ctx context.Context, r *rand.Rand)
+}
+
+var faults = []fault{
+	{"kill a router", func(s *Soak, ctx context.Context, r *rand.Rand) { s.bounce(ctx, r, pick(r, s.routers)) }},
+	{"kill a coordinator", func(s *Soak, ctx context.Context, r *rand.Rand) { s.bounce(ctx, r, pick(r, s.coordinators)) }},
+	{"freeze a router", func(s *Soak, ctx context.Context, r *rand.Rand) { s.freeze(ctx, r, pick(r, s.routers)) }},
+	{"freeze a coordinator", func(s *Soak, ctx context.Context, r *rand.Rand) { s.freeze(ctx, r, pick(r, s.coordinators)) }},
+	{"stop a router as planned", func(s *Soak, _ context.Context, r *rand.Rand) { s.restart(pick(r, s.routers)) }},
+	{"stop a coordinator as planned", func(s *Soak, _ context.Context, r *rand.Rand) { s.restart(pick(r, s.coordinators)) }},
+	{"cut a coordinator off", func(s *Soak, ctx context.Context, r *rand.Rand) {
+		pick(r, s.coordinators).proxy.cut(func() { wait(ctx, between(r)) })
+	}},
+	{"reset a coordinator's connections", func(s *Soak, ctx context.Context, r *rand.Rand) {
+		pick(r, s.coordinators).proxy.reset(func() { wait(ctx, between(r)) })
+	}},
+	{"cut a back end off", func(s *Soak, ctx context.Context, r *rand.Rand) {
+		pick(r, s.listBackends()).proxy.cut(func() { wait(ctx, between(r)) })
+	}},
+	{"reset a back end's connections", func(s *Soak, ctx context.Context, r *rand.Rand) {
+		pick(r, s.listBackends()).proxy.reset(func() { wait(ctx, between(r)) })
+	}},
+	{"lose a coordinator's disk", (*Soak).loseDisk},
+	{"kill all coordinators", (*Soak).killCoordinators},
+	{"crash a back end", (*Soak).crashBackend},
+	{"drain a back end", (*Soak).drainBackend},
+	{"trouble at a back end", func(s *Soak, ctx context.Context, r *rand.Rand) {
+		b := pick(r, s.listBackends())
+		b.trouble.Store(1 + r.Int32N(troubleKinds-1))
+		wait(ctx, between(r))
+		b.trouble.Store(troubleNone)
+	}},
+}
+
+func pick[T any](r *rand.Rand, from []T) T { return from[r.IntN(len(from))] }
+
+func between(r *rand.Rand) time.Duration {
+	return shortest + time.Duration(r.Int64N(int64(longest-shortest)))
+}
+
+// inject brings faults about until the context ends. The seed fixes their
+// order; two or three overlap.
+func (s *Soak) inject(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.config.Seed, 1))
+	for wait(ctx, time.Duration(r.Int64N(int64(2*faultPause)))) {
+		f := faults[r.IntN(len(faults))]
+		s.mu.Lock()
+		s.report.Faults[f.name]++
+		s.mu.Unlock()
+		own := rand.New(rand.NewPCG(r.Uint64(), 2))
+		s.group.Go(func() { f.run(s, ctx, own) })
+	}
+}
+
+// claim gives a fault a program for itself.
+func (s *Soak) claim(p *program) bool { return p.busy.CompareAndSwap(false, true) }
+
+func (s *Soak) bounce(ctx context.Context, r *rand.Rand, p *program) {
+	if !s.claim(p) {
+		return
+	}
+	defer p.busy.Store(false)
+	p.process.Kill()
+	wait(ctx, between(r))
+	_ = p.process.Start()
+}
+
+func (s *Soak) freeze(ctx context.Context, r *rand.Rand, p *program) {
+	if !s.claim(p) {
+		return
+	}
+	defer p.busy.Store(false)
+	p.process.Signal(syscall.SIGSTOP)
+	wait(ctx, between(r))
+	p.process.Signal(syscall.SIGCONT)
+}
+
+func (s *Soak) restart(p *program) {
+	if !s.claim(p) {
+		return
+	}
+	defer p.busy.Store(false)
+	p.process.Terminate(stopLimit)
+	_ = p.process.Start()
+}
+
+// loseDisk takes one coordinator's disk, and no second one until the first is
+// back at full strength.
+func (s *Soak) loseDisk(ctx context.Context, r *rand.Rand) {
+	if !s.disk.TryLock() {
+		return
+	}
+	defer s.disk.Unlock()
+	p := pick(r, s.coordinators)
+	if !s.claim(p) {
+		return
+	}
+	defer p.busy.Store(false)
+	p.process.Kill()
+	_ = os.RemoveAll(p.data)
+	_ = s.writeSettings(p, false)
+	_ = p.process.Start()
+	wait(ctx, diskReturn)
+}
+
+func (s *Soak) killCoordinators(ctx context.Context, r *rand.Rand) {
+	if !s.disk.TryLock() {
+		return
+	}
+	defer s.disk.Unlock()
+	for _, p := range s.coordinators {
+		if s.claim(p) {
+			defer p.busy.Store(false)
+			p.process.Kill()
+			defer func() { _ = p.process.Start() }()
+		}
+	}
+	wait(ctx, between(r)/2)
+}
+
+func (s *Soak) crashBackend(ctx context.Context, r *rand.Rand) {
+	b := pick(r, s.listBackends())
+	if !s.remove(b) {
+		return
+	}
+	b.crash()
+	wait(ctx, between(r))
+	s.addBackend(b.pool)
+}
+
+// drainBackend lets a back end leave as planned.
+func (s *Soak) drainBackend(ctx context.Context, r *rand.Rand) {
+	b := pick(r, s.listBackends())
+	if !s.remove(b) {
+		return
+	}
+	s.addBackend(b.pool)
+	b.draining.Store(true)
+	wait(ctx, 2*drainBinds)
+	b.crash()
+}
--- /dev/null
+++ b/internal/soak/operator.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
+)
+
+const (
+	poolEngines  = "engines"
+	poolWorkers  = "workers"
+	controlLimit = time.Second
+	changeEvery  = 700 * time.Millisecond
+	// keyVersions is how many configurations a tenant's key lives.
+	keyVersions = 4
+)
+
+// acknowledged is a configuration that was acknowledged.
+type acknowledged struct {
+	version uint64
+	at      time.Duration
+	keys    []string
+}
+
+// keysOf returns the keys that a version allows. Each version takes the oldest
+// away and adds a new one.
+func keysOf(version uint64) []string {
+	var keys []string
+	for i := range uint64(keyVersions) {
+		keys = append(keys, fmt.Sprintf("key-%d", version+i))
+	}
+	return keys
+}
+
+func documentOf(version uint64) []byte {
+	route := func(kind, pool string, k traffic.Kind, resumable bool, attempts int) traffic.DocumentRoute {
+		return traffic.DocumentRoute{Name: kind, Host: "soak", Prefix: "/" + kind + "/", Kind: k, Timeout: "2s", Target: "300ms",
+			GapTarget: "500ms", Split: map[string]int{pool: 1}, MaxAttempts: attempts, Resumable: resumable}
+	}
+	text, _ := json.Marshal(traffic.Document{Version: version,
+		Routes: []traffic.DocumentRoute{
+			route("safe", poolWorkers, traffic.KindSafe, false, 2),
+			route("unsafe", poolWorkers, traffic.KindUnsafe, false, 1),
+			route("stream", poolEngines, traffic.KindStream, true, 3),
+			route("chat", poolEngines, traffic.KindStream, false, 1),
+		},
+		Pools:   []traffic.DocumentPool{{Name: poolEngines, Slots: 8, CapacityTokens: 100000}, {Name: poolWorkers}},
+		Tenants: []traffic.DocumentTenant{{Name: "tenant", Keys: keysOf(version)}},
+	})
+	return text
+}
+
+// key returns a key that the newest acknowledged configuration allows, or at
+// times one that was taken away.
+func (s *Soak) key() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.acked) == 0 {
+		return "none"
+	}
+	newest := s.acked[len(s.acked)-1].version
+	if rand.IntN(10) == 0 && newest > keyVersions {
+		return fmt.Sprintf("key-%d", newest-1)
+	}
+	return fmt.Sprintf("key-%d", newest+keyVersions-1)
+}
+
+// operate changes the configuration and names weights until the context ends.
+func (s *Soak) operate(ctx context.Context) {
+	for version := uint64(1); ctx.Err() == nil; version++ {
+		for ctx.Err() == nil {
+			if s.control(ctx, http.MethodPut, "/v1/configuration", documentOf(version)) == http.StatusOK {
+				s.mu.Lock()
+				s.acked = append(s.acked, acknowledged{version: version, at: s.now(), keys: keysOf(version)})
+				s.mu.Unlock()
+				break
+			}
+			wait(ctx, 100*time.Millisecond)
+		}
+		if version%5 == 0 {
+			s.nameWeights(ctx)
+		}
+		wait(ctx, changeEvery)
+	}
+}
+
+func (s *Soak) nameWeights(ctx context.Context) {
+	body, _ := json.Marshal(state.NameWeights{Model: model, Version: int(s.named.Load()) + 1})
+	if s.control(ctx, http.MethodPost, "/v1/weights", body) == http.StatusOK {
+		s.named.Add(1)
+	}
+}
+
+// control sends a call to one coordinator after the other and returns the
+// status of the first clear answer, 0 for none.
+func (s *Soak) control(ctx context.Context, method, path string, body []byte) int {
+	first := rand.IntN(len(s.coordinators))
+	for i := range s.coordinators {
+		address := s.coordinators[(first+i)%len(s.coordinators)].listen
+		if status, _ := s.controlAt(ctx, address, method, path, body); status != 0 && status < http.StatusInternalServerError {
+			return status
+		}
+	}
+	return 0
+}
+
+func (s *Soak) controlAt(ctx context.Context, address, method, path string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, controlLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, read
+}
