--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,7 +181,7 @@
 		return
 	}
 	w.Header().Set(names.Seal, sealOf(id))
-	if bytes.HasPrefix([]byte(r.URL.Path), []byte("/stream/")) {
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/chat/") {
 		b.stream(w, r, id, trouble == troubleBreak && troubled)
 		return
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -13,12 +13,15 @@
 // Report is what a soak found. Broken lists each broken promise; a run without
 // any passed.
 type Report struct {
-	Seed    uint64         `json:"seed"`
-	Calls   int            `json:"calls"`
-	Served  int            `json:"served"`
-	Refused int            `json:"refused"`
-	Runs    int            `json:"runs"`
-	Faults  map[string]int `json:"faults"`
+	Seed    uint64 `json:"seed"`
+	Calls   int    `json:"calls"`
+	Served  int    `json:"served"`
+	Refused int    `json:"refused"`
+	Runs    int    `json:"runs"`
+	// Outcomes counts calls by kind and status; status 0 is no answer, and a
+	// star an answer that was cut.
+	Outcomes map[string]int `json:"outcomes"`
+	Faults   map[string]int `json:"faults"`
 	// Configurations counts the acknowledged ones.
 	Configurations int      `json:"configurations"`
 	Broken         []string `json:"broken,omitempty"`
@@ -124,6 +127,11 @@
 		}
 	}
 	s.checkKey(c, runs)
+	outcome := fmt.Sprintf("%s %d", c.kind, c.status)
+	if c.status != 0 && !c.whole {
+		outcome += "*"
+	}
+	s.report.Outcomes[outcome]++
 	switch {
 	case c.refused:
 		s.report.Refused++
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,7 +94,7 @@
 	s := &Soak{config: config, ctx: ctx, begun: time.Now(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		holders: map[uint64]string{}}
 	s.named.Store(1)
-	s.report = Report{Seed: config.Seed, Faults: map[string]int{}}
+	s.report = Report{Seed: config.Seed, Faults: map[string]int{}, Outcomes: map[string]int{}}
 	defer s.stop()
 	if err := s.launch(); err != nil {
 		return nil, err
