--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -205,7 +205,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = fmt.Errorf("%w (%w)", err, cause)
 	}
-	j.trace = append(j.trace, choice.ID+": "+err.Error())
+	j.trace = append(j.trace, h.explain(j, choice)+": "+err.Error())
 	if !errors.Is(context.Cause(ctx), context.Canceled) {
 		h.config.Pool.Failed(h.now(), choice.ID)
 	}
@@ -229,7 +229,7 @@
 // note tells the pool what an attempt showed.
 func (h *Handler) note(ctx context.Context, j *job, choice backends.Choice, status int, result outcome, took time.Duration) {
 	now := h.now()
-	text := choice.ID + ": " + strconv.Itoa(status)
+	text := h.explain(j, choice) + ": " + strconv.Itoa(status)
 	if result.err != nil {
 		text += " " + result.err.Error()
 	}
@@ -250,6 +250,16 @@
 	}
 }
 
+// explain names a back end and what decided for it.
+func (h *Handler) explain(j *job, choice backends.Choice) string {
+	text := fmt.Sprintf("%s (cost %.0f of %d", choice.ID, choice.Cost, choice.Considered)
+	if choice.Versioned {
+		text += fmt.Sprintf(", weights %d, home %t, unread %d, from %s", choice.Version, choice.Home, choice.Work.Prompt,
+			j.request.Header.Get(h.config.Headers.FetchFrom))
+	}
+	return text + ")"
+}
+
 // finish ends a request for which no further attempt is made.
 func (h *Handler) finish(ctx context.Context, s *session, result outcome) {
 	j := s.job
@@ -288,6 +298,6 @@
 	h.metrics.Answered(s.status, false)
 	h.metrics.Took(took, s.firstAt-j.arrived)
 	h.config.Logger.Info(what, "part", "forward", "id", j.id, "route", j.route.Name, "pool", j.pool.Name,
-		"table", j.table.Version, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
+		"table", j.table.Version, "key", j.query.Key, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
 		"first_ms", (s.firstAt - j.arrived).Milliseconds(), "attempts", strings.Join(j.trace, "; "))
 }
