--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -13,7 +13,7 @@
 const (
 	// savedFor is how long a part that some router saved is taken to be in the
 	// store. A store drops what is not used.
-	savedFor = 12 * time.Second
+	savedFor = 30 * time.Second
 	// maxSaved bounds what a router remembers of saved parts.
 	maxSaved = 50000
 )
