--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -20,7 +20,7 @@
 	// the prompt's home, for the first step away and in part for each further
 	// one, up to rankLimit steps. It is above the time that a move takes: a copy
 	// takes memory that other prompts need.
-	strangeCost = 0.07
+	strangeCost = 0.1
 	strangeStep = 0.25
 	rankLimit   = 4
 	// prefillRate is the assumed prompt tokens a millisecond of an engine.
