--- /dev/null
+++ b/internal/coordinator/metrics.go
@@ -0,0 +1,58 @@
+package coordinator
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/raft"
+)
+
+// serveFigures serves the node's figures as text, if the settings name an
+// address.
+func (s *Server) serveFigures() error {
+	if s.settings.Metrics == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.settings.Metrics)
+	if err != nil {
+		return errors.Wrap(err, "listen for figures")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", s.figures)
+	s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: forwardTimeout}
+	s.group.Go(func() { _ = s.metrics.Serve(listener) })
+	return nil
+}
+
+// figures writes counters and the state of the node.
+func (s *Server) figures(w http.ResponseWriter, r *http.Request) {
+	gauge := func(name string, value any) { fmt.Fprintf(w, "quinceridge_%s %v\n", name, value) }
+	gauge("peer_received_bytes_total", s.counters.BytesIn.Load())
+	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
+	gauge("peer_received_messages_total", s.counters.MessagesIn.Load())
+	gauge("peer_sent_messages_total", s.counters.MessagesOut.Load())
+	s.do(r.Context(), func(now time.Duration) {
+		status := s.core.Status()
+		syncs, bytes := s.core.Syncs()
+		leads := 0
+		if status.Role == raft.Leader {
+			leads = 1
+		}
+		gauge("leader", leads)
+		gauge("term", status.Term)
+		gauge("log_committed", status.Commit)
+		gauge("log_applied", status.Applied)
+		gauge("voters", len(status.Membership.Voters))
+		gauge("disk_syncs_total", syncs)
+		gauge("disk_bytes_total", bytes)
+		gauge("configuration_version", s.core.Machine().Deployment().Version)
+		gauge("backends", len(s.core.Machine().Deployment().Backends))
+		gauge("backends_silent", len(s.soft.silent))
+		gauge("routers", s.soft.watchers(now))
+		gauge("orders_under_way", len(s.rollout.running))
+	})
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,7 @@
 	peers    *peer.Client
 	counters *peer.Counters
 	listener *peer.Server
+	metrics  *http.Server
 	engines  Engines
 	events   chan func(now time.Duration)
 	started  time.Time
@@ -108,6 +110,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
+	if err := s.serveFigures(); err != nil {
+		// A node without figures still takes part.
+		s.logger.Error("no figures", "part", "coordinator", "error", err.Error())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.group.Go(func() { s.run(ctx) })
@@ -128,6 +134,9 @@
 func (s *Server) abort() {
 	s.cancel()
 	s.listener.Close()
+	if s.metrics != nil {
+		_ = s.metrics.Close()
+	}
 	s.peers.Close()
 	s.group.Wait()
 	s.logger.Info("stopped", "part", "coordinator")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,7 @@
 	peers     *peer.Client
 	callers   *http.Server
 	readiness *http.Server
+	figures   *http.Server
 	cancel    context.CancelFunc
 	group     sync.WaitGroup
 }
@@ -61,6 +62,7 @@
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { _, _ = e.handler.WriteTo(w) })
 	mux.HandleFunc("/", e.ready)
 	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	e.figures = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return e
 }
 
@@ -85,6 +87,12 @@
 	if err := e.listen(e.callers, e.settings.Listen); err != nil {
 		return err
 	}
+	if e.settings.Metrics != "" {
+		// A router without figures still serves.
+		if err := e.listen(e.figures, e.settings.Metrics); err != nil {
+			e.logger.Error("no figures", "part", "edge", "error", err.Error())
+		}
+	}
 	e.logger.Info("started", "part", "edge", "listen", e.settings.Listen, "seeds", e.settings.Coordinators())
 	return nil
 }
@@ -121,6 +129,7 @@
 		_ = e.callers.Close()
 	}
 	_ = e.readiness.Close()
+	_ = e.figures.Close()
 	e.cancel()
 	e.peers.Close()
 	e.group.Wait()
