--- a/spec/check.sh
+++ b/spec/check.sh
@@ -45,4 +45,7 @@
 expect refuted claims NO_VOID
 expect refuted claims NO_GIVE_UP
 expect refuted claims NO_CLAIM
+expect holds watch
+expect refuted watch FROM_ARRIVAL
+expect refuted watch NO_LEASE
 exit $bad
