One loop for both kinds of control nodes; a stop does not wait for orders

The goroutine that owns a core, its queue and the hand-over stood twice. In the new copy the end of an order waited for an owner that had ended, so that a planned stop during a rollout hung until the kill.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -44,16 +44,13 @@
 // handleRaft queues a consensus message. A full queue loses it, as a network
 // may.
 func (s *Server) handleRaft(m raft.Message) (struct{}, error) {
-	select {
-	case s.events <- func(now time.Duration) { s.core.Step(now, m) }:
-	default:
-	}
+	s.loop.Offer(func(now time.Duration) { s.core.Step(now, m) })
 	return struct{}{}, nil
 }
 
 func (s *Server) handleLease(ctx context.Context, r controlapi.LeaseRequest) (controlapi.LeaseReply, error) {
 	var reply controlapi.LeaseReply
-	if !s.do(ctx, func(now time.Duration) { reply = s.core.Lease(now, r) }) {
+	if !s.loop.Do(ctx, func(now time.Duration) { reply = s.core.Lease(now, r) }) {
 		return reply, ErrStopping
 	}
 	return reply, nil
@@ -73,7 +70,7 @@
 	done := make(chan submitted, 1)
 	var refused error
 	var leader string
-	ran := s.do(ctx, func(now time.Duration) {
+	ran := s.loop.Do(ctx, func(now time.Duration) {
 		refused = s.core.Propose(now, command, func(result state.Result, err error) { done <- submitted{result, err} })
 		leader = s.core.leaderAddress()
 	})
@@ -91,7 +88,7 @@
 		return controlapi.SubmitReply{Result: outcome.result}, outcome.err
 	case <-ctx.Done():
 		return controlapi.SubmitReply{}, ErrStopping
-	case <-s.stopped:
+	case <-s.loop.Stopped():
 		return controlapi.SubmitReply{}, ErrStopping
 	}
 }
@@ -110,7 +107,7 @@
 func (s *Server) acknowledge(ctx context.Context, change func(now time.Duration) error) (controlapi.Acknowledgement, error) {
 	var err error
 	var leader string
-	ran := s.do(ctx, func(now time.Duration) {
+	ran := s.loop.Do(ctx, func(now time.Duration) {
 		err = change(now)
 		leader = s.core.leaderAddress()
 	})
@@ -128,7 +125,7 @@
 func (s *Server) handleStatus(ctx context.Context, r controlapi.StatusRequest) (controlapi.StatusReply, error) {
 	var reply controlapi.StatusReply
 	var err error
-	ran := s.do(ctx, func(now time.Duration) { reply, err = s.core.Report(now, r) })
+	ran := s.loop.Do(ctx, func(now time.Duration) { reply, err = s.core.Report(now, r) })
 	if !ran {
 		return reply, ErrStopping
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -77,7 +77,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.stopped:
+		case <-s.loop.Stopped():
 			return
 		case <-ticker.C:
 			s.giveOrders(ctx, keeper)
@@ -87,7 +87,7 @@
 
 func (s *Server) giveOrders(ctx context.Context, keeper *orderKeeper) {
 	var head *state.Proposal
-	s.do(ctx, func(now time.Duration) {
+	s.loop.Do(ctx, func(now time.Duration) {
 		if s.core.HoldsLease(now) {
 			head = s.core.Machine().Head()
 		}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -29,12 +29,6 @@
 	electionTicks  = 20
 )
 
-// Batching of work between two syncs of the disk.
-const (
-	eventQueue = 4096
-	eventBatch = 512
-)
-
 const (
 	listInterval   = time.Second
 	statusInterval = 250 * time.Millisecond
@@ -51,10 +45,9 @@
 	peers     *peer.Client
 	listener  *peer.Server
 	status    *http.Server
-	events    chan func(now time.Duration)
+	loop      *Loop
 	started   time.Time
 	cancel    context.CancelFunc
-	stopped   chan struct{}
 	failure   error
 	metrics   *serverMetrics
 	lastRole  raft.Role
@@ -64,7 +57,8 @@
 // holds. Start runs it.
 func NewServer(config settings.Control, logger *slog.Logger) (*Server, error) {
 	s := &Server{settings: config, logger: telemetry.Part(logger, "control"), counters: &peer.Counters{},
-		events: make(chan func(time.Duration), eventQueue), started: time.Now(), stopped: make(chan struct{})}
+		started: time.Now()}
+	s.loop = NewLoop(s.now)
 	core, err := NewCore(s.coreConfig(), vfs.Default, config.DataDirectory, s.now())
 	if err != nil {
 		return nil, err
@@ -129,14 +123,14 @@
 
 // Done is closed when the node has stopped by itself, after a failure of its
 // disk.
-func (s *Server) Done() <-chan struct{} { return s.stopped }
+func (s *Server) Done() <-chan struct{} { return s.loop.Stopped() }
 
 // Failure says why the node stopped by itself.
 func (s *Server) Failure() error { return s.failure }
 
 // Stop hands over leadership, if any, and ends the node.
 func (s *Server) Stop(ctx context.Context) error {
-	s.handOver(ctx)
+	s.loop.HandOver(ctx, func() *Core { return s.core }, s.settings.Tick)
 	err := s.end()
 	s.logger.Info("stopped")
 	return err
@@ -147,36 +141,16 @@
 
 func (s *Server) end() error {
 	s.cancel()
-	<-s.stopped
+	<-s.loop.Stopped()
 	s.listener.Close()
 	s.peers.Close()
 	_ = s.status.Close()
 	return errors.CombineErrors(s.failure, s.core.Close())
 }
 
-// handOver gives leadership to the member that is furthest, so that a planned
-// stop costs no election timeout.
-func (s *Server) handOver(ctx context.Context) {
-	var leading bool
-	s.do(ctx, func(time.Duration) {
-		status := s.core.Status()
-		best := uint64(0)
-		for id, match := range status.Match {
-			if status.Membership.IsVoter(id) && (best == 0 || match > status.Match[best]) {
-				best = id
-			}
-		}
-		leading = best != 0 && s.core.TransferLeadership(best) == nil
-	})
-	for leading && ctx.Err() == nil {
-		time.Sleep(s.settings.Tick)
-		s.do(ctx, func(time.Duration) { leading = s.core.Status().Role == raft.Leader })
-	}
-}
-
 // run owns the core. It groups waiting events so that they share a sync.
 func (s *Server) run(ctx context.Context) {
-	defer close(s.stopped)
+	defer s.loop.End()
 	ticker := time.NewTicker(s.settings.Tick)
 	defer ticker.Stop()
 	for {
@@ -184,9 +158,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case event := <-s.events:
-			event(s.now())
-			s.runWaiting()
+		case event := <-s.loop.Events():
+			s.loop.Run(event)
 		}
 		s.core.Tick(s.now())
 		messages, err := s.core.Pump(s.now())
@@ -200,17 +173,6 @@
 	}
 }
 
-func (s *Server) runWaiting() {
-	for range eventBatch {
-		select {
-		case event := <-s.events:
-			event(s.now())
-		default:
-			return
-		}
-	}
-}
-
 func (s *Server) send(messages []raft.Message) {
 	addresses := s.core.Status().Membership.Addresses
 	for _, m := range messages {
@@ -230,31 +192,6 @@
 	s.logger.Info("role changed", "role", string(status.Role), "term", status.Term, "leader", status.Leader)
 }
 
-// do runs a function on the core's goroutine and waits for it. It returns
-// false when the node has stopped or the context ended.
-func (s *Server) do(ctx context.Context, work func(now time.Duration)) bool {
-	done := make(chan struct{})
-	event := func(now time.Duration) {
-		work(now)
-		close(done)
-	}
-	select {
-	case s.events <- event:
-	case <-ctx.Done():
-		return false
-	case <-s.stopped:
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-s.stopped:
-		return false
-	}
-}
-
 func (s *Server) serveStatus(listener net.Listener, registry *prometheus.Registry) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", telemetry.Handler(registry))
@@ -267,7 +204,7 @@
 // ready tells whether the node follows or is a leader.
 func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
 	known := false
-	s.do(r.Context(), func(now time.Duration) {
+	s.loop.Do(r.Context(), func(now time.Duration) {
 		known = s.core.HoldsLease(now) || s.core.Status().Leader != 0
 	})
 	if !known {
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -35,10 +35,7 @@
 		s.members.heardFrom(c.Message.From, c.Sender)
 		s.core.Step(now, c.Message)
 	}
-	select {
-	case s.events <- event:
-	default:
-	}
+	s.loop.Offer(event)
 	return struct{}{}, nil
 }
 
@@ -91,7 +88,7 @@
 // leading runs work on the replica's goroutine if this node leads.
 func (s *Server) leading(ctx context.Context, work func(now time.Duration)) (coordapi.Reply, error) {
 	var reply coordapi.Reply
-	ran := s.do(ctx, func(now time.Duration) {
+	ran := s.loop.Do(ctx, func(now time.Duration) {
 		if !s.core.HoldsLease(now) {
 			reply.NotLeader = true
 			reply.Leader = s.leaderAddress()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -142,7 +142,7 @@
 // voters returns how many voters a node knows of.
 func (g *group) voters(i int) int {
 	count := 0
-	g.servers[i].do(context.Background(), func(time.Duration) {
+	g.servers[i].loop.Do(context.Background(), func(time.Duration) {
 		if g.servers[i].core != nil {
 			count = len(g.servers[i].core.Status().Membership.Voters)
 		}
@@ -200,7 +200,7 @@
 // row returns a back end as a node knows it.
 func (g *group) row(i int, id string) state.Backend {
 	var row state.Backend
-	g.servers[i].do(context.Background(), func(time.Duration) { row = g.servers[i].core.Machine().Deployment().Backends[id] })
+	g.servers[i].loop.Do(context.Background(), func(time.Duration) { row = g.servers[i].core.Machine().Deployment().Backends[id] })
 	return row
 }
 
@@ -208,7 +208,7 @@
 	leader := -1
 	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
 		for i := range g.servers {
-			g.servers[i].do(context.Background(), func(now time.Duration) {
+			g.servers[i].loop.Do(context.Background(), func(now time.Duration) {
 				if g.servers[i].core.HoldsLease(now) {
 					leader = i
 				}
@@ -274,6 +274,37 @@
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
 }
 
+// The end of an order waited for a goroutine that had ended: the stop hung until
+// the process was killed.
+func TestAStopDoesNotWaitForOrders(t *testing.T) {
+	g := newGroup(t, 1)
+	g.engines.unanswered = 1 << 30
+	for _, s := range g.servers {
+		s.settings.WeightsDeadline = time.Second
+	}
+	g.call(0, beat("x", 1, false))
+	g.call(0, coordapi.Request{NameWeights: &state.NameWeights{Model: "m", Version: 2}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.row(0, "x").Loading == nil {
+			return poll.Continue("no order yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	stopped := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		g.servers[0].Stop(ctx)
+		g.servers[0] = nil
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the stop hangs")
+	}
+}
+
 func TestAWatchHearsOfAChangeAtOnce(t *testing.T) {
 	g := newGroup(t, 3)
 	g.call(0, configure(1))
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -128,7 +128,7 @@
 		}
 		var alone bool
 		var known []string
-		if !s.do(ctx, func(time.Duration) { alone, known = s.needsJoin() }) || !alone {
+		if !s.loop.Do(ctx, func(time.Duration) { alone, known = s.needsJoin() }) || !alone {
 			continue
 		}
 		addresses := append(known, *s.seeds.Load()...)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -35,7 +35,7 @@
 	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
 	gauge("peer_received_messages_total", s.counters.MessagesIn.Load())
 	gauge("peer_sent_messages_total", s.counters.MessagesOut.Load())
-	s.do(r.Context(), func(now time.Duration) {
+	s.loop.Do(r.Context(), func(now time.Duration) {
 		status := s.core.Status()
 		syncs, bytes := s.core.Syncs()
 		leads := 0
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -43,51 +43,6 @@
 	holderSlack = 400 * time.Millisecond
 )
 
-// LoadOrder tells an engine to load weights.
-type LoadOrder struct {
-	Address string
-	// Instance is the ID of the start that the order is meant for.
-	Instance string
-	Model    string
-	Version  int
-	// Truncate cuts running requests off; else they go on with the new weights.
-	Truncate bool
-	Holder   string
-	Fence    uint64
-	// Expected is how many orders the engine must have taken before.
-	Expected int
-}
-
-// EngineReport is what an engine says of itself.
-type EngineReport struct {
-	Busy   bool
-	Orders int
-	// Weights maps models to versions.
-	Weights map[string]int
-}
-
-// Answers to an order.
-var (
-	// ErrHeld says that the engine holds the version already.
-	ErrHeld = errors.New("the engine holds this version")
-	// ErrMismatch says that the engine took another number of orders, or one is
-	// under way.
-	ErrMismatch = errors.New("the engine expected another order")
-	// ErrFenced says that the engine has seen a higher fence.
-	ErrFenced = errors.New("the engine has seen a higher fence")
-	// ErrOtherInstance says that another instance has the address.
-	ErrOtherInstance = errors.New("another instance has the address")
-)
-
-// Engines carries calls to model engines.
-type Engines interface {
-	// Load gives an order. A nil error says that the load is under way; an
-	// error without a mark of this package says that it may be.
-	Load(ctx context.Context, order LoadOrder) error
-	// Report asks an engine for its state.
-	Report(ctx context.Context, address, instance string) (EngineReport, error)
-}
-
 // rollout is a node's knowledge of named versions. Each node keeps it, so that
 // a new leader knows when a version's time began.
 type rollout struct {
@@ -180,7 +135,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.do(ctx, func(now time.Duration) { s.orderDue(ctx, now) })
+			s.loop.Do(ctx, func(now time.Duration) { s.orderDue(ctx, now) })
 		}
 	}
 }
@@ -229,7 +184,7 @@
 		term := s.core.Status().Term
 		s.group.Go(func() {
 			held := s.bring(ctx, row, model, plan.Target, term)
-			s.do(context.WithoutCancel(ctx), func(now time.Duration) { s.rollout.finished(now, row.ID, held) })
+			s.loop.Do(context.WithoutCancel(ctx), func(now time.Duration) { s.rollout.finished(now, row.ID, held) })
 		})
 	}
 }
@@ -255,7 +210,7 @@
 			}
 		})
 		s.logger.Info("load of an earlier leader settled", "part", "rollout", "backend", row.ID, "error", errorText(err))
-		s.do(context.WithoutCancel(ctx), func(now time.Duration) { s.rollout.finished(now, row.ID, err == nil) })
+		s.loop.Do(context.WithoutCancel(ctx), func(now time.Duration) { s.rollout.finished(now, row.ID, err == nil) })
 	})
 }
 
@@ -271,154 +226,3 @@
 	_ = s.core.Propose(now, state.Command{Hold: &state.Hold{Holder: s.settings.Name}}, func(state.Result, error) {})
 	return false
 }
-
-// bring takes one engine to a version: it announces the load, gives the order
-// and waits until the engine reports the version.
-func (s *Server) bring(ctx context.Context, row state.Backend, model string, version int, term uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, loadLimit)
-	defer cancel()
-	started := s.now()
-	s.change(ctx, row.ID, func(b *state.Backend) { b.Loading = &state.Loading{Model: model, Version: version} })
-	s.awaitRead(ctx, row.ID)
-	err := s.order(ctx, row, model, version, term)
-	if err == nil {
-		err = s.awaitLoaded(ctx, row, model, version)
-	}
-	held := err == nil || errors.Is(err, ErrHeld)
-	s.change(context.WithoutCancel(ctx), row.ID, func(b *state.Backend) {
-		b.Loading = nil
-		if held {
-			b.Weights = raised(b.Weights, model, version)
-		}
-	})
-	level := s.logger.Info
-	if !held {
-		level = s.logger.Warn
-	}
-	level("weights loaded", "part", "rollout", "backend", row.ID, "version", version, "held", held,
-		"took_ms", (s.now() - started).Milliseconds(), "error", errorText(err))
-	return held
-}
-
-// awaitRead waits until the prompts that an engine has been sent are read.
-func (s *Server) awaitRead(ctx context.Context, id string) {
-	pause(ctx, announcePause)
-	for limit := s.now() + readLimit; s.now() < limit && ctx.Err() == nil; pause(ctx, readEvery) {
-		unread := 0
-		s.do(ctx, func(time.Duration) { unread = s.soft.told.unread(id) })
-		if unread == 0 {
-			return
-		}
-	}
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-// change alters a row through the log, from what the row is then.
-func (s *Server) change(ctx context.Context, id string, alter func(b *state.Backend)) {
-	done := make(chan struct{}, 1)
-	proposed := false
-	s.do(ctx, func(now time.Duration) {
-		if s.core == nil {
-			return
-		}
-		row, known := s.core.Machine().Deployment().Backends[id]
-		if !known {
-			return
-		}
-		alter(&row)
-		command := state.Command{Enrol: &state.Enrol{Backends: []state.Backend{row}}}
-		proposed = s.core.Propose(now, command, func(state.Result, error) { done <- struct{}{} }) == nil
-	})
-	if !proposed {
-		return
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-// order gives the order until the engine has answered it. Each repeat expects
-// the same count, so that only one is carried out.
-func (s *Server) order(ctx context.Context, row state.Backend, model string, version int, term uint64) error {
-	order := LoadOrder{Address: row.Address, Instance: row.ID, Model: model, Version: version, Holder: s.settings.Name,
-		Fence: term, Expected: row.Orders}
-	for ctx.Err() == nil {
-		if !s.leads(ctx, term) {
-			return errors.New("this node leads no more")
-		}
-		attempt, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := s.engines.Load(attempt, order)
-		cancel()
-		s.logger.Info("order given", "part", "rollout", "backend", row.ID, "version", version, "fence", term,
-			"expected", order.Expected, "error", errorText(err))
-		switch {
-		case err == nil:
-			s.change(ctx, row.ID, func(b *state.Backend) { b.Orders = order.Expected + 1 })
-			return nil
-		case errors.Is(err, ErrHeld), errors.Is(err, ErrFenced), errors.Is(err, ErrOtherInstance):
-			return err
-		}
-		if !errors.Is(err, ErrMismatch) {
-			pause(ctx, orderPause)
-			continue
-		}
-		if held, failure := s.expect(ctx, row, &order); failure == nil && held {
-			return ErrHeld
-		}
-		pause(ctx, reportEvery)
-	}
-	return ctx.Err()
-}
-
-// expect learns how many orders an engine took, and tells whether one of them
-// has brought it to the wanted version.
-func (s *Server) expect(ctx context.Context, row state.Backend, order *LoadOrder) (held bool, err error) {
-	report, err := s.report(ctx, row)
-	if err != nil {
-		return false, err
-	}
-	order.Expected = report.Orders
-	return report.Weights[order.Model] >= order.Version && !report.Busy, nil
-}
-
-// leads tells whether this node still leads in a term.
-func (s *Server) leads(ctx context.Context, term uint64) bool {
-	leads := false
-	s.do(ctx, func(now time.Duration) {
-		leads = s.core != nil && s.core.HoldsLease(now) && s.core.Status().Term == term
-	})
-	return leads
-}
-
-func (s *Server) report(ctx context.Context, row state.Backend) (EngineReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	return s.engines.Report(ctx, row.Address, row.ID)
-}
-
-// awaitLoaded asks the engine until it reports the version.
-func (s *Server) awaitLoaded(ctx context.Context, row state.Backend, model string, version int) error {
-	pause(ctx, firstReport)
-	for ctx.Err() == nil {
-		report, err := s.report(ctx, row)
-		if err == nil && report.Weights[model] >= version && !report.Busy {
-			return nil
-		}
-		pause(ctx, reportEvery)
-	}
-	return ctx.Err()
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -36,8 +36,6 @@
 )
 
 const (
-	eventQueue = 4096
-	eventBatch = 256
 	// reopenPause is how long a node whose disk failed waits before it reads
 	// the disk again.
 	reopenPause = 300 * time.Millisecond
@@ -57,7 +55,7 @@
 	listener *peer.Server
 	metrics  *http.Server
 	engines  Engines
-	events   chan func(now time.Duration)
+	loop     *control.Loop
 	started  time.Time
 	seeds    atomic.Pointer[[]string]
 	cancel   context.CancelFunc
@@ -75,7 +73,8 @@
 // New provisions a coordinator. Engines carries orders to model engines.
 func New(config settings.Coordinator, engines Engines, logger *slog.Logger) (*Server, error) {
 	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines,
-		events: make(chan func(time.Duration), eventQueue), started: time.Now()}
+		started: time.Now()}
+	s.loop = control.NewLoop(s.now)
 	var err error
 	if s.identity, err = loadIdentity(vfs.Default, config); err != nil {
 		return nil, err
@@ -126,7 +125,7 @@
 
 // Stop hands over leadership, if any, and ends the node.
 func (s *Server) Stop(ctx context.Context) {
-	s.handOver(ctx)
+	s.loop.HandOver(ctx, func() *control.Core { return s.core }, tickInterval)
 	s.abort()
 }
 
@@ -149,28 +148,10 @@
 	s.logger.Info("settings read again", "part", "coordinator", "seeds", seeds)
 }
 
-// handOver gives leadership to the voter that is furthest.
-func (s *Server) handOver(ctx context.Context) {
-	leading := false
-	s.do(ctx, func(time.Duration) {
-		status := s.core.Status()
-		best := uint64(0)
-		for id, match := range status.Match {
-			if status.Membership.IsVoter(id) && (best == 0 || match > status.Match[best]) {
-				best = id
-			}
-		}
-		leading = best != 0 && s.core.TransferLeadership(best) == nil
-	})
-	for leading && ctx.Err() == nil {
-		time.Sleep(tickInterval)
-		s.do(ctx, func(time.Duration) { leading = s.core.Status().Role == raft.Leader })
-	}
-}
-
 // run opens the replica and drives it until the context ends. After a failure
 // of the disk it starts anew from what the disk holds, as a new process would.
 func (s *Server) run(ctx context.Context) {
+	defer s.loop.End()
 	for ctx.Err() == nil {
 		core, err := control.NewCore(s.coreConfig(), vfs.Default, s.settings.DataDirectory, s.now())
 		if err == nil {
@@ -199,9 +180,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-		case event := <-s.events:
-			event(s.now())
-			s.runWaiting()
+		case event := <-s.loop.Events():
+			s.loop.Run(event)
 		}
 		s.core.Tick(s.now())
 		messages, err := s.core.Pump(s.now())
@@ -215,17 +195,6 @@
 	}
 }
 
-func (s *Server) runWaiting() {
-	for range eventBatch {
-		select {
-		case event := <-s.events:
-			event(s.now())
-		default:
-			return
-		}
-	}
-}
-
 func (s *Server) send(messages []raft.Message) {
 	if len(messages) == 0 {
 		return
@@ -256,24 +225,3 @@
 	s.lastRole = ""
 	s.notify.wake()
 }
-
-// do runs a function on the replica's goroutine and waits for it. It returns
-// false when the context ended first.
-func (s *Server) do(ctx context.Context, work func(now time.Duration)) bool {
-	done := make(chan struct{})
-	event := func(now time.Duration) {
-		defer close(done)
-		work(now)
-	}
-	select {
-	case s.events <- event:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,10 +8,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -213,141 +211,6 @@
 	return a, nil
 }
 
-// Answer is an answer whose body is being read. Close must be called.
-type Answer struct {
-	*http.Response
-	pool       *Pool
-	address    string
-	connection *connection
-	stop       func() bool
-	written    chan error
-	whole      bool
-	closed     bool
-}
-
-// exchange writes the request and reads the head of its answer.
-func (a *Answer) exchange(r *Request) *callError {
-	c := a.connection
-	c.used++
-	reused := c.used > 1
-	head := encodeHead(r)
-	if len(r.Body) < asyncBody {
-		if n, err := c.Write(append(head, r.Body...)); err != nil {
-			return &callError{mark: sentMark(n), cause: err, reused: reused}
-		}
-	} else {
-		a.written = make(chan error, 1)
-		go func() {
-			buffers := net.Buffers{head, r.Body}
-			_, err := buffers.WriteTo(c.Conn)
-			a.written <- err
-		}()
-	}
-	response, err := a.readHead(r)
-	if err != nil {
-		return &callError{mark: ErrUnknown, cause: err, reused: reused}
-	}
-	a.Response = response
-	return nil
-}
-
-func sentMark(written int) error {
-	if written == 0 {
-		return ErrNotSent
-	}
-	return ErrUnknown
-}
-
-// readHead reads past answers to other requests.
-func (a *Answer) readHead(r *Request) (*http.Response, error) {
-	request := &http.Request{Method: r.Method}
-	for range maxForeign {
-		response, err := http.ReadResponse(a.connection.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if response.Header.Get(a.pool.idHeader) == r.ID {
-			return response, nil
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody)); err != nil {
-			return nil, err
-		}
-		if response.Close {
-			break
-		}
-	}
-	return nil, errors.New("only answers to other requests came")
-}
-
-// Read reads the body. An answer that is cut short ends with an error marked
-// ErrUnknown, never with io.EOF.
-func (a *Answer) Read(buffer []byte) (int, error) {
-	n, err := a.Response.Body.Read(buffer)
-	switch {
-	case err == io.EOF:
-		a.whole = true
-	case err != nil:
-		err = &callError{mark: ErrUnknown, cause: err}
-	}
-	return n, err
-}
-
-// Close ends the use of the connection. It is kept only after a whole answer
-// to a request that was wholly written, with nothing behind it.
-func (a *Answer) Close() {
-	if a.closed {
-		return
-	}
-	a.closed = true
-	undisturbed := a.stop()
-	if !undisturbed || !a.reusable() {
-		_ = a.connection.Close()
-		return
-	}
-	a.connection.until = time.Now().Add(keepTime(a.Response.Header))
-	a.pool.put(a.address, a.connection)
-}
-
-func (a *Answer) reusable() bool {
-	r := a.Response
-	if r == nil || !a.whole || r.Close || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
-		return false
-	}
-	if a.written != nil {
-		select {
-		case err := <-a.written:
-			if err != nil {
-				return false
-			}
-		default:
-			return false
-		}
-	}
-	return a.connection.reader.Buffered() == 0
-}
-
-// keepTime reads the time for which the back end keeps idle connections.
-func keepTime(header http.Header) time.Duration {
-	for _, value := range header["Keep-Alive"] {
-		i := bytes.Index([]byte(value), []byte("timeout="))
-		if i < 0 {
-			continue
-		}
-		digits := value[i+len("timeout="):]
-		end := 0
-		for end < len(digits) && digits[end] >= '0' && digits[end] <= '9' {
-			end++
-		}
-		if seconds, err := strconv.Atoi(digits[:end]); err == nil {
-			return time.Duration(seconds)*time.Second - keepMargin
-		}
-	}
-	return defaultKeep
-}
-
 // encodeHead returns the request line and headers. Header values were checked
 // when they were read.
 func encodeHead(r *Request) []byte {
