--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -26,6 +26,9 @@
 	watchTimeout = watchWait + 500*time.Millisecond
 	// firstTimeout is the same while the router knows no leader.
 	firstTimeout = 500 * time.Millisecond
+	// wholeTimeout is the same for the first view of a known leader: all routers
+	// of a large deployment may ask for everything at once.
+	wholeTimeout = 4 * time.Second
 	retryPause   = 60 * time.Millisecond
 )
 
@@ -165,6 +168,9 @@
 	if address == "" {
 		address, wait, limit = f.candidate(), 0, firstTimeout
 	}
+	if f.leader != "" && f.since == 0 {
+		limit = wholeTimeout
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Announced: f.announced, Wait: wait}}
