--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -105,7 +105,7 @@
 	parts    []string
 	arrived  time.Duration
 	deadline time.Time
-	// reached says that an attempt may have run; ran counts them.
+	// ran counts the attempts that ran or may have.
 	ran int
 	// sent counts the attempts that arrived at a back end.
 	sent int
