A router that is sent on to the leader tells it its load

Found by reading the change again: a leader learned by redirection was followed but never noted as the one to tell, so that such a router's loads and saved prompt parts went to nobody, or to the leader before. The test failed first (the leader was told nothing in 5 s).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -191,8 +191,8 @@
 		f.lost(address, "answered without a view")
 		return false
 	}
-	if f.leader != address {
-		f.leader = address
+	f.leader = address
+	if following := f.following.Load(); following == nil || *following != address {
 		f.following.Store(&address)
 		f.config.Logger.Info("leader followed", "part", "follower", "address", address)
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -32,6 +32,7 @@
 type script struct {
 	mu      sync.Mutex
 	reply   coordapi.Reply
+	told    int
 	address string
 }
 
@@ -45,10 +46,14 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &script{address: listener.Addr().String()}
-	server := peer.Serve(listener, &peer.Counters{}, func(context.Context, string, json.RawMessage) (any, error) {
+	server := peer.Serve(listener, &peer.Counters{}, func(_ context.Context, _ string, body json.RawMessage) (any, error) {
 		time.Sleep(5 * time.Millisecond)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		var request coordapi.Request
+		if json.Unmarshal(body, &request) == nil && request.Tell != nil {
+			s.told++
+		}
 		return s.reply, nil
 	})
 	t.Cleanup(server.Close)
@@ -65,7 +70,11 @@
 }
 
 func follow(t *testing.T, right time.Duration, seeds ...string) *Follower {
-	f := New(Config{Name: "r", Seeds: seeds, Right: right, Decode: decode, Pool: nobody{}, Peers: peer.NewClient(&peer.Counters{}),
+	return followWith(t, nobody{}, right, seeds...)
+}
+
+func followWith(t *testing.T, pool Pool, right time.Duration, seeds ...string) *Follower {
+	f := New(Config{Name: "r", Seeds: seeds, Right: right, Decode: decode, Pool: pool, Saved: noParts{}, Peers: peer.NewClient(&peer.Counters{}),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -136,6 +145,45 @@
 	follow(t, time.Minute, other.address).await(t, 2)
 }
 
+// busy has work under way.
+type busy struct{ nobody }
+
+func (busy) Own() []coordapi.Load { return []coordapi.Load{{ID: "x", Running: 1}} }
+
+// noParts saves nothing.
+type noParts struct{}
+
+func (noParts) Learn([]uint64)  {}
+func (noParts) Fresh() []uint64 { return nil }
+
+// A router that was sent on to the leader told its load to nobody: only a
+// leader that it had found by itself was noted for that.
+func TestARouterThatIsSentOnTellsTheLeader(t *testing.T) {
+	leader, other := newScript(t), newScript(t)
+	leader.say(view(2))
+	other.say(coordapi.Reply{NotLeader: true, Leader: leader.address})
+	f := followWith(t, busy{}, time.Minute, other.address)
+	f.await(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		f.Tell(ctx)
+		close(done)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		if leader.told == 0 {
+			return poll.Continue("the leader was told nothing")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
 func TestAChangeWithoutItsDocumentIsAskedForWhole(t *testing.T) {
 	s := newScript(t)
 	s.say(view(2))
