--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -82,19 +82,6 @@
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: len(candidates), Work: work}, true
 }
 
-// Size returns how many back ends of a pool are listed and not draining.
-func (p *Pool) Size(pool string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	count := 0
-	for _, r := range p.rows {
-		if r.Pool == pool && !r.Draining {
-			count++
-		}
-	}
-	return count
-}
-
 // candidate is a back end under decision.
 type candidate struct {
 	*row
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -25,12 +25,10 @@
 // exchange writes the request and reads the head of its answer.
 func (a *Answer) exchange(r *Request) *callError {
 	c := a.connection
-	c.used++
-	reused := c.used > 1
 	head := encodeHead(r)
 	if len(r.Body) < asyncBody {
 		if n, err := c.Write(append(head, r.Body...)); err != nil {
-			return &callError{mark: sentMark(n), cause: err, reused: reused}
+			return &callError{mark: sentMark(n), cause: err}
 		}
 	} else {
 		a.written = make(chan error, 1)
@@ -42,7 +40,7 @@
 	}
 	response, err := a.readHead(r)
 	if err != nil {
-		return &callError{mark: ErrUnknown, cause: err, reused: reused}
+		return &callError{mark: ErrUnknown, cause: err}
 	}
 	a.Response = response
 	return nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,9 +49,8 @@
 
 // callError is a failure with its mark.
 type callError struct {
-	mark   error
-	cause  error
-	reused bool
+	mark  error
+	cause error
 }
 
 func (e *callError) Error() string { return e.mark.Error() + ": " + e.cause.Error() }
@@ -60,13 +59,6 @@
 
 func (e *callError) Unwrap() error { return e.cause }
 
-// Reused tells whether a failed call was the first use of a kept connection
-// after a pause, which its back end may have closed meanwhile.
-func Reused(err error) bool {
-	var failed *callError
-	return errors.As(err, &failed) && failed.reused
-}
-
 // Request is one request to a back end.
 type Request struct {
 	Method string
@@ -116,7 +108,6 @@
 	reader *bufio.Reader
 	// until is when the connection must not be used any more.
 	until time.Time
-	used  int
 }
 
 // take returns the youngest kept connection that is still good.
@@ -169,17 +160,6 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// Forget closes the kept connections to an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	kept := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range kept {
-		_ = c.Close()
-	}
-}
-
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
