Addresses that come back are reached soon; routers look for the leader first

A call dialled a machine while it was dark; the packet is sent again only after a second, and all later calls waited for that dial. A dial also outlived its caller's context, and a dead peer's connection was kept until the system gave up. Ruled out: the election (it took 20 ms). Change: an address is dialled again every 150 ms beside the first attempt, calls wait no longer than their context, unacknowledged bytes end a connection after 0.9 s. Routers ask who leads (250 ms a node) apart from the first view (4 s): the first view of a large deployment was cut at 0.5 s when the first node asked was the leader itself. Tests failed first.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -29,6 +29,7 @@
 // Request is one call to the leader of the coordinators. Exactly one field is
 // set.
 type Request struct {
+	Find        *Find              `json:"find,omitempty"`
 	Watch       *Watch             `json:"watch,omitempty"`
 	Configure   *state.Configure   `json:"configure,omitempty"`
 	NameWeights *state.NameWeights `json:"name_weights,omitempty"`
@@ -50,6 +51,9 @@
 	View     *View           `json:"view,omitempty"`
 }
 
+// Find asks whether the node leads, and if not, who does.
+type Find struct{}
+
 // Watch asks for what changed since a revision. The leader holds the call
 // until there is news or Wait is over.
 type Watch struct {
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -65,6 +65,8 @@
 // serve runs a request if this node leads.
 func (s *Server) serve(ctx context.Context, r coordapi.Request) (coordapi.Reply, error) {
 	switch {
+	case r.Find != nil:
+		return s.leading(ctx, func(time.Duration) {})
 	case r.Watch != nil:
 		return s.watch(ctx, *r.Watch)
 	case r.Configure != nil:
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -24,12 +24,15 @@
 	watchWait = 900 * time.Millisecond
 	// watchTimeout is when a watch is given up and another coordinator asked.
 	watchTimeout = watchWait + 500*time.Millisecond
-	// firstTimeout is the same while the router knows no leader.
-	firstTimeout = 500 * time.Millisecond
-	// wholeTimeout is the same for the first view of a known leader: all routers
-	// of a large deployment may ask for everything at once.
+	// findTimeout is how long a coordinator has to say who leads: one that was
+	// lost says nothing, and another may know.
+	findTimeout = 250 * time.Millisecond
+	// wholeTimeout bounds the first watch of a leader: all routers of a large
+	// deployment may ask for everything at once.
 	wholeTimeout = 4 * time.Second
-	retryPause   = 60 * time.Millisecond
+	// tellTimeout bounds the word of a router's load.
+	tellTimeout = 500 * time.Millisecond
+	retryPause  = 60 * time.Millisecond
 )
 
 // Decode reads a configuration's document.
@@ -141,7 +144,7 @@
 			continue
 		}
 		idle = quiet
-		call, cancel := context.WithTimeout(ctx, firstTimeout)
+		call, cancel := context.WithTimeout(ctx, tellTimeout)
 		var reply coordapi.Reply
 		_ = f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Tell: news}, &reply)
 		cancel()
@@ -161,15 +164,34 @@
 	}
 }
 
-// watch makes one call. It returns false when another coordinator should be
-// asked after a pause.
+// find asks a coordinator who leads. It returns false when another one should
+// be asked after a pause.
+func (f *Follower) find(ctx context.Context) bool {
+	address := f.candidate()
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	var reply coordapi.Reply
+	err := f.config.Peers.Call(ctx, address, coordapi.KindCall, coordapi.Request{Find: &coordapi.Find{}}, &reply)
+	switch {
+	case err != nil:
+		return false
+	case !reply.NotLeader:
+		f.leader = address
+	default:
+		f.leader = reply.Leader
+	}
+	return f.leader != ""
+}
+
+// watch makes one call to the leader. It returns false when another
+// coordinator should be asked after a pause.
 func (f *Follower) watch(ctx context.Context) bool {
-	address, wait, limit := f.leader, watchWait, watchTimeout
-	if address == "" {
-		address, wait, limit = f.candidate(), 0, firstTimeout
+	if f.leader == "" {
+		return f.find(ctx)
 	}
-	if f.leader != "" && f.since == 0 {
-		limit = wholeTimeout
+	address, wait, limit := f.leader, watchWait, watchTimeout
+	if f.since == 0 {
+		wait, limit = 0, wholeTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -182,16 +204,13 @@
 		f.lost(address, err.Error())
 		return false
 	case reply.NotLeader:
-		if f.leader != "" {
-			f.lost(address, "leads no more")
-		}
+		f.lost(address, "leads no more")
 		f.leader = reply.Leader
 		return f.leader != "" && f.leader != address
 	case reply.View == nil:
 		f.lost(address, "answered without a view")
 		return false
 	}
-	f.leader = address
 	if following := f.following.Load(); following == nil || *following != address {
 		f.following.Store(&address)
 		f.config.Logger.Info("leader followed", "part", "follower", "address", address)
@@ -200,10 +219,8 @@
 }
 
 func (f *Follower) lost(address, reason string) {
-	if f.leader != "" {
-		f.config.Logger.Warn("leader lost", "part", "follower", "address", address, "reason", reason,
-			"right_ms", (f.rightUntil.Load()-int64(time.Since(f.started)))/int64(time.Millisecond))
-	}
+	f.config.Logger.Warn("leader lost", "part", "follower", "address", address, "reason", reason,
+		"right_ms", (f.rightUntil.Load()-int64(time.Since(f.started)))/int64(time.Millisecond))
 	f.leader = ""
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,12 +8,23 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 const (
+	// dialTimeout is how long an address is dialled before the calls that wait
+	// for it fail.
 	dialTimeout = time.Second
+	// dialAgain is the time after which another attempt is made beside the first.
+	// A machine without power answers nothing, and the system asks it again only
+	// after a second: too late for one that has just come back.
+	dialAgain = 150 * time.Millisecond
 	// redialPause keeps a client from dialling a dead address all the time.
-	redialPause = 200 * time.Millisecond
+	redialPause = 100 * time.Millisecond
+	// silenceLimit is how long a peer may leave what was sent unacknowledged
+	// before its connection is given up.
+	silenceLimit = 900 * time.Millisecond
 	// sendQueue bounds the one-way messages that wait for an address. More are
 	// dropped: their senders repeat them.
 	sendQueue = 1024
@@ -30,14 +41,19 @@
 // Client calls any number of addresses over one connection each.
 type Client struct {
 	counters *Counters
+	dial     dialFunction
 
 	mu    sync.Mutex
 	links map[string]*link
 }
 
+// dialFunction opens one connection.
+type dialFunction func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client without connections.
 func NewClient(counters *Counters) *Client {
-	return &Client{counters: counters, links: map[string]*link{}}
+	dialer := net.Dialer{Control: socket.UserTimeout(silenceLimit)}
+	return &Client{counters: counters, dial: dialer.DialContext, links: map[string]*link{}}
 }
 
 // Call sends a request to address and decodes the reply. The context's end
@@ -81,7 +97,7 @@
 	defer c.mu.Unlock()
 	l, ok := c.links[address]
 	if !ok {
-		l = newLink(address, c.counters)
+		l = newLink(address, c.counters, c.dial)
 		c.links[address] = l
 	}
 	return l
@@ -91,6 +107,7 @@
 type link struct {
 	address  string
 	counters *Counters
+	dial     dialFunction
 	queue    chan envelope
 	stop     chan struct{}
 	stopOnce sync.Once
@@ -103,8 +120,8 @@
 	dialling   chan struct{}
 }
 
-func newLink(address string, counters *Counters) *link {
-	l := &link{address: address, counters: counters, queue: make(chan envelope, sendQueue), stop: make(chan struct{}),
+func newLink(address string, counters *Counters, dial dialFunction) *link {
+	l := &link{address: address, counters: counters, dial: dial, queue: make(chan envelope, sendQueue), stop: make(chan struct{}),
 		waiting: map[uint64]chan envelope{}}
 	go l.drain()
 	return l
@@ -184,32 +201,74 @@
 		}
 		if l.dialling == nil {
 			l.dialling = make(chan struct{})
-			l.mu.Unlock()
-			return l.dial()
+			go l.open()
 		}
 		wait := l.dialling
 		l.mu.Unlock()
 		select {
 		case <-wait:
 		case <-ctx.Done():
-			return nil, errors.Wrap(ctx.Err(), "wait for connection")
+			return nil, errors.Mark(errors.Wrap(ctx.Err(), "wait for connection"), ErrUnreachable)
 		}
 	}
 }
 
-func (l *link) dial() (net.Conn, error) {
-	connection, err := net.DialTimeout("tcp", l.address, dialTimeout)
+// open dials and tells those who wait.
+func (l *link) open() {
+	connection, err := l.dialRepeatedly()
+	select {
+	case <-l.stop:
+		if err == nil {
+			_ = connection.Close()
+		}
+		err = ErrUnreachable
+	default:
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	close(l.dialling)
 	l.dialling = nil
 	if err != nil {
 		l.failedAt = time.Now()
-		return nil, errors.Mark(errors.Wrap(err, "dial"), ErrUnreachable)
+		return
 	}
 	l.connection = connection
 	go l.receive(connection)
-	return connection, nil
+}
+
+// dialRepeatedly starts an attempt every dialAgain until one has an outcome.
+// The first outcome counts: a refusal says that the machine is there and the
+// process is not.
+func (l *link) dialRepeatedly() (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	type outcome struct {
+		connection net.Conn
+		err        error
+	}
+	outcomes := make(chan outcome)
+	attempt := func() {
+		connection, err := l.dial(ctx, "tcp", l.address)
+		select {
+		case outcomes <- outcome{connection, err}:
+		case <-ctx.Done():
+			if err == nil {
+				_ = connection.Close()
+			}
+		}
+	}
+	again := time.NewTicker(dialAgain)
+	defer again.Stop()
+	for {
+		go attempt()
+		select {
+		case o := <-outcomes:
+			return o.connection, o.err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-again.C:
+		}
+	}
 }
 
 func (l *link) write(connection net.Conn, e envelope) error {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -109,3 +109,46 @@
 	defer cancel()
 	assert.ErrorIs(t, client.Call(ctx, address, "echo", 1, nil), context.DeadlineExceeded)
 }
+
+// A machine that was without power when it was dialled is reached soon after it
+// is back, not when the first attempt ends.
+func TestAnAddressThatComesBackIsReachedSoon(t *testing.T) {
+	_, address := serve(t, echo)
+	client := NewClient(&Counters{})
+	defer client.Close()
+	dial := client.dial
+	var mu sync.Mutex
+	attempts := 0
+	client.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		mu.Lock()
+		attempts++
+		dark := attempts < 3
+		mu.Unlock()
+		if dark {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return dial(ctx, network, address)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout-dialAgain)
+	defer cancel()
+	var reply int
+	assert.NilError(t, client.Call(ctx, address, "echo", 7, &reply))
+	assert.Equal(t, reply, 7)
+}
+
+// A call does not wait longer than its caller wants for a connection.
+func TestACallEndsWithItsContextWhileItsAddressIsDialled(t *testing.T) {
+	client := NewClient(&Counters{})
+	defer client.Close()
+	client.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	err := client.Call(ctx, "127.0.0.1:1", "echo", 7, nil)
+	assert.Assert(t, errors.Is(err, ErrUnreachable), "%v", err)
+	assert.Assert(t, time.Since(started) < dialTimeout/2)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,14 +17,15 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 const (
 	dialTimeout = 250 * time.Millisecond
 	// userTimeout ends connections whose peer acknowledges nothing.
-	userTimeout    = 700 * time.Millisecond
-	tcpUserTimeout = 18
-	readBuffer     = 4 << 10
+	userTimeout = 700 * time.Millisecond
+	readBuffer  = 4 << 10
 	// asyncBody is the body size from which a request is written while the
 	// answer is awaited: a back end may answer before it has read all.
 	asyncBody = 4 << 10
@@ -90,18 +91,10 @@
 // NewPool returns a pool without connections.
 func NewPool(idHeader string) *Pool {
 	p := &Pool{idHeader: idHeader, idle: map[string][]*connection{}}
-	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.UserTimeout(userTimeout)}
 	return p
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(descriptor uintptr) {
-		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failure)
-}
-
 // connection is one kept connection.
 type connection struct {
 	net.Conn
