The store is the source as soon as it holds one leading part

Change: known parts are counted from the front; one is enough for the store. What an engine must read counts part by part. The test failed first.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -16,9 +16,9 @@
 	// Shared is how many tokens of the prompt other requests share.
 	Shared int
 	Work   Work
-	// Cold tells whether the shared tokens must be read at a back end with this
-	// version, for all that is known; nil means never.
-	Cold func(version int) bool
+	// Cold returns how many of the shared tokens must be read at a back end with
+	// this version, for all that is known; nil means none.
+	Cold func(version int) int
 	// Slots and Capacity describe one engine; 0 means no engine.
 	Slots    int
 	Capacity int
@@ -52,10 +52,10 @@
 
 // unread is how many prompt tokens an engine with this version must read.
 func (q *Query) unread(version int) int {
-	if q.Cold != nil && q.Cold(version) {
-		return q.Work.Prompt + q.Shared
+	if q.Cold == nil {
+		return q.Work.Prompt
 	}
-	return q.Work.Prompt
+	return q.Work.Prompt + q.Cold(version)
 }
 
 // Choose returns the back end of least cost, and false when none may serve.
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -43,13 +43,14 @@
 	j.query.Model = r.Header.Get(names.Model)
 	j.query.Slots, j.query.Capacity = engine.Slots, engine.CapacityTokens
 	j.query.Work = usage(r.Header.Get(names.Usage))
-	j.parts, j.query.Shared = sharedParts(r.Header.Get(names.Prefix))
+	var tokens []int
+	j.parts, tokens = sharedParts(r.Header.Get(names.Prefix))
+	j.query.Shared = sum(tokens)
 	if len(j.parts) > 0 {
 		j.query.Key = j.parts[len(j.parts)-1]
 	}
 	j.query.Work.Prompt = max(j.query.Work.Prompt-j.query.Shared, 0)
-	shared := j.query.Key
-	j.query.Cold = func(version int) bool { return shared != "" && !h.config.Saved.Known(salt(j, version), shared) }
+	j.query.Cold = func(version int) int { return sum(tokens[h.config.Saved.Known(salt(j, version), j.parts):]) }
 	if j.tenant != nil && j.tenant.Isolated && j.query.Key != "" {
 		j.query.Key += "/" + j.tenant.Name
 	}
@@ -87,19 +88,27 @@
 	return backends.Work{Prompt: p, Most: p + m}
 }
 
-// sharedParts returns the IDs of the parts that other requests share, all but
-// the last, and the tokens up to their end.
-func sharedParts(chain string) (ids []string, tokens int) {
+// sharedParts returns the parts that other requests share, all but the last:
+// their IDs and their lengths in tokens.
+func sharedParts(chain string) (ids []string, tokens []int) {
 	parts := strings.Split(chain, ",")
 	for _, part := range parts[:len(parts)-1] {
 		name, count, _ := strings.Cut(part, ":")
 		number, _ := strconv.Atoi(strings.TrimSpace(count))
 		ids = append(ids, strings.TrimSpace(name))
-		tokens += number
+		tokens = append(tokens, number)
 	}
 	return ids, tokens
 }
 
+func sum(tokens []int) int {
+	total := 0
+	for _, n := range tokens {
+		total += n
+	}
+	return total
+}
+
 // splitter gives each part of a route its share by smooth weighted round
 // robin. It is safe for concurrent use.
 type splitter struct {
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -73,17 +73,24 @@
 	return due
 }
 
-// Known tells whether some router has saved a part lately.
-func (s *Saved) Known(salt, part string) bool {
+// Known returns how many of a prompt's leading parts some router has saved
+// lately. A part that is kept without those before it is of no use.
+func (s *Saved) Known(salt string, parts []string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, known := s.at[xxhash.Sum64String(salt+"/"+part)]
-	return known && time.Since(s.started)-at < savedFor
+	now := time.Since(s.started)
+	for i, part := range parts {
+		at, known := s.at[xxhash.Sum64String(salt+"/"+part)]
+		if !known || now-at >= savedFor {
+			return i
+		}
+	}
+	return len(parts)
 }
 
-// addressPrompt fills where kept prompts are taken from and sent to. Parts that
-// were saved lately come from the store; a home may have dropped them. Parts
-// that were not may be at the home.
+// addressPrompt fills where kept prompts are taken from and sent to. What was
+// saved lately comes from the store; a home may have dropped it. If not even
+// the first part was, the home may keep some.
 func (h *Handler) addressPrompt(j *job, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Del(names.FetchFrom)
@@ -94,9 +101,8 @@
 		return
 	}
 	store := j.table.Store(xxhash.Sum64String(j.query.Key))
-	saved := store != nil && h.config.Saved.Known(salt, j.parts[len(j.parts)-1])
 	switch {
-	case saved || (choice.Home && store != nil):
+	case store != nil && (choice.Home || h.config.Saved.Known(salt, j.parts) > 0):
 		header.Set(names.FetchFrom, store.Address)
 	case !choice.Home && choice.HomeAddress != "":
 		header.Set(names.FetchFrom, choice.HomeAddress)
--- /dev/null
+++ b/internal/forward/prompts_test.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/traffic"
+	"quinceridge.example/quinceridge/internal/upstream"
+)
+
+const storeAddress = "10.0.0.9:1"
+
+// promptJob is a request with two shared parts.
+func promptJob(t *testing.T) *job {
+	t.Helper()
+	built, err := traffic.Build(&traffic.Table{
+		Pools: []traffic.Pool{{Name: "llm", Engine: &traffic.Engine{Slots: 4, CapacityTokens: 10000}},
+			{Name: "store", Store: &traffic.Store{Address: storeAddress}}},
+		Routes: []traffic.Route{{Name: "chat", Host: "h", Prefix: "/", Kind: traffic.KindStream, Timeout: 1, Split: []traffic.Share{{Pool: "llm", Weight: 1}}}},
+	})
+	assert.NilError(t, err)
+	return &job{table: built, request: &upstream.Request{Header: map[string][]string{}}, parts: []string{"rules", "case"},
+		query: backends.Query{Model: "m", Key: "case"}}
+}
+
+// A request away from its home was sent to read a part that the store held, as
+// long as the last part was not there.
+func TestTheStoreIsTheSourceOnceItHoldsTheFirstPart(t *testing.T) {
+	h := &Handler{config: Config{Headers: names, Saved: NewSaved()}}
+	away := backends.Choice{ID: "b", Version: 1, Versioned: true, HomeAddress: "10.0.0.1:1"}
+
+	j := promptJob(t)
+	h.addressPrompt(j, away)
+	assert.Equal(t, j.request.Header.Get(names.FetchFrom), away.HomeAddress)
+
+	h.config.Saved = NewSaved()
+	h.config.Saved.Due(salt(j, 1), j.parts[:1])
+	h.addressPrompt(j, away)
+	assert.Equal(t, j.request.Header.Get(names.FetchFrom), storeAddress)
+	assert.Equal(t, j.request.Header.Get(names.SaveTo), storeAddress)
+}
+
+func TestOnlyLeadingPartsCountAsKnown(t *testing.T) {
+	s := NewSaved()
+	s.Due("m/1", []string{"case"})
+	assert.Equal(t, s.Known("m/1", []string{"rules", "case"}), 0)
+	s.Due("m/1", []string{"rules"})
+	assert.Equal(t, s.Known("m/1", []string{"rules", "case", "more"}), 2)
+	assert.Equal(t, s.Known("m/2", []string{"rules"}), 0)
+}
+
+func TestSharedPartsAreAllButTheLast(t *testing.T) {
+	ids, tokens := sharedParts("a:30, b:5,own:7")
+	assert.DeepEqual(t, ids, []string{"a", "b"})
+	assert.DeepEqual(t, tokens, []int{30, 5})
+}
