--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -15,7 +15,7 @@
 // promptJob is a request with two shared parts.
 func promptJob(t *testing.T) *job {
 	t.Helper()
-	built, err := traffic.Build(&traffic.Table{
+	built, err := traffic.Build(&traffic.Table{Version: 1,
 		Pools: []traffic.Pool{{Name: "llm", Engine: &traffic.Engine{Slots: 4, CapacityTokens: 10000}},
 			{Name: "store", Store: &traffic.Store{Address: storeAddress}}},
 		Routes: []traffic.Route{{Name: "chat", Host: "h", Prefix: "/", Kind: traffic.KindStream, Timeout: 1, Split: []traffic.Share{{Pool: "llm", Weight: 1}}}},
