The whole view is packed once for all routers

Cause: after all processes were killed each of 294 routers asked for everything, and the leader encoded 3,000 rows (about 0.6 MB) for each of them: refusals went on for 1.5 s after the election and the leader peaked at 115 MB. Change: a view for a watcher that is too far behind carries configuration and rows as one compressed text, made once for a revision.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -79,11 +79,12 @@
 	// since the watcher's revision.
 	Version  uint64          `json:"version"`
 	Document json.RawMessage `json:"document,omitempty"`
-	// Backends are the changed rows and Departed the removed ones. Whole says
-	// that Backends are all there are.
+	// Backends are the changed rows and Departed the removed ones.
 	Backends []state.Backend `json:"backends,omitempty"`
 	Departed []string        `json:"departed,omitempty"`
-	Whole    bool            `json:"whole,omitempty"`
+	// Packed is a packed Whole, in place of Document, Backends and Departed, for
+	// a watcher whose revision is too old for changes.
+	Packed []byte `json:"packed,omitempty"`
 	// Minimum maps models to the lowest weights version that may serve now.
 	Minimum map[string]int `json:"minimum,omitempty"`
 	// Expired maps models to the version below which no request may begin any
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -265,15 +265,19 @@
 	}
 	v := &coordapi.View{Revision: s.core.Machine().Applied(), Leader: s.soft.token(), Version: d.Version,
 		Routers: s.soft.watchers(now), Minimum: s.rollout.minimum, Expired: s.rollout.expired, Silent: s.soft.silent}
-	if d.ConfiguredAt > w.Since {
-		v.Document = d.Document
-	}
 	if !sameLeader {
 		w.SavedSince = 0
 	}
 	v.Saved, v.SavedUntil = s.soft.told.after(w.SavedSince)
 	v.Loads, v.Announced = s.soft.told.sums, s.soft.told.announcements
-	v.Backends, v.Departed, v.Whole = d.Changed(w.Since)
+	if d.Remembers(w.Since) {
+		v.Backends, v.Departed = d.Changed(w.Since)
+		if d.ConfiguredAt > w.Since {
+			v.Document = d.Document
+		}
+	} else {
+		v.Packed = s.soft.whole.of(d)
+	}
 	for _, address := range s.core.Status().Membership.Addresses {
 		v.Members = append(v.Members, address)
 	}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -38,6 +38,24 @@
 	changes int
 	looked  time.Duration
 	told    told
+	whole   packedWhole
+}
+
+// packedWhole is the packed form of all that routers must know, made when it is
+// first asked for after a change.
+type packedWhole struct {
+	revision uint64
+	packed   []byte
+}
+
+func (p *packedWhole) of(d *state.Deployment) []byte {
+	if revision := max(d.ConfiguredAt, d.BackendsAt, 1); revision != p.revision {
+		rows, _ := d.Changed(0)
+		// Encoding into memory cannot fail.
+		p.packed, _ = coordapi.Whole{Document: d.Document, Backends: rows}.Pack()
+		p.revision = revision
+	}
+	return p.packed
 }
 
 // token changes whenever silent or minimum does.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -235,11 +235,20 @@
 // take puts a view in force. The right lasts from when the question was sent:
 // the view was made later.
 func (f *Follower) take(sent time.Duration, v *coordapi.View) bool {
-	if !f.configure(v.Version, v.Document) {
+	rows, document, whole := v.Backends, v.Document, len(v.Packed) > 0
+	if whole {
+		unpacked, err := coordapi.Unpack(v.Packed)
+		if err != nil {
+			f.config.Logger.Error("view cannot be read", "part", "follower", "error", err.Error())
+			return false
+		}
+		rows, document = unpacked.Backends, unpacked.Document
+	}
+	if !f.configure(v.Version, document) {
 		return false
 	}
-	if len(v.Backends) > 0 || len(v.Departed) > 0 || v.Whole {
-		f.config.Pool.Apply(v.Backends, v.Departed, v.Whole)
+	if len(rows) > 0 || len(v.Departed) > 0 || whole {
+		f.config.Pool.Apply(rows, v.Departed, whole)
 	}
 	if v.Announced != f.announced {
 		f.config.Pool.Others(time.Since(f.started), v.Loads)
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -175,25 +175,24 @@
 	return false
 }
 
-// Changed returns the rows that changed after a revision and the back ends
-// that departed since, or everything when the revision is too old.
-func (d *Deployment) Changed(since uint64) (rows []Backend, gone []string, whole bool) {
-	whole = since == 0 || since < d.ForgottenAt
+// Remembers tells whether Changed knows all that happened after a revision.
+func (d *Deployment) Remembers(since uint64) bool { return since != 0 && since >= d.ForgottenAt }
+
+// Changed returns the rows that changed after a revision, and the back ends
+// that departed since. At revision 0 the rows are all there are.
+func (d *Deployment) Changed(since uint64) (rows []Backend, gone []string) {
 	for _, b := range d.Backends {
-		if whole || b.Revision > since {
+		if b.Revision > since || since == 0 {
 			rows = append(rows, b)
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].ID < rows[j].ID })
-	if whole {
-		return rows, nil, true
-	}
 	for _, departure := range d.Departed {
-		if departure.Revision > since {
+		if departure.Revision > since && since != 0 {
 			gone = append(gone, departure.ID)
 		}
 	}
-	return rows, gone, false
+	return rows, gone
 }
 
 // Newest returns the highest named version of a model, 0 for none.
--- a/internal/state/deployment_test.go
+++ b/internal/state/deployment_test.go
@@ -44,8 +44,8 @@
 	applied(t, m, enrol(Backend{ID: "x"}, Backend{ID: "y"}))
 	since := m.Applied()
 	applied(t, m, enrol(Backend{ID: "y", Draining: true}), Command{Depart: &Depart{IDs: []string{"x"}}})
-	rows, gone, whole := m.Deployment().Changed(since)
-	assert.Assert(t, !whole)
+	assert.Assert(t, m.Deployment().Remembers(since))
+	rows, gone := m.Deployment().Changed(since)
 	assert.Equal(t, len(rows), 1)
 	assert.Equal(t, rows[0].ID, "y")
 	assert.DeepEqual(t, gone, []string{"x"})
@@ -60,6 +60,9 @@
 		ids = append(ids, fmt.Sprint(i))
 	}
 	applied(t, m, Command{Depart: &Depart{IDs: ids[:1]}}, Command{Depart: &Depart{IDs: ids[1:]}})
-	_, _, whole := m.Deployment().Changed(since)
-	assert.Assert(t, whole)
+	assert.Assert(t, !m.Deployment().Remembers(since))
+	assert.Assert(t, !m.Deployment().Remembers(0))
+	rows, gone := m.Deployment().Changed(0)
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, len(gone), 0)
 }
