--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -27,8 +27,8 @@
 	// preparation is about how long the coordinators take to agree again after
 	// all of them were lost, and leastRetry the least time after which a caller
 	// of a router that may not serve is told to come back.
-	preparation = 600 * time.Millisecond
-	leastRetry  = 250 * time.Millisecond
+	preparation = 1200 * time.Millisecond
+	leastRetry  = 500 * time.Millisecond
 )
 
 // Source says what to serve by.
