Heartbeats that change nothing are told to the leader together

Four of five heartbeats were passed on to it one by one, each change of the silent back ends (a look every 0.3 s) woke all routers, and every view carried all loads. Change: a node answers a heartbeat that its replica says changes nothing, and brings the leader a digest every 0.25 s; it stops doing so when the leader has not taken one for 0.75 s. Views carry loads, minimum and silence only when they are news; silence wakes nobody.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -35,6 +35,7 @@
 	NameWeights *state.NameWeights `json:"name_weights,omitempty"`
 	Read        *Read              `json:"read,omitempty"`
 	Beat        *Beat              `json:"beat,omitempty"`
+	Digest      *Digest            `json:"digest,omitempty"`
 	Leave       *Leave             `json:"leave,omitempty"`
 	Join        *Join              `json:"join,omitempty"`
 	Tell        *Tell              `json:"tell,omitempty"`
@@ -85,6 +86,9 @@
 	// Packed is a packed Whole, in place of Document, Backends and Departed, for
 	// a watcher whose revision is too old for changes.
 	Packed []byte `json:"packed,omitempty"`
+	// Minimum, Expired and Silent are what only the leader knows. They are set
+	// when Leader is not the token that the watcher named.
+	//
 	// Minimum maps models to the lowest weights version that may serve now.
 	Minimum map[string]int `json:"minimum,omitempty"`
 	// Expired maps models to the version below which no request may begin any
@@ -98,7 +102,8 @@
 	// watcher's SavedSince, in order; SavedUntil counts them.
 	Saved      []uint64 `json:"saved,omitempty"`
 	SavedUntil uint64   `json:"saved_until,omitempty"`
-	// Loads is the work of all routers together.
+	// Loads is the work of all routers together, set when Announced is not the
+	// number that the watcher named.
 	Loads []Load `json:"loads,omitempty"`
 	// Announced counts the leader's announcements of Saved and Loads.
 	Announced uint64 `json:"announced,omitempty"`
@@ -116,6 +121,13 @@
 	Sequence uint64 `json:"sequence"`
 }
 
+// Digest brings the leader the heartbeats that another coordinator answered by
+// itself, since they changed nothing.
+type Digest struct {
+	// Heard maps back ends to the sequence of their last heartbeat.
+	Heard map[string]uint64 `json:"heard,omitempty"`
+}
+
 // Leave says that a back end is gone or about to be: no new work.
 type Leave struct {
 	ID string `json:"id"`
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -44,6 +44,9 @@
 func (s *Server) Call(ctx context.Context, request coordapi.Request) (coordapi.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	if request.Beat != nil && s.answerHere(ctx, *request.Beat) {
+		return coordapi.Reply{}, nil
+	}
 	reply, err := s.serve(ctx, request)
 	if err != nil || !reply.NotLeader {
 		return reply, err
@@ -77,6 +80,8 @@
 		return s.read(ctx)
 	case r.Beat != nil:
 		return s.beat(ctx, *r.Beat)
+	case r.Digest != nil:
+		return s.takeDigest(ctx, *r.Digest)
 	case r.Leave != nil:
 		return s.leave(ctx, *r.Leave)
 	case r.Tell != nil:
@@ -153,7 +158,7 @@
 	changed := false
 	reply, err := s.leading(ctx, func(now time.Duration) {
 		old, known := s.core.Machine().Deployment().Backends[b.Backend.ID]
-		if !s.soft.heard(now, b) && known {
+		if !s.soft.heard(now, b.Backend.ID, b.Sequence) && known {
 			return
 		}
 		row, changed = merged(old, known, b.Backend)
@@ -264,12 +269,18 @@
 		return nil
 	}
 	v := &coordapi.View{Revision: s.core.Machine().Applied(), Leader: s.soft.token(), Version: d.Version,
-		Routers: s.soft.watchers(now), Minimum: s.rollout.minimum, Expired: s.rollout.expired, Silent: s.soft.silent}
+		Routers: s.soft.watchers(now)}
+	if v.Leader != w.Leader {
+		v.Minimum, v.Expired, v.Silent = s.rollout.minimum, s.rollout.expired, s.soft.silent
+	}
 	if !sameLeader {
 		w.SavedSince = 0
 	}
 	v.Saved, v.SavedUntil = s.soft.told.after(w.SavedSince)
-	v.Loads, v.Announced = s.soft.told.sums, s.soft.told.announcements
+	v.Announced = s.soft.told.announcements
+	if news {
+		v.Loads = s.soft.told.sums
+	}
 	if d.Remembers(w.Since) {
 		v.Backends, v.Departed = d.Changed(w.Since)
 		if d.ConfiguredAt > w.Since {
--- /dev/null
+++ b/internal/coordinator/digest.go
@@ -0,0 +1,105 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+const (
+	// digestEvery is the time between two words of a node to the leader about
+	// the heartbeats that it answered by itself.
+	digestEvery = 250 * time.Millisecond
+	// digestTrust is how long after the leader took the last one a node goes on to
+	// answer by itself. Past it, heartbeats are passed on one by one, so that a
+	// node that is cut off fails them and back ends turn to another.
+	digestTrust = 3 * digestEvery
+)
+
+// digest is what a node that does not lead heard of back ends since its last
+// word to the leader. It belongs to the run goroutine.
+type digest struct {
+	heard map[string]uint64
+	// takenAt is when the leader took the last word.
+	takenAt time.Duration
+	begun   bool
+}
+
+// mayAnswer tells whether a heartbeat that changes nothing may be answered
+// here.
+func (d *digest) mayAnswer(now time.Duration) bool { return d.begun && now-d.takenAt < digestTrust }
+
+func (d *digest) note(b coordapi.Beat) {
+	if d.heard == nil {
+		d.heard = map[string]uint64{}
+	}
+	d.heard[b.Backend.ID] = max(d.heard[b.Backend.ID], b.Sequence)
+}
+
+// answerHere answers a heartbeat that changes nothing, for all that this node's
+// replica knows. Most are of this kind: the leader of a large deployment then
+// hears of them a few times a second from each node, and not thousands of times.
+func (s *Server) answerHere(ctx context.Context, b coordapi.Beat) bool {
+	answered := false
+	s.loop.Do(ctx, func(now time.Duration) {
+		if s.core == nil || s.core.HoldsLease(now) || !s.digest.mayAnswer(now) {
+			return
+		}
+		row, known := s.core.Machine().Deployment().Backends[b.Backend.ID]
+		if _, changed := merged(row, known, b.Backend); changed {
+			return
+		}
+		s.digest.note(b)
+		answered = true
+	})
+	return answered
+}
+
+// digestLoop brings the leader the node's digests until the context ends. An
+// empty one is brought too: it shows that the leader can be reached.
+func (s *Server) digestLoop(ctx context.Context) {
+	ticker := time.NewTicker(digestEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.bringDigest(ctx)
+		}
+	}
+}
+
+func (s *Server) bringDigest(ctx context.Context) {
+	var heard map[string]uint64
+	leader := ""
+	s.loop.Do(ctx, func(now time.Duration) {
+		if s.core == nil || s.core.HoldsLease(now) {
+			s.digest = digest{}
+			return
+		}
+		leader = s.leaderAddress()
+		heard, s.digest.heard = s.digest.heard, nil
+	})
+	if leader == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, digestTrust)
+	defer cancel()
+	var reply coordapi.Reply
+	err := s.peers.Call(ctx, leader, coordapi.KindCall, coordapi.Request{Digest: &coordapi.Digest{Heard: heard}}, &reply)
+	if err != nil || reply.NotLeader {
+		return
+	}
+	s.loop.Do(ctx, func(now time.Duration) { s.digest.takenAt, s.digest.begun = now, true })
+}
+
+// takeDigest notes the heartbeats that another node answered.
+func (s *Server) takeDigest(ctx context.Context, d coordapi.Digest) (coordapi.Reply, error) {
+	return s.leading(ctx, func(now time.Duration) {
+		for id, sequence := range d.Heard {
+			s.soft.heard(now, id, sequence)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordinator/digest_test.go
@@ -0,0 +1,56 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// heardSequence is the last heartbeat of a back end that a node counts.
+func (g *group) heardSequence(i int, id string) uint64 {
+	var sequence uint64
+	g.servers[i].loop.Do(context.Background(), func(time.Duration) { sequence = g.servers[i].soft.beats[id].sequence })
+	return sequence
+}
+
+func TestHeartbeatsThatChangeNothingReachTheLeaderTogether(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	leader := g.leader()
+	other := (leader + 1) % 3
+	server := g.servers[other]
+	sequence := uint64(1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		sequence++
+		if !server.answerHere(context.Background(), *beat("x", sequence, false).Beat) {
+			return poll.Continue("the leader has not taken a digest of node %d", other)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := g.heardSequence(leader, "x"); got != sequence {
+			return poll.Continue("the leader counts heartbeat %d of %d", got, sequence)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func TestAHeartbeatThatChangesSomethingIsNotAnsweredHere(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	server := g.servers[(g.leader()+1)%3]
+	server.loop.Do(context.Background(), func(now time.Duration) { server.digest.takenAt, server.digest.begun = now, true })
+	assert.Assert(t, !server.answerHere(context.Background(), *beat("x", 2, true).Beat))
+	assert.Assert(t, !server.answerHere(context.Background(), *beat("unknown", 1, false).Beat))
+}
+
+func TestANodeThatDoesNotReachTheLeaderAnswersNoHeartbeat(t *testing.T) {
+	var d digest
+	assert.Assert(t, !d.mayAnswer(0))
+	d.takenAt, d.begun = time.Second, true
+	assert.Assert(t, d.mayAnswer(time.Second+digestTrust/2))
+	assert.Assert(t, !d.mayAnswer(time.Second+digestTrust))
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -67,6 +67,7 @@
 	soft     softState
 	notify   notifier
 	rollout  rollout
+	digest   digest
 	members  memberKeeper
 }
 
@@ -118,6 +119,7 @@
 	s.group.Go(func() { s.run(ctx) })
 	s.group.Go(func() { s.joinLoop(ctx) })
 	s.group.Go(func() { s.rolloutLoop(ctx) })
+	s.group.Go(func() { s.digestLoop(ctx) })
 	s.listener = peer.Serve(listener, s.counters, s.handle)
 	s.logger.Info("started", "part", "coordinator", "id", s.identity.ID, "listen", s.settings.PeerAddress)
 	return nil
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -72,12 +72,12 @@
 
 // heard notes a heartbeat. It returns false for one that is older than another
 // that was noted.
-func (t *softState) heard(now time.Duration, b coordapi.Beat) bool {
-	last, known := t.beats[b.Backend.ID]
-	if known && b.Sequence <= last.sequence {
+func (t *softState) heard(now time.Duration, id string, sequence uint64) bool {
+	last, known := t.beats[id]
+	if known && sequence <= last.sequence {
 		return false
 	}
-	t.beats[b.Backend.ID] = heard{at: now, sequence: b.Sequence}
+	t.beats[id] = heard{at: now, sequence: sequence}
 	return true
 }
 
@@ -166,8 +166,8 @@
 	gone := s.soft.look(now, s.settings.BackendHeartbeat, d.Backends)
 	if !slices.Equal(before, s.soft.silent) {
 		s.logger.Info("silent back ends", "part", "registry", "backends", s.soft.silent)
+		// A hint: it travels with the next news.
 		s.soft.changes++
-		s.notify.wake()
 	}
 	if len(gone) > 0 && s.core.HoldsLease(now) {
 		s.logger.Info("back ends removed", "part", "registry", "backends", gone)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -253,7 +253,9 @@
 	if v.Announced != f.announced {
 		f.config.Pool.Others(time.Since(f.started), v.Loads)
 	}
-	f.config.Pool.Note(v.Minimum, v.Expired, v.Silent)
+	if v.Leader != f.token {
+		f.config.Pool.Note(v.Minimum, v.Expired, v.Silent)
+	}
 	f.routers.Store(int64(v.Routers))
 	if len(v.Saved) > 0 && f.config.Saved != nil {
 		f.config.Saved.Learn(v.Saved)
