Many loads are packed once for all routers

Cause: the leader wrote the loads of some 300 back ends (about 15 KB) for each of 295 routers once a second.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -105,6 +105,8 @@
 	// Loads is the work of all routers together, set when Announced is not the
 	// number that the watcher named.
 	Loads []Load `json:"loads,omitempty"`
+	// PackedLoads is a packed []Load in place of Loads, where there are many.
+	PackedLoads []byte `json:"packed_loads,omitempty"`
 	// Announced counts the leader's announcements of Saved and Loads.
 	Announced uint64 `json:"announced,omitempty"`
 	// Members are the peer addresses of the coordinators.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -279,7 +279,7 @@
 	v.Saved, v.SavedUntil = s.soft.told.after(w.SavedSince)
 	v.Announced = s.soft.told.announcements
 	if news {
-		v.Loads = s.soft.told.sums
+		v.Loads, v.PackedLoads = s.soft.told.sums, s.soft.told.packed
 	}
 	if d.Remembers(w.Since) {
 		v.Backends, v.Departed = d.Changed(w.Since)
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -52,7 +52,7 @@
 	if revision := max(d.ConfiguredAt, d.BackendsAt, 1); revision != p.revision {
 		rows, _ := d.Changed(0)
 		// Encoding into memory cannot fail.
-		p.packed, _ = coordapi.Whole{Document: d.Document, Backends: rows}.Pack()
+		p.packed, _ = coordapi.Pack(coordapi.Whole{Document: d.Document, Backends: rows})
 		p.revision = revision
 	}
 	return p.packed
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -15,6 +15,8 @@
 	// announceStep what each watcher adds to it.
 	announceEvery = 80 * time.Millisecond
 	announceStep  = 3 * time.Millisecond
+	// packFrom is how many back ends an announcement must name to be packed.
+	packFrom = 48
 	// loadKept is how long a router's load counts after it was told.
 	loadKept = 1500 * time.Millisecond
 )
@@ -28,7 +30,10 @@
 	loads map[string]routerLoad
 	// fresh says that loads came since the last announcement.
 	fresh bool
-	sums  []coordapi.Load
+	// sums is the work of all routers, and packed the same where there are many
+	// rows; sums is empty then.
+	sums   []coordapi.Load
+	packed []byte
 	// announcements counts them.
 	announcements uint64
 	at            time.Duration
@@ -84,6 +89,13 @@
 		t.sums = append(t.sums, l)
 	}
 	slices.SortFunc(t.sums, func(a, b coordapi.Load) int { return strings.Compare(a.ID, b.ID) })
+	t.packed = nil
+	if len(t.sums) < packFrom {
+		return
+	}
+	if packed, err := coordapi.Pack(t.sums); err == nil {
+		t.packed, t.sums = packed, nil
+	}
 }
 
 // after returns the parts behind a number, and the number of the next.
--- /dev/null
+++ b/internal/coordinator/told_test.go
@@ -0,0 +1,41 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+// tellLoads brings a router's load at a number of back ends.
+func tellLoads(t *told, router string, backends int) {
+	news := &coordapi.Tell{Router: router}
+	for i := range backends {
+		news.Loads = append(news.Loads, coordapi.Load{ID: fmt.Sprintf("i-%010x", i*7919), Running: 1, Memory: 900 + i, Prompt: 40})
+	}
+	t.take(time.Second, news)
+}
+
+func TestLoadsOfAllRoutersAreSummed(t *testing.T) {
+	var sums told
+	tellLoads(&sums, "a", 2)
+	tellLoads(&sums, "b", 1)
+	assert.Assert(t, sums.announce(2*time.Second, 2))
+	assert.DeepEqual(t, sums.sums, []coordapi.Load{
+		{ID: "i-0000000000", Running: 2, Memory: 1800, Prompt: 80}, {ID: "i-0000001eef", Running: 1, Memory: 901, Prompt: 40}})
+	assert.Assert(t, !sums.announce(3*time.Second, 2), "nothing new was told")
+}
+
+func TestManyLoadsArePacked(t *testing.T) {
+	var sums told
+	tellLoads(&sums, "a", 300)
+	assert.Assert(t, sums.announce(2*time.Second, 2))
+	assert.Equal(t, len(sums.sums), 0)
+	assert.Assert(t, len(sums.packed) < 300*15, "%d bytes", len(sums.packed))
+	var loads []coordapi.Load
+	assert.NilError(t, coordapi.Unpack(sums.packed, &loads))
+	assert.Equal(t, len(loads), 300)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -237,8 +237,8 @@
 func (f *Follower) take(sent time.Duration, v *coordapi.View) bool {
 	rows, document, whole := v.Backends, v.Document, len(v.Packed) > 0
 	if whole {
-		unpacked, err := coordapi.Unpack(v.Packed)
-		if err != nil {
+		var unpacked coordapi.Whole
+		if err := coordapi.Unpack(v.Packed, &unpacked); err != nil {
 			f.config.Logger.Error("view cannot be read", "part", "follower", "error", err.Error())
 			return false
 		}
@@ -251,7 +251,7 @@
 		f.config.Pool.Apply(rows, v.Departed, whole)
 	}
 	if v.Announced != f.announced {
-		f.config.Pool.Others(time.Since(f.started), v.Loads)
+		f.config.Pool.Others(time.Since(f.started), f.loads(v))
 	}
 	if v.Leader != f.token {
 		f.config.Pool.Note(v.Minimum, v.Expired, v.Silent)
@@ -267,6 +267,19 @@
 	return true
 }
 
+// loads returns the work of all routers. A text that cannot be read counts as
+// none: loads are a hint, and the next announcement brings them again.
+func (f *Follower) loads(v *coordapi.View) []coordapi.Load {
+	if len(v.PackedLoads) == 0 {
+		return v.Loads
+	}
+	var loads []coordapi.Load
+	if err := coordapi.Unpack(v.PackedLoads, &loads); err != nil {
+		f.config.Logger.Error("loads cannot be read", "part", "follower", "error", err.Error())
+	}
+	return loads
+}
+
 // configure puts a newer configuration in force. It returns false when the
 // router holds another one than the leader and must ask for all of it.
 func (f *Follower) configure(version uint64, document json.RawMessage) bool {
