--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -116,18 +116,24 @@
 // Read asks for the configuration in force.
 type Read struct{}
 
+// BackendID names one start of a back end. A new start has a new one.
+type BackendID string
+
+// Sequence counts the heartbeats of one start of a back end, from 1. A heartbeat
+// with a lower one is late.
+type Sequence uint64
+
 // Beat is a back end's heartbeat.
 type Beat struct {
-	Backend state.Backend `json:"backend"`
-	// Sequence rises with each heartbeat of a back end.
-	Sequence uint64 `json:"sequence"`
+	Backend  state.Backend `json:"backend"`
+	Sequence Sequence      `json:"sequence"`
 }
 
 // Digest brings the leader the heartbeats that another coordinator answered by
 // itself, since they changed nothing.
 type Digest struct {
 	// Heard maps back ends to the sequence of their last heartbeat.
-	Heard map[string]uint64 `json:"heard,omitempty"`
+	Heard map[BackendID]Sequence `json:"heard,omitempty"`
 }
 
 // Leave says that a back end is gone or about to be: no new work.
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -222,7 +222,7 @@
 	return leader
 }
 
-func beat(id string, sequence uint64, draining bool) coordapi.Request {
+func beat(id string, sequence coordapi.Sequence, draining bool) coordapi.Request {
 	return coordapi.Request{Beat: &coordapi.Beat{Sequence: sequence, Backend: state.Backend{ID: id, Pool: "llm", Address: id,
 		Weights: map[string]int{"m": 1}, Draining: draining}}}
 }
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -20,7 +20,7 @@
 // digest is what a node that does not lead heard of back ends since its last
 // word to the leader. It belongs to the run goroutine.
 type digest struct {
-	heard map[string]uint64
+	heard map[coordapi.BackendID]coordapi.Sequence
 	// takenAt is when the leader took the last word.
 	takenAt time.Duration
 	begun   bool
@@ -32,9 +32,10 @@
 
 func (d *digest) note(b coordapi.Beat) {
 	if d.heard == nil {
-		d.heard = map[string]uint64{}
+		d.heard = map[coordapi.BackendID]coordapi.Sequence{}
 	}
-	d.heard[b.Backend.ID] = max(d.heard[b.Backend.ID], b.Sequence)
+	id := coordapi.BackendID(b.Backend.ID)
+	d.heard[id] = max(d.heard[id], b.Sequence)
 }
 
 // answerHere answers a heartbeat that changes nothing, for all that this node's
@@ -72,7 +73,7 @@
 }
 
 func (s *Server) bringDigest(ctx context.Context) {
-	var heard map[string]uint64
+	var heard map[coordapi.BackendID]coordapi.Sequence
 	leader := ""
 	s.loop.Do(ctx, func(now time.Duration) {
 		if s.core == nil || s.core.HoldsLease(now) {
@@ -99,7 +100,7 @@
 func (s *Server) takeDigest(ctx context.Context, d coordapi.Digest) (coordapi.Reply, error) {
 	return s.leading(ctx, func(now time.Duration) {
 		for id, sequence := range d.Heard {
-			s.soft.heard(now, id, sequence)
+			s.soft.heard(now, string(id), sequence)
 		}
 	})
 }
--- a/internal/coordinator/digest_test.go
+++ b/internal/coordinator/digest_test.go
@@ -7,11 +7,13 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
 )
 
 // heardSequence is the last heartbeat of a back end that a node counts.
-func (g *group) heardSequence(i int, id string) uint64 {
-	var sequence uint64
+func (g *group) heardSequence(i int, id string) coordapi.Sequence {
+	var sequence coordapi.Sequence
 	g.servers[i].loop.Do(context.Background(), func(time.Duration) { sequence = g.servers[i].soft.beats[id].sequence })
 	return sequence
 }
@@ -22,7 +24,7 @@
 	leader := g.leader()
 	other := (leader + 1) % 3
 	server := g.servers[other]
-	sequence := uint64(1)
+	sequence := coordapi.Sequence(1)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		sequence++
 		if !server.answerHere(context.Background(), *beat("x", sequence, false).Beat) {
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -63,7 +63,7 @@
 
 type heard struct {
 	at       time.Duration
-	sequence uint64
+	sequence coordapi.Sequence
 }
 
 func (t *softState) reset(now time.Duration) {
@@ -72,7 +72,7 @@
 
 // heard notes a heartbeat. It returns false for one that is older than another
 // that was noted.
-func (t *softState) heard(now time.Duration, id string, sequence uint64) bool {
+func (t *softState) heard(now time.Duration, id string, sequence coordapi.Sequence) bool {
 	last, known := t.beats[id]
 	if known && sequence <= last.sequence {
 		return false
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -117,7 +117,7 @@
 		row.Weights = map[string]int{model: b.version}
 		b.mu.Unlock()
 	}
-	body, _ := json.Marshal(coordapi.Beat{Backend: row, Sequence: b.sequence.Add(1)})
+	body, _ := json.Marshal(coordapi.Beat{Backend: row, Sequence: coordapi.Sequence(b.sequence.Add(1))})
 	if b.soak.control(ctx, http.MethodPost, "/v1/backends/"+b.id+"/heartbeat", body) == http.StatusOK && draining {
 		b.drainedAt.CompareAndSwap(0, int64(b.soak.now()))
 	}
