--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/periodic"
 )
 
 const (
@@ -60,16 +61,7 @@
 // digestLoop brings the leader the node's digests until the context ends. An
 // empty one is brought too: it shows that the leader can be reached.
 func (s *Server) digestLoop(ctx context.Context) {
-	ticker := time.NewTicker(digestEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.bringDigest(ctx)
-		}
-	}
+	periodic.Run(ctx, digestEvery, s.bringDigest)
 }
 
 func (s *Server) bringDigest(ctx context.Context) {
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/raft"
 )
 
@@ -117,27 +118,20 @@
 
 // joinLoop asks to join for as long as the node is no voter.
 func (s *Server) joinLoop(ctx context.Context) {
-	ticker := time.NewTicker(joinEvery)
-	defer ticker.Stop()
 	target := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, joinEvery, func(ctx context.Context) {
 		var alone bool
 		var known []string
 		if !s.loop.Do(ctx, func(time.Duration) { alone, known = s.needsJoin() }) || !alone {
-			continue
+			return
 		}
 		addresses := append(known, *s.seeds.Load()...)
 		if len(addresses) == 0 {
-			continue
+			return
 		}
 		target++
 		s.askToJoin(ctx, addresses[target%len(addresses)])
-	}
+	})
 }
 
 // needsJoin tells whether the node is outside the group, as far as it knows, or
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
@@ -128,16 +129,9 @@
 
 // rolloutLoop lets the leader order engines to load weights.
 func (s *Server) rolloutLoop(ctx context.Context) {
-	ticker := time.NewTicker(rolloutEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.loop.Do(ctx, func(now time.Duration) { s.orderDue(ctx, now) })
-		}
-	}
+	periodic.Run(ctx, rolloutEvery, func(ctx context.Context) {
+		s.loop.Do(ctx, func(now time.Duration) { s.orderDue(ctx, now) })
+	})
 }
 
 // orderDue starts the orders whose time has come.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -263,12 +263,8 @@
 // finish ends a request for which no further attempt is made.
 func (h *Handler) finish(ctx context.Context, s *session, result outcome) {
 	j := s.job
-	if s.begun {
-		h.logDone(s, "broken off: "+result.err.Error())
-		panic(http.ErrAbortHandler)
-	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		h.logDone(s, "caller gone")
+	if s.begun || errors.Is(ctx.Err(), context.Canceled) {
+		h.logDone(s, h.ending(ctx, result))
 		panic(http.ErrAbortHandler)
 	}
 	switch {
@@ -284,6 +280,21 @@
 	}
 }
 
+// ending says why an answer ends without its end. A caller that leaves and a
+// deadline show as a failed read of the back end's connection, for that is how
+// they end it.
+func (h *Handler) ending(ctx context.Context, result outcome) string {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "broken off at its deadline"
+	case ctx.Err() == nil:
+		return "broken off: " + result.err.Error()
+	case h.stopping.Load():
+		return "caller gone or cut by the stop"
+	}
+	return "caller gone"
+}
+
 func (h *Handler) reason(j *job, result outcome) string {
 	text := strings.Join(j.trace, "; ")
 	if result.err != nil && text == "" {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/state"
@@ -375,3 +377,63 @@
 	}
 	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
 }
+
+// record keeps the messages of a log. It is safe for concurrent use.
+type record struct {
+	slog.Handler
+	mu       sync.Mutex
+	messages []string
+}
+
+func (r *record) Enabled(context.Context, slog.Level) bool { return true }
+
+func (r *record) Handle(_ context.Context, line slog.Record) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.messages = append(r.messages, line.Message)
+	return nil
+}
+
+func (r *record) await(t *testing.T, message string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !slices.Contains(r.messages, message) {
+			return poll.Continue("the log has %q", r.messages)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// A stream whose caller had left, or whose deadline had passed, was logged as
+// broken by its back end.
+func TestTheLogSaysWhoEndedAStream(t *testing.T) {
+	cases := map[string]struct {
+		patient time.Duration
+		message string
+	}{
+		"the caller":   {50 * time.Millisecond, "caller gone"},
+		"the deadline": {10 * time.Second, "broken off at its deadline"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			lines := &record{}
+			r.handler.config.Logger = slog.New(lines)
+			r.add("llm", "x", hangAfterOne)
+			ctx, cancel := context.WithTimeout(context.Background(), c.patient)
+			defer cancel()
+			r.ask("POST", "/chat/1", func(q *http.Request) {
+				q.Header.Set(names.Deadline, "300")
+				*q = *q.WithContext(ctx)
+			})
+			lines.await(t, c.message)
+		})
+	}
+}
+
+func hangAfterOne(w http.ResponseWriter, q *http.Request) {
+	events(w, 1, 1)
+	<-q.Context().Done()
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -17,6 +17,7 @@
 
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/engineapi"
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/platformapi"
 )
 
@@ -64,22 +65,16 @@
 // Run polls until the context ends.
 func (i *Inventory) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { every(ctx, i.config.ListInterval, i.pollList) })
-	group.Go(func() { every(ctx, i.config.StatusInterval, i.pollEngines) })
+	group.Go(func() { pollNowAnd(ctx, i.config.ListInterval, i.pollList) })
+	group.Go(func() { pollNowAnd(ctx, i.config.StatusInterval, i.pollEngines) })
 	group.Wait()
 	i.client.CloseIdleConnections()
 }
 
-func every(ctx context.Context, interval time.Duration, work func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		work(ctx)
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
-	}
+// pollNowAnd polls at once and then at each interval.
+func pollNowAnd(ctx context.Context, interval time.Duration, poll func(context.Context)) {
+	poll(ctx)
+	periodic.Run(ctx, interval, poll)
 }
 
 func (i *Inventory) pollList(ctx context.Context) {
--- /dev/null
+++ b/internal/periodic/periodic_test.go
@@ -0,0 +1,20 @@
+package periodic
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestWorkRunsOnceAnIntervalUntilTheContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 3500*time.Millisecond)
+		defer cancel()
+		calls := 0
+		Run(ctx, time.Second, func(context.Context) { calls++ })
+		assert.Equal(t, calls, 3)
+	})
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -15,6 +15,7 @@
 
 	"quinceridge.example/quinceridge/internal/engineapi"
 	"quinceridge.example/quinceridge/internal/enginemodel"
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/standin"
 )
 
@@ -199,16 +200,7 @@
 
 // reap drops requests that nobody has come back for, and old answers.
 func (e *Engine) reap(ctx context.Context) {
-	ticker := time.NewTicker(reapInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.reapOnce(time.Now())
-		}
-	}
+	periodic.Run(ctx, reapInterval, func(context.Context) { e.reapOnce(time.Now()) })
 }
 
 func (e *Engine) reapOnce(now time.Time) {
