What is cold of a prompt is asked once a version in a choice

Found on reading the change again: since the parts of a prompt are counted one by one, each candidate took the lock and hashed every part of the request: up to 140 times two for one choice.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -26,6 +26,9 @@
 	Routers int
 	// Tried lists back ends that are not to be chosen again.
 	Tried []string
+	// cold keeps what Cold returned in the choice under way: many candidates
+	// hold the same version.
+	cold map[int]int
 }
 
 // Choice is a chosen back end.
@@ -55,13 +58,19 @@
 	if q.Cold == nil {
 		return q.Work.Prompt
 	}
-	return q.Work.Prompt + q.Cold(version)
+	tokens, asked := q.cold[version]
+	if !asked {
+		tokens = q.Cold(version)
+		q.cold[version] = tokens
+	}
+	return q.Work.Prompt + tokens
 }
 
 // Choose returns the back end of least cost, and false when none may serve.
 func (p *Pool) Choose(now time.Duration, q *Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	q.cold = map[int]int{}
 	candidates := p.candidates(now, q)
 	if len(candidates) == 0 {
 		return Choice{}, false
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -103,3 +103,21 @@
 	row := p.rows["x"]
 	assert.Equal(t, row.running+row.memory+row.prefill+len(p.waiting), 0)
 }
+
+// What is known of a prompt is looked up once for a version, not once for each
+// candidate, and anew for each choice.
+func TestAChoiceAsksOnceForAVersionWhatIsCold(t *testing.T) {
+	p := newTestPool(engine("w", 1), engine("x", 1), engine("y", 2), engine("z", 2))
+	q := query()
+	asked := map[int]int{}
+	q.Cold = func(version int) int {
+		asked[version]++
+		return 100 * version * asked[version]
+	}
+	for round := 1; round <= 2; round++ {
+		choice, found := p.Choose(0, &q)
+		assert.Assert(t, found)
+		assert.DeepEqual(t, asked, map[int]int{1: round, 2: round})
+		assert.Equal(t, choice.Work.Prompt, 1000+100*choice.Version*round)
+	}
+}
