Requests go to the newest weights while those engines can take them

Ruled out: engines too busy to take more (they read for a third of the time).

Change: the leader names the version below which worth is lost; an engine below it costs a quarter of the target; homes are ranked for each version.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -13,6 +13,8 @@
 	// Key names the shared part of the prompt; requests with the same key
 	// prefer the same back end. Empty for none.
 	Key string
+	// Target is the time within which an answer is in time.
+	Target time.Duration
 	// Shared is how many tokens of the prompt other requests share.
 	Shared int
 	Work   Work
@@ -75,16 +77,15 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	rank(q.Key, candidates)
-	home := candidates[0].row
+	homes := rank(q, candidates)
 	for i := range candidates {
-		candidates[i].cost = cost(now, p.zone, q, &candidates[i])
+		candidates[i].cost = p.cost(now, q, &candidates[i])
 	}
 	best := pick(candidates)
 	version, versioned := best.Weights[q.Model]
 	homeAddress := ""
-	if held, holds := home.Weights[q.Model]; holds && versioned && held == version {
-		homeAddress = home.Address
+	if versioned && homes[version] != nil {
+		homeAddress = homes[version].Address
 	}
 	work := Work{Prompt: q.unread(version), Most: q.Work.Most}
 	return Choice{ID: best.ID, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -10,10 +10,10 @@
 	}
 	version, holds := r.Weights[q.Model]
 	if !holds {
-		return p.minimum[q.Model] == 0 && len(r.Weights) == 0
+		return p.notes.Minimum[q.Model] == 0 && len(r.Weights) == 0
 	}
 	if refused, ok := r.refused[q.Model]; ok && refused == version {
 		return false
 	}
-	return version >= p.minimum[q.Model]
+	return version >= p.notes.Minimum[q.Model]
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -57,10 +57,11 @@
 // Pool holds all back ends of all pools. It is safe for concurrent use.
 // Lock order: mu only.
 type Pool struct {
-	zone    string
-	mu      sync.Mutex
-	rows    map[string]*row
-	minimum map[string]int
+	zone string
+	mu   sync.Mutex
+	rows map[string]*row
+	// notes is what the leader said last.
+	notes coordapi.Notes
 	// othersAt is when the others' work was heard of last.
 	othersAt time.Duration
 	// waiting are the attempts whose back ends have not begun.
@@ -95,15 +96,14 @@
 	}
 }
 
-// Note takes what only the leader knows: the lowest versions that may serve,
-// the ones below which nothing may begin any more, and silent back ends.
-func (p *Pool) Note(minimum, expired map[string]int, silent []string) {
+// Note takes what only the leader knows.
+func (p *Pool) Note(notes coordapi.Notes) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.minimum = minimum
-	p.expire(expired)
-	quiet := make(map[string]bool, len(silent))
-	for _, id := range silent {
+	p.notes = notes
+	p.expire(notes.Expired)
+	quiet := make(map[string]bool, len(notes.Silent))
+	for _, id := range notes.Silent {
 		quiet[id] = true
 	}
 	for id, r := range p.rows {
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -59,7 +61,7 @@
 	draining.Draining = true
 	loading.Loading = &state.Loading{Model: "m", Version: 3}
 	p := newTestPool(draining, loading, engine("old", 1))
-	p.Note(map[string]int{"m": 2}, nil, nil)
+	p.Note(coordapi.Notes{Minimum: map[string]int{"m": 2}})
 	q := query()
 	_, found := p.Choose(0, &q)
 	assert.Assert(t, !found)
@@ -67,7 +69,7 @@
 
 func TestSuspicionNeverEmptiesAPool(t *testing.T) {
 	p := newTestPool(engine("x", 1), engine("y", 1))
-	p.Note(nil, nil, []string{"x", "y"})
+	p.Note(coordapi.Notes{Silent: []string{"x", "y"}})
 	for range 10 {
 		p.Failed(0, "x")
 		p.Failed(0, "y")
@@ -77,6 +79,27 @@
 	mustChoose(t, p, 0, query())
 }
 
+// Answers of replaced weights lose a part of their worth: requests go to the
+// newest weights, and to others only when those are busy.
+func TestTheNewestWeightsAreChosenWhileTheyCanServe(t *testing.T) {
+	p := newTestPool(engine("a", 1), engine("b", 2))
+	p.Note(coordapi.Notes{Preferred: map[string]int{"m": 2}})
+	q := query()
+	q.Target = 600 * time.Millisecond
+	for i := range 30 {
+		// Half of the keys would have their home at a, which also wins ties.
+		q.Key = strconv.Itoa(i)
+		choice := mustChoose(t, p, 0, q)
+		assert.Equal(t, choice.ID, "b")
+		assert.Assert(t, choice.Home, "each version has homes of its own")
+	}
+	busy := mustChoose(t, p, 0, q)
+	for range 10 {
+		p.Begin(&busy, &q, func(error) {})
+	}
+	assert.Equal(t, mustChoose(t, p, 0, q).ID, "a")
+}
+
 // A request that waited 3.3 s in an engine's queue began on weights whose time
 // was over.
 func TestAWaitingAttemptIsGivenUpWhenItsWeightsExpire(t *testing.T) {
@@ -86,9 +109,9 @@
 	var waiting, begun error
 	p.Begin(&choice, &q, func(err error) { waiting = err })
 	p.Begin(&choice, &q, func(err error) { begun = err }).Begun()
-	p.Note(map[string]int{"m": 2}, map[string]int{"m": 1}, nil)
+	p.Note(coordapi.Notes{Minimum: map[string]int{"m": 2}, Expired: map[string]int{"m": 1}})
 	assert.NilError(t, waiting)
-	p.Note(map[string]int{"m": 2}, map[string]int{"m": 2}, nil)
+	p.Note(coordapi.Notes{Minimum: map[string]int{"m": 2}, Expired: map[string]int{"m": 2}})
 	assert.Assert(t, errors.Is(waiting, ErrExpired))
 	assert.NilError(t, begun)
 }
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -34,6 +34,9 @@
 	decodeCost = 1.5
 	// crowdCost is the cost of a back end whose memory or slots are taken.
 	crowdCost = 400
+	// replacedShare is the cost of weights whose answers have lost a part of their
+	// worth, in targets of the request: about the delay that costs as much.
+	replacedShare = 0.25
 	// roomyShare is the part of an engine's memory that requests may take
 	// without a cost: the rest keeps prompts.
 	roomyShare = 0.6
@@ -42,12 +45,12 @@
 )
 
 // cost is the scorer: the expected delay of the request at a candidate.
-func cost(now time.Duration, zone string, q *Query, c *candidate) float64 {
+func (p *Pool) cost(now time.Duration, q *Query, c *candidate) float64 {
 	total := failureCost * c.rate(now)
 	if c.silent {
 		total += silentCost
 	}
-	if c.Zone != zone {
+	if c.Zone != p.zone {
 		total += farCost
 	}
 	if q.Slots == 0 {
@@ -58,6 +61,9 @@
 	total += stallFactor * max(0, reading-stallTokens) / prefillRate
 	total += float64(c.running+c.others.Running) * decodeCost
 	total += crowdCost * crowding(q, c)
+	if c.Weights[q.Model] < p.notes.Preferred[q.Model] {
+		total += replacedShare * float64(q.Target.Milliseconds())
+	}
 	if q.Key != "" && c.rank > 0 {
 		total += strangeCost * float64(q.Shared) * (1 + strangeStep*float64(min(c.rank, rankLimit)))
 	}
@@ -74,11 +80,14 @@
 	return over + max(0, float64(c.running+c.others.Running+1)/float64(q.Slots)-1)
 }
 
-// rank orders the candidates by rendezvous hashing of the key, so that all
-// routers agree on a key's home and a lost back end moves only its own keys.
-func rank(key string, candidates []candidate) {
+// rank orders the candidates that hold the same weights by rendezvous hashing
+// of the key, so that all routers agree on a key's home and a lost back end
+// moves only its own keys. What an engine keeps was made with its own weights:
+// each version has homes of its own. It returns the home of each version.
+func rank(q *Query, candidates []candidate) map[int]*row {
+	key := q.Key
 	if key == "" {
-		return
+		return nil
 	}
 	weights := make(map[string]uint64, len(candidates))
 	for i := range candidates {
@@ -93,7 +102,14 @@
 		}
 		return strings.Compare(a.ID, b.ID)
 	})
+	homes, ranked := map[int]*row{}, map[int]int{}
 	for i := range candidates {
-		candidates[i].rank = i
+		c := &candidates[i]
+		version := c.Weights[q.Model]
+		if c.rank = ranked[version]; c.rank == 0 {
+			homes[version] = c.row
+		}
+		ranked[version]++
 	}
+	return homes
 }
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -74,7 +74,7 @@
 // newer was acknowledged before it made the View.
 type View struct {
 	Revision uint64 `json:"revision"`
-	// Leader changes with what only the leader knows: Minimum and Silent.
+	// Leader changes with Notes.
 	Leader string `json:"leader,omitempty"`
 	// Version is the configuration in force. Document is set when it changed
 	// since the watcher's revision.
@@ -86,16 +86,8 @@
 	// Packed is a packed Whole, in place of Document, Backends and Departed, for
 	// a watcher whose revision is too old for changes.
 	Packed []byte `json:"packed,omitempty"`
-	// Minimum, Expired and Silent are what only the leader knows. They are set
-	// when Leader is not the token that the watcher named.
-	//
-	// Minimum maps models to the lowest weights version that may serve now.
-	Minimum map[string]int `json:"minimum,omitempty"`
-	// Expired maps models to the version below which no request may begin any
-	// more: one that waits at an engine is given up.
-	Expired map[string]int `json:"expired,omitempty"`
-	// Silent are back ends that sent no heartbeat for a while.
-	Silent []string `json:"silent,omitempty"`
+	// Notes is set when Leader is not the token that the watcher named.
+	Notes
 	// Routers is how many routers share the retry budget.
 	Routers int `json:"routers"`
 	// Saved are prompt parts that routers have saved to the store since the
@@ -113,6 +105,20 @@
 	Members []string `json:"members,omitempty"`
 }
 
+// Notes is what only the leader knows.
+type Notes struct {
+	// Minimum maps models to the lowest weights version that may serve now.
+	Minimum map[string]int `json:"minimum,omitempty"`
+	// Expired maps models to the version below which no request may begin any
+	// more: one that waits at an engine is given up.
+	Expired map[string]int `json:"expired,omitempty"`
+	// Preferred maps models to the version below which answers lose a part of
+	// their worth.
+	Preferred map[string]int `json:"preferred,omitempty"`
+	// Silent are back ends that sent no heartbeat for a while.
+	Silent []string `json:"silent,omitempty"`
+}
+
 // Read asks for the configuration in force.
 type Read struct{}
 
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -271,7 +271,8 @@
 	v := &coordapi.View{Revision: s.core.Machine().Applied(), Leader: s.soft.token(), Version: d.Version,
 		Routers: s.soft.watchers(now)}
 	if v.Leader != w.Leader {
-		v.Minimum, v.Expired, v.Silent = s.rollout.minimum, s.rollout.expired, s.soft.silent
+		v.Notes = s.rollout.notes
+		v.Silent = s.soft.silent
 	}
 	if !sameLeader {
 		w.SavedSince = 0
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/settings"
@@ -47,9 +48,9 @@
 // rollout is a node's knowledge of named versions. Each node keeps it, so that
 // a new leader knows when a version's time began.
 type rollout struct {
-	seen    map[state.WeightsVersion]time.Duration
-	minimum map[string]int
-	expired map[string]int
+	seen map[state.WeightsVersion]time.Duration
+	// notes is what routers are told of versions.
+	notes coordapi.Notes
 	// running are the engines that an order of this leader is under way to.
 	running map[string]bool
 	// failed are the engines whose last order came to nothing.
@@ -76,7 +77,7 @@
 
 func planConfig(s settings.Coordinator) weights.Config {
 	return weights.Config{Deadline: s.WeightsDeadline, Guard: s.WeightsGuard, Cut: expiryCut,
-		PerLoad: s.LoadTime, Margin: s.LoadMargin, Divisor: s.LoadDivisor}
+		Grace: s.WeightsGrace, PerLoad: s.LoadTime, Margin: s.LoadMargin, Divisor: s.LoadDivisor}
 }
 
 // versions returns a model's named versions with the time that each began.
@@ -113,17 +114,17 @@
 	if len(d.Weights) == 0 {
 		return false
 	}
-	minimum, expired := map[string]int{}, map[string]int{}
+	notes := coordapi.Notes{Minimum: map[string]int{}, Expired: map[string]int{}, Preferred: map[string]int{}}
 	for _, w := range d.Weights {
-		if _, done := minimum[w.Model]; !done {
+		if _, done := notes.Minimum[w.Model]; !done {
 			plan := planConfig(s).Next(now, r.versions(since, s.WeightsDeadline, d, w.Model), nil)
-			minimum[w.Model], expired[w.Model] = plan.Minimum, plan.Expired
+			notes.Minimum[w.Model], notes.Expired[w.Model], notes.Preferred[w.Model] = plan.Minimum, plan.Expired, plan.Preferred
 		}
 	}
-	if maps.Equal(minimum, r.minimum) && maps.Equal(expired, r.expired) {
+	if maps.Equal(notes.Minimum, r.notes.Minimum) && maps.Equal(notes.Expired, r.notes.Expired) && maps.Equal(notes.Preferred, r.notes.Preferred) {
 		return false
 	}
-	r.minimum, r.expired = minimum, expired
+	r.notes = notes
 	return true
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -43,7 +43,7 @@
 	// Apply changes rows and removes departed back ends; whole replaces all.
 	Apply(rows []state.Backend, departed []string, whole bool)
 	// Note takes what only the leader knows.
-	Note(minimum, expired map[string]int, silent []string)
+	Note(notes coordapi.Notes)
 	// Others takes the work of all routers together.
 	Others(now time.Duration, loads []coordapi.Load)
 	// Own returns the work of this router that is under way. What it returned
@@ -254,7 +254,7 @@
 		f.config.Pool.Others(time.Since(f.started), f.loads(v))
 	}
 	if v.Leader != f.token {
-		f.config.Pool.Note(v.Minimum, v.Expired, v.Silent)
+		f.config.Pool.Note(v.Notes)
 	}
 	f.routers.Store(int64(v.Routers))
 	if len(v.Saved) > 0 && f.config.Saved != nil {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -23,10 +23,10 @@
 // nobody takes what is said of back ends.
 type nobody struct{}
 
-func (nobody) Apply([]state.Backend, []string, bool)         {}
-func (nobody) Note(map[string]int, map[string]int, []string) {}
-func (nobody) Others(time.Duration, []coordapi.Load)         {}
-func (nobody) Own() []coordapi.Load                          { return nil }
+func (nobody) Apply([]state.Backend, []string, bool) {}
+func (nobody) Note(coordapi.Notes)                   {}
+func (nobody) Others(time.Duration, []coordapi.Load) {}
+func (nobody) Own() []coordapi.Load                  { return nil }
 
 // script is a coordinator that answers as it is told.
 type script struct {
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -35,7 +35,7 @@
 	}
 	j.request = &upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, ID: j.id,
 		Once: !j.route.Repeatable()}
-	j.query = backends.Query{Pool: j.pool.Name}
+	j.query = backends.Query{Pool: j.pool.Name, Target: j.route.Target}
 	engine := j.pool.Engine
 	if engine == nil {
 		return
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -47,6 +47,9 @@
 	// Cut is how long before the deadline requests are given up that wait at an
 	// engine with an older version.
 	Cut time.Duration
+	// Grace is how long after a version's naming answers of older ones keep their
+	// whole worth.
+	Grace time.Duration
 	// PerLoad is the assumed time of one load, with the wait for running
 	// requests to end.
 	PerLoad time.Duration
@@ -66,6 +69,9 @@
 	Minimum int
 	// Expired is the version below which nothing may begin any more.
 	Expired int
+	// Preferred is the version below which answers have lost a part of their
+	// worth, or are about to.
+	Preferred int
 }
 
 // Next returns what to do now for one model. Versions are in rising order.
@@ -82,6 +88,9 @@
 		if now >= v.From+c.Deadline-c.Cut {
 			plan.Expired = v.Number
 		}
+		if now >= v.From+c.Grace {
+			plan.Preferred = v.Number
+		}
 	}
 	plan.Load = c.due(now, versions, engines, plan.Target)
 	return plan
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -47,6 +47,15 @@
 	assert.Equal(t, cut.Expired, 2)
 }
 
+func TestAVersionIsPreferredOnceOlderOnesLoseWorth(t *testing.T) {
+	c := config()
+	c.Grace = 1300 * time.Millisecond
+	versions := []Version{{Number: 2}, {Number: 3, From: time.Second}}
+	assert.Equal(t, c.Next(1200*time.Millisecond, versions, nil).Preferred, 0)
+	assert.Equal(t, c.Next(1300*time.Millisecond, versions, nil).Preferred, 2)
+	assert.Equal(t, c.Next(2300*time.Millisecond, versions, nil).Preferred, 3)
+}
+
 // A leader that was killed at the deadline gave the version another 8 s under
 // the next leader, although its time was over.
 func TestAChangeOfLeadersAfterTheDeadlineGivesNoMoreTime(t *testing.T) {
