Prompts that share little are not saved to the store

Ruled out: engines as the first source (read again doubles), one engine for prompts whose first part is cold, a later mark of saved parts, a shorter trust in them.

Change: a request saves only if its shared parts are as long as its own.

--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -49,7 +49,8 @@
 	if len(j.parts) > 0 {
 		j.query.Key = j.parts[len(j.parts)-1]
 	}
-	j.query.Work.Prompt = max(j.query.Work.Prompt-j.query.Shared, 0)
+	j.own = max(j.query.Work.Prompt-j.query.Shared, 0)
+	j.query.Work.Prompt = j.own
 	j.query.Cold = func(version int) int { return sum(tokens[h.config.Saved.Known(salt(j, version), j.parts):]) }
 	if j.tenant != nil && j.tenant.Isolated && j.query.Key != "" {
 		j.query.Key += "/" + j.tenant.Name
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -102,7 +102,9 @@
 	request *upstream.Request
 	query   backends.Query
 	// parts are the IDs of the prompt's shared parts.
-	parts    []string
+	parts []string
+	// own is the length of the part that it shares with none, in tokens.
+	own      int
 	arrived  time.Duration
 	deadline time.Time
 	// ran counts the attempts that ran or may have.
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -90,7 +90,9 @@
 
 // addressPrompt fills where kept prompts are taken from and sent to. What was
 // saved lately comes from the store; a home may have dropped it. If not even
-// the first part was, the home may keep some.
+// the first part was, the home may keep some. A request whose own part is the
+// larger one leaves the saving to the next: nobody fetches its own part, which
+// takes the store's link and drives others out of its memory.
 func (h *Handler) addressPrompt(j *job, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Del(names.FetchFrom)
@@ -107,7 +109,7 @@
 	case !choice.Home && choice.HomeAddress != "":
 		header.Set(names.FetchFrom, choice.HomeAddress)
 	}
-	if store != nil && h.config.Saved.Due(salt, j.parts) {
+	if store != nil && j.own <= j.query.Shared && h.config.Saved.Due(salt, j.parts) {
 		header.Set(names.SaveTo, store.Address)
 	}
 }
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -42,6 +42,23 @@
 	assert.Equal(t, j.request.Header.Get(names.SaveTo), storeAddress)
 }
 
+// Half of what the store took were parts that nobody fetches: its link was busy
+// for most of the day, and it dropped shared parts after six seconds.
+func TestARequestOfItsOwnSavesNothing(t *testing.T) {
+	h := &Handler{config: Config{Headers: names, Saved: NewSaved()}}
+	home := backends.Choice{ID: "a", Version: 1, Versioned: true, Home: true}
+	for _, c := range []struct {
+		own, shared int
+		saves       string
+	}{{own: 301, shared: 300, saves: ""}, {own: 300, shared: 300, saves: storeAddress}} {
+		j := promptJob(t)
+		j.own, j.query.Shared = c.own, c.shared
+		h.addressPrompt(j, home)
+		assert.Equal(t, j.request.Header.Get(names.SaveTo), c.saves)
+		assert.Equal(t, j.request.Header.Get(names.FetchFrom), storeAddress)
+	}
+}
+
 func TestOnlyLeadingPartsCountAsKnown(t *testing.T) {
 	s := NewSaved()
 	s.Due("m/1", []string{"case"})
