Engines are brought to new weights at once

Change: engines that are behind load as soon as two at a time allow. The settings load_time and load_margin go.

--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -77,7 +77,7 @@
 
 func planConfig(s settings.Coordinator) weights.Config {
 	return weights.Config{Deadline: s.WeightsDeadline, Guard: s.WeightsGuard, Cut: expiryCut,
-		Grace: s.WeightsGrace, PerLoad: s.LoadTime, Margin: s.LoadMargin, Divisor: s.LoadDivisor}
+		Grace: s.WeightsGrace, Divisor: s.LoadDivisor}
 }
 
 // versions returns a model's named versions with the time that each began.
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -41,11 +41,6 @@
 	// WeightsGrace is how long after a version's naming answers of older ones
 	// keep their whole worth. Default 1300ms.
 	WeightsGrace time.Duration `yaml:"weights_grace"`
-	// LoadTime is the assumed time of one load of weights. Default 800ms.
-	LoadTime time.Duration `yaml:"load_time"`
-	// LoadMargin is added to the time that the remaining loads need. Default
-	// 700ms.
-	LoadMargin time.Duration `yaml:"load_margin"`
 	// LoadDivisor is how many engines there are for each load at a time.
 	// Default 4.
 	LoadDivisor int `yaml:"load_divisor"`
@@ -63,8 +58,6 @@
 	c.PeerAddress = orDefault(c.PeerAddress, c.PeerListen)
 	c.WeightsGuard = orDefault(c.WeightsGuard, 1400*time.Millisecond)
 	c.WeightsGrace = orDefault(c.WeightsGrace, 1300*time.Millisecond)
-	c.LoadTime = orDefault(c.LoadTime, 800*time.Millisecond)
-	c.LoadMargin = orDefault(c.LoadMargin, 700*time.Millisecond)
 	c.LoadDivisor = orDefault(c.LoadDivisor, 4)
 	c.Log.setDefaults()
 }
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -1,8 +1,9 @@
 // Package weights plans the rollout of new weights over model engines. Loading
 // weights takes an engine out of service for a moment and costs all that it
-// kept, so a load is put off as long as the deadline of its version allows:
-// versions that follow each other closely then share one load. The package is
-// pure.
+// kept; answers of older weights lose a part of their worth soon after a
+// version is named, and must end at its deadline. Engines are therefore
+// brought to the newest version at once, a few at a time. An engine skips the
+// versions that were named while it waited. The package is pure.
 package weights
 
 import (
@@ -37,7 +38,7 @@
 	Loading bool
 }
 
-// Config says how fast and by when engines are to be brought to a version.
+// Config says by when engines are to be brought to a version.
 type Config struct {
 	// Deadline is the time from a version's naming after which no request may
 	// start on an older one.
@@ -50,11 +51,6 @@
 	// Grace is how long after a version's naming answers of older ones keep their
 	// whole worth.
 	Grace time.Duration
-	// PerLoad is the assumed time of one load, with the wait for running
-	// requests to end.
-	PerLoad time.Duration
-	// Margin is added to the time that the remaining loads need.
-	Margin time.Duration
 	// Divisor is how many engines there are for each load at a time.
 	Divisor int
 }
@@ -92,13 +88,13 @@
 			plan.Preferred = v.Number
 		}
 	}
-	plan.Load = c.due(now, versions, engines, plan.Target)
+	plan.Load = c.due(engines, plan.Target)
 	return plan
 }
 
-// due returns the engines whose time has come. The engine with the oldest
-// version goes first.
-func (c Config) due(now time.Duration, versions []Version, engines []Engine, target int) []string {
+// due returns the engines to order now: those that are behind, the oldest
+// version first, as many at a time as load without slowing each other down.
+func (c Config) due(engines []Engine, target int) []string {
 	var behind []Engine
 	loading := 0
 	for _, e := range engines {
@@ -112,43 +108,13 @@
 	slices.SortFunc(behind, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.ID, b.ID))
 	})
-	parallel := max(2, len(engines)/max(c.Divisor, 1))
+	free := max(leastParallel, len(engines)/max(c.Divisor, 1)) - loading
 	var out []string
-	for i, e := range behind {
-		if loading+len(out) >= parallel {
-			break
-		}
-		deadline, bound := firstDeadline(versions, e.Version, c.Deadline)
-		if bound && now >= deadline-c.Guard-c.Margin-c.needed(c.pressing(versions, behind[i:], deadline)+loading, parallel) {
-			out = append(out, e.ID)
-		}
+	for _, e := range behind[:min(max(free, 0), len(behind))] {
+		out = append(out, e.ID)
 	}
 	return out
 }
 
-// pressing counts the engines that share a deadline.
-func (c Config) pressing(versions []Version, behind []Engine, deadline time.Duration) int {
-	count := 0
-	for _, e := range behind {
-		if d, bound := firstDeadline(versions, e.Version, c.Deadline); bound && d <= deadline {
-			count++
-		}
-	}
-	return count
-}
-
-func (c Config) needed(engines, parallel int) time.Duration {
-	waves := (engines + parallel - 1) / parallel
-	return time.Duration(waves) * c.PerLoad
-}
-
-// firstDeadline returns when an engine with this version may start no more
-// requests.
-func firstDeadline(versions []Version, held int, deadline time.Duration) (time.Duration, bool) {
-	for _, v := range versions {
-		if v.Number > held {
-			return v.From + deadline, true
-		}
-	}
-	return 0, false
-}
+// leastParallel is how many engines of a small pool load at a time.
+const leastParallel = 2
