Requests are refused at once while all engines are behind

Cause: with engines that read a third as fast (own deployment slow3) nothing was refused, streams starved between the pieces of prompts and were broken off at their deadlines, and kept prompts were pushed out and read again.

Change: a request goes only to engines that begin to read it within a third of its target; if there is none it is refused with when to come back.

--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -100,6 +100,30 @@
 	assert.Equal(t, mustChoose(t, p, 0, q).ID, "a")
 }
 
+// With engines that read a third as fast demand piled up at them until little
+// came out in time.
+func TestARequestIsLateWhenAllEnginesAreBehind(t *testing.T) {
+	p := newTestPool(engine("x", 1), engine("y", 1))
+	q := query()
+	q.Patience = 200 * time.Millisecond
+	fill := func(id string, tokens int) {
+		p.Begin(0, &Choice{ID: id, Version: 1, Versioned: true, Work: Work{Prompt: tokens}}, &q, func(error) {})
+	}
+	home := mustChoose(t, p, 0, q)
+	assert.Assert(t, !home.Late)
+	// 40 tokens a millisecond are assumed at first.
+	fill(home.ID, 8100)
+	other := mustChoose(t, p, 0, q)
+	assert.Assert(t, other.ID != home.ID && !other.Late, "the one that is not behind takes it")
+	fill(other.ID, 12000)
+	late := mustChoose(t, p, 0, q)
+	assert.Assert(t, late.Late)
+	assert.Equal(t, late.ID, home.ID)
+	assert.Equal(t, late.Wait.Round(time.Millisecond), 203*time.Millisecond)
+	q.Patience = 0
+	assert.Assert(t, !mustChoose(t, p, 0, q).Late, "a request without patience waits")
+}
+
 // A request that waited 3.3 s in an engine's queue began on weights whose time
 // was over.
 func TestAWaitingAttemptIsGivenUpWhenItsWeightsExpire(t *testing.T) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +30,9 @@
 	// pause, and leastStall the least such time.
 	stallFactor = 4
 	leastStall  = 2 * time.Second
+	// patienceDivisor is the part of the latency target for which a request may
+	// wait until an engine begins to read it.
+	patienceDivisor = 3
 	// fullRetry is when to come back after all back ends turned a request away.
 	fullRetry = 250 * time.Millisecond
 )
@@ -68,6 +72,11 @@
 			h.finish(ctx, s, outcome{verdict: notRun, err: errNoBackend})
 			return
 		}
+		if choice.Late {
+			reason := fmt.Sprintf("engines are behind by %d ms and more", choice.Wait.Milliseconds())
+			h.refuse(w, j.id, &refusal{http.StatusServiceUnavailable, reason, returnAfter(&choice, &j.query)})
+			return
+		}
 		result := h.attempt(ctx, s, choice)
 		if result.verdict == done {
 			h.logDone(s, "answered")
@@ -87,11 +96,22 @@
 	}
 }
 
+// returnAfter is when the engine that reads first will have read half of what it
+// may be behind. Callers are spread so that they don't come back together.
+func returnAfter(choice *backends.Choice, q *backends.Query) time.Duration {
+	wait := max(choice.Wait-q.Patience/2, fullRetry)
+	return wait + rand.N(wait/2)
+}
+
 var errNoBackend = errors.New("no back end can take the request now")
 
 // choose waits a moment for a back end that can serve.
 func (h *Handler) choose(ctx context.Context, j *job) (backends.Choice, bool) {
 	j.query.Routers = h.config.Source.Routers()
+	j.query.Patience = 0
+	if len(j.query.Tried) == 0 {
+		j.query.Patience = j.route.Target / patienceDivisor
+	}
 	limit := time.Now().Add(j.route.Target / waitDivisor)
 	for {
 		choice, found := h.config.Pool.Choose(h.now(), &j.query)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,6 +78,21 @@
 	return r
 }
 
+// Engines that are behind get no more work: callers are told at once that the
+// request was not run, and when to come back.
+func TestARequestIsRefusedAtOnceWhileEnginesAreBehind(t *testing.T) {
+	r := newRig(t)
+	r.add("llm", "e", func(w http.ResponseWriter, _ *http.Request) { t.Error("the request was sent") })
+	r.pool.Begin(0, &backends.Choice{ID: "e", Work: backends.Work{Prompt: 20000}}, &backends.Query{Pool: "llm"}, func(error) {})
+	answer := r.ask("POST", "/chat/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(answer.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	// 20,000 tokens at 40 a millisecond, less half of the patience; callers are
+	// spread over half as much again.
+	assert.Assert(t, after >= 0.48 && after <= 0.73, "%v", after)
+}
+
 // add starts a back end of a pool.
 func (r *rig) add(pool, id string, serve http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
