Loads of weights are put off while requests are refused

Cause: a load costs an engine what it kept; on slow engines that is 2.3 s of reading, every 4 s. Change: routers tell the leader of refusals, and for a second after one loads wait for their deadline; the time of a load is learned.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -90,6 +90,9 @@
 	}
 	rate := p.readingOf(q.Pool).Rate()
 	candidates, late := within(candidates, q, rate)
+	if late {
+		p.refused++
+	}
 	homes := rank(q, candidates)
 	for i := range candidates {
 		candidates[i].cost = p.cost(now, q, &candidates[i], rate)
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -67,6 +67,8 @@
 	othersAt time.Duration
 	// waiting are the attempts whose back ends have not begun.
 	waiting map[*Attempt]struct{}
+	// refused counts the requests for which all engines were behind.
+	refused int
 	// reading is how fast the engines of a pool read, by the pool's name.
 	reading map[string]*speed.Reading
 }
@@ -152,6 +154,15 @@
 	return out
 }
 
+// Refused returns how many requests found all engines behind since the last call.
+func (p *Pool) Refused() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.refused
+	p.refused = 0
+	return n
+}
+
 // Attempt is a request under way at a back end.
 type Attempt struct {
 	pool    *Pool
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -119,6 +119,8 @@
 	late := mustChoose(t, p, 0, q)
 	assert.Assert(t, late.Late)
 	assert.Equal(t, late.ID, home.ID)
+	assert.Equal(t, p.Refused(), 1)
+	assert.Equal(t, p.Refused(), 0, "each is told once")
 	assert.Equal(t, late.Wait.Round(time.Millisecond), 203*time.Millisecond)
 	q.Patience = 0
 	assert.Assert(t, !mustChoose(t, p, 0, q).Late, "a request without patience waits")
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -156,6 +156,9 @@
 	Saved []uint64 `json:"saved,omitempty"`
 	// Loads is all work that the router has under way.
 	Loads []Load `json:"loads,omitempty"`
+	// Refused counts the requests refused since the last word because all
+	// engines of their pool were behind.
+	Refused int `json:"refused,omitempty"`
 }
 
 // Load is work under way at a back end.
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -39,6 +39,12 @@
 	// firstFailedPause is how long an engine is left alone after an order that
 	// came to nothing.
 	firstFailedPause = 250 * time.Millisecond
+	// assumedLoad is the least time that is planned for a load, and loadMargin how
+	// much earlier than needed loads begin that were put off. The mean of measured
+	// loads moves by one part in loadGain.
+	assumedLoad = 1200 * time.Millisecond
+	loadMargin  = 700 * time.Millisecond
+	loadGain    = 4
 	// expiryCut is how long before a deadline waiting requests are given up.
 	expiryCut = 250 * time.Millisecond
 	// holderSlack is added to the lease that another holder may still have.
@@ -51,6 +57,8 @@
 	seen map[state.WeightsVersion]time.Duration
 	// notes is what routers are told of versions.
 	notes coordapi.Notes
+	// perLoad is the mean time of a load, 0 before the first.
+	perLoad time.Duration
 	// running are the engines that an order of this leader is under way to.
 	running map[string]bool
 	// failed are the engines whose last order came to nothing.
@@ -75,9 +83,17 @@
 	r.failed[id] = failedOrder{times: times, until: now + firstFailedPause<<min(times-1, 4)}
 }
 
-func planConfig(s settings.Coordinator) weights.Config {
+// learn takes how long an engine was out of service for a load.
+func (r *rollout) learn(took time.Duration) {
+	if r.perLoad == 0 {
+		r.perLoad = assumedLoad
+	}
+	r.perLoad += (took - r.perLoad) / loadGain
+}
+
+func (r *rollout) planConfig(s settings.Coordinator) weights.Config {
 	return weights.Config{Deadline: s.WeightsDeadline, Guard: s.WeightsGuard, Cut: expiryCut,
-		Grace: s.WeightsGrace, Divisor: s.LoadDivisor}
+		Grace: s.WeightsGrace, PerLoad: max(r.perLoad, assumedLoad), Margin: loadMargin, Divisor: s.LoadDivisor}
 }
 
 // versions returns a model's named versions with the time that each began.
@@ -117,7 +133,7 @@
 	notes := coordapi.Notes{Minimum: map[string]int{}, Expired: map[string]int{}, Preferred: map[string]int{}}
 	for _, w := range d.Weights {
 		if _, done := notes.Minimum[w.Model]; !done {
-			plan := planConfig(s).Next(now, r.versions(since, s.WeightsDeadline, d, w.Model), nil)
+			plan := r.planConfig(s).Next(now, r.versions(since, s.WeightsDeadline, d, w.Model), nil, false)
 			notes.Minimum[w.Model], notes.Expired[w.Model], notes.Preferred[w.Model] = plan.Minimum, plan.Expired, plan.Preferred
 		}
 	}
@@ -166,7 +182,7 @@
 		}
 		engines = append(engines, weights.Engine{ID: id, Version: version, Loading: s.rollout.running[id]})
 	}
-	plan := planConfig(s.settings).Next(now, s.rollout.versions(s.soft.since, s.settings.WeightsDeadline, d, model), engines)
+	plan := s.rollout.planConfig(s.settings).Next(now, s.rollout.versions(s.soft.since, s.settings.WeightsDeadline, d, model), engines, s.soft.told.crowded(now))
 	if len(plan.Load) == 0 || !s.mayOrder(now, d) {
 		return
 	}
@@ -178,8 +194,14 @@
 		row := d.Backends[id]
 		term := s.core.Status().Term
 		s.group.Go(func() {
+			started := s.now()
 			held := s.bring(ctx, row, model, plan.Target, term)
-			s.loop.Do(context.WithoutCancel(ctx), func(now time.Duration) { s.rollout.finished(now, row.ID, held) })
+			s.loop.Do(context.WithoutCancel(ctx), func(now time.Duration) {
+				s.rollout.finished(now, row.ID, held)
+				if held {
+					s.rollout.learn(now - started)
+				}
+			})
 		})
 	}
 }
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -17,6 +17,8 @@
 	announceStep  = 3 * time.Millisecond
 	// packFrom is how many back ends an announcement must name to be packed.
 	packFrom = 48
+	// crowdedFor is how long after a refusal engines count as crowded.
+	crowdedFor = time.Second
 	// loadKept is how long a router's load counts after it was told.
 	loadKept = 1500 * time.Millisecond
 )
@@ -28,6 +30,8 @@
 	first uint64
 	parts []uint64
 	loads map[string]routerLoad
+	// refusedAt is when a router last told of refused requests; 0 for never.
+	refusedAt time.Duration
 	// fresh says that loads came since the last announcement.
 	fresh bool
 	// sums is the work of all routers, and packed the same where there are many
@@ -56,6 +60,15 @@
 	}
 	t.loads[news.Router] = routerLoad{at: now, loads: news.Loads}
 	t.fresh = true
+	if news.Refused > 0 {
+		t.refusedAt = now
+	}
+}
+
+// crowded tells whether requests were refused lately because engines are
+// behind.
+func (t *told) crowded(now time.Duration) bool {
+	return t.refusedAt > 0 && now < t.refusedAt+crowdedFor
 }
 
 func (t *told) until() uint64 { return t.first + uint64(len(t.parts)) }
--- a/internal/coordinator/told_test.go
+++ b/internal/coordinator/told_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/settings"
 )
 
 // tellLoads brings a router's load at a number of back ends.
@@ -29,6 +30,24 @@
 	assert.Assert(t, !sums.announce(3*time.Second, 2), "nothing new was told")
 }
 
+func TestARefusalCountsForAWhile(t *testing.T) {
+	var news told
+	assert.Assert(t, !news.crowded(time.Second))
+	news.take(time.Second, &coordapi.Tell{Router: "a", Refused: 1})
+	news.take(1500*time.Millisecond, &coordapi.Tell{Router: "b"})
+	assert.Assert(t, news.crowded(1900*time.Millisecond))
+	assert.Assert(t, !news.crowded(2*time.Second))
+}
+
+func TestTheTimeOfALoadIsLearned(t *testing.T) {
+	var r rollout
+	assert.Equal(t, r.planConfig(settings.Coordinator{}).PerLoad, assumedLoad)
+	for range 20 {
+		r.learn(3 * time.Second)
+	}
+	assert.Equal(t, r.planConfig(settings.Coordinator{}).PerLoad.Round(100*time.Millisecond), 3*time.Second)
+}
+
 func TestManyLoadsArePacked(t *testing.T) {
 	var sums told
 	tellLoads(&sums, "a", 300)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -49,6 +49,9 @@
 	// Own returns the work of this router that is under way. What it returned
 	// last counts as part of what Others brings.
 	Own() []coordapi.Load
+	// Refused returns how many requests were refused since the last call because
+	// all engines of their pool were behind.
+	Refused() int
 }
 
 // Saved is a router's knowledge of the prompt parts that the store holds.
@@ -138,8 +141,8 @@
 		if leader == nil {
 			continue
 		}
-		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own()}
-		quiet := len(news.Saved) == 0 && len(news.Loads) == 0
+		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own(), Refused: f.config.Pool.Refused()}
+		quiet := len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
 		if quiet && idle {
 			continue
 		}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -24,6 +24,7 @@
 type nobody struct{}
 
 func (nobody) Apply([]state.Backend, []string, bool) {}
+func (nobody) Refused() int                          { return 0 }
 func (nobody) Note(coordapi.Notes)                   {}
 func (nobody) Others(time.Duration, []coordapi.Load) {}
 func (nobody) Own() []coordapi.Load                  { return nil }
--- a/internal/weights/example_test.go
+++ b/internal/weights/example_test.go
@@ -14,9 +14,9 @@
 	versions := []weights.Version{{Number: 2, From: 0}, {Number: 3, From: 4 * time.Second}}
 	engines := []weights.Engine{{ID: "a", Version: 2}, {ID: "b", Version: 1}, {ID: "c", Version: 2}}
 
-	plan := config.Next(5*time.Second, versions, engines)
+	plan := config.Next(5*time.Second, versions, engines, false)
 	fmt.Println(plan.Load, plan.Target, plan.Preferred, plan.Minimum)
-	plan = config.Next(7*time.Second, versions, nil)
+	plan = config.Next(7*time.Second, versions, nil, false)
 	fmt.Println(plan.Preferred, plan.Minimum)
 	// Output:
 	// [b a] 3 2 0
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -51,6 +51,10 @@
 	// Grace is how long after a version's naming answers of older ones keep their
 	// whole worth.
 	Grace time.Duration
+	// PerLoad is about how long a load takes, and Margin the time to spare when
+	// loads are put off.
+	PerLoad time.Duration
+	Margin  time.Duration
 	// Divisor is how many engines there are for each load at a time.
 	Divisor int
 }
@@ -71,7 +75,8 @@
 }
 
 // Next returns what to do now for one model. Versions are in rising order.
-func (c Config) Next(now time.Duration, versions []Version, engines []Engine) Plan {
+// While engines are crowded, loads are put off as long as deadlines allow.
+func (c Config) Next(now time.Duration, versions []Version, engines []Engine, crowded bool) Plan {
 	var plan Plan
 	if len(versions) == 0 {
 		return plan
@@ -88,13 +93,14 @@
 			plan.Preferred = v.Number
 		}
 	}
-	plan.Load = c.due(engines, plan.Target)
+	plan.Load = c.due(now, versions, engines, crowded)
 	return plan
 }
 
 // due returns the engines to order now: those that are behind, the oldest
 // version first, as many at a time as load without slowing each other down.
-func (c Config) due(engines []Engine, target int) []string {
+func (c Config) due(now time.Duration, versions []Version, engines []Engine, crowded bool) []string {
+	target := versions[len(versions)-1].Number
 	var behind []Engine
 	loading := 0
 	for _, e := range engines {
@@ -108,13 +114,37 @@
 	slices.SortFunc(behind, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.ID, b.ID))
 	})
-	free := max(leastParallel, len(engines)/max(c.Divisor, 1)) - loading
+	parallel := max(leastParallel, len(engines)/max(c.Divisor, 1))
 	var out []string
-	for _, e := range behind[:min(max(free, 0), len(behind))] {
+	for i, e := range behind {
+		if loading+len(out) >= parallel || (crowded && !c.pressing(now, versions, behind[i:], parallel)) {
+			break
+		}
 		out = append(out, e.ID)
 	}
 	return out
 }
 
+// pressing tells whether the first of these engines must load now so that all
+// that share its deadline do in time.
+func (c Config) pressing(now time.Duration, versions []Version, behind []Engine, parallel int) bool {
+	deadline := c.deadlineOf(versions, behind[0].Version)
+	count := 0
+	for _, e := range behind {
+		if c.deadlineOf(versions, e.Version) <= deadline {
+			count++
+		}
+	}
+	waves := (count + parallel - 1) / parallel
+	return now >= deadline-c.Guard-c.Margin-time.Duration(waves)*c.PerLoad
+}
+
+// deadlineOf returns when an engine with this version, which is not the newest,
+// may start no more requests.
+func (c Config) deadlineOf(versions []Version, held int) time.Duration {
+	i := slices.IndexFunc(versions, func(v Version) bool { return v.Number > held })
+	return versions[i].From + c.Deadline
+}
+
 // leastParallel is how many engines of a small pool load at a time.
 const leastParallel = 2
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -30,33 +30,46 @@
 	c := config()
 	versions := []Version{{Number: 2, From: 0}}
 	pool := engines(12, 1)
-	first := c.Next(0, versions, pool).Load
+	first := c.Next(0, versions, pool, false).Load
 	assert.DeepEqual(t, first, []string{"e00", "e01", "e02"})
 	for i := range first {
 		pool[i].Loading = true
 	}
-	assert.Equal(t, len(c.Next(0, versions, pool).Load), 0)
+	assert.Equal(t, len(c.Next(0, versions, pool, false).Load), 0)
 	pool[0] = Engine{ID: "e00", Version: 2}
-	assert.DeepEqual(t, c.Next(0, versions, pool).Load, []string{"e03"})
+	assert.DeepEqual(t, c.Next(0, versions, pool, false).Load, []string{"e03"})
+}
+
+// A load costs an engine all that it kept. While requests are refused since
+// engines are behind with reading, there is none to spare.
+func TestLoadsArePutOffWhileEnginesAreCrowded(t *testing.T) {
+	c := config()
+	c.PerLoad, c.Margin = 800*time.Millisecond, 700*time.Millisecond
+	versions := []Version{{Number: 2, From: 0}}
+	assert.Equal(t, len(c.Next(0, versions, engines(12, 1), true).Load), 0)
+	// 12 engines by threes are 4 loads of 0.8 s: due at 8 - 1.4 - 0.7 - 3.2.
+	assert.Equal(t, len(c.Next(2600*time.Millisecond, versions, engines(12, 1), true).Load), 0)
+	assert.Equal(t, len(c.Next(2700*time.Millisecond, versions, engines(12, 1), true).Load), 3)
+	assert.Equal(t, len(c.Next(2600*time.Millisecond, versions, engines(12, 1), false).Load), 3)
 }
 
 func TestTheOldestVersionGoesFirst(t *testing.T) {
 	pool := engines(3, 2)
 	pool[2].Version = 1
 	versions := []Version{{Number: 2}, {Number: 3}}
-	assert.DeepEqual(t, config().Next(0, versions, pool).Load, []string{"e02", "e00"})
+	assert.DeepEqual(t, config().Next(0, versions, pool, false).Load, []string{"e02", "e00"})
 }
 
 func TestVersionsThatFollowShareALoad(t *testing.T) {
-	plan := config().Next(5*time.Second, []Version{{Number: 2}, {Number: 3, From: 3 * time.Second}}, engines(12, 1))
+	plan := config().Next(5*time.Second, []Version{{Number: 2}, {Number: 3, From: 3 * time.Second}}, engines(12, 1), false)
 	assert.Equal(t, plan.Target, 3)
 }
 
 func TestMinimumRisesBeforeTheDeadlineAndExpiryLater(t *testing.T) {
 	versions := []Version{{Number: 2}}
-	before := config().Next(6500*time.Millisecond, versions, nil)
-	guarded := config().Next(6600*time.Millisecond, versions, nil)
-	cut := config().Next(7750*time.Millisecond, versions, nil)
+	before := config().Next(6500*time.Millisecond, versions, nil, false)
+	guarded := config().Next(6600*time.Millisecond, versions, nil, false)
+	cut := config().Next(7750*time.Millisecond, versions, nil, false)
 	assert.Equal(t, before.Minimum, 0)
 	assert.Equal(t, guarded.Minimum, 2)
 	assert.Equal(t, guarded.Expired, 0)
@@ -67,9 +80,9 @@
 	c := config()
 	c.Grace = 1300 * time.Millisecond
 	versions := []Version{{Number: 2}, {Number: 3, From: time.Second}}
-	assert.Equal(t, c.Next(1200*time.Millisecond, versions, nil).Preferred, 0)
-	assert.Equal(t, c.Next(1300*time.Millisecond, versions, nil).Preferred, 2)
-	assert.Equal(t, c.Next(2300*time.Millisecond, versions, nil).Preferred, 3)
+	assert.Equal(t, c.Next(1200*time.Millisecond, versions, nil, false).Preferred, 0)
+	assert.Equal(t, c.Next(1300*time.Millisecond, versions, nil, false).Preferred, 2)
+	assert.Equal(t, c.Next(2300*time.Millisecond, versions, nil, false).Preferred, 3)
 }
 
 // A leader that was killed at the deadline gave the version another 8 s under
@@ -121,7 +134,7 @@
 				delete(until, pool[i].ID)
 			}
 		}
-		plan := c.Next(now, versions[:named], pool)
+		plan := c.Next(now, versions[:named], pool, false)
 		for _, id := range plan.Load {
 			for i := range pool {
 				if pool[i].ID == id {
