A store with a long queue gets no more moves until it has caught up

Ruled out: engines' reading (little was ahead, requests without a move took 60 ms), loads of weights (none).

Change: routers learn the delay of requests that name the store, and leave it alone while that is over four times the time to read the shared parts.

--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -213,15 +213,25 @@
 	return r
 }
 
-// Begun notes that the back end has begun to answer.
-func (a *Attempt) Begun(now time.Duration) {
+// Begun notes that the back end has begun to answer. It returns how much longer
+// than expected that took, 0 where no time is expected.
+func (a *Attempt) Begun(now time.Duration) (excess time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	if a.reading != nil {
+		excess = max(now-a.sent-a.reading.Rate().Wait(a.ahead), 0)
 		a.reading.Observe(a.ahead, now-a.sent)
 		a.reading = nil
 	}
 	a.begin()
+	return excess
+}
+
+// ReadTime is about how long the engines of a pool take to read tokens.
+func (p *Pool) ReadTime(pool string, tokens int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.readingOf(pool).Rate().Wait(tokens)
 }
 
 func (a *Attempt) begin() {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -157,7 +157,7 @@
 	}
 	defer answer.Close()
 	silence.stop()
-	running.Begun(h.now())
+	h.noteStore(j, running.Begun(h.now()))
 	h.noteVersion(j, choice, answer.Header)
 	if j.route.Kind == traffic.KindStream && silence != nil {
 		s.stall = newAlarm(max(stallFactor*j.route.GapTarget, leastStall), cancel)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -11,10 +11,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -63,6 +65,10 @@
 	stopping  atomic.Bool
 	forbidden map[string]bool
 	metrics   Metrics
+	// storeDelay is how much longer requests took lately that named a store.
+	// storeMu guards it and is taken last.
+	storeMu    sync.Mutex
+	storeDelay speed.Delay
 }
 
 // New returns a handler.
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -21,14 +22,42 @@
 		Routes: []traffic.Route{{Name: "chat", Host: "h", Prefix: "/", Kind: traffic.KindStream, Timeout: 1, Split: []traffic.Share{{Pool: "llm", Weight: 1}}}},
 	})
 	assert.NilError(t, err)
-	return &job{table: built, request: &upstream.Request{Header: map[string][]string{}}, parts: []string{"rules", "case"},
+	return &job{table: built, pool: &built.Pools[0], request: &upstream.Request{Header: map[string][]string{}}, parts: []string{"rules", "case"},
 		query: backends.Query{Model: "m", Key: "case"}}
 }
 
+func promptHandler() *Handler {
+	return &Handler{config: Config{Headers: names, Saved: NewSaved(), Pool: backends.NewPool("a")}, started: time.Now()}
+}
+
+// After all routers had been restarted they saved all prompts again. The store's
+// queue held each request up for one to two seconds, as long as the day lasted.
+func TestASlowStoreIsLeftAloneUntilItHasCaughtUp(t *testing.T) {
+	h := promptHandler()
+	home := backends.Choice{ID: "a", Version: 1, Versioned: true, Home: true, HomeAddress: "10.0.0.1:1"}
+	j := promptJob(t)
+	j.query.Shared = 4000 // read in 100 ms by the speed that is assumed at first
+	ask := func() string {
+		h.addressPrompt(j, home)
+		return j.request.Header.Get(names.FetchFrom)
+	}
+	assert.Equal(t, ask(), storeAddress)
+	h.noteStore(j, 1500*time.Millisecond)
+	assert.Equal(t, ask(), storeAddress, "one slow request is no proof")
+	for range 3 {
+		ask()
+		h.noteStore(j, 1500*time.Millisecond)
+	}
+	assert.Equal(t, ask(), "")
+	assert.Equal(t, j.request.Header.Get(names.SaveTo), "")
+	h.started = h.started.Add(-3 * time.Second)
+	assert.Equal(t, ask(), storeAddress, "the delay is forgotten")
+}
+
 // A request away from its home was sent to read a part that the store held, as
 // long as the last part was not there.
 func TestTheStoreIsTheSourceOnceItHoldsTheFirstPart(t *testing.T) {
-	h := &Handler{config: Config{Headers: names, Saved: NewSaved()}}
+	h := promptHandler()
 	away := backends.Choice{ID: "b", Version: 1, Versioned: true, HomeAddress: "10.0.0.1:1"}
 
 	j := promptJob(t)
@@ -45,7 +74,7 @@
 // Half of what the store took were parts that nobody fetches: its link was busy
 // for most of the day, and it dropped shared parts after six seconds.
 func TestARequestOfItsOwnSavesNothing(t *testing.T) {
-	h := &Handler{config: Config{Headers: names, Saved: NewSaved()}}
+	h := promptHandler()
 	home := backends.Choice{ID: "a", Version: 1, Versioned: true, Home: true}
 	for _, c := range []struct {
 		own, shared int
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -65,3 +65,31 @@
 func (r TokensPerMs) Wait(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / float64(r) * float64(time.Millisecond))
 }
+
+// Delay follows how much longer than expected something takes lately. It rises
+// with each longer sample and falls by itself, so that what was avoided for its
+// delay is tried again. It is not safe for concurrent use. The zero value is
+// ready.
+type Delay struct {
+	value float64
+	at    time.Duration
+}
+
+const (
+	// rise is the weight of a sample above the value.
+	rise = 0.25
+	// fallTime is the time in which the value halves.
+	fallTime = time.Second
+)
+
+// Observe takes a sample.
+func (d *Delay) Observe(now, excess time.Duration) {
+	value := float64(d.At(now))
+	d.value = max(value, value+rise*(float64(excess)-value))
+	d.at = now
+}
+
+// At returns the delay as of now.
+func (d *Delay) At(now time.Duration) time.Duration {
+	return time.Duration(d.value * math.Exp2(-float64(now-d.at)/float64(fallTime)))
+}
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -67,3 +67,14 @@
 	// 20.3
 	// 1s
 }
+
+func TestADelayRisesFastAndIsForgotten(t *testing.T) {
+	var d Delay
+	for i := range 8 {
+		d.Observe(time.Duration(i)*time.Millisecond, time.Second)
+	}
+	assert.Assert(t, d.At(8*time.Millisecond) > 850*time.Millisecond)
+	d.Observe(9*time.Millisecond, 0)
+	assert.Assert(t, d.At(10*time.Millisecond) > 850*time.Millisecond, "a fast one proves nothing")
+	assert.Assert(t, d.At(3*time.Second) < 150*time.Millisecond)
+}
