The store's delay is that of most requests; patience is half of a target

Requests that wait for the store hold memory at their engines, which keep less, so that more is taken from the store; the waits count as reading ahead, and requests are refused and come back.

Change: the delay follows the median of the requests that name the store; a prompt uses it while that is below twice its reading or a quarter of its target. Patience is half of the target.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -32,7 +32,7 @@
 	leastStall  = 2 * time.Second
 	// patienceDivisor is the part of the latency target for which a request may
 	// wait until an engine begins to read it.
-	patienceDivisor = 3
+	patienceDivisor = 2
 	// fullRetry is when to come back after all back ends turned a request away.
 	fullRetry = 250 * time.Millisecond
 )
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -16,7 +16,7 @@
 	savedFor = 30 * time.Second
 	// moveFactor is how many times longer than reading it a prompt may take from
 	// the store: what is read twice is lost work.
-	moveFactor = 4
+	moveFactor = 2
 	// maxSaved bounds what a router remembers of saved parts.
 	maxSaved = 50000
 )
@@ -122,7 +122,7 @@
 
 // storePays tells whether a move of the shared parts is worth the store's delay. A store with a long queue gets no more work until it has caught up.
 func (h *Handler) storePays(j *job) bool {
-	worth := moveFactor * h.config.Pool.ReadTime(j.pool.Name, j.query.Shared)
+	worth := max(moveFactor*h.config.Pool.ReadTime(j.pool.Name, j.query.Shared), j.route.Target/4)
 	h.storeMu.Lock()
 	defer h.storeMu.Unlock()
 	return h.storeDelay.At(h.now()) <= worth
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -66,18 +66,18 @@
 	return time.Duration(float64(tokens) / float64(r) * float64(time.Millisecond))
 }
 
-// Delay follows how much longer than expected something takes lately. It rises
-// with each longer sample and falls by itself, so that what was avoided for its
-// delay is tried again. It is not safe for concurrent use. The zero value is
-// ready.
+// Delay follows how much longer than expected something takes lately: about the
+// median, so that a few slow ones prove nothing. It falls by itself, so that what
+// was avoided for its delay is tried again. It is not safe for concurrent use.
+// The zero value is ready.
 type Delay struct {
 	value float64
 	at    time.Duration
 }
 
 const (
-	// rise is the weight of a sample above the value.
-	rise = 0.25
+	// step is how far one sample moves the value at most.
+	step = float64(50 * time.Millisecond)
 	// fallTime is the time in which the value halves.
 	fallTime = time.Second
 )
@@ -85,7 +85,7 @@
 // Observe takes a sample.
 func (d *Delay) Observe(now, excess time.Duration) {
 	value := float64(d.At(now))
-	d.value = max(value, value+rise*(float64(excess)-value))
+	d.value = value + min(max(float64(excess)-value, -step), step)
 	d.at = now
 }
 
