--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -22,7 +22,7 @@
 		Routes: []traffic.Route{{Name: "chat", Host: "h", Prefix: "/", Kind: traffic.KindStream, Timeout: 1, Split: []traffic.Share{{Pool: "llm", Weight: 1}}}},
 	})
 	assert.NilError(t, err)
-	return &job{table: built, pool: &built.Pools[0], request: &upstream.Request{Header: map[string][]string{}}, parts: []string{"rules", "case"},
+	return &job{table: built, route: &built.Routes[0], pool: &built.Pools[0], request: &upstream.Request{Header: map[string][]string{}}, parts: []string{"rules", "case"},
 		query: backends.Query{Model: "m", Key: "case"}}
 }
 
