--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -1,9 +1,12 @@
 package backends
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -93,9 +96,14 @@
 	if late {
 		p.refused++
 	}
-	homes := rank(q, candidates)
+	preferred := p.preferred(q, candidates)
+	homes := rank(q, candidates, preferred > 0)
 	for i := range candidates {
-		candidates[i].cost = p.cost(now, q, &candidates[i], rate)
+		c := &candidates[i]
+		c.cost = p.cost(now, q, c, rate)
+		if c.Weights[q.Model] < preferred {
+			c.cost += replacedShare * float64(q.Target.Milliseconds())
+		}
 	}
 	best := pick(candidates)
 	version, versioned := best.Weights[q.Model]
@@ -109,6 +117,32 @@
 		Ahead: best.ahead(), Wait: rate.Wait(best.ahead()), Late: late}, true
 }
 
+// preferred returns the version below which engines cost more for this query.
+// While few engines hold it they take some keys only: all routers would send
+// them more than they can do before the loads that they share show it.
+func (p *Pool) preferred(q *Query, candidates []candidate) int {
+	version := p.notes.Preferred[q.Model]
+	if version == 0 {
+		return 0
+	}
+	holding := 0
+	for i := range candidates {
+		if candidates[i].Weights[q.Model] >= version {
+			holding++
+		}
+	}
+	// A share of the hashes of keys.
+	share := preferredLoad * float64(holding) / float64(len(candidates))
+	if float64(xxhash.Sum64String(q.Key)) >= share*math.MaxUint64 {
+		return 0
+	}
+	return version
+}
+
+// preferredLoad is how much more than their share of the requests engines with
+// the newest weights may get.
+const preferredLoad = 2
+
 // within returns the candidates that begin to read the request within its
 // patience, or if there are none the one that begins first, and true.
 func within(candidates []candidate, q *Query, rate speed.TokensPerMs) ([]candidate, bool) {
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -100,6 +100,28 @@
 	assert.Equal(t, mustChoose(t, p, 0, q).ID, "a")
 }
 
+// Seventy routers sent all that they had to the first engines with new weights
+// before the loads that they share showed it.
+func TestFewEnginesWithNewWeightsTakeAShareOfTheKeys(t *testing.T) {
+	rows := []state.Backend{engine("new", 2)}
+	for i := range 9 {
+		rows = append(rows, engine("old"+strconv.Itoa(i), 1))
+	}
+	p := newTestPool(rows...)
+	p.Note(coordapi.Notes{Preferred: map[string]int{"m": 2}})
+	q := query()
+	q.Target = 10 * time.Second
+	taken := 0
+	for i := range 1000 {
+		q.Key = strconv.Itoa(i)
+		if mustChoose(t, p, 0, q).ID == "new" {
+			taken++
+		}
+	}
+	// Twice its share, and its share of the other keys.
+	assert.Assert(t, taken > 230 && taken < 330, "%d", taken)
+}
+
 // With engines that read a third as fast demand piled up at them until little
 // came out in time.
 func TestARequestIsLateWhenAllEnginesAreBehind(t *testing.T) {
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -60,9 +60,6 @@
 	total += reading + stallFactor*max(0, reading-stallTime)
 	total += float64(c.running+c.others.Running) * decodeCost
 	total += crowdCost * crowding(q, c)
-	if c.Weights[q.Model] < p.notes.Preferred[q.Model] {
-		total += replacedShare * float64(q.Target.Milliseconds())
-	}
 	if q.Key != "" && c.rank > 0 {
 		total += strangeCost * float64(q.Shared) * (1 + strangeStep*float64(min(c.rank, rankLimit)))
 	}
@@ -79,11 +76,12 @@
 	return over + max(0, float64(c.running+c.others.Running+1)/float64(q.Slots)-1)
 }
 
-// rank orders the candidates that hold the same weights by rendezvous hashing
-// of the key, so that all routers agree on a key's home and a lost back end
-// moves only its own keys. What an engine keeps was made with its own weights:
-// each version has homes of its own. It returns the home of each version.
-func rank(q *Query, candidates []candidate) map[int]*row {
+// rank orders the candidates by rendezvous hashing of the key, so that all
+// routers agree on a key's home and a lost back end moves only its own keys.
+// With apart each version of the weights is ranked by itself, and has a home of
+// its own. It returns the first candidate of each version: what an engine keeps
+// was made with its own weights.
+func rank(q *Query, candidates []candidate, apart bool) map[int]*row {
 	key := q.Key
 	if key == "" {
 		return nil
@@ -105,10 +103,15 @@
 	for i := range candidates {
 		c := &candidates[i]
 		version := c.Weights[q.Model]
-		if c.rank = ranked[version]; c.rank == 0 {
+		if homes[version] == nil {
 			homes[version] = c.row
 		}
-		ranked[version]++
+		group := 0
+		if apart {
+			group = version
+		}
+		c.rank = ranked[group]
+		ranked[group]++
 	}
 	return homes
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -118,14 +118,20 @@
 		if found || len(j.query.Tried) > 0 || time.Now().After(limit) {
 			return choice, found
 		}
-		select {
-		case <-ctx.Done():
+		if pause(ctx, waitStep); ctx.Err() != nil {
 			return choice, false
-		case <-time.After(waitStep):
 		}
 	}
 }
 
+// pause waits, or until the context ends.
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 // again tells whether another attempt is allowed after a result.
 func (h *Handler) again(j *job, s *session, result outcome) bool {
 	if len(j.query.Tried) >= maxSends || (s.begun && !j.route.Resumable) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -78,6 +78,16 @@
 	return r
 }
 
+// After a restart the first view is often milliseconds away. Callers were sent
+// off for 1.2 s, and their only other try with them.
+func TestARequestWaitsAMomentForTheRightToServe(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "a", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(names.Seal, "s") })
+	r.source.fresh.Store(false)
+	time.AfterFunc(50*time.Millisecond, func() { r.source.fresh.Store(true) })
+	assert.Equal(t, r.ask("GET", "/safe/x", nil).status, http.StatusOK)
+}
+
 // Engines that are behind get no more work: callers are told at once that the
 // request was not run, and when to come back.
 func TestARequestIsRefusedAtOnceWhileEnginesAreBehind(t *testing.T) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -26,6 +26,10 @@
 	// answerMargin is how much before the caller's deadline the final answer is
 	// given.
 	answerMargin = 30 * time.Millisecond
+	// freshWait is how long a request is held for the right to serve, looked for
+	// every freshStep.
+	freshWait = 300 * time.Millisecond
+	freshStep = 5 * time.Millisecond
 	// preparation is about how long the coordinators take to agree again after
 	// all of them were lost, and leastRetry the least time after which a caller
 	// of a router that may not serve is told to come back.
@@ -155,6 +159,7 @@
 
 // check finds route and tenant.
 func (h *Handler) check(r *http.Request, arrived time.Duration) (*job, *refusal) {
+	h.awaitFresh(r.Context())
 	table := h.config.Source.Table()
 	if table == nil || !h.config.Source.Fresh() {
 		return nil, &refusal{http.StatusServiceUnavailable, "configuration is not known to be the newest", max(preparation-arrived, leastRetry)}
@@ -180,6 +185,17 @@
 	return j, nil
 }
 
+// awaitFresh waits a moment for the right to serve: after a restart the first
+// view is often milliseconds away.
+func (h *Handler) awaitFresh(ctx context.Context) {
+	for waited := time.Duration(0); waited < freshWait && ctx.Err() == nil; waited += freshStep {
+		if h.config.Source.Table() != nil && h.config.Source.Fresh() {
+			return
+		}
+		pause(ctx, freshStep)
+	}
+}
+
 // patience is how long the request is held: the route's timeout or what the
 // caller waits, less the margin for the way back.
 func (h *Handler) patience(r *http.Request, route *traffic.Route) time.Duration {
