--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -1,13 +1,8 @@
 package backends
 
 import (
-	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"quinceridge.example/quinceridge/internal/speed"
 )
 
 // Query is what a choice needs to know of a request.
@@ -97,13 +92,9 @@
 		p.refused++
 	}
 	preferred := p.preferred(q, candidates)
-	homes := rank(q, candidates, preferred > 0)
+	homes := rank(q.Key, q.Model, candidates, preferred > 0)
 	for i := range candidates {
-		c := &candidates[i]
-		c.cost = p.cost(now, q, c, rate)
-		if c.Weights[q.Model] < preferred {
-			c.cost += replacedShare * float64(q.Target.Milliseconds())
-		}
+		candidates[i].cost = p.cost(now, q, &candidates[i], rate, preferred)
 	}
 	best := pick(candidates)
 	version, versioned := best.Weights[q.Model]
@@ -117,54 +108,6 @@
 		Ahead: best.ahead(), Wait: rate.Wait(best.ahead()), Late: late}, true
 }
 
-// preferred returns the version below which engines cost more for this query.
-// While few engines hold it they take some keys only: all routers would send
-// them more than they can do before the loads that they share show it.
-func (p *Pool) preferred(q *Query, candidates []candidate) int {
-	version := p.notes.Preferred[q.Model]
-	if version == 0 {
-		return 0
-	}
-	holding := 0
-	for i := range candidates {
-		if candidates[i].Weights[q.Model] >= version {
-			holding++
-		}
-	}
-	// A share of the hashes of keys.
-	share := preferredLoad * float64(holding) / float64(len(candidates))
-	if float64(xxhash.Sum64String(q.Key)) >= share*math.MaxUint64 {
-		return 0
-	}
-	return version
-}
-
-// preferredLoad is how much more than their share of the requests engines with
-// the newest weights may get.
-const preferredLoad = 2
-
-// within returns the candidates that begin to read the request within its
-// patience, or if there are none the one that begins first, and true.
-func within(candidates []candidate, q *Query, rate speed.TokensPerMs) ([]candidate, bool) {
-	if q.Model == "" || q.Patience <= 0 {
-		return candidates, false
-	}
-	var out []candidate
-	first := 0
-	for i := range candidates {
-		if rate.Wait(candidates[i].ahead()) <= q.Patience {
-			out = append(out, candidates[i])
-		}
-		if candidates[i].ahead() < candidates[first].ahead() {
-			first = i
-		}
-	}
-	if len(out) == 0 {
-		return candidates[first : first+1], true
-	}
-	return out, false
-}
-
 // candidate is a back end under decision.
 type candidate struct {
 	*row
--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -1,5 +1,7 @@
 package backends
 
+import "quinceridge.example/quinceridge/internal/speed"
+
 // mayServe is the filter: what fails it must never get the request.
 func (p *Pool) mayServe(r *row, q *Query) bool {
 	if r.Draining || r.wrong || r.Loading != nil {
@@ -17,3 +19,25 @@
 	}
 	return version >= p.notes.Minimum[q.Model]
 }
+
+// within returns the candidates that begin to read the request within its
+// patience, or if there are none the one that begins first, and true.
+func within(candidates []candidate, q *Query, rate speed.TokensPerMs) ([]candidate, bool) {
+	if q.Model == "" || q.Patience <= 0 {
+		return candidates, false
+	}
+	var out []candidate
+	first := 0
+	for i := range candidates {
+		if rate.Wait(candidates[i].ahead()) <= q.Patience {
+			out = append(out, candidates[i])
+		}
+		if candidates[i].ahead() < candidates[first].ahead() {
+			first = i
+		}
+	}
+	if len(out) == 0 {
+		return candidates[first : first+1], true
+	}
+	return out, false
+}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -213,12 +213,13 @@
 	return r
 }
 
-// Begun notes that the back end has begun to answer. It returns how much longer
-// than expected that took, 0 where no time is expected.
-func (a *Attempt) Begun(now time.Duration) (excess time.Duration) {
+// Begun notes that the back end has begun to answer; ran says that it has read
+// the prompt. It returns how much longer than expected that took, 0 where no time
+// is expected.
+func (a *Attempt) Begun(now time.Duration, ran bool) (excess time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	if a.reading != nil {
+	if a.reading != nil && ran {
 		excess = max(now-a.sent-a.reading.Rate().Wait(a.ahead), 0)
 		a.reading.Observe(a.ahead, now-a.sent)
 		a.reading = nil
@@ -227,6 +228,17 @@
 	return excess
 }
 
+// Rates returns how fast the engines of each pool read, for all that is known.
+func (p *Pool) Rates() map[string]speed.TokensPerMs {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]speed.TokensPerMs, len(p.reading))
+	for pool, r := range p.reading {
+		out[pool] = r.Rate()
+	}
+	return out
+}
+
 // ReadTime is about how long the engines of a pool take to read tokens.
 func (p *Pool) ReadTime(pool string, tokens int) time.Duration {
 	p.mu.Lock()
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -156,7 +157,7 @@
 	choice := mustChoose(t, p, 0, q)
 	var waiting, begun error
 	p.Begin(0, &choice, &q, func(err error) { waiting = err })
-	p.Begin(0, &choice, &q, func(err error) { begun = err }).Begun(0)
+	p.Begin(0, &choice, &q, func(err error) { begun = err }).Begun(0, true)
 	p.Note(coordapi.Notes{Minimum: map[string]int{"m": 2}, Expired: map[string]int{"m": 1}})
 	assert.NilError(t, waiting)
 	p.Note(coordapi.Notes{Minimum: map[string]int{"m": 2}, Expired: map[string]int{"m": 2}})
@@ -164,12 +165,32 @@
 	assert.NilError(t, begun)
 }
 
+// An answer that turns a request away comes at once and says nothing of reading.
+func TestOnlyARunTeachesTheReadingSpeed(t *testing.T) {
+	p := newTestPool(engine("x", 1))
+	q := query()
+	q.Work.Prompt = 8000
+	teach := func(ran bool) speed.TokensPerMs {
+		for i := range 100 {
+			choice := mustChoose(t, p, 0, q)
+			choice.Work.Prompt += 100 * i
+			a := p.Begin(0, &choice, &q, func(error) {})
+			a.Begun(time.Duration(choice.Work.Prompt)*time.Millisecond/10, ran)
+			a.End()
+		}
+		return p.Rates()["llm"]
+	}
+	assert.Equal(t, teach(false), speed.TokensPerMs(40))
+	rate := teach(true)
+	assert.Assert(t, rate > 9 && rate < 14, "%v", rate)
+}
+
 func TestWhatAnEndedAttemptTookIsFree(t *testing.T) {
 	p := newTestPool(engine("x", 1))
 	q := query()
 	choice := mustChoose(t, p, 0, q)
 	a := p.Begin(0, &choice, &q, func(error) {})
-	a.Begun(0)
+	a.Begun(0, true)
 	a.End()
 	row := p.rows["x"]
 	assert.Equal(t, row.running+row.memory+row.prefill+len(p.waiting), 0)
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -45,7 +45,7 @@
 )
 
 // cost is the scorer: the expected delay of the request at a candidate.
-func (p *Pool) cost(now time.Duration, q *Query, c *candidate, rate speed.TokensPerMs) float64 {
+func (p *Pool) cost(now time.Duration, q *Query, c *candidate, rate speed.TokensPerMs, preferred int) float64 {
 	total := failureCost * c.rate(now)
 	if c.silent {
 		total += silentCost
@@ -60,6 +60,9 @@
 	total += reading + stallFactor*max(0, reading-stallTime)
 	total += float64(c.running+c.others.Running) * decodeCost
 	total += crowdCost * crowding(q, c)
+	if c.Weights[q.Model] < preferred {
+		total += replacedShare * float64(q.Target.Milliseconds())
+	}
 	if q.Key != "" && c.rank > 0 {
 		total += strangeCost * float64(q.Shared) * (1 + strangeStep*float64(min(c.rank, rankLimit)))
 	}
@@ -81,8 +84,7 @@
 // With apart each version of the weights is ranked by itself, and has a home of
 // its own. It returns the first candidate of each version: what an engine keeps
 // was made with its own weights.
-func rank(q *Query, candidates []candidate, apart bool) map[int]*row {
-	key := q.Key
+func rank(key, model string, candidates []candidate, apart bool) map[int]*row {
 	if key == "" {
 		return nil
 	}
@@ -102,7 +104,7 @@
 	homes, ranked := map[int]*row{}, map[int]int{}
 	for i := range candidates {
 		c := &candidates[i]
-		version := c.Weights[q.Model]
+		version := c.Weights[model]
 		if homes[version] == nil {
 			homes[version] = c.row
 		}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -74,6 +74,7 @@
 		}
 		if choice.Late {
 			reason := fmt.Sprintf("engines are behind by %d ms and more", choice.Wait.Milliseconds())
+			h.metrics.behind.Add(1)
 			h.refuse(w, j.id, &refusal{http.StatusServiceUnavailable, reason, returnAfter(&choice, &j.query)})
 			return
 		}
@@ -163,7 +164,7 @@
 	}
 	defer answer.Close()
 	silence.stop()
-	h.noteStore(j, running.Begun(h.now()))
+	h.noteStore(j, running.Begun(h.now(), answer.StatusCode == http.StatusOK))
 	h.noteVersion(j, choice, answer.Header)
 	if j.route.Kind == traffic.KindStream && silence != nil {
 		s.stall = newAlarm(max(stallFactor*j.route.GapTarget, leastStall), cancel)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -11,12 +11,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
-	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -69,10 +67,7 @@
 	stopping  atomic.Bool
 	forbidden map[string]bool
 	metrics   Metrics
-	// storeDelay is how much longer requests took lately that named a store.
-	// storeMu guards it and is taken last.
-	storeMu    sync.Mutex
-	storeDelay speed.Delay
+	store     storeWatch
 }
 
 // New returns a handler.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -13,7 +13,9 @@
 
 // Metrics counts what a Handler did. It is safe for concurrent use.
 type Metrics struct {
-	open    atomic.Int64
+	open atomic.Int64
+	// behind counts requests refused since all engines were behind.
+	behind  atomic.Uint64
 	classes [6]atomic.Uint64
 	own     [6]atomic.Uint64
 	first   histogram
@@ -57,6 +59,11 @@
 		fmt.Fprintf(w, "quinceridge_answers_total{class=\"%dxx\"} %d\n", class, m.classes[class].Load())
 		fmt.Fprintf(w, "quinceridge_own_answers_total{class=\"%dxx\"} %d\n", class, m.own[class].Load())
 	}
+	for pool, rate := range h.config.Pool.Rates() {
+		fmt.Fprintf(w, "quinceridge_engine_read_tokens_per_ms{pool=%q} %.1f\n", pool, float64(rate))
+	}
+	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.behind.Load())
+	fmt.Fprintf(w, "quinceridge_store_delay_seconds %.3f\n", h.store.current(h.now()).Seconds())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
 	m.first.write(w, "quinceridge_first_seconds")
 	m.whole.write(w, "quinceridge_answer_seconds")
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -14,9 +14,6 @@
 	// savedFor is how long a part that some router saved is taken to be in the
 	// store. A store drops what is not used.
 	savedFor = 30 * time.Second
-	// moveFactor is how many times longer than reading it a prompt may take from
-	// the store: what is read twice is lost work.
-	moveFactor = 2
 	// maxSaved bounds what a router remembers of saved parts.
 	maxSaved = 50000
 )
@@ -106,7 +103,7 @@
 		return
 	}
 	store := j.table.Store(xxhash.Sum64String(j.query.Key))
-	if store != nil && !h.storePays(j) {
+	if store != nil && !h.store.pays(h.now(), h.storeWorth(j)) {
 		store = nil
 	}
 	switch {
@@ -120,26 +117,6 @@
 	}
 }
 
-// storePays tells whether a move of the shared parts is worth the store's delay. A store with a long queue gets no more work until it has caught up.
-func (h *Handler) storePays(j *job) bool {
-	worth := max(moveFactor*h.config.Pool.ReadTime(j.pool.Name, j.query.Shared), j.route.Target/4)
-	h.storeMu.Lock()
-	defer h.storeMu.Unlock()
-	return h.storeDelay.At(h.now()) <= worth
-}
-
-// noteStore learns from a request that named a store how long that delayed it.
-func (h *Handler) noteStore(j *job, excess time.Duration) {
-	source := j.request.Header.Get(h.config.Headers.FetchFrom)
-	store := j.table.Store(xxhash.Sum64String(j.query.Key))
-	if store == nil || source != store.Address {
-		return
-	}
-	h.storeMu.Lock()
-	defer h.storeMu.Unlock()
-	h.storeDelay.Observe(h.now(), excess)
-}
-
 // salt separates kept prompts by model, version and isolated tenant.
 func salt(j *job, version int) string {
 	text := j.query.Model + "/" + strconv.Itoa(version)
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -11,13 +11,16 @@
 type TokensPerMs float64
 
 const (
-	// priorRate is assumed before anything is known, and priorTokens how much a
-	// few early requests must read to outweigh it.
-	priorRate   TokensPerMs = 40
-	priorTokens             = 2000
+	// priorTokens is how much a few early requests must read to outweigh priorRate.
+	priorTokens = 2000
 	// keep is the weight that a sample keeps with each further one: some
 	// hundred of them count.
 	keep = 0.99
+)
+
+const (
+	// priorRate is assumed before anything is known.
+	priorRate TokensPerMs = 40
 	// Bounds of an estimate. They only keep nonsense out.
 	leastRate TokensPerMs = 0.5
 	mostRate  TokensPerMs = 5000
