--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -172,8 +172,9 @@
 	version int
 	cancel  func(error)
 	begun   bool
-	// sent is when the request was sent, and reading what its engine had to read
-	// before its first event: nil where that is not known.
+	// sent is when the request was sent, and ahead the prompt tokens that its engine
+	// had to read up to its first event. reading learns from them; nil for back
+	// ends without models, and once it has.
 	sent    time.Duration
 	ahead   int
 	reading *speed.Reading
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -84,8 +85,8 @@
 
 // awaitRead waits until the prompts that an engine has been sent are read.
 func (s *Server) awaitRead(ctx context.Context, id string) {
-	pause(ctx, announcePause)
-	for limit := s.now() + readLimit; s.now() < limit && ctx.Err() == nil; pause(ctx, readEvery) {
+	periodic.Pause(ctx, announcePause)
+	for limit := s.now() + readLimit; s.now() < limit && ctx.Err() == nil; periodic.Pause(ctx, readEvery) {
 		unread := 0
 		s.loop.Do(ctx, func(time.Duration) { unread = s.soft.told.unread(id) })
 		if unread == 0 {
@@ -148,13 +149,13 @@
 			return err
 		}
 		if !errors.Is(err, ErrMismatch) {
-			pause(ctx, orderPause)
+			periodic.Pause(ctx, orderPause)
 			continue
 		}
 		if held, failure := s.expect(ctx, row, &order); failure == nil && held {
 			return ErrHeld
 		}
-		pause(ctx, reportEvery)
+		periodic.Pause(ctx, reportEvery)
 	}
 	return ctx.Err()
 }
@@ -187,20 +188,13 @@
 
 // awaitLoaded asks the engine until it reports the version.
 func (s *Server) awaitLoaded(ctx context.Context, row state.Backend, model string, version int) error {
-	pause(ctx, firstReport)
+	periodic.Pause(ctx, firstReport)
 	for ctx.Err() == nil {
 		report, err := s.report(ctx, row)
 		if err == nil && report.Weights[model] >= version && !report.Busy {
 			return nil
 		}
-		pause(ctx, reportEvery)
+		periodic.Pause(ctx, reportEvery)
 	}
 	return ctx.Err()
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -119,20 +120,12 @@
 		if found || len(j.query.Tried) > 0 || time.Now().After(limit) {
 			return choice, found
 		}
-		if pause(ctx, waitStep); ctx.Err() != nil {
+		if periodic.Pause(ctx, waitStep); ctx.Err() != nil {
 			return choice, false
 		}
 	}
 }
 
-// pause waits, or until the context ends.
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 // again tells whether another attempt is allowed after a result.
 func (h *Handler) again(j *job, s *session, result outcome) bool {
 	if len(j.query.Tried) >= maxSends || (s.begun && !j.route.Resumable) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -187,7 +188,7 @@
 		if h.config.Source.Table() != nil && h.config.Source.Fresh() {
 			return
 		}
-		pause(ctx, freshStep)
+		periodic.Pause(ctx, freshStep)
 	}
 }
 
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -1,4 +1,4 @@
-// Package periodic runs work at even intervals.
+// Package periodic runs work at even intervals, and waits between two tries.
 package periodic
 
 import (
@@ -21,3 +21,11 @@
 		}
 	}
 }
+
+// Pause waits, or until the context ends.
+func Pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
