The choice among plain back ends does not herd with the number of routers

Change: a choice knows how old the shared loads are (the leader says it), what of them still runs, and how many requests the others have sent since; it draws a back end so that all routers together even the costs out. With fresh loads or one router it is the least cost, as before.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -29,6 +29,8 @@
 	// Patience is how long the request may wait until an engine reads it; 0 for
 	// any time.
 	Patience time.Duration
+	// Draw is a random number in [0, 1) that decides among candidates.
+	Draw float64
 	// Tried lists back ends that are not to be chosen again.
 	Tried []string
 	// cold keeps what Cold returned in the choice under way: many candidates
@@ -92,11 +94,12 @@
 		p.refused++
 	}
 	preferred := p.preferred(q, candidates)
+	old := p.flowOf(q.Pool).stale(now, p.age(now), q.Routers)
 	homes := rank(q.Key, q.Model, candidates, preferred > 0)
 	for i := range candidates {
-		candidates[i].cost = p.cost(now, q, &candidates[i], rate, preferred)
+		candidates[i].cost = p.cost(now, q, &candidates[i], old, rate, preferred)
 	}
-	best := pick(candidates)
+	best := p.pick(q, candidates, old)
 	version, versioned := best.Weights[q.Model]
 	homeAddress := ""
 	if versioned && homes[version] != nil {
@@ -119,8 +122,16 @@
 // ahead are the prompt tokens that the back end has still to read.
 func (c *candidate) ahead() int { return c.prefill + c.others.Prompt }
 
-// pick returns the candidate of least cost; the lowest ID wins a tie.
-func pick(candidates []candidate) *candidate {
+// pick chooses among the candidates by their costs.
+func (p *Pool) pick(q *Query, candidates []candidate, old staleness) *candidate {
+	if q.Slots > 0 {
+		return least(candidates)
+	}
+	return spread(candidates, old.unseen*loadCost(1, &candidates[0]), q.Draw)
+}
+
+// least returns the candidate of least cost; the lowest ID wins a tie.
+func least(candidates []candidate) *candidate {
 	best := &candidates[0]
 	for i := range candidates[1:] {
 		c := &candidates[i+1]
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -63,8 +63,12 @@
 	rows map[string]*row
 	// notes is what the leader said last.
 	notes coordapi.Notes
-	// othersAt is when the others' work was heard of last.
-	othersAt time.Duration
+	// othersAt is when the others' work was heard of last, and othersAge how old it
+	// was then.
+	othersAt  time.Duration
+	othersAge time.Duration
+	// flows are the requests of each pool, by its name.
+	flows map[string]*flow
 	// waiting are the attempts whose back ends have not begun.
 	waiting map[*Attempt]struct{}
 	// refused counts the requests for which all engines were behind.
@@ -75,7 +79,8 @@
 
 // NewPool returns an empty pool as seen from a zone.
 func NewPool(zone string) *Pool {
-	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, reading: map[string]*speed.Reading{}}
+	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, reading: map[string]*speed.Reading{},
+		flows: map[string]*flow{}}
 }
 
 // Apply changes rows and removes departed back ends; whole replaces all.
@@ -124,8 +129,9 @@
 	Most   int
 }
 
-// Others takes the work of all routers together, this one's among it.
-func (p *Pool) Others(now time.Duration, loads []coordapi.Load) {
+// Others takes the work of all routers together, this one's among it, as it was
+// age ago in the mean.
+func (p *Pool) Others(now time.Duration, loads []coordapi.Load, age time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.rows {
@@ -137,9 +143,12 @@
 				Prompt: max(l.Prompt-r.told.Prompt, 0)}
 		}
 	}
-	p.othersAt = now
+	p.othersAt, p.othersAge = now, age
 }
 
+// age is how old the others' work is.
+func (p *Pool) age(now time.Duration) time.Duration { return now - p.othersAt + p.othersAge }
+
 // Own returns this router's work under way.
 func (p *Pool) Own() []coordapi.Load {
 	p.mu.Lock()
@@ -190,6 +199,7 @@
 	a := &Attempt{pool: p, id: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.flowOf(q.Pool).sent(now)
 	if q.Model != "" {
 		a.ahead, a.reading = choice.Ahead+choice.Work.Prompt, p.readingOf(q.Pool)
 	}
@@ -204,6 +214,16 @@
 	return a
 }
 
+// flowOf returns the flow of requests to a pool.
+func (p *Pool) flowOf(pool string) *flow {
+	f := p.flows[pool]
+	if f == nil {
+		f = &flow{}
+		p.flows[pool] = f
+	}
+	return f
+}
+
 // readingOf returns the estimate for a pool.
 func (p *Pool) readingOf(pool string) *speed.Reading {
 	r := p.reading[pool]
@@ -278,13 +298,14 @@
 	}
 }
 
-// Succeeded notes a good answer and how long it took to begin.
+// Succeeded notes a good answer and how long it took.
 func (p *Pool) Succeeded(now time.Duration, id string, took time.Duration) {
 	p.with(id, func(r *row) {
 		r.silent = false
 		r.failures = r.rate(now) * (1 - failureGain)
 		r.failedAt = now
 		r.latency += latencyGain * (float64(took.Milliseconds()) - r.latency)
+		p.flowOf(r.Pool).ended(took)
 	})
 }
 
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -40,12 +40,14 @@
 	// roomyShare is the part of an engine's memory that requests may take
 	// without a cost: the rest keeps prompts.
 	roomyShare = 0.6
-	// typicalWork is the assumed time of a request to a pool without engines.
-	typicalWork = 40
 )
 
+// typicalWork is the assumed time of a request to a pool without engines, until
+// some were answered.
+const typicalWork = 40 * time.Millisecond
+
 // cost is the scorer: the expected delay of the request at a candidate.
-func (p *Pool) cost(now time.Duration, q *Query, c *candidate, rate speed.TokensPerMs, preferred int) float64 {
+func (p *Pool) cost(now time.Duration, q *Query, c *candidate, old staleness, rate speed.TokensPerMs, preferred int) float64 {
 	total := failureCost * c.rate(now)
 	if c.silent {
 		total += silentCost
@@ -54,7 +56,7 @@
 		total += farCost
 	}
 	if q.Slots == 0 {
-		return total + float64(c.running+c.others.Running)*typicalWork + c.latency/4
+		return total + loadCost(float64(c.running)+old.kept*float64(c.others.Running), c) + c.latency/4
 	}
 	reading := float64(rate.Wait(c.ahead()+q.unread(c.Weights[q.Model]))) / float64(time.Millisecond)
 	total += reading + stallFactor*max(0, reading-stallTime)
@@ -69,6 +71,12 @@
 	return total
 }
 
+// loadCost is the delay by requests that run at a back end without engines: the
+// more places it has, the less each of them delays a further one.
+func loadCost(running float64, c *candidate) float64 {
+	return running * float64(typicalWork.Milliseconds()) / float64(max(c.Slots, 1))
+}
+
 // crowding is how far the request would overfill an engine's memory or slots:
 // 0 while there is room.
 func crowding(q *Query, c *candidate) float64 {
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -99,6 +99,8 @@
 	Loads []Load `json:"loads,omitempty"`
 	// PackedLoads is a packed []Load in place of Loads, where there are many.
 	PackedLoads []byte `json:"packed_loads,omitempty"`
+	// LoadsAge is how old the loads are in the mean, as of the View.
+	LoadsAge time.Duration `json:"loads_age,omitempty"`
 	// Announced counts the leader's announcements of Saved and Loads.
 	Announced uint64 `json:"announced,omitempty"`
 	// Members are the peer addresses of the coordinators.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -281,6 +281,7 @@
 	v.Announced = s.soft.told.announcements
 	if news {
 		v.Loads, v.PackedLoads = s.soft.told.sums, s.soft.told.packed
+		v.LoadsAge = now - s.soft.told.toldAt
 	}
 	if d.Remembers(w.Since) {
 		v.Backends, v.Departed = d.Changed(w.Since)
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -38,6 +38,8 @@
 	// rows; sums is empty then.
 	sums   []coordapi.Load
 	packed []byte
+	// toldAt is when the loads in sums were told, in the mean.
+	toldAt time.Duration
 	// announcements counts them.
 	announcements uint64
 	at            time.Duration
@@ -87,16 +89,19 @@
 // sum adds the routers' loads up.
 func (t *told) sum(now time.Duration) {
 	sums := map[string]coordapi.Load{}
+	var ages time.Duration
 	for router, r := range t.loads {
 		if now-r.at > loadKept {
 			delete(t.loads, router)
 			continue
 		}
+		ages += now - r.at
 		for _, l := range r.loads {
 			s := sums[l.ID]
 			sums[l.ID] = coordapi.Load{ID: l.ID, Running: s.Running + l.Running, Memory: s.Memory + l.Memory, Prompt: s.Prompt + l.Prompt}
 		}
 	}
+	t.toldAt = now - ages/time.Duration(max(len(t.loads), 1))
 	t.sums = make([]coordapi.Load, 0, len(sums))
 	for _, l := range sums {
 		t.sums = append(t.sums, l)
--- a/internal/coordinator/told_test.go
+++ b/internal/coordinator/told_test.go
@@ -30,6 +30,14 @@
 	assert.Assert(t, !sums.announce(3*time.Second, 2), "nothing new was told")
 }
 
+func TestSharedLoadsSayHowOldTheyAre(t *testing.T) {
+	var sums told
+	sums.take(time.Second, &coordapi.Tell{Router: "a"})
+	sums.take(2*time.Second, &coordapi.Tell{Router: "b"})
+	assert.Assert(t, sums.announce(2200*time.Millisecond, 2))
+	assert.Equal(t, sums.toldAt, 1500*time.Millisecond)
+}
+
 func TestARefusalCountsForAWhile(t *testing.T) {
 	var news told
 	assert.Assert(t, !news.crowded(time.Second))
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,8 +44,8 @@
 	Apply(rows []state.Backend, departed []string, whole bool)
 	// Note takes what only the leader knows.
 	Note(notes coordapi.Notes)
-	// Others takes the work of all routers together.
-	Others(now time.Duration, loads []coordapi.Load)
+	// Others takes the work of all routers together, as it was age ago in the mean.
+	Others(now time.Duration, loads []coordapi.Load, age time.Duration)
 	// Own returns the work of this router that is under way. What it returned
 	// last counts as part of what Others brings.
 	Own() []coordapi.Load
@@ -254,7 +254,7 @@
 		f.config.Pool.Apply(rows, v.Departed, whole)
 	}
 	if v.Announced != f.announced {
-		f.config.Pool.Others(time.Since(f.started), f.loads(v))
+		f.config.Pool.Others(time.Since(f.started), f.loads(v), v.LoadsAge)
 	}
 	if v.Leader != f.token {
 		f.config.Pool.Note(v.Notes)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -23,11 +23,11 @@
 // nobody takes what is said of back ends.
 type nobody struct{}
 
-func (nobody) Apply([]state.Backend, []string, bool) {}
-func (nobody) Refused() int                          { return 0 }
-func (nobody) Note(coordapi.Notes)                   {}
-func (nobody) Others(time.Duration, []coordapi.Load) {}
-func (nobody) Own() []coordapi.Load                  { return nil }
+func (nobody) Apply([]state.Backend, []string, bool)                {}
+func (nobody) Refused() int                                         { return 0 }
+func (nobody) Note(coordapi.Notes)                                  {}
+func (nobody) Others(time.Duration, []coordapi.Load, time.Duration) {}
+func (nobody) Own() []coordapi.Load                                 { return nil }
 
 // script is a coordinator that answers as it is told.
 type script struct {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -116,6 +116,7 @@
 	}
 	limit := time.Now().Add(j.route.Target / waitDivisor)
 	for {
+		j.query.Draw = rand.Float64()
 		choice, found := h.config.Pool.Choose(h.now(), &j.query)
 		if found || len(j.query.Tried) > 0 || time.Now().After(limit) {
 			return choice, found
