Dead starts of engines stand back at once, and silence ends an attempt only with a budget for another

Ruled out: engines that are full (111 answers of 503). Change: of two rows at one address the one heard last counts, the other is hinted as silent with the same news; silent engines stand back like busy ones and are no homes. A silent attempt is given up only once the budget has granted the next. Tests: each failed before (the silent attempt ended with 502).

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -143,14 +143,14 @@
 }
 
 // candidates returns the back ends that pass the filters. Those that turned a
-// request away a moment ago stand back unless no other is left.
+// request away a moment ago or are silent stand back unless no other is left.
 func (p *Pool) candidates(now time.Duration, q *Query) []candidate {
 	var out, pausing []candidate
 	for _, r := range p.rows {
 		if r.Pool != q.Pool || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) {
 			continue
 		}
-		if now < r.busy {
+		if now < r.busy || r.silent {
 			pausing = append(pausing, candidate{row: r})
 			continue
 		}
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -14,7 +14,7 @@
 )
 
 func engine(id string, version int) state.Backend {
-	return state.Backend{ID: id, Pool: "llm", Address: "127.0.0.1:1", Zone: "a", Slots: 8, Weights: map[string]int{"m": version}}
+	return state.Backend{ID: id, Pool: "llm", Address: "127.0.0.1:1/" + id, Zone: "a", Slots: 8, Weights: map[string]int{"m": version}}
 }
 
 func query() Query {
@@ -44,6 +44,29 @@
 	assert.Assert(t, first.Home)
 }
 
+// A back end that crashes comes back at its address under another ID. Half of
+// all keys moved with each such start.
+func TestAnEngineThatStartsAgainGetsItsKeysBack(t *testing.T) {
+	again := engine("y", 1)
+	again.ID = "y2"
+	before, after := newTestPool(engine("x", 1), engine("y", 1), engine("z", 1)), newTestPool(engine("x", 1), again, engine("z", 1))
+	q := query()
+	for i := range 100 {
+		q.Key = strconv.Itoa(i)
+		assert.Equal(t, mustChoose(t, before, 0, q).Address, mustChoose(t, after, 0, q).Address)
+	}
+}
+
+// A silent home was named as the source of kept prompts, and engines waited for it.
+func TestASilentEngineIsNoHome(t *testing.T) {
+	p := newTestPool(engine("x", 1), engine("y", 1), engine("z", 1))
+	home := mustChoose(t, p, 0, query())
+	p.Note(coordapi.Notes{Silent: []string{home.ID}})
+	next := mustChoose(t, p, 0, query())
+	assert.Assert(t, next.ID != home.ID && next.Home)
+	assert.Equal(t, next.HomeAddress, next.Address)
+}
+
 func TestABusyHomeSpillsAndNamesTheHome(t *testing.T) {
 	p := newTestPool(engine("x", 1), engine("y", 1), engine("z", 1))
 	q := query()
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -88,11 +88,13 @@
 }
 
 // rank orders the candidates by rendezvous hashing of the key, so that all
-// routers agree on a key's home and a lost back end moves only its own keys.
-// With apart each version of the weights is ranked by itself, and has a home of
-// its own. It returns the first candidate of each version: what an engine keeps
+// routers agree on a key's home and a lost back end moves only its own keys. A
+// back end that starts again at its address gets the same keys back.
+// With versions
+// each version of the weights is ranked by itself, and has a home of its own. It
+// returns the first candidate of each version: what an engine keeps
 // was made with its own weights.
-func rank(key, model string, candidates []candidate, apart bool) map[int]*row {
+func rank(key, model string, candidates []candidate, versions bool) map[int]*row {
 	if key == "" {
 		return nil
 	}
@@ -117,7 +119,7 @@
 			homes[version] = c.row
 		}
 		group := 0
-		if apart {
+		if versions {
 			group = version
 		}
 		c.rank = ranked[group]
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -21,8 +21,11 @@
 	drainedAfter = 8 * time.Second
 	// watcherKept is how long a router counts after its last watch.
 	watcherKept = 4 * time.Second
-	// silenceEvery is the time between two looks for silent back ends.
+	// silenceEvery is the time between two looks for silent back ends, and
+	// changedEvery the least such time when rows have changed: one may follow
+	// another at its address.
 	silenceEvery = 300 * time.Millisecond
+	changedEvery = 20 * time.Millisecond
 )
 
 // softState is what a leader knows without the log. A new leader starts with
@@ -36,9 +39,12 @@
 	// epoch and changes name the state of silent and minimum.
 	epoch   string
 	changes int
-	looked  time.Duration
-	told    told
-	whole   packedWhole
+	// looked is when silent back ends were looked for last, and lookedAt the
+	// revision of the rows then.
+	looked   time.Duration
+	lookedAt uint64
+	told     told
+	whole    packedWhole
 }
 
 // packedWhole is the packed form of all that routers must know, made when it is
@@ -104,18 +110,49 @@
 	return now - t.since
 }
 
-// look finds the back ends that are silent, and those that are gone.
+// lookDue tells whether to look for silent back ends, given the revision of the
+// rows.
+func (t *softState) lookDue(now time.Duration, rowsAt uint64) bool {
+	if rowsAt > t.lookedAt {
+		return now-t.looked > changedEvery
+	}
+	return now-t.looked > silenceEvery
+}
+
+// succeeded returns the back ends at whose address a later start has been heard
+// of since: an address has one process at a time. A heartbeat that arrives late
+// may name the wrong one until the next.
+func (t *softState) succeeded(backends map[string]state.Backend) map[string]bool {
+	latest := map[string]string{}
+	for id, b := range backends {
+		other, taken := latest[b.Address]
+		if !taken || t.beats[id].at > t.beats[other].at {
+			latest[b.Address] = id
+		}
+	}
+	out := map[string]bool{}
+	for id, b := range backends {
+		if last := latest[b.Address]; t.beats[last].at > t.beats[id].at {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// look finds the back ends that are silent or have a successor at their address,
+// and those that are gone.
 func (t *softState) look(now time.Duration, interval time.Duration, backends map[string]state.Backend) (gone []string) {
 	t.looked = now
 	limit := time.Duration(silentBeats * float64(interval))
 	var silent []string
+	succeeded := t.succeeded(backends)
 	for id, b := range backends {
 		quiet := t.quiet(now, id)
 		if quiet > departAfter || (b.Draining && quiet > drainedAfter) {
 			gone = append(gone, id)
 			continue
 		}
-		if quiet > limit {
+		if quiet > limit || succeeded[id] {
 			silent = append(silent, id)
 		}
 	}
@@ -142,7 +179,7 @@
 func (s *Server) noteChanges() {
 	now := s.now()
 	d := s.core.Machine().Deployment()
-	if s.lastRole == raft.Leader && now-s.soft.looked > silenceEvery {
+	if s.lastRole == raft.Leader && s.soft.lookDue(now, d.BackendsAt) {
 		s.lookForSilence(now, d)
 	}
 	s.rollout.note(now, d)
@@ -163,6 +200,7 @@
 
 func (s *Server) lookForSilence(now time.Duration, d *state.Deployment) {
 	before := s.soft.silent
+	s.soft.lookedAt = d.BackendsAt
 	gone := s.soft.look(now, s.settings.BackendHeartbeat, d.Backends)
 	if !slices.Equal(before, s.soft.silent) {
 		s.logger.Info("silent back ends", "part", "registry", "backends", s.soft.silent)
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
@@ -31,6 +32,9 @@
 	// pause, and leastStall the least such time.
 	stallFactor = 4
 	leastStall  = 2 * time.Second
+	// alarmStep is the pause after which a silent attempt is looked at again that
+	// went on for want of a repeat.
+	alarmStep = 100 * time.Millisecond
 	// patienceDivisor is the part of the latency target for which a request may
 	// wait until an engine begins to read it.
 	patienceDivisor = 2
@@ -135,7 +139,7 @@
 	if result.verdict != notRun && (!j.route.Repeatable() || j.ran >= max(j.route.MaxAttempts, 1)) {
 		return false
 	}
-	if j.sent == 0 {
+	if j.sent == 0 || j.granted.Swap(false) {
 		return true
 	}
 	return h.budget.Spend(h.now(), j.pool.Name, h.config.Source.Routers())
@@ -161,7 +165,7 @@
 	h.noteStore(j, running.Begun(h.now(), answer.StatusCode == http.StatusOK))
 	h.noteVersion(j, choice, answer.Header)
 	if j.route.Kind == traffic.KindStream && silence != nil {
-		s.stall = newAlarm(max(stallFactor*j.route.GapTarget, leastStall), cancel)
+		s.stall = newAlarm(max(stallFactor*j.route.GapTarget, leastStall), h.giveUp(j, cancel))
 		defer s.stall.stop()
 	}
 	result := h.take(ctx, s, answer)
@@ -175,30 +179,66 @@
 	if !j.route.Repeatable() || j.ran+1 >= max(j.route.MaxAttempts, 1) || j.route.Target <= 0 {
 		return nil
 	}
-	return newAlarm(silenceFactor*j.route.Target, cancel)
+	return newAlarm(silenceFactor*j.route.Target, h.giveUp(j, cancel))
 }
 
-// alarm cancels an attempt unless it is put off in time. A nil alarm does
+// giveUp returns what ends a silent attempt: only when the budget has a repeat,
+// which is taken at once. Without one the attempt is the only hope that is left.
+func (h *Handler) giveUp(j *job, cancel context.CancelCauseFunc) func() bool {
+	return func() bool {
+		if !h.budget.Spend(h.now(), j.pool.Name, h.config.Source.Routers()) {
+			return false
+		}
+		j.granted.Store(true)
+		cancel(errSilent)
+		return true
+	}
+}
+
+// alarm gives an attempt up unless it is put off in time. A nil alarm does
 // nothing.
 type alarm struct {
 	limit time.Duration
-	timer *time.Timer
+	// giveUp returns false when it is to be asked again after alarmStep.
+	giveUp func() bool
+	// mu guards timer, which its own function sets anew, and stopped.
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
 }
 
-func newAlarm(limit time.Duration, cancel context.CancelCauseFunc) *alarm {
-	return &alarm{limit: limit, timer: time.AfterFunc(limit, func() { cancel(errSilent) })}
+func newAlarm(limit time.Duration, giveUp func() bool) *alarm {
+	a := &alarm{limit: limit, giveUp: giveUp}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.timer = time.AfterFunc(limit, a.ring)
+	return a
 }
 
-func (a *alarm) stop() {
-	if a != nil {
-		a.timer.Stop()
+func (a *alarm) ring() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.stopped && !a.giveUp() {
+		a.timer.Reset(alarmStep)
 	}
 }
 
-func (a *alarm) putOff() {
-	if a != nil {
-		a.timer.Reset(a.limit)
+func (a *alarm) stop() { a.reset(true) }
+
+func (a *alarm) putOff() { a.reset(false) }
+
+func (a *alarm) reset(stopped bool) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopped = a.stopped || stopped
+	if a.stopped {
+		a.timer.Stop()
+		return
 	}
+	a.timer.Reset(a.limit)
 }
 
 var errSilent = errors.New("the back end was silent for too long")
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -171,6 +171,39 @@
 	_ = conn.Close()
 }
 
+// While engines crashed, the budget of a router was soon spent: 713 requests of a
+// day were given up for the silence of their engines and had no other attempt.
+func TestASilentAttemptGoesOnWithoutABudgetForAnother(t *testing.T) {
+	r := newRig(t)
+	r.handler.budget = newBudget(BudgetConfig{Window: time.Second})
+	slow := func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		good(w, q)
+	}
+	r.add("app", "a", slow)
+	r.add("app", "b", slow)
+	answer := r.ask("GET", "/safe/x", nil)
+	assert.Equal(t, answer.status, http.StatusOK)
+	assert.Equal(t, r.ran("a", "b"), 1)
+}
+
+func TestASilentAttemptIsGivenUpForAnother(t *testing.T) {
+	r := newRig(t)
+	hanging := make(chan struct{})
+	t.Cleanup(func() { close(hanging) })
+	var asked atomic.Int32
+	firstHangs := func(w http.ResponseWriter, q *http.Request) {
+		if asked.Add(1) == 1 {
+			<-hanging
+		}
+		good(w, q)
+	}
+	r.add("app", "a", firstHangs)
+	r.add("app", "b", firstHangs)
+	assert.Equal(t, r.ask("GET", "/safe/x", nil).status, http.StatusOK)
+	assert.Equal(t, asked.Load(), int32(2))
+}
+
 func TestAnAnswerPassesWithItsSeal(t *testing.T) {
 	r := newRig(t)
 	r.add("app", "x", good)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -117,6 +117,8 @@
 	ran int
 	// sent counts the attempts that arrived at a back end.
 	sent int
+	// granted says that the budget's repeat for the next attempt is taken.
+	granted atomic.Bool
 	// trace is the chain of attempts for the log.
 	trace []string
 }
