The leader places the requests of all routers at engines

In the seconds of trouble 30 in 100 long prompts began late and 40 to 55 in 100 streams paused for over 600 ms, since engines read long prompts one behind the other while others were idle; nothing of that was late at a twin of 20 routers. Change: internal/placer, on the leader. A router asks for an engine, the leader counts each placement at once, lets what is to be read drain at the engine's speed, and hears of ends and troubles with the next question or word: an engine that one router cannot reach is avoided for all. A choice among 240 engines no longer sorts them. Homes by address: a new start gets its keys back.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -3,11 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/speed"
 )
 
 // Query is what a choice needs to know of a request.
 type Query struct {
 	Pool string
+	// Zone is where the request comes from; empty for the pool's own.
+	Zone string
 	// Model is empty for pools without models.
 	Model string
 	// Key names the shared part of the prompt; requests with the same key
@@ -58,6 +62,9 @@
 	Considered int
 	// Work is what the request takes of the chosen back end.
 	Work Work
+	// Placement is its number at who chose for all routers, 0 for a choice of the
+	// router's own.
+	Placement uint64
 	// Ahead are the prompt tokens that the back end reads before the request's,
 	// and Wait about how long that takes.
 	Ahead int
@@ -84,11 +91,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.cold = map[int]int{}
-	candidates := p.candidates(now, q)
+	rate := p.readingOf(q.Pool).Rate()
+	candidates := p.candidates(now, q, rate)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	rate := p.readingOf(q.Pool).Rate()
 	candidates, late := within(candidates, q, rate)
 	if late {
 		p.refused++
@@ -108,20 +115,20 @@
 	work := Work{Prompt: q.unread(version), Most: q.Work.Most}
 	return Choice{ID: best.ID, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: len(candidates), Work: work,
-		Ahead: best.ahead(), Wait: rate.Wait(best.ahead()), Late: late}, true
+		Ahead: best.ahead, Wait: rate.Wait(best.ahead), Late: late}, true
 }
 
 // candidate is a back end under decision.
 type candidate struct {
 	*row
-	// rank is its place in the order of the query's key, from 0.
+	// ahead are the prompt tokens that the back end has still to read.
+	ahead int
+	// rank is its place in the order of the query's key, from 0 to rankLimit for
+	// all further ones.
 	rank int
 	cost float64
 }
 
-// ahead are the prompt tokens that the back end has still to read.
-func (c *candidate) ahead() int { return c.prefill + c.others.Prompt }
-
 // pick chooses among the candidates by their costs.
 func (p *Pool) pick(q *Query, candidates []candidate, old staleness) *candidate {
 	if q.Slots > 0 {
@@ -144,20 +151,21 @@
 
 // candidates returns the back ends that pass the filters. Those that turned a
 // request away a moment ago or are silent stand back unless no other is left.
-func (p *Pool) candidates(now time.Duration, q *Query) []candidate {
-	var out, pausing []candidate
+func (p *Pool) candidates(now time.Duration, q *Query, rate speed.TokensPerMs) []candidate {
+	out := p.scratch[:0]
+	aside := 0
 	for _, r := range p.rows {
 		if r.Pool != q.Pool || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) {
 			continue
 		}
+		out = append(out, candidate{row: r, ahead: p.unreadOf(now, r, rate) + r.others.Prompt})
 		if now < r.busy || r.silent {
-			pausing = append(pausing, candidate{row: r})
-			continue
+			aside++
 		}
-		out = append(out, candidate{row: r})
 	}
-	if len(out) == 0 {
-		return pausing
+	p.scratch = out
+	if aside == 0 || aside == len(out) {
+		return out
 	}
-	return out
+	return slices.DeleteFunc(out, func(c candidate) bool { return now < c.busy || c.silent })
 }
--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -29,10 +29,10 @@
 	var out []candidate
 	first := 0
 	for i := range candidates {
-		if rate.Wait(candidates[i].ahead()) <= q.Patience {
+		if rate.Wait(candidates[i].ahead) <= q.Patience {
 			out = append(out, candidates[i])
 		}
-		if candidates[i].ahead() < candidates[first].ahead() {
+		if candidates[i].ahead < candidates[first].ahead {
 			first = i
 		}
 	}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -9,9 +9,12 @@
 	"errors"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/state"
@@ -40,10 +43,14 @@
 	// refused maps models to a version that the back end did not hold.
 	refused map[string]int
 	// running and memory are this router's requests there and their tokens;
-	// prefill are the tokens whose reading has not ended.
+	// prefill are the tokens whose reading has not ended; in a pool that drains,
+	// as of readAt.
 	running int
 	memory  int
 	prefill int
+	readAt  time.Duration
+	// hash is of the address, see rank.
+	hash uint64
 	// others is the work of all other routers there, as of Pool.othersAt, and
 	// told what this router told of its own.
 	others coordapi.Load
@@ -59,8 +66,15 @@
 // Lock order: mu only.
 type Pool struct {
 	zone string
-	mu   sync.Mutex
-	rows map[string]*row
+	// drains says that nobody tells when engines have read: what they were sent
+	// counts as read at their speed.
+	drains bool
+	mu     sync.Mutex
+	rows   map[string]*row
+	// scratch is the list of candidates of the last choice.
+	scratch []candidate
+	// troubles are what Troubles returns next.
+	troubles []coordapi.Trouble
 	// notes is what the leader said last.
 	notes coordapi.Notes
 	// othersAt is when the others' work was heard of last, and othersAge how old it
@@ -83,6 +97,14 @@
 		flows: map[string]*flow{}}
 }
 
+// NewCentralPool returns an empty pool for one that chooses for all routers. It is
+// not told when engines have read a prompt.
+func NewCentralPool() *Pool {
+	p := NewPool("")
+	p.drains = true
+	return p
+}
+
 // Apply changes rows and removes departed back ends; whole replaces all.
 func (p *Pool) Apply(changed []state.Backend, departed []string, whole bool) {
 	p.mu.Lock()
@@ -96,10 +118,10 @@
 	}
 	for _, b := range changed {
 		if held, known := p.rows[b.ID]; known {
-			held.Backend = b
+			held.Backend, held.hash = b, xxhash.Sum64String(b.Address)
 			continue
 		}
-		p.rows[b.ID] = &row{Backend: b}
+		p.rows[b.ID] = &row{Backend: b, hash: xxhash.Sum64String(b.Address)}
 	}
 	for _, id := range departed {
 		delete(p.rows, id)
@@ -206,9 +228,10 @@
 	if r := p.rows[a.id]; r != nil {
 		r.running++
 		r.memory += a.work.Most
-		r.prefill += a.work.Prompt
+		r.prefill = p.unreadOf(now, r, p.readingOf(q.Pool).Rate()) + a.work.Prompt
+		r.readAt = now
 	}
-	if choice.Versioned {
+	if choice.Versioned && !p.drains {
 		p.waiting[a] = struct{}{}
 	}
 	return a
@@ -249,6 +272,38 @@
 	return excess
 }
 
+// unreadOf is how many of the tokens sent to an engine it has not read.
+func (p *Pool) unreadOf(now time.Duration, r *row, rate speed.TokensPerMs) int {
+	if !p.drains {
+		return r.prefill
+	}
+	return max(r.prefill-rate.Tokens(now-r.readAt), 0)
+}
+
+// Unread is how many tokens an engine has still to read.
+func (p *Pool) Unread(now time.Duration, id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[id]
+	if r == nil {
+		return 0
+	}
+	return p.unreadOf(now, r, p.readingOf(r.Pool).Rate())
+}
+
+// Versions returns the versions of a model's weights that engines hold.
+func (p *Pool) Versions(model string) []int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []int
+	for _, r := range p.rows {
+		if version, holds := r.Weights[model]; holds && !slices.Contains(out, version) {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
 // Rates returns how fast the engines of each pool read, for all that is known.
 func (p *Pool) Rates() map[string]speed.TokensPerMs {
 	p.mu.Lock()
@@ -273,11 +328,21 @@
 	}
 	a.begun = true
 	delete(a.pool.waiting, a)
-	if r := a.pool.rows[a.id]; r != nil {
+	if r := a.pool.rows[a.id]; r != nil && !a.pool.drains {
 		r.prefill = max(r.prefill-a.work.Prompt, 0)
 	}
 }
 
+// Waited tells a pool that drains how long the first event of an attempt took.
+func (a *Attempt) Waited(wait time.Duration) {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if a.reading != nil {
+		a.reading.Observe(a.ahead, wait)
+		a.reading = nil
+	}
+}
+
 // End notes that the attempt is over.
 func (a *Attempt) End() {
 	a.pool.mu.Lock()
@@ -312,6 +377,7 @@
 // Failed notes a failed request.
 func (p *Pool) Failed(now time.Duration, id string) {
 	p.with(id, func(r *row) {
+		p.trouble(r, coordapi.Failed)
 		r.failures = r.rate(now)*(1-failureGain) + failureGain
 		r.failedAt = now
 	})
@@ -319,12 +385,18 @@
 
 // Busy notes that a back end turned a request away.
 func (p *Pool) Busy(now time.Duration, id string) {
-	p.with(id, func(r *row) { r.busy = now + busyPause })
+	p.with(id, func(r *row) {
+		p.trouble(r, coordapi.Busy)
+		r.busy = now + busyPause
+	})
 }
 
 // Unreachable notes that no connection to a back end could be had.
 func (p *Pool) Unreachable(now time.Duration, id string) {
-	p.with(id, func(r *row) { r.busy = now + unreachablePause })
+	p.with(id, func(r *row) {
+		p.trouble(r, coordapi.Unreachable)
+		r.busy = now + unreachablePause
+	})
 }
 
 // Mismatch notes that the address answered as another instance, or that the
@@ -332,6 +404,7 @@
 func (p *Pool) Mismatch(id, model string, version int, otherInstance bool) {
 	p.with(id, func(r *row) {
 		if otherInstance {
+			p.trouble(r, coordapi.OtherInstance)
 			r.wrong = true
 			return
 		}
@@ -353,6 +426,41 @@
 	})
 }
 
+// maxTroubles bounds what is kept for Troubles.
+const maxTroubles = 64
+
+// trouble keeps what an engine's attempt showed, for others to hear of.
+func (p *Pool) trouble(r *row, kind coordapi.TroubleKind) {
+	if len(r.Weights) > 0 && len(p.troubles) < maxTroubles && !p.drains {
+		p.troubles = append(p.troubles, coordapi.Trouble{ID: r.ID, Kind: kind})
+	}
+}
+
+// Troubles returns what attempts at engines have shown since the last call.
+func (p *Pool) Troubles() []coordapi.Trouble {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.troubles
+	p.troubles = nil
+	return out
+}
+
+// Heard takes what attempts of another router have shown.
+func (p *Pool) Heard(now time.Duration, troubles []coordapi.Trouble) {
+	for _, t := range troubles {
+		switch t.Kind {
+		case coordapi.Failed:
+			p.Failed(now, t.ID)
+		case coordapi.Busy:
+			p.Busy(now, t.ID)
+		case coordapi.Unreachable:
+			p.Unreachable(now, t.ID)
+		case coordapi.OtherInstance:
+			p.Mismatch(t.ID, "", 0, true)
+		}
+	}
+}
+
 func (p *Pool) with(id string, change func(r *row)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -1,8 +1,8 @@
 package backends
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,13 +52,13 @@
 	if c.silent {
 		total += silentCost
 	}
-	if c.Zone != p.zone {
+	if c.Zone != cmp.Or(q.Zone, p.zone) {
 		total += farCost
 	}
 	if q.Slots == 0 {
 		return total + loadCost(float64(c.running)+old.kept*float64(c.others.Running), c) + c.latency/4
 	}
-	reading := float64(rate.Wait(c.ahead()+q.unread(c.Weights[q.Model]))) / float64(time.Millisecond)
+	reading := float64(rate.Wait(c.ahead+q.unread(c.Weights[q.Model]))) / float64(time.Millisecond)
 	total += reading + stallFactor*max(0, reading-stallTime)
 	total += float64(c.running+c.others.Running) * decodeCost
 	total += crowdCost * crowding(q, c)
@@ -87,43 +87,84 @@
 	return over + max(0, float64(c.running+c.others.Running+1)/float64(q.Slots)-1)
 }
 
+// ranking is the order of a key's candidates with one version of the weights.
+type ranking struct {
+	version int
+	// best are the first candidates, and weights their hashes, in falling order.
+	best    []*candidate
+	weights []uint64
+}
+
 // rank orders the candidates by rendezvous hashing of the key, so that all
 // routers agree on a key's home and a lost back end moves only its own keys. A
-// back end that starts again at its address gets the same keys back.
-// With versions
-// each version of the weights is ranked by itself, and has a home of its own. It
-// returns the first candidate of each version: what an engine keeps
-// was made with its own weights.
+// back end that starts again at its address gets the same keys back. With
+// versions each version of the weights is ranked by itself, and has a home of its
+// own. It returns the first candidate of each version: what an engine keeps was
+// made with its own weights.
 func rank(key, model string, candidates []candidate, versions bool) map[int]*row {
 	if key == "" {
 		return nil
 	}
-	weights := make(map[string]uint64, len(candidates))
-	for i := range candidates {
-		weights[candidates[i].ID] = xxhash.Sum64String(key + "/" + candidates[i].ID)
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		if weights[a.ID] != weights[b.ID] {
-			if weights[a.ID] > weights[b.ID] {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	homes, ranked := map[int]*row{}, map[int]int{}
+	hash := xxhash.Sum64String(key)
+	var all ranking
+	var rankings []*ranking
 	for i := range candidates {
 		c := &candidates[i]
-		version := c.Weights[model]
-		if homes[version] == nil {
-			homes[version] = c.row
-		}
-		group := 0
+		c.rank = rankLimit
+		weight := mixed(hash ^ c.hash)
+		all.add(c, weight)
+		rankingOf(&rankings, c.Weights[model]).add(c, weight)
+	}
+	homes := make(map[int]*row, len(rankings))
+	for _, r := range rankings {
+		homes[r.version] = r.best[0].row
 		if versions {
-			group = version
+			r.number()
 		}
-		c.rank = ranked[group]
-		ranked[group]++
+	}
+	if !versions {
+		all.number()
 	}
 	return homes
 }
+
+// rankingOf returns the ranking of a version.
+func rankingOf(rankings *[]*ranking, version int) *ranking {
+	for _, r := range *rankings {
+		if r.version == version {
+			return r
+		}
+	}
+	r := &ranking{version: version}
+	*rankings = append(*rankings, r)
+	return r
+}
+
+// add puts a candidate into its place, if it is among the first.
+func (r *ranking) add(c *candidate, weight uint64) {
+	at := len(r.best)
+	for at > 0 && (weight > r.weights[at-1] || (weight == r.weights[at-1] && c.ID < r.best[at-1].ID)) {
+		at--
+	}
+	if at >= rankLimit {
+		return
+	}
+	r.best, r.weights = slices.Insert(r.best, at, c), slices.Insert(r.weights, at, weight)
+	if len(r.best) > rankLimit {
+		r.best, r.weights = r.best[:rankLimit], r.weights[:rankLimit]
+	}
+}
+
+// number tells the candidates their places.
+func (r *ranking) number() {
+	for i, c := range r.best {
+		c.rank = i
+	}
+}
+
+// mixed spreads a hash over all bits (the finalizer of SplitMix64).
+func mixed(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -39,6 +39,7 @@
 	Leave       *Leave             `json:"leave,omitempty"`
 	Join        *Join              `json:"join,omitempty"`
 	Tell        *Tell              `json:"tell,omitempty"`
+	Place       *Place             `json:"place,omitempty"`
 }
 
 // Reply answers a Request.
@@ -50,6 +51,8 @@
 	// Document answers Read.
 	Document json.RawMessage `json:"document,omitempty"`
 	View     *View           `json:"view,omitempty"`
+	// Placed answers Place.
+	Placed *Placed `json:"placed,omitempty"`
 }
 
 // Find asks whether the node leads, and if not, who does.
@@ -158,6 +161,8 @@
 	Saved []uint64 `json:"saved,omitempty"`
 	// Loads is all work that the router has under way.
 	Loads []Load `json:"loads,omitempty"`
+	// Reports are of placements and engines.
+	Reports
 	// Refused counts the requests refused since the last word because all
 	// engines of their pool were behind.
 	Refused int `json:"refused,omitempty"`
@@ -173,6 +178,100 @@
 	Prompt  int `json:"p,omitempty"`
 }
 
+// Place asks the leader to choose an engine for a request. The leader knows all
+// that it has placed, a router only what it has sent itself.
+type Place struct {
+	Router string `json:"router"`
+	// Number names the placement among those of the router, from 1.
+	Number uint64 `json:"number"`
+	Zone   string `json:"zone,omitempty"`
+	Pool   string `json:"pool"`
+	Model  string `json:"model,omitempty"`
+	// Key names the shared part of the prompt; empty for none.
+	Key string `json:"key,omitempty"`
+	// Target is the time within which an answer is in time, and Patience how long
+	// the request may wait until an engine reads it; 0 for any time.
+	Target   time.Duration `json:"target,omitempty"`
+	Patience time.Duration `json:"patience,omitempty"`
+	// Shared, Own and Most are the shared tokens of the prompt, its others, and the
+	// most memory that the request may take.
+	Shared int `json:"shared,omitempty"`
+	Own    int `json:"own,omitempty"`
+	Most   int `json:"most,omitempty"`
+	// Cold maps versions of the weights to how many of the shared tokens must be
+	// read with them.
+	Cold map[int]int `json:"cold,omitempty"`
+	// Slots and Capacity describe one engine.
+	Slots    int `json:"slots,omitempty"`
+	Capacity int `json:"capacity,omitempty"`
+	// Tried lists engines that are not to be chosen again.
+	Tried []string `json:"tried,omitempty"`
+	Reports
+}
+
+// Placed is the engine that the leader chose for a Place. An empty ID says that
+// none may serve.
+type Placed struct {
+	ID      string `json:"id,omitempty"`
+	Address string `json:"address,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	// Version is of the weights that it holds; Versioned says that it is known.
+	Version   int  `json:"version,omitempty"`
+	Versioned bool `json:"versioned,omitempty"`
+	// Home says that it is the home of the key, and HomeAddress where that one is
+	// reached, if it holds the same version.
+	Home        bool   `json:"home,omitempty"`
+	HomeAddress string `json:"home_address,omitempty"`
+	// Cost is the winner's cost in milliseconds and Considered how many passed the
+	// filters.
+	Cost       float64 `json:"cost,omitempty"`
+	Considered int     `json:"considered,omitempty"`
+	// Prompt are the tokens that it must read, Ahead those that it reads before
+	// them, and Wait about how long the latter takes.
+	Prompt int           `json:"prompt,omitempty"`
+	Ahead  int           `json:"ahead,omitempty"`
+	Wait   time.Duration `json:"wait,omitempty"`
+	// Late says that none would begin to read within the patience. Nothing is
+	// placed then.
+	Late bool `json:"late,omitempty"`
+}
+
+// Reports is what a router has to say of its requests since its last word.
+type Reports struct {
+	// Ended are the placements that are over.
+	Ended []Ended `json:"ended,omitempty"`
+	// Troubles are what attempts have shown of engines.
+	Troubles []Trouble `json:"troubles,omitempty"`
+}
+
+// Ended is a placement that is over.
+type Ended struct {
+	Number uint64 `json:"n"`
+	// First is how long the first event took; 0 when there was none.
+	First time.Duration `json:"f,omitempty"`
+}
+
+// TroubleKind is what an attempt has shown of an engine.
+type TroubleKind string
+
+// Kinds of troubles.
+const (
+	// Failed: the attempt failed, or there was no answer.
+	Failed TroubleKind = "failed"
+	// Busy: the request was turned away.
+	Busy TroubleKind = "busy"
+	// Unreachable: no connection could be had.
+	Unreachable TroubleKind = "unreachable"
+	// OtherInstance: another start answers at the address.
+	OtherInstance TroubleKind = "other"
+)
+
+// Trouble is what an attempt has shown of an engine.
+type Trouble struct {
+	ID   string      `json:"id"`
+	Kind TroubleKind `json:"kind"`
+}
+
 // Join asks for a coordinator to become a member of the group.
 type Join struct {
 	Change raft.Change `json:"change"`
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -69,7 +69,7 @@
 func (s *Server) serve(ctx context.Context, r coordapi.Request) (coordapi.Reply, error) {
 	switch {
 	case r.Find != nil:
-		return s.leading(ctx, func(time.Duration) {})
+		return s.asLeader(ctx, func(time.Duration) {})
 	case r.Watch != nil:
 		return s.watch(ctx, *r.Watch)
 	case r.Configure != nil:
@@ -85,15 +85,27 @@
 	case r.Leave != nil:
 		return s.leave(ctx, *r.Leave)
 	case r.Tell != nil:
-		return s.leading(ctx, func(now time.Duration) { s.soft.told.take(now, r.Tell) })
+		s.placer.Report(s.now(), r.Tell.Router, &r.Tell.Reports)
+		return s.asLeader(ctx, func(now time.Duration) { s.soft.told.take(now, r.Tell) })
+	case r.Place != nil:
+		return s.place(r.Place), nil
 	case r.Join != nil:
 		return s.join(ctx, *r.Join)
 	}
 	return coordapi.Reply{}, errors.New("the request names no call")
 }
 
-// leading runs work on the replica's goroutine if this node leads.
-func (s *Server) leading(ctx context.Context, work func(now time.Duration)) (coordapi.Reply, error) {
+// place chooses an engine for a router. It is a hint, which needs no lease.
+func (s *Server) place(ask *coordapi.Place) coordapi.Reply {
+	if !s.leading.Load() {
+		return coordapi.Reply{NotLeader: true}
+	}
+	placed := s.placer.Place(s.now(), ask)
+	return coordapi.Reply{Placed: &placed}
+}
+
+// asLeader runs work on the replica's goroutine if this node leads.
+func (s *Server) asLeader(ctx context.Context, work func(now time.Duration)) (coordapi.Reply, error) {
 	var reply coordapi.Reply
 	ran := s.loop.Do(ctx, func(now time.Duration) {
 		if !s.core.HoldsLease(now) {
@@ -121,7 +133,7 @@
 func (s *Server) submit(ctx context.Context, command state.Command) (coordapi.Reply, error) {
 	done := make(chan error, 1)
 	var refused error
-	reply, err := s.leading(ctx, func(now time.Duration) {
+	reply, err := s.asLeader(ctx, func(now time.Duration) {
 		refused = s.core.Propose(now, command, func(_ state.Result, err error) { done <- err })
 	})
 	if err != nil || reply.NotLeader {
@@ -142,13 +154,13 @@
 // leader has acknowledged a newer one.
 func (s *Server) read(ctx context.Context) (coordapi.Reply, error) {
 	var document json.RawMessage
-	reply, err := s.leading(ctx, func(time.Duration) { document = s.core.Machine().Deployment().Document })
+	reply, err := s.asLeader(ctx, func(time.Duration) { document = s.core.Machine().Deployment().Document })
 	reply.Document = document
 	return reply, err
 }
 
 func (s *Server) join(ctx context.Context, j coordapi.Join) (coordapi.Reply, error) {
-	return s.leading(ctx, func(time.Duration) { s.members.ask(j.Change.ID, j.Change.Address) })
+	return s.asLeader(ctx, func(time.Duration) { s.members.ask(j.Change.ID, j.Change.Address) })
 }
 
 // beat notes a heartbeat. A heartbeat that changes the row is acknowledged
@@ -156,7 +168,7 @@
 func (s *Server) beat(ctx context.Context, b coordapi.Beat) (coordapi.Reply, error) {
 	var row state.Backend
 	changed := false
-	reply, err := s.leading(ctx, func(now time.Duration) {
+	reply, err := s.asLeader(ctx, func(now time.Duration) {
 		old, known := s.core.Machine().Deployment().Backends[b.Backend.ID]
 		if !s.soft.heard(now, b.Backend.ID, b.Sequence) && known {
 			return
@@ -217,7 +229,7 @@
 func (s *Server) leave(ctx context.Context, l coordapi.Leave) (coordapi.Reply, error) {
 	due := false
 	var row state.Backend
-	reply, err := s.leading(ctx, func(time.Duration) {
+	reply, err := s.asLeader(ctx, func(time.Duration) {
 		var known bool
 		row, known = s.core.Machine().Deployment().Backends[l.ID]
 		due = known && !row.Draining
@@ -237,7 +249,7 @@
 	for last := false; ; {
 		var view *coordapi.View
 		var changed <-chan struct{}
-		reply, err := s.leading(ctx, func(now time.Duration) {
+		reply, err := s.asLeader(ctx, func(now time.Duration) {
 			changed = s.notify.changed
 			view = s.view(now, w, last)
 		})
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -90,7 +90,7 @@
 
 // takeDigest notes the heartbeats that another node answered.
 func (s *Server) takeDigest(ctx context.Context, d coordapi.Digest) (coordapi.Reply, error) {
-	return s.leading(ctx, func(now time.Duration) {
+	return s.asLeader(ctx, func(now time.Duration) {
 		for id, sequence := range d.Heard {
 			s.soft.heard(now, string(id), sequence)
 		}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -21,6 +21,7 @@
 	"quinceridge.example/quinceridge/internal/control"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/placer"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/settings"
 )
@@ -58,8 +59,11 @@
 	loop     *control.Loop
 	started  time.Time
 	seeds    atomic.Pointer[[]string]
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
+	// placer serves routers while leads says so.
+	placer  *placer.Placer
+	leading atomic.Bool
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
 
 	// All below belongs to the run goroutine.
 	core     *control.Core
@@ -74,7 +78,7 @@
 // New provisions a coordinator. Engines carries orders to model engines.
 func New(config settings.Coordinator, engines Engines, logger *slog.Logger) (*Server, error) {
 	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines,
-		started: time.Now()}
+		started: time.Now(), placer: placer.New()}
 	s.loop = control.NewLoop(s.now)
 	var err error
 	if s.identity, err = loadIdentity(vfs.Default, config); err != nil {
@@ -217,6 +221,8 @@
 	}
 	s.lastRole = status.Role
 	s.soft.reset(s.now())
+	s.placer.Reset()
+	s.leading.Store(status.Role == raft.Leader)
 	s.notify.wake()
 	s.logger.Info("role changed", "part", "coordinator", "role", string(status.Role), "term", status.Term,
 		"voters", len(status.Membership.Voters), "applied", status.Applied)
@@ -225,5 +231,6 @@
 // lose ends what waits on a replica that is closed.
 func (s *Server) lose() {
 	s.lastRole = ""
+	s.leading.Store(false)
 	s.notify.wake()
 }
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -43,8 +43,12 @@
 	// revision of the rows then.
 	looked   time.Duration
 	lookedAt uint64
-	told     told
-	whole    packedWhole
+	// placedAt is the revision of the rows that the placer has, and placedNotes the
+	// token of its notes.
+	placedAt    uint64
+	placedNotes string
+	told        told
+	whole       packedWhole
 }
 
 // packedWhole is the packed form of all that routers must know, made when it is
@@ -183,6 +187,7 @@
 		s.lookForSilence(now, d)
 	}
 	s.rollout.note(now, d)
+	defer s.feedPlacer(d)
 	if s.lastRole == raft.Leader && s.rollout.noteMinimum(now, s.settings, d, s.soft.since) {
 		s.soft.changes++
 		s.notify.wake()
@@ -198,6 +203,28 @@
 	}
 }
 
+// feedPlacer brings the placer what has changed.
+func (s *Server) feedPlacer(d *state.Deployment) {
+	if s.lastRole != raft.Leader {
+		return
+	}
+	if since := s.soft.placedAt; d.BackendsAt > since {
+		whole := !d.Remembers(since)
+		if whole {
+			since = 0
+		}
+		rows, departed := d.Changed(since)
+		s.placer.Apply(rows, departed, whole)
+		s.soft.placedAt = d.BackendsAt
+	}
+	if token := s.soft.token(); token != s.soft.placedNotes {
+		notes := s.rollout.notes
+		notes.Silent = s.soft.silent
+		s.placer.Note(notes)
+		s.soft.placedNotes = token
+	}
+}
+
 func (s *Server) lookForSilence(now time.Duration, d *state.Deployment) {
 	before := s.soft.silent
 	s.soft.lookedAt = d.BackendsAt
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,9 +51,9 @@
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool := backends.NewPool(config.Zone)
 	saved := forward.NewSaved()
-	e.follower = follower.New(follower.Config{Name: config.Name, Seeds: config.Coordinators(), Right: config.RightLease(),
+	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Right: config.RightLease(),
 		Decode: decode, Pool: pool, Saved: saved, Peers: e.peers, Logger: logger})
-	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Pool: pool, Saved: saved,
+	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Pool: pool, Saved: saved,
 		Upstream: upstream.NewPool(headers.RequestID), Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -49,6 +49,10 @@
 	// Own returns the work of this router that is under way. What it returned
 	// last counts as part of what Others brings.
 	Own() []coordapi.Load
+	// Versions returns the versions of a model's weights that engines hold.
+	Versions(model string) []int
+	// Troubles returns what attempts at engines have shown since the last call.
+	Troubles() []coordapi.Trouble
 	// Refused returns how many requests were refused since the last call because
 	// all engines of their pool were behind.
 	Refused() int
@@ -74,6 +78,7 @@
 	seeds      atomic.Pointer[[]string]
 	following  atomic.Pointer[string]
 	started    time.Time
+	placements placements
 
 	// All below belongs to Run.
 	since uint64
@@ -89,6 +94,7 @@
 // Config says what a Follower works with.
 type Config struct {
 	Name   string
+	Zone   string
 	Seeds  []string
 	Right  time.Duration
 	Decode Decode
@@ -141,15 +147,19 @@
 		if leader == nil {
 			continue
 		}
-		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own(), Refused: f.config.Pool.Refused()}
-		quiet := len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
+		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own(), Refused: f.config.Pool.Refused(),
+			Reports: coordapi.Reports{Ended: f.placements.take(), Troubles: f.config.Pool.Troubles()}}
+		quiet := len(news.Ended) == 0 && len(news.Troubles) == 0 && len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
 		if quiet && idle {
 			continue
 		}
 		idle = quiet
 		call, cancel := context.WithTimeout(ctx, tellTimeout)
 		var reply coordapi.Reply
-		_ = f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Tell: news}, &reply)
+		if err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Tell: news}, &reply); err != nil {
+			// Ends must arrive, all else is told anew.
+			f.placements.end(news.Ended...)
+		}
 		cancel()
 	}
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -120,8 +120,7 @@
 	}
 	limit := time.Now().Add(j.route.Target / waitDivisor)
 	for {
-		j.query.Draw = rand.Float64()
-		choice, found := h.config.Pool.Choose(h.now(), &j.query)
+		choice, found := h.chooseOnce(ctx, j)
 		if found || len(j.query.Tried) > 0 || time.Now().After(limit) {
 			return choice, found
 		}
@@ -131,6 +130,18 @@
 	}
 }
 
+// chooseOnce asks who places the requests of all routers for an engine. Back ends
+// without engines are chosen here, and all of them while there is no answer.
+func (h *Handler) chooseOnce(ctx context.Context, j *job) (backends.Choice, bool) {
+	if h.config.Placer != nil && j.pool.Engine != nil {
+		if choice, found, answered := h.config.Placer.Place(ctx, &j.query); answered {
+			return choice, found
+		}
+	}
+	j.query.Draw = rand.Float64()
+	return h.config.Pool.Choose(h.now(), &j.query)
+}
+
 // again tells whether another attempt is allowed after a result.
 func (h *Handler) again(j *job, s *session, result outcome) bool {
 	if len(j.query.Tried) >= maxSends || (s.begun && !j.route.Resumable) {
@@ -156,12 +167,19 @@
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
 	defer running.End()
+	var first time.Duration
+	if choice.Placement > 0 {
+		defer func() { h.config.Placer.Ended(choice.Placement, first) }()
+	}
 	answer, err := h.config.Upstream.Do(ctx, choice.Address, j.request)
 	if err != nil {
 		return h.noAnswer(ctx, j, choice, err)
 	}
 	defer answer.Close()
 	silence.stop()
+	if answer.StatusCode == http.StatusOK {
+		first = h.now() - started
+	}
 	h.noteStore(j, running.Begun(h.now(), answer.StatusCode == http.StatusOK))
 	h.noteVersion(j, choice, answer.Header)
 	if j.route.Kind == traffic.KindStream && silence != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -46,12 +46,24 @@
 	Routers() int
 }
 
+// Placer chooses engines for all routers.
+type Placer interface {
+	// Place chooses an engine. Answered is false when the router must choose by
+	// itself, found when none may serve.
+	Place(ctx context.Context, q *backends.Query) (choice backends.Choice, found, answered bool)
+	// Ended notes that a placement is over, and how long its first event took; 0
+	// when there was none.
+	Ended(number uint64, first time.Duration)
+}
+
 // Config is what a Handler works with.
 type Config struct {
 	// Name tells routers apart.
-	Name     string
-	Headers  vocabulary.Headers
-	Source   Source
+	Name    string
+	Headers vocabulary.Headers
+	Source  Source
+	// Placer may be nil: the router then chooses engines by itself.
+	Placer   Placer
 	Pool     *backends.Pool
 	Upstream *upstream.Pool
 	Saved    *Saved
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -69,6 +69,11 @@
 	return time.Duration(float64(tokens) / float64(r) * float64(time.Millisecond))
 }
 
+// Tokens returns how many are read in a time.
+func (r TokensPerMs) Tokens(d time.Duration) int {
+	return int(float64(r) * float64(d) / float64(time.Millisecond))
+}
+
 // Delay follows how much longer than expected something takes lately: about the
 // median, so that a few slow ones prove nothing. It falls by itself, so that what
 // was avoided for its delay is tried again. It is not safe for concurrent use.
