The placer knows which engine read which prompt part

That a part was saved was known to other routers one to two seconds later, so they saved it again and took it for unread. Change: a directory of parts at the placer: who read a part last, and whether it was saved. Tests of the placer: 240 routers that send one long prompt each at one moment give one engine four when each chooses alone, three when one chooses for all.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -25,6 +26,11 @@
 	// Cold returns how many of the shared tokens must be read at a back end with
 	// this version, for all that is known; nil means none.
 	Cold func(version int) int
+	// Holder returns the engine that has the key's part with this version; nil when
+	// nothing is known of it.
+	Holder func(version int) string
+	// Parts are the shared parts of the prompt.
+	Parts []coordapi.Part
 	// Slots and Capacity describe one engine; 0 means no engine.
 	Slots    int
 	Capacity int
@@ -56,6 +62,11 @@
 	// version, since what it keeps was made with its own.
 	Home        bool
 	HomeAddress string
+	// Source is the address of an engine that has read some of the shared parts,
+	// and Save says that the request is to save them, as who places for all routers
+	// knows it.
+	Source string
+	Save   bool
 	// Cost is the winner's cost in milliseconds and Considered how many
 	// passed the filters.
 	Cost       float64
@@ -102,7 +113,7 @@
 	}
 	preferred := p.preferred(q, candidates)
 	old := p.flowOf(q.Pool).stale(now, p.age(now), q.Routers)
-	homes := rank(q.Key, q.Model, candidates, preferred > 0)
+	homes := rank(q, candidates, preferred > 0)
 	for i := range candidates {
 		candidates[i].cost = p.cost(now, q, &candidates[i], old, rate, preferred)
 	}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -9,7 +9,6 @@
 	"errors"
 	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -291,17 +290,19 @@
 	return p.unreadOf(now, r, p.readingOf(r.Pool).Rate())
 }
 
-// Versions returns the versions of a model's weights that engines hold.
-func (p *Pool) Versions(model string) []int {
+// AddressOf returns where an engine is reached that holds a version of a model,
+// empty when it does not or is not heard of.
+func (p *Pool) AddressOf(id, model string, version int) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []int
-	for _, r := range p.rows {
-		if version, holds := r.Weights[model]; holds && !slices.Contains(out, version) {
-			out = append(out, version)
-		}
+	r := p.rows[id]
+	if r == nil || r.silent || r.wrong || r.Loading != nil {
+		return ""
 	}
-	return out
+	if held, holds := r.Weights[model]; !holds || held != version {
+		return ""
+	}
+	return r.Address
 }
 
 // Rates returns how fast the engines of each pool read, for all that is known.
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -90,6 +91,8 @@
 // ranking is the order of a key's candidates with one version of the weights.
 type ranking struct {
 	version int
+	// holder is the engine that has the key's part, empty for none.
+	holder string
 	// best are the first candidates, and weights their hashes, in falling order.
 	best    []*candidate
 	weights []uint64
@@ -99,21 +102,25 @@
 // routers agree on a key's home and a lost back end moves only its own keys. A
 // back end that starts again at its address gets the same keys back. With
 // versions each version of the weights is ranked by itself, and has a home of its
-// own. It returns the first candidate of each version: what an engine keeps was
-// made with its own weights.
-func rank(key, model string, candidates []candidate, versions bool) map[int]*row {
-	if key == "" {
+// own. An engine that has the key's part comes first. It returns the first candidate of each version: what an
+// engine keeps was made with its own weights.
+func rank(q *Query, candidates []candidate, versions bool) map[int]*row {
+	if q.Key == "" {
 		return nil
 	}
-	hash := xxhash.Sum64String(key)
+	hash := xxhash.Sum64String(q.Key)
 	var all ranking
 	var rankings []*ranking
 	for i := range candidates {
 		c := &candidates[i]
 		c.rank = rankLimit
+		r := rankingOf(&rankings, c.Weights[q.Model], q)
 		weight := mixed(hash ^ c.hash)
+		if c.ID == r.holder {
+			weight = math.MaxUint64
+		}
 		all.add(c, weight)
-		rankingOf(&rankings, c.Weights[model]).add(c, weight)
+		r.add(c, weight)
 	}
 	homes := make(map[int]*row, len(rankings))
 	for _, r := range rankings {
@@ -129,13 +136,16 @@
 }
 
 // rankingOf returns the ranking of a version.
-func rankingOf(rankings *[]*ranking, version int) *ranking {
+func rankingOf(rankings *[]*ranking, version int, q *Query) *ranking {
 	for _, r := range *rankings {
 		if r.version == version {
 			return r
 		}
 	}
 	r := &ranking{version: version}
+	if q.Holder != nil {
+		r.holder = q.Holder(version)
+	}
 	*rankings = append(*rankings, r)
 	return r
 }
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -198,9 +198,8 @@
 	Shared int `json:"shared,omitempty"`
 	Own    int `json:"own,omitempty"`
 	Most   int `json:"most,omitempty"`
-	// Cold maps versions of the weights to how many of the shared tokens must be
-	// read with them.
-	Cold map[int]int `json:"cold,omitempty"`
+	// Parts are the shared parts of the prompt, in order.
+	Parts []Part `json:"parts,omitempty"`
 	// Slots and Capacity describe one engine.
 	Slots    int `json:"slots,omitempty"`
 	Capacity int `json:"capacity,omitempty"`
@@ -209,6 +208,16 @@
 	Reports
 }
 
+// PartHash names a shared part of a prompt, with the tenant where that one is
+// isolated.
+type PartHash uint64
+
+// Part is a shared part of a prompt.
+type Part struct {
+	Hash   PartHash `json:"h"`
+	Tokens int      `json:"t"`
+}
+
 // Placed is the engine that the leader chose for a Place. An empty ID says that
 // none may serve.
 type Placed struct {
@@ -218,10 +227,13 @@
 	// Version is of the weights that it holds; Versioned says that it is known.
 	Version   int  `json:"version,omitempty"`
 	Versioned bool `json:"versioned,omitempty"`
-	// Home says that it is the home of the key, and HomeAddress where that one is
-	// reached, if it holds the same version.
-	Home        bool   `json:"home,omitempty"`
-	HomeAddress string `json:"home_address,omitempty"`
+	// Home says that it is the home of the key.
+	Home bool `json:"home,omitempty"`
+	// Source is the address of an engine that has read some of the shared parts
+	// with the same weights; empty for none or the chosen one.
+	Source string `json:"source,omitempty"`
+	// Save says that the request is to save its shared parts.
+	Save bool `json:"save,omitempty"`
 	// Cost is the winner's cost in milliseconds and Considered how many passed the
 	// filters.
 	Cost       float64 `json:"cost,omitempty"`
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -49,8 +49,6 @@
 	// Own returns the work of this router that is under way. What it returned
 	// last counts as part of what Others brings.
 	Own() []coordapi.Load
-	// Versions returns the versions of a model's weights that engines hold.
-	Versions(model string) []int
 	// Troubles returns what attempts at engines have shown since the last call.
 	Troubles() []coordapi.Trouble
 	// Refused returns how many requests were refused since the last call because
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -26,7 +26,6 @@
 func (nobody) Apply([]state.Backend, []string, bool)                {}
 func (nobody) Refused() int                                         { return 0 }
 func (nobody) Note(coordapi.Notes)                                  {}
-func (nobody) Versions(string) []int                                { return nil }
 func (nobody) Troubles() []coordapi.Trouble                         { return nil }
 func (nobody) Others(time.Duration, []coordapi.Load, time.Duration) {}
 func (nobody) Own() []coordapi.Load                                 { return nil }
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -54,7 +54,7 @@
 	if leader == nil || int64(time.Since(f.started)) < f.placements.askAfter.Load() {
 		return choice, false, false
 	}
-	ask := placer.Ask(q, f.config.Pool.Versions(q.Model))
+	ask := placer.Ask(q)
 	ask.Router, ask.Zone, ask.Number = f.name, f.config.Zone, f.placements.number.Add(1)
 	ask.Ended, ask.Troubles = f.placements.take(), f.config.Pool.Troubles()
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
--- /dev/null
+++ b/internal/follower/place_test.go
@@ -0,0 +1,56 @@
+package follower
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+func TestTheLeaderPlacesARequest(t *testing.T) {
+	s := newScript(t)
+	s.say(view(3))
+	f := follow(t, time.Minute, s.address)
+	f.await(t, 3)
+	s.say(coordapi.Reply{Placed: &coordapi.Placed{ID: "e", Address: "a:1", Prompt: 7}})
+	choice, found, answered := f.Place(t.Context(), &backends.Query{Pool: "llm", Work: backends.Work{Most: 9}})
+	assert.Assert(t, answered && found)
+	assert.Equal(t, choice.ID, "e")
+	assert.Equal(t, choice.Work, backends.Work{Prompt: 7, Most: 9})
+	assert.Assert(t, choice.Placement > 0)
+	s.say(coordapi.Reply{Placed: &coordapi.Placed{}})
+	_, found, answered = f.Place(t.Context(), &backends.Query{Pool: "llm"})
+	assert.Assert(t, answered && !found)
+}
+
+// A router without an answer chooses by itself, and does not lose time with each
+// request. What it had to report is not lost.
+func TestALeaderThatPlacesNothingIsLeftAloneForAMoment(t *testing.T) {
+	s := newScript(t)
+	s.say(view(3))
+	f := follow(t, time.Minute, s.address)
+	f.await(t, 3)
+	f.Ended(41, time.Second)
+	s.say(coordapi.Reply{NotLeader: true})
+	_, _, answered := f.Place(t.Context(), &backends.Query{Pool: "llm"})
+	assert.Assert(t, !answered)
+	ended := f.placements.take()
+	assert.Equal(t, len(ended), 2)
+	assert.Equal(t, ended[0], coordapi.Ended{Number: 41, First: time.Second})
+	s.say(coordapi.Reply{Placed: &coordapi.Placed{ID: "e"}})
+	_, _, answered = f.Place(t.Context(), &backends.Query{Pool: "llm"})
+	assert.Assert(t, !answered, "asked again at once")
+	f.placements.askAfter.Store(0)
+	_, _, answered = f.Place(t.Context(), &backends.Query{Pool: "llm"})
+	assert.Assert(t, answered)
+}
+
+func TestWithoutALeaderNobodyIsAsked(t *testing.T) {
+	f := New(Config{Name: "r", Seeds: []string{"127.0.0.1:1"}, Pool: nobody{}})
+	_, _, answered := f.Place(context.Background(), &backends.Query{Pool: "llm"})
+	assert.Assert(t, !answered)
+}
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -6,7 +6,10 @@
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -55,9 +58,23 @@
 	if j.tenant != nil && j.tenant.Isolated && j.query.Key != "" {
 		j.query.Key += "/" + j.tenant.Name
 	}
+	j.query.Parts = partsOf(j, tokens)
 	header.Set(names.Priority, strconv.Itoa(urgency(j)))
 }
 
+// partsOf names the shared parts for who places requests.
+func partsOf(j *job, tokens []int) []coordapi.Part {
+	owner := ""
+	if j.tenant != nil && j.tenant.Isolated {
+		owner = "/" + j.tenant.Name
+	}
+	out := make([]coordapi.Part, len(j.parts))
+	for i, id := range j.parts {
+		out[i] = coordapi.Part{Hash: coordapi.PartHash(xxhash.Sum64String(id + owner)), Tokens: tokens[i]}
+	}
+	return out
+}
+
 // urgency is the request's priority among an engine's requests.
 func urgency(j *job) int {
 	value := j.route.Priority
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -103,6 +103,54 @@
 	assert.Assert(t, after >= 0.48 && after <= 0.73, "%v", after)
 }
 
+// placerOf places all requests at one engine, and keeps the ends.
+type placerOf struct {
+	mu       sync.Mutex
+	choice   backends.Choice
+	answered bool
+	ended    []time.Duration
+}
+
+func (p *placerOf) Place(context.Context, *backends.Query) (backends.Choice, bool, bool) {
+	return p.choice, true, p.answered
+}
+
+func (p *placerOf) Ended(_ uint64, first time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = append(p.ended, first)
+}
+
+func TestAnEngineIsChosenByWhoPlacesForAllWhileThatAnswers(t *testing.T) {
+	r := newRig(t)
+	stream := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(names.Seal, "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	}
+	r.add("llm", "mine", stream)
+	r.add("llm", "theirs", stream)
+	theirs, found := r.pool.Choose(0, &backends.Query{Pool: "llm", Tried: []string{"mine"}})
+	assert.Assert(t, found)
+	theirs.Placement = 5
+	placer := &placerOf{choice: theirs, answered: true}
+	r.handler.config.Placer = placer
+	ask := func() result {
+		return r.ask("POST", "/chat/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+	}
+	assert.Equal(t, ask().status, http.StatusOK)
+	assert.Equal(t, r.ran("theirs"), 1)
+	placer.mu.Lock()
+	assert.Equal(t, len(placer.ended), 1)
+	assert.Assert(t, placer.ended[0] > 0)
+	placer.mu.Unlock()
+	placer.answered = false
+	assert.Equal(t, ask().status, http.StatusOK)
+	assert.Equal(t, r.ran("mine", "theirs"), 2)
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	assert.Equal(t, len(placer.ended), 1, "a choice of the router's own is not reported")
+}
+
 // add starts a back end of a pool.
 func (r *rig) add(pool, id string, serve http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -107,12 +107,14 @@
 		store = nil
 	}
 	switch {
+	case choice.Source != "":
+		header.Set(names.FetchFrom, choice.Source)
 	case store != nil && (choice.Home || h.config.Saved.Known(salt, j.parts) > 0):
 		header.Set(names.FetchFrom, store.Address)
 	case !choice.Home && choice.HomeAddress != "":
 		header.Set(names.FetchFrom, choice.HomeAddress)
 	}
-	if store != nil && j.own <= j.query.Shared && h.config.Saved.Due(salt, j.parts) {
+	if store != nil && j.own <= j.query.Shared && h.config.Saved.Due(salt, j.parts) && (choice.Placement == 0 || choice.Save) {
 		header.Set(names.SaveTo, store.Address)
 	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	mu      sync.Mutex
 	pool    *backends.Pool
 	routers map[string]*router
+	parts   directory
 	swept   time.Duration
 }
 
@@ -49,6 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
+	p.parts = directory{}
 }
 
 // Apply changes rows and removes departed back ends; whole replaces all.
@@ -74,17 +77,40 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.take(now, ask.Router, &ask.Reports)
-	q := query(ask)
+	q := p.query(now, ask)
 	choice, found := p.pool.Choose(now, q)
 	if !found {
 		return coordapi.Placed{}
 	}
 	if !choice.Late {
 		r.open[ask.Number] = p.pool.Begin(now, &choice, q, func(error) {})
+		p.bring(now, ask, &choice)
 	}
 	return placed(&choice)
 }
 
+// bring decides where the chosen engine takes kept parts from, and whether it saves
+// them. A request whose own part is larger leaves the saving to the next: its own
+// part goes with it, which nobody fetches.
+func (p *Placer) bring(now time.Duration, ask *coordapi.Place, choice *backends.Choice) {
+	if !choice.Versioned {
+		return
+	}
+	for _, part := range slices.Backward(ask.Parts) {
+		if p.parts.saved(now, part.Hash, choice.Version) {
+			break
+		}
+		holder := p.parts.holder(now, part.Hash, choice.Version)
+		if holder == choice.ID {
+			break
+		}
+		if choice.Source = p.pool.AddressOf(holder, ask.Model, choice.Version); choice.Source != "" {
+			break
+		}
+	}
+	choice.Save = p.parts.read(now, ask.Parts, choice.Version, choice.ID, choice.Home, ask.Own <= ask.Shared)
+}
+
 // Report takes what a router has to say beside its placements.
 func (p *Placer) Report(now time.Duration, name string, reports *coordapi.Reports) {
 	p.mu.Lock()
@@ -131,38 +157,32 @@
 }
 
 // query is what a router asks, in the words of the choice.
-func query(ask *coordapi.Place) *backends.Query {
-	return &backends.Query{Pool: ask.Pool, Zone: ask.Zone, Model: ask.Model, Key: ask.Key, Target: ask.Target, Patience: ask.Patience,
+func (p *Placer) query(now time.Duration, ask *coordapi.Place) *backends.Query {
+	q := &backends.Query{Pool: ask.Pool, Zone: ask.Zone, Model: ask.Model, Key: ask.Key, Target: ask.Target, Patience: ask.Patience,
 		Shared: ask.Shared, Work: backends.Work{Prompt: ask.Own, Most: ask.Most}, Slots: ask.Slots, Capacity: ask.Capacity,
-		Tried: ask.Tried, Draw: rand.Float64(), Cold: func(version int) int {
-			if cold, known := ask.Cold[version]; known {
-				return cold
-			}
-			return ask.Shared
-		}}
+		Tried: ask.Tried, Draw: rand.Float64()}
+	q.Cold = func(version int) int { return p.parts.cold(now, ask.Parts, version) }
+	if n := len(ask.Parts); n > 0 {
+		q.Holder = func(version int) string { return p.parts.holder(now, ask.Parts[n-1].Hash, version) }
+	}
+	return q
 }
 
-// Ask is a router's question for a query, about the versions that it knows of.
-func Ask(q *backends.Query, versions []int) *coordapi.Place {
-	ask := &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, Shared: q.Shared,
-		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Cold: map[int]int{}}
-	for _, version := range versions {
-		if q.Cold != nil {
-			ask.Cold[version] = q.Cold(version)
-		}
-	}
-	return ask
+// Ask is a router's question for a query.
+func Ask(q *backends.Query) *coordapi.Place {
+	return &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, Shared: q.Shared,
+		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts}
 }
 
 func placed(c *backends.Choice) coordapi.Placed {
 	return coordapi.Placed{ID: c.ID, Address: c.Address, Zone: c.Zone, Version: c.Version, Versioned: c.Versioned, Home: c.Home,
-		HomeAddress: c.HomeAddress, Cost: c.Cost, Considered: c.Considered, Prompt: c.Work.Prompt, Ahead: c.Ahead, Wait: c.Wait, Late: c.Late}
+		Source: c.Source, Save: c.Save, Cost: c.Cost, Considered: c.Considered, Prompt: c.Work.Prompt, Ahead: c.Ahead, Wait: c.Wait, Late: c.Late}
 }
 
 // Choice is a placement in the words of the choice. False says that no engine may
 // serve.
 func Choice(ask *coordapi.Place, p *coordapi.Placed) (backends.Choice, bool) {
 	return backends.Choice{ID: p.ID, Address: p.Address, Zone: p.Zone, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
-		HomeAddress: p.HomeAddress, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
+		Source: p.Source, Save: p.Save, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
 		Ahead: p.Ahead, Wait: p.Wait, Late: p.Late, Placement: ask.Number}, p.ID != ""
 }
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,210 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// engines are rows of like engines with weights version 1.
+func engines(n int) []state.Backend {
+	var out []state.Backend
+	for i := range n {
+		id := fmt.Sprintf("e%03d", i)
+		out = append(out, state.Backend{ID: id, Pool: "llm", Address: id + ":1", Zone: "a", Slots: 16, Weights: map[string]int{"m": 1}})
+	}
+	return out
+}
+
+func newTestPlacer(n int) *Placer {
+	p := New()
+	p.Apply(engines(n), nil, true)
+	return p
+}
+
+// long is a question for a long prompt of which two parts are shared.
+func long(router string, number uint64, key string) *coordapi.Place {
+	return &coordapi.Place{Router: router, Number: number, Zone: "a", Pool: "llm", Model: "m", Key: key, Target: 800 * time.Millisecond,
+		Shared: 6300, Own: 2900, Most: 9300, Slots: 16, Capacity: 90000,
+		Parts: []coordapi.Part{{Hash: 1, Tokens: 2500}, {Hash: partHash(key), Tokens: 3800}}}
+}
+
+func partHash(key string) coordapi.PartHash {
+	hash := coordapi.PartHash(0)
+	for _, c := range key {
+		hash = hash*31 + coordapi.PartHash(c)
+	}
+	return hash + 1000
+}
+
+// mostAtOne is the largest number of requests at one engine when as many routers
+// as engines send one each in the same moment.
+func mostAtOne(count int, choose func(i int, key string) string) int {
+	most, at := 0, map[string]int{}
+	for i := range count {
+		id := choose(i, fmt.Sprintf("key-%d", i))
+		at[id]++
+		most = max(most, at[id])
+	}
+	return most
+}
+
+// With 295 routers that knew each other's loads a second late, engines read five
+// and six long prompts one behind the other while others were idle: half of the
+// streams beside them paused for too long.
+func TestOneThatPlacesForAllSeesWhatAllHaveSent(t *testing.T) {
+	const count = 240
+	alone := mostAtOne(count, func(_ int, key string) string {
+		pool := backends.NewPool("a")
+		pool.Apply(engines(count), nil, true)
+		ask := long("", 0, key)
+		choice, found := pool.Choose(0, New().query(0, ask))
+		assert.Assert(t, found)
+		return choice.ID
+	})
+	p := newTestPlacer(count)
+	together := mostAtOne(count, func(i int, key string) string {
+		return p.Place(time.Second, long(fmt.Sprint("r", i), 1, key)).ID
+	})
+	t.Logf("most at one engine: %d when each router chooses alone, %d when one chooses for all", alone, together)
+	assert.Assert(t, alone >= 4)
+	assert.Assert(t, together <= 3)
+}
+
+func TestEngineReadsAtItsSpeedWithoutAWord(t *testing.T) {
+	p := newTestPlacer(1)
+	p.Place(0, long("r", 1, "k"))
+	before := p.Unread(0, "e000")
+	assert.Equal(t, before, 9200)
+	// 40 tokens a millisecond are assumed at first.
+	assert.Equal(t, p.Unread(100*time.Millisecond, "e000"), 5200)
+	assert.Equal(t, p.Unread(time.Second, "e000"), 0)
+}
+
+// running is how many requests an engine has, seen by what the next one costs.
+func running(p *Placer, now time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := 0
+	for _, r := range p.routers {
+		total += len(r.open)
+	}
+	return total
+}
+
+func TestAnEndIsCountedOnceWheneverItComes(t *testing.T) {
+	p := newTestPlacer(1)
+	p.Place(0, long("r", 1, "k"))
+	p.Place(0, long("r", 2, "k"))
+	ended := &coordapi.Reports{Ended: []coordapi.Ended{{Number: 1, First: 300 * time.Millisecond}, {Number: 7}, {Number: 1}}}
+	p.Report(time.Second, "r", ended)
+	p.Report(time.Second, "r", ended)
+	p.Report(time.Second, "another", ended)
+	assert.Equal(t, running(p, time.Second), 1)
+}
+
+func TestPlacementsOfARouterThatIsGoneEnd(t *testing.T) {
+	p := newTestPlacer(1)
+	p.Place(0, long("gone", 1, "k"))
+	p.Place(0, long("here", 1, "k"))
+	p.Report(routerKept, "here", &coordapi.Reports{})
+	p.Report(routerKept+routerKept/2, "here", &coordapi.Reports{})
+	assert.Equal(t, running(p, 2*routerKept), 1)
+}
+
+// Each of 295 routers used to find out by a request of its own that an engine was
+// down.
+func TestAnEngineThatOneRouterCannotReachIsAvoidedForAll(t *testing.T) {
+	p := newTestPlacer(3)
+	first := p.Place(0, long("a", 1, "k"))
+	p.Report(0, "a", &coordapi.Reports{Troubles: []coordapi.Trouble{{ID: first.ID, Kind: coordapi.Unreachable}, {ID: "unheard of", Kind: coordapi.Failed}}})
+	assert.Assert(t, p.Place(0, long("b", 1, "k")).ID != first.ID)
+}
+
+func TestTroublesNeverEmptyAPool(t *testing.T) {
+	p := newTestPlacer(2)
+	for _, id := range []string{"e000", "e001"} {
+		p.Report(0, "a", &coordapi.Reports{Troubles: []coordapi.Trouble{{ID: id, Kind: coordapi.Unreachable}, {ID: id, Kind: coordapi.Failed}}})
+	}
+	assert.Assert(t, p.Place(0, long("b", 1, "k")).ID != "")
+}
+
+func TestAKeyStaysWithTheEngineThatHoldsIt(t *testing.T) {
+	p := New()
+	p.Apply(engines(2), nil, true)
+	homes := map[string]string{}
+	for i := range 50 {
+		key := fmt.Sprint("key-", i)
+		homes[key] = p.Place(time.Duration(i)*time.Second, long("r", uint64(i), key)).ID
+		p.Report(time.Duration(i)*time.Second, "r", &coordapi.Reports{Ended: []coordapi.Ended{{Number: uint64(i)}}})
+	}
+	// Half of the last keys would have their homes among the new engines.
+	p.Apply(engines(4), nil, false)
+	for i := 45; i < 50; i++ {
+		key := fmt.Sprint("key-", i)
+		assert.Equal(t, p.Place(51*time.Second, long("r", uint64(100+i), key)).ID, homes[key])
+	}
+}
+
+func TestAPartIsSavedOnceAndThenTakenFromTheStore(t *testing.T) {
+	p := newTestPlacer(4)
+	first := p.Place(time.Second, long("a", 1, "k"))
+	assert.Assert(t, first.Save)
+	assert.Equal(t, first.Prompt, 9200)
+	again := p.Place(2*time.Second, long("b", 1, "k"))
+	assert.Assert(t, !again.Save)
+	assert.Equal(t, again.Prompt, 2900)
+	assert.Equal(t, again.Source, "")
+	late := p.Place(savedTime+3*time.Second, long("b", 2, "k"))
+	assert.Assert(t, late.Save)
+}
+
+// What is not worth a save is taken from the engine that read it.
+func TestAPartThatIsNotSavedComesFromItsHolder(t *testing.T) {
+	p := newTestPlacer(2)
+	short := func(number uint64) *coordapi.Place {
+		ask := long("r", number, "k")
+		ask.Own = 20000
+		return ask
+	}
+	first := p.Place(0, short(1))
+	assert.Assert(t, !first.Save)
+	ask := short(2)
+	ask.Tried = []string{first.ID}
+	other := p.Place(0, ask)
+	assert.Assert(t, other.ID != first.ID)
+	assert.Equal(t, other.Source, first.ID+":1")
+	rows := engines(2)
+	for i := range rows {
+		if rows[i].ID == first.ID {
+			rows[i].Weights = map[string]int{"m": 2}
+		}
+	}
+	p.Apply(rows, nil, true)
+	ask.Number = 3
+	assert.Equal(t, p.Place(0, ask).Source, "", "it holds other weights now")
+}
+
+func TestNothingIsPlacedWhenAllAreBehind(t *testing.T) {
+	p := newTestPlacer(1)
+	p.Place(0, long("r", 1, "k"))
+	ask := long("r", 2, "k")
+	ask.Patience = 100 * time.Millisecond
+	placed := p.Place(0, ask)
+	assert.Assert(t, placed.Late)
+	assert.Equal(t, running(p, 0), 1)
+}
+
+func TestTheDirectoryIsBounded(t *testing.T) {
+	d := directory{}
+	for i := range maxParts + 10 {
+		d.read(0, []coordapi.Part{{Hash: coordapi.PartHash(i), Tokens: 1}}, 1, "e", true, false)
+	}
+	assert.Assert(t, len(d) <= maxParts)
+}
