Loads wait while engines read for half of their time; a fifth of the engines load at a time

Cause: a load takes an engine out for 1.1 s and costs what it kept. Change: the placer knows how much of their time engines need for reading; above a half loads are put off to their deadlines, as while requests are refused. load_divisor 5 by default. An order ends when the engine cannot be reached.

--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -86,14 +86,16 @@
 	waiting map[*Attempt]struct{}
 	// refused counts the requests for which all engines were behind.
 	refused int
-	// reading is how fast the engines of a pool read, by the pool's name.
+	// reading is how fast the engines of a pool read, and read how much they had to,
+	// by the pool's name.
 	reading map[string]*speed.Reading
+	read    map[string]*readings
 }
 
 // NewPool returns an empty pool as seen from a zone.
 func NewPool(zone string) *Pool {
 	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, reading: map[string]*speed.Reading{},
-		flows: map[string]*flow{}}
+		flows: map[string]*flow{}, read: map[string]*readings{}}
 }
 
 // NewCentralPool returns an empty pool for one that chooses for all routers. It is
@@ -223,6 +225,7 @@
 	p.flowOf(q.Pool).sent(now)
 	if q.Model != "" {
 		a.ahead, a.reading = choice.Ahead+choice.Work.Prompt, p.readingOf(q.Pool)
+		p.readingsOf(q.Pool).add(now, a.reading.Rate().Wait(choice.Work.Prompt))
 	}
 	if r := p.rows[a.id]; r != nil {
 		r.running++
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -44,6 +44,8 @@
 	ErrFenced = errors.New("the engine has seen a higher fence")
 	// ErrOtherInstance says that another instance has the address.
 	ErrOtherInstance = errors.New("another instance has the address")
+	// ErrUnreached says that nothing was sent: the engine is down or cut off.
+	ErrUnreached = errors.New("the engine cannot be reached")
 )
 
 // Engines carries calls to model engines.
@@ -147,6 +149,9 @@
 			return nil
 		case errors.Is(err, ErrHeld), errors.Is(err, ErrFenced), errors.Is(err, ErrOtherInstance):
 			return err
+		case errors.Is(err, ErrUnreached):
+			// It is down: its place among those that load is for others.
+			return err
 		}
 		if !errors.Is(err, ErrMismatch) {
 			periodic.Pause(ctx, orderPause)
--- /dev/null
+++ b/internal/coordinator/place_test.go
@@ -0,0 +1,98 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+func place(number uint64) coordapi.Request {
+	return coordapi.Request{Place: &coordapi.Place{Router: "r", Number: number, Pool: "llm", Model: "m", Slots: 4, Capacity: 10000}}
+}
+
+// awaitPlaced asks a node until it places requests at an engine.
+func (g *group) awaitPlaced(id string) {
+	g.t.Helper()
+	number := uint64(0)
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		number++
+		reply, err := g.servers[g.leader()].Call(context.Background(), place(number))
+		if err != nil || reply.Placed == nil || reply.Placed.ID != id {
+			return poll.Continue("placed %+v, %v", reply.Placed, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func TestTheLeaderPlacesAtTheEnginesThatItKnows(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.awaitPlaced("x")
+	g.call(1, beat("y", 1, false))
+	g.call(2, beat("x", 2, true))
+	g.awaitPlaced("y")
+}
+
+// A new leader knows of no placement, but of all engines.
+func TestANewLeaderPlacesToo(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.awaitPlaced("x")
+	for i := range g.servers {
+		g.kill(i)
+		g.start(i)
+	}
+	g.awaitPlaced("x")
+}
+
+// While engines have to read for more than half of their time, a load waits for
+// its deadline: what the engine kept would have to be read again.
+func TestLoadsWaitWhileEnginesAreBusyReading(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.awaitPlaced("x")
+	s := g.servers[g.leader()]
+	assert.Assert(t, !s.crowded(s.now()))
+	ask := place(1)
+	ask.Place.Own = 200_000
+	s.place(ask.Place)
+	s.loop.Do(context.Background(), func(now time.Duration) {
+		assert.Assert(t, s.crowded(now))
+		assert.Assert(t, !s.crowded(now+10*time.Second))
+	})
+}
+
+// downEngines refuse every connection.
+type downEngines struct{ asked chan string }
+
+func (d downEngines) Load(_ context.Context, o LoadOrder) error {
+	d.asked <- o.Instance
+	return ErrUnreached
+}
+
+func (downEngines) Report(context.Context, string, string) (EngineReport, error) {
+	return EngineReport{}, errors.New("down")
+}
+
+// An engine that had crashed kept the place of a load for ten seconds, and was
+// asked thirty times a second.
+func TestAnOrderToAnEngineThatIsDownIsGivenUp(t *testing.T) {
+	asked := make(chan string, 10)
+	g := newGroup(t, 1)
+	s := g.servers[g.leader()]
+	s.engines = downEngines{asked}
+	g.call(0, beat("x", 1, false))
+	var term uint64
+	s.loop.Do(context.Background(), func(time.Duration) { term = s.core.Status().Term })
+	err := s.order(context.Background(), state.Backend{ID: "x", Address: "x"}, "m", 2, term)
+	assert.Assert(t, errors.Is(err, ErrUnreached))
+	assert.Equal(t, len(asked), 1)
+}
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -45,6 +45,10 @@
 	assumedLoad = 1200 * time.Millisecond
 	loadMargin  = 700 * time.Millisecond
 	loadGain    = 4
+	// spareless is the part of their time for reading above which engines have none
+	// to spare: with a fifth of them loading the others read for two thirds of
+	// theirs, and prompts wait for each other.
+	spareless = 0.5
 	// expiryCut is how long before a deadline waiting requests are given up.
 	expiryCut = 250 * time.Millisecond
 	// holderSlack is added to the lease that another holder may still have.
@@ -182,7 +186,7 @@
 		}
 		engines = append(engines, weights.Engine{ID: id, Version: version, Loading: s.rollout.running[id]})
 	}
-	plan := s.rollout.planConfig(s.settings).Next(now, s.rollout.versions(s.soft.since, s.settings.WeightsDeadline, d, model), engines, s.soft.told.crowded(now))
+	plan := s.rollout.planConfig(s.settings).Next(now, s.rollout.versions(s.soft.since, s.settings.WeightsDeadline, d, model), engines, s.crowded(now))
 	if len(plan.Load) == 0 || !s.mayOrder(now, d) {
 		return
 	}
@@ -206,6 +210,12 @@
 	}
 }
 
+// crowded tells whether engines have no time to spare for loads: what an engine
+// kept must be read again after each.
+func (s *Server) crowded(now time.Duration) bool {
+	return s.soft.told.crowded(now) || s.placer.ReadingShare(now) > spareless
+}
+
 // settle finds out what became of a load that an earlier leader announced and
 // did not see the end of. Until then the engine counts as loading.
 func (s *Server) settle(ctx context.Context, row state.Backend) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -65,6 +65,10 @@
 // Unread is how many prompt tokens an engine has still to read.
 func (p *Placer) Unread(now time.Duration, id string) int { return p.current().Unread(now, id) }
 
+// ReadingShare is the part of their time that the engines of the busiest pool need to read
+// prompts.
+func (p *Placer) ReadingShare(now time.Duration) float64 { return p.current().ReadingShare(now) }
+
 func (p *Placer) current() *backends.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -42,7 +42,7 @@
 	// keep their whole worth. Default 1300ms.
 	WeightsGrace time.Duration `yaml:"weights_grace"`
 	// LoadDivisor is how many engines there are for each load at a time.
-	// Default 4.
+	// Default 5: with more at a time loads take longer.
 	LoadDivisor int `yaml:"load_divisor"`
 	// OrderLease is how long the machine that gave the last order to a back end
 	// may go on to do so.
@@ -58,7 +58,7 @@
 	c.PeerAddress = orDefault(c.PeerAddress, c.PeerListen)
 	c.WeightsGuard = orDefault(c.WeightsGuard, 1400*time.Millisecond)
 	c.WeightsGrace = orDefault(c.WeightsGrace, 1300*time.Millisecond)
-	c.LoadDivisor = orDefault(c.LoadDivisor, 4)
+	c.LoadDivisor = orDefault(c.LoadDivisor, 5)
 	c.Log.setDefaults()
 }
 
