--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -135,6 +135,8 @@
 	*row
 	// ahead are the prompt tokens that the back end has still to read.
 	ahead int
+	// aside says that it stands back while there are others.
+	aside bool
 	// rank is its place in the order of the query's key, from 0 to rankLimit for
 	// all further ones.
 	rank int
@@ -162,7 +164,8 @@
 }
 
 // candidates returns the back ends that pass the filters. Those that turned a
-// request away a moment ago or are silent stand back unless no other is left.
+// request away a moment ago, are silent or have stopped to answer stand back unless
+// no other is left.
 func (p *Pool) candidates(now time.Duration, q *Query, rate speed.TokensPerMs) []candidate {
 	out := p.scratch[:0]
 	aside := 0
@@ -170,14 +173,16 @@
 		if r.Pool != q.Pool || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) {
 			continue
 		}
-		out = append(out, candidate{row: r, ahead: p.unreadOf(now, r, rate) + r.others.Prompt})
-		if now < r.busy || r.silent {
+		c := candidate{row: r, ahead: p.unreadOf(now, r, rate) + r.others.Prompt,
+			aside: now < r.busy || r.silent || p.quiet(now, r, rate)}
+		if c.aside {
 			aside++
 		}
+		out = append(out, c)
 	}
 	p.scratch = out
 	if aside == 0 || aside == len(out) {
 		return out
 	}
-	return slices.DeleteFunc(out, func(c candidate) bool { return now < c.busy || c.silent })
+	return slices.DeleteFunc(out, func(c candidate) bool { return c.aside })
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -6,9 +6,7 @@
 package backends
 
 import (
-	"errors"
 	"maps"
-	"math"
 	"sync"
 	"time"
 
@@ -19,19 +17,6 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-const (
-	// failureGain is the weight of one outcome in a back end's failure rate.
-	failureGain = 0.25
-	// failureHalfLife is the time in which an old failure counts half.
-	failureHalfLife = 3 * time.Second
-	// busyPause is how long a back end that turned a request away is avoided.
-	busyPause = 150 * time.Millisecond
-	// unreachablePause is the same for one that could not be reached.
-	unreachablePause = 1500 * time.Millisecond
-	// latencyGain is the weight of one answer in the mean time of answers.
-	latencyGain = 0.1
-)
-
 // row is one back end.
 type row struct {
 	state.Backend
@@ -48,6 +33,11 @@
 	memory  int
 	prefill int
 	readAt  time.Duration
+	// unbegun are the requests that it has not begun to answer, in a pool that
+	// drains, and quietFrom is when it last showed a sign of life or the first of
+	// them was sent.
+	unbegun   int
+	quietFrom time.Duration
 	// hash is of the address, see rank.
 	hash uint64
 	// others is the work of all other routers there, as of Pool.othersAt, and
@@ -144,14 +134,6 @@
 	}
 }
 
-// Work is what a request takes of a back end, in tokens.
-type Work struct {
-	// Prompt is read before the first event; Most is the most that the request
-	// may take of the memory.
-	Prompt int
-	Most   int
-}
-
 // Others takes the work of all routers together, this one's among it, as it was
 // age ago in the mean.
 func (p *Pool) Others(now time.Duration, loads []coordapi.Load, age time.Duration) {
@@ -195,50 +177,6 @@
 	return n
 }
 
-// Attempt is a request under way at a back end.
-type Attempt struct {
-	pool    *Pool
-	id      string
-	work    Work
-	model   string
-	version int
-	cancel  func(error)
-	begun   bool
-	// sent is when the request was sent, and ahead the prompt tokens that its engine
-	// had to read up to its first event. reading learns from them; nil for back
-	// ends without models, and once it has.
-	sent    time.Duration
-	ahead   int
-	reading *speed.Reading
-}
-
-// ErrExpired is why an attempt is cancelled whose back end has not begun when
-// the time of its weights is over.
-var ErrExpired = errors.New("the back end did not begin before its weights expired")
-
-// Begin notes that a request is sent to a chosen back end. Cancel gives the
-// attempt up.
-func (p *Pool) Begin(now time.Duration, choice *Choice, q *Query, cancel func(error)) *Attempt {
-	a := &Attempt{pool: p, id: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.flowOf(q.Pool).sent(now)
-	if q.Model != "" {
-		a.ahead, a.reading = choice.Ahead+choice.Work.Prompt, p.readingOf(q.Pool)
-		p.readingsOf(q.Pool).add(now, a.reading.Rate().Wait(choice.Work.Prompt))
-	}
-	if r := p.rows[a.id]; r != nil {
-		r.running++
-		r.memory += a.work.Most
-		r.prefill = p.unreadOf(now, r, p.readingOf(q.Pool).Rate()) + a.work.Prompt
-		r.readAt = now
-	}
-	if choice.Versioned && !p.drains {
-		p.waiting[a] = struct{}{}
-	}
-	return a
-}
-
 // flowOf returns the flow of requests to a pool.
 func (p *Pool) flowOf(pool string) *flow {
 	f := p.flows[pool]
@@ -259,21 +197,6 @@
 	return r
 }
 
-// Begun notes that the back end has begun to answer; ran says that it has read
-// the prompt. It returns how much longer than expected that took, 0 where no time
-// is expected.
-func (a *Attempt) Begun(now time.Duration, ran bool) (excess time.Duration) {
-	a.pool.mu.Lock()
-	defer a.pool.mu.Unlock()
-	if a.reading != nil && ran {
-		excess = max(now-a.sent-a.reading.Rate().Wait(a.ahead), 0)
-		a.reading.Observe(a.ahead, now-a.sent)
-		a.reading = nil
-	}
-	a.begin()
-	return excess
-}
-
 // unreadOf is how many of the tokens sent to an engine it has not read.
 func (p *Pool) unreadOf(now time.Duration, r *row, rate speed.TokensPerMs) int {
 	if !p.drains {
@@ -325,158 +248,3 @@
 	defer p.mu.Unlock()
 	return p.readingOf(pool).Rate().Wait(tokens)
 }
-
-func (a *Attempt) begin() {
-	if a.begun {
-		return
-	}
-	a.begun = true
-	delete(a.pool.waiting, a)
-	if r := a.pool.rows[a.id]; r != nil && !a.pool.drains {
-		r.prefill = max(r.prefill-a.work.Prompt, 0)
-	}
-}
-
-// Waited tells a pool that drains how long the first event of an attempt took.
-func (a *Attempt) Waited(wait time.Duration) {
-	a.pool.mu.Lock()
-	defer a.pool.mu.Unlock()
-	if a.reading != nil {
-		a.reading.Observe(a.ahead, wait)
-		a.reading = nil
-	}
-}
-
-// End notes that the attempt is over.
-func (a *Attempt) End() {
-	a.pool.mu.Lock()
-	defer a.pool.mu.Unlock()
-	a.begin()
-	if r := a.pool.rows[a.id]; r != nil {
-		r.running = max(r.running-1, 0)
-		r.memory = max(r.memory-a.work.Most, 0)
-	}
-}
-
-// expire gives up the attempts whose back ends hold weights that are over.
-func (p *Pool) expire(expired map[string]int) {
-	for a := range p.waiting {
-		if a.version < expired[a.model] {
-			a.cancel(ErrExpired)
-		}
-	}
-}
-
-// Succeeded notes a good answer and how long it took.
-func (p *Pool) Succeeded(now time.Duration, id string, took time.Duration) {
-	p.with(id, func(r *row) {
-		r.silent = false
-		r.failures = r.rate(now) * (1 - failureGain)
-		r.failedAt = now
-		r.latency += latencyGain * (float64(took.Milliseconds()) - r.latency)
-		p.flowOf(r.Pool).ended(took)
-	})
-}
-
-// Failed notes a failed request.
-func (p *Pool) Failed(now time.Duration, id string) {
-	p.with(id, func(r *row) {
-		p.trouble(r, coordapi.Failed)
-		r.failures = r.rate(now)*(1-failureGain) + failureGain
-		r.failedAt = now
-	})
-}
-
-// Busy notes that a back end turned a request away.
-func (p *Pool) Busy(now time.Duration, id string) {
-	p.with(id, func(r *row) {
-		p.trouble(r, coordapi.Busy)
-		r.busy = now + busyPause
-	})
-}
-
-// Unreachable notes that no connection to a back end could be had.
-func (p *Pool) Unreachable(now time.Duration, id string) {
-	p.with(id, func(r *row) {
-		p.trouble(r, coordapi.Unreachable)
-		r.busy = now + unreachablePause
-	})
-}
-
-// Mismatch notes that the address answered as another instance, or that the
-// back end does not hold the version of a model.
-func (p *Pool) Mismatch(id, model string, version int, otherInstance bool) {
-	p.with(id, func(r *row) {
-		if otherInstance {
-			p.trouble(r, coordapi.OtherInstance)
-			r.wrong = true
-			return
-		}
-		r.refused = map[string]int{model: version}
-	})
-}
-
-// Holds notes the version of a model that a back end's answer named.
-func (p *Pool) Holds(id, model string, version int) {
-	p.with(id, func(r *row) {
-		if version > r.Weights[model] {
-			weights := maps.Clone(r.Weights)
-			if weights == nil {
-				weights = map[string]int{}
-			}
-			weights[model] = version
-			r.Weights = weights
-		}
-	})
-}
-
-// maxTroubles bounds what is kept for Troubles.
-const maxTroubles = 64
-
-// trouble keeps what an engine's attempt showed, for others to hear of.
-func (p *Pool) trouble(r *row, kind coordapi.TroubleKind) {
-	if len(r.Weights) > 0 && len(p.troubles) < maxTroubles && !p.drains {
-		p.troubles = append(p.troubles, coordapi.Trouble{ID: r.ID, Kind: kind})
-	}
-}
-
-// Troubles returns what attempts at engines have shown since the last call.
-func (p *Pool) Troubles() []coordapi.Trouble {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := p.troubles
-	p.troubles = nil
-	return out
-}
-
-// Heard takes what attempts of another router have shown.
-func (p *Pool) Heard(now time.Duration, troubles []coordapi.Trouble) {
-	for _, t := range troubles {
-		switch t.Kind {
-		case coordapi.Failed:
-			p.Failed(now, t.ID)
-		case coordapi.Busy:
-			p.Busy(now, t.ID)
-		case coordapi.Unreachable:
-			p.Unreachable(now, t.ID)
-		case coordapi.OtherInstance:
-			p.Mismatch(t.ID, "", 0, true)
-		}
-	}
-}
-
-func (p *Pool) with(id string, change func(r *row)) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if r := p.rows[id]; r != nil {
-		change(r)
-	}
-}
-
-// rate is the failure rate at now.
-func (r *row) rate(now time.Duration) float64 {
-	if r.failures == 0 {
-		return 0
-	}
-	return r.failures * math.Exp2(-float64(now-r.failedAt)/float64(failureHalfLife))
-}
--- /dev/null
+++ b/internal/backends/quiet.go
@@ -0,0 +1,46 @@
+package backends
+
+import (
+	"time"
+
+	"quinceridge.example/quinceridge/internal/speed"
+)
+
+const (
+	// quietTime is how much longer than it reads an engine with waiting requests
+	// may show no sign of life: routers report first events within a second.
+	quietTime = time.Second
+	// quietLeast is how many requests must wait for it: one may be held up by
+	// something else.
+	quietLeast = 3
+)
+
+// sent notes a request that an engine has not begun to answer.
+func (r *row) sent(now time.Duration) {
+	if r.unbegun == 0 {
+		r.quietFrom = now
+	}
+	r.unbegun++
+}
+
+// quiet tells whether an engine has stopped to answer, for all that routers have
+// reported. One that crashes without closing its connections says nothing; its
+// heartbeats are missed seconds later. It is asked again once those that wait for
+// it have given up.
+func (p *Pool) quiet(now time.Duration, r *row, rate speed.TokensPerMs) bool {
+	return p.drains && r.unbegun >= quietLeast && now-r.quietFrom > quietTime+rate.Wait(p.unreadOf(r.quietFrom, r, rate))
+}
+
+// Quiet is how many engines have stopped to answer, for all that routers have
+// reported.
+func (p *Pool) Quiet(now time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, r := range p.rows {
+		if len(r.Weights) > 0 && p.quiet(now, r, p.readingOf(r.Pool).Rate()) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -250,17 +250,19 @@
 
 // Reports is what a router has to say of its requests since its last word.
 type Reports struct {
-	// Ended are the placements that are over.
-	Ended []Ended `json:"ended,omitempty"`
+	// Begun are the placements whose first event has come, and Ended the numbers of
+	// those that are over.
+	Begun []Begun  `json:"begun,omitempty"`
+	Ended []uint64 `json:"ended,omitempty"`
 	// Troubles are what attempts have shown of engines.
 	Troubles []Trouble `json:"troubles,omitempty"`
 }
 
-// Ended is a placement that is over.
-type Ended struct {
+// Begun is a placement whose first event has come.
+type Begun struct {
 	Number uint64 `json:"n"`
-	// First is how long the first event took; 0 when there was none.
-	First time.Duration `json:"f,omitempty"`
+	// First is how long that took.
+	First time.Duration `json:"f"`
 }
 
 // TroubleKind is what an attempt has shown of an engine.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -35,6 +35,11 @@
 	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
 	gauge("peer_received_messages_total", s.counters.MessagesIn.Load())
 	gauge("peer_sent_messages_total", s.counters.MessagesOut.Load())
+	placements, routers := s.placer.Open()
+	gauge("placements_open", placements)
+	gauge("placements_routers", routers)
+	gauge("engines_quiet", s.placer.Quiet(s.now()))
+	gauge("engines_reading_share", fmt.Sprintf("%.3f", s.placer.ReadingShare(s.now())))
 	s.loop.Do(r.Context(), func(now time.Duration) {
 		status := s.core.Status()
 		syncs, bytes := s.core.Syncs()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -146,8 +146,8 @@
 			continue
 		}
 		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own(), Refused: f.config.Pool.Refused(),
-			Reports: coordapi.Reports{Ended: f.placements.take(), Troubles: f.config.Pool.Troubles()}}
-		quiet := len(news.Ended) == 0 && len(news.Troubles) == 0 && len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
+			Reports: f.reports()}
+		quiet := len(news.Begun) == 0 && len(news.Ended) == 0 && len(news.Troubles) == 0 && len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
 		if quiet && idle {
 			continue
 		}
@@ -156,7 +156,7 @@
 		var reply coordapi.Reply
 		if err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Tell: news}, &reply); err != nil {
 			// Ends must arrive, all else is told anew.
-			f.placements.end(news.Ended...)
+			f.placements.add(news.Reports)
 		}
 		cancel()
 	}
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -25,25 +25,28 @@
 	number atomic.Uint64
 	// askAfter is when the leader may be asked again, by the process's clock.
 	askAfter atomic.Int64
+	// alone says that the last question had no answer.
+	alone atomic.Bool
 
-	mu    sync.Mutex
-	ended []coordapi.Ended
+	mu      sync.Mutex
+	reports coordapi.Reports
 }
 
-// end notes that a placement is over.
-func (p *placements) end(ended ...coordapi.Ended) {
+// add keeps reports until they are taken.
+func (p *placements) add(reports coordapi.Reports) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ended = append(p.ended, ended...)
+	p.reports.Begun = append(p.reports.Begun, reports.Begun...)
+	p.reports.Ended = append(p.reports.Ended, reports.Ended...)
 }
 
-// take returns the ends that the leader has not heard of.
-func (p *placements) take() []coordapi.Ended {
+// take returns what the leader has not heard of.
+func (p *placements) take() coordapi.Reports {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ended := p.ended
-	p.ended = nil
-	return ended
+	reports := p.reports
+	p.reports = coordapi.Reports{}
+	return reports
 }
 
 // Place asks the leader for an engine. Answered is false when there was no answer
@@ -56,23 +59,49 @@
 	}
 	ask := placer.Ask(q)
 	ask.Router, ask.Zone, ask.Number = f.name, f.config.Zone, f.placements.number.Add(1)
-	ask.Ended, ask.Troubles = f.placements.take(), f.config.Pool.Troubles()
+	ask.Reports = f.reports()
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var reply coordapi.Reply
 	if err := f.config.Peers.Call(ctx, *leader, coordapi.KindCall, coordapi.Request{Place: ask}, &reply); err != nil || reply.Placed == nil {
 		// It may have been placed, and the reports may not have arrived.
-		f.placements.end(append(ask.Ended, coordapi.Ended{Number: ask.Number})...)
+		f.placements.add(ask.Reports)
+		f.placements.add(coordapi.Reports{Ended: []uint64{ask.Number}})
 		f.placements.askAfter.Store(int64(time.Since(f.started) + placePause))
-		f.config.Logger.Debug("no placement", "part", "follower", "address", *leader, "error", err)
+		if !f.placements.alone.Swap(true) {
+			f.config.Logger.Warn("leader places nothing, engines are chosen here", "part", "follower", "address", *leader, "error", errorText(err))
+		}
 		return choice, false, false
 	}
+	if f.placements.alone.Swap(false) {
+		f.config.Logger.Info("leader places again", "part", "follower", "address", *leader)
+	}
 	choice, found = placer.Choice(ask, reply.Placed)
 	return choice, found, true
 }
 
-// Ended notes that a placement is over, and how long its first event took; 0 when
-// there was none.
-func (f *Follower) Ended(number uint64, first time.Duration) {
-	f.placements.end(coordapi.Ended{Number: number, First: first})
+// errorText is an error's text, or what a reply without a placement means.
+func errorText(err error) string {
+	if err == nil {
+		return "it does not lead"
+	}
+	return err.Error()
+}
+
+// reports is what the leader has not heard of yet. Troubles that are lost on the
+// way are not told again: they are old by then.
+func (f *Follower) reports() coordapi.Reports {
+	reports := f.placements.take()
+	reports.Troubles = f.config.Pool.Troubles()
+	return reports
+}
+
+// Begun notes that the first event of a placement has come, and how long it took.
+func (f *Follower) Begun(number uint64, first time.Duration) {
+	f.placements.add(coordapi.Reports{Begun: []coordapi.Begun{{Number: number, First: first}}})
+}
+
+// Ended notes that a placement is over.
+func (f *Follower) Ended(number uint64) {
+	f.placements.add(coordapi.Reports{Ended: []uint64{number}})
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -135,8 +135,10 @@
 func (h *Handler) chooseOnce(ctx context.Context, j *job) (backends.Choice, bool) {
 	if h.config.Placer != nil && j.pool.Engine != nil {
 		if choice, found, answered := h.config.Placer.Place(ctx, &j.query); answered {
+			h.metrics.placed.Add(1)
 			return choice, found
 		}
+		h.metrics.alone.Add(1)
 	}
 	j.query.Draw = rand.Float64()
 	return h.config.Pool.Choose(h.now(), &j.query)
@@ -167,9 +169,8 @@
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
 	defer running.End()
-	var first time.Duration
 	if choice.Placement > 0 {
-		defer func() { h.config.Placer.Ended(choice.Placement, first) }()
+		defer h.config.Placer.Ended(choice.Placement)
 	}
 	answer, err := h.config.Upstream.Do(ctx, choice.Address, j.request)
 	if err != nil {
@@ -177,8 +178,8 @@
 	}
 	defer answer.Close()
 	silence.stop()
-	if answer.StatusCode == http.StatusOK {
-		first = h.now() - started
+	if choice.Placement > 0 && answer.StatusCode == http.StatusOK {
+		h.config.Placer.Begun(choice.Placement, h.now()-started)
 	}
 	h.noteStore(j, running.Begun(h.now(), answer.StatusCode == http.StatusOK))
 	h.noteVersion(j, choice, answer.Header)
@@ -336,6 +337,9 @@
 		text += fmt.Sprintf(", weights %d, home %t, unread %d, from %s", choice.Version, choice.Home, choice.Work.Prompt,
 			j.request.Header.Get(h.config.Headers.FetchFrom))
 	}
+	if choice.Placement > 0 {
+		text += ", placed by the leader"
+	}
 	return text + ")"
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -108,17 +108,24 @@
 	mu       sync.Mutex
 	choice   backends.Choice
 	answered bool
-	ended    []time.Duration
+	begun    []time.Duration
+	ended    int
 }
 
 func (p *placerOf) Place(context.Context, *backends.Query) (backends.Choice, bool, bool) {
 	return p.choice, true, p.answered
 }
 
-func (p *placerOf) Ended(_ uint64, first time.Duration) {
+func (p *placerOf) Begun(_ uint64, first time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ended = append(p.ended, first)
+	p.begun = append(p.begun, first)
+}
+
+func (p *placerOf) Ended(uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended++
 }
 
 func TestAnEngineIsChosenByWhoPlacesForAllWhileThatAnswers(t *testing.T) {
@@ -140,15 +147,16 @@
 	assert.Equal(t, ask().status, http.StatusOK)
 	assert.Equal(t, r.ran("theirs"), 1)
 	placer.mu.Lock()
-	assert.Equal(t, len(placer.ended), 1)
-	assert.Assert(t, placer.ended[0] > 0)
+	assert.Equal(t, len(placer.begun), 1)
+	assert.Assert(t, placer.begun[0] > 0)
+	assert.Equal(t, placer.ended, 1)
 	placer.mu.Unlock()
 	placer.answered = false
 	assert.Equal(t, ask().status, http.StatusOK)
 	assert.Equal(t, r.ran("mine", "theirs"), 2)
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
-	assert.Equal(t, len(placer.ended), 1, "a choice of the router's own is not reported")
+	assert.Equal(t, placer.ended, 1, "a choice of the router's own is not reported")
 }
 
 // add starts a back end of a pool.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -51,9 +51,10 @@
 	// Place chooses an engine. Answered is false when the router must choose by
 	// itself, found when none may serve.
 	Place(ctx context.Context, q *backends.Query) (choice backends.Choice, found, answered bool)
-	// Ended notes that a placement is over, and how long its first event took; 0
-	// when there was none.
-	Ended(number uint64, first time.Duration)
+	// Begun notes that the first event of a placement has come, and how long it
+	// took; Ended that it is over.
+	Begun(number uint64, first time.Duration)
+	Ended(number uint64)
 }
 
 // Config is what a Handler works with.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -15,7 +15,11 @@
 type Metrics struct {
 	open atomic.Int64
 	// behind counts requests refused since all engines were behind.
-	behind  atomic.Uint64
+	behind atomic.Uint64
+	// placed counts engines that who places for all routers chose, and alone those
+	// that this router chose without an answer.
+	placed  atomic.Uint64
+	alone   atomic.Uint64
 	classes [6]atomic.Uint64
 	own     [6]atomic.Uint64
 	first   histogram
@@ -62,6 +66,8 @@
 	for pool, rate := range h.config.Pool.Rates() {
 		fmt.Fprintf(w, "quinceridge_engine_read_tokens_per_ms{pool=%q} %.1f\n", pool, float64(rate))
 	}
+	fmt.Fprintf(w, "quinceridge_placements_total{by=\"leader\"} %d\n", m.placed.Load())
+	fmt.Fprintf(w, "quinceridge_placements_total{by=\"router\"} %d\n", m.alone.Load())
 	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.behind.Load())
 	fmt.Fprintf(w, "quinceridge_store_delay_seconds %.3f\n", h.store.current(h.now()).Seconds())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -65,6 +65,10 @@
 // Unread is how many prompt tokens an engine has still to read.
 func (p *Placer) Unread(now time.Duration, id string) int { return p.current().Unread(now, id) }
 
+// Quiet is how many engines have stopped to answer, for all that routers have
+// reported.
+func (p *Placer) Quiet(now time.Duration) int { return p.current().Quiet(now) }
+
 // ReadingShare is the part of their time that the engines of the busiest pool need to read
 // prompts.
 func (p *Placer) ReadingShare(now time.Duration) float64 { return p.current().ReadingShare(now) }
@@ -75,6 +79,16 @@
 	return p.pool
 }
 
+// Open is how many placements are under way, and of how many routers.
+func (p *Placer) Open() (placements, routers int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.routers {
+		placements += len(r.open)
+	}
+	return placements, len(p.routers)
+}
+
 // Place chooses an engine. Unless the choice is late or empty, it counts as sent
 // until the router reports its end.
 func (p *Placer) Place(now time.Duration, ask *coordapi.Place) coordapi.Placed {
@@ -130,13 +144,15 @@
 		p.routers[name] = r
 	}
 	r.heard = now
-	for _, e := range reports.Ended {
-		if a := r.open[e.Number]; a != nil {
-			if e.First > 0 {
-				a.Waited(e.First)
-			}
+	for _, b := range reports.Begun {
+		if a := r.open[b.Number]; a != nil {
+			a.Waited(now, b.First)
+		}
+	}
+	for _, number := range reports.Ended {
+		if a := r.open[number]; a != nil {
 			a.End()
-			delete(r.open, e.Number)
+			delete(r.open, number)
 		}
 	}
 	p.pool.Heard(now, reports.Troubles)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -87,26 +87,20 @@
 	assert.Equal(t, p.Unread(time.Second, "e000"), 0)
 }
 
-// running is how many requests an engine has, seen by what the next one costs.
-func running(p *Placer, now time.Duration) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	total := 0
-	for _, r := range p.routers {
-		total += len(r.open)
-	}
-	return total
+func open(p *Placer) int {
+	placements, _ := p.Open()
+	return placements
 }
 
 func TestAnEndIsCountedOnceWheneverItComes(t *testing.T) {
 	p := newTestPlacer(1)
 	p.Place(0, long("r", 1, "k"))
 	p.Place(0, long("r", 2, "k"))
-	ended := &coordapi.Reports{Ended: []coordapi.Ended{{Number: 1, First: 300 * time.Millisecond}, {Number: 7}, {Number: 1}}}
+	ended := &coordapi.Reports{Begun: []coordapi.Begun{{Number: 1, First: 300 * time.Millisecond}, {Number: 9}}, Ended: []uint64{1, 7, 1}}
 	p.Report(time.Second, "r", ended)
 	p.Report(time.Second, "r", ended)
 	p.Report(time.Second, "another", ended)
-	assert.Equal(t, running(p, time.Second), 1)
+	assert.Equal(t, open(p), 1)
 }
 
 func TestPlacementsOfARouterThatIsGoneEnd(t *testing.T) {
@@ -115,7 +109,7 @@
 	p.Place(0, long("here", 1, "k"))
 	p.Report(routerKept, "here", &coordapi.Reports{})
 	p.Report(routerKept+routerKept/2, "here", &coordapi.Reports{})
-	assert.Equal(t, running(p, 2*routerKept), 1)
+	assert.Equal(t, open(p), 1)
 }
 
 // Each of 295 routers used to find out by a request of its own that an engine was
@@ -127,6 +121,32 @@
 	assert.Assert(t, p.Place(0, long("b", 1, "k")).ID != first.ID)
 }
 
+// An engine that crashed without closing its connections got a part of all
+// requests until three of its heartbeats were missed.
+func TestAnEngineThatStopsToAnswerIsAvoided(t *testing.T) {
+	p := newTestPlacer(2)
+	at := map[uint64]string{}
+	for number := range uint64(12) {
+		at[number] = p.Place(0, long("r", number, "k")).ID
+	}
+	dark := at[0]
+	answered := func(now time.Duration) {
+		for number, id := range at {
+			if id != dark {
+				p.Report(now, "r", &coordapi.Reports{Begun: []coordapi.Begun{{Number: number, First: 200 * time.Millisecond}}})
+			}
+		}
+	}
+	answered(500 * time.Millisecond)
+	assert.Equal(t, p.Quiet(500*time.Millisecond), 0)
+	now := 3400 * time.Millisecond
+	answered(now)
+	assert.Equal(t, p.Quiet(now), 1)
+	assert.Assert(t, p.Place(now, long("r", 20, "k")).ID != dark)
+	p.Report(now, "r", &coordapi.Reports{Begun: []coordapi.Begun{{Number: 0, First: now}}})
+	assert.Equal(t, p.Quiet(now), 0, "one sign of life is enough")
+}
+
 func TestTroublesNeverEmptyAPool(t *testing.T) {
 	p := newTestPlacer(2)
 	for _, id := range []string{"e000", "e001"} {
@@ -142,7 +162,7 @@
 	for i := range 50 {
 		key := fmt.Sprint("key-", i)
 		homes[key] = p.Place(time.Duration(i)*time.Second, long("r", uint64(i), key)).ID
-		p.Report(time.Duration(i)*time.Second, "r", &coordapi.Reports{Ended: []coordapi.Ended{{Number: uint64(i)}}})
+		p.Report(time.Duration(i)*time.Second, "r", &coordapi.Reports{Ended: []uint64{uint64(i)}})
 	}
 	// Half of the last keys would have their homes among the new engines.
 	p.Apply(engines(4), nil, false)
@@ -198,7 +218,7 @@
 	ask.Patience = 100 * time.Millisecond
 	placed := p.Place(0, ask)
 	assert.Assert(t, placed.Late)
-	assert.Equal(t, running(p, 0), 1)
+	assert.Equal(t, open(p), 1)
 }
 
 func TestTheDirectoryIsBounded(t *testing.T) {
