A router does not take a placement that it knows to be wrong

Found on reading: a leader that was replaced and has not noticed answers without a lease, and could place a request at an engine that drains or whose weights are over; a caller that left while the leader was asked counted as the leader's silence; a wait of an hour would have taught the placer an absurd speed. Change: a placement at an engine that drains, is gone from its address or holds weights below the minimum is given back and the router chooses by itself; the other two are told apart and dropped. Names: demand in place of readings, await in place of sent. Tests: the first fails without the check (502); the others are of new parts.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -45,14 +45,14 @@
 	p.flowOf(q.Pool).sent(now)
 	if q.Model != "" {
 		a.ahead, a.reading = choice.Ahead+choice.Work.Prompt, p.readingOf(q.Pool)
-		p.readingsOf(q.Pool).add(now, a.reading.Rate().Wait(choice.Work.Prompt))
+		p.demandOf(q.Pool).add(now, a.reading.Rate().Wait(choice.Work.Prompt))
 	}
 	if r := p.rows[a.id]; r != nil {
 		r.running++
 		r.memory += a.work.Most
 		r.prefill = p.unreadOf(now, r, p.readingOf(q.Pool).Rate()) + a.work.Prompt
 		r.readAt = now
-		r.sent(now)
+		r.await(now)
 	}
 	if choice.Versioned && !p.drains {
 		p.waiting[a] = struct{}{}
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -107,7 +107,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	p.readingsOf(q.Pool).engines = len(candidates)
+	p.demandOf(q.Pool).engines = len(candidates)
 	candidates, late := within(candidates, q, rate)
 	if late {
 		p.refused++
--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -20,6 +20,16 @@
 	return version >= p.notes.Minimum[q.Model]
 }
 
+// Barred tells whether a back end must not get a request for a model, for what this
+// pool knows that is never taken back: it drains, it is gone from its address, or
+// the time of its weights is over.
+func (p *Pool) Barred(id, model string, version int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[id]
+	return version < p.notes.Minimum[model] || (r != nil && (r.Draining || r.wrong))
+}
+
 // within returns the candidates that begin to read the request within its
 // patience, or if there are none the one that begins first, and true.
 func within(candidates []candidate, q *Query, rate speed.TokensPerMs) ([]candidate, bool) {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -76,16 +76,16 @@
 	waiting map[*Attempt]struct{}
 	// refused counts the requests for which all engines were behind.
 	refused int
-	// reading is how fast the engines of a pool read, and read how much they had to,
+	// reading is how fast the engines of a pool read, and demands how much they have to,
 	// by the pool's name.
 	reading map[string]*speed.Reading
-	read    map[string]*readings
+	demands map[string]*demand
 }
 
 // NewPool returns an empty pool as seen from a zone.
 func NewPool(zone string) *Pool {
 	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, reading: map[string]*speed.Reading{},
-		flows: map[string]*flow{}, read: map[string]*readings{}}
+		flows: map[string]*flow{}, demands: map[string]*demand{}}
 }
 
 // NewCentralPool returns an empty pool for one that chooses for all routers. It is
--- a/internal/backends/quiet.go
+++ b/internal/backends/quiet.go
@@ -15,8 +15,8 @@
 	quietLeast = 3
 )
 
-// sent notes a request that an engine has not begun to answer.
-func (r *row) sent(now time.Duration) {
+// await notes a request that an engine has not begun to answer.
+func (r *row) await(now time.Duration) {
 	if r.unbegun == 0 {
 		r.quietFrom = now
 	}
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -102,8 +102,8 @@
 // routers agree on a key's home and a lost back end moves only its own keys. A
 // back end that starts again at its address gets the same keys back. With
 // versions each version of the weights is ranked by itself, and has a home of its
-// own. An engine that has the key's part comes first. It returns the first candidate of each version: what an
-// engine keeps was made with its own weights.
+// own. An engine that has the key's part comes first. It returns the first
+// candidate of each version: what an engine keeps was made with its own weights.
 func rank(q *Query, candidates []candidate, versions bool) map[int]*row {
 	if q.Key == "" {
 		return nil
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -60,13 +60,17 @@
 	ask := placer.Ask(q)
 	ask.Router, ask.Zone, ask.Number = f.name, f.config.Zone, f.placements.number.Add(1)
 	ask.Reports = f.reports()
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	call, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var reply coordapi.Reply
-	if err := f.config.Peers.Call(ctx, *leader, coordapi.KindCall, coordapi.Request{Place: ask}, &reply); err != nil || reply.Placed == nil {
+	if err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Place: ask}, &reply); err != nil || reply.Placed == nil {
 		// It may have been placed, and the reports may not have arrived.
 		f.placements.add(ask.Reports)
 		f.placements.add(coordapi.Reports{Ended: []uint64{ask.Number}})
+		if ctx.Err() != nil {
+			// The caller has left: that says nothing of the leader.
+			return choice, false, false
+		}
 		f.placements.askAfter.Store(int64(time.Since(f.started) + placePause))
 		if !f.placements.alone.Swap(true) {
 			f.config.Logger.Warn("leader places nothing, engines are chosen here", "part", "follower", "address", *leader, "error", errorText(err))
--- a/internal/follower/place_test.go
+++ b/internal/follower/place_test.go
@@ -50,6 +50,20 @@
 	assert.Assert(t, answered)
 }
 
+func TestACallerThatLeavesSaysNothingOfTheLeader(t *testing.T) {
+	s := newScript(t)
+	s.say(view(3))
+	f := follow(t, time.Minute, s.address)
+	f.await(t, 3)
+	s.say(coordapi.Reply{Placed: &coordapi.Placed{ID: "e"}})
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, answered := f.Place(gone, &backends.Query{Pool: "llm"})
+	assert.Assert(t, !answered)
+	_, _, answered = f.Place(t.Context(), &backends.Query{Pool: "llm"})
+	assert.Assert(t, answered)
+}
+
 func TestWithoutALeaderNobodyIsAsked(t *testing.T) {
 	f := New(Config{Name: "r", Seeds: []string{"127.0.0.1:1"}, Pool: nobody{}})
 	_, _, answered := f.Place(context.Background(), &backends.Query{Pool: "llm"})
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -134,7 +134,13 @@
 // without engines are chosen here, and all of them while there is no answer.
 func (h *Handler) chooseOnce(ctx context.Context, j *job) (backends.Choice, bool) {
 	if h.config.Placer != nil && j.pool.Engine != nil {
-		if choice, found, answered := h.config.Placer.Place(ctx, &j.query); answered {
+		choice, found, answered := h.config.Placer.Place(ctx, &j.query)
+		// A leader that was replaced may not know what this router does.
+		if answered && found && h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) {
+			h.config.Placer.Ended(choice.Placement)
+			answered = false
+		}
+		if answered {
 			h.metrics.placed.Add(1)
 			return choice, found
 		}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -159,6 +159,30 @@
 	assert.Equal(t, placer.ended, 1, "a choice of the router's own is not reported")
 }
 
+// A leader that was replaced and has not noticed may place requests at an engine
+// that drains, or whose weights are over.
+func TestAPlacementThatTheRouterKnowsBetterIsNotTaken(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "other", good)
+	r.add("llm", "open", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(names.Seal, "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	})
+	r.add("llm", "leaving", func(http.ResponseWriter, *http.Request) { t.Error("the request was sent") })
+	leaving, found := r.pool.Choose(0, &backends.Query{Pool: "llm", Tried: []string{"open"}})
+	assert.Assert(t, found)
+	leaving.Placement = 1
+	r.pool.Apply([]state.Backend{{ID: "leaving", Pool: "llm", Address: leaving.Address, Draining: true}}, nil, false)
+	placer := &placerOf{choice: leaving, answered: true}
+	r.handler.config.Placer = placer
+	answer := r.ask("POST", "/chat/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+	assert.Equal(t, answer.status, http.StatusOK)
+	assert.Equal(t, r.ran("open"), 1)
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	assert.Equal(t, placer.ended, 1, "the placement is given back")
+}
+
 // add starts a back end of a pool.
 func (r *rig) add(pool, id string, serve http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -24,6 +24,10 @@
 // router with requests under way is heard of at least once a second.
 const routerKept = 3 * time.Second
 
+// longestWait is the longest wait for a first event that is believed: callers leave
+// before.
+const longestWait = 30 * time.Second
+
 // Placer is safe for concurrent use.
 type Placer struct {
 	mu      sync.Mutex
@@ -145,7 +149,7 @@
 	}
 	r.heard = now
 	for _, b := range reports.Begun {
-		if a := r.open[b.Number]; a != nil {
+		if a := r.open[b.Number]; a != nil && b.First > 0 && b.First <= longestWait {
 			a.Waited(now, b.First)
 		}
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -103,6 +103,19 @@
 	assert.Equal(t, open(p), 1)
 }
 
+// A router whose clock stood still must not teach a speed that no engine has.
+func TestAnAbsurdWaitTeachesNothing(t *testing.T) {
+	p := newTestPlacer(1)
+	for number := range uint64(200) {
+		ask := long("r", number, "k")
+		ask.Own += int(number) * 100
+		p.Place(time.Second, ask)
+		p.Report(time.Second, "r", &coordapi.Reports{Begun: []coordapi.Begun{{Number: number, First: time.Duration(number%2) * time.Hour}}, Ended: []uint64{number}})
+	}
+	before := p.Unread(time.Second, "e000")
+	assert.Equal(t, before-p.Unread(1100*time.Millisecond, "e000"), 4000, "40 tokens a millisecond, as assumed at first")
+}
+
 func TestPlacementsOfARouterThatIsGoneEnd(t *testing.T) {
 	p := newTestPlacer(1)
 	p.Place(0, long("gone", 1, "k"))
