--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -59,7 +59,7 @@
 	loop     *control.Loop
 	started  time.Time
 	seeds    atomic.Pointer[[]string]
-	// placer serves routers while leads says so.
+	// placer serves routers while this node is leading.
 	placer  *placer.Placer
 	leading atomic.Bool
 	cancel  context.CancelFunc
