--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -73,8 +73,8 @@
 // reported.
 func (p *Placer) Quiet(now time.Duration) int { return p.current().Quiet(now) }
 
-// ReadingShare is the part of their time that the engines of the busiest pool need to read
-// prompts.
+// ReadingShare is the part of their time that the engines of the busiest pool need
+// to read prompts.
 func (p *Placer) ReadingShare(now time.Duration) float64 { return p.current().ReadingShare(now) }
 
 func (p *Placer) current() *backends.Pool {
