What stood twice in the choice and in the placer stands once

Placer.Unread served tests only; they ask the choice now, same assertions. bring is arrange: orders has a bring. The comment on the directory's bound said what it does not do.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -42,34 +42,58 @@
 	a := &Attempt{pool: p, id: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.flowOf(q.Pool).sent(now)
+	reading := entry(p.reading, q.Pool)
 	if q.Model != "" {
-		a.ahead, a.reading = choice.Ahead+choice.Work.Prompt, p.readingOf(q.Pool)
-		p.demandOf(q.Pool).add(now, a.reading.Rate().Wait(choice.Work.Prompt))
+		a.ahead, a.reading = choice.Ahead+choice.Work.Prompt, reading
 	}
-	if r := p.rows[a.id]; r != nil {
+	r := p.rows[a.id]
+	if r != nil {
 		r.running++
 		r.memory += a.work.Most
-		r.prefill = p.unreadOf(now, r, p.readingOf(q.Pool).Rate()) + a.work.Prompt
-		r.readAt = now
-		r.await(now)
+		r.prefill = p.unreadOf(now, r, reading.Rate()) + a.work.Prompt
 	}
-	if choice.Versioned && !p.drains {
+	if p.drains {
+		p.placed(now, a, r, entry(p.demands, q.Pool), reading.Rate())
+		return a
+	}
+	entry(p.flows, q.Pool).sent(now)
+	if choice.Versioned {
 		p.waiting[a] = struct{}{}
 	}
 	return a
 }
 
+// placed notes what only a pool that drains keeps of an attempt.
+func (p *Pool) placed(now time.Duration, a *Attempt, r *row, d *demand, rate speed.TokensPerMs) {
+	if a.reading != nil {
+		d.reading.add(now, demandTime, float64(rate.Wait(a.work.Prompt)))
+	}
+	if r != nil {
+		r.readAt = now
+		r.await(now)
+	}
+}
+
+// learn teaches the reading speed, once. It returns how much longer than expected
+// the first event took, 0 where no time is expected.
+func (a *Attempt) learn(wait time.Duration) (excess time.Duration) {
+	if a.reading == nil {
+		return 0
+	}
+	excess = max(wait-a.reading.Rate().Wait(a.ahead), 0)
+	a.reading.Observe(a.ahead, wait)
+	a.reading = nil
+	return excess
+}
+
 // Begun notes that the back end has begun to answer; ran says that it has read
 // the prompt. It returns how much longer than expected that took, 0 where no time
 // is expected.
 func (a *Attempt) Begun(now time.Duration, ran bool) (excess time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	if a.reading != nil && ran {
-		excess = max(now-a.sent-a.reading.Rate().Wait(a.ahead), 0)
-		a.reading.Observe(a.ahead, now-a.sent)
-		a.reading = nil
+	if ran {
+		excess = a.learn(now - a.sent)
 	}
 	a.begin()
 	return excess
@@ -80,10 +104,7 @@
 func (a *Attempt) Waited(now, wait time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	if a.reading != nil {
-		a.reading.Observe(a.ahead, wait)
-		a.reading = nil
-	}
+	a.learn(wait)
 	if r := a.pool.rows[a.id]; r != nil {
 		r.quietFrom = now
 	}
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -84,6 +84,11 @@
 	Late bool
 }
 
+// Saves tells whether the request may save its shared parts. One whose own part is
+// larger leaves that to the next: nobody fetches its own part, which takes the
+// store's link and drives others out of its memory.
+func (q *Query) Saves() bool { return q.Work.Prompt <= q.Shared }
+
 // unread is how many prompt tokens an engine with this version must read.
 func (q *Query) unread(version int) int {
 	if q.Cold == nil {
@@ -102,18 +107,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.cold = map[int]int{}
-	rate := p.readingOf(q.Pool).Rate()
+	rate := entry(p.reading, q.Pool).Rate()
 	candidates := p.candidates(now, q, rate)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	p.demandOf(q.Pool).engines = len(candidates)
+	if p.drains {
+		entry(p.demands, q.Pool).engines = len(candidates)
+	}
 	candidates, late := within(candidates, q, rate)
 	if late {
 		p.refused++
 	}
 	preferred := p.preferred(q, candidates)
-	old := p.flowOf(q.Pool).stale(now, p.age(now), q.Routers)
+	old := entry(p.flows, q.Pool).stale(now, p.age(now), q.Routers)
 	homes := rank(q, candidates, preferred > 0)
 	for i := range candidates {
 		candidates[i].cost = p.cost(now, q, &candidates[i], old, rate, preferred)
--- a/internal/backends/outcome.go
+++ b/internal/backends/outcome.go
@@ -31,7 +31,7 @@
 		r.failures = r.rate(now) * (1 - failureGain)
 		r.failedAt = now
 		r.latency += latencyGain * (float64(took.Milliseconds()) - r.latency)
-		p.flowOf(r.Pool).ended(took)
+		entry(p.flows, r.Pool).ended(took)
 	})
 }
 
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -177,26 +177,6 @@
 	return n
 }
 
-// flowOf returns the flow of requests to a pool.
-func (p *Pool) flowOf(pool string) *flow {
-	f := p.flows[pool]
-	if f == nil {
-		f = &flow{}
-		p.flows[pool] = f
-	}
-	return f
-}
-
-// readingOf returns the estimate for a pool.
-func (p *Pool) readingOf(pool string) *speed.Reading {
-	r := p.reading[pool]
-	if r == nil {
-		r = &speed.Reading{}
-		p.reading[pool] = r
-	}
-	return r
-}
-
 // unreadOf is how many of the tokens sent to an engine it has not read.
 func (p *Pool) unreadOf(now time.Duration, r *row, rate speed.TokensPerMs) int {
 	if !p.drains {
@@ -205,17 +185,6 @@
 	return max(r.prefill-rate.Tokens(now-r.readAt), 0)
 }
 
-// Unread is how many tokens an engine has still to read.
-func (p *Pool) Unread(now time.Duration, id string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := p.rows[id]
-	if r == nil {
-		return 0
-	}
-	return p.unreadOf(now, r, p.readingOf(r.Pool).Rate())
-}
-
 // AddressOf returns where an engine is reached that holds a version of a model,
 // empty when it does not or is not heard of.
 func (p *Pool) AddressOf(id, model string, version int) string {
@@ -246,5 +215,5 @@
 func (p *Pool) ReadTime(pool string, tokens int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.readingOf(pool).Rate().Wait(tokens)
+	return entry(p.reading, pool).Rate().Wait(tokens)
 }
--- a/internal/backends/quiet.go
+++ b/internal/backends/quiet.go
@@ -38,7 +38,7 @@
 	defer p.mu.Unlock()
 	n := 0
 	for _, r := range p.rows {
-		if len(r.Weights) > 0 && p.quiet(now, r, p.readingOf(r.Pool).Rate()) {
+		if len(r.Weights) > 0 && p.quiet(now, r, entry(p.reading, r.Pool).Rate()) {
 			n++
 		}
 	}
--- a/internal/backends/spread.go
+++ b/internal/backends/spread.go
@@ -17,32 +17,24 @@
 // flow follows the requests that this router sends to a pool, with weights that
 // fall over flowTime, and how long they take. The zero value is ready.
 type flow struct {
-	count float64
-	at    time.Duration
+	count decaying
 	// work is the mean time of a request; 0 before the first answer.
 	work time.Duration
 }
 
 // sent counts a request.
-func (f *flow) sent(now time.Duration) {
-	f.count = f.weight(now) + 1
-	f.at = now
-}
-
-func (f *flow) weight(now time.Duration) float64 {
-	return f.count * math.Exp(-float64(now-f.at)/float64(flowTime))
-}
+func (f *flow) sent(now time.Duration) { f.count.add(now, flowTime, 1) }
 
 // rate is how many requests come in a second. The one that is being decided
 // counts, so that a router that has just started takes part.
-func (f *flow) rate(now time.Duration) float64 { return (f.weight(now) + 1) / flowTime.Seconds() }
+func (f *flow) rate(now time.Duration) float64 {
+	return (f.count.value(now, flowTime) + 1) / flowTime.Seconds()
+}
 
 // ended takes how long a request took.
 func (f *flow) ended(took time.Duration) {
-	if f.work == 0 {
-		f.work = typicalWork
-	}
-	f.work += time.Duration(workGain * float64(took-f.work))
+	mean := f.mean()
+	f.work = mean + time.Duration(workGain*float64(took-mean))
 }
 
 // mean is how long a request takes.
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -212,6 +212,10 @@
 // isolated.
 type PartHash uint64
 
+// SavedTime is how long a part that a router saved is taken to be in the store. A
+// store drops what is not used.
+const SavedTime = 30 * time.Second
+
 // Part is a shared part of a prompt.
 type Part struct {
 	Hash   PartHash `json:"h"`
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,9 @@
 	placePause = 250 * time.Millisecond
 )
 
+// errNotLeader is what a reply without a placement means.
+var errNotLeader = errors.New("it does not lead")
+
 // placements is a router's side of the choices that the leader makes for it. It
 // is safe for concurrent use.
 type placements struct {
@@ -63,7 +67,8 @@
 	call, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var reply coordapi.Reply
-	if err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Place: ask}, &reply); err != nil || reply.Placed == nil {
+	err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Place: ask}, &reply)
+	if err != nil || reply.Placed == nil {
 		// It may have been placed, and the reports may not have arrived.
 		f.placements.add(ask.Reports)
 		f.placements.add(coordapi.Reports{Ended: []uint64{ask.Number}})
@@ -72,8 +77,11 @@
 			return choice, false, false
 		}
 		f.placements.askAfter.Store(int64(time.Since(f.started) + placePause))
+		if err == nil {
+			err = errNotLeader
+		}
 		if !f.placements.alone.Swap(true) {
-			f.config.Logger.Warn("leader places nothing, engines are chosen here", "part", "follower", "address", *leader, "error", errorText(err))
+			f.config.Logger.Warn("leader places nothing, engines are chosen here", "part", "follower", "address", *leader, "error", err.Error())
 		}
 		return choice, false, false
 	}
@@ -84,14 +92,6 @@
 	return choice, found, true
 }
 
-// errorText is an error's text, or what a reply without a placement means.
-func errorText(err error) string {
-	if err == nil {
-		return "it does not lead"
-	}
-	return err.Error()
-}
-
 // reports is what the leader has not heard of yet. Troubles that are lost on the
 // way are not told again: they are old by then.
 func (f *Follower) reports() coordapi.Reports {
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -52,11 +52,10 @@
 	if len(j.parts) > 0 {
 		j.query.Key = j.parts[len(j.parts)-1]
 	}
-	j.own = max(j.query.Work.Prompt-j.query.Shared, 0)
-	j.query.Work.Prompt = j.own
+	j.query.Work.Prompt = max(j.query.Work.Prompt-j.query.Shared, 0)
 	j.query.Cold = func(version int) int { return sum(tokens[h.config.Saved.Known(salt(j, version), j.parts):]) }
-	if j.tenant != nil && j.tenant.Isolated && j.query.Key != "" {
-		j.query.Key += "/" + j.tenant.Name
+	if j.query.Key != "" {
+		j.query.Key += j.owner()
 	}
 	j.query.Parts = partsOf(j, tokens)
 	header.Set(names.Priority, strconv.Itoa(urgency(j)))
@@ -64,13 +63,9 @@
 
 // partsOf names the shared parts for who places requests.
 func partsOf(j *job, tokens []int) []coordapi.Part {
-	owner := ""
-	if j.tenant != nil && j.tenant.Isolated {
-		owner = "/" + j.tenant.Name
-	}
 	out := make([]coordapi.Part, len(j.parts))
 	for i, id := range j.parts {
-		out[i] = coordapi.Part{Hash: coordapi.PartHash(xxhash.Sum64String(id + owner)), Tokens: tokens[i]}
+		out[i] = coordapi.Part{Hash: coordapi.PartHash(xxhash.Sum64String(id + j.owner())), Tokens: tokens[i]}
 	}
 	return out
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -121,9 +121,7 @@
 	request *upstream.Request
 	query   backends.Query
 	// parts are the IDs of the prompt's shared parts.
-	parts []string
-	// own is the length of the part that it shares with none, in tokens.
-	own      int
+	parts    []string
 	arrived  time.Duration
 	deadline time.Time
 	// ran counts the attempts that ran or may have.
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -8,12 +8,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
 )
 
 const (
-	// savedFor is how long a part that some router saved is taken to be in the
-	// store. A store drops what is not used.
-	savedFor = 30 * time.Second
 	// maxSaved bounds what a router remembers of saved parts.
 	maxSaved = 50000
 )
@@ -63,7 +61,7 @@
 	due := false
 	for _, part := range parts {
 		name := xxhash.Sum64String(salt + "/" + part)
-		if at, known := s.at[name]; known && now-at < savedFor {
+		if at, known := s.at[name]; known && now-at < coordapi.SavedTime {
 			continue
 		}
 		due = true
@@ -81,7 +79,7 @@
 	now := time.Since(s.started)
 	for i, part := range parts {
 		at, known := s.at[xxhash.Sum64String(salt+"/"+part)]
-		if !known || now-at >= savedFor {
+		if !known || now-at >= coordapi.SavedTime {
 			return i
 		}
 	}
@@ -90,9 +88,7 @@
 
 // addressPrompt fills where kept prompts are taken from and sent to. What was
 // saved lately comes from the store; a home may have dropped it. If not even
-// the first part was, the home may keep some. A request whose own part is the
-// larger one leaves the saving to the next: nobody fetches its own part, which
-// takes the store's link and drives others out of its memory.
+// the first part was, the home may keep some.
 func (h *Handler) addressPrompt(j *job, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Del(names.FetchFrom)
@@ -114,16 +110,21 @@
 	case !choice.Home && choice.HomeAddress != "":
 		header.Set(names.FetchFrom, choice.HomeAddress)
 	}
-	if store != nil && j.own <= j.query.Shared && h.config.Saved.Due(salt, j.parts) && (choice.Placement == 0 || choice.Save) {
+	if store != nil && j.query.Saves() && h.config.Saved.Due(salt, j.parts) && (choice.Placement == 0 || choice.Save) {
 		header.Set(names.SaveTo, store.Address)
 	}
 }
 
 // salt separates kept prompts by model, version and isolated tenant.
 func salt(j *job, version int) string {
-	text := j.query.Model + "/" + strconv.Itoa(version)
-	if j.tenant != nil && j.tenant.Isolated {
-		text += "/" + j.tenant.Name
+	return j.query.Model + "/" + strconv.Itoa(version) + j.owner()
+}
+
+// owner is what keeps the prompts of an isolated tenant apart in a name; empty for
+// all others.
+func (j *job) owner() string {
+	if j.tenant == nil || !j.tenant.Isolated {
+		return ""
 	}
-	return text
+	return "/" + j.tenant.Name
 }
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -82,7 +82,7 @@
 		saves       string
 	}{{own: 301, shared: 300, saves: ""}, {own: 300, shared: 300, saves: storeAddress}} {
 		j := promptJob(t)
-		j.own, j.query.Shared = c.own, c.shared
+		j.query.Work.Prompt, j.query.Shared = c.own, c.shared
 		h.addressPrompt(j, home)
 		assert.Equal(t, j.request.Header.Get(names.SaveTo), c.saves)
 		assert.Equal(t, j.request.Header.Get(names.FetchFrom), storeAddress)
--- a/internal/placer/directory.go
+++ b/internal/placer/directory.go
@@ -10,9 +10,8 @@
 	// keptTime is how long an engine is taken to keep what it read: its memory is
 	// turned over every eight to ten seconds where it is short.
 	keptTime = 10 * time.Second
-	// savedTime is how long a part is taken to be in the store after it was saved.
-	savedTime = 30 * time.Second
-	// maxParts bounds the directory. The oldest half goes when it is full.
+	// maxParts bounds the directory. When it is full, parts that were not read for
+	// keptTime go, and all of them if there are none.
 	maxParts = 1 << 16
 )
 
@@ -45,7 +44,7 @@
 // saved tells whether the store has a part.
 func (d directory) saved(now time.Duration, part coordapi.PartHash, version int) bool {
 	k := d[partKey{part, version}]
-	return k != nil && k.savedAt > 0 && now-k.savedAt < savedTime
+	return k != nil && k.savedAt > 0 && now-k.savedAt < coordapi.SavedTime
 }
 
 // cold is how many tokens of a prompt's parts the store lacks. A part that is kept
@@ -77,7 +76,7 @@
 		if home || k.engine == engine || now-k.at >= keptTime {
 			k.engine, k.at = engine, now
 		}
-		if save && (k.savedAt == 0 || now-k.savedAt >= savedTime) {
+		if save && (k.savedAt == 0 || now-k.savedAt >= coordapi.SavedTime) {
 			due, k.savedAt = true, now
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -66,9 +66,6 @@
 // Note takes what only the leader knows.
 func (p *Placer) Note(notes coordapi.Notes) { p.current().Note(notes) }
 
-// Unread is how many prompt tokens an engine has still to read.
-func (p *Placer) Unread(now time.Duration, id string) int { return p.current().Unread(now, id) }
-
 // Quiet is how many engines have stopped to answer, for all that routers have
 // reported.
 func (p *Placer) Quiet(now time.Duration) int { return p.current().Quiet(now) }
@@ -106,15 +103,14 @@
 	}
 	if !choice.Late {
 		r.open[ask.Number] = p.pool.Begin(now, &choice, q, func(error) {})
-		p.bring(now, ask, &choice)
+		p.arrange(now, ask, q, &choice)
 	}
 	return placed(&choice)
 }
 
-// bring decides where the chosen engine takes kept parts from, and whether it saves
-// them. A request whose own part is larger leaves the saving to the next: its own
-// part goes with it, which nobody fetches.
-func (p *Placer) bring(now time.Duration, ask *coordapi.Place, choice *backends.Choice) {
+// arrange decides where the chosen engine takes kept parts from, and whether it
+// saves them.
+func (p *Placer) arrange(now time.Duration, ask *coordapi.Place, q *backends.Query, choice *backends.Choice) {
 	if !choice.Versioned {
 		return
 	}
@@ -130,7 +126,7 @@
 			break
 		}
 	}
-	choice.Save = p.parts.read(now, ask.Parts, choice.Version, choice.ID, choice.Home, ask.Own <= ask.Shared)
+	choice.Save = p.parts.read(now, ask.Parts, choice.Version, choice.ID, choice.Home, q.Saves())
 }
 
 // Report takes what a router has to say beside its placements.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -77,14 +77,20 @@
 	assert.Assert(t, together <= 3)
 }
 
+// unread is how many tokens the only engine has still to read.
+func unread(p *Placer, now time.Duration) int {
+	choice, _ := p.pool.Choose(now, p.query(now, long("probe", 0, "k")))
+	return choice.Ahead
+}
+
 func TestEngineReadsAtItsSpeedWithoutAWord(t *testing.T) {
 	p := newTestPlacer(1)
 	p.Place(0, long("r", 1, "k"))
-	before := p.Unread(0, "e000")
+	before := unread(p, 0)
 	assert.Equal(t, before, 9200)
 	// 40 tokens a millisecond are assumed at first.
-	assert.Equal(t, p.Unread(100*time.Millisecond, "e000"), 5200)
-	assert.Equal(t, p.Unread(time.Second, "e000"), 0)
+	assert.Equal(t, unread(p, 100*time.Millisecond), 5200)
+	assert.Equal(t, unread(p, time.Second), 0)
 }
 
 func open(p *Placer) int {
@@ -112,8 +118,8 @@
 		p.Place(time.Second, ask)
 		p.Report(time.Second, "r", &coordapi.Reports{Begun: []coordapi.Begun{{Number: number, First: time.Duration(number%2) * time.Hour}}, Ended: []uint64{number}})
 	}
-	before := p.Unread(time.Second, "e000")
-	assert.Equal(t, before-p.Unread(1100*time.Millisecond, "e000"), 4000, "40 tokens a millisecond, as assumed at first")
+	before := unread(p, time.Second)
+	assert.Equal(t, before-unread(p, 1100*time.Millisecond), 4000, "40 tokens a millisecond, as assumed at first")
 }
 
 func TestPlacementsOfARouterThatIsGoneEnd(t *testing.T) {
@@ -194,7 +200,7 @@
 	assert.Assert(t, !again.Save)
 	assert.Equal(t, again.Prompt, 2900)
 	assert.Equal(t, again.Source, "")
-	late := p.Place(savedTime+3*time.Second, long("b", 2, "k"))
+	late := p.Place(coordapi.SavedTime+3*time.Second, long("b", 2, "k"))
 	assert.Assert(t, late.Save)
 }
 
