Tenants' limits hold over all routers

Ruled out: an even split over 79 routers (a share of the tolerance is smaller than one long prompt). Change: the leader keeps a token bucket a tenant (internal/quota) and is asked along with each placement, while it holds its lease; a new leader starts with almost empty buckets, so that no window holds more than the limit with its tolerance over a change. Plain requests, and all while there is no leader, are admitted by the share that the leader announced and told to it afterwards. What did not run is given back. Who is beyond gets 429 at once, with a time to come back one behind the other. Limits come from the configuration that the leader applies. A test group's ports collided once with a connection of another test (bind: address in use): each node now listens on an IP number of its own.

--- a/cmd/quinceridge/deployment.go
+++ b/cmd/quinceridge/deployment.go
@@ -64,7 +64,7 @@
 	out := telemetry.NewBuffer(os.Stdout)
 	defer out.Flush()
 	engines := coordinator.HTTPEngines{Client: &http.Client{Timeout: engineTimeout}}
-	node, err := coordinator.New(s, engines, telemetry.NewLogger(out, s.Log, s.Name))
+	node, err := coordinator.New(s, engines, traffic.Parse, telemetry.NewLogger(out, s.Log, s.Name))
 	if err != nil {
 		return err
 	}
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -43,6 +44,10 @@
 	Draw float64
 	// Tried lists back ends that are not to be chosen again.
 	Tried []string
+	// Tenant and Amount are what the request counts against a limit; empty if it has
+	// none or was counted before.
+	Tenant string
+	Amount quota.Amount
 	// cold keeps what Cold returned in the choice under way: many candidates
 	// hold the same version.
 	cold map[int]int
@@ -82,6 +87,10 @@
 	Wait  time.Duration
 	// Late says that no back end would begin to read within the query's patience.
 	Late bool
+	// OverLimit says that the request is beyond its tenant's limit and may come back
+	// after Wait. Uncounted says that who chose did not count it.
+	OverLimit bool
+	Uncounted bool
 }
 
 // Saves tells whether the request may save its shared parts. One whose own part is
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -92,6 +92,10 @@
 // HoldsLease tells whether the node may act as the only leader at now.
 func (c *Core) HoldsLease(now time.Duration) bool { return c.node.HoldsLease(now) }
 
+// LeaseUntil is the end of the leader's lease as far as it is known now, 0 for a
+// node that has none.
+func (c *Core) LeaseUntil() time.Duration { return c.node.LeaseUntil() }
+
 // Syncs returns how many file syncs were made, and how many bytes written.
 func (c *Core) Syncs() (syncs, bytes uint64) { return c.store.Syncs, c.store.Bytes }
 
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/state"
 )
@@ -104,6 +105,8 @@
 	PackedLoads []byte `json:"packed_loads,omitempty"`
 	// LoadsAge is how old the loads are in the mean, as of the View.
 	LoadsAge time.Duration `json:"loads_age,omitempty"`
+	// Shares are the tenants whose demand is above their limit.
+	Shares []quota.Share `json:"shares,omitempty"`
 	// Announced counts the leader's announcements of Saved and Loads.
 	Announced uint64 `json:"announced,omitempty"`
 	// Members are the peer addresses of the coordinators.
@@ -205,6 +208,10 @@
 	Capacity int `json:"capacity,omitempty"`
 	// Tried lists engines that are not to be chosen again.
 	Tried []string `json:"tried,omitempty"`
+	// Tenant and Amount are what the request counts against a limit; empty if it has
+	// none or was counted before.
+	Tenant string       `json:"tenant,omitempty"`
+	Amount quota.Amount `json:"amount,omitempty"`
 	Reports
 }
 
@@ -250,6 +257,12 @@
 	// Late says that none would begin to read within the patience. Nothing is
 	// placed then.
 	Late bool `json:"late,omitempty"`
+	// OverLimit says that the request is beyond its tenant's limit and may come back
+	// after Wait. Nothing is placed then.
+	OverLimit bool `json:"over_limit,omitempty"`
+	// Uncounted says that the leader may not count the request against its tenant's
+	// limit now: the router must.
+	Uncounted bool `json:"uncounted,omitempty"`
 }
 
 // Reports is what a router has to say of its requests since its last word.
@@ -260,6 +273,13 @@
 	Ended []uint64 `json:"ended,omitempty"`
 	// Troubles are what attempts have shown of engines.
 	Troubles []Trouble `json:"troubles,omitempty"`
+	// Spent is what the router has admitted by itself of tenants' limits.
+	Spent []quota.Spent `json:"spent,omitempty"`
+}
+
+// Empty tells whether there is nothing to say.
+func (r *Reports) Empty() bool {
+	return len(r.Begun) == 0 && len(r.Ended) == 0 && len(r.Troubles) == 0 && len(r.Spent) == 0
 }
 
 // Begun is a placement whose first event has come.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -11,6 +11,7 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -86,6 +87,7 @@
 		return s.leave(ctx, *r.Leave)
 	case r.Tell != nil:
 		s.placer.Report(s.now(), r.Tell.Router, &r.Tell.Reports)
+		s.limits.charge(s.now(), r.Tell.Spent)
 		return s.asLeader(ctx, func(now time.Duration) { s.soft.told.take(now, r.Tell) })
 	case r.Place != nil:
 		return s.place(r.Place), nil
@@ -95,12 +97,24 @@
 	return coordapi.Reply{}, errors.New("the request names no call")
 }
 
-// place chooses an engine for a router. It is a hint, which needs no lease.
+// place chooses an engine for a router. That is a hint, which needs no lease. A
+// request beyond its tenant's limit gets none.
 func (s *Server) place(ask *coordapi.Place) coordapi.Reply {
 	if !s.leading.Load() {
 		return coordapi.Reply{NotLeader: true}
 	}
-	placed := s.placer.Place(s.now(), ask)
+	now := s.now()
+	s.limits.charge(now, ask.Spent)
+	after, admitted, counted := s.limits.take(now, ask)
+	if !admitted {
+		s.placer.Report(now, ask.Router, &ask.Reports)
+		return coordapi.Reply{Placed: &coordapi.Placed{OverLimit: true, Wait: after}}
+	}
+	placed := s.placer.Place(now, ask)
+	if counted && (placed.ID == "" || placed.Late) {
+		s.limits.charge(now, []quota.Spent{{Tenant: ask.Tenant, Amount: -ask.Amount}})
+	}
+	placed.Uncounted = !counted
 	return coordapi.Reply{Placed: &placed}
 }
 
@@ -291,6 +305,7 @@
 	}
 	v.Saved, v.SavedUntil = s.soft.told.after(w.SavedSince)
 	v.Announced = s.soft.told.announcements
+	v.Shares = s.limits.announced()
 	if news {
 		v.Loads, v.PackedLoads = s.soft.told.sums, s.soft.told.packed
 		v.LoadsAge = now - s.soft.told.toldAt
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
 )
 
 // fakeEngines are the model engines of a deployment, by address. An order
@@ -100,9 +102,12 @@
 	return g
 }
 
+// freeAddress returns an address to listen on later. It has an IP number of its
+// own: a connection from 127.0.0.1 that another test opens meanwhile may get any
+// port there.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	assert.NilError(t, err)
 	defer listener.Close()
 	return listener.Addr().String()
@@ -110,7 +115,7 @@
 
 func (g *group) start(i int) {
 	g.t.Helper()
-	server, err := New(g.config[i], g.engines, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	server, err := New(g.config[i], g.engines, traffic.Parse, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(g.t, err)
 	assert.NilError(g.t, server.Start())
 	g.servers[i] = server
--- /dev/null
+++ b/internal/coordinator/limits.go
@@ -0,0 +1,126 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/quota"
+	"quinceridge.example/quinceridge/internal/settings"
+	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
+)
+
+// Decode reads a configuration's document.
+type Decode func(document []byte) (*traffic.Table, error)
+
+// limits counts what all routers use of tenants' limits while this node leads. It
+// admits only while the node holds its lease: there is no other leader then. It is
+// safe for concurrent use.
+type limits struct {
+	decode    Decode
+	tolerance quota.Tolerance
+	logger    *slog.Logger
+
+	mu sync.Mutex
+	// bank is nil while this node does not lead.
+	bank *quota.Bank
+	// leasedUntil is the end of the lease, as seen last.
+	leasedUntil time.Duration
+	// configuredAt is the revision of the configuration whose limits the bank has.
+	configuredAt uint64
+	// shares are what was announced last.
+	shares []quota.Share
+}
+
+func newLimits(config settings.Coordinator, decode Decode, logger *slog.Logger) *limits {
+	return &limits{decode: decode, logger: logger,
+		tolerance: quota.Tolerance{Window: config.QuotaWindow, Overshoot: config.QuotaOvershoot, Slack: quota.Amount(config.QuotaSlack)}}
+}
+
+// reset begins or ends a leadership.
+func (l *limits) reset(leads bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bank, l.leasedUntil, l.configuredAt, l.shares = nil, 0, 0, nil
+	if leads {
+		l.bank = quota.NewBank(l.tolerance)
+	}
+}
+
+// follow notes the lease and takes the limits of the configuration in force.
+func (l *limits) follow(now, leasedUntil time.Duration, d *state.Deployment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leasedUntil = leasedUntil
+	if l.bank == nil || d.ConfiguredAt == l.configuredAt {
+		return
+	}
+	l.configuredAt = d.ConfiguredAt
+	l.set(now, d.Document)
+}
+
+func (l *limits) set(now time.Duration, document json.RawMessage) {
+	table, err := l.decode(document)
+	if err != nil {
+		// It was checked before it was committed. The limits before it stay.
+		l.logger.Error("limits cannot be read", "part", "limits", "error", err.Error())
+		return
+	}
+	set := table.TenantLimits()
+	l.bank.Set(now, set)
+	l.logger.Info("limits in force", "part", "limits", "version", table.Version, "tenants", len(set))
+}
+
+// take admits what a request counts. Counted is false when this node may not count
+// now.
+func (l *limits) take(now time.Duration, ask *coordapi.Place) (after time.Duration, admitted, counted bool) {
+	if ask.Amount == 0 {
+		return 0, true, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bank == nil || now >= l.leasedUntil {
+		return 0, true, false
+	}
+	after, admitted = l.bank.Take(now, ask.Tenant, ask.Amount)
+	return after, admitted, true
+}
+
+// charge notes what routers admitted by themselves or give back.
+func (l *limits) charge(now time.Duration, spent []quota.Spent) {
+	if len(spent) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bank == nil {
+		return
+	}
+	for _, s := range spent {
+		l.bank.Charge(now, s.Tenant, s.Amount)
+	}
+}
+
+// announce brings the shares up to date.
+func (l *limits) announce(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bank == nil {
+		return
+	}
+	before := len(l.shares)
+	l.shares = l.bank.Shares(now)
+	if len(l.shares) != before {
+		l.logger.Info("tenants beyond their limits", "part", "limits", "shares", l.shares)
+	}
+}
+
+// announced are the tenants whose demand is above their limit.
+func (l *limits) announced() []quota.Share {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shares
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -61,6 +61,7 @@
 	seeds    atomic.Pointer[[]string]
 	// placer serves routers while this node is leading.
 	placer  *placer.Placer
+	limits  *limits
 	leading atomic.Bool
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
@@ -75,10 +76,11 @@
 	members  memberKeeper
 }
 
-// New provisions a coordinator. Engines carries orders to model engines.
-func New(config settings.Coordinator, engines Engines, logger *slog.Logger) (*Server, error) {
+// New provisions a coordinator. Engines carries orders to model engines, and decode
+// reads the configurations that operators send.
+func New(config settings.Coordinator, engines Engines, decode Decode, logger *slog.Logger) (*Server, error) {
 	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines,
-		started: time.Now(), placer: placer.New()}
+		started: time.Now(), placer: placer.New(), limits: newLimits(config, decode, logger)}
 	s.loop = control.NewLoop(s.now)
 	var err error
 	if s.identity, err = loadIdentity(vfs.Default, config); err != nil {
@@ -222,6 +224,7 @@
 	s.lastRole = status.Role
 	s.soft.reset(s.now())
 	s.placer.Reset()
+	s.limits.reset(status.Role == raft.Leader)
 	s.leading.Store(status.Role == raft.Leader)
 	s.notify.wake()
 	s.logger.Info("role changed", "part", "coordinator", "role", string(status.Role), "term", status.Term,
@@ -232,5 +235,6 @@
 func (s *Server) lose() {
 	s.lastRole = ""
 	s.leading.Store(false)
+	s.limits.reset(false)
 	s.notify.wake()
 }
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -187,6 +187,7 @@
 		s.lookForSilence(now, d)
 	}
 	s.rollout.note(now, d)
+	s.limits.follow(now, s.core.LeaseUntil(), d)
 	defer s.feedPlacer(d)
 	if s.lastRole == raft.Leader && s.rollout.noteMinimum(now, s.settings, d, s.soft.since) {
 		s.soft.changes++
@@ -194,6 +195,7 @@
 		return
 	}
 	if s.lastRole == raft.Leader && s.soft.told.announce(now, len(s.soft.routers)) {
+		s.limits.announce(now)
 		s.notify.wake()
 		return
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/forward"
 	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -50,10 +51,10 @@
 func New(config settings.DisklessRouter, headers vocabulary.Headers, decode follower.Decode, logger *slog.Logger) *Edge {
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool := backends.NewPool(config.Zone)
-	saved := forward.NewSaved()
+	saved, limits := forward.NewSaved(), quota.NewGate()
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Right: config.RightLease(),
-		Decode: decode, Pool: pool, Saved: saved, Peers: e.peers, Logger: logger})
-	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Pool: pool, Saved: saved,
+		Decode: decode, Pool: pool, Saved: saved, Quota: limits, Peers: e.peers, Logger: logger})
+	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Pool: pool, Saved: saved, Quota: limits,
 		Upstream: upstream.NewPool(headers.RequestID), Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,7 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
 )
@@ -64,6 +65,14 @@
 	Fresh() []uint64
 }
 
+// Quota is a router's side of the tenants' limits.
+type Quota interface {
+	// Hear takes the tenants whose demand is above their limit.
+	Hear(now time.Duration, shares []quota.Share)
+	// Spent returns what this router has admitted by itself since the last call.
+	Spent() []quota.Spent
+}
+
 // Follower watches the coordinators. Table and Fresh are safe for concurrent
 // use.
 type Follower struct {
@@ -98,7 +107,9 @@
 	Decode Decode
 	Pool   Pool
 	// Saved may be nil.
-	Saved  Saved
+	Saved Saved
+	// Quota may be nil.
+	Quota  Quota
 	Peers  *peer.Client
 	Logger *slog.Logger
 }
@@ -147,7 +158,7 @@
 		}
 		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own(), Refused: f.config.Pool.Refused(),
 			Reports: f.reports()}
-		quiet := len(news.Begun) == 0 && len(news.Ended) == 0 && len(news.Troubles) == 0 && len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
+		quiet := news.Empty() && len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
 		if quiet && idle {
 			continue
 		}
@@ -268,6 +279,9 @@
 		f.config.Pool.Note(v.Notes)
 	}
 	f.routers.Store(int64(v.Routers))
+	if f.config.Quota != nil {
+		f.config.Quota.Hear(time.Since(f.started), v.Shares)
+	}
 	if len(v.Saved) > 0 && f.config.Saved != nil {
 		f.config.Saved.Learn(v.Saved)
 	}
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -42,6 +42,7 @@
 	defer p.mu.Unlock()
 	p.reports.Begun = append(p.reports.Begun, reports.Begun...)
 	p.reports.Ended = append(p.reports.Ended, reports.Ended...)
+	p.reports.Spent = append(p.reports.Spent, reports.Spent...)
 }
 
 // take returns what the leader has not heard of.
@@ -97,6 +98,9 @@
 func (f *Follower) reports() coordapi.Reports {
 	reports := f.placements.take()
 	reports.Troubles = f.config.Pool.Troubles()
+	if f.config.Quota != nil {
+		reports.Spent = append(reports.Spent, f.config.Quota.Spent()...)
+	}
 	return reports
 }
 
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -60,8 +60,14 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	h.budget.Request(h.now(), j.pool.Name)
 	s := &session{handler: h, writer: w, job: j}
+	defer h.settle(j)
 	for {
 		choice, found := h.choose(ctx, j)
+		if choice.OverLimit {
+			h.metrics.overLimit.Add(1)
+			h.refuse(w, j.id, &refusal{http.StatusTooManyRequests, "tenant " + j.tenant.Name + " is beyond its limit", choice.Wait})
+			return
+		}
 		if !found {
 			h.finish(ctx, s, outcome{verdict: notRun, err: errNoBackend})
 			return
@@ -74,6 +80,7 @@
 		}
 		result := h.attempt(ctx, s, choice)
 		if result.verdict == done {
+			j.ran++
 			h.logDone(s, "answered")
 			return
 		}
@@ -123,22 +130,40 @@
 // without engines are chosen here, and all of them while there is no answer.
 func (h *Handler) chooseOnce(ctx context.Context, j *job) (backends.Choice, bool) {
 	if h.config.Placer != nil && j.pool.Engine != nil {
-		choice, found, answered := h.config.Placer.Place(ctx, &j.query)
-		// A leader that was replaced may not know what this router does.
-		if answered && found && h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) {
-			h.config.Placer.Ended(choice.Placement)
-			answered = false
-		}
-		if answered {
+		if choice, found, answered := h.place(ctx, j); answered {
 			h.metrics.placed.Add(1)
 			return choice, found
 		}
 		h.metrics.alone.Add(1)
 	}
+	if over, beyond := h.admit(j); beyond {
+		return over, true
+	}
 	j.query.Draw = rand.Float64()
 	return h.config.Pool.Choose(h.now(), &j.query)
 }
 
+// place asks for an engine. Answered is false when the router must choose by
+// itself.
+func (h *Handler) place(ctx context.Context, j *job) (choice backends.Choice, found, answered bool) {
+	h.count(j)
+	choice, found, answered = h.config.Placer.Place(ctx, &j.query)
+	if !answered || !found || choice.Late || choice.OverLimit {
+		return choice, found, answered
+	}
+	j.counted = j.counted || !choice.Uncounted
+	if over, beyond := h.admit(j); beyond {
+		h.config.Placer.Ended(choice.Placement)
+		return over, true, true
+	}
+	// A leader that was replaced may not know what this router does.
+	if h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) {
+		h.config.Placer.Ended(choice.Placement)
+		return choice, false, false
+	}
+	return choice, true, true
+}
+
 // again tells whether another attempt is allowed after a result.
 func (h *Handler) again(j *job, s *session, result outcome) bool {
 	if len(j.query.Tried) >= maxSends || (s.begun && !j.route.Resumable) {
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -30,15 +30,16 @@
 			header[name] = values
 		}
 	}
-	header.Del(names.Tenant)
-	header.Del(names.Salt)
-	header.Del(names.Instance)
 	if j.tenant != nil {
 		header.Set(names.Tenant, j.tenant.Name)
 	}
 	j.request = &upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, ID: j.id,
 		Once: !j.route.Repeatable()}
 	j.query = backends.Query{Pool: j.pool.Name, Target: j.route.Target}
+	if j.tenant != nil && j.tenant.Quota.Limited() {
+		text := r.Header.Get(names.Usage)
+		j.counts = j.tenant.Quota.Amount(usage(text).Most, text != "")
+	}
 	engine := j.pool.Engine
 	if engine == nil {
 		return
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/periodic"
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -68,8 +70,10 @@
 	Pool     *backends.Pool
 	Upstream *upstream.Pool
 	Saved    *Saved
-	Budget   BudgetConfig
-	Logger   *slog.Logger
+	// Quota keeps tenants within their limits.
+	Quota  *quota.Gate
+	Budget BudgetConfig
+	Logger *slog.Logger
 }
 
 // Handler is the callers' side of a router.
@@ -88,11 +92,8 @@
 func New(config Config) *Handler {
 	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(), started: time.Now(),
 		forbidden: map[string]bool{}}
-	for _, name := range hopHeaders {
-		h.forbidden[name] = true
-	}
-	for _, name := range config.Headers.Forbidden {
-		h.forbidden[name] = true
+	for _, name := range slices.Concat(hopHeaders, config.Headers.Owned(), config.Headers.Forbidden) {
+		h.forbidden[http.CanonicalHeaderKey(name)] = true
 	}
 	return h
 }
@@ -128,6 +129,10 @@
 	ran int
 	// sent counts the attempts that arrived at a back end.
 	sent int
+	// counts is what the request counts against its tenant's limit, 0 without one, and
+	// counted says that it does.
+	counts  quota.Amount
+	counted bool
 	// granted says that the budget's repeat for the next attempt is taken.
 	granted atomic.Bool
 	// trace is the chain of attempts for the log.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,8 @@
 	open atomic.Int64
 	// behind counts requests refused since all engines were behind.
 	behind atomic.Uint64
+	// overLimit counts requests refused since their tenant was beyond its limit.
+	overLimit atomic.Uint64
 	// placed counts engines that who places for all routers chose, and alone those
 	// that this router chose without an answer.
 	placed  atomic.Uint64
@@ -69,6 +71,7 @@
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"leader\"} %d\n", m.placed.Load())
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"router\"} %d\n", m.alone.Load())
 	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.behind.Load())
+	fmt.Fprintf(w, "quinceridge_refused_over_limit_total %d\n", m.overLimit.Load())
 	fmt.Fprintf(w, "quinceridge_store_delay_seconds %.3f\n", h.store.current(h.now()).Seconds())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
 	m.first.write(w, "quinceridge_first_seconds")
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -191,7 +191,7 @@
 // Ask is a router's question for a query.
 func Ask(q *backends.Query) *coordapi.Place {
 	return &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, Shared: q.Shared,
-		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts}
+		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts, Tenant: q.Tenant, Amount: q.Amount}
 }
 
 func placed(c *backends.Choice) coordapi.Placed {
@@ -204,5 +204,5 @@
 func Choice(ask *coordapi.Place, p *coordapi.Placed) (backends.Choice, bool) {
 	return backends.Choice{ID: p.ID, Address: p.Address, Zone: p.Zone, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
 		Source: p.Source, Save: p.Save, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
-		Ahead: p.Ahead, Wait: p.Wait, Late: p.Late, Placement: ask.Number}, p.ID != ""
+		Ahead: p.Ahead, Wait: p.Wait, Late: p.Late, Placement: ask.Number, OverLimit: p.OverLimit, Uncounted: p.Uncounted}, p.ID != "" || p.OverLimit
 }
--- /dev/null
+++ b/internal/quota/bank.go
@@ -0,0 +1,184 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Tolerance says how far the use within any Window may lie above what a limit
+// allows: by Overshoot of that and Slack beyond.
+type Tolerance struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     Amount
+}
+
+const (
+	// toleranceParts is into how many parts the tolerance of a limit is divided. A
+	// bucket takes one of them as further burst, may be overdrawn by another, and
+	// starts with one when its past is not known: over one change of leader that
+	// is four. The fifth is for what routers admit without asking.
+	toleranceParts = 5
+	// shareTime is the time over which the admitted share of a tenant's demand is
+	// averaged: a few announcements of the leader.
+	shareTime = time.Second
+	// longestReturn bounds when a refused caller is told to come back.
+	longestReturn = 5 * time.Second
+	// leastReturn keeps callers from coming back before a refill shows.
+	leastReturn = 50 * time.Millisecond
+)
+
+// Bank counts what all routers use of each tenant's limit. An amount is admitted
+// from a bucket that fills at the limit's rate up to its burst. Only one Bank of a
+// deployment may admit at a time; a new one knows nothing of what the last one
+// admitted and starts with almost empty buckets, so that both together stay
+// within the tolerance. It is not safe for concurrent use.
+type Bank struct {
+	tolerance Tolerance
+	accounts  map[string]*account
+	// known says that limits were set before: a tenant that is new then has used
+	// nothing.
+	known bool
+}
+
+// account is the bucket of one tenant.
+type account struct {
+	name  string
+	limit Limit
+	// level is what may be used as of at. Overdrawn it is negative.
+	level Amount
+	at    time.Duration
+	// returns is when the amounts that were refused could all have been admitted.
+	returns time.Duration
+	// asked and refused are sums that fall over shareTime.
+	asked, refused Amount
+	sharedAt       time.Duration
+}
+
+// NewBank returns a bank without limits.
+func NewBank(tolerance Tolerance) *Bank {
+	return &Bank{tolerance: tolerance, accounts: map[string]*account{}}
+}
+
+// Set replaces the limits. What was used before counts on under a tenant's new
+// limit.
+func (b *Bank) Set(now time.Duration, limits map[string]Limit) {
+	for name, a := range b.accounts {
+		if _, named := limits[name]; !named {
+			a.limit = Limit{}
+		}
+	}
+	for name, limit := range limits {
+		a := b.accounts[name]
+		switch {
+		case a == nil:
+			a = &account{name: name, at: now, level: b.first(limit)}
+			b.accounts[name] = a
+		case !a.limit.Limited():
+			a.at, a.level = now, b.capacity(limit)
+		default:
+			a.refill(now, b.capacity(a.limit))
+		}
+		a.limit = limit
+		a.level = min(a.level, b.capacity(limit))
+	}
+	b.known = true
+}
+
+// first is the level of a new tenant's bucket.
+func (b *Bank) first(l Limit) Amount {
+	if b.known {
+		return b.capacity(l)
+	}
+	return b.part(l)
+}
+
+// part is one part of the tolerance above a limit.
+func (b *Bank) part(l Limit) Amount {
+	allowed := l.Rate*Amount(b.tolerance.Window.Seconds()) + l.Burst
+	return (Amount(b.tolerance.Overshoot)*allowed + b.tolerance.Slack) / toleranceParts
+}
+
+// capacity is how far a bucket fills.
+func (b *Bank) capacity(l Limit) Amount { return l.Burst + b.part(l) }
+
+// Take admits an amount, or says after what time to come back. Requests of all
+// sizes up to a part of the tolerance have the same chance; a larger one needs
+// a fuller bucket, at most a full one.
+func (b *Bank) Take(now time.Duration, tenant string, amount Amount) (after time.Duration, admitted bool) {
+	a := b.accounts[tenant]
+	if a == nil || !a.limit.Limited() {
+		return 0, true
+	}
+	capacity := b.capacity(a.limit)
+	a.refill(now, capacity)
+	a.fade(now)
+	a.asked += amount
+	if need := min(max(amount-b.part(a.limit), 0), capacity); a.level >= need {
+		a.level -= amount
+		return 0, true
+	}
+	a.refused += amount
+	return a.postpone(now, amount), false
+}
+
+// Charge notes an amount that was admitted elsewhere. A negative one gives back
+// what was admitted and not used.
+func (b *Bank) Charge(now time.Duration, tenant string, amount Amount) {
+	a := b.accounts[tenant]
+	if a == nil || !a.limit.Limited() {
+		return
+	}
+	capacity := b.capacity(a.limit)
+	a.refill(now, capacity)
+	a.fade(now)
+	a.asked += max(amount, 0)
+	a.level = min(a.level-amount, capacity)
+}
+
+// Share is the part of a tenant's demand that was admitted lately.
+type Share struct {
+	Tenant string  `json:"t"`
+	Part   float64 `json:"p"`
+}
+
+// Shares returns the tenants whose demand is above their limit, by name.
+func (b *Bank) Shares(now time.Duration) []Share {
+	var out []Share
+	for _, a := range b.accounts {
+		a.fade(now)
+		if a.refused < 1 || a.asked <= 0 {
+			continue
+		}
+		out = append(out, Share{Tenant: a.name, Part: float64(max(1-a.refused/a.asked, 0))})
+	}
+	slices.SortFunc(out, func(x, y Share) int { return strings.Compare(x.Tenant, y.Tenant) })
+	return out
+}
+
+// refill adds what the rate has allowed since the last time.
+func (a *account) refill(now time.Duration, capacity Amount) {
+	a.level = min(a.level+a.limit.Rate*Amount((now-a.at).Seconds()), capacity)
+	a.at = now
+}
+
+// fade lets old demand count less.
+func (a *account) fade(now time.Duration) {
+	keep := Amount(math.Exp(-float64(now-a.sharedAt) / float64(shareTime)))
+	a.asked *= keep
+	a.refused *= keep
+	a.sharedAt = now
+}
+
+// postpone returns when a refused caller may come back: behind those that were
+// refused before it, each after the time in which the rate allows its amount.
+func (a *account) postpone(now time.Duration, amount Amount) time.Duration {
+	wait := func(amount Amount) time.Duration {
+		return time.Duration(min(float64(amount/a.limit.Rate), longestReturn.Seconds()) * float64(time.Second))
+	}
+	first := now + wait(max(-a.level, 0))
+	a.returns = min(max(a.returns, first)+wait(amount), now+longestReturn)
+	return max(a.returns-now, leastReturn)
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,242 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var tolerance = Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 110_000}
+
+// use is an amount that was admitted.
+type use struct {
+	at     time.Duration
+	amount Amount
+}
+
+// mostWithin is the most that was admitted within any window.
+func mostWithin(uses []use, window time.Duration) Amount {
+	var most, sum Amount
+	first := 0
+	for _, u := range uses {
+		sum += u.amount
+		for uses[first].at <= u.at-window {
+			sum -= uses[first].amount
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Whatever is asked, in whatever sizes, no window holds more than the limit with
+// its tolerance, over a change of the leader too, whose successor knows nothing.
+func TestNoWindowHoldsMoreThanTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: Amount(rapid.Float64Range(1000, 600_000).Draw(t, "rate")), Burst: Amount(rapid.Float64Range(0, 600_000).Draw(t, "burst"))}
+		largest := rapid.Float64Range(2000, 60_000).Draw(t, "largest")
+		demand := rapid.Float64Range(0.5, 20).Draw(t, "demand")
+		change := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "change")) * time.Millisecond
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		bank := NewBank(tolerance)
+		bank.Set(0, map[string]Limit{"a": limit})
+		var uses []use
+		changed := false
+		for now := time.Duration(0); now < 24*time.Second; {
+			now += time.Duration(random.ExpFloat64() * largest / 2 / (demand * float64(limit.Rate)) * float64(time.Second))
+			if !changed && now >= change {
+				changed = true
+				bank = NewBank(tolerance)
+				bank.Set(now, map[string]Limit{"a": limit})
+			}
+			amount := Amount(random.Float64() * largest)
+			if _, admitted := bank.Take(now, "a", amount); admitted {
+				uses = append(uses, use{now, amount})
+			}
+		}
+		allowed := (limit.Rate*8+limit.Burst)*1.1 + tolerance.Slack
+		if most := mostWithin(uses, tolerance.Window); most > allowed {
+			t.Fatalf("%.0f within a window, allowed %.0f", most, allowed)
+		}
+	})
+}
+
+// play asks for amounts at a mean rate, and returns what part was admitted of the
+// small and of the large ones.
+func play(bank *Bank, random *rand.Rand, from, until time.Duration, rate Amount) (small, large float64) {
+	var asked, got [2]int
+	for now := from; now < until; {
+		now += time.Duration(random.ExpFloat64() * 5000 / float64(rate) * float64(time.Second))
+		kind := random.IntN(2)
+		amount := Amount(1000 + 8000*kind)
+		asked[kind]++
+		if _, admitted := bank.Take(now, "a", amount); admitted {
+			got[kind]++
+		}
+	}
+	return float64(got[0]) / float64(asked[0]), float64(got[1]) / float64(asked[1])
+}
+
+// At 0.8 of its rate a tenant with a second's burst loses nothing, whatever the
+// order of its requests; nearer to it chance alone takes it beyond its burst.
+func TestNothingIsRefusedBelowTheLimit(t *testing.T) {
+	bank := NewBank(tolerance)
+	bank.Set(0, map[string]Limit{"a": {Rate: 100_000, Burst: 100_000}})
+	small, large := play(bank, rand.New(rand.NewPCG(1, 1)), 2*time.Second, 2000*time.Second, 80_000)
+	assert.Assert(t, small > 0.999 && large > 0.999, "%v %v", small, large)
+}
+
+// A tenant gets at least what a bucket of its very limit would admit in sum.
+func TestATenantGetsWhatItsLimitAllows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: 100_000, Burst: Amount(rapid.Float64Range(10_000, 300_000).Draw(t, "burst"))}
+		demand := rapid.Float64Range(0.5, 3).Draw(t, "demand")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		bank := NewBank(tolerance)
+		bank.Set(-10*time.Second, map[string]Limit{"a": limit})
+		level, at := limit.Burst, time.Duration(0)
+		var exact, got Amount
+		for now := time.Duration(0); now < 30*time.Second; {
+			now += time.Duration(random.ExpFloat64() * 5000 / (demand * float64(limit.Rate)) * float64(time.Second))
+			amount := Amount(1000 + random.IntN(8000))
+			level, at = min(level+limit.Rate*Amount((now-at).Seconds()), limit.Burst), now
+			if level >= amount {
+				level -= amount
+				exact += amount
+			}
+			if _, admitted := bank.Take(now, "a", amount); admitted {
+				got += amount
+			}
+		}
+		if got < exact*0.999 {
+			t.Fatalf("got %.0f of %.0f", got, exact)
+		}
+	})
+}
+
+func TestBeyondTheLimitAllSizesHaveTheSameChance(t *testing.T) {
+	bank := NewBank(tolerance)
+	bank.Set(0, map[string]Limit{"a": {Rate: 100_000, Burst: 100_000}})
+	small, large := play(bank, rand.New(rand.NewPCG(1, 2)), 0, 200*time.Second, 200_000)
+	assert.Assert(t, small > 0.48 && small < 0.52, "%v", small)
+	assert.Assert(t, large > 0.48 && large < 0.52, "%v", large)
+}
+
+func TestALimitThatIsLoweredOrRaisedHoldsAtOnce(t *testing.T) {
+	bank := NewBank(tolerance)
+	random := rand.New(rand.NewPCG(1, 3))
+	bank.Set(0, map[string]Limit{"a": {Rate: 200_000, Burst: 200_000}, "b": {Rate: 1}})
+	play(bank, random, 0, 10*time.Second, 100_000)
+	bank.Set(10*time.Second, map[string]Limit{"a": {Rate: 20_000, Burst: 20_000}})
+	small, large := play(bank, random, 12*time.Second, 100*time.Second, 100_000)
+	assert.Assert(t, small < 0.23 && large < 0.23, "%v %v", small, large)
+	bank.Set(100*time.Second, map[string]Limit{"a": {Rate: 200_000, Burst: 200_000}})
+	small, large = play(bank, random, 100*time.Second+300*time.Millisecond, 110*time.Second, 100_000)
+	assert.Assert(t, small == 1 && large == 1, "%v %v", small, large)
+	_, admitted := bank.Take(110*time.Second, "b", 1e9)
+	assert.Assert(t, admitted, "a tenant without a limit")
+}
+
+// A tenant whose whole bucket is smaller than one request is served all the same.
+func TestARequestLargerThanTheBurstIsAdmittedByAFullBucket(t *testing.T) {
+	bank := NewBank(Tolerance{Window: time.Second})
+	bank.Set(0, map[string]Limit{"a": {Rate: 100, Burst: 100}})
+	after, admitted := bank.Take(0, "a", 1000)
+	assert.Assert(t, !admitted && after > 0)
+	_, admitted = bank.Take(2*time.Second, "a", 1000)
+	assert.Assert(t, admitted)
+	_, admitted = bank.Take(3*time.Second, "a", 1000)
+	assert.Assert(t, !admitted)
+}
+
+// Those who are refused are told to come back one behind the other, as the rate
+// allows, so that they are not refused again together.
+func TestThoseWhoAreRefusedComeBackInOrder(t *testing.T) {
+	bank := NewBank(Tolerance{Window: time.Second})
+	bank.Set(0, map[string]Limit{"a": {Rate: 1000, Burst: 500}})
+	bank.Charge(time.Second, "a", 500)
+	for i := range 4 {
+		after, admitted := bank.Take(time.Second, "a", 100)
+		assert.Assert(t, !admitted)
+		assert.Equal(t, after, time.Duration(i+1)*100*time.Millisecond)
+	}
+}
+
+func TestWhatIsGivenBackCanBeUsed(t *testing.T) {
+	bank := NewBank(Tolerance{Window: time.Second})
+	bank.Set(0, nil)
+	bank.Set(0, map[string]Limit{"a": {Rate: 1, Burst: 100}})
+	_, admitted := bank.Take(0, "a", 100)
+	assert.Assert(t, admitted)
+	_, admitted = bank.Take(0, "a", 100)
+	assert.Assert(t, !admitted)
+	bank.Charge(0, "a", -100)
+	_, admitted = bank.Take(0, "a", 100)
+	assert.Assert(t, admitted)
+}
+
+// What routers admit by themselves follows the leader's word, and less and less of
+// it while there is none.
+func TestAGateAdmitsTheShareThatTheLeaderAnnounced(t *testing.T) {
+	gate := NewGate()
+	admitted := func(now time.Duration) (n int) {
+		for i := range 100 {
+			if _, ok := gate.Admit(now, "a", 2, float64(i)/100); ok {
+				n++
+			}
+		}
+		return n
+	}
+	gate.Hear(0, []Share{{Tenant: "a", Part: 0.4}})
+	assert.Equal(t, admitted(heardFor), 40)
+	assert.Equal(t, admitted(heardFor+halfTime), 20)
+	gate.GiveBack("a", 20)
+	assert.DeepEqual(t, gate.Spent(), []Spent{{Tenant: "a", Amount: 100}})
+	assert.Equal(t, len(gate.Spent()), 0)
+	gate.Hear(3*time.Second, nil)
+	assert.Equal(t, admitted(3*time.Second), 100)
+}
+
+func TestOnlyTenantsBeyondTheirLimitAreAnnounced(t *testing.T) {
+	bank := NewBank(Tolerance{Window: time.Second})
+	bank.Set(0, nil)
+	bank.Set(0, map[string]Limit{"a": {Rate: 100, Burst: 300}, "b": {Rate: 100, Burst: 1000}})
+	bank.Charge(time.Second, "a", 1000)
+	bank.Take(time.Second, "a", 300)
+	bank.Take(time.Second, "b", 300)
+	shares := bank.Shares(time.Second)
+	assert.Equal(t, len(shares), 1)
+	assert.Equal(t, shares[0].Tenant, "a")
+	assert.Assert(t, shares[0].Part > 0.7 && shares[0].Part < 0.8, "%v", shares[0].Part)
+	assert.Equal(t, len(bank.Shares(time.Minute)), 0)
+}
+
+func ExampleBank() {
+	bank := NewBank(Tolerance{Window: time.Second})
+	bank.Set(0, map[string]Limit{"shop": {Rate: 1000, Burst: 500}})
+	_, admitted := bank.Take(time.Second, "shop", 500)
+	fmt.Println(admitted)
+	after, admitted := bank.Take(time.Second, "shop", 500)
+	fmt.Println(after, admitted)
+	// Output:
+	// true
+	// 500ms false
+}
+
+// BenchmarkTake is one decision of the leader among many tenants.
+func BenchmarkTake(b *testing.B) {
+	bank := NewBank(tolerance)
+	limits := map[string]Limit{}
+	for i := range 1000 {
+		limits[fmt.Sprint("t", i)] = Limit{Rate: 1e6, Burst: 1e6}
+	}
+	bank.Set(0, limits)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		bank.Take(time.Duration(i)*time.Millisecond, "t7", 9000)
+	}
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -196,14 +196,18 @@
 // leader cannot have been elected before the lease ends, as long as clocks
 // drift less than Config allows. A caller that acts on it must still carry the
 // fence of its term, because it can be stopped between the check and the act.
-func (n *Node) HoldsLease(now time.Duration) bool {
+func (n *Node) HoldsLease(now time.Duration) bool { return now < n.LeaseUntil() }
+
+// LeaseUntil is the end of the lease as far as it is known now, 0 for a node that
+// has none.
+func (n *Node) LeaseUntil() time.Duration {
 	if n.role != Leader || n.transferring != 0 {
-		return false
+		return 0
 	}
 	if committed, _ := n.log.term(n.log.commit); committed != n.hard.Term {
-		return false
+		return 0
 	}
-	return now < n.quorumEchoed()+n.config.LeaseDuration
+	return n.quorumEchoed() + n.config.LeaseDuration
 }
 
 // quorumEchoed is the latest time at which a majority had still accepted this
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -47,6 +47,12 @@
 	// OrderLease is how long the machine that gave the last order to a back end
 	// may go on to do so.
 	OrderLease time.Duration `yaml:"order_lease" validate:"required,min=100ms"`
+	// QuotaWindow is the time within which tenants' limits may be exceeded by
+	// QuotaOvershoot, a part of what they allow, and QuotaSlack beyond, in the unit of
+	// the limit. Default 8s, 0.1 and 0.
+	QuotaWindow    time.Duration `yaml:"quota_window" validate:"omitempty,min=1s"`
+	QuotaOvershoot float64       `yaml:"quota_overshoot" validate:"min=0,max=1"`
+	QuotaSlack     float64       `yaml:"quota_slack" validate:"min=0"`
 	// Metrics is the address of the node's figures over HTTP, empty for none.
 	Metrics string `yaml:"metrics" validate:"omitempty,tcp_addr"`
 	// Log says how the log is written.
@@ -59,6 +65,8 @@
 	c.WeightsGuard = orDefault(c.WeightsGuard, 1400*time.Millisecond)
 	c.WeightsGrace = orDefault(c.WeightsGrace, 1300*time.Millisecond)
 	c.LoadDivisor = orDefault(c.LoadDivisor, 5)
+	c.QuotaWindow = orDefault(c.QuotaWindow, 8*time.Second)
+	c.QuotaOvershoot = orDefault(c.QuotaOvershoot, 0.1)
 	c.Log.setDefaults()
 }
 
--- a/internal/traffic/check.go
+++ b/internal/traffic/check.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"quinceridge.example/quinceridge/internal/finding"
+	"quinceridge.example/quinceridge/internal/quota"
 )
 
 // Build checks a table and makes its indexes. A table with findings is not
@@ -106,6 +107,7 @@
 	t.keys = map[string]*Tenant{}
 	for i := range t.Tenants {
 		tenant := &t.Tenants[i]
+		c.quota(fmt.Sprintf("$.tenants[%d]", i), &tenant.Quota)
 		for _, key := range tenant.Keys {
 			if other, taken := t.keys[key]; taken && other.Name != tenant.Name {
 				c.add(fmt.Sprintf("$.tenants[%d].keys", i), "a key of tenant %q is one of %q too", tenant.Name, other.Name)
@@ -115,6 +117,23 @@
 	}
 }
 
+func (c *checker) quota(place string, q *Quota) {
+	if q.Rate < 0 {
+		c.add(place+".rate", "is negative")
+	}
+	if q.Burst < 0 {
+		c.add(place+".burst", "is negative")
+	}
+	if q.PlainTokens < 0 {
+		c.add(place+".plain_tokens", "is negative")
+	}
+	switch q.Unit {
+	case quota.Requests, quota.Tokens:
+	default:
+		c.add(place+".unit", "must be empty or tokens")
+	}
+}
+
 // Route returns the route with the longest prefix that begins the path, or nil.
 func (t *Table) Route(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
@@ -131,6 +150,17 @@
 // TenantOf returns the holder of a key, or nil.
 func (t *Table) TenantOf(key string) *Tenant { return t.keys[key] }
 
+// TenantLimits returns the limits of the tenants that have one, by name.
+func (t *Table) TenantLimits() map[string]quota.Limit {
+	out := make(map[string]quota.Limit, len(t.Tenants))
+	for i := range t.Tenants {
+		if limit := t.Tenants[i].Quota.Limit; limit.Limited() {
+			out[t.Tenants[i].Name] = limit
+		}
+	}
+	return out
+}
+
 // NeedsKeys tells whether the configuration has tenants.
 func (t *Table) NeedsKeys() bool { return len(t.Tenants) > 0 }
 
--- a/internal/traffic/document.go
+++ b/internal/traffic/document.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/quota"
 )
 
 // Document is a configuration in the product's own form, as JSON. Durations are
@@ -51,6 +53,19 @@
 	Keys     []string `json:"keys"`
 	Priority int      `json:"priority,omitempty"`
 	Isolated bool     `json:"isolated,omitempty"`
+	// Rate is the amount for each second that the tenant may use over all routers, 0
+	// for no limit, and Burst what it may use above that at once. Unit says what
+	// they count: requests, if empty, or tokens. A request that names no tokens
+	// counts PlainTokens then.
+	Rate        quota.Amount `json:"rate,omitempty"`
+	Burst       quota.Amount `json:"burst,omitempty"`
+	Unit        quota.Unit   `json:"unit,omitempty"`
+	PlainTokens int          `json:"plain_tokens,omitempty"`
+}
+
+func (t *DocumentTenant) tenant() Tenant {
+	return Tenant{Name: t.Name, Keys: t.Keys, Priority: t.Priority, Isolated: t.Isolated,
+		Quota: Quota{Limit: quota.Limit{Rate: t.Rate, Burst: t.Burst}, Unit: t.Unit, PlainTokens: t.PlainTokens}}
 }
 
 // Parse reads a Document and checks it.
@@ -70,8 +85,8 @@
 		}
 		t.Routes = append(t.Routes, r)
 	}
-	for _, x := range d.Tenants {
-		t.Tenants = append(t.Tenants, Tenant(x))
+	for i := range d.Tenants {
+		t.Tenants = append(t.Tenants, d.Tenants[i].tenant())
 	}
 	return Build(t)
 }
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -6,6 +6,8 @@
 
 import (
 	"time"
+
+	"quinceridge.example/quinceridge/internal/quota"
 )
 
 // Kind says what may be done with a request again.
@@ -116,6 +118,27 @@
 	Priority int
 	// Isolated tenants share no kept prompt with others.
 	Isolated bool
+	Quota    Quota
+}
+
+// Quota is what a tenant may use over all routers.
+type Quota struct {
+	quota.Limit
+	// Unit says what requests count by, and PlainTokens how many tokens one counts
+	// that names none.
+	Unit        quota.Unit
+	PlainTokens int
+}
+
+// Amount is what a request counts that names its tokens, or does not.
+func (q *Quota) Amount(tokens int, named bool) quota.Amount {
+	switch {
+	case q.Unit != quota.Tokens:
+		return 1
+	case named:
+		return quota.Amount(tokens)
+	}
+	return quota.Amount(q.PlainTokens)
 }
 
 // Limits bound what a caller may send. Zero means no limit.
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -37,10 +37,16 @@
 	Salt      string
 	FetchFrom string
 	SaveTo    string
-	// Forbidden are headers that callers may not set: they are dropped.
+	// Forbidden are further headers that callers may not set: they are dropped.
 	Forbidden []string
 }
 
+// Owned are the headers that only a router sets. What a caller sends there is
+// dropped.
+func (h *Headers) Owned() []string {
+	return []string{h.Instance, h.Tenant, h.Priority, h.Version, h.Salt, h.FetchFrom, h.SaveTo}
+}
+
 // Default is the product's own vocabulary.
 func Default() Headers {
 	return Headers{
