What an engine has still to read follows from first events

Cause: the placer took what it had sent to an engine for read at its speed whether or not the engine showed a first event. Change: unread are the prompts of requests that have not begun, less what is read while reports are on their way (twice their delay, which is learned). Test: TestAnEngineThatShowsNothingIsNotTakenToReadOn. The test of absurd waits measured the leftover of requests that had ended; it now measures one under way.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -50,7 +50,7 @@
 	if r != nil {
 		r.running++
 		r.memory += a.work.Most
-		r.prefill = p.unreadOf(now, r, reading.Rate()) + a.work.Prompt
+		r.prefill += a.work.Prompt
 	}
 	if p.drains {
 		p.placed(now, a, r, entry(p.demands, q.Pool), reading.Rate())
@@ -69,7 +69,6 @@
 		d.reading.add(now, demandTime, float64(rate.Wait(a.work.Prompt)))
 	}
 	if r != nil {
-		r.readAt = now
 		r.await(now)
 	}
 }
@@ -105,8 +104,11 @@
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	a.learn(wait)
+	first := min(a.sent+wait, now)
+	a.pool.reportDelay += time.Duration(reportGain * float64(now-first-a.pool.reportDelay))
 	if r := a.pool.rows[a.id]; r != nil {
 		r.quietFrom = now
+		r.readFrom = max(r.readFrom, first)
 	}
 	a.begin()
 }
@@ -117,12 +119,8 @@
 	}
 	a.begun = true
 	delete(a.pool.waiting, a)
-	r := a.pool.rows[a.id]
-	switch {
-	case r == nil:
-	case a.pool.drains:
+	if r := a.pool.rows[a.id]; r != nil {
 		r.unbegun = max(r.unbegun-1, 0)
-	default:
 		r.prefill = max(r.prefill-a.work.Prompt, 0)
 	}
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -26,13 +26,14 @@
 	wrong bool
 	// refused maps models to a version that the back end did not hold.
 	refused map[string]int
-	// running and memory are this router's requests there and their tokens;
-	// prefill are the tokens whose reading has not ended; in a pool that drains,
-	// as of readAt.
-	running int
-	memory  int
-	prefill int
-	readAt  time.Duration
+	// running and memory are this router's requests there and their tokens; prefill
+	// are the tokens of those that it has not begun to answer. In a pool that drains,
+	// readFrom is when it began the last one that it answered, or was sent the first
+	// of those: it reads them from then on.
+	running  int
+	memory   int
+	prefill  int
+	readFrom time.Duration
 	// unbegun are the requests that it has not begun to answer, in a pool that
 	// drains, and quietFrom is when it last showed a sign of life or the first of
 	// them was sent.
@@ -55,9 +56,10 @@
 // Lock order: mu only.
 type Pool struct {
 	zone string
-	// drains says that nobody tells when engines have read: what they were sent
-	// counts as read at their speed.
-	drains bool
+	// drains says that first events are heard of late, by reportDelay in the mean:
+	// for that time engines count as reading what they were sent at their speed.
+	drains      bool
+	reportDelay time.Duration
 	mu     sync.Mutex
 	rows   map[string]*row
 	// scratch is the list of candidates of the last choice.
@@ -89,10 +91,10 @@
 }
 
 // NewCentralPool returns an empty pool for one that chooses for all routers. It is
-// not told when engines have read a prompt.
+// told late when engines have read a prompt.
 func NewCentralPool() *Pool {
 	p := NewPool("")
-	p.drains = true
+	p.drains, p.reportDelay = true, firstReportDelay
 	return p
 }
 
@@ -177,12 +179,15 @@
 	return n
 }
 
-// unreadOf is how many of the tokens sent to an engine it has not read.
+// unreadOf is how many of the tokens sent to an engine it has not read. One that
+// shows no first event for longer than reports take has fallen behind: nothing more
+// counts as read then.
 func (p *Pool) unreadOf(now time.Duration, r *row, rate speed.TokensPerMs) int {
 	if !p.drains {
 		return r.prefill
 	}
-	return max(r.prefill-rate.Tokens(now-r.readAt), 0)
+	unheard := min(now-r.readFrom, reportFactor*p.reportDelay)
+	return max(r.prefill-rate.Tokens(max(unheard, 0)), 0)
 }
 
 // AddressOf returns where an engine is reached that holds a version of a model,
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -44,6 +44,28 @@
 	assert.Assert(t, first.Home)
 }
 
+// An engine whose requests show no first event has fallen behind. What it had been
+// sent counted as read at its speed all the same, and it got more.
+func TestAnEngineThatShowsNothingIsNotTakenToReadOn(t *testing.T) {
+	p := NewCentralPool()
+	p.Apply([]state.Backend{engine("x", 1)}, nil, true)
+	ahead := func(now time.Duration) int { return mustChoose(t, p, now, query()).Ahead }
+	var attempts []*Attempt
+	for range 3 {
+		choice := Choice{ID: "x", Work: Work{Prompt: 20_000}}
+		q := query()
+		attempts = append(attempts, p.Begin(0, &choice, &q, func(error) {}))
+	}
+	assert.Equal(t, ahead(0), 60_000)
+	assert.Equal(t, ahead(100*time.Millisecond), 56_000, "40 tokens a millisecond, as assumed at first")
+	assert.Equal(t, ahead(3*time.Second), 60_000-16_000, "for longer than reports take")
+	attempts[0].Waited(3*time.Second, 2900*time.Millisecond)
+	assert.Equal(t, ahead(3*time.Second), 40_000-4_000, "read on from its last first event")
+	attempts[1].End()
+	attempts[2].End()
+	assert.Equal(t, ahead(3*time.Second), 0)
+}
+
 // A back end that crashes comes back at its address under another ID. Half of
 // all keys moved with each such start.
 func TestAnEngineThatStartsAgainGetsItsKeysBack(t *testing.T) {
--- a/internal/backends/quiet.go
+++ b/internal/backends/quiet.go
@@ -15,10 +15,20 @@
 	quietLeast = 3
 )
 
+const (
+	// firstReportDelay is assumed before reports were heard: routers have something to
+	// say to the leader several times a second.
+	firstReportDelay = 200 * time.Millisecond
+	// reportGain is the weight of one report in the mean delay, and reportFactor how
+	// many times the mean a report may take.
+	reportGain   = 0.02
+	reportFactor = 2
+)
+
 // await notes a request that an engine has not begun to answer.
 func (r *row) await(now time.Duration) {
 	if r.unbegun == 0 {
-		r.quietFrom = now
+		r.quietFrom, r.readFrom = now, now
 	}
 	r.unbegun++
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -118,6 +118,9 @@
 		p.Place(time.Second, ask)
 		p.Report(time.Second, "r", &coordapi.Reports{Begun: []coordapi.Begun{{Number: number, First: time.Duration(number%2) * time.Hour}}, Ended: []uint64{number}})
 	}
+	last := long("r", 1000, "k")
+	last.Own = 20_000
+	p.Place(time.Second, last)
 	before := unread(p, time.Second)
 	assert.Equal(t, before-unread(p, 1100*time.Millisecond), 4000, "40 tokens a millisecond, as assumed at first")
 }
