A wait for a place counts as a wait

Cause: the patience of a request was held against what an engine has to read alone. More was placed than there were places, all of it waited, long prompts held memory meanwhile, kept parts were dropped and read again, and that state lasted to second 24. Ruled out: reading (0.65 of the time at most by reckoning), preemption (none left). Change: the placer learns how long requests run; a request behind n places too few waits n parts of a run. With what there is to read before it that must be within its patience, else it is refused at once. Test: TestAWaitForAPlaceCountsAsAWait.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -17,7 +17,9 @@
 
 // Attempt is a request under way at a back end.
 type Attempt struct {
-	pool    *Pool
+	pool *Pool
+	// name is the pool's and id the back end's.
+	name    string
 	id      string
 	work    Work
 	model   string
@@ -39,7 +41,7 @@
 // Begin notes that a request is sent to a chosen back end. Cancel gives the
 // attempt up.
 func (p *Pool) Begin(now time.Duration, choice *Choice, q *Query, cancel func(error)) *Attempt {
-	a := &Attempt{pool: p, id: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now}
+	a := &Attempt{pool: p, name: q.Pool, id: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reading := entry(p.reading, q.Pool)
@@ -126,9 +128,12 @@
 }
 
 // End notes that the attempt is over.
-func (a *Attempt) End() {
+func (a *Attempt) End(now time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
+	if a.pool.drains && a.begun {
+		entry(a.pool.flows, a.name).ended(now - a.sent)
+	}
 	a.begin()
 	if r := a.pool.rows[a.id]; r != nil {
 		r.running = max(r.running-1, 0)
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -124,7 +124,7 @@
 	if p.drains {
 		entry(p.demands, q.Pool).engines = len(candidates)
 	}
-	candidates, late := within(candidates, q, rate)
+	candidates, late := within(candidates, q, rate, entry(p.flows, q.Pool).mean())
 	if late {
 		p.refused++
 	}
@@ -143,7 +143,7 @@
 	work := Work{Prompt: q.unread(version), Most: q.Work.Most}
 	return Choice{ID: best.ID, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: len(candidates), Work: work,
-		Ahead: best.ahead, Wait: rate.Wait(best.ahead), Late: late}, true
+		Ahead: best.ahead, Wait: max(best.wait, rate.Wait(best.ahead)), Late: late}, true
 }
 
 // candidate is a back end under decision.
@@ -151,6 +151,9 @@
 	*row
 	// ahead are the prompt tokens that the back end has still to read.
 	ahead int
+	// wait is about how long the request waits until it is read, in choices with a
+	// patience.
+	wait time.Duration
 	// aside says that it stands back while there are others.
 	aside bool
 	// rank is its place in the order of the query's key, from 0 to rankLimit for
--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -1,6 +1,10 @@
 package backends
 
-import "quinceridge.example/quinceridge/internal/speed"
+import (
+	"time"
+
+	"quinceridge.example/quinceridge/internal/speed"
+)
 
 // mayServe is the filter: what fails it must never get the request.
 func (p *Pool) mayServe(r *row, q *Query) bool {
@@ -30,19 +34,31 @@
 	return version < p.notes.Minimum[model] || (r != nil && (r.Draining || r.wrong))
 }
 
+// placeWait is about how long a request waits for a place at an engine whose places
+// are taken: one becomes free each time a part of the mean run is over.
+func placeWait(q *Query, c *candidate, run time.Duration) time.Duration {
+	over := c.running + c.others.Running + 1 - q.Slots
+	if q.Slots == 0 || over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * run / time.Duration(q.Slots)
+}
+
 // within returns the candidates that begin to read the request within its
 // patience, or if there are none the one that begins first, and true.
-func within(candidates []candidate, q *Query, rate speed.TokensPerMs) ([]candidate, bool) {
+func within(candidates []candidate, q *Query, rate speed.TokensPerMs, run time.Duration) ([]candidate, bool) {
 	if q.Model == "" || q.Patience <= 0 {
 		return candidates, false
 	}
 	var out []candidate
 	first := 0
 	for i := range candidates {
-		if rate.Wait(candidates[i].ahead) <= q.Patience {
-			out = append(out, candidates[i])
+		c := &candidates[i]
+		c.wait = rate.Wait(c.ahead) + placeWait(q, c, run)
+		if c.wait <= q.Patience {
+			out = append(out, *c)
 		}
-		if candidates[i].ahead < candidates[first].ahead {
+		if c.wait < candidates[first].wait {
 			first = i
 		}
 	}
--- a/internal/backends/herd_test.go
+++ b/internal/backends/herd_test.go
@@ -113,7 +113,7 @@
 	f.busy[server] = held
 	attempt := p.Begin(now, &choice, &q, func(error) {})
 	if len(held) >= slots+queued {
-		attempt.End()
+		attempt.End(now)
 		p.Busy(now, choice.ID)
 		if counted {
 			f.turnedAway++
@@ -152,7 +152,7 @@
 		for len(f.ends) > 0 && f.ends[0].at <= now {
 			e := heap.Pop(&f.ends).(finish)
 			e.router.Succeeded(now, strconv.Itoa(e.server), e.at-e.sent)
-			e.attempt.End()
+			e.attempt.End(now)
 		}
 		f.request(now)
 	}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -60,8 +60,8 @@
 	// for that time engines count as reading what they were sent at their speed.
 	drains      bool
 	reportDelay time.Duration
-	mu     sync.Mutex
-	rows   map[string]*row
+	mu          sync.Mutex
+	rows        map[string]*row
 	// scratch is the list of candidates of the last choice.
 	scratch []candidate
 	// troubles are what Troubles returns next.
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -61,8 +61,8 @@
 	assert.Equal(t, ahead(3*time.Second), 60_000-16_000, "for longer than reports take")
 	attempts[0].Waited(3*time.Second, 2900*time.Millisecond)
 	assert.Equal(t, ahead(3*time.Second), 40_000-4_000, "read on from its last first event")
-	attempts[1].End()
-	attempts[2].End()
+	attempts[1].End(3 * time.Second)
+	attempts[2].End(3 * time.Second)
 	assert.Equal(t, ahead(3*time.Second), 0)
 }
 
@@ -221,7 +221,7 @@
 			choice.Work.Prompt += 100 * i
 			a := p.Begin(0, &choice, &q, func(error) {})
 			a.Begun(time.Duration(choice.Work.Prompt)*time.Millisecond/10, ran)
-			a.End()
+			a.End(0)
 		}
 		return p.Rates()["llm"]
 	}
@@ -236,7 +236,7 @@
 	choice := mustChoose(t, p, 0, q)
 	a := p.Begin(0, &choice, &q, func(error) {})
 	a.Begun(0, true)
-	a.End()
+	a.End(0)
 	row := p.rows["x"]
 	assert.Equal(t, row.running+row.memory+row.prefill+len(p.waiting), 0)
 }
@@ -258,3 +258,42 @@
 		assert.Equal(t, choice.Work.Prompt, 1000+100*choice.Version*round)
 	}
 }
+
+// An engine whose places are taken begins a request only when one becomes free. At
+// 16 places and runs of 3 s, engines that lacked a quarter of their number were
+// sent more than they had places for, and all waited.
+func TestAWaitForAPlaceCountsAsAWait(t *testing.T) {
+	p := NewCentralPool()
+	p.Apply([]state.Backend{engine("x", 1), engine("y", 1)}, nil, true)
+	begin := func(id string, at time.Duration) *Attempt {
+		q := query()
+		choice := Choice{ID: id}
+		a := p.Begin(at, &choice, &q, func(error) {})
+		a.Waited(at, time.Millisecond)
+		return a
+	}
+	// Runs take two seconds.
+	for range 400 {
+		begin("x", 0).End(2 * time.Second)
+	}
+	var running []*Attempt
+	for range query().Slots {
+		running = append(running, begin("x", 0))
+	}
+	ask := func(patience time.Duration) Choice {
+		q := query()
+		q.Patience = patience
+		return mustChoose(t, p, time.Second, q)
+	}
+	assert.Equal(t, ask(100*time.Millisecond).ID, "y")
+	for range query().Slots {
+		begin("y", 0)
+	}
+	// One of eight places becomes free each quarter of a second.
+	late := ask(200 * time.Millisecond)
+	assert.Assert(t, late.Late)
+	assert.Assert(t, late.Wait > 240*time.Millisecond && late.Wait <= 250*time.Millisecond, "%v", late.Wait)
+	assert.Assert(t, !ask(300*time.Millisecond).Late)
+	running[0].End(time.Second)
+	assert.Equal(t, ask(100*time.Millisecond).ID, "x")
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -188,7 +188,7 @@
 	h.address(j, s, choice)
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
-	defer running.End()
+	defer func() { running.End(h.now()) }()
 	if choice.Placement > 0 {
 		defer h.config.Placer.Ended(choice.Placement)
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -151,7 +151,7 @@
 	}
 	for _, number := range reports.Ended {
 		if a := r.open[number]; a != nil {
-			a.End()
+			a.End(now)
 			delete(r.open, number)
 		}
 	}
@@ -170,7 +170,7 @@
 			continue
 		}
 		for _, a := range r.open {
-			a.End()
+			a.End(now)
 		}
 		delete(p.routers, name)
 	}
