What reading makes late has a cost: the request itself and the streams beside it

An engine reads pieces of 4,096 tokens between the tokens of its streams: a prompt of 15,000 stops all of them for too long, and was placed as if it disturbed nobody. The cost of long reading knew no number of streams. Change: a placement costs answerCost for itself and for each stream of the engine, by how near reading comes to their limits (route's target, route's gap target, which travels with the question). The old factor on reading beyond 240 ms goes.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -21,6 +21,8 @@
 	Key string
 	// Target is the time within which an answer is in time.
 	Target time.Duration
+	// GapTarget is the longest pause of a stream that keeps it in time; 0 for any.
+	GapTarget time.Duration
 	// Shared is how many tokens of the prompt other requests share.
 	Shared int
 	Work   Work
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -297,3 +297,24 @@
 	running[0].End(time.Second)
 	assert.Equal(t, ask(100*time.Millisecond).ID, "x")
 }
+
+// A prompt that takes an engine as long to read as its streams may pause goes to
+// the one with the fewest streams, also away from its home. All streams of an
+// engine that read one of 20,000 tokens were late.
+func TestALargePromptGoesWhereFewStreamsPause(t *testing.T) {
+	p := NewCentralPool()
+	p.Apply([]state.Backend{engine("x", 1), engine("y", 1)}, nil, true)
+	q := query()
+	q.GapTarget = 500 * time.Millisecond
+	home := mustChoose(t, p, 0, q).ID
+	for range 4 {
+		stream := query()
+		a := p.Begin(0, &Choice{ID: home}, &stream, func(error) {})
+		a.Waited(0, time.Millisecond)
+	}
+	assert.Equal(t, mustChoose(t, p, 0, q).ID, home, "a short one stays at home")
+	q.Work.Prompt = 20_000
+	assert.Assert(t, mustChoose(t, p, 0, q).ID != home)
+	q.GapTarget = 0
+	assert.Equal(t, mustChoose(t, p, 0, q).ID, home, "streams may pause for any time")
+}
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -26,11 +26,11 @@
 	strangeCost = 0.1
 	strangeStep = 0.25
 	rankLimit   = 4
-	// stallTime is how long an engine may have to read before the streams that it
-	// serves pause for too long: it reads between their tokens. What is beyond
-	// costs stallFactor times as much more.
-	stallTime   = 240
-	stallFactor = 3
+	// answerCost is the cost of an answer that becomes late, which is then worth about
+	// a third. It is as much as all steps away from home of a prompt with 7,000 shared
+	// tokens: those are a copy that costs memory, not an answer. Of 400, 800 and 1,400
+	// the last was best on six days of three deployments (docs/design/shifted.md).
+	answerCost = 1400
 	// decodeCost is the cost of one running request: it slows each step.
 	decodeCost = 1.5
 	// crowdCost is the cost of a back end whose memory or slots are taken.
@@ -60,7 +60,7 @@
 		return total + loadCost(float64(c.running)+old.kept*float64(c.others.Running), c) + c.latency/4
 	}
 	reading := float64(rate.Wait(c.ahead+q.unread(c.Weights[q.Model]))) / float64(time.Millisecond)
-	total += reading + stallFactor*max(0, reading-stallTime)
+	total += reading + lateCost(q, c, reading)
 	total += float64(c.running+c.others.Running) * decodeCost
 	total += crowdCost * crowding(q, c)
 	if c.Weights[q.Model] < preferred {
@@ -72,6 +72,21 @@
 	return total
 }
 
+// lateCost is the cost of what reading makes late: the request itself, and the
+// streams that the engine serves, since it reads between their tokens.
+func lateCost(q *Query, c *candidate, reading float64) float64 {
+	streams := float64(max(c.running+c.others.Running-c.unbegun, 0))
+	return answerCost * (lateness(reading, q.Target) + streams*lateness(reading, q.GapTarget))
+}
+
+// lateness rises from 0 at half of a limit to 1 at the limit; 0 means no limit.
+func lateness(delay float64, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return min(max(2*delay/float64(limit.Milliseconds())-1, 0), 1)
+}
+
 // loadCost is the delay by requests that run at a back end without engines: the
 // more places it has, the less each of them delays a further one.
 func loadCost(running float64, c *candidate) float64 {
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -196,6 +196,8 @@
 	// the request may wait until an engine reads it; 0 for any time.
 	Target   time.Duration `json:"target,omitempty"`
 	Patience time.Duration `json:"patience,omitempty"`
+	// GapTarget is the longest pause of a stream that keeps it in time; 0 for any.
+	GapTarget time.Duration `json:"gap,omitempty"`
 	// Shared, Own and Most are the shared tokens of the prompt, its others, and the
 	// most memory that the request may take.
 	Shared int `json:"shared,omitempty"`
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -31,7 +31,7 @@
 	}
 	j.request = &upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, ID: j.id,
 		Once: !j.route.Repeatable()}
-	j.query = backends.Query{Pool: j.pool.Name, Target: j.route.Target}
+	j.query = backends.Query{Pool: j.pool.Name, Target: j.route.Target, GapTarget: j.route.GapTarget}
 	if j.tenant != nil && j.tenant.Quota.Limited() {
 		text := r.Header.Get(names.Usage)
 		j.counts = j.tenant.Quota.Amount(usage(text).Most, text != "")
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -178,7 +178,7 @@
 
 // query is what a router asks, in the words of the choice.
 func (p *Placer) query(now time.Duration, ask *coordapi.Place) *backends.Query {
-	q := &backends.Query{Pool: ask.Pool, Zone: ask.Zone, Model: ask.Model, Key: ask.Key, Target: ask.Target, Patience: ask.Patience,
+	q := &backends.Query{Pool: ask.Pool, Zone: ask.Zone, Model: ask.Model, Key: ask.Key, Target: ask.Target, Patience: ask.Patience, GapTarget: ask.GapTarget,
 		Shared: ask.Shared, Work: backends.Work{Prompt: ask.Own, Most: ask.Most}, Slots: ask.Slots, Capacity: ask.Capacity,
 		Tried: ask.Tried, Draw: rand.Float64()}
 	q.Cold = func(version int) int { return p.parts.cold(now, ask.Parts, version) }
@@ -190,7 +190,7 @@
 
 // Ask is a router's question for a query.
 func Ask(q *backends.Query) *coordapi.Place {
-	return &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, Shared: q.Shared,
+	return &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, GapTarget: q.GapTarget, Shared: q.Shared,
 		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts, Tenant: q.Tenant, Amount: q.Amount}
 }
 
