What a store holds follows from what has come in

Cause: a part counted as saved for 30 s. Change: a question names the store of its parts and its memory; the placer keeps what each store has received and drops what was not used since as much came in as it takes. Only prompts whose own part is half of the shared save.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -34,6 +34,10 @@
 	Holder func(version int) string
 	// Parts are the shared parts of the prompt.
 	Parts []coordapi.Part
+	// Store is the address of the store that keeps the shared parts, empty for none, and
+	// StoreTokens its memory.
+	Store       string
+	StoreTokens int
 	// Slots and Capacity describe one engine; 0 means no engine.
 	Slots    int
 	Capacity int
@@ -95,10 +99,14 @@
 	Uncounted bool
 }
 
+// savedDivisor is the part of a prompt's shared tokens that its own part may be for
+// the prompt to be saved: of 1, 2 and 4 tried, 2 led to the fewest tokens read again.
+const savedDivisor = 2
+
 // Saves tells whether the request may save its shared parts. One whose own part is
-// larger leaves that to the next: nobody fetches its own part, which takes the
+// large leaves that to the next: nobody fetches its own part, which takes the
 // store's link and drives others out of its memory.
-func (q *Query) Saves() bool { return q.Work.Prompt <= q.Shared }
+func (q *Query) Saves() bool { return q.Work.Prompt <= q.Shared/savedDivisor }
 
 // unread is how many prompt tokens an engine with this version must read.
 func (q *Query) unread(version int) int {
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -205,6 +205,10 @@
 	Most   int `json:"most,omitempty"`
 	// Parts are the shared parts of the prompt, in order.
 	Parts []Part `json:"parts,omitempty"`
+	// Store is the address of the store that keeps the prompt's shared parts, empty for
+	// none, and StoreTokens its memory.
+	Store       string `json:"store,omitempty"`
+	StoreTokens int    `json:"store_tokens,omitempty"`
 	// Slots and Capacity describe one engine.
 	Slots    int `json:"slots,omitempty"`
 	Capacity int `json:"capacity,omitempty"`
--- a/internal/forward/describe.go
+++ b/internal/forward/describe.go
@@ -55,6 +55,9 @@
 		j.query.Key += j.owner()
 	}
 	j.query.Parts = partsOf(j, tokens)
+	if store := j.store(); store != nil && len(j.parts) > 0 {
+		j.query.Store, j.query.StoreTokens = store.Address, store.CapacityTokens
+	}
 }
 
 // partsOf names the shared parts for who places requests.
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -9,6 +9,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/traffic"
 )
 
 const (
@@ -98,7 +99,7 @@
 	if len(j.parts) == 0 || !choice.Versioned {
 		return
 	}
-	store := j.table.Store(xxhash.Sum64String(j.query.Key))
+	store := j.store()
 	if store != nil && !h.store.pays(h.now(), h.storeWorth(j)) {
 		store = nil
 	}
@@ -115,6 +116,9 @@
 	}
 }
 
+// store is the store that keeps the request's shared parts, nil for none.
+func (j *job) store() *traffic.Store { return j.table.Store(xxhash.Sum64String(j.query.Key)) }
+
 // salt separates kept prompts by model, version and isolated tenant.
 func salt(j *job, version int) string {
 	return j.query.Model + "/" + strconv.Itoa(version) + j.owner()
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -80,7 +80,7 @@
 	for _, c := range []struct {
 		own, shared int
 		saves       string
-	}{{own: 301, shared: 300, saves: ""}, {own: 300, shared: 300, saves: storeAddress}} {
+	}{{own: 151, shared: 300, saves: ""}, {own: 150, shared: 300, saves: storeAddress}} {
 		j := promptJob(t)
 		j.query.Work.Prompt, j.query.Shared = c.own, c.shared
 		h.addressPrompt(j, home)
--- a/internal/forward/store.go
+++ b/internal/forward/store.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -52,7 +50,7 @@
 // noteStore learns from a request that named a store how much longer than
 // expected it took to begin.
 func (h *Handler) noteStore(j *job, excess time.Duration) {
-	store := j.table.Store(xxhash.Sum64String(j.query.Key))
+	store := j.store()
 	if store != nil && j.request.Header.Get(h.config.Headers.FetchFrom) == store.Address {
 		h.store.note(h.now(), excess)
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -33,7 +33,7 @@
 	mu      sync.Mutex
 	pool    *backends.Pool
 	routers map[string]*router
-	parts   directory
+	parts   *directory
 	swept   time.Duration
 }
 
@@ -55,7 +55,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
-	p.parts = directory{}
+	p.parts = newDirectory()
 }
 
 // Apply changes rows and removes departed back ends; whole replaces all.
@@ -115,7 +115,7 @@
 		return
 	}
 	for _, part := range slices.Backward(ask.Parts) {
-		if p.parts.saved(now, part.Hash, choice.Version) {
+		if p.parts.store(ask).holds(now, partKey{part.Hash, choice.Version}) {
 			break
 		}
 		holder := p.parts.holder(now, part.Hash, choice.Version)
@@ -126,7 +126,7 @@
 			break
 		}
 	}
-	choice.Save = p.parts.read(now, ask.Parts, choice.Version, choice.ID, choice.Home, q.Saves())
+	choice.Save = p.parts.read(now, ask, choice, q.Saves())
 }
 
 // Report takes what a router has to say beside its placements.
@@ -181,7 +181,7 @@
 	q := &backends.Query{Pool: ask.Pool, Zone: ask.Zone, Model: ask.Model, Key: ask.Key, Target: ask.Target, Patience: ask.Patience, GapTarget: ask.GapTarget,
 		Shared: ask.Shared, Work: backends.Work{Prompt: ask.Own, Most: ask.Most}, Slots: ask.Slots, Capacity: ask.Capacity,
 		Tried: ask.Tried, Draw: rand.Float64()}
-	q.Cold = func(version int) int { return p.parts.cold(now, ask.Parts, version) }
+	q.Cold = func(version int) int { return p.parts.cold(now, ask, version) }
 	if n := len(ask.Parts); n > 0 {
 		q.Holder = func(version int) string { return p.parts.holder(now, ask.Parts[n-1].Hash, version) }
 	}
@@ -191,7 +191,7 @@
 // Ask is a router's question for a query.
 func Ask(q *backends.Query) *coordapi.Place {
 	return &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, GapTarget: q.GapTarget, Shared: q.Shared,
-		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts, Tenant: q.Tenant, Amount: q.Amount}
+		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts, Store: q.Store, StoreTokens: q.StoreTokens, Tenant: q.Tenant, Amount: q.Amount}
 }
 
 func placed(c *backends.Choice) coordapi.Placed {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -244,9 +244,11 @@
 }
 
 func TestTheDirectoryIsBounded(t *testing.T) {
-	d := directory{}
+	d := newDirectory()
 	for i := range maxParts + 10 {
-		d.read(0, []coordapi.Part{{Hash: coordapi.PartHash(i), Tokens: 1}}, 1, "e", true, false)
+		ask := &coordapi.Place{Store: "s", Parts: []coordapi.Part{{Hash: coordapi.PartHash(i), Tokens: 1}}}
+		d.read(0, ask, &backends.Choice{ID: "e", Version: 1, Home: true}, true)
 	}
-	assert.Assert(t, len(d) <= maxParts)
+	assert.Assert(t, len(d.kept) <= maxParts)
+	assert.Assert(t, len(d.stores["s"].parts) <= maxParts)
 }
