A store's delay is known where requests are placed

Each router watches the store by itself: at one to two such requests a second and 50 ms a sample it cannot see a delay above 0.1 s. Change: the placer decides where parts come from and follows each store's delay: how much longer requests begin that move parts from it than others do. What is worth less than that is taken from the engine that holds it, or read, and nothing is saved, until it has caught up. Requests that wait for a store teach no reading speed. A router that chooses by itself goes on as before. Test: TestASlowStoreIsLeftAloneUntilItHasCaughtUp.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -32,6 +32,9 @@
 	sent    time.Duration
 	ahead   int
 	reading *speed.Reading
+	// moves says that its engine takes kept parts from a store first: how long it waits
+	// tells nothing of reading.
+	moves bool
 }
 
 // ErrExpired is why an attempt is cancelled whose back end has not begun when
@@ -65,6 +68,13 @@
 	return a
 }
 
+// Moves says that the engine takes kept parts from a store before it reads.
+func (a *Attempt) Moves() {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	a.moves = true
+}
+
 // placed notes what only a pool that drains keeps of an attempt.
 func (p *Pool) placed(now time.Duration, a *Attempt, r *row, d *demand, rate speed.TokensPerMs) {
 	if a.reading != nil {
@@ -82,7 +92,9 @@
 		return 0
 	}
 	excess = max(wait-a.reading.Rate().Wait(a.ahead), 0)
-	a.reading.Observe(a.ahead, wait)
+	if !a.moves {
+		a.reading.Observe(a.ahead, wait)
+	}
 	a.reading = nil
 	return excess
 }
@@ -101,11 +113,12 @@
 }
 
 // Waited tells a pool that drains that the first event has come, now or since its
-// last word, and how long it took.
-func (a *Attempt) Waited(now, wait time.Duration) {
+// last word, and how long it took. It returns how much longer than expected that
+// was, 0 where no time is expected.
+func (a *Attempt) Waited(now, wait time.Duration) (excess time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	a.learn(wait)
+	excess = a.learn(wait)
 	first := min(a.sent+wait, now)
 	a.pool.reportDelay += time.Duration(reportGain * float64(now-first-a.pool.reportDelay))
 	if r := a.pool.rows[a.id]; r != nil {
@@ -113,6 +126,7 @@
 		r.readFrom = max(r.readFrom, first)
 	}
 	a.begin()
+	return excess
 }
 
 func (a *Attempt) begin() {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -216,9 +216,18 @@
 	return out
 }
 
-// ReadTime is about how long the engines of a pool take to read tokens.
-func (p *Pool) ReadTime(pool string, tokens int) time.Duration {
+const (
+	// moveFactor is how many times longer than reading it a prompt may take from a
+	// store: what is read twice is lost work.
+	moveFactor = 2
+	// moveDivisor is the part of a request's target that it may take in any case.
+	moveDivisor = 4
+)
+
+// MoveWorth is the delay that taking the shared parts of a prompt from a store is
+// worth.
+func (p *Pool) MoveWorth(q *Query) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return entry(p.reading, pool).Rate().Wait(tokens)
+	return max(moveFactor*entry(p.reading, q.Pool).Rate().Wait(q.Shared), q.Target/moveDivisor)
 }
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -55,21 +55,24 @@
 
 // Due tells whether a request is to save its parts: some were not saved
 // lately. They count as saved from then on.
-func (s *Saved) Due(salt string, parts []string) bool {
+func (s *Saved) Due(salt string, parts []string) bool { return s.Note(salt, parts) > 0 }
+
+// Note notes that a request saves its parts, and returns how many of them were not
+// saved lately.
+func (s *Saved) Note(salt string, parts []string) (missing int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Since(s.started)
-	due := false
 	for _, part := range parts {
 		name := xxhash.Sum64String(salt + "/" + part)
 		if at, known := s.at[name]; known && now-at < coordapi.SavedTime {
 			continue
 		}
-		due = true
+		missing++
 		s.at[name] = now
 		s.fresh = append(s.fresh, name)
 	}
-	return due
+	return missing
 }
 
 // Known returns how many of a prompt's leading parts some router has saved
@@ -100,18 +103,32 @@
 		return
 	}
 	store := j.store()
-	if store != nil && !h.store.pays(h.now(), h.storeWorth(j)) {
+	if choice.Placement > 0 {
+		h.addressPlaced(j, choice, store)
+		return
+	}
+	if store != nil && !h.store.pays(h.now(), h.config.Pool.MoveWorth(&j.query)) {
 		store = nil
 	}
 	switch {
-	case choice.Source != "":
-		header.Set(names.FetchFrom, choice.Source)
 	case store != nil && (choice.Home || h.config.Saved.Known(salt, j.parts) > 0):
 		header.Set(names.FetchFrom, store.Address)
 	case !choice.Home && choice.HomeAddress != "":
 		header.Set(names.FetchFrom, choice.HomeAddress)
 	}
-	if store != nil && j.query.Saves() && h.config.Saved.Due(salt, j.parts) && (choice.Placement == 0 || choice.Save) {
+	if store != nil && j.query.Saves() && h.config.Saved.Due(salt, j.parts) {
+		header.Set(names.SaveTo, store.Address)
+	}
+}
+
+// addressPlaced fills the same as who placed the request knows it.
+func (h *Handler) addressPlaced(j *job, choice backends.Choice, store *traffic.Store) {
+	names, header := &h.config.Headers, j.request.Header
+	if choice.Source != "" {
+		header.Set(names.FetchFrom, choice.Source)
+	}
+	if choice.Save && store != nil {
+		h.config.Saved.Note(salt(j, choice.Version), j.parts)
 		header.Set(names.SaveTo, store.Address)
 	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -17,6 +17,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -34,13 +35,23 @@
 	pool    *backends.Pool
 	routers map[string]*router
 	parts   *directory
-	swept   time.Duration
+	// direct is how much longer than expected requests take that take nothing from a
+	// store.
+	direct speed.Delay
+	swept  time.Duration
 }
 
 // router is one router's placements under way.
 type router struct {
 	heard time.Duration
-	open  map[uint64]*backends.Attempt
+	open  map[uint64]*placement
+}
+
+// placement is a request under way.
+type placement struct {
+	*backends.Attempt
+	// from is the store from which it takes shared parts, nil for none.
+	from *store
 }
 
 // New returns a placer that knows nothing.
@@ -55,7 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
-	p.parts = newDirectory()
+	p.parts, p.direct = newDirectory(), speed.Delay{}
 }
 
 // Apply changes rows and removes departed back ends; whole replaces all.
@@ -102,31 +113,73 @@
 		return coordapi.Placed{}
 	}
 	if !choice.Late {
-		r.open[ask.Number] = p.pool.Begin(now, &choice, q, func(error) {})
-		p.arrange(now, ask, q, &choice)
+		from := p.arrange(now, ask, q, &choice)
+		a := p.pool.Begin(now, &choice, q, func(error) {})
+		if from != nil {
+			a.Moves()
+		}
+		r.open[ask.Number] = &placement{a, from}
 	}
 	return placed(&choice)
 }
 
 // arrange decides where the chosen engine takes kept parts from, and whether it
-// saves them.
-func (p *Placer) arrange(now time.Duration, ask *coordapi.Place, q *backends.Query, choice *backends.Choice) {
-	if !choice.Versioned {
-		return
+// saves them. It returns the store if they are moved from there.
+func (p *Placer) arrange(now time.Duration, ask *coordapi.Place, q *backends.Query, choice *backends.Choice) (from *store) {
+	if !choice.Versioned || len(ask.Parts) == 0 {
+		return nil
+	}
+	s := p.parts.store(ask)
+	if ask.Store != "" && p.storeDelay(now, s) > p.pool.MoveWorth(q) {
+		s = nil
 	}
+	source, moved := p.source(now, ask, choice, s)
+	choice.Source = source
+	choice.Save = p.parts.read(now, ask, choice, s != nil && q.Saves())
+	if !moved {
+		return nil
+	}
+	return s
+}
+
+// source is the address from which the chosen engine takes what it lacks of the
+// shared parts, and whether it will move some from the store. A store that is slow is
+// nil here.
+func (p *Placer) source(now time.Duration, ask *coordapi.Place, choice *backends.Choice, s *store) (address string, moved bool) {
+	last := ask.Parts[len(ask.Parts)-1]
+	holds := p.parts.holder(now, last.Hash, choice.Version) == choice.ID
 	for _, part := range slices.Backward(ask.Parts) {
-		if p.parts.store(ask).holds(now, partKey{part.Hash, choice.Version}) {
-			break
+		if s != nil && s.holds(now, partKey{part.Hash, choice.Version}) {
+			return ask.Store, !holds
 		}
 		holder := p.parts.holder(now, part.Hash, choice.Version)
 		if holder == choice.ID {
 			break
 		}
-		if choice.Source = p.pool.AddressOf(holder, ask.Model, choice.Version); choice.Source != "" {
-			break
+		if address := p.pool.AddressOf(holder, ask.Model, choice.Version); address != "" {
+			return address, false
 		}
 	}
-	choice.Save = p.parts.read(now, ask, choice, q.Saves())
+	if s != nil && choice.Home {
+		// The store may have more than is known.
+		return ask.Store, false
+	}
+	return "", false
+}
+
+// storeDelay is how much longer requests take that take parts from a store than
+// others do.
+func (p *Placer) storeDelay(now time.Duration, s *store) time.Duration {
+	return max(s.delay.At(now)-p.direct.At(now), 0)
+}
+
+// learn takes how much longer than expected a placement took to begin.
+func (p *Placer) learn(now time.Duration, a *placement, excess time.Duration) {
+	if a.from != nil {
+		a.from.delay.Observe(now, excess)
+		return
+	}
+	p.direct.Observe(now, excess)
 }
 
 // Report takes what a router has to say beside its placements.
@@ -140,13 +193,13 @@
 	p.sweep(now)
 	r := p.routers[name]
 	if r == nil {
-		r = &router{open: map[uint64]*backends.Attempt{}}
+		r = &router{open: map[uint64]*placement{}}
 		p.routers[name] = r
 	}
 	r.heard = now
 	for _, b := range reports.Begun {
 		if a := r.open[b.Number]; a != nil && b.First > 0 && b.First <= longestWait {
-			a.Waited(now, b.First)
+			p.learn(now, a, a.Waited(now, b.First))
 		}
 	}
 	for _, number := range reports.Ended {
--- a/internal/placer/store.go
+++ b/internal/placer/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/speed"
 )
 
 // store is what a store of kept prompts holds, for all that was placed. It drops
@@ -15,6 +16,8 @@
 	capacity int
 	received int
 	parts    map[partKey]stored
+	// delay is how much longer than expected requests take that move parts from it.
+	delay speed.Delay
 }
 
 // stored is a part in a store.
--- a/internal/placer/store_test.go
+++ b/internal/placer/store_test.go
@@ -1,10 +1,13 @@
 package placer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
 )
 
 // A store was taken to hold for 30 s what it had dropped after six: engines waited for
@@ -47,3 +50,48 @@
 	assert.Assert(t, ask(5, "n"))
 	assert.Assert(t, ask(6, "k"))
 }
+
+// After a loss of all machines engines waited 1 to 3 s for a store whose link was full,
+// to the end of the day: each router alone saw too few of them to notice.
+func TestASlowStoreIsLeftAloneUntilItHasCaughtUp(t *testing.T) {
+	p := newTestPlacer(4)
+	number := uint64(0)
+	// Who takes parts from the store waits for it, all others read at once.
+	delay := time.Duration(0)
+	play := func(now time.Duration, key string, tried ...string) (source string, save bool) {
+		number++
+		a := long("r", number, key)
+		a.Store, a.StoreTokens, a.Tried = "s:1", 1<<30, tried
+		placed := p.Place(now, a)
+		first := 200 * time.Millisecond
+		if placed.Source == a.Store {
+			first += delay
+		}
+		p.Report(now, "r", &coordapi.Reports{Begun: []coordapi.Begun{{Number: number, First: first}}, Ended: []uint64{number}})
+		return placed.Source, placed.Save
+	}
+	now := time.Second
+	away := func() string {
+		source, _ := play(now, "k", p.parts.holder(now, partHash("k"), 1))
+		return source
+	}
+	play(now, "k")
+	assert.Equal(t, away(), "s:1")
+	delay = 2 * time.Second
+	taken, saved := 0, 0
+	for i := range 200 {
+		now += 10 * time.Millisecond
+		if away() == "s:1" {
+			taken++
+		}
+		if _, save := play(now, fmt.Sprint("own-", i)); save {
+			saved++
+		}
+	}
+	// Some try it again and again, since nothing else tells when it has caught up.
+	assert.Assert(t, taken < 60, "%d of 200 took parts from it", taken)
+	assert.Assert(t, saved < 60, "%d of 200 were saved to it", saved)
+	now += 6 * time.Second
+	_, save := play(now, "new")
+	assert.Assert(t, save, "it is tried again")
+}
