What engines have to do is announced every three seconds

Engines are placed by the leader; a router needs their loads only while it chooses by itself. Change: a told load says that it is an engine's; most announcements leave engines out, a watcher that missed the last one with engines gets it. Test: TestWhatEnginesHaveToDoIsAnnouncedSeldom.

--- a/internal/backends/herd_test.go
+++ b/internal/backends/herd_test.go
@@ -78,7 +78,7 @@
 // share brings each router the work of all, as they told it one interval ago.
 func (f *fleet) share(now time.Duration, told []coordapi.Load) []coordapi.Load {
 	for _, p := range f.routers {
-		p.Others(now, told, f.interval)
+		p.Others(now, told, f.interval, true)
 	}
 	sums := map[string]coordapi.Load{}
 	for _, p := range f.routers {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -84,6 +84,9 @@
 	demands map[string]*demand
 }
 
+// isEngine tells a model engine from a plain back end.
+func (r *row) isEngine() bool { return len(r.Weights) > 0 }
+
 // NewPool returns an empty pool as seen from a zone.
 func NewPool(zone string) *Pool {
 	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, reading: map[string]*speed.Reading{},
@@ -137,12 +140,14 @@
 }
 
 // Others takes the work of all routers together, this one's among it, as it was
-// age ago in the mean.
-func (p *Pool) Others(now time.Duration, loads []coordapi.Load, age time.Duration) {
+// age ago in the mean. Without engines, what was heard of those stays.
+func (p *Pool) Others(now time.Duration, loads []coordapi.Load, age time.Duration, engines bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.rows {
-		r.others = coordapi.Load{}
+		if engines || !r.isEngine() {
+			r.others = coordapi.Load{}
+		}
 	}
 	for _, l := range loads {
 		if r := p.rows[l.ID]; r != nil {
@@ -162,7 +167,7 @@
 	defer p.mu.Unlock()
 	var out []coordapi.Load
 	for id, r := range p.rows {
-		r.told = coordapi.Load{ID: id, Running: r.running, Memory: r.memory, Prompt: r.prefill}
+		r.told = coordapi.Load{ID: id, Running: r.running, Memory: r.memory, Prompt: r.prefill, Engine: r.isEngine()}
 		if r.running > 0 {
 			out = append(out, r.told)
 		}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -103,6 +103,9 @@
 	Loads []Load `json:"loads,omitempty"`
 	// PackedLoads is a packed []Load in place of Loads, where there are many.
 	PackedLoads []byte `json:"packed_loads,omitempty"`
+	// EngineLoads says that engines are among them. Most announcements leave them out:
+	// the leader places what engines get.
+	EngineLoads bool `json:"engine_loads,omitempty"`
 	// LoadsAge is how old the loads are in the mean, as of the View.
 	LoadsAge time.Duration `json:"loads_age,omitempty"`
 	// Shares are the tenants whose demand is above their limit.
@@ -179,6 +182,8 @@
 	Running int `json:"r,omitempty"`
 	Memory  int `json:"m,omitempty"`
 	Prompt  int `json:"p,omitempty"`
+	// Engine says that the back end is a model engine.
+	Engine bool `json:"e,omitempty"`
 }
 
 // Place asks the leader to choose an engine for a request. The leader knows all
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -307,7 +307,8 @@
 	v.Announced = s.soft.told.announcements
 	v.Shares = s.limits.announced()
 	if news {
-		v.Loads, v.PackedLoads = s.soft.told.sums, s.soft.told.packed
+		sums := s.soft.told.since(w.Announced, sameLeader)
+		v.Loads, v.PackedLoads, v.EngineLoads = sums.loads, sums.packed, sums.engines
 		v.LoadsAge = now - s.soft.told.toldAt
 	}
 	if d.Remembers(w.Since) {
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -15,6 +15,10 @@
 	// announceStep what each watcher adds to it.
 	announceEvery = 80 * time.Millisecond
 	announceStep  = 3 * time.Millisecond
+	// enginesEvery is the least time between two announcements of what engines have to
+	// do. Routers need it only while the leader places nothing: without it they
+	// begin with what is some runs old, and hear the rest from their own requests.
+	enginesEvery = 3 * time.Second
 	// packFrom is how many back ends an announcement must name to be packed.
 	packFrom = 48
 	// crowdedFor is how long after a refusal engines count as crowded.
@@ -34,10 +38,12 @@
 	refusedAt time.Duration
 	// fresh says that loads came since the last announcement.
 	fresh bool
-	// sums is the work of all routers, and packed the same where there are many
-	// rows; sums is empty then.
-	sums   []coordapi.Load
-	packed []byte
+	// plain is the work of all routers at plain back ends, and all with engines too, as
+	// of the announcement allFrom.
+	plain   sums
+	all     sums
+	allFrom uint64
+	allAt   time.Duration
 	// toldAt is when the loads in sums were told, in the mean.
 	toldAt time.Duration
 	// announcements counts them.
@@ -45,6 +51,34 @@
 	at            time.Duration
 }
 
+// sums is work of all routers, packed where there are many rows; loads is empty then.
+type sums struct {
+	loads   []coordapi.Load
+	packed  []byte
+	engines bool
+}
+
+func newSums(loads []coordapi.Load, engines bool) sums {
+	if len(loads) < packFrom {
+		return sums{loads: loads, engines: engines}
+	}
+	packed, err := coordapi.Pack(loads)
+	if err != nil {
+		// Encoding into memory cannot fail; the loads go out as they are.
+		return sums{loads: loads, engines: engines}
+	}
+	return sums{packed: packed, engines: engines}
+}
+
+// since returns what a watcher lacks that has heard an announcement of this leader,
+// or of another.
+func (t *told) since(announced uint64, sameLeader bool) sums {
+	if !sameLeader || announced < t.allFrom {
+		return t.all
+	}
+	return t.plain
+}
+
 // routerLoad is one router's work under way.
 type routerLoad struct {
 	at    time.Duration
@@ -88,7 +122,7 @@
 
 // sum adds the routers' loads up.
 func (t *told) sum(now time.Duration) {
-	sums := map[string]coordapi.Load{}
+	byID := map[string]coordapi.Load{}
 	var ages time.Duration
 	for router, r := range t.loads {
 		if now-r.at > loadKept {
@@ -97,23 +131,20 @@
 		}
 		ages += now - r.at
 		for _, l := range r.loads {
-			s := sums[l.ID]
-			sums[l.ID] = coordapi.Load{ID: l.ID, Running: s.Running + l.Running, Memory: s.Memory + l.Memory, Prompt: s.Prompt + l.Prompt}
+			s := byID[l.ID]
+			byID[l.ID] = coordapi.Load{ID: l.ID, Running: s.Running + l.Running, Memory: s.Memory + l.Memory, Prompt: s.Prompt + l.Prompt, Engine: l.Engine}
 		}
 	}
 	t.toldAt = now - ages/time.Duration(max(len(t.loads), 1))
-	t.sums = make([]coordapi.Load, 0, len(sums))
-	for _, l := range sums {
-		t.sums = append(t.sums, l)
-	}
-	slices.SortFunc(t.sums, func(a, b coordapi.Load) int { return strings.Compare(a.ID, b.ID) })
-	t.packed = nil
-	if len(t.sums) < packFrom {
-		return
+	loads := make([]coordapi.Load, 0, len(byID))
+	for _, l := range byID {
+		loads = append(loads, l)
 	}
-	if packed, err := coordapi.Pack(t.sums); err == nil {
-		t.packed, t.sums = packed, nil
+	slices.SortFunc(loads, func(a, b coordapi.Load) int { return strings.Compare(a.ID, b.ID) })
+	if t.allFrom == 0 || now >= t.allAt+enginesEvery {
+		t.all, t.allFrom, t.allAt = newSums(loads, true), t.announcements, now
 	}
+	t.plain = newSums(slices.DeleteFunc(slices.Clone(loads), func(l coordapi.Load) bool { return l.Engine }), false)
 }
 
 // after returns the parts behind a number, and the number of the next.
--- a/internal/coordinator/told_test.go
+++ b/internal/coordinator/told_test.go
@@ -25,7 +25,7 @@
 	tellLoads(&sums, "a", 2)
 	tellLoads(&sums, "b", 1)
 	assert.Assert(t, sums.announce(2*time.Second, 2))
-	assert.DeepEqual(t, sums.sums, []coordapi.Load{
+	assert.DeepEqual(t, sums.since(0, true).loads, []coordapi.Load{
 		{ID: "i-0000000000", Running: 2, Memory: 1800, Prompt: 80}, {ID: "i-0000001eef", Running: 1, Memory: 901, Prompt: 40}})
 	assert.Assert(t, !sums.announce(3*time.Second, 2), "nothing new was told")
 }
@@ -60,9 +60,31 @@
 	var sums told
 	tellLoads(&sums, "a", 300)
 	assert.Assert(t, sums.announce(2*time.Second, 2))
-	assert.Equal(t, len(sums.sums), 0)
-	assert.Assert(t, len(sums.packed) < 300*15, "%d bytes", len(sums.packed))
+	packed := sums.since(0, true).packed
+	assert.Equal(t, len(sums.since(0, true).loads), 0)
+	assert.Assert(t, len(packed) < 300*15, "%d bytes", len(packed))
 	var loads []coordapi.Load
-	assert.NilError(t, coordapi.Unpack(sums.packed, &loads))
+	assert.NilError(t, coordapi.Unpack(packed, &loads))
 	assert.Equal(t, len(loads), 300)
 }
+
+// The leader sent each of 295 routers what 2,400 engines had to do once a second,
+// 6 MB/s in all, though it places what engines get.
+func TestWhatEnginesHaveToDoIsAnnouncedSeldom(t *testing.T) {
+	var sums told
+	tell := func(now time.Duration) {
+		sums.take(now, &coordapi.Tell{Router: "a", Loads: []coordapi.Load{{ID: "engine", Running: 1, Engine: true}, {ID: "plain", Running: 1}}})
+		assert.Assert(t, sums.announce(now, 1))
+	}
+	tell(time.Second)
+	first := sums.since(0, true)
+	assert.Assert(t, first.engines)
+	assert.Equal(t, len(first.loads), 2)
+	tell(2 * time.Second)
+	assert.DeepEqual(t, sums.since(1, true).loads, []coordapi.Load{{ID: "plain", Running: 1}})
+	assert.Assert(t, sums.since(1, false).engines, "a watcher that comes from another leader")
+	tell(time.Second + enginesEvery)
+	tell(2*time.Second + enginesEvery)
+	assert.Assert(t, sums.since(2, true).engines, "a watcher that missed the announcement with engines")
+	assert.Assert(t, !sums.since(3, true).engines)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,8 +45,9 @@
 	Apply(rows []state.Backend, departed []string, whole bool)
 	// Note takes what only the leader knows.
 	Note(notes coordapi.Notes)
-	// Others takes the work of all routers together, as it was age ago in the mean.
-	Others(now time.Duration, loads []coordapi.Load, age time.Duration)
+	// Others takes the work of all routers together, as it was age ago in the mean;
+	// engines says that it is of engines too.
+	Others(now time.Duration, loads []coordapi.Load, age time.Duration, engines bool)
 	// Own returns the work of this router that is under way. What it returned
 	// last counts as part of what Others brings.
 	Own() []coordapi.Load
@@ -273,7 +274,7 @@
 		f.config.Pool.Apply(rows, v.Departed, whole)
 	}
 	if v.Announced != f.announced {
-		f.config.Pool.Others(time.Since(f.started), f.loads(v), v.LoadsAge)
+		f.config.Pool.Others(time.Since(f.started), f.loads(v), v.LoadsAge, v.EngineLoads)
 	}
 	if v.Leader != f.token {
 		f.config.Pool.Note(v.Notes)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -23,12 +23,12 @@
 // nobody takes what is said of back ends.
 type nobody struct{}
 
-func (nobody) Apply([]state.Backend, []string, bool)                {}
-func (nobody) Refused() int                                         { return 0 }
-func (nobody) Note(coordapi.Notes)                                  {}
-func (nobody) Troubles() []coordapi.Trouble                         { return nil }
-func (nobody) Others(time.Duration, []coordapi.Load, time.Duration) {}
-func (nobody) Own() []coordapi.Load                                 { return nil }
+func (nobody) Apply([]state.Backend, []string, bool)                      {}
+func (nobody) Refused() int                                               { return 0 }
+func (nobody) Note(coordapi.Notes)                                        {}
+func (nobody) Troubles() []coordapi.Trouble                               { return nil }
+func (nobody) Others(time.Duration, []coordapi.Load, time.Duration, bool) {}
+func (nobody) Own() []coordapi.Load                                       { return nil }
 
 // script is a coordinator that answers as it is told.
 type script struct {
