Choice, placements, a router's word and reading speed have files of their own

Moved only: forward/choose.go out of attempts.go, coordapi/placement.go out of coordapi.go, follower/tell.go, backends/reading.go.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -136,44 +136,6 @@
 // Routers is how many routers follow the coordinators, at least 1.
 func (f *Follower) Routers() int { return max(int(f.routers.Load()), 1) }
 
-// tellEvery is the time between two words to the leader, and tellStep what
-// each router of the deployment adds to it.
-const (
-	tellEvery = 50 * time.Millisecond
-	tellStep  = 3 * time.Millisecond
-)
-
-// Tell brings the leader the router's load and newly saved prompt parts until
-// the context ends.
-func (f *Follower) Tell(ctx context.Context) {
-	idle := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(tellEvery + tellStep*time.Duration(f.Routers())):
-		}
-		leader := f.following.Load()
-		if leader == nil {
-			continue
-		}
-		news := &coordapi.Tell{Router: f.name, Saved: f.config.Saved.Fresh(), Loads: f.config.Pool.Own(), Refused: f.config.Pool.Refused(),
-			Reports: f.reports()}
-		quiet := news.Empty() && len(news.Saved) == 0 && len(news.Loads) == 0 && news.Refused == 0
-		if quiet && idle {
-			continue
-		}
-		idle = quiet
-		call, cancel := context.WithTimeout(ctx, tellTimeout)
-		var reply coordapi.Reply
-		if err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Tell: news}, &reply); err != nil {
-			// Ends must arrive, all else is told anew.
-			f.placements.add(news.Reports)
-		}
-		cancel()
-	}
-}
-
 // Run watches until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
-	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -19,14 +17,6 @@
 const (
 	// maxSends bounds how often one request is offered to back ends.
 	maxSends = 4
-	// waitStep is the pause between two looks for a back end.
-	waitStep = 20 * time.Millisecond
-	// waitDivisor is the part of the latency target that a request waits for a
-	// back end before it is refused.
-	waitDivisor = 5
-	// patienceDivisor is the part of the latency target for which a request may
-	// wait until an engine begins to read it.
-	patienceDivisor = 2
 	// fullRetry is when to come back after all back ends turned a request away.
 	fullRetry = 250 * time.Millisecond
 )
@@ -98,72 +88,8 @@
 	}
 }
 
-// returnAfter is when the engine that reads first will have read half of what it
-// may be behind. Callers are spread so that they don't come back together.
-func returnAfter(choice *backends.Choice, q *backends.Query) time.Duration {
-	wait := max(choice.Wait-q.Patience/2, fullRetry)
-	return wait + rand.N(wait/2)
-}
-
 var errNoBackend = errors.New("no back end can take the request now")
 
-// choose waits a moment for a back end that can serve.
-func (h *Handler) choose(ctx context.Context, j *job) (backends.Choice, bool) {
-	j.query.Routers = h.config.Source.Routers()
-	j.query.Patience = 0
-	if len(j.query.Tried) == 0 {
-		j.query.Patience = j.route.Target / patienceDivisor
-	}
-	limit := time.Now().Add(j.route.Target / waitDivisor)
-	for {
-		choice, found := h.chooseOnce(ctx, j)
-		if found || len(j.query.Tried) > 0 || time.Now().After(limit) {
-			return choice, found
-		}
-		if periodic.Pause(ctx, waitStep); ctx.Err() != nil {
-			return choice, false
-		}
-	}
-}
-
-// chooseOnce asks who places the requests of all routers for an engine. Back ends
-// without engines are chosen here, and all of them while there is no answer.
-func (h *Handler) chooseOnce(ctx context.Context, j *job) (backends.Choice, bool) {
-	if h.config.Placer != nil && j.pool.Engine != nil {
-		if choice, found, answered := h.place(ctx, j); answered {
-			h.metrics.placed.Add(1)
-			return choice, found
-		}
-		h.metrics.alone.Add(1)
-	}
-	if over, beyond := h.admit(j); beyond {
-		return over, true
-	}
-	j.query.Draw = rand.Float64()
-	return h.config.Pool.Choose(h.now(), &j.query)
-}
-
-// place asks for an engine. Answered is false when the router must choose by
-// itself.
-func (h *Handler) place(ctx context.Context, j *job) (choice backends.Choice, found, answered bool) {
-	h.count(j)
-	choice, found, answered = h.config.Placer.Place(ctx, &j.query)
-	if !answered || !found || choice.Late || choice.OverLimit {
-		return choice, found, answered
-	}
-	j.counted = j.counted || !choice.Uncounted
-	if over, beyond := h.admit(j); beyond {
-		h.config.Placer.Ended(choice.Placement)
-		return over, true, true
-	}
-	// A leader that was replaced may not know what this router does.
-	if h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) {
-		h.config.Placer.Ended(choice.Placement)
-		return choice, false, false
-	}
-	return choice, true, true
-}
-
 // again tells whether another attempt is allowed after a result.
 func (h *Handler) again(j *job, s *session, result outcome) bool {
 	if len(j.query.Tried) >= maxSends || (s.begun && !j.route.Resumable) {
