A less urgent request waits no longer than a more urgent one

Cause: patience is half of a route's target. Change: patience is half of the least target among the routes of the pool that are no less urgent. Test: TestTheUrgentTargetIsThatOfNoLessUrgentRoute.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -16,7 +16,8 @@
 	// back end before it is refused.
 	waitDivisor = 5
 	// patienceDivisor is the part of the latency target for which a request may
-	// wait until an engine begins to read it. With 1 engines fall behind, with 4 more
+	// wait until an engine begins to read it. The target is that of no less urgent
+	// routes, if it is lower: else these are refused first. With 1 engines fall behind, with 4 more
 	// is refused for the same worth (docs/design/shifted.md).
 	patienceDivisor = 2
 )
@@ -33,7 +34,7 @@
 	j.query.Routers = h.config.Source.Routers()
 	j.query.Patience = 0
 	if len(j.query.Tried) == 0 {
-		j.query.Patience = j.route.Target / patienceDivisor
+		j.query.Patience = j.table.UrgentTarget(j.route) / patienceDivisor
 	}
 	limit := time.Now().Add(j.route.Target / waitDivisor)
 	for {
--- a/internal/traffic/check.go
+++ b/internal/traffic/check.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"quinceridge.example/quinceridge/internal/finding"
 	"quinceridge.example/quinceridge/internal/quota"
@@ -176,3 +177,16 @@
 	}
 	return t.stores[part%uint64(len(t.stores))]
 }
+
+// UrgentTarget is the least target among a route and those of its first pool that are
+// no less urgent, 0 for a route without one.
+func (t *Table) UrgentTarget(r *Route) time.Duration {
+	least := r.Target
+	for i := range t.Routes {
+		other := &t.Routes[i]
+		if other.Priority <= r.Priority && other.Target > 0 && other.Split[0].Pool == r.Split[0].Pool {
+			least = min(least, other.Target)
+		}
+	}
+	return least
+}
