--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -22,9 +22,13 @@
 	patienceDivisor = 2
 )
 
-// returnAfter is when the engine that reads first will have read half of what it
-// may be behind. Callers are spread so that they don't come back together.
+// returnAfter is when a refused caller may come back: who places for all routers has
+// spread them. Else it is when the engine that reads first will have read half of what
+// it may be behind, spread by chance so that callers don't come back together.
 func returnAfter(choice *backends.Choice, q *backends.Query) time.Duration {
+	if choice.After > 0 {
+		return choice.After
+	}
 	wait := max(choice.Wait-q.Patience/2, fullRetry)
 	return wait + rand.N(wait/2)
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -252,3 +252,15 @@
 	assert.Assert(t, len(d.kept) <= maxParts)
 	assert.Assert(t, len(d.stores["s"].parts) <= maxParts)
 }
+
+func TestALateRequestIsToldWhenToComeBack(t *testing.T) {
+	p := newTestPlacer(1)
+	p.Place(0, long("r", 1, "k"))
+	ask := long("r", 2, "k")
+	ask.Patience = 100 * time.Millisecond
+	placed := p.Place(0, ask)
+	assert.Assert(t, placed.Late)
+	assert.Assert(t, placed.After >= placed.Wait, "%v %v", placed.After, placed.Wait)
+	choice, _ := Choice(ask, &placed)
+	assert.Equal(t, choice.After, placed.After)
+}
