Two tests no longer read what another goroutine writes

Both now work on an object of their own and check more: what counts before the lease ends, and the rows that arrive. Limits that cannot be read change nothing (new test). No product code changed.

--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log/slog"
 	"strconv"
 	"strings"
 	"testing"
@@ -12,7 +14,9 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/quota"
+	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
 )
 
 const (
@@ -79,20 +83,34 @@
 
 // A node that does not hold the lease may have a successor that counts already.
 func TestALeaderWithoutItsLeaseDoesNotCount(t *testing.T) {
-	g := newGroup(t, 1)
-	g.call(0, beat("x", 1, false))
-	g.configure(1, limitedTo200)
-	g.awaitPlaced("x")
-	limits := g.servers[0].limits
-	ask := place(1000).Place
+	l := newLimits(settings.Coordinator{}, traffic.Parse, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l.reset(true)
+	leasedUntil := time.Second
+	l.follow(0, leasedUntil, &state.Deployment{ConfiguredAt: 1, Document: []byte(replaceVersion(limitedTo200, 1))})
+	ask := place(1).Place
 	ask.Tenant, ask.Amount = "a", 1e9
-	_, admitted, counted := limits.take(limits.leasedUntil, ask)
+	_, admitted, counted := l.take(leasedUntil-1, ask)
+	assert.Assert(t, !admitted && counted)
+	_, admitted, counted = l.take(leasedUntil, ask)
 	assert.Assert(t, admitted && !counted)
-	limits.reset(false)
-	_, admitted, counted = limits.take(0, ask)
+	l.reset(false)
+	_, admitted, counted = l.take(0, ask)
 	assert.Assert(t, admitted && !counted)
 }
 
+// A configuration was checked before it was committed; if it can't be read all the
+// same, the limits before it stay.
+func TestLimitsThatCannotBeReadChangeNothing(t *testing.T) {
+	l := newLimits(settings.Coordinator{}, traffic.Parse, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l.reset(true)
+	l.follow(0, time.Minute, &state.Deployment{ConfiguredAt: 1, Document: []byte(replaceVersion(limitedTo200, 1))})
+	l.follow(0, time.Minute, &state.Deployment{ConfiguredAt: 2, Document: []byte("torn")})
+	ask := place(1).Place
+	ask.Tenant, ask.Amount = "a", 1e9
+	_, admitted, _ := l.take(time.Second, ask)
+	assert.Assert(t, !admitted)
+}
+
 func replaceVersion(document string, version uint64) string {
 	return strings.Replace(document, "%V", strconv.FormatUint(version, 10), 1)
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -199,15 +199,25 @@
 }
 
 func TestPackedRowsAreTaken(t *testing.T) {
-	s := newScript(t)
-	reply := view(3)
-	rows := []state.Backend{{ID: "a"}, {ID: "b"}}
-	packed, err := coordapi.Pack(rows)
+	packed, err := coordapi.Pack([]state.Backend{{ID: "a"}, {ID: "b"}})
 	assert.NilError(t, err)
-	reply.View.PackedBackends = packed
-	s.say(reply)
-	f := follow(t, time.Minute, s.address)
-	f.await(t, 3)
-	assert.Assert(t, f.take(0, &coordapi.View{Version: 3, PackedBackends: packed}))
+	pool := &rowsOf{}
+	f := New(Config{Name: "r", Decode: decode, Pool: pool, Saved: noParts{}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	first := view(3).View
+	first.PackedBackends = packed
+	assert.Assert(t, f.take(0, first))
+	assert.DeepEqual(t, pool.ids, []string{"a", "b"})
 	assert.Assert(t, !f.take(0, &coordapi.View{Version: 3, PackedBackends: []byte("torn")}))
 }
+
+// rowsOf keeps the IDs of the rows that it gets.
+type rowsOf struct {
+	nobody
+	ids []string
+}
+
+func (r *rowsOf) Apply(rows []state.Backend, _ []string, _ bool) {
+	for _, b := range rows {
+		r.ids = append(r.ids, b.ID)
+	}
+}
