--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -50,12 +50,14 @@
 	}
 }
 
-// follow notes the lease and takes the limits of the configuration in force.
+// follow notes the lease and takes the limits of the configuration in force. Before
+// its first lease a leader may not have applied all that was committed: limits that come
+// then would count as new ones, which nobody has used.
 func (l *limits) follow(now, leasedUntil time.Duration, d *state.Deployment) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leasedUntil = leasedUntil
-	if l.bank == nil || d.ConfiguredAt == l.configuredAt {
+	if l.bank == nil || leasedUntil == 0 || d.ConfiguredAt == l.configuredAt {
 		return
 	}
 	l.configuredAt = d.ConfiguredAt
--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -98,6 +98,19 @@
 	assert.Assert(t, admitted && !counted)
 }
 
+// A new leader that had an older configuration, without limits, took those of the newest
+// for limits that nobody had used.
+func TestLimitsCountFromTheFirstLeaseOn(t *testing.T) {
+	l := newLimits(settings.Coordinator{}, traffic.Parse, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l.reset(true)
+	l.follow(0, 0, &state.Deployment{ConfiguredAt: 1, Document: []byte(replaceVersion(unlimited, 1))})
+	l.follow(0, time.Minute, &state.Deployment{ConfiguredAt: 2, Document: []byte(replaceVersion(limitedTo200, 2))})
+	ask := place(1).Place
+	ask.Tenant, ask.Amount = "a", 150
+	_, admitted, counted := l.take(0, ask)
+	assert.Assert(t, counted && !admitted, "the bucket starts almost empty")
+}
+
 // A configuration was checked before it was committed; if it can't be read all the
 // same, the limits before it stay.
 func TestLimitsThatCannotBeReadChangeNothing(t *testing.T) {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -40,6 +40,9 @@
 	gauge("placements_routers", routers)
 	gauge("engines_quiet", s.placer.Quiet(s.now()))
 	gauge("engines_reading_share", fmt.Sprintf("%.3f", s.placer.ReadingShare(s.now())))
+	for _, share := range s.limits.announced() {
+		fmt.Fprintf(w, "quinceridge_limit_admitted_part{tenant=%q} %.3f\n", share.Tenant, share.Part)
+	}
 	s.loop.Do(r.Context(), func(now time.Duration) {
 		status := s.core.Status()
 		syncs, bytes := s.core.Syncs()
--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -133,3 +133,19 @@
 	})
 	assert.Equal(t, answer.status, http.StatusOK)
 }
+
+// A request without a tenant that every engine turned away ended its router's
+// connection instead of being answered.
+func TestARequestWithoutATenantHasNothingToGiveBack(t *testing.T) {
+	r := newRig(t)
+	r.limited()
+	r.source.table.Routes[2].Public = true
+	r.add("llm", "e", turnAway)
+	held, found := r.pool.Choose(0, &backends.Query{Pool: "llm"})
+	assert.Assert(t, found)
+	held.Placement = 1
+	r.handler.config.Placer = &placerOf{choice: held, answered: true}
+	answer := r.ask("POST", "/chat/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+	assert.NilError(t, answer.err)
+	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
+}
