Without a store a prompt part comes from the engine that read it

Found on reading the diff: a placer that was told of no store kept a store of no name, which seemed to hold what was never saved, and named no source. Test: TestWithoutAStorePartsComeFromTheirHolder, failed first. The tests' long prompts now name a store, as all deployments so far do; where the source was empty for a prompt at home it is the store's address, which the router named by itself before.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -130,7 +130,7 @@
 		return nil
 	}
 	s := p.parts.store(ask)
-	if ask.Store != "" && p.storeDelay(now, s) > p.pool.MoveWorth(q) {
+	if ask.Store == "" || p.storeDelay(now, s) > p.pool.MoveWorth(q) {
 		s = nil
 	}
 	source, moved := p.source(now, ask, choice, s)
@@ -143,8 +143,8 @@
 }
 
 // source is the address from which the chosen engine takes what it lacks of the
-// shared parts, and whether it will move some from the store. A store that is slow is
-// nil here.
+// shared parts, and whether it will move some from the store. That is nil where there
+// is none, and while it is slow.
 func (p *Placer) source(now time.Duration, ask *coordapi.Place, choice *backends.Choice, s *store) (address string, moved bool) {
 	last := ask.Parts[len(ask.Parts)-1]
 	holds := p.parts.holder(now, last.Hash, choice.Version) == choice.ID
