A route's urgent target is found once a configuration, not with every request

Found on reading the change once more: each request looked through all routes of its configuration (hundreds on large ones) for the least target among no less urgent ones. It is now found when a configuration is built. Behaviour as before; the test keeps its assertions.

--- a/internal/traffic/check.go
+++ b/internal/traffic/check.go
@@ -24,6 +24,7 @@
 	if err := c.findings.Err(); err != nil {
 		return nil, err
 	}
+	t.rankTargets()
 	return t, nil
 }
 
@@ -180,13 +181,29 @@
 
 // UrgentTarget is the least target among a route and those of its first pool that are
 // no less urgent, 0 for a route without one.
-func (t *Table) UrgentTarget(r *Route) time.Duration {
-	least := r.Target
+func (t *Table) UrgentTarget(r *Route) time.Duration { return r.urgentTarget }
+
+// rankTargets finds each route's UrgentTarget: it is asked for with every request.
+func (t *Table) rankTargets() {
+	type rank struct {
+		pool     string
+		priority int
+	}
+	least := map[rank]time.Duration{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		key := rank{r.Split[0].Pool, r.Priority}
+		if held, known := least[key]; r.Target > 0 && (!known || r.Target < held) {
+			least[key] = r.Target
+		}
+	}
 	for i := range t.Routes {
-		other := &t.Routes[i]
-		if other.Priority <= r.Priority && other.Target > 0 && other.Split[0].Pool == r.Split[0].Pool {
-			least = min(least, other.Target)
+		r := &t.Routes[i]
+		r.urgentTarget = r.Target
+		for key, target := range least {
+			if key.pool == r.Split[0].Pool && key.priority <= r.Priority {
+				r.urgentTarget = min(r.urgentTarget, target)
+			}
 		}
 	}
-	return least
 }
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -66,6 +66,9 @@
 	Affinity bool
 	// Resumable streams may go on at another back end.
 	Resumable bool
+
+	// urgentTarget is what Table.UrgentTarget returns.
+	urgentTarget time.Duration
 }
 
 // Repeatable tells whether a request of the route may run more than once.
