Logs tell which requests are the same, and which attempts back ends broke off

Cause: no line said which request is the same as another, since its ID is new with each try and the key names its last shared part alone; that a back end ended had to be inferred. Change: a digest of caller, method, host, target and body in every line of a request; a line and a figure for each attempt that ended without a whole answer, with whether the router gave it up itself. No decision reads either.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -55,7 +55,7 @@
 		choice, found := h.choose(ctx, j)
 		if choice.OverLimit {
 			h.metrics.overLimit.Add(1)
-			h.refuse(w, j.id, &refusal{http.StatusTooManyRequests, "tenant " + j.tenant.Name + " is beyond its limit", choice.Wait})
+			h.refuse(w, j, &refusal{http.StatusTooManyRequests, "tenant " + j.tenant.Name + " is beyond its limit", choice.Wait})
 			return
 		}
 		if !found {
@@ -65,7 +65,7 @@
 		if choice.Late {
 			reason := fmt.Sprintf("engines are behind by %d ms and more", choice.Wait.Milliseconds())
 			h.metrics.behind.Add(1)
-			h.refuse(w, j.id, &refusal{http.StatusServiceUnavailable, reason, returnAfter(&choice, &j.query)})
+			h.refuse(w, j, &refusal{http.StatusServiceUnavailable, reason, returnAfter(&choice, &j.query)})
 			return
 		}
 		result := h.attempt(ctx, s, choice)
@@ -134,7 +134,7 @@
 		defer s.stall.stop()
 	}
 	result := h.take(ctx, s, answer)
-	h.note(ctx, j, choice, answer.StatusCode, result, h.now()-started)
+	h.note(ctx, s, choice, answer.StatusCode, result, h.now()-started)
 	return result
 }
 
@@ -169,9 +169,24 @@
 		h.config.Pool.Unreachable(h.now(), choice.ID)
 		return outcome{verdict: notRun, err: err}
 	}
+	h.logBroken(ctx, j, choice, 0, err)
 	return outcome{verdict: mayHaveRun, err: err, arrived: true}
 }
 
+// logBroken says which attempt ended without a whole answer, and whether that was the
+// router's or the caller's doing: only what the back end did tells of it.
+func (h *Handler) logBroken(ctx context.Context, j *job, choice backends.Choice, events int, err error) {
+	ours := ""
+	if cause := context.Cause(ctx); cause != nil {
+		ours = cause.Error()
+	}
+	if ours == "" {
+		h.metrics.broken.Add(1)
+	}
+	h.config.Logger.Warn("attempt broke off", "part", "forward", "id", j.id, "request", j.digest.String(), "backend", choice.ID,
+		"address", choice.Address, "events", events, "given_up", ours, "error", err.Error())
+}
+
 // noteVersion learns the weights version that an answer names.
 func (h *Handler) noteVersion(j *job, choice backends.Choice, header http.Header) {
 	if j.query.Model == "" {
@@ -183,8 +198,8 @@
 }
 
 // note tells the pool what an attempt showed.
-func (h *Handler) note(ctx context.Context, j *job, choice backends.Choice, status int, result outcome, took time.Duration) {
-	now := h.now()
+func (h *Handler) note(ctx context.Context, s *session, choice backends.Choice, status int, result outcome, took time.Duration) {
+	j, now := s.job, h.now()
 	text := h.explain(j, choice) + ": " + strconv.Itoa(status)
 	if result.err != nil {
 		text += " " + result.err.Error()
@@ -204,6 +219,9 @@
 			h.config.Pool.Failed(now, choice.ID)
 		}
 	}
+	if result.verdict == mayHaveRun {
+		h.logBroken(ctx, j, choice, s.events, result.err)
+	}
 }
 
 // explain names a back end and what decided for it.
@@ -231,11 +249,11 @@
 		s.writeWhole(result.answer)
 		h.logDone(s, "passed a failure on")
 	case j.ran == 0:
-		h.refuse(s.writer, j.id, &refusal{http.StatusServiceUnavailable, h.reason(j, result), fullRetry})
+		h.refuse(s.writer, j, &refusal{http.StatusServiceUnavailable, h.reason(j, result), fullRetry})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		h.refuse(s.writer, j.id, &refusal{status: http.StatusGatewayTimeout, reason: h.reason(j, result)})
+		h.refuse(s.writer, j, &refusal{status: http.StatusGatewayTimeout, reason: h.reason(j, result)})
 	default:
-		h.refuse(s.writer, j.id, &refusal{status: http.StatusBadGateway, reason: h.reason(j, result)})
+		h.refuse(s.writer, j, &refusal{status: http.StatusBadGateway, reason: h.reason(j, result)})
 	}
 }
 
@@ -267,7 +285,7 @@
 	took := h.now() - j.arrived
 	h.metrics.Answered(s.status, false)
 	h.metrics.Took(took, s.firstAt-j.arrived)
-	h.config.Logger.Info(what, "part", "forward", "id", j.id, "route", j.route.Name, "pool", j.pool.Name,
+	h.config.Logger.Info(what, "part", "forward", "id", j.id, "request", j.digest.String(), "route", j.route.Name, "pool", j.pool.Name,
 		"table", j.table.Version, "key", j.query.Key, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
 		"first_ms", (s.firstAt - j.arrived).Milliseconds(), "attempts", strings.Join(j.trace, "; "))
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -17,6 +17,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/periodic"
+	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -114,7 +115,9 @@
 
 // job is one request of a caller.
 type job struct {
-	id      string
+	id string
+	// digest names what is asked for, whatever its ID.
+	digest  poison.Digest
 	table   *traffic.Table
 	route   *traffic.Route
 	tenant  *traffic.Tenant
@@ -147,15 +150,16 @@
 	}
 	j, refusal := h.check(r, arrived)
 	if refusal != nil {
-		h.refuse(w, r.Header.Get(h.config.Headers.RequestID), refusal)
+		h.refuse(w, &job{id: r.Header.Get(h.config.Headers.RequestID)}, refusal)
 		return
 	}
 	body, refusal := h.readBody(w, r, j.table)
 	if refusal != nil {
-		h.refuse(w, j.id, refusal)
+		h.refuse(w, j, refusal)
 		return
 	}
 	j.request.Body = body
+	j.digest = poison.DigestOf(j.caller(), r.Method, r.Host, r.RequestURI, body)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	h.metrics.open.Add(1)
@@ -249,13 +253,21 @@
 	return body, nil
 }
 
+// caller is the tenant's name, empty on routes that need no key.
+func (j *job) caller() string {
+	if j.tenant == nil {
+		return ""
+	}
+	return j.tenant.Name
+}
+
 // refuse gives the router's own answer at once.
-func (h *Handler) refuse(w http.ResponseWriter, id string, f *refusal) {
+func (h *Handler) refuse(w http.ResponseWriter, j *job, f *refusal) {
 	header := w.Header()
 	header["Content-Type"] = nil
 	header["Date"] = nil
-	if id != "" {
-		header.Set(h.config.Headers.RequestID, id)
+	if j.id != "" {
+		header.Set(h.config.Headers.RequestID, j.id)
 	}
 	if f.after > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 2, 64))
@@ -263,6 +275,6 @@
 	header.Set("Content-Length", "0")
 	w.WriteHeader(f.status)
 	h.metrics.Answered(f.status, true)
-	h.config.Logger.Info("refused", "part", "forward", "id", id, "status", f.status, "reason", f.reason,
+	h.config.Logger.Info("refused", "part", "forward", "id", j.id, "request", j.digest.String(), "status", f.status, "reason", f.reason,
 		"after_ms", f.after.Milliseconds())
 }
