--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -23,6 +23,15 @@
 			n.freeze(w.between(300*time.Millisecond, 5*time.Second))
 		}
 	}},
+	{"suspend a machine", 3, func(w *world) { w.anyNode().suspend(w.between(300*time.Millisecond, 8*time.Second)) }},
+	{"suspend the leader", 3, func(w *world) {
+		if n := w.leader(); n != nil {
+			n.suspend(w.between(300*time.Millisecond, 8*time.Second))
+		}
+	}},
+	{"suspend a router", 4, func(w *world) {
+		w.routers[w.random.IntN(len(w.routers))].suspend(w.between(300*time.Millisecond, 8*time.Second))
+	}},
 	{"cut off the leader", 5, func(w *world) {
 		if n := w.leader(); n != nil {
 			w.cut(w.between(time.Second, 10*time.Second), append(w.someRouters(), n.name)...)
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -44,6 +44,8 @@
 	down   bool
 	lost   bool
 	frozen bool
+	// slept is for how long the node's clock has stood still.
+	slept time.Duration
 	// queued are messages that came while the node was frozen.
 	queued []func()
 	// checked is the applied entry that was checked last.
@@ -59,9 +61,9 @@
 	return n
 }
 
-// clock is the node's own monotonic clock.
+// clock is the clock that the node's process reads.
 func (n *node) clock() time.Duration {
-	return n.origin + time.Duration(float64(n.world.now())*n.drift)
+	return n.origin + time.Duration(float64(n.world.now()-n.slept)*n.drift)
 }
 
 func (n *node) config() control.CoreConfig {
@@ -253,6 +255,21 @@
 	})
 }
 
+// suspend stops the node's whole machine, its steady clock too.
+func (n *node) suspend(length time.Duration) {
+	if !n.running() {
+		return
+	}
+	n.freeze(length)
+	if n.world.steadyClocks() {
+		n.slept += length
+	}
+}
+
+// steadyClocks tells whether processes read a clock that stands still while their
+// machine is suspended.
+func (w *world) steadyClocks() bool { return true }
+
 // leader returns the node that holds the lease, if any.
 func (w *world) leader() *node {
 	for _, n := range w.nodes {
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -21,6 +21,10 @@
 	drift  float64
 	origin time.Duration
 	down   bool
+	// asleep says that its machine is suspended, and slept for how long its clock has
+	// stood still.
+	asleep bool
+	slept  time.Duration
 	life   int // counts starts, so that answers to an earlier life are dropped
 	// target is the control node that answered last.
 	target int
@@ -35,7 +39,7 @@
 }
 
 func (r *router) clock() time.Duration {
-	return r.origin + time.Duration(float64(r.world.now())*r.drift)
+	return r.origin + time.Duration(float64(r.world.now()-r.slept)*r.drift)
 }
 
 func (r *router) start() {
@@ -53,6 +57,22 @@
 
 func (r *router) stop() { r.down = true }
 
+// suspend stops the router's whole machine, its steady clock too. What reaches it
+// meanwhile is lost.
+func (r *router) suspend(length time.Duration) {
+	if r.silent() {
+		return
+	}
+	r.asleep = true
+	if r.world.steadyClocks() {
+		r.slept += length
+	}
+	r.world.queue.After(length, func() { r.asleep = false })
+}
+
+// silent tells whether the router does nothing now.
+func (r *router) silent() bool { return r.down || r.asleep }
+
 // save makes the agent's state durable, as the router process does before
 // anything leaves.
 func (r *router) save() {
@@ -71,7 +91,7 @@
 
 // mode is by what right the router serves.
 func (r *router) mode() agent.Mode {
-	if r.down {
+	if r.silent() {
 		return agent.ModeNone
 	}
 	if r.world.config.Mutant == MutantNoLease && r.agent.InForce() != nil {
@@ -81,7 +101,7 @@
 }
 
 func (r *router) beat() {
-	if r.down {
+	if r.silent() {
 		return
 	}
 	r.renew()
@@ -98,7 +118,7 @@
 	request := r.agent.LeaseRequest()
 	answered := false
 	w.controlCall(r.self.Name, to, request, func(reply controlapi.LeaseReply) {
-		if r.down || r.life != life {
+		if r.silent() || r.life != life {
 			return
 		}
 		answered = true
@@ -124,13 +144,13 @@
 		request := r.agent.HoldRequest(peer.Name)
 		other := w.router(peer.Name)
 		w.send(r.self.Name, peer.Name, func() {
-			if other.down {
+			if other.silent() {
 				return
 			}
 			reply := other.agent.HandleHoldRequest(other.clock(), request)
 			other.save()
 			w.send(peer.Name, r.self.Name, func() {
-				if r.down || r.life != life {
+				if r.silent() || r.life != life {
 					return
 				}
 				if w.config.Mutant == MutantNoAdopt {
