Leases, rights, deadlines and windows are read from the clock that counts suspension

Cause: time.Since reads the steady clock, which stands still while a machine is suspended. Whatever a machine held before it slept it took for as young after: a leader its lease (reads, renewed rights, limits, orders), a router its right to serve by keys that had been taken away, a request its deadline, a connection its age. Class: an age measured by a clock that does not run all the time. Ruled out: the time of day, which jumps; a suspicion from both (a step of the one during a suspension hides it). Change: internal/clock reads CLOCK_BOOTTIME, and all decisions of both ways to run read it. Timers stay with the runtime: what ran out during a suspension is ended by a look four times a second. The simulator's suspensions and the model of the watch have a mutant each with the steady clock, both refuted.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,30 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+func TestTheClockCountsSuspension(t *testing.T) {
+	assert.NilError(t, Check())
+	var boot unix.Timespec
+	assert.NilError(t, unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot))
+	now := Now()
+	assert.Assert(t, now >= time.Duration(boot.Nano()))
+	assert.Assert(t, now-time.Duration(boot.Nano()) < time.Minute)
+}
+
+func TestTheClockGoesOn(t *testing.T) {
+	at := Now()
+	time.Sleep(20 * time.Millisecond)
+	assert.Assert(t, Since(at) >= 20*time.Millisecond)
+}
+
+func BenchmarkNow(b *testing.B) {
+	for range b.N {
+		Now()
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/inventory"
 	"quinceridge.example/quinceridge/internal/peer"
@@ -46,7 +47,7 @@
 	listener  *peer.Server
 	status    *http.Server
 	loop      *Loop
-	started   time.Time
+	started   time.Duration
 	cancel    context.CancelFunc
 	failure   error
 	metrics   *serverMetrics
@@ -57,7 +58,7 @@
 // holds. Start runs it.
 func NewServer(config settings.Control, logger *slog.Logger) (*Server, error) {
 	s := &Server{settings: config, logger: telemetry.Part(logger, "control"), counters: &peer.Counters{},
-		started: time.Now()}
+		started: clock.Now()}
 	s.loop = NewLoop(s.now)
 	core, err := NewCore(s.coreConfig(), vfs.Default, config.DataDirectory, s.now())
 	if err != nil {
@@ -95,7 +96,7 @@
 
 // now is the node's own monotonic clock. It goes on while the process is
 // stopped by a signal.
-func (s *Server) now() time.Duration { return time.Since(s.started) }
+func (s *Server) now() time.Duration { return clock.Since(s.started) }
 
 // Start opens the sockets and begins to take part.
 func (s *Server) Start() error {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
@@ -76,6 +78,8 @@
 	config  []settings.Coordinator
 	engines *fakeEngines
 	servers []*Server
+	// slept is for how long each node's machine has been suspended, in nanoseconds.
+	slept []*atomic.Int64
 }
 
 // newGroup starts coordinators of which the first three are the seeds.
@@ -92,6 +96,7 @@
 			WeightsDeadline: 8 * time.Second, OrderLease: time.Second})
 		g.config[i].SetDefaults()
 		g.servers = append(g.servers, nil)
+		g.slept = append(g.slept, &atomic.Int64{})
 		g.start(i)
 	}
 	t.Cleanup(func() {
@@ -117,6 +122,8 @@
 	g.t.Helper()
 	server, err := New(g.config[i], g.engines, traffic.Parse, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(g.t, err)
+	slept := g.slept[i]
+	server.clock = func() time.Duration { return clock.Now() + time.Duration(slept.Load()) }
 	assert.NilError(g.t, server.Start())
 	g.servers[i] = server
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/control"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
@@ -55,10 +56,12 @@
 	counters *peer.Counters
 	listener *peer.Server
 	metrics  *http.Server
-	engines  Engines
-	loop     *control.Loop
-	started  time.Time
-	seeds    atomic.Pointer[[]string]
+	// clock is clock.Now but in tests.
+	clock   func() time.Duration
+	engines Engines
+	loop    *control.Loop
+	started time.Duration
+	seeds   atomic.Pointer[[]string]
 	// placer serves routers while this node is leading.
 	placer *placer.Placer
 	limits *limits
@@ -82,7 +85,7 @@
 // reads the configurations that operators send.
 func New(config settings.Coordinator, engines Engines, decode Decode, logger *slog.Logger) (*Server, error) {
 	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines,
-		started: time.Now(), placer: placer.New(), limits: newLimits(config, decode, logger),
+		clock: clock.Now, started: clock.Now(), placer: placer.New(), limits: newLimits(config, decode, logger),
 		blocking: newBlocking(config.BackendHeartbeat, logger)}
 	s.loop = control.NewLoop(s.now)
 	var err error
@@ -110,8 +113,8 @@
 	}
 }
 
-// now is the process's own monotonic clock.
-func (s *Server) now() time.Duration { return time.Since(s.started) }
+// now is the time since the process started.
+func (s *Server) now() time.Duration { return s.clock() - s.started }
 
 // Start opens the socket and begins to take part.
 func (s *Server) Start() error {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/forward"
 	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -27,6 +28,9 @@
 	// noticeTime is how long a stopping router goes on to take requests while
 	// those who hand out callers learn that it is not ready.
 	noticeTime = 2300 * time.Millisecond
+	// overdueEvery is the time between two looks for requests whose deadline passed while
+	// the machine was suspended: it is what they may last longer.
+	overdueEvery = 250 * time.Millisecond
 	// Limits towards callers. A configuration may name tighter ones.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
@@ -82,6 +86,7 @@
 	e.cancel = cancel
 	e.group.Go(func() { e.follower.Run(ctx) })
 	e.group.Go(func() { e.follower.Tell(ctx) })
+	e.group.Go(func() { periodic.Run(ctx, overdueEvery, e.handler.EndOverdue) })
 	if err := e.listen(e.readiness, e.settings.Readiness); err != nil {
 		return err
 	}
--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -162,7 +162,7 @@
 }
 
 // Saw notes an attempt that ended without a whole answer.
-func (f *Follower) Saw(ended poison.Ending) { f.evidence.saw(time.Since(f.started), ended) }
+func (f *Follower) Saw(ended poison.Ending) { f.evidence.saw(f.now(), ended) }
 
 // Answered notes that a request got a whole answer.
 func (f *Follower) Answered(d poison.Digest) { f.evidence.clear(d) }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/quota"
@@ -85,7 +86,9 @@
 	rightUntil atomic.Int64
 	seeds      atomic.Pointer[[]string]
 	following  atomic.Pointer[string]
-	started    time.Time
+	started    time.Duration
+	// clock is clock.Now but in tests.
+	clock      func() time.Duration
 	placements placements
 	evidence   evidence
 
@@ -119,7 +122,7 @@
 // New returns a follower that knows nothing. Its name is new at each start.
 func New(config Config) *Follower {
 	name := config.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
-	f := &Follower{config: config, name: name, started: time.Now(), next: rand.IntN(max(len(config.Seeds), 1))}
+	f := &Follower{config: config, name: name, clock: clock.Now, started: clock.Now(), next: rand.IntN(max(len(config.Seeds), 1))}
 	f.SetSeeds(config.Seeds)
 	f.evidence.init()
 	return f
@@ -131,9 +134,12 @@
 // Table returns the configuration to serve by, nil before the first.
 func (f *Follower) Table() *traffic.Table { return f.table.Load() }
 
+// now is the time since the process started.
+func (f *Follower) now() time.Duration { return f.clock() - f.started }
+
 // Fresh tells whether the router may serve now: a coordinator vouched for its
 // configuration within the right's time.
-func (f *Follower) Fresh() bool { return int64(time.Since(f.started)) < f.rightUntil.Load() }
+func (f *Follower) Fresh() bool { return int64(f.now()) < f.rightUntil.Load() }
 
 // Routers is how many routers follow the coordinators, at least 1.
 func (f *Follower) Routers() int { return max(int(f.routers.Load()), 1) }
@@ -183,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Announced: f.announced, Wait: wait}}
-	sent := time.Since(f.started)
+	sent := f.now()
 	var reply coordapi.Reply
 	err := f.config.Peers.Call(ctx, address, coordapi.KindCall, request, &reply)
 	switch {
@@ -207,7 +213,7 @@
 
 func (f *Follower) lost(address, reason string) {
 	f.config.Logger.Warn("leader lost", "part", "follower", "address", address, "reason", reason,
-		"right_ms", (f.rightUntil.Load()-int64(time.Since(f.started)))/int64(time.Millisecond))
+		"right_ms", (f.rightUntil.Load()-int64(f.now()))/int64(time.Millisecond))
 	f.leader = ""
 }
 
@@ -247,7 +253,7 @@
 		f.evidence.block(blocked)
 	}
 	if v.Announced != f.announced {
-		f.config.Pool.Others(time.Since(f.started), f.loads(v), v.LoadsAge, v.EngineLoads)
+		f.config.Pool.Others(f.now(), f.loads(v), v.LoadsAge, v.EngineLoads)
 	}
 	if v.Leader != f.token {
 		f.config.Pool.Note(v.Notes)
@@ -255,7 +261,7 @@
 	}
 	f.routers.Store(int64(v.Routers))
 	if f.config.Quota != nil {
-		f.config.Quota.Hear(time.Since(f.started), v.Shares)
+		f.config.Quota.Hear(f.now(), v.Shares)
 	}
 	if len(v.Saved) > 0 && f.config.Saved != nil {
 		f.config.Saved.Learn(v.Saved)
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -59,7 +59,7 @@
 // knows of none that may serve.
 func (f *Follower) Place(ctx context.Context, q *backends.Query) (choice backends.Choice, found, answered bool) {
 	leader := f.following.Load()
-	if leader == nil || int64(time.Since(f.started)) < f.placements.askAfter.Load() {
+	if leader == nil || int64(f.now()) < f.placements.askAfter.Load() {
 		return choice, false, false
 	}
 	ask := placer.Ask(q)
@@ -77,7 +77,7 @@
 			// The caller has left: that says nothing of the leader.
 			return choice, false, false
 		}
-		f.placements.askAfter.Store(int64(time.Since(f.started) + placePause))
+		f.placements.askAfter.Store(int64(f.now() + placePause))
 		if err == nil {
 			err = errNotLeader
 		}
@@ -101,7 +101,7 @@
 	if f.config.Quota != nil {
 		reports.Spent = append(reports.Spent, f.config.Quota.Spent()...)
 	}
-	f.evidence.take(time.Since(f.started), &reports)
+	f.evidence.take(f.now(), &reports)
 	return reports
 }
 
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -91,7 +91,7 @@
 			j.ran++
 		}
 		j.query.Tried = append(j.query.Tried, choice.ID)
-		if ctx.Err() != nil || !h.again(j, s, result) {
+		if ctx.Err() != nil || h.now() >= j.deadline || !h.again(j, s, result) {
 			h.finish(ctx, s, result)
 			return
 		}
@@ -155,7 +155,7 @@
 func (h *Handler) address(j *job, s *session, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Set(names.Instance, choice.ID)
-	header.Set(names.Deadline, strconv.FormatInt(max(time.Until(j.deadline).Milliseconds(), 1), 10))
+	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
 	if s.lastEvent != "" {
 		header.Set(names.LastEvent, s.lastEvent)
 	}
@@ -253,7 +253,7 @@
 // finish ends a request for which no further attempt is made.
 func (h *Handler) finish(ctx context.Context, s *session, result outcome) {
 	j := s.job
-	if s.begun || errors.Is(ctx.Err(), context.Canceled) {
+	if s.begun || errors.Is(context.Cause(ctx), context.Canceled) {
 		h.logDone(s, h.ending(ctx, result))
 		panic(http.ErrAbortHandler)
 	}
@@ -263,7 +263,7 @@
 		h.logDone(s, "passed a failure on")
 	case j.ran == 0:
 		h.refuse(s.writer, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), after: fullRetry})
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		h.refuse(s.writer, j, &refusal{status: http.StatusGatewayTimeout, reason: h.reason(j, result)})
 	default:
 		h.refuse(s.writer, j, &refusal{status: http.StatusBadGateway, reason: h.reason(j, result)})
@@ -275,7 +275,7 @@
 // they end it.
 func (h *Handler) ending(ctx context.Context, result outcome) string {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return "broken off at its deadline"
 	case ctx.Err() == nil:
 		return "broken off: " + result.err.Error()
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -40,10 +40,10 @@
 	if len(j.query.Tried) == 0 {
 		j.query.Patience = j.table.UrgentTarget(j.route) / patienceDivisor
 	}
-	limit := time.Now().Add(j.route.Target / waitDivisor)
+	limit := h.now() + j.route.Target/waitDivisor
 	for {
 		choice, found := h.chooseOnce(ctx, j)
-		if found || len(j.query.Tried) > 0 || time.Now().After(limit) {
+		if found || len(j.query.Tried) > 0 || h.now() > limit {
 			return choice, found
 		}
 		if periodic.Pause(ctx, waitStep); ctx.Err() != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/quota"
@@ -81,21 +82,24 @@
 
 // Handler is the callers' side of a router.
 type Handler struct {
-	config    Config
-	budget    *budget
-	splits    *splitter
-	started   time.Time
+	config  Config
+	budget  *budget
+	splits  *splitter
+	started time.Duration
+	// clock is clock.Now but in tests.
+	clock     func() time.Duration
 	stopping  atomic.Bool
 	forbidden map[string]bool
 	metrics   Metrics
 	store     storeWatch
 	checks    *checks
+	overdue   *overdue
 }
 
 // New returns a handler.
 func New(config Config) *Handler {
-	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(), started: time.Now(),
-		forbidden: map[string]bool{}, checks: newChecks()}
+	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(), clock: clock.Now, started: clock.Now(),
+		forbidden: map[string]bool{}, checks: newChecks(), overdue: newOverdue()}
 	if config.Witness == nil {
 		h.config.Witness = alone{}
 	}
@@ -109,7 +113,7 @@
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", "Host", "Expect"}
 
-func (h *Handler) now() time.Duration { return time.Since(h.started) }
+func (h *Handler) now() time.Duration { return h.clock() - h.started }
 
 // Stop makes the handler close connections after their next answer.
 func (h *Handler) Stop() { h.stopping.Store(true) }
@@ -131,9 +135,10 @@
 	request *upstream.Request
 	query   backends.Query
 	// parts are the IDs of the prompt's shared parts.
-	parts    []string
-	arrived  time.Duration
-	deadline time.Time
+	parts   []string
+	arrived time.Duration
+	// deadline is when the caller or the route gives it up, by the handler's clock.
+	deadline time.Duration
 	// ran counts the attempts that ran or may have.
 	ran int
 	// sent counts the attempts that arrived at a back end.
@@ -167,8 +172,8 @@
 	j.request.Body = body
 	j.digest = poison.DigestOf(j.caller(), r.Method, r.Host, r.RequestURI, body)
 	j.query.Request = j.digest
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
-	defer cancel()
+	ctx, done := h.overdue.begin(r.Context(), j.deadline, j.deadline-h.now())
+	defer done()
 	h.metrics.open.Add(1)
 	defer h.metrics.open.Add(-1)
 	h.serve(ctx, w, j)
@@ -206,7 +211,7 @@
 	if j.id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request carries no id"}
 	}
-	j.deadline = time.Now().Add(h.patience(r, route))
+	j.deadline = h.now() + h.patience(r, route)
 	j.pool = table.Pool(h.splits.next(route))
 	h.describe(r, j)
 	return j, nil
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/traffic"
 )
@@ -22,20 +23,20 @@
 // store's link is narrow: parts that any router has saved lately are not saved
 // again. It is safe for concurrent use.
 type Saved struct {
-	started time.Time
+	started time.Duration
 	mu      sync.Mutex
 	at      map[uint64]time.Duration
 	fresh   []uint64
 }
 
 // NewSaved returns an empty knowledge.
-func NewSaved() *Saved { return &Saved{started: time.Now(), at: map[uint64]time.Duration{}} }
+func NewSaved() *Saved { return &Saved{started: clock.Now(), at: map[uint64]time.Duration{}} }
 
 // Learn takes parts that routers have saved.
 func (s *Saved) Learn(parts []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Since(s.started)
+	now := clock.Since(s.started)
 	for _, part := range parts {
 		s.at[part] = now
 	}
@@ -62,7 +63,7 @@
 func (s *Saved) Note(salt string, parts []string) (missing int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Since(s.started)
+	now := clock.Since(s.started)
 	for _, part := range parts {
 		name := xxhash.Sum64String(salt + "/" + part)
 		if at, known := s.at[name]; known && now-at < coordapi.SavedTime {
@@ -80,7 +81,7 @@
 func (s *Saved) Known(salt string, parts []string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Since(s.started)
+	now := clock.Since(s.started)
 	for i, part := range parts {
 		at, known := s.at[xxhash.Sum64String(salt+"/"+part)]
 		if !known || now-at >= coordapi.SavedTime {
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -27,7 +28,7 @@
 }
 
 func promptHandler() *Handler {
-	return &Handler{config: Config{Headers: names, Saved: NewSaved(), Pool: backends.NewPool("a")}, started: time.Now()}
+	return &Handler{config: Config{Headers: names, Saved: NewSaved(), Pool: backends.NewPool("a")}, clock: clock.Now, started: clock.Now()}
 }
 
 // Requests that waited a second for the store held memory at their engines, which
@@ -51,7 +52,7 @@
 	}
 	assert.Equal(t, ask(), "")
 	assert.Equal(t, j.request.Header.Get(names.SaveTo), "")
-	h.started = h.started.Add(-3 * time.Second)
+	h.started -= 3 * time.Second
 	assert.Equal(t, ask(), storeAddress, "the delay is forgotten")
 }
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/engineapi"
 	"quinceridge.example/quinceridge/internal/periodic"
@@ -52,7 +53,7 @@
 // report is an engine's latest status and when it came.
 type report struct {
 	status engineapi.Status
-	at     time.Time
+	at     time.Duration
 }
 
 // New returns an empty inventory.
@@ -133,7 +134,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.reports[m.ID] = report{status: status, at: time.Now()}
+	i.reports[m.ID] = report{status: status, at: clock.Now()}
 }
 
 // rebuild joins the list with the reports. The revision rises only when a
@@ -194,7 +195,7 @@
 		after = 0
 	}
 	reply.Heads, reply.WholeHeads = i.heads.since(after)
-	now := time.Now()
+	now := clock.Now()
 	for _, m := range i.machines {
 		if i.watches(m.Zone) {
 			reply.Load = append(reply.Load, i.row(m.ID, now))
@@ -206,7 +207,7 @@
 // unknownAge marks the load of an engine that never reported.
 const unknownAge = -1
 
-func (i *Inventory) row(id string, now time.Time) controlapi.LoadRow {
+func (i *Inventory) row(id string, now time.Duration) controlapi.LoadRow {
 	r, known := i.reports[id]
 	if !known {
 		return controlapi.LoadRow{controlapi.LoadAge: unknownAge}
@@ -215,7 +216,7 @@
 		controlapi.LoadRunning:       r.status.Running,
 		controlapi.LoadWaiting:       r.status.Waiting,
 		controlapi.LoadPrefillTokens: r.status.PrefillTokens,
-		controlapi.LoadAge:           int(now.Sub(r.at).Milliseconds()),
+		controlapi.LoadAge:           int((now - r.at).Milliseconds()),
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/socket"
 )
 
@@ -116,7 +117,7 @@
 	connection net.Conn
 	waiting    map[uint64]chan envelope
 	number     uint64
-	failedAt   time.Time
+	failedAt   time.Duration
 	dialling   chan struct{}
 }
 
@@ -195,7 +196,7 @@
 			defer l.mu.Unlock()
 			return l.connection, nil
 		}
-		if time.Since(l.failedAt) < redialPause {
+		if l.failedAt > 0 && clock.Since(l.failedAt) < redialPause {
 			defer l.mu.Unlock()
 			return nil, ErrUnreachable
 		}
@@ -229,7 +230,7 @@
 	close(l.dialling)
 	l.dialling = nil
 	if err != nil {
-		l.failedAt = time.Now()
+		l.failedAt = clock.Now()
 		return
 	}
 	l.connection = connection
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -35,7 +35,7 @@
 type membershipController struct {
 	logger  *slog.Logger
 	control *controlclient.Client
-	clock   clock
+	clock   processClock
 	pool    *membership.Pool
 	// directory is fed with the chain heads that engines hold.
 	directory *scheduling.Directory
@@ -51,7 +51,7 @@
 	unsaved bool
 }
 
-func newMembership(r *Router, pool *membership.Pool, directory *scheduling.Directory, clock clock) (*membershipController, error) {
+func newMembership(r *Router, pool *membership.Pool, directory *scheduling.Directory, clock processClock) (*membershipController, error) {
 	m := &membershipController{logger: telemetry.Part(r.logger, "membership"), control: r.control, clock: clock,
 		pool: pool, directory: directory, ready: make(chan struct{}), saved: -machinesSaved}
 	var err error
@@ -71,12 +71,12 @@
 // run asks for views until the context ends.
 func (m *membershipController) run(ctx context.Context) {
 	for {
-		started := time.Now()
+		started := m.clock.now()
 		m.poll(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(m.interval() - time.Since(started)):
+		case <-time.After(m.interval() - (m.clock.now() - started)):
 		}
 	}
 }
--- a/internal/router/rollout.go
+++ b/internal/router/rollout.go
@@ -40,7 +40,7 @@
 	file      *storage.File
 	control   *controlclient.Client
 	peers     *peer.Client
-	clock     clock
+	clock     processClock
 	heartbeat time.Duration
 	config    *board.Writer[board.Config]
 	authority *board.Writer[board.Authority]
@@ -53,7 +53,7 @@
 	mode  agent.Mode
 }
 
-func newRollout(r *Router, fs vfs.FS, clock clock) (*rollout, error) {
+func newRollout(r *Router, fs vfs.FS, clock processClock) (*rollout, error) {
 	o := &rollout{logger: telemetry.Part(r.logger, "rollout"), control: r.control, peers: r.peers, clock: clock,
 		heartbeat: r.settings.Heartbeat, ready: make(chan struct{})}
 	var err error
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 
 	"quinceridge.example/quinceridge/internal/board"
 	"quinceridge.example/quinceridge/internal/claims"
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/controlclient"
 	"quinceridge.example/quinceridge/internal/dispatch"
 	"quinceridge.example/quinceridge/internal/gateway"
@@ -158,9 +159,9 @@
 	}))
 }
 
-// clock is the router's own monotonic clock.
-type clock struct{ started time.Time }
+// processClock reads the time since the process started.
+type processClock struct{ started time.Duration }
 
-func newClock() clock { return clock{started: time.Now()} }
+func newClock() processClock { return processClock{started: clock.Now()} }
 
-func (c clock) now() time.Duration { return time.Since(c.started) }
+func (c processClock) now() time.Duration { return clock.Since(c.started) }
--- a/internal/simulation/linearizability_test.go
+++ b/internal/simulation/linearizability_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 
@@ -52,11 +53,20 @@
 		s.owner = ""
 	}
 	if !s.void(op.Attempt) {
-		s.voids += "," + op.Attempt + ","
+		s.voids = sortedWith(s.voids, op.Attempt)
 	}
 	return s, state.ClaimVoid
 }
 
+// sortedWith adds an attempt to the list. In whichever order attempts became void, the
+// state is the same: the checker tells states apart by comparing them, and went through
+// all orders of calls without an answer.
+func sortedWith(voids, attempt string) string {
+	all := append(strings.FieldsFunc(voids, func(r rune) bool { return r == ',' }), attempt)
+	slices.Sort(all)
+	return "," + strings.Join(all, ",,") + ","
+}
+
 // unknownAnswer stands for a call without an answer.
 const unknownAnswer = state.ClaimState("")
 
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -260,15 +260,18 @@
 	if !n.running() {
 		return
 	}
+	core := n.core
+	n.world.queue.After(length, func() {
+		if n.frozen && n.core == core && n.world.steadyClocks() {
+			n.slept += length
+		}
+	})
 	n.freeze(length)
-	if n.world.steadyClocks() {
-		n.slept += length
-	}
 }
 
 // steadyClocks tells whether processes read a clock that stands still while their
 // machine is suspended.
-func (w *world) steadyClocks() bool { return true }
+func (w *world) steadyClocks() bool { return w.config.Mutant == MutantSteadyClock }
 
 // leader returns the node that holds the lease, if any.
 func (w *world) leader() *node {
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -64,10 +64,12 @@
 		return
 	}
 	r.asleep = true
-	if r.world.steadyClocks() {
-		r.slept += length
-	}
-	r.world.queue.After(length, func() { r.asleep = false })
+	r.world.queue.After(length, func() {
+		r.asleep = false
+		if r.world.steadyClocks() {
+			r.slept += length
+		}
+	})
 }
 
 // silent tells whether the router does nothing now.
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -57,11 +57,14 @@
 	MutantNoFence Mutant = "no-fence"
 	// MutantNoVoid lets a released attempt run when its grant comes late.
 	MutantNoVoid Mutant = "no-void"
+	// MutantSteadyClock lets processes read a clock that stands still while their
+	// machine is suspended.
+	MutantSteadyClock Mutant = "steady-clock"
 )
 
 // Mutants lists all mutants.
 func Mutants() []Mutant {
-	return []Mutant{MutantNoSync, MutantNoLease, MutantNoAdopt, MutantNoFence, MutantNoVoid}
+	return []Mutant{MutantNoSync, MutantNoLease, MutantNoAdopt, MutantNoFence, MutantNoVoid, MutantSteadyClock}
 }
 
 // DefaultConfig is the size of a run in tests.
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/clock"
 )
 
 // Answer is an answer whose body is being read. Close must be called.
@@ -102,7 +104,7 @@
 		_ = a.connection.Close()
 		return
 	}
-	a.connection.until = time.Now().Add(keepTime(a.Response.Header))
+	a.connection.until = clock.Now() + keepTime(a.Response.Header)
 	a.pool.put(a.address, a.connection)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/socket"
 )
 
@@ -100,12 +101,12 @@
 	net.Conn
 	reader *bufio.Reader
 	// until is when the connection must not be used any more.
-	until time.Time
+	until time.Duration
 }
 
 // take returns the youngest kept connection that is still good.
 func (p *Pool) take(address string, once bool) *connection {
-	now := time.Now()
+	now := clock.Now()
 	for {
 		p.mu.Lock()
 		kept := p.idle[address]
@@ -116,7 +117,7 @@
 		c := kept[len(kept)-1]
 		p.idle[address] = kept[:len(kept)-1]
 		p.mu.Unlock()
-		if now.Before(c.until) && c.quiet() {
+		if now < c.until && c.quiet() {
 			return c
 		}
 		_ = c.Close()
@@ -170,7 +171,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
-	c.until = time.Now().Add(defaultKeep)
+	c.until = clock.Now() + defaultKeep
 	p.put(address, c)
 	return false
 }
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -49,4 +49,5 @@
 expect holds watch
 expect refuted watch FROM_ARRIVAL
 expect refuted watch NO_LEASE
+expect refuted watch STEADY_CLOCK
 exit $bad
--- a/spec/watch.pml
+++ b/spec/watch.pml
@@ -12,7 +12,9 @@
  * after a newer one was acknowledged, and never goes back.
  *
  * Mutants: FROM_ARRIVAL counts the right from when the answer arrives;
- * NO_LEASE lets the first leader answer after its lease. (Taking an answer that
+ * NO_LEASE lets the first leader answer after its lease; STEADY_CLOCK lets the
+ * machines of the router and of the first leader be suspended while both read a
+ * clock that stands still meanwhile. (Taking an answer that
  * is older than what is held would break nothing here: a router has one
  * question out at a time, and drops the answer to one that it gave up.)
  */
@@ -37,11 +39,22 @@
 byte held = 0;
 byte until = 0;
 
+/* The router's clock and the first leader's. */
+#ifdef STEADY_CLOCK
+byte routerSlept = 0;
+byte leaderSlept = 0;
+#define mine (now - routerSlept)
+#define leaders (now - leaderSlept)
+#else
+#define mine now
+#define leaders now
+#endif
+
 #define secondLeads (cut && now > cutAt + LEASE)
 #ifdef NO_LEASE
 #define firstAnswers true
 #else
-#define firstAnswers (!cut || now <= cutAt + LEASE)
+#define firstAnswers (!cut || leaders <= cutAt + LEASE)
 #endif
 
 inline commit() {
@@ -59,7 +72,7 @@
   :: else -> skip
   fi;
 #ifdef FROM_ARRIVAL
-  until = now + RIGHT;
+  until = mine + RIGHT;
 #else
   if
   :: askedAt + RIGHT > until -> until = askedAt + RIGHT
@@ -77,14 +90,18 @@
   byte seen = 0;
   do
   :: now < END -> now++
+#ifdef STEADY_CLOCK
+  :: now < END -> atomic { now++; routerSlept++ }
+  :: now < END && cut -> atomic { now++; leaderSlept++ }
+#endif
   :: !cut -> cut = true; cutAt = now
   :: committed < VERSIONS - 1 && (!cut || secondLeads) -> atomic { commit() }
-  :: !asked -> atomic { asked = true; askedAt = now; answered = false }
+  :: !asked -> atomic { asked = true; askedAt = mine; answered = false }
   :: asked && !answered && firstAnswers -> atomic { answered = true; answer = first }
   :: asked && !answered && secondLeads -> atomic { answered = true; answer = committed }
   :: asked && answered -> atomic { take(); asked = false; answered = false }
   :: asked -> asked = false /* lost, or given up */
-  :: serves && now < until -> atomic { serve(); assert(held >= seen); seen = held }
+  :: serves && mine < until -> atomic { serve(); assert(held >= seen); seen = held }
   :: now == END -> break
   od
 }
