A late heartbeat does not take its address back; the soak clings, comes in series and sends poison requests

Cause: of two starts at one address the one heard of last counted as there. A heartbeat that a cut held back arrives after its sender crashed and its successor registered: the successor then stood back as replaced until its next heartbeat. Now the one that enrolled later has the address while it is heard of; the row keeps the log index of its first change.

--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -174,7 +174,7 @@
 	if s.lastRole != raft.Leader || !s.core.HoldsLease(now) {
 		return
 	}
-	verdicts, changed := s.blocking.judge(now, s.signs(d))
+	verdicts, changed := s.blocking.judge(now, s.signs(now, d))
 	if changed {
 		s.logger.Info("suspected requests", "part", "blocking", "requests", texts(s.blocking.suspects))
 		s.soft.changes++
@@ -205,8 +205,10 @@
 }
 
 // signs tells what is known of back ends beside their requests.
-func (s *Server) signs(d *state.Deployment) func(string) poison.Signs {
-	succeeded := sync.OnceValue(func() map[string]bool { return s.soft.succeeded(d.Backends) })
+func (s *Server) signs(now time.Duration, d *state.Deployment) func(string) poison.Signs {
+	succeeded := sync.OnceValue(func() map[string]bool {
+		return s.soft.succeeded(now, silentAfter(s.settings.BackendHeartbeat), d.Backends)
+	})
 	return func(id string) poison.Signs {
 		signs := poison.Signs{Heard: poison.NeverHeard}
 		if last, heard := s.soft.beats[id]; heard {
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -143,33 +143,47 @@
 	return now-t.looked > silenceEvery
 }
 
-// succeeded returns the back ends at whose address a later start has been heard
-// of since: an address has one process at a time. A heartbeat that arrives late
-// may name the wrong one until the next.
-func (t *softState) succeeded(backends map[string]state.Backend) map[string]bool {
-	latest := map[string]string{}
+// succeeded returns the back ends in whose place at their address another start is: an
+// address has one process at a time. The one that enrolled last has it as long as it is
+// heard of: a heartbeat of the one before may arrive late. Limit is how long a back end
+// may be silent.
+func (t *softState) succeeded(now, limit time.Duration, backends map[string]state.Backend) map[string]bool {
+	last := map[string]string{}
 	for id, b := range backends {
-		other, taken := latest[b.Address]
-		if !taken || t.beats[id].at > t.beats[other].at {
-			latest[b.Address] = id
+		if other, taken := last[b.Address]; t.quiet(now, id) <= limit && (!taken || t.follows(b, backends[other])) {
+			last[b.Address] = id
 		}
 	}
 	out := map[string]bool{}
 	for id, b := range backends {
-		if last := latest[b.Address]; t.beats[last].at > t.beats[id].at {
+		if other, taken := last[b.Address]; taken && t.follows(backends[other], b) {
 			out[id] = true
 		}
 	}
 	return out
 }
 
+// follows tells whether a back end took another's place: it enrolled later or, if that
+// is not known, was heard of later.
+func (t *softState) follows(b, other state.Backend) bool {
+	if b.Enrolled != other.Enrolled {
+		return b.Enrolled > other.Enrolled
+	}
+	return t.beats[b.ID].at > t.beats[other.ID].at
+}
+
+// silentAfter is how long a back end may be silent, by the time between its heartbeats.
+func silentAfter(interval time.Duration) time.Duration {
+	return time.Duration(silentBeats * float64(interval))
+}
+
 // look finds the back ends that are silent or have a successor at their address,
 // and those that are gone.
 func (t *softState) look(now time.Duration, interval time.Duration, backends map[string]state.Backend) (gone []string) {
 	t.looked = now
-	limit := time.Duration(silentBeats * float64(interval))
+	limit := silentAfter(interval)
 	var silent []string
-	succeeded := t.succeeded(backends)
+	succeeded := t.succeeded(now, limit, backends)
 	for id, b := range backends {
 		quiet := t.quiet(now, id)
 		if quiet > departAfter || (b.Draining && quiet > drainedAfter) {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -59,6 +59,8 @@
 	server   *http.Server
 	sequence atomic.Uint64
 	draining atomic.Bool
+	// ended says that a poison request has ended it; the Soak's lock guards it.
+	ended bool
 	// drainedAt is when a drain was acknowledged, 0 for never.
 	drainedAt atomic.Int64
 	trouble   atomic.Int32
@@ -173,6 +175,10 @@
 	}
 	b.soak.ledger.add(run{id: id, backend: b.id, tenant: r.Header.Get(names.Tenant), at: b.soak.now()})
 	b.soak.arrived(b)
+	if strings.HasPrefix(string(body), poisonBody) {
+		b.soak.endUnder(b, string(body))
+		return
+	}
 	if trouble == troubleHang && troubled {
 		wait(r.Context(), time.Second)
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -30,6 +30,13 @@
 	seal    string
 	whole   bool
 	refused bool
+	// blocked says that the answer kept the request from back ends.
+	blocked bool
+	// path and sends replace what the ID makes the path and the body.
+	path  string
+	sends string
+	// router is the one that was asked.
+	router string
 }
 
 // caller asks routers in turn until the context ends.
@@ -46,11 +53,29 @@
 
 // ask makes one call. Each has an ID of its own: nothing is repeated here.
 func (s *Soak) ask(client *http.Client, c *call) {
-	url := "http://" + s.routers[rand.IntN(len(s.routers))].listen + "/" + c.kind + "/" + c.id
-	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader("body of "+c.id))
+	request, err := s.request(c, s.routers[rand.IntN(len(s.routers))])
 	if err != nil {
 		return
 	}
+	c.sent = s.now()
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	c.take(response)
+}
+
+// request is a call to a router.
+func (s *Soak) request(c *call, to *program) (*http.Request, error) {
+	path, body := "/"+c.kind+"/"+c.id, "body of "+c.id
+	if c.path != "" {
+		path, body = c.path, c.sends
+	}
+	c.router = to.name
+	request, err := http.NewRequest(http.MethodPost, "http://"+to.listen+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
 	request.GetBody = nil
 	request.Host = "soak"
 	request.Header.Set(names.RequestID, c.id)
@@ -58,14 +83,15 @@
 	request.Header.Set(names.Model, model)
 	request.Header.Set(names.Usage, "100,50")
 	request.Header.Set(names.Prefix, "base:50,own:50")
-	c.sent = s.now()
-	response, err := client.Do(request)
-	if err != nil {
-		return
-	}
+	return request, nil
+}
+
+// take reads an answer.
+func (c *call) take(response *http.Response) {
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	c.status, c.body, c.whole = response.StatusCode, string(body), err == nil
 	c.seal = response.Header.Get(names.Seal)
+	c.blocked = c.status == http.StatusBadGateway && response.Header.Get("Retry-After") != ""
 	c.refused = c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -23,8 +23,13 @@
 	Outcomes map[string]int `json:"outcomes"`
 	Faults   map[string]int `json:"faults"`
 	// Configurations counts the acknowledged ones.
-	Configurations int      `json:"configurations"`
-	Broken         []string `json:"broken,omitempty"`
+	Configurations int `json:"configurations"`
+	// Poisons counts the requests that end back ends, Ends the back ends that ended under
+	// them and Blocked the tries that reached none.
+	Poisons int      `json:"poisons"`
+	Ends    int      `json:"ends"`
+	Blocked int      `json:"blocked"`
+	Broken  []string `json:"broken,omitempty"`
 }
 
 // results are the calls of all callers.
@@ -82,6 +87,7 @@
 	for _, c := range s.results.calls {
 		s.checkCall(c, runs[c.id])
 	}
+	s.checkPoison(s.results.calls, runs)
 	s.report.Calls = len(s.results.calls)
 	if s.report.Served*2 < s.report.Calls {
 		s.breach("only %d of %d calls were served", s.report.Served, s.report.Calls)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -23,6 +23,8 @@
 	shortest   = 200 * time.Millisecond
 	longest    = 3 * time.Second
 	stopLimit  = 15 * time.Second
+	// burst is how many faults come at once, or one after the other.
+	burst = 3
 )
 
 // fault is one kind of trouble.
@@ -39,10 +41,14 @@
 	{"stop a router as planned", func(s *Soak, _ context.Context, r *rand.Rand) { s.restart(pick(r, s.routers)) }},
 	{"stop a coordinator as planned", func(s *Soak, _ context.Context, r *rand.Rand) { s.restart(pick(r, s.coordinators)) }},
 	{"cut a coordinator off", func(s *Soak, ctx context.Context, r *rand.Rand) {
-		pick(r, s.coordinators).proxy.cut(func() { wait(ctx, between(r)) })
+		p := pick(r, s.coordinators)
+		defer s.disturb(p)()
+		p.proxy.cut(func() { wait(ctx, between(r)) })
 	}},
 	{"reset a coordinator's connections", func(s *Soak, ctx context.Context, r *rand.Rand) {
-		pick(r, s.coordinators).proxy.reset(func() { wait(ctx, between(r)) })
+		p := pick(r, s.coordinators)
+		defer s.disturb(p)()
+		p.proxy.reset(func() { wait(ctx, between(r)) })
 	}},
 	{"cut a back end off", func(s *Soak, ctx context.Context, r *rand.Rand) {
 		pick(r, s.listBackends()).proxy.cut(func() { wait(ctx, between(r)) })
@@ -54,6 +60,7 @@
 	{"kill all coordinators", (*Soak).killCoordinators},
 	{"crash a back end", (*Soak).crashBackend},
 	{"drain a back end", (*Soak).drainBackend},
+	{"a request that ends back ends", (*Soak).sendPoison},
 	{"trouble at a back end", func(s *Soak, ctx context.Context, r *rand.Rand) {
 		b := pick(r, s.listBackends())
 		b.trouble.Store(1 + r.Int32N(troubleKinds-1))
@@ -68,48 +75,79 @@
 	return shortest + time.Duration(r.Int64N(int64(longest-shortest)))
 }
 
-// inject brings faults about until the context ends. The seed fixes their
-// order; two or three overlap.
+// inject brings faults about until the context ends. The seed fixes their order. Two or
+// three overlap; some come in bursts, some one after the other.
 func (s *Soak) inject(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.config.Seed, 1))
 	for wait(ctx, time.Duration(r.Int64N(int64(2*faultPause)))) {
-		f := faults[r.IntN(len(faults))]
-		s.mu.Lock()
-		s.report.Faults[f.name]++
-		s.mu.Unlock()
-		own := rand.New(rand.NewPCG(r.Uint64(), 2))
-		s.group.Go(func() { f.run(s, ctx, own) })
+		switch f := faults[r.IntN(len(faults))]; r.IntN(6) {
+		case 0:
+			s.series(ctx, r, f)
+		case 1:
+			for range burst {
+				s.begin(ctx, r, faults[r.IntN(len(faults))], 1)
+			}
+		default:
+			s.begin(ctx, r, f, 1)
+		}
 	}
 }
 
-// claim gives a fault a program for itself.
-func (s *Soak) claim(p *program) bool { return p.busy.CompareAndSwap(false, true) }
+// series brings one fault about several times in a row.
+func (s *Soak) series(ctx context.Context, r *rand.Rand, f fault) { s.begin(ctx, r, f, burst) }
+
+func (s *Soak) begin(ctx context.Context, r *rand.Rand, f fault, times int) {
+	s.mu.Lock()
+	s.report.Faults[f.name] += times
+	s.mu.Unlock()
+	own := rand.New(rand.NewPCG(r.Uint64(), 2))
+	s.group.Go(func() {
+		for range times {
+			f.run(s, ctx, own)
+		}
+	})
+}
+
+// claim gives a fault a program for itself, until the returned function is called.
+func (s *Soak) claim(p *program) (release func(), free bool) {
+	if !p.busy.CompareAndSwap(false, true) {
+		return nil, false
+	}
+	over := s.disturb(p)
+	return func() {
+		over()
+		p.busy.Store(false)
+	}, true
+}
 
 func (s *Soak) bounce(ctx context.Context, r *rand.Rand, p *program) {
-	if !s.claim(p) {
+	release, free := s.claim(p)
+	if !free {
 		return
 	}
-	defer p.busy.Store(false)
+	defer release()
 	p.process.Kill()
 	wait(ctx, between(r))
 	_ = p.process.Start()
 }
 
 func (s *Soak) freeze(ctx context.Context, r *rand.Rand, p *program) {
-	if !s.claim(p) {
+	release, free := s.claim(p)
+	if !free {
 		return
 	}
-	defer p.busy.Store(false)
+	defer release()
 	p.process.Signal(syscall.SIGSTOP)
 	wait(ctx, between(r))
 	p.process.Signal(syscall.SIGCONT)
 }
 
 func (s *Soak) restart(p *program) {
-	if !s.claim(p) {
+	release, free := s.claim(p)
+	if !free {
 		return
 	}
-	defer p.busy.Store(false)
+	defer release()
 	p.process.Terminate(stopLimit)
 	_ = p.process.Start()
 }
@@ -122,10 +160,11 @@
 	}
 	defer s.disk.Unlock()
 	p := pick(r, s.coordinators)
-	if !s.claim(p) {
+	release, free := s.claim(p)
+	if !free {
 		return
 	}
-	defer p.busy.Store(false)
+	defer release()
 	p.process.Kill()
 	_ = os.RemoveAll(p.data)
 	_ = s.writeSettings(p, false)
@@ -139,8 +178,8 @@
 	}
 	defer s.disk.Unlock()
 	for _, p := range s.coordinators {
-		if s.claim(p) {
-			defer p.busy.Store(false)
+		if release, free := s.claim(p); free {
+			defer release()
 			p.process.Kill()
 			defer func() { _ = p.process.Start() }()
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,8 @@
 	// voter again.
 	diskReturn = 5 * time.Second
 	revocation = 5 * time.Second
+	// clingingPart is of how many callers one keeps its connection open.
+	clingingPart = 3
 )
 
 // Config says what a soak runs.
@@ -80,8 +82,11 @@
 	mu       sync.Mutex
 	acked    []acknowledged
 	backends []*backend
-	report   Report
-	holders  map[uint64]string
+	// ends are when back ends ended under each poison request, by its body.
+	ends         map[string][]time.Duration
+	disturbances []*disturbance
+	report       Report
+	holders      map[uint64]string
 }
 
 // now is the time since the run began.
@@ -92,7 +97,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &Soak{config: config, ctx: ctx, begun: time.Now(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		holders: map[uint64]string{}}
+		holders: map[uint64]string{}, ends: map[string][]time.Duration{}}
 	s.named.Store(1)
 	s.report = Report{Seed: config.Seed, Faults: map[string]int{}, Outcomes: map[string]int{}}
 	defer s.stop()
@@ -111,7 +116,13 @@
 	var group sync.WaitGroup
 	group.Go(func() { s.operate(working) })
 	for i := range s.config.Callers {
-		group.Go(func() { s.caller(working, i) })
+		group.Go(func() {
+			if i%clingingPart == 0 {
+				s.clingingCaller(working, i)
+				return
+			}
+			s.caller(working, i)
+		})
 	}
 	faulty, calm := context.WithTimeout(working, s.config.Length-settle)
 	defer calm()
@@ -237,6 +248,13 @@
 	return true
 }
 
+// replace takes a back end that ended off the list.
+func (s *Soak) replace(b *backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backends = slices.DeleteFunc(slices.Clone(s.backends), func(x *backend) bool { return x == b })
+}
+
 func (s *Soak) stop() {
 	for _, p := range slices.Concat(s.coordinators, s.routers) {
 		p.process.Kill()
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -38,8 +38,10 @@
 	Loading *Loading `json:"loading,omitempty"`
 	// Orders counts the orders that the back end took.
 	Orders int `json:"orders,omitempty"`
-	// Revision is the log index of the row's last change.
+	// Revision is the log index of the row's last change, and Enrolled of its first: of
+	// two back ends at one address the later one took the other's place.
 	Revision uint64 `json:"revision"`
+	Enrolled uint64 `json:"enrolled,omitempty"`
 }
 
 // Loading is an order to load weights that is under way.
@@ -140,8 +142,10 @@
 	if d.departed(b.ID) {
 		return
 	}
+	b.Enrolled = index
 	if old, known := d.Backends[b.ID]; known {
 		b.Draining = b.Draining || old.Draining
+		b.Enrolled = old.Enrolled
 	}
 	b.Revision = index
 	d.Backends[b.ID] = b
