Connections that have gone silent are given up

Cause looked for: open connections may go silent for good, without a reset, while new ones work. Between own processes only TCP's unacknowledged data ended such a connection; one whose machine acknowledges and passes nothing on was kept, and every call over it ran out. Change: a call that ran out after 0.4 s or more, with nothing received since it was sent, gives its connection up.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -26,6 +26,10 @@
 	// silenceLimit is how long a peer may leave what was sent unacknowledged
 	// before its connection is given up.
 	silenceLimit = 900 * time.Millisecond
+	// silentCall is how long a call must have waited, with nothing received meanwhile, for
+	// its connection to be given up with it. Longer than any reply takes that is not held
+	// on purpose, and those travel beside others.
+	silentCall = 400 * time.Millisecond
 	// sendQueue bounds the one-way messages that wait for an address. More are
 	// dropped: their senders repeat them.
 	sendQueue = 1024
@@ -115,10 +119,12 @@
 
 	mu         sync.Mutex
 	connection net.Conn
-	waiting    map[uint64]chan envelope
-	number     uint64
-	failedAt   time.Duration
-	dialling   chan struct{}
+	// received is when something was received last.
+	received time.Duration
+	waiting  map[uint64]chan envelope
+	number   uint64
+	failedAt time.Duration
+	dialling chan struct{}
 }
 
 func newLink(address string, counters *Counters, dial dialFunction) *link {
@@ -159,6 +165,7 @@
 	answer := make(chan envelope, 1)
 	number := l.register(answer)
 	defer l.forget(number)
+	sent := clock.Now()
 	if err := l.write(connection, envelope{Number: number, Kind: kind, Body: body}); err != nil {
 		return envelope{}, errors.Mark(err, ErrBroken)
 	}
@@ -169,10 +176,23 @@
 		}
 		return e, nil
 	case <-ctx.Done():
+		l.suspect(connection, sent)
 		return envelope{}, errors.Wrap(ctx.Err(), "wait for reply")
 	}
 }
 
+// suspect drops a connection over which nothing came since a call was sent that has
+// waited for long. It may have gone silent for good, without a reset, while others to
+// the same address work.
+func (l *link) suspect(connection net.Conn, sent time.Duration) {
+	l.mu.Lock()
+	silent := l.received < sent && clock.Since(sent) >= silentCall
+	l.mu.Unlock()
+	if silent {
+		l.drop(connection)
+	}
+}
+
 func (l *link) register(answer chan envelope) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -296,6 +316,7 @@
 			return
 		}
 		l.mu.Lock()
+		l.received = clock.Now()
 		answer := l.waiting[e.Number]
 		delete(l.waiting, e.Number)
 		l.mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -152,3 +152,44 @@
 	assert.Assert(t, errors.Is(err, ErrUnreachable), "%v", err)
 	assert.Assert(t, time.Since(started) < dialTimeout/2)
 }
+
+// A connection may go silent for good, without a reset, while new ones work: a router
+// whose calls all ran out over it reached no leader any more.
+func TestACallThatRunsOutGivesItsSilentConnectionUp(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	silent := make(chan struct{})
+	var first sync.Once
+	s := Serve(listener, &Counters{}, func(ctx context.Context, kind string, body json.RawMessage) (any, error) {
+		hold := false
+		first.Do(func() { hold = true })
+		if hold {
+			close(silent)
+			<-ctx.Done()
+		}
+		return body, nil
+	})
+	t.Cleanup(s.Close)
+	client := NewClient(&Counters{})
+	defer client.Close()
+	address := listener.Addr().String()
+	before := func() net.Conn {
+		l := client.link(address)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.connection
+	}
+	var reply int
+	ctx, cancel := context.WithTimeout(t.Context(), silentCall+50*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, client.Call(ctx, address, "echo", 1, &reply) != nil)
+	<-silent
+	assert.Assert(t, before() == nil, "the connection is kept")
+	assert.NilError(t, client.Call(t.Context(), address, "echo", 2, &reply))
+	// A call that gives up sooner, or beside which replies come, says nothing.
+	kept := before()
+	ctx, cancel = context.WithTimeout(t.Context(), time.Microsecond)
+	defer cancel()
+	assert.Assert(t, client.Call(ctx, address, "echo", 3, &reply) != nil)
+	assert.Assert(t, before() == kept)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -190,6 +190,9 @@
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := a.exchange(r); err != nil {
 		a.Close()
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			p.forget(address)
+		}
 		if ctx.Err() != nil {
 			err.cause = ctx.Err()
 		}
@@ -198,6 +201,18 @@
 	return a, nil
 }
 
+// forget closes the kept connections to an address of which one was given up, since the
+// back end's machine acknowledged nothing. Connections may go silent for good, without a
+// reset, while new ones work: each of the others would cost a request too.
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // encodeHead returns the request line and headers. Header values were checked
 // when they were read.
 func encodeHead(r *Request) []byte {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -249,3 +249,25 @@
 	assert.Equal(t, keepTime(header), 10*time.Second-keepMargin)
 	assert.Equal(t, keepTime(http.Header{}), defaultKeep)
 }
+
+func TestKeptConnectionsOfASilentBackEndAreForgotten(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, err := next(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answerTo(id, "x"))
+		}
+	})
+	p := NewPool("Id")
+	_, err := fetch(p, b, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(p.idle), 1)
+	for address := range p.idle {
+		p.forget(address)
+	}
+	_, err = fetch(p, b, "2")
+	assert.NilError(t, err)
+	assert.Equal(t, p.Opened.Load(), uint64(2))
+}
