--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -260,7 +260,7 @@
 			_, _ = io.WriteString(conn, answerTo(id, "x"))
 		}
 	})
-	p := NewPool("Id")
+	p := NewPool(idHeader)
 	_, err := fetch(p, b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, len(p.idle), 1)
