The soak judges drains by routers that were not at fault themselves; its programs have IP numbers of their own

Traced: router-0 had been frozen from 50 to 53.8 s, thawed with 33 ms of its right left, and sent on what it had taken before. The promise binds routers in touch, and the check judged all: with faults in series a router is frozen that long. It now knows which router sent the request and leaves out only one that was itself stopped, killed or frozen within 3 s; faults of coordinators excuse nothing, as before.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -174,7 +174,7 @@
 		return
 	}
 	b.soak.ledger.add(run{id: id, backend: b.id, tenant: r.Header.Get(names.Tenant), at: b.soak.now()})
-	b.soak.arrived(b)
+	b.soak.arrived(b, id)
 	if strings.HasPrefix(string(body), poisonBody) {
 		b.soak.endUnder(b, string(body))
 		return
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -72,6 +72,7 @@
 		path, body = c.path, c.sends
 	}
 	c.router = to.name
+	s.asked.Store(c.id, to.name)
 	request, err := http.NewRequest(http.MethodPost, "http://"+to.listen+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,11 +54,19 @@
 	s.report.Broken = append(s.report.Broken, fmt.Sprintf(format, arguments...))
 }
 
-// arrived checks that a draining back end gets nothing new.
-func (s *Soak) arrived(b *backend) {
-	if at := b.drainedAt.Load(); at != 0 && s.now() > time.Duration(at)+drainBinds+slack {
-		s.breach("%v: %s got a request %v after its drain was acknowledged", s.now(), b.id, s.now()-time.Duration(at))
+// arrived checks that a draining back end gets nothing new from a router that was not
+// itself at fault within the last contact: one that thaws may send on what it had
+// taken before it knows anything newer.
+func (s *Soak) arrived(b *backend, id string) {
+	at := b.drainedAt.Load()
+	if at == 0 || s.now() <= time.Duration(at)+drainBinds+slack {
+		return
+	}
+	router, _ := s.asked.Load(id)
+	if name, known := router.(string); known && s.disturbed(s.now(), func(d *disturbance) bool { return d.router == name }) {
+		return
 	}
+	s.breach("%v: %s got a request by %v %v after its drain was acknowledged", s.now(), b.id, router, s.now()-time.Duration(at))
 }
 
 // note checks that a fence has one holder.
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -52,14 +52,20 @@
 // inTouch tells whether a router and all coordinators had been undisturbed through the
 // whole contact before a moment.
 func (s *Soak) inTouch(router string, at time.Duration) bool {
+	return !s.disturbed(at, func(d *disturbance) bool { return d.router == "" || d.router == router })
+}
+
+// disturbed tells whether a disturbance of some kind went on within contact before a
+// moment.
+func (s *Soak) disturbed(at time.Duration, counts func(*disturbance) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range s.disturbances {
-		if (d.router == "" || d.router == router) && d.from <= at && (d.to < 0 || d.to+contact >= at) {
-			return false
+		if counts(d) && d.from <= at && (d.to < 0 || d.to+contact >= at) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // sendPoison lets a request that ends back ends come again and again, under other IDs
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -74,10 +75,12 @@
 	routers      []*program
 	ledger       ledger
 	results      results
-	started      atomic.Int64
-	named        atomic.Int64
-	group        sync.WaitGroup
-	disk         sync.Mutex
+	// asked maps request IDs to the routers that were asked.
+	asked   sync.Map
+	started atomic.Int64
+	named   atomic.Int64
+	group   sync.WaitGroup
+	disk    sync.Mutex
 
 	mu       sync.Mutex
 	acked    []acknowledged
@@ -185,8 +188,10 @@
 
 func (s *Soak) program(name, command string) (*program, error) {
 	var addresses [3]string
+	// Each program has an IP number of its own: a connection from 127.0.0.1 that is opened
+	// before the program listens may get any port there.
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 		if err != nil {
 			return nil, errors.Wrap(err, "find a free port")
 		}
