The soak takes no second disk before the first is a voter again, and its proxies outlive a want of descriptors

First: disks were taken one after the other every 5 s, and with faults in series one that had lost its disk was not yet a voter: three of five were lost, more than a group of five bears. A further disk is taken only when the node that lost one says by its figures that the group has five voters again. Second: the run had all of its 20,000 descriptors in use, and each proxy that failed to accept one connection accepted none any more: three coordinators could not be reached. The proxy goes on.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -23,6 +27,8 @@
 	shortest   = 200 * time.Millisecond
 	longest    = 3 * time.Second
 	stopLimit  = 15 * time.Second
+	// voterPause is the time between two questions to one that lost its disk.
+	voterPause = 100 * time.Millisecond
 	// burst is how many faults come at once, or one after the other.
 	burst = 3
 )
@@ -152,24 +158,49 @@
 	_ = p.process.Start()
 }
 
-// loseDisk takes one coordinator's disk, and no second one until the first is
-// back at full strength.
+// loseDisk takes one coordinator's disk, and no second one until the first is a voter
+// again: a group of five bears the loss of two, and other faults may hold the first up
+// for any time.
 func (s *Soak) loseDisk(ctx context.Context, r *rand.Rand) {
 	if !s.disk.TryLock() {
 		return
 	}
 	defer s.disk.Unlock()
 	p := pick(r, s.coordinators)
+	if s.wipe(p) {
+		for wait(ctx, voterPause) && !s.isVoter(ctx, p) {
+		}
+	}
+}
+
+// wipe starts a coordinator anew without its disk.
+func (s *Soak) wipe(p *program) bool {
 	release, free := s.claim(p)
 	if !free {
-		return
+		return false
 	}
 	defer release()
 	p.process.Kill()
 	_ = os.RemoveAll(p.data)
 	_ = s.writeSettings(p, false)
 	_ = p.process.Start()
-	wait(ctx, diskReturn)
+	return true
+}
+
+// isVoter tells whether a coordinator that lost its disk has heard that it is a voter
+// again: the group is whole then.
+func (s *Soak) isVoter(ctx context.Context, p *program) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.ready+"/metrics", nil)
+	if err != nil {
+		return false
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	figures, err := io.ReadAll(response.Body)
+	return err == nil && strings.Contains(string(figures), fmt.Sprintf("quinceridge_voters %d\n", coordinators))
 }
 
 func (s *Soak) killCoordinators(ctx context.Context, r *rand.Rand) {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,12 +1,16 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"time"
 )
 
+// acceptPause is how long a proxy that can't take a connection waits.
+const acceptPause = 20 * time.Millisecond
+
 // proxy stands before an address and can cut it off: silently, so that bytes
 // wait, or by resets.
 type proxy struct {
@@ -32,12 +36,18 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
+// accept goes on after an error: a run that is out of descriptors for a moment must not
+// lose a program for the rest of it.
 func (p *proxy) accept() {
 	for {
 		conn, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
 		go p.serve(conn)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,9 +30,6 @@
 	settle = 6 * time.Second
 	// drainBinds is how soon after its acknowledgement a drain binds.
 	drainBinds = 2 * time.Second
-	// diskReturn is how long a coordinator that lost its disk needs to be a
-	// voter again.
-	diskReturn = 5 * time.Second
 	revocation = 5 * time.Second
 	// clingingPart is of how many callers one keeps its connection open.
 	clingingPart = 3
@@ -211,8 +208,8 @@
 	}
 	text := fmt.Sprintf("name: %s\nzone: zone\nlisten: %q\nseeds: [%s]\nlog: {format: json}\n", p.name, p.listen, strings.Join(known, ", "))
 	if p.proxy != nil {
-		text += fmt.Sprintf("peer_listen: %q\npeer_address: %q\nbootstrap: %v\ndata_directory: %q\nbackend_heartbeat: %v\nweights_deadline: 8s\norder_lease: 3s\n",
-			p.peer, p.proxy.address(), bootstrap, p.data, heartbeatEvery)
+		text += fmt.Sprintf("peer_listen: %q\npeer_address: %q\nbootstrap: %v\ndata_directory: %q\nbackend_heartbeat: %v\nweights_deadline: 8s\norder_lease: 3s\nmetrics: %q\n",
+			p.peer, p.proxy.address(), bootstrap, p.data, heartbeatEvery, p.ready)
 	} else {
 		text += fmt.Sprintf("readiness: %q\nrevocation: %v\nstop_grace: 8s\nretry_ratio: 0.2\nretry_burst: 50\nretry_window: 10s\nmemory_limit: 128\n", p.ready, revocation)
 	}
