--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -10,22 +10,19 @@
 package clock
 
 import (
+	"log/slog"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
-// begun is when this process began, by the runtime's clock.
-var begun = time.Now()
-
 // Now returns the time since the machine started, suspension included. A reading is a
 // system call of 0.2 us (BenchmarkNow): the kernel's fast path knows other clocks only.
 func Now() time.Duration {
-	now, err := read()
+	now, err := read(unix.CLOCK_BOOTTIME)
 	if err != nil {
-		// Check has said so at the start.
-		return time.Since(begun)
+		// LogTrouble says so at the start. The steady clock is on every system.
+		now, _ = read(unix.CLOCK_MONOTONIC)
 	}
 	return now
 }
@@ -33,16 +30,17 @@
 // Since returns the time since a reading of Now.
 func Since(at time.Duration) time.Duration { return Now() - at }
 
-// Check returns why the clock can't be read. Now stands still during a suspension
-// then.
-func Check() error {
-	_, err := read()
-	return errors.Wrap(err, "read the clock that counts suspension")
+// LogTrouble says at a process's start if the clock can't be read. The process works on,
+// with Now standing still during a suspension.
+func LogTrouble(logger *slog.Logger) {
+	if _, err := read(unix.CLOCK_BOOTTIME); err != nil {
+		logger.Error("suspension is not counted", "part", "clock", "error", err.Error())
+	}
 }
 
-func read() (time.Duration, error) {
+func read(clock int32) (time.Duration, error) {
 	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+	if err := unix.ClockGettime(clock, &now); err != nil {
 		return 0, err
 	}
 	return time.Duration(now.Nano()), nil
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -1,6 +1,8 @@
 package clock
 
 import (
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,7 +11,9 @@
 )
 
 func TestTheClockCountsSuspension(t *testing.T) {
-	assert.NilError(t, Check())
+	var log strings.Builder
+	LogTrouble(slog.New(slog.NewTextHandler(&log, nil)))
+	assert.Equal(t, log.String(), "")
 	var boot unix.Timespec
 	assert.NilError(t, unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot))
 	now := Now()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/forward"
 	"quinceridge.example/quinceridge/internal/peer"
@@ -82,6 +83,7 @@
 
 // Start opens the listeners and begins to follow the coordinators.
 func (e *Edge) Start() error {
+	clock.LogTrouble(e.logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.group.Go(func() { e.follower.Run(ctx) })
--- a/internal/follower/suspend_test.go
+++ b/internal/follower/suspend_test.go
@@ -1,6 +1,8 @@
 package follower
 
 import (
+	"io"
+	"log/slog"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,7 +17,7 @@
 func TestTheRightEndsDuringASuspension(t *testing.T) {
 	s := newScript(t)
 	s.say(view(3))
-	f := New(Config{Name: "r", Seeds: []string{s.address}, Right: time.Minute, Decode: decode, Pool: nobody{}})
+	f := New(Config{Name: "r", Seeds: []string{s.address}, Right: time.Minute, Decode: decode, Pool: nobody{}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	var slept atomic.Int64
 	f.clock = func() time.Duration { return clock.Now() + time.Duration(slept.Load()) }
 	sent := f.now()
