--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +16,7 @@
 
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/loopback"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
@@ -107,15 +106,11 @@
 	return g
 }
 
-// freeAddress returns an address to listen on later. It has an IP number of its
-// own: a connection from 127.0.0.1 that another test opens meanwhile may get any
-// port there.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
+	address, err := loopback.FreeAddress()
 	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func (g *group) start(i int) {
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +19,7 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/coordinator"
+	"quinceridge.example/quinceridge/internal/loopback"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
@@ -101,13 +101,11 @@
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
-// freeAddress returns an address to listen on later, with an IP number of its own.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
+	address, err := loopback.FreeAddress()
 	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func (d *deployment) startNode(i int) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/loopback"
 	"quinceridge.example/quinceridge/internal/process"
 )
 
@@ -185,15 +184,11 @@
 
 func (s *Soak) program(name, command string) (*program, error) {
 	var addresses [3]string
-	// Each program has an IP number of its own: a connection from 127.0.0.1 that is opened
-	// before the program listens may get any port there.
 	for i := range addresses {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+		var err error
+		if addresses[i], err = loopback.FreeAddress(); err != nil {
+			return nil, err
 		}
-		addresses[i] = listener.Addr().String()
-		_ = listener.Close()
 	}
 	folder := s.config.Folder
 	return &program{name: name, listen: addresses[0], peer: addresses[1], ready: addresses[2], data: filepath.Join(folder, name),
