Names in plain words where blocked requests are judged

Read as a newcomer: alibi, twin, stranger, inquiry and witness are now metByOthers, indistinguishable, unrelated, evaluation and Observer; the log's field with them.

--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -181,7 +181,7 @@
 		s.notify.wake()
 	}
 	for _, v := range verdicts {
-		s.logger.Warn("request is blocked", "part", "blocking", "request", v.Request.String(), "backends", v.Backends, "strangers", v.Strangers)
+		s.logger.Warn("request is blocked", "part", "blocking", "request", v.Request.String(), "backends", v.Backends, "unrelated", v.Unrelated)
 		s.propose(now, state.Command{Block: &state.Block{Request: v.Request, Backends: v.Backends}})
 	}
 	for _, request := range s.blocking.expired(now) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,7 +59,7 @@
 	saved, limits := forward.NewSaved(), quota.NewGate()
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Right: config.RightLease(),
 		Decode: decode, Pool: pool, Saved: saved, Quota: limits, Peers: e.peers, Logger: logger})
-	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Witness: e.follower, Pool: pool, Saved: saved, Quota: limits,
+	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: limits,
 		Upstream: upstream.NewPool(headers.RequestID), Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -54,7 +54,7 @@
 	for {
 		// Asked before each attempt, and by what is asked for: a request that ends back
 		// ends comes under a new ID each time, here or at another router.
-		if blocked, is := h.config.Witness.Blocked(j.digest); is {
+		if blocked, is := h.config.Observer.Blocked(j.digest); is {
 			h.refuseBlocked(s, blocked.Backends, blocked.Revision)
 			return
 		}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -22,9 +22,9 @@
 	blockedRetry = 10 * time.Minute
 )
 
-// Witness finds out, together with all routers, which requests end the back ends
+// Observer finds out, together with all routers, which requests end the back ends
 // that run them.
-type Witness interface {
+type Observer interface {
 	// Blocked tells whether a request is kept from back ends.
 	Blocked(request poison.Digest) (state.BlockedRequest, bool)
 	// Saw notes an attempt that ended without a whole answer.
@@ -33,7 +33,7 @@
 	Answered(request poison.Digest)
 }
 
-// alone is the Witness of a router without others: it blocks nothing.
+// alone is the Observer of a router without others: it blocks nothing.
 type alone struct{}
 
 func (alone) Blocked(poison.Digest) (b state.BlockedRequest, blocked bool) { return b, false }
@@ -55,7 +55,7 @@
 		text: "The back ends that ran this request ended. It is not tried again for now.\n"})
 }
 
-// ended tells the witness what the end of an attempt shows of its back end. Answer is
+// ended tells the observer what the end of an attempt shows of its back end. Answer is
 // nil if none began.
 func (h *Handler) ended(ctx context.Context, s *session, choice backends.Choice, answer *upstream.Answer, result outcome, started time.Duration) {
 	j, now := s.job, h.now()
@@ -63,21 +63,21 @@
 	switch {
 	case result.verdict == notRun:
 	case result.verdict != mayHaveRun && framed:
-		h.config.Witness.Answered(j.digest)
+		h.config.Observer.Answered(j.digest)
 	case context.Cause(ctx) == nil:
 		h.checks.add(choice, poison.Ending{Backend: choice.ID, Request: j.digest, Lasted: now - started}, h.checkBackend)
 	case now-max(started, s.lastAt) >= silentFrom:
-		h.config.Witness.Saw(poison.Ending{Backend: choice.ID, Request: j.digest, Lasted: now - started, Silent: true})
+		h.config.Observer.Saw(poison.Ending{Backend: choice.ID, Request: j.digest, Lasted: now - started, Silent: true})
 	}
 }
 
-// checkBackend finds out whether a back end still listens and tells the witness of the
+// checkBackend finds out whether a back end still listens and tells the observer of the
 // attempts that have ended there. The first caller's leaving does not stop it.
 func (h *Handler) checkBackend(choice backends.Choice) {
 	down := h.config.Upstream.Down(context.Background(), choice.Address)
 	for _, ended := range h.checks.take(choice.ID) {
 		ended.Down = down
-		h.config.Witness.Saw(ended)
+		h.config.Observer.Saw(ended)
 	}
 }
 
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -15,33 +15,33 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// witness keeps what a router tells, and blocks what it is told to.
-type witness struct {
+// observer keeps what a router tells, and blocks what it is told to.
+type observer struct {
 	mu       sync.Mutex
 	seen     []poison.Ending
 	answered []poison.Digest
 	blocks   bool
 }
 
-func (w *witness) Blocked(d poison.Digest) (state.BlockedRequest, bool) {
+func (w *observer) Blocked(d poison.Digest) (state.BlockedRequest, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return state.BlockedRequest{Request: d, Backends: []string{"a", "b", "c"}, Revision: 9}, w.blocks
 }
 
-func (w *witness) Saw(e poison.Ending) {
+func (w *observer) Saw(e poison.Ending) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seen = append(w.seen, e)
 }
 
-func (w *witness) Answered(d poison.Digest) {
+func (w *observer) Answered(d poison.Digest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answered = append(w.answered, d)
 }
 
-func (w *witness) await(t *testing.T, count int) []poison.Ending {
+func (w *observer) await(t *testing.T, count int) []poison.Ending {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		w.mu.Lock()
@@ -56,14 +56,14 @@
 	return w.seen
 }
 
-func newWitnessed(t *testing.T) (*rig, *witness) {
-	r, w := newRig(t), &witness{}
-	r.handler.config.Witness = w
+func newObserved(t *testing.T) (*rig, *observer) {
+	r, w := newRig(t), &observer{}
+	r.handler.config.Observer = w
 	return r, w
 }
 
 func TestABlockedRequestGetsAFinalAnswerAndTouchesNothing(t *testing.T) {
-	r, w := newWitnessed(t)
+	r, w := newObserved(t)
 	w.blocks = true
 	r.add("app", "x", good)
 	r.add("llm", "y", good)
@@ -80,7 +80,7 @@
 // A back end that has ended refuses connections right after; one that only broke an
 // answer off takes them, and the new connection is used by the next request.
 func TestWhetherABackEndEndedIsLookedAtOnce(t *testing.T) {
-	r, w := newWitnessed(t)
+	r, w := newObserved(t)
 	r.add("app", "lives", dropping)
 	r.ask("POST", "/unsafe/1", nil)
 	seen := w.await(t, 1)
@@ -93,7 +93,7 @@
 	r.handler.Wait()
 	assert.Equal(t, r.handler.config.Upstream.Opened.Load(), opened+1, "the kept connection was not used")
 
-	r, w = newWitnessed(t)
+	r, w = newObserved(t)
 	var once sync.Once
 	r.add("app", "ends", func(http.ResponseWriter, *http.Request) {
 		once.Do(func() { go r.closeBackends() })
@@ -112,7 +112,7 @@
 // A caller that leaves, a deadline and a cancel of the router's own are no ends, unless
 // the back end had been silent for a while.
 func TestWhoLeavesTellsNothingOfTheBackEnd(t *testing.T) {
-	r, w := newWitnessed(t)
+	r, w := newObserved(t)
 	r.add("app", "slow", func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() })
 	leave := func(after time.Duration) {
 		ctx, cancel := context.WithTimeout(t.Context(), after)
@@ -130,7 +130,7 @@
 }
 
 func TestAWholeAnswerIsToldOf(t *testing.T) {
-	r, w := newWitnessed(t)
+	r, w := newObserved(t)
 	r.add("app", "x", good)
 	r.add("llm", "y", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 3) })
 	assert.Equal(t, r.ask("POST", "/unsafe/1", nil).status, 200)
@@ -157,7 +157,7 @@
 
 // Attempts that were turned away, or never reached the back end, have not run.
 func TestWhatHasNotRunIsNoEvidence(t *testing.T) {
-	r, w := newWitnessed(t)
+	r, w := newObserved(t)
 	r.add("app", "full", turnAway)
 	assert.Equal(t, r.ask("POST", "/unsafe/1", nil).status, http.StatusServiceUnavailable)
 	r.closeBackends()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -72,8 +72,8 @@
 	Pool     *backends.Pool
 	Upstream *upstream.Pool
 	Saved    *Saved
-	// Witness may be nil: nothing is blocked then.
-	Witness Witness
+	// Observer may be nil: nothing is blocked then.
+	Observer Observer
 	// Quota keeps tenants within their limits.
 	Quota  *quota.Gate
 	Budget BudgetConfig
@@ -100,8 +100,8 @@
 func New(config Config) *Handler {
 	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(), clock: clock.Now, started: clock.Now(),
 		forbidden: map[string]bool{}, checks: newChecks(), overdue: newOverdue()}
-	if config.Witness == nil {
-		h.config.Witness = alone{}
+	if config.Observer == nil {
+		h.config.Observer = alone{}
 	}
 	for _, name := range slices.Concat(hopHeaders, config.Headers.Owned(), config.Headers.Forbidden) {
 		h.forbidden[http.CanonicalHeaderKey(name)] = true
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -9,18 +9,17 @@
 )
 
 const (
-	// endsToBlock is under how many ended back ends a request is blocked. With two, of
-	// the requests that are repeated elsewhere some that had done nothing would be
-	// blocked while several poison requests are about: they meet two ends often, three
-	// hardly ever.
+	// endsToBlock is under how many ended back ends a request is blocked. While several
+	// poison requests come in, harmless ones that are repeated elsewhere are often at two
+	// back ends that end, hardly ever at three.
 	endsToBlock = 3
 	// endsToSuspect is from how many on a request is watched: a whole answer to it shows
 	// that it is harmless.
 	endsToSuspect = endsToBlock - 1
-	// strangersForOne is how many back ends that end without a request, about when
+	// unrelatedForOne is how many back ends that end without a request, about when
 	// others end under it, ask for one more end before it is blocked: back ends end
 	// for another cause then.
-	strangersForOne = 8
+	unrelatedForOne = 8
 	// mostDoubt is how many more ends doubts may ask for, and endsInAnyCase how many are
 	// enough even if blocked requests account for some: no more than three tries may
 	// follow the third end. A harmless request is hardly tried that often.
@@ -147,10 +146,10 @@
 // Verdict says that a request is to be blocked.
 type Verdict struct {
 	Request Digest
-	// Backends are those that ended under it, in the order of their ends, and Strangers
+	// Backends are those that ended under it, in the order of their ends, and Unrelated
 	// counts those that ended without it at about the same time.
 	Backends  []string
-	Strangers int
+	Unrelated int
 }
 
 // Judge returns the requests that are to be blocked, and those with almost enough
@@ -167,11 +166,11 @@
 		}
 	}
 	for {
-		d, strangers := c.worst()
+		d, unrelated := c.worst()
 		if d == 0 {
 			break
 		}
-		verdicts = append(verdicts, Verdict{Request: d, Backends: c.inOrder(d), Strangers: strangers})
+		verdicts = append(verdicts, Verdict{Request: d, Backends: c.inOrder(d), Unrelated: unrelated})
 		c.explain(d)
 	}
 	for d := range c.ends {
@@ -193,8 +192,8 @@
 	return false
 }
 
-// inquiry is one look at all evidence.
-type inquiry struct {
+// evaluation is one look at all evidence.
+type evaluation struct {
 	// ends are the back ends that have ended under each request, and when.
 	ends map[Digest]map[string]time.Duration
 	// times is when each back end ended that did.
@@ -203,8 +202,8 @@
 	explained map[string]bool
 }
 
-func (l *Ledger) open(now time.Duration, signs func(string) Signs) *inquiry {
-	c := &inquiry{ends: map[Digest]map[string]time.Duration{}, times: map[string]time.Duration{}, explained: map[string]bool{}}
+func (l *Ledger) open(now time.Duration, signs func(string) Signs) *evaluation {
+	c := &evaluation{ends: map[Digest]map[string]time.Duration{}, times: map[string]time.Duration{}, explained: map[string]bool{}}
 	known := map[string]Signs{}
 	for d, r := range l.requests {
 		for backend, e := range r.endings {
@@ -247,7 +246,7 @@
 }
 
 // explain takes the ends under a request as its doing.
-func (c *inquiry) explain(d Digest) {
+func (c *evaluation) explain(d Digest) {
 	for backend := range c.ends[d] {
 		c.explained[backend] = true
 	}
@@ -255,7 +254,7 @@
 }
 
 // count is how many ends under a request nothing else accounts for.
-func (c *inquiry) count(d Digest) int {
+func (c *evaluation) count(d Digest) int {
 	n := 0
 	for backend := range c.ends[d] {
 		if !c.explained[backend] {
@@ -266,48 +265,48 @@
 }
 
 // worst returns the request under which most back ends have ended, if there are enough.
-func (c *inquiry) worst() (worst Digest, strangers int) {
+func (c *evaluation) worst() (worst Digest, unrelated int) {
 	most := 0
 	for d, ends := range c.ends {
 		n := c.count(d)
 		if len(ends) < endsToBlock || n < most || (n == most && worst != 0 && d > worst) {
 			continue
 		}
-		others := c.strangers(d)
+		others := c.unrelated(d)
 		if n >= endsToBlock+c.doubt(d, others) || len(ends) >= endsInAnyCase {
-			worst, most, strangers = d, n, others
+			worst, most, unrelated = d, n, others
 		}
 	}
-	return worst, strangers
+	return worst, unrelated
 }
 
 // doubt is how many more ends than usual it takes to block a request.
-func (c *inquiry) doubt(d Digest, strangers int) int {
-	doubt := strangers / strangersForOne
-	if c.hasAlibi(d) {
+func (c *evaluation) doubt(d Digest, unrelated int) int {
+	doubt := unrelated / unrelatedForOne
+	if c.metByOthers(d) {
 		doubt++
 	}
-	if c.hasTwin(d) {
+	if c.indistinguishable(d) {
 		doubt = mostDoubt
 	}
 	return min(doubt, mostDoubt)
 }
 
-// hasAlibi tells whether some other suspect met each end that counts against a
+// metByOthers tells whether some other suspect met each end that counts against a
 // request. With one to four poison requests at a time, beside harmless ones that are
 // tried up to four times, 1 of those was blocked without it to 500 of the former, and
 // 20 to 10,000 with it (TestOnlyPoisonRequestsAreBlocked with 200 and 4,000 seeds).
-func (c *inquiry) hasAlibi(d Digest) bool {
+func (c *evaluation) metByOthers(d Digest) bool {
 	for backend := range c.ends[d] {
-		if !c.explained[backend] && !c.metBySuspect(backend, d) {
+		if !c.explained[backend] && !c.metByAnother(backend, d) {
 			return false
 		}
 	}
 	return true
 }
 
-// metBySuspect tells whether a suspect other than one ended with a back end.
-func (c *inquiry) metBySuspect(backend string, but Digest) bool {
+// metByAnother tells whether a suspect other than one ended with a back end.
+func (c *evaluation) metByAnother(backend string, but Digest) bool {
 	for d, ends := range c.ends {
 		if _, under := ends[backend]; under && d != but && len(ends) >= endsToSuspect && c.count(d) >= endsToSuspect {
 			return true
@@ -316,9 +315,9 @@
 	return false
 }
 
-// strangers counts the back ends that ended without a request at about the time when
+// unrelated counts the back ends that ended without a request at about the time when
 // others ended under it.
-func (c *inquiry) strangers(d Digest) int {
+func (c *evaluation) unrelated(d Digest) int {
 	times := slices.Sorted(maps.Values(c.ends[d]))
 	first, last := times[0], times[len(times)-1]
 	n := 0
@@ -330,9 +329,9 @@
 	return n
 }
 
-// hasTwin tells whether another request met all the ends that count against this one:
-// neither is blocked until one more end tells them apart.
-func (c *inquiry) hasTwin(d Digest) bool {
+// indistinguishable tells whether another request met all the ends that count against
+// this one: neither is blocked until one more end tells them apart.
+func (c *evaluation) indistinguishable(d Digest) bool {
 	for other := range c.ends {
 		if other != d && c.covers(other, d) {
 			return true
@@ -341,7 +340,7 @@
 	return false
 }
 
-func (c *inquiry) covers(other, d Digest) bool {
+func (c *evaluation) covers(other, d Digest) bool {
 	for backend := range c.ends[d] {
 		if _, under := c.ends[other][backend]; !under && !c.explained[backend] {
 			return false
@@ -351,7 +350,7 @@
 }
 
 // inOrder returns the back ends that ended under a request, the first first.
-func (c *inquiry) inOrder(d Digest) []string {
+func (c *evaluation) inOrder(d Digest) []string {
 	var out []string
 	for backend := range c.ends[d] {
 		out = append(out, backend)
