A view's blocked requests are in force before its configuration

Traced from the order in Follower.take; no router could serve in between at its first view, since the right comes last. The blocks come first now.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -243,15 +243,16 @@
 			return false
 		}
 	}
+	// Before the configuration: whoever sees that one has the blocks of its view too.
+	if blocked != nil {
+		f.evidence.block(blocked)
+	}
 	if !f.configure(v.Version, document) {
 		return false
 	}
 	if len(rows) > 0 || len(v.Departed) > 0 || whole {
 		f.config.Pool.Apply(rows, v.Departed, whole)
 	}
-	if blocked != nil {
-		f.evidence.block(blocked)
-	}
 	if v.Announced != f.announced {
 		f.config.Pool.Others(f.now(), f.loads(v), v.LoadsAge, v.EngineLoads)
 	}
