--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -68,7 +68,7 @@
 	// Since is the revision of the last View, 0 for none.
 	Since uint64 `json:"since"`
 	// Leader is the token of the leader's own knowledge in the last View.
-	Leader string `json:"leader,omitempty"`
+	Leader LeaderToken `json:"leader,omitempty"`
 	// SavedSince is View.SavedUntil of the last View.
 	SavedSince uint64 `json:"saved_since,omitempty"`
 	// Announced is View.Announced of the last View.
@@ -81,7 +81,7 @@
 type View struct {
 	Revision uint64 `json:"revision"`
 	// Leader changes with Notes.
-	Leader string `json:"leader,omitempty"`
+	Leader LeaderToken `json:"leader,omitempty"`
 	// Version is the configuration in force. Document is set when it changed
 	// since the watcher's revision.
 	Version  uint64          `json:"version"`
--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// blockedFor is how long a request is kept from back ends. Whoever mends what it
-	// breaks needs longer; whoever was blocked by mistake is helped sooner by hand.
-	blockedFor = 10 * time.Minute
 	// judgeEvery is the time between two looks at the evidence without news: what is
 	// known of back ends changes it too.
 	judgeEvery = 300 * time.Millisecond
@@ -160,7 +157,7 @@
 func (b *blocking) expired(now time.Duration) []poison.Digest {
 	var out []poison.Digest
 	for request, at := range b.since {
-		if now >= at+blockedFor {
+		if now >= at+poison.BlockTime {
 			out = append(out, request)
 		}
 	}
@@ -174,7 +171,7 @@
 	if s.lastRole != raft.Leader || !s.core.HoldsLease(now) {
 		return
 	}
-	verdicts, changed := s.blocking.judge(now, s.signs(now, d))
+	verdicts, changed := s.blocking.judge(now, s.signs(d))
 	if changed {
 		s.logger.Info("suspected requests", "part", "blocking", "requests", texts(s.blocking.suspects))
 		s.soft.changes++
@@ -182,33 +179,18 @@
 	}
 	for _, v := range verdicts {
 		s.logger.Warn("request is blocked", "part", "blocking", "request", v.Request.String(), "backends", v.Backends, "unrelated", v.Unrelated)
-		s.propose(now, state.Command{Block: &state.Block{Request: v.Request, Backends: v.Backends}})
+		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.Request, Backends: v.Backends}})
 	}
 	for _, request := range s.blocking.expired(now) {
-		s.logger.Info("request is blocked no more", "part", "blocking", "request", request.String(), "after_ms", blockedFor.Milliseconds())
+		s.logger.Info("request is blocked no more", "part", "blocking", "request", request.String(), "after_ms", poison.BlockTime.Milliseconds())
 		// Asked for again after another such time, should the proposal be lost.
 		s.blocking.since[request] = now
-		s.propose(now, state.Command{Unblock: &state.Unblock{Request: request}})
-	}
-}
-
-// propose runs a command that nobody waits for. One that is lost is proposed again.
-func (s *Server) propose(now time.Duration, command state.Command) {
-	err := s.core.Propose(now, command, func(_ state.Result, err error) {
-		if err != nil {
-			s.logger.Warn("proposal lost", "part", "blocking", "error", err.Error())
-		}
-	})
-	if err != nil {
-		s.logger.Warn("proposal refused", "part", "blocking", "error", err.Error())
+		s.propose(now, "blocking", state.Command{Unblock: &state.Unblock{Request: request}})
 	}
 }
 
 // signs tells what is known of back ends beside their requests.
-func (s *Server) signs(now time.Duration, d *state.Deployment) func(string) poison.Signs {
-	succeeded := sync.OnceValue(func() map[string]bool {
-		return s.soft.succeeded(now, silentAfter(s.settings.BackendHeartbeat), d.Backends)
-	})
+func (s *Server) signs(d *state.Deployment) func(string) poison.Signs {
 	return func(id string) poison.Signs {
 		signs := poison.Signs{Heard: poison.NeverHeard}
 		if last, heard := s.soft.beats[id]; heard {
@@ -220,7 +202,7 @@
 			return signs
 		}
 		signs.Leaving = row.Draining
-		signs.Gone = succeeded()[id] || slices.Contains(s.soft.silent, id)
+		_, signs.Gone = slices.BinarySearch(s.soft.silent, id)
 		return signs
 	}
 }
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -144,8 +144,8 @@
 func TestABlockEndsByItself(t *testing.T) {
 	b := newBlocking(time.Second, nil)
 	b.since[7] = time.Minute
-	assert.Equal(t, len(b.expired(time.Minute+blockedFor-1)), 0)
-	assert.DeepEqual(t, b.expired(time.Minute+blockedFor), []poison.Digest{7})
+	assert.Equal(t, len(b.expired(time.Minute+poison.BlockTime-1)), 0)
+	assert.DeepEqual(t, b.expired(time.Minute+poison.BlockTime), []poison.Digest{7})
 }
 
 // Routers go on to answer suspects, and say so.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -172,6 +171,19 @@
 	}
 }
 
+// propose runs a command that nobody waits for: who asks for it does so again while it
+// is due.
+func (s *Server) propose(now time.Duration, part string, command state.Command) {
+	err := s.core.Propose(now, command, func(_ state.Result, err error) {
+		if err != nil {
+			s.logger.Warn("proposal lost", "part", part, "error", err.Error())
+		}
+	})
+	if err != nil {
+		s.logger.Warn("proposal refused", "part", part, "error", err.Error())
+	}
+}
+
 // read returns the configuration in force. The lease vouches that no other
 // leader has acknowledged a newer one.
 func (s *Server) read(ctx context.Context) (coordapi.Reply, error) {
@@ -297,9 +309,9 @@
 func (s *Server) view(now time.Duration, w coordapi.Watch, last bool) *coordapi.View {
 	s.soft.watched(now, w.Router)
 	d := s.core.Machine().Deployment()
-	sameLeader := strings.HasPrefix(w.Leader, s.soft.epoch)
+	sameLeader := w.Leader.Leadership() == s.soft.epoch
 	news := s.soft.told.announcements > w.Announced || !sameLeader
-	if max(d.ConfiguredAt, d.BackendsAt, d.BlockedAt) <= w.Since && w.Leader == s.soft.token() && !news && !last {
+	if d.ChangedAt() <= w.Since && w.Leader == s.soft.token() && !news && !last {
 		return nil
 	}
 	v := &coordapi.View{Revision: s.core.Machine().Applied(), Leader: s.soft.token(), Version: d.Version,
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -250,6 +250,6 @@
 	if d.Holder != "" && now < s.soft.since+s.settings.OrderLease+holderSlack {
 		return false
 	}
-	_ = s.core.Propose(now, state.Command{Hold: &state.Hold{Holder: s.settings.Name}}, func(state.Result, error) {})
+	s.propose(now, "rollout", state.Command{Hold: &state.Hold{Holder: s.settings.Name}})
 	return false
 }
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -35,7 +35,8 @@
 	beats map[string]heard
 	// routers maps watchers to the time of their last watch.
 	routers map[string]time.Duration
-	silent  []string
+	// silent are the back ends that are silent or have a successor, sorted.
+	silent []string
 	// left are back ends that are on no list any more and had announced their end.
 	left map[string]bool
 	// epoch and changes name the state of silent and minimum.
@@ -48,7 +49,7 @@
 	// placedAt is the revision of the rows that the placer has, and placedNotes the
 	// token of its notes.
 	placedAt    uint64
-	placedNotes string
+	placedNotes coordapi.LeaderToken
 	told        told
 	whole       packedWhole
 	rows        packedRows
@@ -78,7 +79,7 @@
 }
 
 func (p *packedWhole) of(d *state.Deployment) []byte {
-	if revision := max(d.ConfiguredAt, d.BackendsAt, d.BlockedAt, 1); revision != p.revision {
+	if revision := max(d.ChangedAt(), 1); revision != p.revision {
 		rows, _ := d.Changed(0)
 		// Encoding into memory cannot fail.
 		p.packed, _ = coordapi.Pack(coordapi.Whole{Document: d.Document, Backends: rows, Blocked: coordapi.Blocked{Requests: d.Blocked}})
@@ -88,7 +89,7 @@
 }
 
 // token changes whenever silent or minimum does.
-func (t *softState) token() string { return t.epoch + strconv.Itoa(t.changes) }
+func (t *softState) token() coordapi.LeaderToken { return coordapi.NewLeaderToken(t.epoch, t.changes) }
 
 type heard struct {
 	at       time.Duration
@@ -96,7 +97,7 @@
 }
 
 func (t *softState) reset(now time.Duration) {
-	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36) + "-", beats: map[string]heard{}, routers: map[string]time.Duration{},
+	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]time.Duration{},
 		left: map[string]bool{}}
 }
 
@@ -172,16 +173,11 @@
 	return t.beats[b.ID].at > t.beats[other.ID].at
 }
 
-// silentAfter is how long a back end may be silent, by the time between its heartbeats.
-func silentAfter(interval time.Duration) time.Duration {
-	return time.Duration(silentBeats * float64(interval))
-}
-
 // look finds the back ends that are silent or have a successor at their address,
 // and those that are gone.
 func (t *softState) look(now time.Duration, interval time.Duration, backends map[string]state.Backend) (gone []string) {
 	t.looked = now
-	limit := silentAfter(interval)
+	limit := time.Duration(silentBeats * float64(interval))
 	var silent []string
 	succeeded := t.succeeded(now, limit, backends)
 	for id, b := range backends {
@@ -235,7 +231,7 @@
 		s.notify.wake()
 		return
 	}
-	if revision := max(d.ConfiguredAt, d.BackendsAt, d.BlockedAt); revision > s.notify.revision {
+	if revision := d.ChangedAt(); revision > s.notify.revision {
 		s.notify.revision = revision
 		s.notify.wake()
 	}
@@ -274,6 +270,6 @@
 	}
 	if len(gone) > 0 && s.core.HoldsLease(now) {
 		s.logger.Info("back ends removed", "part", "registry", "backends", gone)
-		_ = s.core.Propose(now, state.Command{Depart: &state.Depart{IDs: gone}}, func(state.Result, error) {})
+		s.propose(now, "registry", state.Command{Depart: &state.Depart{IDs: gone}})
 	}
 }
--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,12 +11,9 @@
 )
 
 const (
-	// evidenceKept is how long a router remembers the attempts that ended, to tell a
-	// new leader of them: as long as they count there.
-	evidenceKept = 10 * time.Minute
-	// unsureKept is the same for an attempt whose back end still listened, or was not
-	// known to have ended: a leader that was not there then can't tell any more whether
-	// the back end lived on.
+	// unsureKept is how long a new leader is told of an attempt whose back end still
+	// listened, or was not known to have ended: one that was not there then can't tell any
+	// more whether the back end lived on. Of all others it is told as long as they count.
 	unsureKept = 30 * time.Second
 	// maxEvidence bounds how many it remembers, about 150 B each. The oldest go.
 	maxEvidence = 1024
@@ -66,13 +62,13 @@
 }
 
 // hear takes which leadership is followed and whom it suspects.
-func (e *evidence) hear(token string, suspects []poison.Digest) {
+func (e *evidence) hear(token coordapi.LeaderToken, suspects []poison.Digest) {
 	named := make(map[poison.Digest]struct{}, len(suspects))
 	for _, d := range suspects {
 		named[d] = struct{}{}
 	}
 	e.suspects.Store(&named)
-	leadership, _, _ := strings.Cut(token, "-")
+	leadership := token.Leadership()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leader = leadership
@@ -117,7 +113,7 @@
 func (e *evidence) take(now time.Duration, reports *coordapi.Reports) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.seen) > 0 && now-e.seen[0].at > evidenceKept {
+	for len(e.seen) > 0 && now-e.seen[0].at > poison.EvidenceTime {
 		e.seen = e.seen[1:]
 	}
 	for i := range e.seen {
--- a/internal/follower/evidence_test.go
+++ b/internal/follower/evidence_test.go
@@ -39,7 +39,7 @@
 	e.hear("second-1", nil)
 	assert.DeepEqual(t, e.told(5*time.Second), []poison.Ending{{Backend: "a", Request: 7, Down: true, Age: 4 * time.Second}})
 	e.hear("third-1", nil)
-	assert.Equal(t, len(e.told(2*time.Second+evidenceKept)), 0, "it is too old")
+	assert.Equal(t, len(e.told(2*time.Second+poison.EvidenceTime)), 0, "it is too old")
 }
 
 // A later leader can't tell whether a back end lived on that still listened.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -97,7 +97,7 @@
 	saved uint64
 	// announced is the leader's last announcement that was taken.
 	announced uint64
-	token     string
+	token     coordapi.LeaderToken
 	leader    string
 	members   []string
 	next      int
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -13,14 +13,9 @@
 	"quinceridge.example/quinceridge/internal/upstream"
 )
 
-const (
-	// silentFrom is how long a back end must have said nothing before an attempt that is
-	// given up tells of it: engines send an event at least each half second.
-	silentFrom = time.Second
-	// blockedRetry is when a caller may try a blocked request again: it is blocked for
-	// about that long.
-	blockedRetry = 10 * time.Minute
-)
+// silentFrom is how long a back end must have said nothing before an attempt that is
+// given up tells of it: engines send an event at least each half second.
+const silentFrom = time.Second
 
 // Observer finds out, together with all routers, which requests end the back ends
 // that run them.
@@ -51,7 +46,7 @@
 	}
 	h.config.Logger.Info("request is blocked", "part", "forward", "id", s.job.id, "request", s.job.digest.String(), "backends", under,
 		"revision", revision, "attempts", strings.Join(s.job.trace, "; "))
-	h.refuse(s.writer, s.job, &refusal{status: http.StatusBadGateway, reason: reason, after: blockedRetry,
+	h.refuse(s.writer, s.job, &refusal{status: http.StatusBadGateway, reason: reason, after: poison.BlockTime,
 		text: "The back ends that ran this request ended. It is not tried again for now.\n"})
 }
 
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -8,6 +8,14 @@
 	"time"
 )
 
+// EvidenceTime is how long an ended attempt counts, and BlockTime how long a request
+// stays blocked. Whoever mends what it breaks needs longer; whoever was blocked by
+// mistake is helped sooner by hand.
+const (
+	EvidenceTime = 10 * time.Minute
+	BlockTime    = 10 * time.Minute
+)
+
 const (
 	// endsToBlock is under how many ended back ends a request is blocked. While several
 	// poison requests come in, harmless ones that are repeated elsewhere are often at two
@@ -35,8 +43,6 @@
 	// latestHeartbeat is the same for a back end that refused connections right after and
 	// has a successor: a heartbeat that a cut held back may arrive seconds late.
 	latestHeartbeat = 10 * time.Second
-	// evidenceTime is how long an ended attempt counts.
-	evidenceTime = 10 * time.Minute
 	// maxRequests bounds for how many requests evidence is kept, about 200 B each. The
 	// loss of a fifth of a hundred engines cuts 900.
 	maxRequests = 4096
@@ -99,7 +105,7 @@
 
 // Note takes an ended attempt. One that is told again changes nothing.
 func (l *Ledger) Note(now time.Duration, e Ending) {
-	if e.Request == 0 || e.Age > evidenceTime {
+	if e.Request == 0 || e.Age > EvidenceTime {
 		return
 	}
 	l.bound(now)
@@ -123,7 +129,7 @@
 	r := l.requests[d]
 	if r == nil {
 		// Nothing is known before it, not even at the ledger's first moment.
-		r = &request{endings: map[string]ending{}, answered: -evidenceTime}
+		r = &request{endings: map[string]ending{}, answered: -EvidenceTime}
 		l.requests[d] = r
 	}
 	return r
@@ -139,7 +145,7 @@
 		times = append(times, r.last)
 	}
 	slices.Sort(times)
-	limit := max(now-evidenceTime, times[len(times)/2])
+	limit := max(now-EvidenceTime, times[len(times)/2])
 	maps.DeleteFunc(l.requests, func(_ Digest, r *request) bool { return r.last <= limit })
 }
 
@@ -212,7 +218,7 @@
 				s = signs(backend)
 				known[backend] = s
 			}
-			if now-e.at > evidenceTime || !l.ended(e, s) {
+			if now-e.at > EvidenceTime || !l.ended(e, s) {
 				continue
 			}
 			c.times[backend] = max(c.times[backend], e.at)
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -207,8 +207,8 @@
 	w := newWorld()
 	w.end(1*time.Second, "a", 1)
 	w.end(2*time.Second, "b", 1)
-	w.end(2*time.Second+evidenceTime, "c", 1)
-	assert.Equal(t, len(w.judge(2*time.Second+evidenceTime)), 0)
+	w.end(2*time.Second+EvidenceTime, "c", 1)
+	assert.Equal(t, len(w.judge(2*time.Second+EvidenceTime)), 0)
 	for d := Digest(10); d < 10+3*maxRequests; d++ {
 		w.end(time.Hour+time.Duration(d)*time.Millisecond, "x", d)
 		assert.Assert(t, len(w.ledger.requests) <= maxRequests)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -88,7 +88,7 @@
 	for wait(ctx, time.Duration(r.Int64N(int64(2*faultPause)))) {
 		switch f := faults[r.IntN(len(faults))]; r.IntN(6) {
 		case 0:
-			s.series(ctx, r, f)
+			s.begin(ctx, r, f, burst)
 		case 1:
 			for range burst {
 				s.begin(ctx, r, faults[r.IntN(len(faults))], 1)
@@ -99,9 +99,7 @@
 	}
 }
 
-// series brings one fault about several times in a row.
-func (s *Soak) series(ctx context.Context, r *rand.Rand, f fault) { s.begin(ctx, r, f, burst) }
-
+// begin brings a fault about a number of times in a row, beside all else.
 func (s *Soak) begin(ctx context.Context, r *rand.Rand, f fault, times int) {
 	s.mu.Lock()
 	s.report.Faults[f.name] += times
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -91,8 +91,8 @@
 	}
 	b.ended = true
 	s.ends[body] = append(s.ends[body], s.now())
+	s.backends = s.without(b)
 	s.mu.Unlock()
-	s.replace(b)
 	b.crash()
 	s.group.Go(func() {
 		if wait(s.ctx, poisonReturn) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -231,7 +231,7 @@
 func (s *Soak) remove(b *backend) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rest := slices.DeleteFunc(slices.Clone(s.backends), func(x *backend) bool { return x == b })
+	rest := s.without(b)
 	left := 0
 	for _, x := range rest {
 		if x.pool == b.pool {
@@ -245,11 +245,9 @@
 	return true
 }
 
-// replace takes a back end that ended off the list.
-func (s *Soak) replace(b *backend) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.backends = slices.DeleteFunc(slices.Clone(s.backends), func(x *backend) bool { return x == b })
+// without returns the list without a back end. The lock is held.
+func (s *Soak) without(b *backend) []*backend {
+	return slices.DeleteFunc(slices.Clone(s.backends), func(x *backend) bool { return x == b })
 }
 
 func (s *Soak) stop() {
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -215,5 +215,8 @@
 	return newest
 }
 
+// ChangedAt returns the log index of the last change that routers follow.
+func (d *Deployment) ChangedAt() uint64 { return max(d.ConfiguredAt, d.BackendsAt, d.BlockedAt) }
+
 // Deployment returns the deployment's state. Callers must not change it.
 func (m *Machine) Deployment() *Deployment { return &m.data.Deployment }
