One sum that fades serves choices and limits

quota.account kept two amounts that fade by the same rule as the sums of backends, written out beside them. decay.Sum is that rule now, and both use it.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -78,7 +78,7 @@
 // placed notes what only a pool that drains keeps of an attempt.
 func (p *Pool) placed(now time.Duration, a *Attempt, r *row, d *demand, rate speed.TokensPerMs) {
 	if a.reading != nil {
-		d.reading.add(now, demandTime, float64(rate.Wait(a.work.Prompt)))
+		d.reading.Add(now, demandTime, float64(rate.Wait(a.work.Prompt)))
 	}
 	if r != nil {
 		r.await(now)
--- a/internal/backends/demand.go
+++ b/internal/backends/demand.go
@@ -1,6 +1,10 @@
 package backends
 
-import "time"
+import (
+	"time"
+
+	"quinceridge.example/quinceridge/internal/decay"
+)
 
 // demandTime is the time over which reading is averaged.
 const demandTime = 2 * time.Second
@@ -9,7 +13,7 @@
 // that fall over demandTime. The zero value is ready.
 type demand struct {
 	// reading is in nanoseconds.
-	reading decaying
+	reading decay.Sum
 	// engines is how many could be chosen last.
 	engines int
 }
@@ -21,7 +25,7 @@
 	defer p.mu.Unlock()
 	most := 0.0
 	for _, d := range p.demands {
-		most = max(most, d.reading.value(now, demandTime)/float64(demandTime)/float64(max(d.engines, 1)))
+		most = max(most, d.reading.Value(now, demandTime)/float64(demandTime)/float64(max(d.engines, 1)))
 	}
 	return most
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -84,6 +84,16 @@
 	demands map[string]*demand
 }
 
+// entry returns what is kept of a pool, made when it is first asked for.
+func entry[T any](entries map[string]*T, pool string) *T {
+	e := entries[pool]
+	if e == nil {
+		e = new(T)
+		entries[pool] = e
+	}
+	return e
+}
+
 // isEngine tells a model engine from a plain back end.
 func (r *row) isEngine() bool { return len(r.Weights) > 0 }
 
--- a/internal/backends/spread.go
+++ b/internal/backends/spread.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/decay"
 )
 
 const (
@@ -17,18 +19,18 @@
 // flow follows the requests that this router sends to a pool, with weights that
 // fall over flowTime, and how long they take. The zero value is ready.
 type flow struct {
-	count decaying
+	count decay.Sum
 	// work is the mean time of a request; 0 before the first answer.
 	work time.Duration
 }
 
 // sent counts a request.
-func (f *flow) sent(now time.Duration) { f.count.add(now, flowTime, 1) }
+func (f *flow) sent(now time.Duration) { f.count.Add(now, flowTime, 1) }
 
 // rate is how many requests come in a second. The one that is being decided
 // counts, so that a router that has just started takes part.
 func (f *flow) rate(now time.Duration) float64 {
-	return (f.count.value(now, flowTime) + 1) / flowTime.Seconds()
+	return (f.count.Value(now, flowTime) + 1) / flowTime.Seconds()
 }
 
 // ended takes how long a request took.
--- a/internal/quota/bank.go
+++ b/internal/quota/bank.go
@@ -1,10 +1,11 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/decay"
 )
 
 // Tolerance says how far the use within any Window may lie above what a limit
@@ -52,9 +53,8 @@
 	at    time.Duration
 	// returns is when the amounts that were refused could all have been admitted.
 	returns time.Duration
-	// asked and refused are sums that fall over shareTime.
-	asked, refused Amount
-	sharedAt       time.Duration
+	// asked and refused are amounts that count less over shareTime.
+	asked, refused decay.Sum
 }
 
 // NewBank returns a bank without limits.
@@ -114,13 +114,12 @@
 	}
 	capacity := b.capacity(a.limit)
 	a.refill(now, capacity)
-	a.fade(now)
-	a.asked += amount
+	a.asked.Add(now, shareTime, float64(amount))
 	if need := min(max(amount-b.part(a.limit), 0), capacity); a.level >= need {
 		a.level -= amount
 		return 0, true
 	}
-	a.refused += amount
+	a.refused.Add(now, shareTime, float64(amount))
 	return a.postpone(now, amount), false
 }
 
@@ -133,8 +132,7 @@
 	}
 	capacity := b.capacity(a.limit)
 	a.refill(now, capacity)
-	a.fade(now)
-	a.asked += max(amount, 0)
+	a.asked.Add(now, shareTime, float64(max(amount, 0)))
 	a.level = min(a.level-amount, capacity)
 }
 
@@ -148,11 +146,11 @@
 func (b *Bank) Shares(now time.Duration) []Share {
 	var out []Share
 	for _, a := range b.accounts {
-		a.fade(now)
-		if a.refused < 1 || a.asked <= 0 {
+		asked, refused := a.asked.Value(now, shareTime), a.refused.Value(now, shareTime)
+		if refused < 1 || asked <= 0 {
 			continue
 		}
-		out = append(out, Share{Tenant: a.name, Part: float64(max(1-a.refused/a.asked, 0))})
+		out = append(out, Share{Tenant: a.name, Part: max(1-refused/asked, 0)})
 	}
 	slices.SortFunc(out, func(x, y Share) int { return strings.Compare(x.Tenant, y.Tenant) })
 	return out
@@ -164,14 +162,6 @@
 	a.at = now
 }
 
-// fade lets old demand count less.
-func (a *account) fade(now time.Duration) {
-	keep := Amount(math.Exp(-float64(now-a.sharedAt) / float64(shareTime)))
-	a.asked *= keep
-	a.refused *= keep
-	a.sharedAt = now
-}
-
 // postpone returns when a refused caller may come back: behind those that were
 // refused before it, each after the time in which the rate allows its amount.
 func (a *account) postpone(now time.Duration, amount Amount) time.Duration {
