A router is told of a shard of the engines; views are made of steps

Change: engines are divided into shards of 512 (a power of two of them, by ID); a router hears of one shard and of all plain back ends, and keeps an engine that the leader placed it at as a guest while requests run there. Views until the next step are of one revision, so that rows, whole views and configurations are found and packed once for all that lack them; a change of an engine wakes the routers of its shard. Rows wait for a step the longer the more routers follow, configuration and blocked requests for none. Successors are found by the rows that changed; the log names 32 back ends a line.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -51,7 +51,7 @@
 	if q.Model != "" {
 		a.ahead, a.reading = choice.Ahead+choice.Work.Prompt, reading
 	}
-	r := p.rows[a.id]
+	r := p.host(choice, q)
 	if r != nil {
 		r.running++
 		r.memory += a.work.Most
@@ -152,6 +152,9 @@
 	if r := a.pool.rows[a.id]; r != nil {
 		r.running = max(r.running-1, 0)
 		r.memory = max(r.memory-a.work.Most, 0)
+		if r.guest && r.running == 0 {
+			delete(a.pool.rows, a.id)
+		}
 	}
 }
 
--- a/internal/backends/outcome.go
+++ b/internal/backends/outcome.go
@@ -89,7 +89,7 @@
 
 // trouble keeps what an engine's attempt showed, for others to hear of.
 func (p *Pool) trouble(r *row, kind coordapi.TroubleKind) {
-	if r.isEngine() && len(p.troubles) < maxTroubles && !p.drains {
+	if r.IsEngine() && len(p.troubles) < maxTroubles && !p.drains {
 		p.troubles = append(p.troubles, coordapi.Trouble{ID: r.ID, Kind: kind})
 	}
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -24,6 +24,9 @@
 	silent bool
 	// wrong says that the address answered as another instance.
 	wrong bool
+	// guest says that the coordinators tell this router nothing of it: it is here for the
+	// requests under way that the leader has placed there.
+	guest bool
 	// refused maps models to a version that the back end did not hold.
 	refused map[string]int
 	// running and memory are this router's requests there and their tokens; prefill
@@ -94,9 +97,6 @@
 	return e
 }
 
-// isEngine tells a model engine from a plain back end.
-func (r *row) isEngine() bool { return len(r.Weights) > 0 }
-
 // NewPool returns an empty pool as seen from a zone.
 func NewPool(zone string) *Pool {
 	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, reading: map[string]*speed.Reading{},
@@ -120,11 +120,11 @@
 		for _, b := range changed {
 			named[b.ID] = true
 		}
-		maps.DeleteFunc(p.rows, func(id string, _ *row) bool { return !named[id] })
+		p.drop(func(r *row) bool { return !named[r.ID] })
 	}
 	for _, b := range changed {
 		if held, known := p.rows[b.ID]; known {
-			held.Backend, held.hash = b, xxhash.Sum64String(b.Address)
+			held.Backend, held.hash, held.guest = b, xxhash.Sum64String(b.Address), false
 			continue
 		}
 		p.rows[b.ID] = &row{Backend: b, hash: xxhash.Sum64String(b.Address)}
@@ -134,18 +134,53 @@
 	}
 }
 
+// Narrow drops the engines outside a shard, of which nothing more is heard.
+func (p *Pool) Narrow(shard coordapi.Shard) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(func(r *row) bool { return r.IsEngine() && !shard.Holds(coordapi.BackendID(r.ID)) })
+}
+
+// drop removes rows. Those of engines with requests under way stay as guests until these
+// are over: what becomes of them is told to the leader.
+func (p *Pool) drop(of func(*row) bool) {
+	maps.DeleteFunc(p.rows, func(_ string, r *row) bool {
+		if !of(r) {
+			return false
+		}
+		r.guest = r.IsEngine() && r.running > 0 && !p.drains
+		return !r.guest
+	})
+}
+
+// host returns the row of a chosen back end. One of which the router is told nothing is
+// there as a guest from now on.
+func (p *Pool) host(choice *Choice, q *Query) *row {
+	r := p.rows[choice.ID]
+	if r == nil && choice.Placement > 0 && choice.Versioned {
+		r = &row{Backend: state.Backend{ID: choice.ID, Pool: q.Pool, Address: choice.Address, Zone: choice.Zone,
+			Weights: map[string]int{q.Model: choice.Version}}, guest: true}
+		p.rows[choice.ID] = r
+	}
+	return r
+}
+
 // Note takes what only the leader knows.
 func (p *Pool) Note(notes coordapi.Notes) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.notes.Silent
 	p.notes = notes
 	p.expire(notes.Expired)
-	quiet := make(map[string]bool, len(notes.Silent))
-	for _, id := range notes.Silent {
-		quiet[id] = true
+	for _, id := range before {
+		if r := p.rows[id]; r != nil {
+			r.silent = false
+		}
 	}
-	for id, r := range p.rows {
-		r.silent = quiet[id]
+	for _, id := range notes.Silent {
+		if r := p.rows[id]; r != nil {
+			r.silent = true
+		}
 	}
 }
 
@@ -155,7 +190,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.rows {
-		if engines || !r.isEngine() {
+		if engines || !r.IsEngine() {
 			r.others = coordapi.Load{}
 		}
 	}
@@ -177,7 +212,7 @@
 	defer p.mu.Unlock()
 	var out []coordapi.Load
 	for id, r := range p.rows {
-		r.told = coordapi.Load{ID: id, Running: r.running, Memory: r.memory, Prompt: r.prefill, Engine: r.isEngine()}
+		r.told = coordapi.Load{ID: id, Running: r.running, Memory: r.memory, Prompt: r.prefill, Engine: r.IsEngine()}
 		if r.running > 0 {
 			out = append(out, r.told)
 		}
--- a/internal/backends/quiet.go
+++ b/internal/backends/quiet.go
@@ -48,7 +48,7 @@
 	defer p.mu.Unlock()
 	n := 0
 	for _, r := range p.rows {
-		if r.isEngine() && p.quiet(now, r, entry(p.reading, r.Pool).Rate()) {
+		if r.IsEngine() && p.quiet(now, r, entry(p.reading, r.Pool).Rate()) {
 			n++
 		}
 	}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -72,8 +72,10 @@
 	// SavedSince is View.SavedUntil of the last View.
 	SavedSince uint64 `json:"saved_since,omitempty"`
 	// Announced is View.Announced of the last View.
-	Announced uint64        `json:"announced,omitempty"`
-	Wait      time.Duration `json:"wait"`
+	Announced uint64 `json:"announced,omitempty"`
+	// Shards is View.Shard.Count of the last View.
+	Shards int           `json:"shards,omitempty"`
+	Wait   time.Duration `json:"wait"`
 }
 
 // View is what changed. A leader that holds its lease vouches that nothing
@@ -86,6 +88,10 @@
 	// since the watcher's revision.
 	Version  uint64          `json:"version"`
 	Document json.RawMessage `json:"document,omitempty"`
+	// PackedDocument is a packed Document in its place, where it is large.
+	PackedDocument []byte `json:"packed_document,omitempty"`
+	// Shard says of which engines the watcher is told. It drops the others.
+	Shard Shard `json:"shard,omitzero"`
 	// Backends are the changed rows and Departed the removed ones.
 	Backends []state.Backend `json:"backends,omitempty"`
 	Departed []string        `json:"departed,omitempty"`
--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -202,7 +202,7 @@
 			return signs
 		}
 		signs.Leaving = row.Draining
-		_, signs.Gone = slices.BinarySearch(s.soft.silent, id)
+		signs.Gone = s.soft.isSilent(id)
 		return signs
 	}
 }
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -277,8 +277,8 @@
 		var view *coordapi.View
 		var changed <-chan struct{}
 		reply, err := s.asLeader(ctx, func(now time.Duration) {
-			changed = s.notify.changed
 			view = s.view(now, w, last)
+			changed = s.notify.of(s.shardOf(w.Router).Index)
 		})
 		if err != nil || reply.NotLeader {
 			return reply, err
@@ -297,21 +297,32 @@
 	}
 }
 
+// shardOf returns a router's shard in the present step.
+func (s *Server) shardOf(router string) coordapi.Shard {
+	return coordapi.ShardOf(router, s.soft.step.shards())
+}
+
 // view returns what the watcher lacks, or nil when it lacks nothing and may
 // wait.
 func (s *Server) view(now time.Duration, w coordapi.Watch, last bool) *coordapi.View {
 	s.soft.watched(now, w.Router)
 	d := s.core.Machine().Deployment()
+	step := &s.soft.step
+	if step.shards() == 0 || step.urgent(d) {
+		// A view vouches for the configuration.
+		s.step(now, d)
+	}
+	shard := s.shardOf(w.Router)
 	sameLeader := w.Leader.Leadership() == s.soft.epoch
 	news := s.soft.told.announcements > w.Announced || !sameLeader
-	if d.ChangedAt() <= w.Since && w.Leader == s.soft.token() && !news && !last {
+	if step.changedFor(d, shard) <= w.Since && w.Leader == s.soft.token() && !news && !last {
 		return nil
 	}
-	v := &coordapi.View{Revision: s.core.Machine().Applied(), Leader: s.soft.token(), Version: d.Version,
-		Routers: s.soft.watchers(now)}
+	v := &coordapi.View{Revision: step.revision, Leader: s.soft.token(), Version: d.Version, Routers: s.soft.watchers(), Shard: shard,
+		Members: step.members}
 	if v.Leader != w.Leader {
 		v.Notes = s.rollout.notes
-		v.Silent = s.soft.silent
+		v.Silent = s.soft.silentOf(d, shard)
 		v.Suspects = s.blocking.suspects
 	}
 	if !sameLeader {
@@ -322,26 +333,30 @@
 	v.Shares = s.limits.announced()
 	if news {
 		sums := s.soft.told.since(w.Announced, sameLeader)
-		v.Loads, v.PackedLoads, v.EngineLoads = sums.loads, sums.packed, sums.engines
+		mine := sums.of(shard)
+		v.Loads, v.PackedLoads, v.EngineLoads = mine.loads, mine.packed, sums.engines
 		v.LoadsAge = now - s.soft.told.toldAt
 	}
-	if d.Remembers(w.Since) {
-		v.Backends, v.Departed = d.Changed(w.Since)
-		if len(v.Backends) >= packFrom {
-			v.Backends, v.PackedBackends = nil, s.soft.rows.of(w.Since, s.core.Machine().Applied(), v.Backends)
-		}
-		if d.ConfiguredAt > w.Since {
-			v.Document = d.Document
-		}
-		if d.BlockedAt > w.Since {
-			v.Blocked = &coordapi.Blocked{Requests: d.Blocked}
-		}
+	if d.Remembers(w.Since) && w.Shards <= shard.Count {
+		step.fill(v, d, w.Since)
 	} else {
-		v.Packed = s.soft.whole.of(d)
+		step.fillWhole(v, d)
 	}
+	return v
+}
+
+// step moves on to what is committed now, and wakes whom that concerns.
+func (s *Server) step(now time.Duration, d *state.Deployment) {
+	members := make([]string, 0, len(s.soft.step.members))
 	for _, address := range s.core.Status().Membership.Addresses {
-		v.Members = append(v.Members, address)
+		members = append(members, address)
 	}
-	slices.Sort(v.Members)
-	return v
+	slices.Sort(members)
+	s.soft.step.members = members
+	shards, all := s.soft.step.next(now, s.core.Machine().Applied(), d)
+	if all {
+		s.notify.wake()
+		return
+	}
+	s.notify.wakeShards(shards)
 }
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -44,7 +44,7 @@
 	for _, share := range s.limits.announced() {
 		fmt.Fprintf(w, "quinceridge_limit_admitted_part{tenant=%q} %.3f\n", share.Tenant, share.Part)
 	}
-	s.loop.Do(r.Context(), func(now time.Duration) {
+	s.loop.Do(r.Context(), func(time.Duration) {
 		gauge("requests_suspected", len(s.blocking.suspects))
 		gauge("requests_blocked", len(s.core.Machine().Deployment().Blocked))
 		status := s.core.Status()
@@ -63,7 +63,7 @@
 		gauge("configuration_version", s.core.Machine().Deployment().Version)
 		gauge("backends", len(s.core.Machine().Deployment().Backends))
 		gauge("backends_silent", len(s.soft.silent))
-		gauge("routers", s.soft.watchers(now))
+		gauge("routers", s.soft.watchers())
 		gauge("orders_under_way", len(s.rollout.running))
 	})
 }
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -181,7 +180,7 @@
 			s.settle(ctx, b)
 		}
 		version, holds := b.Weights[model]
-		if !holds || b.Draining || slices.Contains(s.soft.silent, id) {
+		if !holds || b.Draining || s.soft.isSilent(id) {
 			continue
 		}
 		engines = append(engines, weights.Engine{ID: id, Version: version, Loading: s.rollout.running[id]})
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -94,7 +94,6 @@
 		return nil, err
 	}
 	s.peers = peer.NewClient(s.counters)
-	s.notify.init()
 	seeds := config.Coordinators()
 	s.seeds.Store(&seeds)
 	return s, nil
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -21,11 +22,9 @@
 	drainedAfter = 8 * time.Second
 	// watcherKept is how long a router counts after its last watch.
 	watcherKept = 4 * time.Second
-	// silenceEvery is the time between two looks for silent back ends, and
-	// changedEvery the least such time when rows have changed: one may follow
-	// another at its address.
+	// silenceEvery is the time between two looks at all back ends for silent ones. One
+	// costs 0.3 us for each.
 	silenceEvery = 300 * time.Millisecond
-	changedEvery = 20 * time.Millisecond
 )
 
 // softState is what a leader knows without the log. A new leader starts with
@@ -51,41 +50,11 @@
 	placedAt    uint64
 	placedNotes coordapi.LeaderToken
 	told        told
-	whole       packedWhole
-	rows        packedRows
-}
-
-// packedRows is the packed form of the rows that changed between two revisions: when
-// thousands of back ends start, many watchers lack the same.
-type packedRows struct {
-	since, revision uint64
-	packed          []byte
-}
-
-func (p *packedRows) of(since, revision uint64, rows []state.Backend) []byte {
-	if since != p.since || revision != p.revision || p.packed == nil {
-		// Encoding into memory cannot fail.
-		p.packed, _ = coordapi.Pack(rows)
-		p.since, p.revision = since, revision
-	}
-	return p.packed
-}
-
-// packedWhole is the packed form of all that routers must know, made when it is
-// first asked for after a change.
-type packedWhole struct {
-	revision uint64
-	packed   []byte
-}
-
-func (p *packedWhole) of(d *state.Deployment) []byte {
-	if revision := max(d.ChangedAt(), 1); revision != p.revision {
-		rows, _ := d.Changed(0)
-		// Encoding into memory cannot fail.
-		p.packed, _ = coordapi.Pack(coordapi.Whole{Document: d.Document, Backends: rows, Blocked: coordapi.Blocked{Requests: d.Blocked}})
-		p.revision = revision
-	}
-	return p.packed
+	step        step
+	// holders are the back ends that have each address, of those that are heard of.
+	holders map[string]string
+	// silentShards are the silent back ends that concern each of shards.
+	silentShards map[coordapi.Shard][]string
 }
 
 // token changes whenever silent or minimum does.
@@ -98,7 +67,7 @@
 
 func (t *softState) reset(now time.Duration) {
 	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]time.Duration{},
-		left: map[string]bool{}}
+		left: map[string]bool{}, holders: map[string]string{}}
 }
 
 // heard notes a heartbeat. It returns false for one that is older than another
@@ -115,16 +84,11 @@
 func (t *softState) watched(now time.Duration, router string) { t.routers[router] = now }
 
 // watchers is how many routers follow this leader.
-func (t *softState) watchers(now time.Duration) int {
-	count := 0
-	for router, at := range t.routers {
-		if now-at < watcherKept {
-			count++
-			continue
-		}
-		delete(t.routers, router)
-	}
-	return count
+func (t *softState) watchers() int { return len(t.routers) }
+
+// forgetWatchers drops routers that have not asked for long.
+func (t *softState) forgetWatchers(now time.Duration) {
+	maps.DeleteFunc(t.routers, func(_ string, at time.Duration) bool { return now-at >= watcherKept })
 }
 
 // quiet is how long a back end has been silent.
@@ -135,15 +99,6 @@
 	return now - t.since
 }
 
-// lookDue tells whether to look for silent back ends, given the revision of the
-// rows.
-func (t *softState) lookDue(now time.Duration, rowsAt uint64) bool {
-	if rowsAt > t.lookedAt {
-		return now-t.looked > changedEvery
-	}
-	return now-t.looked > silenceEvery
-}
-
 // succeeded returns the back ends in whose place at their address another start is: an
 // address has one process at a time. The one that enrolled last has it as long as it is
 // heard of: a heartbeat of the one before may arrive late. Limit is how long a back end
@@ -155,6 +110,7 @@
 			last[b.Address] = id
 		}
 	}
+	t.holders = last
 	out := map[string]bool{}
 	for id, b := range backends {
 		if other, taken := last[b.Address]; taken && t.follows(backends[other], b) {
@@ -193,61 +149,142 @@
 	}
 	slices.Sort(silent)
 	slices.Sort(gone)
-	t.silent = silent
+	t.setSilent(silent)
 	return gone
 }
 
-// notifier wakes waiting watchers.
+// lookAt finds among rows that have changed those that have or are a successor at their
+// address. It tells whether there are any; the next look finds the rest.
+func (t *softState) lookAt(now, interval time.Duration, changed []state.Backend, backends map[string]state.Backend) bool {
+	limit := time.Duration(silentBeats * float64(interval))
+	before := len(t.silent)
+	for _, b := range changed {
+		other, known := backends[t.holders[b.Address]]
+		switch {
+		case !known || other.ID == b.ID:
+			t.holders[b.Address] = b.ID
+		case t.follows(b, other) && t.quiet(now, b.ID) <= limit:
+			t.holders[b.Address] = b.ID
+			t.hush(other.ID)
+		case t.follows(other, b) && t.quiet(now, other.ID) <= limit:
+			t.hush(b.ID)
+		}
+	}
+	return len(t.silent) > before
+}
+
+// hush adds a back end to the silent ones.
+func (t *softState) hush(id string) {
+	if at, is := slices.BinarySearch(t.silent, id); !is {
+		t.setSilent(slices.Insert(slices.Clone(t.silent), at, id))
+	}
+}
+
+func (t *softState) setSilent(silent []string) {
+	t.silent = silent
+	t.silentShards = map[coordapi.Shard][]string{}
+}
+
+// isSilent tells whether a back end is silent or has a successor.
+func (t *softState) isSilent(id string) bool {
+	_, is := slices.BinarySearch(t.silent, id)
+	return is
+}
+
+// silentOf returns the silent back ends that concern a shard.
+func (t *softState) silentOf(d *state.Deployment, shard coordapi.Shard) []string {
+	if shard.Count <= 1 {
+		return t.silent
+	}
+	known, made := t.silentShards[shard]
+	if made {
+		return known
+	}
+	for _, id := range t.silent {
+		if b := d.Backends[id]; !b.IsEngine() || shard.Holds(coordapi.BackendID(id)) {
+			known = append(known, id)
+		}
+	}
+	t.silentShards[shard] = known
+	return known
+}
+
+// notifier wakes waiting watchers, by shard.
 type notifier struct {
-	changed  chan struct{}
-	revision uint64
+	changed map[int]chan struct{}
 }
 
-func (n *notifier) init() { n.changed = make(chan struct{}) }
+// of returns what is closed when watchers of a shard have news.
+func (n *notifier) of(shard int) <-chan struct{} {
+	changed := n.changed[shard]
+	if changed == nil {
+		if n.changed == nil {
+			n.changed = map[int]chan struct{}{}
+		}
+		changed = make(chan struct{})
+		n.changed[shard] = changed
+	}
+	return changed
+}
 
+// wake wakes all.
 func (n *notifier) wake() {
-	close(n.changed)
-	n.changed = make(chan struct{})
+	for _, changed := range n.changed {
+		close(changed)
+	}
+	n.changed = nil
+}
+
+// wakeShards wakes the watchers of some shards.
+func (n *notifier) wakeShards(shards []int) {
+	for _, shard := range shards {
+		if changed := n.changed[shard]; changed != nil {
+			close(changed)
+			delete(n.changed, shard)
+		}
+	}
 }
 
 // noteChanges wakes watchers when something they follow has changed.
 func (s *Server) noteChanges() {
 	now := s.now()
 	d := s.core.Machine().Deployment()
-	if s.lastRole == raft.Leader && s.soft.lookDue(now, d.BackendsAt) {
-		s.lookForSilence(now, d)
-	}
 	s.rollout.note(now, d)
 	s.limits.follow(now, s.core.LeaseUntil(), d)
+	if s.lastRole != raft.Leader {
+		s.judgeRequests(now, d)
+		return
+	}
+	s.lookForSilence(now, d)
 	defer s.feedPlacer(d)
-	if s.lastRole == raft.Leader && s.rollout.noteMinimum(now, s.settings, d, s.soft.since) {
+	if s.rollout.noteMinimum(now, s.settings, d, s.soft.since) {
 		s.soft.changes++
 		s.notify.wake()
-		return
 	}
 	s.judgeRequests(now, d)
-	if s.lastRole == raft.Leader && s.soft.told.announce(now, len(s.soft.routers)) {
+	if s.soft.told.announce(now, s.soft.watchers()) {
 		s.limits.announce(now)
+		s.step(now, d)
 		s.notify.wake()
 		return
 	}
-	if revision := d.ChangedAt(); revision > s.notify.revision {
-		s.notify.revision = revision
-		s.notify.wake()
+	if s.soft.step.due(now, d, s.soft.watchers()) {
+		s.step(now, d)
 	}
 }
 
 // feedPlacer brings the placer what has changed.
 func (s *Server) feedPlacer(d *state.Deployment) {
-	if s.lastRole != raft.Leader {
-		return
-	}
 	if since := s.soft.placedAt; d.BackendsAt > since {
 		whole := !d.Remembers(since)
 		if whole {
 			since = 0
 		}
-		rows, departed := d.Changed(since)
+		rows, gone := d.Changed(since)
+		departed := make([]string, len(gone))
+		for i, departure := range gone {
+			departed[i] = departure.ID
+		}
 		s.placer.Apply(rows, departed, whole)
 		s.soft.placedAt = d.BackendsAt
 	}
@@ -259,17 +296,60 @@
 	}
 }
 
+// lookForSilence looks at all back ends now and then, and at those whose rows have
+// changed soon after that: a look at all for each change took the leader of 10,000 more
+// time than there is while they registered.
 func (s *Server) lookForSilence(now time.Duration, d *state.Deployment) {
+	if now-s.soft.looked > silenceEvery {
+		s.lookAtAll(now, d)
+		return
+	}
+	if d.BackendsAt <= s.soft.lookedAt {
+		return
+	}
+	rows, _ := d.Changed(s.soft.lookedAt)
+	s.soft.lookedAt = d.BackendsAt
+	before := s.soft.silent
+	if s.soft.lookAt(now, s.settings.BackendHeartbeat, rows, d.Backends) {
+		s.noteSilent(before)
+	}
+}
+
+func (s *Server) lookAtAll(now time.Duration, d *state.Deployment) {
+	s.soft.forgetWatchers(now)
 	before := s.soft.silent
 	s.soft.lookedAt = d.BackendsAt
 	gone := s.soft.look(now, s.settings.BackendHeartbeat, d.Backends)
 	if !slices.Equal(before, s.soft.silent) {
-		s.logger.Info("silent back ends", "part", "registry", "backends", s.soft.silent)
-		// A hint: it travels with the next news.
-		s.soft.changes++
+		s.noteSilent(before)
 	}
 	if len(gone) > 0 && s.core.HoldsLease(now) {
-		s.logger.Info("back ends removed", "part", "registry", "backends", gone)
+		s.logger.Info("back ends removed", "part", "registry", "count", len(gone), "backends", firstOf(gone))
 		s.propose(now, "registry", state.Command{Depart: &state.Depart{IDs: gone}})
 	}
 }
+
+// noteSilent says which back ends have become silent and which are heard of again.
+func (s *Server) noteSilent(before []string) {
+	fell, back := difference(s.soft.silent, before), difference(before, s.soft.silent)
+	s.logger.Info("silent back ends", "part", "registry", "count", len(s.soft.silent), "fell", firstOf(fell), "back", firstOf(back))
+	// A hint: it travels with the next news.
+	s.soft.changes++
+}
+
+// difference returns what is in one sorted list and not in another.
+func difference(list, other []string) []string {
+	var out []string
+	for _, id := range list {
+		if _, is := slices.BinarySearch(other, id); !is {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// loggedIDs is how many back ends one line of the log names: a line of all that are
+// silent would be 200 KB long when a large deployment starts.
+const loggedIDs = 32
+
+func firstOf(ids []string) []string { return ids[:min(len(ids), loggedIDs)] }
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -51,32 +51,54 @@
 	at            time.Duration
 }
 
-// sums is work of all routers, packed where there are many rows; loads is empty then.
+// sums is work of all routers. Engines says that it is of engines too.
 type sums struct {
 	loads   []coordapi.Load
-	packed  []byte
 	engines bool
+	// shards are what was asked for.
+	shards map[coordapi.Shard]shardSums
+}
+
+// shardSums are the sums that concern a shard, packed where there are many; loads is empty
+// then.
+type shardSums struct {
+	loads  []coordapi.Load
+	packed []byte
 }
 
 func newSums(loads []coordapi.Load, engines bool) sums {
-	if len(loads) < packFrom {
-		return sums{loads: loads, engines: engines}
+	return sums{loads: loads, engines: engines, shards: map[coordapi.Shard]shardSums{}}
+}
+
+// of returns what concerns a shard.
+func (s *sums) of(shard coordapi.Shard) shardSums {
+	known, made := s.shards[shard]
+	if made {
+		return known
+	}
+	for _, l := range s.loads {
+		if !l.Engine || shard.Holds(coordapi.BackendID(l.ID)) {
+			known.loads = append(known.loads, l)
+		}
+	}
+	if len(known.loads) >= packFrom {
+		// Encoding into memory cannot fail.
+		known.packed, _ = coordapi.Pack(known.loads)
+		known.loads = nil
 	}
-	packed, err := coordapi.Pack(loads)
-	if err != nil {
-		// Encoding into memory cannot fail; the loads go out as they are.
-		return sums{loads: loads, engines: engines}
+	if s.shards != nil {
+		s.shards[shard] = known
 	}
-	return sums{packed: packed, engines: engines}
+	return known
 }
 
 // since returns what a watcher lacks that has heard an announcement of this leader,
 // or of another.
-func (t *told) since(announced uint64, sameLeader bool) sums {
+func (t *told) since(announced uint64, sameLeader bool) *sums {
 	if !sameLeader || announced < t.allFrom {
-		return t.all
+		return &t.all
 	}
-	return t.plain
+	return &t.plain
 }
 
 // routerLoad is one router's work under way.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,6 +44,8 @@
 type Pool interface {
 	// Apply changes rows and removes departed back ends; whole replaces all.
 	Apply(rows []state.Backend, departed []string, whole bool)
+	// Narrow drops the engines outside a shard: nothing more is heard of them.
+	Narrow(shard coordapi.Shard)
 	// Note takes what only the leader knows.
 	Note(notes coordapi.Notes)
 	// Others takes the work of all routers together, as it was age ago in the mean;
@@ -98,9 +100,11 @@
 	// announced is the leader's last announcement that was taken.
 	announced uint64
 	token     coordapi.LeaderToken
-	leader    string
-	members   []string
-	next      int
+	// shards is into how many the engines were divided in the last view.
+	shards  int
+	leader  string
+	members []string
+	next    int
 }
 
 // Config says what a Follower works with.
@@ -188,7 +192,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Announced: f.announced, Wait: wait}}
+	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Announced: f.announced,
+		Shards: f.shards, Wait: wait}}
 	sent := f.now()
 	var reply coordapi.Reply
 	err := f.config.Peers.Call(ctx, address, coordapi.KindCall, request, &reply)
@@ -243,6 +248,12 @@
 			return false
 		}
 	}
+	if len(v.PackedDocument) > 0 {
+		if err := coordapi.Unpack(v.PackedDocument, &document); err != nil {
+			f.config.Logger.Error("configuration cannot be unpacked", "part", "follower", "version", v.Version, "error", err.Error())
+			return false
+		}
+	}
 	// Before the configuration: whoever sees that one has the blocks of its view too.
 	if blocked != nil {
 		f.evidence.block(blocked)
@@ -253,6 +264,9 @@
 	if len(rows) > 0 || len(v.Departed) > 0 || whole {
 		f.config.Pool.Apply(rows, v.Departed, whole)
 	}
+	if v.Shard.Count > f.shards {
+		f.config.Pool.Narrow(v.Shard)
+	}
 	if v.Announced != f.announced {
 		f.config.Pool.Others(f.now(), f.loads(v), v.LoadsAge, v.EngineLoads)
 	}
@@ -268,6 +282,7 @@
 		f.config.Saved.Learn(v.Saved)
 	}
 	f.since, f.token, f.members, f.saved, f.announced = v.Revision, v.Leader, v.Members, v.SavedUntil, v.Announced
+	f.shards = v.Shard.Count
 	if f.table.Load() != nil {
 		f.rightUntil.Store(max(f.rightUntil.Load(), int64(sent+f.config.Right)))
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -26,6 +26,7 @@
 func (nobody) Apply([]state.Backend, []string, bool)                      {}
 func (nobody) Refused() int                                               { return 0 }
 func (nobody) Note(coordapi.Notes)                                        {}
+func (nobody) Narrow(coordapi.Shard)                                      {}
 func (nobody) Troubles() []coordapi.Trouble                               { return nil }
 func (nobody) Others(time.Duration, []coordapi.Load, time.Duration, bool) {}
 func (nobody) Own() []coordapi.Load                                       { return nil }
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -46,6 +46,9 @@
 	Enrolled uint64 `json:"enrolled,omitempty"`
 }
 
+// IsEngine tells a model engine from a plain back end.
+func (b *Backend) IsEngine() bool { return len(b.Weights) > 0 }
+
 // Loading is an order to load weights that is under way.
 type Loading struct {
 	Model   string `json:"model"`
@@ -72,6 +75,8 @@
 type Departure struct {
 	ID       string `json:"id"`
 	Revision uint64 `json:"revision"`
+	// Engine says that it was a model engine.
+	Engine bool `json:"engine,omitempty"`
 }
 
 // WeightsVersion is a named version of a model's weights.
@@ -152,6 +157,7 @@
 		b.Enrolled = old.Enrolled
 	}
 	b.Revision = index
+	d.order.replaced(d, b.ID, &b)
 	d.Backends[b.ID] = b
 	d.BackendsAt = index
 	d.order.changed(d, b.ID, index)
@@ -163,8 +169,10 @@
 		if d.departed(id) {
 			continue
 		}
+		old := d.Backends[id]
+		d.order.replaced(d, id, &Backend{})
 		delete(d.Backends, id)
-		d.Departed = append(d.Departed, Departure{ID: id, Revision: index})
+		d.Departed = append(d.Departed, Departure{ID: id, Revision: index, Engine: old.IsEngine()})
 		d.order.gone[id] = struct{}{}
 		d.BackendsAt = index
 	}
@@ -192,18 +200,18 @@
 
 // Changed returns the rows that changed after a revision, and the back ends
 // that departed since. At revision 0 the rows are all there are.
-func (d *Deployment) Changed(since uint64) (rows []Backend, gone []string) {
+func (d *Deployment) Changed(since uint64) (rows []Backend, gone []Departure) {
 	rows = d.order.since(d, since)
 	if since == 0 {
 		return rows, nil
 	}
 	first := sort.Search(len(d.Departed), func(i int) bool { return d.Departed[i].Revision > since })
-	for _, departure := range d.Departed[first:] {
-		gone = append(gone, departure.ID)
-	}
-	return rows, gone
+	return rows, d.Departed[first:]
 }
 
+// Engines is how many of the back ends are model engines.
+func (d *Deployment) Engines() int { return d.order.engines }
+
 // Newest returns the highest named version of a model, 0 for none.
 func (d *Deployment) Newest(model string) int {
 	newest := 0
--- a/internal/state/rows.go
+++ b/internal/state/rows.go
@@ -17,6 +17,8 @@
 	changes []rowChange
 	// gone are the departed IDs that are remembered.
 	gone map[string]struct{}
+	// engines counts the rows of model engines.
+	engines int
 }
 
 // rowChange is a change of a row.
@@ -32,7 +34,11 @@
 // rebuild makes the order from the rows, as after a snapshot.
 func (o *rowOrder) rebuild(d *Deployment) {
 	o.changes = make([]rowChange, 0, len(d.Backends))
+	o.engines = 0
 	for id, b := range d.Backends {
+		if b.IsEngine() {
+			o.engines++
+		}
 		o.changes = append(o.changes, rowChange{id, b.Revision})
 	}
 	slices.SortFunc(o.changes, func(a, b rowChange) int {
@@ -55,6 +61,17 @@
 	o.changes = append(o.changes, rowChange{id, revision})
 }
 
+// replaced counts engines when a row takes the place of another; an empty one stands for
+// none.
+func (o *rowOrder) replaced(d *Deployment, id string, b *Backend) {
+	if old := d.Backends[id]; old.IsEngine() {
+		o.engines--
+	}
+	if b.IsEngine() {
+		o.engines++
+	}
+}
+
 // since returns the rows that changed after a revision, by ID.
 func (o *rowOrder) since(d *Deployment, revision uint64) []Backend {
 	first := sort.Search(len(o.changes), func(i int) bool { return o.changes[i].revision > revision })
