What routers tell counts until they tell again, at every size

Cause: a router told every 50 ms and 3 ms for each router, 3.0 s among 985; its loads counted for 1.5 s and its placements for 3, and an engine counts as quiet after a second without a report. What is unread at an engine was summed over all routers and their loads for each question. Change: the period ends at 1 s (a router without news skips its turn); sums by back end follow each word. Shown by: TestARouterTellsInTimeHoweverManyThereAre, TestARoutersLastWordCounts.

--- a/internal/coordinator/enrolment_test.go
+++ b/internal/coordinator/enrolment_test.go
@@ -97,7 +97,12 @@
 		}
 	})
 	for range count {
-		assert.NilError(t, <-done)
+		select {
+		case err := <-done:
+			assert.NilError(t, err)
+		case <-time.After(20 * time.Second):
+			t.Fatal("rows are not answered")
+		}
 	}
 	after, rows := applied()
 	assert.Equal(t, rows, count+1)
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +35,8 @@
 	first uint64
 	parts []uint64
 	loads map[string]routerLoad
+	// work is the sum of loads by back end.
+	work map[string]coordapi.Load
 	// refusedAt is when a router last told of refused requests; 0 for never.
 	refusedAt time.Duration
 	// fresh says that loads came since the last announcement.
@@ -114,8 +117,10 @@
 		t.first += uint64(excess)
 	}
 	if t.loads == nil {
-		t.loads = map[string]routerLoad{}
+		t.loads, t.work = map[string]routerLoad{}, map[string]coordapi.Load{}
 	}
+	t.count(t.loads[news.Router].loads, -1)
+	t.count(news.Loads, 1)
 	t.loads[news.Router] = routerLoad{at: now, loads: news.Loads}
 	t.fresh = true
 	if news.Refused > 0 {
@@ -123,6 +128,20 @@
 	}
 }
 
+// count adds a router's loads to the sums, or with a sign of -1 takes them away.
+func (t *told) count(loads []coordapi.Load, sign int) {
+	for _, l := range loads {
+		s := t.work[l.ID]
+		s = coordapi.Load{ID: l.ID, Running: s.Running + sign*l.Running, Memory: s.Memory + sign*l.Memory, Prompt: s.Prompt + sign*l.Prompt,
+			Engine: l.Engine}
+		if s.Running == 0 && s.Memory == 0 && s.Prompt == 0 {
+			delete(t.work, l.ID)
+			continue
+		}
+		t.work[l.ID] = s
+	}
+}
+
 // crowded tells whether requests were refused lately because engines are
 // behind.
 func (t *told) crowded(now time.Duration) bool {
@@ -144,24 +163,17 @@
 
 // sum adds the routers' loads up.
 func (t *told) sum(now time.Duration) {
-	byID := map[string]coordapi.Load{}
 	var ages time.Duration
 	for router, r := range t.loads {
 		if now-r.at > loadKept {
+			t.count(r.loads, -1)
 			delete(t.loads, router)
 			continue
 		}
 		ages += now - r.at
-		for _, l := range r.loads {
-			s := byID[l.ID]
-			byID[l.ID] = coordapi.Load{ID: l.ID, Running: s.Running + l.Running, Memory: s.Memory + l.Memory, Prompt: s.Prompt + l.Prompt, Engine: l.Engine}
-		}
 	}
 	t.toldAt = now - ages/time.Duration(max(len(t.loads), 1))
-	loads := make([]coordapi.Load, 0, len(byID))
-	for _, l := range byID {
-		loads = append(loads, l)
-	}
+	loads := slices.Collect(maps.Values(t.work))
 	slices.SortFunc(loads, func(a, b coordapi.Load) int { return strings.Compare(a.ID, b.ID) })
 	if t.allFrom == 0 || now >= t.allAt+enginesEvery {
 		t.all, t.allFrom, t.allAt = newSums(loads, true), t.announcements, now
@@ -179,14 +191,4 @@
 
 // unread is how many prompt tokens an engine has still to read, for all that
 // routers have told.
-func (t *told) unread(id string) int {
-	total := 0
-	for _, r := range t.loads {
-		for _, l := range r.loads {
-			if l.ID == id {
-				total += l.Prompt
-			}
-		}
-	}
-	return total
-}
+func (t *told) unread(id string) int { return t.work[id].Prompt }
--- a/internal/coordinator/told_test.go
+++ b/internal/coordinator/told_test.go
@@ -89,3 +89,20 @@
 	assert.Assert(t, sums.since(2, true).engines, "a watcher that missed the announcement with engines")
 	assert.Assert(t, !sums.since(3, true).engines)
 }
+
+// What one router has told of itself counts once, and for a while, however often it does.
+func TestARoutersLastWordCounts(t *testing.T) {
+	var sums told
+	word := func(now time.Duration, router string, loads ...coordapi.Load) {
+		sums.take(now, &coordapi.Tell{Router: router, Loads: loads})
+	}
+	word(time.Second, "a", coordapi.Load{ID: "x", Running: 2, Prompt: 70}, coordapi.Load{ID: "y", Running: 1, Prompt: 5})
+	word(time.Second, "b", coordapi.Load{ID: "x", Running: 1, Prompt: 30})
+	assert.Equal(t, sums.unread("x"), 100)
+	word(1100*time.Millisecond, "a", coordapi.Load{ID: "x", Running: 1, Prompt: 10})
+	assert.Equal(t, sums.unread("x"), 40)
+	assert.Equal(t, sums.unread("y"), 0)
+	word(time.Second+loadKept, "a")
+	assert.Assert(t, sums.announce(2*time.Second+loadKept, 2))
+	assert.Equal(t, len(sums.work), 0, "b was not heard of for long")
+}
--- a/internal/follower/place_test.go
+++ b/internal/follower/place_test.go
@@ -69,3 +69,13 @@
 	_, _, answered := f.Place(context.Background(), &backends.Query{Pool: "llm"})
 	assert.Assert(t, !answered)
 }
+
+// With 985 routers one told every 3 s: its loads counted for 1.5 s and its placements
+// for 3.
+func TestARouterTellsInTimeHoweverManyThereAre(t *testing.T) {
+	assert.Equal(t, tellPeriod(1), 53*time.Millisecond)
+	assert.Equal(t, tellPeriod(300), 950*time.Millisecond)
+	for _, routers := range []int{400, 985, 2000, 10000} {
+		assert.Equal(t, tellPeriod(routers), tellLimit)
+	}
+}
--- a/internal/follower/tell.go
+++ b/internal/follower/tell.go
@@ -8,12 +8,22 @@
 )
 
 // tellEvery is the time between two words to the leader, and tellStep what
-// each router of the deployment adds to it.
+// each router of the deployment adds to it, up to tellLimit: the leader takes it that
+// first events are reported within a second, and forgets what a router has under way
+// when it hears nothing of it for some. With 985 routers and no limit a router told
+// every 3 s, and nothing that it told was in force when it told next.
 const (
 	tellEvery = 50 * time.Millisecond
 	tellStep  = 3 * time.Millisecond
+	tellLimit = time.Second
 )
 
+// tellPeriod is the time between two words of one router among many. A router that has
+// nothing to say skips its turn.
+func tellPeriod(routers int) time.Duration {
+	return min(tellEvery+tellStep*time.Duration(routers), tellLimit)
+}
+
 // Tell brings the leader the router's load and newly saved prompt parts until
 // the context ends.
 func (f *Follower) Tell(ctx context.Context) {
@@ -22,7 +32,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(tellEvery + tellStep*time.Duration(f.Routers())):
+		case <-time.After(tellPeriod(f.Routers())):
 		case <-f.evidence.urgent:
 		}
 		leader := f.following.Load()
