A share below one repeat is one for that part of the routers

Cause: the retry budget is split evenly, 0.14 of a repeat for each request of one's own and 0.6 of the burst over all routers: 0.9 of one for most of 985 routers, and what is below one repeat was none for each of them. Ruled out: a draw for each window (two windows overlap: routers that want repeats all the time would get up to twice their shares). Change: each router draws once for each pool; what is left of its share after whole repeats is one more for that part of all routers. Shown by: TestSharesBelowOneRepeatAddUp (985 routers with two requests: 0 before), TestADrawStays; all together stay within the budget at 10 to 5,000.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -27,27 +28,34 @@
 // budget is a router's part of the common retry budget. It is safe for
 // concurrent use.
 type budget struct {
-	config  BudgetConfig
+	config BudgetConfig
+	// draw returns random numbers in [0, 1).
+	draw    func() float64
 	mu      sync.Mutex
 	windows map[string]*window
 }
 
 // window counts requests and repeats of a pool in the parts of a window.
 type window struct {
+	// draw is in [0, 1) and stays: what is left of the router's share after whole repeats is
+	// one more for that part of all routers. Among 985 routers that have 0.9 of a
+	// repeat each nine of ten may repeat, where none could, and all together repeat
+	// as often as their shares add up to (TestSharesBelowOneRepeatAddUp).
+	draw     float64
 	part     int64
 	requests [budgetParts + 1]int
 	repeats  [budgetParts + 1]int
 }
 
 func newBudget(config BudgetConfig) *budget {
-	return &budget{config: config, windows: map[string]*window{}}
+	return &budget{config: config, draw: rand.Float64, windows: map[string]*window{}}
 }
 
 // at returns a pool's window, moved on to now.
 func (b *budget) at(now time.Duration, pool string) *window {
 	w := b.windows[pool]
 	if w == nil {
-		w = &window{}
+		w = &window{draw: b.draw()}
 		b.windows[pool] = w
 	}
 	part := int64(now / (b.config.Window / budgetParts))
@@ -79,7 +87,7 @@
 		repeats += w.repeats[i]
 	}
 	allowed := ratioShare*b.config.Ratio*float64(requests) + burstShare*b.config.Burst/float64(max(routers, 1))
-	if float64(repeats+1) > allowed {
+	if float64(repeats+1) > allowed+w.draw {
 		return false
 	}
 	w.repeats[w.part%(budgetParts+1)]++
