--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -125,7 +125,8 @@
 	Shares []quota.Share `json:"shares,omitempty"`
 	// Announced counts the leader's announcements of Saved and Loads.
 	Announced uint64 `json:"announced,omitempty"`
-	// Members are the peer addresses of the coordinators.
+	// Members are the peer addresses of the coordinators, set when they changed since the
+	// watcher's revision.
 	Members []string `json:"members,omitempty"`
 }
 
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -318,8 +318,10 @@
 	if step.changedFor(d, shard) <= w.Since && w.Leader == s.soft.token() && !news && !last {
 		return nil
 	}
-	v := &coordapi.View{Revision: step.revision, Leader: s.soft.token(), Version: d.Version, Routers: s.soft.watchers(), Shard: shard,
-		Members: step.members}
+	v := &coordapi.View{Revision: step.revision, Leader: s.soft.token(), Version: d.Version, Routers: s.soft.watchers(), Shard: shard}
+	if !sameLeader || step.membersAt > w.Since {
+		v.Members = step.members
+	}
 	if v.Leader != w.Leader {
 		v.Notes = s.rollout.notes
 		v.Silent = s.soft.silentOf(d, shard)
@@ -352,8 +354,8 @@
 		members = append(members, address)
 	}
 	slices.Sort(members)
-	s.soft.step.members = members
 	shards, all := s.soft.step.next(now, s.core.Machine().Applied(), d)
+	s.soft.step.follow(members)
 	if all {
 		s.notify.wake()
 		return
--- a/internal/coordinator/step.go
+++ b/internal/coordinator/step.go
@@ -46,7 +46,10 @@
 	// shardsAt the same for the engines of each shard.
 	plainAt  uint64
 	shardsAt []uint64
-	members  []string
+	// members are the addresses of the coordinators, and membersAt the revision at which
+	// they changed last.
+	members   []string
+	membersAt uint64
 	// deltas are what changed, by the revision since when.
 	deltas map[uint64]*delta
 	// document is the packed configuration of the revision documentAt.
@@ -57,6 +60,13 @@
 // shards is how many there are.
 func (t *step) shards() int { return len(t.shardsAt) }
 
+// follow takes the members of the group.
+func (t *step) follow(members []string) {
+	if !slices.Equal(members, t.members) {
+		t.members, t.membersAt = members, t.revision
+	}
+}
+
 // changedFor is the revision at which something that concerns a shard changed last.
 func (t *step) changedFor(d *state.Deployment, shard coordapi.Shard) uint64 {
 	return max(d.ConfiguredAt, d.BlockedAt, t.plainAt, t.shardsAt[shard.Index])
@@ -156,7 +166,7 @@
 	v.Departed = news.departed(shard)
 	if packed := news.packed[shard]; packed != nil {
 		v.PackedBackends = packed
-	} else if rows := news.rows(shard); len(rows) < packFrom {
+	} else if rows := news.rows(shard); len(rows) < packRowsFrom {
 		v.Backends = rows
 	} else {
 		// Encoding into memory cannot fail.
@@ -171,6 +181,10 @@
 	}
 }
 
+// packRowsFrom is how many rows are packed. All routers of a shard lack the same ones when
+// back ends start, and six take a third packed of what they take as text.
+const packRowsFrom = 6
+
 // packDocumentFrom is the size from which a configuration is packed, once for all
 // routers; what fits into two packets of a network is not worth the second form.
 const packDocumentFrom = 2 << 10
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -281,8 +281,11 @@
 	if len(v.Saved) > 0 && f.config.Saved != nil {
 		f.config.Saved.Learn(v.Saved)
 	}
-	f.since, f.token, f.members, f.saved, f.announced = v.Revision, v.Leader, v.Members, v.SavedUntil, v.Announced
+	f.since, f.token, f.saved, f.announced = v.Revision, v.Leader, v.SavedUntil, v.Announced
 	f.shards = v.Shard.Count
+	if len(v.Members) > 0 {
+		f.members = v.Members
+	}
 	if f.table.Load() != nil {
 		f.rightUntil.Store(max(f.rightUntil.Load(), int64(sent+f.config.Right)))
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,12 +62,30 @@
 	return e, errors.Wrap(err, "decode message")
 }
 
+// bodyField begins the body's field of an envelope.
+const bodyField = `"body":`
+
 // encodeLine returns the line of an envelope.
 func encodeLine(e envelope, counters *Counters) ([]byte, error) {
-	line, err := json.Marshal(e)
+	// The body is what json.Marshal made. To encode the envelope around it as a whole reads
+	// and copies it once more.
+	body := e.Body
+	e.Body = nil
+	head, err := json.Marshal(e)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
+	line := head
+	if len(body) > 0 {
+		line = make([]byte, 0, len(head)+len(body)+len(bodyField)+1)
+		line = append(line, head[:len(head)-1]...)
+		if len(head) > len("{}") {
+			line = append(line, ',')
+		}
+		line = append(line, bodyField...)
+		line = append(line, body...)
+		line = append(line, '}')
+	}
 	line = append(line, '\n')
 	counters.BytesOut.Add(uint64(len(line)))
 	counters.MessagesOut.Add(1)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -193,3 +193,22 @@
 	assert.Assert(t, client.Call(ctx, address, "echo", 3, &reply) != nil)
 	assert.Assert(t, before() == kept)
 }
+
+// A line is the JSON of its envelope, however it is put together.
+func TestALineIsTheJSONOfItsEnvelope(t *testing.T) {
+	for _, e := range []envelope{
+		{},
+		{Number: 7},
+		{Kind: "note", Body: json.RawMessage(`{"a":[1,2]}`)},
+		{Number: 7, Kind: "call \"x\"", Body: json.RawMessage(`"text"`)},
+		{Body: json.RawMessage(`3`)},
+		{Number: 8, Error: "broken\n"},
+	} {
+		line, err := encodeLine(e, &Counters{})
+		assert.NilError(t, err)
+		assert.Equal(t, line[len(line)-1], byte('\n'))
+		var got envelope
+		assert.NilError(t, json.Unmarshal(line, &got))
+		assert.DeepEqual(t, got, e)
+	}
+}
