The question for a leader waits for one; consensus goes before calls

Meanwhile 985 routers ask the three nodes that they know for a leader every 60 ms, some 15,000 times a second (reckoned from the pauses), and messages of the consensus wait in one queue with calls. Two of these nodes are the slowest to start (0.3 to 0.5 s after the others). Ruled out: longer pauses between questions (they delay each router alike). Not ruled out: a first entry of the leader's term that was lost and sent again after an election timeout, which would last 0.5 s too. Change: a node that knows of no leader holds the question for 150 ms; messages of the consensus have a queue that goes first.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -16,6 +16,8 @@
 
 // Loop hands functions to the one goroutine that owns a Core.
 type Loop struct {
+	// first goes before events.
+	first   chan func(now time.Duration)
 	events  chan func(now time.Duration)
 	stopped chan struct{}
 	clock   func() time.Duration
@@ -23,22 +25,48 @@
 
 // NewLoop returns a loop by a monotonic clock.
 func NewLoop(clock func() time.Duration) *Loop {
-	return &Loop{events: make(chan func(time.Duration), eventQueue), stopped: make(chan struct{}), clock: clock}
+	return &Loop{first: make(chan func(time.Duration), eventQueue), events: make(chan func(time.Duration), eventQueue), stopped: make(chan struct{}), clock: clock}
 }
 
 // Events are the functions that wait. The owner runs each with Run.
 func (l *Loop) Events() <-chan func(now time.Duration) { return l.events }
 
+// First are those that were offered to be run before all Events.
+func (l *Loop) First() <-chan func(now time.Duration) { return l.first }
+
 // Run runs an event and those that wait behind it, so that they share a sync.
 func (l *Loop) Run(event func(now time.Duration)) {
 	event(l.clock())
 	for range eventBatch {
-		select {
-		case event := <-l.events:
-			event(l.clock())
-		default:
+		event, waits := l.next()
+		if !waits {
 			return
 		}
+		event(l.clock())
+	}
+}
+
+// next returns an event that waits, the first ones before the others.
+func (l *Loop) next() (event func(now time.Duration), waits bool) {
+	select {
+	case event = <-l.first:
+		return event, true
+	default:
+	}
+	select {
+	case event = <-l.events:
+		return event, true
+	default:
+		return nil, false
+	}
+}
+
+// OfferFirst queues a function before those of Offer and Do, without waiting for it. A
+// full queue loses it.
+func (l *Loop) OfferFirst(event func(now time.Duration)) {
+	select {
+	case l.first <- event:
+	default:
 	}
 }
 
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -40,3 +40,25 @@
 	assert.Assert(t, ran)
 	assert.Assert(t, finished)
 }
+
+// Messages of the consensus waited behind what thousands of back ends asked.
+func TestWhatGoesFirstRunsBeforeTheRest(t *testing.T) {
+	l := NewLoop(func() time.Duration { return 0 })
+	var order []string
+	note := func(what string) func(time.Duration) {
+		return func(time.Duration) { order = append(order, what) }
+	}
+	l.Offer(note("call"))
+	l.Offer(note("second call"))
+	l.OfferFirst(note("vote"))
+	l.Run(<-l.First())
+	assert.DeepEqual(t, order, []string{"vote", "call", "second call"})
+	l.Offer(note("third call"))
+	l.Offer(func(time.Duration) {
+		order = append(order, "fourth call")
+		l.OfferFirst(note("second vote"))
+	})
+	l.Offer(note("fifth call"))
+	l.Run(<-l.Events())
+	assert.DeepEqual(t, order[3:], []string{"third call", "fourth call", "second vote", "fifth call"})
+}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -51,6 +51,8 @@
 	// the leader, empty when none is known.
 	NotLeader bool   `json:"not_leader,omitempty"`
 	Leader    string `json:"leader,omitempty"`
+	// Backends is how many back ends a node that does not lead knows of.
+	Backends int `json:"backends,omitempty"`
 	// Document answers Read.
 	Document json.RawMessage `json:"document,omitempty"`
 	View     *View           `json:"view,omitempty"`
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -28,14 +28,15 @@
 	return nil, errors.Wrap(peer.ErrUnknownKind, kind)
 }
 
-// handleRaft queues a consensus message. A full queue loses it, as a network
-// may.
+// handleRaft queues a consensus message before all calls: the lease and elections must
+// not wait behind what thousands of back ends and routers ask. A full queue loses it, as
+// a network may.
 func (s *Server) handleRaft(c coordapi.Consensus) (struct{}, error) {
 	event := func(now time.Duration) {
 		s.members.heardFrom(c.Message.From, c.Sender)
 		s.core.Step(now, c.Message)
 	}
-	s.loop.Offer(event)
+	s.loop.OfferFirst(event)
 	return struct{}{}, nil
 }
 
@@ -69,7 +70,7 @@
 func (s *Server) serve(ctx context.Context, r coordapi.Request) (coordapi.Reply, error) {
 	switch {
 	case r.Find != nil:
-		return s.asLeader(ctx, func(time.Duration) {})
+		return s.find(ctx)
 	case r.Watch != nil:
 		return s.watch(ctx, *r.Watch)
 	case r.Configure != nil:
@@ -99,6 +100,35 @@
 	return coordapi.Reply{}, errors.New("the request names no call")
 }
 
+// findWait is how long a node that knows of no leader holds the question for one. Routers
+// ask again at once: after a loss of all machines 985 of them asked the three nodes that
+// they knew every 60 ms, which had an election to hold. Below the time that a router waits
+// for an answer.
+const findWait = 150 * time.Millisecond
+
+// find says whether this node leads, or who does, as soon as that is known.
+func (s *Server) find(ctx context.Context) (coordapi.Reply, error) {
+	deadline := time.NewTimer(findWait)
+	defer deadline.Stop()
+	for {
+		var changed <-chan struct{}
+		reply, err := s.asLeader(ctx, func(time.Duration) {})
+		if err != nil || !reply.NotLeader || reply.Leader != "" {
+			return reply, err
+		}
+		if !s.loop.Do(ctx, func(time.Duration) { changed = s.notify.of(0) }) {
+			return reply, ErrUnavailable
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return reply, nil
+		case <-ctx.Done():
+			return reply, ErrUnavailable
+		}
+	}
+}
+
 // place chooses an engine for a router. That is a hint, which needs no lease. A
 // request beyond its tenant's limit gets none.
 func (s *Server) place(ask *coordapi.Place) coordapi.Reply {
@@ -132,6 +162,7 @@
 		if !s.core.HoldsLease(now) {
 			reply.NotLeader = true
 			reply.Leader = s.leaderAddress()
+			reply.Backends = len(s.core.Machine().Deployment().Backends)
 			return
 		}
 		work(now)
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -74,6 +74,7 @@
 	// All below belongs to the run goroutine.
 	core      *control.Core
 	lastRole  raft.Role
+	lastLead  leadership
 	soft      softState
 	notify    notifier
 	rollout   rollout
@@ -195,6 +196,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case event := <-s.loop.First():
+			s.loop.Run(event)
 		case event := <-s.loop.Events():
 			s.loop.Run(event)
 		}
@@ -234,9 +237,21 @@
 	}
 }
 
-// noteRole starts the leader's soft state anew when leadership begins.
+// leadership is what a node knows of who leads.
+type leadership struct {
+	leader uint64
+	// leased says that this node has had the lease of its leadership.
+	leased bool
+}
+
+// noteRole starts the leader's soft state anew when leadership begins, and wakes who
+// waits for a leader.
 func (s *Server) noteRole() {
 	status := s.core.Status()
+	if lead := (leadership{status.Leader, s.core.LeaseUntil() > 0}); lead != s.lastLead {
+		s.lastLead = lead
+		s.notify.wake()
+	}
 	if status.Role == s.lastRole {
 		return
 	}
