A look for silence goes by who holds an address

Change: who holds an address is kept from look to look; only those that share one are compared. Shown by: TestASuccessorIsFoundByItsRow and the three tests of starts at one address, unchanged.

--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -32,7 +32,7 @@
 	return m, soft
 }
 
-// What a look at all back ends for silence costs.
+// What a look at all back ends for silence costs, beside the first of a leader.
 func BenchmarkLook(b *testing.B) {
 	for _, count := range []int{300, 3000, 10000, 20000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -22,8 +22,7 @@
 	drainedAfter = 8 * time.Second
 	// watcherKept is how long a router counts after its last watch.
 	watcherKept = 4 * time.Second
-	// silenceEvery is the time between two looks at all back ends for silent ones. One
-	// costs 0.3 us for each.
+	// silenceEvery is the time between two looks at all back ends for silent ones.
 	silenceEvery = 300 * time.Millisecond
 )
 
@@ -99,27 +98,6 @@
 	return now - t.since
 }
 
-// succeeded returns the back ends in whose place at their address another start is: an
-// address has one process at a time. The one that enrolled last has it as long as it is
-// heard of: a heartbeat of the one before may arrive late. Limit is how long a back end
-// may be silent.
-func (t *softState) succeeded(now, limit time.Duration, backends map[string]state.Backend) map[string]bool {
-	last := map[string]string{}
-	for id, b := range backends {
-		if other, taken := last[b.Address]; t.quiet(now, id) <= limit && (!taken || t.follows(b, backends[other])) {
-			last[b.Address] = id
-		}
-	}
-	t.holders = last
-	out := map[string]bool{}
-	for id, b := range backends {
-		if other, taken := last[b.Address]; taken && t.follows(backends[other], b) {
-			out[id] = true
-		}
-	}
-	return out
-}
-
 // follows tells whether a back end took another's place: it enrolled later or, if that
 // is not known, was heard of later.
 func (t *softState) follows(b, other state.Backend) bool {
@@ -135,24 +113,62 @@
 	t.looked = now
 	limit := time.Duration(silentBeats * float64(interval))
 	var silent []string
-	succeeded := t.succeeded(now, limit, backends)
+	// contenders are those heard of that are not known to hold their addresses.
+	contenders := map[string][]string{}
 	for id, b := range backends {
 		quiet := t.quiet(now, id)
-		if quiet > departAfter || (b.Draining && quiet > drainedAfter) {
+		holder, held := t.holders[b.Address]
+		switch {
+		case quiet > departAfter || (b.Draining && quiet > drainedAfter):
 			gone = append(gone, id)
 			t.left[id] = b.Draining
-			continue
-		}
-		if quiet > limit || succeeded[id] {
+		case quiet > limit:
 			silent = append(silent, id)
+		case !held:
+			t.holders[b.Address] = id
+		case holder != id:
+			contenders[b.Address] = append(contenders[b.Address], id)
 		}
 	}
+	for address, ids := range contenders {
+		silent = append(silent, t.succeeded(now, limit, address, ids, backends)...)
+	}
 	slices.Sort(silent)
 	slices.Sort(gone)
 	t.setSilent(silent)
+	t.forgetHolders(backends)
 	return gone
 }
 
+// succeeded returns which of those heard of at an address have been replaced there: it has
+// one process at a time. The one that enrolled last has it as long as it is heard of: a
+// heartbeat of the one before may arrive late. Ids are all but the present holder; limit
+// is how long a back end may be silent.
+func (t *softState) succeeded(now, limit time.Duration, address string, ids []string, backends map[string]state.Backend) []string {
+	if holder := t.holders[address]; backends[holder].Address == address && t.quiet(now, holder) <= limit {
+		ids = append(ids, holder)
+	}
+	last := ids[0]
+	for _, id := range ids[1:] {
+		if t.follows(backends[id], backends[last]) {
+			last = id
+		}
+	}
+	t.holders[address] = last
+	return slices.DeleteFunc(ids, func(id string) bool { return !t.follows(backends[last], backends[id]) })
+}
+
+// forgetHolders drops the holders of addresses that nobody has any more, once they are many.
+func (t *softState) forgetHolders(backends map[string]state.Backend) {
+	if len(t.holders) <= 2*len(backends)+spareHolders {
+		return
+	}
+	maps.DeleteFunc(t.holders, func(address, id string) bool { return backends[id].Address != address })
+}
+
+// spareHolders is how many addresses without a back end are remembered in any case.
+const spareHolders = 1024
+
 // lookAt finds among rows that have changed those that have or are a successor at their
 // address. It tells whether there are any; the next look finds the rest.
 func (t *softState) lookAt(now, interval time.Duration, changed []state.Backend, backends map[string]state.Backend) bool {
