A view before a leader's first look ends nothing

Ruled out: other maps of the leader's soft state (each is made by reset, step.next or take). Shown by: TestAViewBeforeTheFirstLook, which panicked before.

--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -66,7 +66,7 @@
 
 func (t *softState) reset(now time.Duration) {
 	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]time.Duration{},
-		left: map[string]bool{}, holders: map[string]string{}}
+		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{}}
 }
 
 // heard notes a heartbeat. It returns false for one that is older than another
--- a/internal/coordinator/step_test.go
+++ b/internal/coordinator/step_test.go
@@ -275,3 +275,17 @@
 	soft.addSilent("z")
 	assert.Assert(t, soft.isSilent("z"))
 }
+
+// The leader of 10,000 back ends ended itself when a router asked it for a view before its
+// first look for silence, 80 ms after it had been elected.
+func TestAViewBeforeTheFirstLook(t *testing.T) {
+	var soft softState
+	soft.reset(0)
+	row := engineRow(1)
+	d := &state.Deployment{Backends: map[string]state.Backend{row.ID: row}}
+	for i := range 4 {
+		assert.Equal(t, len(soft.silentOf(d, coordapi.Shard{Index: i, Count: 4})), 0)
+	}
+	soft.addSilent(row.ID)
+	assert.Equal(t, len(soft.silentOf(d, coordapi.ShardOf("r", 1))), 1)
+}
