--- a/internal/coordinator/enrolment.go
+++ b/internal/coordinator/enrolment.go
@@ -17,9 +17,9 @@
 
 // enrolment gathers changes of rows into entries of the log. While one entry is under
 // way the changes that come wait for the next, so that an idle group commits each at
-// once and a busy one few entries: 10,000 back ends that started together needed an
-// entry each, of which a group of five committed 210 a second. It belongs to the run
-// goroutine.
+// once and a busy one few entries: 2,000 rows that wait take 8 entries
+// (TestManyRowsAreCommittedInFewEntries), where one each is 210 a second in a group of
+// five. It belongs to the run goroutine.
 type enrolment struct {
 	// gathered are the rows that wait, in order, and byID the same by back end.
 	gathered []*enrolling
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -312,9 +312,9 @@
 	}
 }
 
-// lookForSilence looks at all back ends now and then, and at those whose rows have
-// changed soon after that: a look at all for each change took the leader of 10,000 more
-// time than there is while they registered.
+// lookForSilence looks at all back ends now and then, and in between at those whose rows
+// have changed: a look at all takes 3.7 ms among 10,000 (BenchmarkLook, beside load), and
+// rows change hundreds of times a second while they register.
 func (s *Server) lookForSilence(now time.Duration, d *state.Deployment) {
 	if now-s.soft.looked > silenceEvery {
 		s.lookAtAll(now, d)
--- a/internal/state/rows.go
+++ b/internal/state/rows.go
@@ -7,9 +7,9 @@
 )
 
 // rowOrder is the order in which rows changed, so that asking for what changed since a
-// revision costs what changed and not what there is: among 10,000 rows a look through
-// all of them took 0.5 ms for each of 1,000 routers and each change. It follows
-// from the rows and is no part of a snapshot.
+// revision costs what changed and not what there is: it is asked for each step of what
+// routers are told, and 0.7 us among 300 rows as among 20,000 (BenchmarkView of package
+// coordinator). It follows from the rows and is no part of a snapshot.
 type rowOrder struct {
 	// changes are in rising order of their revisions. A row's last change is the one
 	// whose revision it has; those before it are dropped when half of all are of that
