The test of the right awaits it: a view's configuration is in force a moment before

Cause: take stores the table in configure and the right at its end; the test read the right as soon as it saw the table. The test now waits for the right, as the next one does for its end.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -111,7 +111,13 @@
 	assert.Assert(t, !f.Fresh())
 	s.say(view(3))
 	f.await(t, 3)
-	assert.Assert(t, f.Fresh())
+	// A view's configuration is in force before the right that it brings.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !f.Fresh() {
+			return poll.Continue("no right yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
 }
 
 func TestTheRightEndsWhenNoLeaderVouches(t *testing.T) {
