One insertion into the first few of a key's order serves scorer and index

The index of idle engines wrote ranking.add again with arrays; both use firsts now. Apply stirred a row twice, and remove took no missing row where activate did.

--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -53,9 +53,9 @@
 	return p
 }
 
-// activate notes that a row changes. A nil index or row changes nothing.
+// activate notes that a row changes. A nil index does nothing.
 func (x *index) activate(r *row) {
-	if x == nil || r == nil {
+	if x == nil {
 		return
 	}
 	x.remove(r)
@@ -63,9 +63,9 @@
 	r.indexed.active[r] = struct{}{}
 }
 
-// remove forgets a row.
+// remove forgets a row, if there is one.
 func (x *index) remove(r *row) {
-	if x == nil || r.indexed == nil {
+	if x == nil || r == nil || r.indexed == nil {
 		return
 	}
 	delete(r.indexed.active, r)
@@ -126,22 +126,14 @@
 }
 
 // first returns the first engines in the order of a key, by its hash, that were not tried.
-// It has nil for those that are missing.
 func (g *idleGroup) first(keyHash uint64, tried []string) []*row {
-	var weights [rankLimit]uint64
-	var rows [rankLimit]*row
+	var found firsts[*row]
 	for i, hash := range g.hashes {
-		weight := mixed(keyHash ^ hash)
-		if weight <= weights[rankLimit-1] || slices.Contains(tried, g.rows[i].ID) {
-			continue
+		if !slices.Contains(tried, g.rows[i].ID) {
+			found.add(g.rows[i], mixed(keyHash^hash))
 		}
-		at := rankLimit - 1
-		for ; at > 0 && weight > weights[at-1]; at-- {
-			weights[at], rows[at] = weights[at-1], rows[at-1]
-		}
-		weights[at], rows[at] = weight, g.rows[i]
 	}
-	return rows[:min(len(g.rows), rankLimit)]
+	return found.best
 }
 
 // representatives adds the idle engines to candidates that a choice must look at: of each
@@ -165,7 +157,7 @@
 func (p *Pool) represent(q *Query, group *idleGroup, hash uint64, candidates []candidate) []candidate {
 	var special []*row
 	if q.Key != "" {
-		special = slices.DeleteFunc(group.first(hash, q.Tried), func(r *row) bool { return r == nil })
+		special = group.first(hash, q.Tried)
 	}
 	if holder := p.holder(q, group); holder != nil && !slices.Contains(special, holder) {
 		special = append(special, holder)
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -128,19 +128,16 @@
 		p.drop(func(r *row) bool { return !named[r.ID] })
 	}
 	for _, b := range changed {
-		if held, known := p.rows[b.ID]; known {
-			p.index.remove(held)
-			held.Backend, held.hash, held.unlisted = b, xxhash.Sum64String(b.Address), false
-			p.index.activate(held)
-			continue
+		r := p.rows[b.ID]
+		if r == nil {
+			r = &row{}
+			p.rows[b.ID] = r
 		}
-		p.rows[b.ID] = &row{Backend: b, hash: xxhash.Sum64String(b.Address)}
-		p.index.activate(p.rows[b.ID])
+		r.Backend, r.hash, r.unlisted = b, xxhash.Sum64String(b.Address), false
+		p.index.activate(r)
 	}
 	for _, id := range departed {
-		if r := p.rows[id]; r != nil {
-			p.index.remove(r)
-		}
+		p.index.remove(p.rows[id])
 		delete(p.rows, id)
 	}
 }
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -108,11 +108,19 @@
 	version int
 	// holder is the engine that has the key's part, empty for none.
 	holder string
-	// best are the first candidates, and weights their hashes, in falling order.
-	best    []*candidate
+	firsts[*candidate]
+}
+
+// firsts are the first rankLimit of an order by falling weight; of equal weights the lower
+// ID comes first.
+type firsts[T interface{ id() string }] struct {
+	best    []T
 	weights []uint64
 }
 
+// id is the back end's ID.
+func (r *row) id() string { return r.ID }
+
 // rank orders the candidates by rendezvous hashing of the key, so that all
 // routers agree on a key's home and a lost back end moves only its own keys. A
 // back end that starts again at its address gets the same keys back. With
@@ -165,18 +173,18 @@
 	return r
 }
 
-// add puts a candidate into its place, if it is among the first.
-func (r *ranking) add(c *candidate, weight uint64) {
-	at := len(r.best)
-	for at > 0 && (weight > r.weights[at-1] || (weight == r.weights[at-1] && c.ID < r.best[at-1].ID)) {
+// add puts one into its place, if it is among the first.
+func (f *firsts[T]) add(item T, weight uint64) {
+	at := len(f.best)
+	for at > 0 && (weight > f.weights[at-1] || (weight == f.weights[at-1] && item.id() < f.best[at-1].id())) {
 		at--
 	}
 	if at >= rankLimit {
 		return
 	}
-	r.best, r.weights = slices.Insert(r.best, at, c), slices.Insert(r.weights, at, weight)
-	if len(r.best) > rankLimit {
-		r.best, r.weights = r.best[:rankLimit], r.weights[:rankLimit]
+	f.best, f.weights = slices.Insert(f.best, at, item), slices.Insert(f.weights, at, weight)
+	if len(f.best) > rankLimit {
+		f.best, f.weights = f.best[:rankLimit], f.weights[:rankLimit]
 	}
 }
 
