A step's changes are kept in one form for plain back ends and shards; find asks once

The four lists and two maps of delta were walked and packed side by side; they are changes of the plain ones and of each shard now. find went through the replica's goroutine twice for each question, once for the reply and once for what to wait for, and could miss a leader in between; whoLeads serves it and asLeader.

--- a/internal/coordapi/shard.go
+++ b/internal/coordapi/shard.go
@@ -22,7 +22,7 @@
 
 // Holds tells whether an engine is in the shard.
 func (s Shard) Holds(engine BackendID) bool {
-	return s.Count <= 1 || ShardIndex(engine, s.Count) == s.Index
+	return ShardIndex(engine, s.Count) == s.Index
 }
 
 func shardIndex(name string, count int) int {
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -111,14 +111,15 @@
 	deadline := time.NewTimer(findWait)
 	defer deadline.Stop()
 	for {
+		var reply coordapi.Reply
 		var changed <-chan struct{}
-		reply, err := s.asLeader(ctx, func(time.Duration) {})
-		if err != nil || !reply.NotLeader || reply.Leader != "" {
-			return reply, err
-		}
-		if !s.loop.Do(ctx, func(time.Duration) { changed = s.notify.of(0) }) {
+		ran := s.loop.Do(ctx, func(now time.Duration) { reply, changed = s.whoLeads(now), s.notify.of(0) })
+		if !ran {
 			return reply, ErrUnavailable
 		}
+		if !reply.NotLeader || reply.Leader != "" {
+			return reply, nil
+		}
 		select {
 		case <-changed:
 		case <-deadline.C:
@@ -159,13 +160,9 @@
 func (s *Server) asLeader(ctx context.Context, work func(now time.Duration)) (coordapi.Reply, error) {
 	var reply coordapi.Reply
 	ran := s.loop.Do(ctx, func(now time.Duration) {
-		if !s.core.HoldsLease(now) {
-			reply.NotLeader = true
-			reply.Leader = s.leaderAddress()
-			reply.Backends = len(s.core.Machine().Deployment().Backends)
-			return
+		if reply = s.whoLeads(now); !reply.NotLeader {
+			work(now)
 		}
-		work(now)
 	})
 	if !ran {
 		return reply, ErrUnavailable
@@ -173,6 +170,14 @@
 	return reply, nil
 }
 
+// whoLeads is the reply of a node that does not lead, an empty one if this does.
+func (s *Server) whoLeads(now time.Duration) coordapi.Reply {
+	if s.core.HoldsLease(now) {
+		return coordapi.Reply{}
+	}
+	return coordapi.Reply{NotLeader: true, Leader: s.leaderAddress(), Backends: len(s.core.Machine().Deployment().Backends)}
+}
+
 func (s *Server) leaderAddress() string {
 	status := s.core.Status()
 	if status.Leader == 0 || status.Leader == status.ID {
--- a/internal/coordinator/step.go
+++ b/internal/coordinator/step.go
@@ -86,7 +86,7 @@
 // next moves on to a revision. It returns the shards whose routers have news, and whether
 // all have.
 func (t *step) next(now time.Duration, revision uint64, d *state.Deployment) (changed []int, all bool) {
-	before := t.revision
+	before, urgent := t.revision, t.urgent(d)
 	t.revision, t.at, t.deltas = revision, now, map[uint64]*delta{}
 	if count := shardCount(d.Engines(), t.shards()); count != t.shards() {
 		t.shardsAt = slices.Repeat([]uint64{revision}, count)
@@ -94,34 +94,49 @@
 		return nil, true
 	}
 	if d.BackendsAt <= before {
-		return nil, d.ConfiguredAt > before || d.BlockedAt > before
+		return nil, urgent
 	}
 	if !d.Remembers(before) {
 		t.plainAt = revision
 		return nil, true
 	}
 	news := t.since(d, before)
-	if len(news.plain)+len(news.plainGone) > 0 {
-		t.plainAt = revision
-	}
 	for shard := range t.shardsAt {
-		if len(news.engines[shard])+len(news.enginesGone[shard]) > 0 {
+		if !news.shards[shard].empty() {
 			t.shardsAt[shard] = revision
 			changed = append(changed, shard)
 		}
 	}
-	return changed, t.plainAt == revision || d.ConfiguredAt > before || d.BlockedAt > before
+	if !news.plain.empty() {
+		t.plainAt = revision
+		return changed, true
+	}
+	return changed, urgent
 }
 
-// delta is what changed since a revision, all that is there for revision 0.
+// delta is what changed since a revision, all that is there for revision 0: of back ends
+// without engines, and of the engines of each shard.
 type delta struct {
-	plain       []state.Backend
-	plainGone   []string
-	engines     map[int][]state.Backend
-	enginesGone map[int][]string
-	// packed are the rows of each shard, where they are many, and whole a packed Whole.
-	packed map[int][]byte
-	whole  map[int][]byte
+	plain  changes
+	shards []changes
+}
+
+// changes are rows that changed and back ends that departed. Packed are the rows that
+// concern a shard, where they are many, and whole is a packed Whole.
+type changes struct {
+	rows          []state.Backend
+	gone          []string
+	packed, whole []byte
+}
+
+func (c *changes) empty() bool { return len(c.rows)+len(c.gone) == 0 }
+
+// of returns where a back end's changes stand.
+func (n *delta) of(engine bool, id string) *changes {
+	if !engine {
+		return &n.plain
+	}
+	return &n.shards[coordapi.ShardIndex(coordapi.BackendID(id), len(n.shards))]
 }
 
 // since returns what changed after a revision.
@@ -129,49 +144,38 @@
 	if known := t.deltas[revision]; known != nil {
 		return known
 	}
-	news := &delta{engines: map[int][]state.Backend{}, enginesGone: map[int][]string{}, packed: map[int][]byte{}, whole: map[int][]byte{}}
+	news := &delta{shards: make([]changes, t.shards())}
 	rows, gone := d.Changed(revision)
 	for _, b := range rows {
-		if !b.IsEngine() {
-			news.plain = append(news.plain, b)
-			continue
-		}
-		shard := coordapi.ShardIndex(coordapi.BackendID(b.ID), t.shards())
-		news.engines[shard] = append(news.engines[shard], b)
+		c := news.of(b.IsEngine(), b.ID)
+		c.rows = append(c.rows, b)
 	}
 	for _, departure := range gone {
-		if !departure.Engine {
-			news.plainGone = append(news.plainGone, departure.ID)
-			continue
-		}
-		shard := coordapi.ShardIndex(coordapi.BackendID(departure.ID), t.shards())
-		news.enginesGone[shard] = append(news.enginesGone[shard], departure.ID)
+		c := news.of(departure.Engine, departure.ID)
+		c.gone = append(c.gone, departure.ID)
 	}
 	t.deltas[revision] = news
 	return news
 }
 
 // rows are the rows that concern a shard.
-func (n *delta) rows(shard int) []state.Backend { return slices.Concat(n.plain, n.engines[shard]) }
-
-// departed are the departures that concern a shard.
-func (n *delta) departed(shard int) []string {
-	return slices.Concat(n.plainGone, n.enginesGone[shard])
+func (n *delta) rows(shard int) []state.Backend {
+	return slices.Concat(n.plain.rows, n.shards[shard].rows)
 }
 
 // fill puts what a watcher lacks since a revision into its view.
 func (t *step) fill(v *coordapi.View, d *state.Deployment, since uint64) {
 	news := t.since(d, since)
-	shard := v.Shard.Index
-	v.Departed = news.departed(shard)
-	if packed := news.packed[shard]; packed != nil {
-		v.PackedBackends = packed
-	} else if rows := news.rows(shard); len(rows) < packRowsFrom {
+	mine := &news.shards[v.Shard.Index]
+	v.Departed = slices.Concat(news.plain.gone, mine.gone)
+	if mine.packed != nil {
+		v.PackedBackends = mine.packed
+	} else if rows := news.rows(v.Shard.Index); len(rows) < packRowsFrom {
 		v.Backends = rows
 	} else {
 		// Encoding into memory cannot fail.
-		v.PackedBackends, _ = coordapi.Pack(rows)
-		news.packed[shard] = v.PackedBackends
+		mine.packed, _ = coordapi.Pack(rows)
+		v.PackedBackends = mine.packed
 	}
 	if d.ConfiguredAt > since {
 		t.fillDocument(v, d)
@@ -205,11 +209,11 @@
 // fillWhole puts all that a router must know into its view.
 func (t *step) fillWhole(v *coordapi.View, d *state.Deployment) {
 	all := t.since(d, 0)
-	shard := v.Shard.Index
-	if all.whole[shard] == nil {
-		whole := coordapi.Whole{Document: d.Document, Backends: all.rows(shard), Blocked: coordapi.Blocked{Requests: d.Blocked}}
+	mine := &all.shards[v.Shard.Index]
+	if mine.whole == nil {
+		whole := coordapi.Whole{Document: d.Document, Backends: all.rows(v.Shard.Index), Blocked: coordapi.Blocked{Requests: d.Blocked}}
 		// Encoding into memory cannot fail.
-		all.whole[shard], _ = coordapi.Pack(whole)
+		mine.whole, _ = coordapi.Pack(whole)
 	}
-	v.Packed = all.whole[shard]
+	v.Packed = mine.whole
 }
