One wait for what is committed, one count of engines, one filled state machine for tests

submit and enrol waited with the same select; rowOrder counted engines in two ways; sums needed a constructor for a map that of can make; the benchmark filled a state machine as the step's tests do. Behaviour is the same.

--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -14,22 +13,13 @@
 // of them.
 func benchDeployment(b *testing.B, engines int) (*state.Machine, *softState) {
 	b.Helper()
-	m := state.New()
+	r := newReplicated(b)
 	soft := &softState{}
 	soft.reset(0)
-	var rows []state.Backend
-	for i := range engines {
-		rows = append(rows, engineRow(i))
-		soft.heard(time.Second, engineRow(i).ID, 1)
+	for id := range r.enrolled(0, engines).Backends {
+		soft.heard(time.Second, id, 1)
 	}
-	text, err := json.Marshal(state.Command{Enrol: &state.Enrol{Backends: rows}})
-	if err != nil {
-		b.Fatal(err)
-	}
-	if _, err := m.Apply(1, 1, text); err != nil {
-		b.Fatal(err)
-	}
-	return m, soft
+	return r.machine, soft
 }
 
 // What a look at all back ends for silence costs, beside the first of a leader.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -199,11 +199,17 @@
 	if refused != nil {
 		return reply, errors.Mark(refused, ErrUnavailable)
 	}
+	return reply, outcome(ctx, done)
+}
+
+// outcome waits for what becomes of a command, which is not known when the context ends
+// first.
+func outcome(ctx context.Context, done <-chan error) error {
 	select {
 	case err := <-done:
-		return reply, err
+		return err
 	case <-ctx.Done():
-		return reply, ErrUnavailable
+		return ErrUnavailable
 	}
 }
 
--- a/internal/coordinator/enrolment.go
+++ b/internal/coordinator/enrolment.go
@@ -141,10 +141,5 @@
 	if err != nil || reply.NotLeader || !waits {
 		return reply, err
 	}
-	select {
-	case err := <-done:
-		return reply, err
-	case <-ctx.Done():
-		return reply, ErrUnavailable
-	}
+	return reply, outcome(ctx, done)
 }
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -107,11 +107,16 @@
 	return t.beats[b.ID].at > t.beats[other.ID].at
 }
 
+// silentLimit is how long a back end may be silent whose heartbeats come at an interval.
+func silentLimit(interval time.Duration) time.Duration {
+	return time.Duration(silentBeats * float64(interval))
+}
+
 // look finds the back ends that are silent or have a successor at their address,
 // and those that are gone.
 func (t *softState) look(now time.Duration, interval time.Duration, backends map[string]state.Backend) (gone []string) {
 	t.looked = now
-	limit := time.Duration(silentBeats * float64(interval))
+	limit := silentLimit(interval)
 	var silent []string
 	// contenders are those heard of that are not known to hold their addresses.
 	contenders := map[string][]string{}
@@ -172,7 +177,7 @@
 // lookAt finds among rows that have changed those that have or are a successor at their
 // address. It tells whether there are any; the next look finds the rest.
 func (t *softState) lookAt(now, interval time.Duration, changed []state.Backend, backends map[string]state.Backend) bool {
-	limit := time.Duration(silentBeats * float64(interval))
+	limit := silentLimit(interval)
 	before := len(t.silent)
 	for _, b := range changed {
 		other, known := backends[t.holders[b.Address]]
--- a/internal/coordinator/step_test.go
+++ b/internal/coordinator/step_test.go
@@ -15,7 +15,7 @@
 
 // replicated is a state machine to which tests apply commands.
 type replicated struct {
-	t       *testing.T
+	t       testing.TB
 	machine *state.Machine
 }
 
@@ -42,7 +42,7 @@
 		Slots: 16, Weights: map[string]int{"m": 1}}
 }
 
-func newReplicated(t *testing.T) *replicated { return &replicated{t, state.New()} }
+func newReplicated(t testing.TB) *replicated { return &replicated{t, state.New()} }
 
 // rowsOf unpacks the rows of a view.
 func rowsOf(t *testing.T, v *coordapi.View) []state.Backend {
--- a/internal/coordinator/told.go
+++ b/internal/coordinator/told.go
@@ -69,10 +69,6 @@
 	packed []byte
 }
 
-func newSums(loads []coordapi.Load, engines bool) sums {
-	return sums{loads: loads, engines: engines, shards: map[coordapi.Shard]shardSums{}}
-}
-
 // of returns what concerns a shard.
 func (s *sums) of(shard coordapi.Shard) shardSums {
 	known, made := s.shards[shard]
@@ -89,9 +85,10 @@
 		known.packed, _ = coordapi.Pack(known.loads)
 		known.loads = nil
 	}
-	if s.shards != nil {
-		s.shards[shard] = known
+	if s.shards == nil {
+		s.shards = map[coordapi.Shard]shardSums{}
 	}
+	s.shards[shard] = known
 	return known
 }
 
@@ -176,9 +173,9 @@
 	loads := slices.Collect(maps.Values(t.work))
 	slices.SortFunc(loads, func(a, b coordapi.Load) int { return strings.Compare(a.ID, b.ID) })
 	if t.allFrom == 0 || now >= t.allAt+enginesEvery {
-		t.all, t.allFrom, t.allAt = newSums(loads, true), t.announcements, now
+		t.all, t.allFrom, t.allAt = sums{loads: loads, engines: true}, t.announcements, now
 	}
-	t.plain = newSums(slices.DeleteFunc(slices.Clone(loads), func(l coordapi.Load) bool { return l.Engine }), false)
+	t.plain = sums{loads: slices.DeleteFunc(slices.Clone(loads), func(l coordapi.Load) bool { return l.Engine })}
 }
 
 // after returns the parts behind a number, and the number of the next.
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -157,7 +157,8 @@
 		b.Enrolled = old.Enrolled
 	}
 	b.Revision = index
-	d.order.replaced(d, b.ID, &b)
+	d.order.count(d.Backends[b.ID], -1)
+	d.order.count(b, 1)
 	d.Backends[b.ID] = b
 	d.BackendsAt = index
 	d.order.changed(d, b.ID, index)
@@ -170,7 +171,7 @@
 			continue
 		}
 		old := d.Backends[id]
-		d.order.replaced(d, id, &Backend{})
+		d.order.count(old, -1)
 		delete(d.Backends, id)
 		d.Departed = append(d.Departed, Departure{ID: id, Revision: index, Engine: old.IsEngine()})
 		d.order.gone[id] = struct{}{}
--- a/internal/state/rows.go
+++ b/internal/state/rows.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"strings"
@@ -36,16 +37,11 @@
 	o.changes = make([]rowChange, 0, len(d.Backends))
 	o.engines = 0
 	for id, b := range d.Backends {
-		if b.IsEngine() {
-			o.engines++
-		}
+		o.count(b, 1)
 		o.changes = append(o.changes, rowChange{id, b.Revision})
 	}
 	slices.SortFunc(o.changes, func(a, b rowChange) int {
-		if a.revision != b.revision {
-			return int(int64(a.revision - b.revision))
-		}
-		return strings.Compare(a.id, b.id)
+		return cmp.Or(cmp.Compare(a.revision, b.revision), strings.Compare(a.id, b.id))
 	})
 	o.gone = make(map[string]struct{}, len(d.Departed))
 	for _, departure := range d.Departed {
@@ -61,14 +57,10 @@
 	o.changes = append(o.changes, rowChange{id, revision})
 }
 
-// replaced counts engines when a row takes the place of another; an empty one stands for
-// none.
-func (o *rowOrder) replaced(d *Deployment, id string, b *Backend) {
-	if old := d.Backends[id]; old.IsEngine() {
-		o.engines--
-	}
+// count adds a row to the engines, if it is one, or takes it away.
+func (o *rowOrder) count(b Backend, sign int) {
 	if b.IsEngine() {
-		o.engines++
+		o.engines += sign
 	}
 }
 
