--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -251,23 +251,14 @@
 	rows, document, blocked, whole := v.Backends, v.Document, v.Blocked, len(v.Packed) > 0
 	if whole {
 		var unpacked coordapi.Whole
-		if err := coordapi.Unpack(v.Packed, &unpacked); err != nil {
-			f.config.Logger.Error("view cannot be read", "part", "follower", "error", err.Error())
+		if !f.unpack(v, "view cannot be read", v.Packed, &unpacked) {
 			return false
 		}
 		rows, document, blocked = unpacked.Backends, unpacked.Document, &unpacked.Blocked
 	}
-	if len(v.PackedBackends) > 0 {
-		if err := coordapi.Unpack(v.PackedBackends, &rows); err != nil {
-			f.config.Logger.Error("rows cannot be read", "part", "follower", "error", err.Error())
-			return false
-		}
-	}
-	if len(v.PackedDocument) > 0 {
-		if err := coordapi.Unpack(v.PackedDocument, &document); err != nil {
-			f.config.Logger.Error("configuration cannot be unpacked", "part", "follower", "version", v.Version, "error", err.Error())
-			return false
-		}
+	if !f.unpack(v, "rows cannot be read", v.PackedBackends, &rows) ||
+		!f.unpack(v, "configuration cannot be unpacked", v.PackedDocument, &document) {
+		return false
 	}
 	// Before the configuration: whoever sees that one has the blocks of its view too.
 	if blocked != nil {
@@ -314,12 +305,23 @@
 		return v.Loads
 	}
 	var loads []coordapi.Load
-	if err := coordapi.Unpack(v.PackedLoads, &loads); err != nil {
-		f.config.Logger.Error("loads cannot be read", "part", "follower", "error", err.Error())
-	}
+	f.unpack(v, "loads cannot be read", v.PackedLoads, &loads)
 	return loads
 }
 
+// unpack reads a part of a view, if that is packed. It says so in the log and returns
+// false when it cannot be read.
+func (f *Follower) unpack(v *coordapi.View, trouble string, packed []byte, value any) bool {
+	if len(packed) == 0 {
+		return true
+	}
+	err := coordapi.Unpack(packed, value)
+	if err != nil {
+		f.config.Logger.Error(trouble, "part", "follower", "version", v.Version, "error", err.Error())
+	}
+	return err == nil
+}
+
 // configure puts a newer configuration in force. It returns false when the
 // router holds another one than the leader and must ask for all of it.
 func (f *Follower) configure(version uint64, document json.RawMessage) bool {
