Sight: what back ends ask of a router stands in its log and figures

Cause: an attempt that was turned away said 503 and not what the answer asked for, so that a full back end and one that wants nothing for 3 s looked alike. Change: package pushback reads Retry-After of each answer to a request, an order or a report (seconds, fractions, dates by the answer's own date; bounded) and logs and counts it. Nothing is decided by it yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"quinceridge.example/quinceridge/internal/forward"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/periodic"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -56,11 +57,11 @@
 func New(config settings.DisklessRouter, headers vocabulary.Headers, decode follower.Decode, logger *slog.Logger) *Edge {
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool := backends.NewPool(config.Zone)
-	saved, limits := forward.NewSaved(), quota.NewGate()
+	saved, limits, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(logger)
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Right: config.RightLease(),
 		Decode: decode, Pool: pool, Saved: saved, Quota: limits, Peers: e.peers, Logger: logger})
 	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: limits,
-		Upstream: upstream.NewPool(headers.RequestID), Logger: logger,
+		Upstream: upstream.NewPool(headers.RequestID, pushbacks), Pushbacks: pushbacks, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -155,6 +157,7 @@
 func (h *Handler) address(j *job, s *session, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Set(names.Instance, choice.ID)
+	j.request.Backend = pushback.Backend{ID: coordapi.BackendID(choice.ID), Pool: j.pool.Name}
 	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
 	if s.lastEvent != "" {
 		header.Set(names.LastEvent, s.lastEvent)
@@ -217,6 +220,9 @@
 	if result.err != nil {
 		text += " " + result.err.Error()
 	}
+	if result.answer != nil {
+		text += pushedBack(result.answer.header)
+	}
 	j.trace = append(j.trace, text)
 	switch result.verdict {
 	case done:
@@ -237,6 +243,15 @@
 	}
 }
 
+// pushedBack is what an answer asks of the router, as it stands there.
+func pushedBack(header http.Header) string {
+	values := header["Retry-After"]
+	if len(values) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", retry after %.32q", strings.Join(values, ", "))
+}
+
 // explain names a back end and what decided for it.
 func (h *Handler) explain(j *job, choice backends.Choice) string {
 	text := fmt.Sprintf("%s (cost %.0f of %d", choice.ID, choice.Cost, choice.Considered)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -83,7 +84,8 @@
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, source: &source{table: table(t)}, pool: backends.NewPool("a"), runs: map[string]int{}}
 	r.source.fresh.Store(true)
-	r.handler = New(Config{Headers: names, Source: r.source, Pool: r.pool, Upstream: upstream.NewPool(names.RequestID), Saved: NewSaved(),
+	pushbacks := pushback.New(slog.New(slog.DiscardHandler))
+	r.handler = New(Config{Headers: names, Source: r.source, Pool: r.pool, Upstream: upstream.NewPool(names.RequestID, pushbacks), Pushbacks: pushbacks, Saved: NewSaved(),
 		Budget: BudgetConfig{Ratio: 0.2, Burst: 100, Window: time.Second}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	r.router = httptest.NewServer(r.handler)
 	t.Cleanup(r.router.Close)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -19,6 +19,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/poison"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -72,7 +73,9 @@
 	Placer   Placer
 	Pool     *backends.Pool
 	Upstream *upstream.Pool
-	Saved    *Saved
+	// Pushbacks is what back ends have asked of this router.
+	Pushbacks *pushback.Register
+	Saved     *Saved
 	// Observer may be nil: nothing is blocked then.
 	Observer Observer
 	// Quota keeps tenants within their limits.
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -67,6 +67,7 @@
 			continue
 		}
 		if response.Header.Get(a.pool.idHeader) == r.ID {
+			a.pool.pushbacks.Answered(r.Backend, response)
 			return response, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody)); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/socket"
 )
 
@@ -71,6 +72,8 @@
 	Body   []byte
 	// ID is the value that the answer carries back in the pool's ID header.
 	ID string
+	// Backend is who the request is meant for.
+	Backend pushback.Backend
 	// Once says that the request must not be sent over a connection that may
 	// be about to close.
 	Once bool
@@ -81,7 +84,9 @@
 type Pool struct {
 	// idHeader is the header in which answers carry the request's ID.
 	idHeader string
-	dialer   net.Dialer
+	// pushbacks takes what answers ask of this process.
+	pushbacks *pushback.Register
+	dialer    net.Dialer
 	// Opened counts new connections.
 	Opened atomic.Uint64
 
@@ -90,8 +95,8 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool(idHeader string) *Pool {
-	p := &Pool{idHeader: idHeader, idle: map[string][]*connection{}}
+func NewPool(idHeader string, pushbacks *pushback.Register) *Pool {
+	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, idle: map[string][]*connection{}}
 	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.UserTimeout(userTimeout)}
 	return p
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -14,10 +15,14 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/pushback"
 )
 
 const idHeader = "X-Request-Id"
 
+func quiet() *pushback.Register { return pushback.New(slog.New(slog.DiscardHandler)) }
+
 // backend is a scripted back end: each accepted connection is handed to serve.
 type backend struct {
 	address  string
@@ -85,7 +90,7 @@
 			_, _ = io.WriteString(conn, answerTo(id, "for "+id))
 		}
 	})
-	p := NewPool(idHeader)
+	p := NewPool(idHeader, quiet())
 	for _, id := range []string{"1", "2", "3"} {
 		body, err := fetch(p, b, id)
 		assert.NilError(t, err)
@@ -110,7 +115,7 @@
 		_, _ = io.WriteString(conn, answerTo(second, "second"))
 		_, _ = next(requests)
 	})
-	p := NewPool(idHeader)
+	p := NewPool(idHeader, quiet())
 	body, err := fetch(p, b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "first")
@@ -130,7 +135,7 @@
 		_, _ = io.WriteString(conn, answerTo(id, "whole")+tail)
 		_, _ = next(requests)
 	})
-	p := NewPool(idHeader)
+	p := NewPool(idHeader, quiet())
 	for _, id := range []string{"1", "2"} {
 		body, err := fetch(p, b, id)
 		assert.NilError(t, err)
@@ -164,7 +169,7 @@
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
 			})
-			_, err := fetch(NewPool(idHeader), b, "1")
+			_, err := fetch(NewPool(idHeader, quiet()), b, "1")
 			assert.Assert(t, errors.Is(err, c.mark), "%v", err)
 		})
 	}
@@ -175,7 +180,7 @@
 		id, _ := next(requests)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idHeader+": "+id+"\r\n\r\nall of it")
 	})
-	body, err := fetch(NewPool(idHeader), b, "1")
+	body, err := fetch(NewPool(idHeader, quiet()), b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "all of it")
 }
@@ -185,7 +190,7 @@
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = fetch(NewPool(idHeader), &backend{address: address}, "1")
+	_, err = fetch(NewPool(idHeader, quiet()), &backend{address: address}, "1")
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
 }
 
@@ -198,7 +203,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := NewPool(idHeader).Do(ctx, b.address, request("1"))
+	_, err := NewPool(idHeader, quiet()).Do(ctx, b.address, request("1"))
 	assert.Assert(t, errors.Is(err, ErrUnknown), "%v", err)
 	select {
 	case <-closed:
@@ -213,7 +218,7 @@
 		_, _ = io.WriteString(conn, answerTo("long", "early"))
 		time.Sleep(200 * time.Millisecond)
 	})
-	p := NewPool(idHeader)
+	p := NewPool(idHeader, quiet())
 	long := request("long")
 	long.Body = []byte(strings.Repeat("x", 16<<20))
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -238,7 +243,7 @@
 		seen <- r.Method + " " + r.RequestURI + " " + r.Host + " " + string(body)
 		_, _ = io.WriteString(conn, answerTo("1", ""))
 	})
-	_, err := fetch(NewPool(idHeader), b, "1")
+	_, err := fetch(NewPool(idHeader, quiet()), b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, <-seen, "POST /a/b?c=%2F h body")
 }
@@ -260,7 +265,7 @@
 			_, _ = io.WriteString(conn, answerTo(id, "x"))
 		}
 	})
-	p := NewPool(idHeader)
+	p := NewPool(idHeader, quiet())
 	_, err := fetch(p, b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, len(p.idle), 1)
