--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -67,6 +67,11 @@
 	// dark says that a poison request makes the engine fall silent: it keeps its
 	// connections, and answers and beats no more.
 	dark bool
+	// wait is for how long its engine wants nothing from a router that it turns away, as
+	// it does with all while it is set; the deployment's lock guards it.
+	wait time.Duration
+	// current is the engine that runs there.
+	current *engine
 	// back is how long after its end an engine is started again.
 	back time.Duration
 }
@@ -231,7 +236,8 @@
 	s.starts++
 	id := fmt.Sprintf("%s#%d", s.address, s.starts)
 	ctx, cancel := context.WithCancel(d.t.Context())
-	e := &engine{seat: s, id: id, end: cancel}
+	e := &engine{seat: s, id: id, end: cancel, turnedAway: map[string][]time.Time{}, tooEarly: map[string]int{}}
+	s.current = e
 	s.stop = cancel
 	s.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = s.server.Serve(listener) }()
@@ -245,6 +251,10 @@
 	end   context.CancelFunc
 	once  sync.Once
 	muted atomic.Bool
+	// turnedAway are the times at which it answered each router that it wants nothing
+	// for a while, and tooEarly what has come from a router within such a time.
+	turnedAway map[string][]time.Time
+	tooEarly   map[string]int
 }
 
 func (e *engine) beat(ctx context.Context) {
@@ -276,6 +286,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if e.turnAway(w, r) {
+		return
+	}
 	d := e.seat.deployment
 	d.mu.Lock()
 	d.runs[string(body)]++
@@ -370,7 +383,7 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front[front]+path, strings.NewReader(body))
 	assert.NilError(d.t, err)
 	request.Host = "h"
-	request.Header.Set(names.RequestID, fmt.Sprintf("try-%d", d.asked.Add(1)))
+	request.Header.Set(names.RequestID, fmt.Sprintf("%d try-%d", front, d.asked.Add(1)))
 	request.Header.Set("Authorization", "Bearer "+key)
 	if !strings.HasPrefix(path, "/pay") && !strings.HasPrefix(path, "/look") {
 		request.Header.Set(names.Model, "m")
