--- a/cmd/quinceridge/deployment.go
+++ b/cmd/quinceridge/deployment.go
@@ -50,7 +50,6 @@
 const (
 	coordinatorHeaderTimeout = 5 * time.Second
 	coordinatorStopLimit     = 4 * time.Second
-	engineTimeout            = time.Second
 )
 
 // Run implements the command.
@@ -63,8 +62,8 @@
 	stopped := stopSignal()
 	out := telemetry.NewBuffer(os.Stdout)
 	defer out.Flush()
-	engines := coordinator.HTTPEngines{Client: &http.Client{Timeout: engineTimeout}}
-	node, err := coordinator.New(s, engines, traffic.Parse, telemetry.NewLogger(out, s.Log, s.Name))
+	logger := telemetry.NewLogger(out, s.Log, s.Name)
+	node, err := coordinator.New(s, coordinator.NewHTTPEngines(logger), traffic.Parse, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -26,6 +26,8 @@
 	version int
 	cancel  func(error)
 	begun   bool
+	// trial says that it shows whether a back end that pushed back is well again.
+	trial bool
 	// sent is when the request was sent, and ahead the prompt tokens that its engine
 	// had to read up to its first event. reading learns from them; nil for back
 	// ends without models, and once it has.
@@ -57,6 +59,9 @@
 		r.running++
 		r.memory += a.work.Most
 		r.prefill += a.work.Prompt
+		if a.trial = r.recovering; a.trial {
+			r.trials++
+		}
 	}
 	if p.drains {
 		p.placed(now, a, r, entry(p.demands, q.Pool), reading.Rate())
@@ -108,6 +113,7 @@
 	defer a.pool.mu.Unlock()
 	if ran {
 		excess = a.learn(now - a.sent)
+		a.recovered()
 	}
 	a.begin()
 	return excess
@@ -120,6 +126,7 @@
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	excess = a.learn(wait)
+	a.recovered()
 	first := min(a.sent+wait, now)
 	a.pool.reportDelay += time.Duration(reportGain * float64(now-first-a.pool.reportDelay))
 	if r := a.pool.rows[a.id]; r != nil {
@@ -130,6 +137,13 @@
 	return excess
 }
 
+// recovered notes that the back end has begun a request.
+func (a *Attempt) recovered() {
+	if r := a.pool.rows[a.id]; r != nil && a.trial {
+		r.recovering = false
+	}
+}
+
 func (a *Attempt) begin() {
 	if a.begun {
 		return
@@ -139,6 +153,9 @@
 	if r := a.pool.rows[a.id]; r != nil {
 		r.unbegun = max(r.unbegun-1, 0)
 		r.prefill = max(r.prefill-a.work.Prompt, 0)
+		if a.trial {
+			r.trials = max(r.trials-1, 0)
+		}
 	}
 }
 
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -224,8 +224,8 @@
 	return maps.Keys(p.index.pool(q.Pool).active)
 }
 
-// candidates returns the back ends that pass the filters. Those that turned a
-// request away a moment ago, are silent or have stopped to answer stand back unless
+// candidates returns the back ends that pass the filters and want requests. Those that
+// turned a request away a moment ago, are silent or have stopped to answer stand back unless
 // no other is left.
 func (p *Pool) candidates(now time.Duration, q *Query, rate speed.TokensPerMs) []candidate {
 	out := p.scratch[:0]
@@ -234,8 +234,11 @@
 		if r.Pool != q.Pool || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) {
 			continue
 		}
+		if p.standing(r).Barred() {
+			continue
+		}
 		c := candidate{row: r, ahead: p.unreadOf(now, r, rate) + r.others.Prompt,
-			aside: now < r.busy || r.silent || p.quiet(now, r, rate), stands: 1}
+			aside: now < r.busy || r.silent || r.aside(now) || p.quiet(now, r, rate), stands: 1}
 		if c.aside {
 			aside++
 		}
--- a/internal/backends/index_test.go
+++ b/internal/backends/index_test.go
@@ -112,29 +112,50 @@
 	for seed := range uint64(30) {
 		w := newTwins(seed, 1+int(seed)*3)
 		for range 600 {
-			w.now += time.Duration(w.random.IntN(40)) * time.Millisecond
-			if w.random.IntN(3) == 0 {
-				w.disturb()
-			}
-			q := w.query()
-			again := *q
-			first, found := w.indexed.Choose(w.now, q)
-			second, foundToo := w.plain.Choose(w.now, &again)
-			assert.Equal(t, found, foundToo)
-			assert.Equal(t, first.Late, second.Late)
-			assert.Equal(t, first.Wait, second.Wait)
-			if !found || first.Late {
-				continue
-			}
-			assert.DeepEqual(t, first, second)
-			w.open = append(w.open, [2]*Attempt{w.indexed.Begin(w.now, &first, q, func(error) {}), w.plain.Begin(w.now, &second, &again, func(error) {})})
-			if len(w.open) > 3*len(w.rows) {
-				w.end()
-			}
+			w.choose(t, w.disturb)
+		}
+	}
+}
+
+// The same where engines push back, and are tried again after.
+func TestTheIndexChangesNoChoiceBesidePushbacks(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newTwins(seed, 1+int(seed)*3)
+		pushBack := func() {
+			id, wait := w.anyID(), time.Duration(w.random.IntN(400))*time.Millisecond
+			w.both(func(p *Pool) { p.PushedBack(w.now, id, wait) })
+			w.disturb()
+		}
+		for range 600 {
+			w.choose(t, pushBack)
 		}
 	}
 }
 
+// choose lets both choose, at times after a disturbance, and sends what they chose.
+func (w *twins) choose(t *testing.T, disturb func()) {
+	t.Helper()
+	w.now += time.Duration(w.random.IntN(40)) * time.Millisecond
+	if w.random.IntN(3) == 0 {
+		disturb()
+	}
+	q := w.query()
+	again := *q
+	first, found := w.indexed.Choose(w.now, q)
+	second, foundToo := w.plain.Choose(w.now, &again)
+	assert.Equal(t, found, foundToo)
+	assert.Equal(t, first.Late, second.Late)
+	assert.Equal(t, first.Wait, second.Wait)
+	if !found || first.Late {
+		return
+	}
+	assert.DeepEqual(t, first, second)
+	w.open = append(w.open, [2]*Attempt{w.indexed.Begin(w.now, &first, q, func(error) {}), w.plain.Begin(w.now, &second, &again, func(error) {})})
+	if len(w.open) > 3*len(w.rows) {
+		w.end()
+	}
+}
+
 // Engines with work are as many as there are requests, and only these are looked at one by
 // one, however many are idle.
 func TestAChoiceLooksAtFewEnginesAtRest(t *testing.T) {
--- a/internal/backends/outcome.go
+++ b/internal/backends/outcome.go
@@ -114,6 +114,9 @@
 			p.Failed(now, t.ID)
 		case coordapi.Busy:
 			p.Busy(now, t.ID)
+			if t.For > 0 {
+				p.PushedBack(now, t.ID, t.For)
+			}
 		case coordapi.Unreachable:
 			p.Unreachable(now, t.ID)
 		case coordapi.OtherInstance:
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/state"
 )
@@ -56,6 +57,13 @@
 	failedAt time.Duration
 	busy     time.Duration
 	latency  float64
+	// pushedBack is until when it wants nothing from some router, in a pool for all of
+	// them. What it wants from this process alone stands in Pool.pushbacks.
+	pushedBack time.Duration
+	// recovering says that it has pushed back and begun no request since, and trials are
+	// the requests that it was sent since.
+	recovering bool
+	trials     int
 }
 
 // Pool holds all back ends of all pools. It is safe for concurrent use.
@@ -65,6 +73,8 @@
 	// drains says that first events are heard of late, by reportDelay in the mean:
 	// for that time engines count as reading what they were sent at their speed.
 	drains bool
+	// pushbacks is what back ends want from this process; nil for nothing.
+	pushbacks *pushback.Register
 	// index is nil in a router's own pool.
 	index       *index
 	reportDelay time.Duration
@@ -108,6 +118,10 @@
 		flows: map[string]*flow{}, demands: map[string]*demand{}}
 }
 
+// Heed makes the pool choose no back end that wants nothing from this process. It is
+// called before the pool is used.
+func (p *Pool) Heed(pushbacks *pushback.Register) { p.pushbacks = pushbacks }
+
 // NewCentralPool returns an empty pool for one that chooses for all routers. It is
 // told late when engines have read a prompt.
 func NewCentralPool() *Pool {
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -143,10 +143,14 @@
 	Unreachable TroubleKind = "unreachable"
 	// OtherInstance: another start answers at the address.
 	OtherInstance TroubleKind = "other"
+	// Draining: the back end has said in an answer that it is about to end.
+	Draining TroubleKind = "draining"
 )
 
 // Trouble is what an attempt has shown of an engine.
 type Trouble struct {
 	ID   string      `json:"id"`
 	Kind TroubleKind `json:"kind"`
+	// For is how long a busy one wants nothing from the router; 0 if it did not say.
+	For time.Duration `json:"for,omitempty"`
 }
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -89,6 +89,7 @@
 		s.placer.Report(s.now(), r.Tell.Router, &r.Tell.Reports)
 		s.limits.charge(s.now(), r.Tell.Spent)
 		s.blocking.take(s.now(), r.Tell.Router, &r.Tell.Reports)
+		s.drain(r.Tell.Router, draining(r.Tell.Troubles))
 		return s.asLeader(ctx, func(now time.Duration) { s.soft.told.take(now, r.Tell) })
 	case r.Place != nil:
 		return s.place(r.Place), nil
@@ -139,6 +140,7 @@
 	now := s.now()
 	s.limits.charge(now, ask.Spent)
 	s.blocking.take(now, ask.Router, &ask.Reports)
+	s.drain(ask.Router, draining(ask.Troubles))
 	if backends := s.blocking.keeps(ask.Request); backends != nil {
 		s.placer.Report(now, ask.Router, &ask.Reports)
 		return coordapi.Reply{Placed: &coordapi.Placed{Blocked: backends}}
@@ -297,6 +299,38 @@
 	return true
 }
 
+// drain marks back ends as draining that have said so in an answer: a router may know it
+// seconds before a heartbeat tells the leader, and the leader places for the others.
+// By is who was told. A mark that is lost with the leadership is told again, by routers
+// to each leader and by the back end's heartbeat.
+func (s *Server) drain(by string, ids []coordapi.BackendID) {
+	if len(ids) == 0 {
+		return
+	}
+	s.loop.Offer(func(now time.Duration) {
+		if s.core == nil || !s.core.HoldsLease(now) {
+			return
+		}
+		for _, id := range ids {
+			s.drainOne(by, id)
+		}
+	})
+}
+
+func (s *Server) drainOne(by string, id coordapi.BackendID) {
+	row, known := s.enrolment.row(s.core.Machine().Deployment(), string(id))
+	if !known || row.Draining {
+		return
+	}
+	row.Draining = true
+	s.logger.Info("back end drains", "part", "registry", "backend", id, "pool", row.Pool, "told_by", by)
+	s.enrolment.add(row, func(err error) {
+		if err != nil {
+			s.logger.Warn("drain lost", "part", "registry", "backend", id, "error", err.Error())
+		}
+	})
+}
+
 // leave marks a back end as draining. The row stays until it is silent, so
 // that a late heartbeat cannot bring it back.
 func (s *Server) leave(ctx context.Context, l coordapi.Leave) (coordapi.Reply, error) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -28,6 +28,8 @@
 	mu         sync.Mutex
 	engines    map[string]*fakeEngine
 	unanswered int
+	// draining is what Draining returns next.
+	draining []coordapi.BackendID
 }
 
 type fakeEngine struct {
@@ -71,6 +73,14 @@
 	return EngineReport{Orders: e.orders, Weights: map[string]int{"m": e.version}}, nil
 }
 
+func (f *fakeEngines) Draining() []coordapi.BackendID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.draining
+	f.draining = nil
+	return out
+}
+
 // group is a set of coordinators on loopback.
 type group struct {
 	t       *testing.T
--- /dev/null
+++ b/internal/coordinator/drain_test.go
@@ -0,0 +1,106 @@
+package coordinator
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/vocabulary"
+)
+
+// awaitDraining waits until all nodes know that a back end drains.
+func (g *group) awaitDraining(id string) {
+	g.t.Helper()
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		for i := range g.servers {
+			if !g.row(i, id).Draining {
+				return poll.Continue("node %d does not know it", i)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// A back end says that it drains in answers only. One router hears it; the leader marks the
+// row, by whichever word it is told, so that no router is offered it, and a heartbeat that
+// says it is ready takes nothing back.
+func TestWhatARouterHeardOfADrainIsMarkedForAll(t *testing.T) {
+	g := newGroup(t, 3)
+	drains := coordapi.Reports{Troubles: []coordapi.Trouble{{ID: "x", Kind: coordapi.Draining}, {ID: "unknown", Kind: coordapi.Draining}}}
+	for name, word := range map[string]coordapi.Request{
+		"a question": {Place: &coordapi.Place{Router: "r", Number: 1, Pool: "llm", Model: "m", Reports: drains}},
+		"a word":     {Tell: &coordapi.Tell{Router: "r", Reports: drains}},
+	} {
+		id := map[string]string{"a question": "x", "a word": "y"}[name]
+		drains.Troubles[0].ID = id
+		if word.Tell != nil {
+			word.Tell.Reports = drains
+		}
+		g.call(0, beat(id, 1, false))
+		// To the leader, as routers ask.
+		_, err := g.servers[g.leader()].serve(context.Background(), word)
+		assert.NilError(t, err)
+		g.awaitDraining(id)
+		g.call(1, beat(id, 2, false))
+		assert.Assert(t, g.row(g.leader(), id).Draining)
+	}
+	assert.Equal(t, g.row(g.leader(), "unknown").ID, "")
+}
+
+// The coordinator that orders loads hears it too, in the answers to orders and reports.
+func TestWhatAnEngineAnsweredToAnOrderIsMarked(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.engines.mu.Lock()
+	g.engines.draining = []coordapi.BackendID{"x"}
+	g.engines.mu.Unlock()
+	// Whichever node takes the word, only the leader acts on it; the others lose it, and the
+	// leader is the one that orders.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.row(g.leader(), "x").Draining {
+			return poll.Success()
+		}
+		g.engines.mu.Lock()
+		g.engines.draining = []coordapi.BackendID{"x"}
+		g.engines.mu.Unlock()
+		return poll.Continue("not marked")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// An engine that wants nothing for half a minute got the same order again each 30 ms, and
+// was asked for reports between.
+func TestOrdersAndReportsHeedAPushback(t *testing.T) {
+	var asked atomic.Int32
+	names := vocabulary.Default()
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.Header().Set("Retry-After", "30")
+		w.Header().Set(names.Draining, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(engine.Close)
+	engines := NewHTTPEngines(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	address := engine.Listener.Addr().String()
+	order := LoadOrder{Address: address, Instance: "x", Model: "m", Version: 2, Fence: 1}
+	assert.Assert(t, engines.Load(t.Context(), order) != nil)
+	assert.DeepEqual(t, engines.Draining(), []coordapi.BackendID{"x"})
+	for range 10 {
+		assert.ErrorIs(t, engines.Load(t.Context(), order), ErrUnreached)
+		_, err := engines.Report(t.Context(), address, "x")
+		assert.Assert(t, err != nil)
+	}
+	assert.Equal(t, asked.Load(), int32(1))
+	// Another start at the address has asked for nothing.
+	order.Instance = "y"
+	assert.Assert(t, engines.Load(t.Context(), order) != nil)
+	assert.Equal(t, asked.Load(), int32(2))
+}
--- /dev/null
+++ b/internal/coordinator/enginecalls.go
@@ -0,0 +1,65 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/upstream"
+	"quinceridge.example/quinceridge/internal/vocabulary"
+)
+
+// EngineCalls carries a coordinator's calls to engines, in whatever words. An engine that
+// wants nothing for a while gets neither orders nor reports: they count as requests of
+// this machine as those of a router do.
+type EngineCalls struct {
+	headers   vocabulary.Headers
+	pushbacks *pushback.Register
+	pool      *upstream.Pool
+}
+
+// NewEngineCalls returns a carrier without connections.
+func NewEngineCalls(headers vocabulary.Headers, logger *slog.Logger) *EngineCalls {
+	pushbacks := pushback.New(headers, logger)
+	return &EngineCalls{headers: headers, pushbacks: pushbacks, pool: upstream.NewPool(headers.RequestID, pushbacks)}
+}
+
+// Call makes a call to one start of an engine and reads its answer.
+func (e *EngineCalls) Call(ctx context.Context, method, path, address, instance string, body []byte) (int, []byte, error) {
+	header := http.Header{}
+	header.Set(e.headers.Instance, instance)
+	if body != nil {
+		header.Set("Content-Type", "application/json")
+	}
+	request := &upstream.Request{Method: method, Target: path, Host: address, Header: header, Body: body, Once: true,
+		Backend: pushback.Backend{ID: coordapi.BackendID(instance)}, Instance: instance}
+	return e.pool.Call(ctx, address, request, maxCall)
+}
+
+// Draining implements Engines.
+func (e *EngineCalls) Draining() []coordapi.BackendID {
+	return draining(e.pushbacks.News())
+}
+
+// draining are the back ends of which troubles say that they drain.
+func draining(troubles []coordapi.Trouble) []coordapi.BackendID {
+	var out []coordapi.BackendID
+	for _, t := range troubles {
+		if t.Kind == coordapi.Draining {
+			out = append(out, coordapi.BackendID(t.ID))
+		}
+	}
+	return out
+}
+
+// Unreached marks the failure of an order that was not sent with ErrUnreached.
+func Unreached(err error) error {
+	if errors.Is(err, upstream.ErrNotSent) {
+		return fmt.Errorf("%w: %w", ErrUnreached, err)
+	}
+	return err
+}
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -1,12 +1,12 @@
 package coordinator
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -14,6 +14,7 @@
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
+	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
 const (
@@ -136,7 +137,12 @@
 
 // HTTPEngines carries orders to engines that speak the product's own words:
 // POST /v1/load with a LoadOrder and GET /v1/state with an EngineReport.
-type HTTPEngines struct{ Client *http.Client }
+type HTTPEngines struct{ *EngineCalls }
+
+// NewHTTPEngines returns a carrier without connections.
+func NewHTTPEngines(logger *slog.Logger) HTTPEngines {
+	return HTTPEngines{NewEngineCalls(vocabulary.Default(), logger)}
+}
 
 // Load implements Engines.
 func (e HTTPEngines) Load(ctx context.Context, order LoadOrder) error {
@@ -144,9 +150,9 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	status, _, err := e.call(ctx, http.MethodPost, "http://"+order.Address+"/v1/load", body)
+	status, _, err := e.Call(ctx, http.MethodPost, "/v1/load", order.Address, order.Instance, body)
 	if err != nil {
-		return err
+		return Unreached(err)
 	}
 	switch status {
 	case http.StatusAccepted:
@@ -164,9 +170,9 @@
 }
 
 // Report implements Engines.
-func (e HTTPEngines) Report(ctx context.Context, address, _ string) (EngineReport, error) {
+func (e HTTPEngines) Report(ctx context.Context, address, instance string) (EngineReport, error) {
 	var report EngineReport
-	status, body, err := e.call(ctx, http.MethodGet, "http://"+address+"/v1/state", nil)
+	status, body, err := e.Call(ctx, http.MethodGet, "/v1/state", address, instance, nil)
 	if err != nil {
 		return report, err
 	}
@@ -175,17 +181,3 @@
 	}
 	return report, json.Unmarshal(body, &report)
 }
-
-func (e HTTPEngines) call(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, err
-	}
-	response, err := e.Client.Do(request)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer response.Body.Close()
-	read, err := io.ReadAll(io.LimitReader(response.Body, maxCall))
-	return response.StatusCode, read, err
-}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/state"
@@ -56,6 +57,9 @@
 	Load(ctx context.Context, order LoadOrder) error
 	// Report asks an engine for its state.
 	Report(ctx context.Context, address, instance string) (EngineReport, error)
+	// Draining returns the engines that have said since the last call, in an answer to an
+	// order or a report, that they drain.
+	Draining() []coordapi.BackendID
 }
 
 // bring takes one engine to a version: it announces the load, gives the order
--- a/internal/coordinator/place_test.go
+++ b/internal/coordinator/place_test.go
@@ -82,6 +82,8 @@
 	return EngineReport{}, errors.New("down")
 }
 
+func (downEngines) Draining() []coordapi.BackendID { return nil }
+
 // An engine that had crashed kept the place of a load for ten seconds, and was
 // asked thirty times a second.
 func TestAnOrderToAnEngineThatIsDownIsGivenUp(t *testing.T) {
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -150,6 +150,7 @@
 // rolloutLoop lets the leader order engines to load weights.
 func (s *Server) rolloutLoop(ctx context.Context) {
 	periodic.Run(ctx, rolloutEvery, func(ctx context.Context) {
+		s.drain(s.settings.Name, s.engines.Draining())
 		s.loop.Do(ctx, func(now time.Duration) { s.orderDue(ctx, now) })
 	})
 }
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -70,6 +70,9 @@
 	// wait is for how long its engine wants nothing from a router that it turns away, as
 	// it does with all while it is set; the deployment's lock guards it.
 	wait time.Duration
+	// drains makes its engine say in each answer that it drains, and nothing in its
+	// heartbeats; the deployment's lock guards it.
+	drains bool
 	// current is the engine that runs there.
 	current *engine
 	// back is how long after its end an engine is started again.
@@ -116,7 +119,7 @@
 
 func (d *deployment) startNode(i int) {
 	d.t.Helper()
-	node, err := coordinator.New(d.config[i], coordinator.HTTPEngines{Client: http.DefaultClient}, traffic.Parse, quiet())
+	node, err := coordinator.New(d.config[i], coordinator.NewHTTPEngines(quiet()), traffic.Parse, quiet())
 	assert.NilError(d.t, err)
 	assert.NilError(d.t, node.Start())
 	d.nodes[i] = node
@@ -255,6 +258,8 @@
 	// for a while, and tooEarly what has come from a router within such a time.
 	turnedAway map[string][]time.Time
 	tooEarly   map[string]int
+	// arrived is when it was sent what it ran.
+	arrived []time.Time
 }
 
 func (e *engine) beat(ctx context.Context) {
@@ -292,6 +297,10 @@
 	d := e.seat.deployment
 	d.mu.Lock()
 	d.runs[string(body)]++
+	e.arrived = append(e.arrived, time.Now())
+	if e.seat.drains {
+		w.Header().Set(names.Draining, "1")
+	}
 	d.mu.Unlock()
 	w.Header().Set(names.Seal, "seal")
 	if strings.HasPrefix(string(body), poisonBody) && r.Header.Get(names.Tenant) == poisonTenant {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,9 +57,10 @@
 func New(config settings.DisklessRouter, headers vocabulary.Headers, decode follower.Decode, logger *slog.Logger) *Edge {
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool := backends.NewPool(config.Zone)
-	saved, limits, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(logger)
+	saved, limits, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
+	pool.Heed(pushbacks)
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Right: config.RightLease(),
-		Decode: decode, Pool: pool, Saved: saved, Quota: limits, Peers: e.peers, Logger: logger})
+		Decode: decode, Pool: pool, Saved: saved, Quota: limits, Pushbacks: pushbacks, Peers: e.peers, Logger: logger})
 	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: limits,
 		Upstream: upstream.NewPool(headers.RequestID, pushbacks), Pushbacks: pushbacks, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
--- a/internal/edge/pushback_test.go
+++ b/internal/edge/pushback_test.go
@@ -116,3 +116,34 @@
 		})
 	}
 }
+
+// What back ends say of their end in answers only reaches all routers, the one that heard
+// it and those that did not, and streams that run there go on.
+func TestBackEndsThatDrainInTheirAnswersGetNothingNew(t *testing.T) {
+	for path, pool := range map[string]string{"/chat/": "llm", "/pay/": "app"} {
+		t.Run(pool, func(t *testing.T) {
+			d := newDeployment(t, 3, 2, 6)
+			leaving := d.ofPool(pool)[:2]
+			long := make(chan answer, 1)
+			go func() { long <- d.ask(0, "ka", "/chat/", "long") }()
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			d.mu.Lock()
+			for _, s := range leaving {
+				s.drains = true
+			}
+			d.mu.Unlock()
+			statuses := d.load(ctx, path)
+			last := time.Now().Add(-time.Second)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			assert.Equal(t, len(statuses), 1, "%v", statuses)
+			assert.Assert(t, statuses[http.StatusOK] > 0)
+			for _, s := range leaving {
+				arrived := s.current.arrived
+				assert.Assert(t, len(arrived) == 0 || arrived[len(arrived)-1].Before(last), "%s got something two seconds after it said that it drains", s.current.id)
+			}
+			assert.Assert(t, (<-long).whole)
+		})
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
@@ -126,9 +127,11 @@
 	// Saved may be nil.
 	Saved Saved
 	// Quota may be nil.
-	Quota  Quota
-	Peers  *peer.Client
-	Logger *slog.Logger
+	Quota Quota
+	// Pushbacks is what back ends want from this router; nil for nothing.
+	Pushbacks *pushback.Register
+	Peers     *peer.Client
+	Logger    *slog.Logger
 }
 
 // New returns a follower that knows nothing. Its name is new at each start.
@@ -276,6 +279,9 @@
 	if v.Announced != f.announced {
 		f.config.Pool.Others(f.now(), f.loads(v), v.LoadsAge, v.EngineLoads)
 	}
+	if v.Leader.Leadership() != f.token.Leadership() {
+		f.config.Pushbacks.TellAgain()
+	}
 	if v.Leader != f.token {
 		f.config.Pool.Note(v.Notes)
 		f.evidence.hear(v.Leader, v.Suspects)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -37,6 +37,8 @@
 	reply   coordapi.Reply
 	told    int
 	address string
+	// asked are the questions for an engine.
+	asked []coordapi.Place
 }
 
 func (s *script) say(r coordapi.Reply) {
@@ -57,6 +59,9 @@
 		if json.Unmarshal(body, &request) == nil && request.Tell != nil {
 			s.told++
 		}
+		if request.Place != nil {
+			s.asked = append(s.asked, *request.Place)
+		}
 		return s.reply, nil
 	})
 	t.Cleanup(server.Close)
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,12 @@
 	p.reports.Begun = append(p.reports.Begun, reports.Begun...)
 	p.reports.Ended = append(p.reports.Ended, reports.Ended...)
 	p.reports.Spent = append(p.reports.Spent, reports.Spent...)
+	for _, t := range reports.Troubles {
+		// Other troubles are old when they are told again.
+		if t.Kind == coordapi.Draining {
+			p.reports.Troubles = append(p.reports.Troubles, t)
+		}
+	}
 }
 
 // take returns what the leader has not heard of.
@@ -64,6 +71,7 @@
 	}
 	ask := placer.Ask(q)
 	ask.Router, ask.Zone, ask.Number = f.name, f.config.Zone, f.placements.number.Add(1)
+	ask.Tried = append(slices.Clone(ask.Tried), f.config.Pushbacks.Barring(q.Pool)...)
 	ask.Reports = f.reports()
 	call, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
@@ -93,11 +101,11 @@
 	return choice, found, true
 }
 
-// reports is what the leader has not heard of yet. Troubles that are lost on the
-// way are not told again: they are old by then.
+// reports is what the leader has not heard of yet. Troubles that are lost on the way
+// are not told again, but for what drains: they are old by then.
 func (f *Follower) reports() coordapi.Reports {
 	reports := f.placements.take()
-	reports.Troubles = f.config.Pool.Troubles()
+	reports.Troubles = slices.Concat(reports.Troubles, f.config.Pool.Troubles(), f.config.Pushbacks.News())
 	if f.config.Quota != nil {
 		reports.Spent = append(reports.Spent, f.config.Quota.Spent()...)
 	}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -107,6 +107,11 @@
 	if len(j.query.Tried) >= maxSends || (s.begun && !j.route.Resumable) {
 		return false
 	}
+	if result.verdict == notRun && !result.arrived {
+		// What the budget granted for this attempt, if it was a repeat, is still there: only
+		// what arrives at a back end counts.
+		return true
+	}
 	if result.verdict != notRun && (!j.route.Repeatable() || j.ran >= max(j.route.MaxAttempts, 1)) {
 		return false
 	}
@@ -158,6 +163,7 @@
 	names, header := &h.config.Headers, j.request.Header
 	header.Set(names.Instance, choice.ID)
 	j.request.Backend = pushback.Backend{ID: coordapi.BackendID(choice.ID), Pool: j.pool.Name}
+	j.request.Instance = choice.ID
 	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
 	if s.lastEvent != "" {
 		header.Set(names.LastEvent, s.lastEvent)
@@ -178,6 +184,10 @@
 		err = fmt.Errorf("%w (%w)", err, cause)
 	}
 	j.trace = append(j.trace, h.explain(j, choice)+": "+err.Error())
+	if errors.Is(err, pushback.ErrBarred) {
+		// That is no failure of the back end, and nothing has reached it.
+		return outcome{verdict: notRun, err: err}
+	}
 	if !errors.Is(context.Cause(ctx), context.Canceled) {
 		h.config.Pool.Failed(h.now(), choice.ID)
 	}
@@ -229,11 +239,16 @@
 		h.config.Pool.Succeeded(now, choice.ID, took)
 	case notRun:
 		h.config.Pool.Busy(now, choice.ID)
+		h.notePushback(now, choice)
 		if status == http.StatusMisdirectedRequest {
 			other := result.answer.header.Get(h.config.Headers.InstanceIs)
 			h.config.Pool.Mismatch(choice.ID, j.query.Model, choice.Version, other != "" && other != choice.ID)
 		}
 	default:
+		if h.notePushback(now, choice) {
+			// A back end that wants a wait is not one that fails.
+			break
+		}
 		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
 			h.config.Pool.Failed(now, choice.ID)
 		}
@@ -252,6 +267,15 @@
 	return fmt.Sprintf(", retry after %.32q", strings.Join(values, ", "))
 }
 
+// notePushback tells the pool of a back end that wants a wait, and returns whether it does.
+func (h *Handler) notePushback(now time.Duration, choice backends.Choice) bool {
+	wait := h.config.Pushbacks.Standing(coordapi.BackendID(choice.ID)).Wait
+	if wait > 0 {
+		h.config.Pool.PushedBack(now, choice.ID, wait)
+	}
+	return wait > 0
+}
+
 // explain names a back end and what decided for it.
 func (h *Handler) explain(j *job, choice backends.Choice) string {
 	text := fmt.Sprintf("%s (cost %.0f of %d", choice.ID, choice.Cost, choice.Considered)
@@ -277,7 +301,7 @@
 		s.writeWhole(result.answer)
 		h.logDone(s, "passed a failure on")
 	case j.ran == 0:
-		h.refuse(s.writer, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), after: fullRetry})
+		h.refuse(s.writer, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), after: h.comeBack(j)})
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		h.refuse(s.writer, j, &refusal{status: http.StatusGatewayTimeout, reason: h.reason(j, result)})
 	default:
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/periodic"
 )
 
@@ -34,6 +35,17 @@
 	return wait + rand.N(wait/2)
 }
 
+// comeBack is when a caller may come back that no back end has taken: soon, since others
+// may be free, or if all of the pool want nothing, when the first wants something again,
+// spread over half as long so that those who were refused meanwhile don't meet.
+func (h *Handler) comeBack(j *job) time.Duration {
+	back := h.config.Pool.Back(&j.query)
+	if back < fullRetry {
+		return fullRetry
+	}
+	return back + rand.N(back/2)
+}
+
 // choose waits a moment for a back end that can serve.
 func (h *Handler) choose(ctx context.Context, j *job) (backends.Choice, bool) {
 	j.query.Routers = h.config.Source.Routers()
@@ -47,6 +59,10 @@
 		if found || len(j.query.Tried) > 0 || h.now() > limit {
 			return choice, found
 		}
+		if h.now()+h.config.Pool.Back(&j.query) > limit {
+			// All want nothing for longer than a request is held.
+			return choice, false
+		}
 		if periodic.Pause(ctx, waitStep); ctx.Err() != nil {
 			return choice, false
 		}
@@ -83,8 +99,10 @@
 		h.config.Placer.Ended(choice.Placement)
 		return over, true, true
 	}
-	// A leader that was replaced may not know what this router does.
-	if h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) {
+	// A leader that was replaced may not know what this router does, and no leader what
+	// a back end wants from it.
+	if h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) ||
+		h.config.Pushbacks.Standing(coordapi.BackendID(choice.ID)).Barred() {
 		h.config.Placer.Ended(choice.Placement)
 		return choice, false, false
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -84,7 +84,8 @@
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, source: &source{table: table(t)}, pool: backends.NewPool("a"), runs: map[string]int{}}
 	r.source.fresh.Store(true)
-	pushbacks := pushback.New(slog.New(slog.DiscardHandler))
+	pushbacks := pushback.New(names, slog.New(slog.DiscardHandler))
+	r.pool.Heed(pushbacks)
 	r.handler = New(Config{Headers: names, Source: r.source, Pool: r.pool, Upstream: upstream.NewPool(names.RequestID, pushbacks), Pushbacks: pushbacks, Saved: NewSaved(),
 		Budget: BudgetConfig{Ratio: 0.2, Burst: 100, Window: time.Second}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	r.router = httptest.NewServer(r.handler)
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -82,7 +82,10 @@
 	fmt.Fprintf(w, "quinceridge_store_delay_seconds %.3f\n", h.store.current(h.now()).Seconds())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
 	fmt.Fprintf(w, "quinceridge_pushbacks_total %d\n", h.config.Pushbacks.Asked.Load())
-	fmt.Fprintf(w, "quinceridge_backends_pushed_back %d\n", h.config.Pushbacks.InForce())
+	fmt.Fprintf(w, "quinceridge_pushbacks_kept_total %d\n", h.config.Pushbacks.Kept.Load())
+	waiting, draining := h.config.Pushbacks.InForce()
+	fmt.Fprintf(w, "quinceridge_backends_pushed_back %d\n", waiting)
+	fmt.Fprintf(w, "quinceridge_backends_heard_draining %d\n", draining)
 	m.first.write(w, "quinceridge_first_seconds")
 	m.whole.write(w, "quinceridge_answer_seconds")
 	return 0, nil
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -1,28 +1,43 @@
 // Package pushback keeps what back ends ask of this process in their answers: to be left
-// alone for a while, by a 503 with Retry-After.
+// alone for a while, by a 503 with Retry-After, or for good, since they drain. It is asked
+// where a back end is chosen, and again just before each send, on the one way that
+// requests, repeats, resumed streams, orders and reports have in common: a choice may be
+// older than the answer that speaks against it, and a leader that places for all routers
+// does not know what one of them was asked.
 //
-// It is of this process alone: a back end speaks to one machine. What is asked holds for
-// the start that asked for it, on the clock that counts suspension.
+// What is asked is asked of one machine, and holds for the start that asked, on the clock
+// that counts suspension. It outlives everything that a process is told of back ends by
+// others: rows, shards, leaders.
 package pushback
 
 import (
+	"cmp"
+	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
-// maxKept bounds how many starts are kept, some 100 B each: more than a router hears of
-// within the longest wait. The oldest go.
+// maxKept bounds how many starts are kept, some 100 B each: more than a process hears of
+// within the longest wait.
 const maxKept = 4096
 
 // unreadableEvery is the least time between two log lines on answers that can't be read.
 const unreadableEvery = time.Second
 
+// ErrBarred marks what is not sent because the back end wants nothing now.
+var ErrBarred = errors.New("the back end wants nothing from here")
+
 // Backend is who was asked: one start of a back end, and the pool it belongs to.
 type Backend struct {
 	ID   coordapi.BackendID
@@ -31,15 +46,20 @@
 
 // Register is what the back ends have asked. It is safe for concurrent use.
 type Register struct {
-	logger *slog.Logger
+	headers vocabulary.Headers
+	logger  *slog.Logger
 	// clock is clock.Now but in tests.
 	clock func() time.Duration
-	// Asked counts the answers that asked for a wait.
+	// Asked counts the answers that asked for a wait, and Kept what was not sent or
+	// not chosen since a back end wants nothing.
 	Asked atomic.Uint64
+	Kept  atomic.Uint64
 
 	mu sync.Mutex
 	// starts are those that have asked.
 	starts map[coordapi.BackendID]*start
+	// untold is what News returns next.
+	untold []coordapi.Trouble
 	// unreadableAt is when an answer that can't be read was logged last.
 	unreadableAt time.Duration
 }
@@ -50,21 +70,59 @@
 	// at is when it asked last, and until when it wants nothing.
 	at    time.Duration
 	until time.Duration
+	// draining is never taken back.
+	draining bool
+	// kept counts what was kept from it in the present wait.
+	kept int
 }
 
+// barred tells whether the start wants nothing now.
+func (s *start) barred(now time.Duration) bool { return s.draining || now < s.until }
+
 // New returns a register of nothing.
-func New(logger *slog.Logger) *Register {
-	return &Register{logger: logger, clock: clock.Now, starts: map[coordapi.BackendID]*start{}}
+func New(headers vocabulary.Headers, logger *slog.Logger) *Register {
+	return &Register{headers: headers, logger: logger, clock: clock.Now, starts: map[coordapi.BackendID]*start{}}
+}
+
+// Answered takes what the head of an answer to a request that was meant for a back end
+// says. Instance is how the request named it.
+func (g *Register) Answered(from Backend, instance string, answer *http.Response) {
+	if from.ID == "" {
+		return
+	}
+	if draining(answer.Header.Get(g.headers.Draining)) && g.isFrom(instance, answer) {
+		g.drains(from)
+	}
+	// A 503 alone asks for a wait: with a success there is nothing to stay away from, and a
+	// 429 may be the limit of one caller, for which the others need not go elsewhere.
+	if answer.StatusCode == http.StatusServiceUnavailable && len(answer.Header[headerRetryAfter]) > 0 {
+		g.pushesBack(from, answer.Header)
+	}
 }
 
-// Answered takes what the head of an answer says of the back end that gave it. A 503 alone
-// asks for something: with a success there is nothing to stay away from, and a 429 may be
-// the limit of one caller, for which the others need not go elsewhere.
-func (g *Register) Answered(from Backend, answer *http.Response) {
-	if answer.StatusCode != http.StatusServiceUnavailable || len(answer.Header[headerRetryAfter]) == 0 {
+func draining(value string) bool { return value == "1" || value == "true" }
+
+// isFrom tells whether an answer is of the start that the request was meant for. Another
+// one at its address says 421, and says nothing of it: that a new start drains as the one
+// before did would keep it out for good.
+func (g *Register) isFrom(instance string, answer *http.Response) bool {
+	return answer.StatusCode != http.StatusMisdirectedRequest || answer.Header.Get(g.headers.InstanceIs) == instance
+}
+
+func (g *Register) drains(from Backend) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.of(g.clock(), from)
+	if s.draining {
 		return
 	}
-	wait, err := retryAfter(answer.Header)
+	s.draining = true
+	g.untold = append(g.untold, coordapi.Trouble{ID: string(from.ID), Kind: coordapi.Draining})
+	g.logger.Info("back end drains", "part", "pushback", "backend", from.ID, "pool", from.Pool)
+}
+
+func (g *Register) pushesBack(from Backend, header http.Header) {
+	wait, err := retryAfter(header)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
@@ -75,7 +133,13 @@
 		return
 	}
 	g.Asked.Add(1)
-	g.ask(now, from, wait)
+	s := g.of(now, from)
+	if now >= s.until {
+		g.logger.Info("back end pushes back", "part", "pushback", "backend", from.ID, "pool", from.Pool, "wait_ms", wait.Milliseconds())
+		g.untold = append(g.untold, coordapi.Trouble{ID: string(from.ID), Kind: coordapi.Busy, For: wait})
+	}
+	// A shorter wait does not end a longer one in force.
+	s.at, s.until = now, max(s.until, now+wait)
 }
 
 func (g *Register) noteUnreadable(now time.Duration, from Backend, err error) {
@@ -86,47 +150,153 @@
 	g.logger.Warn("pushback cannot be read", "part", "pushback", "backend", from.ID, "error", err.Error())
 }
 
-// ask notes a wait. One that ends earlier than another in force changes nothing.
-func (g *Register) ask(now time.Duration, from Backend, wait time.Duration) {
+// of returns what is kept of a start.
+func (g *Register) of(now time.Duration, from Backend) *start {
 	s := g.starts[from.ID]
 	if s == nil {
 		g.makeRoom(now)
-		s = &start{pool: from.Pool}
+		s = &start{pool: from.Pool, at: now}
 		g.starts[from.ID] = s
 	}
-	if now >= s.until {
-		g.logger.Info("back end pushes back", "part", "pushback", "backend", from.ID, "pool", from.Pool, "wait_ms", wait.Milliseconds())
-	}
-	s.at, s.until = now, max(s.until, now+wait)
+	return s
 }
 
-// makeRoom forgets waits that are over, and the oldest if all are in force.
+// makeRoom forgets waits that are over, and the oldest quarter of all if there are still
+// too many.
 func (g *Register) makeRoom(now time.Duration) {
 	if len(g.starts) < maxKept {
 		return
 	}
-	var oldest coordapi.BackendID
+	g.sweep(now)
+	if len(g.starts) < maxKept {
+		return
+	}
+	byAge := slices.SortedFunc(maps.Keys(g.starts), func(a, b coordapi.BackendID) int {
+		return cmp.Compare(g.starts[a].at, g.starts[b].at)
+	})
+	for _, id := range byAge[:maxKept/4] {
+		delete(g.starts, id)
+	}
+}
+
+// sweep forgets the waits that are over.
+func (g *Register) sweep(now time.Duration) {
 	for id, s := range g.starts {
-		if now >= s.until {
+		if !s.barred(now) {
+			g.logger.Info("back end may be sent to again", "part", "pushback", "backend", id, "pool", s.pool, "kept", s.kept)
 			delete(g.starts, id)
-		} else if oldest == "" || s.at < g.starts[oldest].at {
-			oldest = id
 		}
 	}
-	if len(g.starts) >= maxKept {
-		delete(g.starts, oldest)
+}
+
+// Look returns nil if something may be sent to a back end now, else an error marked
+// ErrBarred. It is the last thing before a send.
+func (g *Register) Look(id coordapi.BackendID) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	s := g.starts[id]
+	if s == nil || !s.barred(now) {
+		return nil
+	}
+	s.kept++
+	g.Kept.Add(1)
+	if s.draining {
+		return fmt.Errorf("%w: it drains", ErrBarred)
 	}
+	return fmt.Errorf("%w for another %d ms", ErrBarred, (s.until - now).Milliseconds())
 }
 
-// InForce is how many starts want nothing now.
-func (g *Register) InForce() int {
+// Standing is what holds of one start.
+type Standing struct {
+	// Wait is how long it still wants nothing.
+	Wait time.Duration
+	// Draining says that it will never want anything again.
+	Draining bool
+}
+
+// Barred tells whether nothing may be sent.
+func (s Standing) Barred() bool { return s.Draining || s.Wait > 0 }
+
+// Standing returns what holds of a start. A nil register knows of nothing.
+func (g *Register) Standing(id coordapi.BackendID) Standing {
+	if g == nil {
+		return Standing{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.starts[id]
+	if s == nil {
+		return Standing{}
+	}
+	return Standing{Wait: max(s.until-g.clock(), 0), Draining: s.draining}
+}
+
+// maxNamed bounds how many starts Barring names, 20 B each in a question to the leader:
+// with more of them a placement may meet one, and is then not taken.
+const maxNamed = 256
+
+// Barring returns starts of a pool that want nothing now, for who chooses for this
+// process. A nil register knows of none.
+func (g *Register) Barring(pool string) []string {
+	if g == nil {
+		return nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, n := g.clock(), 0
+	if len(g.starts) == 0 {
+		return nil
+	}
+	g.sweep(g.clock())
+	var out []string
+	for id, s := range g.starts {
+		if s.pool == pool && len(out) < maxNamed {
+			out = append(out, string(id))
+		}
+	}
+	return out
+}
+
+// News returns what the leader has not been told. A nil register has none.
+func (g *Register) News() []coordapi.Trouble {
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := g.untold
+	g.untold = nil
+	return out
+}
+
+// TellAgain makes News return all that drain once more: a new leader may not know, and an
+// old one may not have been reached.
+func (g *Register) TellAgain() {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.untold = nil
+	for id, s := range g.starts {
+		if s.draining {
+			g.untold = append(g.untold, coordapi.Trouble{ID: string(id), Kind: coordapi.Draining})
+		}
+	}
+}
+
+// InForce is how many starts want nothing now, and how many of them drain.
+func (g *Register) InForce() (waiting, draining int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
 	for _, s := range g.starts {
-		if now < s.until {
-			n++
+		switch {
+		case s.draining:
+			draining++
+		case s.barred(now):
+			waiting++
 		}
 	}
-	return n
+	return waiting, draining
 }
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -28,6 +28,11 @@
 func (a *Answer) exchange(r *Request) *callError {
 	c := a.connection
 	head := encodeHead(r)
+	// Again, just before the send: other answers may have come while this one waited for
+	// its connection.
+	if err := a.pool.pushbacks.Look(r.Backend.ID); err != nil {
+		return &callError{mark: ErrNotSent, cause: err}
+	}
 	if len(r.Body) < asyncBody {
 		if n, err := c.Write(append(head, r.Body...)); err != nil {
 			return &callError{mark: sentMark(n), cause: err}
@@ -67,7 +72,7 @@
 			continue
 		}
 		if response.Header.Get(a.pool.idHeader) == r.ID {
-			a.pool.pushbacks.Answered(r.Backend, response)
+			a.pool.pushbacks.Answered(r.Backend, r.Instance, response)
 			return response, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody)); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -72,8 +73,9 @@
 	Body   []byte
 	// ID is the value that the answer carries back in the pool's ID header.
 	ID string
-	// Backend is who the request is meant for.
-	Backend pushback.Backend
+	// Backend is who the request is meant for, and Instance how it names that start.
+	Backend  pushback.Backend
+	Instance string
 	// Once says that the request must not be sent over a connection that may
 	// be about to close.
 	Once bool
@@ -84,7 +86,7 @@
 type Pool struct {
 	// idHeader is the header in which answers carry the request's ID.
 	idHeader string
-	// pushbacks takes what answers ask of this process.
+	// pushbacks takes what answers ask of this process, and says what may not be sent.
 	pushbacks *pushback.Register
 	dialer    net.Dialer
 	// Opened counts new connections.
@@ -184,6 +186,9 @@
 // Do sends a request and returns the head of its answer. The context's end
 // closes the connection, which tells the back end to stop.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+	if err := p.pushbacks.Look(r.Backend.ID); err != nil {
+		return nil, &callError{mark: ErrNotSent, cause: err}
+	}
 	c := p.take(address, r.Once)
 	if c == nil {
 		var err error
@@ -206,6 +211,17 @@
 	return a, nil
 }
 
+// Call makes a call and reads its whole answer, of at most limit bytes.
+func (p *Pool) Call(ctx context.Context, address string, r *Request, limit int64) (status int, body []byte, err error) {
+	answer, err := p.Do(ctx, address, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer answer.Close()
+	body, err = io.ReadAll(io.LimitReader(answer, limit))
+	return answer.StatusCode, body, err
+}
+
 // forget closes the kept connections to an address of which one was given up, since the
 // back end's machine acknowledged nothing. Connections may go silent for good, without a
 // reset, while new ones work: each of the others would cost a request too.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,17 +11,21 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
 const idHeader = "X-Request-Id"
 
-func quiet() *pushback.Register { return pushback.New(slog.New(slog.DiscardHandler)) }
+func quiet() *pushback.Register {
+	return pushback.New(vocabulary.Default(), slog.New(slog.DiscardHandler))
+}
 
 // backend is a scripted back end: each accepted connection is handed to serve.
 type backend struct {
@@ -276,3 +280,95 @@
 	assert.NilError(t, err)
 	assert.Equal(t, p.Opened.Load(), uint64(2))
 }
+
+// A request that has passed every look before waits for a connection, and meanwhile the
+// back end answers another that it wants nothing for half a minute. Ten of them at one
+// moment are no better.
+func TestTheLastLookIsJustBeforeTheSend(t *testing.T) {
+	held, answered := make(chan struct{}), make(chan struct{})
+	var arrived atomic.Int32
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, err := next(requests)
+			if err != nil {
+				return
+			}
+			arrived.Add(1)
+			if id == "first" {
+				_, _ = io.WriteString(conn, answerTo(id, "ok"))
+				continue
+			}
+			<-held
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\n%s: %s\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n", idHeader, id)
+		}
+	})
+	p := NewPool(idHeader, quiet())
+	to := func(id string) *Request {
+		r := request(id)
+		r.Backend = pushback.Backend{ID: "start", Pool: "p"}
+		return r
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	ask := func(id string) error {
+		answer, err := p.Do(ctx, b.address, to(id))
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, answer)
+		answer.Close()
+		return err
+	}
+	assert.NilError(t, ask("first"))
+	dialling := make(chan struct{}, 10)
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		dialling <- struct{}{}
+		<-answered
+		return nil
+	}
+	turned := make(chan error)
+	go func() { turned <- ask("turned away") }()
+	for arrived.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	waiting := make(chan error, 10)
+	for i := range 10 {
+		go func() { waiting <- ask(fmt.Sprint("waits ", i)) }()
+	}
+	for range 10 {
+		<-dialling
+	}
+	close(held)
+	assert.NilError(t, <-turned)
+	close(answered)
+	for range 10 {
+		err := <-waiting
+		assert.ErrorIs(t, err, ErrNotSent)
+		assert.ErrorIs(t, err, pushback.ErrBarred)
+	}
+	assert.Equal(t, arrived.Load(), int32(2))
+	assert.ErrorIs(t, ask("later"), pushback.ErrBarred)
+}
+
+// An answer to another request, which a proxy or a late surplus brings, says nothing of the
+// back end.
+func TestAnAnswerToAnotherRequestAsksForNothing(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, err := next(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\n"+vocabulary.Default().Draining+": 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"+answerTo(id, "ok"))
+		}
+	})
+	p := NewPool(idHeader, quiet())
+	for range 3 {
+		r := request("1")
+		r.Backend = pushback.Backend{ID: "start", Pool: "p"}
+		status, body, err := p.Call(t.Context(), b.address, r, 100)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, string(body), "ok")
+	}
+}
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -19,6 +19,8 @@
 	Seal string
 	// NotRun on an answer says that the back end did not run the request.
 	NotRun string
+	// Draining on an answer says that the back end is about to end and wants no new work.
+	Draining string
 	// LastEvent is the ID of the last event that the caller has.
 	LastEvent string
 	// Model, Usage ("prompt,most" in tokens) and Prefix ("id:tokens,...")
@@ -57,6 +59,7 @@
 		Tenant:     "Tenant",
 		Seal:       "Response-Signature",
 		NotRun:     "Not-Run",
+		Draining:   "Engine-Draining",
 		LastEvent:  "Last-Event-Id",
 		Model:      "Model",
 		Usage:      "Prompt-Usage",
