--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -64,6 +64,11 @@
 	// drainedAt is when a drain was acknowledged, 0 for never.
 	drainedAt atomic.Int64
 	trouble   atomic.Int32
+	// wants is for how long it wants nothing from whom it turns away, as it does with all
+	// while that is not 0, in nanoseconds; announces says that it drains in answers.
+	wants     atomic.Int64
+	announces atomic.Bool
+	asked     *asked
 	mu        sync.Mutex
 	version   int
 	orders    int
@@ -79,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{soak: s, pool: pool, id: fmt.Sprintf("%s-%d", pool, s.started.Add(1)), version: int(s.named.Load())}
+	b := &backend{soak: s, pool: pool, id: fmt.Sprintf("%s-%d", pool, s.started.Add(1)), version: int(s.named.Load()), asked: newAsked()}
 	if b.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -131,6 +136,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if !b.arrives(w, order.Holder) {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
@@ -166,6 +174,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if router, known := b.soak.asked.Load(id); known && !b.arrives(w, router.(string)) {
+		return
+	}
 	trouble := b.trouble.Load()
 	troubled := rand.IntN(100) < troubleShare
 	if trouble == troubleFull && troubled {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -57,10 +57,12 @@
 		p.proxy.reset(func() { wait(ctx, between(r)) })
 	}},
 	{"cut a back end off", func(s *Soak, ctx context.Context, r *rand.Rand) {
-		pick(r, s.listBackends()).proxy.cut(func() { wait(ctx, between(r)) })
+		b := pick(r, s.listBackends())
+		s.cutOff(b, func() { b.proxy.cut(func() { wait(ctx, between(r)) }) })
 	}},
 	{"reset a back end's connections", func(s *Soak, ctx context.Context, r *rand.Rand) {
-		pick(r, s.listBackends()).proxy.reset(func() { wait(ctx, between(r)) })
+		b := pick(r, s.listBackends())
+		s.cutOff(b, func() { b.proxy.reset(func() { wait(ctx, between(r)) }) })
 	}},
 	{"lose a coordinator's disk", (*Soak).loseDisk},
 	{"kill all coordinators", (*Soak).killCoordinators},
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -26,16 +26,21 @@
 	contact     = 3 * time.Second
 )
 
-// disturbance is a time in which a coordinator or a router was at fault.
+// disturbance is a time in which a coordinator, a router or a back end's link was at
+// fault.
 type disturbance struct {
+	// program is the name of a coordinator or a router, empty for a link.
+	program string
 	// router is empty for a coordinator.
-	router   string
+	router string
+	// backend is nil for a program.
+	backend  *backend
 	from, to time.Duration
 }
 
 // disturb notes that a program is at fault until the returned function is called.
 func (s *Soak) disturb(p *program) (over func()) {
-	d := &disturbance{from: s.now(), to: -1}
+	d := &disturbance{program: p.name, from: s.now(), to: -1}
 	if p.proxy == nil {
 		d.router = p.name
 	}
@@ -52,7 +57,7 @@
 // inTouch tells whether a router and all coordinators had been undisturbed through the
 // whole contact before a moment.
 func (s *Soak) inTouch(router string, at time.Duration) bool {
-	return !s.disturbed(at, func(d *disturbance) bool { return d.router == "" || d.router == router })
+	return !s.disturbed(at, func(d *disturbance) bool { return d.backend == nil && (d.router == "" || d.router == router) })
 }
 
 // disturbed tells whether a disturbance of some kind went on within contact before a
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -126,6 +126,7 @@
 	faulty, calm := context.WithTimeout(working, s.config.Length-settle)
 	defer calm()
 	wait(faulty, 3*time.Second)
+	group.Go(func() { s.injectAnswers(faulty) })
 	s.inject(faulty)
 	group.Wait()
 }
