A back end's start is who it is; what is said in its name is read whole or not at all

Cause: a row, and all that is kept by its ID, was kept by the name that a back end gives itself. One that starts again under its name was silent until its count passed that of the start before, stayed out for good if that had drained, and was held for loaded. Any state but draining counted as ready. What is kept by ID is so kept by start: sequence, silence, drain, suspicion, pushback, failures, weights, orders, placements, evidence. Requests name a back end as it names itself. Words of a start before the present one, or one that is gone, change nothing; one whose clock was set back is taken once the one before is silent; one that leaves before it is known is marked when it comes. Requests at a start that is over end when its successor is heard of, and orders go to no successor. A heartbeat, a leave and a report are decoded into checked types: a field that is missing, mistyped or out of range or a state that is none refuses it whole, with a line a second at most and a count.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -68,6 +68,9 @@
 		return a
 	}
 	entry(p.flows, q.Pool).sent(now)
+	if r != nil {
+		r.opened(a)
+	}
 	if choice.Versioned {
 		p.waiting[a] = struct{}{}
 	}
@@ -168,6 +171,7 @@
 	}
 	a.begin()
 	if r := a.pool.rows[a.id]; r != nil {
+		delete(r.open, a)
 		r.running = max(r.running-1, 0)
 		r.memory = max(r.memory-a.work.Most, 0)
 		if r.unlisted && r.running == 0 {
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"cmp"
 	"iter"
 	"maps"
 	"slices"
@@ -66,9 +67,11 @@
 
 // Choice is a chosen back end.
 type Choice struct {
-	ID      string
-	Address string
-	Zone    string
+	ID string
+	// Instance is how the back end names itself, empty if that is the ID.
+	Instance string
+	Address  string
+	Zone     string
 	// Version is the version of the model that it holds; Versioned says that
 	// it is known.
 	Version   int
@@ -107,6 +110,9 @@
 	Blocked []string
 }
 
+// Name is how the back end names itself.
+func (c *Choice) Name() string { return cmp.Or(c.Instance, c.ID) }
+
 // savedDivisor is the part of a prompt's shared tokens that its own part may be for
 // the prompt to be saved: of 1, 2 and 4 tried, 2 led to the fewest tokens read again.
 const savedDivisor = 2
@@ -159,7 +165,7 @@
 		homeAddress = homes[version].Address
 	}
 	work := Work{Prompt: q.unread(version), Most: q.Work.Most}
-	return Choice{ID: best.ID, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
+	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: standing(candidates), Work: work,
 		Ahead: best.ahead, Wait: max(best.wait, rate.Wait(best.ahead)), Late: late}, true
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -37,8 +37,10 @@
 	// are the tokens of those that it has not begun to answer. In a pool that drains,
 	// readFrom is when it began the last one that it answered, or was sent the first
 	// of those: it reads them from then on.
-	running  int
-	memory   int
+	running int
+	memory  int
+	// open are the attempts there, in a router's own pool.
+	open     map[*Attempt]struct{}
 	prefill  int
 	readFrom time.Duration
 	// unbegun are the requests that it has not begun to answer, in a pool that
@@ -134,13 +136,6 @@
 func (p *Pool) Apply(changed []state.Backend, departed []string, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if whole {
-		named := make(map[string]bool, len(changed))
-		for _, b := range changed {
-			named[b.ID] = true
-		}
-		p.drop(func(r *row) bool { return !named[r.ID] })
-	}
 	for _, b := range changed {
 		r := p.rows[b.ID]
 		if r == nil {
@@ -149,6 +144,14 @@
 		}
 		r.Backend, r.hash, r.unlisted = b, xxhash.Sum64String(b.Address), false
 		p.index.activate(r)
+		p.supersede(r)
+	}
+	if whole {
+		named := make(map[string]bool, len(changed))
+		for _, b := range changed {
+			named[b.ID] = true
+		}
+		p.drop(func(r *row) bool { return !named[r.ID] })
 	}
 	for _, id := range departed {
 		p.index.remove(p.rows[id])
@@ -183,7 +186,7 @@
 func (p *Pool) rowOf(choice *Choice, q *Query) *row {
 	r := p.rows[choice.ID]
 	if r == nil && choice.Placement > 0 && choice.Versioned {
-		r = &row{Backend: state.Backend{ID: choice.ID, Pool: q.Pool, Address: choice.Address, Zone: choice.Zone,
+		r = &row{Backend: state.Backend{ID: choice.ID, Instance: choice.Instance, Pool: q.Pool, Address: choice.Address, Zone: choice.Zone,
 			Weights: map[string]int{q.Model: choice.Version}}, unlisted: true}
 		p.rows[choice.ID] = r
 	}
--- /dev/null
+++ b/internal/coordapi/check.go
@@ -0,0 +1,37 @@
+package coordapi
+
+import (
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxName bounds the names of back ends, pools, zones and models, in bytes.
+	maxName = 256
+	// maxSlots is more than any back end works on at once.
+	maxSlots = 1 << 20
+)
+
+// Check finds what makes a heartbeat useless, with its place. Whoever sends it may be no
+// back end at all.
+func (b *Beat) Check() error {
+	row := &b.Backend
+	for field, text := range map[string]string{"id": row.ID, "pool": row.Pool, "zone": row.Zone} {
+		if text == "" || len(text) > maxName {
+			return errors.Newf("%s: 1 to %d bytes are required", field, maxName)
+		}
+	}
+	if address, err := netip.ParseAddrPort(row.Address); err != nil || address.Port() == 0 {
+		return errors.Newf("address: %.64q is no IP number with a port", row.Address)
+	}
+	if row.Slots < 1 || row.Slots > maxSlots {
+		return errors.Newf("slots: %d is not within 1 to %d", row.Slots, maxSlots)
+	}
+	for model, version := range row.Weights {
+		if model == "" || len(model) > maxName || version < 1 {
+			return errors.Newf("weights: a name and a version of 1 or more are required, not %.64q at %d", model, version)
+		}
+	}
+	return nil
+}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -157,7 +157,8 @@
 // Read asks for the configuration in force.
 type Read struct{}
 
-// BackendID names one start of a back end. A new start has a new one.
+// BackendID names one start of a back end. A new start has a new one, also if the back end
+// names itself as before.
 type BackendID string
 
 // Sequence counts the heartbeats of one start of a back end, from 1. A heartbeat
@@ -166,6 +167,7 @@
 
 // Beat is a back end's heartbeat.
 type Beat struct {
+	// Backend has the name that the back end gives itself as its ID.
 	Backend  state.Backend `json:"backend"`
 	Sequence Sequence      `json:"sequence"`
 }
@@ -179,7 +181,10 @@
 
 // Leave says that a back end is gone or about to be: no new work.
 type Leave struct {
+	// ID is how the back end names itself.
 	ID string `json:"id"`
+	// Born is when it started, 0 if it does not say.
+	Born state.UnixMilli `json:"born,omitempty"`
 }
 
 // Tell brings the leader what a router has done lately. It is a hint: what is
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -66,9 +66,11 @@
 // Placed is the engine that the leader chose for a Place. An empty ID says that
 // none may serve.
 type Placed struct {
-	ID      string `json:"id,omitempty"`
-	Address string `json:"address,omitempty"`
-	Zone    string `json:"zone,omitempty"`
+	ID string `json:"id,omitempty"`
+	// Instance is how the engine names itself, empty if that is the ID.
+	Instance string `json:"instance,omitempty"`
+	Address  string `json:"address,omitempty"`
+	Zone     string `json:"zone,omitempty"`
 	// Version is of the weights that it holds; Versioned says that it is known.
 	Version   int  `json:"version,omitempty"`
 	Versioned bool `json:"versioned,omitempty"`
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -245,6 +245,19 @@
 // only once the change is durable on a majority.
 func (s *Server) beat(ctx context.Context, b coordapi.Beat) (coordapi.Reply, error) {
 	return s.enrol(ctx, func(now time.Duration) (state.Backend, bool) {
+		b.Backend.Instance = ""
+		start := b.Backend.Start()
+		id, counts := s.rowFor(now, start)
+		if !counts {
+			return state.Backend{}, false
+		}
+		b.Backend.ID, b.Backend.Instance = id, ""
+		if id != start.Name {
+			b.Backend.Instance = start.Name
+		}
+		if _, left := s.soft.leftEarly[start]; left {
+			b.Backend.Draining = true
+		}
 		old, known := s.enrolment.row(s.core.Machine().Deployment(), b.Backend.ID)
 		if !s.soft.heard(now, b.Backend.ID, b.Sequence) && known {
 			return old, s.enrolment.ahead(b.Backend.ID) != nil
@@ -267,13 +280,16 @@
 	row := old
 	row.Pool, row.Address, row.Zone, row.Slots = beat.Pool, beat.Address, beat.Zone, beat.Slots
 	row.Draining = old.Draining || beat.Draining
+	if beat.Born != 0 {
+		row.Born = beat.Born
+	}
 	for model, version := range beat.Weights {
 		if version > row.Weights[model] {
 			row.Weights = raised(row.Weights, model, version)
 		}
 	}
 	same := row.Pool == old.Pool && row.Address == old.Address && row.Zone == old.Zone && row.Slots == old.Slots &&
-		row.Draining == old.Draining && sameWeights(row.Weights, old.Weights)
+		row.Draining == old.Draining && row.Born == old.Born && sameWeights(row.Weights, old.Weights)
 	return row, !same
 }
 
@@ -334,14 +350,22 @@
 // leave marks a back end as draining. The row stays until it is silent, so
 // that a late heartbeat cannot bring it back.
 func (s *Server) leave(ctx context.Context, l coordapi.Leave) (coordapi.Reply, error) {
-	return s.enrol(ctx, func(time.Duration) (state.Backend, bool) {
-		row, known := s.enrolment.row(s.core.Machine().Deployment(), l.ID)
+	return s.enrol(ctx, func(now time.Duration) (state.Backend, bool) {
+		start := state.Start{Name: l.ID, Born: l.Born}
+		id, counts := s.rowFor(now, start)
+		if !counts {
+			return state.Backend{}, false
+		}
+		row, known := s.enrolment.row(s.core.Machine().Deployment(), id)
+		if !known {
+			s.leaveEarly(start)
+		}
 		if known && !row.Draining {
 			row.Draining = true
 			s.logger.Info("back end leaves", "part", "registry", "backend", row.ID)
 			return row, true
 		}
-		return row, s.enrolment.ahead(l.ID) != nil
+		return row, s.enrolment.ahead(id) != nil
 	})
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -66,10 +66,10 @@
 	return nil
 }
 
-func (f *fakeEngines) Report(_ context.Context, address, _ string) (EngineReport, error) {
+func (f *fakeEngines) Report(_ context.Context, to Target) (EngineReport, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.at(address)
+	e := f.at(to.Address)
 	return EngineReport{Orders: e.orders, Weights: map[string]int{"m": e.version}}, nil
 }
 
--- a/internal/coordinator/digest.go
+++ b/internal/coordinator/digest.go
@@ -48,7 +48,12 @@
 		if s.core == nil || s.core.HoldsLease(now) || !s.digest.mayAnswer(now) {
 			return
 		}
-		row, known := s.core.Machine().Deployment().Backends[b.Backend.ID]
+		b.Backend.Instance = ""
+		d := s.core.Machine().Deployment()
+		if !answersAs(d, &b) {
+			return
+		}
+		row, known := d.Backends[b.Backend.ID]
 		if _, changed := merged(row, known, b.Backend); changed {
 			return
 		}
--- a/internal/coordinator/drain_test.go
+++ b/internal/coordinator/drain_test.go
@@ -89,18 +89,18 @@
 	}))
 	t.Cleanup(engine.Close)
 	engines := NewHTTPEngines(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	address := engine.Listener.Addr().String()
-	order := LoadOrder{Address: address, Instance: "x", Model: "m", Version: 2, Fence: 1}
+	to := Target{Backend: "x", Address: engine.Listener.Addr().String(), Instance: "x"}
+	order := LoadOrder{Target: to, Model: "m", Version: 2, Fence: 1}
 	assert.Assert(t, engines.Load(t.Context(), order) != nil)
 	assert.DeepEqual(t, engines.Draining(), []coordapi.BackendID{"x"})
 	for range 10 {
 		assert.ErrorIs(t, engines.Load(t.Context(), order), ErrUnreached)
-		_, err := engines.Report(t.Context(), address, "x")
+		_, err := engines.Report(t.Context(), to)
 		assert.Assert(t, err != nil)
 	}
 	assert.Equal(t, asked.Load(), int32(1))
 	// Another start at the address has asked for nothing.
-	order.Instance = "y"
+	order.Backend = "y"
 	assert.Assert(t, engines.Load(t.Context(), order) != nil)
 	assert.Equal(t, asked.Load(), int32(2))
 }
--- a/internal/coordinator/enginecalls.go
+++ b/internal/coordinator/enginecalls.go
@@ -29,15 +29,15 @@
 }
 
 // Call makes a call to one start of an engine and reads its answer.
-func (e *EngineCalls) Call(ctx context.Context, method, path, address, instance string, body []byte) (int, []byte, error) {
+func (e *EngineCalls) Call(ctx context.Context, to Target, method, path string, body []byte) (int, []byte, error) {
 	header := http.Header{}
-	header.Set(e.headers.Instance, instance)
+	header.Set(e.headers.Instance, to.Instance)
 	if body != nil {
 		header.Set("Content-Type", "application/json")
 	}
-	request := &upstream.Request{Method: method, Target: path, Host: address, Header: header, Body: body, Once: true,
-		Backend: pushback.Backend{ID: coordapi.BackendID(instance)}, Instance: instance}
-	return e.pool.Call(ctx, address, request, maxCall)
+	request := &upstream.Request{Method: method, Target: path, Host: to.Address, Header: header, Body: body, Once: true,
+		Backend: pushback.Backend{ID: to.Backend}, Instance: to.Instance}
+	return e.pool.Call(ctx, to.Address, request, maxCall)
 }
 
 // Draining implements Engines.
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
@@ -28,7 +29,7 @@
 //	GET  /v1/configuration            the one in force
 //	POST /v1/weights                  a state.NameWeights
 //	POST /v1/backends/{id}/heartbeat  a coordapi.Beat
-//	POST /v1/backends/{id}/leave
+//	POST /v1/backends/{id}/leave      with ?born= if it may start again under its name
 //	GET  /v1/blocked                  the requests that are kept from back ends
 //	DELETE /v1/blocked/{digest}       lets one reach them again
 //
@@ -42,13 +43,19 @@
 		serveCall(s, w, r, func(named *state.NameWeights) coordapi.Request { return coordapi.Request{NameWeights: named} })
 	})
 	mux.HandleFunc("POST /v1/backends/{id}/heartbeat", func(w http.ResponseWriter, r *http.Request) {
-		serveCall(s, w, r, func(beat *coordapi.Beat) coordapi.Request {
-			beat.Backend.ID = r.PathValue("id")
-			return coordapi.Request{Beat: beat}
-		})
+		s.heartbeat(w, r)
 	})
 	mux.HandleFunc("POST /v1/backends/{id}/leave", func(w http.ResponseWriter, r *http.Request) {
-		s.finish(w, r, coordapi.Request{Leave: &coordapi.Leave{ID: r.PathValue("id")}})
+		leave := &coordapi.Leave{ID: r.PathValue("id")}
+		if text := r.URL.Query().Get("born"); text != "" {
+			born, err := strconv.ParseInt(text, 10, 64)
+			if err != nil {
+				http.Error(w, "born: a whole number of milliseconds is required", http.StatusBadRequest)
+				return
+			}
+			leave.Born = state.UnixMilli(born)
+		}
+		s.finish(w, r, coordapi.Request{Leave: leave})
 	})
 	s.handleBlocked(mux)
 	return mux
@@ -95,6 +102,22 @@
 	Revision uint64   `json:"revision"`
 }
 
+// heartbeat takes a back end's word in the product's own form.
+func (s *Server) heartbeat(w http.ResponseWriter, r *http.Request) {
+	var beat coordapi.Beat
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(&beat)
+	beat.Backend.ID = r.PathValue("id")
+	if err == nil {
+		err = beat.Check()
+	}
+	if err != nil {
+		s.Unreadable(beat.Backend.ID, err)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.finish(w, r, coordapi.Request{Beat: &beat})
+}
+
 // serveCall decodes a body and runs the call that it asks for.
 func serveCall[Body any](s *Server, w http.ResponseWriter, r *http.Request, translate func(*Body) coordapi.Request) {
 	body := new(Body)
@@ -150,7 +173,7 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	status, _, err := e.Call(ctx, http.MethodPost, "/v1/load", order.Address, order.Instance, body)
+	status, _, err := e.Call(ctx, order.Target, http.MethodPost, "/v1/load", body)
 	if err != nil {
 		return Unreached(err)
 	}
@@ -170,9 +193,9 @@
 }
 
 // Report implements Engines.
-func (e HTTPEngines) Report(ctx context.Context, address, instance string) (EngineReport, error) {
+func (e HTTPEngines) Report(ctx context.Context, to Target) (EngineReport, error) {
 	var report EngineReport
-	status, body, err := e.Call(ctx, http.MethodGet, "/v1/state", address, instance, nil)
+	status, body, err := e.Call(ctx, to, http.MethodGet, "/v1/state", nil)
 	if err != nil {
 		return report, err
 	}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -36,6 +36,7 @@
 	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
 	gauge("peer_received_messages_total", s.counters.MessagesIn.Load())
 	gauge("peer_sent_messages_total", s.counters.MessagesOut.Load())
+	gauge("entries_unreadable_total", s.unreadable.Load())
 	placements, routers := s.placer.Open()
 	gauge("placements_open", placements)
 	gauge("placements_routers", routers)
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -12,13 +12,24 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// LoadOrder tells an engine to load weights.
-type LoadOrder struct {
+// Target is the start of an engine that a call is meant for.
+type Target struct {
+	// Backend is its row.
+	Backend coordapi.BackendID `json:"-"`
 	Address string
-	// Instance is the ID of the start that the order is meant for.
+	// Instance is how the engine names itself.
 	Instance string
-	Model    string
-	Version  int
+}
+
+func targetOf(row state.Backend) Target {
+	return Target{Backend: coordapi.BackendID(row.ID), Address: row.Address, Instance: row.Name()}
+}
+
+// LoadOrder tells an engine to load weights.
+type LoadOrder struct {
+	Target
+	Model   string
+	Version int
 	// Truncate cuts running requests off; else they go on with the new weights.
 	Truncate bool
 	Holder   string
@@ -33,6 +44,8 @@
 	Orders int
 	// Weights maps models to versions.
 	Weights map[string]int
+	// Born is when the engine started, 0 if it does not say.
+	Born state.UnixMilli
 }
 
 // Answers to an order.
@@ -56,7 +69,7 @@
 	// error without a mark of this package says that it may be.
 	Load(ctx context.Context, order LoadOrder) error
 	// Report asks an engine for its state.
-	Report(ctx context.Context, address, instance string) (EngineReport, error)
+	Report(ctx context.Context, to Target) (EngineReport, error)
 	// Draining returns the engines that have said since the last call, in an answer to an
 	// order or a report, that they drain.
 	Draining() []coordapi.BackendID
@@ -138,11 +151,11 @@
 // order gives the order until the engine has answered it. Each repeat expects
 // the same count, so that only one is carried out.
 func (s *Server) order(ctx context.Context, row state.Backend, model string, version int, term uint64) error {
-	order := LoadOrder{Address: row.Address, Instance: row.ID, Model: model, Version: version, Holder: s.settings.Name,
+	order := LoadOrder{Target: targetOf(row), Model: model, Version: version, Holder: s.settings.Name,
 		Fence: term, Expected: row.Orders}
 	for ctx.Err() == nil {
-		if !s.leads(ctx, term) {
-			return errors.New("this node leads no more")
+		if !s.mayOrderStart(ctx, term, row.ID) {
+			return errors.New("this node leads no more, or the engine has started again")
 		}
 		attempt, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := s.engines.Load(attempt, order)
@@ -182,19 +195,34 @@
 	return report.Weights[order.Model] >= order.Version && !report.Busy, nil
 }
 
-// leads tells whether this node still leads in a term.
-func (s *Server) leads(ctx context.Context, term uint64) bool {
-	leads := false
+// mayOrderStart tells whether this node still leads in a term, and a start of an engine is
+// still there: its successor under the same name has taken no orders, and one that expects
+// none would be carried out by it.
+func (s *Server) mayOrderStart(ctx context.Context, term uint64, id string) bool {
+	may := false
 	s.loop.Do(ctx, func(now time.Duration) {
-		leads = s.core != nil && s.core.HoldsLease(now) && s.core.Status().Term == term
+		if s.core == nil || !s.core.HoldsLease(now) || s.core.Status().Term != term {
+			return
+		}
+		d := s.core.Machine().Deployment()
+		row, known := d.Backends[id]
+		if !known {
+			return
+		}
+		current, _ := d.Current(row.Name())
+		may = current.ID == id
 	})
-	return leads
+	return may
 }
 
 func (s *Server) report(ctx context.Context, row state.Backend) (EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return s.engines.Report(ctx, row.Address, row.ID)
+	report, err := s.engines.Report(ctx, targetOf(row))
+	if err == nil && !row.Start().Same(state.Start{Name: row.Name(), Born: report.Born}) {
+		return EngineReport{}, ErrOtherInstance
+	}
+	return report, err
 }
 
 // awaitLoaded asks the engine until it reports the version.
--- a/internal/coordinator/place_test.go
+++ b/internal/coordinator/place_test.go
@@ -78,7 +78,7 @@
 	return ErrUnreached
 }
 
-func (downEngines) Report(context.Context, string, string) (EngineReport, error) {
+func (downEngines) Report(context.Context, Target) (EngineReport, error) {
 	return EngineReport{}, errors.New("down")
 }
 
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -54,8 +54,12 @@
 	identity identity
 	peers    *peer.Client
 	counters *peer.Counters
-	listener *peer.Server
-	metrics  *http.Server
+	// unreadable counts what was said in back ends' names and could not be read, and
+	// unreadableAt is when that was logged last, by the process's clock.
+	unreadable   atomic.Uint64
+	unreadableAt atomic.Int64
+	listener     *peer.Server
+	metrics      *http.Server
 	// clock is clock.Now but in tests.
 	clock   func() time.Duration
 	engines Engines
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -37,6 +37,14 @@
 	silent []string
 	// left are back ends that are on no list any more and had announced their end.
 	left map[string]bool
+	// starts are the starts of back ends that were heard of last, by name; olderNoted when
+	// those had started that spoke after their successors, and leftEarly the starts that
+	// said they leave before they were known.
+	starts     map[string]state.Start
+	olderNoted map[string]state.UnixMilli
+	leftEarly  map[state.Start]struct{}
+	// departedAt is when rows of earlier starts were removed last.
+	departedAt time.Duration
 	// epoch and changes name the state of silent and minimum.
 	epoch   string
 	changes int
@@ -66,7 +74,8 @@
 
 func (t *softState) reset(now time.Duration) {
 	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]time.Duration{},
-		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{}}
+		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{},
+		starts: map[string]state.Start{}, olderNoted: map[string]state.UnixMilli{}, leftEarly: map[state.Start]struct{}{}}
 }
 
 // heard notes a heartbeat. It returns false for one that is older than another
@@ -321,6 +330,7 @@
 // have changed: a look at all takes 3.7 ms among 10,000 (BenchmarkLook, beside load), and
 // rows change hundreds of times a second while they register.
 func (s *Server) lookForSilence(now time.Duration, d *state.Deployment) {
+	s.departSuperseded(now, d)
 	if now-s.soft.looked > silenceEvery {
 		s.lookAtAll(now, d)
 		return
@@ -341,6 +351,7 @@
 	before := s.soft.silent
 	s.soft.lookedAt = d.BackendsAt
 	gone := s.soft.look(now, s.settings.BackendHeartbeat, d.Backends)
+	s.soft.forgetStarts(d)
 	if !slices.Equal(before, s.soft.silent) {
 		s.noteSilent(before)
 	}
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -73,6 +74,8 @@
 	// drains makes its engine say in each answer that it drains, and nothing in its
 	// heartbeats; the deployment's lock guards it.
 	drains bool
+	// name is how all its engines name themselves; empty if each has a name of its own.
+	name string
 	// current is the engine that runs there.
 	current *engine
 	// back is how long after its end an engine is started again.
@@ -237,9 +240,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s.starts++
-	id := fmt.Sprintf("%s#%d", s.address, s.starts)
+	id := cmp.Or(s.name, fmt.Sprintf("%s#%d", s.address, s.starts))
 	ctx, cancel := context.WithCancel(d.t.Context())
-	e := &engine{seat: s, id: id, end: cancel, turnedAway: map[string][]time.Time{}, tooEarly: map[string]int{}}
+	e := &engine{seat: s, id: id, born: state.UnixMilli(s.starts), end: cancel, turnedAway: map[string][]time.Time{}, tooEarly: map[string]int{}}
 	s.current = e
 	s.stop = cancel
 	s.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
@@ -251,6 +254,7 @@
 type engine struct {
 	seat  *seat
 	id    string
+	born  state.UnixMilli
 	end   context.CancelFunc
 	once  sync.Once
 	muted atomic.Bool
@@ -264,7 +268,7 @@
 
 func (e *engine) beat(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
-		row := state.Backend{ID: e.id, Pool: e.seat.pool, Address: e.seat.address, Zone: "z", Slots: 8}
+		row := state.Backend{ID: e.id, Born: e.born, Pool: e.seat.pool, Address: e.seat.address, Zone: "z", Slots: 8}
 		if e.seat.pool == "llm" {
 			row.Weights = map[string]int{"m": 1}
 		}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -161,9 +161,9 @@
 // address fills the headers that depend on the back end.
 func (h *Handler) address(j *job, s *session, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
-	header.Set(names.Instance, choice.ID)
+	header.Set(names.Instance, choice.Name())
 	j.request.Backend = pushback.Backend{ID: coordapi.BackendID(choice.ID), Pool: j.pool.Name}
-	j.request.Instance = choice.ID
+	j.request.Instance = choice.Name()
 	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
 	if s.lastEvent != "" {
 		header.Set(names.LastEvent, s.lastEvent)
@@ -242,7 +242,7 @@
 		h.notePushback(now, choice)
 		if status == http.StatusMisdirectedRequest {
 			other := result.answer.header.Get(h.config.Headers.InstanceIs)
-			h.config.Pool.Mismatch(choice.ID, j.query.Model, choice.Version, other != "" && other != choice.ID)
+			h.config.Pool.Mismatch(choice.ID, j.query.Model, choice.Version, other != "" && other != choice.Name())
 		}
 	default:
 		if h.notePushback(now, choice) {
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
@@ -59,6 +60,8 @@
 	case result.verdict == notRun:
 	case result.verdict != mayHaveRun && framed:
 		h.config.Observer.Answered(j.digest)
+	case errors.Is(context.Cause(ctx), backends.ErrStartedAgain):
+		h.config.Observer.Saw(poison.Ending{Backend: choice.ID, Request: j.digest, Lasted: now - started, Down: true})
 	case context.Cause(ctx) == nil:
 		h.checks.add(choice, poison.Ending{Backend: choice.ID, Request: j.digest, Lasted: now - started}, h.checkBackend)
 	case now-max(started, s.lastAt) >= silentFrom:
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -248,14 +248,14 @@
 }
 
 func placed(c *backends.Choice) coordapi.Placed {
-	return coordapi.Placed{ID: c.ID, Address: c.Address, Zone: c.Zone, Version: c.Version, Versioned: c.Versioned, Home: c.Home,
+	return coordapi.Placed{ID: c.ID, Instance: c.Instance, Address: c.Address, Zone: c.Zone, Version: c.Version, Versioned: c.Versioned, Home: c.Home,
 		Source: c.Source, Save: c.Save, Cost: c.Cost, Considered: c.Considered, Prompt: c.Work.Prompt, Ahead: c.Ahead, Wait: c.Wait, Late: c.Late}
 }
 
 // Choice is a placement in the words of the choice. False says that no engine may
 // serve.
 func Choice(ask *coordapi.Place, p *coordapi.Placed) (backends.Choice, bool) {
-	return backends.Choice{ID: p.ID, Address: p.Address, Zone: p.Zone, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
+	return backends.Choice{ID: p.ID, Instance: p.Instance, Address: p.Address, Zone: p.Zone, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
 		Source: p.Source, Save: p.Save, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
 		Ahead: p.Ahead, Wait: p.Wait, Late: p.Late, Placement: ask.Number, OverLimit: p.OverLimit, Uncounted: p.Uncounted,
 		Blocked: p.Blocked}, p.ID != "" || p.OverLimit || len(p.Blocked) > 0
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -27,11 +27,15 @@
 
 // Backend is a registered back end. An ID is one start of one process.
 type Backend struct {
-	ID      string `json:"id"`
-	Pool    string `json:"pool"`
-	Address string `json:"address"`
-	Zone    string `json:"zone,omitempty"`
-	Slots   int    `json:"slots,omitempty"`
+	ID string `json:"id"`
+	// Instance is how the back end names itself, empty if that is the ID, and Born when it
+	// started by its own clock, 0 if it does not say.
+	Instance string    `json:"instance,omitempty"`
+	Born     UnixMilli `json:"born,omitempty"`
+	Pool     string    `json:"pool"`
+	Address  string    `json:"address"`
+	Zone     string    `json:"zone,omitempty"`
+	Slots    int       `json:"slots,omitempty"`
 	// Draining back ends get no new work. The mark is never taken back.
 	Draining bool `json:"draining,omitempty"`
 	// Weights maps models to the version that the back end holds.
@@ -77,6 +81,8 @@
 	Revision uint64 `json:"revision"`
 	// Engine says that it was a model engine.
 	Engine bool `json:"engine,omitempty"`
+	// Born is when it had started, 0 if it did not say.
+	Born UnixMilli `json:"born,omitempty"`
 }
 
 // WeightsVersion is a named version of a model's weights.
@@ -160,6 +166,7 @@
 	d.order.count(d.Backends[b.ID], -1)
 	d.order.count(b, 1)
 	d.Backends[b.ID] = b
+	d.order.found(d, b)
 	d.BackendsAt = index
 	d.order.changed(d, b.ID, index)
 }
@@ -173,8 +180,9 @@
 		old := d.Backends[id]
 		d.order.count(old, -1)
 		delete(d.Backends, id)
-		d.Departed = append(d.Departed, Departure{ID: id, Revision: index, Engine: old.IsEngine()})
-		d.order.gone[id] = struct{}{}
+		d.Departed = append(d.Departed, Departure{ID: id, Revision: index, Engine: old.IsEngine(), Born: old.Born})
+		d.order.gone[id] = old.Born
+		d.order.left(old)
 		d.BackendsAt = index
 	}
 	for len(d.Departed) > max(rememberedDepartures, len(d.Backends)) {
--- a/internal/state/rows.go
+++ b/internal/state/rows.go
@@ -16,8 +16,12 @@
 	// whose revision it has; those before it are dropped when half of all are of that
 	// kind.
 	changes []rowChange
-	// gone are the departed IDs that are remembered.
-	gone map[string]struct{}
+	// gone are the departed IDs that are remembered, with when those had started.
+	gone map[string]UnixMilli
+	// current maps the names of back ends to the rows of their present starts, and
+	// superseded are rows of starts before.
+	current    map[string]string
+	superseded map[string]struct{}
 	// engines counts the rows of model engines.
 	engines int
 }
@@ -36,16 +40,18 @@
 func (o *rowOrder) rebuild(d *Deployment) {
 	o.changes = make([]rowChange, 0, len(d.Backends))
 	o.engines = 0
+	o.current, o.superseded = make(map[string]string, len(d.Backends)), map[string]struct{}{}
 	for id, b := range d.Backends {
 		o.count(b, 1)
+		o.found(d, b)
 		o.changes = append(o.changes, rowChange{id, b.Revision})
 	}
 	slices.SortFunc(o.changes, func(a, b rowChange) int {
 		return cmp.Or(cmp.Compare(a.revision, b.revision), strings.Compare(a.id, b.id))
 	})
-	o.gone = make(map[string]struct{}, len(d.Departed))
+	o.gone = make(map[string]UnixMilli, len(d.Departed))
 	for _, departure := range d.Departed {
-		o.gone[departure.ID] = struct{}{}
+		o.gone[departure.ID] = departure.Born
 	}
 }
 
