Builds side by side: levels with kept shapes and bytes, unknown commands stop a replica, a soak that replaces builds

Cause: a command that a build does not know was answered as empty and passed over, so that replicas would differ; nothing failed when a type that travels or stays on disk changed; nothing said who runs what.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets: make demo (the main job), make check (all tests), make build.
 
-.PHONY: build demo check format lint test models soak clean
+.PHONY: build demo check format lint test models soak upgrade clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -9,7 +9,7 @@
 demo: build
 	./bin/rehearse fleet --deployment grocery --seconds 30
 
-check: format lint test models soak
+check: format lint test models soak upgrade
 
 format:
 	@unformatted=$$(gofmt -l cmd internal platform); \
@@ -33,6 +33,18 @@
 soak: build
 	@for seed in $(SOAK_SEEDS); do ./bin/rehearse soak --seed $$seed --seeds 1 --seconds 25 --binary bin/quinceridge || exit 1; done
 
+# Real processes under faults while the build that landed last is replaced by this one.
+# It is built from the repository's own history, without which this is not run and says so.
+OLDER = 642b63ef255973f93b247517cde47bcbaf84cc15
+OLDER_SEED = 4
+
+upgrade: build
+	@if ! git cat-file -e $(OLDER)^{commit} 2>/dev/null; then echo "upgrade: NOT RUN, $(OLDER) is not in this history"; exit 0; fi; \
+	set -e; folder=$$(mktemp -d); trap 'rm -rf '$$folder EXIT; \
+	git archive $(OLDER) | tar -x -C $$folder; \
+	(cd $$folder && go build -o older/ ./cmd/quinceridge); \
+	./bin/rehearse soak --seed $(OLDER_SEED) --seeds 1 --seconds 25 --binary bin/quinceridge --older $$folder/older/quinceridge
+
 # Model checking needs spin and gcc; .ci/run installs them.
 models:
 	./spec/check.sh
--- a/cmd/quinceridge/fleet.go
+++ b/cmd/quinceridge/fleet.go
@@ -11,6 +11,7 @@
 
 	"quinceridge.example/quinceridge/internal/bundle"
 	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/state"
@@ -270,6 +271,6 @@
 
 // Run implements the command.
 func (versionCommand) Run() error {
-	fmt.Println("quinceridge", version.Current)
+	fmt.Println("quinceridge", version.Current, version.Build(), "level", level.Current)
 	return nil
 }
--- a/cmd/rehearse/soak.go
+++ b/cmd/rehearse/soak.go
@@ -24,6 +24,7 @@
 	Workers int    `default:"4" help:"Stand-ins of application workers."`
 	Folder  string `default:"run/soak" help:"Folder for settings, data and logs; those of failed seeds are kept."`
 	Binary  string `default:"" help:"The quinceridge program; built if empty."`
+	Older   string `default:"" help:"An earlier build that all processes run first; they are replaced by the program one after the other."`
 }
 
 // Run implements the command.
@@ -76,7 +77,13 @@
 	if err := os.MkdirAll(folder, foldersMode); err != nil {
 		return false, errors.Wrap(err, "make folder")
 	}
-	report, err := soak.Run(ctx, soak.Config{Binary: binary, Folder: folder, Seed: seed, Length: time.Duration(c.Seconds) * time.Second,
+	older := c.Older
+	if older != "" {
+		if older, err = filepath.Abs(older); err != nil {
+			return false, errors.Wrap(err, "find the older build")
+		}
+	}
+	report, err := soak.Run(ctx, soak.Config{Binary: binary, Older: older, Folder: folder, Seed: seed, Length: time.Duration(c.Seconds) * time.Second,
 		Routers: c.Routers, Callers: c.Callers, Engines: c.Engines, Workers: c.Workers})
 	if err != nil {
 		return false, err
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/raft"
+	"quinceridge.example/quinceridge/internal/version"
 )
 
 // serveFigures serves the node's figures as text, if the settings name an
@@ -31,6 +32,7 @@
 
 // figures writes counters and the state of the node.
 func (s *Server) figures(w http.ResponseWriter, r *http.Request) {
+	version.WriteTo(w)
 	gauge := func(name string, value any) { fmt.Fprintf(w, "quinceridge_%s %v\n", name, value) }
 	gauge("peer_received_bytes_total", s.counters.BytesIn.Load())
 	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -21,10 +21,12 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/control"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/placer"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/settings"
+	"quinceridge.example/quinceridge/internal/version"
 )
 
 // Times of the consensus. The lease is below the election timeout by a
@@ -139,7 +141,7 @@
 	s.group.Go(func() { s.rolloutLoop(ctx) })
 	s.group.Go(func() { s.digestLoop(ctx) })
 	s.listener = peer.Serve(listener, s.counters, s.handle)
-	s.logger.Info("started", "part", "coordinator", "id", s.identity.ID, "listen", s.settings.PeerAddress)
+	s.logger.Info("started", "part", "coordinator", "id", s.identity.ID, "listen", s.settings.PeerAddress, "build", version.Build(), "level", level.Current)
 	return nil
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,12 +17,14 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/forward"
+	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/upstream"
+	"quinceridge.example/quinceridge/internal/version"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
@@ -103,7 +105,8 @@
 			e.logger.Error("no figures", "part", "edge", "error", err.Error())
 		}
 	}
-	e.logger.Info("started", "part", "edge", "listen", e.settings.Listen, "seeds", e.settings.Coordinators())
+	e.logger.Info("started", "part", "edge", "listen", e.settings.Listen, "seeds", e.settings.Coordinators(), "build", version.Build(),
+		"level", level.Current)
 	return nil
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/version"
 )
 
 // latencyBounds are the upper bounds of the latency histograms.
@@ -63,6 +65,7 @@
 
 // WriteTo writes the figures as text.
 func (h *Handler) WriteTo(w io.Writer) (int64, error) {
+	version.WriteTo(w)
 	m := &h.metrics
 	fmt.Fprintf(w, "quinceridge_requests_open %d\n", m.open.Load())
 	for class := range m.classes {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -49,12 +49,13 @@
 	l.runs = append(l.runs, r)
 }
 
-// backend is a stand-in for a model engine or an application worker. Each
-// start has an ID of its own.
+// backend is a stand-in for a model engine or an application worker: one start, which
+// may have the name of another before it.
 type backend struct {
 	soak     *Soak
 	pool     string
 	id       string
+	born     state.UnixMilli
 	proxy    *proxy
 	server   *http.Server
 	sequence atomic.Uint64
@@ -79,12 +80,12 @@
 // troubles of a back end, as shares of its requests in percent.
 const troubleShare = 30
 
-func (s *Soak) startBackend(pool string) (*backend, error) {
+func (s *Soak) startBackend(pool, name string) (*backend, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{soak: s, pool: pool, id: fmt.Sprintf("%s-%d", pool, s.started.Add(1)), version: int(s.named.Load()), asked: newAsked()}
+	b := &backend{soak: s, pool: pool, id: name, born: state.UnixMilli(time.Now().UnixMilli()), version: int(s.named.Load()), asked: newAsked()}
 	if b.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -118,7 +119,7 @@
 // tell sends one heartbeat. An acknowledged drain binds from then on.
 func (b *backend) tell(ctx context.Context) {
 	draining := b.draining.Load()
-	row := state.Backend{Pool: b.pool, Address: b.proxy.address(), Zone: "zone", Slots: 8, Draining: draining}
+	row := state.Backend{Born: b.born, Pool: b.pool, Address: b.proxy.address(), Zone: "zone", Slots: 8, Draining: draining}
 	if b.pool == poolEngines {
 		b.mu.Lock()
 		row.Weights = map[string]int{model: b.version}
@@ -158,7 +159,7 @@
 func (b *backend) state(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(coordinator.EngineReport{Orders: b.orders, Weights: map[string]int{model: b.version}})
+	_ = json.NewEncoder(w).Encode(coordinator.EngineReport{Born: b.born, Orders: b.orders, Weights: map[string]int{model: b.version}})
 }
 
 // serve runs a request, with the trouble that the back end is in.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,10 +26,12 @@
 	Configurations int `json:"configurations"`
 	// Poisons counts the requests that end back ends, Ends the back ends that ended under
 	// them and Blocked the tries that reached none.
-	Poisons int      `json:"poisons"`
-	Ends    int      `json:"ends"`
-	Blocked int      `json:"blocked"`
-	Broken  []string `json:"broken,omitempty"`
+	Poisons int `json:"poisons"`
+	Ends    int `json:"ends"`
+	Blocked int `json:"blocked"`
+	// Replaced counts the programs whose build was replaced by another.
+	Replaced int      `json:"replaced,omitempty"`
+	Broken   []string `json:"broken,omitempty"`
 }
 
 // results are the calls of all callers.
--- a/internal/soak/pushback.go
+++ b/internal/soak/pushback.go
@@ -9,11 +9,12 @@
 	"time"
 )
 
-// Faults of what back ends say in answers. They have a random source of their own, so that
+// Faults of what back ends say in answers, and of their names. They have a random source of their own, so that
 // a seed's other faults are the ones that it always had.
 var answerFaults = []fault{
 	{"back ends push back", (*Soak).pushBack},
 	{"a back end says in answers that it drains", (*Soak).drainInAnswers},
+	{"back ends start again under their names", (*Soak).startAgain},
 }
 
 const (
@@ -47,8 +48,12 @@
 	return &asked{waits: map[string][]*waiting{}, drains: map[string]time.Duration{}}
 }
 
-// injectAnswers brings the faults of answers about until the context ends.
+// injectAnswers brings the faults of answers about until the context ends. Builds before
+// this one read nothing of them, and keep out what starts again under its name.
 func (s *Soak) injectAnswers(ctx context.Context) {
+	if s.config.Older != "" {
+		return
+	}
 	r := rand.New(rand.NewPCG(s.config.Seed, 3))
 	for wait(ctx, time.Duration(r.Int64N(int64(2*answerFaultPause)))) {
 		s.begin(ctx, r, answerFaults[r.IntN(len(answerFaults))], 1)
@@ -91,6 +96,23 @@
 	b.crash()
 }
 
+// startAgain ends one back end or some and starts others under their names at once, before
+// anyone sees that they are silent, or later.
+func (s *Soak) startAgain(ctx context.Context, r *rand.Rand) {
+	pause := time.Duration(r.IntN(2)) * between(r)
+	for range 1 + r.IntN(3) {
+		b := pick(r, s.listBackends())
+		if !s.remove(b) {
+			continue
+		}
+		b.crash()
+		s.group.Go(func() {
+			wait(ctx, pause)
+			s.addNamed(b.pool, b.id)
+		})
+	}
+}
+
 // arrives checks what a back end asked of who sends to it, answers with what it asks now
 // and returns false if that is all.
 func (b *backend) arrives(w http.ResponseWriter, sender string) bool {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -38,6 +39,9 @@
 type Config struct {
 	// Binary is the quinceridge program.
 	Binary string
+	// Older is an earlier build of it that all processes run first and that Binary replaces,
+	// one process after the other; empty for none.
+	Older string
 	// Folder takes settings, data and logs.
 	Folder  string
 	Seed    uint64
@@ -127,6 +131,7 @@
 	defer calm()
 	wait(faulty, 3*time.Second)
 	group.Go(func() { s.injectAnswers(faulty) })
+	group.Go(func() { s.upgrade(faulty) })
 	s.inject(faulty)
 	group.Wait()
 }
@@ -193,7 +198,7 @@
 	}
 	folder := s.config.Folder
 	return &program{name: name, listen: addresses[0], peer: addresses[1], ready: addresses[2], data: filepath.Join(folder, name),
-		process: &process.Process{Name: name, Binary: s.config.Binary, Folder: folder,
+		process: &process.Process{Name: name, Binary: cmp.Or(s.config.Older, s.config.Binary), Folder: folder,
 			Args: []string{command, "--config", filepath.Join(folder, name+".yaml")}}}, nil
 }
 
@@ -213,7 +218,12 @@
 }
 
 func (s *Soak) addBackend(pool string) {
-	b, err := s.startBackend(pool)
+	s.addNamed(pool, fmt.Sprintf("%s-%d", pool, s.started.Add(1)))
+}
+
+// addNamed starts a back end under a name that it may have had.
+func (s *Soak) addNamed(pool, name string) {
+	b, err := s.startBackend(pool, name)
 	if err != nil {
 		return
 	}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -108,20 +108,20 @@
 	if index <= m.data.Applied {
 		return Result{Code: CodeOK}, nil
 	}
+	c, err := decodeCommand(command)
+	if err != nil {
+		return Result{}, errors.Wrapf(err, "decode command %d", index)
+	}
 	m.data.Applied = index
 	if len(command) == 0 {
 		return Result{Code: CodeOK}, nil
 	}
-	var c Command
-	if err := json.Unmarshal(command, &c); err != nil {
-		return Result{}, errors.Wrapf(err, "decode command %d", index)
-	}
 	m.data.Now = max(m.data.Now, c.At)
 	m.expireClaims()
 	if first, again := m.answers[c.RequestID]; again && c.RequestID != "" {
 		return first, nil
 	}
-	result := m.run(index, term, &c)
+	result := m.run(index, term, c)
 	m.remember(c.RequestID, result)
 	return result, nil
 }
