--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -244,7 +244,8 @@
 // beat notes a heartbeat. A heartbeat that changes the row is acknowledged
 // only once the change is durable on a majority.
 func (s *Server) beat(ctx context.Context, b coordapi.Beat) (coordapi.Reply, error) {
-	return s.enrol(ctx, func(now time.Duration) (state.Backend, bool) {
+	var refused error
+	reply, err := s.enrol(ctx, func(now time.Duration) (state.Backend, bool) {
 		b.Backend.Instance = ""
 		start := b.Backend.Start()
 		id, counts := s.rowFor(now, start)
@@ -259,6 +260,11 @@
 			b.Backend.Draining = true
 		}
 		old, known := s.enrolment.row(s.core.Machine().Deployment(), b.Backend.ID)
+		var enrols bool
+		if enrols, refused = s.pools.taken(old, known, b.Backend.Pool); !enrols {
+			return old, false
+		}
+		s.noteStart(start, b.Backend.ID)
 		if !s.soft.heard(now, b.Backend.ID, b.Sequence) && known {
 			return old, s.enrolment.ahead(b.Backend.ID) != nil
 		}
@@ -269,6 +275,11 @@
 		}
 		return row, changed || s.enrolment.ahead(row.ID) != nil
 	})
+	if refused != nil {
+		s.Unreadable(b.Backend.Name(), refused)
+		return reply, refused
+	}
+	return reply, err
 }
 
 // merged lays a heartbeat over the row that is held. What orders have changed
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -65,6 +65,7 @@
 	// clock is clock.Now but in tests.
 	clock   func() time.Duration
 	engines Engines
+	decode  Decode
 	loop    *control.Loop
 	started time.Duration
 	seeds   atomic.Pointer[[]string]
@@ -87,12 +88,13 @@
 	digest    digest
 	members   memberKeeper
 	enrolment enrolment
+	pools     pools
 }
 
 // New provisions a coordinator. Engines carries orders to model engines, and decode
 // reads the configurations that operators send.
 func New(config settings.Coordinator, engines Engines, decode Decode, logger *slog.Logger) (*Server, error) {
-	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines,
+	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines, decode: decode,
 		clock: clock.Now, started: clock.Now(), placer: placer.New(), limits: newLimits(config, decode, logger),
 		blocking: newBlocking(config.BackendHeartbeat, logger)}
 	s.loop = control.NewLoop(s.now)
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -280,6 +280,7 @@
 	now := s.now()
 	d := s.core.Machine().Deployment()
 	s.rollout.note(now, d)
+	s.followPools(d)
 	s.limits.follow(now, s.core.LeaseUntil(), d)
 	if s.lastRole != raft.Leader {
 		s.judgeRequests(now, d)
--- a/internal/coordinator/starts.go
+++ b/internal/coordinator/starts.go
@@ -64,17 +64,24 @@
 		s.noteOlder(start)
 		return "", false
 	}
-	known, is := s.present(d, start.Name)
-	if is && start.Born == 0 {
+	if known, is := s.present(d, start.Name); is && start.Born == 0 {
 		// Who does not say when it started is taken for the start that is known.
 		start = known
 	}
-	id = d.IDOf(start)
-	if verdict == newer {
+	return d.IDOf(start), true
+}
+
+// noteStart takes a start for the present one of its back end, whose row has an ID.
+func (s *Server) noteStart(start state.Start, id string) {
+	d := s.core.Machine().Deployment()
+	known, is := s.present(d, start.Name)
+	if is && start.Born == 0 {
+		return
+	}
+	if is && !start.Same(known) {
 		s.logger.Info("back end started again", "part", "registry", "backend", id, "before", d.IDOf(known), "born", start.Born, "born_before", known.Born)
 	}
 	s.soft.starts[start.Name] = start
-	return id, true
 }
 
 // noteOlder says once of each back end that a start before its present one speaks.
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -227,3 +227,41 @@
 		}
 	})
 }
+
+// A heartbeat in a back end's name that names no pool of the configuration enrols nobody,
+// takes the back end out of no pool and its address from no other, however late a start it
+// claims; once the pool is named, its sender is there.
+func TestAHeartbeatOfAPoolThatIsNotNamedChangesNothing(t *testing.T) {
+	g := newGroup(t, 1)
+	document := func(version uint64, more string) coordapi.Request {
+		return coordapi.Request{Configure: &state.Configure{Version: version, Document: []byte(fmt.Sprintf(`{"version":%d,"pools":[{"name":"llm"}%s]}`, version, more))}}
+	}
+	g.call(0, document(1, ""))
+	g.call(0, word("x", 100, 1, false, 1))
+	stray := func(name string, born state.UnixMilli) error {
+		w := word(name, born, 90, true, 1)
+		w.Beat.Backend.Pool, w.Beat.Backend.Address = "later", "x"
+		_, err := g.servers[0].Call(context.Background(), w)
+		return err
+	}
+	assert.ErrorIs(t, stray("x", 100), ErrNoPool)
+	assert.ErrorIs(t, stray("x", 0), ErrNoPool)
+	assert.NilError(t, stray("x", 900))
+	assert.NilError(t, stray("y", 900))
+	g.call(0, word("x", 100, 2, false, 2))
+	row := g.present(0, "x")
+	assert.Equal(t, row.Pool, "llm")
+	assert.Equal(t, row.Born, state.UnixMilli(100))
+	assert.Assert(t, !row.Draining)
+	assert.DeepEqual(t, row.Weights, map[string]int{"m": 2})
+	assert.Equal(t, g.present(0, "y").ID, "")
+	g.awaitPlaced("x")
+	g.call(0, document(2, `,{"name":"later"}`))
+	assert.NilError(t, stray("y", 900))
+	assert.Equal(t, g.present(0, "y").Pool, "later")
+	// One whose pool has gone from the configuration stays known.
+	g.call(0, document(3, ""))
+	g.call(0, word("x", 100, 3, false, 2))
+	assert.NilError(t, stray("y", 900))
+	assert.Equal(t, g.present(0, "y").Pool, "later")
+}
