Any good answer shows that a back end which pushed back is well again

Found on reading: only a 200 ended the trials with one request at a time, so that a back end which answers 201 or 204 would have stood back for good while there were others. Shown by: TestAnyGoodAnswerEndsTheTrials.

--- a/internal/backends/outcome.go
+++ b/internal/backends/outcome.go
@@ -30,7 +30,7 @@
 // Succeeded notes a good answer and how long it took.
 func (p *Pool) Succeeded(now time.Duration, id string, took time.Duration) {
 	p.with(id, func(r *row) {
-		r.silent = false
+		r.silent, r.recovering = false, false
 		r.failures = r.rate(now) * (1 - failureGain)
 		r.failedAt = now
 		r.latency += latencyGain * (float64(took.Milliseconds()) - r.latency)
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -37,12 +37,12 @@
 	// are the tokens of those that it has not begun to answer. In a pool that drains,
 	// readFrom is when it began the last one that it answered, or was sent the first
 	// of those: it reads them from then on.
-	running int
-	memory  int
-	// open are the attempts there, in a router's own pool.
-	open     map[*Attempt]struct{}
+	running  int
+	memory   int
 	prefill  int
 	readFrom time.Duration
+	// open are the attempts there, in a router's own pool.
+	open map[*Attempt]struct{}
 	// unbegun are the requests that it has not begun to answer, in a pool that
 	// drains, and quietFrom is when it last showed a sign of life or the first of
 	// them was sent.
@@ -69,7 +69,7 @@
 }
 
 // Pool holds all back ends of all pools. It is safe for concurrent use.
-// Lock order: mu only.
+// Lock order: mu, then that of pushbacks.
 type Pool struct {
 	zone string
 	// drains says that first events are heard of late, by reportDelay in the mean:
--- a/internal/backends/pushback_test.go
+++ b/internal/backends/pushback_test.go
@@ -101,3 +101,20 @@
 	}
 	assert.Assert(t, more > 0 && more <= begun, "%d of %d that are well again get more than one", more, begun)
 }
+
+// A back end whose answers are no 200 is well again all the same.
+func TestAnyGoodAnswerEndsTheTrials(t *testing.T) {
+	p := NewPool("a")
+	p.Apply([]state.Backend{{ID: "x", Pool: "app"}, {ID: "y", Pool: "app"}}, nil, true)
+	p.PushedBack(0, "x", time.Second)
+	q := &Query{Pool: "app"}
+	a := p.Begin(2*time.Second, &Choice{ID: "x"}, q, func(error) {})
+	b := p.Begin(2*time.Second, &Choice{ID: "x"}, q, func(error) {})
+	assert.Assert(t, p.rows["x"].aside(2*time.Second))
+	a.Begun(2*time.Second, false)
+	p.Succeeded(2*time.Second, "x", time.Millisecond)
+	a.End(2 * time.Second)
+	assert.Assert(t, !p.rows["x"].aside(2*time.Second))
+	b.End(2 * time.Second)
+	assert.Equal(t, p.rows["x"].trials, 0)
+}
