--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -289,12 +289,13 @@
 func (g *Register) InForce() (waiting, draining int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock()
+	// Who places at engines sweeps with each question; a router of plain back ends only
+	// does so here.
+	g.sweep(g.clock())
 	for _, s := range g.starts {
-		switch {
-		case s.draining:
+		if s.draining {
 			draining++
-		case s.barred(now):
+		} else {
 			waiting++
 		}
 	}
