What callers get beside engines that push back, in virtual time, three ways

Of 10,000 requests 566 arrivals were turned away with nothing known of the wait, 256 with it known to who was asked, 49 with others preferring other engines; 145, 103, 46 where engines shed a tenth. TestASurgeBesideEnginesThatPushBack. No change of the product but a comment.

--- a/internal/backends/pushback.go
+++ b/internal/backends/pushback.go
@@ -35,7 +35,10 @@
 }
 
 // PushedBack notes that a back end has asked a router for a wait. For that one it is out
-// of the choice; others prefer those that have not: it may turn away only some. After
+// of the choice; others prefer those that have not: it may turn away only some. Of 10,000
+// requests beside four of twelve engines that shed all for nine seconds, 566 were turned
+// away with nothing known, 256 with the wait known to who was asked, 49 with the preference
+// (TestASurgeBesideEnginesThatPushBack; 145, 103 and 46 where they shed a tenth). After
 // the wait it is tried with one request at a time until it has begun one, so that a back
 // end that is still full turns one away and not one of each router's, and one that is
 // well again does not get at once what a third of its pool left to the others.
