--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -230,11 +230,16 @@
 
 // drainBackend lets a back end leave as planned.
 func (s *Soak) drainBackend(ctx context.Context, r *rand.Rand) {
-	b := pick(r, s.listBackends())
+	s.leave(ctx, pick(r, s.listBackends()), func(*backend) {})
+}
+
+// leave lets a back end drain and end, after something that it does first.
+func (s *Soak) leave(ctx context.Context, b *backend, first func(*backend)) {
 	if !s.remove(b) {
 		return
 	}
 	s.addBackend(b.pool)
+	first(b)
 	b.draining.Store(true)
 	wait(ctx, 2*drainBinds)
 	b.crash()
--- a/internal/soak/pushback.go
+++ b/internal/soak/pushback.go
@@ -84,16 +84,10 @@
 // drainInAnswers lets a back end leave that tells those who send to it before it tells the
 // coordinators.
 func (s *Soak) drainInAnswers(ctx context.Context, r *rand.Rand) {
-	b := pick(r, s.listBackends())
-	if !s.remove(b) {
-		return
-	}
-	s.addBackend(b.pool)
-	b.announces.Store(true)
-	wait(ctx, between(r))
-	b.draining.Store(true)
-	wait(ctx, 2*drainBinds)
-	b.crash()
+	s.leave(ctx, pick(r, s.listBackends()), func(b *backend) {
+		b.announces.Store(true)
+		wait(ctx, between(r))
+	})
 }
 
 // startAgain ends one back end or some and starts others under their names at once, before
