A row that lost how its back end names itself has it again with the next heartbeat

Shown by: TestARowThatLostItsBackEndsNameHasItAgainWithTheNextHeartbeat, which failed first. Where nothing was dropped, rows and heartbeats agree: no change.

--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -56,6 +56,8 @@
 		return beat, true
 	}
 	row := old
+	// A replica of a build that lacks the field may have dropped it.
+	row.Instance = beat.Instance
 	row.Pool, row.Address, row.Zone, row.Slots = beat.Pool, beat.Address, beat.Zone, beat.Slots
 	row.Draining = old.Draining || beat.Draining
 	if beat.Born != 0 {
@@ -66,7 +68,7 @@
 			row.Weights = raised(row.Weights, model, version)
 		}
 	}
-	same := row.Pool == old.Pool && row.Address == old.Address && row.Zone == old.Zone && row.Slots == old.Slots &&
+	same := row.Instance == old.Instance && row.Pool == old.Pool && row.Address == old.Address && row.Zone == old.Zone && row.Slots == old.Slots &&
 		row.Draining == old.Draining && row.Born == old.Born && sameWeights(row.Weights, old.Weights)
 	return row, !same
 }
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -265,3 +265,23 @@
 	assert.NilError(t, stray("y", 900))
 	assert.Equal(t, g.present(0, "y").Pool, "later")
 }
+
+// A replica of a build that knew no starts has dropped from a later start's row how the back
+// end names itself, and led. Requests then named the row, which no back end answers to, for
+// good: heartbeats brought only the time of the start back.
+func TestARowThatLostItsBackEndsNameHasItAgainWithTheNextHeartbeat(t *testing.T) {
+	g := newGroup(t, 1)
+	g.call(0, word("x", 100, 1, false, 1))
+	g.call(0, word("x", 200, 1, false, 1))
+	g.awaitOnly(0, "x", 200)
+	row := g.present(0, "x")
+	row.Instance, row.Born = "", 0
+	_, err := g.servers[0].submit(context.Background(), state.Command{Enrol: &state.Enrol{Backends: []state.Backend{row}}})
+	assert.NilError(t, err)
+	lost := g.row(0, row.ID)
+	assert.Equal(t, lost.Name(), row.ID)
+	g.call(0, word("x", 200, 2, false, 1))
+	again := g.row(0, row.ID)
+	assert.Equal(t, again.Name(), "x")
+	assert.Equal(t, again.Born, state.UnixMilli(200))
+}
