--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,9 @@
 	@for seed in $(SOAK_SEEDS); do ./bin/rehearse soak --seed $$seed --seeds 1 --seconds 25 --binary bin/quinceridge || exit 1; done
 
 # Real processes under faults while the build that landed last is replaced by this one.
-# It is built from the repository's own history, without which this is not run and says so.
-OLDER = 642b63ef255973f93b247517cde47bcbaf84cc15
+# It is the one that deploy/system.toml names as production, built from the repository's own
+# history, without which this is not run and says so.
+OLDER = $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
 OLDER_SEED = 4
 
 upgrade: build
--- a/internal/backends/pushback.go
+++ b/internal/backends/pushback.go
@@ -8,8 +8,8 @@
 )
 
 // standing is what a back end wants from this process.
-func (p *Pool) standing(r *row) pushback.Standing {
-	return p.pushbacks.Standing(coordapi.BackendID(r.ID))
+func (p *Pool) standing(id string) pushback.Standing {
+	return p.pushbacks.Standing(coordapi.BackendID(id))
 }
 
 // Back is how long it takes until the first back end of a query's pool may be sent to
@@ -23,7 +23,7 @@
 		if r.Pool != q.Pool || !p.mayServe(r, q) {
 			continue
 		}
-		s := p.standing(r)
+		s := p.standing(r.ID)
 		switch {
 		case !s.Barred():
 			return 0
--- a/internal/coordinator/enginecalls.go
+++ b/internal/coordinator/enginecalls.go
@@ -40,6 +40,31 @@
 	return e.pool.Call(ctx, to.Address, request, maxCall)
 }
 
+// Order gives an order and reads what the engine makes of it: nil for one that is under
+// way, else an error marked as Engines says.
+func (e *EngineCalls) Order(ctx context.Context, to Target, path string, body []byte) error {
+	status, _, err := e.Call(ctx, to, http.MethodPost, path, body)
+	if errors.Is(err, upstream.ErrNotSent) {
+		return fmt.Errorf("%w: %w", ErrUnreached, err)
+	}
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusAccepted:
+		return nil
+	case http.StatusOK:
+		return ErrHeld
+	case http.StatusConflict:
+		return ErrMismatch
+	case http.StatusPreconditionFailed:
+		return ErrFenced
+	case http.StatusMisdirectedRequest:
+		return ErrOtherInstance
+	}
+	return fmt.Errorf("the engine answered the order with %d", status)
+}
+
 // Draining implements Engines.
 func (e *EngineCalls) Draining() []coordapi.BackendID {
 	return draining(e.pushbacks.News())
@@ -55,11 +80,3 @@
 	}
 	return out
 }
-
-// Unreached marks the failure of an order that was not sent with ErrUnreached.
-func Unreached(err error) error {
-	if errors.Is(err, upstream.ErrNotSent) {
-		return fmt.Errorf("%w: %w", ErrUnreached, err)
-	}
-	return err
-}
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -173,23 +173,7 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	status, _, err := e.Call(ctx, order.Target, http.MethodPost, "/v1/load", body)
-	if err != nil {
-		return Unreached(err)
-	}
-	switch status {
-	case http.StatusAccepted:
-		return nil
-	case http.StatusOK:
-		return ErrHeld
-	case http.StatusConflict:
-		return ErrMismatch
-	case http.StatusPreconditionFailed:
-		return ErrFenced
-	case http.StatusMisdirectedRequest:
-		return ErrOtherInstance
-	}
-	return fmt.Errorf("the engine answered the order with %d", status)
+	return e.Order(ctx, order.Target, "/v1/load", body)
 }
 
 // Report implements Engines.
--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -19,7 +19,7 @@
 		if !counts {
 			return state.Backend{}, false
 		}
-		b.Backend.ID, b.Backend.Instance = id, ""
+		b.Backend.ID = id
 		if id != start.Name {
 			b.Backend.Instance = start.Name
 		}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
-	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/periodic"
 )
 
@@ -101,8 +100,7 @@
 	}
 	// A leader that was replaced may not know what this router does, and no leader what
 	// a back end wants from it.
-	if h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) ||
-		h.config.Pushbacks.Standing(coordapi.BackendID(choice.ID)).Barred() {
+	if h.config.Pool.Barred(choice.ID, j.query.Model, choice.Version) {
 		h.config.Placer.Ended(choice.Placement)
 		return choice, false, false
 	}
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -50,8 +50,8 @@
 	logger  *slog.Logger
 	// clock is clock.Now but in tests.
 	clock func() time.Duration
-	// Asked counts the answers that asked for a wait, and Kept what was not sent or
-	// not chosen since a back end wants nothing.
+	// Asked counts the answers that asked for a wait, and Kept what the look before a send
+	// kept from a back end.
 	Asked atomic.Uint64
 	Kept  atomic.Uint64
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -154,8 +154,14 @@
 		return
 	}
 	defer release()
+	_ = p.startAgain(p.process.Binary)
+}
+
+// startAgain stops a program as planned and starts a build of it.
+func (p *program) startAgain(binary string) error {
 	p.process.Terminate(stopLimit)
-	_ = p.process.Start()
+	p.process.Binary = binary
+	return p.process.Start()
 }
 
 // loseDisk takes one coordinator's disk, and no second one until the first is a voter
--- a/internal/soak/pushback.go
+++ b/internal/soak/pushback.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Faults of what back ends say in answers, and of their names. They have a random source of their own, so that
-// a seed's other faults are the ones that it always had.
+// Faults of what back ends say in answers, and of their names. They have a random source
+// of their own, so that a seed's other faults are the ones that it always had.
 var answerFaults = []fault{
 	{"back ends push back", (*Soak).pushBack},
 	{"a back end says in answers that it drains", (*Soak).drainInAnswers},
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -57,7 +57,5 @@
 			return false
 		}
 	}
-	p.process.Terminate(stopLimit)
-	p.process.Binary = binary
-	return p.process.Start() == nil
+	return p.startAgain(binary) == nil
 }
