Sight: what an answer says of its back end's limit is read, logged and counted

The hypotheses could not be told apart: an attempt's line said nothing of a limit that its answer named, and no figure counted such words. An attempt's text now ends with it (limit "1"), a line stands where a limit is first named, changed or over (back end, rate, status of the answer), and quinceridge_limits_named_total and quinceridge_backends_limited count them. What cannot be read changes nothing and has a line a second at most. Nothing acts on it yet. Whether an answer is of the start that was meant is asked in one place (vocabulary.IsFrom).

--- a/internal/coordinator/enginecalls.go
+++ b/internal/coordinator/enginecalls.go
@@ -9,6 +9,7 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
@@ -19,13 +20,14 @@
 type EngineCalls struct {
 	headers   vocabulary.Headers
 	pushbacks *pushback.Register
+	limits    *ratelimit.Register
 	pool      *upstream.Pool
 }
 
 // NewEngineCalls returns a carrier without connections.
 func NewEngineCalls(headers vocabulary.Headers, logger *slog.Logger) *EngineCalls {
-	pushbacks := pushback.New(headers, logger)
-	return &EngineCalls{headers: headers, pushbacks: pushbacks, pool: upstream.NewPool(headers.RequestID, pushbacks)}
+	pushbacks, limits := pushback.New(headers, logger), ratelimit.New(headers, logger)
+	return &EngineCalls{headers: headers, pushbacks: pushbacks, limits: limits, pool: upstream.NewPool(headers.RequestID, pushbacks, limits)}
 }
 
 // Call makes a call to one start of an engine and reads its answer.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
+	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/version"
@@ -59,12 +60,13 @@
 func New(config settings.DisklessRouter, headers vocabulary.Headers, decode follower.Decode, logger *slog.Logger) *Edge {
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool := backends.NewPool(config.Zone)
-	saved, limits, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
+	saved, tenants, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
+	limits := ratelimit.New(headers, logger)
 	pool.Heed(pushbacks)
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Right: config.RightLease(),
-		Decode: decode, Pool: pool, Saved: saved, Quota: limits, Pushbacks: pushbacks, Peers: e.peers, Logger: logger})
-	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: limits,
-		Upstream: upstream.NewPool(headers.RequestID, pushbacks), Pushbacks: pushbacks, Logger: logger,
+		Decode: decode, Pool: pool, Saved: saved, Quota: tenants, Pushbacks: pushbacks, Peers: e.peers, Logger: logger})
+	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
+		Upstream: upstream.NewPool(headers.RequestID, pushbacks, limits), Pushbacks: pushbacks, Limits: limits, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -153,7 +153,7 @@
 		defer s.stall.stop()
 	}
 	result := h.take(ctx, s, answer)
-	h.note(ctx, s, choice, answer.StatusCode, result, h.now()-started)
+	h.note(ctx, s, choice, answer, result, h.now()-started)
 	h.ended(ctx, s, choice, answer, result, started)
 	return result
 }
@@ -224,15 +224,14 @@
 }
 
 // note tells the pool what an attempt showed.
-func (h *Handler) note(ctx context.Context, s *session, choice backends.Choice, status int, result outcome, took time.Duration) {
+func (h *Handler) note(ctx context.Context, s *session, choice backends.Choice, answer *upstream.Answer, result outcome, took time.Duration) {
 	j, now := s.job, h.now()
-	text := h.explain(j, choice) + ": " + strconv.Itoa(status)
+	text := h.explain(j, choice) + ": " + strconv.Itoa(answer.StatusCode)
 	if result.err != nil {
 		text += " " + result.err.Error()
 	}
-	if result.answer != nil {
-		text += pushedBack(result.answer.header)
-	}
+	text += asks("retry after", answer.Header["Retry-After"])
+	text += asks("limit", answer.Header[h.config.Headers.Limit])
 	j.trace = append(j.trace, text)
 	switch result.verdict {
 	case done:
@@ -240,7 +239,7 @@
 	case notRun:
 		h.config.Pool.Busy(now, choice.ID)
 		h.notePushback(now, choice)
-		if status == http.StatusMisdirectedRequest {
+		if answer.StatusCode == http.StatusMisdirectedRequest {
 			other := result.answer.header.Get(h.config.Headers.InstanceIs)
 			h.config.Pool.Mismatch(choice.ID, j.query.Model, choice.Version, other != "" && other != choice.Name())
 		}
@@ -258,13 +257,13 @@
 	}
 }
 
-// pushedBack is what an answer asks of the router, as it stands there.
-func pushedBack(header http.Header) string {
-	values := header["Retry-After"]
+// asks is what an answer asks of the router, as it stands in a header; empty if that is not
+// there.
+func asks(what string, values []string) string {
 	if len(values) == 0 {
 		return ""
 	}
-	return fmt.Sprintf(", retry after %.32q", strings.Join(values, ", "))
+	return fmt.Sprintf(", %s %.32q", what, strings.Join(values, ", "))
 }
 
 // notePushback tells the pool of a back end that wants a wait, and returns whether it does.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -18,6 +18,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -85,8 +86,9 @@
 	r := &rig{t: t, source: &source{table: table(t)}, pool: backends.NewPool("a"), runs: map[string]int{}}
 	r.source.fresh.Store(true)
 	pushbacks := pushback.New(names, slog.New(slog.DiscardHandler))
+	limits := ratelimit.New(names, slog.New(slog.DiscardHandler))
 	r.pool.Heed(pushbacks)
-	r.handler = New(Config{Headers: names, Source: r.source, Pool: r.pool, Upstream: upstream.NewPool(names.RequestID, pushbacks), Pushbacks: pushbacks, Saved: NewSaved(),
+	r.handler = New(Config{Headers: names, Source: r.source, Pool: r.pool, Upstream: upstream.NewPool(names.RequestID, pushbacks, limits), Pushbacks: pushbacks, Limits: limits, Saved: NewSaved(),
 		Budget: BudgetConfig{Ratio: 0.2, Burst: 100, Window: time.Second}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	r.router = httptest.NewServer(r.handler)
 	t.Cleanup(r.router.Close)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -21,6 +21,7 @@
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
+	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -75,7 +76,9 @@
 	Upstream *upstream.Pool
 	// Pushbacks is what back ends have asked of this router.
 	Pushbacks *pushback.Register
-	Saved     *Saved
+	// Limits is what back ends have said that they take from all routers together.
+	Limits *ratelimit.Register
+	Saved  *Saved
 	// Observer may be nil: nothing is blocked then.
 	Observer Observer
 	// Quota keeps tenants within their limits.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -89,6 +89,8 @@
 	waiting, draining := h.config.Pushbacks.InForce()
 	fmt.Fprintf(w, "quinceridge_backends_pushed_back %d\n", waiting)
 	fmt.Fprintf(w, "quinceridge_backends_heard_draining %d\n", draining)
+	fmt.Fprintf(w, "quinceridge_limits_named_total %d\n", h.config.Limits.Named.Load())
+	fmt.Fprintf(w, "quinceridge_backends_limited %d\n", h.config.Limits.InForce())
 	m.first.write(w, "quinceridge_first_seconds")
 	m.whole.write(w, "quinceridge_answer_seconds")
 	return 0, nil
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -90,7 +90,7 @@
 	if from.ID == "" {
 		return
 	}
-	if draining(answer.Header.Get(g.headers.Draining)) && g.isFrom(instance, answer) {
+	if draining(answer.Header.Get(g.headers.Draining)) && g.headers.IsFrom(instance, answer) {
 		g.drains(from)
 	}
 	// A 503 alone asks for a wait: with a success there is nothing to stay away from, and a
@@ -102,13 +102,6 @@
 
 func draining(value string) bool { return value == "1" || value == "true" }
 
-// isFrom tells whether an answer is of the start that the request was meant for. Another
-// one at its address says 421, and says nothing of it: that a new start drains as the one
-// before did would keep it out for good.
-func (g *Register) isFrom(instance string, answer *http.Response) bool {
-	return answer.StatusCode != http.StatusMisdirectedRequest || answer.Header.Get(g.headers.InstanceIs) == instance
-}
-
 func (g *Register) drains(from Backend) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -33,6 +33,7 @@
 	if err := a.pool.pushbacks.Look(r.Backend.ID); err != nil {
 		return &callError{mark: ErrNotSent, cause: err}
 	}
+	sent := clock.Now()
 	if len(r.Body) < asyncBody {
 		if n, err := c.Write(append(head, r.Body...)); err != nil {
 			return &callError{mark: sentMark(n), cause: err}
@@ -45,7 +46,7 @@
 			a.written <- err
 		}()
 	}
-	response, err := a.readHead(r)
+	response, err := a.readHead(r, sent)
 	if err != nil {
 		return &callError{mark: ErrUnknown, cause: err}
 	}
@@ -60,8 +61,8 @@
 	return ErrUnknown
 }
 
-// readHead reads past answers to other requests.
-func (a *Answer) readHead(r *Request) (*http.Response, error) {
+// readHead reads past answers to other requests. Sent is when the request was written.
+func (a *Answer) readHead(r *Request, sent time.Duration) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxForeign {
 		response, err := http.ReadResponse(a.connection.reader, request)
@@ -73,6 +74,7 @@
 		}
 		if response.Header.Get(a.pool.idHeader) == r.ID {
 			a.pool.pushbacks.Answered(r.Backend, r.Instance, response)
+			a.pool.limits.Answered(r.Backend, r.Instance, sent, response)
 			return response, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody)); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,6 +21,7 @@
 
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/socket"
 )
 
@@ -88,7 +89,9 @@
 	idHeader string
 	// pushbacks takes what answers ask of this process, and says what may not be sent.
 	pushbacks *pushback.Register
-	dialer    net.Dialer
+	// limits takes what answers say of how much back ends take from all machines.
+	limits *ratelimit.Register
+	dialer net.Dialer
 	// Opened counts new connections.
 	Opened atomic.Uint64
 
@@ -97,8 +100,8 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool(idHeader string, pushbacks *pushback.Register) *Pool {
-	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, idle: map[string][]*connection{}}
+func NewPool(idHeader string, pushbacks *pushback.Register, limits *ratelimit.Register) *Pool {
+	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, limits: limits, idle: map[string][]*connection{}}
 	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.UserTimeout(userTimeout)}
 	return p
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
@@ -27,6 +28,10 @@
 	return pushback.New(vocabulary.Default(), slog.New(slog.DiscardHandler))
 }
 
+func unlimited() *ratelimit.Register {
+	return ratelimit.New(vocabulary.Default(), slog.New(slog.DiscardHandler))
+}
+
 // backend is a scripted back end: each accepted connection is handed to serve.
 type backend struct {
 	address  string
@@ -94,7 +99,7 @@
 			_, _ = io.WriteString(conn, answerTo(id, "for "+id))
 		}
 	})
-	p := NewPool(idHeader, quiet())
+	p := NewPool(idHeader, quiet(), unlimited())
 	for _, id := range []string{"1", "2", "3"} {
 		body, err := fetch(p, b, id)
 		assert.NilError(t, err)
@@ -119,7 +124,7 @@
 		_, _ = io.WriteString(conn, answerTo(second, "second"))
 		_, _ = next(requests)
 	})
-	p := NewPool(idHeader, quiet())
+	p := NewPool(idHeader, quiet(), unlimited())
 	body, err := fetch(p, b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "first")
@@ -139,7 +144,7 @@
 		_, _ = io.WriteString(conn, answerTo(id, "whole")+tail)
 		_, _ = next(requests)
 	})
-	p := NewPool(idHeader, quiet())
+	p := NewPool(idHeader, quiet(), unlimited())
 	for _, id := range []string{"1", "2"} {
 		body, err := fetch(p, b, id)
 		assert.NilError(t, err)
@@ -173,7 +178,7 @@
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
 			})
-			_, err := fetch(NewPool(idHeader, quiet()), b, "1")
+			_, err := fetch(NewPool(idHeader, quiet(), unlimited()), b, "1")
 			assert.Assert(t, errors.Is(err, c.mark), "%v", err)
 		})
 	}
@@ -184,7 +189,7 @@
 		id, _ := next(requests)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idHeader+": "+id+"\r\n\r\nall of it")
 	})
-	body, err := fetch(NewPool(idHeader, quiet()), b, "1")
+	body, err := fetch(NewPool(idHeader, quiet(), unlimited()), b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "all of it")
 }
@@ -194,7 +199,7 @@
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = fetch(NewPool(idHeader, quiet()), &backend{address: address}, "1")
+	_, err = fetch(NewPool(idHeader, quiet(), unlimited()), &backend{address: address}, "1")
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
 }
 
@@ -207,7 +212,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := NewPool(idHeader, quiet()).Do(ctx, b.address, request("1"))
+	_, err := NewPool(idHeader, quiet(), unlimited()).Do(ctx, b.address, request("1"))
 	assert.Assert(t, errors.Is(err, ErrUnknown), "%v", err)
 	select {
 	case <-closed:
@@ -222,7 +227,7 @@
 		_, _ = io.WriteString(conn, answerTo("long", "early"))
 		time.Sleep(200 * time.Millisecond)
 	})
-	p := NewPool(idHeader, quiet())
+	p := NewPool(idHeader, quiet(), unlimited())
 	long := request("long")
 	long.Body = []byte(strings.Repeat("x", 16<<20))
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -247,7 +252,7 @@
 		seen <- r.Method + " " + r.RequestURI + " " + r.Host + " " + string(body)
 		_, _ = io.WriteString(conn, answerTo("1", ""))
 	})
-	_, err := fetch(NewPool(idHeader, quiet()), b, "1")
+	_, err := fetch(NewPool(idHeader, quiet(), unlimited()), b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, <-seen, "POST /a/b?c=%2F h body")
 }
@@ -269,7 +274,7 @@
 			_, _ = io.WriteString(conn, answerTo(id, "x"))
 		}
 	})
-	p := NewPool(idHeader, quiet())
+	p := NewPool(idHeader, quiet(), unlimited())
 	_, err := fetch(p, b, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, len(p.idle), 1)
@@ -302,7 +307,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\n%s: %s\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n", idHeader, id)
 		}
 	})
-	p := NewPool(idHeader, quiet())
+	p := NewPool(idHeader, quiet(), unlimited())
 	to := func(id string) *Request {
 		r := request(id)
 		r.Backend = pushback.Backend{ID: "start", Pool: "p"}
@@ -362,7 +367,7 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\n"+vocabulary.Default().Draining+": 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"+answerTo(id, "ok"))
 		}
 	})
-	p := NewPool(idHeader, quiet())
+	p := NewPool(idHeader, quiet(), unlimited())
 	for range 3 {
 		r := request("1")
 		r.Backend = pushback.Backend{ID: "start", Pool: "p"}
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -3,6 +3,8 @@
 // the product's own.
 package vocabulary
 
+import "net/http"
+
 // Headers are header names in canonical form.
 type Headers struct {
 	// RequestID identifies one attempt of a caller. Back ends carry it back.
@@ -21,6 +23,9 @@
 	NotRun string
 	// Draining on an answer says that the back end is about to end and wants no new work.
 	Draining string
+	// Limit on an answer is how many requests a second, a decimal number, the back end takes
+	// from all machines together. An answer without it says that there is no limit.
+	Limit string
 	// LastEvent is the ID of the last event that the caller has.
 	LastEvent string
 	// Model, Usage ("prompt,most" in tokens) and Prefix ("id:tokens,...")
@@ -49,6 +54,13 @@
 	return []string{h.Instance, h.Tenant, h.Priority, h.Version, h.Salt, h.FetchFrom, h.SaveTo}
 }
 
+// IsFrom tells whether an answer is of the start of a back end that its request named as
+// instance. Another one at the address says 421, and says nothing of the start that was
+// meant: what it asks for would hold for its successor or the one before.
+func (h *Headers) IsFrom(instance string, answer *http.Response) bool {
+	return answer.StatusCode != http.StatusMisdirectedRequest || answer.Header.Get(h.InstanceIs) == instance
+}
+
 // Default is the product's own vocabulary.
 func Default() Headers {
 	return Headers{
@@ -60,6 +72,7 @@
 		Seal:       "Response-Signature",
 		NotRun:     "Not-Run",
 		Draining:   "Engine-Draining",
+		Limit:      "Engine-Limit",
 		LastEvent:  "Last-Event-Id",
 		Model:      "Model",
 		Usage:      "Prompt-Usage",
