A failing test: back ends that name a limit for all routers get as many as before

What callers' back ends saw: 15 and 12 requests in 4 s from routers that had passed on a limit of 1 a second; 11 are allowed.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -74,6 +74,9 @@
 	// drains makes its engine say in each answer that it drains, and nothing in its
 	// heartbeats; the deployment's lock guards it.
 	drains bool
+	// limit is the rate that its engine names in each answer, empty for none; the
+	// deployment's lock guards it.
+	limit string
 	// name is how all its engines name themselves; empty if each has a name of its own.
 	name string
 	// current is the engine that runs there.
@@ -242,7 +245,7 @@
 	s.starts++
 	id := cmp.Or(s.name, fmt.Sprintf("%s#%d", s.address, s.starts))
 	ctx, cancel := context.WithCancel(d.t.Context())
-	e := &engine{seat: s, id: id, born: state.UnixMilli(s.starts), end: cancel, turnedAway: map[string][]time.Time{}, tooEarly: map[string]int{}}
+	e := &engine{seat: s, id: id, born: state.UnixMilli(s.starts), end: cancel, turnedAway: map[string][]time.Time{}, tooEarly: map[string]int{}, told: map[string]time.Time{}}
 	s.current = e
 	s.stop = cancel
 	s.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
@@ -264,6 +267,10 @@
 	tooEarly   map[string]int
 	// arrived is when it was sent what it ran.
 	arrived []time.Time
+	// limited is what it was sent since it first named a limit, and told when it first
+	// answered each router with it.
+	limited []arrival
+	told    map[string]time.Time
 }
 
 func (e *engine) beat(ctx context.Context) {
@@ -295,6 +302,7 @@
 		<-r.Context().Done()
 		return
 	}
+	e.nameLimit(w, r)
 	if e.turnAway(w, r) {
 		return
 	}
