Soak: back ends that take only so much from all machines, and what they get checked

One back end, some of a pool or all of it name a rate for a while, and in one of two runs another after it; each counts what it gets in 4 s from senders that have had its word for half a second. Orders and reports count.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -70,6 +70,7 @@
 	wants     atomic.Int64
 	announces atomic.Bool
 	asked     *asked
+	limit     naming
 	mu        sync.Mutex
 	version   int
 	orders    int
@@ -137,6 +138,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	b.nameLimit(w, order.Holder)
 	if !b.arrives(w, order.Holder) {
 		return
 	}
@@ -157,6 +159,7 @@
 }
 
 func (b *backend) state(w http.ResponseWriter, _ *http.Request) {
+	b.nameLimit(w, reporters)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(coordinator.EngineReport{Born: b.born, Orders: b.orders, Weights: map[string]int{model: b.version}})
@@ -175,8 +178,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if router, known := b.soak.asked.Load(id); known && !b.arrives(w, router.(string)) {
-		return
+	if router, known := b.soak.asked.Load(id); known {
+		b.nameLimit(w, router.(string))
+		if !b.arrives(w, router.(string)) {
+			return
+		}
 	}
 	trouble := b.trouble.Load()
 	troubled := rand.IntN(100) < troubleShare
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -131,6 +131,7 @@
 	defer calm()
 	wait(faulty, 3*time.Second)
 	group.Go(func() { s.injectAnswers(faulty) })
+	group.Go(func() { s.injectLimits(faulty) })
 	group.Go(func() { s.upgrade(faulty) })
 	s.inject(faulty)
 	group.Wait()
