--- /dev/null
+++ b/cmd/quinceridge/limits.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+// maxLimits bounds what is read of an answer, in bytes: some 100,000 limits.
+const maxLimits = 16 << 20
+
+type limitsCommand struct {
+	Coordinator string        `arg:"" help:"HTTP or metrics address of any coordinator." placeholder:"ADDRESS"`
+	Timeout     time.Duration `default:"5s" help:"How long to wait."`
+	JSON        bool          `help:"Print JSON."`
+}
+
+// Run implements the command.
+func (c *limitsCommand) Run() error {
+	limits, err := c.ask()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(limits)
+	}
+	return writeLimits(os.Stdout, limits)
+}
+
+func (c *limitsCommand) ask() (limits coordapi.LimitsInForce, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Coordinator+"/v1/limits", nil)
+	if err != nil {
+		return limits, errors.Wrapf(err, "address %q", c.Coordinator)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return limits, errors.Wrap(err, "ask a coordinator")
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxLimits))
+	if err != nil {
+		return limits, errors.Wrap(err, "read a coordinator's answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return limits, errors.Newf("%s: %s, %.200s", c.Coordinator, response.Status, body)
+	}
+	return limits, errors.Wrap(json.Unmarshal(body, &limits), "read a coordinator's answer")
+}
+
+// writeLimits prints limits as two tables.
+func writeLimits(w io.Writer, limits coordapi.LimitsInForce) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "BACK END\tPOOL\tREQUESTS/S\tGRANTED/S\tDENIED/S\tHEARD")
+	for _, b := range limits.Backends {
+		fmt.Fprintf(table, "%s\t%s\t%g\t%.2f\t%.2f\t%v ago\n", b.ID, b.Pool, b.Rate, b.Granted, b.Denied, b.HeardAgo.Round(time.Millisecond))
+	}
+	fmt.Fprintln(table, "\nTENANT\tUNITS/S\tBURST\tASKED/S\tREFUSED/S")
+	for _, t := range limits.Tenants {
+		fmt.Fprintf(table, "%s\t%g\t%g\t%.1f\t%.1f\n", t.Name, t.Rate, t.Burst, t.Asked, t.Refused)
+	}
+	return table.Flush()
+}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -43,6 +43,7 @@
 	Tell        *Tell              `json:"tell,omitempty"`
 	Place       *Place             `json:"place,omitempty"`
 	Claim       *Claim             `json:"claim,omitempty"`
+	ListLimits  *ListLimits        `json:"list_limits,omitempty"`
 	Unblock     *state.Unblock     `json:"unblock,omitempty"`
 }
 
@@ -60,6 +61,8 @@
 	// Placed answers Place, and Claimed Claim.
 	Placed  *Placed  `json:"placed,omitempty"`
 	Claimed *Claimed `json:"claimed,omitempty"`
+	// Limits answers ListLimits.
+	Limits *LimitsInForce `json:"limits,omitempty"`
 }
 
 // Find asks whether the node leads, and if not, who does.
--- a/internal/coordapi/limit.go
+++ b/internal/coordapi/limit.go
@@ -49,3 +49,36 @@
 	// those that were turned away before it.
 	Room time.Duration `json:"room,omitempty"`
 }
+
+// ListLimits asks for the limits that the leader keeps.
+type ListLimits struct{}
+
+// LimitsInForce answers ListLimits.
+type LimitsInForce struct {
+	Backends []BackendLimit `json:"backends,omitempty"`
+	Tenants  []TenantLimit  `json:"tenants,omitempty"`
+}
+
+// BackendLimit is what a back end takes from all machines, and what became of that lately.
+type BackendLimit struct {
+	ID   BackendID `json:"id"`
+	Pool string    `json:"pool"`
+	// Rate is in requests a second.
+	Rate float64 `json:"rate"`
+	// HeardAgo is how long ago it was heard last.
+	HeardAgo time.Duration `json:"heard_ago"`
+	// Granted and Denied are rights a second, of the last seconds.
+	Granted float64 `json:"granted"`
+	Denied  float64 `json:"denied"`
+}
+
+// TenantLimit is what a tenant may use over all routers, and what it has used lately.
+type TenantLimit struct {
+	Name string `json:"name"`
+	// Rate is in units of the limit a second, and Burst what may be used above that at once.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Asked and Refused are units a second, of the last second.
+	Asked   float64 `json:"asked"`
+	Refused float64 `json:"refused"`
+}
--- a/internal/coordinator/backendlimits_test.go
+++ b/internal/coordinator/backendlimits_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -97,3 +100,27 @@
 	length := time.Since(begun).Seconds()
 	assert.Assert(t, float64(len(g.engines.calls)) <= 1.4*length+3, "%d calls in %.1f s", len(g.engines.calls), length)
 }
+
+// Any node tells operators what the leader keeps.
+func TestAnyNodeListsTheLimits(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.configure(1, limitedTo200)
+	g.awaitPlaced("x")
+	g.claimFor("r1", 1, "x", limitWord("x", 2))
+	g.claimFor("r1", 2, "x")
+	for _, node := range g.servers {
+		server := httptest.NewServer(node.Handler())
+		defer server.Close()
+		response, err := http.Get(server.URL + "/v1/limits")
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		var limits coordapi.LimitsInForce
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&limits))
+		assert.Equal(t, len(limits.Backends), 1)
+		b := limits.Backends[0]
+		assert.Assert(t, b.ID == "x" && b.Rate == 2 && b.Granted > 0 && b.Denied > 0, "%+v", b)
+		assert.Equal(t, limits.Tenants[0].Burst, 200.0)
+	}
+}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -94,6 +94,12 @@
 		return s.place(r.Place), nil
 	case r.Claim != nil:
 		return s.claim(r.Claim), nil
+	case r.ListLimits != nil:
+		reply, err := s.asLeader(ctx, func(time.Duration) {})
+		if err == nil && !reply.NotLeader {
+			reply.Limits = &coordapi.LimitsInForce{Backends: s.backendLimits.List(s.now()), Tenants: s.limits.uses(s.now())}
+		}
+		return reply, err
 	case r.Unblock != nil:
 		return s.submit(ctx, state.Command{Unblock: r.Unblock})
 	case r.Join != nil:
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -31,6 +31,7 @@
 //	POST /v1/backends/{id}/heartbeat  a coordapi.Beat
 //	POST /v1/backends/{id}/leave      with ?born= if it may start again under its name
 //	GET  /v1/blocked                  the requests that are kept from back ends
+//	GET  /v1/limits                   coordapi.LimitsInForce, of the leader
 //	DELETE /v1/blocked/{digest}       lets one reach them again
 //
 // 200 means that it is in force; 400 that it never will be; 503 that the
@@ -61,8 +62,9 @@
 	return mux
 }
 
-// handleBlocked serves operators who ask for the blocked requests.
+// handleBlocked serves operators who ask for the blocked requests and the limits.
 func (s *Server) handleBlocked(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/limits", s.listLimits)
 	mux.HandleFunc("GET /v1/blocked", s.listBlocked)
 	mux.HandleFunc("DELETE /v1/blocked/{digest}", func(w http.ResponseWriter, r *http.Request) {
 		digest, err := poison.ParseDigest(r.PathValue("digest"))
@@ -75,6 +77,17 @@
 	})
 }
 
+// listLimits writes the limits that the leader keeps.
+func (s *Server) listLimits(w http.ResponseWriter, r *http.Request) {
+	reply, err := s.Call(r.Context(), coordapi.Request{ListLimits: &coordapi.ListLimits{}})
+	if err != nil || reply.Limits == nil {
+		http.Error(w, "no leader can be reached", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply.Limits)
+}
+
 // listBlocked writes what this node's replica knows, which may be a moment old.
 func (s *Server) listBlocked(w http.ResponseWriter, r *http.Request) {
 	blocked := []blockedLine{}
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -120,6 +120,20 @@
 	}
 }
 
+// uses lists the limits of tenants with what was made of them.
+func (l *limits) uses(now time.Duration) []coordapi.TenantLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bank == nil {
+		return nil
+	}
+	var out []coordapi.TenantLimit
+	for _, u := range l.bank.Uses(now) {
+		out = append(out, coordapi.TenantLimit{Name: u.Name, Rate: float64(u.Rate), Burst: float64(u.Burst), Asked: float64(u.Asked), Refused: float64(u.Refused)})
+	}
+	return out
+}
+
 // announced are the tenants whose demand is above their limit.
 func (l *limits) announced() []quota.Share {
 	l.mu.Lock()
--- a/internal/quota/bank.go
+++ b/internal/quota/bank.go
@@ -192,6 +192,26 @@
 	return out
 }
 
+// Use is a limit and what was made of it lately.
+type Use struct {
+	Name string
+	Limit
+	// Asked and Refused are amounts a second.
+	Asked, Refused Amount
+}
+
+// Uses returns all limits, by name.
+func (b *Bank) Uses(now time.Duration) []Use {
+	var out []Use
+	for _, a := range b.accounts {
+		if a.limit.Limited() {
+			out = append(out, Use{a.name, a.limit, Amount(a.asked.Value(now, shareTime) / shareTime.Seconds()), Amount(a.refused.Value(now, shareTime) / shareTime.Seconds())})
+		}
+	}
+	slices.SortFunc(out, func(x, y Use) int { return strings.Compare(x.Name, y.Name) })
+	return out
+}
+
 // refill adds what the rate has allowed since the last time.
 func (a *account) refill(now time.Duration, capacity Amount) {
 	a.level = min(a.level+a.limit.Rate*Amount((now-a.at).Seconds()), capacity)
--- a/internal/ratelimit/bank.go
+++ b/internal/ratelimit/bank.go
@@ -75,6 +75,8 @@
 	// each tenant that got one.
 	asked   map[int]*decay.Sum
 	granted map[string]*decay.Sum
+	// got and denied count rights.
+	got, denied decay.Sum
 }
 
 // pool is what is known of the limited starts of a pool.
@@ -225,20 +227,41 @@
 	a.asks(now, w.Claimant.Urgency)
 	name := string(w.Backend)
 	if a.givesWay(now, w.Claimant) && b.quota.Wait(now, name, b.leftForOthers(name)) > 0 {
-		b.denied++
-		return Verdict{Wait: b.quota.Wait(now, name, 0)}
+		return b.deny(now, a, b.quota.Wait(now, name, 0))
 	}
 	if _, admitted := b.quota.Take(now, name, 1); !admitted {
-		b.denied++
-		return Verdict{Wait: max(b.quota.Wait(now, name, 0), time.Millisecond)}
+		return b.deny(now, a, max(b.quota.Wait(now, name, 0), time.Millisecond))
 	}
 	a.grants(now, w.Claimant.Tenant)
+	a.got.Add(now, claimsTime, 1)
 	b.sweep(now)
 	b.grants[grantKey{w.Router, w.Number}] = grant{w.Backend, now}
 	b.granted++
 	return Verdict{Granted: true}
 }
 
+func (b *Bank) deny(now time.Duration, a *account, wait time.Duration) Verdict {
+	b.denied++
+	a.denied.Add(now, claimsTime, 1)
+	return Verdict{Wait: wait}
+}
+
+// List returns the limits in force with what was made of them, by back end.
+func (b *Bank) List(now time.Duration) []coordapi.BackendLimit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []coordapi.BackendLimit
+	for id, a := range b.starts {
+		if !a.word.limited {
+			continue
+		}
+		out = append(out, coordapi.BackendLimit{ID: id, Pool: a.pool, Rate: float64(a.word.rate), HeardAgo: now - a.word.heard,
+			Granted: a.got.Value(now, claimsTime) / claimsTime.Seconds(), Denied: a.denied.Value(now, claimsTime) / claimsTime.Seconds()})
+	}
+	slices.SortFunc(out, func(x, y coordapi.BackendLimit) int { return cmp.Compare(x.ID, y.ID) })
+	return out
+}
+
 // Room is when there is room for a request of a pool that was turned away, at one that takes
 // only so much: behind those that were turned away before it.
 func (b *Bank) Room(now time.Duration, name string) time.Duration {
