The common burst of repeats is lent by the leader to routers that need it

What callers saw: beside a crash that some routers meet, requests that might have gone on elsewhere ended, while the even parts of the other routers lay unused.

Cause: the burst was divided evenly. A router repeats by its own requests without asking, as before; past that it asks for one of the burst. While nobody lends, a router has its even part, once what was lent is out of the window. Routers of builds before this one use their even part: the leader lends only what the others would have had.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -43,6 +43,7 @@
 	Tell        *Tell              `json:"tell,omitempty"`
 	Place       *Place             `json:"place,omitempty"`
 	Claim       *Claim             `json:"claim,omitempty"`
+	Repeat      *Repeat            `json:"repeat,omitempty"`
 	ListLimits  *ListLimits        `json:"list_limits,omitempty"`
 	Unblock     *state.Unblock     `json:"unblock,omitempty"`
 }
@@ -61,6 +62,8 @@
 	// Placed answers Place, and Claimed Claim.
 	Placed  *Placed  `json:"placed,omitempty"`
 	Claimed *Claimed `json:"claimed,omitempty"`
+	// Repeated answers Repeat.
+	Repeated *Repeated `json:"repeated,omitempty"`
 	// Limits answers ListLimits.
 	Limits *LimitsInForce `json:"limits,omitempty"`
 }
@@ -81,8 +84,10 @@
 	// Announced is View.Announced of the last View.
 	Announced uint64 `json:"announced,omitempty"`
 	// Shards is View.Shard.Count of the last View.
-	Shards int           `json:"shards,omitempty"`
-	Wait   time.Duration `json:"wait"`
+	Shards int `json:"shards,omitempty"`
+	// Level is that of the watcher's build, 0 before builds named it.
+	Level int           `json:"level,omitempty"`
+	Wait  time.Duration `json:"wait"`
 }
 
 // View is what changed. A leader that holds its lease vouches that nothing
--- a/internal/coordapi/limit.go
+++ b/internal/coordapi/limit.go
@@ -50,6 +50,21 @@
 	Room time.Duration `json:"room,omitempty"`
 }
 
+// Repeat asks for one more repeat than a router's own requests allow, of what all routers
+// may repeat together.
+type Repeat struct {
+	Pool string `json:"pool"`
+	// Burst is how many repeats there may be within Window beyond a part of the requests,
+	// over all routers.
+	Burst  float64       `json:"burst"`
+	Window time.Duration `json:"window"`
+}
+
+// Repeated answers a Repeat.
+type Repeated struct {
+	Granted bool `json:"granted,omitempty"`
+}
+
 // ListLimits asks for the limits that the leader keeps.
 type ListLimits struct{}
 
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
@@ -94,6 +95,8 @@
 		return s.place(r.Place), nil
 	case r.Claim != nil:
 		return s.claim(r.Claim), nil
+	case r.Repeat != nil:
+		return s.repeat(r.Repeat), nil
 	case r.ListLimits != nil:
 		reply, err := s.asLeader(ctx, func(time.Duration) {})
 		if err == nil && !reply.NotLeader {
@@ -183,6 +186,15 @@
 	return coordapi.Reply{Claimed: claimed}
 }
 
+// repeat lends a router a repeat. It is asked as placements are, past the replica.
+func (s *Server) repeat(ask *coordapi.Repeat) coordapi.Reply {
+	granted, counted := s.limits.lend(s.now(), ask, s.borrowing.share())
+	if !counted {
+		return coordapi.Reply{NotLeader: true}
+	}
+	return coordapi.Reply{Repeated: &coordapi.Repeated{Granted: granted}}
+}
+
 // takeReports takes what a router has to say, but for what concerns placements.
 func (s *Server) takeReports(now time.Duration, router string, reports *coordapi.Reports) {
 	s.limits.charge(now, reports.Spent)
@@ -311,7 +323,8 @@
 // view returns what the watcher lacks, or nil when it lacks nothing and may
 // wait.
 func (s *Server) view(now time.Duration, w coordapi.Watch, last bool) *coordapi.View {
-	s.soft.watched(now, w.Router)
+	s.soft.watched(now, w.Router, level.Level(w.Level))
+	s.borrowing.note(s.soft.borrowers, s.soft.watchers())
 	d := s.core.Machine().Deployment()
 	step := &s.soft.step
 	if step.shards() == 0 || step.urgent(d) {
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -25,8 +25,9 @@
 	logger    *slog.Logger
 
 	mu sync.Mutex
-	// bank is nil while this node does not lead.
-	bank *quota.Bank
+	// bank and repeats are nil while this node does not lead.
+	bank    *quota.Bank
+	repeats *quota.Repeats
 	// leasedUntil is the end of the lease, as seen last.
 	leasedUntil time.Duration
 	// configuredAt is the revision of the configuration whose limits the bank has.
@@ -44,9 +45,9 @@
 func (l *limits) reset(leads bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bank, l.leasedUntil, l.configuredAt, l.shares = nil, 0, 0, nil
+	l.bank, l.repeats, l.leasedUntil, l.configuredAt, l.shares = nil, nil, 0, 0, nil
 	if leads {
-		l.bank = quota.NewBank(l.tolerance)
+		l.bank, l.repeats = quota.NewBank(l.tolerance), quota.NewRepeats()
 	}
 }
 
@@ -91,6 +92,17 @@
 	return after, admitted, true
 }
 
+// lend grants a repeat of the common burst. Share is the part of the routers that borrow;
+// counted is false when this node may not lend now.
+func (l *limits) lend(now time.Duration, ask *coordapi.Repeat, share float64) (granted, counted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.repeats == nil || now >= l.leasedUntil {
+		return false, false
+	}
+	return l.repeats.Take(now, ask.Pool, ask.Burst, ask.Window, share), true
+}
+
 // charge notes what routers admitted by themselves or give back.
 func (l *limits) charge(now time.Duration, spent []quota.Spent) {
 	if len(spent) == 0 {
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -75,6 +75,8 @@
 	limits *limits
 	// backendLimits counts what back ends get that take only so much from all machines.
 	backendLimits *ratelimit.Bank
+	// borrowing is which routers borrow repeats.
+	borrowing borrowing
 	// rightNumber counts the rights that this node takes for its own calls to engines.
 	rightNumber atomic.Uint64
 	// blocking keeps requests from back ends that end under them.
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/state"
 )
@@ -31,8 +32,9 @@
 type softState struct {
 	since time.Duration
 	beats map[string]heard
-	// routers maps watchers to the time of their last watch.
-	routers map[string]time.Duration
+	// routers are the watchers, and borrowers how many of them borrow repeats.
+	routers   map[string]watcher
+	borrowers int
 	// silent are the back ends that are silent or have a successor, sorted.
 	silent []string
 	// left are back ends that are on no list any more and had announced their end.
@@ -76,7 +78,7 @@
 }
 
 func (t *softState) reset(now time.Duration) {
-	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]time.Duration{},
+	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]watcher{},
 		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{},
 		starts: map[string]state.Start{}, olderNoted: map[string]state.UnixMilli{}, leftEarly: map[state.Start]struct{}{}}
 }
@@ -92,14 +94,33 @@
 	return true
 }
 
-func (t *softState) watched(now time.Duration, router string) { t.routers[router] = now }
+// watcher is a router that follows the leader.
+type watcher struct {
+	at      time.Duration
+	borrows bool
+}
+
+// watched notes a router's watch and the level of its build.
+func (t *softState) watched(now time.Duration, router string, of level.Level) {
+	w := watcher{at: now, borrows: of >= level.Limits}
+	if before := t.routers[router]; w.borrows && !before.borrows {
+		t.borrowers++
+	}
+	t.routers[router] = w
+}
 
 // watchers is how many routers follow this leader.
 func (t *softState) watchers() int { return len(t.routers) }
 
 // forgetWatchers drops routers that have not asked for long.
 func (t *softState) forgetWatchers(now time.Duration) {
-	maps.DeleteFunc(t.routers, func(_ string, at time.Duration) bool { return now-at >= watcherKept })
+	maps.DeleteFunc(t.routers, func(_ string, w watcher) bool {
+		gone := now-w.at >= watcherKept
+		if gone && w.borrows {
+			t.borrowers--
+		}
+		return gone
+	})
 }
 
 // quiet is how long a back end has been silent.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,7 @@
 
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
@@ -214,7 +215,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	request := coordapi.Request{Watch: &coordapi.Watch{Router: f.name, Since: f.since, Leader: f.token, SavedSince: f.saved, Announced: f.announced,
-		Shards: f.shards, Wait: wait}}
+		Shards: f.shards, Level: int(level.Current), Wait: wait}}
 	sent := f.now()
 	var reply coordapi.Reply
 	err := f.config.Peers.Call(ctx, address, coordapi.KindCall, request, &reply)
--- /dev/null
+++ b/internal/follower/repeat.go
@@ -0,0 +1,26 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+// Repeat asks the leader for a repeat of the burst that all routers have together within a
+// window. Answered is false when there was no answer, or the leader lends none yet.
+func (f *Follower) Repeat(ctx context.Context, pool string, burst float64, window time.Duration) (granted, answered bool) {
+	leader := f.following.Load()
+	if leader == nil {
+		return false, false
+	}
+	call, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	var reply coordapi.Reply
+	ask := coordapi.Request{Repeat: &coordapi.Repeat{Pool: pool, Burst: burst, Window: window}}
+	err := f.config.Peers.Call(call, *leader, coordapi.KindCall, ask, &reply)
+	if err != nil || reply.Repeated == nil {
+		return false, false
+	}
+	return reply.Repeated.Granted, true
+}
--- a/internal/forward/alarm.go
+++ b/internal/forward/alarm.go
@@ -22,18 +22,18 @@
 
 // watchSilence gives up a repeatable attempt whose back end is silent for too
 // long while another one may be asked.
-func (h *Handler) watchSilence(j *job, cancel context.CancelCauseFunc) *alarm {
+func (h *Handler) watchSilence(ctx context.Context, j *job, cancel context.CancelCauseFunc) *alarm {
 	if !j.route.Repeatable() || j.ran+1 >= max(j.route.MaxAttempts, 1) || j.route.Target <= 0 {
 		return nil
 	}
-	return newAlarm(silenceFactor*j.route.Target, h.giveUp(j, cancel))
+	return newAlarm(silenceFactor*j.route.Target, h.giveUp(ctx, j, cancel))
 }
 
 // giveUp returns what ends a silent attempt: only when the budget has a repeat,
 // which is taken at once. Without one the attempt is the only hope that is left.
-func (h *Handler) giveUp(j *job, cancel context.CancelCauseFunc) func() bool {
+func (h *Handler) giveUp(ctx context.Context, j *job, cancel context.CancelCauseFunc) func() bool {
 	return func() bool {
-		if !h.budget.Spend(h.now(), j.pool.Name, h.config.Source.Routers()) {
+		if !h.budget.Repeat(ctx, h.now(), j.pool.Name, h.config.Source.Routers()) {
 			return false
 		}
 		j.granted.Store(true)
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -97,7 +97,7 @@
 			j.ran++
 		}
 		j.query.Tried = append(j.query.Tried, choice.ID)
-		if ctx.Err() != nil || h.now() >= j.deadline || !h.again(j, s, result) {
+		if ctx.Err() != nil || h.now() >= j.deadline || !h.again(ctx, j, s, result) {
 			h.finish(ctx, s, result)
 			return
 		}
@@ -124,7 +124,7 @@
 }
 
 // again tells whether another attempt is allowed after a result.
-func (h *Handler) again(j *job, s *session, result outcome) bool {
+func (h *Handler) again(ctx context.Context, j *job, s *session, result outcome) bool {
 	if j.tries() >= maxSends || (s.begun && !j.route.Resumable) {
 		return false
 	}
@@ -139,7 +139,7 @@
 	if j.sent == 0 || j.granted.Swap(false) {
 		return true
 	}
-	return h.budget.Spend(h.now(), j.pool.Name, h.config.Source.Routers())
+	return h.budget.Repeat(ctx, h.now(), j.pool.Name, h.config.Source.Routers())
 }
 
 // attempt sends the request to one back end and passes the answer on.
@@ -147,7 +147,7 @@
 	j := s.job
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := h.watchSilence(j, cancel)
+	silence := h.watchSilence(ctx, j, cancel)
 	defer silence.stop()
 	h.address(j, s, choice)
 	started := h.now()
@@ -172,7 +172,7 @@
 	h.noteStore(j, running.Begun(h.now(), answer.StatusCode == http.StatusOK))
 	h.noteVersion(j, choice, answer.Header)
 	if j.route.Kind == traffic.KindStream && silence != nil {
-		s.stall = newAlarm(max(stallFactor*j.route.GapTarget, leastStall), h.giveUp(j, cancel))
+		s.stall = newAlarm(max(stallFactor*j.route.GapTarget, leastStall), h.giveUp(ctx, j, cancel))
 		defer s.stall.stop()
 	}
 	result := h.take(ctx, s, answer)
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -29,10 +30,14 @@
 // concurrent use.
 type budget struct {
 	config BudgetConfig
+	// lender may be nil.
+	lender Lender
 	// draw returns random numbers in [0, 1).
 	draw    func() float64
 	mu      sync.Mutex
 	windows map[string]*window
+	// lentAt is when the lender answered last; 0 for never.
+	lentAt time.Duration
 }
 
 // window counts requests and repeats of a pool in the parts of a window.
@@ -47,8 +52,8 @@
 	repeats  [budgetParts + 1]int
 }
 
-func newBudget(config BudgetConfig) *budget {
-	return &budget{config: config, draw: rand.Float64, windows: map[string]*window{}}
+func newBudget(config BudgetConfig, lender Lender) *budget {
+	return &budget{config: config, lender: lender, draw: rand.Float64, windows: map[string]*window{}}
 }
 
 // at returns a pool's window, moved on to now.
@@ -76,8 +81,37 @@
 	w.requests[w.part%(budgetParts+1)]++
 }
 
-// Spend takes one repeat, if the budget has one.
+// Repeat takes one repeat: of what this router's own requests allow, else of the burst that
+// all have together. That is lent by who knows of all routers, since those that meet a crash
+// need most of it and the others none. While nobody lends, an even part is this router's, but
+// not before what was lent is out of the window.
+func (b *budget) Repeat(ctx context.Context, now time.Duration, pool string, routers int) bool {
+	if b.spend(now, pool, 0) {
+		return true
+	}
+	if b.lender == nil {
+		return b.Spend(now, pool, routers)
+	}
+	granted, answered := b.lender.Repeat(ctx, pool, b.config.Burst, b.config.Window)
+	b.mu.Lock()
+	if answered {
+		b.lentAt = now
+	}
+	lately := b.lentAt > 0 && now < b.lentAt+b.config.Window
+	b.mu.Unlock()
+	if answered || lately {
+		return granted
+	}
+	return b.Spend(now, pool, routers)
+}
+
+// Spend takes one repeat of this router's even part, if there is one.
 func (b *budget) Spend(now time.Duration, pool string, routers int) bool {
+	return b.spend(now, pool, burstShare*b.config.Burst/float64(max(routers, 1)))
+}
+
+// spend takes one repeat, if the router's requests and its part of the burst allow it.
+func (b *budget) spend(now time.Duration, pool string, burst float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(now, pool)
@@ -86,7 +120,7 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := ratioShare*b.config.Ratio*float64(requests) + burstShare*b.config.Burst/float64(max(routers, 1))
+	allowed := ratioShare*b.config.Ratio*float64(requests) + burst
 	if float64(repeats+1) > allowed+w.draw {
 		return false
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -452,7 +452,7 @@
 }
 
 func TestTheRetryBudgetEnds(t *testing.T) {
-	b := newBudget(BudgetConfig{Ratio: 0.2, Burst: 10, Window: 10 * time.Second})
+	b := newBudget(BudgetConfig{Ratio: 0.2, Burst: 10, Window: 10 * time.Second}, nil)
 	spent := 0
 	for range 100 {
 		b.Request(0, "p")
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -73,6 +73,12 @@
 	Claim(ctx context.Context, q *backends.Query, id coordapi.BackendID) (right *ratelimit.Right, wait, room time.Duration)
 }
 
+// Lender lends repeats of the burst that all routers have together.
+type Lender interface {
+	// Repeat asks for one of a pool. Answered is false when nobody lends now.
+	Repeat(ctx context.Context, pool string, burst float64, window time.Duration) (granted, answered bool)
+}
+
 // Config is what a Handler works with.
 type Config struct {
 	// Name tells routers apart.
@@ -89,7 +95,9 @@
 	Limits *ratelimit.Register
 	// Claimer may be nil: nothing is sent then to back ends that take only so much.
 	Claimer Claimer
-	Saved   *Saved
+	// Lender may be nil: the router then uses an even part of the burst by itself.
+	Lender Lender
+	Saved  *Saved
 	// Observer may be nil: nothing is blocked then.
 	Observer Observer
 	// Quota keeps tenants within their limits.
@@ -116,7 +124,7 @@
 
 // New returns a handler.
 func New(config Config) *Handler {
-	h := &Handler{config: config, budget: newBudget(config.Budget), splits: newSplitter(), clock: clock.Now, started: clock.Now(),
+	h := &Handler{config: config, budget: newBudget(config.Budget, config.Lender), splits: newSplitter(), clock: clock.Now, started: clock.Now(),
 		forbidden: map[string]bool{}, checks: newChecks(), overdue: newOverdue()}
 	if config.Observer == nil {
 		h.config.Observer = alone{}
--- a/internal/forward/pushback_test.go
+++ b/internal/forward/pushback_test.go
@@ -143,7 +143,7 @@
 // repeats and is no failure: with a budget of nothing the request is served elsewhere.
 func TestWhatIsNotSentTakesNothingOfTheBudget(t *testing.T) {
 	r := newRig(t)
-	r.handler.budget = newBudget(BudgetConfig{Window: time.Second})
+	r.handler.budget = newBudget(BudgetConfig{Window: time.Second}, nil)
 	r.add("llm", "rests", pushBack("30"))
 	rests, found := r.pool.Choose(0, &backends.Query{Pool: "llm"})
 	assert.Assert(t, found)
@@ -157,10 +157,10 @@
 	result := r.handler.attempt(t.Context(), s, rests)
 	assert.Equal(t, result.verdict, notRun)
 	assert.Assert(t, !result.arrived)
-	assert.Assert(t, r.handler.again(j, s, result))
+	assert.Assert(t, r.handler.again(t.Context(), j, s, result))
 	assert.Equal(t, r.ran("rests"), 0)
 	j.sent = 1
-	assert.Assert(t, r.handler.again(j, s, result), "the repeat that was granted is still there")
+	assert.Assert(t, r.handler.again(t.Context(), j, s, result), "the repeat that was granted is still there")
 }
 
 // leaving answers as another handler does and says that the back end drains.
--- a/internal/forward/ratelimit_test.go
+++ b/internal/forward/ratelimit_test.go
@@ -159,7 +159,7 @@
 	for i := range maxSends + 1 {
 		r.add("app", "limited-"+strconv.Itoa(i), limit(named("0.5"), good))
 	}
-	r.handler.budget = newBudget(BudgetConfig{Window: time.Second})
+	r.handler.budget = newBudget(BudgetConfig{Window: time.Second}, nil)
 	for range 40 {
 		assert.Equal(t, r.ask("GET", "/safe/x", nil).status, http.StatusOK)
 	}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -20,7 +20,7 @@
 // day were given up for the silence of their engines and had no other attempt.
 func TestASilentAttemptGoesOnWithoutABudgetForAnother(t *testing.T) {
 	r := newRig(t)
-	r.handler.budget = newBudget(BudgetConfig{Window: time.Second})
+	r.handler.budget = newBudget(BudgetConfig{Window: time.Second}, nil)
 	slow := func(w http.ResponseWriter, q *http.Request) {
 		time.Sleep(500 * time.Millisecond)
 		good(w, q)
