--- /dev/null
+++ b/internal/coordapi/label.go
@@ -0,0 +1,46 @@
+package coordapi
+
+// Label names what a request asks for, for the figures of who sends it.
+func (r Request) Label() string {
+	switch {
+	case r.Place != nil:
+		return "place"
+	case r.Watch != nil:
+		return "watch"
+	case r.Tell != nil:
+		return "tell"
+	case r.Claim != nil:
+		return "claim"
+	case r.Repeat != nil:
+		return "repeat"
+	case r.Beat != nil:
+		return "beat"
+	case r.Digest != nil:
+		return "digest"
+	case r.Find != nil:
+		return "find"
+	}
+	return "other call"
+}
+
+// Label names what a reply brings: of a view the largest part that it may have.
+func (r Reply) Label() string {
+	v := r.View
+	switch {
+	case r.Placed != nil:
+		return "placed"
+	case r.Claimed != nil:
+		return "claimed"
+	case v == nil:
+		return "other reply"
+	case len(v.Packed) > 0:
+		return "view of all"
+	case len(v.Document) > 0 || len(v.PackedDocument) > 0:
+		return "view with configuration"
+	case len(v.Backends) > 0 || len(v.PackedBackends) > 0:
+		return "view with rows"
+	case len(v.Loads) > 0 || len(v.PackedLoads) > 0:
+		return "view with loads"
+	}
+	return "view without news"
+}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -38,6 +38,10 @@
 	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
 	gauge("peer_received_messages_total", s.counters.MessagesIn.Load())
 	gauge("peer_sent_messages_total", s.counters.MessagesOut.Load())
+	for carries, sent := range s.counters.Sent() {
+		fmt.Fprintf(w, "quinceridge_peer_sent_bytes_total{carries=%q} %d\n", carries, sent.Bytes)
+		fmt.Fprintf(w, "quinceridge_peer_sent_messages_total{carries=%q} %d\n", carries, sent.Messages)
+	}
 	gauge("entries_unreadable_total", s.unreadable.Load())
 	placements, routers := s.placer.Open()
 	gauge("placements_open", placements)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	answer, err := c.link(address).call(ctx, kind, body)
+	answer, err := c.link(address).call(ctx, envelope{Kind: kind, Body: body, Carries: labelOf(request, kind)})
 	if err != nil {
 		return errors.Wrapf(err, "call %s at %s", kind, address)
 	}
@@ -84,7 +84,7 @@
 	if err != nil {
 		return
 	}
-	c.link(address).enqueue(envelope{Kind: kind, Body: body})
+	c.link(address).enqueue(envelope{Kind: kind, Body: body, Carries: labelOf(message, kind)})
 }
 
 // Close ends all connections.
@@ -157,16 +157,16 @@
 	}
 }
 
-func (l *link) call(ctx context.Context, kind string, body json.RawMessage) (envelope, error) {
+func (l *link) call(ctx context.Context, e envelope) (envelope, error) {
 	connection, err := l.connect(ctx)
 	if err != nil {
 		return envelope{}, err
 	}
 	answer := make(chan envelope, 1)
-	number := l.register(answer)
-	defer l.forget(number)
+	e.Number = l.register(answer)
+	defer l.forget(e.Number)
 	sent := clock.Now()
-	if err := l.write(connection, envelope{Number: number, Kind: kind, Body: body}); err != nil {
+	if err := l.write(connection, e); err != nil {
 		return envelope{}, errors.Mark(err, ErrBroken)
 	}
 	select {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"maps"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +26,8 @@
 	Kind   string          `json:"kind,omitempty"`
 	Body   json.RawMessage `json:"body,omitempty"`
 	Error  string          `json:"error,omitempty"`
+	// Carries names what the message carries, for the figures of who sends it.
+	Carries string `json:"-"`
 }
 
 // Counters count the bytes and messages of all connections of a process.
@@ -32,6 +36,45 @@
 	BytesOut    atomic.Uint64
 	MessagesIn  atomic.Uint64
 	MessagesOut atomic.Uint64
+
+	mu sync.Mutex
+	// sent are the messages that went out, by what they carry.
+	sent map[string]Sent
+}
+
+// Sent is what went out of one sort.
+type Sent struct{ Messages, Bytes uint64 }
+
+// Labeled is the body of a message that says what it carries. Any other counts under the
+// kind of its call.
+type Labeled interface{ Label() string }
+
+// labelOf is what a body carries.
+func labelOf(body any, otherwise string) string {
+	if l, labeled := body.(Labeled); labeled {
+		return l.Label()
+	}
+	return otherwise
+}
+
+// count notes a message that goes out.
+func (c *Counters) count(carries string, bytes int) {
+	c.BytesOut.Add(uint64(bytes))
+	c.MessagesOut.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sent == nil {
+		c.sent = map[string]Sent{}
+	}
+	s := c.sent[carries]
+	c.sent[carries] = Sent{s.Messages + 1, s.Bytes + uint64(bytes)}
+}
+
+// Sent returns what went out so far, by what it carries.
+func (c *Counters) Sent() map[string]Sent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.sent)
 }
 
 // lineReader reads envelopes.
@@ -87,7 +130,6 @@
 		line = append(line, '}')
 	}
 	line = append(line, '\n')
-	counters.BytesOut.Add(uint64(len(line)))
-	counters.MessagesOut.Add(1)
+	counters.count(e.Carries, len(line))
 	return line, nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -96,7 +96,7 @@
 	if call.Number == 0 {
 		return
 	}
-	answer := envelope{Number: call.Number}
+	answer := envelope{Number: call.Number, Carries: labelOf(reply, call.Kind)}
 	if err == nil {
 		answer.Body, err = json.Marshal(reply)
 	}
