A back end that was taken for gone comes back once it has spoken for a while

What callers saw: nothing more of a back end that had been cut off from all coordinators for 20 s (8 s if it drained), however long it ran on afterwards.

Cause: its row departs, and heartbeats of departed starts are dropped for good, since one that was held up may arrive after its sender has ended.

Change: three heartbeats in a row, each with a higher count and at least half an interval behind the one before, let the start in again under a row of its own; the former one stays gone on nodes of every build. Not one that drains or left, whose back end has started again, or whose address another holds. Heartbeats that were held up come together, or old: TestHeartbeatsThatWereHeldUpBringNobodyBack. TestABackEndThatWasCutOffForLongComesBack failed first.

--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -15,7 +15,10 @@
 	reply, err := s.enrol(ctx, func(now time.Duration) (state.Backend, bool) {
 		b.Backend.Instance = ""
 		start := b.Backend.Start()
-		id, counts := s.rowFor(now, start)
+		id, counts := s.returns(now, s.core.Machine().Deployment(), start, &b)
+		if !counts {
+			id, counts = s.rowFor(now, start)
+		}
 		if !counts {
 			return state.Backend{}, false
 		}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -45,6 +45,8 @@
 	starts     map[string]state.Start
 	olderNoted map[string]state.UnixMilli
 	leftEarly  map[state.Start]struct{}
+	// returning are the starts that were taken for gone and speak.
+	returning map[state.Start]returning
 	// departedAt is when rows of earlier starts were removed last.
 	departedAt time.Duration
 	// epoch and changes name the state of silent and minimum.
@@ -80,7 +82,7 @@
 func (t *softState) reset(now time.Duration) {
 	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]watcher{},
 		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{},
-		starts: map[string]state.Start{}, olderNoted: map[string]state.UnixMilli{}, leftEarly: map[state.Start]struct{}{}}
+		starts: map[string]state.Start{}, olderNoted: map[string]state.UnixMilli{}, leftEarly: map[state.Start]struct{}{}, returning: map[state.Start]returning{}}
 }
 
 // heard notes a heartbeat. It returns false for one that is older than another
--- a/internal/state/start.go
+++ b/internal/state/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 )
 
 // UnixMilli is a time of day in milliseconds since 1970, by the clock of whoever says it.
@@ -51,8 +52,11 @@
 	return out
 }
 
-// IsGone tells whether a start is known to be gone.
+// IsGone tells whether a start is known to be gone, and has not come back.
 func (d *Deployment) IsGone(s Start) bool {
+	if _, back := d.returned(s); back {
+		return false
+	}
 	if born, gone := d.order.gone[s.Name]; gone && (born == s.Born || s.Born == 0) {
 		return true
 	}
@@ -65,6 +69,9 @@
 // they send. Later ones have the time of their start behind it, so that everything that is
 // kept by ID is kept by start.
 func (d *Deployment) IDOf(s Start) string {
+	if b, back := d.returned(s); back {
+		return b.ID
+	}
 	if b, known := d.Backends[s.Name]; known {
 		if s.Same(b.Start()) {
 			return s.Name
@@ -77,6 +84,21 @@
 	return s.Name
 }
 
+// returnedMark is in the IDs of rows whose starts were gone.
+const returnedMark = "~~"
+
+// returned is the row of a start that was gone and has come back.
+func (d *Deployment) returned(s Start) (Backend, bool) {
+	b, known := d.Current(s.Name)
+	return b, known && strings.Contains(b.ID, returnedMark) && s.Same(b.Start())
+}
+
+// ReturnedID is the ID of the row under which a start that was gone comes back: its former
+// one stays gone, so that a late heartbeat can't bring it back on a node of any build.
+func (d *Deployment) ReturnedID(s Start) string {
+	return s.Name + returnedMark + strconv.FormatUint(d.ChangedAt(), 36)
+}
+
 func laterID(s Start) string { return s.Name + "~" + strconv.FormatInt(int64(s.Born), 36) }
 
 // found notes a row, whether its back end has others or not: the one that enrolled last
