--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -67,6 +67,8 @@
 	// limited are the back ends that take only so much from all machines, as of limitedAt.
 	limited   []coordapi.BackendID
 	limitedAt int
+	// limitedShards are those of them that concern each of shards.
+	limitedShards map[coordapi.Shard][]coordapi.BackendID
 	// silentShards are the silent back ends that concern each of shards.
 	silentShards map[coordapi.Shard][]string
 }
@@ -81,7 +83,7 @@
 
 func (t *softState) reset(now time.Duration) {
 	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]watcher{},
-		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{},
+		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{}, limitedShards: map[coordapi.Shard][]coordapi.BackendID{},
 		starts: map[string]state.Start{}, olderNoted: map[string]state.UnixMilli{}, leftEarly: map[state.Start]struct{}{}, returning: map[state.Start]returning{}}
 }
 
@@ -267,13 +269,17 @@
 
 // limitedOf returns the back ends with a limit that concern a shard.
 func (t *softState) limitedOf(d *state.Deployment, shard coordapi.Shard) []coordapi.BackendID {
-	var out []coordapi.BackendID
+	known, made := t.limitedShards[shard]
+	if made {
+		return known
+	}
 	for _, id := range t.limited {
-		if b, known := d.Backends[string(id)]; known && (!b.IsEngine() || shard.Holds(id)) {
-			out = append(out, id)
+		if b := d.Backends[string(id)]; !b.IsEngine() || shard.Holds(id) {
+			known = append(known, id)
 		}
 	}
-	return out
+	t.limitedShards[shard] = known
+	return known
 }
 
 // notifier wakes waiting watchers, by shard.
@@ -351,6 +357,7 @@
 		return
 	}
 	s.soft.limited, s.soft.limitedAt = s.backendLimits.Limited()
+	s.soft.limitedShards = map[coordapi.Shard][]coordapi.BackendID{}
 	s.soft.changes++
 }
 
--- a/internal/follower/claim.go
+++ b/internal/follower/claim.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 )
 
@@ -15,8 +18,8 @@
 // keeps its next place for others, and room when there is room for the request at some back
 // end of the pool, 0 if there was no answer: then nobody grants anything.
 func (f *Follower) Claim(ctx context.Context, q *backends.Query, id coordapi.BackendID) (right *ratelimit.Right, wait, room time.Duration) {
-	leader := f.following.Load()
-	if leader == nil || int64(f.now()) < f.placements.askAfter.Load() {
+	leader := f.askable()
+	if leader == nil {
 		return nil, placePause, 0
 	}
 	ask := &coordapi.Claim{Router: f.name, Number: f.placements.number.Add(1), Backend: id, Pool: q.Pool, Claimant: q.Claimant, Reports: f.reports()}
@@ -29,6 +32,7 @@
 		// It may have been granted, and the reports may not have arrived.
 		f.keep(&ask.Reports)
 		f.placements.add(coordapi.Reports{Unused: []uint64{ask.Number}})
+		f.unanswered(ctx, err)
 		return nil, placePause, 0
 	}
 	switch {
@@ -39,3 +43,20 @@
 	}
 	return nil, reply.Claimed.Wait, reply.Claimed.Room
 }
+
+// askable is the leader that may be asked now, nil for none: one that gave no answer a moment
+// ago would hold each request for as long as an answer is waited for.
+func (f *Follower) askable() *string {
+	if int64(f.now()) < f.placements.askAfter.Load() {
+		return nil
+	}
+	return f.following.Load()
+}
+
+// unanswered puts the next question off, unless its caller left. A leader of an earlier build
+// answers at once that it does not know the question, and goes on to place.
+func (f *Follower) unanswered(ctx context.Context, err error) {
+	if ctx.Err() == nil && !errors.Is(err, peer.ErrRemote) {
+		f.placements.askAfter.Store(int64(f.now() + placePause))
+	}
+}
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -68,8 +68,8 @@
 // in time and the router must choose by itself; found is false when the leader
 // knows of none that may serve.
 func (f *Follower) Place(ctx context.Context, q *backends.Query) (choice backends.Choice, found, answered bool) {
-	leader := f.following.Load()
-	if leader == nil || int64(f.now()) < f.placements.askAfter.Load() {
+	leader := f.askable()
+	if leader == nil {
 		return choice, false, false
 	}
 	ask := placer.Ask(q)
--- a/internal/follower/repeat.go
+++ b/internal/follower/repeat.go
@@ -10,7 +10,7 @@
 // Repeat asks the leader for a repeat of the burst that all routers have together within a
 // window. Answered is false when there was no answer, or the leader lends none yet.
 func (f *Follower) Repeat(ctx context.Context, pool string, burst float64, window time.Duration) (granted, answered bool) {
-	leader := f.following.Load()
+	leader := f.askable()
 	if leader == nil {
 		return false, false
 	}
@@ -20,6 +20,7 @@
 	ask := coordapi.Request{Repeat: &coordapi.Repeat{Pool: pool, Burst: burst, Window: window}}
 	err := f.config.Peers.Call(call, *leader, coordapi.KindCall, ask, &reply)
 	if err != nil || reply.Repeated == nil {
+		f.unanswered(ctx, err)
 		return false, false
 	}
 	return reply.Repeated.Granted, true
--- a/internal/ratelimit/bank.go
+++ b/internal/ratelimit/bank.go
@@ -69,8 +69,9 @@
 
 // account is one start.
 type account struct {
-	pool string
-	word word
+	pool  string
+	word  word
+	lines lines
 	// asked counts the requests of each urgency that wanted a right, and granted those of
 	// each tenant that got one.
 	asked   map[int]*decay.Sum
@@ -162,13 +163,18 @@
 	if w.same(before) {
 		return false
 	}
-	b.changes++
+	if w.limited != before.limited {
+		b.changes++
+	}
 	b.sum(a.pool, told.ID, before, w)
 	if w.limited {
 		b.quota.Limit(now, string(told.ID), quota.Limit{Rate: quota.Amount(max(w.rate, leastRate))})
 	} else {
 		b.quota.Forget(string(told.ID))
 	}
+	if !a.lines.allow(now) {
+		return true
+	}
 	b.logger.Info("limit of a back end", "part", "ratelimit", "backend", told.ID, "pool", a.pool, "limited", w.limited, "rate", float64(w.rate),
 		"before", float64(before.rate), "heard_ms_ago", (now - w.heard).Milliseconds())
 	return true
--- a/internal/ratelimit/register.go
+++ b/internal/ratelimit/register.go
@@ -71,8 +71,9 @@
 
 // start is what one start of a back end has said.
 type start struct {
-	pool string
-	word word
+	pool  string
+	word  word
+	lines lines
 }
 
 // New returns a register of nothing.
@@ -122,6 +123,9 @@
 		return
 	}
 	g.untold[from.ID] = struct{}{}
+	if !s.lines.allow(g.clock()) {
+		return
+	}
 	text := "back end names a limit"
 	switch {
 	case !w.limited:
--- a/internal/ratelimit/register_test.go
+++ b/internal/ratelimit/register_test.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// A back end may name another rate in each answer: the newest holds, and the log stays short.
+func TestRatesThatChangeWithEachAnswerFillNoLog(t *testing.T) {
+	r := newRig()
+	for i := range 500 {
+		r.answers("a", 200, names.Limit, fmt.Sprintf("%d.5", 1+i%7))
+	}
+	assert.Equal(t, r.News()[0].Rate, 1.5+float64(499%7))
+	assert.Assert(t, strings.Count(r.log.String(), "backend=a") <= maxLines, "%s", r.log.String())
+}
+
 // The one that answers 421 may be another start at the address.
 func TestAnotherStartSaysNothingOfThisOnesLimit(t *testing.T) {
 	r := newRig()
