--- a/internal/coordinator/returns.go
+++ b/internal/coordinator/returns.go
@@ -30,7 +30,7 @@
 // One that drains, or whose address another has by now, stays out. It returns the ID of its
 // new row.
 func (s *Server) returns(now time.Duration, d *state.Deployment, start state.Start, b *coordapi.Beat) (id string, back bool) {
-	if !d.IsGone(start) || b.Backend.Draining || s.soft.left[d.IDOf(start)] || s.hasSuccessor(now, d, start, b.Backend.Address) {
+	if !d.IsGone(start) || b.Backend.Draining || s.soft.left[d.IDOf(start)] || s.soft.left[start.Name] || s.hasSuccessor(now, d, start, b.Backend.Address) {
 		delete(s.soft.returning, start)
 		return "", false
 	}
--- a/internal/coordinator/returns_test.go
+++ b/internal/coordinator/returns_test.go
@@ -86,3 +86,13 @@
 	}
 	assert.Equal(t, g.present(0, "x").ID, "")
 }
+
+// One that drained has left, whatever its row was called: it does not come back.
+func TestOneThatDrainedUnderAnotherRowHasLeft(t *testing.T) {
+	var soft softState
+	soft.reset(0)
+	gone := soft.look(time.Minute, time.Second, map[string]state.Backend{
+		"x~~1": {ID: "x~~1", Instance: "x", Address: "x", Draining: true}, "y~~1": {ID: "y~~1", Instance: "y", Address: "y"}})
+	assert.Equal(t, len(gone), 2)
+	assert.Assert(t, soft.left["x"] && !soft.left["y"])
+}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -37,7 +37,8 @@
 	borrowers int
 	// silent are the back ends that are silent or have a successor, sorted.
 	silent []string
-	// left are back ends that are on no list any more and had announced their end.
+	// left are back ends that are on no list any more and had announced their end, by ID and
+	// by name.
 	left map[string]bool
 	// starts are the starts of back ends that were heard of last, by name; olderNoted when
 	// those had started that spoke after their successors, and leftEarly the starts that
@@ -164,6 +165,10 @@
 		case quiet > departAfter || (b.Draining && quiet > drainedAfter):
 			gone = append(gone, id)
 			t.left[id] = b.Draining
+			if b.Draining {
+				// Under whatever row it comes back, it has said that it leaves.
+				t.left[b.Name()] = true
+			}
 		case quiet > limit:
 			silent = append(silent, id)
 		case !held:
