What routers tell of limits is taken for no more than an answer can say; fuzz targets of peers' messages and of coordinators' and routers' settings

A rate of another process that is negative, or too large to be summed, would have left a pool's sum no number.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,6 +64,10 @@
 		_ = config.Decode("f", data, &control)
 		var router settings.Router
 		_ = config.Decode("f", data, &router)
+		var coordinator settings.Coordinator
+		_ = config.Decode("f", data, &coordinator)
+		var edge settings.DisklessRouter
+		_ = config.Decode("f", data, &edge)
 	})
 }
 
--- /dev/null
+++ b/internal/coordapi/fuzz_test.go
@@ -0,0 +1,46 @@
+package coordapi
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// Whatever another process sends is an error or a message, and what is read can be told
+// again.
+func FuzzMessages(f *testing.F) {
+	for _, seed := range []string{`{"watch":{"router":"r","wait":1}}`, `{"place":{"router":"r","number":1,"pool":"p","limits":[{"id":"a","limited":true,"rate":1e308}]}}`,
+		`{"claim":{"backend":"b"}}`, `{"view":{"revision":1,"backends":[{"id":"a"}],"limited":["a"]}}`, `{"tell":{"spent":[{"t":"a","a":-1}]}}`, `{"placed":{"right":-1}}`, `[`, `{"watch":3}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var request Request
+		if json.Unmarshal(data, &request) == nil {
+			if _, err := json.Marshal(request); err != nil {
+				t.Fatal(err)
+			}
+			_ = request.Label()
+		}
+		var reply Reply
+		if json.Unmarshal(data, &reply) == nil {
+			if _, err := json.Marshal(reply); err != nil {
+				t.Fatal(err)
+			}
+			_ = reply.Label()
+		}
+	})
+}
+
+// A packed part of a view may be cut off, or no packed value at all.
+func FuzzUnpack(f *testing.F) {
+	packed, err := Pack(Whole{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Add(packed[:len(packed)/2])
+	f.Add([]byte("{}"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var whole Whole
+		_ = Unpack(data, &whole)
+	})
+}
--- a/internal/ratelimit/bank_test.go
+++ b/internal/ratelimit/bank_test.go
@@ -247,6 +247,17 @@
 	assert.Equal(t, b.Room(2*time.Minute, "other"), time.Duration(0))
 }
 
+// What routers tell is taken for no more than an answer can say.
+func TestFiguresOfOtherProcessesAreBounded(t *testing.T) {
+	b := newTestBank()
+	for i, rate := range []float64{-5, 1e308, 1e308, 3} {
+		b.Hear(0, []coordapi.LimitWord{{ID: "a", Pool: "p", Limited: true, Rate: rate, Sent: -time.Hour, Heard: -time.Hour}})
+		b.Hear(0, limited(fmt.Sprint(i), rate))
+	}
+	b.Depart([]string{"a", "0", "1", "2"})
+	assert.Equal(t, b.Room(0, "p"), time.Second/3)
+}
+
 func TestWhatTheBankKeepsIsBounded(t *testing.T) {
 	b := newTestBank()
 	for i := range 5 * maxKept {
--- a/internal/ratelimit/word.go
+++ b/internal/ratelimit/word.go
@@ -38,9 +38,11 @@
 	return held
 }
 
-// wordOf returns what a process told, by the clock of who hears it.
+// wordOf returns what a process told, by the clock of who hears it. That one may be of another
+// build, or wrong: no rate is beyond what an answer can name, and no word from the future.
 func wordOf(now time.Duration, w *coordapi.LimitWord) word {
-	return word{sent: now - w.Sent, heard: now - w.Heard, limited: w.Limited, rate: PerSecond(w.Rate)}
+	rate := min(max(PerSecond(w.Rate), 0), highest)
+	return word{sent: now - max(w.Sent, 0), heard: now - max(w.Heard, 0), limited: w.Limited, rate: rate}
 }
 
 // tell is a word for others.
