Words of orders and reports name their pool

Found on reading: a limit that an engine named first in its answer to an order was of no pool, so callers of its pool that could not be served were not told when there is room there.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -17,8 +17,9 @@
 
 // Target is the start of an engine that a call is meant for.
 type Target struct {
-	// Backend is its row.
+	// Backend is its row, and Pool the pool of that.
 	Backend coordapi.BackendID `json:"-"`
+	Pool    string             `json:"-"`
 	Address string
 	// Instance is how the engine names itself.
 	Instance string
@@ -27,7 +28,7 @@
 }
 
 func targetOf(row state.Backend) Target {
-	return Target{Backend: coordapi.BackendID(row.ID), Address: row.Address, Instance: row.Name()}
+	return Target{Backend: coordapi.BackendID(row.ID), Pool: row.Pool, Address: row.Address, Instance: row.Name()}
 }
 
 // ordersUrgency is more urgent than any request.
