A list where a mapping belongs is a finding with its place, and ends no process

What an operator saw: a settings file or bundle that begins with "-" ended the process, or the check of the file, with a panic. Cause: the look for unknown fields took a list's entries for fields, which have no names. The finding names line and column; the seed stays, and TestAListInPlaceOfAMappingIsAFindingWithItsPlace, which panicked first.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -224,6 +224,11 @@
 		if t == durationType || t == reflect.TypeOf(time.Time{}) {
 			return
 		}
+		if list, is := node.(*ast.SequenceNode); is {
+			at := list.GetToken().Position
+			*findings = append(*findings, finding.Finding{File: file, Line: at.Line, Column: at.Column, Field: path, Message: "expected a mapping, not a list"})
+			return
+		}
 		fields := fieldsOf(t)
 		for _, c := range children(node, path) {
 			field, ok := fields[c.name]
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -54,11 +54,24 @@
 	assert.ErrorContains(t, config.Decode("x.yaml", []byte("id: abc\n"), &s), "x.yaml:1:")
 }
 
+// A list where a mapping belongs ended the process that read it: the look for unknown fields
+// took its entries for fields and asked for their names.
+func TestAListInPlaceOfAMappingIsAFindingWithItsPlace(t *testing.T) {
+	for _, text := range []string{"-", "- a", "\n- id: 1", "log:\n- level"} {
+		var control settings.Control
+		err := config.Decode("f", []byte(text), &control)
+		assert.ErrorContains(t, err, "expected a mapping, not a list", "%q", text)
+	}
+	var control settings.Control
+	assert.ErrorContains(t, config.Decode("f", []byte("log:\n- level"), &control), "f:2:1")
+}
+
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(soundControl))
 	f.Add([]byte("id: [1"))
 	f.Add([]byte("a: &a [*a]"))
 	f.Add([]byte("? {x: y}\n: z"))
+	f.Add([]byte("-"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var control settings.Control
 		_ = config.Decode("f", data, &control)
