--- a/internal/placer/limited_test.go
+++ b/internal/placer/limited_test.go
@@ -35,9 +35,9 @@
 	return ask
 }
 
-// The load of the incident in virtual time, with enough requests to keep all engines at work:
-// 500 a second at twelve engines, two of which take one a second. All are served, the two get what they take and no more, and the
-// prompts that are at home there are read at a few other engines, not at all.
+// Two of twelve engines take one request a second, in virtual time, with enough requests to
+// keep all at work: 500 a second. All are served, the two get what they take and no more, and
+// the prompts that are at home there are read at a few other engines, not at all of them.
 func TestASurgeBesideEnginesThatTakeOnlySoMany(t *testing.T) {
 	p := newLimitedPlacer(12, 2, 1)
 	random := rand.New(rand.NewPCG(3, 1))
