Bounded log lines and dropping the oldest stand in one place

Three places kept when they had logged last what can't be read, and one counted lines within a second; two dropped the oldest quarter of what they keep by start. All use internal/bounded. No change of behaviour: one line a second, four on a start's limit. Words of a forgotten start that are still untold are passed over, as they were by News.

--- /dev/null
+++ b/internal/bounded/bounded_test.go
@@ -0,0 +1,37 @@
+package bounded
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestLinesAreBoundedWithinASecond(t *testing.T) {
+	var l Lines
+	allowed := func(now time.Duration, most int) (n int) {
+		for range 10 {
+			if l.Allow(now, most) {
+				n++
+			}
+		}
+		return n
+	}
+	// A clock may begin anywhere: the second counts from the first line.
+	assert.Equal(t, allowed(900*time.Millisecond, 1), 1)
+	assert.Equal(t, allowed(1899*time.Millisecond, 1), 0)
+	assert.Equal(t, allowed(1900*time.Millisecond, 4), 4)
+	assert.Equal(t, allowed(time.Hour, 4), 4)
+}
+
+func ExampleDropOldest() {
+	heard := map[string]time.Duration{"a": 3, "b": 1, "c": 2}
+	DropOldest(heard, 2, func(at time.Duration) time.Duration { return at })
+	fmt.Println(heard)
+	DropOldest(heard, 5, func(at time.Duration) time.Duration { return at })
+	fmt.Println(len(heard))
+	// Output:
+	// map[a:3ns]
+	// 0
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 
+	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/control"
 	"quinceridge.example/quinceridge/internal/coordapi"
@@ -58,11 +59,11 @@
 	peers    *peer.Client
 	counters *peer.Counters
 	// unreadable counts what was said in back ends' names and could not be read, and
-	// unreadableAt is when that was logged last, by the process's clock.
-	unreadable   atomic.Uint64
-	unreadableAt atomic.Int64
-	listener     *peer.Server
-	metrics      *http.Server
+	// unreadableLines the log lines on it.
+	unreadable      atomic.Uint64
+	unreadableLines bounded.Lines
+	listener        *peer.Server
+	metrics         *http.Server
 	// clock is clock.Now but in tests.
 	clock   func() time.Duration
 	engines Engines
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -11,18 +11,16 @@
 package pushback
 
 import (
-	"cmp"
 	"fmt"
 	"log/slog"
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -32,9 +30,6 @@
 // within the longest wait.
 const maxKept = 4096
 
-// unreadableEvery is the least time between two log lines on answers that can't be read.
-const unreadableEvery = time.Second
-
 // ErrBarred marks what is not sent because the back end wants nothing now.
 var ErrBarred = errors.New("the back end wants nothing from here")
 
@@ -60,8 +55,8 @@
 	starts map[coordapi.BackendID]*start
 	// untold is what News returns next.
 	untold []coordapi.Trouble
-	// unreadableAt is when an answer that can't be read was logged last.
-	unreadableAt time.Duration
+	// unreadable are the log lines on answers that can't be read.
+	unreadable bounded.Lines
 }
 
 // start is what one start of a back end has asked.
@@ -119,8 +114,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	if err != nil {
-		g.noteUnreadable(now, from, err)
+	if err != nil && g.unreadable.Allow(now, 1) {
+		g.logger.Warn("pushback cannot be read", "part", "pushback", "backend", from.ID, "error", err.Error())
 	}
 	if wait <= 0 {
 		return
@@ -135,14 +130,6 @@
 	s.at, s.until = now, max(s.until, now+wait)
 }
 
-func (g *Register) noteUnreadable(now time.Duration, from Backend, err error) {
-	if g.unreadableAt > 0 && now < g.unreadableAt+unreadableEvery {
-		return
-	}
-	g.unreadableAt = now
-	g.logger.Warn("pushback cannot be read", "part", "pushback", "backend", from.ID, "error", err.Error())
-}
-
 // of returns what is kept of a start.
 func (g *Register) of(now time.Duration, from Backend) *start {
 	s := g.starts[from.ID]
@@ -164,12 +151,7 @@
 	if len(g.starts) < maxKept {
 		return
 	}
-	byAge := slices.SortedFunc(maps.Keys(g.starts), func(a, b coordapi.BackendID) int {
-		return cmp.Compare(g.starts[a].at, g.starts[b].at)
-	})
-	for _, id := range byAge[:maxKept/4] {
-		delete(g.starts, id)
-	}
+	bounded.DropOldest(g.starts, maxKept/4, func(s *start) time.Duration { return s.at })
 }
 
 // sweep forgets the waits that are over.
--- a/internal/ratelimit/bank.go
+++ b/internal/ratelimit/bank.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/decay"
 	"quinceridge.example/quinceridge/internal/quota"
@@ -71,7 +72,7 @@
 type account struct {
 	pool  string
 	word  word
-	lines lines
+	lines bounded.Lines
 	// asked counts the requests of each urgency that wanted a right, and granted those of
 	// each tenant that got one.
 	asked   map[int]*decay.Sum
@@ -172,7 +173,7 @@
 	} else {
 		b.quota.Forget(string(told.ID))
 	}
-	if !a.lines.allow(now) {
+	if !a.lines.Allow(now, maxLines) {
 		return true
 	}
 	b.logger.Info("limit of a back end", "part", "ratelimit", "backend", told.ID, "pool", a.pool, "limited", w.limited, "rate", float64(w.rate),
--- a/internal/ratelimit/register.go
+++ b/internal/ratelimit/register.go
@@ -15,7 +15,6 @@
 package ratelimit
 
 import (
-	"cmp"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -25,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
@@ -32,10 +32,11 @@
 )
 
 const (
-	// unreadableEvery is the least time between two log lines on answers that can't be read.
-	unreadableEvery = time.Second
 	// maxKept bounds how many starts are kept, some 150 B each.
 	maxKept = 4096
+	// maxLines bounds the log lines on one start's limit within a second: a back end may name
+	// another rate in each answer.
+	maxLines = 4
 	// overKept is how long it is remembered that a start names no limit any more: an older
 	// word may still be on its way.
 	overKept = 10 * time.Second
@@ -65,15 +66,15 @@
 	untold map[coordapi.BackendID]struct{}
 	// unused are the numbers of rights that were not used.
 	unused []uint64
-	// unreadableAt is when an answer that can't be read was logged last.
-	unreadableAt time.Duration
+	// unreadable are the log lines on answers that can't be read.
+	unreadable bounded.Lines
 }
 
 // start is what one start of a back end has said.
 type start struct {
 	pool  string
 	word  word
-	lines lines
+	lines bounded.Lines
 }
 
 // New returns a register of nothing.
@@ -94,7 +95,9 @@
 	defer g.mu.Unlock()
 	now := g.clock()
 	if err != nil {
-		g.noteUnreadable(now, from, err)
+		if g.unreadable.Allow(now, 1) {
+			g.logger.Warn("limit cannot be read", "part", "ratelimit", "backend", from.ID, "error", err.Error())
+		}
 		return
 	}
 	s := g.starts[from.ID]
@@ -123,7 +126,7 @@
 		return
 	}
 	g.untold[from.ID] = struct{}{}
-	if !s.lines.allow(g.clock()) {
+	if !s.lines.Allow(g.clock(), maxLines) {
 		return
 	}
 	text := "back end names a limit"
@@ -136,14 +139,6 @@
 	g.logger.Info(text, "part", "ratelimit", "backend", from.ID, "pool", from.Pool, "rate", float64(w.rate), "before", float64(before.rate), "status", status)
 }
 
-func (g *Register) noteUnreadable(now time.Duration, from pushback.Backend, err error) {
-	if g.unreadableAt > 0 && now < g.unreadableAt+unreadableEvery {
-		return
-	}
-	g.unreadableAt = now
-	g.logger.Warn("limit cannot be read", "part", "ratelimit", "backend", from.ID, "error", err.Error())
-}
-
 // makeRoom forgets what is long over, and the starts heard of least lately if there are
 // still too many.
 func (g *Register) makeRoom(now time.Duration) {
@@ -154,13 +149,8 @@
 	if len(g.starts) < maxKept {
 		return
 	}
-	byAge := slices.SortedFunc(maps.Keys(g.starts), func(a, b coordapi.BackendID) int {
-		return cmp.Compare(g.starts[a].word.heard, g.starts[b].word.heard)
-	})
-	for _, id := range byAge[:maxKept/4] {
-		delete(g.starts, id)
-		delete(g.untold, id)
-	}
+	// What is untold of a start that is forgotten is passed over in News.
+	bounded.DropOldest(g.starts, maxKept/4, func(s *start) time.Duration { return s.word.heard })
 }
 
 // Limited tells whether a start may be sent to with a right only.
