Unused rights wait in one list, which is bounded

A router kept the numbers of rights that nothing was sent with twice: in the register, where they are bounded, and among the reports of placements, where they were not. The leader takes each back once, whichever list it came from; now there is one, also for what was lost on its way. A register that is not there has no news, as it has nothing else.

--- a/internal/follower/claim.go
+++ b/internal/follower/claim.go
@@ -31,7 +31,7 @@
 	if err != nil || reply.Claimed == nil {
 		// It may have been granted, and the reports may not have arrived.
 		f.keep(&ask.Reports)
-		f.placements.add(coordapi.Reports{Unused: []uint64{ask.Number}})
+		f.config.Limits.Lost(ask.Number)
 		f.unanswered(ctx, err)
 		return nil, placePause, 0
 	}
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -46,7 +46,6 @@
 	p.reports.Begun = append(p.reports.Begun, reports.Begun...)
 	p.reports.Ended = append(p.reports.Ended, reports.Ended...)
 	p.reports.Spent = append(p.reports.Spent, reports.Spent...)
-	p.reports.Unused = append(p.reports.Unused, reports.Unused...)
 	for _, t := range reports.Troubles {
 		// Other troubles are old when they are told again.
 		if t.Kind == coordapi.Draining {
@@ -84,7 +83,8 @@
 	if err != nil || reply.Placed == nil {
 		// It may have been placed, and the reports may not have arrived.
 		f.keep(&ask.Reports)
-		f.placements.add(coordapi.Reports{Ended: []uint64{ask.Number}, Unused: []uint64{ask.Number}})
+		f.placements.add(coordapi.Reports{Ended: []uint64{ask.Number}})
+		f.config.Limits.Lost(ask.Number)
 		if ctx.Err() != nil {
 			// The caller has left: that says nothing of the leader.
 			return choice, false, false
@@ -116,10 +116,7 @@
 	if f.config.Quota != nil {
 		reports.Spent = append(reports.Spent, f.config.Quota.Spent()...)
 	}
-	if f.config.Limits != nil {
-		reports.Limits = f.config.Limits.News()
-		reports.Unused = append(reports.Unused, f.config.Limits.Unused()...)
-	}
+	reports.Limits, reports.Unused = f.config.Limits.News(), f.config.Limits.Unused()
 	f.evidence.take(f.now(), &reports)
 	return reports
 }
@@ -128,6 +125,7 @@
 func (f *Follower) keep(reports *coordapi.Reports) {
 	f.placements.add(*reports)
 	f.config.Limits.Untold(reports.Limits)
+	f.config.Limits.Lost(reports.Unused...)
 	f.evidence.lost(reports)
 }
 
--- a/internal/ratelimit/register.go
+++ b/internal/ratelimit/register.go
@@ -215,8 +215,13 @@
 	g.Lost(r.number)
 }
 
-// Lost notes that a placement or claim may have been granted of which nothing was heard.
+// Lost notes rights that nothing will be sent with, by their numbers: a placement or claim
+// may have been granted of which nothing was heard, or that a right was not used may not have
+// been heard. A nil register has none.
 func (g *Register) Lost(numbers ...uint64) {
+	if g == nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.unused = append(g.unused, numbers...)
@@ -225,8 +230,12 @@
 	}
 }
 
-// Unused returns the numbers of the rights that were not used, since the last call.
+// Unused returns the numbers of the rights that were not used, since the last call. A nil
+// register has none.
 func (g *Register) Unused() []uint64 {
+	if g == nil {
+		return nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := g.unused
@@ -248,8 +257,11 @@
 	}
 }
 
-// News returns the words that the leader has not been told.
+// News returns the words that the leader has not been told. A nil register has none.
 func (g *Register) News() []coordapi.LimitWord {
+	if g == nil {
+		return nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.untold) == 0 {
