A router's three questions to the leader are put in one way

Placements, claims and repeats each made the same call with the same limit of time. No change of behaviour: what follows an unanswered one stays as it was for each.

--- a/internal/follower/claim.go
+++ b/internal/follower/claim.go
@@ -23,11 +23,8 @@
 		return nil, placePause, 0
 	}
 	ask := &coordapi.Claim{Router: f.name, Number: f.placements.number.Add(1), Backend: id, Pool: q.Pool, Claimant: q.Claimant, Reports: f.reports()}
-	call, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	var reply coordapi.Reply
 	asked := clock.Now()
-	err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Claim: ask}, &reply)
+	reply, err := f.ask(ctx, *leader, coordapi.Request{Claim: ask})
 	if err != nil || reply.Claimed == nil {
 		// It may have been granted, and the reports may not have arrived.
 		f.keep(&ask.Reports)
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// placeTimeout is how long the leader has to choose an engine: some ways
-	// between zones and back. Past it the router chooses by itself.
+	// placeTimeout is how long the leader has to choose an engine, or to grant something:
+	// some ways between zones and back. Past it the router goes on by itself.
 	placeTimeout = 60 * time.Millisecond
 	// placePause is how long the leader is not asked after it gave no answer.
 	placePause = 250 * time.Millisecond
@@ -75,11 +75,8 @@
 	ask.Router, ask.Zone, ask.Number = f.name, f.config.Zone, f.placements.number.Add(1)
 	ask.Tried = append(slices.Clone(ask.Tried), f.config.Pushbacks.Barring(q.Pool)...)
 	ask.Reports = f.reports()
-	call, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	var reply coordapi.Reply
 	asked := clock.Now()
-	err := f.config.Peers.Call(call, *leader, coordapi.KindCall, coordapi.Request{Place: ask}, &reply)
+	reply, err := f.ask(ctx, *leader, coordapi.Request{Place: ask})
 	if err != nil || reply.Placed == nil {
 		// It may have been placed, and the reports may not have arrived.
 		f.keep(&ask.Reports)
@@ -108,6 +105,14 @@
 	return choice, found, true
 }
 
+// ask puts a question to the leader for which a request waits.
+func (f *Follower) ask(ctx context.Context, leader string, question coordapi.Request) (reply coordapi.Reply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	err = f.config.Peers.Call(ctx, leader, coordapi.KindCall, question, &reply)
+	return reply, err
+}
+
 // reports is what the leader has not heard of yet. Troubles that are lost on the way
 // are not told again, but for what drains: they are old by then.
 func (f *Follower) reports() coordapi.Reports {
--- a/internal/follower/repeat.go
+++ b/internal/follower/repeat.go
@@ -14,11 +14,7 @@
 	if leader == nil {
 		return false, false
 	}
-	call, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	var reply coordapi.Reply
-	ask := coordapi.Request{Repeat: &coordapi.Repeat{Pool: pool, Burst: burst, Window: window}}
-	err := f.config.Peers.Call(call, *leader, coordapi.KindCall, ask, &reply)
+	reply, err := f.ask(ctx, *leader, coordapi.Request{Repeat: &coordapi.Repeat{Pool: pool, Burst: burst, Window: window}})
 	if err != nil || reply.Repeated == nil {
 		f.unanswered(ctx, err)
 		return false, false
