--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -69,9 +69,9 @@
 	limited   []coordapi.BackendID
 	limitedAt int
 	// limitedShards are those of them that concern each of shards.
-	limitedShards map[coordapi.Shard][]coordapi.BackendID
+	limitedShards shardLists[coordapi.BackendID]
 	// silentShards are the silent back ends that concern each of shards.
-	silentShards map[coordapi.Shard][]string
+	silentShards shardLists[string]
 }
 
 // token changes whenever silent or minimum does.
@@ -84,7 +84,7 @@
 
 func (t *softState) reset(now time.Duration) {
 	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), beats: map[string]heard{}, routers: map[string]watcher{},
-		left: map[string]bool{}, holders: map[string]string{}, silentShards: map[coordapi.Shard][]string{}, limitedShards: map[coordapi.Shard][]coordapi.BackendID{},
+		left: map[string]bool{}, holders: map[string]string{}, silentShards: shardLists[string]{}, limitedShards: shardLists[coordapi.BackendID]{},
 		starts: map[string]state.Start{}, olderNoted: map[string]state.UnixMilli{}, leftEarly: map[state.Start]struct{}{}, returning: map[state.Start]returning{}}
 }
 
@@ -245,7 +245,7 @@
 
 func (t *softState) setSilent(silent []string) {
 	t.silent = silent
-	t.silentShards = map[coordapi.Shard][]string{}
+	t.silentShards = shardLists[string]{}
 }
 
 // isSilent tells whether a back end is silent or has a successor.
@@ -256,34 +256,33 @@
 
 // silentOf returns the silent back ends that concern a shard.
 func (t *softState) silentOf(d *state.Deployment, shard coordapi.Shard) []string {
-	if shard.Count <= 1 {
-		return t.silent
-	}
-	known, made := t.silentShards[shard]
-	if made {
-		return known
-	}
-	for _, id := range t.silent {
-		if b := d.Backends[id]; !b.IsEngine() || shard.Holds(coordapi.BackendID(id)) {
-			known = append(known, id)
-		}
-	}
-	t.silentShards[shard] = known
-	return known
+	return t.silentShards.of(t.silent, d, shard)
 }
 
 // limitedOf returns the back ends with a limit that concern a shard.
 func (t *softState) limitedOf(d *state.Deployment, shard coordapi.Shard) []coordapi.BackendID {
-	known, made := t.limitedShards[shard]
+	return t.limitedShards.of(t.limited, d, shard)
+}
+
+// shardLists are the parts of a list of back ends that concern each of shards, found when
+// they are first asked for. With another list they begin anew.
+type shardLists[ID ~string] map[coordapi.Shard][]ID
+
+// of returns the part of all that concerns a shard: its engines, and all plain back ends.
+func (l shardLists[ID]) of(all []ID, d *state.Deployment, shard coordapi.Shard) []ID {
+	if shard.Count <= 1 {
+		return all
+	}
+	known, made := l[shard]
 	if made {
 		return known
 	}
-	for _, id := range t.limited {
-		if b := d.Backends[string(id)]; !b.IsEngine() || shard.Holds(id) {
+	for _, id := range all {
+		if b := d.Backends[string(id)]; !b.IsEngine() || shard.Holds(coordapi.BackendID(id)) {
 			known = append(known, id)
 		}
 	}
-	t.limitedShards[shard] = known
+	l[shard] = known
 	return known
 }
 
@@ -362,7 +361,7 @@
 		return
 	}
 	s.soft.limited, s.soft.limitedAt = s.backendLimits.Limited()
-	s.soft.limitedShards = map[coordapi.Shard][]coordapi.BackendID{}
+	s.soft.limitedShards = shardLists[coordapi.BackendID]{}
 	s.soft.changes++
 }
 
