--- a/internal/quota/bank.go
+++ b/internal/quota/bank.go
@@ -106,8 +106,7 @@
 // Forget drops a limit and what was used of it.
 func (b *Bank) Forget(name string) { delete(b.accounts, name) }
 
-// Wait is how long it takes until there is more than an amount in a bucket, 0 if there is
-// now.
+// Wait is how long it takes until there is an amount in a bucket, 0 if there is now.
 func (b *Bank) Wait(now time.Duration, name string, amount Amount) time.Duration {
 	a := b.accounts[name]
 	if a == nil || !a.limit.Limited() {
--- a/internal/ratelimit/bank.go
+++ b/internal/ratelimit/bank.go
@@ -56,7 +56,7 @@
 	leasedUntil time.Duration
 	quota       *quota.Bank
 	starts      map[coordapi.BackendID]*account
-	// pools are the starts that have a limit, by pool, and what they take in sum.
+	// pools are what is known of the starts that have a limit, by pool.
 	pools map[string]*pool
 	// grants are the rights that may still go back.
 	grants  map[grantKey]grant
@@ -81,10 +81,11 @@
 	got, denied decay.Sum
 }
 
-// pool is what is known of the limited starts of a pool.
+// pool is what is known of the limited starts of a pool: how many there are, and what they
+// take in sum.
 type pool struct {
-	starts map[coordapi.BackendID]struct{}
-	rate   PerSecond
+	limited int
+	rate    PerSecond
 	// returns is when those that were turned away could all have been served.
 	returns time.Duration
 }
@@ -167,9 +168,9 @@
 	if w.limited != before.limited {
 		b.changes++
 	}
-	b.sum(a.pool, told.ID, before, w)
+	b.sum(a.pool, before, w)
 	if w.limited {
-		b.quota.Limit(now, string(told.ID), quota.Limit{Rate: quota.Amount(max(w.rate, leastRate))})
+		b.quota.Limit(now, string(told.ID), quota.Limit{Rate: quota.Amount(w.granted())})
 	} else {
 		b.quota.Forget(string(told.ID))
 	}
@@ -182,19 +183,19 @@
 }
 
 // sum brings a pool's sum up to date.
-func (b *Bank) sum(name string, id coordapi.BackendID, before, w word) {
+func (b *Bank) sum(name string, before, w word) {
 	p := b.pools[name]
 	if p == nil {
-		p = &pool{starts: map[coordapi.BackendID]struct{}{}}
+		p = &pool{}
 		b.pools[name] = p
 	}
 	if before.limited {
-		p.rate -= max(before.rate, leastRate)
-		delete(p.starts, id)
+		p.rate -= before.granted()
+		p.limited--
 	}
 	if w.limited {
-		p.rate += max(w.rate, leastRate)
-		p.starts[id] = struct{}{}
+		p.rate += w.granted()
+		p.limited++
 	}
 }
 
@@ -275,7 +276,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pools[name]
-	if p == nil || len(p.starts) == 0 {
+	if p == nil || p.limited == 0 {
 		return 0
 	}
 	step := time.Duration(float64(time.Second) / float64(p.rate))
@@ -325,7 +326,7 @@
 		if a == nil {
 			continue
 		}
-		b.sum(a.pool, id, a.word, word{})
+		b.sum(a.pool, a.word, word{})
 		b.quota.Forget(name)
 		delete(b.starts, id)
 		b.changes++
--- a/internal/ratelimit/word.go
+++ b/internal/ratelimit/word.go
@@ -21,6 +21,9 @@
 // tightens tells whether a word allows no more than another.
 func (w word) tightens(other word) bool { return w.limited && (!other.limited || w.rate <= other.rate) }
 
+// granted is the rate at which rights are granted while the word holds.
+func (w word) granted() PerSecond { return max(w.rate, leastRate) }
+
 // after returns what holds once a word has come, beside the one that holds. Answers overtake
 // each other: only one whose request was written after the other was read, by more than
 // slack, is surely the newer. Of two that crossed the tighter holds until a newer comes: to
