--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -72,7 +72,10 @@
 			return
 		}
 		if !found {
-			h.finish(ctx, s, outcome{verdict: notRun, err: h.whyNone(j)})
+			if j.room > 0 {
+				h.metrics.noRoom.Add(1)
+			}
+			h.finish(ctx, s, outcome{verdict: notRun, err: j.whyNone()})
 			return
 		}
 		if choice.Late {
@@ -115,9 +118,8 @@
 }
 
 // whyNone says why no back end was found.
-func (h *Handler) whyNone(j *job) error {
+func (j *job) whyNone() error {
 	if j.room > 0 {
-		h.metrics.noRoom.Add(1)
 		return errNoRoom
 	}
 	return errNoBackend
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -89,20 +89,25 @@
 	if b.spend(now, pool, 0) {
 		return true
 	}
+	if granted, lent := b.borrow(ctx, now, pool); lent {
+		return granted
+	}
+	return b.Spend(now, pool, routers)
+}
+
+// borrow asks for one of the common burst. Lent says that some of it is or may be lent out:
+// there was an answer, or was one within the window.
+func (b *budget) borrow(ctx context.Context, now time.Duration, pool string) (granted, lent bool) {
 	if b.lender == nil {
-		return b.Spend(now, pool, routers)
+		return false, false
 	}
 	granted, answered := b.lender.Repeat(ctx, pool, b.config.Burst, b.config.Window)
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if answered {
 		b.lentAt = now
 	}
-	lately := b.lentAt > 0 && now < b.lentAt+b.config.Window
-	b.mu.Unlock()
-	if answered || lately {
-		return granted
-	}
-	return b.Spend(now, pool, routers)
+	return granted, answered || (b.lentAt > 0 && now < b.lentAt+b.config.Window)
 }
 
 // Spend takes one repeat of this router's even part, if there is one.
