A connection that comes as a peer server closes is cut, and Close returns

An operator would see a coordinator that does not stop, until it is killed.

Cause, from the dump: Close cancels, closes the listener and cuts the connections that it knows; one that was accepted at that moment is noted after that, and served for as long as its caller keeps it, while Close waits for all that is served. A test with a listener that hands one out as it closes fails so each time (TestAConnectionThatComesAsTheServerClosesIsCut, failed first).

Change: a connection is noted only while the server is open, else cut at once.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -214,3 +214,51 @@
 		assert.DeepEqual(t, got, e)
 	}
 }
+
+// lateListener hands a connection out a moment after it was closed, as one that is accepted
+// at that moment is.
+type lateListener struct {
+	net.Listener
+	closed chan struct{}
+	late   chan net.Conn
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	select {
+	case connection := <-l.late:
+		time.Sleep(50 * time.Millisecond)
+		return connection, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// A coordinator that was stopped waited for good: a connection that came as its listener was
+// closed was served after all others had been cut, for as long as the caller kept it. Seen
+// in a test that stops all nodes of a group; its dump shows the one goroutine that reads from
+// such a connection, and Close, which waits for it.
+func TestAConnectionThatComesAsTheServerClosesIsCut(t *testing.T) {
+	kept, served := net.Pipe()
+	defer kept.Close()
+	l := &lateListener{closed: make(chan struct{}), late: make(chan net.Conn, 1)}
+	l.late <- served
+	s := Serve(l, &Counters{}, func(context.Context, string, json.RawMessage) (any, error) { return nil, nil })
+	done := make(chan struct{})
+	go func() {
+		s.Close()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("it waits for the connection")
+	}
+	_, err := kept.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -59,13 +59,27 @@
 		if err != nil {
 			return
 		}
-		s.mu.Lock()
-		s.connections[connection] = struct{}{}
-		s.mu.Unlock()
+		if !s.keep(connection) {
+			_ = connection.Close()
+			return
+		}
 		s.group.Go(func() { s.serve(connection) })
 	}
 }
 
+// keep notes a connection for Close to cut. It returns false if Close has done so with the
+// others: one that is accepted as the listener closes would be served for as long as its caller
+// keeps it, and Close wait for that.
+func (s *Server) keep(connection net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.connections[connection] = struct{}{}
+	return true
+}
+
 func (s *Server) serve(connection net.Conn) {
 	defer func() {
 		_ = connection.Close()
