Leaves are logged with what was held and changed, attempts with the view they were chosen by

The line for a leave read the same whether it changed a row, found one draining or found nothing, and named no back end. The leader now logs 'leave handled' (back end, start, held, changed, revision); the line of the answering coordinator names the back end and start. No decision changes.

--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -133,21 +133,34 @@
 // leave marks a back end as draining. The row is kept until the back end is silent, so that a
 // late heartbeat does not register it again.
 func (s *Server) leave(ctx context.Context, l coordapi.Leave) (coordapi.Reply, error) {
-	return s.commitRow(ctx, func(now time.Duration) (state.Backend, bool) {
+	held, changed, revision := "", false, uint64(0)
+	reply, err := s.commitRow(ctx, func(now time.Duration) (state.Backend, bool) {
 		start := state.Start{Name: l.ID, Born: l.Born}
+		revision = s.core.Machine().Applied()
 		id, counts := s.rowIDFor(now, start)
 		if !counts {
+			held = "other start"
 			return state.Backend{}, false
 		}
 		row, known := s.rowBatcher.row(s.core.Machine().Deployment(), id)
 		if !known {
+			held = "nothing"
 			s.recordEarlyLeave(start)
 		}
 		if known && !row.Draining {
+			held, changed = "row", true
 			row.Draining = true
 			s.logger.Info("back end is leaving", "part", "registry", "backend", row.ID)
 			return row, true
 		}
+		if known {
+			held = "draining row"
+		}
 		return row, s.rowBatcher.uncommitted(id) != nil
 	})
+	if held != "" {
+		s.logger.Info("leave handled", "part", "registry", "backend", l.ID, "born", l.Born, "held", held, "changed", changed, "revision", revision,
+			"error", errorText(err))
+	}
+	return reply, err
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -96,6 +96,7 @@
 	leaseUntil atomic.Int64
 	seeds      atomic.Pointer[[]string]
 	following  atomic.Pointer[string]
+	viewed     atomic.Pointer[appliedView]
 	started    time.Duration
 	// clock is clock.Now except in tests.
 	clock      func() time.Duration
@@ -115,6 +116,13 @@
 	nextCandidate int
 }
 
+// appliedView identifies the last applied view.
+type appliedView struct {
+	revision uint64
+	// requestedAt is when the view was requested. Its state is not older.
+	requestedAt time.Duration
+}
+
 // Config configures a Follower.
 type Config struct {
 	Name   string
@@ -160,6 +168,16 @@
 // Routers returns how many routers follow the coordinators, at least 1.
 func (f *Follower) Routers() int { return max(int(f.routers.Load()), 1) }
 
+// View returns the revision of the last applied view, 0 for none, and the time since it was
+// requested, which its state is not older than.
+func (f *Follower) View() (revision uint64, age time.Duration) {
+	v := f.viewed.Load()
+	if v == nil {
+		return 0, 0
+	}
+	return v.revision, f.now() - v.requestedAt
+}
+
 // Run watches the leader until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -296,6 +314,7 @@
 		f.config.Saved.Add(v.Saved)
 	}
 	f.revision, f.token, f.savedUntil, f.announced = v.Revision, v.Leader, v.SavedUntil, v.Announced
+	f.viewed.Store(&appliedView{revision: v.Revision, requestedAt: sent})
 	f.shards = v.Shard.Count
 	if len(v.Members) > 0 {
 		f.members = v.Members
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -312,7 +312,7 @@
 	if choice.Placement > 0 {
 		text += ", placed by the leader"
 	}
-	return text + ")"
+	return text + fmt.Sprintf(", view %d of %d ms)", j.viewRevision, j.viewAge.Milliseconds())
 }
 
 // finish ends a request for which there is no further attempt.
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -55,6 +55,7 @@
 	}
 	limit := h.now() + j.route.Target/waitDivisor
 	for {
+		j.viewRevision, j.viewAge = h.config.Source.View()
 		choice, found := h.chooseOnce(ctx, j)
 		j.permitDelay = choice.RetryAfter
 		if found || j.tries() > 0 || h.now() > limit {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -35,10 +35,11 @@
 	preparation time.Duration
 }
 
-func (s *source) Table() *traffic.Table       { return s.table }
-func (s *source) Fresh() bool                 { return s.fresh.Load() }
-func (s *source) Routers() int                { return 1 }
-func (s *source) StartupDelay() time.Duration { return s.preparation }
+func (s *source) Table() *traffic.Table         { return s.table }
+func (s *source) Fresh() bool                   { return s.fresh.Load() }
+func (s *source) Routers() int                  { return 1 }
+func (s *source) View() (uint64, time.Duration) { return 0, 0 }
+func (s *source) StartupDelay() time.Duration   { return s.preparation }
 
 // rig is a router with scripted back ends.
 type rig struct {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -47,6 +47,9 @@
 	Fresh() bool
 	// Routers returns the number of routers that share the traffic.
 	Routers() int
+	// View returns the revision of the last view of the coordinators' state, 0 for none, and the
+	// maximum age of that state.
+	View() (revision uint64, age time.Duration)
 	// StartupDelay returns an estimate of the time from the start of all processes until the
 	// router may serve.
 	StartupDelay() time.Duration
@@ -181,6 +184,9 @@
 	permitDelay time.Duration
 	// retryGranted is set if the budget has granted the next attempt.
 	retryGranted atomic.Bool
+	// viewRevision and viewAge describe the view by which the back end was chosen.
+	viewRevision uint64
+	viewAge      time.Duration
 	// trace describes the attempts, for the log.
 	trace []string
 }
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -42,10 +42,11 @@
 	logger  *slog.Logger
 	// clock is replaced in tests.
 	clock func() time.Duration
-	// Received counts responses with a pushback, and SendsBlocked the sends that Check
-	// rejected.
-	Received     atomic.Uint64
-	SendsBlocked atomic.Uint64
+	// Received counts responses with a pushback, SendsBlocked the sends that Check rejected, and
+	// DrainingSendsBlocked those of them to draining instances.
+	Received             atomic.Uint64
+	SendsBlocked         atomic.Uint64
+	DrainingSendsBlocked atomic.Uint64
 
 	mu sync.Mutex
 	// entries are by instance.
@@ -173,6 +174,7 @@
 	s.sendsBlocked++
 	g.SendsBlocked.Add(1)
 	if s.draining {
+		g.DrainingSendsBlocked.Add(1)
 		return fmt.Errorf("%w: draining", ErrUnavailable)
 	}
 	return fmt.Errorf("%w for another %d ms", ErrUnavailable, (s.until - now).Milliseconds())
