A drain that a view shows counts until just before the write

What callers saw: a request that had been chosen before the view came and waited, for a connection, a permit or a placement, was sent to a back end that the router already listed as draining or no longer at all. The last look before the write asked for drains in answers only.

Change: upstream.Request.Allowed is called just before the write; an attempt is not allowed once its row drains or has departed. The request goes on as one that was not sent. quinceridge_draining_sends_withheld_total counts both looks.

TestDrainInViewHoldsForChosenRequest failed before (200 instead of 503); TestAttemptIsNotAllowedAfterViewShowsLeave and TestAllowedIsCheckedJustBeforeWrite cover the ways a row leaves, and the moment.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -21,11 +23,13 @@
 	// poolName and backendID identify where the request runs.
 	poolName  string
 	backendID string
-	work      Work
-	model     string
-	version   int
-	cancel    func(error)
-	started   bool
+	// row is the row at the beginning, nil if there was none.
+	row     *row
+	work    Work
+	model   string
+	version int
+	cancel  func(error)
+	started bool
 	// trial marks a request that tests whether a back end has recovered from a pushback.
 	trial bool
 	// sent is the time at which the request was sent, and ahead the number of prompt tokens to
@@ -54,6 +58,7 @@
 		a.ahead, a.prefill = choice.Ahead+choice.Work.Prompt, prefill
 	}
 	r := p.rowOf(choice, q)
+	a.row = r
 	if r != nil {
 		p.index.activate(r)
 		r.running++
@@ -77,6 +82,22 @@
 	return a
 }
 
+// Allowed returns nil if the request may still be sent, else an error that matches
+// pushback.ErrUnavailable: since the choice, a view has shown that the back end is draining or has
+// departed.
+func (a *Attempt) Allowed() error {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if a.row == nil || !(a.row.Draining || a.row.departed) {
+		return nil
+	}
+	a.pool.SendsWithheld.Add(1)
+	if a.row.departed {
+		return fmt.Errorf("%w: departed", pushback.ErrUnavailable)
+	}
+	return fmt.Errorf("%w: draining", pushback.ErrUnavailable)
+}
+
 // SetFetches marks that the engine fetches cached parts from a store before it processes the
 // prompt.
 func (a *Attempt) SetFetches() {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,8 @@
 	// unlisted is set if the coordinators do not list it for this router. The row remains for
 	// requests that are still in flight there.
 	unlisted bool
+	// departed is set once the coordinators have removed it.
+	departed bool
 	// indexed and group are its location in the pool's index, or nil.
 	indexed *poolIndex
 	group   *idleGroup
@@ -81,8 +84,12 @@
 	// index is nil in a router's own pool.
 	index       *index
 	reportDelay time.Duration
-	mu          sync.Mutex
-	rows        map[string]*row
+	// SendsWithheld counts the requests that were not sent because their back end was found to
+	// drain or to have departed after it was chosen.
+	SendsWithheld atomic.Uint64
+
+	mu   sync.Mutex
+	rows map[string]*row
 	// scratch is the reused buffer for candidates.
 	scratch []candidate
 	// troubles is the result of the next call of Troubles.
@@ -142,7 +149,7 @@
 			r = &row{}
 			p.rows[b.ID] = r
 		}
-		r.Backend, r.hash, r.unlisted = b, xxhash.Sum64String(b.Address), false
+		r.Backend, r.hash, r.unlisted, r.departed = b, xxhash.Sum64String(b.Address), false, false
 		p.index.activate(r)
 		p.cancelSuperseded(r)
 	}
@@ -151,11 +158,17 @@
 		for _, b := range changed {
 			named[b.ID] = true
 		}
-		p.drop(func(r *row) bool { return !named[r.ID] })
+		p.drop(func(r *row) bool {
+			r.departed = r.departed || (!named[r.ID] && !r.unlisted)
+			return !named[r.ID]
+		})
 	}
 	for _, id := range departed {
-		p.index.remove(p.rows[id])
-		delete(p.rows, id)
+		if r := p.rows[id]; r != nil {
+			r.departed = true
+			p.index.remove(r)
+			delete(p.rows, id)
+		}
 	}
 }
 
--- a/internal/backends/pushback_test.go
+++ b/internal/backends/pushback_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -115,3 +116,42 @@
 	b.End(2 * time.Second)
 	assert.Equal(t, p.rows["x"].trials, 0)
 }
+
+// Guards against a request that is sent although a view has shown since the choice that its back
+// end drains or has departed.
+func TestAttemptIsNotAllowedAfterViewShowsLeave(t *testing.T) {
+	rows := func(draining bool) []state.Backend {
+		return []state.Backend{{ID: "plain", Pool: "p", Address: "a:1", Draining: draining},
+			{ID: "engine", Pool: "p", Address: "a:2", Weights: map[string]int{"m": 1}, Draining: draining}}
+	}
+	changes := map[string]func(p *Pool){
+		"draining":     func(p *Pool) { p.Apply(rows(true), nil, false) },
+		"departed":     func(p *Pool) { p.Apply(nil, []string{"plain", "engine"}, false) },
+		"whole view":   func(p *Pool) { p.Apply(nil, nil, true) },
+		"not yet seen": func(p *Pool) {},
+	}
+	for name, change := range changes {
+		p := NewPool("a")
+		p.Apply(rows(false), nil, true)
+		for _, id := range []string{"plain", "engine"} {
+			a := p.Begin(0, &Choice{ID: id}, &Query{Pool: "p"}, func(error) {})
+			assert.NilError(t, a.Allowed())
+			change(p)
+			if name == "not yet seen" {
+				assert.NilError(t, a.Allowed())
+				continue
+			}
+			assert.ErrorIs(t, a.Allowed(), pushback.ErrUnavailable, "%s of %s", name, id)
+			p.Apply(rows(false), nil, true)
+		}
+		if name != "not yet seen" {
+			assert.Equal(t, p.SendsWithheld.Load(), uint64(2))
+		}
+	}
+	// An engine of another shard, placed by the leader, is not in the views.
+	p := NewPool("a")
+	p.Apply(rows(false), nil, true)
+	placed := p.Begin(0, &Choice{ID: "outside", Placement: 1, Versioned: true}, &Query{Pool: "p", Model: "m"}, func(error) {})
+	p.Apply(nil, nil, true)
+	assert.NilError(t, placed.Allowed())
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -156,6 +156,7 @@
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
 	defer func() { running.End(h.now()) }()
+	j.request.Allowed = running.Allowed
 	if choice.Placement > 0 {
 		defer h.config.Placer.Ended(choice.Placement)
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -89,7 +89,7 @@
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
 	fmt.Fprintf(w, "quinceridge_pushbacks_total %d\n", h.config.Pushbacks.Received.Load())
 	fmt.Fprintf(w, "quinceridge_pushbacks_kept_total %d\n", h.config.Pushbacks.SendsBlocked.Load())
-	fmt.Fprintf(w, "quinceridge_draining_sends_withheld_total %d\n", h.config.Pushbacks.DrainingSendsBlocked.Load())
+	fmt.Fprintf(w, "quinceridge_draining_sends_withheld_total %d\n", h.config.Pushbacks.DrainingSendsBlocked.Load()+h.config.Pool.SendsWithheld.Load())
 	waiting, draining := h.config.Pushbacks.Active()
 	fmt.Fprintf(w, "quinceridge_backends_pushed_back %d\n", waiting)
 	fmt.Fprintf(w, "quinceridge_backends_heard_draining %d\n", draining)
--- a/internal/forward/pushback_test.go
+++ b/internal/forward/pushback_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,7 +12,9 @@
 	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -241,3 +244,23 @@
 	assert.Equal(t, (<-running).body, eventText(3))
 	assert.Equal(t, r.ran("leaves"), 1)
 }
+
+// drainingClaimer grants each permit after the back end has been applied as draining.
+type drainingClaimer struct{ pool *backends.Pool }
+
+func (c drainingClaimer) Claim(_ context.Context, q *backends.Query, id coordapi.BackendID) (*ratelimit.Permit, time.Duration, time.Duration) {
+	c.pool.Apply([]state.Backend{{ID: string(id), Pool: q.Pool, Address: "127.0.0.1:1", Zone: "a", Draining: true}}, nil, false)
+	return ratelimit.Unlimited(id), 0, 0
+}
+
+// Guards against sending to a back end that a view has shown as draining while the request waited
+// for a permit.
+func TestDrainInViewHoldsForChosenRequest(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "leaves", good)
+	r.handler.config.Limits.Announced([]coordapi.BackendID{"leaves"})
+	r.handler.config.Claimer = drainingClaimer{r.pool}
+	response := r.ask("POST", "/unsafe/x", nil)
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.ran("leaves"), 0)
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -28,11 +28,16 @@
 func (a *BackendResponse) exchange(r *Request) *callError {
 	c := a.connection
 	head := encodeHeader(r)
-	// Checked again just before the write: other responses may have arrived while this request
-	// waited for its connection.
+	// Checked again just before the write: other responses may have arrived, and rows may have
+	// changed, while this request waited for its connection.
 	if err := a.pool.pushbacks.Check(r.Backend.ID); err != nil {
 		return &callError{kind: ErrNotSent, cause: err}
 	}
+	if r.Allowed != nil {
+		if err := r.Allowed(); err != nil {
+			return &callError{kind: ErrNotSent, cause: err}
+		}
+	}
 	if err := a.pool.limits.Consume(r.Backend.ID, r.Permit); err != nil {
 		return &callError{kind: ErrNotSent, cause: err}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -76,6 +76,9 @@
 	// Backend is the intended receiver, and Instance the name of its instance in the request.
 	Backend  pushback.Backend
 	Instance string
+	// Allowed is called just before the write, and its error keeps the request from being sent.
+	// It may be nil.
+	Allowed func() error
 	// Permit is the permit that a back end with a limit requires; otherwise nil.
 	Permit *ratelimit.Permit
 	// NonIdempotent marks a request that must not run twice. The pool does not use it.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -373,3 +373,28 @@
 		assert.Equal(t, string(body), "ok")
 	}
 }
+
+// Guards against writing a request that stopped being allowed while its connection was opened.
+func TestAllowedIsCheckedJustBeforeWrite(t *testing.T) {
+	var arrived atomic.Int32
+	b := startBackend(t, func(_ int, _ net.Conn, requests *bufio.Reader) {
+		if _, err := readRequest(requests); err == nil {
+			arrived.Add(1)
+		}
+	})
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	var connected atomic.Bool
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		connected.Store(true)
+		return nil
+	}
+	r := request("withheld")
+	r.Allowed = func() error {
+		assert.Check(t, connected.Load())
+		return pushback.ErrUnavailable
+	}
+	_, err := p.Do(t.Context(), b.address, r)
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.ErrorIs(t, err, pushback.ErrUnavailable)
+	assert.Equal(t, arrived.Load(), int32(0))
+}
