A drain in an answer holds for the start, also under a new row ID

A router keeps what a back end asks in answers by row ID. A start that is registered again after its row was removed has a new row ID, so the router that had passed on the leaving header sent to it again. TestDrainHoldsAfterInstanceIsRegisteredAgain failed before: Check of the new ID returned nil.

--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -21,6 +21,7 @@
 	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
@@ -49,7 +50,7 @@
 	DrainingSendsBlocked atomic.Uint64
 
 	mu sync.Mutex
-	// entries are by instance.
+	// entries are by keyOf an instance.
 	entries map[coordapi.BackendID]*entry
 	// unreported is the next result of TakeUnreported.
 	unreported []coordapi.Trouble
@@ -130,15 +131,22 @@
 
 // entryFor returns an instance's entry, creating it if needed.
 func (g *Registry) entryFor(now time.Duration, from Backend) *entry {
-	s := g.entries[from.ID]
+	id := keyOf(from.ID)
+	s := g.entries[id]
 	if s == nil {
 		g.evict(now)
 		s = &entry{pool: from.Pool, updatedAt: now}
-		g.entries[from.ID] = s
+		g.entries[id] = s
 	}
 	return s
 }
 
+// keyOf returns the key of an instance, which is the same if it is registered again under another
+// row ID after its row was removed.
+func keyOf(id coordapi.BackendID) coordapi.BackendID {
+	return coordapi.BackendID(state.FormerRowID(string(id)))
+}
+
 // evict removes expired entries, and the oldest quarter if there are still too many.
 func (g *Registry) evict(now time.Duration) {
 	if len(g.entries) < maxEntries {
@@ -167,7 +175,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	s := g.entries[id]
+	s := g.entries[keyOf(id)]
 	if s == nil || !s.unavailable(now) {
 		return nil
 	}
@@ -198,7 +206,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.entries[id]
+	s := g.entries[keyOf(id)]
 	if s == nil {
 		return Status{}
 	}
--- a/internal/pushback/pushback_test.go
+++ b/internal/pushback/pushback_test.go
@@ -1,6 +1,7 @@
 package pushback
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
@@ -160,3 +162,28 @@
 	assert.Assert(t, len(r.entries) <= maxEntries && len(r.entries) >= maxEntries/2, "%d", len(r.entries))
 	assert.ErrorIs(t, r.Check(coordapi.BackendID(fmt.Sprint(3*maxEntries-1))), ErrUnavailable)
 }
+
+// A drain in an answer also holds after the same start is registered again under another row ID,
+// and not for a later start under the same name.
+func TestDrainHoldsAfterInstanceIsRegisteredAgain(t *testing.T) {
+	m := state.New()
+	apply := func(c state.Command) {
+		text, err := json.Marshal(c)
+		assert.NilError(t, err)
+		_, err = m.Apply(m.Applied()+1, 1, text)
+		assert.NilError(t, err)
+	}
+	for _, start := range []state.Start{{Name: "x", Born: 100}, {Name: "x", Born: 200}} {
+		id := m.Deployment().RowID(start)
+		r := newTestRegistry()
+		r.respond(id, 200, names.Draining, "1")
+		apply(state.Command{Enrol: &state.Enrol{Backends: []state.Backend{{ID: id, Instance: start.Name, Born: start.Born}}}})
+		apply(state.Command{Depart: &state.Depart{IDs: []string{id}}})
+		again := coordapi.BackendID(m.Deployment().ReturnedRowID(start))
+		assert.Assert(t, string(again) != id)
+		assert.ErrorIs(t, r.Check(again), ErrUnavailable)
+		assert.Assert(t, r.Status(again).Draining)
+		later := m.Deployment().RowID(state.Start{Name: "x", Born: start.Born + 100})
+		assert.NilError(t, r.Check(coordapi.BackendID(later)))
+	}
+}
