--- a/internal/backends/pushback.go
+++ b/internal/backends/pushback.go
@@ -34,6 +34,24 @@
 	return first
 }
 
+// AllDraining reports whether a pool has back ends and all of them are draining, so that a request
+// for it cannot be served until another one registers.
+func (p *Pool) AllDraining(pool string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := false
+	for _, r := range p.rows {
+		if r.Pool != pool || r.unlisted {
+			continue
+		}
+		if !r.Draining && !p.pushbackState(r.ID).Draining {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // PushedBack records that a back end has asked a router to wait. A central pool then prefers other
 // back ends for all routers until the wait is over. After that, the back end gets one trial request
 // at a time until it begins one, so that it is not flooded while it recovers.
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -58,7 +58,7 @@
 		j.viewRevision, j.viewAge = h.config.Source.View()
 		choice, found := h.chooseOnce(ctx, j)
 		j.permitDelay = choice.RetryAfter
-		if found || j.tries() > 0 || h.now() > limit {
+		if found || j.tries() > 0 || h.now() > limit || h.config.Pool.AllDraining(j.pool.Name) {
 			return choice, found
 		}
 		if h.now()+max(j.permitDelay, h.config.Pool.RetryDelay(h.now(), &j.query)) > limit {
--- a/internal/forward/pushback_test.go
+++ b/internal/forward/pushback_test.go
@@ -264,3 +264,18 @@
 	assert.Equal(t, response.status, http.StatusServiceUnavailable)
 	assert.Equal(t, r.ran("leaves"), 0)
 }
+
+// Guards against requests that wait although every back end of their pool drains.
+func TestRequestIsRefusedAtOnceWhileAllBackendsDrain(t *testing.T) {
+	r := newRig(t)
+	r.source.table.Route("h", "/unsafe/x").Target = 100 * time.Second
+	r.source.table.Route("h", "/unsafe/x").Timeout = 100 * time.Second
+	r.add("app", "a", good)
+	r.add("app", "b", good)
+	r.pool.Apply([]state.Backend{{ID: "a", Pool: "app", Draining: true}, {ID: "b", Pool: "app", Draining: true}}, nil, false)
+	started := time.Now()
+	assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusServiceUnavailable)
+	// It would wait for 20 s.
+	assert.Assert(t, time.Since(started) < 10*time.Second)
+	assert.Equal(t, r.ran("a")+r.ran("b"), 0)
+}
