coordapi.Notes.Silent has its name back

The back ends whose heartbeats are overdue are silent everywhere else; unresponsive engines are those that stopped to answer. The tag is unchanged.

--- a/internal/backends/index_test.go
+++ b/internal/backends/index_test.go
@@ -62,7 +62,7 @@
 		}
 		w.both(func(p *Pool) { p.Apply([]state.Backend{*row}, nil, false) })
 	case 6:
-		notes := coordapi.Notes{Unresponsive: []string{id, w.randomID()}, Preferred: map[string]int{"m": w.random.IntN(3)}}
+		notes := coordapi.Notes{Silent: []string{id, w.randomID()}, Preferred: map[string]int{"m": w.random.IntN(3)}}
 		w.both(func(p *Pool) { p.ApplyNotes(notes) })
 	case 7:
 		whole := w.random.IntN(2) == 0
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -211,7 +211,7 @@
 func (p *Pool) ApplyNotes(notes coordapi.Notes) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before := p.notes.Unresponsive
+	before := p.notes.Silent
 	p.notes = notes
 	p.cancelExpired(notes.Expired)
 	for _, id := range before {
@@ -219,7 +219,7 @@
 			r.noHeartbeat = false
 		}
 	}
-	for _, id := range notes.Unresponsive {
+	for _, id := range notes.Silent {
 		if r := p.rows[id]; r != nil {
 			p.index.activate(r)
 			r.noHeartbeat = true
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -81,7 +81,7 @@
 func TestHomeExcludesEngineWithoutHeartbeat(t *testing.T) {
 	p := newTestPool(engine("x", 1), engine("y", 1), engine("z", 1))
 	home := mustChoose(t, p, 0, query())
-	p.ApplyNotes(coordapi.Notes{Unresponsive: []string{home.ID}})
+	p.ApplyNotes(coordapi.Notes{Silent: []string{home.ID}})
 	next := mustChoose(t, p, 0, query())
 	assert.Assert(t, next.ID != home.ID && next.Home)
 	assert.Equal(t, next.HomeAddress, next.Address)
@@ -113,7 +113,7 @@
 
 func TestChooseFallsBackToFailingEngines(t *testing.T) {
 	p := newTestPool(engine("x", 1), engine("y", 1))
-	p.ApplyNotes(coordapi.Notes{Unresponsive: []string{"x", "y"}})
+	p.ApplyNotes(coordapi.Notes{Silent: []string{"x", "y"}})
 	for range 10 {
 		p.Failed(0, "x")
 		p.Failed(0, "y")
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -148,8 +148,8 @@
 	Expired map[string]int `json:"expired,omitempty"`
 	// Preferred is the version, by model, below which answers have a reduced value.
 	Preferred map[string]int `json:"preferred,omitempty"`
-	// Unresponsive are the back ends whose heartbeats are overdue.
-	Unresponsive []string `json:"silent,omitempty"`
+	// Silent are the back ends whose heartbeats are overdue.
+	Silent []string `json:"silent,omitempty"`
 	// Limited are the back ends that limit their total request rate. Sending a request to one of
 	// them requires a permit.
 	Limited []BackendID `json:"limited,omitempty"`
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -347,7 +347,7 @@
 	}
 	if v.Leader != w.Leader {
 		v.Notes = s.rollout.notes
-		v.Unresponsive = s.soft.silentOf(d, shard)
+		v.Silent = s.soft.silentOf(d, shard)
 		v.Limited = s.soft.limitedOf(d, shard)
 		v.Suspects = s.blocker.suspects
 	}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -381,7 +381,7 @@
 	}
 	if token := s.soft.token(); token != s.soft.placerNotes {
 		notes := s.rollout.notes
-		notes.Unresponsive = s.soft.silent
+		notes.Silent = s.soft.silent
 		s.placer.ApplyNotes(notes)
 		s.soft.placerNotes = token
 	}
