A handler without a claimer sets a limited back end aside

Callers got 503 while another back end was open: without a claimer Handler.claim returned before Pool.SetLimited, so four draws could all pick the limited back end. Routers of the product always have a claimer.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -166,10 +166,10 @@
 // claim asks for a permit to send to a limited back end. A back end that grants none for a
 // while is left out of choices until then.
 func (h *Handler) claim(ctx context.Context, j *job, choice backends.Choice) (permit *ratelimit.Permit, wait, retryAfter time.Duration) {
-	if h.config.Claimer == nil {
-		return nil, busyRetryAfter, 0
+	wait = busyRetryAfter
+	if h.config.Claimer != nil {
+		permit, wait, retryAfter = h.config.Claimer.Claim(ctx, &j.query, coordapi.BackendID(choice.ID))
 	}
-	permit, wait, retryAfter = h.config.Claimer.Claim(ctx, &j.query, coordapi.BackendID(choice.ID))
 	if wait > 0 {
 		h.config.Pool.SetLimited(h.now(), choice.ID, wait)
 	}
