TestOrderToUnreachableEngineFailsAtOnce starts the node with its engines

It replaced Server.engines while rolloutLoop of the running server read it, a data race of the test that was seen once.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -104,6 +104,8 @@
 	t       *testing.T
 	config  []settings.Coordinator
 	engines *fakeEngines
+	// calls replaces engines in nodes that are started later, unless it is nil.
+	calls   Engines
 	servers []*Server
 	// suspendedFor is the simulated time for which each node's machine was suspended, in
 	// nanoseconds.
@@ -144,7 +146,11 @@
 
 func (g *group) start(i int) {
 	g.t.Helper()
-	server, err := New(g.config[i], g.engines, traffic.Parse, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	var engines Engines = g.engines
+	if g.calls != nil {
+		engines = g.calls
+	}
+	server, err := New(g.config[i], engines, traffic.Parse, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(g.t, err)
 	suspendedFor := g.suspendedFor[i]
 	server.clock = func() time.Duration { return clock.Now() + time.Duration(suspendedFor.Load()) }
--- a/internal/coordinator/place_test.go
+++ b/internal/coordinator/place_test.go
@@ -90,8 +90,10 @@
 func TestOrderToUnreachableEngineFailsAtOnce(t *testing.T) {
 	ordered := make(chan string, 10)
 	g := newGroup(t, 1)
+	g.kill(0)
+	g.calls = downEngines{ordered}
+	g.start(0)
 	s := g.servers[g.leader()]
-	s.loop.Do(context.Background(), func(time.Duration) { s.engines = downEngines{ordered} })
 	g.call(0, beat("x", 1, false))
 	var term uint64
 	s.loop.Do(context.Background(), func(time.Duration) { term = s.core.Status().Term })
