Soak: back ends leave in four more ways

They deregister without a heartbeat that reports it, before their first heartbeat, while the coordinators receive no heartbeats (in longer runs until the row is removed), and just before the leader is killed; then they serve on for up to ten seconds, while heartbeats go on, report ready, and come late.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -60,6 +60,10 @@
 	server   *http.Server
 	sequence atomic.Uint64
 	draining atomic.Bool
+	// muted is set while the back end sends no heartbeats. lateHeartbeats is set once some of them
+	// are delayed.
+	muted          atomic.Bool
+	lateHeartbeats atomic.Bool
 	// crashed is set once a poison request has crashed the back end. It is guarded by Soak.mu.
 	crashed bool
 	// drainedAt is the time at which a coordinator acknowledged the drain, or 0.
@@ -82,7 +86,9 @@
 // failurePercent is the percentage of requests that an active failure mode affects.
 const failurePercent = 30
 
-func (s *Soak) startBackend(pool, name string) (*backend, error) {
+// startBackend starts a back end. If muted is set it sends no heartbeats until backend.muted is
+// cleared.
+func (s *Soak) startBackend(pool, name string, muted bool) (*backend, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -91,6 +97,7 @@
 	if b.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return nil, err
 	}
+	b.muted.Store(muted)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/load", b.load)
 	mux.HandleFunc("GET /v1/state", b.state)
@@ -113,7 +120,9 @@
 // heartbeatLoop sends heartbeats until the context ends.
 func (b *backend) heartbeatLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		b.sendHeartbeat(ctx)
+		if !b.muted.Load() {
+			b.sendHeartbeat(ctx)
+		}
 		wait(ctx, heartbeatInterval)
 	}
 }
@@ -128,6 +137,13 @@
 		b.mu.Unlock()
 	}
 	body, _ := json.Marshal(coordapi.Heartbeat{Backend: row, Sequence: coordapi.Sequence(b.sequence.Add(1))})
+	if b.lateHeartbeats.Load() && rand.IntN(2) == 0 {
+		b.soak.group.Go(func() {
+			wait(ctx, rand.N(maxLateness))
+			b.soak.control(ctx, http.MethodPost, "/v1/backends/"+b.id+"/heartbeat", body)
+		})
+		return
+	}
 	if b.soak.control(ctx, http.MethodPost, "/v1/backends/"+b.id+"/heartbeat", body) == http.StatusOK && draining {
 		b.drainedAt.CompareAndSwap(0, int64(b.soak.now()))
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -196,17 +194,7 @@
 
 // isVoter reports whether a wiped coordinator observes the full number of voters again.
 func (s *Soak) isVoter(ctx context.Context, p *program) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.ready+"/metrics", nil)
-	if err != nil {
-		return false
-	}
-	response, err := s.client.Do(request)
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	metrics, err := io.ReadAll(response.Body)
-	return err == nil && strings.Contains(string(metrics), fmt.Sprintf("quinceridge_voters %d\n", coordinators))
+	return strings.Contains(s.metricsOf(ctx, p), fmt.Sprintf("quinceridge_voters %d\n", coordinators))
 }
 
 func (s *Soak) killCoordinators(ctx context.Context, r *rand.Rand) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -137,6 +137,7 @@
 	wait(faultCtx, 3*time.Second)
 	group.Go(func() { s.injectResponseFaults(faultCtx) })
 	group.Go(func() { s.injectLimits(faultCtx) })
+	group.Go(func() { s.injectLeaves(faultCtx) })
 	group.Go(func() { s.upgrade(faultCtx) })
 	s.inject(faultCtx)
 	group.Wait()
@@ -230,7 +231,7 @@
 // addBackendNamed starts a back end under the given name, which a stopped back end may have
 // had.
 func (s *Soak) addBackendNamed(pool, name string) {
-	b, err := s.startBackend(pool, name)
+	b, err := s.startBackend(pool, name, false)
 	if err != nil {
 		return
 	}
