--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -1,12 +1,21 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/loopback"
+	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
 )
 
 // benchDeployment returns a deployment of engines, and the soft state of a leader that has
@@ -55,3 +64,34 @@
 		})
 	}
 }
+
+// Measures the registration of back ends that all start at once, per back end, in a group of one.
+func BenchmarkRegister(b *testing.B) {
+	address, err := loopback.FreeAddress()
+	assert.NilError(b, err)
+	config := settings.Coordinator{Name: "node", Zone: "a", PeerListen: address, Seeds: []string{address}, Bootstrap: true, DataDirectory: b.TempDir(),
+		BackendHeartbeat: time.Second, WeightsDeadline: 8 * time.Second, OrderLease: time.Second}
+	config.SetDefaults()
+	s, err := New(config, newFakeEngines(), traffic.Parse, slog.New(slog.DiscardHandler))
+	assert.NilError(b, err)
+	assert.NilError(b, s.Start())
+	defer s.abort()
+	register := func(name string) error {
+		_, err := s.Call(context.Background(), heartbeatOf(name, 100, 1, false, 1))
+		return err
+	}
+	for register("first") != nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.ResetTimer()
+	var next atomic.Int64
+	var group sync.WaitGroup
+	for range 256 {
+		group.Go(func() {
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				assert.Check(b, register(fmt.Sprint("x", n)))
+			}
+		})
+	}
+	group.Wait()
+}
