--- a/internal/coordinator/leave_test.go
+++ b/internal/coordinator/leave_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
@@ -35,15 +36,15 @@
 func (g *group) register(name string, born state.UnixMilli) {
 	g.t.Helper()
 	g.call(0, heartbeatOf(name, born, 1, false, 1))
-	row := g.currentRow(0, name)
+	row := g.currentRow(g.leader(), name)
 	assert.Assert(g.t, row.Born == born && !row.Draining, "%+v", row)
 }
 
 // removeRow removes the row of a back end that never left, as happens after a long silence.
 func (g *group) removeRow(name string) {
 	g.t.Helper()
-	g.depart(g.currentRow(0, name).ID)
-	assert.Equal(g.t, g.currentRow(0, name).ID, "")
+	g.depart(g.currentRow(g.leader(), name).ID)
+	assert.Equal(g.t, g.currentRow(g.leader(), name).ID, "")
 }
 
 // ready returns the rows of a back end's starts, or just of the given one, that are listed as
@@ -122,6 +123,18 @@
 		g.removeRow("x")
 		return acknowledged
 	}},
+	{"after another back end has taken its address", 100, func(g *group) bool {
+		g.register("x", 100)
+		other := heartbeatOf("y", 100, 1, false, 1)
+		other.Heartbeat.Backend.Address = "x"
+		g.call(0, other)
+		return g.acknowledges(leaveOf("x", 100))
+	}},
+	{"of an earlier start whose row is not removed yet", 100, func(g *group) bool {
+		g.register("x", 100)
+		g.register("x", 200)
+		return g.acknowledges(leaveOf("x", 100))
+	}},
 	{"by a heartbeat with an old sequence number", 100, func(g *group) bool {
 		g.call(0, heartbeatOf("x", 100, 9, false, 1))
 		return g.acknowledges(heartbeatOf("x", 100, 5, true, 1))
@@ -348,3 +361,41 @@
 		r.Fatalf("start %d never left, and the row is %+v", h.newest, g.currentRow(0, h.name))
 	})
 }
+
+// A replica that joins later, and so gets a snapshot or the whole log, keeps leaves as well.
+func TestJoiningNodeKnowsLeaves(t *testing.T) {
+	g := newGroup(t, 4)
+	joined := len(g.servers) - 1
+	for i := range g.servers {
+		g.awaitVoters(i, len(g.servers))
+	}
+	g.register("x", 100)
+	g.removeRow("x")
+	g.call(joined, leaveOf("x", 100))
+	g.kill(joined)
+	g.config[joined].Bootstrap = false
+	g.config[joined].DataDirectory = t.TempDir()
+	g.start(joined)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		left := false
+		g.servers[joined].loop.Do(t.Context(), func(time.Duration) {
+			left = g.servers[joined].core.Machine().Deployment().HasLeft(state.Start{Name: "x", Born: 100})
+		})
+		if !left {
+			return poll.Continue("the leave is not replicated")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// Guards against placements by the leader at an engine whose leave it has acknowledged.
+func TestLeaderPlacesNothingAtEngineThatLeft(t *testing.T) {
+	g := newGroup(t, 1)
+	g.register("x", 100)
+	g.awaitPlaced("x")
+	g.call(0, leaveOf("x", 100))
+	// The placer is updated in the turn of the run goroutine that acknowledges.
+	g.servers[0].loop.Do(t.Context(), func(time.Duration) {})
+	g.servers[0].loop.Do(t.Context(), func(time.Duration) {})
+	assert.Equal(t, g.call(0, place(1<<20)).Placed.ID, "")
+}
--- a/internal/coordinator/rejoin_test.go
+++ b/internal/coordinator/rejoin_test.go
@@ -14,7 +14,7 @@
 // depart removes a row, as happens after a long silence.
 func (g *group) depart(id string) {
 	g.t.Helper()
-	_, err := g.servers[0].submit(context.Background(), state.Command{Depart: &state.Depart{IDs: []string{id}}})
+	_, err := g.servers[g.leader()].submit(context.Background(), state.Command{Depart: &state.Depart{IDs: []string{id}}})
 	assert.NilError(g.t, err)
 }
 
