--- a/internal/coordinator/leave.go
+++ b/internal/coordinator/leave.go
@@ -67,7 +67,7 @@
 	}
 	if s.compareStart(now, d, start) == olderStart {
 		// A row would supersede that of the latest start.
-		change.departs = []string{state.LaterRowID(start)}
+		change.departed = state.LaterRowID(start)
 		return change, heldNothing, nil
 	}
 	s.recordStart(start, id)
--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -34,7 +34,10 @@
 		if !b.Backend.Draining {
 			return registryChange{}, nil
 		}
-		change, _, err := s.leaveChange(now, start)
+		change, held, err := s.leaveChange(now, start)
+		if err == nil && change.parts() > 0 {
+			s.logger.Info("back end is draining", "part", "registry", "backend", start.Name, "born", start.Born, "held", held)
+		}
 		return change, err
 	}
 	b.Backend.ID = id
--- a/internal/coordinator/rowbatcher.go
+++ b/internal/coordinator/rowbatcher.go
@@ -142,12 +142,17 @@
 type registryChange struct {
 	// rows are added or updated, or are uncommitted already and to be waited for.
 	rows []state.Backend
-	// departs are the row IDs of starts without a row that have left.
-	departs []string
+	// departed is the row ID of a start that has left without a row, empty for none.
+	departed string
 }
 
 // parts is the number of outcomes that the change has.
-func (c *registryChange) parts() int { return len(c.rows) + min(len(c.departs), 1) }
+func (c *registryChange) parts() int {
+	if c.departed == "" {
+		return len(c.rows)
+	}
+	return len(c.rows) + 1
+}
 
 // commitOutcome is the outcome of a part of a registryChange: the log index by which it is
 // committed, or the error.
@@ -172,8 +177,8 @@
 		for _, row := range change.rows {
 			s.rowBatcher.add(row, finish)
 		}
-		if len(change.departs) > 0 {
-			s.proposeDepart(now, change.departs, finish)
+		if change.departed != "" {
+			s.proposeDepart(now, change.departed, finish)
 		}
 	})
 	switch {
@@ -196,9 +201,9 @@
 	return reply, revision, nil
 }
 
-// proposeDepart proposes departures and calls finish with the outcome.
-func (s *Server) proposeDepart(now time.Duration, departs []string, finish func(error)) {
-	command := state.Command{Depart: &state.Depart{IDs: departs}}
+// proposeDepart proposes a departure and calls finish with the outcome.
+func (s *Server) proposeDepart(now time.Duration, id string, finish func(error)) {
+	command := state.Command{Depart: &state.Depart{IDs: []string{id}}}
 	if err := s.core.Propose(now, command, func(_ state.Result, err error) { finish(err) }); err != nil {
 		finish(errors.Mark(err, ErrUnavailable))
 	}
