A leave without a start time also binds a restarted back end that is not known yet

What callers saw: a back end that had been restarted under its name, and left before its first heartbeat was accepted, got requests.

Cause: a leave without a start time was bound to the latest start that the leader knew.

Change: if no heartbeat of the known start was received in the last one and a half intervals, the leave is recorded with its time, and binds also starts that are registered later and began before it.

--- a/internal/coordinator/leave.go
+++ b/internal/coordinator/leave.go
@@ -45,12 +45,83 @@
 func (s *Server) leaveChange(now time.Duration, start state.Start) (change registryChange, held string, err error) {
 	d := s.core.Machine().Deployment()
 	if start.Born == 0 {
-		known, is := s.currentStart(d, start.Name)
-		if !is {
-			return leaveOfDepartures(d.Departures(start.Name))
-		}
-		start = known
+		return s.leaveWithoutStartTime(now, d, start.Name)
+	}
+	return s.leaveOfStart(now, d, start)
+}
+
+// recentIntervals is the number of heartbeat intervals within which a back end that has not been
+// restarted sends a heartbeat.
+const recentIntervals = 1.5
+
+// leaveWithoutStartTime returns the change that records a leave without a start time. It binds the
+// latest known start. If no recent heartbeat of that was received, the back end may have been
+// restarted, and the leave also binds starts that are not known yet and began before it.
+func (s *Server) leaveWithoutStartTime(now time.Duration, d *state.Deployment, name string) (change registryChange, held string, err error) {
+	known, is := s.currentStart(d, name)
+	if is {
+		change, held, err = s.leaveOfStart(now, d, known)
+	} else {
+		change, held, err = leaveOfDepartures(d.Departures(name))
+	}
+	if err != nil || (is && s.receivedRecently(now, d.RowID(known))) {
+		return change, held, err
+	}
+	if len(change.rows) == 0 {
+		change.rows = s.leaveRecords(d, name)
+	}
+	leftBefore := state.UnixMilli(time.Now().UnixMilli())
+	s.soft.recordLeftBefore(name, leftBefore)
+	for i := range change.rows {
+		change.rows[i].LeftBefore = leftBefore
+	}
+	return change, held, nil
+}
+
+// receivedRecently reports whether a recent heartbeat of a back end was received.
+func (s *Server) receivedRecently(now time.Duration, id string) bool {
+	last, received := s.soft.heartbeats[id]
+	return received && now-last.at <= time.Duration(recentIntervals*float64(s.settings.BackendHeartbeat))
+}
+
+// leaveRecords returns the rows to commit so that a further leave of a back end is recorded in its
+// row or, without one, in its departures.
+func (s *Server) leaveRecords(d *state.Deployment, name string) []state.Backend {
+	if row, known := d.Current(name); known {
+		row, _ = s.rowBatcher.row(d, row.ID)
+		return []state.Backend{row}
 	}
+	var rows []state.Backend
+	for _, departure := range d.Departures(name) {
+		rows = append(rows, departureRow(&departure))
+	}
+	return rows
+}
+
+// departureRow returns the row to commit so that a departure records that its start has left.
+func departureRow(departure *state.Departure) state.Backend {
+	return state.Backend{ID: departure.ID, Instance: departure.Instance, Draining: true}
+}
+
+// mayHaveLeft reports whether a start that is not known yet may have sent a leave without a start
+// time.
+func (s *Server) mayHaveLeft(d *state.Deployment, start state.Start) bool {
+	return start.Born != 0 && start.Born <= max(s.soft.leftBefore[start.Name], d.LeftBefore(start.Name))
+}
+
+// maxLeftBefore bounds softState.leftBefore, which is needed only until a leave is committed.
+const maxLeftBefore = 4096
+
+func (t *softState) recordLeftBefore(name string, leftBefore state.UnixMilli) {
+	if len(t.leftBefore) >= maxLeftBefore {
+		clear(t.leftBefore)
+	}
+	t.leftBefore[name] = leftBefore
+}
+
+// leaveOfStart returns the change that records that a start leaves. Its start time is 0 only if the
+// back end reports none.
+func (s *Server) leaveOfStart(now time.Duration, d *state.Deployment, start state.Start) (change registryChange, held string, err error) {
 	if d.HasDeparted(start) {
 		return s.leaveOfDeparted(d, start)
 	}
@@ -97,7 +168,7 @@
 	}
 	var rows []state.Backend
 	if !departure.Draining {
-		rows = append(rows, state.Backend{ID: id, Draining: true})
+		rows = append(rows, departureRow(&departure))
 	}
 	row, returned := s.rowBatcher.returning(id)
 	if !returned {
@@ -118,7 +189,7 @@
 	}
 	for _, departure := range departures {
 		if !departure.Draining {
-			change.rows = append(change.rows, state.Backend{ID: departure.ID, Draining: true})
+			change.rows = append(change.rows, departureRow(&departure))
 		}
 	}
 	if len(change.rows) == 0 {
--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -45,6 +45,9 @@
 		b.Backend.Instance = start.Name
 	}
 	old, known := s.rowBatcher.row(d, id)
+	if !known && s.mayHaveLeft(d, start) {
+		b.Backend.Draining = true
+	}
 	if accepted, err := s.pools.checkHeartbeat(old, known, &b.Backend); !accepted {
 		return registryChange{}, err
 	}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -40,6 +40,8 @@
 	// starts that were logged, by name.
 	starts      map[string]state.Start
 	loggedOlder map[string]state.UnixMilli
+	// leftBefore maps names to the latest LeftBefore of leaves since the leadership began.
+	leftBefore map[string]state.UnixMilli
 	// rejoining are the departed starts that send heartbeats again.
 	rejoining map[state.Start]rejoining
 	// departedAt is when the rows of superseded starts were last removed.
@@ -80,7 +82,7 @@
 func (t *softState) reset(now time.Duration) {
 	*t = softState{since: now, epoch: strconv.FormatUint(rand.Uint64(), 36), heartbeats: map[string]heartbeat{}, routers: map[string]watcher{},
 		holders: map[string]string{}, silentShards: shardLists[string]{}, limitedShards: shardLists[coordapi.BackendID]{},
-		starts: map[string]state.Start{}, loggedOlder: map[string]state.UnixMilli{}, rejoining: map[state.Start]rejoining{}}
+		starts: map[string]state.Start{}, loggedOlder: map[string]state.UnixMilli{}, leftBefore: map[string]state.UnixMilli{}, rejoining: map[state.Start]rejoining{}}
 }
 
 // heartbeat records a heartbeat. It returns false for a heartbeat that is not newer than the last
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -19,7 +19,8 @@
 	Starts Level = 2
 	// Limits adds limits of back ends: permits to send a request, and reports of the limits.
 	Limits Level = 3
-	// Leaves adds to departures whether the back end had left.
+	// Leaves adds to departures whether the back end had left, and to rows and departures the time
+	// of a leave without a start time.
 	Leaves Level = 4
 )
 
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -37,6 +37,9 @@
 	Slots    int       `json:"slots,omitempty"`
 	// Draining is set for a back end that gets no new work. Once set it stays set.
 	Draining bool `json:"draining,omitempty"`
+	// LeftBefore is the wall-clock time of a leave without a start time that another start may
+	// have sent: it binds every start of the back end that began before. 0 means none.
+	LeftBefore UnixMilli `json:"left_before,omitempty"`
 	// Weights maps models to the version that the back end has loaded. It is empty for a back
 	// end that is not a model engine.
 	Weights map[string]int `json:"weights,omitempty"`
@@ -90,6 +93,8 @@
 	// Draining is set if the back end has left, before or after its row was removed. Its start
 	// must not return.
 	Draining bool `json:"draining,omitempty"`
+	// LeftBefore is that of the row.
+	LeftBefore UnixMilli `json:"left_before,omitempty"`
 }
 
 // WeightsVersion is a published version of a model's weights.
@@ -162,13 +167,14 @@
 	d := &m.data.Deployment
 	if d.isDeparted(b.ID) {
 		if b.Draining {
-			d.setDepartureDraining(b.ID)
+			d.setDepartureDraining(b.ID, b.LeftBefore)
 		}
 		return
 	}
 	b.EnrolledRevision = index
 	if old, known := d.Backends[b.ID]; known {
 		b.Draining = b.Draining || old.Draining
+		b.LeftBefore = max(b.LeftBefore, old.LeftBefore)
 		b.EnrolledRevision = old.EnrolledRevision
 	}
 	b.Revision = index
@@ -176,6 +182,7 @@
 	d.indexes.countEngine(b, 1)
 	d.Backends[b.ID] = b
 	d.indexes.addRow(d, b)
+	d.indexes.addLeave(b.Name(), b.LeftBefore)
 	d.BackendsRevision = index
 	d.indexes.recordChange(d, b.ID, index)
 }
@@ -189,18 +196,20 @@
 		old, known := d.Backends[id]
 		d.indexes.countEngine(old, -1)
 		delete(d.Backends, id)
-		departure := Departure{ID: id, Revision: index, Engine: old.IsEngine(), Instance: old.Instance, Born: old.Born, Draining: !known || old.Draining}
+		departure := Departure{ID: id, Revision: index, Engine: old.IsEngine(), Instance: old.Instance, Born: old.Born, Draining: !known || old.Draining,
+			LeftBefore: old.LeftBefore}
 		d.Departed = append(d.Departed, departure)
 		d.indexes.departed[id] = departure
 		d.indexes.removeRow(old)
 		d.BackendsRevision = index
 		if former, returned := d.departedID(old.Start()); returned && former != id && old.Draining {
-			d.setDepartureDraining(former)
+			d.setDepartureDraining(former, old.LeftBefore)
 		}
 	}
 	for len(d.Departed) > max(minRetainedDepartures, len(d.Backends)) {
 		d.CompactedRevision = d.Departed[0].Revision
 		delete(d.indexes.departed, d.Departed[0].ID)
+		d.indexes.removeLeave(&d.Departed[0])
 		d.Departed = d.Departed[1:]
 	}
 	return Result{Code: CodeOK}
@@ -212,14 +221,15 @@
 }
 
 // setDepartureDraining records that the start of a retained departure has left.
-func (d *Deployment) setDepartureDraining(id string) {
+func (d *Deployment) setDepartureDraining(id string, leftBefore UnixMilli) {
 	departure := d.indexes.departed[id]
-	departure.Draining = true
+	departure.Draining, departure.LeftBefore = true, max(departure.LeftBefore, leftBefore)
 	d.indexes.departed[id] = departure
+	d.indexes.addLeave(departure.Name(), departure.LeftBefore)
 	first := sort.Search(len(d.Departed), func(i int) bool { return d.Departed[i].Revision >= departure.Revision })
 	for i := first; i < len(d.Departed); i++ {
 		if d.Departed[i].ID == id {
-			d.Departed[i].Draining = true
+			d.Departed[i] = departure
 			return
 		}
 	}
--- a/internal/state/rows.go
+++ b/internal/state/rows.go
@@ -16,6 +16,8 @@
 	changes []rowChange
 	// departed are the retained departures by ID.
 	departed map[string]Departure
+	// leftBefore maps names to the latest LeftBefore of rows and retained departures.
+	leftBefore map[string]UnixMilli
 	// current maps the name of each back end to the row ID of its current start. superseded
 	// holds the row IDs of earlier starts.
 	current    map[string]string
@@ -37,11 +39,12 @@
 // rebuild builds all indexes from the deployment's rows and departures.
 func (x *backendIndexes) rebuild(d *Deployment) {
 	x.changes = make([]rowChange, 0, len(d.Backends))
-	x.engines = 0
+	x.engines, x.leftBefore = 0, map[string]UnixMilli{}
 	x.current, x.superseded = make(map[string]string, len(d.Backends)), map[string]struct{}{}
 	for id, b := range d.Backends {
 		x.countEngine(b, 1)
 		x.addRow(d, b)
+		x.addLeave(b.Name(), b.LeftBefore)
 		x.changes = append(x.changes, rowChange{id, b.Revision})
 	}
 	slices.SortFunc(x.changes, func(a, b rowChange) int {
@@ -50,6 +53,21 @@
 	x.departed = make(map[string]Departure, len(d.Departed))
 	for _, departure := range d.Departed {
 		x.departed[departure.ID] = departure
+		x.addLeave(departure.Name(), departure.LeftBefore)
+	}
+}
+
+// addLeave records the LeftBefore of a row or departure.
+func (x *backendIndexes) addLeave(name string, leftBefore UnixMilli) {
+	if leftBefore > x.leftBefore[name] {
+		x.leftBefore[name] = leftBefore
+	}
+}
+
+// removeLeave drops the LeftBefore of a departure that is not retained any more.
+func (x *backendIndexes) removeLeave(departure *Departure) {
+	if departure.LeftBefore != 0 && x.leftBefore[departure.Name()] == departure.LeftBefore {
+		delete(x.leftBefore, departure.Name())
 	}
 }
 
--- a/internal/state/start.go
+++ b/internal/state/start.go
@@ -77,6 +77,10 @@
 	return departed && d.indexes.departed[id].Draining
 }
 
+// LeftBefore returns the latest LeftBefore of a back end's rows and retained departures, 0 for
+// none.
+func (d *Deployment) LeftBefore(name string) UnixMilli { return d.indexes.leftBefore[name] }
+
 // Departure returns the departure of a row, if it is retained.
 func (d *Deployment) Departure(id string) (Departure, bool) {
 	departure, departed := d.indexes.departed[id]
