--- a/internal/coordinator/leave_test.go
+++ b/internal/coordinator/leave_test.go
@@ -295,8 +295,8 @@
 	}
 }
 
-// leaveWithoutStartTime sends a leave of the newest start, which binds the latest start that the
-// registry knows.
+// leaveWithoutStartTime sends a leave of the newest start, which binds the latest start that
+// is registered.
 func (h *history) leaveWithoutStartTime() {
 	if h.g.acknowledges(leaveOf(h.name, 0)) && h.registered {
 		h.left[h.newest] = true
@@ -367,7 +367,7 @@
 }
 
 // A replica that joins later, and so gets a snapshot or the whole log, keeps leaves as well.
-func TestJoiningNodeKnowsLeaves(t *testing.T) {
+func TestJoiningNodeHasLeaves(t *testing.T) {
 	g := newGroup(t, 4)
 	joined := len(g.servers) - 1
 	for i := range g.servers {
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -71,7 +71,7 @@
 	assert.Equal(t, result.Code, CodeRefused)
 }
 
-// A start that left, before or after its row was removed or without a row, is told from one that
+// A start that left, before or after its row was removed or without a row, is distinguished from one that
 // was silent, also after a snapshot is restored.
 func TestDeparturesRecordWhichStartsLeft(t *testing.T) {
 	m := New()
