--- a/internal/soak/leave.go
+++ b/internal/soak/leave.go
@@ -149,7 +149,7 @@
 	return nil
 }
 
-// metricsOf returns the metrics of a coordinator, empty if it does not respond.
+// metricsOf returns the metrics of a coordinator, empty if they are not received whole.
 func (s *Soak) metricsOf(ctx context.Context, p *program) string {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
@@ -162,6 +162,9 @@
 		return ""
 	}
 	defer response.Body.Close()
-	metrics, _ := io.ReadAll(response.Body)
+	metrics, err := io.ReadAll(response.Body)
+	if err != nil {
+		return ""
+	}
 	return string(metrics)
 }
