Rollout: the next loads are announced while the last ones end

Cause: 18 of 90 engines may load at once, and a load counted from its announcement to the report of its end: 1.9 s for a load of 1.3 s. A version took 10 s to reach all engines, and answers of replaced weights lose their value meanwhile.

Change: a load does not count as concurrent once it is expected to end by the time that an engine announced now gets its order. The expectation is a moving average from accepted orders to reports, less the lag of reports.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -182,6 +182,7 @@
 			"expected", order.Expected, "error", errorText(err))
 		switch {
 		case err == nil:
+			s.loop.Do(ctx, func(now time.Duration) { s.rollout.orderAccepted(now, row.ID) })
 			s.updateRow(ctx, row.ID, func(b *state.Backend) { b.Orders = order.Expected + 1 })
 			return nil
 		case errors.Is(err, ErrAlreadyLoaded), errors.Is(err, ErrFenced), errors.Is(err, ErrWrongInstance):
--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -32,6 +32,9 @@
 	// reportInterval the time between further ones.
 	firstReportDelay = 650 * time.Millisecond
 	reportInterval   = 200 * time.Millisecond
+	// reportLag is the mean time from the end of a load to the report that shows it: reports are
+	// some 200 ms old and are requested every reportInterval.
+	reportLag = 300 * time.Millisecond
 	// loadTimeout is the timeout of a load.
 	loadTimeout = 10 * time.Second
 	// initialOrderBackoff is how long an engine gets no orders after the first failed one.
@@ -57,14 +60,38 @@
 	firstSeen map[state.WeightsVersion]time.Duration
 	// notes are the notes on versions that are sent to routers.
 	notes coordapi.Notes
-	// meanLoadTime is the moving average of load times, 0 before the first.
-	meanLoadTime time.Duration
-	// running are the engines to which this leader is sending an order.
-	running map[string]bool
+	// meanLoadTime is the moving average of the time from a load's announcement to the report of
+	// its end, 0 before the first. meanOrderTime is the same from the accepted order on.
+	meanLoadTime  time.Duration
+	meanOrderTime time.Duration
+	// running holds the engines to which this leader is sending an order.
+	running map[string]*runningLoad
 	// failed are the engines whose last order failed.
 	failed map[string]failedOrder
 }
 
+// runningLoad is a load that this leader has announced. acceptedAt is when its engine accepted the
+// order, 0 before.
+type runningLoad struct{ acceptedAt time.Duration }
+
+// orderAccepted records that an engine has accepted its order.
+func (r *rollout) orderAccepted(now time.Duration, id string) {
+	if load := r.running[id]; load != nil {
+		load.acceptedAt = now
+	}
+}
+
+// finishing reports whether a load is expected to end by the time that an engine whose load is
+// announced now gets its order. Without this overlap engines would load for little more than half
+// of the time that a load takes from its announcement to its report.
+func (r *rollout) finishing(now time.Duration, id string) bool {
+	load := r.running[id]
+	if load == nil || load.acceptedAt == 0 || r.meanOrderTime == 0 {
+		return false
+	}
+	return now+announceDelay >= load.acceptedAt+r.meanOrderTime-reportLag
+}
+
 // failedOrder counts the consecutive failed orders of an engine, which gets no orders before
 // until.
 type failedOrder struct {
@@ -84,12 +111,21 @@
 	r.failed[id] = failedOrder{failures: failures, until: now + initialOrderBackoff<<min(failures-1, 4)}
 }
 
-// recordLoadTime updates the mean load time.
-func (r *rollout) recordLoadTime(took time.Duration) {
+// recordLoadTime updates the mean load times with a load that was announced at started and is now
+// reported as done.
+func (r *rollout) recordLoadTime(now, started time.Duration, id string) {
 	if r.meanLoadTime == 0 {
 		r.meanLoadTime = minLoadTime
 	}
-	r.meanLoadTime += (took - r.meanLoadTime) / loadTimeSmoothing
+	r.meanLoadTime += (now - started - r.meanLoadTime) / loadTimeSmoothing
+	load := r.running[id]
+	if load == nil || load.acceptedAt == 0 {
+		return
+	}
+	if r.meanOrderTime == 0 {
+		r.meanOrderTime = now - load.acceptedAt
+	}
+	r.meanOrderTime += (now - load.acceptedAt - r.meanOrderTime) / loadTimeSmoothing
 }
 
 func (r *rollout) planConfig(s settings.Coordinator) weights.Config {
@@ -112,7 +148,7 @@
 func (r *rollout) recordVersions(now time.Duration, d *state.Deployment) {
 	if r.firstSeen == nil {
 		r.firstSeen = map[state.WeightsVersion]time.Duration{}
-		r.running = map[string]bool{}
+		r.running = map[string]*runningLoad{}
 		r.failed = map[string]failedOrder{}
 	}
 	if len(r.firstSeen) == len(d.Weights) {
@@ -174,14 +210,14 @@
 func (s *Server) orderModel(ctx context.Context, now time.Duration, d *state.Deployment, model string) {
 	var engines []weights.Engine
 	for id, b := range d.Backends {
-		if b.Loading != nil && b.Loading.Model == model && !s.rollout.running[id] {
+		if b.Loading != nil && b.Loading.Model == model && s.rollout.running[id] == nil {
 			s.resolveLoad(ctx, b)
 		}
 		version, holds := b.Weights[model]
 		if !holds || b.Draining || s.soft.isSilent(id) {
 			continue
 		}
-		engines = append(engines, weights.Engine{ID: id, Version: version, Loading: s.rollout.running[id]})
+		engines = append(engines, weights.Engine{ID: id, Version: version, Loading: s.rollout.running[id] != nil, Finishing: s.rollout.finishing(now, id)})
 	}
 	plan := s.rollout.planConfig(s.settings).Next(now, s.rollout.versions(s.soft.since, s.settings.WeightsDeadline, d, model), engines, s.saturated(now))
 	if len(plan.Load) == 0 || !s.holdsOrderLease(now, d) {
@@ -191,17 +227,17 @@
 		if now < s.rollout.failed[id].until {
 			continue
 		}
-		s.rollout.running[id] = true
+		s.rollout.running[id] = &runningLoad{}
 		row := d.Backends[id]
 		term := s.core.Status().Term
 		s.group.Go(func() {
 			started := s.now()
 			held := s.loadWeights(ctx, row, model, plan.Target, term)
 			s.loop.Do(context.WithoutCancel(ctx), func(now time.Duration) {
-				s.rollout.orderFinished(now, row.ID, held)
 				if held {
-					s.rollout.recordLoadTime(now - started)
+					s.rollout.recordLoadTime(now, started, row.ID)
 				}
+				s.rollout.orderFinished(now, row.ID, held)
 			})
 		})
 	}
@@ -216,7 +252,7 @@
 // resolveLoad determines the outcome of a load that an earlier leader announced. Until then the
 // engine counts as loading.
 func (s *Server) resolveLoad(ctx context.Context, row state.Backend) {
-	s.rollout.running[row.ID] = true
+	s.rollout.running[row.ID] = &runningLoad{}
 	s.group.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		defer cancel()
--- a/internal/coordinator/routerreports_test.go
+++ b/internal/coordinator/routerreports_test.go
@@ -51,7 +51,7 @@
 	var r rollout
 	assert.Equal(t, r.planConfig(settings.Coordinator{}).LoadTime, minLoadTime)
 	for range 20 {
-		r.recordLoadTime(3 * time.Second)
+		r.recordLoadTime(3*time.Second, 0, "a")
 	}
 	assert.Equal(t, r.planConfig(settings.Coordinator{}).LoadTime.Round(100*time.Millisecond), 3*time.Second)
 }
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -33,8 +33,10 @@
 	ID string
 	// Version is the version that it holds.
 	Version int
-	// Loading says that a load is in progress.
-	Loading bool
+	// Loading says that a load is in progress, and Finishing that it ends about when another
+	// engine would be ready to load. A finishing load does not count as concurrent.
+	Loading   bool
+	Finishing bool
 }
 
 // Config holds the timing of rollouts.
@@ -103,6 +105,7 @@
 	loading := 0
 	for _, e := range engines {
 		switch {
+		case e.Loading && e.Finishing:
 		case e.Loading:
 			loading++
 		case e.Version < target:
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -39,6 +39,17 @@
 	assert.DeepEqual(t, c.Next(0, versions, pool, false).Load, []string{"e03"})
 }
 
+// Guards against load slots that stay unused while the end of a load is reported and the next one
+// is announced.
+func TestFinishingLoadsMakeRoomForTheNext(t *testing.T) {
+	pool := engines(12, 1)
+	for i := range 3 {
+		pool[i].Loading = true
+	}
+	pool[0].Finishing = true
+	assert.DeepEqual(t, config().Next(0, []Version{{Number: 2}}, pool, false).Load, []string{"e03"})
+}
+
 // A load clears an engine's cache, so loads wait while the engines lack capacity.
 func TestLoadsAreDeferredWhileEnginesAreCrowded(t *testing.T) {
 	c := config()
