Forward response bodies above 16 MiB whole, or not as complete

A limited read reports no error for a longer body, so relay forwarded the first 16 MiB with a matching Content-Length, and Pool.Call returned the first bytes of a longer body.

A body beyond the buffer is now streamed, with its length or in chunks. If it ends early the connection is closed within the body. A body with neither length nor chunks, or in chunks for a client of HTTP/1.0, is answered with 502 and the end of the connection. A failure of that size is forwarded only when no attempt is left. Call returns an error marked ErrOutcomeUnknown.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -47,6 +47,8 @@
 	response *bufferedResponse
 	// delivered is set if the back end received the request.
 	delivered bool
+	// forwarded is set if a failed attempt's response was forwarded while it arrived.
+	forwarded bool
 }
 
 // serve makes attempts until one succeeds or no further one is allowed.
@@ -128,7 +130,7 @@
 
 // shouldRetry reports whether another attempt is allowed after a result.
 func (h *Handler) shouldRetry(ctx context.Context, j *job, s *session, result outcome) bool {
-	if j.tries() >= maxSends || (s.headerSent && !j.route.Resumable) {
+	if j.tries() >= maxSends || s.bodySent || (s.headerSent && !j.route.Resumable) {
 		return false
 	}
 	if result.verdict == notRun && !result.delivered {
@@ -319,12 +321,16 @@
 // finish ends a request for which there is no further attempt.
 func (h *Handler) finish(ctx context.Context, s *session, result outcome) {
 	j := s.job
+	if result.forwarded {
+		h.logResponse(s, "forwarded a failure")
+		return
+	}
 	if s.headerSent || errors.Is(context.Cause(ctx), context.Canceled) {
 		h.logResponse(s, h.abortReason(ctx, result))
 		panic(http.ErrAbortHandler)
 	}
 	switch {
-	case result.verdict == failed:
+	case result.verdict == failed && result.response != nil:
 		s.writeBuffered(result.response)
 		h.logResponse(s, "forwarded a failure")
 	case j.ran == 0:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -161,6 +161,8 @@
 	tenant  *traffic.Tenant
 	pool    *traffic.Pool
 	request *upstream.Request
+	// chunked is set if the client understands chunked responses.
+	chunked bool
 	query   backends.Query
 	// parts are the IDs of the prompt's shared parts.
 	parts      []string
@@ -242,7 +244,7 @@
 	if route == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
-	j := &job{id: r.Header.Get(h.config.Headers.RequestID), table: table, route: route, receivedAt: receivedAt}
+	j := &job{id: r.Header.Get(h.config.Headers.RequestID), table: table, route: route, receivedAt: receivedAt, chunked: r.ProtoAtLeast(1, 1)}
 	if table.NeedsKeys() && !route.Public {
 		key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if j.tenant = table.TenantByKey(strings.TrimSpace(key)); !bearer || j.tenant == nil {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -29,8 +29,10 @@
 	writer  http.ResponseWriter
 	job     *job
 	status  int
-	// headerSent is set once a part of the response has been written.
+	// headerSent is set once a part of the response has been written, and bodySent once it is a
+	// part of a body that no further attempt can continue.
 	headerSent bool
+	bodySent   bool
 	// lastEventID is the ID of the last forwarded event, and lastEventNumber its numeric value.
 	lastEventID     string
 	lastEventNumber int64
@@ -56,7 +58,7 @@
 	if response.StatusCode == http.StatusOK && s.job.route.Kind == traffic.KindStream {
 		return s.stream(ctx, response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBody))
+	body, whole, err := readPrefix(response, maxBufferedBody)
 	if err != nil {
 		return outcome{verdict: mayHaveRun, err: err, delivered: true}
 	}
@@ -65,6 +67,8 @@
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotRun) != "":
 		return outcome{verdict: notRun, response: read, delivered: true, err: errRejected}
+	case response.StatusCode >= http.StatusInternalServerError && !whole:
+		return s.relayLargeFailure(response, body)
 	case response.StatusCode >= http.StatusInternalServerError:
 		return outcome{verdict: failed, response: read, delivered: true, err: errServerError}
 	case response.StatusCode < http.StatusMultipleChoices && response.Header.Get(names.Signature) == "":
@@ -72,12 +76,66 @@
 	case s.headerSent:
 		return outcome{verdict: mayHaveRun, delivered: true, err: errServerError}
 	}
+	if !whole {
+		if err := s.streamBody(response, body); err != nil {
+			return outcome{verdict: mayHaveRun, err: err, delivered: true}
+		}
+		return outcome{verdict: done}
+	}
 	s.writeBuffered(read)
 	return outcome{verdict: done}
 }
 
+// readPrefix reads a body up to limit bytes. Whole is false if the body is longer; none of it is
+// read if its length says so.
+func readPrefix(response *upstream.BackendResponse, limit int64) (prefix []byte, whole bool, err error) {
+	if response.ContentLength > limit && response.Body != http.NoBody {
+		return nil, false, nil
+	}
+	prefix, err = io.ReadAll(io.LimitReader(response, limit+1))
+	return prefix, int64(len(prefix)) <= limit, err
+}
+
+// relayLargeFailure forwards a failure whose body is too large to be kept for later, unless
+// another attempt may still succeed.
+func (s *session) relayLargeFailure(response *upstream.BackendResponse, prefix []byte) outcome {
+	result := outcome{verdict: failed, delivered: true, err: errServerError}
+	if s.headerSent || (s.job.route.Retryable() && s.job.ran+1 < s.job.route.MaxAttempts) {
+		return result
+	}
+	if err := s.streamBody(response, prefix); err != nil {
+		return outcome{verdict: mayHaveRun, delivered: true, err: err}
+	}
+	result.forwarded = true
+	return result
+}
+
+// streamBody forwards a body while it arrives: the part that has been read, and the rest. An
+// error means that the client's connection must be closed, since the body is incomplete.
+func (s *session) streamBody(response *upstream.BackendResponse, prefix []byte) error {
+	// The end of a body with neither a length nor chunks cannot be told from a truncation, and
+	// without chunks a truncation could not be shown to the client.
+	if !response.Framed() || (response.ContentLength < 0 && !s.job.chunked) {
+		s.writer.Header().Set("Connection", "close")
+		return errBodySize
+	}
+	s.copyHeader(response.Header)
+	if response.ContentLength >= 0 {
+		s.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	s.status, s.firstAt = response.StatusCode, s.handler.now()
+	s.headerSent, s.bodySent = true, true
+	s.writer.WriteHeader(response.StatusCode)
+	if _, err := s.writer.Write(prefix); err != nil {
+		return err
+	}
+	_, err := io.Copy(s.writer, response)
+	return err
+}
+
 var (
 	errRejected       = errors.New("rejected")
+	errBodySize       = errors.New("the body is too large to be forwarded without a length")
 	errServerError    = errors.New("responded with a failure")
 	errNoSeal         = errors.New("the response is not signed")
 	errEventOrder     = errors.New("events are out of order")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -219,14 +220,18 @@
 	return a, nil
 }
 
-// Call sends a request and reads the response's body, of at most limit bytes.
+// Call sends a request and reads the response's body. A body of more than limit bytes is an error
+// marked ErrOutcomeUnknown.
 func (p *Pool) Call(ctx context.Context, address string, r *Request, limit int64) (status int, body []byte, err error) {
 	response, err := p.Do(ctx, address, r)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer response.Close()
-	body, err = io.ReadAll(io.LimitReader(response, limit))
+	body, err = io.ReadAll(io.LimitReader(response, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return response.StatusCode, nil, &callError{kind: ErrOutcomeUnknown, cause: fmt.Errorf("the response body exceeds %d bytes", limit)}
+	}
 	return response.StatusCode, body, err
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -398,3 +398,20 @@
 	assert.ErrorIs(t, err, pushback.ErrUnavailable)
 	assert.Equal(t, arrived.Load(), int32(0))
 }
+
+// Guards against returning the first bytes of a longer body as the whole one.
+func TestCallRejectsBodyBeyondLimit(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for id, err := readRequest(requests); err == nil; id, err = readRequest(requests) {
+			_, _ = io.WriteString(conn, responseTo(id, "0123456789"))
+		}
+	})
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	_, body, err := p.Call(t.Context(), b.address, request("1"), 10)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "0123456789")
+	status, body, err := p.Call(t.Context(), b.address, request("2"), 9)
+	assert.ErrorIs(t, err, ErrOutcomeUnknown)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, len(body), 0)
+}
