Keep requests that may run once off expiring connections

upstream.Request.NonIdempotent had no effect: such a request could go over a kept connection that its back end closes at that moment, and it was then not known whether it had run.

The pool now leaves out connections within 1 s of the end of their idle time for these requests and keeps them for others. Orders of coordinators set it; reports, which may be repeated, do not any more.

--- a/internal/coordinator/engineclient.go
+++ b/internal/coordinator/engineclient.go
@@ -37,7 +37,7 @@
 	if body != nil {
 		header.Set("Content-Type", "application/json")
 	}
-	request := &upstream.Request{Method: method, Target: path, Host: to.Address, Header: header, Body: body, NonIdempotent: true,
+	request := &upstream.Request{Method: method, Target: path, Host: to.Address, Header: header, Body: body, NonIdempotent: method != http.MethodGet,
 		Backend: pushback.Backend{ID: to.Backend, Pool: to.Pool}, Instance: to.Instance, Permit: to.Permit}
 	return e.pool.Call(ctx, to.Address, request, maxCall)
 }
--- a/internal/coordinator/engineclient_test.go
+++ b/internal/coordinator/engineclient_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,3 +37,31 @@
 	to.Permit = ratelimit.Unlimited("x")
 	assert.NilError(t, calls.Load(context.Background(), LoadOrder{Target: to}))
 }
+
+// An order whose connection closes as it arrives may have been carried out. Reports may be
+// repeated.
+func TestOrderAvoidsExpiringConnection(t *testing.T) {
+	var opened atomic.Int32
+	engine := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Keep-Alive", "timeout=2")
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	engine.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	engine.Start()
+	defer engine.Close()
+	calls := NewHTTPEngines(slog.New(slog.DiscardHandler))
+	to := targetOf(state.Backend{ID: "x", Pool: "llm", Address: engine.Listener.Addr().String()})
+	for range 2 {
+		assert.NilError(t, calls.Load(t.Context(), LoadOrder{Target: to}))
+	}
+	assert.Equal(t, opened.Load(), int32(2))
+	for range 2 {
+		_, _, err := calls.Call(t.Context(), to, http.MethodGet, "/v1/state", nil)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, opened.Load(), int32(2))
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,10 @@
 	defaultIdleTimeout = 20 * time.Second
 	idleMargin         = 1500 * time.Millisecond
 	maxIdle            = 64
+	// nonIdempotentMargin is the idle time that a kept connection must have left for a request
+	// that must not run twice. If the back end closes the connection as the request arrives, it is
+	// not known whether the request ran.
+	nonIdempotentMargin = time.Second
 )
 
 // Errors of Do and of reading a response's body. Each error matches exactly one of them.
@@ -82,7 +87,8 @@
 	Allowed func() error
 	// Permit is the permit that a back end with a limit requires; otherwise nil.
 	Permit *ratelimit.Permit
-	// NonIdempotent marks a request that must not run twice. The pool does not use it.
+	// NonIdempotent marks a request that must not run twice. It is not sent over a kept connection
+	// that is about to expire.
 	NonIdempotent bool
 }
 
@@ -120,22 +126,36 @@
 
 // takeIdle returns the most recently used idle connection that is still usable, nil for none.
 func (p *Pool) takeIdle(address string, nonIdempotent bool) *connection {
-	now := clock.Now()
+	margin := time.Duration(0)
+	if nonIdempotent {
+		margin = nonIdempotentMargin
+	}
 	for {
-		p.mu.Lock()
-		kept := p.idle[address]
-		if len(kept) == 0 {
-			p.mu.Unlock()
-			return nil
+		c := p.removeIdle(address, clock.Now(), margin)
+		if c == nil || c.isIdle() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// removeIdle removes and returns the most recently used idle connection that expires in more than
+// margin, nil for none. It closes the expired ones that it meets.
+func (p *Pool) removeIdle(address string, now, margin time.Duration) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.idle[address]) - 1; i >= 0; i-- {
+		c := p.idle[address][i]
+		if now < c.expiresAt && now+margin >= c.expiresAt {
+			continue
 		}
-		c := kept[len(kept)-1]
-		p.idle[address] = kept[:len(kept)-1]
-		p.mu.Unlock()
-		if now < c.expiresAt && c.isIdle() {
+		p.idle[address] = slices.Delete(p.idle[address], i, i+1)
+		if now < c.expiresAt {
 			return c
 		}
 		_ = c.Close()
 	}
+	return nil
 }
 
 // isIdle reports whether a connection is open and holds no unread bytes.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -415,3 +417,52 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, len(body), 0)
 }
+
+// A back end may close a kept connection at the end of its idle time just as a request arrives. It
+// is then not known whether the request ran, which must not happen to one that may run only once.
+func TestNonIdempotentRequestAvoidsExpiringConnection(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for id, err := readRequest(requests); err == nil; id, err = readRequest(requests) {
+			_, _ = io.WriteString(conn, responseTo(id, "x"))
+		}
+	})
+	cases := map[string]struct {
+		left          time.Duration
+		nonIdempotent bool
+		reused        bool
+	}{
+		"well before the end":                {1300 * time.Millisecond, true, true},
+		"within a second of the end":         {900 * time.Millisecond, true, false},
+		"idempotent, within a second of it":  {900 * time.Millisecond, false, true},
+		"idempotent, after the end":          {-time.Millisecond, false, false},
+		"not idempotent and after the end":   {-time.Millisecond, true, false},
+		"idempotent, long before the end":    {time.Hour, false, true},
+		"not idempotent and long before end": {time.Hour, true, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool(idHeader, newPushbacks(), newLimits())
+			_, err := fetch(p, b, "1")
+			assert.NilError(t, err)
+			kept := p.idle[b.address][0]
+			kept.expiresAt = clock.Now() + c.left
+			r := request("2")
+			r.NonIdempotent = c.nonIdempotent
+			_, _, err = p.Call(t.Context(), b.address, r, 100)
+			assert.NilError(t, err)
+			assert.Equal(t, p.Opened.Load() == 1, c.reused)
+			// A connection that only this request may not use stays for others.
+			assert.Equal(t, slices.Contains(p.idle[b.address], kept), c.left > 0)
+		})
+	}
+}
+
+// Guards against overlooking a connection that lasts longer behind one that is about to expire.
+func TestNonIdempotentRequestUsesEarlierConnection(t *testing.T) {
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	lasting, expiring := &connection{expiresAt: 10 * time.Second}, &connection{expiresAt: 1500 * time.Millisecond}
+	p.idle["a"] = []*connection{lasting, expiring}
+	assert.Equal(t, p.removeIdle("a", time.Second, nonIdempotentMargin), lasting)
+	assert.Assert(t, p.removeIdle("a", time.Second, nonIdempotentMargin) == nil)
+	assert.Equal(t, p.removeIdle("a", time.Second, 0), expiring)
+}
