Answer 503, 429 and 408 only to requests that have not run

Callers take these statuses and 421 to mean that a request has not run and never will. A back end's own 503, 429 or 408 without the not-run header was forwarded as it came. A leader that refused a later attempt as late or over its limit was obeyed with 503 or 429 although the first attempt had run, and within a stream the refusal ended the response as if it were complete.

Such a status of a back end is now forwarded as 502, and a refusal of a later attempt counts as no back end: 502, or an aborted stream.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -64,6 +64,10 @@
 			return
 		}
 		choice, found := h.choose(ctx, j)
+		if j.ran > 0 && (choice.OverLimit || choice.Late) {
+			// The refusals below state that the request has not run.
+			choice, found = backends.Choice{}, false
+		}
 		if len(choice.Blocked) > 0 {
 			h.refuseBlocked(s, choice.Blocked, 0)
 			return
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -123,9 +123,9 @@
 	if response.ContentLength >= 0 {
 		s.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	s.status, s.firstAt = response.StatusCode, s.handler.now()
+	s.status, s.firstAt = forwardedStatus(response.StatusCode), s.handler.now()
 	s.headerSent, s.bodySent = true, true
-	s.writer.WriteHeader(response.StatusCode)
+	s.writer.WriteHeader(s.status)
 	if _, err := s.writer.Write(prefix); err != nil {
 		return err
 	}
@@ -165,12 +165,27 @@
 var hopResponseHeaders = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true}
 
+// notRunStatuses are the statuses that tell a client that its request has not run and will not
+// run later.
+var notRunStatuses = map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true,
+	http.StatusMisdirectedRequest: true}
+
+// forwardedStatus returns the status with which the response of a back end that may have run the
+// request is forwarded.
+func forwardedStatus(status int) int {
+	if notRunStatuses[status] {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// writeBuffered forwards a complete response of a back end that may have run the request.
 func (s *session) writeBuffered(response *bufferedResponse) {
 	s.copyHeader(response.header)
-	s.status = response.status
+	s.status = forwardedStatus(response.status)
 	s.firstAt = s.handler.now()
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
-	s.writer.WriteHeader(response.status)
+	s.writer.WriteHeader(s.status)
 	_, _ = s.writer.Write(response.body)
 }
 
