Forward: a changed status has no signature

Cause: a back end's 503 without the mark of a request that has not run is forwarded as 502, still with the back end's signature, which vouches for its own status.

Change: the signature is dropped with the status. A status that passes unchanged keeps it (test).

--- a/internal/forward/notrun_test.go
+++ b/internal/forward/notrun_test.go
@@ -310,3 +310,18 @@
 		assert.Equal(t, n, 0, "the request arrived")
 	}
 }
+
+// Guards against a signature next to a status that its back end did not send.
+func TestChangedStatusDropsSignature(t *testing.T) {
+	r, e := newRig(t), &executions{}
+	r.add("app", "x", e.runs(ownStatus(http.StatusServiceUnavailable)))
+	got := r.ask("POST", "/unsafe/1", nil)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.header.Get(names.Signature), "")
+
+	r, e = newRig(t), &executions{}
+	r.add("app", "x", e.runs(ownStatus(http.StatusInternalServerError)))
+	got = r.ask("POST", "/unsafe/1", nil)
+	assert.Equal(t, got.status, http.StatusInternalServerError)
+	assert.Equal(t, got.header.Get(names.Signature), "seal")
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -123,7 +123,8 @@
 	if response.ContentLength >= 0 {
 		s.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	s.status, s.firstAt = forwardedStatus(response.StatusCode), s.handler.now()
+	s.setStatus(response.StatusCode)
+	s.firstAt = s.handler.now()
 	s.headerSent, s.bodySent = true, true
 	s.writer.WriteHeader(s.status)
 	if _, err := s.writer.Write(prefix); err != nil {
@@ -179,10 +180,19 @@
 	return status
 }
 
+// setStatus sets the status of a forwarded response. A signature vouches for the back end's own
+// status, so that it is dropped with it.
+func (s *session) setStatus(status int) {
+	s.status = forwardedStatus(status)
+	if s.status != status {
+		s.writer.Header().Del(s.handler.config.Headers.Signature)
+	}
+}
+
 // writeBuffered forwards a complete response of a back end that may have run the request.
 func (s *session) writeBuffered(response *bufferedResponse) {
 	s.copyHeader(response.header)
-	s.status = forwardedStatus(response.status)
+	s.setStatus(response.status)
 	s.firstAt = s.handler.now()
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	s.writer.WriteHeader(s.status)
