--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -3,9 +3,10 @@
 //
 // The order is: requests that can still meet their target before those that cannot, then urgency,
 // then fairness among tenants by work, then within a tenant the least slack, or the least work
-// among requests that miss their target. A request that starts to wait behind a tenant's flood is
-// delayed by at most one request of each other tenant of its urgency, beyond the share of work
-// that its own tenant gets before it.
+// among requests that miss their target. Among requests of the same urgency, a tenant that was
+// granted no more than its share waits longer because of a flood by at most one request of each
+// other tenant: until its request starts, each other tenant is granted at most the work that the
+// tenant itself is granted before, and one more request.
 //
 // The package does no I/O; time and random draws are arguments. A Queue is not safe for concurrent
 // use.
@@ -131,8 +132,11 @@
 	// expireMargin is by how much the expected wait of a queued request must exceed the time left
 	// before it is refused, so that noise in the rates does not undo the decision of Push.
 	expireMargin = 1.25
-	// expireBudget bounds the flows visited by the estimates of one call of Expire, which then
-	// takes well below 1 ms; the next call continues.
+	// maxReclassified bounds the requests that one call moves to another class or reports as expired,
+	// to about 1 ms when all expire at once.
+	maxReclassified = 1000
+	// expireBudget bounds the flows visited by the estimates of one call of Expire to about 1 ms;
+	// the next call continues.
 	expireBudget = 20_000
 )
 
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -1,6 +1,12 @@
 package admission
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/decay"
+)
 
 // class divides the requests of a level.
 type class int
@@ -21,9 +27,35 @@
 	order uint64
 	root  *item
 	count int
-	// position is the index in fairQueue.backlogged, and ready that in fairQueue.ready; -1 for none.
-	position int
-	ready    int
+	// ready is the index in fairQueue.ready; -1 for none.
+	ready int
+	// period is the busy period of the tag.
+	period uint64
+	// unused is set when a search for idle flows finds the flow without requests.
+	unused bool
+	// arriving sums the work of arrivals that could meet their target.
+	arriving arrivalRate
+}
+
+// arrivalRate is a decayed mean of arriving work. It keeps its last value, since estimates for many
+// requests are made at the same time.
+type arrivalRate struct {
+	sum   decay.Sum
+	at    time.Duration
+	value float64
+}
+
+func (r *arrivalRate) add(now time.Duration, work float64) {
+	r.sum.Add(now, rateWindow, work)
+	r.at, r.value = now, r.sum.Value(now, rateWindow)/rateWindow.Seconds()
+}
+
+// perSecond returns the work that arrives in a second.
+func (r *arrivalRate) perSecond(now time.Duration) float64 {
+	if r.at != now {
+		r.at, r.value = now, r.sum.Value(now, rateWindow)/rateWindow.Seconds()
+	}
+	return r.value
 }
 
 func (f *flow) work() float64 {
@@ -38,41 +70,55 @@
 type fairQueue struct {
 	// virtual is the largest tag of a flow that was served in this busy period.
 	virtual float64
-	// flows includes those that have no request, but a tag beyond the virtual time.
-	flows map[string]*flow
-	// backlogged has the flows with requests, and ready the heap of those with visible ones.
-	backlogged []*flow
-	ready      readyHeap
-	orders     uint64
-	count      int
-	work       float64
+	period  uint64
+	// byTenant includes flows that have no request now, and flows has the same in a fixed order;
+	// ready is the heap of those with visible requests.
+	byTenant map[string]*flow
+	flows    []*flow
+	ready    readyHeap
+	orders   uint64
+	count    int
+	work     float64
+	// rivals is the buffer of wait.
+	rivals []rival
 	// largest is the most work of one request in this busy period.
 	largest float64
 }
 
-// flow returns the flow of a tenant; its tag is at least the virtual time unless it waits.
+// flow returns the flow of a tenant. Its tag is at least the virtual time unless it waits.
 func (q *fairQueue) flow(tenant string) *flow {
-	f := q.flows[tenant]
+	f := q.byTenant[tenant]
 	if f == nil {
-		f = &flow{tenant: tenant, position: -1, ready: -1}
-		if q.flows == nil {
-			q.flows = map[string]*flow{}
+		f = &flow{tenant: tenant, ready: -1}
+		if q.byTenant == nil {
+			q.byTenant = map[string]*flow{}
 		}
-		q.flows[tenant] = f
-	}
-	if f.count == 0 {
-		f.tag = max(f.tag, q.virtual)
+		q.byTenant[tenant] = f
+		q.flows = append(q.flows, f)
 	}
+	f.tag = q.tag(f)
+	f.period = q.period
+	f.unused = false
 	return f
 }
 
+// tag returns the tag that the next request of a flow has.
+func (q *fairQueue) tag(f *flow) float64 {
+	switch {
+	case f.count > 0:
+		return f.tag
+	case f.period != q.period:
+		return q.virtual
+	default:
+		return max(f.tag, q.virtual)
+	}
+}
+
 func (q *fairQueue) add(n *item) {
 	f := q.flow(n.Tenant)
 	if f.count == 0 {
 		q.orders++
 		f.order = q.orders
-		f.position = len(q.backlogged)
-		q.backlogged = append(q.backlogged, f)
 	}
 	n.flow = f
 	f.root = insert(f.root, n)
@@ -91,18 +137,10 @@
 	q.count--
 	q.work -= n.Work
 	q.fix(f)
-	if f.count == 0 {
-		last := len(q.backlogged) - 1
-		q.backlogged[f.position] = q.backlogged[last]
-		q.backlogged[f.position].position = f.position
-		q.backlogged[last] = nil
-		q.backlogged = q.backlogged[:last]
-		f.position = -1
-	}
 	if q.count == 0 {
 		// The busy period ends: what was granted in it counts against nobody.
 		q.virtual, q.work, q.largest = 0, 0, 0
-		clear(q.flows)
+		q.period++
 	}
 }
 
@@ -132,36 +170,54 @@
 	return firstVisible(q.ready[0].root)
 }
 
-// workAhead returns the work that runs before a request of a tenant with the given work of its own
-// tenant before it. Each other tenant runs what has a smaller tag.
-func (q *fairQueue) workAhead(tenant string, own float64) float64 {
-	if q.count == 0 {
-		return own
+// wait returns the expected time in seconds until a request of a tenant starts, after the work
+// first, which has precedence over this queue, and the work own of its tenant. Each other tenant
+// runs what has a smaller tag, of its waiting requests and of those that arrive in the meantime.
+func (q *fairQueue) wait(now time.Duration, tenant string, first, own, rate float64) float64 {
+	seconds := wait(first+own, rate)
+	if rate <= 0 || len(q.flows) == 0 {
+		return seconds
 	}
 	tag := q.virtual
-	if f := q.flows[tenant]; f != nil {
-		tag = f.tag
-		if f.count == 0 {
-			tag = max(tag, q.virtual)
-		}
+	if f := q.byTenant[tenant]; f != nil {
+		tag = q.tag(f)
 	}
 	tag += own
-	sum := own
-	for _, f := range q.backlogged {
-		if f.tenant != tenant && f.tag < tag {
-			sum += min(tag-f.tag, f.work())
+	q.rivals = q.rivals[:0]
+	for _, f := range q.flows {
+		if before := tag - q.tag(f); before > 0 && f.tenant != tenant {
+			q.rivals = append(q.rivals, rival{before, f.work(), f.arriving.perSecond(now)})
+		}
+	}
+	// The arrivals depend on the wait: three steps come close from below.
+	for range 3 {
+		sum := first + own
+		for _, r := range q.rivals {
+			sum += min(r.before, r.waiting+r.arriving*seconds)
 		}
+		seconds = wait(sum, rate)
 	}
-	return sum
+	return seconds
 }
 
-// forgetIdle removes flows without requests whose tags the virtual time has passed.
-func (q *fairQueue) forgetIdle() {
-	for tenant, f := range q.flows {
-		if f.count == 0 && f.tag <= q.virtual {
-			delete(q.flows, tenant)
+// rival is another tenant in an estimate: the most work that it may run first, its waiting work,
+// and the work that arrives in a second.
+type rival struct{ before, waiting, arriving float64 }
+
+// forgetIdle removes flows without requests and recent arrivals. Those with a tag beyond the virtual
+// time stay until the next call, if they are not used before.
+func (q *fairQueue) forgetIdle(now time.Duration) {
+	q.flows = slices.DeleteFunc(q.flows, func(f *flow) bool {
+		if f.count > 0 || f.arriving.perSecond(now) >= minWork {
+			return false
 		}
-	}
+		if !f.unused && q.tag(f) > q.virtual {
+			f.unused = true
+			return false
+		}
+		delete(q.byTenant, f.tenant)
+		return true
+	})
 }
 
 // readyHeap is a heap of flows by tag.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -33,9 +33,10 @@
 	duplicates map[content]*list.List
 	sequence   uint64
 
-	// granted sums the work granted while requests waited, and contended the seconds in which
-	// requests waited.
+	// granted sums the work granted while requests waited, grants their number, and contended the
+	// seconds in which requests waited.
 	granted   decay.Sum
+	grants    decay.Sum
 	contended decay.Sum
 	lastGrant time.Duration
 
@@ -51,11 +52,17 @@
 	urgency Urgency
 	queues  [classes]fairQueue
 	// arriving sums the work of arrivals that could meet their target.
-	arriving decay.Sum
+	arriving arrivalRate
 	// credit is the work that less urgent requests may run before this level's.
 	credit [classes]float64
 }
 
+// arrive counts a request that can meet its target.
+func (l *level) arrive(now time.Duration, r Request) {
+	l.arriving.add(now, r.Work)
+	l.queues[timely].flow(r.Tenant).arriving.add(now, r.Work)
+}
+
 // account is what a tenant uses.
 type account struct {
 	waiting float64
@@ -100,7 +107,7 @@
 		n.duplicate, n.class = true, late
 	}
 	if n.class == timely {
-		n.level.arriving.Add(q.now, rateWindow, r.Work)
+		n.level.arrive(q.now, r)
 	}
 	if q.now > r.lastUsefulStart() || !q.canBegin(n, 1) {
 		refusal := q.refusal(n, r.Work, draw)
@@ -120,8 +127,11 @@
 func (q *Queue) Next(now time.Duration) (r *Request, ok bool) {
 	q.advance(now)
 	for c := timely; c < classes; c++ {
-		if n := q.first(c, q.levels); n != nil {
-			return &n.Request, true
+		for n := q.first(c, q.levels); n != nil; n = q.first(c, q.levels) {
+			if n.due >= q.now {
+				return &n.Request, true
+			}
+			q.reclassify(n)
 		}
 	}
 	return nil, false
@@ -194,7 +204,7 @@
 	c := late
 	if r.Target > 0 && q.now <= r.latestStart() {
 		c = timely
-		l.arriving.Add(q.now, rateWindow, r.Work)
+		l.arrive(q.now, r)
 	}
 	q.chargeFloor(l, c, r.Work)
 	if queue := &l.queues[c]; queue.count > 0 {
@@ -214,19 +224,19 @@
 	return true
 }
 
-// Expire removes and returns the requests that can no longer begin in time. Estimates are made for
-// a bounded number of requests; the next call continues with the others.
+// Expire removes and returns the requests that can no longer begin in time. A call handles a bounded
+// number of requests; the next one continues with the others.
 func (q *Queue) Expire(now time.Duration, draw func() float64) []Refusal {
 	q.advance(now)
 	var refusals []Refusal
-	for _, n := range q.expired {
+	count := min(len(q.expired), maxReclassified)
+	for _, n := range q.expired[:count] {
 		if q.waiting[n.Key] == n {
 			refusals = append(refusals, q.refusal(n, 0, draw()))
 			q.drop(n, true)
 		}
 	}
-	clear(q.expired)
-	q.expired = q.expired[:0]
+	q.expired = slices.Delete(q.expired, 0, count)
 
 	if _, known := q.rate(); !known {
 		return refusals
@@ -237,7 +247,12 @@
 			q.cursor = 0
 		}
 		n := q.items[q.cursor]
-		budget -= 4 + len(n.queue().backlogged)
+		if n.expired {
+			budget--
+			q.cursor++
+			continue
+		}
+		budget -= 4 + len(n.queue().flows)
 		if q.canBegin(n, expireMargin) {
 			q.cursor++
 			continue
@@ -273,7 +288,10 @@
 	for _, l := range q.levels {
 		tenants := map[string]*Level{}
 		for c := range l.queues {
-			for _, f := range l.queues[c].backlogged {
+			for _, f := range l.queues[c].flows {
+				if f.count == 0 {
+					continue
+				}
 				counts := tenants[f.tenant]
 				if counts == nil {
 					counts = &Level{Urgency: l.urgency, Tenant: f.tenant}
@@ -321,16 +339,8 @@
 		q.contended.Add(now, rateWindow, seconds)
 	}
 	q.now = now
-	for len(q.timers) > 0 && q.timers[0].due < now {
-		n := q.timers[0]
-		q.leave(n)
-		if now > n.lastUsefulStart() {
-			n.expired = true
-			q.expired = append(q.expired, n)
-			continue
-		}
-		n.class = late
-		q.join(n)
+	for left := maxReclassified; left > 0 && len(q.timers) > 0 && q.timers[0].due < now; left-- {
+		q.reclassify(q.timers[0])
 	}
 	if now >= q.nextHousekeeping {
 		q.nextHousekeeping = now + housekeepingInterval
@@ -338,6 +348,18 @@
 	}
 }
 
+// reclassify changes the class of a request that is due.
+func (q *Queue) reclassify(n *item) {
+	q.leave(n)
+	if q.now > n.lastUsefulStart() {
+		n.expired = true
+		q.expired = append(q.expired, n)
+		return
+	}
+	n.class = late
+	q.join(n)
+}
+
 func (q *Queue) forgetIdle() {
 	for tenant, a := range q.accounts {
 		if a.count == 0 && q.now-a.last > accountIdle {
@@ -347,10 +369,10 @@
 	q.levels = slices.DeleteFunc(q.levels, func(l *level) bool {
 		empty := true
 		for c := range l.queues {
-			l.queues[c].forgetIdle()
+			l.queues[c].forgetIdle(q.now)
 			empty = empty && l.queues[c].count == 0
 		}
-		return empty && l.arriving.Value(q.now, rateWindow) < minWork
+		return empty && l.arriving.perSecond(q.now) < minWork
 	})
 }
 
@@ -525,6 +547,7 @@
 func (q *Queue) count(r Request) {
 	if len(q.items) > 0 {
 		q.granted.Add(q.now, rateWindow, r.Work)
+		q.grants.Add(q.now, rateWindow, 1)
 	}
 	q.lastGrant = q.now
 	q.usage.Add(q.now, rateWindow, r.Work)
@@ -560,10 +583,12 @@
 	if !known || last == forever {
 		return true
 	}
+	// A rate from few grants is uncertain, so that a refusal assumes one standard deviation more.
+	rate *= 1 + 1/math.Sqrt(q.grants.Value(q.now, rateWindow))
 	left := func(until time.Duration) float64 { return margin * (until - q.now).Seconds() }
 	if n.class == timely {
 		own := workBefore(flowRoot(&n.level.queues[timely], n.Tenant), n)
-		if q.timelyWait(n, own, rate) <= left(min(n.latestStart(), last)) {
+		if seconds := left(min(n.latestStart(), last)); q.timelyWait(n, own, rate, seconds) <= seconds {
 			return true
 		}
 	}
@@ -571,27 +596,34 @@
 }
 
 // timelyWait returns the expected wait in seconds of a request that can meet its target, with the
-// given work of its tenant before it.
-func (q *Queue) timelyWait(n *item, own, rate float64) float64 {
+// given work of its tenant before it. The result is not exact if it is at most enough.
+func (q *Queue) timelyWait(n *item, own, rate, enough float64) float64 {
 	before, arriving, after := 0.0, 0.0, 0
 	for _, l := range q.levels {
 		switch order := l.urgency.compare(n.Urgency); {
 		case order < 0:
 			before += l.queues[timely].work
-			arriving += l.arriving.Value(q.now, rateWindow) / rateWindow.Seconds()
+			arriving += l.arriving.perSecond(q.now)
 		case order > 0:
 			after += l.queues[timely].count
 		}
 	}
-	ahead := n.level.queues[timely].workAhead(n.Tenant, own)
+	queue := &n.level.queues[timely]
 	if after > 0 {
 		rate *= 1 - q.config.Floor
 	}
-	byFloor := math.Inf(1)
+	// If all of the level, now and in future, ran first, the tenants' order would not matter.
+	if most := wait(before+queue.work, rate-arriving-n.level.arriving.perSecond(q.now)); most <= enough {
+		return most
+	}
+	seconds := queue.wait(q.now, n.Tenant, before, own, rate-arriving)
+	if seconds <= enough {
+		return seconds
+	}
 	if before > 0 || arriving > 0 {
-		byFloor = wait(ahead, q.config.Floor*rate)
+		seconds = min(seconds, queue.wait(q.now, n.Tenant, 0, own, q.config.Floor*rate))
 	}
-	return min(wait(before+ahead, rate-arriving), byFloor)
+	return seconds
 }
 
 // lateWait returns the expected wait in seconds of a request that misses its target: such requests
@@ -600,19 +632,19 @@
 	key := *n
 	key.class = late
 	own := workBefore(flowRoot(&n.level.queues[late], n.Tenant), &key)
-	ahead := n.level.queues[late].workAhead(n.Tenant, own)
+	first := 0.0
 	for _, l := range q.levels {
-		ahead += l.queues[timely].work
-		rate -= l.arriving.Value(q.now, rateWindow) / rateWindow.Seconds()
+		first += l.queues[timely].work
+		rate -= l.arriving.perSecond(q.now)
 		if l.urgency.compare(n.Urgency) < 0 {
-			ahead += l.queues[late].work
+			first += l.queues[late].work
 		}
 	}
-	return wait(ahead, rate)
+	return n.level.queues[late].wait(q.now, n.Tenant, first, own, rate)
 }
 
 func flowRoot(q *fairQueue, tenant string) *item {
-	if f := q.flows[tenant]; f != nil {
+	if f := q.byTenant[tenant]; f != nil {
 		return f.root
 	}
 	return nil
@@ -639,7 +671,7 @@
 		if root := flowRoot(&n.level.queues[timely], n.Tenant); root != nil {
 			own = root.work
 		}
-		seconds := q.timelyWait(n, own, rate)
+		seconds := q.timelyWait(n, own, rate, 0)
 		after = time.Duration(min(seconds, q.config.MaxRetryAfter.Seconds()) * float64(time.Second))
 	}
 	after = max(after, q.config.MinRetryAfter)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -305,13 +305,12 @@
 		for c := range l.queues {
 			queue := &l.queues[c]
 			count := 0
-			for i, f := range queue.backlogged {
-				assert.Equal(t, f.position, i)
-				assert.Assert(t, f.count > 0)
+			assert.Equal(t, len(queue.flows), len(queue.byTenant))
+			for _, f := range queue.flows {
 				count += f.count
 				work += f.work()
-				assert.Equal(t, f.ready >= 0, f.root.visible > 0)
-				assert.Equal(t, queue.flows[f.tenant], f)
+				assert.Equal(t, f.ready >= 0, f.root != nil && f.root.visible > 0)
+				assert.Equal(t, queue.byTenant[f.tenant], f)
 			}
 			assert.Equal(t, count, queue.count)
 			queued += count
@@ -332,3 +331,48 @@
 	assert.Equal(t, queued+expired, len(q.items))
 	assert.Assert(t, math.Abs(work-q.work) < 1e-6, "%v %v", work, q.work)
 }
+
+// Guards against retries that come long before the work ahead of them is done, or all at once.
+func TestRetryAfter(t *testing.T) {
+	q := New(Config{})
+	patient := func(r *Request) { r.Target, r.Abandon = time.Hour, 0 }
+	for number := range uint64(600) {
+		push(t, q, 0, request(number, "a", patient))
+	}
+	now := time.Duration(0)
+	for ; now < 3*time.Second; now += 10 * ms {
+		r, ok := q.Next(now)
+		assert.Assert(t, ok)
+		q.Granted(now, r.Key)
+	}
+	// Now 300 requests wait, and 100 are granted a second.
+	over := func(r *Request) { r.Arrived = -time.Hour }
+	first := q.Push(now, request(1000, "a", over), 0)
+	assert.Assert(t, first != nil)
+	assert.Assert(t, first.RetryAfter > 2700*ms && first.RetryAfter < 3300*ms, "%v", first.RetryAfter)
+	last := q.Push(now, request(1000, "a", over), 1)
+	assert.Equal(t, last.RetryAfter, first.RetryAfter*3/2)
+	other := q.Push(now, request(1000, "b", over), 0)
+	assert.Equal(t, other.RetryAfter, 250*ms, "the other tenant does not wait for the backlog of the first")
+}
+
+// Guards against memory for tenants and urgencies that are no longer used.
+func TestForgetsIdleTenantsAndLevels(t *testing.T) {
+	q := New(Config{})
+	// One request always waits, so that no busy period ends by itself.
+	push(t, q, 0, request(0, "stays", func(r *Request) { r.Target, r.Abandon = time.Hour, 0 }))
+	for number := uint64(1); number <= 1000; number++ {
+		push(t, q, 0, request(number, fmt.Sprint(number), func(r *Request) { r.Urgency.Route, r.Digest = int(number%50), number }))
+	}
+	for number := uint64(1); number <= 1000; number++ {
+		q.Granted(0, Key{"r", number})
+	}
+	for now := time.Duration(0); now < 20*time.Second; now += time.Second {
+		q.Next(now)
+	}
+	assert.Equal(t, len(q.levels), 1)
+	assert.Equal(t, len(q.levels[0].queues[timely].flows), 1)
+	assert.Equal(t, len(q.accounts), 1)
+	assert.Equal(t, len(q.duplicates), 0)
+	assert.Equal(t, len(q.timers), 1)
+}
