Hard limits of engines: slots, memory and prefill backlog

Cause: memory and slots beyond an engine's limits are only a cost of a choice. When all engines exceed them the cost decides nothing, and requests queue at engines or are rejected there.

Change: backends.Query.Room asks for an engine with room. The cheapest engine with room is chosen; if none has room, Choice.NoRoom is set and the choice is not found. A central pool counts the memory of running requests by engine, with shared parts of prompts counted once while any request uses them. Pool.Room reports use and limits, and Pool.SetAnnouncedLoads lets a new leader count requests that it did not place, for one second. The placer fills Query.Parts. The limits are scaled by a limiter (internal/concurrency), for now a static one. Without Query.Room nothing changes.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -41,6 +41,11 @@
 	// fetches is set if the engine fetches cached parts from a store first, so that its wait
 	// is no sample of the prefill rate.
 	fetches bool
+	// holding is what the attempt takes of its engine's room while holds is set, and target the
+	// request's latency target. They are used in a central pool only.
+	holding holding
+	holds   bool
+	target  time.Duration
 }
 
 // ErrExpired is the cause of cancellation of an attempt whose back end had not begun to answer
@@ -50,7 +55,7 @@
 // Begin records that a request is sent to a chosen back end. The pool calls cancel to abort the
 // attempt.
 func (p *Pool) Begin(now time.Duration, choice *Choice, q *Query, cancel func(error)) *Attempt {
-	a := &Attempt{pool: p, poolName: q.Pool, backendID: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now}
+	a := &Attempt{pool: p, poolName: q.Pool, backendID: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now, target: q.Target}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	prefill := entry(p.prefill, q.Pool)
@@ -70,6 +75,7 @@
 	}
 	if p.central {
 		p.recordPlacement(now, a, r, entry(p.demands, q.Pool), prefill.Rate())
+		p.hold(a, q)
 		return a
 	}
 	entry(p.flows, q.Pool).sent(now)
@@ -191,6 +197,7 @@
 		entry(a.pool.flows, a.poolName).ended(now - a.sent)
 	}
 	a.markStarted()
+	a.release()
 	if r := a.pool.rows[a.backendID]; r != nil {
 		delete(r.attempts, a)
 		r.running = max(r.running-1, 0)
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -57,6 +57,9 @@
 	// Patience is the longest time that the request may wait until an engine starts to process its
 	// prompt; 0 means no limit.
 	Patience time.Duration
+	// Room asks for an engine that has room for the request within its limits on slots, memory and
+	// prefill backlog. It has no effect on pools without engines.
+	Room bool
 	// Draw is a random number in [0, 1) that selects among the candidates.
 	Draw float64
 	// Tried lists back ends that must not be chosen again.
@@ -105,6 +108,9 @@
 	Wait  time.Duration
 	// Late is set if no back end would start to process the prompt within the query's patience.
 	Late bool
+	// NoRoom is set if Query.Room is set and no eligible engine has room. The choice then names no
+	// back end.
+	NoRoom bool
 	// OverLimit is set if the request exceeds its tenant's limit and may be retried after Wait.
 	// Uncounted is set if the placer did not charge it.
 	OverLimit bool
@@ -143,7 +149,7 @@
 	return q.Work.Prompt + tokens
 }
 
-// Choose returns the back end of least cost, or false if no back end is eligible.
+// Choose returns the back end of least cost, or false if no back end is eligible or has room.
 func (p *Pool) Choose(now time.Duration, q *Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,7 +163,7 @@
 		entry(p.demands, q.Pool).engines = countRepresented(candidates)
 	}
 	candidates, late := withinPatience(candidates, q, rate, entry(p.flows, q.Pool).mean())
-	if late {
+	if late && !q.hasLimits() {
 		p.refused++
 	}
 	preferred := p.preferred(q, candidates)
@@ -166,7 +172,10 @@
 	for i := range candidates {
 		candidates[i].cost = p.cost(now, q, &candidates[i], staleness, rate, preferred)
 	}
-	best := p.pick(q, candidates, staleness)
+	best := p.pick(now, q, candidates, staleness, rate)
+	if best == nil {
+		return Choice{NoRoom: true, Considered: countRepresented(candidates)}, false
+	}
 	version, versioned := best.Weights[q.Model]
 	homeAddress := ""
 	if versioned && homes[version] != nil {
@@ -204,8 +213,11 @@
 	return count
 }
 
-// pick selects a candidate by cost.
-func (p *Pool) pick(q *Query, candidates []candidate, staleness loadStaleness) *candidate {
+// pick selects a candidate by cost. It returns nil if the query has limits and no candidate has room.
+func (p *Pool) pick(now time.Duration, q *Query, candidates []candidate, staleness loadStaleness, rate speed.TokensPerMs) *candidate {
+	if q.hasLimits() {
+		return p.leastWithRoom(now, q, candidates, rate)
+	}
 	if q.Slots > 0 {
 		return least(candidates)
 	}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"quinceridge.example/quinceridge/internal/concurrency"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/speed"
@@ -45,6 +46,12 @@
 	prefillStart  time.Duration
 	// attempts is the set of attempts there. It is not used in a central pool.
 	attempts map[*Attempt]struct{}
+	// usage is what running requests take and limiter limits it, both in a central pool only.
+	usage   usage
+	limiter concurrency.Limiter
+	// announced is the load that routers have announced, in use until announcedUntil.
+	announced      coordapi.Load
+	announcedUntil time.Duration
 	// unanswered is the number of requests without a first event. lastProgress is the time of the
 	// last reported first event or, if later, of sending the first of these requests. Both are used
 	// in a central pool only.
@@ -108,6 +115,10 @@
 	// prefill holds the prefill estimators of the pools and demands their prefill demand, by name.
 	prefill map[string]*speed.Estimator
 	demands map[string]*demand
+	// sizes holds the sizes of the engines of each pool, by name. announcedUntil is the time until
+	// which announced loads count, 0 before the first ones. Both are used in a central pool only.
+	sizes          map[string]*engineSize
+	announcedUntil time.Duration
 }
 
 // entry returns the entry of a pool and creates it if it is missing.
@@ -123,7 +134,7 @@
 // NewPool returns an empty pool for a router in a zone.
 func NewPool(zone string) *Pool {
 	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, prefill: map[string]*speed.Estimator{},
-		flows: map[string]*flow{}, demands: map[string]*demand{}}
+		flows: map[string]*flow{}, demands: map[string]*demand{}, sizes: map[string]*engineSize{}}
 }
 
 // SetPushbacks makes the pool skip back ends that have pushed back this process. It must be
@@ -147,6 +158,9 @@
 		r := p.rows[b.ID]
 		if r == nil {
 			r = &row{}
+			if p.central {
+				r.limiter = newLimiter()
+			}
 			p.rows[b.ID] = r
 		}
 		r.Backend, r.hash, r.unlisted, r.departed = b, xxhash.Sum64String(b.Address), false, false
--- /dev/null
+++ b/internal/backends/room.go
@@ -0,0 +1,181 @@
+package backends
+
+import (
+	"time"
+
+	"quinceridge.example/quinceridge/internal/concurrency"
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/speed"
+)
+
+// memoryShare is the share of an engine's memory that running requests may take under the hard
+// limit of Query.Room. The rest keeps cached parts of prompts.
+const memoryShare = freeMemoryShare
+
+// newLimiter returns the limiter of an engine in a central pool: concurrency.NewStatic or
+// concurrency.NewAdaptive.
+var newLimiter = concurrency.NewStatic
+
+// announcedLoadsTime is the time from the first announced loads for which a central pool counts
+// them. A new leader knows of no running requests; those it starts itself replace them.
+const announcedLoadsTime = time.Second
+
+// requestMemoryWeight is the weight of one request in the mean memory that a request takes.
+const requestMemoryWeight = 0.02
+
+// engineSize is the size of one engine of a pool, as stated by the latest request.
+type engineSize struct {
+	slots    int
+	capacity int
+	// requestMemory is the mean memory that a request adds to its engine, in tokens.
+	requestMemory float64
+}
+
+// hasLimits reports whether the choice must respect the hard limits of the engines.
+func (q *Query) hasLimits() bool { return q.Room && q.Slots > 0 }
+
+// hasRoom reports whether an engine can run the request within its limits on slots, memory and
+// prefill backlog.
+func (p *Pool) hasRoom(now time.Duration, q *Query, h *holding, c *candidate, rate speed.TokensPerMs) bool {
+	if q.Patience > 0 && rate.Wait(c.ahead) > q.Patience {
+		return false
+	}
+	requests, tokens, added := c.running+c.otherLoad.Running, c.memory+c.otherLoad.Memory, q.Work.Most
+	if p.central {
+		others := c.announcedLoad(now)
+		requests, tokens, added = c.usage.requests+others.Running, c.usage.tokens+others.Memory, c.usage.added(h)
+	}
+	if requests+1 > c.slotLimit(q.Slots) {
+		return false
+	}
+	// A request that exceeds the limit by itself could otherwise never run.
+	return requests == 0 || q.Capacity <= 0 || tokens+added <= c.memoryLimit(q.Capacity)
+}
+
+// slotLimit returns how many requests an engine with a number of slots may run, at least 1.
+func (r *row) slotLimit(slots int) int { return max(int(float64(slots)*r.limitFactor()), 1) }
+
+// memoryLimit returns how many tokens of its memory running requests may take.
+func (r *row) memoryLimit(capacity int) int {
+	return int(memoryShare * float64(capacity) * r.limitFactor())
+}
+
+// limitFactor returns the fraction of its limits that an engine's limiter allows.
+func (r *row) limitFactor() float64 {
+	if r.limiter == nil {
+		return 1
+	}
+	return r.limiter.Factor()
+}
+
+// leastWithRoom returns the candidate of least cost among those with room, or nil.
+func (p *Pool) leastWithRoom(now time.Duration, q *Query, candidates []candidate, rate speed.TokensPerMs) *candidate {
+	h := newHolding(q)
+	var best *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		if best != nil && (c.cost > best.cost || (c.cost == best.cost && c.ID > best.ID)) {
+			continue
+		}
+		if p.hasRoom(now, q, &h, c, rate) {
+			best = c
+		}
+	}
+	return best
+}
+
+// hold records what an attempt takes of its engine's room.
+func (p *Pool) hold(a *Attempt, q *Query) {
+	if a.row == nil || q.Slots == 0 {
+		return
+	}
+	a.holding = newHolding(q)
+	a.holds = true
+	size := entry(p.sizes, q.Pool)
+	size.slots, size.capacity = q.Slots, q.Capacity
+	added := float64(a.row.usage.added(&a.holding))
+	if size.requestMemory == 0 {
+		size.requestMemory = added
+	}
+	size.requestMemory += requestMemoryWeight * (added - size.requestMemory)
+	a.row.usage.add(&a.holding)
+}
+
+// release ends what an attempt takes of its engine's room. An engine that has restarted meanwhile
+// has another row, which is not affected.
+func (a *Attempt) release() {
+	if a.holds {
+		a.holds = false
+		a.row.usage.release(&a.holding)
+	}
+}
+
+// Room is the capacity of the engines of a pool that serve requests, and how much of it is in use.
+type Room struct {
+	// Requests is the number of running requests and MaxRequests an estimate of how many can run at
+	// once, given the mean memory that a request takes.
+	Requests    int
+	MaxRequests int
+	// Used and Limit are the tokens of memory that running requests take and may take.
+	Used  int
+	Limit int
+}
+
+// Room returns the capacity of a pool's engines. It is zero before the first request was sent to
+// the pool, and in pools that are not central.
+func (p *Pool) Room(pool string) Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out Room
+	size := p.sizes[pool]
+	if size == nil {
+		return out
+	}
+	for _, r := range p.rows {
+		if r.Pool != pool || r.Draining || r.wrongInstance || r.unlisted || r.noHeartbeat || r.Loading != nil {
+			continue
+		}
+		out.Requests += r.usage.requests
+		out.Used += r.usage.tokens
+		out.Limit += r.memoryLimit(size.capacity)
+		out.MaxRequests += r.maxRequests(size)
+	}
+	return out
+}
+
+// maxRequests estimates how many requests of mean size an engine can run at once.
+func (r *row) maxRequests(size *engineSize) int {
+	slots := r.slotLimit(size.slots)
+	if size.capacity <= 0 || size.requestMemory < 1 {
+		return slots
+	}
+	return min(slots, max(int(float64(r.memoryLimit(size.capacity))/size.requestMemory), 1))
+}
+
+// SetAnnouncedLoads sets the loads of all routers as they announce them. The limits of Query.Room
+// count them, as far as they exceed the pool's own placements, for announcedLoadsTime after the
+// first call.
+func (p *Pool) SetAnnouncedLoads(now time.Duration, loads []coordapi.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.announcedUntil == 0 {
+		p.announcedUntil = now + announcedLoadsTime
+	}
+	if now >= p.announcedUntil {
+		return
+	}
+	for _, l := range loads {
+		if r := p.rows[l.ID]; r != nil {
+			p.index.activate(r)
+			r.announced, r.announcedUntil = l, p.announcedUntil
+		}
+	}
+}
+
+// announcedLoad returns the announced load of an engine that exceeds the pool's own placements.
+func (r *row) announcedLoad(now time.Duration) coordapi.Load {
+	if now >= r.announcedUntil {
+		return coordapi.Load{}
+	}
+	return coordapi.Load{Running: max(r.announced.Running-r.usage.requests, 0), Memory: max(r.announced.Memory-r.usage.tokens, 0)}
+}
--- /dev/null
+++ b/internal/backends/room_test.go
@@ -0,0 +1,328 @@
+package backends
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+func newCentralPoolOf(rows ...state.Backend) *Pool {
+	p := NewCentralPool()
+	p.Apply(rows, nil, true)
+	return p
+}
+
+// roomQuery returns a query with a shared part of 5,000 tokens and 2,000 tokens of its own.
+func roomQuery() Query {
+	q := query()
+	q.Room = true
+	q.Parts = []coordapi.Part{{Hash: 1, Tokens: 5000}}
+	return q
+}
+
+// start sends a request of the query to an engine, wherever Choose would send it.
+func start(p *Pool, id string, q Query) *Attempt {
+	return p.Begin(0, &Choice{ID: id, Work: Work{Most: q.Work.Most}, Versioned: true, Version: 1}, &q, func(error) {})
+}
+
+func chooseRoom(p *Pool, now time.Duration, q Query) (Choice, bool) { return p.Choose(now, &q) }
+
+// Guards against sending an engine more requests than it has slots, which it would queue or reject.
+func TestRoomEndsWithSlots(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1), engine("y", 1))
+	var attempts []*Attempt
+	q := roomQuery()
+	q.Work.Most = 5100
+	for range 2 * q.Slots {
+		choice := mustChoose(t, p, 0, q)
+		attempts = append(attempts, start(p, choice.ID, q))
+	}
+	assert.Equal(t, p.rows["x"].usage.requests, q.Slots)
+	choice, found := chooseRoom(p, 0, q)
+	assert.Assert(t, !found)
+	assert.DeepEqual(t, choice, Choice{NoRoom: true, Considered: 2})
+	attempts[3].End(0)
+	choice = mustChoose(t, p, 0, q)
+	assert.Equal(t, choice.ID, attempts[3].backendID)
+	assert.Assert(t, !choice.NoRoom)
+}
+
+// Guards against counting shared parts once per request, which would leave most of an engine's
+// memory unused, and against counting them after their last request has ended.
+func TestRoomCountsSharedPartsOnce(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1))
+	used := func() int { return p.rows["x"].usage.tokens }
+	q := roomQuery()
+	first, second := start(p, "x", q), start(p, "x", q)
+	assert.Equal(t, used(), 5000+2*2000)
+	other := q
+	other.Parts = []coordapi.Part{{Hash: 1, Tokens: 5000}, {Hash: 2, Tokens: 1000}}
+	third := start(p, "x", other)
+	assert.Equal(t, used(), 5000+2*2000+1000+1000)
+	first.End(0)
+	first.End(0)
+	assert.Equal(t, used(), 5000+2000+1000+1000, "an attempt releases once")
+	third.End(0)
+	assert.Equal(t, used(), 5000+2000)
+	second.End(0)
+	assert.Equal(t, used(), 0)
+	assert.Equal(t, len(p.rows["x"].usage.parts), 0)
+}
+
+// Guards against exceeding an engine's memory, and against counting shared parts that it has in use
+// as additional memory.
+func TestRoomEndsWithMemory(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1))
+	q := roomQuery()
+	q.Slots = 64
+	limit := int(memoryShare * float64(q.Capacity))
+	for used := 5000 + 2000; used <= limit; used += 2000 {
+		assert.Equal(t, mustChoose(t, p, 0, q).ID, "x")
+		start(p, "x", q)
+	}
+	assert.Assert(t, p.rows["x"].usage.tokens <= limit)
+	choice, found := chooseRoom(p, 0, q)
+	assert.Assert(t, !found && choice.NoRoom)
+	small := q
+	small.Work.Most = 5000 + limit - p.rows["x"].usage.tokens
+	mustChoose(t, p, 0, small)
+	small.Parts = []coordapi.Part{{Hash: 2, Tokens: 5000}}
+	_, found = chooseRoom(p, 0, small)
+	assert.Assert(t, !found, "another shared part takes memory")
+}
+
+// Guards against a request that can never run because it exceeds the limit of any engine.
+func TestRoomAdmitsLargeRequestToEmptyEngine(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1))
+	q := roomQuery()
+	q.Work.Most = 2 * q.Capacity
+	mustChoose(t, p, 0, q)
+	a := start(p, "x", roomQuery())
+	_, found := chooseRoom(p, 0, q)
+	assert.Assert(t, !found)
+	a.End(0)
+	mustChoose(t, p, 0, q)
+}
+
+// Guards against sending prompts to an engine that could only begin them beyond the patience.
+func TestRoomEndsWithPrefillBacklog(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1))
+	q := roomQuery()
+	q.Patience = 500 * time.Millisecond
+	begin := func(tokens int) {
+		p.Begin(0, &Choice{ID: "x", Work: Work{Prompt: tokens}}, &q, func(error) {})
+	}
+	// The initial estimate is 40 tokens per millisecond.
+	begin(20_000)
+	mustChoose(t, p, 0, q)
+	begin(400)
+	choice, found := chooseRoom(p, 0, q)
+	assert.Assert(t, !found && choice.NoRoom && !choice.Late)
+	assert.Equal(t, p.Refused(), 0, "a request that may wait is not refused")
+	mustChoose(t, p, 10*time.Millisecond, q)
+}
+
+// Guards against reporting a lack of room where waiting cannot help.
+func TestNoRoomRequiresEligibleEngine(t *testing.T) {
+	draining := engine("x", 1)
+	draining.Draining = true
+	choice, found := chooseRoom(newCentralPoolOf(draining), 0, roomQuery())
+	assert.Assert(t, !found)
+	assert.DeepEqual(t, choice, Choice{})
+}
+
+// Guards against charging a restarted engine for requests that ran before, and against releasing
+// them there.
+func TestRestartedEngineHasFullRoom(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1))
+	q := roomQuery()
+	before := start(p, "x", q)
+	p.Apply(nil, []string{"x"}, false)
+	p.Apply([]state.Backend{engine("x", 1)}, nil, false)
+	assert.DeepEqual(t, p.Room("llm"), Room{MaxRequests: 8, Limit: 60_000})
+	after := start(p, "x", q)
+	before.End(0)
+	assert.Equal(t, p.Room("llm").Used, 7000)
+	assert.Equal(t, p.Room("llm").Requests, 1)
+	after.End(0)
+	assert.Equal(t, p.Room("llm").Used, 0)
+}
+
+// Guards against offering the capacity of engines that serve no requests.
+func TestRoomCountsServingEngines(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1), engine("y", 1), engine("z", 1))
+	assert.DeepEqual(t, p.Room("llm"), Room{})
+	q := roomQuery()
+	q.Slots = 64
+	start(p, "x", q)
+	assert.DeepEqual(t, p.Room("llm"), Room{Requests: 1, MaxRequests: 3 * 8, Used: 7000, Limit: 3 * 60_000})
+	draining := engine("y", 1)
+	draining.Draining = true
+	p.Apply([]state.Backend{draining}, nil, false)
+	p.ApplyNotes(coordapi.Notes{Silent: []string{"z"}})
+	assert.DeepEqual(t, p.Room("llm"), Room{Requests: 1, MaxRequests: 8, Used: 7000, Limit: 60_000})
+	assert.DeepEqual(t, p.Room("other"), Room{})
+}
+
+// Guards against a new leader that takes all engines for empty while the requests that its
+// predecessor placed still run.
+func TestRoomCountsAnnouncedLoads(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1))
+	q := roomQuery()
+	const at = 10 * time.Second
+	loads := []coordapi.Load{{ID: "x", Running: 8, Memory: 20_000}}
+	p.SetAnnouncedLoads(at, loads)
+	choice, found := chooseRoom(p, at, q)
+	assert.Assert(t, !found && choice.NoRoom)
+	loads[0].Running = 7
+	p.SetAnnouncedLoads(at+announcedLoadsTime/2, loads)
+	mustChoose(t, p, at+announcedLoadsTime/2, q)
+	start(p, "x", q)
+	mustChoose(t, p, at+announcedLoadsTime/2, q)
+	loads[0].Running = 8
+	p.SetAnnouncedLoads(at+announcedLoadsTime-1, loads)
+	_, found = chooseRoom(p, at+announcedLoadsTime-1, q)
+	assert.Assert(t, !found)
+	p.SetAnnouncedLoads(at+announcedLoadsTime, loads)
+	mustChoose(t, p, at+announcedLoadsTime, q)
+}
+
+// A query without the hard limits must not be affected by announced loads.
+func TestAnnouncedLoadsAffectOnlyHardLimits(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1), engine("y", 1))
+	q := roomQuery()
+	q.Room = false
+	before := mustChoose(t, p, 0, q)
+	p.SetAnnouncedLoads(0, []coordapi.Load{{ID: before.ID, Running: 8, Memory: 20_000, Prompt: 90_000}})
+	assert.DeepEqual(t, mustChoose(t, p, 0, q), before)
+}
+
+// runningQueries lists the queries of the requests that run at each row, to check the pool's
+// accounting against.
+type runningQueries map[*row]map[*Attempt]Query
+
+// memory returns the tokens that the requests of a row take, with those of one more if it is not
+// nil.
+func (m runningQueries) memory(r *row, more *Query) int {
+	total, seen := 0, map[coordapi.PartHash]bool{}
+	add := func(q *Query) {
+		own := q.Work.Most
+		for _, part := range q.Parts {
+			own -= part.Tokens
+			if !seen[part.Hash] {
+				seen[part.Hash] = true
+				total += part.Tokens
+			}
+		}
+		total += max(own, 0)
+	}
+	for _, q := range m[r] {
+		add(&q)
+	}
+	if more != nil {
+		add(more)
+	}
+	return total
+}
+
+// admits reports whether a row has room for a request.
+func (m runningQueries) admits(r *row, q *Query, choice *Choice) bool {
+	n := len(m[r])
+	fits := n == 0 || m.memory(r, q) <= int(memoryShare*float64(q.Capacity))
+	return fits && n < q.Slots && (q.Patience == 0 || choice.Wait <= q.Patience)
+}
+
+// drawParts returns up to two shared parts of a prompt.
+func drawParts(random *rand.Rand) []coordapi.Part {
+	var out []coordapi.Part
+	for i := range random.IntN(3) {
+		hash := 10*i + random.IntN(4)
+		out = append(out, coordapi.Part{Hash: coordapi.PartHash(hash), Tokens: 1000 + 100*hash})
+	}
+	return out
+}
+
+// With room at the engine that would be chosen without the limits, the choice must be the same with
+// them. Otherwise it must be an engine with room. The index must not matter.
+func TestChoiceWithRoomMatchesChoiceWithout(t *testing.T) {
+	same, others, none := 0, 0, 0
+	for seed := range uint64(30) {
+		w := newPoolPair(seed, 1+int(seed)*2)
+		running := runningQueries{}
+		for range 600 {
+			w.now += time.Duration(w.random.IntN(20)) * time.Millisecond
+			if w.random.IntN(5) == 0 {
+				w.mutate()
+				running.forgetEnded()
+			}
+			q := w.query()
+			q.Capacity, q.Parts = 30_000, drawParts(w.random)
+			withRoom, unindexed := *q, *q
+			withRoom.Room, unindexed.Room = true, true
+			without, found := w.indexed.Choose(w.now, q)
+			choice, foundRoom := w.indexed.Choose(w.now, &withRoom)
+			again, foundAgain := w.unindexed.Choose(w.now, &unindexed)
+			assert.Equal(t, foundRoom, foundAgain)
+			assert.DeepEqual(t, choice, again)
+			assert.Equal(t, choice.NoRoom, found && !foundRoom)
+			switch {
+			case !found:
+				continue
+			case running.admits(w.indexed.rows[without.ID], q, &without):
+				assert.DeepEqual(t, choice, without)
+				same++
+			case foundRoom:
+				assert.Assert(t, running.admits(w.indexed.rows[choice.ID], q, &choice))
+				others++
+			default:
+				none++
+				w.end()
+				w.end()
+				running.forgetEnded()
+				continue
+			}
+			pair := [2]*Attempt{w.indexed.Begin(w.now, &choice, &withRoom, func(error) {}), w.unindexed.Begin(w.now, &again, &unindexed, func(error) {})}
+			w.open = append(w.open, pair)
+			r := pair[0].row
+			if running[r] == nil {
+				running[r] = map[*Attempt]Query{}
+			}
+			running[r][pair[0]] = *q
+			for r := range running {
+				assert.Equal(t, r.usage.requests, len(running[r]))
+				assert.Equal(t, r.usage.tokens, running.memory(r, nil))
+			}
+		}
+	}
+	t.Logf("%d choices as without limits, %d others, %d without room", same, others, none)
+	assert.Assert(t, same > 1000 && others > 300 && none > 300)
+}
+
+// forgetEnded removes the attempts that have ended.
+func (m runningQueries) forgetEnded() {
+	for _, attempts := range m {
+		for a := range attempts {
+			if !a.holds {
+				delete(attempts, a)
+			}
+		}
+	}
+}
+
+// Pools of plain back ends have no such limits.
+func TestRoomDoesNotAffectPlainBackends(t *testing.T) {
+	p := NewCentralPool()
+	p.Apply([]state.Backend{{ID: "b", Pool: "api", Address: "a:1", Slots: 1}}, nil, true)
+	q := Query{Pool: "api", Room: true}
+	for i := range 5 {
+		choice, found := p.Choose(0, &q)
+		assert.Assert(t, found, fmt.Sprint(i))
+		p.Begin(0, &choice, &q, func(error) {})
+	}
+}
--- a/internal/placer/limited.go
+++ b/internal/placer/limited.go
@@ -18,7 +18,7 @@
 func (p *Placer) choose(now time.Duration, ask *coordapi.Place, q *backends.Query) (choice backends.Choice, found bool, permitTerm time.Duration) {
 	for reserved := 0; ; {
 		choice, found = p.pool.Choose(now, q)
-		if p.limits == nil || (found && choice.Late) {
+		if p.limits == nil || choice.NoRoom || (found && choice.Late) {
 			return choice, found, 0
 		}
 		if !found {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -237,7 +237,7 @@
 func (p *Placer) query(now time.Duration, ask *coordapi.Place) *backends.Query {
 	q := &backends.Query{Pool: ask.Pool, Zone: ask.Zone, Model: ask.Model, Key: ask.Key, Target: ask.Target, Patience: ask.Patience, GapTarget: ask.GapTarget,
 		Shared: ask.Shared, Work: backends.Work{Prompt: ask.Own, Most: ask.Most}, Slots: ask.Slots, Capacity: ask.Capacity,
-		Tried: ask.Tried, Draw: rand.Float64()}
+		Tried: ask.Tried, Parts: ask.Parts, Draw: rand.Float64()}
 	q.UncachedTokens = func(version int) int { return p.parts.uncachedTokens(now, ask, version) }
 	if n := len(ask.Parts); n > 0 {
 		q.Holder = func(version int) string { return p.parts.holder(now, ask.Parts[n-1].Hash, version) }
