Adaptive limit of engines beside the static one

Cause: a static limit trusts the stated slots and memory of an engine. One that has less queues requests, and their first events come late.

A central pool feeds one limiter per engine with the reported first events. The static limiter remains the default (defaultLimiter in internal/backends/room.go).

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -155,6 +155,7 @@
 func (a *Attempt) FirstEventReported(now, wait time.Duration) (excess time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
+	a.observeLimit(now, wait)
 	excess = a.observeWait(wait)
 	a.markRecovered()
 	first := min(a.sent+wait, now)
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -91,6 +91,8 @@
 	// index is nil in a router's own pool.
 	index       *index
 	reportDelay time.Duration
+	// newLimiter returns the limiter of an engine in a central pool.
+	newLimiter func() concurrency.Limiter
 	// SendsWithheld counts the requests that were not sent because their back end was found to
 	// drain or to have departed after it was chosen.
 	SendsWithheld atomic.Uint64
@@ -145,7 +147,7 @@
 // through the reports of routers.
 func NewCentralPool() *Pool {
 	p := NewPool("")
-	p.central, p.reportDelay, p.index = true, initialReportDelay, newIndex()
+	p.central, p.reportDelay, p.index, p.newLimiter = true, initialReportDelay, newIndex(), defaultLimiter
 	return p
 }
 
@@ -159,7 +161,7 @@
 		if r == nil {
 			r = &row{}
 			if p.central {
-				r.limiter = newLimiter()
+				r.limiter = p.newLimiter()
 			}
 			p.rows[b.ID] = r
 		}
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -12,9 +12,9 @@
 // limit of Query.Room. The rest keeps cached parts of prompts.
 const memoryShare = freeMemoryShare
 
-// newLimiter returns the limiter of an engine in a central pool: concurrency.NewStatic or
+// defaultLimiter returns the limiter of an engine in a central pool: concurrency.NewStatic or
 // concurrency.NewAdaptive.
-var newLimiter = concurrency.NewStatic
+var defaultLimiter = concurrency.NewStatic
 
 // announcedLoadsTime is the time from the first announced loads for which a central pool counts
 // them. A new leader knows of no running requests; those it starts itself replace them.
@@ -110,6 +110,15 @@
 	}
 }
 
+// observeLimit passes the wait for the first event of an attempt to its engine's limiter. An engine
+// that fetches cached parts first gives no sample, as the fetch is not part of the expected wait.
+func (a *Attempt) observeLimit(now, wait time.Duration) {
+	if a.prefill == nil || a.fetches || a.row == nil || a.row.limiter == nil {
+		return
+	}
+	a.row.limiter.Observe(concurrency.Sample{Now: now, Sent: a.sent, Expected: a.prefill.Rate().Wait(a.ahead), Observed: wait, Target: a.target})
+}
+
 // Room is the capacity of the engines of a pool that serve requests, and how much of it is in use.
 type Room struct {
 	// Requests is the number of running requests and MaxRequests an estimate of how many can run at
