No further copies of shared parts while requests wait

Cause: under load, requests are spread to engines that lack the shared parts of their prompts. These are prefilled again there and take memory from others.

Change: with Query.Contended, engines with room that hold the last shared part come first, then the first ones in the order of the key, then others. A central pool records which parts each engine holds: those in use, and unused ones for 10 s as far as its memory allows. The prefill of a copy counts as work of the chosen engine.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -198,7 +198,7 @@
 		entry(a.pool.flows, a.poolName).ended(now - a.sent)
 	}
 	a.markStarted()
-	a.release()
+	a.release(now)
 	if r := a.pool.rows[a.backendID]; r != nil {
 		delete(r.attempts, a)
 		r.running = max(r.running-1, 0)
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -60,6 +60,9 @@
 	// Room asks for an engine that has room for the request within its limits on slots, memory and
 	// prefill backlog. It has no effect on pools without engines.
 	Room bool
+	// Contended is set with Room while requests wait for the pool. It keeps the request from causing
+	// further copies of its shared parts as long as an engine that holds them has room.
+	Contended bool
 	// Draw is a random number in [0, 1) that selects among the candidates.
 	Draw float64
 	// Tried lists back ends that must not be chosen again.
@@ -181,7 +184,7 @@
 	if versioned && homes[version] != nil {
 		homeAddress = homes[version].Address
 	}
-	work := Work{Prompt: q.tokensToPrefill(version), Most: q.Work.Most}
+	work := Work{Prompt: q.tokensToPrefill(version) + best.copied, Most: q.Work.Most}
 	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: countRepresented(candidates), Work: work,
 		Ahead: best.ahead, Wait: max(best.wait, rate.Wait(best.ahead)), Late: late}, true
@@ -199,6 +202,8 @@
 	// rank is the position in the order of the query's key, at most rankLimit.
 	rank int
 	cost float64
+	// copied is the number of shared tokens that the chosen back end processes for a further copy.
+	copied int
 	// represents is the number of equivalent back ends that the candidate stands for, including
 	// itself.
 	represents int
@@ -270,7 +275,7 @@
 		out = append(out, c)
 	}
 	if p.usesIndex(q) {
-		out = p.representatives(q, out)
+		out = p.representatives(now, q, out)
 	}
 	p.scratch = out
 	if lastResort == 0 || lastResort == len(out) {
--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -136,9 +136,9 @@
 }
 
 // representatives adds the idle engines that a choice must examine to the candidates: of each group
-// the first ones in the order of the key, the holder of the key's cached part, and the one with the
-// lowest ID, which represents all others.
-func (p *Pool) representatives(q *Query, candidates []candidate) []candidate {
+// the first ones in the order of the key, the holder of the key's cached part, those that hold the
+// last shared part if the choice prefers them, and the one with the lowest ID, which represents all others.
+func (p *Pool) representatives(now time.Duration, q *Query, candidates []candidate) []candidate {
 	hash := xxhash.Sum64String(q.Key)
 	groups := p.index.pool(q.Pool).idle
 	for key, group := range groups {
@@ -146,14 +146,14 @@
 		case len(group.rows) == 0:
 			delete(groups, key)
 		case p.mayServe(group.rows[0], q):
-			candidates = p.represent(q, group, hash, candidates)
+			candidates = p.represent(now, q, group, hash, candidates)
 		}
 	}
 	return candidates
 }
 
 // represent adds the candidates of one group; hash is the hash of the query's key.
-func (p *Pool) represent(q *Query, group *idleGroup, hash uint64, candidates []candidate) []candidate {
+func (p *Pool) represent(now time.Duration, q *Query, group *idleGroup, hash uint64, candidates []candidate) []candidate {
 	var special []*row
 	if q.Key != "" {
 		special = group.first(hash, q.Tried)
@@ -161,6 +161,7 @@
 	if holder := p.holder(q, group); holder != nil && !slices.Contains(special, holder) {
 		special = append(special, holder)
 	}
+	special = p.idleHolders(now, q, group, special)
 	for _, r := range special {
 		candidates = append(candidates, candidate{row: r, represents: 1})
 	}
--- a/internal/backends/memory.go
+++ b/internal/backends/memory.go
@@ -1,20 +1,44 @@
 package backends
 
-import "quinceridge.example/quinceridge/internal/coordapi"
+import (
+	"slices"
+	"time"
 
-// usage is what the running requests of an engine take, as known to a central pool. A shared part
-// of prompts takes memory once while any running request uses it. The zero value is ready to use.
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+const (
+	// cachedPartTime is the time for which an engine is assumed to keep a shared part that no
+	// running request uses.
+	cachedPartTime = 10 * time.Second
+	// maxCachedParts bounds the unused parts that are recorded for one engine. It is more than fit
+	// beside the running requests if parts have some thousand tokens.
+	maxCachedParts = 16
+)
+
+// usage is what the running requests of an engine take, as known to a central pool, and the shared
+// parts of prompts that it holds. A shared part takes memory once while any running request uses
+// it. The zero value is ready to use.
 type usage struct {
 	requests int
-	// tokens is the memory in tokens.
-	tokens int
-	parts  map[coordapi.PartHash]*usedPart
+	// tokens is the memory of running requests, and cachedTokens that of the unused parts.
+	tokens       int
+	cachedTokens int
+	capacity     int
+	parts        map[coordapi.PartHash]*heldPart
+	// cached lists the unused parts, those unused for longest first.
+	cached []coordapi.PartHash
 }
 
-// usedPart is a shared part that running requests use.
-type usedPart struct {
+// heldPart is a shared part at an engine.
+type heldPart struct {
+	// requests is the number of running requests that use it.
 	requests int
 	tokens   int
+	// version is the weights version for which it was processed.
+	version int
+	// unusedSince is valid if requests is 0.
+	unusedSince time.Duration
 }
 
 // holding is what one request takes: its parts, and ownTokens for the rest of its prompt and output.
@@ -25,51 +49,87 @@
 
 // newHolding returns what the request of a query takes. Work.Most includes the shared parts.
 func newHolding(q *Query) holding {
-	own := q.Work.Most
-	for _, part := range q.Parts {
-		own -= part.Tokens
-	}
-	return holding{parts: q.Parts, ownTokens: max(own, 0)}
+	return holding{parts: q.Parts, ownTokens: max(q.Work.Most-q.partTokens(), 0)}
 }
 
 // added returns the memory that one more request would take.
 func (u *usage) added(h *holding) int {
 	tokens := h.ownTokens
 	for _, part := range h.parts {
-		if u.parts[part.Hash] == nil {
+		if held := u.parts[part.Hash]; held == nil || held.requests == 0 {
 			tokens += part.Tokens
 		}
 	}
 	return tokens
 }
 
-func (u *usage) add(h *holding) {
+// holds reports whether the engine holds a shared part for a weights version.
+func (u *usage) holds(now time.Duration, part coordapi.PartHash, version int) bool {
+	held := u.parts[part]
+	return held != nil && held.version == version && (held.requests > 0 || now-held.unusedSince < cachedPartTime)
+}
+
+// missing returns how many tokens of a prompt's shared parts the engine does not hold. A part is
+// only useful together with all parts before it.
+func (u *usage) missing(now time.Duration, parts []coordapi.Part, version int) int {
+	total := 0
+	for _, part := range parts {
+		if total > 0 || !u.holds(now, part.Hash, version) {
+			total += part.Tokens
+		}
+	}
+	return total
+}
+
+// add records a request to the engine, which has a memory of capacity tokens.
+func (u *usage) add(h *holding, version, capacity int) {
 	u.requests++
 	u.tokens += h.ownTokens
+	u.capacity = capacity
 	for _, part := range h.parts {
-		used := u.parts[part.Hash]
-		if used == nil {
+		held := u.parts[part.Hash]
+		if held == nil {
+			held = &heldPart{tokens: part.Tokens}
 			if u.parts == nil {
-				u.parts = map[coordapi.PartHash]*usedPart{}
+				u.parts = map[coordapi.PartHash]*heldPart{}
 			}
-			used = &usedPart{tokens: part.Tokens}
-			u.parts[part.Hash] = used
-			u.tokens += part.Tokens
+			u.parts[part.Hash] = held
+		} else if held.requests == 0 {
+			u.cached = slices.DeleteFunc(u.cached, func(hash coordapi.PartHash) bool { return hash == part.Hash })
+			u.cachedTokens -= held.tokens
+		}
+		if held.requests == 0 {
+			u.tokens += held.tokens
 		}
-		used.requests++
+		held.requests++
+		held.version = version
 	}
+	u.evict()
 }
 
 // release undoes add. It must be called once for each request.
-func (u *usage) release(h *holding) {
+func (u *usage) release(now time.Duration, h *holding) {
 	u.requests--
 	u.tokens -= h.ownTokens
 	for _, part := range h.parts {
-		used := u.parts[part.Hash]
-		used.requests--
-		if used.requests == 0 {
-			u.tokens -= used.tokens
-			delete(u.parts, part.Hash)
+		held := u.parts[part.Hash]
+		held.requests--
+		if held.requests > 0 {
+			continue
 		}
+		u.tokens -= held.tokens
+		held.unusedSince = now
+		u.cached = append(u.cached, part.Hash)
+		u.cachedTokens += held.tokens
+	}
+	u.evict()
+}
+
+// evict drops unused parts that exceed the engine's memory.
+func (u *usage) evict() {
+	for len(u.cached) > 0 && (len(u.cached) > maxCachedParts || u.tokens+u.cachedTokens > u.capacity) {
+		u.cachedTokens -= u.parts[u.cached[0]].tokens
+		delete(u.parts, u.cached[0])
+		u.cached = slices.Delete(u.cached, 0, 1)
 	}
 }
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"cmp"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/concurrency"
@@ -34,22 +35,36 @@
 // hasLimits reports whether the choice must respect the hard limits of the engines.
 func (q *Query) hasLimits() bool { return q.Room && q.Slots > 0 }
 
-// hasRoom reports whether an engine can run the request within its limits on slots, memory and
-// prefill backlog.
-func (p *Pool) hasRoom(now time.Duration, q *Query, h *holding, c *candidate, rate speed.TokensPerMs) bool {
+// canBegin reports whether an engine has a free slot and a prefill backlog within the patience.
+func (p *Pool) canBegin(now time.Duration, q *Query, c *candidate, rate speed.TokensPerMs) bool {
 	if q.Patience > 0 && rate.Wait(c.ahead) > q.Patience {
 		return false
 	}
-	requests, tokens, added := c.running+c.otherLoad.Running, c.memory+c.otherLoad.Memory, q.Work.Most
+	requests, _ := p.taken(now, c)
+	return requests < c.slotLimit(q.Slots)
+}
+
+// hasMemory reports whether an engine's memory limit admits the request. An engine that runs nothing
+// admits any request, as one that exceeds the limit by itself could otherwise never run.
+func (p *Pool) hasMemory(now time.Duration, q *Query, h *holding, c *candidate) bool {
+	requests, tokens := p.taken(now, c)
+	if requests == 0 || q.Capacity <= 0 {
+		return true
+	}
+	added := q.Work.Most
 	if p.central {
-		others := c.announcedLoad(now)
-		requests, tokens, added = c.usage.requests+others.Running, c.usage.tokens+others.Memory, c.usage.added(h)
+		added = c.usage.added(h)
 	}
-	if requests+1 > c.slotLimit(q.Slots) {
-		return false
+	return tokens+added <= c.memoryLimit(q.Capacity)
+}
+
+// taken returns the number of requests that an engine runs and the memory that they take.
+func (p *Pool) taken(now time.Duration, c *candidate) (requests, tokens int) {
+	if !p.central {
+		return c.running + c.otherLoad.Running, c.memory + c.otherLoad.Memory
 	}
-	// A request that exceeds the limit by itself could otherwise never run.
-	return requests == 0 || q.Capacity <= 0 || tokens+added <= c.memoryLimit(q.Capacity)
+	others := c.announcedLoad(now)
+	return c.usage.requests + others.Running, c.usage.tokens + others.Memory
 }
 
 // slotLimit returns how many requests an engine with a number of slots may run, at least 1.
@@ -68,19 +83,29 @@
 	return r.limiter.Factor()
 }
 
-// leastWithRoom returns the candidate of least cost among those with room, or nil.
+// leastWithRoom returns the candidate of least cost among those with room, or nil. While requests
+// wait, engines that hold the shared parts of the prompt come first.
 func (p *Pool) leastWithRoom(now time.Duration, q *Query, candidates []candidate, rate speed.TokensPerMs) *candidate {
-	h := newHolding(q)
+	h, copies := newHolding(q), newCopyPreference(now, q, rate)
 	var best *candidate
+	var bestPreference int
+	var bestCost float64
 	for i := range candidates {
 		c := &candidates[i]
-		if best != nil && (c.cost > best.cost || (c.cost == best.cost && c.ID > best.ID)) {
+		if !p.canBegin(now, q, c, rate) || (best != nil && bestPreference == holdsParts && c.cost > bestCost) {
+			continue
+		}
+		preference, cost := copies.of(c)
+		if best != nil && cmp.Or(cmp.Compare(preference, bestPreference), cmp.Compare(cost, bestCost), cmp.Compare(c.ID, best.ID)) > 0 {
 			continue
 		}
-		if p.hasRoom(now, q, &h, c, rate) {
-			best = c
+		if p.hasMemory(now, q, &h, c) {
+			best, bestPreference, bestCost = c, preference, cost
 		}
 	}
+	if best != nil {
+		best.copied = copies.copyWork(best.row)
+	}
 	return best
 }
 
@@ -98,15 +123,15 @@
 		size.requestMemory = added
 	}
 	size.requestMemory += requestMemoryWeight * (added - size.requestMemory)
-	a.row.usage.add(&a.holding)
+	a.row.usage.add(&a.holding, a.version, q.Capacity)
 }
 
 // release ends what an attempt takes of its engine's room. An engine that has restarted meanwhile
 // has another row, which is not affected.
-func (a *Attempt) release() {
+func (a *Attempt) release(now time.Duration) {
 	if a.holds {
 		a.holds = false
-		a.row.usage.release(&a.holding)
+		a.row.usage.release(now, &a.holding)
 	}
 }
 
