--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -57,6 +57,12 @@
 	// Patience is the longest time that the request may wait until an engine starts to process its
 	// prompt; 0 means no limit.
 	Patience time.Duration
+	// Room asks for an engine that has room for the request within its limits on slots, memory and
+	// prefill backlog. It has no effect on pools without engines.
+	Room bool
+	// Contended is set with Room while requests wait for the pool. It keeps the request from causing
+	// further copies of its shared parts as long as an engine that holds them has room.
+	Contended bool
 	// Draw is a random number in [0, 1) that selects among the candidates.
 	Draw float64
 	// Tried lists back ends that must not be chosen again.
@@ -105,6 +111,9 @@
 	Wait  time.Duration
 	// Late is set if no back end would start to process the prompt within the query's patience.
 	Late bool
+	// NoRoom is set if Query.Room is set and no eligible engine has room. The choice then names no
+	// back end.
+	NoRoom bool
 	// OverLimit is set if the request exceeds its tenant's limit and may be retried after Wait.
 	// Uncounted is set if the placer did not charge it.
 	OverLimit bool
@@ -143,7 +152,7 @@
 	return q.Work.Prompt + tokens
 }
 
-// Choose returns the back end of least cost, or false if no back end is eligible.
+// Choose returns the back end of least cost, or false if no back end is eligible or has room.
 func (p *Pool) Choose(now time.Duration, q *Query) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,7 +166,7 @@
 		entry(p.demands, q.Pool).engines = countRepresented(candidates)
 	}
 	candidates, late := withinPatience(candidates, q, rate, entry(p.flows, q.Pool).mean())
-	if late {
+	if late && !q.hasLimits() {
 		p.refused++
 	}
 	preferred := p.preferred(q, candidates)
@@ -166,13 +175,16 @@
 	for i := range candidates {
 		candidates[i].cost = p.cost(now, q, &candidates[i], staleness, rate, preferred)
 	}
-	best := p.pick(q, candidates, staleness)
+	best := p.pick(now, q, candidates, staleness, rate)
+	if best == nil {
+		return Choice{NoRoom: true, Considered: countRepresented(candidates)}, false
+	}
 	version, versioned := best.Weights[q.Model]
 	homeAddress := ""
 	if versioned && homes[version] != nil {
 		homeAddress = homes[version].Address
 	}
-	work := Work{Prompt: q.tokensToPrefill(version), Most: q.Work.Most}
+	work := Work{Prompt: q.tokensToPrefill(version) + best.copied, Most: q.Work.Most}
 	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: countRepresented(candidates), Work: work,
 		Ahead: best.ahead, Wait: max(best.wait, rate.Wait(best.ahead)), Late: late}, true
@@ -190,6 +202,8 @@
 	// rank is the position in the order of the query's key, at most rankLimit.
 	rank int
 	cost float64
+	// copied is the number of shared tokens that the chosen back end processes for a further copy.
+	copied int
 	// represents is the number of equivalent back ends that the candidate stands for, including
 	// itself.
 	represents int
@@ -204,8 +218,11 @@
 	return count
 }
 
-// pick selects a candidate by cost.
-func (p *Pool) pick(q *Query, candidates []candidate, staleness loadStaleness) *candidate {
+// pick selects a candidate by cost. It returns nil if the query has limits and no candidate has room.
+func (p *Pool) pick(now time.Duration, q *Query, candidates []candidate, staleness loadStaleness, rate speed.TokensPerMs) *candidate {
+	if q.hasLimits() {
+		return p.leastWithRoom(now, q, candidates, rate)
+	}
 	if q.Slots > 0 {
 		return least(candidates)
 	}
@@ -258,7 +275,7 @@
 		out = append(out, c)
 	}
 	if p.usesIndex(q) {
-		out = p.representatives(q, out)
+		out = p.representatives(now, q, out)
 	}
 	p.scratch = out
 	if lastResort == 0 || lastResort == len(out) {
