--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -121,6 +121,10 @@
 	// minContended is how much of the decayed last second requests must have waited for the rate
 	// of grants to be known: without waiting requests the rate shows demand, not capacity.
 	minContended = 0.2
+	// minGrants is the number of recent grants, decayed like the rate, below which the rate is not
+	// known: a rate from fewer has a relative error above a quarter. In a pool of a few slots the
+	// first slot that becomes free would make all waiting requests be refused.
+	minGrants = 16
 	// minWork is what a request counts at least, in ms, so that requests without work cannot
 	// hold the first place for ever.
 	minWork = 1e-3
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -37,6 +37,8 @@
 	// requests waited.
 	granted   decay.Sum
 	contended decay.Sum
+	// grants counts the requests in granted.
+	grants    decay.Sum
 	lastGrant time.Duration
 
 	accounts map[string]*account
@@ -525,6 +527,7 @@
 func (q *Queue) count(r Request) {
 	if len(q.items) > 0 {
 		q.granted.Add(q.now, rateWindow, r.Work)
+		q.grants.Add(q.now, rateWindow, 1)
 	}
 	q.lastGrant = q.now
 	q.usage.Add(q.now, rateWindow, r.Work)
@@ -545,7 +548,8 @@
 // first second, until requests have waited for a while, or if nothing was granted lately.
 func (q *Queue) rate() (perSecond float64, known bool) {
 	contended := q.contended.Value(q.now, rateWindow)
-	if q.now-q.start < rateWindow || q.now-q.lastGrant > rateWindow || contended < minContended {
+	if q.now-q.start < rateWindow || q.now-q.lastGrant > rateWindow || contended < minContended ||
+		q.grants.Value(q.now, rateWindow) < minGrants {
 		return 0, false
 	}
 	perSecond = q.granted.Value(q.now, rateWindow) / contended
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -332,3 +332,19 @@
 	assert.Equal(t, queued+expired, len(q.items))
 	assert.Assert(t, math.Abs(work-q.work) < 1e-6, "%v %v", work, q.work)
 }
+
+// A few grants show no rate: the first slot that becomes free in a pool of a few slots must not make
+// the requests that wait be refused.
+func TestFewGrantsRefuseNobody(t *testing.T) {
+	q := New(Config{})
+	for number := range uint64(24) {
+		refused := q.Push(0, Request{Key: Key{"r", number}, Target: time.Second, Abandon: 9 * time.Second, Work: 5}, 0)
+		assert.Assert(t, refused == nil)
+	}
+	now := 1500 * time.Millisecond
+	for number := range uint64(8) {
+		q.Granted(now, Key{"r", number})
+		assert.Equal(t, len(q.Expire(now, func() float64 { return 0 })), 0)
+	}
+	assert.Equal(t, q.Len(), 16)
+}
