Requests that find no capacity wait in a queue at the leader

A router that found no engine within half of its target refused the request at once, although the caller had seconds left, and had no order among requests.

The router now permits the leader to queue a first attempt with a target (coordapi.Queueing). The leader places it in the order of package admission when reports free capacity, and the router collects the outcomes of all its requests with one held Await. Without a leader routers decide by the capacity announced last.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -60,6 +60,8 @@
 	// Room asks for an engine that has room for the request within its limits on slots, memory and
 	// prefill backlog. It has no effect on pools without engines.
 	Room bool
+	// Queueing are the terms for the queue at the leader.
+	Queueing coordapi.Queueing
 	// Draw is a random number in [0, 1) that selects among the candidates.
 	Draw float64
 	// Tried lists back ends that must not be chosen again.
@@ -118,6 +120,9 @@
 	// Blocked lists the back ends that crashed while they ran the request, if it is a blocked
 	// poison request.
 	Blocked []string
+	// Reason is set if the request could wait for capacity but is refused. It may be sent again
+	// after RetryAfter.
+	Reason string
 	// Permit is the permit to send to a back end with a limit; nil if none is needed. RetryAfter is
 	// the time until a back end with a limit has capacity, if that is why none was found, else 0.
 	Permit     *ratelimit.Permit
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -40,6 +40,7 @@
 	Join            *Join              `json:"join,omitempty"`
 	Update          *Update            `json:"tell,omitempty"`
 	Place           *Place             `json:"place,omitempty"`
+	Await           *Await             `json:"await,omitempty"`
 	Claim           *Claim             `json:"claim,omitempty"`
 	Repeat          *Repeat            `json:"repeat,omitempty"`
 	ListLimits      *ListLimits        `json:"list_limits,omitempty"`
@@ -60,6 +61,8 @@
 	// Placed is the reply to Place, and Claimed the reply to Claim.
 	Placed  *Placed  `json:"placed,omitempty"`
 	Claimed *Claimed `json:"claimed,omitempty"`
+	// Awaited is the reply to Await.
+	Awaited *Awaited `json:"awaited,omitempty"`
 	// Repeated is the reply to Repeat.
 	Repeated *Repeated `json:"repeated,omitempty"`
 	// Limits is the reply to ListLimits.
@@ -156,6 +159,9 @@
 	// Suspects are requests during which back ends failed, but too few to block them. Routers
 	// report when one of them gets a complete answer.
 	Suspects []poison.Digest `json:"suspects,omitempty"`
+	// Rooms is the capacity of each pool with engines, by which routers decide without a leader.
+	// It is set in each View that has Loads.
+	Rooms map[string]Room `json:"rooms,omitempty"`
 }
 
 // Blocked contains all requests that no back end may receive.
--- a/internal/coordapi/label.go
+++ b/internal/coordapi/label.go
@@ -5,6 +5,8 @@
 	switch {
 	case r.Place != nil:
 		return "place"
+	case r.Await != nil:
+		return "await"
 	case r.Watch != nil:
 		return "watch"
 	case r.Update != nil:
@@ -30,6 +32,8 @@
 	switch {
 	case r.Placed != nil:
 		return "placed"
+	case r.Awaited != nil:
+		return "awaited"
 	case r.Claimed != nil:
 		return "claimed"
 	case v == nil:
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -49,6 +49,7 @@
 	Amount quota.Amount `json:"amount,omitempty"`
 	// Claimant is the request's origin, for engines that limit their request rate.
 	Claimant Claimant `json:"claimant,omitzero"`
+	Queueing
 	Reports
 }
 
@@ -104,8 +105,16 @@
 	// Permit is the validity of the permit to send the request to an engine that limits its
 	// request rate, counted from the moment the Place was sent; 0 if the engine has no limit.
 	Permit time.Duration `json:"right,omitempty"`
+	// Queued is set if the request waits in the queue of its pool. Its outcome is in the reply to
+	// an Await with this Session. Queue is the number of requests in the queue.
+	Queued  bool    `json:"queued,omitempty"`
+	Session Session `json:"session,omitempty"`
+	Queue   int     `json:"queue,omitempty"`
+	// Reason is why a request that was permitted to wait is refused. It may be sent again after
+	// RetryAfter.
+	Reason string `json:"reason,omitempty"`
 	// RetryAfter is the time until there is capacity for the request, if no engine is available
-	// because of their rate limits.
+	// because of their rate limits or the request is refused for another reason.
 	RetryAfter time.Duration `json:"room,omitempty"`
 	// Uncounted is set if the leader could not count the request against its tenant's limit,
 	// so that the router must.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -94,6 +94,8 @@
 		return s.runAsLeader(ctx, func(now time.Duration) { s.soft.routerReports.record(now, r.Update) })
 	case r.Place != nil:
 		return s.place(r.Place), nil
+	case r.Await != nil:
+		return s.await(ctx, r.Await)
 	case r.Claim != nil:
 		return s.claim(r.Claim), nil
 	case r.Repeat != nil:
@@ -154,14 +156,23 @@
 		s.placer.ApplyReports(now, req.Router, &req.Reports)
 		return coordapi.Reply{Placed: &coordapi.Placed{Blocked: backends}}
 	}
+	if req.Wait && req.Amount > 0 && s.placer.Holds(req.Router, req.Number) {
+		// It was counted when it was queued.
+		placed := s.placer.Place(now, req)
+		return coordapi.Reply{Placed: &placed}
+	}
 	after, admitted, counted := s.tenantLimits.admit(now, req)
 	if !admitted {
 		s.placer.ApplyReports(now, req.Router, &req.Reports)
 		return coordapi.Reply{Placed: &coordapi.Placed{OverLimit: true, Wait: after}}
 	}
+	tenant, amount := req.Tenant, req.Amount
+	if !counted {
+		req.Tenant, req.Amount = "", 0
+	}
 	placed := s.placer.Place(now, req)
-	if counted && (placed.ID == "" || placed.Late) {
-		s.tenantLimits.charge(now, []quota.Spent{{Tenant: req.Tenant, Amount: -req.Amount}})
+	if counted && (placed.ID == "" || placed.Late) && !placed.Queued {
+		s.tenantLimits.charge(now, []quota.Spent{{Tenant: tenant, Amount: -amount}})
 	}
 	placed.Uncounted = !counted
 	return coordapi.Reply{Placed: &placed}
@@ -362,6 +373,7 @@
 		mine := sums.forShard(shard)
 		v.Loads, v.PackedLoads, v.EngineLoads = mine.loads, mine.packed, sums.engines
 		v.LoadsAge = now - s.soft.routerReports.meanReportTime
+		v.Rooms = s.soft.rooms
 	}
 	if d.HasChangesSince(w.Since) && w.Shards <= shard.Count {
 		broadcast.fillChanges(v, d, w.Since)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -47,6 +47,7 @@
 	gauge("placements_routers", routers)
 	gauge("engines_quiet", s.placer.UnresponsiveEngines(s.now()))
 	gauge("engines_reading_share", fmt.Sprintf("%.3f", s.placer.PrefillShare(s.now())))
+	s.placer.WriteMetrics(w, s.now())
 	for _, share := range s.tenantLimits.announcedShares() {
 		fmt.Fprintf(w, "quinceridge_limit_admitted_part{tenant=%q} %.3f\n", share.Tenant, share.Part)
 	}
--- /dev/null
+++ b/internal/coordinator/queue.go
@@ -0,0 +1,51 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+// await replies with the outcomes of a router's waiting requests, as soon as there are some.
+func (s *Server) await(ctx context.Context, call *coordapi.Await) (coordapi.Reply, error) {
+	arrivedAt := s.now()
+	hold := time.NewTimer(coordapi.AwaitHold)
+	defer hold.Stop()
+	for last := false; ; {
+		if !s.leading.Load() {
+			return coordapi.Reply{NotLeader: true}, nil
+		}
+		awaited, ready, changed := s.placer.Await(s.now(), arrivedAt, call)
+		if ready || last {
+			return coordapi.Reply{Awaited: &awaited}, nil
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			last = true
+		case <-ctx.Done():
+			return coordapi.Reply{}, ErrUnavailable
+		}
+	}
+}
+
+// queueLoop grants capacity to waiting requests until the context ends.
+func (s *Server) queueLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.placer.Wake():
+		}
+		if next, more := s.placer.Step(s.now()); more {
+			timer.Reset(max(next-s.now(), 0))
+		} else {
+			timer.Stop()
+		}
+		s.tenantLimits.charge(s.now(), s.placer.TakeRefunds())
+	}
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -149,6 +149,7 @@
 	s.group.Go(func() { s.joinLoop(ctx) })
 	s.group.Go(func() { s.rolloutLoop(ctx) })
 	s.group.Go(func() { s.digestLoop(ctx) })
+	s.group.Go(func() { s.queueLoop(ctx) })
 	s.group.Go(func() { s.logSentLoop(ctx) })
 	s.listener = peer.Serve(listener, s.counters, s.handle)
 	s.logger.Info("started", "part", "coordinator", "id", s.identity.ID, "listen", s.settings.PeerAddress, "build", version.Build(), "level", level.Current)
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -58,7 +58,9 @@
 	placerRevision uint64
 	placerNotes    coordapi.LeaderToken
 	routerReports  routerReports
-	broadcast      broadcast
+	// rooms is the capacity of the pools as of the last announcement.
+	rooms     map[string]coordapi.Room
+	broadcast broadcast
 	// holders maps addresses to the back ends that send heartbeats from them.
 	holders map[string]string
 	// limited are the back ends with a limit, and limitedChanges the change count of
@@ -342,7 +344,11 @@
 		s.notify.wake()
 	}
 	s.evaluateBlocks(now, d)
+	if s.soft.routerReports.newLoads(now, s.soft.since) {
+		s.placer.SetAnnouncedLoads(now, slices.Collect(maps.Values(s.soft.routerReports.totals)))
+	}
 	if s.soft.routerReports.announce(now, s.soft.watchers()) {
+		s.soft.rooms = s.placer.Rooms()
 		s.tenantLimits.announce(now)
 		s.broadcast(now, d)
 		s.notify.wake()
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -271,6 +271,9 @@
 	// router was first sent the limit.
 	limitedArrivals []arrival
 	limitSent       map[string]time.Time
+	// streams is the number of running streams, and peakStreams the largest so far. The deployment's
+	// lock guards them.
+	streams, peakStreams int
 }
 
 func (e *engine) heartbeat(ctx context.Context) {
@@ -328,6 +331,7 @@
 
 // stream sends events 15 ms apart: 60 if the body begins with long, else two.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, body string) {
+	defer e.countStream()()
 	first, count := 1, 2
 	if strings.HasPrefix(body, "long") {
 		count = 60
@@ -348,6 +352,20 @@
 	}
 }
 
+// countStream counts a running stream until end is called.
+func (e *engine) countStream() (end func()) {
+	d := e.host.deployment
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e.streams++
+	e.peakStreams = max(e.peakStreams, e.streams)
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		e.streams--
+	}
+}
+
 // crash stops the engine with all its requests. Another starts at its address later.
 func (e *engine) crash(r *http.Request, body string) {
 	h, d := e.host, e.host.deployment
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,7 +65,7 @@
 	pool.SetPushbacks(pushbacks)
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Lease: config.ServingLease(),
 		Decode: decode, Pool: pool, Saved: saved, Quota: tenants, Pushbacks: pushbacks, Limits: limits, Peers: e.peers, Logger: logger})
-	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
+	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Queue: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
 		Upstream: upstream.NewPool(headers.RequestID, pushbacks, limits), Pushbacks: pushbacks, Limits: limits, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -101,7 +101,11 @@
 	// clock is clock.Now except in tests.
 	clock      func() time.Duration
 	placements placements
-	evidence   evidence
+	waiting    waiting
+	rooms      atomic.Pointer[rooms]
+	// announcement numbers the announced capacities of pools.
+	announcement atomic.Uint64
+	evidence     evidence
 
 	// The fields below are used by Run only.
 	revision   uint64
@@ -116,6 +120,23 @@
 	nextCandidate int
 }
 
+// rooms are the capacities of pools as announced last.
+type rooms struct {
+	number uint64
+	pools  map[string]coordapi.Room
+}
+
+// Room returns the capacity of a pool as the leader last announced it, and the number of the
+// announcement. Known is false if the leader announced none.
+func (f *Follower) Room(pool string) (room coordapi.Room, announcement uint64, known bool) {
+	last := f.rooms.Load()
+	if last == nil {
+		return room, 0, false
+	}
+	room, known = last.pools[pool]
+	return room, last.number, known
+}
+
 // appliedView identifies the last applied view.
 type appliedView struct {
 	revision uint64
@@ -296,6 +317,7 @@
 	}
 	if v.Announced != f.announced {
 		f.config.Pool.SetTotalLoads(f.now(), f.loads(v), v.LoadsAge, v.EngineLoads)
+		f.rooms.Store(&rooms{number: f.announcement.Add(1), pools: v.Rooms})
 	}
 	if v.Leader.Leadership() != f.token.Leadership() {
 		f.config.Pushbacks.ReportAgain()
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -62,8 +62,9 @@
 	return reports
 }
 
-// Place asks the leader for an engine. Answered is false when there was no answer in time and
-// the router must choose by itself; found is false when no engine may serve.
+// Place asks the leader for an engine, and waits until there is capacity if the leader queues the
+// request. Answered is false when there was no answer in time and the router must choose by itself;
+// found is false when no engine may serve.
 func (f *Follower) Place(ctx context.Context, q *backends.Query) (choice backends.Choice, found, answered bool) {
 	leader := f.reachableLeader()
 	if leader == nil {
@@ -74,6 +75,11 @@
 	call.Tried = append(slices.Clone(call.Tried), f.config.Pushbacks.Unavailable(q.Pool)...)
 	call.Reports = f.pendingReports()
 	requested := clock.Now()
+	var one *waiter
+	if call.Wait {
+		one = f.waiting.add(f.now(), call)
+		defer f.waiting.remove(one)
+	}
 	reply, err := f.call(ctx, *leader, coordapi.Request{Place: call})
 	if err != nil || reply.Placed == nil {
 		// The request may have been placed, and the reports may be lost.
@@ -96,9 +102,21 @@
 	if f.placements.standalone.Swap(false) {
 		f.config.Logger.Info("leader places requests again", "part", "follower", "address", *leader)
 	}
-	choice, found = placer.Choice(call, reply.Placed)
-	if reply.Placed.Permit > 0 {
-		choice.Permit = ratelimit.Granted(coordapi.BackendID(choice.ID), call.Number, requested, reply.Placed.Permit)
+	placed := reply.Placed
+	if placed.Reason != "" {
+		f.config.Logger.Info("refused without waiting", "part", "queue", "request", call.Request.String(), "pool", call.Pool, "tenant_priority", call.Urgency.Tenant,
+			"priority", call.Urgency.Route, "tenant", call.Account, "waited_ms", call.Waited.Milliseconds(), "ahead", placed.Queue, "reason", placed.Reason)
+	}
+	if placed.Queued && one != nil {
+		o, decided := f.awaitOutcome(ctx, one, placed)
+		if !decided {
+			return choice, false, false
+		}
+		placed, requested = &o.placed, o.requestedAt
+	}
+	choice, found = placer.Choice(call, placed)
+	if placed.Permit > 0 {
+		choice.Permit = ratelimit.Granted(coordapi.BackendID(choice.ID), call.Number, requested, placed.Permit)
 	}
 	return choice, found, true
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -71,7 +71,12 @@
 			h.refuse(w, j, &refusal{status: http.StatusTooManyRequests, reason: "tenant " + j.tenant.Name + " is over its limit", retryAfter: choice.Wait})
 			return
 		}
-		if !found {
+		if choice.Reason != "" && !errors.Is(context.Cause(ctx), context.Canceled) {
+			h.metrics.refusedQueued.Add(1)
+			h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: choice.Reason, retryAfter: choice.RetryAfter})
+			return
+		}
+		if !found || choice.Reason != "" {
 			if j.permitDelay > 0 {
 				h.metrics.noPermit.Add(1)
 			}
@@ -156,6 +161,9 @@
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
 	defer func() { running.End(h.now()) }()
+	if j.pool.Engine != nil {
+		defer h.shares.begin(j.pool.Name)()
+	}
 	j.request.Allowed = running.Allowed
 	if choice.Placement > 0 {
 		defer h.config.Placer.Ended(choice.Placement)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -80,6 +80,9 @@
 			return choice, found
 		}
 		h.metrics.placedLocally.Add(1)
+		if choice, refused := h.refuseBeyondShare(j); refused {
+			return choice, true
+		}
 	}
 	if over, beyond := h.admit(j); beyond {
 		return over, true
@@ -132,8 +135,10 @@
 // place asks the leader for an engine. Answered is false if the router must choose locally.
 func (h *Handler) place(ctx context.Context, j *job) (choice backends.Choice, found, answered bool) {
 	h.setQuotaQuery(j)
+	h.setQueueing(j)
 	choice, found, answered = h.config.Placer.Place(ctx, &j.query)
-	if !answered || !found || choice.Late || choice.OverLimit || len(choice.Blocked) > 0 {
+	j.standalone = !answered
+	if !answered || !found || choice.Late || choice.OverLimit || len(choice.Blocked) > 0 || choice.Reason != "" {
 		return choice, found, answered
 	}
 	j.quotaCounted = j.quotaCounted || !choice.Uncounted
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -74,6 +74,15 @@
 	Claim(ctx context.Context, q *backends.Query, id coordapi.BackendID) (permit *ratelimit.Permit, wait, retryAfter time.Duration)
 }
 
+// Queue is the router's side of the leader's queue.
+type Queue interface {
+	// Waiting returns the number of requests that wait in it.
+	Waiting() int
+	// Room returns the capacity of a pool as the leader last announced it, and the number of the announcement. Known is false if
+	// none was announced.
+	Room(pool string) (room coordapi.Room, announcement uint64, known bool)
+}
+
 // SharedBudget grants retries of the burst that all routers share.
 type SharedBudget interface {
 	// Repeat asks for one retry for a pool. Answered is false if there is no leader to grant
@@ -97,6 +106,9 @@
 	Limits *ratelimit.Registry
 	// Claimer may be nil: nothing is then sent to back ends with a limit.
 	Claimer Claimer
+	// Queue may be nil: the router then decides without regard to the capacity of pools while the
+	// leader does not answer.
+	Queue Queue
 	// SharedBudget may be nil: the router then uses an even part of the burst.
 	SharedBudget SharedBudget
 	Saved        *Saved
@@ -120,6 +132,7 @@
 	forbidden map[string]bool
 	metrics   Metrics
 	store     storeMonitor
+	shares    shares
 	probes    *probes
 	deadlines *deadlines
 }
@@ -182,6 +195,8 @@
 	// permitDelay is the delay until the pool has a permit for the request; 0 if it needs none
 	// or the delay is not known.
 	permitDelay time.Duration
+	// standalone is set if the leader did not answer when the back end was chosen.
+	standalone bool
 	// retryGranted is set if the budget has granted the next attempt.
 	retryGranted atomic.Bool
 	// viewRevision and viewAge describe the view by which the back end was chosen.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -18,6 +18,8 @@
 	inFlight atomic.Int64
 	// refusedBehind counts requests refused because all engines were behind.
 	refusedBehind atomic.Uint64
+	// refusedQueued counts requests refused because there is no capacity for them in time.
+	refusedQueued atomic.Uint64
 	// refusedOverLimit counts requests refused because their tenant was over its limit.
 	refusedOverLimit atomic.Uint64
 	// noPermit counts requests that found no permit because of the limits of back ends.
@@ -82,6 +84,10 @@
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"leader\"} %d\n", m.placedByLeader.Load())
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"router\"} %d\n", m.placedLocally.Load())
 	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.refusedBehind.Load())
+	fmt.Fprintf(w, "quinceridge_refused_no_room_total %d\n", m.refusedQueued.Load())
+	if h.config.Queue != nil {
+		fmt.Fprintf(w, "quinceridge_waiting_requests %d\n", h.config.Queue.Waiting())
+	}
 	fmt.Fprintf(w, "quinceridge_refused_over_limit_total %d\n", m.refusedOverLimit.Load())
 	fmt.Fprintf(w, "quinceridge_refused_blocked_total %d\n", m.refusedBlocked.Load())
 	fmt.Fprintf(w, "quinceridge_attempts_broken_total %d\n", m.failedAttempts.Load())
--- /dev/null
+++ b/internal/forward/queueing.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+// standaloneRetryAfter is the Retry-After, before jitter, of a request that a router refuses by
+// itself: most elections are over by then.
+const standaloneRetryAfter = 500 * time.Millisecond
+
+// setQueueing sets the terms on which the leader may queue the request. Only the first attempt of a
+// request with a latency target waits: later ones are placed as if there were no queue.
+func (h *Handler) setQueueing(j *job) {
+	waited := h.now() - j.receivedAt
+	j.query.Queueing = coordapi.Queueing{Wait: h.mayWait(j), Account: j.tenantName(), Urgency: queueUrgency(j), Waited: waited,
+		Abandon: j.route.AbandonAfter, Deadline: j.deadline - j.receivedAt, Started: j.tries()}
+}
+
+// mayWait reports whether a request may wait in the queue of its pool.
+func (h *Handler) mayWait(j *job) bool {
+	return j.pool.Engine != nil && j.route.Target > 0 && j.tries() == 0
+}
+
+// queueUrgency returns the urgency of a request in the queue.
+func queueUrgency(j *job) coordapi.Urgency {
+	u := coordapi.Urgency{Route: min(max(j.route.Priority, 0), maxPriority)}
+	if j.tenant != nil {
+		u.Tenant = max(j.tenant.Priority, 0)
+	}
+	return u
+}
+
+// refuseBeyondShare decides without the leader whether there is capacity for a request. It returns
+// the refusal if the router already runs its share of the announced capacity.
+func (h *Handler) refuseBeyondShare(j *job) (refusal backends.Choice, refused bool) {
+	if h.config.Queue == nil || !j.standalone || !h.mayWait(j) {
+		return refusal, false
+	}
+	room, announcement, known := h.config.Queue.Room(j.pool.Name)
+	if !known || room.Limit == 0 || h.shares.allows(j.pool.Name, room, announcement, j.query.Routers, rand.Float64()) {
+		return refusal, false
+	}
+	return backends.Choice{Reason: coordapi.NoRoomInTime, RetryAfter: standaloneRetryAfter + rand.N(standaloneRetryAfter/2)}, true
+}
+
+// shares holds the requests that this router runs at the engines of each pool, and how many it may
+// run without the leader. It is safe for concurrent use.
+type shares struct {
+	mu    sync.Mutex
+	pools map[string]*share
+}
+
+type share struct {
+	running int
+	// limit is the number of requests that the router may run, by the announcement with the given
+	// number.
+	limit        int
+	announcement uint64
+}
+
+func (s *shares) pool(name string) *share {
+	if s.pools == nil {
+		s.pools = map[string]*share{}
+	}
+	one := s.pools[name]
+	if one == nil {
+		one = &share{}
+		s.pools[name] = one
+	}
+	return one
+}
+
+// begin records a request at an engine of a pool until end is called.
+func (s *shares) begin(name string) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	one := s.pool(name)
+	one.running++
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		one.running--
+	}
+}
+
+// allows reports whether the router may run another request of a pool. It may run its equal share of
+// the remainder of an announced capacity in addition to what it runs when it first decides by that.
+// Draw is in [0, 1) and rounds the share, so that the routers together use the remainder.
+func (s *shares) allows(name string, room coordapi.Room, announcement uint64, routers int, draw float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	one := s.pool(name)
+	if one.announcement != announcement {
+		part := float64(max(room.Limit-room.Running, 0)) / float64(max(routers, 1))
+		one.announcement, one.limit = announcement, one.running+int(math.Floor(part+draw))
+	}
+	return one.running < one.limit
+}
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -22,8 +22,11 @@
 	// Leaves adds to departures whether the back end had left, and to rows and departures the time
 	// of a leave without a start time.
 	Leaves Level = 4
+	// Queueing adds the queue of requests that wait for an engine, and the capacity of the engines of
+	// each pool.
+	Queueing Level = 5
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = Leaves
+const Current = Queueing
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -13,8 +13,10 @@
 	"sync"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/admission"
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/state"
@@ -39,24 +41,48 @@
 	// for requests that fetch nothing from a store.
 	baseDelay speed.DelayEstimator
 	lastSweep time.Duration
+	// queues holds the queue of each pool whose requests may wait, and versions the weights version
+	// chosen last for each model.
+	queues   map[string]*poolQueue
+	versions map[poolModel]int
+	// wake receives when a pass over a queue is due.
+	wake chan struct{}
+	// firstMessage is the time of the first message of a router, 0 before it, and settledAt the time
+	// before which nothing is granted from queues.
+	firstMessage time.Duration
+	settledAt    time.Duration
+	// refunds is the result of the next call of TakeRefunds.
+	refunds []quota.Spent
+	waits   waitHistogram
+	refused map[admission.Reason]int
 }
 
 // router holds the placements of one router.
 type router struct {
 	lastReport time.Duration
 	open       map[uint64]*placement
+	// waiting are its requests in queues by number. session identifies this record to the router.
+	waiting map[uint64]*waiting
+	session coordapi.Session
+	// outcomes are those of requests that waited which the router has not acknowledged, and sequence
+	// is the number of the last one. news is closed when there are more; nil if no Await is held.
+	outcomes []outcome
+	sequence uint64
+	news     chan struct{}
 }
 
 // placement is a request in flight.
 type placement struct {
 	*backends.Attempt
+	// pool is the name of its pool.
+	pool string
 	// from is the store from which the engine fetches shared parts, or nil.
 	from *store
 }
 
 // New returns an empty placer. The limiter limits may be nil.
 func New(limits *ratelimit.Limiter) *Placer {
-	p := &Placer{limits: limits}
+	p := &Placer{limits: limits, wake: make(chan struct{}, 1), refused: map[admission.Reason]int{}}
 	p.Reset()
 	return p
 }
@@ -65,7 +91,12 @@
 func (p *Placer) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, r := range p.routers {
+		r.wakeAwait()
+	}
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
+	p.queues, p.versions, p.refunds = map[string]*poolQueue{}, map[poolModel]int{}, nil
+	p.firstMessage, p.settledAt = 0, 0
 	p.parts, p.baseDelay = newDirectory(), speed.DelayEstimator{}
 }
 
@@ -104,26 +135,38 @@
 	return placements, len(p.routers)
 }
 
-// Place chooses an engine. The request counts as sent to it until the router reports its end,
-// unless the reply is late or names no engine.
+// Place chooses an engine, or queues the request if it may wait. The request counts as sent to an
+// engine until the router reports its end, unless the reply is late or names no engine.
 func (p *Placer) Place(now time.Duration, ask *coordapi.Place) coordapi.Placed {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.applyReports(now, ask.Router, &ask.Reports)
+	if mayQueue(ask) {
+		return p.placeOrQueue(now, r, ask)
+	}
 	q := p.query(now, ask)
 	choice, found, permitTerm := p.choose(now, ask, q)
-	if !found {
+	switch {
+	case !found:
 		return coordapi.Placed{RetryAfter: choice.RetryAfter}
+	case choice.Late:
+		return newReply(&choice)
 	}
-	if !choice.Late {
-		from := p.planFetch(now, ask, q, &choice)
-		a := p.pool.Begin(now, &choice, q, func(error) {})
-		if from != nil {
-			a.SetFetches()
-		}
-		r.open[ask.Number] = &placement{a, from}
+	return p.begin(now, r, ask, q, &choice, permitTerm)
+}
+
+// begin starts a placement.
+func (p *Placer) begin(now time.Duration, r *router, ask *coordapi.Place, q *backends.Query, choice *backends.Choice, permitTerm time.Duration) coordapi.Placed {
+	from := p.planFetch(now, ask, q, choice)
+	a := p.pool.Begin(now, choice, q, func(error) {})
+	if from != nil {
+		a.SetFetches()
+	}
+	r.open[ask.Number] = &placement{a, ask.Pool, from}
+	if choice.Versioned {
+		p.versions[poolModel{ask.Pool, ask.Model}] = choice.Version
 	}
-	out := newReply(&choice)
+	out := newReply(choice)
 	out.Permit = permitTerm
 	return out
 }
@@ -194,13 +237,7 @@
 }
 
 func (p *Placer) applyReports(now time.Duration, name string, reports *coordapi.Reports) *router {
-	p.expireRouters(now)
-	r := p.routers[name]
-	if r == nil {
-		r = &router{open: map[uint64]*placement{}}
-		p.routers[name] = r
-	}
-	r.lastReport = now
+	r := p.router(now, name)
 	for _, b := range reports.Begun {
 		if a := r.open[b.Number]; a != nil && b.First > 0 && b.First <= maxFirstEventWait {
 			p.observeDelay(now, a, a.FirstEventReported(now, b.First))
@@ -210,13 +247,31 @@
 		if a := r.open[number]; a != nil {
 			a.End(now)
 			delete(r.open, number)
+			p.setDue(a.pool)
+			continue
 		}
+		p.endWait(name, r, number)
 	}
 	p.pool.ApplyTroubles(now, reports.Troubles)
 	return r
 }
 
-// expireRouters ends the placements of routers that no longer report.
+// router returns the record of a router that sends a message.
+func (p *Placer) router(now time.Duration, name string) *router {
+	p.expireRouters(now)
+	r := p.routers[name]
+	if r == nil {
+		r = &router{open: map[uint64]*placement{}, waiting: map[uint64]*waiting{}, session: newSession()}
+		p.routers[name] = r
+	}
+	r.lastReport = now
+	if p.firstMessage == 0 {
+		p.firstMessage = now
+	}
+	return r
+}
+
+// expireRouters ends the placements and waits of routers that no longer report.
 func (p *Placer) expireRouters(now time.Duration) {
 	if now-p.lastSweep < routerTimeout/4 {
 		return
@@ -224,11 +279,17 @@
 	p.lastSweep = now
 	for name, r := range p.routers {
 		if now-r.lastReport <= routerTimeout {
+			p.withdraw(now, r)
 			continue
 		}
 		for _, a := range r.open {
 			a.End(now)
+			p.setDue(a.pool)
+		}
+		for number := range r.waiting {
+			p.endWait(name, r, number)
 		}
+		r.wakeAwait()
 		delete(p.routers, name)
 	}
 }
@@ -248,7 +309,8 @@
 // NewRequest converts a query to a router's request.
 func NewRequest(q *backends.Query) *coordapi.Place {
 	return &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, GapTarget: q.GapTarget, Shared: q.Shared,
-		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts, Request: q.Request, Store: q.Store, StoreTokens: q.StoreTokens, Tenant: q.Tenant, Amount: q.Amount, Claimant: q.Claimant}
+		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Tried: q.Tried, Parts: q.Parts, Request: q.Request, Store: q.Store, StoreTokens: q.StoreTokens, Tenant: q.Tenant, Amount: q.Amount, Claimant: q.Claimant,
+		Queueing: q.Queueing}
 }
 
 func newReply(c *backends.Choice) coordapi.Placed {
@@ -261,5 +323,5 @@
 	return backends.Choice{ID: p.ID, Instance: p.Instance, Address: p.Address, Zone: p.Zone, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
 		Source: p.Source, Save: p.Save, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
 		Ahead: p.Ahead, Wait: p.Wait, Late: p.Late, Placement: ask.Number, OverLimit: p.OverLimit, Uncounted: p.Uncounted, RetryAfter: p.RetryAfter,
-		Blocked: p.Blocked}, p.ID != "" || p.OverLimit || len(p.Blocked) > 0
+		Blocked: p.Blocked, Reason: p.Reason}, p.ID != "" || p.OverLimit || len(p.Blocked) > 0 || p.Reason != ""
 }
--- /dev/null
+++ b/internal/placer/queue.go
@@ -0,0 +1,416 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/admission"
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/quota"
+)
+
+const (
+	// passInterval is the time between two passes over a queue, and minPassInterval that between two
+	// passes because of freed capacity. A pass for each of thousands of reports a second would take
+	// most of the leader's time.
+	passInterval    = 10 * time.Millisecond
+	minPassInterval = 2 * time.Millisecond
+	// maxMisses is the number of requests in order without capacity after which a pass ends: what
+	// they lack, those behind them mostly lack too.
+	maxMisses = 8
+	// maxGrants bounds the grants of a pass, and with them the time for which it holds the lock.
+	maxGrants = 16
+	// settleTime is the time for which a new leader grants nothing from a queue after it got a request
+	// that the former leader had queued. It does not know of the requests that run yet, and routers
+	// report them within this time in all but the largest deployments.
+	settleTime = 300 * time.Millisecond
+	// newTime is the time after its first message for which a leader is new.
+	newTime = time.Second
+	// uncollectedTime is the time after which a grant that its router has not collected is
+	// withdrawn. A router that waits collects its outcomes within a round trip.
+	uncollectedTime = time.Second
+)
+
+// poolQueue is the queue of a pool.
+type poolQueue struct {
+	*admission.Queue
+	passedAt time.Duration
+	// due is set if capacity was freed since the last pass.
+	due bool
+}
+
+// waiting is a request in a queue.
+type waiting struct {
+	ask      *coordapi.Place
+	queuedAt time.Duration
+}
+
+// outcome is an outcome that its router has not acknowledged.
+type outcome struct {
+	coordapi.Outcome
+	at time.Duration
+}
+
+// mayQueue reports whether a request may wait in a queue.
+func mayQueue(ask *coordapi.Place) bool {
+	return ask.Wait && ask.Started == 0 && ask.Target > 0 && ask.Slots > 0
+}
+
+// queue returns the queue of a pool.
+func (p *Placer) queue(pool string) *poolQueue {
+	queue := p.queues[pool]
+	if queue == nil {
+		queue = &poolQueue{Queue: admission.New(admission.Config{})}
+		p.queues[pool] = queue
+	}
+	return queue
+}
+
+// newSession returns a session that differs from all others and is not 0.
+func newSession() coordapi.Session { return coordapi.Session(rand.Uint64() | 1) }
+
+// Holds reports whether a request waits, or was granted and not collected yet. It was admitted to
+// its tenant's limit then.
+func (p *Placer) Holds(name string, number uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.routers[name]
+	return r != nil && r.holds(number)
+}
+
+// holds reports whether the outcome of a request is still to be collected.
+func (r *router) holds(number uint64) bool {
+	if r.waiting[number] != nil {
+		return true
+	}
+	if r.open[number] == nil {
+		return false
+	}
+	for i := range r.outcomes {
+		if r.outcomes[i].Number == number {
+			return true
+		}
+	}
+	return false
+}
+
+// placeOrQueue places a request, queues it if there is no capacity or others wait, or refuses it.
+func (p *Placer) placeOrQueue(now time.Duration, r *router, ask *coordapi.Place) coordapi.Placed {
+	queue := p.queue(ask.Pool)
+	queued := coordapi.Placed{Queued: true, Session: r.session, Queue: queue.Len()}
+	if r.holds(ask.Number) {
+		// The router asks again because it may have missed a reply.
+		return queued
+	}
+	request := p.request(now, ask)
+	if ask.Again && now-p.firstMessage < newTime {
+		p.settledAt = max(p.settledAt, p.firstMessage+settleTime)
+	}
+	if queue.Len() == 0 && now >= p.settledAt {
+		q := p.query(now, ask)
+		q.Room = true
+		choice, found, permitTerm := p.choose(now, ask, q)
+		switch {
+		case found && !choice.Late:
+			queue.Admitted(now, request)
+			return p.begin(now, r, ask, q, &choice, permitTerm)
+		case !found && !choice.NoRoom:
+			return coordapi.Placed{RetryAfter: choice.RetryAfter}
+		}
+	}
+	if refusal := queue.Push(now, request, rand.Float64()); refusal != nil {
+		p.refused[refusal.Reason]++
+		return coordapi.Placed{Reason: string(refusal.Reason), RetryAfter: refusal.RetryAfter, Queue: queue.Len()}
+	}
+	ask.Reports = coordapi.Reports{}
+	r.waiting[ask.Number] = &waiting{ask: ask, queuedAt: now}
+	p.setDue(ask.Pool)
+	return queued
+}
+
+// request describes a request to the queue.
+func (p *Placer) request(now time.Duration, ask *coordapi.Place) admission.Request {
+	e := p.pool.Expect(ask.Pool, ask.Own+p.uncachedTokens(now, ask))
+	abandon := ask.Abandon
+	if latest := ask.Deadline - e.Run; ask.Deadline > 0 && (abandon <= 0 || latest < abandon) {
+		// A mean run time above the deadline must not mean that there is none.
+		abandon = max(latest, e.FirstEvent)
+	}
+	return admission.Request{Key: admission.Key{Router: ask.Router, Number: ask.Number}, Tenant: ask.Account,
+		Urgency: admission.Urgency{Tenant: ask.Urgency.Tenant, Route: ask.Urgency.Route}, Digest: uint64(ask.Request),
+		Arrived: now - ask.Waited, Target: ask.Target, Abandon: abandon, Service: e.FirstEvent,
+		Work: milliseconds(e.Prefill) + milliseconds(e.Run)/float64(ask.Slots)}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// uncachedTokens returns how many of a prompt's shared tokens no engine with the weights version
+// that was chosen last holds.
+func (p *Placer) uncachedTokens(now time.Duration, ask *coordapi.Place) int {
+	version, tokens := p.versions[poolModel{ask.Pool, ask.Model}], 0
+	for _, part := range ask.Parts {
+		if p.parts.holder(now, part.Hash, version) == "" {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
+
+// poolModel identifies a model of a pool.
+type poolModel struct{ pool, model string }
+
+// setDue requests a pass over the queue of a pool.
+func (p *Placer) setDue(pool string) {
+	queue := p.queues[pool]
+	if queue == nil || queue.due || queue.Len() == 0 {
+		return
+	}
+	queue.due = true
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Wake returns a channel that receives when Step is to be called.
+func (p *Placer) Wake() <-chan struct{} { return p.wake }
+
+// Step makes the passes that are due over the queues. It returns when it is to be called again, or
+// false if no request waits.
+func (p *Placer) Step(now time.Duration) (next time.Duration, more bool) {
+	p.mu.Lock()
+	p.expireRouters(now)
+	var due []string
+	for pool, queue := range p.queues {
+		if queue.Len() > 0 && now >= max(queue.nextPass(), p.settledAt) {
+			due = append(due, pool)
+		}
+	}
+	p.mu.Unlock()
+	for _, pool := range due {
+		p.expire(now, pool)
+		for p.pass(now, pool) {
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next = now + settleTime
+	for _, queue := range p.queues {
+		if queue.Len() > 0 {
+			next, more = min(next, max(queue.nextPass(), p.settledAt)), true
+		}
+	}
+	return next, more
+}
+
+// nextPass returns the time of the next pass.
+func (q *poolQueue) nextPass() time.Duration {
+	if q.due {
+		return q.passedAt + minPassInterval
+	}
+	return q.passedAt + passInterval
+}
+
+// expire refuses the requests of a pool that can no longer begin in time.
+func (p *Placer) expire(now time.Duration, pool string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if queue := p.queues[pool]; queue != nil {
+		queue.passedAt, queue.due = now, false
+		queue.Restart()
+		p.refuse(now, queue.Expire(now, rand.Float64))
+	}
+}
+
+// pass grants capacity to waiting requests of a pool in their order. It returns whether there may be
+// more to grant.
+func (p *Placer) pass(now time.Duration, pool string) (more bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	queue := p.queues[pool]
+	if queue == nil {
+		return false
+	}
+	misses := 0
+	for range maxGrants {
+		for {
+			request, ok := queue.Next(now)
+			if !ok {
+				return false
+			}
+			granted, gone := p.grant(now, queue, request.Key)
+			if gone {
+				p.refuse(now, queue.RefuseAll(now, rand.Float64))
+				return false
+			}
+			if granted {
+				break
+			}
+			queue.Skip(request.Key)
+			if misses++; misses >= maxMisses {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// grant places a waiting request if there is capacity for it. Gone is true if its pool has no
+// engine.
+func (p *Placer) grant(now time.Duration, queue *poolQueue, key admission.Key) (granted, gone bool) {
+	r := p.routers[key.Router]
+	if r == nil || r.waiting[key.Number] == nil {
+		queue.Remove(key)
+		return true, false
+	}
+	w := r.waiting[key.Number]
+	q := p.query(now, w.ask)
+	q.Room = true
+	choice, found, permitTerm := p.choose(now, w.ask, q)
+	if !found || choice.Late {
+		return false, !found && !choice.NoRoom && !p.pool.HasEngines(w.ask.Pool)
+	}
+	queue.Granted(now, key)
+	p.waits.add(now - w.queuedAt)
+	r.finish(now, w, p.begin(now, r, w.ask, q, &choice, permitTerm))
+	return true, false
+}
+
+// finish records the outcome of a request that waited.
+func (r *router) finish(now time.Duration, w *waiting, placed coordapi.Placed) {
+	number := w.ask.Number
+	delete(r.waiting, number)
+	placed.Uncounted = w.ask.Amount == 0
+	r.sequence++
+	r.outcomes = append(r.outcomes, outcome{coordapi.Outcome{Number: number, Placed: placed}, now})
+	r.wakeAwait()
+}
+
+// wakeAwait makes a held Await return.
+func (r *router) wakeAwait() {
+	if r.news != nil {
+		close(r.news)
+		r.news = nil
+	}
+}
+
+// refuse ends waits without a placement.
+func (p *Placer) refuse(now time.Duration, refusals []admission.Refusal) {
+	for _, refusal := range refusals {
+		p.refused[refusal.Reason]++
+		r := p.routers[refusal.Key.Router]
+		if r == nil || r.waiting[refusal.Key.Number] == nil {
+			continue
+		}
+		w := r.waiting[refusal.Key.Number]
+		p.refund(w)
+		r.finish(now, w, coordapi.Placed{Reason: string(refusal.Reason), RetryAfter: refusal.RetryAfter})
+	}
+}
+
+// refund records that a waiting request that ends without a placement does not count against its
+// tenant's limit.
+func (p *Placer) refund(w *waiting) {
+	if w.ask.Amount > 0 {
+		p.refunds = append(p.refunds, quota.Spent{Tenant: w.ask.Tenant, Amount: -w.ask.Amount})
+	}
+}
+
+// TakeRefunds returns the amounts of tenants' limits that requests were counted against which ended
+// without a placement after they waited.
+func (p *Placer) TakeRefunds() []quota.Spent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	refunds := p.refunds
+	p.refunds = nil
+	return refunds
+}
+
+// endWait ends the wait of a request whose caller or router has left. It returns false if the
+// request does not wait.
+func (p *Placer) endWait(name string, r *router, number uint64) bool {
+	w := r.waiting[number]
+	if w == nil {
+		return false
+	}
+	p.queue(w.ask.Pool).Remove(admission.Key{Router: name, Number: number})
+	p.refund(w)
+	delete(r.waiting, number)
+	return true
+}
+
+// withdraw ends the placements that a router has not collected in time. If it still waits for them
+// it asks again.
+func (p *Placer) withdraw(now time.Duration, r *router) {
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		if now-o.at < uncollectedTime || o.Placed.ID == "" {
+			continue
+		}
+		if a := r.open[o.Number]; a != nil {
+			a.End(now)
+			delete(r.open, o.Number)
+			p.setDue(a.pool)
+		}
+		o.Placed = coordapi.Placed{}
+	}
+}
+
+// Await returns the outcomes for a router that it has not acknowledged. If there are none and the
+// session is the router's, ready is false and changed is closed when there are. ArrivedAt is when
+// the Await arrived: permits count from the time that it was sent.
+func (p *Placer) Await(now, arrivedAt time.Duration, call *coordapi.Await) (reply coordapi.Awaited, ready bool, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.router(now, call.Router)
+	reply = coordapi.Awaited{Session: r.session}
+	if call.Session != r.session {
+		return reply, true, nil
+	}
+	r.acknowledge(call.Acknowledged)
+	reply.Sequence = r.sequence
+	for _, o := range r.outcomes {
+		if o.Placed.Permit > 0 {
+			o.Placed.Permit = max(o.Placed.Permit-max(arrivedAt-o.at, 0), 1)
+		}
+		reply.Outcomes = append(reply.Outcomes, o.Outcome)
+	}
+	if len(reply.Outcomes) > 0 {
+		return reply, true, nil
+	}
+	if r.news == nil {
+		r.news = make(chan struct{})
+	}
+	return reply, false, r.news
+}
+
+// acknowledge drops the outcomes up to a sequence number.
+func (r *router) acknowledge(sequence uint64) {
+	first := r.sequence + 1 - uint64(len(r.outcomes))
+	if sequence < first {
+		return
+	}
+	r.outcomes = r.outcomes[min(sequence-first+1, uint64(len(r.outcomes))):]
+	if len(r.outcomes) == 0 {
+		// Frees the memory of a burst.
+		r.outcomes = nil
+	}
+}
+
+// SetAnnouncedLoads sets the loads that all routers report. A new leader counts them, since it knows
+// of no running requests.
+func (p *Placer) SetAnnouncedLoads(now time.Duration, loads []coordapi.Load) {
+	p.current().SetAnnouncedLoads(now, loads)
+}
+
+// Rooms returns the capacity of the pools that have served requests which may wait.
+func (p *Placer) Rooms() map[string]coordapi.Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]coordapi.Room, len(p.queues))
+	for pool := range p.queues {
+		room := p.pool.Room(pool)
+		out[pool] = coordapi.Room{Limit: room.MaxRequests, Running: room.Requests}
+	}
+	return out
+}
