--- a/internal/follower/waiting.go
+++ b/internal/follower/waiting.go
@@ -3,12 +3,13 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/peer"
@@ -18,6 +19,8 @@
 	// awaitTimeout bounds an Await: the leader holds it, and a reply takes a few round trips between
 	// zones.
 	awaitTimeout = coordapi.AwaitHold + placeTimeout
+	// maxSessions bounds the sessions whose acknowledged outcomes are kept.
+	maxSessions = 4
 	// maxAsks is the number of waiting requests that are asked for again at once, so that the
 	// routers do not flood a new leader.
 	maxAsks = 20
@@ -25,8 +28,9 @@
 	// again.
 	askRetryDelay = 100 * time.Millisecond
 	// leaderlessWait is the time without a reply to an Await after which waiting requests are
-	// decided by the router itself. A new leader is usually found sooner.
-	leaderlessWait = time.Second
+	// decided by the router itself. It exceeds watchTimeout, within which a router notices that a
+	// leader is cut off, and the time to find the next one.
+	leaderlessWait = 2 * time.Second
 	// timeoutRetryAfter is the Retry-After, before jitter, of a request that waited until its
 	// time-out.
 	timeoutRetryAfter = 500 * time.Millisecond
@@ -43,10 +47,14 @@
 	// awaiting is set while collectOutcomes runs, and asks is the number of repeated calls in flight.
 	awaiting bool
 	asks     int
-	// session is the leader's present session, and acknowledged the last outcome of it that was
-	// applied. session is 0 if the leader's build has no queue.
-	session      coordapi.Session
-	acknowledged uint64
+	// session is the leader's present session, and changes counts its changes. It is 0 if the
+	// leader's build has no queue.
+	session coordapi.Session
+	changes int
+	// acknowledged is the last outcome applied of each recent session.
+	acknowledged map[coordapi.Session]uint64
+	// interrupt ends the Await in flight.
+	interrupt context.CancelFunc
 	// heardAt is the time of the last reply to an Await.
 	heardAt time.Duration
 }
@@ -59,9 +67,11 @@
 	// counted is set if a leader counted the request against its tenant's limit.
 	counted bool
 	queued  bool
-	// session is the session that holds the request, and asking is set while it is asked for again.
-	// retryAt is the time before which it is not.
+	// session is the session that holds the request, and changes the value of waiting.changes when
+	// it was asked for. asking is set while it is asked for again, and retryAt is the time before
+	// which it is not.
 	session coordapi.Session
+	changes int
 	asking  bool
 	retryAt time.Duration
 	// outcome receives at most one value.
@@ -122,7 +132,6 @@
 func (w *waiting) setQueued(now time.Duration, one *waiter, placed *coordapi.Placed) (start bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	one.session = placed.Session
 	if w.requests[one.call.Number] != one {
 		return false
 	}
@@ -130,29 +139,50 @@
 		one.queued, one.counted = true, one.call.Amount > 0 && !placed.Uncounted
 		w.queued++
 	}
+	w.hold(one, placed.Session)
 	if w.awaiting {
 		return false
 	}
 	w.awaiting, w.heardAt = true, now
-	w.setSession(placed.Session)
 	return true
 }
 
+// hold records that a session holds a request. An Await of another session is of no use any more.
+func (w *waiting) hold(one *waiter, session coordapi.Session) {
+	if session != w.session && w.interrupt != nil {
+		w.interrupt()
+	}
+	w.setSession(session)
+	one.session, one.changes = session, w.changes
+}
+
 func (w *waiting) setSession(session coordapi.Session) {
 	if session != w.session {
-		w.session, w.acknowledged = session, 0
+		w.session = session
+		w.changes++
 	}
 }
 
-// next returns the next Await. It returns false, and the loop must end, if no request is queued.
-func (w *waiting) next(router string) (call coordapi.Await, more bool) {
+// acknowledge records the last outcome applied of the present session. It is kept for some of the
+// sessions before, so that a late reply of a former leader does not make outcomes be applied again.
+func (w *waiting) acknowledge(sequence uint64) {
+	if len(w.acknowledged) >= maxSessions || w.acknowledged == nil {
+		w.acknowledged = map[coordapi.Session]uint64{w.session: w.acknowledged[w.session]}
+	}
+	w.acknowledged[w.session] = max(w.acknowledged[w.session], sequence)
+}
+
+// next returns the next Await, which interrupt may end. It returns false, and the loop must end, if
+// no request is queued.
+func (w *waiting) next(router string, interrupt context.CancelFunc) (call coordapi.Await, more bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.interrupt = interrupt
 	if w.queued == 0 {
-		w.awaiting = false
+		w.awaiting, w.interrupt = false, nil
 		return call, false
 	}
-	return coordapi.Await{Router: router, Session: w.session, Acknowledged: w.acknowledged}, true
+	return coordapi.Await{Router: router, Session: w.session, Acknowledged: w.acknowledged[w.session]}, true
 }
 
 // apply applies a reply to an Await. It returns the placements that nobody waits for any more.
@@ -163,7 +193,7 @@
 	w.setSession(reply.Session)
 	first := reply.Sequence + 1 - uint64(len(reply.Outcomes))
 	for i, o := range reply.Outcomes {
-		if first+uint64(i) <= w.acknowledged {
+		if first+uint64(i) <= w.acknowledged[w.session] {
 			// It was applied before.
 			continue
 		}
@@ -175,12 +205,12 @@
 			}
 		case o.Placed.ID == "" && o.Placed.Reason == "":
 			// The leader withdrew a grant that was not awaited in time.
-			one.session = 0
+			one.session, one.changes = 0, -1
 		default:
 			w.resolve(one, outcome{placed: o.Placed, requestedAt: requestedAt})
 		}
 	}
-	w.acknowledged = max(w.acknowledged, reply.Sequence)
+	w.acknowledge(reply.Sequence)
 	return unused
 }
 
@@ -194,7 +224,7 @@
 	}
 	var out []*waiter
 	for _, one := range w.requests {
-		if one.queued && !one.asking && now >= one.retryAt && (one.session != w.session || w.session == 0) {
+		if one.queued && !one.asking && now >= one.retryAt && one.session != w.session && one.changes != w.changes {
 			out = append(out, one)
 		}
 	}
@@ -223,7 +253,7 @@
 	case placed == nil:
 		one.retryAt = now + askRetryDelay
 	case placed.Queued:
-		one.session = placed.Session
+		w.hold(one, placed.Session)
 	default:
 		w.resolve(one, outcome{placed: *placed, requestedAt: requestedAt})
 	}
@@ -313,38 +343,39 @@
 // collectOutcomes calls Await until no request is queued any more. Each of them ends with its
 // context at the latest.
 func (f *Follower) collectOutcomes() {
-	for {
-		call, more := f.waiting.next(f.name)
-		if !more {
-			return
-		}
-		if !f.collectOnce(&call) {
-			time.Sleep(retryDelay)
-		}
+	for f.collectOnce() {
 		f.giveBack(f.waiting.release(f.now())...)
 		f.askAgain()
 	}
 }
 
-// collectOnce calls Await. It returns false if the next call must be delayed.
-func (f *Follower) collectOnce(call *coordapi.Await) bool {
+// collectOnce calls Await once, and delays the next call if it failed. It returns false if no
+// request is queued.
+func (f *Follower) collectOnce() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
+	defer cancel()
+	call, more := f.waiting.next(f.name, cancel)
+	if !more {
+		return false
+	}
 	leader := f.following.Load()
 	if leader == nil {
-		return false
+		time.Sleep(retryDelay)
+		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
-	defer cancel()
 	requestedAt := clock.Now()
 	var reply coordapi.Reply
-	err := f.config.Peers.Call(ctx, *leader, coordapi.KindCall, coordapi.Request{Await: call}, &reply)
+	err := f.config.Peers.Call(ctx, *leader, coordapi.KindCall, coordapi.Request{Await: &call}, &reply)
 	switch {
+	case err == nil && reply.Awaited != nil:
+		f.giveBack(f.waiting.apply(f.now(), requestedAt, reply.Awaited)...)
 	case errors.Is(err, peer.ErrRemote):
 		f.waiting.withdrawSession(f.now())
-		return false
-	case err != nil || reply.Awaited == nil:
-		return false
+		time.Sleep(retryDelay)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		// It was not interrupted.
+		time.Sleep(retryDelay)
 	}
-	f.giveBack(f.waiting.apply(f.now(), requestedAt, reply.Awaited)...)
 	return true
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -55,6 +55,8 @@
 	refunds []quota.Spent
 	waits   waitHistogram
 	refused map[admission.Reason]int
+	// refusedAt is when a request was last refused for lack of capacity, 0 for never.
+	refusedAt time.Duration
 }
 
 // router holds the placements of one router.
@@ -96,7 +98,7 @@
 	}
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
 	p.queues, p.versions, p.refunds = map[string]*poolQueue{}, map[poolModel]int{}, nil
-	p.firstMessage, p.settledAt = 0, 0
+	p.firstMessage, p.settledAt, p.refusedAt = 0, 0, 0
 	p.parts, p.baseDelay = newDirectory(), speed.DelayEstimator{}
 }
 
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -119,7 +119,7 @@
 		}
 	}
 	if refusal := queue.Push(now, request, rand.Float64()); refusal != nil {
-		p.refused[refusal.Reason]++
+		p.countRefusal(now, refusal.Reason)
 		return coordapi.Placed{Reason: string(refusal.Reason), RetryAfter: refusal.RetryAfter, Queue: queue.Len()}
 	}
 	ask.Reports = coordapi.Reports{}
@@ -294,10 +294,32 @@
 	}
 }
 
+// contendedTime is how long a refusal for lack of capacity shows contention.
+const contendedTime = time.Second
+
+// Contended reports whether requests wait, or were refused for lack of capacity within the last
+// second.
+func (p *Placer) Contended(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, queue := range p.queues {
+		if queue.Len() > 0 {
+			return true
+		}
+	}
+	return p.refusedAt > 0 && now-p.refusedAt < contendedTime
+}
+
+// countRefusal counts a refused request.
+func (p *Placer) countRefusal(now time.Duration, reason admission.Reason) {
+	p.refused[reason]++
+	p.refusedAt = now
+}
+
 // refuse ends waits without a placement.
 func (p *Placer) refuse(now time.Duration, refusals []admission.Refusal) {
 	for _, refusal := range refusals {
-		p.refused[refusal.Reason]++
+		p.countRefusal(now, refusal.Reason)
 		r := p.routers[refusal.Key.Router]
 		if r == nil || r.waiting[refusal.Key.Number] == nil {
 			continue
@@ -354,6 +376,10 @@
 		}
 		o.Placed = coordapi.Placed{}
 	}
+	for len(r.outcomes) > 0 && now-r.outcomes[0].at > routerTimeout {
+		// No request of the router waits for it, or the router has turned to another leader.
+		r.outcomes = r.outcomes[1:]
+	}
 }
 
 // Await returns the outcomes for a router that it has not acknowledged. If there are none and the
