--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -265,7 +265,7 @@
 	}
 	w := r.waiting[key.Number]
 	q := p.query(now, w.ask)
-	q.Room = true
+	q.Room, q.Contended = true, true
 	choice, found, permitTerm := p.choose(now, w.ask, q)
 	if !found || choice.Late {
 		return false, !found && !choice.NoRoom && !p.pool.HasEngines(w.ask.Pool)
