--- a/internal/backends/expect.go
+++ b/internal/backends/expect.go
@@ -31,3 +31,24 @@
 	}
 	return false
 }
+
+// EngineLimits returns how many requests the engines of a pool may run at once, by ID, for at most
+// the given number of engines.
+func (p *Pool) EngineLimits(pool string, most int) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]int{}
+	size := p.sizes[pool]
+	if size == nil {
+		return out
+	}
+	for id, r := range p.rows {
+		if len(out) == most {
+			break
+		}
+		if r.Pool == pool {
+			out[id] = r.maxRequests(size)
+		}
+	}
+	return out
+}
--- a/internal/placer/metrics.go
+++ b/internal/placer/metrics.go
@@ -15,6 +15,9 @@
 var waitBounds = [...]time.Duration{10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
 	200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond, 6400 * time.Millisecond}
 
+// maxListedEngines bounds the engines of a pool that the metrics list.
+const maxListedEngines = 32
+
 // waitHistogram counts the waits of granted requests.
 type waitHistogram struct {
 	counts [len(waitBounds) + 1]int
@@ -50,6 +53,10 @@
 		room := pool.Room(name)
 		fmt.Fprintf(w, "quinceridge_room_used{pool=%q} %d\n", name, room.Used)
 		fmt.Fprintf(w, "quinceridge_room_limit{pool=%q} %d\n", name, room.Limit)
+		limits := pool.EngineLimits(name, maxListedEngines)
+		for _, id := range slices.Sorted(maps.Keys(limits)) {
+			fmt.Fprintf(w, "quinceridge_engine_limit{pool=%q,engine=%q} %d\n", name, id, limits[id])
+		}
 	}
 	for _, reason := range slices.Sorted(maps.Keys(refused)) {
 		fmt.Fprintf(w, "quinceridge_queue_refused_total{reason=%q} %d\n", string(reason), refused[reason])
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,13 +47,13 @@
 	versions map[poolModel]int
 	// wake receives when a pass over a queue is due.
 	wake chan struct{}
-	// firstMessage is the time of the first message of a router, 0 before it, and settledAt the time
-	// before which nothing is granted from queues.
-	firstMessage time.Duration
-	settledAt    time.Duration
+	// start is the state of the first second of a leadership.
+	start start
 	// refunds is the result of the next call of TakeRefunds.
 	refunds []quota.Spent
 	waits   waitHistogram
+	// chosen counts the choices.
+	chosen  int
 	refused map[admission.Reason]int
 	// refusedAt is when a request was last refused for lack of capacity, 0 for never.
 	refusedAt time.Duration
@@ -98,7 +98,7 @@
 	}
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
 	p.queues, p.versions, p.refunds = map[string]*poolQueue{}, map[poolModel]int{}, nil
-	p.firstMessage, p.settledAt, p.refusedAt = 0, 0, 0
+	p.start, p.refusedAt = start{}, 0
 	p.parts, p.baseDelay = newDirectory(), speed.DelayEstimator{}
 }
 
@@ -165,6 +165,9 @@
 		a.SetFetches()
 	}
 	r.open[ask.Number] = &placement{a, ask.Pool, from}
+	if loads := p.start.placed(now, choice); loads != nil {
+		p.pool.SetAnnouncedLoads(now, loads)
+	}
 	if choice.Versioned {
 		p.versions[poolModel{ask.Pool, ask.Model}] = choice.Version
 	}
@@ -267,9 +270,7 @@
 		p.routers[name] = r
 	}
 	r.lastReport = now
-	if p.firstMessage == 0 {
-		p.firstMessage = now
-	}
+	p.start.begin(now)
 	return r
 }
 
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -20,12 +20,6 @@
 	maxMisses = 8
 	// maxGrants bounds the grants of a pass, and with them the time for which it holds the lock.
 	maxGrants = 16
-	// settleTime is the time for which a new leader grants nothing from a queue after it got a request
-	// that the former leader had queued. It does not know of the requests that run yet, and routers
-	// report them within this time in all but the largest deployments.
-	settleTime = 300 * time.Millisecond
-	// newTime is the time after its first message for which a leader is new.
-	newTime = time.Second
 	// uncollectedTime is the time after which a grant that its router has not collected is
 	// withdrawn. A router that waits collects its outcomes within a round trip.
 	uncollectedTime = time.Second
@@ -103,10 +97,10 @@
 		return queued
 	}
 	request := p.request(now, ask)
-	if ask.Again && now-p.firstMessage < newTime {
-		p.settledAt = max(p.settledAt, p.firstMessage+settleTime)
+	if ask.Again {
+		p.start.settle(now)
 	}
-	if queue.Len() == 0 && now >= p.settledAt {
+	if queue.Len() == 0 && now >= p.start.settledAt {
 		q := p.query(now, ask)
 		q.Room = true
 		choice, found, permitTerm := p.choose(now, ask, q)
@@ -182,7 +176,7 @@
 	p.expireRouters(now)
 	var due []string
 	for pool, queue := range p.queues {
-		if queue.Len() > 0 && now >= max(queue.nextPass(), p.settledAt) {
+		if queue.Len() > 0 && now >= max(queue.nextPass(), p.start.settledAt) {
 			due = append(due, pool)
 		}
 	}
@@ -197,7 +191,7 @@
 	next = now + settleTime
 	for _, queue := range p.queues {
 		if queue.Len() > 0 {
-			next, more = min(next, max(queue.nextPass(), p.settledAt)), true
+			next, more = min(next, max(queue.nextPass(), p.start.settledAt)), true
 		}
 	}
 	return next, more
@@ -423,12 +417,6 @@
 	}
 }
 
-// SetAnnouncedLoads sets the loads that all routers report. A new leader counts them, since it knows
-// of no running requests.
-func (p *Placer) SetAnnouncedLoads(now time.Duration, loads []coordapi.Load) {
-	p.current().SetAnnouncedLoads(now, loads)
-}
-
 // Rooms returns the capacity of the pools that have served requests which may wait.
 func (p *Placer) Rooms() map[string]coordapi.Room {
 	p.mu.Lock()
