--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -568,7 +568,8 @@
 // first second, until requests have waited for a while, or if nothing was granted lately.
 func (q *Queue) rate() (perSecond float64, known bool) {
 	contended := q.contended.Value(q.now, rateWindow)
-	if q.now-q.start < rateWindow || q.now-q.lastGrant > rateWindow || contended < minContended {
+	if q.now-q.start < rateWindow || q.now-q.lastGrant > rateWindow || contended < minContended ||
+		q.grants.Value(q.now, rateWindow) < minGrants {
 		return 0, false
 	}
 	perSecond = q.granted.Value(q.now, rateWindow) / contended
