Backends: running requests may take 0.85 of an engine's memory; half of an output counts

Cause: with a limit of 0.6 of the memory and the maximum output counted in full, memory was the only limit that bound in a surge (no request lacked a slot or waited for prefill), while engines used a third of their time for prefill.

Change: memoryShare 0.85, and half of the maximum output counts, since an output takes memory as it grows.

--- a/internal/backends/memory.go
+++ b/internal/backends/memory.go
@@ -47,9 +47,15 @@
 	ownTokens int
 }
 
+// outputDivisor divides the maximum output of a request to give the memory that counts for it: an
+// output takes memory as it grows, and most end before their maximum.
+const outputDivisor = 2
+
 // newHolding returns what the request of a query takes. Work.Most includes the shared parts.
 func newHolding(q *Query) holding {
-	return holding{parts: q.Parts, ownTokens: max(q.Work.Most-q.partTokens(), 0)}
+	own := max(q.Work.Most-q.partTokens(), 0)
+	output := max(own-q.Work.Prompt, 0)
+	return holding{parts: q.Parts, ownTokens: own - output + output/outputDivisor}
 }
 
 // added returns the memory that one more request would take.
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -10,8 +10,9 @@
 )
 
 // memoryShare is the share of an engine's memory that running requests may take under the hard
-// limit of Query.Room. The rest keeps cached parts of prompts.
-const memoryShare = freeMemoryShare
+// limit of Query.Room. The rest keeps cached parts of prompts that no running request uses, and
+// takes up outputs that exceed the expected length.
+const memoryShare = 0.85
 
 // defaultLimiter returns the limiter of an engine in a central pool: concurrency.NewStatic or
 // concurrency.NewAdaptive.
