Forward: tests of large bodies do not depend on the speed of the machine

Cause: beside load, 17 MiB took longer than the routes' time-outs of 0.5 to 2 s, and three tests saw 504. The routes of these tests wait a minute; what is asserted stays.

--- a/internal/forward/largebody_test.go
+++ b/internal/forward/largebody_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,6 +20,14 @@
 // largeBody exceeds what is buffered of a response.
 var largeBody = bytes.Repeat([]byte("0123456789abcdef"), (maxBufferedBody+1<<20)/16)
 
+// relaxTimeouts makes the routes wait long enough for large bodies on a busy machine.
+func relaxTimeouts(r *rig) {
+	for i := range r.source.table.Routes {
+		route := &r.source.table.Routes[i]
+		route.Timeout, route.Target = time.Minute, 20*time.Second
+	}
+}
+
 // writeLarge responds with size bytes of largeBody.
 func writeLarge(status int, length bool, size int) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
@@ -52,6 +61,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
+			relaxTimeouts(r)
 			r.add("app", "x", c.serve)
 			r.add("app", "y", c.serve)
 			got := r.ask("GET", "/safe/1", nil)
@@ -78,6 +88,7 @@
 // A client of HTTP/1.0 takes the end of its connection for the end of a body without a length.
 func TestLargeChunkedResponseIsNotForwardedWithoutChunks(t *testing.T) {
 	r := newRig(t)
+	relaxTimeouts(r)
 	r.add("app", "x", writeLarge(http.StatusOK, false, len(largeBody)))
 	conn, err := net.Dial("tcp", r.router.Listener.Addr().String())
 	assert.NilError(t, err)
@@ -92,6 +103,7 @@
 // A large failure on a resumable route must not be followed by the events of another attempt.
 func TestTruncatedLargeFailureIsNotResumed(t *testing.T) {
 	r := newRig(t)
+	relaxTimeouts(r)
 	route := r.source.table.Route("h", "/resumable/1")
 	assert.Equal(t, route.Kind, traffic.KindStream)
 	serve := writeLarge(http.StatusNotFound, true, maxBufferedBody)
--- a/internal/forward/notrun_test.go
+++ b/internal/forward/notrun_test.go
@@ -132,6 +132,7 @@
 			r.add("app", "x", e.runs(writeLarge(http.StatusTooManyRequests, true, len(largeBody))))
 		}},
 		"large own 503": {path: "/unsafe/1", wanted: 502, runs: 1, prepare: func(r *rig, e *executions) {
+			relaxTimeouts(r)
 			r.add("app", "x", e.runs(writeLarge(http.StatusServiceUnavailable, true, len(largeBody))))
 		}},
 		"no connection after a failure": {path: "/safe/1", wanted: 502, runs: 1, prepare: func(r *rig, e *executions) {
