--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -54,6 +54,7 @@
 	h.budget.CountRequest(h.now(), j.pool.Name)
 	s := &session{handler: h, writer: w, job: j}
 	defer h.refundQuota(j)
+	defer j.releaseShare()
 	for {
 		// This is checked before each attempt and by digest: a poison request is resent under
 		// new IDs and through other routers.
@@ -161,9 +162,10 @@
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
 	defer func() { running.End(h.now()) }()
-	if j.pool.Engine != nil {
-		defer h.shares.begin(j.pool.Name)()
+	if j.pool.Engine != nil && j.endShare == nil {
+		j.endShare = h.shares.begin(j.pool.Name)
 	}
+	defer j.releaseShare()
 	j.request.Allowed = running.Allowed
 	if choice.Placement > 0 {
 		defer h.config.Placer.Ended(choice.Placement)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -197,6 +197,8 @@
 	permitDelay time.Duration
 	// standalone is set if the leader did not answer when the back end was chosen.
 	standalone bool
+	// endShare ends the request's part of what the router runs at the pool; nil if it has none.
+	endShare func()
 	// retryGranted is set if the budget has granted the next attempt.
 	retryGranted atomic.Bool
 	// viewRevision and viewAge describe the view by which the back end was chosen.
--- a/internal/forward/queueing.go
+++ b/internal/forward/queueing.go
@@ -43,12 +43,24 @@
 		return refusal, false
 	}
 	room, announcement, known := h.config.Queue.Room(j.pool.Name)
-	if !known || room.Limit == 0 || h.shares.allows(j.pool.Name, room, announcement, j.query.Routers, rand.Float64()) {
+	if !known || room.Limit == 0 || j.endShare != nil {
+		return refusal, false
+	}
+	if end, allowed := h.shares.reserve(j.pool.Name, room, announcement, j.query.Routers, rand.Float64()); allowed {
+		j.endShare = end
 		return refusal, false
 	}
 	return backends.Choice{Reason: coordapi.NoRoomInTime, RetryAfter: standaloneRetryAfter + rand.N(standaloneRetryAfter/2)}, true
 }
 
+// releaseShare ends the request's part of what the router runs.
+func (j *job) releaseShare() {
+	if j.endShare != nil {
+		j.endShare()
+		j.endShare = nil
+	}
+}
+
 // shares holds the requests that this router runs at the engines of each pool, and how many it may
 // run without the leader. It is safe for concurrent use.
 type shares struct {
@@ -80,7 +92,10 @@
 func (s *shares) begin(name string) (end func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	one := s.pool(name)
+	return s.add(s.pool(name))
+}
+
+func (s *shares) add(one *share) (end func()) {
 	one.running++
 	return func() {
 		s.mu.Lock()
@@ -89,10 +104,11 @@
 	}
 }
 
-// allows reports whether the router may run another request of a pool. It may run its equal share of
-// the remainder of an announced capacity in addition to what it runs when it first decides by that.
-// Draw is in [0, 1) and rounds the share, so that the routers together use the remainder.
-func (s *shares) allows(name string, room coordapi.Room, announcement uint64, routers int, draw float64) bool {
+// reserve begins a request without the leader if the router may run another one. It may run its
+// equal share of the remainder of an announced capacity in addition to what it runs when it first
+// decides by that. Draw is in [0, 1) and rounds the share, so that the routers together use the
+// remainder.
+func (s *shares) reserve(name string, room coordapi.Room, announcement uint64, routers int, draw float64) (end func(), allowed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	one := s.pool(name)
@@ -100,5 +116,8 @@
 		part := float64(max(room.Limit-room.Running, 0)) / float64(max(routers, 1))
 		one.announcement, one.limit = announcement, one.running+int(math.Floor(part+draw))
 	}
-	return one.running < one.limit
+	if one.running >= one.limit {
+		return nil, false
+	}
+	return s.add(one), true
 }
--- a/internal/placer/bench_test.go
+++ b/internal/placer/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
 )
 
 // BenchmarkPlace measures a placement among different numbers of engines.
@@ -23,3 +25,67 @@
 		})
 	}
 }
+
+// newFullPlacer returns a placer whose engines are full, with a number of waiting requests.
+func newFullPlacer(b *testing.B, engines, waiting int) *Placer {
+	b.Helper()
+	p := newTestPlacer(engines)
+	now := time.Second
+	ask := func(router string, number uint64) *coordapi.Place {
+		ask := longPrompt(router, number, fmt.Sprint("key-", number%2000))
+		ask.Own, ask.Most, ask.Slots, ask.Patience = 0, 10, 2, time.Hour
+		ask.Account, ask.Wait, ask.Deadline = fmt.Sprint("tenant-", number%16), true, time.Hour
+		return ask
+	}
+	for number := range uint64(2 * engines) {
+		if placed := p.Place(now, ask("running", number)); placed.ID == "" {
+			b.Fatalf("%d: %+v", number, placed)
+		}
+	}
+	for number := range uint64(waiting) {
+		if placed := p.Place(now, ask("waiting", number)); !placed.Queued {
+			b.Fatalf("%d: %+v", number, placed)
+		}
+	}
+	return p
+}
+
+// BenchmarkQueue measures one request that ends and the grant to one that waits, with as many
+// requests waiting all the time. BenchmarkPlace is the same without a queue.
+func BenchmarkQueue(b *testing.B) {
+	for _, size := range []struct{ engines, waiting int }{{90, 1000}, {90, 10_000}, {10_000, 10_000}} {
+		b.Run(fmt.Sprintf("engines=%d/waiting=%d", size.engines, size.waiting), func(b *testing.B) {
+			p := newFullPlacer(b, size.engines, size.waiting)
+			b.ReportAllocs()
+			b.ResetTimer()
+			chosen := p.chosen
+			for i := range b.N {
+				now := time.Second + time.Duration(i+1)*minPassInterval
+				ask := longPrompt("waiting", uint64(size.waiting+i), fmt.Sprint("key-", i%2000))
+				ask.Own, ask.Most, ask.Slots, ask.Patience = 0, 10, 2, time.Hour
+				ask.Account, ask.Wait, ask.Deadline = fmt.Sprint("tenant-", i%16), true, time.Hour
+				if i < 2*size.engines {
+					p.ApplyReports(now, "running", &coordapi.Reports{Ended: []uint64{uint64(i)}})
+				}
+				p.Place(now, ask)
+				p.Step(now)
+				p.Await(now, now, &coordapi.Await{Router: "waiting", Session: p.routers["waiting"].session, Acknowledged: p.routers["waiting"].sequence})
+			}
+			b.ReportMetric(float64(p.chosen-chosen)/float64(b.N), "choices/op")
+		})
+	}
+}
+
+// BenchmarkPass measures a pass that finds no capacity.
+func BenchmarkPass(b *testing.B) {
+	for _, size := range []struct{ engines, waiting int }{{90, 10_000}, {10_000, 10_000}} {
+		b.Run(fmt.Sprintf("engines=%d/waiting=%d", size.engines, size.waiting), func(b *testing.B) {
+			p := newFullPlacer(b, size.engines, size.waiting)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				p.Step(time.Second + time.Duration(i+1)*passInterval)
+			}
+		})
+	}
+}
