Copies of shared parts must fit into the patience while requests wait

Cause: under overload the engines that hold the parts of a prompt are often without room for a moment, and others get a copy.

Change: while requests wait, an engine that lacks the parts has room only if the copy fits into the patience beside its backlog, or if it has no backlog. This applies only if some engine holds the parts.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -158,14 +158,14 @@
 	defer p.mu.Unlock()
 	q.uncached = map[int]int{}
 	rate := entry(p.prefill, q.Pool).Rate()
-	candidates := p.candidates(now, q, rate)
-	if len(candidates) == 0 {
+	eligible := p.candidates(now, q, rate)
+	if len(eligible) == 0 {
 		return Choice{}, false
 	}
 	if p.central {
-		entry(p.demands, q.Pool).engines = countRepresented(candidates)
+		entry(p.demands, q.Pool).engines = countRepresented(eligible)
 	}
-	candidates, late := withinPatience(candidates, q, rate, entry(p.flows, q.Pool).mean())
+	candidates, late := withinPatience(eligible, q, rate, entry(p.flows, q.Pool).mean())
 	if late && !q.hasLimits() {
 		p.refused++
 	}
@@ -175,7 +175,7 @@
 	for i := range candidates {
 		candidates[i].cost = p.cost(now, q, &candidates[i], staleness, rate, preferred)
 	}
-	best := p.pick(now, q, candidates, staleness, rate)
+	best := p.pick(now, q, candidates, eligible, staleness, rate)
 	if best == nil {
 		return Choice{NoRoom: true, Considered: countRepresented(candidates)}, false
 	}
@@ -219,9 +219,10 @@
 }
 
 // pick selects a candidate by cost. It returns nil if the query has limits and no candidate has room.
-func (p *Pool) pick(now time.Duration, q *Query, candidates []candidate, staleness loadStaleness, rate speed.TokensPerMs) *candidate {
+// eligible are the candidates irrespective of the patience.
+func (p *Pool) pick(now time.Duration, q *Query, candidates, eligible []candidate, staleness loadStaleness, rate speed.TokensPerMs) *candidate {
 	if q.hasLimits() {
-		return p.leastWithRoom(now, q, candidates, rate)
+		return p.leastWithRoom(now, q, candidates, eligible, rate)
 	}
 	if q.Slots > 0 {
 		return least(candidates)
--- a/internal/backends/copies.go
+++ b/internal/backends/copies.go
@@ -18,7 +18,9 @@
 )
 
 // avoidsCopies reports whether the choice must not cause further copies of the shared parts as long
-// as an engine that holds them has room. Small shared parts are exempt: they cost less than the
+// as an engine that holds them has room. If such engines exist without room, a copy must fit into
+// the patience: otherwise the request waits, since under overload the prefill of a
+// copy displaces requests that need none. Small shared parts are exempt: they cost less than the
 // uneven load that the requests would cause.
 func (q *Query) avoidsCopies() bool { return q.Contended && len(q.Parts) > 0 && q.MaySave() }
 
@@ -52,6 +54,18 @@
 	return elsewhere, cost
 }
 
+// heldBy reports whether one of the candidates holds the last shared part of the prompt.
+func (p *copyPreference) heldBy(candidates []candidate) bool {
+	return p.q.avoidsCopies() && slices.ContainsFunc(candidates, func(c candidate) bool { return p.holdsLast(c.row) })
+}
+
+// fits reports whether an engine can process a copy of the shared parts within the patience, before
+// it begins with the rest of the prompt. An engine without a backlog always can.
+func (p *copyPreference) fits(c *candidate) bool {
+	missing := c.usage.missing(p.now, p.q.Parts, c.Weights[p.q.Model])
+	return p.q.Patience <= 0 || c.ahead == 0 || p.rate.Wait(c.ahead+missing) <= p.q.Patience
+}
+
 // holdsLast reports whether an engine holds the last shared part of the prompt.
 func (p *copyPreference) holdsLast(r *row) bool {
 	version := r.Weights[p.q.Model]
--- a/internal/backends/copies_test.go
+++ b/internal/backends/copies_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -54,6 +55,33 @@
 	}
 }
 
+// Guards against copies at engines that already have a prefill backlog, while requests without a
+// copy could use them. A part that no engine holds is not restricted.
+func TestContendedCopyMustFitIntoPatience(t *testing.T) {
+	p, q := newCopiesPool()
+	q.Patience = 200 * time.Millisecond
+	// The initial estimate is 40 tokens per millisecond.
+	backlog := func(id string, tokens int) *Attempt {
+		other := withPart(q, 200)
+		return p.Begin(0, &Choice{ID: id, Work: Work{Prompt: tokens}, Version: 1, Versioned: true}, &other, func(error) {})
+	}
+	for i := range 12 {
+		backlog(fmt.Sprint("e", i), 6000)
+	}
+	held, unknown := withPart(q, 103), withPart(q, 1)
+	assert.Equal(t, mustChoose(t, p, 0, held).ID, "e3")
+	mustChoose(t, p, 0, unknown)
+	full := backlog("e3", 6000)
+	choice, found := chooseRoom(p, 0, held)
+	assert.Assert(t, !found && choice.NoRoom)
+	mustChoose(t, p, 0, unknown)
+	choice = mustChoose(t, p, 75*time.Millisecond, held)
+	assert.Assert(t, choice.ID != "e3")
+	assert.Equal(t, choice.Work.Prompt, 1000+5000)
+	full.End(0)
+	assert.Equal(t, mustChoose(t, p, 0, held).ID, "e3")
+}
+
 // Without requests that wait, the load decides.
 func TestUncontendedChoiceIgnoresHeldParts(t *testing.T) {
 	p, q := newCopiesPool()
@@ -125,22 +153,33 @@
 // While requests wait, a choice by the index must equal one that examines each engine, and an engine
 // that lacks the shared parts must only be chosen if none that holds them has room.
 func TestContendedChoiceByIndexMatchesFullScan(t *testing.T) {
-	held, copied := 0, 0
+	held, copied, waits := 0, 0, 0
 	for seed := range uint64(15) {
-		w := newPoolPair(seed, 1+int(seed)*4)
+		w := newPoolPair(seed, 1+int(seed*seed)/4)
 		for range 600 {
-			w.now += time.Duration(w.random.IntN(20)) * time.Millisecond
+			w.now += time.Duration(w.random.IntN(5)) * time.Millisecond
 			if w.random.IntN(5) == 0 {
 				w.mutate()
 			}
+			// The random first events would make prefill so fast that there is no backlog.
+			w.both(func(p *Pool) { p.prefill = map[string]*speed.Estimator{} })
 			q := w.query()
 			q.Capacity, q.Parts, q.Room, q.Contended = 30_000, drawParts(w.random), true, true
+			if w.random.IntN(2) == 0 {
+				// Copies of these parts take most of the patience.
+				q.Patience, q.Shared, q.Work, q.Capacity = 300*time.Millisecond, 10_000, Work{Prompt: 4000, Most: 14_500}, 200_000
+				q.Parts = []coordapi.Part{{Hash: coordapi.PartHash(100 + w.random.IntN(20)), Tokens: 10_000}}
+			}
 			again := *q
 			choice, found := w.indexed.Choose(w.now, q)
 			choiceAgain, foundAgain := w.unindexed.Choose(w.now, &again)
 			assert.Equal(t, found, foundAgain)
 			assert.DeepEqual(t, choice, choiceAgain)
 			if !found {
+				again.Contended = false
+				if _, found := w.unindexed.Choose(w.now, &again); found {
+					waits++
+				}
 				w.end()
 				w.end()
 				continue
@@ -158,8 +197,8 @@
 			w.open = append(w.open, pair)
 		}
 	}
-	t.Logf("%d choices of an engine that holds the parts, %d of others", held, copied)
-	assert.Assert(t, held > 300 && copied > 300)
+	t.Logf("%d choices of an engine that holds the parts, %d of others; %d that wait for one", held, copied, waits)
+	assert.Assert(t, held > 300 && copied > 300 && waits > 30)
 }
 
 // assertNoHolderWithRoom asserts that no engine that would be eligible by itself holds the last
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -84,9 +84,11 @@
 }
 
 // leastWithRoom returns the candidate of least cost among those with room, or nil. While requests
-// wait, engines that hold the shared parts of the prompt come first.
-func (p *Pool) leastWithRoom(now time.Duration, q *Query, candidates []candidate, rate speed.TokensPerMs) *candidate {
+// wait, engines that hold the shared parts of the prompt come first. eligible are the candidates
+// irrespective of the patience.
+func (p *Pool) leastWithRoom(now time.Duration, q *Query, candidates, eligible []candidate, rate speed.TokensPerMs) *candidate {
 	h, copies := newHolding(q), newCopyPreference(now, q, rate)
+	held := copies.heldBy(eligible)
 	var best *candidate
 	var bestPreference int
 	var bestCost float64
@@ -96,6 +98,9 @@
 			continue
 		}
 		preference, cost := copies.of(c)
+		if held && preference != holdsParts && !copies.fits(c) {
+			continue
+		}
 		if best != nil && cmp.Or(cmp.Compare(preference, bestPreference), cmp.Compare(cost, bestCost), cmp.Compare(c.ID, best.ID)) > 0 {
 			continue
 		}
