Quota: a tenant beyond its limit keeps its urgent and its plain requests

Cause: a tenant at four times its usual demand was refused as many of its small urgent requests as of the large others that exceed the limit, and the same part of its plain requests, which take 200 tokens of a limit of hundreds of thousands a second.

Change: less urgent requests leave in the bucket what more urgent ones of the tenant ask for within a second, but keep a floor of a tenth; routers may always admit a tenth of the rate by themselves. What is admitted in total does not change: the property test draws urgencies too.

--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -93,7 +93,7 @@
 	if l.limiter == nil || now >= l.leasedUntil {
 		return 0, true, false
 	}
-	after, admitted = l.limiter.Take(now, req.Tenant, req.Amount)
+	after, admitted = l.limiter.TakeUrgent(now, req.Tenant, req.Amount, req.Urgency.Route)
 	return after, admitted, true
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -31,6 +31,15 @@
 	maxRetryAfter = 5 * time.Second
 	// minRetryAfter keeps callers from returning before a refill shows.
 	minRetryAfter = 50 * time.Millisecond
+	// urgencyLevels is the number of levels that are told apart. All further ones count as the last.
+	urgencyLevels = 10
+	// maxReserve is the greatest share of a bucket that is kept for more urgent requests, and
+	// urgencyFloor the share of the admitted amounts that less urgent requests get in any case.
+	maxReserve   = 0.5
+	urgencyFloor = 0.1
+	// routersShare is the share of a limit's rate that routers may always admit by themselves. Their
+	// requests are charged like all others, but take little of a limit that counts tokens.
+	routersShare = 0.1
 )
 
 // Limiter holds a token bucket for each tenant, which fills at the rate of the tenant's limit up
@@ -53,8 +62,14 @@
 	at    time.Duration
 	// nextRetry is when all amounts refused so far could have been admitted.
 	nextRetry time.Duration
-	// asked and refused average amounts over averagingTime.
-	asked, refused decay.Sum
+	// asked and refused average amounts over averagingTime, and charged those that routers have
+	// admitted. part is the share of the routers' demand that was announced last, 0 for none.
+	asked, refused, charged decay.Sum
+	part                    float64
+	// askedBy averages the amounts asked for by urgency. floor is the amount that less urgent
+	// requests may still take of what is kept for more urgent ones.
+	askedBy [urgencyLevels]decay.Sum
+	floor   Amount
 }
 
 // NewLimiter returns a limiter without limits.
@@ -138,9 +153,17 @@
 // capacity returns the most that a bucket holds.
 func (l *Limiter) capacity(limit Limit) Amount { return limit.Burst + l.tolerancePart(limit) }
 
-// Take admits an amount, or returns when to try again. Amounts up to one part of the tolerance
-// have the same chance; a larger one needs a fuller bucket, at most a full one.
+// Take admits an amount of the most urgent level, or returns when to try again. Amounts up to one
+// part of the tolerance have the same chance; a larger one needs a fuller bucket, at most a full one.
 func (l *Limiter) Take(now time.Duration, tenant string, amount Amount) (retryAfter time.Duration, admitted bool) {
+	return l.TakeUrgent(now, tenant, amount, 0)
+}
+
+// TakeUrgent admits an amount like Take, but a request of a lower urgency, where 0 is the highest,
+// leaves in the bucket what more urgent ones of the tenant ask for within a second. Otherwise a
+// tenant beyond its limit would lose as many of its urgent requests, which are often small, as of
+// the others.
+func (l *Limiter) TakeUrgent(now time.Duration, tenant string, amount Amount, urgency int) (retryAfter time.Duration, admitted bool) {
 	a := l.accounts[tenant]
 	if a == nil || !a.limit.Limited() {
 		return 0, true
@@ -148,12 +171,33 @@
 	capacity := l.capacity(a.limit)
 	a.refill(now, capacity)
 	a.asked.Add(now, averagingTime, float64(amount))
-	if need := min(max(amount-l.tolerancePart(a.limit), 0), capacity); a.level >= need {
-		a.level -= amount
-		return 0, true
+	urgency = min(max(urgency, 0), urgencyLevels-1)
+	reserve := min(a.askedAbove(now, urgency), maxReserve*capacity)
+	a.askedBy[urgency].Add(now, averagingTime, float64(amount))
+	part := l.tolerancePart(a.limit)
+	need := min(max(amount-part, 0), capacity-reserve)
+	switch {
+	case a.level >= need+reserve:
+		if reserve == 0 {
+			a.floor = min(a.floor+urgencyFloor*amount, part)
+		}
+	case reserve > 0 && a.level >= need && a.floor >= amount:
+		a.floor -= amount
+	default:
+		a.refused.Add(now, averagingTime, float64(amount))
+		return a.scheduleRetry(now, amount), false
 	}
-	a.refused.Add(now, averagingTime, float64(amount))
-	return a.scheduleRetry(now, amount), false
+	a.level -= amount
+	return 0, true
+}
+
+// askedAbove returns the amount that requests of a higher urgency ask for within a second.
+func (a *account) askedAbove(now time.Duration, urgency int) Amount {
+	total := 0.0
+	for u := range urgency {
+		total += a.askedBy[u].Value(now, averagingTime)
+	}
+	return Amount(total / averagingTime.Seconds())
 }
 
 // Charge counts an amount that was admitted elsewhere. A negative one returns an admitted amount
@@ -166,29 +210,45 @@
 	capacity := l.capacity(a.limit)
 	a.refill(now, capacity)
 	a.asked.Add(now, averagingTime, float64(max(amount, 0)))
+	a.charged.Add(now, averagingTime, float64(max(amount, 0)))
 	a.level = min(a.level-amount, capacity)
 }
 
-// Share is the part of a tenant's recent demand that was admitted.
+// Share is the part of a tenant's demand that routers admit by themselves.
 type Share struct {
 	Tenant string  `json:"t"`
 	Part   float64 `json:"p"`
 }
 
-// Shares returns the tenants whose demand is above their limit, sorted by name.
+// Shares returns the tenants whose demand is above their limit, sorted by name. The part is that of
+// the recent demand that was admitted, or more if routers then admit less than routersShare.
 func (l *Limiter) Shares(now time.Duration) []Share {
 	var out []Share
 	for _, a := range l.accounts {
 		asked, refused := a.asked.Value(now, averagingTime), a.refused.Value(now, averagingTime)
 		if refused < 1 || asked <= 0 {
+			a.part = 0
 			continue
 		}
-		out = append(out, Share{Tenant: a.name, Part: max(1-refused/asked, 0)})
+		a.part = max(1-refused/asked, a.routersPart(now))
+		out = append(out, Share{Tenant: a.name, Part: a.part})
 	}
 	slices.SortFunc(out, func(x, y Share) int { return strings.Compare(x.Tenant, y.Tenant) })
 	return out
 }
 
+// routersPart returns the part of the demand at routers that amounts to routersShare of the rate.
+func (a *account) routersPart(now time.Duration) float64 {
+	demand := a.charged.Value(now, averagingTime) / averagingTime.Seconds()
+	if a.part > 0 {
+		demand /= a.part
+	}
+	if most := routersShare * float64(a.limit.Rate); demand > most {
+		return most / demand
+	}
+	return 1
+}
+
 // Usage is a limit and its recent usage.
 type Usage struct {
 	Name string
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -42,6 +42,7 @@
 		largest := rapid.Float64Range(2000, 60_000).Draw(t, "largest")
 		demand := rapid.Float64Range(0.5, 20).Draw(t, "demand")
 		changes := rapid.SliceOfN(rapid.IntRange(0, 20_000), 2, 2).Draw(t, "changes")
+		levels := rapid.IntRange(1, 3).Draw(t, "levels")
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		limiter := NewLimiter(tolerance)
 		limiter.SetLimits(0, map[string]Limit{"a": limit})
@@ -56,7 +57,7 @@
 				}
 			}
 			amount := Amount(random.Float64() * largest)
-			if _, admitted := limiter.Take(now, "a", amount); admitted {
+			if _, admitted := limiter.TakeUrgent(now, "a", amount, random.IntN(levels)); admitted {
 				uses = append(uses, use{now, amount})
 			}
 		}
