--- a/internal/placer/queue_test.go
+++ b/internal/placer/queue_test.go
@@ -285,10 +285,10 @@
 	for number := range uint64(1000) {
 		assert.Assert(t, p.Place(now, patient("b", number+1)).Queued)
 	}
-	begun := p.chosen
+	begun := p.tried
 	now += passInterval
 	p.Step(now)
-	assert.Equal(t, p.chosen-begun, maxMisses)
+	assert.Equal(t, p.tried-begun, maxMisses)
 	end(p, now, "a", 1, 2)
 	next, _ := p.Step(now + minPassInterval/2)
 	assert.Equal(t, next, now+minPassInterval, "too early for the next pass")
