backends: estimate the speed of each engine

The prefill rate and the mean run time of a pool were applied to each of its engines, so that an engine at 0.7 of the mean speed and one at 1.7 had the same expected waits.

speed.WaitModel fits the waits for first events at the median engine to the prompt tokens ahead and sent later, the requests in decode and those beyond the slots. speed.Relative averages observed over expected waits of one start of an engine, shrunk towards the pool by its error. The prefill wait, slot wait, remaining prefill and cost of a candidate use its factor, which is 1 within 0.15 of the median or three standard errors.

With modeled engines at 0.7, 0.7 and 1.7, the fast ones are estimated 1.95 to 2.36 times as fast as the others (true: 2.43), and 1.46 to 1.95 times if 60 ms of each wait do not depend on the speed.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -38,6 +38,12 @@
 	sent    time.Duration
 	ahead   int
 	prefill *speed.Estimator
+	// speed observes the speed of the engine's current start; it is nil outside a central pool.
+	speed *speedSamples
+	// circumstances are the causes of the wait that were known at the start, and promptsAtStart is
+	// the number of prompt tokens sent to the engine until then. They belong to speed.
+	circumstances  speed.Circumstances
+	promptsAtStart int
 	// fetches is set if the engine fetches cached parts from a store first, so that its wait
 	// is no sample of the prefill rate.
 	fetches bool
@@ -69,7 +75,7 @@
 		}
 	}
 	if p.central {
-		p.recordPlacement(now, a, r, entry(p.demands, q.Pool), prefill.Rate())
+		p.recordPlacement(now, a, r, q, prefill.Rate())
 		return a
 	}
 	entry(p.flows, q.Pool).sent(now)
@@ -107,24 +113,26 @@
 }
 
 // recordPlacement keeps the state of an attempt that only a central pool needs.
-func (p *Pool) recordPlacement(now time.Duration, a *Attempt, r *row, d *demand, rate speed.TokensPerMs) {
+func (p *Pool) recordPlacement(now time.Duration, a *Attempt, r *row, q *Query, rate speed.TokensPerMs) {
 	if a.prefill != nil {
-		d.prefill.Add(now, demandWindow, float64(rate.Wait(a.work.Prompt)))
+		entry(p.demands, q.Pool).prefill.Add(now, demandWindow, float64(r.prefillRate(rate).Wait(a.work.Prompt)))
 	}
 	if r != nil {
 		r.recordSent(now)
+		r.recordWork(now, a, rate, q.Slots)
 	}
 }
 
 // observeWait adds the wait for the first event to the prefill estimate, once per attempt. It
 // returns by how much the wait exceeds the expected one, or 0 if no wait is expected.
-func (a *Attempt) observeWait(wait time.Duration) (excess time.Duration) {
+func (a *Attempt) observeWait(now, wait time.Duration) (excess time.Duration) {
 	if a.prefill == nil {
 		return 0
 	}
-	excess = max(wait-a.prefill.Rate().Wait(a.ahead), 0)
+	excess = max(wait-a.row.prefillRate(a.prefill.Rate()).Wait(a.ahead), 0)
 	if !a.fetches {
-		a.prefill.Observe(a.ahead, wait)
+		a.observeSpeed(now, wait)
+		a.prefill.Observe(a.ahead, a.row.normalized(wait))
 	}
 	a.prefill = nil
 	return excess
@@ -136,7 +144,7 @@
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	if ran {
-		excess = a.observeWait(now - a.sent)
+		excess = a.observeWait(now, now-a.sent)
 		a.markRecovered()
 	}
 	a.markStarted()
@@ -149,7 +157,7 @@
 func (a *Attempt) FirstEventReported(now, wait time.Duration) (excess time.Duration) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	excess = a.observeWait(wait)
+	excess = a.observeWait(now, wait)
 	a.markRecovered()
 	first := min(a.sent+wait, now)
 	a.pool.reportDelay += time.Duration(reportWeight * float64(now-first-a.pool.reportDelay))
@@ -188,7 +196,7 @@
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	if a.pool.central && a.started {
-		entry(a.pool.flows, a.poolName).ended(now - a.sent)
+		entry(a.pool.flows, a.poolName).ended(a.row.normalized(now - a.sent))
 	}
 	a.markStarted()
 	if r := a.pool.rows[a.backendID]; r != nil {
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -148,6 +148,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.uncached = map[int]int{}
+	p.updateSpeeds(now, q.Pool)
 	rate := entry(p.prefill, q.Pool).Rate()
 	candidates := p.candidates(now, q, rate)
 	if len(candidates) == 0 {
@@ -175,7 +176,7 @@
 	work := Work{Prompt: q.tokensToPrefill(version), Most: q.Work.Most}
 	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: countRepresented(candidates), Work: work,
-		Ahead: best.ahead, Wait: max(best.wait, rate.Wait(best.ahead)), Late: late}, true
+		Ahead: best.ahead, Wait: max(best.wait, best.prefillRate(rate).Wait(best.ahead)), Late: late}, true
 }
 
 // candidate is a back end that passed the filters.
--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -54,7 +54,7 @@
 	first := 0
 	for i := range candidates {
 		c := &candidates[i]
-		c.wait = rate.Wait(c.ahead) + slotWait(q, c, run)
+		c.wait = c.prefillRate(rate).Wait(c.ahead) + c.scaled(slotWait(q, c, run))
 		if c.wait <= q.Patience {
 			out = append(out, *c)
 		}
--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -31,6 +31,8 @@
 	zone string
 	// weights is the versionsKey of the weights that they hold.
 	weights string
+	// factor is their speed.
+	factor float64
 }
 
 // idleGroup holds idle engines ordered by ID, and the hashes of their addresses.
@@ -74,7 +76,7 @@
 
 // addIdle moves an active row to its group.
 func (p *poolIndex) addIdle(r *row) {
-	key := groupKey{zone: r.Zone, weights: versionsKey(r.Weights)}
+	key := groupKey{zone: r.Zone, weights: versionsKey(r.Weights), factor: r.pace.factor}
 	group := p.idle[key]
 	if group == nil {
 		group = &idleGroup{}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -70,6 +70,8 @@
 	// requests sent to it meanwhile that have not begun.
 	recovering bool
 	trials     int
+	// pace is the speed of an engine in a central pool.
+	pace pace
 }
 
 // Pool holds the back ends of all pools. It is safe for concurrent use. Lock order: mu, then that
@@ -108,6 +110,8 @@
 	// prefill holds the prefill estimators of the pools and demands their prefill demand, by name.
 	prefill map[string]*speed.Estimator
 	demands map[string]*demand
+	// speeds holds the reference speeds of the pools, by name.
+	speeds map[string]*reference
 }
 
 // entry returns the entry of a pool and creates it if it is missing.
@@ -123,7 +127,7 @@
 // NewPool returns an empty pool for a router in a zone.
 func NewPool(zone string) *Pool {
 	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, prefill: map[string]*speed.Estimator{},
-		flows: map[string]*flow{}, demands: map[string]*demand{}}
+		flows: map[string]*flow{}, demands: map[string]*demand{}, speeds: map[string]*reference{}}
 }
 
 // SetPushbacks makes the pool skip back ends that have pushed back this process. It must be
@@ -149,6 +153,9 @@
 			r = &row{}
 			p.rows[b.ID] = r
 		}
+		if b.EnrolledRevision != r.EnrolledRevision {
+			r.pace = pace{}
+		}
 		r.Backend, r.hash, r.unlisted, r.departed = b, xxhash.Sum64String(b.Address), false, false
 		p.index.activate(r)
 		p.cancelSuperseded(r)
--- a/internal/backends/prefill.go
+++ b/internal/backends/prefill.go
@@ -7,13 +7,14 @@
 )
 
 // remainingPrefill returns how many of the prompt tokens sent to an engine it has yet to process.
-// Progress is assumed only for as long as a report of the next first event may take.
+// Progress is assumed only for as long as a report of the next first event may take. rate is the
+// pool's.
 func (p *Pool) remainingPrefill(now time.Duration, r *row, rate speed.TokensPerMs) int {
 	if !p.central {
 		return r.prefillTokens
 	}
 	elapsed := min(now-r.prefillStart, maxReportDelays*p.reportDelay)
-	return max(r.prefillTokens-rate.Tokens(max(elapsed, 0)), 0)
+	return max(r.prefillTokens-r.prefillRate(rate).Tokens(max(elapsed, 0)), 0)
 }
 
 // Rate is the prefill rate of the engines of a pool. RelativeError is its standard error as a
--- a/internal/backends/unresponsive.go
+++ b/internal/backends/unresponsive.go
@@ -37,7 +37,7 @@
 // detects a crash that leaves connections open sooner than missing heartbeats do. The engine is
 // eligible again once the waiting requests have ended.
 func (p *Pool) unresponsive(now time.Duration, r *row, rate speed.TokensPerMs) bool {
-	return p.central && r.unanswered >= minUnanswered && now-r.lastProgress > firstEventGrace+rate.Wait(p.remainingPrefill(r.lastProgress, r, rate))
+	return p.central && r.unanswered >= minUnanswered && now-r.lastProgress > firstEventGrace+r.prefillRate(rate).Wait(p.remainingPrefill(r.lastProgress, r, rate))
 }
 
 // UnresponsiveEngines returns the number of engines that no longer answer, according to the
