backends: homes in proportion to speed

Rendezvous hashing made a slow engine the home of as many keys as a fast one.

Each engine has a home weight: its speed relative to the median in steps of 0.25, at least 0.25 and at most 4, which changes after the speed has been a step away for 2 s. Keys are ranked by -weight/ln(u); back ends of the same weight are compared by their hashes alone, so the order is that of the plain hashes while all weights are 1. The index groups idle engines by weight and factor too.

--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -31,8 +31,9 @@
 	zone string
 	// weights is the versionsKey of the weights that they hold.
 	weights string
-	// factor is their speed.
+	// factor is their speed and home their home weight.
 	factor float64
+	home   float64
 }
 
 // idleGroup holds idle engines ordered by ID, and the hashes of their addresses.
@@ -76,7 +77,7 @@
 
 // addIdle moves an active row to its group.
 func (p *poolIndex) addIdle(r *row) {
-	key := groupKey{zone: r.Zone, weights: versionsKey(r.Weights), factor: r.pace.factor}
+	key := groupKey{zone: r.Zone, weights: versionsKey(r.Weights), factor: r.pace.factor, home: r.pace.home.value()}
 	group := p.idle[key]
 	if group == nil {
 		group = &idleGroup{}
@@ -131,7 +132,7 @@
 	var found topRanked[*row]
 	for i, hash := range g.hashes {
 		if !slices.Contains(tried, g.rows[i].ID) {
-			found.add(g.rows[i], mix64(keyHash^hash))
+			found.add(g.rows[i], rankKey{hash: mix64(keyHash ^ hash), weight: g.rows[i].pace.home.value()})
 		}
 	}
 	return found.best
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -107,16 +106,16 @@
 	topRanked[*candidate]
 }
 
-// topRanked keeps the first rankLimit items by falling weight; the lower ID wins a tie.
+// topRanked keeps the first rankLimit items by falling key; the lower ID wins a tie.
 type topRanked[T interface{ id() string }] struct {
-	best    []T
-	weights []uint64
+	best []T
+	keys []rankKey
 }
 
 // id returns the ID of the back end.
 func (r *row) id() string { return r.ID }
 
-// rank orders the candidates by rendezvous hashing of the key and sets their ranks. All routers
+// rank orders the candidates by weighted rendezvous hashing of the key and sets their ranks. All routers
 // agree on the home of a key, and the loss of a back end moves only its own keys. Back ends are
 // hashed by address, so that a restarted one keeps its keys. The holder of the key's cached part
 // comes first. If versions is set, each weights version is ranked separately. rank returns the
@@ -132,12 +131,12 @@
 		c := &candidates[i]
 		c.rank = rankLimit
 		r := rankingOf(&rankings, c.Weights[q.Model], q)
-		weight := mix64(hash ^ c.hash)
+		key := rankKey{hash: mix64(hash ^ c.hash), weight: c.pace.home.value()}
 		if c.ID == r.holder {
-			weight = math.MaxUint64
+			key = holderKey()
 		}
-		all.add(c, weight)
-		r.add(c, weight)
+		all.add(c, key)
+		r.add(c, key)
 	}
 	homes := make(map[int]*row, len(rankings))
 	for _, r := range rankings {
@@ -168,17 +167,21 @@
 }
 
 // add inserts an item if it is among the first.
-func (f *topRanked[T]) add(item T, weight uint64) {
+func (f *topRanked[T]) add(item T, key rankKey) {
 	at := len(f.best)
-	for at > 0 && (weight > f.weights[at-1] || (weight == f.weights[at-1] && item.id() < f.best[at-1].id())) {
+	for at > 0 {
+		order := key.compare(f.keys[at-1])
+		if order < 0 || (order == 0 && item.id() >= f.best[at-1].id()) {
+			break
+		}
 		at--
 	}
 	if at >= rankLimit {
 		return
 	}
-	f.best, f.weights = slices.Insert(f.best, at, item), slices.Insert(f.weights, at, weight)
+	f.best, f.keys = slices.Insert(f.best, at, item), slices.Insert(f.keys, at, key)
 	if len(f.best) > rankLimit {
-		f.best, f.weights = f.best[:rankLimit], f.weights[:rankLimit]
+		f.best, f.keys = f.best[:rankLimit], f.keys[:rankLimit]
 	}
 }
 
--- a/internal/backends/speeds.go
+++ b/internal/backends/speeds.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -40,6 +41,8 @@
 	// differing is the number of updates in which an engine with the factor 1 differed from the
 	// median, less that of updates since in which it did not.
 	differing int
+	// home is the home weight.
+	home homeWeight
 	// samples is nil before the first request.
 	samples *speedSamples
 }
@@ -150,7 +153,17 @@
 
 // updateSpeed updates the factor of one engine, given the median ratio of its pool.
 func (p *Pool) updateSpeed(now time.Duration, r *row, median float64) {
-	factor := r.significantFactor(now, median)
+	before := r.pace.factor
+	r.applyFactor(r.significantFactor(now, median))
+	moves := r.pace.home.update(now, cmp.Or(r.pace.factor, 1))
+	if moves || r.pace.factor != before {
+		p.index.activate(r)
+	}
+}
+
+// applyFactor applies an estimated factor once the engine has differed from the median for long
+// enough.
+func (r *row) applyFactor(factor float64) {
 	switch {
 	case r.pace.factor != 0:
 		r.pace.differing = 0
@@ -166,10 +179,7 @@
 			return
 		}
 	}
-	if factor != r.pace.factor {
-		p.index.activate(r)
-		r.pace.factor = factor
-	}
+	r.pace.factor = factor
 }
 
 // significantFactor returns the estimated factor of an engine, or 0 if it does not differ from the
