--- a/internal/backends/limiter_test.go
+++ b/internal/backends/limiter_test.go
@@ -12,9 +12,9 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// modelRequest is a request at a modelEngine, which must process prompt tokens and then steps
+// limiterRequest is a request at a limiterEngine, which must process prompt tokens and then steps
 // events.
-type modelRequest struct {
+type limiterRequest struct {
 	*Attempt
 	sent   time.Duration
 	prompt float64
@@ -22,11 +22,11 @@
 	began  bool
 }
 
-// modelEngine runs as many requests as it has slots and queues the others. Each request that runs
+// limiterEngine runs as many requests as it has slots and queues the others. Each request that runs
 // slows down the steps of all; prompts are processed one after the other.
-type modelEngine struct {
+type limiterEngine struct {
 	slots           int
-	running, queued []*modelRequest
+	running, queued []*limiterRequest
 }
 
 // Figures of an engine: prefill in tokens per ms, a step in ms, and its increase for each running
@@ -39,7 +39,7 @@
 
 // advance runs the engine for one millisecond. It calls began and ended for requests that give
 // their first event and their last.
-func (e *modelEngine) advance(began, ended func(*modelRequest)) {
+func (e *limiterEngine) advance(began, ended func(*limiterRequest)) {
 	for len(e.queued) > 0 && len(e.running) < e.slots {
 		e.running = append(e.running, e.queued[0])
 		e.queued = e.queued[1:]
@@ -100,12 +100,12 @@
 func (run *limiterRun) play() {
 	p := NewCentralPool()
 	p.newLimiter = run.limiter
-	engines := map[string]*modelEngine{}
+	engines := map[string]*limiterEngine{}
 	var rows []state.Backend
 	for i, slots := range run.slots {
 		row := state.Backend{ID: fmt.Sprint("e", i), Pool: "llm", Address: fmt.Sprint("a:", i), Slots: believedSlots, Weights: map[string]int{"m": 1}}
 		rows = append(rows, row)
-		engines[row.ID] = &modelEngine{slots: slots}
+		engines[row.ID] = &limiterEngine{slots: slots}
 	}
 	p.Apply(rows, nil, true)
 	random := rand.New(rand.NewPCG(run.seed, 1))
@@ -118,12 +118,12 @@
 			run.reports[0].attempt.FirstEventReported(now, run.reports[0].wait)
 		}
 		for _, row := range rows {
-			engines[row.ID].advance(func(r *modelRequest) {
+			engines[row.ID].advance(func(r *limiterRequest) {
 				if now-r.sent <= runTarget && r.sent > runTime/2 {
 					run.inTime++
 				}
 				run.reports = append(run.reports, report{now + reportTime, now - r.sent, r.Attempt})
-			}, func(r *modelRequest) { r.End(now) })
+			}, func(r *limiterRequest) { r.End(now) })
 		}
 	}
 	for _, row := range rows {
@@ -132,7 +132,7 @@
 }
 
 // arrive sends a request to an engine with room, if there is one.
-func (run *limiterRun) arrive(p *Pool, now time.Duration, random *rand.Rand, engines map[string]*modelEngine) {
+func (run *limiterRun) arrive(p *Pool, now time.Duration, random *rand.Rand, engines map[string]*limiterEngine) {
 	// The memory is for about 45 requests, which take 1,150 tokens each.
 	q := Query{Pool: "llm", Model: "m", Slots: believedSlots, Capacity: 61_500, Room: true, Target: runTarget,
 		Work: Work{Prompt: 400 + random.IntN(800), Most: 1500}, Draw: random.Float64()}
@@ -146,7 +146,7 @@
 	}
 	a := p.Begin(now, &choice, &q, func(error) {})
 	e := engines[choice.ID]
-	e.queued = append(e.queued, &modelRequest{Attempt: a, sent: now, prompt: float64(q.Work.Prompt), steps: 200 + 200*random.Float64()})
+	e.queued = append(e.queued, &limiterRequest{Attempt: a, sent: now, prompt: float64(q.Work.Prompt), steps: 200 + 200*random.Float64()})
 }
 
 func playLimiter(limiter func() concurrency.Limiter, seed uint64, perSecond float64, slots ...int) *limiterRun {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -77,6 +77,8 @@
 	// requests sent to it meanwhile that have not begun.
 	recovering bool
 	trials     int
+	// pace is the speed of an engine in a central pool.
+	pace pace
 }
 
 // Pool holds the back ends of all pools. It is safe for concurrent use. Lock order: mu, then that
@@ -121,6 +123,8 @@
 	// which announced loads count, 0 before the first ones. Both are used in a central pool only.
 	sizes          map[string]*engineSize
 	announcedUntil time.Duration
+	// speeds holds the reference speeds of the pools, by name.
+	speeds map[string]*reference
 }
 
 // entry returns the entry of a pool and creates it if it is missing.
@@ -136,7 +140,7 @@
 // NewPool returns an empty pool for a router in a zone.
 func NewPool(zone string) *Pool {
 	return &Pool{zone: zone, rows: map[string]*row{}, waiting: map[*Attempt]struct{}{}, prefill: map[string]*speed.Estimator{},
-		flows: map[string]*flow{}, demands: map[string]*demand{}, sizes: map[string]*engineSize{}}
+		flows: map[string]*flow{}, demands: map[string]*demand{}, sizes: map[string]*engineSize{}, speeds: map[string]*reference{}}
 }
 
 // SetPushbacks makes the pool skip back ends that have pushed back this process. It must be
@@ -165,6 +169,9 @@
 			}
 			p.rows[b.ID] = r
 		}
+		if b.EnrolledRevision != r.EnrolledRevision {
+			r.pace = pace{}
+		}
 		r.Backend, r.hash, r.unlisted, r.departed = b, xxhash.Sum64String(b.Address), false, false
 		p.index.activate(r)
 		p.cancelSuperseded(r)
