--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -38,7 +38,7 @@
 
 // canBegin reports whether an engine has a free slot and a prefill backlog within the patience.
 func (p *Pool) canBegin(now time.Duration, q *Query, c *candidate, rate speed.TokensPerMs) bool {
-	if q.Patience > 0 && rate.Wait(c.ahead) > q.Patience {
+	if q.Patience > 0 && c.prefillRate(rate).Wait(c.ahead) > q.Patience {
 		return false
 	}
 	requests, _ := p.taken(now, c)
