--- a/internal/backends/copies_model_test.go
+++ b/internal/backends/copies_model_test.go
@@ -33,9 +33,9 @@
 	maxCopiesTries = 50
 )
 
-// cachingEngine is a modelEngine that keeps shared parts, those used least recently first.
+// cachingEngine is a limiterEngine that keeps shared parts, those used least recently first.
 type cachingEngine struct {
-	modelEngine
+	limiterEngine
 	parts []coordapi.PartHash
 }
 
@@ -62,8 +62,8 @@
 
 	pool    *Pool
 	engines map[string]*cachingEngine
-	waiting []*modelRequest
-	hashes  map[*modelRequest]coordapi.PartHash
+	waiting []*limiterRequest
+	hashes  map[*limiterRequest]coordapi.PartHash
 	// sent and copied are the shared tokens of all prompts and of those that an engine lacked.
 	sent, copied int
 	// arrived and inTime count requests.
@@ -71,19 +71,19 @@
 }
 
 func (run *copiesRun) play(seed uint64) {
-	run.pool, run.engines, run.hashes = NewCentralPool(), map[string]*cachingEngine{}, map[*modelRequest]coordapi.PartHash{}
+	run.pool, run.engines, run.hashes = NewCentralPool(), map[string]*cachingEngine{}, map[*limiterRequest]coordapi.PartHash{}
 	var rows []state.Backend
 	for i := range 12 {
 		row := state.Backend{ID: fmt.Sprint("e", i), Pool: "llm", Address: fmt.Sprint("a:", i), Weights: map[string]int{"m": 1}}
 		rows = append(rows, row)
-		run.engines[row.ID] = &cachingEngine{modelEngine: modelEngine{slots: believedSlots}}
+		run.engines[row.ID] = &cachingEngine{limiterEngine: limiterEngine{slots: believedSlots}}
 	}
 	run.pool.Apply(rows, nil, true)
 	random := rand.New(rand.NewPCG(seed, 1))
 	next := time.Duration(0)
 	for now := time.Duration(0); now < 5*time.Second; now += time.Millisecond {
 		for ; next <= now; next += time.Duration(random.ExpFloat64() / run.perSecond * float64(time.Second)) {
-			r := &modelRequest{sent: now, steps: copiesSteps}
+			r := &limiterRequest{sent: now, steps: copiesSteps}
 			run.hashes[r] = coordapi.PartHash(copiesParts * math.Pow(random.Float64(), 2))
 			run.waiting = append(run.waiting, r)
 			run.arrived++
@@ -92,12 +92,12 @@
 			run.dispatch(now)
 		}
 		for _, row := range rows {
-			run.engines[row.ID].advance(func(r *modelRequest) {
+			run.engines[row.ID].advance(func(r *limiterRequest) {
 				if now-r.sent <= copiesTarget {
 					run.inTime++
 				}
 				r.FirstEventReported(now, now-r.Attempt.sent)
-			}, func(r *modelRequest) { r.End(now) })
+			}, func(r *limiterRequest) { r.End(now) })
 		}
 	}
 }
@@ -107,7 +107,7 @@
 func (run *copiesRun) dispatch(now time.Duration) {
 	contended := run.contended && len(run.waiting) > 0 && now > run.waiting[0].sent+copiesInterval
 	tries := 0
-	run.waiting = slices.DeleteFunc(run.waiting, func(r *modelRequest) bool {
+	run.waiting = slices.DeleteFunc(run.waiting, func(r *limiterRequest) bool {
 		if now-r.sent > maxCopiesWait {
 			return true
 		}
@@ -117,7 +117,7 @@
 }
 
 // start sends a request to an engine with room and returns false if there is none.
-func (run *copiesRun) start(now time.Duration, r *modelRequest, contended bool) bool {
+func (run *copiesRun) start(now time.Duration, r *limiterRequest, contended bool) bool {
 	part := run.hashes[r]
 	q := Query{Pool: "llm", Model: "m", Key: fmt.Sprint(part), Shared: copiesShared, Slots: believedSlots, Capacity: copiesMemory, Target: copiesTarget,
 		GapTarget: 400 * time.Millisecond, Patience: 200 * time.Millisecond, Work: Work{Prompt: copiesOwn, Most: copiesShared + copiesOwn + copiesSteps},
