Bound the memory and time that slow peers take

A client that read nothing kept its stream and a slot of its back end without end: writes to clients had no limit. Request bodies and buffered responses had no common limit, a body could arrive without end, and a client that paused for 2 s counted as silence of its back end. A request that its back end stopped reading counted as one that may have run.

- internal/memory holds one budget of half of memory_limit for connections, requests, bodies, buffered responses and events.
A body that finds none is refused with 503 and Retry-After, one that exceeds the whole budget with 413; a response is then forwarded while it arrives.
- Client connections write through socket.Write, which gives up a peer that has read nothing for 5 s, told from slow ones by what it acknowledges.
The reason is logged and counted, and neither back end nor request is blamed.
- Bytes that wait in sockets are bounded on both sides.
- A body that has not arrived at the request's deadline is refused with 408.
- A back end that reads nothing of a body for 1 s (or the 0.7 s of the system's timeout), before any byte of a response, has not run the request: it goes to another one within the retry budget.
A connection that the back end closes says nothing, since its response may be lost.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/forward"
 	"quinceridge.example/quinceridge/internal/level"
+	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/pushback"
@@ -40,6 +41,9 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10
+	// memoryDivisor divides the memory limit to give the budget of buffers. The process limits its
+	// heap to three quarters; the rest of that is for tables and for garbage.
+	memoryDivisor = 2
 )
 
 // Edge is a running router.
@@ -65,11 +69,14 @@
 	pool.SetPushbacks(pushbacks)
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Lease: config.ServingLease(),
 		Decode: decode, Pool: pool, Saved: saved, Quota: tenants, Pushbacks: pushbacks, Limits: limits, Peers: e.peers, Logger: logger})
+	buffers := memory.NewBudget(int64(config.MemoryLimit) << 20 / memoryDivisor)
+	connections := upstream.NewPool(headers.RequestID, pushbacks, limits)
+	connections.SetMemory(buffers)
 	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
-		Upstream: upstream.NewPool(headers.RequestID, pushbacks, limits), Pushbacks: pushbacks, Limits: limits, Logger: logger,
+		Upstream: connections, Memory: buffers, Pushbacks: pushbacks, Limits: limits, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+		MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { _, _ = e.handler.WriteTo(w) })
 	mux.HandleFunc("/", e.ready)
@@ -95,15 +102,16 @@
 	e.group.Go(func() { e.follower.Run(ctx) })
 	e.group.Go(func() { e.follower.Update(ctx) })
 	e.group.Go(func() { periodic.Run(ctx, overdueInterval, e.handler.CancelOverdue) })
-	if err := e.listen(e.readiness, e.settings.Readiness); err != nil {
+	unchanged := func(l net.Listener) net.Listener { return l }
+	if err := e.listen(e.readiness, e.settings.Readiness, unchanged); err != nil {
 		return err
 	}
-	if err := e.listen(e.callers, e.settings.Listen); err != nil {
+	if err := e.listen(e.callers, e.settings.Listen, e.handler.Listener); err != nil {
 		return err
 	}
 	if e.settings.Metrics != "" {
 		// A router without metrics still serves.
-		if err := e.listen(e.metrics, e.settings.Metrics); err != nil {
+		if err := e.listen(e.metrics, e.settings.Metrics, unchanged); err != nil {
 			e.logger.Error("metrics listener failed", "part", "edge", "error", err.Error())
 		}
 	}
@@ -112,13 +120,13 @@
 	return nil
 }
 
-func (e *Edge) listen(server *http.Server, address string) error {
+func (e *Edge) listen(server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	e.group.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Error("listener failed", "part", "edge", "address", address, "error", err.Error())
 		}
 	})
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -13,6 +13,7 @@
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
+	"quinceridge.example/quinceridge/internal/socket"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -229,6 +230,10 @@
 		h.config.Pool.Unreachable(h.now(), choice.ID)
 		return outcome{verdict: notRun, err: err}
 	}
+	if errors.Is(err, upstream.ErrIncomplete) {
+		h.metrics.unreadBodies.Add(1)
+		return outcome{verdict: notRun, err: err, delivered: true}
+	}
 	h.logFailedAttempt(ctx, j, choice, 0, err)
 	return outcome{verdict: mayHaveRun, err: err, delivered: true}
 }
@@ -240,6 +245,9 @@
 	if cause := context.Cause(ctx); cause != nil {
 		ours = cause.Error()
 	}
+	if isLocal(err) {
+		ours = err.Error()
+	}
 	if ours == "" {
 		h.metrics.failedAttempts.Add(1)
 	}
@@ -282,7 +290,7 @@
 			// A pushback is not a failure of the back end.
 			break
 		}
-		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+		if !isLocal(result.err) && (ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent)) {
 			h.config.Pool.Failed(now, choice.ID)
 		}
 	}
@@ -351,6 +359,8 @@
 // close it.
 func (h *Handler) abortReason(ctx context.Context, result outcome) string {
 	switch {
+	case errors.Is(result.err, socket.ErrStalled):
+		return "client disconnected: " + stalledReason(h.clientStall)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return "aborted at the deadline"
 	case ctx.Err() == nil:
@@ -376,6 +386,12 @@
 	took := h.now() - j.receivedAt
 	h.metrics.CountResponse(s.status, false)
 	h.metrics.ObserveDurations(took, s.firstAt-j.receivedAt)
+	switch {
+	case errors.Is(s.writeError, socket.ErrStalled):
+		message = "client disconnected: " + stalledReason(h.clientStall)
+	case s.writeError != nil:
+		message = "client disconnected"
+	}
 	h.config.Logger.Info(message, "part", "forward", "id", j.id, "request", j.digest.String(), "route", j.route.Name, "pool", j.pool.Name,
 		"table", j.table.Version, "key", j.query.Key, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
 		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "attempts", strings.Join(j.trace, "; "))
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -56,7 +56,7 @@
 	j, now := s.job, h.now()
 	framed := response != nil && response.Framed()
 	switch {
-	case result.verdict == notRun:
+	case result.verdict == notRun, isLocal(result.err):
 	case result.verdict != mayHaveRun && framed:
 		h.config.Observer.RecordSuccess(j.digest)
 	case errors.Is(context.Cause(ctx), backends.ErrRestarted):
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -8,7 +8,10 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,8 +19,10 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/pushback"
@@ -37,6 +42,8 @@
 	freshStep = 5 * time.Millisecond
 	// minRetryAfter is the lowest Retry-After while the router may not serve.
 	minRetryAfter = 500 * time.Millisecond
+	// memoryRetryAfter is the Retry-After, plus jitter, while the memory for requests is used up.
+	memoryRetryAfter = time.Second
 )
 
 // Source provides the configuration in force and the state of the lease to serve by it.
@@ -102,6 +109,8 @@
 	Saved        *Saved
 	// Observer may be nil: nothing is then blocked.
 	Observer Observer
+	// Memory bounds what is buffered for all requests; nil for no limit.
+	Memory *memory.Budget
 	// Quota enforces the limits of tenants.
 	Quota  *quota.Gate
 	Budget BudgetConfig
@@ -115,19 +124,22 @@
 	splits  *splitter
 	started time.Duration
 	// clock is replaced in tests.
-	clock     func() time.Duration
-	stopping  atomic.Bool
-	forbidden map[string]bool
-	metrics   Metrics
-	store     storeMonitor
-	probes    *probes
-	deadlines *deadlines
+	clock func() time.Duration
+	// clientStall is clientStallTimeout. It is replaced in tests.
+	clientStall time.Duration
+	stallLines  bounded.LineLimiter
+	stopping    atomic.Bool
+	forbidden   map[string]bool
+	metrics     Metrics
+	store       storeMonitor
+	probes      *probes
+	deadlines   *deadlines
 }
 
 // New returns a Handler. Config is not checked.
 func New(config Config) *Handler {
 	h := &Handler{config: config, budget: newBudget(config.Budget, config.SharedBudget), splits: newSplitter(), clock: clock.Now, started: clock.Now(),
-		forbidden: map[string]bool{}, probes: newProbes(), deadlines: newDeadlines()}
+		clientStall: clientStallTimeout, forbidden: map[string]bool{}, probes: newProbes(), deadlines: newDeadlines()}
 	if config.Observer == nil {
 		h.config.Observer = noObserver{}
 	}
@@ -165,7 +177,9 @@
 	chunked bool
 	query   backends.Query
 	// parts are the IDs of the prompt's shared parts.
-	parts      []string
+	parts []string
+	// memory is what the request takes of the memory budget.
+	memory     memory.Reservation
 	receivedAt time.Duration
 	// deadline is the time at which the request times out for the client or its route, by the
 	// handler's clock.
@@ -207,7 +221,11 @@
 		h.refuse(w, &job{id: r.Header.Get(h.config.Headers.RequestID)}, refusal)
 		return
 	}
-	body, refusal := h.readBody(w, r, j.table)
+	h.config.Memory.Charge(requestBytes)
+	defer h.config.Memory.Release(requestBytes)
+	j.memory = h.config.Memory.NewReservation()
+	defer j.memory.Release()
+	body, refusal := h.readBody(w, r, j)
 	if refusal != nil {
 		h.refuse(w, j, refusal)
 		return
@@ -283,31 +301,43 @@
 	return max(limit-responseMargin, limit/2)
 }
 
-// readBody reads the whole body, so that the request can be retried.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, table *traffic.Table) ([]byte, *refusal) {
+// readBody reads the whole body, so that the request can be retried. It ends at the deadline of the
+// request: a body that arrives slowly takes memory.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, j *job) ([]byte, *refusal) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
+	limit := j.table.Limits.MaxBodyBytes
 	reader := io.Reader(r.Body)
-	if limit := table.Limits.MaxBodyBytes; limit > 0 {
+	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
 	}
-	var body []byte
-	var err error
-	if r.ContentLength > 0 && (table.Limits.MaxBodyBytes <= 0 || r.ContentLength <= table.Limits.MaxBodyBytes) {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
+	if !h.config.Memory.Fits(r.ContentLength) || (limit > 0 && r.ContentLength > limit) {
+		w.Header().Set("Connection", "close")
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	}
+	connection := http.NewResponseController(w)
+	// An error means that the connection has no deadlines.
+	_ = connection.SetReadDeadline(time.Now().Add(j.deadline - h.now()))
+	body, err := readReserved(reader, r.ContentLength, math.MaxInt64, &j.memory)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		_ = connection.SetReadDeadline(time.Time{})
+		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	case err != nil:
-		return nil, &refusal{status: http.StatusBadRequest, reason: "the body is incomplete"}
 	}
-	return body, nil
+	// The rest of the body is not awaited.
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, errMemory):
+		h.metrics.refusedMemory.Add(1)
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "the memory for requests is used up", retryAfter: memoryRetryAfter + rand.N(memoryRetryAfter/2)}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &refusal{status: http.StatusRequestTimeout, reason: "the body did not arrive in time"}
+	}
+	return nil, &refusal{status: http.StatusBadRequest, reason: "the body is incomplete"}
 }
 
 // tenantName returns the tenant's name, empty on routes that need no key.
--- a/internal/forward/largebody_test.go
+++ b/internal/forward/largebody_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,6 +35,12 @@
 	}
 }
 
+// unhurried lets requests of a path take longer, as on a busy machine, without another attempt.
+func (r *rig) unhurried(path string) {
+	route := r.source.table.Route("h", path)
+	route.Timeout, route.Target = 10*time.Second, 0
+}
+
 // Guards against forwarding the first 16 MiB of a longer response as a complete one.
 func TestLargeResponseIsForwardedWholeOrNotAsComplete(t *testing.T) {
 	cases := map[string]struct {
@@ -52,6 +59,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
+			r.unhurried("/safe/1")
 			r.add("app", "x", c.serve)
 			r.add("app", "y", c.serve)
 			got := r.ask("GET", "/safe/1", nil)
@@ -78,6 +86,7 @@
 // A client of HTTP/1.0 takes the end of its connection for the end of a body without a length.
 func TestLargeChunkedResponseIsNotForwardedWithoutChunks(t *testing.T) {
 	r := newRig(t)
+	r.unhurried("/safe/1")
 	r.add("app", "x", writeLarge(http.StatusOK, false, len(largeBody)))
 	conn, err := net.Dial("tcp", r.router.Listener.Addr().String())
 	assert.NilError(t, err)
@@ -94,6 +103,7 @@
 	r := newRig(t)
 	route := r.source.table.Route("h", "/resumable/1")
 	assert.Equal(t, route.Kind, traffic.KindStream)
+	r.unhurried("/resumable/1")
 	serve := writeLarge(http.StatusNotFound, true, maxBufferedBody)
 	r.add("llm", "x", serve)
 	r.add("llm", "y", serve)
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -24,6 +24,12 @@
 	noPermit atomic.Uint64
 	// refusedBlocked counts requests refused because they are blocked as poison requests.
 	refusedBlocked atomic.Uint64
+	// refusedMemory counts requests refused because the memory for requests was used up.
+	refusedMemory atomic.Uint64
+	// stalledClients counts clients that were disconnected because they read nothing.
+	stalledClients atomic.Uint64
+	// unreadBodies counts attempts given up because their back end did not read the request.
+	unreadBodies atomic.Uint64
 	// failedAttempts counts attempts that ended without a complete response because of their
 	// back end.
 	failedAttempts atomic.Uint64
@@ -84,6 +90,11 @@
 	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.refusedBehind.Load())
 	fmt.Fprintf(w, "quinceridge_refused_over_limit_total %d\n", m.refusedOverLimit.Load())
 	fmt.Fprintf(w, "quinceridge_refused_blocked_total %d\n", m.refusedBlocked.Load())
+	fmt.Fprintf(w, "quinceridge_refused_memory_total %d\n", m.refusedMemory.Load())
+	fmt.Fprintf(w, "quinceridge_stalled_clients_total %d\n", m.stalledClients.Load())
+	fmt.Fprintf(w, "quinceridge_unread_bodies_total %d\n", m.unreadBodies.Load())
+	fmt.Fprintf(w, "quinceridge_buffer_bytes %d\n", h.config.Memory.Used())
+	fmt.Fprintf(w, "quinceridge_buffer_limit_bytes %d\n", h.config.Memory.Limit())
 	fmt.Fprintf(w, "quinceridge_attempts_broken_total %d\n", m.failedAttempts.Load())
 	fmt.Fprintf(w, "quinceridge_store_delay_seconds %.3f\n", h.store.delayAt(h.now()).Seconds())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
--- a/internal/forward/notrun_test.go
+++ b/internal/forward/notrun_test.go
@@ -170,6 +170,10 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			r, e := newRig(t), &executions{}
+			if c.wanted != http.StatusGatewayTimeout {
+				// On a busy machine 17 MiB take longer than the routes of the rig allow.
+				r.source.table.Route("h", c.path).Timeout = 10 * time.Second
+			}
 			c.prepare(r, e)
 			got := r.ask("POST", c.path, c.change)
 			if c.wanted == 0 {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -33,6 +34,8 @@
 	// part of a body that no further attempt can continue.
 	headerSent bool
 	bodySent   bool
+	// writeError is the error of writing a buffered response.
+	writeError error
 	// lastEventID is the ID of the last forwarded event, and lastEventNumber its numeric value.
 	lastEventID     string
 	lastEventNumber int64
@@ -58,7 +61,7 @@
 	if response.StatusCode == http.StatusOK && s.job.route.Kind == traffic.KindStream {
 		return s.stream(ctx, response)
 	}
-	body, whole, err := readPrefix(response, maxBufferedBody)
+	body, whole, err := readPrefix(response, maxBufferedBody, &s.job.memory)
 	if err != nil {
 		return outcome{verdict: mayHaveRun, err: err, delivered: true}
 	}
@@ -86,13 +89,25 @@
 	return outcome{verdict: done}
 }
 
-// readPrefix reads a body up to limit bytes. Whole is false if the body is longer; none of it is
-// read if its length says so.
-func readPrefix(response *upstream.BackendResponse, limit int64) (prefix []byte, whole bool, err error) {
-	if response.ContentLength > limit && response.Body != http.NoBody {
+// readPrefix reads a body up to limit bytes. Whole is false if the body is longer or the memory for
+// it is not available; none of it is read if its length says so.
+func readPrefix(response *upstream.BackendResponse, limit int64, reserved *memory.Reservation) (prefix []byte, whole bool, err error) {
+	length := response.ContentLength
+	switch {
+	case response.Body == http.NoBody:
+		// Reading it tells that the response is complete.
+		_, err = io.Copy(io.Discard, response)
+		return nil, true, err
+	case length > limit:
 		return nil, false, nil
 	}
-	prefix, err = io.ReadAll(io.LimitReader(response, limit+1))
+	prefix, err = readReserved(response, length, limit+1, reserved)
+	if err == nil && length >= 0 {
+		_, err = io.Copy(io.Discard, response)
+	}
+	if errors.Is(err, errMemory) {
+		return prefix, false, nil
+	}
 	return prefix, int64(len(prefix)) <= limit, err
 }
 
@@ -127,12 +142,27 @@
 	s.headerSent, s.bodySent = true, true
 	s.writer.WriteHeader(s.status)
 	if _, err := s.writer.Write(prefix); err != nil {
-		return err
+		return &clientError{err}
 	}
+	// The response's own errors tell whether the request may have run.
 	_, err := io.Copy(s.writer, response)
+	if err != nil && !errors.Is(err, upstream.ErrOutcomeUnknown) {
+		return &clientError{err}
+	}
 	return err
 }
 
+// clientError is an error of writing to the client, which is no failure of the back end.
+type clientError struct{ error }
+
+func (e *clientError) Unwrap() error { return e.error }
+
+// isLocal reports whether an attempt ended for a reason other than its back end.
+func isLocal(err error) bool {
+	var client *clientError
+	return errors.As(err, &client) || errors.Is(err, errMemory)
+}
+
 var (
 	errRejected       = errors.New("rejected")
 	errBodySize       = errors.New("the body is too large to be forwarded without a length")
@@ -186,7 +216,8 @@
 	s.firstAt = s.handler.now()
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	s.writer.WriteHeader(s.status)
-	_, _ = s.writer.Write(response.body)
+	// The back end has done its part; the log names the error.
+	_, s.writeError = s.writer.Write(response.body)
 }
 
 // stream forwards events as they arrive. The header is sent with the first event.
@@ -198,7 +229,7 @@
 	var event []byte
 	for {
 		var err error
-		event, err = readEvent(reader, event[:0])
+		event, err = readEvent(reader, event[:0], &s.job.memory)
 		if err == io.EOF && len(event) == 0 {
 			return s.endStream(response)
 		}
@@ -228,10 +259,18 @@
 	return bytes.Contains(waiting, []byte("\n\n")) || bytes.Contains(waiting, []byte("\n\r\n"))
 }
 
-// readEvent reads one event, including the empty line that ends it.
-func readEvent(reader *bufio.Reader, event []byte) ([]byte, error) {
+// readEvent reads one event, including the empty line that ends it. A larger buffer than a
+// stream has in any case is reserved.
+func readEvent(reader *bufio.Reader, event []byte, reserved *memory.Reservation) ([]byte, error) {
 	for {
 		line, err := reader.ReadSlice('\n')
+		if needed := len(event) + len(line); needed > max(cap(event), streamBuffer) {
+			larger := max(needed, 2*cap(event))
+			if !reserved.Grow(int64(larger - cap(event))) {
+				return event, errMemory
+			}
+			event = append(make([]byte, 0, larger), event...)
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -272,11 +311,16 @@
 		s.lastAt = s.firstAt
 	}
 	s.recordGap()
+	// While the client does not read, the back end is not silent.
+	s.stall.pause()
+	defer s.stall.extend()
 	if _, err := s.writer.Write(event); err != nil {
-		return err
+		return &clientError{err}
 	}
 	if flush {
-		s.writer.(http.Flusher).Flush()
+		if err := http.NewResponseController(s.writer).Flush(); err != nil {
+			return &clientError{err}
+		}
 	}
 	s.events++
 	if named {
@@ -288,7 +332,6 @@
 // recordGap measures the pause before an event.
 func (s *session) recordGap() {
 	now := s.handler.now()
-	s.stall.extend()
 	s.longestGap = max(s.longestGap, now-s.lastAt)
 	s.lastAt = now
 }
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -51,6 +51,7 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
+	paused  bool
 }
 
 func newWatchdog(timeout time.Duration, onTimeout func() bool) *watchdog {
@@ -64,23 +65,26 @@
 func (w *watchdog) fire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.stopped && !w.onTimeout() {
+	if !w.stopped && !w.paused && !w.onTimeout() {
 		w.timer.Reset(recheckDelay)
 	}
 }
 
-func (w *watchdog) stop() { w.reset(true) }
+func (w *watchdog) stop() { w.reset(true, false) }
 
-func (w *watchdog) extend() { w.reset(false) }
+// pause stops the watchdog until it is extended.
+func (w *watchdog) pause() { w.reset(false, true) }
 
-func (w *watchdog) reset(stopped bool) {
+func (w *watchdog) extend() { w.reset(false, false) }
+
+func (w *watchdog) reset(stopped, paused bool) {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopped = w.stopped || stopped
-	if w.stopped {
+	w.stopped, w.paused = w.stopped || stopped, paused
+	if w.stopped || w.paused {
 		w.timer.Stop()
 		return
 	}
--- /dev/null
+++ b/internal/socket/stall.go
@@ -0,0 +1,95 @@
+package socket
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrStalled means that the peer of a connection read nothing while bytes waited.
+var ErrStalled = errors.New("the peer read nothing while bytes waited")
+
+// stallChecks is the number of times within the limit that Write looks for progress. Each look wakes
+// the writer, which counts with many stalled peers.
+const stallChecks = 5
+
+// Write writes to a connection and returns ErrStalled once its peer has read nothing for limit while
+// bytes waited. A peer that reads slowly is told from one that does not read by what it acknowledges.
+// Write uses the connection's write deadline. It returns early if canceled, which may be nil, returns
+// true; whoever cancels also sets the deadline to the past.
+func Write(c net.Conn, p []byte, limit time.Duration, canceled func() bool) (int, error) {
+	written, queued := 0, -1
+	var since time.Time
+	for {
+		_ = c.SetWriteDeadline(time.Now().Add(limit / stallChecks))
+		if canceled != nil && canceled() {
+			_ = c.SetWriteDeadline(time.Unix(1, 0))
+			return written, os.ErrDeadlineExceeded
+		}
+		n, err := c.Write(p[written:])
+		written += n
+		if err == nil {
+			_ = c.SetWriteDeadline(time.Time{})
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		now, left := time.Now(), unacknowledged(c)
+		if queued < 0 || n > 0 || left < queued {
+			since = now
+		} else if now.Sub(since) >= limit {
+			return written, ErrStalled
+		}
+		queued = left
+	}
+}
+
+// unacknowledged returns the bytes of a connection that its peer has not acknowledged, 0 if unknown.
+func unacknowledged(c net.Conn) int {
+	bytes := 0
+	withDescriptor(c, func(fd int) { bytes, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	return bytes
+}
+
+// withDescriptor calls use with the descriptor of a connection, if it has one.
+func withDescriptor(c net.Conn, use func(fd int)) {
+	if s, ok := c.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { use(int(fd)) })
+		}
+	}
+}
+
+// LimitUnsent bounds the bytes that the system keeps for a connection before they are sent. Without
+// it the system keeps up to some MB for a peer that reads nothing.
+func LimitUnsent(c net.Conn, bytes int) {
+	withDescriptor(c, func(fd int) { _ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes) })
+}
+
+// ReceiveBuffer returns a control function for net.Dialer that bounds the bytes that the system
+// keeps for a connection until they are read.
+func ReceiveBuffer(bytes int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failure error
+		err := c.Control(func(fd uintptr) {
+			failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		})
+		return errors.Join(err, failure)
+	}
+}
+
+// Controls returns a control function that calls all of the given ones.
+func Controls(controls ...func(network, address string, c syscall.RawConn) error) func(network, address string, c syscall.RawConn) error {
+	return func(network, address string, c syscall.RawConn) error {
+		for _, control := range controls {
+			if err := control(network, address, c); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 // BackendResponse is a response whose body is being read. It must be closed.
@@ -19,13 +23,26 @@
 	address    string
 	connection *connection
 	stop       func() bool
-	written    chan error
-	complete   bool
-	closed     bool
+	// written receives the result of writing a body while the response is awaited; nil for a body
+	// that was written before.
+	written chan error
+	// phase tells whether a byte of the response has arrived or the request was given up before.
+	phase    atomic.Int32
+	complete bool
+	closed   bool
 }
 
+// Values of BackendResponse.phase.
+const (
+	phaseAwaiting int32 = iota
+	phaseResponding
+	phaseGivenUp
+)
+
+var errRespondedLate = errors.New("the response arrived when the request had been given up")
+
 // exchange writes the request and reads the header of its response.
-func (a *BackendResponse) exchange(r *Request) *callError {
+func (a *BackendResponse) exchange(ctx context.Context, r *Request) *callError {
 	c := a.connection
 	head := encodeHeader(r)
 	// Checked again just before the write: other responses may have arrived, and rows may have
@@ -49,19 +66,55 @@
 	} else {
 		a.written = make(chan error, 1)
 		go func() {
-			buffers := net.Buffers{head, r.Body}
-			_, err := buffers.WriteTo(c.Conn)
+			err := a.writeBody(ctx, head, r.Body)
 			a.written <- err
+			// A back end that has begun to respond need not read the rest.
+			if errors.Is(err, socket.ErrStalled) && a.phase.CompareAndSwap(phaseAwaiting, phaseGivenUp) {
+				_ = c.SetReadDeadline(time.Unix(1, 0))
+			}
 		}()
 	}
 	response, err := a.readHeader(r, sent)
 	if err != nil {
-		return &callError{kind: ErrOutcomeUnknown, cause: err}
+		return a.noResponse(err)
 	}
 	a.Response = response
 	return nil
 }
 
+// writeBody writes a request until the back end stops reading it or the context ends.
+func (a *BackendResponse) writeBody(ctx context.Context, head, body []byte) error {
+	canceled := func() bool { return ctx.Err() != nil }
+	// A part of the body goes with the header, in one packet.
+	first := min(len(body), asyncBodySize)
+	if _, err := socket.Write(a.connection.Conn, append(head, body[:first]...), a.pool.bodyStall, canceled); err != nil {
+		return err
+	}
+	_, err := socket.Write(a.connection.Conn, body[first:], a.pool.bodyStall, canceled)
+	return err
+}
+
+// noResponse returns the error of a request that received no response header. The request has not
+// run if a part of it was never written, because the back end did not read, and nothing came back. A
+// connection that the back end closed tells nothing: it may have responded, and the response may be
+// lost with the connection.
+func (a *BackendResponse) noResponse(err error) *callError {
+	unknown := &callError{kind: ErrOutcomeUnknown, cause: err}
+	if a.written == nil || a.phase.Load() == phaseResponding {
+		return unknown
+	}
+	// This ends the write.
+	_ = a.connection.SetDeadline(time.Unix(1, 0))
+	failure := <-a.written
+	closed := errors.Is(failure, syscall.ECONNRESET) || errors.Is(failure, syscall.EPIPE)
+	// The system reports its timeout only once: to the write or to the read.
+	silent := (errors.Is(err, os.ErrDeadlineExceeded) && !closed) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(failure, syscall.ETIMEDOUT)
+	if failure == nil || !silent {
+		return unknown
+	}
+	return &callError{kind: ErrIncomplete, cause: errors.Join(failure, err)}
+}
+
 func writeErrorKind(written int) error {
 	if written == 0 {
 		return ErrNotSent
@@ -73,6 +126,12 @@
 // request was written.
 func (a *BackendResponse) readHeader(r *Request, sent time.Duration) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
+	if _, err := a.connection.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	if !a.phase.CompareAndSwap(phaseAwaiting, phaseResponding) {
+		return nil, errRespondedLate
+	}
 	for range maxForeignResponses {
 		response, err := http.ReadResponse(a.connection.reader, request)
 		if err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/socket"
@@ -31,7 +32,18 @@
 	dialTimeout = 250 * time.Millisecond
 	// userTimeout closes connections whose peer acknowledges no data.
 	userTimeout = 700 * time.Millisecond
-	readBuffer  = 4 << 10
+	// bodyStallTimeout is the time after which a back end that reads nothing of a request's body is
+	// given up. It exceeds userTimeout, within which a back end that is suspended shortly goes on.
+	bodyStallTimeout = time.Second
+	readBuffer       = 4 << 10
+	// receiveBuffer bounds what the system keeps of a response that is read slowly; the system
+	// doubles it for its own data. Within a site it allows for some 60 MB/s.
+	receiveBuffer = 64 << 10
+	// maxUnsent bounds what the system keeps of a request's body before it is sent, so that the pool
+	// knows whether a back end that reads nothing has received all of it.
+	maxUnsent = 16 << 10
+	// connectionBytes is the memory of a connection: its read buffer and the system's descriptor.
+	connectionBytes = 8 << 10
 	// asyncBodySize is the body size from which a request is written while the response is
 	// awaited: a back end may respond before it has read the whole request.
 	asyncBodySize = 4 << 10
@@ -53,11 +65,14 @@
 var (
 	// ErrNotSent: no byte of the request was written.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrIncomplete: the back end stopped reading before it had received the whole request and sent
+	// nothing, so the request has not run.
+	ErrIncomplete = errors.New("the request was not sent completely")
 	// ErrOutcomeUnknown: the request was sent and may have run.
 	ErrOutcomeUnknown = errors.New("the request was sent, but no complete response was received")
 )
 
-// callError is an error of one kind: ErrNotSent or ErrOutcomeUnknown.
+// callError is an error of one kind: ErrNotSent, ErrIncomplete or ErrOutcomeUnknown.
 type callError struct {
 	kind  error
 	cause error
@@ -102,6 +117,9 @@
 	// require.
 	limits *ratelimit.Registry
 	dialer net.Dialer
+	memory *memory.Budget
+	// bodyStall is bodyStallTimeout. It is replaced in tests.
+	bodyStall time.Duration
 	// Opened counts new connections.
 	Opened atomic.Uint64
 
@@ -111,17 +129,32 @@
 
 // NewPool returns a pool without connections.
 func NewPool(idHeader string, pushbacks *pushback.Registry, limits *ratelimit.Registry) *Pool {
-	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, limits: limits, idle: map[string][]*connection{}}
-	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.UserTimeout(userTimeout)}
+	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, limits: limits, bodyStall: bodyStallTimeout, idle: map[string][]*connection{}}
+	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.ReceiveBuffer(receiveBuffer))}
 	return p
 }
 
+// SetMemory makes the pool charge its connections to a budget. It is to be called before the first
+// request.
+func (p *Pool) SetMemory(budget *memory.Budget) { p.memory = budget }
+
 // connection is a reusable connection.
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
 	// expiresAt is when the connection must not be reused any more.
 	expiresAt time.Duration
+	// memory is the budget that the connection is charged to until it is closed.
+	memory *memory.Budget
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	if !c.closed.Swap(true) {
+		c.memory.Release(connectionBytes)
+	}
+	return c.Conn.Close()
 }
 
 // takeIdle returns the most recently used idle connection that is still usable, nil for none.
@@ -193,7 +226,9 @@
 		return nil, &callError{kind: ErrNotSent, cause: err}
 	}
 	p.Opened.Add(1)
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	p.memory.Charge(connectionBytes)
+	socket.LimitUnsent(raw, maxUnsent)
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), memory: p.memory}, nil
 }
 
 // Down reports whether no process listens at an address: it then refuses connections, while a
@@ -227,7 +262,7 @@
 	}
 	a := &BackendResponse{pool: p, address: address, connection: c}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	if err := a.exchange(r); err != nil {
+	if err := a.exchange(ctx, r); err != nil {
 		a.Close()
 		if errors.Is(err, syscall.ETIMEDOUT) {
 			p.closeIdle(address)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -466,3 +466,80 @@
 	assert.Assert(t, p.removeIdle("a", time.Second, nonIdempotentMargin) == nil)
 	assert.Equal(t, p.removeIdle("a", time.Second, 0), expiring)
 }
+
+// Guards against taking a request for not run that the back end may have run: only a request of which
+// a part was never read, without a byte in return, has not.
+func TestUnreadRequestIsIncomplete(t *testing.T) {
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	cases := map[string]struct {
+		serve func(conn net.Conn, requests *bufio.Reader)
+		size  int
+		mark  error
+	}{
+		"body unread": {func(_ net.Conn, requests *bufio.Reader) {
+			_, _ = http.ReadRequest(requests)
+			<-done
+		}, 16 << 20, ErrIncomplete},
+		"body read": {func(_ net.Conn, requests *bufio.Reader) {
+			_, _ = readRequest(requests)
+			<-done
+		}, 16 << 20, ErrOutcomeUnknown},
+		"small body unread": {func(_ net.Conn, requests *bufio.Reader) {
+			_, _ = http.ReadRequest(requests)
+			<-done
+		}, 8 << 10, ErrOutcomeUnknown},
+		"body unread, response begun": {func(conn net.Conn, requests *bufio.Reader) {
+			_, _ = http.ReadRequest(requests)
+			_, _ = io.WriteString(conn, "HTTP/1.1 2")
+			<-done
+		}, 16 << 20, ErrOutcomeUnknown},
+		"body unread, connection closed": {func(_ net.Conn, requests *bufio.Reader) { _, _ = http.ReadRequest(requests) }, 16 << 20, ErrOutcomeUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) { c.serve(conn, requests) })
+			p := NewPool(idHeader, newPushbacks(), newLimits())
+			p.bodyStall = 200 * time.Millisecond
+			r := request("1")
+			r.Body = []byte(strings.Repeat("x", c.size))
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			_, err := p.Do(ctx, b.address, r)
+			assert.ErrorIs(t, err, c.mark)
+			for _, other := range []error{ErrNotSent, ErrIncomplete, ErrOutcomeUnknown} {
+				assert.Equal(t, errors.Is(err, other), other == c.mark, "%v", err)
+			}
+		})
+	}
+}
+
+// A back end that reads slowly, or that responds without reading, is not given up.
+func TestSlowBodyIsNotGivenUp(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		r, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		if r.Header.Get(idHeader) == "slow" {
+			for err == nil {
+				time.Sleep(20 * time.Millisecond)
+				_, err = io.CopyN(io.Discard, r.Body, 512<<10)
+			}
+			_, _ = io.WriteString(conn, responseTo("slow", "read"))
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+idHeader+": early\r\nContent-Length: 4\r\n\r\nea")
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(conn, "rl")
+	})
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	p.bodyStall = 200 * time.Millisecond
+	for id, wanted := range map[string]string{"slow": "read", "early": "earl"} {
+		r := request(id)
+		r.Body = []byte(strings.Repeat("x", 16<<20))
+		_, body, err := p.Call(t.Context(), b.address, r, 100)
+		assert.NilError(t, err, id)
+		assert.Equal(t, string(body), wanted)
+	}
+}
