--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -40,3 +41,24 @@
 	held, _ = used()
 	assert.Equal(t, held, int64(0))
 }
+
+// Guards against a router whose connections of clients lack the rule for those that read nothing.
+func TestClientsAreServedThroughBoundingListener(t *testing.T) {
+	s := settings.DisklessRouter{Name: "r", Listen: freeAddress(t), Readiness: freeAddress(t), Seeds: []string{freeAddress(t)},
+		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryWindow: time.Second, MemoryLimit: 100}
+	e := New(s, names, traffic.Parse, discardLogger())
+	kinds := make(chan string, 1)
+	charge := e.callers.ConnState
+	e.callers.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			kinds <- fmt.Sprintf("%T", c)
+		}
+		charge(c, state)
+	}
+	assert.NilError(t, e.Start())
+	defer e.Stop()
+	conn, err := net.Dial("tcp", s.Listen)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.Equal(t, <-kinds, "*forward.clientConnection")
+}
