backends: average latency of plain back ends decays, and small differences do not decide

A quarter of the average latency of a plain back end is a cost, and the average did not change without answers: one whose first answer was slow was not chosen again while another one was idle. TestLimitedBackendGetsItsRate failed for it.

The average halves in 3 s without answers. So the cost is rounded down to whole milliseconds, and one answer raises the average by 3 ms or a quarter of it at most.

speed.Relative weights a sample by its assumed variance in its standard error too.

--- a/internal/backends/outcome.go
+++ b/internal/backends/outcome.go
@@ -22,6 +22,19 @@
 	unreachablePause = 1500 * time.Millisecond
 	// latencyWeight is the weight of one answer in the average latency of a back end.
 	latencyWeight = 0.1
+	// latencyHalfLife is the half-life of the average latency without answers. A back end whose
+	// first answers were slow would otherwise not be chosen again while another one is idle.
+	latencyHalfLife = 3 * time.Second
+	// latencyShare is the cost of a back end's average latency as a fraction of it. Costs are rounded
+	// down to multiples of latencyResolution milliseconds: on a busy machine an answer takes 10 ms
+	// longer than others by chance, which must not decide among idle back ends for seconds.
+	latencyShare = 0.25
+	// minLatencyStep and latencyStepShare bound the rise of the average by one answer, in
+	// milliseconds and as a fraction of the average, so that a single stall does not exclude a back
+	// end until it is forgotten.
+	minLatencyStep    = 3
+	latencyStepShare  = 0.25
+	latencyResolution = 1
 	// maxTroubles bounds the troubles kept until the next call of Troubles. It is more than a
 	// router observes between two reports to the leader.
 	maxTroubles = 64
@@ -33,7 +46,7 @@
 		r.noHeartbeat, r.recovering = false, false
 		r.failureRate = r.rate(now) * (1 - failureWeight)
 		r.failedAt = now
-		r.latency += latencyWeight * (float64(took.Milliseconds()) - r.latency)
+		r.recordLatency(now, took)
 		entry(p.flows, r.Pool).ended(took)
 	})
 }
@@ -134,6 +147,27 @@
 	}
 }
 
+// recordLatency adds the latency of an answer to the average.
+func (r *row) recordLatency(now, took time.Duration) {
+	average := r.averageLatency(now)
+	step := latencyWeight * (float64(took.Milliseconds()) - average)
+	r.latency = average + min(step, max(minLatencyStep, latencyStepShare*average))
+	r.latencyAt = now
+}
+
+// averageLatency returns the average latency in milliseconds, decayed to now.
+func (r *row) averageLatency(now time.Duration) float64 {
+	if r.latency == 0 {
+		return 0
+	}
+	return r.latency * math.Exp2(-float64(max(now-r.latencyAt, 0))/float64(latencyHalfLife))
+}
+
+// latencyCost returns the cost of the average latency in milliseconds.
+func (r *row) latencyCost(now time.Duration) float64 {
+	return math.Floor(latencyShare*r.averageLatency(now)/latencyResolution) * latencyResolution
+}
+
 // rate returns the failure rate, decayed to now.
 func (r *row) rate(now time.Duration) float64 {
 	if r.failureRate == 0 {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -60,7 +60,9 @@
 	failureRate float64
 	failedAt    time.Duration
 	busyUntil   time.Duration
-	latency     float64
+	// latency is the average latency of its answers in milliseconds as of latencyAt.
+	latency   float64
+	latencyAt time.Duration
 	// limitedUntil is the time until which its limit admits no request from any router.
 	limitedUntil time.Duration
 	// pushedBackUntil is the end of the latest pushback of any router, in a central pool. Pushbacks
--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -52,7 +52,7 @@
 		total += otherZoneCost
 	}
 	if q.Slots == 0 {
-		return total + loadCost(float64(c.running)+staleness.stillRunning*float64(c.otherLoad.Running), c) + c.latency/4
+		return total + loadCost(float64(c.running)+staleness.stillRunning*float64(c.otherLoad.Running), c) + c.latencyCost(now)
 	}
 	prefill := float64(c.prefillRate(rate).Wait(c.ahead+q.tokensToPrefill(c.Weights[q.Model]))) / float64(time.Millisecond)
 	total += prefill + lateCost(q, c, prefill)
--- a/internal/speed/relative.go
+++ b/internal/speed/relative.go
@@ -10,10 +10,10 @@
 // is followed as fast as slowdown. It is not safe for concurrent use. The zero value is ready to use.
 type Relative struct {
 	// weight is the total weight of the samples, sum that of the logarithms, and squares that of
-	// their squared deviations from the mean at the time of each sample. effective is the sum of
-	// squared weights.
-	weight, sum, squares, effective float64
-	at                              time.Duration
+	// their squared deviations from the mean at the time of each sample. A weight is inverse to the
+	// variance that is assumed for the sample; that of a long wait is 1.
+	weight, sum, squares float64
+	at                   time.Duration
 }
 
 const (
@@ -25,10 +25,11 @@
 	// forgetting is the half-life of the evidence without samples, after which an engine that is
 	// avoided for its speed is tried again.
 	forgetting = 3 * time.Second
-	// waitNoise is the part of a wait that varies by some engine steps, regardless of its length.
-	waitNoise = 20 * time.Millisecond
-	// ratioNoise is the standard deviation of the ratio of a long wait that is assumed in addition
-	// to the observed one; priorSamples is the weight of that assumption.
+	// waitNoise is the standard deviation of a wait regardless of its length: a few engine steps, or
+	// a busy router. Waits that are shorter show nothing about an engine.
+	waitNoise = 10 * time.Millisecond
+	// ratioNoise is the relative standard deviation that is assumed of a long wait, and priorSamples
+	// the weight of that assumption beside the observed one.
 	ratioNoise   = 0.3
 	priorSamples = 4
 	// maxIndependent bounds the number of samples that count as independent: requests that wait at
@@ -65,7 +66,6 @@
 	r.sum = r.sum*decay + weight*(mean+min(max(deviation, -maxRatioStep), maxRatioStep))
 	deviation = min(max(deviation, -maxDeviation), maxDeviation)
 	r.squares = r.squares*decay + weight*deviation*deviation
-	r.effective = r.effective*decay*decay + weight*weight
 }
 
 // mean returns the average logarithm, or 0 without samples.
@@ -91,7 +91,7 @@
 // standardError returns the relative error without an upper bound.
 func (r *Relative) standardError(now time.Duration) float64 {
 	variance := (r.squares + priorSamples*ratioNoise*ratioNoise) / (r.weight + priorSamples)
-	samples := math.Min(r.weight*r.weight/r.effective, maxIndependent) * math.Exp2(-float64(r.Age(now))/float64(forgetting))
+	samples := math.Min(r.weight, maxIndependent) * math.Exp2(-float64(r.Age(now))/float64(forgetting))
 	return math.Sqrt(variance / samples)
 }
 
