Rollout: overdue loads do not hold up the others

Cause: an engine that leaves its order unanswered, or that crashes, holds one of the concurrent loads for up to 10 s. Change: after twice the mean load time it does not count any more.

--- a/internal/coordinator/rollout.go
+++ b/internal/coordinator/rollout.go
@@ -45,6 +45,8 @@
 	minLoadTime       = 1200 * time.Millisecond
 	loadMargin        = 700 * time.Millisecond
 	loadTimeSmoothing = 4
+	// overdueFactor is the multiple of the mean load time after which a load is overdue.
+	overdueFactor = 2
 	// maxPrefillShare is the fraction of time spent on prefill above which engines count as
 	// saturated. Loads take engines out of service, and the rest must process their share.
 	maxPrefillShare = 0.5
@@ -72,7 +74,7 @@
 
 // runningLoad is a load that this leader has announced. acceptedAt is when its engine accepted the
 // order, 0 before.
-type runningLoad struct{ acceptedAt time.Duration }
+type runningLoad struct{ announcedAt, acceptedAt time.Duration }
 
 // orderAccepted records that an engine has accepted its order.
 func (r *rollout) orderAccepted(now time.Duration, id string) {
@@ -84,9 +86,18 @@
 // finishing reports whether a load is expected to end by the time that an engine whose load is
 // announced now gets its order. Without this overlap engines would load for little more than half
 // of the time that a load takes from its announcement to its report.
+//
+// An overdue load counts as finishing too: an engine that does not answer orders for seconds, or that
+// has crashed, must not hold up the rollout.
 func (r *rollout) finishing(now time.Duration, id string) bool {
 	load := r.running[id]
-	if load == nil || load.acceptedAt == 0 || r.meanOrderTime == 0 {
+	if load == nil {
+		return false
+	}
+	if now >= load.announcedAt+overdueFactor*max(r.meanLoadTime, minLoadTime) {
+		return true
+	}
+	if load.acceptedAt == 0 || r.meanOrderTime == 0 {
 		return false
 	}
 	return now+announceDelay >= load.acceptedAt+r.meanOrderTime-reportLag
@@ -227,7 +238,7 @@
 		if now < s.rollout.failed[id].until {
 			continue
 		}
-		s.rollout.running[id] = &runningLoad{}
+		s.rollout.running[id] = &runningLoad{announcedAt: now}
 		row := d.Backends[id]
 		term := s.core.Status().Term
 		s.group.Go(func() {
@@ -252,7 +263,7 @@
 // resolveLoad determines the outcome of a load that an earlier leader announced. Until then the
 // engine counts as loading.
 func (s *Server) resolveLoad(ctx context.Context, row state.Backend) {
-	s.rollout.running[row.ID] = &runningLoad{}
+	s.rollout.running[row.ID] = &runningLoad{announcedAt: s.now()}
 	s.group.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		defer cancel()
