Backends: a central pool prefers engines with new weights for all keys

Cause: while few engines hold new weights, only twice their share of the keys prefers them, so that routers do not overload them before exchanged loads show it. The leader's pool knows each placement at once, and moves on when an engine is busy.

--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -164,6 +164,28 @@
 	assert.Assert(t, taken > 230 && taken < 330, "%d", taken)
 }
 
+// Guards against answers of replaced weights while engines with new ones have capacity: a central
+// pool moves to other engines when the first ones are busy, not by a share of the keys.
+func TestCentralPoolPrefersNewWeightsForAllKeys(t *testing.T) {
+	p := NewCentralPool()
+	p.Apply([]state.Backend{engine("new", 2), engine("old", 1)}, nil, true)
+	p.ApplyNotes(coordapi.Notes{Preferred: map[string]int{"m": 2}})
+	q := query()
+	q.Target = time.Second
+	for i := range 100 {
+		q.Key = strconv.Itoa(i)
+		assert.Equal(t, mustChoose(t, p, 0, q).ID, "new")
+	}
+	taken := map[string]int{}
+	for i := range 40 {
+		q.Key = strconv.Itoa(i)
+		choice := mustChoose(t, p, 0, q)
+		taken[choice.ID]++
+		p.Begin(0, &choice, &q, func(error) {})
+	}
+	assert.Assert(t, taken["new"] > 0 && taken["old"] > 0, "%v", taken)
+}
+
 // Guards against queues that grow without bound when all engines are slow.
 func TestChoiceIsLateWhenNoEngineMeetsPatience(t *testing.T) {
 	p := newTestPool(engine("x", 1), engine("y", 1))
--- a/internal/backends/preferred.go
+++ b/internal/backends/preferred.go
@@ -12,11 +12,12 @@
 
 // preferred returns the version below which engines cost more for this query, or 0. While few
 // engines hold that version, only a share of the keys prefers it: otherwise all routers would
-// overload these engines before the exchanged loads show it.
+// overload these engines before the exchanged loads show it. A central pool knows the loads, and
+// all keys prefer it.
 func (p *Pool) preferred(q *Query, candidates []candidate) int {
 	version := p.notes.Preferred[q.Model]
-	if version == 0 {
-		return 0
+	if version == 0 || p.central {
+		return version
 	}
 	holding := 0
 	for i := range candidates {
