--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -413,10 +413,15 @@
 
 // send sends a request with a new ID and reads the whole response.
 func (d *deployment) send(frontend int, key, path, body string) result {
+	return d.sendWithin(d.callerTimeout, frontend, key, path, body)
+}
+
+// sendWithin is send for a caller that cancels after a time, 0 for never.
+func (d *deployment) sendWithin(timeout time.Duration, frontend int, key, path, body string) result {
 	ctx := d.t.Context()
-	if d.callerTimeout > 0 {
+	if timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d.callerTimeout)
+		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.frontend[frontend]+path, strings.NewReader(body))
