Quota: what waits in the queue counts when it runs

Cause: a tenant's limit counted a request as it was queued.

Change: a queued request's amount is held: it stays reserved, but is taken from the bucket only when the request is granted. TestWaitingRequestsKeepToLimitInAnyWindow draws waits of up to 4 s that end together and fails with amounts counted at the arrival.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -171,7 +171,10 @@
 		req.Tenant, req.Amount = "", 0
 	}
 	placed := s.placer.Place(now, req)
-	if counted && (placed.ID == "" || placed.Late) && !placed.Queued {
+	switch {
+	case counted && placed.Queued:
+		s.tenantLimits.hold(now, tenant, amount)
+	case counted && (placed.ID == "" || placed.Late):
 		s.tenantLimits.charge(now, []quota.Spent{{Tenant: tenant, Amount: -amount}})
 	}
 	placed.Uncounted = !counted
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -124,6 +124,33 @@
 	}
 }
 
+// hold puts off the use of an admitted amount whose request waits.
+func (l *tenantLimits) hold(now time.Duration, tenant string, amount quota.Amount) {
+	if amount == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limiter != nil {
+		l.limiter.Hold(now, tenant, amount)
+	}
+}
+
+// settle ends the waits of amounts that were held.
+func (l *tenantLimits) settle(now time.Duration, settlements []quota.Settlement) {
+	if len(settlements) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limiter == nil {
+		return
+	}
+	for _, s := range settlements {
+		l.limiter.Settle(now, s)
+	}
+}
+
 // announce recomputes the announced shares.
 func (l *tenantLimits) announce(now time.Duration) {
 	l.mu.Lock()
--- a/internal/coordinator/queue.go
+++ b/internal/coordinator/queue.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		next, more := s.placer.Step(begun)
-		s.tenantLimits.charge(begun, s.placer.TakeRefunds())
+		s.tenantLimits.settle(begun, s.placer.TakeSettlements())
 		ended := s.now()
 		notBefore = ended + minQueuePause*(ended-begun)
 		if more {
--- a/internal/coordinator/queue_test.go
+++ b/internal/coordinator/queue_test.go
@@ -106,7 +106,7 @@
 	}
 	assert.Assert(t, limited(2, 150).OverLimit)
 	s.placer.ApplyReports(s.now(), "r", &coordapi.Reports{Ended: []uint64{1}})
-	s.tenantLimits.charge(s.now(), s.placer.TakeRefunds())
+	s.tenantLimits.settle(s.now(), s.placer.TakeSettlements())
 	assert.Assert(t, limited(3, 150).Queued)
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -49,9 +49,9 @@
 	wake chan struct{}
 	// start is the state of the first second of a leadership.
 	start start
-	// refunds is the result of the next call of TakeRefunds.
-	refunds []quota.Spent
-	waits   waitHistogram
+	// settlements is the result of the next call of TakeSettlements.
+	settlements []quota.Settlement
+	waits       waitHistogram
 	// tried counts the waiting requests for which a pass looked for capacity.
 	tried   int
 	refused map[admission.Reason]int
@@ -97,7 +97,7 @@
 		r.wakeAwait()
 	}
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
-	p.queues, p.versions, p.refunds = map[string]*poolQueue{}, map[poolModel]int{}, nil
+	p.queues, p.versions, p.settlements = map[string]*poolQueue{}, map[poolModel]int{}, nil
 	p.start, p.refusedAt = start{}, 0
 	p.parts, p.baseDelay = newDirectory(), speed.DelayEstimator{}
 }
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -275,6 +275,7 @@
 		return false, !found && !choice.NoRoom && !p.pool.HasEngines(w.ask.Pool)
 	}
 	queue.Granted(now, key)
+	p.settle(w, true)
 	p.waits.add(now - w.queuedAt)
 	r.finish(now, w, p.begin(now, r, w.ask, q, &choice, permitTerm))
 	return true, false
@@ -329,27 +330,26 @@
 			continue
 		}
 		w := r.waiting[refusal.Key.Number]
-		p.refund(w)
+		p.settle(w, false)
 		r.finish(now, w, coordapi.Placed{Reason: string(refusal.Reason), RetryAfter: refusal.RetryAfter})
 	}
 }
 
-// refund records that a waiting request that ends without a placement does not count against its
-// tenant's limit.
-func (p *Placer) refund(w *waiting) {
+// settle records whether a request that waited runs, for its tenant's limit.
+func (p *Placer) settle(w *waiting, used bool) {
 	if w.ask.Amount > 0 {
-		p.refunds = append(p.refunds, quota.Spent{Tenant: w.ask.Tenant, Amount: -w.ask.Amount})
+		p.settlements = append(p.settlements, quota.Settlement{Tenant: w.ask.Tenant, Amount: w.ask.Amount, Used: used})
 	}
 }
 
-// TakeRefunds returns the amounts of tenants' limits that requests were counted against which ended
-// without a placement after they waited.
-func (p *Placer) TakeRefunds() []quota.Spent {
+// TakeSettlements returns the amounts of tenants' limits that were held for requests which no longer
+// wait.
+func (p *Placer) TakeSettlements() []quota.Settlement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	refunds := p.refunds
-	p.refunds = nil
-	return refunds
+	settlements := p.settlements
+	p.settlements = nil
+	return settlements
 }
 
 // endWait ends the wait of a request whose caller or router has left. It returns false if the
@@ -360,7 +360,7 @@
 		return false
 	}
 	p.queue(w.ask.Pool).Remove(admission.Key{Router: name, Number: number})
-	p.refund(w)
+	p.settle(w, false)
 	delete(r.waiting, number)
 	return true
 }
--- a/internal/placer/queue_test.go
+++ b/internal/placer/queue_test.go
@@ -266,13 +266,13 @@
 		assert.Assert(t, p.Place(now, ask).Queued)
 	}
 	end(p, now, "b", 1)
-	assert.DeepEqual(t, p.TakeRefunds(), []quota.Spent{{Tenant: "t", Amount: -7}})
+	assert.DeepEqual(t, p.TakeSettlements(), []quota.Settlement{{Tenant: "t", Amount: 7}})
 	for range 2 {
 		now += 2 * time.Second
 		end(p, now, "b")
 	}
 	p.Step(now)
-	assert.DeepEqual(t, p.TakeRefunds(), []quota.Spent{{Tenant: "t", Amount: -7}})
+	assert.DeepEqual(t, p.TakeSettlements(), []quota.Settlement{{Tenant: "t", Amount: 7}})
 	outcomes := collect(t, p, now, "b")
 	assert.Equal(t, outcomes[0].Placed.Reason, string(admission.NoRoom))
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -70,6 +70,8 @@
 	// requests may still take of what is kept for more urgent ones.
 	askedBy [urgencyLevels]decay.Sum
 	floor   Amount
+	// waiting is the amount of admitted requests that wait to run.
+	waiting Amount
 }
 
 // NewLimiter returns a limiter without limits.
@@ -176,12 +178,13 @@
 	a.askedBy[urgency].Add(now, averagingTime, float64(amount))
 	part := l.tolerancePart(a.limit)
 	need := min(max(amount-part, 0), capacity-reserve)
+	available := a.level - a.waiting
 	switch {
-	case a.level >= need+reserve:
+	case available >= need+reserve:
 		if reserve == 0 {
 			a.floor = min(a.floor+urgencyFloor*amount, part)
 		}
-	case reserve > 0 && a.level >= need && a.floor >= amount:
+	case reserve > 0 && available >= need && a.floor >= amount:
 		a.floor -= amount
 	default:
 		a.refused.Add(now, averagingTime, float64(amount))
@@ -200,6 +203,40 @@
 	return Amount(total / averagingTime.Seconds())
 }
 
+// Hold puts off the use of an amount that was just admitted, because its request waits to run. Usage
+// counts when requests run: amounts taken from the bucket while requests wait would be used in a
+// later window, beside that window's own. The amount stays reserved until it is settled.
+func (l *Limiter) Hold(now time.Duration, tenant string, amount Amount) {
+	a := l.accounts[tenant]
+	if a == nil || !a.limit.Limited() {
+		return
+	}
+	capacity := l.capacity(a.limit)
+	a.refill(now, capacity)
+	a.level = min(a.level+amount, capacity)
+	a.waiting += amount
+}
+
+// Settlement ends the wait of an amount that was held. Used is set if its request runs.
+type Settlement struct {
+	Tenant string
+	Amount Amount
+	Used   bool
+}
+
+// Settle ends the wait of an amount.
+func (l *Limiter) Settle(now time.Duration, s Settlement) {
+	a := l.accounts[s.Tenant]
+	if a == nil || !a.limit.Limited() {
+		return
+	}
+	a.refill(now, l.capacity(a.limit))
+	a.waiting = max(a.waiting-s.Amount, 0)
+	if s.Used {
+		a.level -= s.Amount
+	}
+}
+
 // Charge counts an amount that was admitted elsewhere. A negative one returns an admitted amount
 // that was not used.
 func (l *Limiter) Charge(now time.Duration, tenant string, amount Amount) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -68,6 +68,56 @@
 	})
 }
 
+// Guards against requests that wait and then run in a window that has its own share of the limit: with
+// amounts counted at the arrival, two seconds of waiting exceed the tolerance.
+func TestWaitingRequestsKeepToLimitInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: Amount(rapid.Float64Range(50_000, 600_000).Draw(t, "rate")), Burst: Amount(rapid.Float64Range(0, 600_000).Draw(t, "burst"))}
+		demand := rapid.Float64Range(0.5, 10).Draw(t, "demand")
+		longest := rapid.Float64Range(0, 4).Draw(t, "longest wait")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		limiter := NewLimiter(tolerance)
+		limiter.SetLimits(-10*time.Second, map[string]Limit{"a": limit})
+		var uses, waiting []use
+		// Waits grow for three seconds and end together, as in a surge.
+		released := 3 * time.Second
+		settle := func(now time.Duration) {
+			waiting = slices.DeleteFunc(waiting, func(u use) bool {
+				if u.at > now {
+					return false
+				}
+				runs := random.IntN(10) > 0
+				limiter.Settle(now, Settlement{Tenant: "a", Amount: u.amount, Used: runs})
+				if runs {
+					uses = append(uses, use{now, u.amount})
+				}
+				return true
+			})
+		}
+		for now := time.Duration(0); now < 20*time.Second; {
+			now += time.Duration(random.ExpFloat64() * 5000 / (demand * float64(limit.Rate)) * float64(time.Second))
+			settle(now)
+			if now > released {
+				released += 3 * time.Second
+			}
+			amount := Amount(random.Float64() * 10_000)
+			if _, admitted := limiter.TakeUrgent(now, "a", amount, random.IntN(2)); !admitted {
+				continue
+			}
+			if until := min(released, now+time.Duration(longest*float64(time.Second))); until > now {
+				limiter.Hold(now, "a", amount)
+				waiting = append(waiting, use{until, amount})
+			} else {
+				uses = append(uses, use{now, amount})
+			}
+		}
+		allowed := (limit.Rate*8+limit.Burst)*1.1 + tolerance.Slack
+		if most := maxInWindow(uses, tolerance.Window); most > allowed {
+			t.Fatalf("%.0f within a window, allowed %.0f", most, allowed)
+		}
+	})
+}
+
 // simulate asks for amounts at a mean rate, and returns the admitted shares of small and large
 // ones.
 func simulate(limiter *Limiter, random *rand.Rand, from, until time.Duration, rate Amount) (small, large float64) {
