Plain pools: routers keep to fair shares while demand exceeds the slots

Pools without engines are not placed by the leader, so a demand above their slots fills the queues of the back ends until requests time out, whatever their urgency and tenant. Routers report what was asked of these pools by tenant and urgency; the leader announces the part of each class that fits (urgency first with a floor of 0.1, then max-min fair by work), and routers refuse the rest at once.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/fairshare"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/raft"
@@ -135,6 +136,9 @@
 	LoadsAge time.Duration `json:"loads_age,omitempty"`
 	// Shares are the shares of the tenants whose demand exceeds their limit.
 	Shares []quota.Share `json:"shares,omitempty"`
+	// FairShares are the parts of the requests to plain back ends that routers admit, for the
+	// pools whose demand exceeds their capacity. They belong to Announced.
+	FairShares []fairshare.Share `json:"fair_shares,omitempty"`
 	// Announced counts the leader's announcements of Saved and Loads.
 	Announced uint64 `json:"announced,omitempty"`
 	// Members are the peer addresses of the coordinators, set if they changed since the
@@ -216,6 +220,8 @@
 	// Refused counts the requests that the router rejected since its last Update because all
 	// engines of their pool were overloaded.
 	Refused int `json:"refused,omitempty"`
+	// Demands is what the router was asked for at pools of plain back ends since its last Update.
+	Demands []fairshare.Demand `json:"demands,omitempty"`
 }
 
 // Load is the work in progress at a back end.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -91,7 +91,10 @@
 	case r.Update != nil:
 		s.recordReports(s.now(), r.Update.Router, &r.Update.Reports)
 		s.placer.ApplyReports(s.now(), r.Update.Router, &r.Update.Reports)
-		return s.runAsLeader(ctx, func(now time.Duration) { s.soft.routerReports.record(now, r.Update) })
+		return s.runAsLeader(ctx, func(now time.Duration) {
+			s.soft.routerReports.record(now, r.Update)
+			s.soft.fairShares.allocator.Report(now, r.Update.Demands)
+		})
 	case r.Place != nil:
 		return s.place(r.Place), nil
 	case r.Await != nil:
@@ -368,6 +371,7 @@
 	v.Saved, v.SavedUntil = s.soft.routerReports.savedAfter(w.SavedSince)
 	v.Announced = s.soft.routerReports.announcements
 	v.Shares = s.tenantLimits.announcedShares()
+	v.FairShares = s.soft.fairShares.announced
 	if news {
 		sums := s.soft.routerReports.sumsSince(w.Announced, sameLeader)
 		mine := sums.forShard(shard)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -76,6 +76,9 @@
 		gauge("backends_silent", len(s.soft.silent))
 		gauge("backends_limited", len(s.soft.limited))
 		gauge("routers", s.soft.watchers())
+		for _, part := range s.soft.fairShares.allocator.TenantParts() {
+			fmt.Fprintf(w, "quinceridge_pool_share{pool=%q,tenant=%q} %.3f\n", part.Pool, part.Tenant, part.Part)
+		}
 		gauge("orders_under_way", len(s.rollout.running))
 	})
 }
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -59,8 +59,10 @@
 	placerNotes    coordapi.LeaderToken
 	routerReports  routerReports
 	// rooms is the capacity of the pools as of the last announcement.
-	rooms     map[string]coordapi.Room
-	broadcast broadcast
+	rooms map[string]coordapi.Room
+	// fairShares are the shares of pools of plain back ends.
+	fairShares fairShares
+	broadcast  broadcast
 	// holders maps addresses to the back ends that send heartbeats from them.
 	holders map[string]string
 	// limited are the back ends with a limit, and limitedChanges the change count of
@@ -350,6 +352,7 @@
 	if s.soft.routerReports.announce(now, s.soft.watchers()) {
 		s.soft.rooms = s.placer.Rooms()
 		s.tenantLimits.announce(now)
+		s.announceFairShares(now, d)
 		s.broadcast(now, d)
 		s.notify.wake()
 		return
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -13,6 +13,7 @@
 
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/fairshare"
 	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/pushback"
@@ -82,6 +83,14 @@
 	Spent() []quota.Spent
 }
 
+// FairShares is a router's side of the shares of pools of plain back ends.
+type FairShares interface {
+	// SetShares replaces the announced shares.
+	SetShares(now time.Duration, shares []fairshare.Share)
+	// Demands returns what this router was asked for since the last call.
+	Demands(now time.Duration) []fairshare.Demand
+}
+
 // Follower watches the coordinators. Its exported methods are safe for concurrent use, except
 // that Run and Update must each run once.
 type Follower struct {
@@ -156,6 +165,8 @@
 	Saved Saved
 	// Quota may be nil.
 	Quota Quota
+	// FairShares may be nil.
+	FairShares FairShares
 	// Pushbacks holds the pushback of back ends; nil for none.
 	Pushbacks *pushback.Registry
 	// Limits holds the limits of back ends; nil for none.
@@ -319,6 +330,10 @@
 		f.config.Pool.SetTotalLoads(f.now(), f.loads(v), v.LoadsAge, v.EngineLoads)
 		f.rooms.Store(&rooms{number: f.announcement.Add(1), pools: v.Rooms})
 	}
+	// A leader that announces nothing repeats its last shares, which must expire.
+	if f.config.FairShares != nil && (v.Announced != f.announced || v.Leader.Leadership() != f.token.Leadership()) {
+		f.config.FairShares.SetShares(f.clock(), v.FairShares)
+	}
 	if v.Leader.Leadership() != f.token.Leadership() {
 		f.config.Pushbacks.ReportAgain()
 		f.config.Limits.ReportAgain()
--- a/internal/follower/report.go
+++ b/internal/follower/report.go
@@ -39,7 +39,10 @@
 		}
 		update := &coordapi.Update{Router: f.name, Saved: f.config.Saved.TakeNew(), Loads: f.config.Pool.OwnLoads(), Refused: f.config.Pool.Refused(),
 			Reports: f.pendingReports()}
-		empty := update.Empty() && len(update.Saved) == 0 && len(update.Loads) == 0 && update.Refused == 0
+		if f.config.FairShares != nil {
+			update.Demands = f.config.FairShares.Demands(f.clock())
+		}
+		empty := update.Empty() && len(update.Demands) == 0 && len(update.Saved) == 0 && len(update.Loads) == 0 && update.Refused == 0
 		if empty && idle {
 			continue
 		}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -80,7 +80,11 @@
 			return
 		}
 		if choice.Reason != "" && !errors.Is(context.Cause(ctx), context.Canceled) {
-			h.metrics.refusedQueued.Add(1)
+			if j.beyondShare {
+				h.metrics.refusedShare.Add(1)
+			} else {
+				h.metrics.refusedQueued.Add(1)
+			}
 			h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: choice.Reason, retryAfter: choice.RetryAfter})
 			return
 		}
@@ -290,6 +294,9 @@
 	switch result.verdict {
 	case done:
 		h.config.Pool.Succeeded(now, choice.ID, took)
+		if response.StatusCode < http.StatusInternalServerError {
+			h.countFairRun(j, took)
+		}
 	case notRun:
 		h.config.Pool.Busy(now, choice.ID)
 		h.recordPushback(now, choice)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -84,6 +84,9 @@
 			return choice, true
 		}
 	}
+	if choice, refused := h.refuseBeyondFairShare(j); refused {
+		return choice, true
+	}
 	if over, beyond := h.admit(j); beyond {
 		return over, true
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -22,6 +22,7 @@
 	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/fairshare"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/poison"
@@ -124,9 +125,11 @@
 	// Memory bounds what is buffered for all requests; nil for no limit.
 	Memory *memory.Budget
 	// Quota enforces the limits of tenants.
-	Quota  *quota.Gate
-	Budget BudgetConfig
-	Logger *slog.Logger
+	Quota *quota.Gate
+	// FairShares admits requests to plain back ends; nil admits all.
+	FairShares *fairshare.Gate
+	Budget     BudgetConfig
+	Logger     *slog.Logger
 }
 
 // Handler is the HTTP handler of a router for client requests.
@@ -211,6 +214,9 @@
 	// permitDelay is the delay until the pool has a permit for the request; 0 if it needs none
 	// or the delay is not known.
 	permitDelay time.Duration
+	// shareChecked is set once the share of the request's class at a plain pool has been
+	// considered, and beyondShare if the request was refused by it.
+	shareChecked, beyondShare bool
 	// standalone is set if the leader did not answer when the back end was chosen.
 	standalone bool
 	// endShare ends the request's part of what the router runs at the pool; nil if it has none.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -20,6 +20,8 @@
 	refusedBehind atomic.Uint64
 	// refusedQueued counts requests refused because there is no capacity for them in time.
 	refusedQueued atomic.Uint64
+	// refusedShare counts requests to plain back ends refused by the share of their class.
+	refusedShare atomic.Uint64
 	// refusedOverLimit counts requests refused because their tenant was over its limit.
 	refusedOverLimit atomic.Uint64
 	// noPermit counts requests that found no permit because of the limits of back ends.
@@ -91,6 +93,7 @@
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"router\"} %d\n", m.placedLocally.Load())
 	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.refusedBehind.Load())
 	fmt.Fprintf(w, "quinceridge_refused_no_room_total %d\n", m.refusedQueued.Load())
+	fmt.Fprintf(w, "quinceridge_refused_share_total %d\n", m.refusedShare.Load())
 	if h.config.Queue != nil {
 		fmt.Fprintf(w, "quinceridge_waiting_requests %d\n", h.config.Queue.Waiting())
 	}
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -22,8 +22,8 @@
 	// Leaves adds to departures whether the back end had left, and to rows and departures the time
 	// of a leave without a start time.
 	Leaves Level = 4
-	// Queueing adds the queue of requests that wait for an engine, and the capacity of the engines of
-	// each pool.
+	// Queueing adds the queue of requests that wait for an engine, the capacity of the engines of
+	// each pool, and the demand and shares of pools of plain back ends.
 	Queueing Level = 5
 )
 
