--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -114,3 +114,29 @@
 		assert.Equal(t, len(a.pools)+a.classes, 0)
 	}
 }
+
+// Guards against demand of routers that have stopped, which would refuse requests for good, and
+// against shares that begin and end with each announcement.
+func TestRoutersThatStopReportingFallOut(t *testing.T) {
+	var a Allocator
+	use := func(string) Use { return Use{Slots: 36, Running: 20} }
+	report := func(now time.Duration, router string, asked int) {
+		a.Report(now, []Demand{{Class: class(router, 0, 0), Asked: asked, Runs: min(asked, 25), Work: 60 * float64(min(asked, 25))}})
+	}
+	now := time.Duration(0)
+	for ; now < 3*time.Second; now += 100 * time.Millisecond {
+		report(now, "stops", 100)
+		report(now, "stays", 25)
+	}
+	assert.Equal(t, len(a.Shares(now, use)), 1)
+	assert.DeepEqual(t, a.Limited(), []string{"p"})
+	assert.Equal(t, len(a.TenantParts()), 2)
+	ended := now
+	for ; len(a.Shares(now, use)) > 0; now += 100 * time.Millisecond {
+		report(now, "stays", 25)
+	}
+	assert.Assert(t, now-ended <= time.Second, "%s", now-ended)
+	assert.DeepEqual(t, a.Limited(), []string{"p"})
+	a.Shares(now+limitedHold, use)
+	assert.Equal(t, len(a.Limited()), 0)
+}
--- a/internal/fairshare/model_test.go
+++ b/internal/fairshare/model_test.go
@@ -85,12 +85,18 @@
 	random   *rand.Rand
 	leader   *Allocator
 	shares   bool
+	// variable draws run times from an exponential distribution.
+	variable bool
 }
 
 func (m *model) after(d time.Duration, do func()) { heap.Push(&m.events, event{m.now + d, do}) }
 
 func runModel(seconds int, shares bool, sources ...source) outcome {
-	m := &model{sources: sources, out: outcome{}, random: rand.New(rand.NewPCG(7, 7)), leader: &Allocator{}, shares: shares}
+	return (&model{shares: shares}).run(seconds, sources)
+}
+
+func (m *model) run(seconds int, sources []source) outcome {
+	m.sources, m.out, m.random, m.leader = sources, outcome{}, rand.New(rand.NewPCG(7, 7)), &Allocator{}
 	for i := range m.gates {
 		m.gates[i] = NewGate()
 		m.after(time.Duration(i)*100*time.Millisecond/modelRouters, func() { m.report(i) })
@@ -158,7 +164,11 @@
 			continue
 		}
 		b.running++
-		m.after(m.sources[r.source].run, func() {
+		run := m.sources[r.source].run
+		if m.variable {
+			run = time.Duration(m.random.ExpFloat64() * float64(run))
+		}
+		m.after(run, func() {
 			b.running--
 			took := m.now - r.sent
 			if took < modelTimeout {
@@ -195,6 +205,7 @@
 		t.Logf("load %.1f: in time by class %.3f, %.3f of the best, %.3f without shares, refused %.3f", load, served, float64(inTime)/best, float64(today)/best, part(refused, asked))
 		if load <= 0.9 {
 			assert.Equal(t, refused, 0)
+			assert.Equal(t, inTime, today, "each request goes as without shares")
 			assert.Assert(t, part(inTime, asked) > 0.99)
 			continue
 		}
@@ -243,3 +254,30 @@
 		assert.Assert(t, part(after.inTime, after.asked) > 0.99)
 	}
 }
+
+// Guards against run times that vary, as those of most back ends do: the estimates of few requests
+// must not begin shares below the capacity or lose much of it beyond.
+func TestServiceWithVariableRunTimes(t *testing.T) {
+	for _, load := range []float64{0.5, 0.8, 1.5, 3} {
+		var sources []source
+		for i := range 16 {
+			sources = append(sources, source{class(string(rune('a'+i)), 0, i%2), modelRunTime, steady(load / 16)})
+		}
+		out := (&model{shares: true, variable: true}).run(20, sources)
+		inTime, refused, asked := 0, 0, 0
+		var served [2]tally
+		for i := range sources {
+			all := out.sum(i, 4, 18)
+			inTime, refused, asked = inTime+all.inTime, refused+all.refused, asked+all.asked
+			served[i%2].asked += all.asked
+			served[i%2].inTime += all.inTime
+		}
+		best := min(load, 1) * modelCapacity * 14
+		t.Logf("load %.1f: %.3f of the best, refused %.3f, urgent %.3f, others %.3f", load, float64(inTime)/best, part(refused, asked),
+			part(served[0].inTime, served[0].asked), part(served[1].inTime, served[1].asked))
+		if load <= 0.8 {
+			assert.Equal(t, refused, 0)
+		}
+		assert.Assert(t, float64(inTime)/best > 0.85)
+	}
+}
