--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -18,8 +18,6 @@
 	// maxMisses is the number of requests in order without capacity after which a pass ends: what
 	// they lack, those behind them mostly lack too.
 	maxMisses = 8
-	// maxGrants bounds the grants of a pass, and with them the time for which it holds the lock.
-	maxGrants = 16
 	// uncollectedTime is the time after which a grant that its router has not collected is
 	// withdrawn. A router that waits collects its outcomes within a round trip.
 	uncollectedTime = time.Second
@@ -186,8 +184,7 @@
 	p.mu.Unlock()
 	for _, pool := range due {
 		p.expire(now, pool)
-		for p.pass(now, pool) {
-		}
+		p.pass(now, pool)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -222,37 +219,41 @@
 	}
 }
 
-// pass grants capacity to waiting requests of a pool in their order. It returns whether there may be
-// more to grant.
-func (p *Placer) pass(now time.Duration, pool string) (more bool) {
+// pass grants capacity to waiting requests of a pool in their order, until maxMisses of them found
+// none. It takes the lock for each request anew, since one may take as long as a choice.
+func (p *Placer) pass(now time.Duration, pool string) {
+	for misses := 0; misses < maxMisses; {
+		granted, more := p.serveNext(now, pool)
+		if !more {
+			return
+		}
+		if !granted {
+			misses++
+		}
+	}
+}
+
+// serveNext grants capacity to the next waiting request of a pool, or skips it. It returns more as
+// false if there is none.
+func (p *Placer) serveNext(now time.Duration, pool string) (granted, more bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	queue := p.queues[pool]
 	if queue == nil {
-		return false
+		return false, false
 	}
-	misses := 0
-	for range maxGrants {
-		for {
-			request, ok := queue.Next(now)
-			if !ok {
-				return false
-			}
-			granted, gone := p.grant(now, queue, request.Key)
-			if gone {
-				p.refuse(now, queue.RefuseAll(now, rand.Float64))
-				return false
-			}
-			if granted {
-				break
-			}
-			queue.Skip(request.Key)
-			if misses++; misses >= maxMisses {
-				return false
-			}
-		}
+	request, more := queue.Next(now)
+	if !more {
+		return false, false
 	}
-	return true
+	granted, gone := p.grant(now, queue, request.Key)
+	switch {
+	case gone:
+		p.refuse(now, queue.RefuseAll(now, rand.Float64))
+	case !granted:
+		queue.Skip(request.Key)
+	}
+	return granted, !gone
 }
 
 // grant places a waiting request if there is capacity for it. Gone is true if its pool has no
