--- a/internal/backends/speeds.go
+++ b/internal/backends/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -27,6 +28,9 @@
 	largeDifference = 1.7
 	largeUpdates    = 3
 	smallUpdates    = 8
+	// minSilence is the multiple of the expected wait without a first event from which an engine
+	// counts as slow. A smaller one would be reached by a single long step.
+	minSilence = 2.5
 	// speedStep is the ratio of two adjacent factors. A coarse scale keeps the groups of the index
 	// few.
 	speedStep = 1.1
@@ -60,6 +64,8 @@
 type reference struct {
 	updated time.Duration
 	begun   bool
+	// median is the median ratio of observed to expected waits, or 0 before the first update.
+	median float64
 	// waits models the waits for first events at the median engine.
 	waits speed.WaitModel
 	// scratch is the reused buffer of estimates.
@@ -144,6 +150,7 @@
 	slices.Sort(x.scratch)
 	// Of two medians the slower one is the reference.
 	median := x.scratch[len(x.scratch)/2]
+	x.median = median
 	for _, r := range p.rows {
 		if r.Pool == pool && r.pace.known() {
 			p.updateSpeed(now, r, median)
@@ -154,7 +161,11 @@
 // updateSpeed updates the factor of one engine, given the median ratio of its pool.
 func (p *Pool) updateSpeed(now time.Duration, r *row, median float64) {
 	before := r.pace.factor
-	r.applyFactor(r.significantFactor(now, median))
+	factor := r.significantFactor(now, median)
+	if bound := p.silenceFactor(now, r); bound > 0 {
+		factor = min(cmp.Or(factor, 1), bound)
+	}
+	r.applyFactor(factor)
 	moves := r.pace.home.update(now, cmp.Or(r.pace.factor, 1))
 	if moves || r.pace.factor != before {
 		p.index.activate(r)
@@ -182,6 +193,21 @@
 	r.pace.factor = factor
 }
 
+// silenceFactor returns an upper bound of the factor of an engine that has reported no first event
+// for much longer than the median engine takes for all waiting prompts, or 0. It shows a slow engine
+// before the first events that it delays.
+func (p *Pool) silenceFactor(now time.Duration, r *row) float64 {
+	if r.unanswered == 0 {
+		return 0
+	}
+	expected := entry(p.speeds, r.Pool).waits.Expected(speed.Circumstances{Ahead: r.prefillTokens, Running: r.running - r.unanswered})
+	silence := now - r.lastProgress - maxReportDelays*p.reportDelay
+	if expected <= 0 || float64(silence) < minSilence*float64(expected) {
+		return 0
+	}
+	return quantize(float64(expected) / float64(silence))
+}
+
 // significantFactor returns the estimated factor of an engine, or 0 if it does not differ from the
 // median engine.
 func (r *row) significantFactor(now time.Duration, median float64) float64 {
@@ -202,3 +228,72 @@
 func quantize(factor float64) float64 {
 	return math.Pow(speedStep, math.Round(math.Log(factor)/math.Log(speedStep)))
 }
+
+// maxSpeeds bounds the list of Speeds, since each engine is a label of a metric.
+const maxSpeeds = 32
+
+// EngineSpeed is the speed of one engine.
+type EngineSpeed struct {
+	ID string
+	// Factor is the speed that choices assume, as a multiple of the median engine's, and Estimate
+	// the one that the requests show. Factor is 1 while the difference is not significant. Error is
+	// the standard error of Estimate as a fraction of it.
+	Factor   float64
+	Estimate float64
+	Error    float64
+	// Age is the time since the latest sample.
+	Age time.Duration
+	// Work is the recent prefill time of the engine as a multiple of the mean of the pool's engines.
+	Work float64
+}
+
+// Speeds returns the speeds of the engines of a pool. If there are more than maxSpeeds, it returns
+// those whose estimates differ most from 1.
+func (p *Pool) Speeds(now time.Duration, pool string) []EngineSpeed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.speeds[pool]
+	if x == nil || x.median == 0 {
+		return nil
+	}
+	var out []EngineSpeed
+	total, engines := 0.0, 0
+	for _, r := range p.rows {
+		if r.Pool != pool || !r.IsEngine() {
+			continue
+		}
+		engines++
+		if !r.pace.known() {
+			continue
+		}
+		s := r.pace.samples
+		work := s.work.Value(now, workWindow)
+		total += work
+		out = append(out, EngineSpeed{ID: r.ID, Factor: cmp.Or(r.pace.factor, 1), Estimate: s.FactorTo(now, x.median), Error: s.RelativeError(now),
+			Age: s.Age(now), Work: work})
+	}
+	for i := range out {
+		if total > 0 {
+			out[i].Work *= float64(engines) / total
+		}
+	}
+	slices.SortFunc(out, func(a, b EngineSpeed) int {
+		return cmp.Or(cmp.Compare(math.Abs(math.Log(b.Estimate)), math.Abs(math.Log(a.Estimate))), cmp.Compare(a.ID, b.ID))
+	})
+	return out[:min(len(out), maxSpeeds)]
+}
+
+// AllSpeeds returns Speeds of all pools together, with the same bound.
+func (p *Pool) AllSpeeds(now time.Duration) []EngineSpeed {
+	p.mu.Lock()
+	pools := slices.Sorted(maps.Keys(p.speeds))
+	p.mu.Unlock()
+	var out []EngineSpeed
+	for _, pool := range pools {
+		out = append(out, p.Speeds(now, pool)...)
+	}
+	slices.SortStableFunc(out, func(a, b EngineSpeed) int {
+		return cmp.Compare(math.Abs(math.Log(b.Estimate)), math.Abs(math.Log(a.Estimate)))
+	})
+	return out[:min(len(out), maxSpeeds)]
+}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -47,6 +47,10 @@
 	gauge("placements_routers", routers)
 	gauge("engines_quiet", s.placer.UnresponsiveEngines(s.now()))
 	gauge("engines_reading_share", fmt.Sprintf("%.3f", s.placer.PrefillShare(s.now())))
+	for _, e := range s.placer.EngineSpeeds(s.now()) {
+		fmt.Fprintf(w, "quinceridge_engine_speed{engine=%q} %.2f\n", e.ID, e.Factor)
+		fmt.Fprintf(w, "quinceridge_engine_work{engine=%q} %.2f\n", e.ID, e.Work)
+	}
 	for _, share := range s.tenantLimits.announcedShares() {
 		fmt.Fprintf(w, "quinceridge_limit_admitted_part{tenant=%q} %.3f\n", share.Tenant, share.Part)
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -88,6 +88,11 @@
 // engines of the busiest pool spend on prefill.
 func (p *Placer) PrefillShare(now time.Duration) float64 { return p.current().PrefillShare(now) }
 
+// EngineSpeeds returns the speeds of the engines that differ most from the others of their pools.
+func (p *Placer) EngineSpeeds(now time.Duration) []backends.EngineSpeed {
+	return p.current().AllSpeeds(now)
+}
+
 func (p *Placer) current() *backends.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -1,4 +1,4 @@
-// Package speed estimates the prefill rate of model engines from the time that requests wait for
+// Package speed estimates the prefill rate of model engines and the speed of each from the time that requests wait for
 // their first event. The package does no I/O.
 package speed
 
