backends: a silence below 500 ms does not make an engine slow

The case llm of TestBackendGetsFullShareAfterLimitEnds failed in at least 2 of 6 runs beside 8 busy processes at a load average of 72: with waits of a few milliseconds, a report that is late by 100 ms was a silence of more than 2.5 times the expected wait.

An engine at a tenth of its speed is noticed after 1.5 s (median of 30) as before.

--- a/internal/backends/speeds.go
+++ b/internal/backends/speeds.go
@@ -31,6 +31,8 @@
 	// minSilence is the multiple of the expected wait without a first event from which an engine
 	// counts as slow. A smaller one would be reached by a single long step.
 	minSilence = 2.5
+	// minSilentTime is the least such time: on a busy machine, reports are late by as much.
+	minSilentTime = 500 * time.Millisecond
 	// speedStep is the ratio of two adjacent factors. A coarse scale keeps the groups of the index
 	// few.
 	speedStep = 1.1
@@ -202,7 +204,7 @@
 	}
 	expected := entry(p.speeds, r.Pool).waits.Expected(speed.Circumstances{Ahead: r.prefillTokens, Running: r.running - r.unanswered})
 	silence := now - r.lastProgress - maxReportDelays*p.reportDelay
-	if expected <= 0 || float64(silence) < minSilence*float64(expected) {
+	if expected <= 0 || silence < minSilentTime || float64(silence) < minSilence*float64(expected) {
 		return 0
 	}
 	return quantize(float64(expected) / float64(silence))
