--- a/internal/follower/waiting_test.go
+++ b/internal/follower/waiting_test.go
@@ -369,7 +369,7 @@
 	waiters := make([]*waiter, 60)
 	for i := range waiters {
 		arrived := time.Duration(len(waiters)-i) * time.Millisecond
-		waiters[i] = w.add(time.Second, &coordapi.Place{Number: uint64(i + 1), Waited: time.Second - arrived})
+		waiters[i] = w.add(time.Second, &coordapi.Place{Number: uint64(i + 1), Queueing: coordapi.Queueing{Waited: time.Second - arrived}})
 		w.setQueued(time.Second, waiters[i], &coordapi.Placed{Queued: true, Session: 1})
 	}
 	w.setSession(2)
