--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -21,7 +21,7 @@
 	if j.quotaAmount == 0 || j.quotaCounted {
 		return over, false
 	}
-	after, admitted := h.config.Quota.Admit(h.now(), j.tenant.Name, j.quotaAmount, rand.Float64())
+	after, admitted := h.config.Quota.Admit(h.now(), j.tenant.Name, j.quotaAmount, j.pool.Engine == nil, rand.Float64())
 	if !admitted {
 		return backends.Choice{OverLimit: true, Wait: after}, true
 	}
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -25,7 +25,7 @@
 // chance that the tenant's requests had at the leader. It is safe for concurrent use.
 type Gate struct {
 	mu          sync.Mutex
-	shares      map[string]float64
+	shares      map[string]Share
 	announcedAt time.Duration
 	spent       map[string]Amount
 }
@@ -37,20 +37,24 @@
 func (g *Gate) SetShares(now time.Duration, shares []Share) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.shares = make(map[string]float64, len(shares))
+	g.shares = make(map[string]Share, len(shares))
 	for _, s := range shares {
-		g.shares[s.Tenant] = s.Part
+		g.shares[s.Tenant] = s
 	}
 	g.announcedAt = now
 }
 
-// Admit admits an amount, or returns when to try again. Draw is uniform in [0, 1).
-func (g *Gate) Admit(now time.Duration, tenant string, amount Amount, draw float64) (retryAfter time.Duration, admitted bool) {
+// Admit admits an amount, or returns when to try again. Plain is set for requests to plain pools. Draw
+// is uniform in [0, 1).
+func (g *Gate) Admit(now time.Duration, tenant string, amount Amount, plain bool, draw float64) (retryAfter time.Duration, admitted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	part, limited := g.shares[tenant]
-	if !limited {
-		part = 1
+	part := 1.0
+	if share, limited := g.shares[tenant]; limited {
+		part = share.Part
+		if plain && share.Plain > 0 {
+			part = share.Plain
+		}
 	}
 	if expired := now - g.announcedAt - shareTTL; expired > 0 {
 		part *= math.Exp2(-float64(expired) / float64(shareHalfLife))
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -37,7 +37,7 @@
 	// urgencyFloor the share of the admitted amounts that less urgent requests get in any case.
 	maxReserve   = 0.5
 	urgencyFloor = 0.1
-	// routersShare is the share of a limit's rate that routers may always admit by themselves. Their
+	// routersShare is the share of a limit's rate that routers may always admit for plain pools. These
 	// requests are charged like all others, but take little of a limit that counts tokens.
 	routersShare = 0.1
 )
@@ -63,9 +63,9 @@
 	// nextRetry is when all amounts refused so far could have been admitted.
 	nextRetry time.Duration
 	// asked and refused average amounts over averagingTime, and charged those that routers have
-	// admitted. part is the share of the routers' demand that was announced last, 0 for none.
+	// admitted. plainPart is the Share.Plain that was announced last, 0 for none.
 	asked, refused, charged decay.Sum
-	part                    float64
+	plainPart               float64
 	// askedBy averages the amounts asked for by urgency. floor is the amount that less urgent
 	// requests may still take of what is kept for more urgent ones.
 	askedBy [urgencyLevels]decay.Sum
@@ -251,34 +251,38 @@
 	a.level = min(a.level-amount, capacity)
 }
 
-// Share is the part of a tenant's demand that routers admit by themselves.
+// Share is the part of a tenant's recent demand that was admitted.
 type Share struct {
 	Tenant string  `json:"t"`
 	Part   float64 `json:"p"`
+	// Plain is the part of the requests to plain pools that routers admit, which the leader never
+	// counts; 0 stands for Part.
+	Plain float64 `json:"r,omitempty"`
 }
 
-// Shares returns the tenants whose demand is above their limit, sorted by name. The part is that of
-// the recent demand that was admitted, or more if routers then admit less than routersShare.
+// Shares returns the tenants whose demand is above their limit, sorted by name.
 func (l *Limiter) Shares(now time.Duration) []Share {
 	var out []Share
 	for _, a := range l.accounts {
 		asked, refused := a.asked.Value(now, averagingTime), a.refused.Value(now, averagingTime)
 		if refused < 1 || asked <= 0 {
-			a.part = 0
+			a.plainPart = 0
 			continue
 		}
-		a.part = max(1-refused/asked, a.routersPart(now))
-		out = append(out, Share{Tenant: a.name, Part: a.part})
+		part := max(1-refused/asked, 0)
+		a.plainPart = max(part, a.routersPart(now))
+		out = append(out, Share{Tenant: a.name, Part: part, Plain: a.plainPart})
 	}
 	slices.SortFunc(out, func(x, y Share) int { return strings.Compare(x.Tenant, y.Tenant) })
 	return out
 }
 
-// routersPart returns the part of the demand at routers that amounts to routersShare of the rate.
+// routersPart returns the part of the demand at routers that amounts to routersShare of the rate. It
+// holds for plain requests only: without a leader, routers admit all others by themselves too.
 func (a *account) routersPart(now time.Duration) float64 {
 	demand := a.charged.Value(now, averagingTime) / averagingTime.Seconds()
-	if a.part > 0 {
-		demand /= a.part
+	if a.plainPart > 0 {
+		demand /= a.plainPart
 	}
 	if most := routersShare * float64(a.limit.Rate); demand > most {
 		return most / demand
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -236,7 +236,7 @@
 	gate := NewGate()
 	admitted := func(now time.Duration) (n int) {
 		for i := range 100 {
-			if _, ok := gate.Admit(now, "a", 2, float64(i)/100); ok {
+			if _, ok := gate.Admit(now, "a", 2, false, float64(i)/100); ok {
 				n++
 			}
 		}
--- a/internal/quota/urgency_test.go
+++ b/internal/quota/urgency_test.go
@@ -78,7 +78,8 @@
 		}
 		shares := limiter.Shares(10 * time.Second)
 		assert.Equal(t, len(shares), 1)
-		return shares[0].Part
+		assert.Assert(t, shares[0].Part < 0.5, "other requests are admitted as before: %v", shares[0].Part)
+		return shares[0].Plain
 	}
 	assert.Equal(t, part(5000), 1.0)
 	limiter = limitedTenant()
