--- a/internal/socket/stall.go
+++ b/internal/socket/stall.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"quinceridge.example/quinceridge/internal/clock"
 )
 
 // ErrStalled means that the peer of a connection read nothing while bytes waited.
@@ -23,7 +25,7 @@
 // true; whoever cancels also sets the deadline to the past.
 func Write(c net.Conn, p []byte, limit time.Duration, canceled func() bool) (int, error) {
 	written, queued := 0, -1
-	var since time.Time
+	var since time.Duration
 	for {
 		_ = c.SetWriteDeadline(time.Now().Add(limit / stallChecks))
 		if canceled != nil && canceled() {
@@ -38,10 +40,10 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		now, left := time.Now(), unacknowledged(c)
+		now, left := clock.Now(), unacknowledged(c)
 		if queued < 0 || n > 0 || left < queued {
 			since = now
-		} else if now.Sub(since) >= limit {
+		} else if now-since >= limit {
 			return written, ErrStalled
 		}
 		queued = left
