Placer: a queue that emptied while a pass was due is served again

Callers waited until their time-out while engines were idle: after a pass had become due for a request that then left, the flag stayed set, and setDue woke nobody for the requests after it. The flag is cleared when nothing waits. TestQueueIsServedAgainAfterItEmptied failed before.

--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -30,7 +30,7 @@
 	// expiredAt is when requests that cannot begin in time were last looked for, which takes as long
 	// as several choices while thousands wait.
 	expiredAt time.Duration
-	// due is set if capacity was freed since the last pass.
+	// due is set if capacity was freed since the last pass. It is false while nothing waits.
 	due bool
 }
 
@@ -190,9 +190,12 @@
 	defer p.mu.Unlock()
 	next = now + settleTime
 	for _, queue := range p.queues {
-		if queue.Len() > 0 {
-			next, more = min(next, max(queue.nextPass(), p.start.settledAt)), true
+		if queue.Len() == 0 {
+			// setDue does not wake the caller for a pass that is due already.
+			queue.due = false
+			continue
 		}
+		next, more = min(next, max(queue.nextPass(), p.start.settledAt)), true
 	}
 	return next, more
 }
--- a/internal/placer/queue_test.go
+++ b/internal/placer/queue_test.go
@@ -55,6 +55,31 @@
 	assert.Equal(t, len(collect(t, p, now, "b")), 0, "acknowledged")
 }
 
+// A pass that was due when the queue became empty must not keep later requests from being granted.
+func TestQueueIsServedAgainAfterItEmptied(t *testing.T) {
+	p := newTestPlacer(1)
+	now := time.Second
+	fill(t, p, now)
+	assert.Assert(t, p.Place(now, patient("b", 1)).Queued)
+	p.Step(now)
+	<-p.Wake()
+	now += time.Millisecond
+	// The first end makes a pass due, the second removes the request that the pass was for.
+	end(p, now, "a", 1)
+	<-p.Wake()
+	end(p, now, "b", 1)
+	now += 5 * time.Millisecond
+	_, more := p.Step(now)
+	assert.Assert(t, !more)
+	assert.Equal(t, p.Place(now, patient("a", 3)).ID, "e000")
+	assert.Assert(t, p.Place(now, patient("b", 2)).Queued)
+	select {
+	case <-p.Wake():
+	default:
+		t.Fatal("no pass is due for a request that waits")
+	}
+}
+
 // fill occupies both slots of the only engine with requests of router "a".
 func fill(t *testing.T, p *Placer, now time.Duration) {
 	t.Helper()
