--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/concurrency"
@@ -36,8 +37,12 @@
 // hasLimits reports whether the choice must respect the hard limits of the engines.
 func (q *Query) hasLimits() bool { return q.Room && q.Slots > 0 }
 
-// canBegin reports whether an engine has a free slot and a prefill backlog within the patience.
+// canBegin reports whether an engine has a free slot and a prefill backlog within the patience. One that
+// has just rejected a request as busy has none, whatever is known of it.
 func (p *Pool) canBegin(now time.Duration, q *Query, c *candidate, rate speed.TokensPerMs) bool {
+	if now < c.busyUntil {
+		return false
+	}
 	if q.Patience > 0 && c.prefillRate(rate).Wait(c.ahead) > q.Patience {
 		return false
 	}
@@ -105,8 +110,13 @@
 	var best *candidate
 	var bestPreference int
 	var bestCost float64
+	alive := slices.ContainsFunc(candidates, func(c candidate) bool { return !c.noHeartbeat })
 	for i := range candidates {
 		c := &candidates[i]
+		if alive && c.noHeartbeat {
+			// It would get all requests for which the others have no room.
+			continue
+		}
 		if !p.canBegin(now, q, c, rate) || (best != nil && bestPreference == holdsParts && c.cost > bestCost) {
 			continue
 		}
