--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -34,7 +34,8 @@
 	// Version is the version that it holds.
 	Version int
 	// Loading says that a load is in progress, and Finishing that it ends about when another
-	// engine would be ready to load. A finishing load does not count as concurrent.
+	// engine would be ready to load. A finishing load does not count as concurrent while at least
+	// half of the engines serve.
 	Loading   bool
 	Finishing bool
 }
@@ -98,14 +99,16 @@
 }
 
 // toLoad returns the engines that are to load now: outdated ones, the oldest version first, up to
-// the number that may load concurrently.
+// the number that may load concurrently. Finishing loads do not count unless half of the engines of
+// a small pool would load: all six of one were once out of service for 70 ms.
 func (c Config) toLoad(now time.Duration, versions []Version, engines []Engine, crowded bool) []string {
 	target := versions[len(versions)-1].Number
 	var outdated []Engine
-	loading := 0
+	loading, finishing := 0, 0
 	for _, e := range engines {
 		switch {
 		case e.Loading && e.Finishing:
+			finishing++
 		case e.Loading:
 			loading++
 		case e.Version < target:
@@ -118,7 +121,9 @@
 	parallel := max(minParallel, len(engines)/max(c.Divisor, 1))
 	var out []string
 	for i, e := range outdated {
-		if loading+len(out) >= parallel || (crowded && !c.mustStart(now, versions, outdated[i:], parallel)) {
+		concurrent := loading + len(out)
+		deferred := crowded || (finishing > 0 && concurrent+finishing >= len(engines)/2)
+		if concurrent >= parallel || (deferred && !c.mustStart(now, versions, outdated[i:], parallel)) {
 			break
 		}
 		out = append(out, e.ID)
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -50,6 +50,21 @@
 	assert.DeepEqual(t, config().Next(0, []Version{{Number: 2}}, pool, false).Load, []string{"e03"})
 }
 
+// Guards against loads that overlap in a small pool until no engine serves.
+func TestFinishingLoadsLeaveHalfOfSmallPoolInService(t *testing.T) {
+	c, versions := config(), []Version{{Number: 2}}
+	c.LoadTime, c.Margin = 800*time.Millisecond, 700*time.Millisecond
+	pool := engines(6, 1)
+	for i := range 2 {
+		pool[i].Loading, pool[i].Finishing = true, true
+	}
+	assert.Equal(t, len(c.Next(0, versions, pool, false).Load), 1)
+	pool[2].Loading, pool[2].Finishing = true, true
+	assert.Equal(t, len(c.Next(0, versions, pool, false).Load), 0)
+	// An engine that never ends its load must not keep the others from their deadline.
+	assert.Equal(t, len(c.Next(6*time.Second, versions, pool, false).Load), 2)
+}
+
 // A load clears an engine's cache, so loads wait while the engines lack capacity.
 func TestLoadsAreDeferredWhileEnginesAreCrowded(t *testing.T) {
 	c := config()
