--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -164,7 +164,8 @@
 		placed := s.placer.Place(now, req)
 		return coordapi.Reply{Placed: &placed}
 	}
-	after, admitted, counted := s.tenantLimits.admit(now, req)
+	after, admitted, counted := s.admit(req)
+	now = s.now()
 	if !admitted {
 		s.placer.ApplyReports(now, req.Router, &req.Reports)
 		return coordapi.Reply{Placed: &coordapi.Placed{OverLimit: true, Wait: after}}
@@ -184,6 +185,26 @@
 	return coordapi.Reply{Placed: &placed}
 }
 
+const (
+	// recordPollInterval is the time between two checks whether the levels of a tenant's limit are
+	// recorded, and maxRecordPolls bounds the wait for it to some commits.
+	recordPollInterval = 5 * time.Millisecond
+	maxRecordPolls     = 40
+)
+
+// admit decides whether a request is within its tenant's limit. It waits while only the recorded level
+// of the limit is too high for the request.
+func (s *Server) admit(req *coordapi.Place) (after time.Duration, admitted, counted bool) {
+	for range maxRecordPolls {
+		after, admitted, counted = s.tenantLimits.admit(s.now(), req)
+		if admitted || after > 0 {
+			return after, admitted, counted
+		}
+		time.Sleep(recordPollInterval)
+	}
+	return recordPollInterval * maxRecordPolls, admitted, counted
+}
+
 // claim grants a router a permit for one request to a back end with a limit, or returns the retry
 // delay.
 func (s *Server) claim(req *coordapi.Claim) coordapi.Reply {
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	leasedUntil time.Duration
 	// configurationRevision is the revision of the configuration whose limits are set.
 	configurationRevision uint64
+	// levelsRevision is the revision of the recorded levels that the limiter keeps to.
+	levelsRevision uint64
 	// shares are the shares that were announced last.
 	shares []quota.Share
 }
@@ -50,7 +53,7 @@
 func (l *tenantLimits) reset(leads bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limiter, l.retries, l.leasedUntil, l.configurationRevision, l.shares = nil, nil, 0, 0, nil
+	l.limiter, l.retries, l.leasedUntil, l.configurationRevision, l.levelsRevision, l.shares = nil, nil, 0, 0, 0, nil
 	if leads {
 		l.limiter, l.retries = quota.NewLimiter(l.tolerance), quota.NewSharedRetries()
 	}
@@ -63,13 +66,61 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leasedUntil = leasedUntil
-	if l.limiter == nil || leasedUntil == 0 || d.ConfigurationRevision == l.configurationRevision {
+	if l.limiter == nil || leasedUntil == 0 {
+		return
+	}
+	l.updateLevels(d)
+	if d.ConfigurationRevision == l.configurationRevision {
 		return
 	}
 	l.configurationRevision = d.ConfigurationRevision
 	l.set(now, d.Document)
 }
 
+// updateLevels takes the recorded levels: a new leader starts with them, and later keeps to its own.
+func (l *tenantLimits) updateLevels(d *state.Deployment) {
+	if d.TenantLevelsRevision == l.levelsRevision {
+		return
+	}
+	l.levelsRevision = d.TenantLevelsRevision
+	levels := make(quota.Levels, len(d.TenantLevels))
+	for tenant, level := range d.TenantLevels {
+		levels[tenant] = quota.Amount(level)
+	}
+	if l.configurationRevision == 0 {
+		l.limiter.Restore(levels)
+		return
+	}
+	l.limiter.LevelsRecorded(levels)
+}
+
+// dueLevels returns the levels that are to be recorded now, or nil.
+func (l *tenantLimits) dueLevels(now time.Duration) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limiter == nil || now >= l.leasedUntil {
+		return nil
+	}
+	due := l.limiter.DueLevels(now)
+	if due == nil {
+		return nil
+	}
+	levels := make(map[string]float64, len(due))
+	for tenant, level := range due {
+		levels[tenant] = math.Floor(float64(level))
+	}
+	return levels
+}
+
+// levelsRejected reports that the last record of levels will not be committed.
+func (l *tenantLimits) levelsRejected() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limiter != nil {
+		l.limiter.LevelsRejected()
+	}
+}
+
 func (l *tenantLimits) set(now time.Duration, document json.RawMessage) {
 	table, err := l.decode(document)
 	if err != nil {
--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -126,3 +126,38 @@
 func replaceVersion(document string, version uint64) string {
 	return strings.Replace(document, "%V", strconv.FormatUint(version, 10), 1)
 }
+
+// Guards against refusals of tenants within their limits after a loss of all coordinators, when a new
+// leader knows nothing of the last window; and against more than the limit.
+func TestTenantLimitContinuesAfterLossOfAllCoordinators(t *testing.T) {
+	g := newGroup(t, 3)
+	g.call(0, beat("x", 1, false))
+	g.configure(1, unlimited)
+	g.awaitPlaced("x")
+	// The refill within the test is small beside the burst.
+	g.configure(2, strings.Replace(limitedTo200, `"rate":1,"burst":200`, `"rate":1000,"burst":100000`, 1))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.recordedLevel("a") > 80_000 {
+			return poll.Success()
+		}
+		return poll.Continue("the level of a full bucket is not recorded")
+	}, poll.WithTimeout(10*time.Second))
+	assert.Assert(t, !g.placeFor(1, 60_000).OverLimit)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if level := g.recordedLevel("a"); level > 20_000 && level < 60_000 {
+			return poll.Success()
+		}
+		return poll.Continue("the level after 60,000 of 100,000 is not recorded")
+	}, poll.WithTimeout(10*time.Second))
+	g.restart()
+	g.call(0, beat("x", 2, false))
+	assert.Assert(t, !g.placeFor(2, 20_000).OverLimit, "a tenant within its limit is refused")
+	assert.Assert(t, g.placeFor(3, 60_000).OverLimit, "a tenant beyond its limit is admitted")
+}
+
+// recordedLevel returns the recorded level of a tenant's limit.
+func (g *group) recordedLevel(tenant string) float64 {
+	s, level := g.servers[g.leader()], 0.0
+	s.loop.Do(context.Background(), func(time.Duration) { level = s.core.Machine().Deployment().TenantLevels[tenant] })
+	return level
+}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -339,6 +339,7 @@
 		return
 	}
 	s.checkSilence(now, d)
+	s.recordTenantLevels(now)
 	s.updateLimited(now)
 	defer s.updatePlacer(d)
 	if s.rollout.updateNotes(now, s.settings, d, s.soft.since) {
@@ -362,6 +363,23 @@
 	}
 }
 
+// recordTenantLevels proposes the levels of the tenants' limits that a next leader starts with.
+func (s *Server) recordTenantLevels(now time.Duration) {
+	levels := s.tenantLimits.dueLevels(now)
+	if levels == nil {
+		return
+	}
+	command := state.Command{Enrol: &state.Enrol{TenantLevels: &state.TenantLevels{Levels: levels}}}
+	err := s.core.Propose(now, command, func(_ state.Result, err error) {
+		if err != nil {
+			s.tenantLimits.levelsRejected()
+		}
+	})
+	if err != nil {
+		s.tenantLimits.levelsRejected()
+	}
+}
+
 // updateLimited updates the list of back ends with a limit. The list is a hint and is sent with
 // the next news: a router without it receives the limit with the answer to its first request.
 func (s *Server) updateLimited(now time.Duration) {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -44,13 +44,18 @@
 
 // Limiter holds a token bucket for each tenant, which fills at the rate of the tenant's limit up
 // to its burst. Only one limiter of a deployment may admit at a time. A new one starts with
-// almost empty buckets, so that it and the last one together keep to the tolerance. It is not
-// safe for concurrent use.
+// almost empty buckets, so that it and the last one together keep to the tolerance, or with the
+// levels that the last one recorded (Levels). It is not safe for concurrent use.
 type Limiter struct {
 	tolerance Tolerance
 	accounts  map[string]*account
 	// initialized is set once there are limits. Tenants added later start with a full bucket.
 	initialized bool
+	// restored are the levels with which the first buckets start. levelsCheckedAt is when DueLevels
+	// last looked at the levels, and recording is set while a record is pending.
+	restored        Levels
+	levelsCheckedAt time.Duration
+	recording       bool
 }
 
 // account is the bucket of one tenant.
@@ -72,6 +77,9 @@
 	floor   Amount
 	// waiting is the amount of admitted requests that wait to run.
 	waiting Amount
+	// kept is the level that the bucket must not fall below, as a successor may start with it, and
+	// wanted the amount that could be admitted if it were lower.
+	kept, wanted Amount
 }
 
 // NewLimiter returns a limiter without limits.
@@ -90,7 +98,9 @@
 		a := l.accounts[name]
 		switch {
 		case a == nil:
-			a = &account{name: name, at: now, level: l.initialLevel(limit)}
+			// One part of the tolerance covers what is admitted before the first record is committed.
+			kept := max(l.restored[name]-l.tolerancePart(limit), 0)
+			a = &account{name: name, at: now, level: l.initialLevel(name, limit), kept: kept}
 			l.accounts[name] = a
 		case !a.limit.Limited():
 			a.at, a.level = now, l.capacity(limit)
@@ -100,7 +110,7 @@
 		a.limit = limit
 		a.level = min(a.level, l.capacity(limit))
 	}
-	l.initialized = true
+	l.initialized, l.restored = true, nil
 }
 
 // Limit sets a single limit, in place of SetLimits. A new bucket starts empty, since earlier
@@ -139,11 +149,11 @@
 }
 
 // initialLevel returns the level of a new tenant's bucket.
-func (l *Limiter) initialLevel(limit Limit) Amount {
+func (l *Limiter) initialLevel(name string, limit Limit) Amount {
 	if l.initialized {
 		return l.capacity(limit)
 	}
-	return l.tolerancePart(limit)
+	return max(l.tolerancePart(limit), l.restored[name])
 }
 
 // tolerancePart returns one part of the tolerance above a limit.
@@ -165,6 +175,9 @@
 // leaves in the bucket what more urgent ones of the tenant ask for within a second. Otherwise a
 // tenant beyond its limit would lose as many of its urgent requests, which are often small, as of
 // the others.
+//
+// A retryAfter of 0 means that the amount is within the limit, and may be asked for again as soon as
+// the levels that DueLevels returns next are recorded.
 func (l *Limiter) TakeUrgent(now time.Duration, tenant string, amount Amount, urgency int) (retryAfter time.Duration, admitted bool) {
 	a := l.accounts[tenant]
 	if a == nil || !a.limit.Limited() {
@@ -172,13 +185,17 @@
 	}
 	capacity := l.capacity(a.limit)
 	a.refill(now, capacity)
-	a.asked.Add(now, averagingTime, float64(amount))
 	urgency = min(max(urgency, 0), urgencyLevels-1)
 	reserve := min(a.askedAbove(now, urgency), maxReserve*capacity)
-	a.askedBy[urgency].Add(now, averagingTime, float64(amount))
 	part := l.tolerancePart(a.limit)
 	need := min(max(amount-part, 0), capacity-reserve)
-	available := a.level - a.waiting
+	available := a.level - a.waiting - a.kept
+	if available < need+reserve && available+a.kept >= need+reserve {
+		a.wanted += amount
+		return 0, false
+	}
+	a.asked.Add(now, averagingTime, float64(amount))
+	a.askedBy[urgency].Add(now, averagingTime, float64(amount))
 	switch {
 	case available >= need+reserve:
 		if reserve == 0 {
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -62,10 +62,19 @@
 	Version int    `json:"version"`
 }
 
-// Enrol adds back ends or updates their rows. Rows of departed back ends are ignored, except that
+// Enrol adds back ends or updates their rows, and records levels of the tenants' limits. Rows of departed back ends are ignored, except that
 // a draining one is recorded in the departure.
 type Enrol struct {
 	Backends []Backend `json:"backends"`
+	// TenantLevels replaces the recorded levels of the tenants' limits; nil leaves them. A build that
+	// ignores it loses nothing: a leader without levels starts with almost empty buckets.
+	TenantLevels *TenantLevels `json:"tenant_levels,omitempty"`
+}
+
+// TenantLevels are the levels that the buckets of tenants' limits keep (quota.Levels), by tenant, in
+// the unit of the tenant's limit. Tenants that are not listed keep nothing.
+type TenantLevels struct {
+	Levels map[string]float64 `json:"levels"`
 }
 
 // Depart removes back ends permanently. The ID of a row that does not exist records that its
@@ -121,6 +130,10 @@
 	CompactedRevision uint64 `json:"forgotten_at,omitempty"`
 	// Holder is the control node that issues orders to back ends, empty for none.
 	Holder string `json:"holder,omitempty"`
+	// TenantLevels are the recorded levels of the tenants' limits, and TenantLevelsRevision is the log
+	// index of the last record.
+	TenantLevels         map[string]float64 `json:"tenant_levels,omitempty"`
+	TenantLevelsRevision uint64             `json:"tenant_levels_at,omitempty"`
 	// Blocked lists the blocked requests and Cleared those that were unblocked, both oldest
 	// first. BlockedRevision is the log index of the last change of either.
 	Blocked         []BlockedRequest `json:"blocked,omitempty"`
@@ -160,6 +173,9 @@
 	for _, b := range e.Backends {
 		m.enrolOne(index, b)
 	}
+	if e.TenantLevels != nil {
+		m.data.Deployment.TenantLevels, m.data.Deployment.TenantLevelsRevision = e.TenantLevels.Levels, index
+	}
 	return Result{Code: CodeOK}
 }
 
