Coordinator: a leave without a start time binds every known start

Change: such a leave also binds the starts of that name which have departed or been superseded. It costs a pass over the retained departures, and only builds without start times send it.

The three new cases of TestAcknowledgedLeaveBinds fail without the change, with and without a restart of the leader, and pass with it.

--- a/internal/coordinator/leave.go
+++ b/internal/coordinator/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,9 +55,11 @@
 // restarted sends a heartbeat.
 const recentIntervals = 1.5
 
-// leaveWithoutStartTime returns the change that records a leave without a start time. It binds the
-// latest known start. If no recent heartbeat of that was received, the back end may have been
-// restarted, and the leave also binds starts that are not known yet and began before it.
+// leaveWithoutStartTime returns the change that records a leave without a start time. It binds every
+// known start of the back end, since any of them may have sent it: the latest known one is not the
+// one that began last if the clock was set back. If no recent heartbeat of the latest known start
+// was received, the back end may have been restarted, and the leave also binds starts that are not
+// known yet and began before it.
 func (s *Server) leaveWithoutStartTime(now time.Duration, d *state.Deployment, name string) (change registryChange, held string, err error) {
 	known, is := s.currentStart(d, name)
 	if is {
@@ -64,9 +67,20 @@
 	} else {
 		change, held, err = leaveOfDepartures(d.Departures(name))
 	}
-	if err != nil || (is && s.receivedRecently(now, d.RowID(known))) {
+	if err != nil {
 		return change, held, err
 	}
+	if !is || !s.receivedRecently(now, d.RowID(known)) {
+		s.addLeftBefore(d, name, &change)
+	}
+	if s.addOtherStarts(d, name, &change) && (held == heldLeave || held == heldDrainingRow) {
+		held = heldDeparture
+	}
+	return change, held, nil
+}
+
+// addLeftBefore adds to the change of a leave that it binds starts that began before it.
+func (s *Server) addLeftBefore(d *state.Deployment, name string, change *registryChange) {
 	if len(change.rows) == 0 {
 		change.rows = s.leaveRecords(d, name)
 	}
@@ -75,7 +89,27 @@
 	for i := range change.rows {
 		change.rows[i].LeftBefore = leftBefore
 	}
-	return change, held, nil
+}
+
+// addOtherStarts adds to the change of a leave that it binds the starts of a back end that have
+// departed or been superseded. It reports whether there are any that had not left.
+func (s *Server) addOtherStarts(d *state.Deployment, name string, change *registryChange) (added bool) {
+	var rows []state.Backend
+	for _, departure := range d.Departures(name) {
+		rows = append(rows, s.drainDeparted(d, departure.ID)...)
+	}
+	for _, id := range d.Superseded() {
+		if row, known := s.rowBatcher.row(d, id); known && row.Name() == name && !row.Draining {
+			rows = append(rows, s.drainChange(row, true).rows...)
+		}
+	}
+	for _, row := range rows {
+		if !slices.ContainsFunc(change.rows, func(r state.Backend) bool { return r.ID == row.ID }) {
+			change.rows = append(change.rows, row)
+			added = true
+		}
+	}
+	return added
 }
 
 // receivedRecently reports whether a recent heartbeat of a back end was received.
--- a/internal/coordinator/leave_test.go
+++ b/internal/coordinator/leave_test.go
@@ -66,6 +66,17 @@
 	assert.DeepEqual(g.t, g.ready(name, born), []state.Backend(nil))
 }
 
+// registerEarlierAfterRemoval registers a start of x, removes its row, and registers a start with an
+// earlier start time under another leader, which knows of no start that is not listed.
+func (g *group) registerEarlierAfterRemoval(later, earlier state.UnixMilli, draining bool) {
+	g.t.Helper()
+	g.register("x", later)
+	g.removeRow("x")
+	g.restart()
+	g.call(0, heartbeatOf("x", earlier, 1, draining, 1))
+	assert.Equal(g.t, g.currentRow(g.leader(), "x").Born, earlier)
+}
+
 // leaveCase brings about a leave and returns whether it was acknowledged.
 type leaveCase struct {
 	name  string
@@ -143,6 +154,28 @@
 		g.register("x", 100)
 		return g.acknowledges(leaveOf("x", 50))
 	}},
+	// The next three guard against a leave without a start time that binds only the latest known
+	// start, which began earlier than the one that sent it.
+	{"without a start time, after the row of a start with an earlier time was removed too", 200, func(g *group) bool {
+		g.registerEarlierAfterRemoval(200, 100, true)
+		g.removeRow("x")
+		return g.acknowledges(leaveOf("x", 0))
+	}},
+	{"without a start time, beside the row of a start with an earlier time", 200, func(g *group) bool {
+		g.registerEarlierAfterRemoval(200, 100, false)
+		acknowledged := g.acknowledges(leaveOf("x", 0))
+		g.removeRow("x")
+		return acknowledged
+	}},
+	{"without a start time, of a start that a start with an earlier time has superseded", 200, func(g *group) bool {
+		g.register("x", 200)
+		g.suspendedFor[0].Add(int64(silentLimit(g.config[0].BackendHeartbeat) + time.Millisecond))
+		g.call(0, heartbeatOf("x", 100, 1, false, 1))
+		acknowledged := g.acknowledges(leaveOf("x", 0))
+		g.awaitSingleStart(0, "x", 100)
+		g.removeRow("x")
+		return acknowledged
+	}},
 	{"by a heartbeat that names a pool before it is configured", 100, func(g *group) bool {
 		g.call(0, configurePools(1, "other"))
 		acknowledged := g.acknowledges(heartbeatOf("x", 100, 1, true, 1))
