Placer: a new leader counts the requests of before until they end

Cause: a new leader counted the larger of the announced loads and its own placements, and for one second only. Its own placements took the places of requests that still ran, and streams run longer than that.

Change: for each router and engine, the announced running requests beyond the leader's placements for that router count in addition to its placements, until the router no longer announces them, is silent for 3 s, or the longest time-out of the routes has passed. All placements that may be in an announcement are subtracted, so that none is counted twice. The announced capacity and the metrics of a pool include them. Reports go to the placer when they arrive instead of every 20 ms as sums.

--- a/internal/backends/copies_test.go
+++ b/internal/backends/copies_test.go
@@ -209,7 +209,7 @@
 	rate := w.unindexed.prefill[q.Pool].Rate()
 	q.uncached = map[int]int{}
 	for _, c := range w.unindexed.candidates(w.now, q, rate) {
-		room := w.unindexed.canBegin(w.now, q, &c, rate) && w.unindexed.hasMemory(w.now, q, &h, &c)
+		room := w.unindexed.canBegin(w.now, q, &c, rate) && w.unindexed.hasMemory(q, &h, &c)
 		assert.Assert(t, !copies.holdsLast(c.row) || !room, c.ID)
 	}
 }
--- a/internal/backends/full.go
+++ b/internal/backends/full.go
@@ -29,7 +29,7 @@
 		}
 		eligible = true
 		// An engine without a backlog is never behind, so that only slots and memory count.
-		if c := (candidate{row: r}); p.canBegin(now, q, &c, rate) && p.hasMemory(now, q, &h, &c) {
+		if c := (candidate{row: r}); p.canBegin(now, q, &c, rate) && p.hasMemory(q, &h, &c) {
 			return false
 		}
 	}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -49,9 +49,8 @@
 	// usage is what running requests take and limiter limits it, both in a central pool only.
 	usage   usage
 	limiter concurrency.Limiter
-	// announced is the load that routers have announced, in use until announcedUntil.
-	announced      coordapi.Load
-	announcedUntil time.Duration
+	// inherited is the load that the pool did not place, in a central pool only.
+	inherited inheritedLoad
 	// unanswered is the number of requests without a first event. lastProgress is the time of the
 	// last reported first event or, if later, of sending the first of these requests. Both are used
 	// in a central pool only.
@@ -121,10 +120,8 @@
 	// prefill holds the prefill estimators of the pools and demands their prefill demand, by name.
 	prefill map[string]*speed.Estimator
 	demands map[string]*demand
-	// sizes holds the sizes of the engines of each pool, by name. announcedUntil is the time until
-	// which announced loads count, 0 before the first ones. Both are used in a central pool only.
-	sizes          map[string]*engineSize
-	announcedUntil time.Duration
+	// sizes holds the sizes of the engines of each pool, by name. It is used in a central pool only.
+	sizes map[string]*engineSize
 	// speeds holds the reference speeds of the pools, by name.
 	speeds map[string]*reference
 }
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/concurrency"
-	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -19,10 +18,6 @@
 // concurrency.NewAdaptive.
 var defaultLimiter = concurrency.NewStatic
 
-// announcedLoadsTime is the time from the first announced loads for which a central pool counts
-// them. A new leader knows of no running requests; those it starts itself replace them.
-const announcedLoadsTime = time.Second
-
 // requestMemoryWeight is the weight of one request in the mean memory that a request takes.
 const requestMemoryWeight = 0.02
 
@@ -46,7 +41,7 @@
 	if q.Patience > 0 && c.prefillRate(rate).Wait(c.ahead) > q.Patience {
 		return false
 	}
-	requests, _ := p.taken(now, c)
+	requests, _ := p.taken(c)
 	run := entry(p.flows, q.Pool).mean()
 	return requests < c.slotLimit(q.Slots)+slotsFreedWithin(q.Patience, c.scaled(run), q.Slots)
 }
@@ -64,8 +59,8 @@
 
 // hasMemory reports whether an engine's memory limit admits the request. An engine that runs nothing
 // admits any request, as one that exceeds the limit by itself could otherwise never run.
-func (p *Pool) hasMemory(now time.Duration, q *Query, h *holding, c *candidate) bool {
-	requests, tokens := p.taken(now, c)
+func (p *Pool) hasMemory(q *Query, h *holding, c *candidate) bool {
+	requests, tokens := p.taken(c)
 	if requests == 0 || q.Capacity <= 0 {
 		return true
 	}
@@ -77,12 +72,11 @@
 }
 
 // taken returns the number of requests that an engine runs and the memory that they take.
-func (p *Pool) taken(now time.Duration, c *candidate) (requests, tokens int) {
+func (p *Pool) taken(c *candidate) (requests, tokens int) {
 	if !p.central {
 		return c.running + c.otherLoad.Running, c.memory + c.otherLoad.Memory
 	}
-	others := c.announcedLoad(now)
-	return c.usage.requests + others.Running, c.usage.tokens + others.Memory
+	return c.usage.requests + c.inherited.requests, c.usage.tokens + c.inherited.tokens
 }
 
 // slotLimit returns how many requests an engine with a number of slots may run, at least 1.
@@ -127,7 +121,7 @@
 		if best != nil && cmp.Or(cmp.Compare(preference, bestPreference), cmp.Compare(cost, bestCost), cmp.Compare(c.ID, best.ID)) > 0 {
 			continue
 		}
-		if p.hasMemory(now, q, &h, c) {
+		if p.hasMemory(q, &h, c) {
 			best, bestPreference, bestCost = c, preference, cost
 		}
 	}
@@ -197,8 +191,8 @@
 		if r.Pool != pool || r.Draining || r.wrongInstance || r.unlisted || r.noHeartbeat || r.Loading != nil {
 			continue
 		}
-		out.Requests += r.usage.requests
-		out.Used += r.usage.tokens
+		out.Requests += r.usage.requests + r.inherited.requests
+		out.Used += r.usage.tokens + r.inherited.tokens
 		out.Limit += r.memoryLimit(size.capacity)
 		out.MaxRequests += r.maxRequests(size)
 	}
@@ -214,30 +208,19 @@
 	return min(slots, max(int(float64(r.memoryLimit(size.capacity))/size.requestMemory), 1))
 }
 
-// SetAnnouncedLoads sets the loads of all routers as they announce them. The limits of Query.Room
-// count them, as far as they exceed the pool's own placements, for announcedLoadsTime after the
-// first call.
-func (p *Pool) SetAnnouncedLoads(now time.Duration, loads []coordapi.Load) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.announcedUntil == 0 {
-		p.announcedUntil = now + announcedLoadsTime
-	}
-	if now >= p.announcedUntil {
-		return
-	}
-	for _, l := range loads {
-		if r := p.rows[l.ID]; r != nil {
-			p.index.activate(r)
-			r.announced, r.announcedUntil = l, p.announcedUntil
-		}
-	}
+// inheritedLoad is the load of requests that a central pool did not place.
+type inheritedLoad struct {
+	requests int
+	tokens   int
 }
 
-// announcedLoad returns the announced load of an engine that exceeds the pool's own placements.
-func (r *row) announcedLoad(now time.Duration) coordapi.Load {
-	if now >= r.announcedUntil {
-		return coordapi.Load{}
+// SetInheritedLoad sets the load of the requests at an engine that the pool did not place. The limits
+// of Query.Room count it in addition to the pool's own placements until it is set again.
+func (p *Pool) SetInheritedLoad(id string, requests, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.rows[id]; r != nil {
+		p.index.activate(r)
+		r.inherited = inheritedLoad{requests, tokens}
 	}
-	return coordapi.Load{Running: max(r.announced.Running-r.usage.requests, 0), Memory: max(r.announced.Memory-r.usage.tokens, 0)}
 }
--- a/internal/backends/room_test.go
+++ b/internal/backends/room_test.go
@@ -183,35 +183,48 @@
 }
 
 // Guards against a new leader that takes all engines for empty while the requests that its
-// predecessor placed still run.
-func TestRoomCountsAnnouncedLoads(t *testing.T) {
+// predecessor placed still run, or that counts its own placements in their place.
+func TestRoomCountsInheritedLoad(t *testing.T) {
 	p := newCentralPoolOf(engine("x", 1))
 	q := roomQuery()
 	const at = 10 * time.Second
-	loads := []coordapi.Load{{ID: "x", Running: 8, Memory: 20_000}}
-	p.SetAnnouncedLoads(at, loads)
+	p.SetInheritedLoad("x", 8, 20_000)
 	choice, found := chooseRoom(p, at, q)
 	assert.Assert(t, !found && choice.NoRoom)
-	loads[0].Running = 7
-	p.SetAnnouncedLoads(at+announcedLoadsTime/2, loads)
-	mustChoose(t, p, at+announcedLoadsTime/2, q)
+	p.SetInheritedLoad("x", 7, 20_000)
+	mustChoose(t, p, at, q)
 	start(p, "x", q)
-	mustChoose(t, p, at+announcedLoadsTime/2, q)
-	loads[0].Running = 8
-	p.SetAnnouncedLoads(at+announcedLoadsTime-1, loads)
-	_, found = chooseRoom(p, at+announcedLoadsTime-1, q)
+	assert.DeepEqual(t, p.Room("llm"), Room{Requests: 8, MaxRequests: 8, Used: 27_000, Limit: 85_000})
+	_, found = chooseRoom(p, at, q)
+	assert.Assert(t, !found, "seven requests of before and one that the pool placed take all slots")
+	p.SetInheritedLoad("x", 2, 80_000)
+	_, found = chooseRoom(p, at, q)
+	assert.Assert(t, !found, "no memory is left")
+	p.SetInheritedLoad("x", 0, 0)
+	mustChoose(t, p, at, q)
+}
+
+// Guards against an engine with an inherited load that is grouped with the idle ones.
+func TestEngineWithInheritedLoadIsNotIdle(t *testing.T) {
+	p := newCentralPoolOf(engine("x", 1), engine("y", 1))
+	q := roomQuery()
+	mustChoose(t, p, 0, q)
+	p.SetInheritedLoad("x", 8, 20_000)
+	p.SetInheritedLoad("y", 8, 20_000)
+	_, found := chooseRoom(p, 0, q)
 	assert.Assert(t, !found)
-	p.SetAnnouncedLoads(at+announcedLoadsTime, loads)
-	mustChoose(t, p, at+announcedLoadsTime, q)
+	p.SetInheritedLoad("y", 0, 0)
+	assert.Equal(t, mustChoose(t, p, 0, q).ID, "y")
+	assert.Assert(t, p.rows["y"].group != nil && p.rows["x"].group == nil)
 }
 
-// A query without the hard limits must not be affected by announced loads.
-func TestAnnouncedLoadsAffectOnlyHardLimits(t *testing.T) {
+// A query without the hard limits must not be affected by inherited loads.
+func TestInheritedLoadAffectsOnlyHardLimits(t *testing.T) {
 	p := newCentralPoolOf(engine("x", 1), engine("y", 1))
 	q := roomQuery()
 	q.Room = false
 	before := mustChoose(t, p, 0, q)
-	p.SetAnnouncedLoads(0, []coordapi.Load{{ID: before.ID, Running: 8, Memory: 20_000, Prompt: 90_000}})
+	p.SetInheritedLoad(before.ID, 8, 20_000)
 	assert.DeepEqual(t, mustChoose(t, p, 0, q), before)
 }
 
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -91,6 +91,7 @@
 	case r.Update != nil:
 		s.recordReports(s.now(), r.Update.Router, &r.Update.Reports)
 		s.placer.ApplyReports(s.now(), r.Update.Router, &r.Update.Reports)
+		s.placer.ApplyLoads(s.now(), r.Update.Router, r.Update.Loads)
 		return s.runAsLeader(ctx, func(now time.Duration) {
 			s.soft.routerReports.record(now, r.Update)
 			s.soft.fairShares.allocator.Report(now, r.Update.Demands)
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/state"
@@ -32,6 +34,11 @@
 	for i := range table.Pools {
 		s.pools.names[table.Pools[i].Name] = true
 	}
+	longest := time.Duration(0)
+	for i := range table.Routes {
+		longest = max(longest, table.Routes[i].Timeout)
+	}
+	s.placer.SetLongestTimeout(longest)
 }
 
 // contains reports whether a pool is configured.
--- a/internal/coordinator/queue_test.go
+++ b/internal/coordinator/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,6 +117,32 @@
 	g.awaitRooms(coordapi.Room{Limit: 4, Running: 4})
 }
 
+// Guards against a new leader that does not count the requests which routers report, or counts them
+// for a second only although the routes allow longer ones.
+func TestNewLeaderCountsReportedRequests(t *testing.T) {
+	g := newGroup(t, 1)
+	g.configure(1, strings.Replace(unlimited, `"1s"`, `"12s"`, 1))
+	g.call(0, beat("x", 1, false))
+	g.awaitPlaced("x")
+	s := g.servers[0]
+	var ended []uint64
+	for number := range uint64(1000) {
+		ended = append(ended, number)
+	}
+	s.placer.ApplyReports(s.now(), "r", &coordapi.Reports{Ended: ended})
+	assert.Equal(t, s.place(waits(1001).Place).Placed.ID, "x")
+	update := coordapi.Request{Update: &coordapi.Update{Router: "q", Loads: []coordapi.Load{{ID: "x", Running: 3, Memory: 60, Engine: true}}}}
+	for range 6 {
+		g.call(0, update)
+		g.awaitRooms(coordapi.Room{Limit: 4, Running: 4})
+		time.Sleep(200 * time.Millisecond)
+	}
+	assert.Assert(t, s.place(waits(1002).Place).Placed.Queued)
+	update.Update.Loads = nil
+	g.call(0, update)
+	g.awaitRooms(coordapi.Room{Limit: 4, Running: 2})
+}
+
 // awaitRooms waits until the leader announces a capacity.
 func (g *group) awaitRooms(wanted coordapi.Room) {
 	g.t.Helper()
--- a/internal/coordinator/routerreports.go
+++ b/internal/coordinator/routerreports.go
@@ -24,10 +24,6 @@
 	minPackedLoads = 48
 	// saturationTime is how long after a refused request engines count as saturated.
 	saturationTime = time.Second
-	// placerLoadsTime is how long after the start of a leadership loads are passed to the placer, and
-	// placerLoadsInterval the time between two of these.
-	placerLoadsTime     = 4 * time.Second
-	placerLoadsInterval = 20 * time.Millisecond
 	// routerLoadTimeout is how long a router's load counts after its report.
 	routerLoadTimeout = 1500 * time.Millisecond
 )
@@ -43,8 +39,6 @@
 	totals map[string]coordapi.Load
 	// refusedAt is when a router last reported refused requests, 0 for never.
 	refusedAt time.Duration
-	// passedAt is when the loads were last passed to the placer.
-	passedAt time.Duration
 	// dirty is set when loads arrived after the last announcement.
 	dirty bool
 	// plain are the loads at plain back ends, and all those at all back ends as of the
@@ -133,16 +127,6 @@
 	}
 }
 
-// newLoads reports whether the loads are to be passed to the placer, which needs them for as long as
-// it is new.
-func (t *routerReports) newLoads(now, since time.Duration) bool {
-	if !t.dirty || now-since > placerLoadsTime || now-t.passedAt < placerLoadsInterval {
-		return false
-	}
-	t.passedAt = now
-	return true
-}
-
 // addLoads adds a router's loads to totals, or with a sign of -1 subtracts them.
 func (t *routerReports) addLoads(loads []coordapi.Load, sign int) {
 	for _, l := range loads {
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -346,9 +346,6 @@
 		s.notify.wake()
 	}
 	s.evaluateBlocks(now, d)
-	if s.soft.routerReports.newLoads(now, s.soft.since) {
-		s.placer.SetAnnouncedLoads(now, slices.Collect(maps.Values(s.soft.routerReports.totals)))
-	}
 	if s.soft.routerReports.announce(now, s.soft.watchers()) {
 		s.soft.rooms = s.placer.Rooms()
 		s.tenantLimits.announce(now)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,8 +47,10 @@
 	versions map[poolModel]int
 	// wake receives when a pass over a queue is due.
 	wake chan struct{}
-	// start is the state of the first second of a leadership.
+	// start is the state of the beginning of a leadership.
 	start start
+	// longestTimeout is the longest time that a request may take, 0 if unknown.
+	longestTimeout time.Duration
 	// settlements is the result of the next call of TakeSettlements.
 	settlements []quota.Settlement
 	waits       waitHistogram
@@ -76,8 +78,10 @@
 // placement is a request in flight.
 type placement struct {
 	*backends.Attempt
-	// pool is the name of its pool.
-	pool string
+	// pool is the name of its pool, engine the ID of its engine, and memory the tokens that it announces.
+	pool   string
+	engine string
+	memory int
 	// from is the store from which the engine fetches shared parts, or nil.
 	from *store
 }
@@ -169,10 +173,7 @@
 	if from != nil {
 		a.SetFetches()
 	}
-	r.open[ask.Number] = &placement{a, ask.Pool, from}
-	if loads := p.start.placed(now, choice); loads != nil {
-		p.pool.SetAnnouncedLoads(now, loads)
-	}
+	r.open[ask.Number] = &placement{a, ask.Pool, choice.ID, choice.Work.Most, from}
 	if choice.Versioned {
 		p.versions[poolModel{ask.Pool, ask.Model}] = choice.Version
 	}
@@ -276,6 +277,7 @@
 	}
 	r.lastReport = now
 	p.start.begin(now)
+	p.expireInherited(now)
 	return r
 }
 
@@ -298,6 +300,7 @@
 			p.endWait(name, r, number)
 		}
 		r.wakeAwait()
+		p.inherit(name, nil)
 		delete(p.routers, name)
 	}
 }
--- a/internal/placer/queue_test.go
+++ b/internal/placer/queue_test.go
@@ -243,7 +243,7 @@
 	}
 	p.Step(now + 200*time.Millisecond)
 	assert.Equal(t, openCount(p), 0, "the leader has not settled")
-	p.SetAnnouncedLoads(now+250*time.Millisecond, []coordapi.Load{{ID: "e000", Running: 1, Memory: 200, Engine: true}})
+	p.ApplyLoads(now+250*time.Millisecond, "c", []coordapi.Load{{ID: "e000", Running: 1, Memory: 200, Engine: true}})
 	p.Step(now + 400*time.Millisecond)
 	assert.Equal(t, openCount(p), 1)
 }
--- a/internal/placer/start.go
+++ b/internal/placer/start.go
@@ -3,13 +3,12 @@
 import (
 	"time"
 
-	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
 )
 
 const (
-	// newTime is the time after its first message for which a leader is new: it does not know of the
-	// requests that its predecessor placed.
+	// newTime is the time after its first message for which a leader waits for the loads of routers
+	// before it grants requests that its predecessor had queued.
 	newTime = time.Second
 	// settleTime is the time for which a new leader grants nothing from a queue after it got a request
 	// that the former leader had queued. Routers report their loads within this time in all but the
@@ -17,23 +16,17 @@
 	settleTime = 300 * time.Millisecond
 )
 
-// start is the state of a placer that is new. It is ready to use.
+// start is the state that a placer needs because it did not see the placements of its predecessor. It
+// is ready to use.
 type start struct {
 	// firstMessage is the time of the first message of a router, 0 before it, and settledAt the time
 	// before which nothing is granted from queues.
 	firstMessage time.Duration
 	settledAt    time.Duration
-	// announced are the loads by engine that routers report, with the placements that may not be in
-	// them yet. recent are the placements of the last settleTime.
-	announced map[string]coordapi.Load
-	recent    []recentPlacement
-}
-
-// recentPlacement is a placement that the routers may not have reported yet.
-type recentPlacement struct {
-	at     time.Duration
-	engine string
-	memory int
+	// inherited are the loads by router and engine of the running requests that this leader did not
+	// place, and totals their sums by engine.
+	inherited map[string]map[string]coordapi.Load
+	totals    map[string]coordapi.Load
 }
 
 func (s *start) begin(now time.Duration) {
@@ -52,53 +45,81 @@
 
 func (s *start) isNew(now time.Duration) bool { return now-s.firstMessage < newTime }
 
-// announce records the loads that routers report and returns them with the recent placements.
-func (s *start) announce(now time.Duration, loads []coordapi.Load) []coordapi.Load {
-	s.announced = map[string]coordapi.Load{}
-	for _, l := range loads {
-		if l.Engine {
-			s.announced[l.ID] = l
-		}
+// inherit replaces the inherited loads of a router and returns the IDs of the engines concerned.
+func (s *start) inherit(router string, loads map[string]coordapi.Load) (engines []string) {
+	if s.totals == nil {
+		s.inherited, s.totals = map[string]map[string]coordapi.Load{}, map[string]coordapi.Load{}
 	}
-	for len(s.recent) > 0 && now-s.recent[0].at > settleTime {
-		s.recent = s.recent[1:]
+	for id, l := range s.inherited[router] {
+		s.totals[id] = coordapi.Load{Running: s.totals[id].Running - l.Running, Memory: s.totals[id].Memory - l.Memory}
+		engines = append(engines, id)
 	}
-	for _, r := range s.recent {
-		s.add(r)
+	for id, l := range loads {
+		s.totals[id] = coordapi.Load{Running: s.totals[id].Running + l.Running, Memory: s.totals[id].Memory + l.Memory}
+		if _, before := s.inherited[router][id]; !before {
+			engines = append(engines, id)
+		}
 	}
-	out := make([]coordapi.Load, 0, len(s.announced))
-	for _, l := range s.announced {
-		out = append(out, l)
+	s.inherited[router] = loads
+	if len(loads) == 0 {
+		delete(s.inherited, router)
 	}
-	return out
+	return engines
 }
 
-// placed records a placement. It returns the load of its engine while the placer is new.
-func (s *start) placed(now time.Duration, choice *backends.Choice) []coordapi.Load {
-	if !s.isNew(now) {
-		s.announced, s.recent = nil, nil
-		return nil
+// inheritedLoads returns the part of a router's announced loads at engines that exceeds the placements
+// which may be in them. A placement whose reply is still on its way is not in them; it hides a request
+// of before until the next announcement. That is preferred to counting a request twice.
+func (r *router) inheritedLoads(announced []coordapi.Load) map[string]coordapi.Load {
+	placed := map[string]coordapi.Load{}
+	for _, a := range r.open {
+		l := placed[a.engine]
+		placed[a.engine] = coordapi.Load{Running: l.Running + 1, Memory: l.Memory + a.memory}
 	}
-	r := recentPlacement{now, choice.ID, choice.Work.Most}
-	s.recent = append(s.recent, r)
-	if s.announced == nil {
-		return nil
+	loads := map[string]coordapi.Load{}
+	for _, l := range announced {
+		if more := l.Running - placed[l.ID].Running; l.Engine && more > 0 {
+			loads[l.ID] = coordapi.Load{Running: more, Memory: max(l.Memory-placed[l.ID].Memory, 0)}
+		}
 	}
-	s.add(r)
-	return []coordapi.Load{s.announced[r.engine]}
+	return loads
 }
 
-func (s *start) add(r recentPlacement) {
-	l := s.announced[r.engine]
-	s.announced[r.engine] = coordapi.Load{ID: r.engine, Running: l.Running + 1, Memory: l.Memory + r.memory, Prompt: l.Prompt, Engine: true}
+// inheritTime is the time from the first message for which inherited loads count: no request that the
+// predecessor placed runs longer.
+func (p *Placer) inheritTime() time.Duration { return max(p.longestTimeout, newTime) }
+
+// SetLongestTimeout sets the longest time that a request may take.
+func (p *Placer) SetLongestTimeout(timeout time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.longestTimeout = timeout
 }
 
-// SetAnnouncedLoads sets the loads that all routers report. A new leader counts them, since it knows
-// of no running requests.
-func (p *Placer) SetAnnouncedLoads(now time.Duration, loads []coordapi.Load) {
+// ApplyLoads applies the loads that a router announces. What exceeds the placements of this leader was
+// placed by its predecessor, or by the router itself, and counts for as long as it is announced.
+func (p *Placer) ApplyLoads(now time.Duration, name string, loads []coordapi.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.start.firstMessage > 0 && p.start.isNew(now) {
-		p.pool.SetAnnouncedLoads(now, p.start.announce(now, loads))
+	r := p.router(now, name)
+	if now-p.start.firstMessage < p.inheritTime() {
+		p.inherit(name, r.inheritedLoads(loads))
+	}
+}
+
+func (p *Placer) inherit(router string, loads map[string]coordapi.Load) {
+	for _, id := range p.start.inherit(router, loads) {
+		p.pool.SetInheritedLoad(id, p.start.totals[id].Running, p.start.totals[id].Memory)
+	}
+}
+
+// expireInherited ends the inherited loads after inheritTime.
+func (p *Placer) expireInherited(now time.Duration) {
+	if len(p.start.inherited) == 0 || now-p.start.firstMessage < p.inheritTime() {
+		return
+	}
+	for name := range p.start.inherited {
+		p.inherit(name, nil)
 	}
+	p.start.inherited, p.start.totals = nil, nil
 }
