Follower: a router gives the next leader time before it decides by itself

Cause: requests that wait are decided by their router 2 s after the last reply to an Await. That reply may have come 400 ms before the leader was lost, since a leader holds an Await that long, and the Await in flight when the router finds the next leader takes up to 460 ms until it fails. So a router could decide at 1.6 s after the loss, while finding the next leader takes up to 1.4 s for the watch, 250 ms for one silent node and two retry delays of 60 ms. Seen once in six cases of TestWaitingRequestsSurviveIsolatedLeader: 30 of 60 requests were not asked for again, 30 were refused.

Change: the 2 s count from when the reply was due, and anew from the first view of another leader, which also ends the Await in flight.

TestWaitsAreReleasedOnlyWithoutLeader states the times in virtual time.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -280,6 +280,7 @@
 	}
 	if following := f.following.Load(); following == nil || *following != address {
 		f.following.Store(&address)
+		f.waiting.follow(f.now())
 		f.config.Logger.Info("following leader", "part", "follower", "address", address)
 	}
 	return f.applyView(sent, reply.View)
--- a/internal/follower/waiting.go
+++ b/internal/follower/waiting.go
@@ -27,9 +27,9 @@
 	// askRetryDelay is the time after which a request whose repeated Place failed is asked for
 	// again.
 	askRetryDelay = 100 * time.Millisecond
-	// leaderlessWait is the time without a reply to an Await after which waiting requests are
+	// leaderlessWait is the time after a reply to an Await was due at which waiting requests are
 	// decided by the router itself. It exceeds watchTimeout, within which a router notices that a
-	// leader is cut off, and the time to find the next one.
+	// leader is cut off, and the time to find the next one, which may take one findTimeout.
 	leaderlessWait = 2 * time.Second
 	// timeoutRetryAfter is the Retry-After, before jitter, of a request that waited until its
 	// time-out.
@@ -55,7 +55,7 @@
 	acknowledged map[coordapi.Session]uint64
 	// interrupt ends the Await in flight.
 	interrupt context.CancelFunc
-	// heardAt is the time of the last reply to an Await.
+	// heardAt is the time of the last reply to an Await, or of the first view of the present leader.
 	heardAt time.Duration
 }
 
@@ -260,12 +260,22 @@
 	return true
 }
 
-// release ends all waits without an outcome if the leader has not replied for leaderlessWait, and
-// returns their numbers.
+// follow records that another node leads: an Await at the former one is of no use any more.
+func (w *waiting) follow(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heardAt = now
+	if w.interrupt != nil {
+		w.interrupt()
+	}
+}
+
+// release ends all waits without an outcome if a reply of the leader has been overdue for
+// leaderlessWait, and returns their numbers. The leader may hold an Await for AwaitHold.
 func (w *waiting) release(now time.Duration) (numbers []uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if now-w.heardAt < leaderlessWait {
+	if now-w.heardAt < coordapi.AwaitHold+leaderlessWait {
 		return nil
 	}
 	for number, one := range w.requests {
--- a/internal/follower/waiting_test.go
+++ b/internal/follower/waiting_test.go
@@ -402,6 +402,25 @@
 	r.serveAll(40)
 }
 
+// Guards against requests that their router decides by itself although it has just found the next
+// leader: the last reply may have come AwaitHold before the leader was lost.
+func TestWaitsAreReleasedOnlyWithoutLeader(t *testing.T) {
+	var w waiting
+	one := w.add(time.Second, &coordapi.Place{Number: 1})
+	w.setQueued(time.Second, one, &coordapi.Placed{Queued: true, Session: 1})
+	due := time.Second + coordapi.AwaitHold
+	assert.Equal(t, len(w.release(due+leaderlessWait-1)), 0)
+	interrupted := false
+	_, more := w.next("r", func() { interrupted = true })
+	assert.Assert(t, more)
+	w.follow(due + leaderlessWait - 1)
+	assert.Assert(t, interrupted)
+	assert.Equal(t, len(w.release(due+leaderlessWait)), 0, "the next leader has had no time to reply")
+	w.setSession(2)
+	assert.Equal(t, len(w.lost(due+leaderlessWait)), 1)
+	assert.Equal(t, len(w.release(due+coordapi.AwaitHold+2*leaderlessWait)), 1)
+}
+
 // A suspended leader does not reply. Its waiting requests must not wait until their time-out: the
 // router decides by itself, and what the leader still grants is given back.
 func TestRouterDecidesWithoutLeader(t *testing.T) {
