Rehearse: reread prints why shared parts of prompts were processed again

The logs did not tell which parts a prompt had, when an engine processed them, and whether the engine that held them had capacity. Final lines of requests now have `parts` (8 at most) and `prefills` (4 at most, in the format of internal/cachemiss), and the leader's reply to a placement names the state of the recorded holder, with which routers that do not know it do nothing.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -32,6 +32,7 @@
 	Experiment  experimentCommand  `cmd:"" help:"Bench: policies over scenarios and seeds, in virtual time."`
 	Soak        soakCommand        `cmd:"" help:"Coordinators and diskless routers as processes, under signals and cuts; promises checked."`
 	Simulate    simulateCommand    `cmd:"" help:"Control nodes and routers in virtual time, under faults, over many seeds."`
+	Reread      rereadCommand      `cmd:"" help:"Print from logs why engines processed shared parts of prompts again."`
 	Engine      engineCommand      `cmd:"" help:"Stand-in: one inference engine."`
 	Appworker   appworkerCommand   `cmd:"" help:"Stand-in: one application worker."`
 	Platform    platformCommand    `cmd:"" help:"Stand-in: the platform's list of machines."`
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -95,8 +95,10 @@
 	// for the weights that made them.
 	Home        bool
 	HomeAddress string
-	// Source is the address from which to fetch shared parts, and Save is set if the request is to
-	// save them to the store. The placer sets both.
+	// Holder is the state of the engine that is recorded as the holder of the last shared part. Source
+	// is the address from which to fetch shared parts, and Save is set if the request is to
+	// save them to the store. The placer sets them.
+	Holder coordapi.HolderState
 	Source string
 	Save   bool
 	// Cost is the cost of the chosen back end in milliseconds and Considered the number of
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -137,6 +137,29 @@
 	return best
 }
 
+// HolderState returns the state of the engine that is recorded as the holder of shared parts, which
+// may be "", relative to a choice for a query.
+func (p *Pool) HolderState(now time.Duration, q *Query, holder string, choice *Choice) coordapi.HolderState {
+	switch holder {
+	case "":
+		return ""
+	case choice.ID:
+		return coordapi.HolderChosen
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[holder]
+	if r == nil || r.Pool != q.Pool || r.noHeartbeat || !p.mayServe(r, q) || slices.Contains(q.Tried, holder) || p.pushbackState(holder).Unavailable() {
+		return coordapi.HolderUnavailable
+	}
+	rate := entry(p.prefill, q.Pool).Rate()
+	h, c := newHolding(q), candidate{row: r, ahead: p.remainingPrefill(now, r, rate) + r.otherLoad.Prompt}
+	if p.canBegin(now, q, &c, rate) && p.hasMemory(now, q, &h, &c) {
+		return coordapi.HolderFree
+	}
+	return coordapi.HolderFull
+}
+
 // hold records what an attempt takes of its engine's room.
 func (p *Pool) hold(a *Attempt, q *Query) {
 	if a.row == nil || q.Slots == 0 {
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -66,6 +66,22 @@
 	Tokens int      `json:"t"`
 }
 
+// HolderState is the state of the engine that is recorded as the holder of a shared part, relative to
+// a choice of an engine. It is empty if none is recorded.
+type HolderState string
+
+// States of a holder.
+const (
+	// HolderChosen: it is the chosen engine.
+	HolderChosen HolderState = "chosen"
+	// HolderFull and HolderFree: another one was chosen although it serves; it had no capacity, or
+	// had some.
+	HolderFull HolderState = "full"
+	HolderFree HolderState = "free"
+	// HolderUnavailable: it may not serve the request.
+	HolderUnavailable HolderState = "unavailable"
+)
+
 // Placed is the engine that the leader chose for a Place. An empty ID means that no engine is
 // available.
 type Placed struct {
@@ -79,6 +95,9 @@
 	Versioned bool `json:"versioned,omitempty"`
 	// Home reports whether the engine is the home of the key.
 	Home bool `json:"home,omitempty"`
+	// Holder is the state of the engine that the leader recorded as the holder of the last shared
+	// part before it chose.
+	Holder HolderState `json:"holder,omitempty"`
 	// Source is the address of another engine with the same weights that has some of the shared
 	// parts in its cache; empty for none.
 	Source string `json:"source,omitempty"`
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -200,7 +200,9 @@
 		s.stall = newWatchdog(max(stallFactor*j.route.GapTarget, minStall), h.cancelForRetry(ctx, j, cancel))
 		defer s.stall.stop()
 	}
+	begun := h.now()
 	result := h.relay(ctx, s, response)
+	h.recordPrefill(j, choice, response.Header, result, started, begun)
 	h.recordAttempt(ctx, s, choice, response, result, h.now()-started)
 	h.reportAttempt(ctx, s, choice, response, result, started)
 	return result
@@ -413,5 +415,5 @@
 	}
 	h.config.Logger.Info(message, "part", "forward", "id", j.id, "request", j.digest.String(), "route", j.route.Name, "pool", j.pool.Name,
 		"table", j.table.Version, "key", j.query.Key, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
-		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "attempts", strings.Join(j.trace, "; "))
+		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "attempts", strings.Join(j.trace, "; "), h.prefillAttributes(j))
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -20,6 +20,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/bounded"
+	"quinceridge.example/quinceridge/internal/cachemiss"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/fairshare"
@@ -226,8 +227,9 @@
 	// viewRevision and viewAge describe the view by which the back end was chosen.
 	viewRevision uint64
 	viewAge      time.Duration
-	// trace describes the attempts, for the log.
-	trace []string
+	// trace describes the attempts, and prefills are those at engines that ran, for the log.
+	trace    []string
+	prefills []cachemiss.Attempt
 }
 
 // tries returns the number of back ends to which the request was sent.
@@ -388,5 +390,5 @@
 	_, _ = io.WriteString(w, f.text)
 	h.metrics.CountResponse(f.status, true)
 	h.config.Logger.Info("refused", "part", "forward", "id", j.id, "request", j.digest.String(), "status", f.status, "reason", f.reason,
-		"after_ms", f.retryAfter.Milliseconds())
+		"after_ms", f.retryAfter.Milliseconds(), h.prefillAttributes(j))
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -187,6 +187,7 @@
 	if !choice.Versioned || len(ask.Parts) == 0 {
 		return nil
 	}
+	choice.Holder = p.pool.HolderState(now, q, p.parts.holder(now, ask.Parts[len(ask.Parts)-1].Hash, choice.Version), choice)
 	s := p.parts.store(ask)
 	if ask.Store == "" || p.storeDelay(now, s) > p.pool.MaxFetchDelay(q) {
 		s = nil
@@ -323,13 +324,13 @@
 
 func newReply(c *backends.Choice) coordapi.Placed {
 	return coordapi.Placed{ID: c.ID, Instance: c.Instance, Address: c.Address, Zone: c.Zone, Version: c.Version, Versioned: c.Versioned, Home: c.Home,
-		Source: c.Source, Save: c.Save, Cost: c.Cost, Considered: c.Considered, Prompt: c.Work.Prompt, Ahead: c.Ahead, Wait: c.Wait, Late: c.Late}
+		Holder: c.Holder, Source: c.Source, Save: c.Save, Cost: c.Cost, Considered: c.Considered, Prompt: c.Work.Prompt, Ahead: c.Ahead, Wait: c.Wait, Late: c.Late}
 }
 
 // Choice converts the reply to a request to a choice. It returns false if no engine may serve.
 func Choice(ask *coordapi.Place, p *coordapi.Placed) (backends.Choice, bool) {
 	return backends.Choice{ID: p.ID, Instance: p.Instance, Address: p.Address, Zone: p.Zone, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
-		Source: p.Source, Save: p.Save, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
+		Holder: p.Holder, Source: p.Source, Save: p.Save, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
 		Ahead: p.Ahead, Wait: p.Wait, Late: p.Late, Placement: ask.Number, OverLimit: p.OverLimit, Uncounted: p.Uncounted, RetryAfter: p.RetryAfter,
 		Blocked: p.Blocked, Reason: p.Reason}, p.ID != "" || p.OverLimit || len(p.Blocked) > 0 || p.Reason != ""
 }
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -42,6 +42,9 @@
 	Salt      string
 	FetchFrom string
 	SaveTo    string
+	// CachedTokens in a response is the number of prompt tokens that the engine had in its cache or
+	// fetched. Empty if engines do not report it.
+	CachedTokens string
 	// Forbidden are further headers that are removed from callers' requests.
 	Forbidden []string
 }
@@ -80,5 +83,6 @@
 		Salt:             "Cache-Salt",
 		FetchFrom:        "Cache-Fetch-From",
 		SaveTo:           "Cache-Save-To",
+		CachedTokens:     "Cached-Tokens",
 	}
 }
