Admission: the queue in files by concern

It is split into the operations, levels, accounts, duplicates, members, deadlines and estimates; the heap of timers moves beside its use. All other lines are moved unchanged. Doc comments of public items state units, defaults, bounds and what happens to requests that do not wait.

21 tests pass before and after (-test.v).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -10,6 +10,11 @@
 //
 // The package does no I/O; time and random draws are arguments. A Queue is not safe for concurrent
 // use.
+//
+// queue.go has the operations of a queue, levels.go the order by urgency, fair.go that among tenants
+// and tree.go that within a tenant. estimate.go has the expected waits and refusals, deadlines.go the
+// changes with time, members.go and duplicates.go what a request joins and leaves, accounts.go the
+// use by tenant.
 package admission
 
 import (
@@ -52,7 +57,7 @@
 	Abandon time.Duration
 	// Service is the expected time from start to first event.
 	Service time.Duration
-	// Work is the engine time in ms that the request takes.
+	// Work is the engine time in ms that the request takes. Values below 0.001 and NaN count as 0.001.
 	Work float64
 }
 
@@ -81,7 +86,8 @@
 type Refusal struct {
 	Key    Key
 	Reason Reason
-	// RetryAfter includes random jitter.
+	// RetryAfter is the expected time to complete the work ahead of the request, within the bounds of
+	// Config, plus random jitter of up to half of it.
 	RetryAfter time.Duration
 }
 
@@ -98,14 +104,15 @@
 	Work float64
 }
 
-// Config adjusts a queue. Fields that are 0 have the defaults below.
+// Config adjusts a queue. A field that is 0 has the default in its comment.
 type Config struct {
-	// Floor is the share of granted work that less urgent levels together keep while they wait.
+	// Floor is the share of granted work, in (0, 1), that less urgent levels together keep while they
+	// wait; 0.1 by default.
 	Floor float64
-	// MinRetryAfter and MaxRetryAfter bound Refusal.RetryAfter before jitter.
+	// MinRetryAfter and MaxRetryAfter bound Refusal.RetryAfter before jitter; 250 ms and 5 s by default.
 	MinRetryAfter time.Duration
 	MaxRetryAfter time.Duration
-	// MaxLevels bounds the result of Waiting.
+	// MaxLevels bounds the number of entries of Queue.Waiting; 64 by default.
 	MaxLevels int
 }
 
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -251,29 +251,3 @@
 	f.ready = -1
 	return f
 }
-
-// timerHeap is a heap of items by the time at which their class changes.
-type timerHeap []*item
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].due < h[j].due }
-
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].timer, h[j].timer = i, j
-}
-
-func (h *timerHeap) Push(x any) {
-	n := x.(*item)
-	n.timer = len(*h)
-	*h = append(*h, n)
-}
-
-func (h *timerHeap) Pop() any {
-	old := *h
-	n := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	n.timer = -1
-	return n
-}
