Backends: engines by used memory, for a search for room

A pass over a full pool examined all engines for each of eight requests. An index lists the active engines that may have a free slot by the memory that their requests take; it is updated when placements begin and end. IsFull examines only those that may have room, with the same result.

--- a/internal/backends/full.go
+++ b/internal/backends/full.go
@@ -6,8 +6,8 @@
 )
 
 // IsFull reports whether no eligible engine of a central pool has the slots and the memory for a
-// request. It spares the choice, which takes about ten times as long, while requests wait. It is
-// false if it cannot tell.
+// request. It spares the choice, which examines all engines, while requests wait: it examines only
+// those that may have room. It is false if it cannot tell.
 func (p *Pool) IsFull(now time.Duration, q *Query) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -22,16 +22,23 @@
 		}
 	}
 	h := newHolding(q)
-	eligible := false
-	for r := range index.active {
-		if now < r.limitedUntil || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) {
-			continue
-		}
-		eligible = true
+	for r := range index.mayHaveRoom(q, h.ownTokens) {
 		// An engine without a backlog is never behind, so that only slots and memory count.
-		if c := (candidate{row: r}); p.canBegin(now, q, &c, rate) && p.hasMemory(now, q, &h, &c) {
+		c := candidate{row: r}
+		if p.canBegin(now, q, &c, rate) && p.mayGet(now, r, q) && p.hasMemory(now, q, &h, &c) {
 			return false
 		}
 	}
-	return eligible
+	for r := range index.active {
+		if p.mayGet(now, r, q) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayGet reports whether an engine is eligible for a request and neither tried nor at the limit
+// of its owner.
+func (p *Pool) mayGet(now time.Duration, r *row, q *Query) bool {
+	return now >= r.limitedUntil && p.mayServe(r, q) && !slices.Contains(q.Tried, r.ID)
 }
--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -25,6 +25,8 @@
 type poolIndex struct {
 	active map[*row]struct{}
 	idle   map[groupKey]*idleGroup
+	// room has the active engines, once a search for room has built it.
+	room roomIndex
 }
 
 // groupKey holds the properties that the engines of a group share.
@@ -62,6 +64,7 @@
 	x.remove(r)
 	r.indexed = x.pool(r.Pool)
 	r.indexed.active[r] = struct{}{}
+	r.updateRoom()
 }
 
 // remove removes a row, which may be nil, from the index.
@@ -70,6 +73,7 @@
 		return
 	}
 	delete(r.indexed.active, r)
+	r.indexed.room.remove(r)
 	if r.group != nil {
 		r.group.remove(r)
 	}
@@ -85,6 +89,7 @@
 		p.idle[key] = group
 	}
 	delete(p.active, r)
+	p.room.remove(r)
 	r.group = group
 	at, _ := group.find(r)
 	group.rows = slices.Insert(group.rows, at, r)
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -32,9 +32,10 @@
 	unlisted bool
 	// departed is set once the coordinators have removed it.
 	departed bool
-	// indexed and group are its location in the pool's index, or nil.
+	// indexed, group and room are its location in the pool's index, or zero.
 	indexed *poolIndex
 	group   *idleGroup
+	room    roomPosition
 	// mismatched maps models to a version that the back end turned out not to hold.
 	mismatched map[string]int
 	// running and memory are the number of this router's requests there and the tokens of memory
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -152,6 +152,7 @@
 	}
 	size.requestMemory += requestMemoryWeight * (added - size.requestMemory)
 	a.row.usage.add(&a.holding, a.version, q.Capacity)
+	a.row.updateRoom()
 }
 
 // release ends what an attempt takes of its engine's room. An engine that has restarted meanwhile
@@ -160,6 +161,7 @@
 	if a.holds {
 		a.holds = false
 		a.row.usage.release(now, &a.holding)
+		a.row.updateRoom()
 	}
 }
 
