Backends: later attempts take account of room

Cause: only a first attempt waits for room. A later one had no patience and went to the engine of least cost, full or not, so that one rejection could lead to three more.

Change: a later attempt takes an engine with room by the rule of first attempts, or else the one that is expected to begin it first, if that is within the patience of a first attempt. Otherwise the request ends: with 503 if nothing ran, else with the answer that the attempt which ran allows. Routers that decide by themselves do the same. The leader recognizes later attempts by the existing field `started`; an old leader gets a patience and answers that the engines are behind; an old router names no patience and is placed where the wait is shortest.

Tests: TestLaterAttemptTakesEngineWithRoom, TestLaterAttemptWithoutRoomTakesShortestWait and TestLaterAttemptIsPlacedByRoom fail with the former choice. TestLaterAttemptThatIsLateEndsWithEarlierAnswer fails if the earlier result is dropped. The rate of rejections under load was not measured.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -63,6 +63,9 @@
 	// Contended is set with Room while requests wait for the pool. It keeps the request from causing
 	// further copies of its shared parts as long as an engine that holds them has room.
 	Contended bool
+	// Later is set for later attempts, which are not queued. It asks for an engine that has room or,
+	// if none has, for the one with the shortest expected wait, which must be within the patience.
+	Later bool
 	// Queueing are the terms for the queue at the leader.
 	Queueing coordapi.Queueing
 	// Draw is a random number in [0, 1) that selects among the candidates.
@@ -172,9 +175,6 @@
 		entry(p.demands, q.Pool).engines = countRepresented(eligible)
 	}
 	candidates, late := withinPatience(eligible, q, rate, entry(p.flows, q.Pool).mean())
-	if late && !q.hasLimits() {
-		p.refused++
-	}
 	preferred := p.preferred(q, candidates)
 	staleness := entry(p.flows, q.Pool).estimateStaleness(now, p.age(now), q.Routers)
 	homes := rank(q, candidates, preferred > 0)
@@ -182,6 +182,10 @@
 		candidates[i].cost = p.cost(now, q, &candidates[i], staleness, rate, preferred)
 	}
 	best := p.pick(now, q, candidates, eligible, staleness, rate)
+	late = late || (best != nil && q.Later && q.Patience > 0 && best.wait > q.Patience)
+	if late && !q.hasLimits() {
+		p.refused++
+	}
 	if best == nil {
 		return Choice{NoRoom: true, Considered: countRepresented(candidates)}, false
 	}
@@ -230,6 +234,12 @@
 	if q.hasLimits() {
 		return p.leastWithRoom(now, q, candidates, eligible, rate)
 	}
+	if q.Later && q.Slots > 0 {
+		if best := p.leastWithRoom(now, q, candidates, eligible, rate); best != nil {
+			return best
+		}
+		return p.soonest(now, q, candidates, rate)
+	}
 	if q.Slots > 0 {
 		return least(candidates)
 	}
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -131,6 +131,40 @@
 	return best
 }
 
+// soonest returns the candidate without room that is expected to begin the request first, and sets the
+// candidate's wait; the lowest ID wins a tie.
+func (p *Pool) soonest(now time.Duration, q *Query, candidates []candidate, rate speed.TokensPerMs) *candidate {
+	h, run := newHolding(q), entry(p.flows, q.Pool).mean()
+	var best *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		c.wait = p.waitForRoom(now, q, &h, c, rate, run)
+		if best == nil || cmp.Or(cmp.Compare(c.wait, best.wait), cmp.Compare(c.ID, best.ID)) < 0 {
+			best = c
+		}
+	}
+	return best
+}
+
+// waitForRoom estimates when an engine begins a request: once it has processed the prompts ahead, and as
+// many of its requests have ended as take the slots and the memory that the request lacks.
+func (p *Pool) waitForRoom(now time.Duration, q *Query, h *holding, c *candidate, rate speed.TokensPerMs, run time.Duration) time.Duration {
+	requests, tokens := p.taken(c)
+	missing := 0.0
+	if slots := c.slotLimit(q.Slots); requests >= slots {
+		missing = float64(requests+1-slots) / float64(slots)
+	}
+	if !p.hasMemory(q, h, c) {
+		added := q.Work.Most
+		if p.central {
+			added = c.usage.added(h)
+		}
+		missing = max(missing, float64(tokens+added-c.memoryLimit(q.Capacity))/float64(max(tokens, 1)))
+	}
+	wait := c.prefillRate(rate).Wait(c.ahead) + c.scaled(time.Duration(missing*float64(run)))
+	return max(wait, c.busyUntil-now)
+}
+
 // hold records what an attempt takes of its engine's room.
 func (p *Pool) hold(a *Attempt, q *Query) {
 	if a.row == nil || q.Slots == 0 {
--- a/internal/backends/room_test.go
+++ b/internal/backends/room_test.go
@@ -228,6 +228,75 @@
 	assert.DeepEqual(t, mustChoose(t, p, 0, q), before)
 }
 
+// laterQuery returns the query of a later attempt, and of a pool of two engines the one that a query
+// without limits takes, and the other one.
+func laterQuery(t *testing.T) (p *Pool, q Query, first, second string) {
+	t.Helper()
+	p = newCentralPoolOf(engine("x", 1), engine("y", 1))
+	q = roomQuery()
+	q.Room = false
+	first, second = "x", "y"
+	if mustChoose(t, p, 0, q).ID == "y" {
+		first, second = second, first
+	}
+	q.Later, q.Patience = true, 100*time.Millisecond
+	return p, q, first, second
+}
+
+// Guards against a later attempt at an engine without room beside one with room, where it is rejected
+// again.
+func TestLaterAttemptTakesEngineWithRoom(t *testing.T) {
+	p, q, first, second := laterQuery(t)
+	assert.Equal(t, mustChoose(t, p, 0, q).ID, first, "the choice does not change while there is room")
+	p.SetInheritedLoad(first, 8, 20_000)
+	choice := mustChoose(t, p, 0, q)
+	assert.Assert(t, choice.ID == second && !choice.Late, "%+v", choice)
+	p.SetInheritedLoad(first, 1, 80_000)
+	assert.Equal(t, mustChoose(t, p, 0, q).ID, second)
+}
+
+// Guards against a later attempt without room that is sent where it waits longer than necessary, or
+// although it could only begin beyond its patience. A request takes 40 ms before the first answer.
+func TestLaterAttemptWithoutRoomTakesShortestWait(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		firstLoad, secondLoad inheritedLoad
+		takesFirst            bool
+		shortest              time.Duration
+	}{
+		{"slots of the first end earlier", inheritedLoad{8, 20_000}, inheritedLoad{16, 20_000}, true, 5 * time.Millisecond},
+		{"slots of the second end earlier", inheritedLoad{16, 20_000}, inheritedLoad{8, 20_000}, false, 5 * time.Millisecond},
+		{"memory of the second ends earlier", inheritedLoad{2, 170_000}, inheritedLoad{2, 85_000}, false, 3294 * time.Microsecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, q, first, second := laterQuery(t)
+			p.SetInheritedLoad(first, c.firstLoad.requests, c.firstLoad.tokens)
+			p.SetInheritedLoad(second, c.secondLoad.requests, c.secondLoad.tokens)
+			wanted := second
+			if c.takesFirst {
+				wanted = first
+			}
+			choice := mustChoose(t, p, 0, q)
+			assert.Assert(t, choice.ID == wanted && !choice.Late, "%+v", choice)
+			assert.Equal(t, choice.Wait.Truncate(time.Microsecond), c.shortest)
+			q.Patience = c.shortest - time.Millisecond
+			assert.Assert(t, mustChoose(t, p, 0, q).Late)
+			assert.Equal(t, p.Refused(), 1)
+			q.Patience = 0
+			assert.Assert(t, !mustChoose(t, p, 0, q).Late, "a request without a target has no limit")
+		})
+	}
+	t.Run("all have just rejected", func(t *testing.T) {
+		p, q, first, second := laterQuery(t)
+		p.Busy(0, first)
+		p.Busy(0, second)
+		q.Patience = p.rows[first].busyUntil - time.Millisecond
+		assert.Assert(t, mustChoose(t, p, 0, q).Late)
+		q.Patience = p.rows[first].busyUntil
+		assert.Assert(t, !mustChoose(t, p, 0, q).Late)
+	})
+}
+
 // runningQueries lists the queries of the requests that run at each row, to check the pool's
 // accounting against.
 type runningQueries map[*row]map[*Attempt]Query
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -58,6 +58,8 @@
 	s := &session{handler: h, writer: w, job: j}
 	defer h.refundQuota(j)
 	defer j.releaseShare()
+	// ran is the result of the last attempt that the back end may have run.
+	var ran outcome
 	for {
 		// This is checked before each attempt and by digest: a poison request is resent under
 		// new IDs and through other routers.
@@ -66,8 +68,14 @@
 			return
 		}
 		choice, found := h.choose(ctx, j)
-		if j.ran > 0 && (choice.OverLimit || choice.Late) {
-			// The refusals below state that the request has not run.
+		if j.ran > 0 && choice.Late {
+			// No engine begins a further attempt in time, and the refusals below state that the request
+			// has not run.
+			h.metrics.refusedBehind.Add(1)
+			h.finish(ctx, s, ran)
+			return
+		}
+		if j.ran > 0 && choice.OverLimit {
 			choice, found = backends.Choice{}, false
 		}
 		if len(choice.Blocked) > 0 {
@@ -115,6 +123,7 @@
 		}
 		if result.verdict != notRun {
 			j.ran++
+			ran = result
 		}
 		j.query.Tried = append(j.query.Tried, choice.ID)
 		if ctx.Err() != nil || h.now() >= j.deadline || !h.shouldRetry(ctx, j, s, result) {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -51,8 +51,8 @@
 // choose waits a limited time for an available back end.
 func (h *Handler) choose(ctx context.Context, j *job) (backends.Choice, bool) {
 	j.query.Routers = h.config.Source.Routers()
-	j.query.Patience = 0
-	if j.tries() == 0 {
+	j.query.Patience, j.query.Later = 0, j.tries() > 0
+	if !j.query.Later || j.pool.Engine != nil {
 		j.query.Patience = j.table.EffectiveTarget(j.route) / patienceDivisor
 	}
 	limit := h.now() + j.route.Target/waitDivisor
--- a/internal/forward/queueing.go
+++ b/internal/forward/queueing.go
@@ -20,7 +20,7 @@
 const minAnnouncedUse = 0.5
 
 // setQueueing sets the terms on which the leader may queue the request. Only the first attempt of a
-// request with a latency target waits: later ones are placed as if there were no queue.
+// request with a latency target waits: later ones are placed at once or not at all.
 func (h *Handler) setQueueing(j *job) {
 	waited := h.now() - j.receivedAt
 	j.query.Queueing = coordapi.Queueing{Wait: h.mayWait(j), Account: j.tenantName(), Urgency: queueUrgency(j), Waited: waited,
--- a/internal/forward/queueing_test.go
+++ b/internal/forward/queueing_test.go
@@ -87,6 +87,43 @@
 	}
 }
 
+// Guards against a later attempt that is sent although no engine begins it in time, and against an answer
+// that says that the request has not run although an earlier attempt may have.
+func TestLaterAttemptThatIsLateEndsWithEarlierAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		serve  http.HandlerFunc
+		status int
+	}{
+		{"rejected", reject, http.StatusServiceUnavailable},
+		{"failed", failing, http.StatusInternalServerError},
+		{"no answer", dropConnection, http.StatusBadGateway},
+		{"cut after an event", func(w http.ResponseWriter, q *http.Request) {
+			oneEvent(w, q)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, choice := newQueueRig(t, c.serve)
+			late, calls := choice, 0
+			late.Late, late.Wait = true, time.Second
+			r.handler.config.Placer = &queueingPlacer{place: func(context.Context) (backends.Choice, bool, bool) {
+				if calls++; calls == 1 {
+					return choice, true, true
+				}
+				return late, true, true
+			}}
+			response := r.ask("POST", "/resumable/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+			assert.Equal(t, calls, 2)
+			assert.Equal(t, r.ran("e"), 1)
+			assert.Equal(t, response.status, c.status)
+			assert.Equal(t, response.err != nil, c.status == http.StatusOK, "a stream that was cut must not look complete")
+			assert.Equal(t, response.header.Get("Retry-After") != "", c.status == http.StatusServiceUnavailable)
+		})
+	}
+}
+
 // Nobody waits beyond the time-out of the route. The answer says that the request has not run.
 func TestWaitEndsAtTimeout(t *testing.T) {
 	r, _ := newQueueRig(t, oneEvent)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -156,6 +156,10 @@
 		return p.placeOrQueue(now, r, ask)
 	}
 	q := p.query(now, ask)
+	if q.Later = ask.Started > 0; q.Later {
+		queue := p.queues[ask.Pool]
+		q.Contended = queue != nil && queue.Len() > 0
+	}
 	choice, found, permitTerm := p.choose(now, ask, q)
 	switch {
 	case !found:
--- a/internal/placer/queue_test.go
+++ b/internal/placer/queue_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// A request of a router that does not support waiting, and a later attempt, must be answered as
-// before.
+// A request of a router that does not support waiting must be answered as before, and a later attempt
+// without waiting.
 func TestRequestsWithoutWaitAreNotQueued(t *testing.T) {
 	p := newTestPlacer(1)
 	fill(t, p, time.Second)
@@ -103,6 +103,28 @@
 	}
 }
 
+// Guards against a later attempt that is placed at a full engine although another has room, or although
+// no engine begins it within its patience.
+func TestLaterAttemptIsPlacedByRoom(t *testing.T) {
+	p := newTestPlacer(2)
+	now := time.Second
+	later := func(number uint64, patience time.Duration) coordapi.Placed {
+		ask := patient("b", number)
+		ask.Started, ask.Wait, ask.Patience = 1, false, patience
+		return p.Place(now, ask)
+	}
+	p.ApplyLoads(now, "c", loadOf(2))
+	assert.Equal(t, later(1, time.Second).ID, "e001")
+	assert.Equal(t, later(2, time.Second).ID, "e001")
+	p.ApplyLoads(now, "c", loadOf(3))
+	placed := later(3, 10*time.Millisecond)
+	assert.Assert(t, placed.Late && !placed.Queued, "%+v", placed)
+	assert.Equal(t, openCount(p), 2)
+	placed = later(4, time.Second)
+	assert.Assert(t, placed.ID == "e001" && !placed.Late, "%+v", placed)
+	assert.Equal(t, openCount(p), 3)
+}
+
 // A request that may wait must be placed at the engine at which it was placed before there was a
 // queue, for as long as there is room and nobody waits.
 func TestChoiceIsUnchangedWhileThereIsRoom(t *testing.T) {
