--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -24,9 +24,10 @@
 	awayCost  = 0.1
 	awayStep  = 0.25
 	rankLimit = 4
-	// lateAnswerCost is the cost of an answer that misses its target, which is then worth about a
-	// third. It weighs as much as all steps away from the home of a prompt with 7,000 shared tokens:
-	// those are a copy that costs memory, not an answer. Of 400, 800 and 1,400 the last served best.
+	// lateAnswerCost is the cost of an answer that misses its target: it is of little use to the
+	// caller, about a third of one in time. The cost equals that of all steps away from the home of a
+	// prompt with 7,000 shared tokens: those cost a copy in memory, and the caller loses nothing. Of
+	// 400, 800 and 1,400 the last served best.
 	lateAnswerCost = 1400
 	// decodeCost is the cost of one running request, which slows down each decode step.
 	decodeCost = 1.5
