--- a/internal/backends/scorer.go
+++ b/internal/backends/scorer.go
@@ -24,9 +24,10 @@
 	awayCost  = 0.1
 	awayStep  = 0.25
 	rankLimit = 4
-	// lateAnswerCost is the cost of an answer that misses its target, which is then worth about a
-	// third. It weighs as much as all steps away from the home of a prompt with 7,000 shared tokens:
-	// those are a copy that costs memory, not an answer. Of 400, 800 and 1,400 the last served best.
+	// lateAnswerCost is the cost of an answer that misses its target: it is of little use to the
+	// caller, about a third of one in time. The cost equals that of all steps away from the home of a
+	// prompt with 7,000 shared tokens: those cost a copy in memory, and the caller loses nothing. Of
+	// 400, 800 and 1,400 the last served best.
 	lateAnswerCost = 1400
 	// decodeCost is the cost of one running request, which slows down each decode step.
 	decodeCost = 1.5
@@ -55,11 +56,11 @@
 	if q.Slots == 0 {
 		return total + loadCost(float64(c.running)+staleness.stillRunning*float64(c.otherLoad.Running), c) + c.latencyCost(now)
 	}
-	prefill := float64(c.prefillRate(rate).Wait(c.ahead+q.tokensToPrefill(c.Weights[q.Model]))) / float64(time.Millisecond)
+	prefill := float64(c.prefillRate(rate).Wait(c.ahead+q.tokensToPrefill(c.versionOf(q)))) / float64(time.Millisecond)
 	total += prefill + lateCost(q, c, prefill)
 	total += float64(c.running+c.otherLoad.Running) * decodeCost
 	total += overloadCost * overload(q, c)
-	if c.Weights[q.Model] < preferred {
+	if c.versionOf(q) < preferred {
 		total += outdatedShare * float64(q.Target.Milliseconds())
 	}
 	if q.Key != "" && c.rank > 0 {
@@ -131,7 +132,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		c.rank = rankLimit
-		r := rankingOf(&rankings, c.Weights[q.Model], q)
+		r := rankingOf(&rankings, c.versionOf(q), q)
 		key := rankKey{hash: mix64(hash ^ c.hash), weight: c.pace.home.value()}
 		if c.ID == r.holder {
 			key = holderKey()
