Leader: list of unresponsive engines

Streams at an engine that has stopped were held until a router's own watchdog or their time-out. Updates carry the stalls of a router (field stalls, absent while no stream is overdue), and Notes list the unresponsive engines (field unresponsive). Listed engines are chosen only if there are no others, and their capacity is not announced. Views hold the overdue heartbeats of listed engines of other shards too.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -176,6 +176,12 @@
 	return excess
 }
 
+// FirstEventAt returns the back end of the attempt and the time of its first event, which a router
+// received wait after the request was sent.
+func (a *Attempt) FirstEventAt(now, wait time.Duration) (backend string, at time.Duration) {
+	return a.backendID, min(a.sent+wait, now)
+}
+
 // markRecovered ends the recovery of the back end if the attempt was a trial.
 func (a *Attempt) markRecovered() {
 	if r := a.pool.rows[a.backendID]; r != nil && a.trial {
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -275,7 +275,7 @@
 			continue
 		}
 		c := candidate{row: r, ahead: p.remainingPrefill(now, r, rate) + r.otherLoad.Prompt,
-			lastResort: now < r.busyUntil || r.noHeartbeat || r.lastResort(now) || p.unresponsive(now, r, rate), represents: 1}
+			lastResort: now < r.busyUntil || r.notResponding() || r.lastResort(now) || p.unresponsive(now, r, rate), represents: 1}
 		if c.lastResort {
 			lastResort++
 		}
--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -123,7 +123,7 @@
 func (r *row) isIdle(now time.Duration) bool {
 	return r.IsEngine() && r.running == 0 && r.prefillTokens == 0 && r.unanswered == 0 && now >= r.busyUntil && r.rate(now) == 0 &&
 		!r.lastResort(now) && !r.recovering && now >= r.limitedUntil && r.usage.requests == 0 && now >= r.announcedUntil &&
-		!r.noHeartbeat && !r.wrongInstance && !r.unlisted && !r.Draining && r.Loading == nil && len(r.mismatched) == 0 &&
+		!r.notResponding() && !r.wrongInstance && !r.unlisted && !r.Draining && r.Loading == nil && len(r.mismatched) == 0 &&
 		r.otherLoad.Running == 0 && r.otherLoad.Memory == 0 && r.otherLoad.Prompt == 0
 }
 
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -25,6 +25,8 @@
 	state.Backend
 	// noHeartbeat is set if the coordinators receive no heartbeats from it.
 	noHeartbeat bool
+	// listed is set if the leader lists it as unresponsive.
+	listed bool
 	// wrongInstance is set if another instance answers at its address.
 	wrongInstance bool
 	// unlisted is set if the coordinators do not list it for this router. The row remains for
@@ -32,6 +34,9 @@
 	unlisted bool
 	// departed is set once the coordinators have removed it.
 	departed bool
+	// removed is set if a view named it as departed. A view of everything may lack rows of another
+	// shard as well.
+	removed bool
 	// indexed and group are its location in the pool's index, or nil.
 	indexed *poolIndex
 	group   *idleGroup
@@ -190,7 +195,7 @@
 	}
 	for _, id := range departed {
 		if r := p.rows[id]; r != nil {
-			r.departed = true
+			r.departed, r.removed = true, true
 			p.index.remove(r)
 			delete(p.rows, id)
 		}
@@ -236,14 +241,25 @@
 func (p *Pool) ApplyNotes(notes coordapi.Notes) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before := p.notes.Silent
+	before := p.notes
 	p.notes = notes
 	p.cancelExpired(notes.Expired)
-	for _, id := range before {
+	for _, id := range before.Silent {
 		if r := p.rows[id]; r != nil {
 			r.noHeartbeat = false
 		}
 	}
+	for _, id := range before.Unresponsive {
+		if r := p.rows[id]; r != nil {
+			r.listed = false
+		}
+	}
+	for _, id := range notes.Unresponsive {
+		if r := p.rows[id]; r != nil {
+			p.index.activate(r)
+			r.listed = true
+		}
+	}
 	for _, id := range notes.Silent {
 		if r := p.rows[id]; r != nil {
 			p.index.activate(r)
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -110,10 +110,10 @@
 	var best *candidate
 	var bestPreference int
 	var bestCost float64
-	alive := slices.ContainsFunc(candidates, func(c candidate) bool { return !c.noHeartbeat })
+	alive := slices.ContainsFunc(candidates, func(c candidate) bool { return !c.notResponding() })
 	for i := range candidates {
 		c := &candidates[i]
-		if alive && c.noHeartbeat {
+		if alive && c.notResponding() {
 			// It would get all requests for which the others have no room.
 			continue
 		}
@@ -194,7 +194,7 @@
 		return out
 	}
 	for _, r := range p.rows {
-		if r.Pool != pool || r.Draining || r.wrongInstance || r.unlisted || r.noHeartbeat || r.Loading != nil {
+		if r.Pool != pool || r.Draining || r.wrongInstance || r.unlisted || r.notResponding() || r.Loading != nil {
 			continue
 		}
 		out.Requests += r.usage.requests
--- a/internal/backends/unresponsive.go
+++ b/internal/backends/unresponsive.go
@@ -1,8 +1,10 @@
 package backends
 
 import (
+	"slices"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -53,3 +55,31 @@
 	}
 	return n
 }
+
+// notResponding reports whether the leader takes an engine for one that does not respond: its
+// heartbeats are overdue, or its running streams have stopped.
+func (r *row) notResponding() bool { return r.noHeartbeat || r.listed }
+
+// EngineState returns what the leader's list of unresponsive engines depends on. Known is false if
+// the back end has no row or is no engine.
+func (p *Pool) EngineState(id string) (state liveness.Engine, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[id]
+	if r == nil || !r.IsEngine() {
+		return state, false
+	}
+	return liveness.Engine{Streams: max(r.running-r.unanswered, 0), Silent: r.noHeartbeat}, true
+}
+
+// EngineStatus returns whether the leader lists the attempt's engine as unresponsive, and whether
+// nothing more can arrive from it: its row was removed, or it is listed and its heartbeats are
+// overdue.
+func (a *Attempt) EngineStatus() (listed, lost bool) {
+	p := a.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed = slices.Contains(p.notes.Unresponsive, a.backendID)
+	removed := a.row != nil && a.row.removed && p.rows[a.backendID] == nil
+	return listed, removed || (listed && slices.Contains(p.notes.Silent, a.backendID))
+}
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -157,6 +157,9 @@
 	Preferred map[string]int `json:"preferred,omitempty"`
 	// Silent are the back ends whose heartbeats are overdue.
 	Silent []string `json:"silent,omitempty"`
+	// Unresponsive are the engines whose running streams have stopped according to all routers, at
+	// most liveness.MaxListed.
+	Unresponsive []string `json:"unresponsive,omitempty"`
 	// Limited are the back ends that limit their total request rate. Sending a request to one of
 	// them requires a permit.
 	Limited []BackendID `json:"limited,omitempty"`
--- a/internal/coordapi/fuzz_test.go
+++ b/internal/coordapi/fuzz_test.go
@@ -8,7 +8,7 @@
 // Checks that any input that decodes as a message can be encoded again.
 func FuzzMessages(f *testing.F) {
 	for _, seed := range []string{`{"watch":{"router":"r","wait":1}}`, `{"place":{"router":"r","number":1,"pool":"p","limits":[{"id":"a","limited":true,"rate":1e308}]}}`,
-		`{"claim":{"backend":"b"}}`, `{"await":{"router":"r","session":7}}`, `{"awaited":{"session":7,"sequence":-1,"outcomes":[{"n":1}]}}`, `{"view":{"revision":1,"backends":[{"id":"a"}],"limited":["a"]}}`, `{"tell":{"spent":[{"t":"a","a":-1}]}}`, `{"placed":{"right":-1}}`, `[`, `{"watch":3}`} {
+		`{"claim":{"backend":"b"}}`, `{"await":{"router":"r","session":7}}`, `{"awaited":{"session":7,"sequence":-1,"outcomes":[{"n":1}]}}`, `{"view":{"revision":1,"backends":[{"id":"a"}],"limited":["a"]}}`, `{"tell":{"stalls":[{"id":"a","n":-1,"o":9,"a":-1}]}}`, `{"view":{"unresponsive":["a"]}}`, `{"tell":{"spent":[{"t":"a","a":-1}]}}`, `{"placed":{"right":-1}}`, `[`, `{"watch":3}`} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/quota"
 )
@@ -139,12 +140,15 @@
 	// suspects that got one.
 	FailedAttempts []poison.FailedAttempt `json:"endings,omitempty"`
 	Answered       []poison.Digest        `json:"answered,omitempty"`
+	// Stalls are about engines with overdue streams. They are set in an Update only, whose Stalls
+	// replace those of the router's last one.
+	Stalls []liveness.Stall `json:"stalls,omitempty"`
 }
 
 // Empty reports whether there is nothing to report.
 func (r *Reports) Empty() bool {
 	return len(r.Begun) == 0 && len(r.Ended) == 0 && len(r.Troubles) == 0 && len(r.Spent) == 0 && len(r.Limits) == 0 && len(r.Unused) == 0 &&
-		len(r.FailedAttempts) == 0 && len(r.Answered) == 0
+		len(r.FailedAttempts) == 0 && len(r.Answered) == 0 && len(r.Stalls) == 0
 }
 
 // Begun reports that a placement's first event has arrived.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -91,6 +91,7 @@
 	case r.Update != nil:
 		s.recordReports(s.now(), r.Update.Router, &r.Update.Reports)
 		s.placer.ApplyReports(s.now(), r.Update.Router, &r.Update.Reports)
+		s.placer.ApplyStalls(s.now(), r.Update.Router, r.Update.Stalls)
 		return s.runAsLeader(ctx, func(now time.Duration) {
 			s.soft.routerReports.record(now, r.Update)
 			s.soft.fairShares.allocator.Report(now, r.Update.Demands)
@@ -364,7 +365,7 @@
 	}
 	if v.Leader != w.Leader {
 		v.Notes = s.rollout.notes
-		v.Silent = s.soft.silentOf(d, shard)
+		v.Silent, v.Unresponsive = s.soft.silentAndUnresponsive(d, shard)
 		v.Limited = s.soft.limitedOf(d, shard)
 		v.Suspects = s.blocker.suspects
 	}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -78,6 +78,7 @@
 		gauge("configuration_version", s.core.Machine().Deployment().Version)
 		gauge("backends", len(s.core.Machine().Deployment().Backends))
 		gauge("backends_silent", len(s.soft.silent))
+		gauge("engines_unresponsive", len(s.soft.unresponsive))
 		gauge("backends_limited", len(s.soft.limited))
 		gauge("routers", s.soft.watchers())
 		for _, part := range s.soft.fairShares.allocator.TenantParts() {
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -69,6 +69,9 @@
 	// backendLimits at that time.
 	limited        []coordapi.BackendID
 	limitedChanges int
+	// unresponsive are the engines whose running streams have stopped, sorted, as of streamsCheckedAt.
+	unresponsive     []string
+	streamsCheckedAt time.Duration
 	// limitedShards and silentShards are the parts of limited and silent by shard.
 	limitedShards shardLists[coordapi.BackendID]
 	silentShards  shardLists[string]
@@ -341,6 +344,7 @@
 	s.checkSilence(now, d)
 	s.updateLimited(now)
 	defer s.updatePlacer(d)
+	s.updateUnresponsive(now)
 	if s.rollout.updateNotes(now, s.settings, d, s.soft.since) {
 		s.soft.changes++
 		s.notify.wake()
@@ -392,7 +396,7 @@
 	}
 	if token := s.soft.token(); token != s.soft.placerNotes {
 		notes := s.rollout.notes
-		notes.Silent = s.soft.silent
+		notes.Silent, notes.Unresponsive = s.soft.silent, s.soft.unresponsive
 		s.placer.ApplyNotes(notes)
 		s.soft.placerNotes = token
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -16,6 +16,7 @@
 	"quinceridge.example/quinceridge/internal/admission"
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/speed"
@@ -36,6 +37,8 @@
 	// limits counts the requests admitted to engines with a limit; it may be nil.
 	limits  *ratelimit.Limiter
 	routers map[string]*router
+	// streams finds the engines whose running streams have stopped.
+	streams liveness.Detector
 	parts   *directory
 	// baseDelay is the excess of the wait over the expected one
 	// for requests that fetch nothing from a store.
@@ -99,6 +102,7 @@
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
 	p.queues, p.versions, p.settlements = map[string]*poolQueue{}, map[poolModel]int{}, nil
 	p.start, p.refusedAt = start{}, 0
+	p.streams = liveness.Detector{}
 	p.parts, p.baseDelay = newDirectory(), speed.DelayEstimator{}
 }
 
@@ -246,11 +250,29 @@
 	p.applyReports(now, name, reports)
 }
 
+// ApplyStalls replaces what a router last reported on its streams.
+func (p *Placer) ApplyStalls(now time.Duration, name string, stalls []liveness.Stall) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams.Report(now, name, stalls)
+}
+
+// CheckStreams updates the list of engines whose running streams have stopped and returns it with its
+// changes. The list must not be modified.
+func (p *Placer) CheckStreams(now time.Duration) (listed []string, changes []liveness.Change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changes = p.streams.Check(now, p.pool.EngineState)
+	return p.streams.Listed(), changes
+}
+
 func (p *Placer) applyReports(now time.Duration, name string, reports *coordapi.Reports) *router {
 	r := p.router(now, name)
 	for _, b := range reports.Begun {
 		if a := r.open[b.Number]; a != nil && b.First > 0 && b.First <= maxFirstEventWait {
 			p.observeDelay(now, a, a.FirstEventReported(now, b.First))
+			engine, at := a.FirstEventAt(now, b.First)
+			p.streams.Event(at, engine)
 		}
 	}
 	for _, number := range reports.Ended {
