Routers: overdue requests leave unresponsive engines

A stream was held at an engine that had stopped responding until four pauses, at least 2 s, had passed, and a request that may run only once until its time-out. At an engine that the leader lists, an overdue stream or request that may be resumed or repeated now goes to another engine, within the retry budget. A request that may run only once ends when it is overdue and nothing more can arrive: the row of its engine was removed, or the engine is listed and its heartbeats are overdue. The answer is 502, or an aborted stream. The list counts only while the router holds its lease. The two watchdogs of an attempt spend one retry together.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/forward"
 	"quinceridge.example/quinceridge/internal/level"
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/periodic"
@@ -66,15 +67,15 @@
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool := backends.NewPool(config.Zone)
 	saved, tenants, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
-	limits, fairShares := ratelimit.New(headers, logger), fairshare.NewGate()
+	limits, fairShares, streams := ratelimit.New(headers, logger), fairshare.NewGate(), liveness.NewStreams()
 	pool.SetPushbacks(pushbacks)
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Lease: config.ServingLease(),
-		Decode: decode, Pool: pool, Saved: saved, Quota: tenants, FairShares: fairShares, Pushbacks: pushbacks, Limits: limits, Peers: e.peers, Logger: logger})
+		Decode: decode, Pool: pool, Saved: saved, Quota: tenants, FairShares: fairShares, Streams: streams, Pushbacks: pushbacks, Limits: limits, Peers: e.peers, Logger: logger})
 	buffers := memory.NewBudget(int64(config.MemoryLimit) << 20 / memoryDivisor)
 	connections := upstream.NewPool(headers.RequestID, pushbacks, limits)
 	connections.SetMemory(buffers)
 	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Queue: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
-		FairShares: fairShares, Upstream: connections, Memory: buffers, Pushbacks: pushbacks, Limits: limits, Logger: logger,
+		FairShares: fairShares, Streams: streams, Upstream: connections, Memory: buffers, Pushbacks: pushbacks, Limits: limits, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
@@ -103,6 +104,7 @@
 	e.group.Go(func() { e.follower.Run(ctx) })
 	e.group.Go(func() { e.follower.Update(ctx) })
 	e.group.Go(func() { periodic.Run(ctx, overdueInterval, e.handler.CancelOverdue) })
+	e.group.Go(func() { periodic.Run(ctx, forward.StreamCheckInterval, e.handler.CheckStreams) })
 	unchanged := func(l net.Listener) net.Listener { return l }
 	if err := e.listen(e.readiness, e.settings.Readiness, unchanged); err != nil {
 		return err
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/fairshare"
 	"quinceridge.example/quinceridge/internal/level"
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
@@ -168,6 +169,8 @@
 	Quota Quota
 	// FairShares may be nil.
 	FairShares FairShares
+	// Streams tracks the requests at engines; nil for none.
+	Streams *liveness.Streams
 	// Pushbacks holds the pushback of back ends; nil for none.
 	Pushbacks *pushback.Registry
 	// Limits holds the limits of back ends; nil for none.
@@ -341,6 +344,7 @@
 	}
 	if v.Leader != f.token {
 		f.config.Pool.ApplyNotes(v.Notes)
+		f.config.Streams.SetListed(f.clock(), v.Unresponsive)
 		f.config.Limits.Announced(v.Limited)
 		f.evidence.follow(v.Leader, v.Suspects)
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
@@ -37,6 +38,8 @@
 	reply   coordapi.Reply
 	updates int
 	address string
+	// stalls are those of all updates.
+	stalls []liveness.Stall
 	// placeRequests are the placements requested.
 	placeRequests []coordapi.Place
 }
@@ -58,6 +61,7 @@
 		var request coordapi.Request
 		if json.Unmarshal(body, &request) == nil && request.Update != nil {
 			s.updates++
+			s.stalls = append(s.stalls, request.Update.Stalls...)
 		}
 		if request.Place != nil {
 			s.placeRequests = append(s.placeRequests, *request.Place)
--- a/internal/follower/report.go
+++ b/internal/follower/report.go
@@ -33,6 +33,7 @@
 			return
 		case <-time.After(updatePeriod(f.Routers())):
 		case <-f.evidence.updateNow:
+		case <-f.config.Streams.Urgent():
 		}
 		leader := f.following.Load()
 		if leader == nil {
@@ -40,6 +41,7 @@
 		}
 		update := &coordapi.Update{Router: f.name, Saved: f.config.Saved.TakeNew(), Loads: f.config.Pool.OwnLoads(), Refused: f.config.Pool.Refused(),
 			Reports: f.pendingReports()}
+		update.Stalls = f.config.Streams.Stalls(f.clock())
 		if f.config.FairShares != nil {
 			update.Demands = f.config.FairShares.Demands(f.clock())
 		}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -173,6 +173,8 @@
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
 	defer func() { running.End(h.now()) }()
+	s.tracked = h.trackStream(ctx, j, choice, running, cancel)
+	defer s.tracked.End()
 	if j.pool.Engine != nil && j.endShare == nil {
 		j.endShare = h.shares.begin(j.pool.Name)
 	}
@@ -191,6 +193,7 @@
 	}
 	defer response.Close()
 	silence.stop()
+	h.recordBegun(s, response.StatusCode)
 	if choice.Placement > 0 && response.StatusCode == http.StatusOK {
 		h.config.Placer.Begun(choice.Placement, h.now()-started)
 	}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -63,7 +63,7 @@
 		h.config.Observer.RecordFailure(poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started, Down: true})
 	case context.Cause(ctx) == nil:
 		h.probes.add(choice, poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started}, h.probeBackend)
-	case now-max(started, s.lastAt) >= minSilence:
+	case now-max(started, s.lastAt) >= minSilence || isUnresponsive(context.Cause(ctx)):
 		h.config.Observer.RecordFailure(poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started, Silent: true})
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/fairshare"
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/poison"
@@ -128,8 +130,10 @@
 	Quota *quota.Gate
 	// FairShares admits requests to plain back ends; nil admits all.
 	FairShares *fairshare.Gate
-	Budget     BudgetConfig
-	Logger     *slog.Logger
+	// Streams tracks the requests at engines; nil for none.
+	Streams *liveness.Streams
+	Budget  BudgetConfig
+	Logger  *slog.Logger
 }
 
 // Handler is the HTTP handler of a router for client requests.
@@ -221,8 +225,10 @@
 	standalone bool
 	// endShare ends the request's part of what the router runs at the pool; nil if it has none.
 	endShare func()
-	// retryGranted is set if the budget has granted the next attempt.
+	// retryGranted is set if the budget has granted the next attempt. retryMu is held while the
+	// budget is asked, so that two watchdogs spend one retry.
 	retryGranted atomic.Bool
+	retryMu      sync.Mutex
 	// viewRevision and viewAge describe the view by which the back end was chosen.
 	viewRevision uint64
 	viewAge      time.Duration
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -34,6 +34,10 @@
 	stalledClients atomic.Uint64
 	// unreadBodies counts attempts given up because their back end did not read the request.
 	unreadBodies atomic.Uint64
+	// resumedUnresponsive counts attempts given up for another one because their engine was
+	// unresponsive, and endedUnresponsive requests that ended because nothing more could arrive.
+	resumedUnresponsive atomic.Uint64
+	endedUnresponsive   atomic.Uint64
 	// failedAttempts counts attempts that ended without a complete response because of their
 	// back end.
 	failedAttempts atomic.Uint64
@@ -102,6 +106,8 @@
 	fmt.Fprintf(w, "quinceridge_refused_memory_total %d\n", m.refusedMemory.Load())
 	fmt.Fprintf(w, "quinceridge_stalled_clients_total %d\n", m.stalledClients.Load())
 	fmt.Fprintf(w, "quinceridge_unread_bodies_total %d\n", m.unreadBodies.Load())
+	fmt.Fprintf(w, "quinceridge_streams_resumed_unresponsive_total %d\n", m.resumedUnresponsive.Load())
+	fmt.Fprintf(w, "quinceridge_ended_unresponsive_total %d\n", m.endedUnresponsive.Load())
 	fmt.Fprintf(w, "quinceridge_buffer_bytes %d\n", h.config.Memory.Used())
 	fmt.Fprintf(w, "quinceridge_buffer_limit_bytes %d\n", h.config.Memory.Limit())
 	fmt.Fprintf(w, "quinceridge_attempts_broken_total %d\n", m.failedAttempts.Load())
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -47,6 +48,8 @@
 	longestGap time.Duration
 	// stall cancels the attempt at a stalled stream that can be resumed elsewhere.
 	stall *watchdog
+	// tracked is the running attempt at an engine; nil for none.
+	tracked *liveness.Stream
 }
 
 // bufferedResponse is a complete response of a back end.
@@ -247,7 +250,9 @@
 			err = errTruncatedEvent
 		}
 		if err == nil {
+			s.tracked.Event(s.handler.clock())
 			err = s.writeEvent(response, event, !eventBuffered(reader))
+			s.tracked.Forwarded(s.handler.clock())
 		}
 		if err != nil {
 			return outcome{verdict: mayHaveRun, err: err, delivered: true}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -32,15 +32,25 @@
 // retry, which it spends at once. Without a retry the attempt goes on.
 func (h *Handler) cancelForRetry(ctx context.Context, j *job, cancel context.CancelCauseFunc) func() bool {
 	return func() bool {
-		if !h.budget.AllowRetry(ctx, h.now(), j.pool.Name, h.config.Source.Routers()) {
+		if !h.grantRetry(ctx, j) {
 			return false
 		}
-		j.retryGranted.Store(true)
 		cancel(errSilent)
 		return true
 	}
 }
 
+// grantRetry reports whether the budget allows a retry. It spends one unless one has been granted
+// and not used.
+func (h *Handler) grantRetry(ctx context.Context, j *job) bool {
+	j.retryMu.Lock()
+	defer j.retryMu.Unlock()
+	if !j.retryGranted.Load() && h.budget.AllowRetry(ctx, h.now(), j.pool.Name, h.config.Source.Routers()) {
+		j.retryGranted.Store(true)
+	}
+	return j.retryGranted.Load()
+}
+
 // watchdog calls onTimeout unless it is stopped or extended in time. A nil watchdog does
 // nothing.
 type watchdog struct {
