--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,11 +109,11 @@
 	var bestCost float64
 	alive := false
 	for i := 0; i < len(candidates) && !alive; i++ {
-		alive = !candidates[i].noHeartbeat
+		alive = !candidates[i].notResponding()
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if alive && c.noHeartbeat {
+		if alive && c.notResponding() {
 			// It would get all requests for which the others have no room.
 			continue
 		}
@@ -256,7 +257,7 @@
 		return out
 	}
 	for _, r := range p.rows {
-		if r.Pool != pool || r.Draining || r.wrongInstance || r.unlisted || r.noHeartbeat || r.Loading != nil {
+		if r.Pool != pool || r.Draining || r.wrongInstance || r.unlisted || r.notResponding() || r.Loading != nil {
 			continue
 		}
 		out.Requests += r.usage.requests + r.inherited.requests
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -101,6 +101,7 @@
 		s.recordReports(s.now(), r.Update.Router, &r.Update.Reports)
 		s.placer.ApplyReports(s.now(), r.Update.Router, &r.Update.Reports)
 		s.placer.ApplyLoads(s.now(), r.Update.Router, r.Update.Loads)
+		s.placer.ApplyStalls(s.now(), r.Update.Router, r.Update.Stalls)
 		return s.runAsLeader(ctx, func(now time.Duration) {
 			s.soft.routerReports.record(now, r.Update)
 			s.soft.fairShares.allocator.Report(now, r.Update.Demands)
@@ -400,7 +401,7 @@
 	}
 	if v.Leader != w.Leader {
 		v.Notes = s.rollout.notes
-		v.Silent = s.soft.silentOf(d, shard)
+		v.Silent, v.Unresponsive = s.soft.silentAndUnresponsive(d, shard)
 		v.Limited = s.soft.limitedOf(d, shard)
 		v.Suspects = s.blocker.suspects
 	}
