Coordinators: a configuration that is not above the one in force is acknowledged again

Operators' clients repeat changes and an older one may arrive late; the interface acknowledges them and changes nothing.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/fairshare"
@@ -22,10 +21,6 @@
 	KindCall = "call"
 )
 
-// ErrVersionConflict means that a configuration was refused because another one of its version is in
-// force.
-var ErrVersionConflict = errors.New("a configuration of this version with other content is in force")
-
 // Consensus is a Raft message with the peer address of its sender, to which a node that has just
 // joined replies.
 type Consensus struct {
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -34,9 +34,8 @@
 //	GET  /v1/limits                   coordapi.LimitsInForce of the leader
 //	DELETE /v1/blocked/{digest}       unblocks a request
 //
-// Status 200 means that the change is in force, 400 that it is invalid, 409 that a configuration of its
-// version with other content is in force, and 503 that the outcome is unknown and the call may be
-// repeated.
+// Status 200 means that the change is in force, 400 that it is invalid, and 503 that the outcome
+// is unknown and the call may be repeated.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/configuration", s.putConfiguration)
@@ -143,10 +142,7 @@
 }
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, request coordapi.Request) {
-	switch _, err := s.Call(r.Context(), request); {
-	case errors.Is(err, coordapi.ErrVersionConflict):
-		http.Error(w, err.Error(), http.StatusConflict)
-	case err != nil:
+	if _, err := s.Call(r.Context(), request); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
 }
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -25,10 +25,11 @@
 	// Queueing adds the queue of requests that wait for an engine, the capacity of the engines of
 	// each pool, and the demand and shares of pools of plain back ends.
 	Queueing Level = 5
-	// TenantLevels adds the recorded levels of the limits of tenants.
-	TenantLevels Level = 6
+	// Streams adds reports of overdue streams and the list of unresponsive engines, the state of the
+	// engine that holds a prompt's parts, and the recorded levels of the limits of tenants.
+	Streams Level = 6
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = TenantLevels
+const Current = Streams
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -168,8 +168,8 @@
 // The results of commands.
 const (
 	CodeOK Code = "ok"
-	// CodeConflict means that another bundle is pending, that the bundle does not follow the head,
-	// or that a configuration of the same version with other content is in force.
+	// CodeConflict means that another bundle is pending, or that the bundle does not follow
+	// the head.
 	CodeConflict Code = "conflict"
 	// CodeRefused means that the command is not valid or not allowed in the current state.
 	CodeRefused Code = "refused"
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -1,9 +1,7 @@
 package state
 
 import (
-	"bytes"
 	"encoding/json"
-	"reflect"
 	"sort"
 )
 
@@ -13,7 +11,7 @@
 const minRetainedDepartures = 1024
 
 // Configure puts a configuration in force if its version is higher than that of the
-// configuration in force. One of the same version with other content is a conflict.
+// configuration in force.
 type Configure struct {
 	Version uint64 `json:"version"`
 	// Document is the configuration as the operator sent it.
@@ -153,36 +151,12 @@
 
 func (m *Machine) configure(index uint64, c *Configure) Result {
 	d := &m.data.Deployment
-	switch {
-	case c.Version > d.Version:
+	if c.Version > d.Version {
 		d.Version, d.Document, d.ConfigurationRevision = c.Version, c.Document, index
-	case c.Version == d.Version && !sameContent(c.Document, d.Document):
-		return Result{Code: CodeConflict, Version: d.Version}
 	}
 	return Result{Code: CodeOK, Version: d.Version}
 }
 
-// sameContent reports whether two JSON texts differ at most in white space and the order of fields.
-func sameContent(a, b json.RawMessage) bool {
-	if bytes.Equal(a, b) {
-		return true
-	}
-	first, err := decodeExactly(a)
-	if err != nil {
-		return false
-	}
-	second, err := decodeExactly(b)
-	return err == nil && reflect.DeepEqual(first, second)
-}
-
-// decodeExactly decodes a JSON text without rounding its numbers.
-func decodeExactly(text json.RawMessage) (value any, err error) {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.UseNumber()
-	err = decoder.Decode(&value)
-	return value, err
-}
-
 func (m *Machine) nameWeights(index uint64, n *NameWeights) Result {
 	d := &m.data.Deployment
 	for _, w := range d.Weights {
