Forward: the test of late later attempts counts calls without a race

The race detector reported the counter in TestLaterAttemptThatIsLateEndsWithEarlierAnswer: the stream that is cut ends at the caller before the handler does.

--- a/internal/forward/queueing_test.go
+++ b/internal/forward/queueing_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,16 +107,16 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r, choice := newQueueRig(t, c.serve)
-			late, calls := choice, 0
+			late, calls := choice, atomic.Int32{}
 			late.Late, late.Wait = true, time.Second
 			r.handler.config.Placer = &queueingPlacer{place: func(context.Context) (backends.Choice, bool, bool) {
-				if calls++; calls == 1 {
+				if calls.Add(1) == 1 {
 					return choice, true, true
 				}
 				return late, true, true
 			}}
 			response := r.ask("POST", "/resumable/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
-			assert.Equal(t, calls, 2)
+			assert.Equal(t, calls.Load(), int32(2))
 			assert.Equal(t, r.ran("e"), 1)
 			assert.Equal(t, response.status, c.status)
 			assert.Equal(t, response.err != nil, c.status == http.StatusOK, "a stream that was cut must not look complete")
