Placer: saves and fetches go on while requests wait

What is not saved in a surge is processed again by every engine with new weights in the same surge. So they are worth their room, and the rule and its tests are taken back.

--- a/internal/backends/prefill.go
+++ b/internal/backends/prefill.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/speed"
 )
 
@@ -18,25 +17,6 @@
 	return max(r.prefillTokens-r.prefillRate(rate).Tokens(max(elapsed, 0)), 0)
 }
 
-// PrefillTime returns the time that the chosen engine takes to process those of the given parts that
-// it lacks. It may have evicted parts that it is assumed to hold: if it lacks none, the time is that
-// for all of them.
-func (p *Pool) PrefillTime(now time.Duration, q *Query, choice *Choice, parts []coordapi.Part) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	tokens := 0
-	for _, part := range parts {
-		tokens += part.Tokens
-	}
-	r := p.rows[choice.ID]
-	if r != nil {
-		if missing := r.usage.missing(now, parts, choice.Version); missing > 0 {
-			tokens = missing
-		}
-	}
-	return r.prefillRate(entry(p.prefill, q.Pool).Rate()).Wait(tokens)
-}
-
 // Rate is the prefill rate of the engines of a pool. RelativeError is its standard error as a
 // fraction of the rate.
 type Rate struct {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -43,10 +43,7 @@
 	// baseDelay is the excess of the wait over the expected one
 	// for requests that fetch nothing from a store.
 	baseDelay speed.DelayEstimator
-	// peerDelay and localDelay are those for requests that fetch from another engine and for those that
-	// fetch nothing. Both are used under contention only.
-	peerDelay, localDelay speed.DelayEstimator
-	lastSweep             time.Duration
+	lastSweep time.Duration
 	// queues holds the queue of each pool whose requests may wait, and versions the weights version
 	// chosen last for each model.
 	queues   map[string]*poolQueue
@@ -65,8 +62,6 @@
 	refused map[admission.Reason]int
 	// refusedAt is when a request was last refused for lack of capacity, 0 for never.
 	refusedAt time.Duration
-	// ignoresContention is set in tests that measure what the rules under contention are good for.
-	ignoresContention bool
 }
 
 // router holds the placements of one router.
@@ -90,10 +85,8 @@
 	pool   string
 	engine string
 	memory int
-	// from is the store from which the engine fetches shared parts, or nil. fromPeer is set if it
-	// fetches them from another engine.
-	from     *store
-	fromPeer bool
+	// from is the store from which the engine fetches shared parts, or nil.
+	from *store
 }
 
 // New returns an empty placer. The limiter limits may be nil.
@@ -115,7 +108,6 @@
 	p.start, p.refusedAt = start{}, 0
 	p.streams = liveness.Detector{}
 	p.parts, p.baseDelay = newDirectory(), speed.DelayEstimator{}
-	p.peerDelay, p.localDelay = speed.DelayEstimator{}, speed.DelayEstimator{}
 }
 
 // Apply updates rows and removes departed back ends. If whole
@@ -189,8 +181,7 @@
 	if from != nil {
 		a.SetFetches()
 	}
-	r.open[ask.Number] = &placement{Attempt: a, pool: ask.Pool, engine: choice.ID, memory: choice.Work.Most, from: from,
-		fromPeer: choice.Source != "" && choice.Source != ask.Store}
+	r.open[ask.Number] = &placement{Attempt: a, pool: ask.Pool, engine: choice.ID, memory: choice.Work.Most, from: from}
 	if choice.Versioned {
 		p.versions[poolModel{ask.Pool, ask.Model}] = choice.Version
 	}
@@ -210,11 +201,9 @@
 	if ask.Store == "" || p.storeDelay(now, s) > p.pool.MaxFetchDelay(q) {
 		s = nil
 	}
-	contended := p.contendedFor(now, q)
-	source, fetches := p.source(now, ask, q, choice, s, contended)
-	save := s != nil && q.MaySave() && !(contended && p.isHeld(now, ask, choice.Version, s))
+	source, fetches := p.source(now, ask, choice, s)
 	choice.Source = source
-	choice.Save = p.parts.recordPrefill(now, ask, choice, save)
+	choice.Save = p.parts.recordPrefill(now, ask, choice, s != nil && q.MaySave())
 	if !fetches {
 		return nil
 	}
@@ -223,45 +212,29 @@
 
 // source returns the address from which the chosen engine fetches the
 // shared parts that it lacks, or "", and whether it is expected to fetch
-// some from the store. s is nil if there is no store or it is slow. Under
-// contention, the engine fetches nothing that it would process sooner.
-func (p *Placer) source(now time.Duration, ask *coordapi.Place, q *backends.Query, choice *backends.Choice, s *store, contended bool) (address string, fetches bool) {
+// some from the store. s is nil if there is no store or it is slow.
+func (p *Placer) source(now time.Duration, ask *coordapi.Place, choice *backends.Choice, s *store) (address string, fetches bool) {
 	last := ask.Parts[len(ask.Parts)-1]
 	holds := p.parts.holder(now, last.Hash, choice.Version) == choice.ID
-	isWorth := func(parts []coordapi.Part, delay *speed.DelayEstimator) bool {
-		return !contended || max(delay.At(now)-p.localDelay.At(now), 0) <= p.pool.PrefillTime(now, q, choice, parts)
-	}
-	for i, part := range slices.Backward(ask.Parts) {
-		parts := ask.Parts[:i+1]
-		if s != nil && s.holds(now, partKey{part.Hash, choice.Version}) && isWorth(parts, &s.delay) {
+	for _, part := range slices.Backward(ask.Parts) {
+		if s != nil && s.holds(now, partKey{part.Hash, choice.Version}) {
 			return ask.Store, !holds
 		}
 		holder := p.parts.holder(now, part.Hash, choice.Version)
 		if holder == choice.ID {
 			break
 		}
-		if address := p.pool.AddressOf(holder, ask.Model, choice.Version); address != "" && isWorth(parts, &p.peerDelay) {
+		if address := p.pool.AddressOf(holder, ask.Model, choice.Version); address != "" {
 			return address, false
 		}
 	}
-	if s != nil && choice.Home && isWorth(ask.Parts, &s.delay) {
+	if s != nil && choice.Home {
 		// The store may hold more than is recorded here.
 		return ask.Store, false
 	}
 	return "", false
 }
 
-// isHeld reports whether engines hold all shared parts of a request that its store lacks.
-func (p *Placer) isHeld(now time.Duration, ask *coordapi.Place, version int, s *store) bool {
-	for _, part := range ask.Parts {
-		holder := p.parts.holder(now, part.Hash, version)
-		if !s.holds(now, partKey{part.Hash, version}) && p.pool.AddressOf(holder, ask.Model, version) == "" {
-			return false
-		}
-	}
-	return true
-}
-
 // storeDelay returns how much longer requests wait if they fetch parts from the store.
 func (p *Placer) storeDelay(now time.Duration, s *store) time.Duration {
 	return max(s.delay.At(now)-p.baseDelay.At(now), 0)
@@ -274,11 +247,6 @@
 		return
 	}
 	p.baseDelay.Observe(now, excess)
-	if a.fromPeer {
-		p.peerDelay.Observe(now, excess)
-		return
-	}
-	p.localDelay.Observe(now, excess)
 }
 
 // ApplyReports applies the reports that a router sends apart from its placements.
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/admission"
-	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/quota"
 )
@@ -312,10 +311,6 @@
 func (p *Placer) Contended(now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.contended(now)
-}
-
-func (p *Placer) contended(now time.Duration) bool {
 	for _, queue := range p.queues {
 		if queue.Len() > 0 {
 			return true
@@ -324,12 +319,6 @@
 	return p.refusedAt > 0 && now-p.refusedAt < contendedTime
 }
 
-// contendedFor reports whether saves and fetches for a request are subject to the rules under
-// contention. The request itself may be the last one that waited.
-func (p *Placer) contendedFor(now time.Duration, q *backends.Query) bool {
-	return !p.ignoresContention && (q.Contended || p.contended(now))
-}
-
 // countRefusal counts a refused request.
 func (p *Placer) countRefusal(now time.Duration, reason admission.Reason) {
 	p.refused[reason]++
