--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -181,6 +181,8 @@
 const testDocument = `{"version":1,"pools":[{"name":"llm","slots":8,"capacity_tokens":100000},{"name":"app"}],
 "routes":[{"name":"chat","host":"h","prefix":"/chat/","kind":"stream","timeout":"10s","target":"1s","split":{"llm":1},"max_attempts":1},
 {"name":"check","host":"h","prefix":"/check/","kind":"stream","timeout":"10s","target":"1s","split":{"llm":1},"max_attempts":2,"resumable":true},
+{"name":"talk","host":"h","prefix":"/talk/","kind":"stream","timeout":"10s","target":"1s","gap_target":"400ms","split":{"llm":1},"max_attempts":2,"resumable":true},
+{"name":"once","host":"h","prefix":"/once/","kind":"stream","timeout":"10s","target":"1s","gap_target":"400ms","split":{"llm":1},"max_attempts":1},
 {"name":"pay","host":"h","prefix":"/pay/","kind":"unsafe","timeout":"4s","target":"500ms","split":{"app":1},"max_attempts":1},
 {"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout":"4s","target":"500ms","split":{"app":1},"max_attempts":2}],
 "tenants":[{"name":"alice","keys":["ka"]},{"name":"bob","keys":["kb"]}]}`
--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -171,10 +171,12 @@
 	return sum, overdue >= minOverdue || (overdue == 2 && max(sum.Streams, state.Streams) == 2)
 }
 
-// recovered reports whether a listed engine leaves the list: an event was reported since, or there
-// are no streams by which it could show one and its heartbeats arrive.
+// recovered reports whether a listed engine leaves the list: an event since then was reported, or
+// there are no streams by which it could show one and its heartbeats arrive. Earlier events do not
+// count: routers whose streams were not overdue yet report theirs late, when most streams have been
+// resumed elsewhere and too few are left to list the engine again.
 func (e *engineReports) recovered(now time.Duration, state Engine) bool {
-	return e.newest > e.listedAt-EventWindow || (!state.Silent && now-e.runningAt > idleTime)
+	return e.newest > e.listedAt || (!state.Silent && now-e.runningAt > idleTime)
 }
 
 // forget removes an engine. Reports that named it are ignored.
--- a/internal/liveness/detector_test.go
+++ b/internal/liveness/detector_test.go
@@ -100,6 +100,16 @@
 	assert.Equal(t, len(d.Listed()), 0)
 }
 
+// Guards against the last streams being held because a router reports late an event from before the
+// engine was listed.
+func TestEarlierEventKeepsEngineListed(t *testing.T) {
+	d, now := listEngine(t)
+	d.Report(now+20*ms, "a", nil)
+	d.Report(now+50*ms, "b", []Stall{{Engine: "e", Streams: 1, Overdue: 1, Age: 450 * ms}})
+	assert.Equal(t, len(d.Check(now+50*ms, present)), 0)
+	assert.DeepEqual(t, d.Listed(), []string{"e"})
+}
+
 // Guards against a list that keeps engines without a row.
 func TestDepartedEngineLeavesList(t *testing.T) {
 	d, now := listEngine(t)
