--- a/internal/forward/unresponsive.go
+++ b/internal/forward/unresponsive.go
@@ -97,6 +97,9 @@
 func (a *trackedAttempt) retry(stream *liveness.Stream) {
 	defer a.retrying.Store(false)
 	h := a.handler
+	if a.ctx.Err() != nil {
+		return
+	}
 	granted := h.grantRetry(a.ctx, a.job)
 	a.retryAt.Store(int64(h.now() + recheckDelay))
 	if cause := a.cause(); granted && cause != nil && stream.Overdue(h.clock()) {
