--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -254,8 +254,9 @@
 	e := &engine{host: h, id: id, born: state.UnixMilli(h.starts), end: cancel, rejected: map[string][]time.Time{}, tooEarly: map[string]int{}, limitSent: map[string]time.Time{}}
 	h.current = e
 	h.stop = cancel
-	h.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
-	go func() { _ = h.server.Serve(listener) }()
+	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
+	h.server = server
+	go func() { _ = server.Serve(listener) }()
 	go e.heartbeat(ctx)
 }
 
