Coordinators: back ends heard by digest are not silent, and a silent pool keeps its shares

A run with the shares, the demand and the queue at the back ends by time showed announcements without any slots for 270 ms in every 1.5 s: all four back ends counted as silent, no share was announced, and routers admitted 100 requests a second to a pool that runs 40, so that the queue never ended. The back ends send every 100 ms, each time to the next of three coordinators. Two of these answer for themselves and bring heartbeats to the leader every 250 ms, which is the whole time after which a back end was silent.

A back end is now silent after 2.5 heartbeats, but not before one heartbeat and two digests. Nothing changes for intervals from 334 ms. A pool whose back ends are all silent keeps their slots as capacity, since routers still send to them.

TestBackendsHeardByDigestAreNotSilent and TestSilentBackendsCountOnlyInPoolsWithoutOthers fail without the changes.

--- a/internal/coordinator/digest_test.go
+++ b/internal/coordinator/digest_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // lastSequence returns the sequence of the last heartbeat of a back end that a node recorded.
@@ -56,3 +57,35 @@
 	assert.Assert(t, d.mayAnswer(time.Second+digestValidity/2))
 	assert.Assert(t, !d.mayAnswer(time.Second+digestValidity))
 }
+
+// Guards against back ends that count as silent although their heartbeats arrive in time at a node
+// that brings them to the leader with its digests only, also if one digest is late.
+func TestBackendsHeardByDigestAreNotSilent(t *testing.T) {
+	rows := map[string]state.Backend{"x": {ID: "x", Address: "a:1"}}
+	for _, interval := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 300 * time.Millisecond, time.Second, 3 * time.Second} {
+		var soft softState
+		soft.reset(0)
+		const step = 5 * time.Millisecond
+		received, digests := coordapi.Sequence(0), 0
+		for now := time.Duration(0); now < 30*time.Second; now += step {
+			if now%interval == 0 {
+				received++
+			}
+			if now%digestInterval == 0 {
+				digests++
+				if digests%8 != 0 {
+					soft.heartbeat(now, "x", received)
+				}
+			}
+			soft.checkAll(now, interval, rows)
+			assert.Equal(t, len(soft.silent), 0, "interval %s: silent at %s", interval, now)
+		}
+	}
+}
+
+// Guards against a longer wait than 2.5 heartbeats where these take longer than digests.
+func TestSilentLimitFollowsHeartbeats(t *testing.T) {
+	for _, interval := range []time.Duration{400 * time.Millisecond, time.Second, time.Minute} {
+		assert.Equal(t, silentLimit(interval), 5*interval/2)
+	}
+}
--- a/internal/coordinator/fairshares.go
+++ b/internal/coordinator/fairshares.go
@@ -35,17 +35,28 @@
 	}
 }
 
-// plainUses returns the use of the plain back ends that serve, by pool.
+// plainUses returns the use of the plain back ends that serve, by pool. Silent back ends count only in
+// pools without others, since routers still choose them there: without slots, the shares of such a
+// pool would end and all of its demand would be admitted.
 func (s *Server) plainUses(d *state.Deployment) map[string]fairshare.Use {
-	uses := map[string]fairshare.Use{}
+	uses, silent := map[string]fairshare.Use{}, map[string]fairshare.Use{}
 	for id, b := range d.Backends {
-		if b.IsEngine() || b.Draining || s.soft.isSilent(id) {
+		if b.IsEngine() || b.Draining {
 			continue
 		}
-		use := uses[b.Pool]
+		of := uses
+		if s.soft.isSilent(id) {
+			of = silent
+		}
+		use := of[b.Pool]
 		use.Slots += b.Slots
 		use.Running += s.soft.routerReports.totals[id].Running
-		uses[b.Pool] = use
+		of[b.Pool] = use
+	}
+	for pool, use := range silent {
+		if _, others := uses[pool]; !others {
+			uses[pool] = use
+		}
 	}
 	return uses
 }
--- a/internal/coordinator/fairshares_test.go
+++ b/internal/coordinator/fairshares_test.go
@@ -60,3 +60,17 @@
 	await(60, limited)
 	assert.Assert(t, time.Since(begun) > 900*time.Millisecond)
 }
+
+// Guards against shares that end because all back ends of a pool are silent for a moment, while
+// routers still send to them, and against silent back ends that count as capacity beside others.
+func TestSilentBackendsCountOnlyInPoolsWithoutOthers(t *testing.T) {
+	var s Server
+	s.soft.reset(0)
+	s.soft.routerReports.record(0, &coordapi.Update{Router: "r", Loads: []coordapi.Load{
+		{ID: "silent", Running: 3}, {ID: "heard", Running: 2}, {ID: "alone", Running: 5}}})
+	s.soft.setSilent([]string{"alone", "silent"})
+	d := &state.Deployment{Backends: map[string]state.Backend{
+		"silent": {ID: "silent", Pool: "mixed", Slots: 6}, "heard": {ID: "heard", Pool: "mixed", Slots: 4},
+		"alone": {ID: "alone", Pool: "silent", Slots: 8}, "drains": {ID: "drains", Pool: "silent", Slots: 8, Draining: true}}}
+	assert.DeepEqual(t, s.plainUses(d), map[string]fairshare.Use{"mixed": {Slots: 4, Running: 2}, "silent": {Slots: 8, Running: 5}})
+}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -148,9 +148,11 @@
 }
 
 // silentLimit returns how long a back end with the given heartbeat interval may be without a
-// heartbeat.
+// heartbeat. The leader receives the heartbeats that other nodes answer only with their digests, of
+// which one may be late. With short intervals the bound by heartbeats alone is less than the time
+// between two digests, and back ends that send their heartbeats in time would be silent.
 func silentLimit(interval time.Duration) time.Duration {
-	return time.Duration(silentIntervals * float64(interval))
+	return max(time.Duration(silentIntervals*float64(interval)), interval+2*digestInterval)
 }
 
 // checkAll finds the back ends that are silent or superseded at their address, and returns those
