Forward: a request denied by limited back ends takes one without a limit

TestExpiredPermitCostsNoAttempt failed in 9 of 180 runs with -race and no other load: of 20 concurrent requests one was answered 503, "all back ends are at their limits", while a back end without a limit was free. A choice asks at most four limited back ends for a permit. Concurrent requests choose the same ones before the first denial is known, and with five limited back ends all four may deny. The router then refused the request. It now chooses once more, among the back ends without a limit.

TestDeniedRequestTakesBackendWithoutLimit fails without the change.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -69,6 +69,9 @@
 	Draw float64
 	// Tried lists back ends that must not be chosen again.
 	Tried []string
+	// Excluded reports back ends that must not be chosen although they were not tried; nil excludes
+	// none. A choice with it examines all back ends one by one.
+	Excluded func(id string) bool
 	// Request is the digest of the request; 0 means none.
 	Request poison.Digest
 	// Tenant and Amount are charged to the tenant's limit. Tenant is empty if there is no limit or
@@ -250,7 +253,7 @@
 
 // usesIndex reports whether the index serves a choice. It does not for pools without engines, whose
 // choice depends on more than the index groups by.
-func (p *Pool) usesIndex(q *Query) bool { return p.index != nil && q.Slots > 0 }
+func (p *Pool) usesIndex(q *Query) bool { return p.index != nil && q.Slots > 0 && q.Excluded == nil }
 
 // examined returns the back ends that a choice examines one by one.
 func (p *Pool) examined(now time.Duration, q *Query) iter.Seq[*row] {
@@ -271,7 +274,7 @@
 		if r.Pool != q.Pool || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) {
 			continue
 		}
-		if p.pushbackState(r.ID).Unavailable() || (now < r.limitedUntil && !q.IncludeLimited) {
+		if p.pushbackState(r.ID).Unavailable() || (now < r.limitedUntil && !q.IncludeLimited) || (q.Excluded != nil && q.Excluded(r.ID)) {
 			continue
 		}
 		c := candidate{row: r, ahead: p.remainingPrefill(now, r, rate) + r.otherLoad.Prompt,
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -96,7 +96,8 @@
 }
 
 // maxClaims bounds the limited back ends at which one choice asks for a permit. A back end
-// without a permit is left out of the choices for all requests until it has one.
+// without a permit is left out of the choices for all requests until it has one. Concurrent
+// requests may all be denied by as many back ends; they then take one without a limit.
 const maxClaims = 4
 
 // chooseLocally chooses among the back ends that this router has listed, and asks the leader
@@ -105,7 +106,7 @@
 	tried := len(j.query.Tried)
 	defer func() {
 		// Back ends whose next slot is reserved for others are left out of this choice only.
-		j.query.Tried, j.query.IncludeLimited = j.query.Tried[:tried], false
+		j.query.Tried, j.query.IncludeLimited, j.query.Excluded = j.query.Tried[:tried], false, nil
 	}()
 	var retryAfter time.Duration
 	for range maxClaims {
@@ -128,13 +129,16 @@
 		}
 		retryAfter = delay
 		if j.query.IncludeLimited {
-			break
+			return backends.Choice{RetryAfter: retryAfter}, false
 		}
 		if wait == 0 {
 			j.query.Tried = append(j.query.Tried, choice.ID)
 		}
 	}
-	return backends.Choice{RetryAfter: retryAfter}, false
+	j.query.Excluded = func(id string) bool { return h.config.Limits.Limited(coordapi.BackendID(id)) }
+	choice, found := h.config.Pool.Choose(h.now(), &j.query)
+	choice.RetryAfter = retryAfter
+	return choice, found
 }
 
 // place asks the leader for an engine. Answered is false if the router must choose locally.
--- a/internal/forward/ratelimit_test.go
+++ b/internal/forward/ratelimit_test.go
@@ -172,6 +172,35 @@
 	assert.Assert(t, granted > 0 && released > 0, "%d permits granted, %d released", granted, released)
 }
 
+// deniedClaimer denies all permits, as for a request whose back ends all grant their next one to
+// others.
+type deniedClaimer struct{ wait time.Duration }
+
+func (c deniedClaimer) Claim(context.Context, *backends.Query, coordapi.BackendID) (*ratelimit.Permit, time.Duration, time.Duration) {
+	return nil, c.wait, 3 * time.Second
+}
+
+// Guards against refusals of requests that as many limited back ends as are asked deny, while a back
+// end without a limit is free.
+func TestDeniedRequestTakesBackendWithoutLimit(t *testing.T) {
+	for _, wait := range []time.Duration{0, time.Millisecond} {
+		r := newRig(t)
+		r.handler.config.Claimer = deniedClaimer{wait}
+		r.add("app", "free", good)
+		var limited []coordapi.BackendID
+		for i := range 12 * maxClaims {
+			id := "limited-" + strconv.Itoa(i)
+			r.add("app", id, good)
+			limited = append(limited, coordapi.BackendID(id))
+		}
+		r.handler.config.Limits.Announced(limited)
+		for range 20 {
+			assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusOK)
+		}
+		assert.Equal(t, r.ran("free"), 20)
+	}
+}
+
 // Without a leader, nothing is sent to limited back ends: others serve, or the request is
 // refused.
 func TestLimitedBackendGetsNothingWithoutLeader(t *testing.T) {
