--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -66,6 +66,11 @@
 	// admitted. plainPart is the Share.Plain that was announced last, 0 for none.
 	asked, refused, charged decay.Sum
 	plainPart               float64
+	// plainAsked averages the demand of which charged is the admitted part. overdrawn is set while
+	// that demand alone exceeds the limit, from when routers have used a part of the tolerance until
+	// the bucket is refilled.
+	plainAsked decay.Sum
+	overdrawn  bool
 	// askedBy averages the amounts asked for by urgency. floor is the amount that less urgent
 	// requests may still take of what is kept for more urgent ones.
 	askedBy [urgencyLevels]decay.Sum
@@ -248,6 +253,11 @@
 	a.refill(now, capacity)
 	a.asked.Add(now, averagingTime, float64(max(amount, 0)))
 	a.charged.Add(now, averagingTime, float64(max(amount, 0)))
+	demand := float64(max(amount, 0))
+	if a.plainPart > 0 {
+		demand /= a.plainPart
+	}
+	a.plainAsked.Add(now, averagingTime, demand)
 	a.level = min(a.level-amount, capacity)
 }
 
@@ -265,18 +275,41 @@
 	var out []Share
 	for _, a := range l.accounts {
 		asked, refused := a.asked.Value(now, averagingTime), a.refused.Value(now, averagingTime)
-		if refused < 1 || asked <= 0 {
+		overdrawn := a.updateOverdrawn(now, l)
+		if (refused < 1 && !overdrawn) || asked <= 0 {
 			a.plainPart = 0
 			continue
 		}
 		part := max(1-refused/asked, 0)
 		a.plainPart = max(part, a.routersPart(now))
+		if overdrawn {
+			a.plainPart = min(a.plainPart, max(a.partWithinRate(now), a.routersPart(now)))
+		}
 		out = append(out, Share{Tenant: a.name, Part: part, Plain: a.plainPart})
 	}
 	slices.SortFunc(out, func(x, y Share) int { return strings.Compare(x.Tenant, y.Tenant) })
 	return out
 }
 
+// updateOverdrawn reports whether requests that only routers admit use more than the limit allows.
+// The leader refuses none of them, so refused amounts do not show it. As long as they ask for less
+// than the rate, the refusals of other requests make up for them.
+func (a *account) updateOverdrawn(now time.Duration, l *Limiter) bool {
+	if a.limit.Limited() {
+		a.refill(now, l.capacity(a.limit))
+	}
+	a.overdrawn = a.limit.Limited() && a.level < 0 && (a.overdrawn || a.level < -l.tolerancePart(a.limit)) &&
+		a.plainAsked.Value(now, averagingTime) > float64(a.limit.Rate)*averagingTime.Seconds()
+	return a.overdrawn
+}
+
+// partWithinRate returns the part of the whole demand, at the leader and at routers, that the rate
+// allows.
+func (a *account) partWithinRate(now time.Duration) float64 {
+	demand := a.asked.Value(now, averagingTime) - a.charged.Value(now, averagingTime) + a.plainAsked.Value(now, averagingTime)
+	return min(float64(a.limit.Rate)*averagingTime.Seconds()/max(demand, 1), 1)
+}
+
 // routersPart returns the part of the demand at routers that amounts to routersShare of the rate. It
 // holds for plain requests only: without a leader, routers admit all others by themselves too.
 func (a *account) routersPart(now time.Duration) float64 {
