Backends: routers without the leader's answer spread requests without a key over equal engines

Traced beside TestLimitedBackendsGetNoMoreThanLimit, in four runs at once on one processor with the leader's answers later than 60 ms: of the requests that routers placed by themselves, engines of equal load got 201, 190, 96 and 50 by the order of their IDs, and the last one, which was limited, got none. Ties go to the lowest ID, which is the same engine for all routers. In a router's own choice of an engine for a request without a key the draw of the request decides now. The leader's choices and those with a key are as before. TestRoutersSpreadRequestsWithoutKey guards it. Whether the test on processes fails less often was not measured.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -233,9 +234,12 @@
 	if q.hasLimits() {
 		return p.leastWithRoom(now, q, candidates, eligible, rate)
 	}
-	if q.Slots > 0 {
+	if q.Slots > 0 && (p.central || q.Key != "") {
 		return least(candidates)
 	}
+	if q.Slots > 0 {
+		return leastDrawn(candidates, q.Draw)
+	}
 	return drawWaterFilling(candidates, staleness.unseen*loadCost(1, &candidates[0]), q.Draw)
 }
 
@@ -251,6 +255,21 @@
 	return best
 }
 
+// leastDrawn returns a candidate of least cost; the draw decides ties. Routers that choose engines
+// without the leader and see the same loads would otherwise all send requests without a key to the
+// engines with the lowest IDs, and none to others.
+func leastDrawn(candidates []candidate, draw float64) *candidate {
+	best, bestMix := &candidates[0], uint64(0)
+	for i := range candidates {
+		c := &candidates[i]
+		mix := mix64(c.hash ^ math.Float64bits(draw))
+		if i == 0 || c.cost < best.cost || (c.cost == best.cost && mix < bestMix) {
+			best, bestMix = c, mix
+		}
+	}
+	return best
+}
+
 // usesIndex reports whether the index serves a choice. It does not for pools without engines, whose
 // choice depends on more than the index groups by.
 func (p *Pool) usesIndex(q *Query) bool { return p.index != nil && q.Slots > 0 && q.Excluded == nil }
--- a/internal/backends/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -330,3 +331,21 @@
 	q.GapTarget = 0
 	assert.Equal(t, mustChoose(t, p, 0, q).ID, home, "without a gap target")
 }
+
+// Guards against routers that choose engines without the leader and all send requests without a key to
+// the same engines: with the lowest ID among equals, one of six would get all of these requests.
+func TestRoutersSpreadRequestsWithoutKey(t *testing.T) {
+	var rows []state.Backend
+	for i := range 6 {
+		rows = append(rows, engine(strconv.Itoa(i), 1))
+	}
+	random, got := rand.New(rand.NewPCG(1, 1)), map[string]int{}
+	for range 600 {
+		q := query()
+		q.Key, q.Draw = "", random.Float64()
+		got[mustChoose(t, newTestPool(rows...), 0, q).ID]++
+	}
+	for _, row := range rows {
+		assert.Assert(t, got[row.ID] >= 70 && got[row.ID] <= 130, "%v", got)
+	}
+}
