Forward: one late answer of the leader refuses no request for engines

The log of one shows why: a placement was not answered within 60 ms, the router decided by itself for the next 250 ms, and refused at once what exceeded its share of the announced rest, while four engines with 32 slots had 21 callers. TestLimitedBackendsGetNoMoreThanLimit fails with the same refusals, the larger part of them while all engines counted as silent.

TestLateLeaderRefusesNothing fails without the change.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -55,11 +55,20 @@
 	if j.tries() == 0 {
 		j.query.Patience = j.table.EffectiveTarget(j.route) / patienceDivisor
 	}
-	limit := h.now() + j.route.Target/waitDivisor
+	begun := h.now()
+	limit := begun + j.route.Target/waitDivisor
 	for {
 		j.viewRevision, j.viewAge = h.config.Source.View()
 		choice, found := h.chooseOnce(ctx, j)
 		j.permitDelay = choice.RetryAfter
+		if j.beyondRoom && h.now() <= begun+j.query.Patience {
+			// A single late answer of the leader is no lack of capacity: it is asked again within this
+			// time, or requests that the router runs end.
+			if periodic.Sleep(ctx, pollInterval); ctx.Err() != nil {
+				return choice, found
+			}
+			continue
+		}
 		if found || j.tries() > 0 || h.now() > limit || h.config.Pool.AllDraining(j.pool.Name) {
 			return choice, found
 		}
@@ -76,6 +85,7 @@
 // chooseOnce asks the leader for an engine. Back ends without engines are chosen locally, and
 // so are engines while the leader does not reply.
 func (h *Handler) chooseOnce(ctx context.Context, j *job) (backends.Choice, bool) {
+	j.beyondRoom = false
 	if h.config.Placer != nil && j.pool.Engine != nil {
 		if choice, found, answered := h.place(ctx, j); answered {
 			h.metrics.placedByLeader.Add(1)
@@ -83,6 +93,7 @@
 		}
 		h.metrics.placedLocally.Add(1)
 		if choice, refused := h.refuseBeyondShare(j); refused {
+			j.beyondRoom = true
 			return choice, true
 		}
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -217,6 +217,9 @@
 	// shareChecked is set once the share of the request's class at a plain pool has been
 	// considered, and beyondShare if the request was refused by it.
 	shareChecked, beyondShare bool
+	// beyondRoom is set while the router, which decides without the leader, has no part of the
+	// announced capacity left for the request.
+	beyondRoom bool
 	// standalone is set if the leader did not answer when the back end was chosen.
 	standalone bool
 	// endShare ends the request's part of what the router runs at the pool; nil if it has none.
--- a/internal/forward/queueing_test.go
+++ b/internal/forward/queueing_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -194,6 +195,46 @@
 	assert.Equal(t, r.ran("e"), 4)
 }
 
+// Guards against refusals because a single answer of the leader is late: the request must be served
+// once the leader answers again, or requests that the router runs end, if that is soon enough.
+func TestLateLeaderRefusesNothing(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		release := make(chan struct{})
+		end := sync.OnceFunc(func() { close(release) })
+		r, placed := newQueueRig(t, func(w http.ResponseWriter, q *http.Request) {
+			<-release
+			oneEvent(w, q)
+		})
+		patient, err := traffic.Build(&traffic.Table{
+			Version: 4,
+			Pools:   []traffic.Pool{{Name: "llm", Engine: &traffic.Engine{Slots: 4, CapacityTokens: 10000}}},
+			Routes:  []traffic.Route{{Name: "chat", Host: "h", Prefix: "/chat/", Kind: traffic.KindStream, Timeout: 10 * time.Second, Target: 10 * time.Second, MaxAttempts: 1, Split: []traffic.Share{{Pool: "llm", Weight: 1}}}},
+			Tenants: []traffic.Tenant{{Name: "alice", Keys: []string{"ka"}}},
+			Limits:  traffic.Limits{MaxBodyBytes: 1000},
+		})
+		assert.NilError(t, err)
+		r.source.table = patient
+		r.handler.config.Queue = &announcedRooms{room: coordapi.Room{Limit: 5, Running: 4}, number: 1}
+		var calls atomic.Int64
+		r.handler.config.Placer = &queueingPlacer{place: func(context.Context) (choice backends.Choice, found, answered bool) {
+			// All calls from the third on are made by the second request while it waits.
+			if calls.Add(1) < 5 {
+				return choice, false, false
+			}
+			end()
+			return placed, back, back
+		}}
+		results := make(chan result, 2)
+		for range 2 {
+			go func() { results <- r.askChat() }()
+		}
+		for range 2 {
+			assert.Equal(t, (<-results).status, http.StatusOK)
+		}
+		assert.Equal(t, r.ran("e"), 2)
+	}
+}
+
 // All routers together must use the announced remainder and no more, also if it is less than their
 // number.
 func TestSharesOfRoutersAddUp(t *testing.T) {
