Tests of asking the next leader: wait for the queue, and tell late replies from repeated asks

In the one 58 of 60 requests waited yet when the leader was cut off and 59 were asked for again; it waits for all 60 now.

--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -283,7 +283,12 @@
 				time.Sleep(2 * time.Millisecond)
 			}
 			leader := d.leader(n)
-			assert.Assert(t, d.waiting() > queued/2, "%d requests wait", d.waiting())
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if d.waiting() < queued {
+					return poll.Continue("%d requests wait", d.waiting())
+				}
+				return poll.Success()
+			}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
 			n.isolate(leader, c.drops)
 			isolatedAt, waiting := time.Now(), d.waiting()
 			time.AfterFunc(3*time.Second, n.heal)
--- a/internal/follower/waiting_test.go
+++ b/internal/follower/waiting_test.go
@@ -355,11 +355,17 @@
 	r.serveAll(60)
 	second.mu.Lock()
 	defer second.mu.Unlock()
-	assert.Equal(t, len(second.asked), 60)
 	assert.Assert(t, second.peak <= maxAsks, "%d at once", second.peak)
+	waited := map[uint64]time.Duration{}
 	for _, call := range second.asked {
 		assert.Assert(t, call.Waited > 0)
+		if first, repeated := waited[call.Number]; repeated {
+			// On a busy machine a reply may come too late for its router.
+			assert.Assert(t, call.Waited-first >= askRetryDelay, "asked again after %v", call.Waited-first)
+		}
+		waited[call.Number] = call.Waited
 	}
+	assert.Equal(t, len(waited), 60)
 }
 
 // Guards against asking for late requests first, and against more than maxAsks calls at once. Calls
