Quota: levels are recorded for up to 1,024 tenants; metrics

With more tenants than a record holds, those that were left out asked for a record each 50 ms. Nothing is recorded then (TestManyTenantsAreNotRecorded). The number of recorded tenants stands in the line `tenant limits set` and in two metrics.

--- a/internal/backends/roomindex.go
+++ b/internal/backends/roomindex.go
@@ -9,7 +9,7 @@
 
 // roomIndex orders the active engines of a pool that may have a free slot by the memory that their
 // requests take. A search for room then examines only engines that may have some. It uses bounds that
-// hold for any patience, limiter and announced load; what it returns is examined exactly.
+// hold for any patience, limiter and inherited load; what it returns is examined exactly.
 type roomIndex struct {
 	// slots and capacity are the engine's size in the queries that the index serves.
 	slots    int
--- a/internal/coordinator/limits.go
+++ b/internal/coordinator/limits.go
@@ -39,6 +39,9 @@
 	configurationRevision uint64
 	// levelsRevision is the revision of the recorded levels that the limiter keeps to.
 	levelsRevision uint64
+	// recordedLevels is the number of tenants in them, and records counts the records proposed.
+	recordedLevels int
+	records        int
 	// shares are the shares that were announced last.
 	shares []quota.Share
 }
@@ -53,7 +56,8 @@
 func (l *tenantLimits) reset(leads bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limiter, l.retries, l.leasedUntil, l.configurationRevision, l.levelsRevision, l.shares = nil, nil, 0, 0, 0, nil
+	l.limiter, l.retries, l.leasedUntil, l.shares = nil, nil, 0, nil
+	l.configurationRevision, l.levelsRevision, l.recordedLevels = 0, 0, 0
 	if leads {
 		l.limiter, l.retries = quota.NewLimiter(l.tolerance), quota.NewSharedRetries()
 	}
@@ -82,7 +86,7 @@
 	if d.TenantLevelsRevision == l.levelsRevision {
 		return
 	}
-	l.levelsRevision = d.TenantLevelsRevision
+	l.levelsRevision, l.recordedLevels = d.TenantLevelsRevision, len(d.TenantLevels)
 	levels := make(quota.Levels, len(d.TenantLevels))
 	for tenant, level := range d.TenantLevels {
 		levels[tenant] = quota.Amount(level)
@@ -105,6 +109,7 @@
 	if due == nil {
 		return nil
 	}
+	l.records++
 	levels := make(map[string]float64, len(due))
 	for tenant, level := range due {
 		levels[tenant] = math.Floor(float64(level))
@@ -112,6 +117,13 @@
 	return levels
 }
 
+// levelRecords returns the number of tenants whose levels are recorded and the records proposed.
+func (l *tenantLimits) levelRecords() (tenants, records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recordedLevels, l.records
+}
+
 // levelsRejected reports that the last record of levels will not be committed.
 func (l *tenantLimits) levelsRejected() {
 	l.mu.Lock()
@@ -130,7 +142,7 @@
 	}
 	set := table.TenantLimits()
 	l.limiter.SetLimits(now, set)
-	l.logger.Info("tenant limits set", "part", "limits", "version", table.Version, "tenants", len(set))
+	l.logger.Info("tenant limits set", "part", "limits", "version", table.Version, "tenants", len(set), "recorded_levels", l.recordedLevels)
 }
 
 // admit decides whether a request is within its tenant's limit; after is the delay after which a
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -55,6 +55,9 @@
 	for _, share := range s.tenantLimits.announcedShares() {
 		fmt.Fprintf(w, "quinceridge_limit_admitted_part{tenant=%q} %.3f\n", share.Tenant, share.Part)
 	}
+	tenants, records := s.tenantLimits.levelRecords()
+	gauge("limit_levels_recorded", tenants)
+	gauge("limit_level_records_total", records)
 	granted, denied, unused := s.backendLimits.Counts()
 	gauge("limit_rights_granted_total", granted)
 	gauge("limit_rights_denied_total", denied)
--- a/internal/quota/levels.go
+++ b/internal/quota/levels.go
@@ -14,7 +14,8 @@
 	levelsInterval = 50 * time.Millisecond
 	// dueShare is the share of the headroom that is left when the next record is due.
 	dueShare = 0.6
-	// maxRecordedLevels bounds the tenants in a record.
+	// maxRecordedLevels is the number of tenants up to which levels are recorded. It bounds a record to
+	// some 30 KB; with more tenants a new leader starts without levels.
 	maxRecordedLevels = 1024
 )
 
@@ -32,7 +33,7 @@
 // pending. From now on the buckets keep to these levels too, since the record may be committed at any
 // time. The caller reports its end with LevelsRecorded or LevelsRejected.
 func (l *Limiter) DueLevels(now time.Duration) Levels {
-	if l.recording || now < l.levelsCheckedAt+levelsInterval {
+	if l.recording || len(l.accounts) > maxRecordedLevels || now < l.levelsCheckedAt+levelsInterval {
 		return nil
 	}
 	l.levelsCheckedAt = now
@@ -40,7 +41,7 @@
 	for name, a := range l.accounts {
 		level := l.levelToRecord(now, a)
 		due = due || l.isDue(a, level)
-		if level > 0 && len(out) < maxRecordedLevels {
+		if level > 0 {
 			out[name] = level
 		}
 	}
--- a/internal/quota/levels_test.go
+++ b/internal/quota/levels_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -173,3 +174,19 @@
 	// The bucket of 400,000 and more empties at 1.2 M tokens a second net.
 	assert.Assert(t, refusedAt > 5*time.Second+330*time.Millisecond, "refused at %v", refusedAt)
 }
+
+// Guards against records that grow with the number of tenants and follow each other without end.
+func TestManyTenantsAreNotRecorded(t *testing.T) {
+	for tenants, recorded := range map[int]bool{maxRecordedLevels: true, maxRecordedLevels + 1: false} {
+		limits := map[string]Limit{}
+		for i := range tenants {
+			limits[strconv.Itoa(i)] = Limit{Rate: 1000, Burst: 1000}
+		}
+		limiter := NewLimiter(tolerance)
+		limiter.SetLimits(0, limits)
+		levels := limiter.DueLevels(time.Minute)
+		assert.Equal(t, len(levels) > 0, recorded, "%d tenants", tenants)
+		limiter.LevelsRecorded(levels)
+		assert.Equal(t, len(limiter.DueLevels(2*time.Minute)), 0, "levels that have not changed")
+	}
+}
