Read-through: reports of restarted routers are dropped, errors name the line, unused code removed

- The leader kept an entry for each router name that had ever reported overdue streams; a router has another name after a restart.
- rehearse reread named a faulty line by its whole text; it names its number now (TestErrorNamesLineOfLog).

--- a/internal/admission/contention_test.go
+++ b/internal/admission/contention_test.go
@@ -37,14 +37,14 @@
 
 var scenarios = []scenario{
 	{name: "all"},
-	{name: "less urgent kind", surging: []kind{verdict}},
-	{name: "urgent kind", surging: []kind{explanation}},
+	{name: "less urgent kind", surging: []kind{batch}},
+	{name: "urgent kind", surging: []kind{interactive}},
 	{name: "one tenant", flooding: 1},
-	{name: "one tenant, less urgent kind", surging: []kind{verdict}, flooding: 1},
+	{name: "one tenant, less urgent kind", surging: []kind{batch}, flooding: 1},
 	{name: "three tenants", flooding: 3},
 	{name: "engines lost", lost: 0.25},
 	{name: "combined", flooding: 3, lost: 0.25},
-	{name: "combined, less urgent kind", surging: []kind{verdict}, flooding: 3, lost: 0.25},
+	{name: "combined, less urgent kind", surging: []kind{batch}, flooding: 3, lost: 0.25},
 }
 
 var loads = []float64{0.5, 0.8, 1, 1.5, 2, 3}
@@ -101,7 +101,7 @@
 func growth(s scenario, k kind, tenant int) (share float64, takesPart bool) {
 	surging := s.surging
 	if len(surging) == 0 {
-		surging = []kind{verdict, explanation}
+		surging = []kind{batch, interactive}
 	}
 	if !slices.Contains(surging, k) || s.flooding > 0 && tenant >= s.flooding {
 		return 0, false
@@ -201,7 +201,7 @@
 }
 
 // saturated returns the goodput of engines that always have waiting requests, of which the given
-// share is explanations, without targets.
+// share is interactive requests, without targets.
 func saturated(share float64) float64 {
 	const (
 		engines = 8
@@ -213,9 +213,9 @@
 	f := &firstCome{}
 	var calls []*call
 	for i := range 40 * engines * int(end/time.Second) {
-		k := verdict
+		k := batch
 		if random.Float64() < share {
-			k = explanation
+			k = interactive
 		}
 		// The time of arrival keeps them from being given up.
 		calls = append(calls, &call{number: uint64(i), kind: k, arrived: end, length: 0.5 + random.Float64()})
@@ -241,18 +241,18 @@
 		engines = 16
 		seeds   = 2
 	)
-	t.Log("scenario,load,rule,goodput,saturated,served,verdicts,explanations,others' verdicts,others' explanations,recovery in s,refused late")
+	t.Log("scenario,load,rule,goodput,saturated,served,batch,interactive,others' batch,others' interactive,recovery in s,refused late")
 	for _, s := range scenarios {
 		for _, load := range loads {
 			t.Run(fmt.Sprint(s.name, "/", load), func(t *testing.T) {
 				t.Parallel()
-				best := saturated(shareOfExplanations(s, load))
+				best := saturated(shareOfInteractive(s, load))
 				run := func(name string, newRule func() rule) (mean outcome) {
 					for seed := range uint64(seeds) {
 						mean.add(simulate(s, engines, load, newRule(), seed), seeds)
 					}
 					t.Logf("%s,%.1f,%s,%.3f,%.3f,%.4f,%.4f,%.4f,%.4f,%.4f,%.2f,%.3f", s.name, load, name, mean.goodput, best, mean.served,
-						mean.inTime[verdict], mean.inTime[explanation], mean.others[verdict], mean.others[explanation],
+						mean.inTime[batch], mean.inTime[interactive], mean.others[batch], mean.others[interactive],
 						mean.recovery.Seconds(), mean.refusedLate)
 					return mean
 				}
@@ -266,24 +266,24 @@
 				left := 1 - s.lost
 				if load <= 0.8*left {
 					assert.Assert(t, queue.served >= 0.99)
-					assert.Assert(t, queue.inTime[verdict] >= 0.99 && queue.inTime[explanation] >= 0.99, "%v", queue.inTime)
+					assert.Assert(t, queue.inTime[batch] >= 0.99 && queue.inTime[interactive] >= 0.99, "%v", queue.inTime)
 				}
 				if load >= 2 {
 					assert.Assert(t, queue.goodput >= 0.85*best, "%.3f of %.3f", queue.goodput, best)
 					assert.Assert(t, queue.refusedLate <= 0.2, "refused late: %.3f", queue.refusedLate)
 				}
 				if urgentDemand(s, load) <= 0.8*left {
-					assert.Assert(t, queue.inTime[explanation] >= 0.99, "%.4f", queue.inTime[explanation])
+					assert.Assert(t, queue.inTime[interactive] >= 0.99, "%.4f", queue.inTime[interactive])
 				}
 				if s.flooding > 0 {
 					assert.Assert(t, queue.blamedWrongly <= 0.01*queue.blamed, "%v of %v", queue.blamedWrongly, queue.blamed)
-					assert.Assert(t, queue.others[explanation] >= 0.99, "%.4f", queue.others[explanation])
+					assert.Assert(t, queue.others[interactive] >= 0.99, "%.4f", queue.others[interactive])
 					// Urgency goes before fairness: a flood of urgent requests leaves less urgent ones of
 					// all tenants the floor.
 					if urgentDemand(s, load) <= 0.5*left {
-						assert.Assert(t, queue.others[verdict] >= 0.99, "%.4f", queue.others[verdict])
+						assert.Assert(t, queue.others[batch] >= 0.99, "%.4f", queue.others[batch])
 					} else {
-						assert.Assert(t, queue.others[verdict] >= today.others[verdict]-0.02, "%.4f", queue.others[verdict])
+						assert.Assert(t, queue.others[batch] >= today.others[batch]-0.02, "%.4f", queue.others[batch])
 					}
 				}
 			})
@@ -291,20 +291,20 @@
 	}
 }
 
-// urgentDemand returns the work of explanations in a surge over the capacity.
+// urgentDemand returns the work of interactive requests in a surge over the capacity.
 func urgentDemand(s scenario, load float64) float64 {
-	sum := baseLoad * traits[explanation].share * traits[explanation].work() / meanWork()
+	sum := baseLoad * traits[interactive].share * traits[interactive].work() / meanWork()
 	for tenant := range tenants {
-		share, _ := growth(s, explanation, tenant)
+		share, _ := growth(s, interactive, tenant)
 		sum += share * max(load-baseLoad, 0)
 	}
 	return sum
 }
 
-// shareOfExplanations returns the share of explanations in the arrivals of a surge.
-func shareOfExplanations(s scenario, load float64) float64 {
-	urgent := urgentDemand(s, load) / traits[explanation].work()
-	other := (max(load, baseLoad) - urgentDemand(s, load)) / traits[verdict].work()
+// shareOfInteractive returns the share of interactive requests in the arrivals of a surge.
+func shareOfInteractive(s scenario, load float64) float64 {
+	urgent := urgentDemand(s, load) / traits[interactive].work()
+	other := (max(load, baseLoad) - urgentDemand(s, load)) / traits[batch].work()
 	return urgent / (urgent + other)
 }
 
--- a/internal/admission/engines_test.go
+++ b/internal/admission/engines_test.go
@@ -26,8 +26,8 @@
 type kind int
 
 const (
-	verdict kind = iota
-	explanation
+	batch kind = iota
+	interactive
 	kinds
 )
 
@@ -41,8 +41,8 @@
 }
 
 var traits = [kinds]kindTraits{
-	verdict:     {Urgency{0, 2}, 2890, 56, 1000 * ms, 4000 * ms, 0.58},
-	explanation: {Urgency{0, 0}, 628, 288, 400 * ms, 12000 * ms, 0.42},
+	batch:       {Urgency{0, 2}, 2890, 56, 1000 * ms, 4000 * ms, 0.58},
+	interactive: {Urgency{0, 0}, 628, 288, 400 * ms, 12000 * ms, 0.42},
 }
 
 func (t kindTraits) prefill() float64 { return float64(t.prompt) / prefillPerMS }
--- a/internal/admission/plot_test.go
+++ b/internal/admission/plot_test.go
@@ -41,6 +41,6 @@
 	for i, r := range rules {
 		add(i, r.name, func(load float64) float64 { return simulate(s, engines, load, r.make(), 0).goodput })
 	}
-	add(len(rules), "saturated engines", func(load float64) float64 { return saturated(shareOfExplanations(s, load)) })
+	add(len(rules), "saturated engines", func(load float64) float64 { return saturated(shareOfInteractive(s, load)) })
 	assert.NilError(t, p.Save(20*vg.Centimeter, 9*vg.Centimeter, *plotFile))
 }
--- a/internal/cachemiss/cachemiss_test.go
+++ b/internal/cachemiss/cachemiss_test.go
@@ -210,3 +210,11 @@
 		_ = FormatParts(twoParts) + FormatAttempts(at(300), attempts)
 	}
 }
+
+// Guards against an error that repeats a whole line, of up to some megabytes, in place of its number.
+func TestErrorNamesLineOfLog(t *testing.T) {
+	var log Log
+	err := log.Read(strings.NewReader("msg=started\n" + `time=2026-01-02T03:04:05Z msg=answered parts=nothing prefills="engine=x&sent=1"` + "\n"))
+	assert.ErrorContains(t, err, "line 2: ")
+	assert.Assert(t, !strings.Contains(err.Error(), "msg=answered"))
+}
--- a/internal/cachemiss/log.go
+++ b/internal/cachemiss/log.go
@@ -36,7 +36,7 @@
 func (l *Log) Read(r io.Reader) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
+	for number := 1; lines.Scan(); number++ {
 		line := lines.Text()
 		if !strings.Contains(line, AttemptsKey) && !strings.Contains(line, "removing ") {
 			continue
@@ -46,7 +46,7 @@
 			continue
 		}
 		if err := l.add(attributes); err != nil {
-			return errors.Wrapf(err, "line %q", line)
+			return errors.Wrapf(err, "line %d", number)
 		}
 	}
 	return errors.Wrap(lines.Err(), "read log")
--- a/internal/follower/waiting_test.go
+++ b/internal/follower/waiting_test.go
@@ -535,6 +535,7 @@
 	r.Ended(running[0])
 	r.Ended(running[1])
 	eventually(t, func() (bool, string) {
-		return l.open() == 0 && !l.placer.Contended(l.now()), "the request keeps its place"
+		_, waits := l.placer.Step(l.now())
+		return l.open() == 0 && !waits, "the request keeps its place"
 	})
 }
--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -23,8 +23,8 @@
 // concurrent use. The zero value is ready.
 type Detector struct {
 	engines map[string]*engineReports
-	// reported maps routers to the engines in their last report.
-	reported map[string][]string
+	// reported maps routers to their last report, while it counts.
+	reported map[string]*routerReport
 	// listed is sorted and replaced when it changes.
 	listed []string
 }
@@ -45,6 +45,12 @@
 	at time.Duration
 }
 
+// routerReport is when a router reported, and on which engines.
+type routerReport struct {
+	at      time.Duration
+	engines []string
+}
+
 // Engine describes an engine as the leader knows it apart from the reports.
 type Engine struct {
 	// Streams is the number of placed requests that have begun.
@@ -65,15 +71,12 @@
 
 // Report replaces a router's last report.
 func (d *Detector) Report(now time.Duration, router string, stalls []Stall) {
-	for _, id := range d.reported[router] {
-		delete(d.engines[id].reports, router)
-	}
-	delete(d.reported, router)
+	d.drop(router)
 	if len(stalls) == 0 {
 		return
 	}
 	if d.engines == nil {
-		d.engines, d.reported = map[string]*engineReports{}, map[string][]string{}
+		d.engines, d.reported = map[string]*engineReports{}, map[string]*routerReport{}
 	}
 	stalls = stalls[:min(len(stalls), MaxStalls)]
 	ids := make([]string, 0, len(stalls))
@@ -89,7 +92,29 @@
 		e.reports[router] = report{s, now}
 		e.newest = max(e.newest, now-max(s.Age, 0))
 	}
-	d.reported[router] = ids
+	d.reported[router] = &routerReport{now, ids}
+}
+
+// drop removes a router's last report.
+func (d *Detector) drop(router string) {
+	last := d.reported[router]
+	if last == nil {
+		return
+	}
+	for _, id := range last.engines {
+		delete(d.engines[id].reports, router)
+	}
+	delete(d.reported, router)
+}
+
+// expireReports drops the reports of routers that no longer report. A router has another name after
+// a restart.
+func (d *Detector) expireReports(now time.Duration) {
+	for router, last := range d.reported {
+		if now-last.at > reportTTL {
+			d.drop(router)
+		}
+	}
 }
 
 // Event records an event that a router reported otherwise than by a Stall. Events of engines without
@@ -107,6 +132,7 @@
 // Check updates the list of unresponsive engines and returns its changes. Engine returns what the
 // leader knows of an engine; known is false if it has no row.
 func (d *Detector) Check(now time.Duration, engine func(id string) (state Engine, known bool)) []Change {
+	d.expireReports(now)
 	if len(d.engines) == 0 {
 		return nil
 	}
@@ -152,11 +178,7 @@
 // streams of an older one may have had events since.
 func (e *engineReports) evaluate(now time.Duration, state Engine) (sum Change, stalled bool) {
 	overdue := 0
-	for router, r := range e.reports {
-		if now-r.at > reportTTL {
-			delete(e.reports, router)
-			continue
-		}
+	for _, r := range e.reports {
 		sum.Streams += r.Streams
 		sum.Overdue += r.Overdue
 		sum.Active += r.Active
@@ -182,7 +204,8 @@
 // forget removes an engine. Reports that named it are ignored.
 func (d *Detector) forget(id string) {
 	for router := range d.engines[id].reports {
-		d.reported[router] = slices.DeleteFunc(d.reported[router], func(other string) bool { return other == id })
+		last := d.reported[router]
+		last.engines = slices.DeleteFunc(last.engines, func(other string) bool { return other == id })
 	}
 	delete(d.engines, id)
 }
--- a/internal/liveness/detector_test.go
+++ b/internal/liveness/detector_test.go
@@ -178,3 +178,21 @@
 	d.Check(now, func(string) (Engine, bool) { return Engine{}, false })
 	assert.Equal(t, len(d.engines)+len(d.reported)+len(d.Listed()), 0)
 }
+
+// Guards against a record that stays for each router that has ever reported: a restarted router has
+// another name.
+func TestReportsOfRestartedRoutersAreDropped(t *testing.T) {
+	d, now := &Detector{}, time.Second
+	for i := range 100 {
+		now += 200 * ms
+		overdue(d, now, fmt.Sprint("router-", i), 1, 1, time.Second)
+		d.Check(now, present)
+		if i%10 == 9 {
+			// All engines depart, and with them what was reported on them.
+			d.Check(now, func(string) (Engine, bool) { return Engine{}, false })
+		}
+		assert.Assert(t, len(d.reported) <= int(reportTTL/(200*ms))+1, "%d reports", len(d.reported))
+	}
+	d.Check(now+2*reportTTL, present)
+	assert.Equal(t, len(d.reported), 0)
+}
--- a/internal/placer/metrics.go
+++ b/internal/placer/metrics.go
@@ -41,6 +41,10 @@
 		levels[pool] = queue.Waiting(now)
 	}
 	waits, refused, pool := p.waits, maps.Clone(p.refused), p.pool
+	inherited := 0
+	for _, l := range p.start.totals {
+		inherited += l.Running
+	}
 	p.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(levels)) {
 		counts := map[admission.Urgency]int{}
@@ -58,6 +62,7 @@
 			fmt.Fprintf(w, "quinceridge_engine_limit{pool=%q,engine=%q} %d\n", name, id, limits[id])
 		}
 	}
+	fmt.Fprintf(w, "quinceridge_inherited_requests %d\n", inherited)
 	for _, reason := range slices.Sorted(maps.Keys(refused)) {
 		fmt.Fprintf(w, "quinceridge_queue_refused_total{reason=%q} %d\n", string(reason), refused[reason])
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -60,8 +60,6 @@
 	// tried counts the waiting requests for which a pass looked for capacity.
 	tried   int
 	refused map[admission.Reason]int
-	// refusedAt is when a request was last refused for lack of capacity, 0 for never.
-	refusedAt time.Duration
 }
 
 // router holds the placements of one router.
@@ -105,7 +103,7 @@
 	}
 	p.pool, p.routers = backends.NewCentralPool(), map[string]*router{}
 	p.queues, p.versions, p.settlements = map[string]*poolQueue{}, map[poolModel]int{}, nil
-	p.start, p.refusedAt = start{}, 0
+	p.start = start{}
 	p.streams = liveness.Detector{}
 	p.parts, p.baseDelay = newDirectory(), speed.DelayEstimator{}
 }
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -114,7 +114,7 @@
 		}
 	}
 	if refusal := queue.Push(now, request, rand.Float64()); refusal != nil {
-		p.countRefusal(now, refusal.Reason)
+		p.countRefusal(refusal.Reason)
 		return coordapi.Placed{Reason: string(refusal.Reason), RetryAfter: refusal.RetryAfter, Queue: queue.Len()}
 	}
 	ask.Reports = coordapi.Reports{}
@@ -303,32 +303,15 @@
 	}
 }
 
-// contendedTime is how long a refusal for lack of capacity shows contention.
-const contendedTime = time.Second
-
-// Contended reports whether requests wait, or were refused for lack of capacity within the last
-// second.
-func (p *Placer) Contended(now time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, queue := range p.queues {
-		if queue.Len() > 0 {
-			return true
-		}
-	}
-	return p.refusedAt > 0 && now-p.refusedAt < contendedTime
-}
-
 // countRefusal counts a refused request.
-func (p *Placer) countRefusal(now time.Duration, reason admission.Reason) {
+func (p *Placer) countRefusal(reason admission.Reason) {
 	p.refused[reason]++
-	p.refusedAt = now
 }
 
 // refuse ends waits without a placement.
 func (p *Placer) refuse(now time.Duration, refusals []admission.Refusal) {
 	for _, refusal := range refusals {
-		p.countRefusal(now, refusal.Reason)
+		p.countRefusal(refusal.Reason)
 		r := p.routers[refusal.Key.Router]
 		if r == nil || r.waiting[refusal.Key.Number] == nil {
 			continue
