Routers and the leader log lost paths to pools and troubles that routers report

A failed attempt looked the same whether its back end was down, or the router had lost the path to all back ends of the pool, and the leader's log did not tell which router had engines left out of everybody's choices. A router now checks the path to a pool after a failed connect: it connects to four back ends that the coordinators list as up. Nothing is decided by the result yet.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -238,6 +238,7 @@
 
 // recordReports records a router's reports, except those about placements.
 func (s *Server) recordReports(now time.Duration, router string, reports *coordapi.Reports) {
+	s.logTroubles(now, router, reports.Troubles)
 	s.tenantLimits.charge(now, reports.Spent)
 	s.placer.ClearLimited(now, s.backendLimits.Observe(now, reports.Limits))
 	s.placer.ClearLimited(now, s.backendLimits.Unused(now, router, reports.Unused))
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -61,6 +61,7 @@
 	// unreadableLines limits the log lines about them.
 	unreadable      atomic.Uint64
 	unreadableLines bounded.LineLimiter
+	troubleLines    bounded.LineLimiter
 	listener        *peer.Server
 	metrics         *http.Server
 	// clock is clock.Now, except in tests.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
+	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/version"
@@ -50,22 +51,24 @@
 
 // Edge is a running router.
 type Edge struct {
-	settings  settings.DisklessRouter
-	logger    *slog.Logger
-	follower  *follower.Follower
-	handler   *forward.Handler
-	peers     *peer.Client
-	callers   *http.Server
-	readiness *http.Server
-	metrics   *http.Server
-	cancel    context.CancelFunc
-	group     sync.WaitGroup
+	settings settings.DisklessRouter
+	logger   *slog.Logger
+	follower *follower.Follower
+	handler  *forward.Handler
+	peers    *peer.Client
+	// connections are those to back ends.
+	connections *upstream.Pool
+	callers     *http.Server
+	readiness   *http.Server
+	metrics     *http.Server
+	cancel      context.CancelFunc
+	group       sync.WaitGroup
 }
 
 // New assembles a router.
 func New(config settings.DisklessRouter, headers vocabulary.Headers, decode follower.Decode, logger *slog.Logger) *Edge {
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
-	pool := backends.NewPool(config.Zone)
+	pool, paths := backends.NewPool(config.Zone), reachability.NewDetector()
 	saved, tenants, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
 	limits, fairShares, streams := ratelimit.New(headers, logger), fairshare.NewGate(), liveness.NewStreams()
 	pool.SetPushbacks(pushbacks)
@@ -74,8 +77,9 @@
 	buffers := memory.NewBudget(int64(config.MemoryLimit) << 20 / memoryDivisor)
 	connections := upstream.NewPool(headers.RequestID, pushbacks, limits)
 	connections.SetMemory(buffers)
+	e.connections = connections
 	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Queue: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
-		FairShares: fairShares, Streams: streams, Upstream: connections, Memory: buffers, Pushbacks: pushbacks, Limits: limits, Logger: logger,
+		FairShares: fairShares, Streams: streams, Paths: paths, Upstream: connections, Memory: buffers, Pushbacks: pushbacks, Limits: limits, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
@@ -105,6 +109,7 @@
 	e.group.Go(func() { e.follower.Update(ctx) })
 	e.group.Go(func() { periodic.Run(ctx, overdueInterval, e.handler.CancelOverdue) })
 	e.group.Go(func() { periodic.Run(ctx, forward.StreamCheckInterval, e.handler.CheckStreams) })
+	e.group.Go(func() { periodic.Run(ctx, forward.PathCheckInterval, e.handler.CheckPaths) })
 	unchanged := func(l net.Listener) net.Listener { return l }
 	if err := e.listen(e.readiness, e.settings.Readiness, unchanged); err != nil {
 		return err
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -32,6 +32,7 @@
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
+	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -133,8 +134,10 @@
 	FairShares *fairshare.Gate
 	// Streams tracks the requests at engines; nil for none.
 	Streams *liveness.Streams
-	Budget  BudgetConfig
-	Logger  *slog.Logger
+	// Paths tells which pools cannot be reached from here; nil if that is not observed.
+	Paths  *reachability.Detector
+	Budget BudgetConfig
+	Logger *slog.Logger
 }
 
 // Handler is the HTTP handler of a router for client requests.
@@ -164,6 +167,9 @@
 	if config.Observer == nil {
 		h.config.Observer = noObserver{}
 	}
+	if config.Paths != nil {
+		config.Upstream.OnConnect(h.observeConnect)
+	}
 	for _, name := range slices.Concat(hopHeaders, config.Headers.Reserved(), config.Headers.Forbidden) {
 		h.forbidden[http.CanonicalHeaderKey(name)] = true
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -45,10 +45,12 @@
 	// router chose because the leader did not reply.
 	placedByLeader atomic.Uint64
 	placedLocally  atomic.Uint64
-	responses      [6]atomic.Uint64
-	local          [6]atomic.Uint64
-	firstEvent     histogram
-	total          histogram
+	// pathsLost counts the times that the path to a pool was found to be lost.
+	pathsLost  atomic.Uint64
+	responses  [6]atomic.Uint64
+	local      [6]atomic.Uint64
+	firstEvent histogram
+	total      histogram
 }
 
 type histogram struct {
@@ -95,6 +97,8 @@
 	}
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"leader\"} %d\n", m.placedByLeader.Load())
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"router\"} %d\n", m.placedLocally.Load())
+	fmt.Fprintf(w, "quinceridge_paths_lost_total %d\n", m.pathsLost.Load())
+	fmt.Fprintf(w, "quinceridge_paths_lost %d\n", len(h.config.Paths.Lost()))
 	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.refusedBehind.Load())
 	fmt.Fprintf(w, "quinceridge_refused_no_room_total %d\n", m.refusedQueued.Load())
 	fmt.Fprintf(w, "quinceridge_refused_share_total %d\n", m.refusedShare.Load())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -116,8 +116,11 @@
 	// limits records limits from responses and rejects requests without the permit that they
 	// require.
 	limits *ratelimit.Registry
-	dialer net.Dialer
+	// dial opens a connection. It is replaced in tests.
+	dial   DialFunc
 	memory *memory.Budget
+	// onConnect is called after each connect and after the loss of a connection; nil for no call.
+	onConnect ConnectFunc
 	// bodyStall is bodyStallTimeout. It is replaced in tests.
 	bodyStall time.Duration
 	// Opened counts new connections.
@@ -130,10 +133,24 @@
 // NewPool returns a pool without connections.
 func NewPool(idHeader string, pushbacks *pushback.Registry, limits *ratelimit.Registry) *Pool {
 	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, limits: limits, bodyStall: bodyStallTimeout, idle: map[string][]*connection{}}
-	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.ReceiveBuffer(receiveBuffer))}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.ReceiveBuffer(receiveBuffer))}
+	p.dial = dialer.DialContext
 	return p
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// SetDial replaces the function that opens connections. It must be called before the first request.
+func (p *Pool) SetDial(dial DialFunc) { p.dial = dial }
+
+// ConnectFunc is called with the pool of a back end and the start of an attempt, by clock.Now, once
+// the attempt has opened a connection, with a nil error, or has failed to open one or lost it.
+type ConnectFunc func(pool string, started time.Duration, err error)
+
+// OnConnect sets the function that observes connections. It must be called before the first request.
+func (p *Pool) OnConnect(observe ConnectFunc) { p.onConnect = observe }
+
 // SetMemory makes the pool charge its connections to a budget. It is to be called before the first
 // request.
 func (p *Pool) SetMemory(budget *memory.Budget) { p.memory = budget }
@@ -220,8 +237,8 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+func (p *Pool) open(ctx context.Context, address string) (*connection, error) {
+	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, &callError{kind: ErrNotSent, cause: err}
 	}
@@ -235,13 +252,33 @@
 // process that only broke a response off accepts them. A new connection is kept for the next
 // request.
 func (p *Pool) Down(ctx context.Context, address string) bool {
-	c, err := p.dial(ctx, address)
+	err := p.Connect(ctx, address)
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// Connect opens a connection to an address and keeps it for the next request.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		return err
 	}
 	c.expiresAt = clock.Now() + defaultIdleTimeout
 	p.putIdle(address, c)
-	return false
+	return nil
+}
+
+// observe passes the result of an attempt to open or use a connection to onConnect, unless the
+// attempt was given up by this process.
+func (p *Pool) observe(ctx context.Context, pool string, started time.Duration, err error) {
+	if p.onConnect != nil && ctx.Err() == nil {
+		p.onConnect(pool, started, err)
+	}
+}
+
+// lostConnection reports whether an error shows that the path to a back end may be lost, or that the
+// back end has ended.
+func lostConnection(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
 }
 
 // Do sends a request and returns its response once the header has arrived. The end of the
@@ -255,15 +292,22 @@
 	}
 	c := p.takeIdle(address, r.NonIdempotent)
 	if c == nil {
+		started := clock.Now()
 		var err error
-		if c, err = p.dial(ctx, address); err != nil {
+		c, err = p.open(ctx, address)
+		p.observe(ctx, r.Backend.Pool, started, err)
+		if err != nil {
 			return nil, err
 		}
 	}
+	started := clock.Now()
 	a := &BackendResponse{pool: p, address: address, connection: c}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := a.exchange(ctx, r); err != nil {
 		a.Close()
+		if lostConnection(err) {
+			p.observe(ctx, r.Backend.Pool, started, err)
+		}
 		if errors.Is(err, syscall.ETIMEDOUT) {
 			p.closeIdle(address)
 		}
