--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -46,6 +46,8 @@
 	routers  []*Edge
 	frontend []string
 	requests atomic.Int64
+	// links is the network between routers and back ends; nil for that of the machine.
+	links *links
 	// callerTimeout is when callers cancel, 0 for never.
 	callerTimeout time.Duration
 
@@ -91,7 +93,18 @@
 
 func newDeployment(t *testing.T, coordinators, routers, engines int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, runs: map[string]int{}}
+	return startDeployment(t, coordinators, routers, engines, nil)
+}
+
+// newLinkedDeployment returns a deployment in which each pair of router and back end can be cut.
+func newLinkedDeployment(t *testing.T, coordinators, routers, engines int) *deployment {
+	t.Helper()
+	return startDeployment(t, coordinators, routers, engines, newLinks())
+}
+
+func startDeployment(t *testing.T, coordinators, routers, engines int, network *links) *deployment {
+	t.Helper()
+	d := &deployment{t: t, runs: map[string]int{}, links: network}
 	var peers []string
 	for range coordinators {
 		peers = append(peers, freeAddress(t))
@@ -154,6 +167,9 @@
 	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), Seeds: seeds,
 		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
 	e := New(s, names, traffic.Parse, discardLogger())
+	if d.links != nil {
+		e.connections.SetDial(d.links.dialFrom(i))
+	}
 	assert.NilError(d.t, e.Start())
 	d.routers, d.frontend = append(d.routers, e), append(d.frontend, s.Listen)
 }
