--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -213,7 +213,7 @@
 		defer s.stall.stop()
 	}
 	begun := h.now()
-	result := h.relay(ctx, s, response)
+	result := h.forwardResponse(ctx, s, response)
 	h.recordPrefill(j, choice, response.Header, result, started, begun)
 	h.recordAttempt(ctx, s, choice, response, result, h.now()-started)
 	h.reportAttempt(ctx, s, choice, response, result, started)
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -59,8 +59,8 @@
 	body   []byte
 }
 
-// relay forwards a response to the client, or returns why it cannot be forwarded.
-func (h *Handler) relay(ctx context.Context, s *session, response *upstream.BackendResponse) outcome {
+// forwardResponse forwards a response to the client, or returns why it cannot be forwarded.
+func (h *Handler) forwardResponse(ctx context.Context, s *session, response *upstream.BackendResponse) outcome {
 	if response.StatusCode == http.StatusOK && s.job.route.Kind == traffic.KindStream {
 		return s.stream(ctx, response)
 	}
@@ -74,7 +74,7 @@
 	case response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotRun) != "":
 		return outcome{verdict: notRun, response: read, delivered: true, err: errRejected}
 	case response.StatusCode >= http.StatusInternalServerError && !whole:
-		return s.relayLargeFailure(response, body)
+		return s.forwardLargeFailure(response, body)
 	case response.StatusCode >= http.StatusInternalServerError:
 		return outcome{verdict: failed, response: read, delivered: true, err: errServerError}
 	case response.StatusCode < http.StatusMultipleChoices && response.Header.Get(names.Signature) == "":
@@ -114,9 +114,9 @@
 	return prefix, int64(len(prefix)) <= limit, err
 }
 
-// relayLargeFailure forwards a failure whose body is too large to be kept for later, unless
+// forwardLargeFailure forwards a failure whose body is too large to be kept for later, unless
 // another attempt may still succeed.
-func (s *session) relayLargeFailure(response *upstream.BackendResponse, prefix []byte) outcome {
+func (s *session) forwardLargeFailure(response *upstream.BackendResponse, prefix []byte) outcome {
 	result := outcome{verdict: failed, delivered: true, err: errServerError}
 	if s.headerSent || (s.job.route.Retryable() && s.job.ran+1 < s.job.route.MaxAttempts) {
 		return result
