--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -116,7 +116,8 @@
 	// limits records limits from responses and rejects requests without the permit that they
 	// require.
 	limits *ratelimit.Registry
-	// dial opens a connection. It is replaced in tests.
+	dialer net.Dialer
+	// dial is dialer.DialContext unless it is replaced in tests.
 	dial   DialFunc
 	memory *memory.Budget
 	// onConnect is called after each connect and after the loss of a connection; nil for no call.
@@ -133,8 +134,8 @@
 // NewPool returns a pool without connections.
 func NewPool(idHeader string, pushbacks *pushback.Registry, limits *ratelimit.Registry) *Pool {
 	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, limits: limits, bodyStall: bodyStallTimeout, idle: map[string][]*connection{}}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.ReceiveBuffer(receiveBuffer))}
-	p.dial = dialer.DialContext
+	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.ReceiveBuffer(receiveBuffer))}
+	p.dial = p.dialer.DialContext
 	return p
 }
 
