Routers without a path to a pool pass its requests on to another router

Cause: a router had no other way to a back end than its own, and repeated at back ends that were all equally far away.

A router that has found a path lost now sends the client's request to another router, which serves it as if the client had sent it there: with the client's own credentials, its own placement, limits, budget and attempts. So there is one decision and one claim, counted once, and the address for routers grants nothing to others. The leader names up to six routers that reach the pool, half of them of other zones; a router knows some in advance, so that it needs no leader when the cut comes. A request is passed on once: a router that lacks the path too declines it, and after three the client is refused at once. What happened before travels with the request (age, attempts, delivered, counted).

Level 7 of the formats adds the exchange.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -45,6 +45,7 @@
 	Claim           *Claim             `json:"claim,omitempty"`
 	Repeat          *Repeat            `json:"repeat,omitempty"`
 	ListLimits      *ListLimits        `json:"list_limits,omitempty"`
+	Relays          *Relays            `json:"relays,omitempty"`
 	Unblock         *state.Unblock     `json:"unblock,omitempty"`
 }
 
@@ -68,6 +69,8 @@
 	Repeated *Repeated `json:"repeated,omitempty"`
 	// Limits is the reply to ListLimits.
 	Limits *LimitsInForce `json:"limits,omitempty"`
+	// Relays is the reply to Relays.
+	Relays *RelayList `json:"relays,omitempty"`
 }
 
 // Find requests the leader's address, unless the node itself is the leader.
--- a/internal/coordapi/label.go
+++ b/internal/coordapi/label.go
@@ -21,6 +21,8 @@
 		return "digest"
 	case r.Find != nil:
 		return "find"
+	case r.Relays != nil:
+		return "relays"
 	}
 	return "other call"
 }
@@ -36,6 +38,8 @@
 		return "awaited"
 	case r.Claimed != nil:
 		return "claimed"
+	case r.Relays != nil:
+		return "relays"
 	case v == nil:
 		return "other reply"
 	case len(v.Packed) > 0:
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -111,6 +111,8 @@
 			reply.Limits = &coordapi.LimitsInForce{Backends: s.backendLimits.List(s.now()), Tenants: s.tenantLimits.list(s.now())}
 		}
 		return reply, err
+	case r.Relays != nil:
+		return s.exchangeRelays(ctx, r.Relays)
 	case r.Unblock != nil:
 		return s.submit(ctx, state.Command{Unblock: r.Unblock})
 	case r.Join != nil:
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -10,6 +10,7 @@
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/raft"
+	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -62,7 +63,9 @@
 	rooms map[string]coordapi.Room
 	// fairShares are the shares of pools of plain back ends.
 	fairShares fairShares
-	broadcast  broadcast
+	// relays are the routers that accept requests of others.
+	relays    relay.Registry
+	broadcast broadcast
 	// holders maps addresses to the back ends that send heartbeats from them.
 	holders map[string]string
 	// limited are the back ends with a limit, and limitedChanges the change count of
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -164,7 +164,7 @@
 
 func (d *deployment) addRouter(i int, seeds []string) {
 	d.t.Helper()
-	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), Seeds: seeds,
+	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), RelayListen: freeAddress(d.t), Seeds: seeds,
 		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
 	e := New(s, names, traffic.Parse, discardLogger())
 	if d.links != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/reachability"
+	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/version"
@@ -61,8 +62,10 @@
 	callers     *http.Server
 	readiness   *http.Server
 	metrics     *http.Server
-	cancel      context.CancelFunc
-	group       sync.WaitGroup
+	// relayed serves the requests that other routers pass on; nil if the settings name no address.
+	relayed *http.Server
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
 }
 
 // New assembles a router.
@@ -72,17 +75,33 @@
 	saved, tenants, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
 	limits, fairShares, streams := ratelimit.New(headers, logger), fairshare.NewGate(), liveness.NewStreams()
 	pool.SetPushbacks(pushbacks)
+	var relays *relay.Selector
+	if config.RelayListen != "" {
+		relays = relay.NewSelector(config.Zone)
+	}
 	e.follower = follower.New(follower.Config{Name: config.Name, Zone: config.Zone, Seeds: config.Coordinators(), Lease: config.ServingLease(),
-		Decode: decode, Pool: pool, Saved: saved, Quota: tenants, FairShares: fairShares, Streams: streams, Pushbacks: pushbacks, Limits: limits, Peers: e.peers, Logger: logger})
+		Decode: decode, Pool: pool, Saved: saved, Quota: tenants, FairShares: fairShares, Streams: streams, Pushbacks: pushbacks, Limits: limits, Peers: e.peers, Logger: logger,
+		Relays: follower.Relays{Address: config.RelayListen, Selector: relays, Lost: paths.Lost}})
 	buffers := memory.NewBudget(int64(config.MemoryLimit) << 20 / memoryDivisor)
 	connections := upstream.NewPool(headers.RequestID, pushbacks, limits)
 	connections.SetMemory(buffers)
 	e.connections = connections
-	e.handler = forward.New(forward.Config{Headers: headers, Source: e.follower, Placer: e.follower, Queue: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
+	// Other routers' responses say nothing of their back ends' pushbacks and limits that concerns this one.
+	relayConnections := upstream.NewPool(headers.RequestID, pushback.New(headers, logger), ratelimit.New(headers, logger))
+	relayConnections.SetMemory(buffers)
+	forwardConfig := forward.Config{Name: config.Name, Headers: headers, Source: e.follower, Placer: e.follower, Queue: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
 		FairShares: fairShares, Streams: streams, Paths: paths, Upstream: connections, Memory: buffers, Pushbacks: pushbacks, Limits: limits, Logger: logger,
-		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}})
+		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}}
+	if relays != nil {
+		forwardConfig.Relays, forwardConfig.RelayConnections = relays, relayConnections
+	}
+	e.handler = forward.New(forwardConfig)
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+	if relays != nil {
+		e.relayed = &http.Server{Handler: http.HandlerFunc(e.handler.ServeRelayed), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { _, _ = e.handler.WriteTo(w) })
 	mux.HandleFunc("/", e.ready)
@@ -110,6 +129,12 @@
 	e.group.Go(func() { periodic.Run(ctx, overdueInterval, e.handler.CancelOverdue) })
 	e.group.Go(func() { periodic.Run(ctx, forward.StreamCheckInterval, e.handler.CheckStreams) })
 	e.group.Go(func() { periodic.Run(ctx, forward.PathCheckInterval, e.handler.CheckPaths) })
+	if e.relayed != nil {
+		e.group.Go(func() { e.follower.UpdateRelays(ctx) })
+		if err := e.listen(e.relayed, e.settings.RelayListen, e.handler.Listener); err != nil {
+			return err
+		}
+	}
 	unchanged := func(l net.Listener) net.Listener { return l }
 	if err := e.listen(e.readiness, e.settings.Readiness, unchanged); err != nil {
 		return err
@@ -141,6 +166,18 @@
 	return nil
 }
 
+// shutdownRelayed lets the requests of other routers finish.
+func (e *Edge) shutdownRelayed(ctx context.Context) error {
+	if e.relayed == nil {
+		return nil
+	}
+	err := e.relayed.Shutdown(ctx)
+	if err != nil {
+		_ = e.relayed.Close()
+	}
+	return err
+}
+
 // Reload applies new seeds.
 func (e *Edge) Reload(config settings.DisklessRouter) {
 	e.follower.SetSeeds(config.Coordinators())
@@ -155,7 +192,7 @@
 	defer cancel()
 	e.handler.Stop()
 	time.Sleep(min(drainNotice, e.settings.DrainLimit()/2))
-	err := e.callers.Shutdown(ctx)
+	err := errors.Join(e.callers.Shutdown(ctx), e.shutdownRelayed(ctx))
 	if err != nil {
 		_ = e.callers.Close()
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -108,6 +108,8 @@
 	seeds      atomic.Pointer[[]string]
 	following  atomic.Pointer[string]
 	viewed     atomic.Pointer[appliedView]
+	// leadership identifies the leadership of the last view.
+	leadership atomic.Pointer[string]
 	started    time.Duration
 	// clock is clock.Now except in tests.
 	clock      func() time.Duration
@@ -175,6 +177,8 @@
 	Pushbacks *pushback.Registry
 	// Limits holds the limits of back ends; nil for none.
 	Limits *ratelimit.Registry
+	// Relays is used by UpdateRelays only.
+	Relays Relays
 	Peers  *peer.Client
 	Logger *slog.Logger
 }
@@ -356,6 +360,9 @@
 	if len(v.Saved) > 0 && f.config.Saved != nil {
 		f.config.Saved.Add(v.Saved)
 	}
+	if leadership := v.Leader.Leadership(); f.leadership.Load() == nil || leadership != *f.leadership.Load() {
+		f.leadership.Store(&leadership)
+	}
 	f.revision, f.token, f.savedUntil, f.announced = v.Revision, v.Leader, v.SavedUntil, v.Announced
 	f.viewed.Store(&appliedView{revision: v.Revision, requestedAt: sent})
 	f.shards = v.Shard.Count
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -54,12 +54,11 @@
 
 // serve makes attempts until one succeeds or no further one is allowed.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
-	h.budget.CountRequest(h.now(), j.pool.Name)
 	s := &session{handler: h, writer: w, job: j}
 	defer h.refundQuota(j)
 	defer j.releaseShare()
 	// ran is the result of the last attempt that the back end may have run.
-	var ran outcome
+	ran := outcome{verdict: mayHaveRun, err: errOrigin}
 	for {
 		// This is checked before each attempt and by digest: a poison request is resent under
 		// new IDs and through other routers.
@@ -67,6 +66,21 @@
 			h.refuseBlocked(s, blocked.Backends, blocked.Revision)
 			return
 		}
+		if h.declines(j) {
+			h.decline(w, j, errNoRelay.Error())
+			return
+		}
+		if h.needsRelay(j) {
+			result := h.passOn(ctx, s)
+			if !h.settle(ctx, s, result) {
+				return
+			}
+			if result.verdict != notRun {
+				ran = result
+			}
+			continue
+		}
+		h.countRequest(j)
 		choice, found := h.choose(ctx, j)
 		if j.ran > 0 && choice.Late {
 			// No engine begins a further attempt in time, and the refusals below state that the request
@@ -110,26 +124,46 @@
 			return
 		}
 		result := h.attempt(ctx, s, choice)
-		if result.verdict == done {
-			j.ran++
-			h.logResponse(s, "answered")
+		j.query.Tried = append(j.query.Tried, choice.ID)
+		if !h.settle(ctx, s, result) {
 			return
 		}
-		if result.delivered {
-			j.deliveries++
-		}
-		if isWithheld(result.err) {
-			j.withheld++
-		}
 		if result.verdict != notRun {
-			j.ran++
 			ran = result
 		}
-		j.query.Tried = append(j.query.Tried, choice.ID)
-		if ctx.Err() != nil || h.now() >= j.deadline || !h.shouldRetry(ctx, j, s, result) {
-			h.finish(ctx, s, result)
-			return
-		}
+	}
+}
+
+// settle records the result of an attempt. It finishes the request and returns false unless another
+// attempt is allowed.
+func (h *Handler) settle(ctx context.Context, s *session, result outcome) (again bool) {
+	j := s.job
+	if result.verdict == done {
+		j.ran++
+		h.logResponse(s, "answered")
+		return false
+	}
+	if result.delivered {
+		j.deliveries++
+	}
+	if isWithheld(result.err) {
+		j.withheld++
+	}
+	if result.verdict != notRun {
+		j.ran++
+	}
+	if ctx.Err() != nil || h.now() >= j.deadline || !h.shouldRetry(ctx, j, s, result) {
+		h.finish(ctx, s, result)
+		return false
+	}
+	return true
+}
+
+// countRequest counts a request for the retry budget once, at the router that sends it to a back end.
+func (h *Handler) countRequest(j *job) {
+	if !j.counted {
+		j.counted = true
+		h.budget.CountRequest(h.now(), j.pool.Name)
 	}
 }
 
@@ -154,6 +188,10 @@
 
 // shouldRetry reports whether another attempt is allowed after a result.
 func (h *Handler) shouldRetry(ctx context.Context, j *job, s *session, result outcome) bool {
+	if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
+		// All routers that were asked lack a path, so that this one would only be asked again.
+		return false
+	}
 	if j.tries() >= maxSends || s.bodySent || (s.headerSent && !j.route.Resumable) {
 		return false
 	}
@@ -378,6 +416,8 @@
 	case result.verdict == failed && result.response != nil:
 		s.writeBuffered(result.response)
 		h.logResponse(s, "forwarded a failure")
+	case h.declines(j):
+		h.decline(s.writer, j, h.reason(j, result))
 	case j.ran == 0:
 		h.refuse(s.writer, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), retryAfter: h.unavailableRetryAfter(j)})
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
@@ -427,5 +467,5 @@
 	}
 	h.config.Logger.Info(message, "part", "forward", "id", j.id, "request", j.digest.String(), "route", j.route.Name, "pool", j.pool.Name,
 		"table", j.table.Version, "key", j.query.Key, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
-		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "attempts", strings.Join(j.trace, "; "), h.prefillAttributes(j))
+		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "relayed_for", j.relayed(), "attempts", strings.Join(j.trace, "; "), h.prefillAttributes(j))
 }
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -41,6 +41,9 @@
 		// The leader assigns a different delay to each request.
 		return j.permitDelay
 	}
+	if h.pathLost(j) {
+		return lostRetryAfter + rand.N(lostRetryAfter/2)
+	}
 	back := h.config.Pool.RetryDelay(h.now(), &j.query)
 	if back < busyRetryAfter {
 		return busyRetryAfter
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -33,6 +33,7 @@
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/reachability"
+	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -135,9 +136,13 @@
 	// Streams tracks the requests at engines; nil for none.
 	Streams *liveness.Streams
 	// Paths tells which pools cannot be reached from here; nil if that is not observed.
-	Paths  *reachability.Detector
-	Budget BudgetConfig
-	Logger *slog.Logger
+	Paths *reachability.Detector
+	// Relays are the routers to which requests for unreachable pools are passed on over
+	// RelayConnections; nil for none.
+	Relays           Relays
+	RelayConnections *upstream.Pool
+	Budget           BudgetConfig
+	Logger           *slog.Logger
 }
 
 // Handler is the HTTP handler of a router for client requests.
@@ -170,7 +175,7 @@
 	if config.Paths != nil {
 		config.Upstream.OnConnect(h.observeConnect)
 	}
-	for _, name := range slices.Concat(hopHeaders, config.Headers.Reserved(), config.Headers.Forbidden) {
+	for _, name := range slices.Concat(hopHeaders, relayHeaders, config.Headers.Reserved(), config.Headers.Forbidden) {
 		h.forbidden[http.CanonicalHeaderKey(name)] = true
 	}
 	return h
@@ -180,6 +185,9 @@
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", "Host", "Expect"}
 
+// relayHeaders are request headers that only routers set for each other.
+var relayHeaders = []string{relay.HeaderOrigin, relay.HeaderDeclined}
+
 func (h *Handler) now() time.Duration { return h.clock() - h.started }
 
 // Stop makes the handler close each connection after its next response.
@@ -200,6 +208,12 @@
 	tenant  *traffic.Tenant
 	pool    *traffic.Pool
 	request *upstream.Request
+	// authorization is the client's Authorization header.
+	authorization string
+	// origin is set if another router passed the request on.
+	origin *relay.Origin
+	// counted is set once the request has been counted for the retry budget.
+	counted bool
 	// chunked is set if the client understands chunked responses.
 	chunked bool
 	query   backends.Query
@@ -251,7 +265,10 @@
 func (j *job) tries() int { return len(j.query.Tried) - j.withheld }
 
 // ServeHTTP handles one request.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serveHTTP(w, r, nil) }
+
+// serveHTTP handles one request. Origin is set if another router passed it on.
+func (h *Handler) serveHTTP(w http.ResponseWriter, r *http.Request, origin *relay.Origin) {
 	receivedAt := h.now()
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -261,6 +278,7 @@
 		h.refuse(w, &job{id: r.Header.Get(h.config.Headers.RequestID)}, refusal)
 		return
 	}
+	j.continueFrom(origin)
 	h.config.Memory.Charge(requestBytes)
 	defer h.config.Memory.Release(requestBytes)
 	j.memory = h.config.Memory.NewReservation()
@@ -280,6 +298,15 @@
 	h.serve(ctx, w, j)
 }
 
+// continueFrom takes over what the router that passed the request on has done with it.
+func (j *job) continueFrom(origin *relay.Origin) {
+	if origin == nil {
+		return
+	}
+	j.origin, j.ran, j.deliveries, j.counted = origin, origin.Ran, origin.Delivered, origin.Counted
+	j.receivedAt -= origin.Age
+}
+
 // refusal is a response that the router generates.
 type refusal struct {
 	status int
@@ -309,6 +336,7 @@
 			return nil, &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 		}
 	}
+	j.authorization = r.Header.Get("Authorization")
 	if j.id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no ID"}
 	}
@@ -405,5 +433,5 @@
 	_, _ = io.WriteString(w, f.text)
 	h.metrics.CountResponse(f.status, true)
 	h.config.Logger.Info("refused", "part", "forward", "id", j.id, "request", j.digest.String(), "status", f.status, "reason", f.reason,
-		"after_ms", f.retryAfter.Milliseconds(), h.prefillAttributes(j))
+		"after_ms", f.retryAfter.Milliseconds(), "relayed_for", j.relayed(), h.prefillAttributes(j))
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -46,11 +46,19 @@
 	placedByLeader atomic.Uint64
 	placedLocally  atomic.Uint64
 	// pathsLost counts the times that the path to a pool was found to be lost.
-	pathsLost  atomic.Uint64
-	responses  [6]atomic.Uint64
-	local      [6]atomic.Uint64
-	firstEvent histogram
-	total      histogram
+	pathsLost atomic.Uint64
+	// passedOn counts the requests that another router accepted from this one, relaysDeclined those
+	// that one declined, and relayDelay is the time to the response. declined counts the requests of
+	// other routers that this one declined, and accepted the others.
+	passedOn       atomic.Uint64
+	relaysDeclined atomic.Uint64
+	relayDelay     histogram
+	declined       atomic.Uint64
+	accepted       atomic.Uint64
+	responses      [6]atomic.Uint64
+	local          [6]atomic.Uint64
+	firstEvent     histogram
+	total          histogram
 }
 
 type histogram struct {
@@ -98,6 +106,10 @@
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"leader\"} %d\n", m.placedByLeader.Load())
 	fmt.Fprintf(w, "quinceridge_placements_total{by=\"router\"} %d\n", m.placedLocally.Load())
 	fmt.Fprintf(w, "quinceridge_paths_lost_total %d\n", m.pathsLost.Load())
+	fmt.Fprintf(w, "quinceridge_requests_passed_on_total %d\n", m.passedOn.Load())
+	fmt.Fprintf(w, "quinceridge_requests_passed_on_declined_total %d\n", m.relaysDeclined.Load())
+	fmt.Fprintf(w, "quinceridge_requests_relayed_total %d\n", m.accepted.Load())
+	fmt.Fprintf(w, "quinceridge_requests_relayed_declined_total %d\n", m.declined.Load())
 	fmt.Fprintf(w, "quinceridge_paths_lost %d\n", len(h.config.Paths.Lost()))
 	fmt.Fprintf(w, "quinceridge_refused_behind_total %d\n", m.refusedBehind.Load())
 	fmt.Fprintf(w, "quinceridge_refused_no_room_total %d\n", m.refusedQueued.Load())
@@ -129,6 +141,7 @@
 	fmt.Fprintf(w, "quinceridge_limits_kept_total %d\n", h.config.Limits.SendsBlocked.Load())
 	fmt.Fprintf(w, "quinceridge_limits_no_room_total %d\n", m.noPermit.Load())
 	m.firstEvent.write(w, "quinceridge_first_seconds")
+	m.relayDelay.write(w, "quinceridge_passed_on_first_seconds")
 	m.total.write(w, "quinceridge_answer_seconds")
 	return 0, nil
 }
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -58,8 +58,3 @@
 	h.config.Logger.Info("path to a pool is back", "part", "reachability", "pool", pool, "tried", result.Tried, "reached", result.Reached,
 		"lost_ms", lostFor.Milliseconds())
 }
-
-// pathLost reports whether no back end of a job's pool can be reached from here.
-func (h *Handler) pathLost(j *job) bool {
-	return h.config.Paths.Verdict(j.pool.Name) == reachability.Lost
-}
--- /dev/null
+++ b/internal/forward/relay.go
@@ -0,0 +1,213 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/reachability"
+	"quinceridge.example/quinceridge/internal/relay"
+	"quinceridge.example/quinceridge/internal/traffic"
+	"quinceridge.example/quinceridge/internal/upstream"
+)
+
+const (
+	// maxRelays bounds the routers to which a request is passed on one after the other, when they
+	// decline it or cannot be reached.
+	maxRelays = 3
+	// relaySilenceFactor is the timeout for the first byte of a retryable request that was passed
+	// on, in latency targets of its route. It may wait in the queue of its pool there.
+	relaySilenceFactor = 4
+	// lostRetryAfter is the Retry-After, before jitter, of a request for a pool that neither this
+	// router nor another one reaches: the path has been checked again by then.
+	lostRetryAfter = 500 * time.Millisecond
+)
+
+// Relays are the other routers to which this one may pass requests on.
+type Relays interface {
+	// Known returns their number.
+	Known() int
+	// Choose returns one for a request to a pool, except those tried. Done ends its use.
+	Choose(now time.Duration, pool string, tried []string, draw float64) (address string, done func(), found bool)
+	// Declined records that one cannot serve a pool, and Unreachable that one did not respond.
+	Declined(now time.Duration, address, pool string)
+	Unreachable(now time.Duration, address string)
+}
+
+var (
+	errNoRelay  = errors.New("no router reaches the back ends")
+	errDeclined = errors.New("declined")
+	errOrigin   = errors.New("an attempt at the router of the client may have run the request")
+)
+
+// pathLost reports whether no back end of a job's pool can be reached from here.
+func (h *Handler) pathLost(j *job) bool {
+	return h.config.Paths.Verdict(j.pool.Name) == reachability.Lost
+}
+
+// needsRelay reports whether a request is to be passed on to another router. One that another router
+// has passed on is not: it would be declined instead.
+func (h *Handler) needsRelay(j *job) bool {
+	return j.origin == nil && h.config.Relays != nil && h.pathLost(j) && h.config.Relays.Known() > 0
+}
+
+// passOn passes a request on to other routers until one accepts it.
+func (h *Handler) passOn(ctx context.Context, s *session) outcome {
+	result := outcome{verdict: notRun, err: errNoRelay}
+	var tried []string
+	for len(tried) < maxRelays {
+		address, done, found := h.config.Relays.Choose(h.clock(), s.job.pool.Name, tried, rand.Float64())
+		if !found {
+			break
+		}
+		tried = append(tried, address)
+		result = h.attemptVia(ctx, s, address)
+		done()
+		if result.verdict != notRun || ctx.Err() != nil || h.now() >= s.job.deadline {
+			break
+		}
+	}
+	return result
+}
+
+// attemptVia passes a request on to one router and forwards the response.
+func (h *Handler) attemptVia(ctx context.Context, s *session, address string) outcome {
+	j := s.job
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := h.watchRelay(ctx, j, cancel)
+	defer silence.stop()
+	started := h.now()
+	text := fmt.Sprintf("passed on to router %s, path lost for %d ms", address, h.config.Paths.LostFor(h.clock(), j.pool.Name).Milliseconds())
+	response, err := h.config.RelayConnections.Do(ctx, address, h.requestVia(s))
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = fmt.Errorf("%w (%w)", err, cause)
+		}
+		if !errors.Is(context.Cause(ctx), context.Canceled) {
+			h.config.Relays.Unreachable(h.clock(), address)
+		}
+		j.trace = append(j.trace, text+": "+err.Error())
+		if errors.Is(err, upstream.ErrNotSent) {
+			return outcome{verdict: notRun, err: err}
+		}
+		return outcome{verdict: mayHaveRun, err: err, delivered: true}
+	}
+	defer response.Close()
+	silence.stop()
+	j.trace = append(j.trace, text+": "+strconv.Itoa(response.StatusCode))
+	if response.Header.Get(relay.HeaderDeclined) != "" {
+		h.metrics.relaysDeclined.Add(1)
+		h.config.Relays.Declined(h.clock(), address, j.pool.Name)
+		return outcome{verdict: notRun, err: errDeclined}
+	}
+	h.metrics.passedOn.Add(1)
+	h.metrics.relayDelay.add(h.now() - started)
+	result := h.forwardVia(ctx, s, response, cancel)
+	if result.verdict == mayHaveRun && !isLocal(result.err) && !errors.Is(context.Cause(ctx), context.Canceled) {
+		h.config.Relays.Unreachable(h.clock(), address)
+	}
+	return result
+}
+
+// watchRelay returns a watchdog that cancels a retryable request that was passed on if no response
+// begins in time, and nil if it must not be sent again.
+func (h *Handler) watchRelay(ctx context.Context, j *job, cancel context.CancelCauseFunc) *watchdog {
+	if !j.route.Retryable() || j.ran+1 >= max(j.route.MaxAttempts, 1) || j.route.Target <= 0 {
+		return nil
+	}
+	return newWatchdog(relaySilenceFactor*j.route.Target, h.cancelForRetry(ctx, j, cancel))
+}
+
+// requestVia returns the client's request as another router receives it, with the client's own
+// credentials.
+func (h *Handler) requestVia(s *session) *upstream.Request {
+	j, names := s.job, &h.config.Headers
+	header := j.request.Header.Clone()
+	for _, name := range names.Reserved() {
+		header.Del(name)
+	}
+	if j.authorization != "" {
+		header.Set("Authorization", j.authorization)
+	}
+	if s.lastEventID != "" {
+		header.Set(names.LastEvent, s.lastEventID)
+	}
+	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
+	origin := relay.Origin{Router: h.config.Name, Age: h.now() - j.receivedAt, Ran: j.ran, Delivered: j.deliveries, Counted: j.counted}
+	header.Set(relay.HeaderOrigin, origin.Encode())
+	return &upstream.Request{Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: header, Body: j.request.Body, ID: j.id,
+		NonIdempotent: j.request.NonIdempotent}
+}
+
+// forwardVia forwards the response of another router. Failures are final: the other router has made
+// all attempts that the route allows.
+func (h *Handler) forwardVia(ctx context.Context, s *session, response *upstream.BackendResponse, cancel context.CancelCauseFunc) outcome {
+	j := s.job
+	if response.StatusCode < http.StatusInternalServerError && !notRunStatuses[response.StatusCode] {
+		if j.route.Kind == traffic.KindStream && response.StatusCode == http.StatusOK && j.route.Retryable() {
+			s.stall = newWatchdog(max(stallFactor*j.route.GapTarget, minStall), h.cancelForRetry(ctx, j, cancel))
+			defer s.stall.stop()
+		}
+		return h.forwardResponse(ctx, s, response)
+	}
+	body, whole, err := readPrefix(response, maxBufferedBody, &j.memory)
+	switch {
+	case err != nil:
+		return outcome{verdict: mayHaveRun, err: err, delivered: true}
+	case s.headerSent:
+		return outcome{verdict: mayHaveRun, err: errServerError, delivered: true}
+	case !whole:
+		if err := s.streamBody(response, body); err != nil {
+			return outcome{verdict: mayHaveRun, err: err, delivered: true}
+		}
+		return outcome{verdict: done}
+	}
+	s.copyHeader(response.Header)
+	s.writeBody(response.StatusCode, body)
+	return outcome{verdict: done}
+}
+
+// ServeRelayed handles a request that another router passes on. The client's credentials are checked
+// as if it had sent the request here, so that the port grants nothing to others.
+func (h *Handler) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	origin, err := relay.ParseOrigin(r.Header.Get(relay.HeaderOrigin))
+	if err != nil {
+		h.config.Logger.Warn("request of another router rejected", "part", "relay", "remote", r.RemoteAddr, "error", err.Error())
+		h.refuse(w, &job{id: r.Header.Get(h.config.Headers.RequestID)}, &refusal{status: http.StatusBadRequest, reason: err.Error()})
+		return
+	}
+	if !h.Ready() {
+		h.decline(w, &job{id: r.Header.Get(h.config.Headers.RequestID), origin: origin}, "this router does not serve")
+		return
+	}
+	h.metrics.accepted.Add(1)
+	h.serveHTTP(w, r, origin)
+}
+
+// decline sends the response to a request of another router that has not run here and is not accepted.
+func (h *Handler) decline(w http.ResponseWriter, j *job, reason string) {
+	h.metrics.declined.Add(1)
+	w.Header().Set(relay.HeaderDeclined, "1")
+	h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: "declined for router " + j.origin.Router + ": " + reason, retryAfter: lostRetryAfter})
+}
+
+// declines reports whether a request that another router passed on must be declined because the pool
+// cannot be reached from here either.
+func (h *Handler) declines(j *job) bool {
+	return j.origin != nil && j.ran == j.origin.Ran && h.pathLost(j)
+}
+
+// relayed returns the name of the router that passed a request on, for the log; empty for none.
+func (j *job) relayed() string {
+	if j.origin == nil {
+		return ""
+	}
+	name, _, _ := strings.Cut(j.origin.Router, "/")
+	return name
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -13,6 +13,7 @@
 
 	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
+	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -197,7 +198,7 @@
 
 // hopResponseHeaders are response headers that concern one connection only.
 var hopResponseHeaders = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true}
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, relay.HeaderDeclined: true}
 
 // notRunStatuses are the statuses that tell a client that its request has not run and will not
 // run later.
@@ -226,11 +227,17 @@
 func (s *session) writeBuffered(response *bufferedResponse) {
 	s.copyHeader(response.header)
 	s.setStatus(response.status)
+	s.writeBody(s.status, response.body)
+}
+
+// writeBody sends a status and a complete body.
+func (s *session) writeBody(status int, body []byte) {
+	s.status = status
 	s.firstAt = s.handler.now()
-	s.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
-	s.writer.WriteHeader(s.status)
+	s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.writer.WriteHeader(status)
 	// The back end has done its part; the log names the error.
-	_, s.writeError = s.writer.Write(response.body)
+	_, s.writeError = s.writer.Write(body)
 }
 
 // stream forwards events as they arrive. The header is sent with the first event.
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -28,8 +28,11 @@
 	// Streams adds reports of overdue streams and the list of unresponsive engines, the state of the
 	// engine that holds a prompt's parts, and the recorded levels of the limits of tenants.
 	Streams Level = 6
+	// Paths adds the pools to which routers have lost the path, and the routers to which these pass
+	// requests on.
+	Paths Level = 7
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = Streams
+const Current = Paths
--- /dev/null
+++ b/internal/relay/origin.go
@@ -0,0 +1,74 @@
+// Package relay lets a router that cannot reach the back ends of a pool pass requests on to another
+// router, which serves them as if its own client had sent them.
+//
+// A Registry at the leader of the coordinators records which routers accept such requests and which
+// pools they cannot reach. A Selector at a router chooses among those that the leader named. A request
+// is passed on once only, with the client's own credentials; its Origin tells what the first router
+// has done with it. All times are arguments.
+package relay
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// HeaderOrigin is the request header that contains the Origin.
+	HeaderOrigin = "Quinceridge-Origin"
+	// HeaderDeclined is the response header of a router that did not accept a request. The request
+	// has not run.
+	HeaderDeclined = "Quinceridge-Declined"
+	// maxOrigin bounds the length of an encoded Origin, and maxAttempts its counts.
+	maxOrigin   = 512
+	maxAttempts = 64
+)
+
+// Origin tells a router how a request that another router passes on has been handled there.
+type Origin struct {
+	// Router is the name of the router that received the request from its client.
+	Router string
+	// Age is the time since it did.
+	Age time.Duration
+	// Ran is the number of attempts that ran or may have run, and Delivered that of the attempts
+	// that a back end received.
+	Ran, Delivered int
+	// Counted is set if the request has been counted for the retry budget.
+	Counted bool
+}
+
+// Encode returns the value of HeaderOrigin.
+func (o *Origin) Encode() string {
+	return url.Values{"router": {o.Router}, "age_ms": {strconv.FormatInt(o.Age.Milliseconds(), 10)}, "ran": {strconv.Itoa(o.Ran)},
+		"delivered": {strconv.Itoa(o.Delivered)}, "counted": {strconv.FormatBool(o.Counted)}}.Encode()
+}
+
+// ParseOrigin parses a value of HeaderOrigin.
+func ParseOrigin(text string) (*Origin, error) {
+	if text == "" || len(text) > maxOrigin {
+		return nil, errors.Newf("%s has %d bytes, want 1 to %d", HeaderOrigin, len(text), maxOrigin)
+	}
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return nil, errors.Wrap(err, HeaderOrigin)
+	}
+	number := func(name string, most int64) int64 {
+		n, failure := strconv.ParseInt(values.Get(name), 10, 64)
+		if failure == nil && (n < 0 || n > most) {
+			failure = fmt.Errorf("%d is not within 0 to %d", n, most)
+		}
+		if failure != nil && err == nil {
+			err = errors.Wrapf(failure, "%s: %s", HeaderOrigin, name)
+		}
+		return n
+	}
+	o := &Origin{Router: values.Get("router"), Age: time.Duration(number("age_ms", time.Hour.Milliseconds())) * time.Millisecond,
+		Ran: int(number("ran", maxAttempts)), Delivered: int(number("delivered", maxAttempts)), Counted: values.Get("counted") == "true"}
+	if err != nil {
+		return nil, err
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+)
+
+func ExampleOrigin_Encode() {
+	o := Origin{Router: "router-1", Age: 120 * time.Millisecond, Ran: 1, Delivered: 1, Counted: true}
+	fmt.Println(o.Encode())
+	// Output: age_ms=120&counted=true&delivered=1&ran=1&router=router-1
+}
+
+func TestOriginIsBounded(t *testing.T) {
+	long := make([]byte, 600)
+	for _, text := range []string{"", "ran=1", "age_ms=-1&ran=0&delivered=0", "age_ms=1&ran=65&delivered=0", "age_ms=x&ran=0&delivered=0", "%zz", string(long)} {
+		_, err := ParseOrigin(text)
+		assert.ErrorContains(t, err, HeaderOrigin, "%.20q", text)
+	}
+}
+
+func FuzzParseOrigin(f *testing.F) {
+	f.Add("age_ms=120&counted=true&delivered=1&ran=1&router=router-1")
+	f.Add("ran=1;%")
+	f.Fuzz(func(t *testing.T, text string) {
+		o, err := ParseOrigin(text)
+		if err != nil {
+			return
+		}
+		if o.Ran < 0 || o.Ran > maxAttempts || o.Delivered < 0 || o.Delivered > maxAttempts || o.Age < 0 || o.Age > time.Hour {
+			t.Fatalf("%+v", o)
+		}
+		if again, err := ParseOrigin(o.Encode()); err == nil && *again != *o {
+			t.Fatalf("%+v, again %+v", o, again)
+		}
+	})
+}
+
+func register(g *Registry, now time.Duration, name, zone string, lost ...string) *coordapi.Relays {
+	r := &coordapi.Relays{Router: name + "/1", Zone: zone, Address: name, Lost: lost}
+	g.Register(now, r)
+	return r
+}
+
+func anyone(string) bool { return true }
+
+func TestRegistryNamesRoutersThatReachLostPools(t *testing.T) {
+	var g Registry
+	asking := register(&g, 0, "asking", "a", "llm", "app")
+	register(&g, 0, "also-cut", "a", "llm", "app")
+	register(&g, 0, "engines-only", "b", "app")
+	register(&g, 0, "apps-only", "b", "llm")
+	names := map[string]bool{}
+	for _, r := range g.Choose(0, asking, anyone) {
+		names[r.Address] = true
+	}
+	assert.DeepEqual(t, names, map[string]bool{"engines-only": true, "apps-only": true})
+	assert.Equal(t, g.Lost(), 4)
+	// Without a lost pool, only routers without one are named.
+	assert.Equal(t, len(g.Choose(0, &coordapi.Relays{Router: "x", Address: "x", Zone: "a"}, anyone)), 0)
+	assert.Equal(t, len(g.Choose(0, asking, func(name string) bool { return name == "apps-only/1" })), 1)
+	assert.Equal(t, len(g.Choose(registrationTimeout+1, asking, anyone)), 0)
+}
+
+// At 985 routers, half of them cut, the requests of the cut ones must be spread over the others, and
+// not only over those of their own zone, which may be cut as well.
+func TestRegistrySpreadsOverRoutersAndZones(t *testing.T) {
+	const routers, zones = 985, 5
+	var g Registry
+	for i := range routers {
+		lost := []string{}
+		if i%2 == 0 {
+			lost = []string{"llm"}
+		}
+		register(&g, 0, fmt.Sprint("r", i), fmt.Sprint("z", i%zones), lost...)
+	}
+	chosen := map[string]int{}
+	for i := 0; i < routers; i += 2 {
+		list := g.Choose(0, &coordapi.Relays{Router: "x", Address: fmt.Sprint("r", i), Zone: fmt.Sprint("z", i%zones), Lost: []string{"llm"}}, anyone)
+		assert.Equal(t, len(list), MaxRelays)
+		near := 0
+		for _, r := range list {
+			chosen[r.Address]++
+			if r.Zone == fmt.Sprint("z", i%zones) {
+				near++
+			}
+		}
+		assert.Assert(t, near <= maxNear, "%d", near)
+	}
+	most := 0
+	for _, n := range chosen {
+		most = max(most, n)
+	}
+	// Six are expected of each; a binomial count beyond 24 has a probability below 1e-6.
+	assert.Assert(t, len(chosen) > 480 && most <= 24, "%d chosen, one %d times", len(chosen), most)
+}
+
+func TestRoutersOfOwnZoneFillUp(t *testing.T) {
+	var g Registry
+	for i := range 10 {
+		register(&g, 0, fmt.Sprint("r", i), "a")
+	}
+	assert.Equal(t, len(g.Choose(0, &coordapi.Relays{Router: "x", Address: "x", Zone: "a", Lost: []string{"llm"}}, anyone)), MaxRelays)
+}
+
+func TestSelectorSpreadsAndSetsAside(t *testing.T) {
+	s := NewSelector("a")
+	s.Set([]coordapi.Relay{{Address: "near", Zone: "a"}, {Address: "far", Zone: "b"}, {Address: "lost", Zone: "a", Lost: []string{"llm"}}})
+	assert.Equal(t, s.Known(), 3)
+	choose := func(now time.Duration, tried ...string) string {
+		address, _, _ := s.Choose(now, "llm", tried, 0)
+		return address
+	}
+	counts := map[string]int{}
+	for range 20 {
+		counts[choose(0)]++
+	}
+	// The router in the other zone has two requests less.
+	assert.DeepEqual(t, counts, map[string]int{"near": 11, "far": 9})
+	assert.Equal(t, choose(0, "near", "far"), "")
+	s.Declined(0, "far", "llm")
+	s.Unreachable(0, "near")
+	assert.Equal(t, choose(declinedPause-1), "")
+	assert.Equal(t, choose(declinedPause), "far")
+	assert.Equal(t, choose(unreachablePause, "far"), "near")
+	s.Set(nil)
+	assert.Equal(t, choose(time.Hour), "")
+	assert.Equal(t, s.Known(), 0)
+}
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -83,6 +83,9 @@
 	Seeds []string `yaml:"seeds" validate:"required,min=1,unique,dive,tcp_addr"`
 	// PeerPort replaces the ports of Seeds; 0 keeps them.
 	PeerPort int `yaml:"peer_port" validate:"min=0,max=65535"`
+	// RelayListen is the address at which other routers pass requests on that they cannot send to any
+	// back end. Empty means that this router neither accepts such requests nor passes any on.
+	RelayListen string `yaml:"relay_listen" validate:"omitempty,tcp_addr"`
 	// Revocation is the maximum time for which any router may still accept a removed API key. A
 	// router serves for that time, less a margin, after a coordinator confirmed its
 	// configuration.
