Failures over a lost path are no longer taken for failures of back ends

Cause: the leader believes what each router reports. Unreachable engines were left out for everybody for 1.5 s, failed ones cost more, overdue streams of one router listed engines as unresponsive, and placements at engines that their router could not reach counted as running. Evidence: the leader's lines on reported troubles name cut routers only; 24 times in 12 s an engine is listed and responds again.

A router reports failures of engines, overdue streams and requests that ended back ends only while its path to the pool is known to be fine; what falls into a check waits for its result. A request for a pool that no router reaches is refused at once, but for a trial each half second and while open connections get responses: an overloaded pool that accepts no connects must not be taken for a lost one. When the path is back, the router forgets what it held against the back ends.

TestRoutersBesideCutOnesServeAsBefore now runs without other routers that could serve the cut ones' requests (with them it passes since, so that it no longer showed this fault); in this form it fails on: 9 to 19 of 74 served, 66 of 75 without the refusal at once.

--- a/internal/backends/outcome.go
+++ b/internal/backends/outcome.go
@@ -110,12 +110,13 @@
 	}
 }
 
-// Troubles returns and clears the failures of attempts at engines.
+// Troubles returns and clears the failures of attempts at engines, except those that may be failures of
+// this process's own path.
 func (p *Pool) Troubles() []coordapi.Trouble {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := p.troubles
-	p.troubles = nil
+	var out []coordapi.Trouble
+	out, p.troubles = p.sortTroubles(p.troubles)
 	return out
 }
 
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -16,6 +16,7 @@
 	"quinceridge.example/quinceridge/internal/concurrency"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/speed"
 	"quinceridge.example/quinceridge/internal/state"
 )
@@ -93,7 +94,7 @@
 }
 
 // Pool holds the back ends of all pools. It is safe for concurrent use. Lock order: mu, then that
-// of pushbacks.
+// of pushbacks or paths.
 type Pool struct {
 	zone string
 	// central is set if the pool chooses for all routers and receives first events with a mean
@@ -101,6 +102,8 @@
 	central bool
 	// pushbacks holds the pushbacks of back ends against this process; nil means none.
 	pushbacks *pushback.Registry
+	// paths tells which pools this process cannot reach; nil means none.
+	paths *reachability.Detector
 	// index is nil in a router's own pool.
 	index       *index
 	reportDelay time.Duration
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -48,6 +48,8 @@
 	requests atomic.Int64
 	// links is the network between routers and back ends; nil for that of the machine.
 	links *links
+	// relays is set if routers pass requests on to each other.
+	relays bool
 	// callerTimeout is when callers cancel, 0 for never.
 	callerTimeout time.Duration
 
@@ -93,18 +95,25 @@
 
 func newDeployment(t *testing.T, coordinators, routers, engines int) *deployment {
 	t.Helper()
-	return startDeployment(t, coordinators, routers, engines, nil)
+	return startDeployment(&deployment{t: t, relays: true}, coordinators, routers, engines)
 }
 
 // newLinkedDeployment returns a deployment in which each pair of router and back end can be cut.
 func newLinkedDeployment(t *testing.T, coordinators, routers, engines int) *deployment {
 	t.Helper()
-	return startDeployment(t, coordinators, routers, engines, newLinks())
+	return startDeployment(&deployment{t: t, relays: true, links: newLinks()}, coordinators, routers, engines)
 }
 
-func startDeployment(t *testing.T, coordinators, routers, engines int, network *links) *deployment {
+// newUnrelayedDeployment is newLinkedDeployment with routers that pass no requests on.
+func newUnrelayedDeployment(t *testing.T, coordinators, routers, engines int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, runs: map[string]int{}, links: network}
+	return startDeployment(&deployment{t: t, links: newLinks()}, coordinators, routers, engines)
+}
+
+func startDeployment(d *deployment, coordinators, routers, engines int) *deployment {
+	t := d.t
+	t.Helper()
+	d.runs = map[string]int{}
 	var peers []string
 	for range coordinators {
 		peers = append(peers, freeAddress(t))
@@ -164,8 +173,11 @@
 
 func (d *deployment) addRouter(i int, seeds []string) {
 	d.t.Helper()
-	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), RelayListen: freeAddress(d.t), Seeds: seeds,
+	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), Seeds: seeds,
 		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
+	if d.relays {
+		s.RelayListen = freeAddress(d.t)
+	}
 	e := New(s, names, traffic.Parse, discardLogger())
 	if d.links != nil {
 		e.connections.SetDial(d.links.dialFrom(i))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,6 +75,7 @@
 	saved, tenants, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
 	limits, fairShares, streams := ratelimit.New(headers, logger), fairshare.NewGate(), liveness.NewStreams()
 	pool.SetPushbacks(pushbacks)
+	pool.SetPaths(paths)
 	var relays *relay.Selector
 	if config.RelayListen != "" {
 		relays = relay.NewSelector(config.Zone)
--- a/internal/edge/reach_test.go
+++ b/internal/edge/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -56,10 +57,9 @@
 	return out
 }
 
-// cutTwoOfFour cuts two of four routers from all back ends and returns what each router serves from a
-// second after the cut.
-func cutTwoOfFour(t *testing.T, state linkState) (cut, others []service) {
-	d := newLinkedDeployment(t, 3, 4, 4)
+// cutTwoOfFour cuts two of four routers of a deployment from all back ends and returns what each
+// router serves from a second after the cut.
+func cutTwoOfFour(t *testing.T, d *deployment, state linkState) (cut, others []service) {
 	for router, s := range d.mixedLoad(time.Second, time.Second) {
 		assert.Assert(t, s.share() >= 0.95, "router %d before the cut: %+v", router, s)
 	}
@@ -73,23 +73,25 @@
 
 var cuts = map[string]linkState{"silent": linkSilent, "resets": linkResets, "refuses": linkRefuses}
 
-// Routers that have lost the path to all back ends must serve first tries as often as the others.
+// Routers that have lost the path to all back ends must serve first tries as often as the others, and
+// these as before.
 func TestRoutersWithoutPathToBackendsServe(t *testing.T) {
 	for name, state := range cuts {
 		t.Run(name, func(t *testing.T) {
-			cut, others := cutTwoOfFour(t, state)
-			for router, s := range cut {
+			cut, others := cutTwoOfFour(t, newLinkedDeployment(t, 3, 4, 4), state)
+			for router, s := range slices.Concat(cut, others) {
 				assert.Assert(t, s.share() >= 0.95, "router %d: cut %+v, others %+v", router, cut, others)
 			}
 		})
 	}
 }
 
-// What cut routers observe must not keep others from engines that these reach.
+// What cut routers observe must not keep others from engines that these reach, although no request of
+// the cut routers is passed on.
 func TestRoutersBesideCutOnesServeAsBefore(t *testing.T) {
 	for name, state := range cuts {
 		t.Run(name, func(t *testing.T) {
-			cut, others := cutTwoOfFour(t, state)
+			cut, others := cutTwoOfFour(t, newUnrelayedDeployment(t, 3, 4, 4), state)
 			for router, s := range others {
 				assert.Assert(t, s.share() >= 0.95, "router %d: cut %+v, others %+v", router, cut, others)
 			}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,6 +64,9 @@
 	OwnLoads() []coordapi.Load
 	// Troubles returns the failures observed at engines since the last call.
 	Troubles() []coordapi.Trouble
+	// PathKnown reports whether failures at a back end are known not to be those of this router's own
+	// path.
+	PathKnown(id string) bool
 	// Refused returns how many requests were refused since the last call because all engines of
 	// their pool were behind.
 	Refused() int
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -25,6 +25,7 @@
 type discardPool struct{}
 
 func (discardPool) Apply([]state.Backend, []string, bool)                             {}
+func (discardPool) PathKnown(string) bool                                             { return true }
 func (discardPool) Refused() int                                                      { return 0 }
 func (discardPool) ApplyNotes(coordapi.Notes)                                         {}
 func (discardPool) RestrictToShard(coordapi.Shard)                                    {}
--- a/internal/follower/report.go
+++ b/internal/follower/report.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/liveness"
 )
 
 // The time between two updates is updateInterval plus updateIntervalPerRouter for each router of
@@ -41,7 +43,7 @@
 		}
 		update := &coordapi.Update{Router: f.name, Saved: f.config.Saved.TakeNew(), Loads: f.config.Pool.OwnLoads(), Refused: f.config.Pool.Refused(),
 			Reports: f.pendingReports()}
-		update.Stalls = f.config.Streams.Stalls(f.clock())
+		update.Stalls = slices.DeleteFunc(f.config.Streams.Stalls(f.clock()), func(s liveness.Stall) bool { return !f.config.Pool.PathKnown(s.Engine) })
 		if f.config.FairShares != nil {
 			update.Demands = f.config.FairShares.Demands(f.clock())
 		}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -72,6 +72,10 @@
 		}
 		if h.needsRelay(j) {
 			result := h.passOn(ctx, s)
+			if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
+				j.unrelayed = true
+				continue
+			}
 			if !h.settle(ctx, s, result) {
 				return
 			}
@@ -80,6 +84,10 @@
 			}
 			continue
 		}
+		if h.unreachable(j) {
+			h.finish(ctx, s, outcome{verdict: notRun, err: errNoRelay})
+			return
+		}
 		h.countRequest(j)
 		choice, found := h.choose(ctx, j)
 		if j.ran > 0 && choice.Late {
@@ -188,10 +196,6 @@
 
 // shouldRetry reports whether another attempt is allowed after a result.
 func (h *Handler) shouldRetry(ctx context.Context, j *job, s *session, result outcome) bool {
-	if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
-		// All routers that were asked lack a path, so that this one would only be asked again.
-		return false
-	}
 	if j.tries() >= maxSends || s.bodySent || (s.headerSent && !j.route.Resumable) {
 		return false
 	}
@@ -239,6 +243,7 @@
 		return result
 	}
 	defer response.Close()
+	h.config.Paths.Responded(h.clock(), j.pool.Name)
 	silence.stop()
 	h.recordBegun(s, response.StatusCode)
 	if choice.Placement > 0 && response.StatusCode == http.StatusOK {
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -18,6 +18,13 @@
 // silent. It exceeds the interval of events, which engines send at least twice a second.
 const minSilence = time.Second
 
+// maxCheckWait is the time for which the report of a failed attempt waits for a check of the path to
+// its pool, polled every checkWaitStep.
+const (
+	maxCheckWait  = 300 * time.Millisecond
+	checkWaitStep = 20 * time.Millisecond
+)
+
 // Observer detects poison requests together with all other routers.
 type Observer interface {
 	// Blocked reports whether a request is blocked, and the evidence for it.
@@ -57,6 +64,8 @@
 	framed := response != nil && response.Framed()
 	switch {
 	case result.verdict == notRun, isLocal(result.err):
+	case !framed && h.pathLost(j):
+		// The failure is one of this router's path.
 	case result.verdict != mayHaveRun && framed:
 		h.config.Observer.RecordSuccess(j.digest)
 	case errors.Is(context.Cause(ctx), backends.ErrRestarted):
@@ -73,9 +82,14 @@
 // stop it.
 func (h *Handler) probeBackend(choice backends.Choice) {
 	down := h.config.Upstream.Down(context.Background(), choice.Address)
+	for waited := time.Duration(0); waited < maxCheckWait && !h.config.Pool.PathKnown(choice.ID); waited += checkWaitStep {
+		time.Sleep(checkWaitStep)
+	}
+	known := h.config.Pool.PathKnown(choice.ID)
 	for _, ended := range h.probes.take(choice.ID) {
-		ended.Down = down
-		h.config.Observer.RecordFailure(ended)
+		if ended.Down = down; known {
+			h.config.Observer.RecordFailure(ended)
+		}
 	}
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -212,6 +212,8 @@
 	authorization string
 	// origin is set if another router passed the request on.
 	origin *relay.Origin
+	// unrelayed is set if the other routers that were asked do not reach the pool either.
+	unrelayed bool
 	// counted is set once the request has been counted for the retry budget.
 	counted bool
 	// chunked is set if the client understands chunked responses.
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -55,6 +55,7 @@
 		h.config.Logger.Warn("path to a pool lost", "part", "reachability", "pool", pool, "tried", result.Tried, "reached", result.Reached, "cause", cause.Error())
 		return
 	}
+	h.config.Pool.ForgetFailures(pool)
 	h.config.Logger.Info("path to a pool is back", "part", "reachability", "pool", pool, "tried", result.Tried, "reached", result.Reached,
 		"lost_ms", lostFor.Milliseconds())
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -53,7 +53,13 @@
 // needsRelay reports whether a request is to be passed on to another router. One that another router
 // has passed on is not: it would be declined instead.
 func (h *Handler) needsRelay(j *job) bool {
-	return j.origin == nil && h.config.Relays != nil && h.pathLost(j) && h.config.Relays.Known() > 0
+	return j.origin == nil && !j.unrelayed && h.config.Relays != nil && h.pathLost(j) && h.config.Relays.Known() > 0
+}
+
+// unreachable reports whether a request must be refused at once, since neither this router nor
+// another one reaches the pool.
+func (h *Handler) unreachable(j *job) bool {
+	return h.pathLost(j) && !h.config.Paths.MayTry(h.clock(), j.pool.Name)
 }
 
 // passOn passes a request on to other routers until one accepts it.
--- a/internal/reachability/detector.go
+++ b/internal/reachability/detector.go
@@ -24,6 +24,11 @@
 	// checkPause is the time without a check after one that reached a back end. It bounds the
 	// connects to a pool in which a back end keeps failing.
 	checkPause = 500 * time.Millisecond
+	// respondedWindow is the time after a response within which open connections to the pool are
+	// taken to work although no new one can be opened, and trialInterval the time between two
+	// requests that find out.
+	respondedWindow = time.Second
+	trialInterval   = 500 * time.Millisecond
 )
 
 // Verdict is what a Detector knows of the path to a pool.
@@ -52,6 +57,8 @@
 	// check.
 	connectedAt, checkedAt time.Duration
 	checking               bool
+	// respondedAt is the time of the last response, and triedAt that of the last trial.
+	respondedAt, triedAt time.Duration
 	// since is when the verdict became Lost.
 	since time.Duration
 }
@@ -63,7 +70,7 @@
 	p := d.pools[pool]
 	if p == nil {
 		// Times before the start of the clock allow a check at once.
-		p = &path{connectedAt: -checkPause, checkedAt: -checkPause}
+		p = &path{connectedAt: -checkPause, checkedAt: -checkPause, respondedAt: -respondedWindow, triedAt: -trialInterval}
 		d.pools[pool] = p
 	}
 	return p
@@ -79,6 +86,36 @@
 	d.path(pool).connectedAt = now
 }
 
+// Responded records a response of a back end of a pool.
+func (d *Detector) Responded(now time.Duration, pool string) {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.path(pool).respondedAt = now
+}
+
+// MayTry reports whether a request may be sent to a pool from here although the path is lost: while
+// open connections get responses, which an overloaded pool sends as well, and else as a trial now and
+// then.
+func (d *Detector) MayTry(now time.Duration, pool string) bool {
+	if d == nil {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.path(pool)
+	if p.verdict != Lost || now-p.respondedAt < respondedWindow {
+		return true
+	}
+	if now-p.triedAt < trialInterval {
+		return false
+	}
+	p.triedAt = now
+	return true
+}
+
 // Failed records that a connect failed, or that an open connection was lost, in an attempt that was
 // started at a time. It reports whether the caller must run a check and pass its result to Checked.
 func (d *Detector) Failed(now, started time.Duration, pool string) (check bool) {
--- a/internal/reachability/detector_test.go
+++ b/internal/reachability/detector_test.go
@@ -65,6 +65,25 @@
 	assert.Equal(t, len(d.Lost()), 0)
 }
 
+// A pool whose back ends refuse connections from everybody may still respond over open ones.
+func TestLostPathIsTriedNowAndThen(t *testing.T) {
+	d := NewDetector()
+	d.Failed(1000*ms, 750*ms, "llm")
+	d.Checked(1250*ms, "llm", Result{Tried: 4})
+	for _, c := range []struct {
+		at     time.Duration
+		wanted bool
+	}{{1300 * ms, true}, {1301 * ms, false}, {1799 * ms, false}, {1800 * ms, true}, {1801 * ms, false}} {
+		assert.Equal(t, d.MayTry(c.at, "llm"), c.wanted, "at %v", c.at)
+	}
+	d.Responded(1850*ms, "llm")
+	for at := 1851 * ms; at < 2850*ms; at += 50 * ms {
+		assert.Assert(t, d.MayTry(at, "llm"), "at %v", at)
+	}
+	assert.Assert(t, d.MayTry(2900*ms, "llm"))
+	assert.Assert(t, !d.MayTry(2901*ms, "llm"))
+}
+
 func TestNilDetectorFindsAllPoolsReachable(t *testing.T) {
 	var d *Detector
 	assert.Assert(t, !d.Failed(0, 0, "llm"))
