--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -355,3 +355,30 @@
 }
 
 var _ Relays = (*relay.Selector)(nil)
+
+// A stream whose events stop because the path is lost must go on through another router before its
+// client gives it up.
+func TestOverdueStreamMovesToAnotherRouterOnceThePathIsLost(t *testing.T) {
+	cut, other := newStreamRig(t), newRelayRig(t)
+	begun := make(chan struct{})
+	cut.add("llm", "e", func(w http.ResponseWriter, q *http.Request) {
+		events(w, 1, 2)
+		close(begun)
+		<-q.Context().Done()
+	})
+	other.add("llm", "other", func(w http.ResponseWriter, q *http.Request) {
+		assert.Equal(t, q.Header.Get(names.LastEvent), "2")
+		events(w, 3, 4)
+	})
+	cut.setRelays(other.address())
+	cut.handler.config.Paths = reachability.NewDetector()
+	go func() {
+		<-begun
+		cut.losePath("llm")
+	}()
+	asked := time.Now()
+	got := cut.ask("POST", "/resumable/x", nil)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(4))
+	assert.Assert(t, time.Since(asked) < time.Second)
+}
--- a/internal/forward/unresponsive.go
+++ b/internal/forward/unresponsive.go
@@ -19,6 +19,7 @@
 
 var (
 	errUnresponsive = fmt.Errorf("the leader lists the back end as unresponsive: %w", errSilent)
+	errPathLost     = fmt.Errorf("the path to the pool is lost: %w", errSilent)
 	errLost         = fmt.Errorf("nothing more can arrive from the back end: %w", errSilent)
 )
 
@@ -70,6 +71,8 @@
 	switch {
 	case a.mayRetry && (listed || lost):
 		return errUnresponsive
+	case a.mayRetry && a.handler.needsRelay(a.job):
+		return errPathLost
 	case lost:
 		return errLost
 	}
--- a/internal/socket/stall.go
+++ b/internal/socket/stall.go
@@ -40,7 +40,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		now, left := clock.Now(), unacknowledged(c)
+		now, left := clock.Now(), Unacknowledged(c)
 		if queued < 0 || n > 0 || left < queued {
 			since = now
 		} else if now-since >= limit {
@@ -50,8 +50,8 @@
 	}
 }
 
-// unacknowledged returns the bytes of a connection that its peer has not acknowledged, 0 if unknown.
-func unacknowledged(c net.Conn) int {
+// Unacknowledged returns the bytes of a connection that its peer has not acknowledged, 0 if unknown.
+func Unacknowledged(c net.Conn) int {
 	bytes := 0
 	withDescriptor(c, func(fd int) { bytes, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
 	return bytes
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,7 +35,12 @@
 	// bodyStallTimeout is the time after which a back end that reads nothing of a request's body is
 	// given up. It exceeds userTimeout, within which a back end that is suspended shortly goes on.
 	bodyStallTimeout = time.Second
-	readBuffer       = 4 << 10
+	// connectAlarm and ackAlarm are the times after which a connect that is pending, and a request
+	// that nobody has acknowledged, are reported to onConnect. They exceed the round trips within a
+	// region by far. The attempt goes on.
+	connectAlarm = 100 * time.Millisecond
+	ackAlarm     = 200 * time.Millisecond
+	readBuffer   = 4 << 10
 	// receiveBuffer bounds what the system keeps of a response that is read slowly; the system
 	// doubles it for its own data. Within a site it allows for some 60 MB/s.
 	receiveBuffer = 64 << 10
@@ -72,6 +77,11 @@
 	ErrOutcomeUnknown = errors.New("the request was sent, but no complete response was received")
 )
 
+var (
+	errPending        = errors.New("the connect is pending")
+	errUnacknowledged = errors.New("the request is not acknowledged")
+)
+
 // callError is an error of one kind: ErrNotSent, ErrIncomplete or ErrOutcomeUnknown.
 type callError struct {
 	kind  error
@@ -146,7 +156,8 @@
 func (p *Pool) SetDial(dial DialFunc) { p.dial = dial }
 
 // ConnectFunc is called with the pool of a back end and the start of an attempt, by clock.Now, once
-// the attempt has opened a connection, with a nil error, or has failed to open one or lost it.
+// the attempt has opened a connection, with a nil error, or has failed to open one or lost it, and once
+// it has waited for the back end's system for unusually long.
 type ConnectFunc func(pool string, started time.Duration, err error)
 
 // OnConnect sets the function that observes connections. It must be called before the first request.
@@ -294,8 +305,10 @@
 	c := p.takeIdle(address, r.NonIdempotent)
 	if c == nil {
 		started := clock.Now()
+		alarm := time.AfterFunc(connectAlarm, func() { p.observe(ctx, r.Backend.Pool, started, errPending) })
 		var err error
 		c, err = p.open(ctx, address)
+		alarm.Stop()
 		p.observe(ctx, r.Backend.Pool, started, err)
 		if err != nil {
 			return nil, err
@@ -304,6 +317,13 @@
 	started := clock.Now()
 	a := &BackendResponse{pool: p, address: address, connection: c}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	alarm := time.AfterFunc(ackAlarm, func() {
+		// A back end that is slow to read a large body leaves bytes unacknowledged as well.
+		if len(r.Body) < asyncBodySize && socket.Unacknowledged(c.Conn) > 0 {
+			p.observe(ctx, r.Backend.Pool, started, errUnacknowledged)
+		}
+	})
+	defer alarm.Stop()
 	if err := a.exchange(ctx, r); err != nil {
 		a.Close()
 		if lostConnection(err) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -543,3 +543,23 @@
 		assert.Equal(t, string(body), wanted)
 	}
 }
+
+// A connect that is pending must be reported before it fails, so that a lost path is found early.
+func TestPendingConnectIsReported(t *testing.T) {
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	reported := make(chan error, 4)
+	p.OnConnect(func(pool string, _ time.Duration, err error) {
+		assert.Check(t, pool == "llm")
+		reported <- err
+	})
+	p.SetDial(func(context.Context, string, string) (net.Conn, error) {
+		time.Sleep(2 * connectAlarm)
+		return nil, syscall.ETIMEDOUT
+	})
+	r := request("pending")
+	r.Backend.Pool = "llm"
+	_, err := p.Do(context.Background(), "unused", r)
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.ErrorIs(t, <-reported, errPending)
+	assert.ErrorIs(t, <-reported, syscall.ETIMEDOUT)
+}
