A request that has begun at another router is not refused as one that has not run

Cause: attempts at other routers did not count as tries, so that the leader queued the rest of a begun stream like a first attempt, and the refusal of the queue was written behind the events.

Deliveries at other routers, and at the router that passed the request on, now count as tries, so that a further attempt is placed at once or not at all; a refusal by the queue after an attempt that may have run ends the request as that attempt's result.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -76,6 +76,9 @@
 				j.unrelayed = true
 				continue
 			}
+			if result.delivered {
+				j.deliveriesElsewhere++
+			}
 			if !h.settle(ctx, s, result) {
 				return
 			}
@@ -90,7 +93,7 @@
 		}
 		h.countRequest(j)
 		choice, found := h.choose(ctx, j)
-		if j.ran > 0 && choice.Late {
+		if j.ran > 0 && (choice.Late || choice.Reason != "") {
 			// No engine begins a further attempt in time, and the refusals below state that the request
 			// has not run.
 			h.metrics.refusedBehind.Add(1)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -234,6 +234,9 @@
 	withheld int
 	// deliveries counts the attempts that a back end received.
 	deliveries int
+	// deliveriesElsewhere counts the deliveries to other routers, and those of the router that passed
+	// the request on.
+	deliveriesElsewhere int
 	// quotaAmount is the request's amount of its tenant's quota, 0 if there is none, and
 	// quotaCounted is set once it has been counted.
 	quotaAmount  quota.Amount
@@ -263,8 +266,9 @@
 	prefills []cachemiss.Attempt
 }
 
-// tries returns the number of back ends to which the request was sent.
-func (j *job) tries() int { return len(j.query.Tried) - j.withheld }
+// tries returns the number of back ends and routers to which the request was sent, also by the router
+// that passed it on.
+func (j *job) tries() int { return len(j.query.Tried) - j.withheld + j.deliveriesElsewhere }
 
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serveHTTP(w, r, nil) }
@@ -306,6 +310,7 @@
 		return
 	}
 	j.origin, j.ran, j.deliveries, j.counted = origin, origin.Ran, origin.Delivered, origin.Counted
+	j.deliveriesElsewhere = origin.Delivered
 	j.receivedAt -= origin.Age
 }
 
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -16,6 +16,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -382,3 +384,37 @@
 	assert.Equal(t, got.body, eventText(4))
 	assert.Assert(t, time.Since(asked) < time.Second)
 }
+
+// A stream that has begun at another router must not end as if it were complete when no engine has
+// room for the rest.
+func TestBegunStreamIsCutWhenTheRestIsRefused(t *testing.T) {
+	cut := newRig(t)
+	cut.handler.config.Placer = &fixedPlacer{choice: backends.Choice{Reason: coordapi.NoRoomInTime, RetryAfter: time.Second}, answered: true}
+	cut.losePath("llm")
+	ending := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(names.RequestID, q.Header.Get(names.RequestID))
+		events(w, 1, 2)
+		cut.handler.config.Paths.Checked(2*time.Hour, "llm", reachability.Result{Tried: 2, Reached: 2})
+		dropConnection(w, q)
+	}))
+	t.Cleanup(ending.Close)
+	cut.setRelays(ending.Listener.Addr().String())
+	got := cut.ask("POST", "/resumable/x", nil)
+	assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+	assert.Equal(t, got.body, eventText(2))
+}
+
+// A request that may have run at the router of its client must not be refused as one that has not run.
+func TestRefusalDoesNotDenyAttemptsOfOtherRouter(t *testing.T) {
+	for name, choice := range map[string]backends.Choice{"no room": {Reason: coordapi.NoRoomInTime}, "behind": {Late: true}, "over its limit": {OverLimit: true}} {
+		t.Run(name, func(t *testing.T) {
+			other := newRelayRig(t)
+			other.handler.config.Placer = &fixedPlacer{choice: choice, answered: true}
+			origin := relay.Origin{Router: "cut", Ran: 1, Delivered: 1, Counted: true}
+			assert.Equal(t, other.sendRelayed("/resumable/x", "ka", origin.Encode()).status, http.StatusBadGateway)
+			origin = relay.Origin{Router: "cut", Counted: true}
+			status := other.sendRelayed("/resumable/x", "ka", origin.Encode()).status
+			assert.Assert(t, notRunStatuses[status], "%d", status)
+		})
+	}
+}
