A router whose back end broke a response off still gets requests of others

Only a router that could not be reached is now set aside, and asked as the last resort; a request whose response broke off goes to another router first. TestRouterIsAskedAgainAfterBrokenResponse failed before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -237,6 +237,8 @@
 	// deliveriesElsewhere counts the deliveries to other routers, and those of the router that passed
 	// the request on.
 	deliveriesElsewhere int
+	// brokenRelays are the routers that did not complete a response.
+	brokenRelays []string
 	// quotaAmount is the request's amount of its tenant's quota, 0 if there is none, and
 	// quotaCounted is set once it has been counted.
 	quotaAmount  quota.Amount
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/reachability"
@@ -34,7 +36,7 @@
 	Known() int
 	// Choose returns one for a request to a pool, except those tried. Done ends its use.
 	Choose(now time.Duration, pool string, tried []string, draw float64) (address string, done func(), found bool)
-	// Declined records that one cannot serve a pool, and Unreachable that one did not respond.
+	// Declined records that one cannot serve a pool, and Unreachable that one was not reached.
 	Declined(now time.Duration, address, pool string)
 	Unreachable(now time.Duration, address string)
 }
@@ -64,17 +66,27 @@
 
 // passOn passes a request on to other routers until one accepts it.
 func (h *Handler) passOn(ctx context.Context, s *session) outcome {
+	j := s.job
 	result := outcome{verdict: notRun, err: errNoRelay}
+	// A router that broke an earlier attempt off is asked again if there is no other one.
+	broken := j.brokenRelays
 	var tried []string
 	for len(tried) < maxRelays {
-		address, done, found := h.config.Relays.Choose(h.clock(), s.job.pool.Name, tried, rand.Float64())
+		address, done, found := h.config.Relays.Choose(h.clock(), j.pool.Name, append(slices.Clone(tried), broken...), rand.Float64())
+		if !found && len(broken) > 0 {
+			broken = nil
+			continue
+		}
 		if !found {
 			break
 		}
 		tried = append(tried, address)
 		result = h.attemptVia(ctx, s, address)
 		done()
-		if result.verdict != notRun || ctx.Err() != nil || h.now() >= s.job.deadline {
+		if result.verdict == mayHaveRun {
+			j.brokenRelays = append(j.brokenRelays, address)
+		}
+		if result.verdict != notRun || ctx.Err() != nil || h.now() >= j.deadline {
 			break
 		}
 	}
@@ -95,7 +107,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = fmt.Errorf("%w (%w)", err, cause)
 		}
-		if !errors.Is(context.Cause(ctx), context.Canceled) {
+		if ctx.Err() == nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, syscall.ETIMEDOUT)) {
 			h.config.Relays.Unreachable(h.clock(), address)
 		}
 		j.trace = append(j.trace, text+": "+err.Error())
@@ -114,11 +126,7 @@
 	}
 	h.metrics.passedOn.Add(1)
 	h.metrics.relayDelay.add(h.now() - started)
-	result := h.forwardVia(ctx, s, response, cancel)
-	if result.verdict == mayHaveRun && !isLocal(result.err) && !errors.Is(context.Cause(ctx), context.Canceled) {
-		h.config.Relays.Unreachable(h.clock(), address)
-	}
-	return result
+	return h.forwardVia(ctx, s, response, cancel)
 }
 
 // watchRelay returns a watchdog that cancels a retryable request that was passed on if no response
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -418,3 +418,20 @@
 		})
 	}
 }
+
+// A router through which a back end broke a response off must still get requests.
+func TestRouterIsAskedAgainAfterBrokenResponse(t *testing.T) {
+	cut, other := newRig(t), newRelayRig(t)
+	first := true
+	other.add("llm", "e", func(w http.ResponseWriter, q *http.Request) {
+		events(w, 1, 2)
+		if first {
+			first = false
+			dropConnection(w, q)
+		}
+	})
+	cut.losePath("llm")
+	cut.setRelays(other.address())
+	assert.ErrorIs(t, cut.ask("POST", "/chat/x", nil).err, io.ErrUnexpectedEOF)
+	assert.Equal(t, cut.ask("POST", "/chat/x", nil).status, http.StatusOK)
+}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -11,11 +11,14 @@
 
 const (
 	// declinedPause is the time for which a router that declined a pool's request gets none of that
-	// pool, and unreachablePause that for which one that could not be reached gets none.
+	// pool, and unreachablePause that for which one that could not be reached gets requests only if there
+	// is no other one.
 	declinedPause    = 500 * time.Millisecond
 	unreachablePause = time.Second
-	// zoneCost is the cost of a router in another zone, in requests that it already has.
-	zoneCost = 2
+	// zoneCost is the cost of a router in another zone, in requests that it already has, and
+	// pausedCost that of one that could not be reached.
+	zoneCost   = 2
+	pausedCost = 1 << 20
 )
 
 // Selector chooses routers for the requests that this router passes on. It is safe for concurrent
@@ -34,7 +37,7 @@
 	// open is the number of requests that it has from here.
 	open int
 	// declined maps pools to the time until which the router gets none of their requests, and
-	// pausedUntil is the time until which it gets none at all.
+	// pausedUntil is the time until which others are preferred.
 	declined    map[string]time.Duration
 	pausedUntil time.Duration
 }
@@ -91,13 +94,16 @@
 	var best []*candidate
 	cost := 0
 	for _, c := range s.relays {
-		if !c.listed || !c.Serves(pool) || now < c.pausedUntil || now < c.declined[pool] || slices.Contains(tried, c.Address) {
+		if !c.listed || !c.Serves(pool) || now < c.declined[pool] || slices.Contains(tried, c.Address) {
 			continue
 		}
 		mine := c.open
 		if c.Zone != s.zone {
 			mine += zoneCost
 		}
+		if now < c.pausedUntil {
+			mine += pausedCost
+		}
 		if len(best) == 0 || mine < cost {
 			best, cost = best[:0], mine
 		}
@@ -129,7 +135,7 @@
 	}
 }
 
-// Unreachable records that a router could not be reached or did not complete a response.
+// Unreachable records that a router could not be reached.
 func (s *Selector) Unreachable(now time.Duration, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
