Soak: routers are cut from all back ends

Up to half of the routers are cut from all back ends for 0.5 to 6 s, also from those that start meanwhile: open connections are reset and new ones as soon as they are accepted. Routers connect from addresses of their own (setting source), by which the back ends' proxies tell them apart, and which name the sender of a request that was passed on. Cut routers must serve two thirds of what the others serve in the same times. A check of a path no longer counts a connection as opened that is reset at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,6 +86,9 @@
 	buffers := memory.NewBudget(int64(config.MemoryLimit) << 20 / memoryDivisor)
 	connections := upstream.NewPool(headers.RequestID, pushbacks, limits)
 	connections.SetMemory(buffers)
+	if config.Source != "" {
+		connections.SetSource(net.ParseIP(config.Source))
+	}
 	e.connections = connections
 	// Other routers' responses say nothing of their back ends' pushbacks and limits that concerns this one.
 	relayConnections := upstream.NewPool(headers.RequestID, pushback.New(headers, logger), ratelimit.New(headers, logger))
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -86,6 +86,8 @@
 	// RelayListen is the address at which other routers pass requests on that they cannot send to any
 	// back end. Empty means that this router neither accepts such requests nor passes any on.
 	RelayListen string `yaml:"relay_listen" validate:"omitempty,tcp_addr"`
+	// Source is the local IP address of connections to back ends; empty for the system's choice.
+	Source string `yaml:"source" validate:"omitempty,ip"`
 	// Revocation is the maximum time for which any router may still accept a removed API key. A
 	// router serves for that time, less a margin, after a coordinator confirmed its
 	// configuration.
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -100,6 +100,7 @@
 	if b.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return nil, err
 	}
+	b.proxy.cuts = &s.cuts
 	b.muted.Store(muted)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/load", b.load)
@@ -113,6 +114,22 @@
 	return b, nil
 }
 
+// senderOf returns the name of the router that sent a request: of the connection it came over, or else
+// the one that received it from its caller. It is empty if neither is known.
+func (b *backend) senderOf(r *http.Request, id string) string {
+	if source, known := b.proxy.senders.Load(r.RemoteAddr); known {
+		for _, p := range b.soak.routers {
+			if p.source == source {
+				return p.name
+			}
+		}
+	}
+	if router, known := b.soak.requestRouters.Load(id); known {
+		return router.(string)
+	}
+	return ""
+}
+
 // crash stops the back end without a drain or a final heartbeat.
 func (b *backend) crash() {
 	b.cancel()
@@ -198,9 +215,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if router, known := b.soak.requestRouters.Load(id); known {
-		b.announceLimit(w, router.(string))
-		if !b.admit(w, router.(string)) {
+	if router := b.senderOf(r, id); router != "" {
+		b.announceLimit(w, router)
+		if !b.admit(w, router) {
 			return
 		}
 	}
@@ -222,7 +239,7 @@
 		return
 	}
 	b.soak.runLog.add(run{id: id, backend: b.id, tenant: r.Header.Get(names.Tenant), at: b.soak.now()})
-	b.soak.checkDrained(b, id)
+	b.soak.checkDrained(b, id, b.senderOf(r, id))
 	if strings.HasPrefix(string(body), poisonBody) {
 		b.soak.crashUnderPoison(b, string(body))
 		return
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -48,6 +48,12 @@
 	// and those that they rejected because all their slots were in use.
 	EngineArrivals   int64 `json:"engine_arrivals"`
 	EngineRejections int64 `json:"engine_rejections"`
+	// CutCalls and CutServed count the calls at routers that were cut from all back ends, and
+	// BesideCalls and BesideServed those at the other routers in the same times.
+	CutCalls     int `json:"cut_calls"`
+	CutServed    int `json:"cut_served"`
+	BesideCalls  int `json:"beside_calls"`
+	BesideServed int `json:"beside_served"`
 }
 
 // results records the calls of all callers.
@@ -86,13 +92,12 @@
 // checkDrained records a breach if a drained back end receives a request from a router that was
 // not disturbed recently. A resumed router may still send requests that it accepted before it
 // received the update.
-func (s *Soak) checkDrained(b *backend, id string) {
+func (s *Soak) checkDrained(b *backend, id, router string) {
 	at := b.drainedAt.Load()
 	if at == 0 || s.now() <= time.Duration(at)+drainDeadline+slack {
 		return
 	}
-	router, _ := s.requestRouters.Load(id)
-	if name, known := router.(string); known && s.disturbed(s.now(), func(d *disturbance) bool { return d.router == name }) {
+	if router != "" && s.disturbed(s.now(), func(d *disturbance) bool { return d.router == router }) {
 		return
 	}
 	s.recordBreach("%v: %s got a request by %v %v after its drain was acknowledged", s.now(), b.id, router, s.now()-time.Duration(at))
@@ -127,6 +132,7 @@
 	s.checkPoison(s.results.calls, runs)
 	s.report.EngineArrivals, s.report.EngineRejections = s.engineArrivals.Load(), s.engineRejections.Load()
 	s.checkClosingFlood(s.results.calls)
+	s.checkCuts(s.results.calls)
 	if s.report.Served*2 < s.report.Calls {
 		s.recordBreach("only %d of %d calls were served", s.report.Served, s.report.Calls)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -63,6 +63,7 @@
 		b := pick(r, s.listBackends())
 		s.disturbLink(b, func() { b.proxy.reset(func() { wait(ctx, faultDuration(r)) }) })
 	}},
+	{"cut routers from all back ends", (*Soak).cutRouters},
 	{"lose a coordinator's disk", (*Soak).loseDisk},
 	{"kill all coordinators", (*Soak).killCoordinators},
 	{"crash a back end", (*Soak).crashBackend},
@@ -156,13 +157,16 @@
 		return
 	}
 	defer release()
-	_ = p.restartWith(p.process.Binary)
+	_ = p.restartWith(p.process.Binary, func() error { return nil })
 }
 
-// restartWith stops the process gracefully and starts the given build.
-func (p *program) restartWith(binary string) error {
+// restartWith stops the process gracefully, writes its settings and starts the given build.
+func (p *program) restartWith(binary string, configure func() error) error {
 	p.process.Terminate(stopTimeout)
 	p.process.Binary = binary
+	if err := configure(); err != nil {
+		return err
+	}
 	return p.process.Start()
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -20,6 +20,10 @@
 	gate   chan struct{} // closed while traffic may pass
 	refuse bool
 	open   map[net.Conn]struct{}
+	// cuts are the callers whose connections are reset; nil for none. senders maps the local
+	// addresses of connections to the target to the callers' IP addresses.
+	cuts    *cuts
+	senders sync.Map
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -57,11 +61,18 @@
 	if p.refusing() {
 		return
 	}
+	source := sourceOf(downstream)
+	if p.cuts.isCut(source) {
+		_ = downstream.(*net.TCPConn).SetLinger(0)
+		return
+	}
 	upstream, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		return
 	}
 	defer upstream.Close()
+	p.senders.Store(upstream.LocalAddr().String(), source)
+	defer p.senders.Delete(upstream.LocalAddr().String())
 	p.track(downstream, upstream)
 	defer p.untrack(downstream, upstream)
 	done := make(chan struct{}, 2)
@@ -147,4 +158,19 @@
 	p.mu.Unlock()
 }
 
+// resetFrom resets the connections of some callers.
+func (p *proxy) resetFrom(sources map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		if sources[sourceOf(c)] {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}
+}
+
+// sourceOf returns the IP address of a connection's other end.
+func sourceOf(c net.Conn) string { return c.RemoteAddr().(*net.TCPAddr).IP.String() }
+
 func (p *proxy) close() { _ = p.listener.Close() }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,10 @@
 	proxy   *proxy
 	process *process.Process
 	busy    atomic.Bool
+	// relay is where a router accepts requests of others, and source the local IP address of its
+	// connections to back ends.
+	relay  string
+	source string
 }
 
 // Soak is the state of one run.
@@ -79,7 +83,9 @@
 	runLog       runLog
 	results      results
 	// requestRouters maps request IDs to the names of the routers that received them.
-	requestRouters  sync.Map
+	requestRouters sync.Map
+	// cuts are the routers that are cut from all back ends.
+	cuts            cuts
 	backendsStarted atomic.Int64
 	weightsVersion  atomic.Int64
 	floods          atomic.Int64
@@ -186,6 +192,7 @@
 		if err != nil {
 			return err
 		}
+		p.source = fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200)
 		s.routers = append(s.routers, p)
 		s.routerStalls[p.name] = &stalls{}
 	}
@@ -224,7 +231,7 @@
 }
 
 func (s *Soak) program(name, command string) (*program, error) {
-	var addresses [3]string
+	var addresses [4]string
 	for i := range addresses {
 		var err error
 		if addresses[i], err = loopback.FreeAddress(); err != nil {
@@ -232,7 +239,7 @@
 		}
 	}
 	folder := s.config.Folder
-	return &program{name: name, listen: addresses[0], peer: addresses[1], ready: addresses[2], data: filepath.Join(folder, name),
+	return &program{name: name, listen: addresses[0], peer: addresses[1], ready: addresses[2], relay: addresses[3], data: filepath.Join(folder, name),
 		process: &process.Process{Name: name, Binary: cmp.Or(s.config.Older, s.config.Binary), Folder: folder,
 			Args: []string{command, "--config", filepath.Join(folder, name+".yaml")}}}, nil
 }
@@ -248,6 +255,10 @@
 			p.peer, p.proxy.address(), bootstrap, p.data, heartbeatInterval, p.ready)
 	} else {
 		text += fmt.Sprintf("readiness: %q\nrevocation: %v\nstop_grace: 8s\nretry_ratio: 0.2\nretry_burst: 50\nretry_window: 10s\nmemory_limit: 128\n", p.ready, revocation)
+		if p.process.Binary == s.config.Binary {
+			// Older builds lack these settings.
+			text += fmt.Sprintf("relay_listen: %q\nsource: %q\n", p.relay, p.source)
+		}
 	}
 	return errors.Wrap(os.WriteFile(filepath.Join(s.config.Folder, p.name+".yaml"), []byte(text), 0o600), "write settings")
 }
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -59,5 +59,10 @@
 			return false
 		}
 	}
-	return p.restartWith(binary) == nil
+	return p.restartWith(binary, func() error {
+		if p.proxy != nil {
+			return nil
+		}
+		return s.writeSettings(p, false)
+	}) == nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,8 +39,11 @@
 	// that nobody has acknowledged, are reported to onConnect. They exceed the round trips within a
 	// region by far. The attempt goes on.
 	connectAlarm = 100 * time.Millisecond
-	ackAlarm     = 200 * time.Millisecond
-	readBuffer   = 4 << 10
+	// settleTime is the time that a connection opened by Connect must survive: a firewall may accept
+	// connections that it then resets.
+	settleTime = 30 * time.Millisecond
+	ackAlarm   = 200 * time.Millisecond
+	readBuffer = 4 << 10
 	// receiveBuffer bounds what the system keeps of a response that is read slowly; the system
 	// doubles it for its own data. Within a site it allows for some 60 MB/s.
 	receiveBuffer = 64 << 10
@@ -155,6 +158,9 @@
 // SetDial replaces the function that opens connections. It must be called before the first request.
 func (p *Pool) SetDial(dial DialFunc) { p.dial = dial }
 
+// SetSource sets the local IP address of connections. It must be called before the first request.
+func (p *Pool) SetSource(source net.IP) { p.dialer.LocalAddr = &net.TCPAddr{IP: source} }
+
 // ConnectFunc is called with the pool of a back end and the start of an attempt, by clock.Now, once
 // the attempt has opened a connection, with a nil error, or has failed to open one or lost it, and once
 // it has waited for the back end's system for unusually long.
@@ -264,18 +270,32 @@
 // process that only broke a response off accepts them. A new connection is kept for the next
 // request.
 func (p *Pool) Down(ctx context.Context, address string) bool {
-	err := p.Connect(ctx, address)
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	p.keep(address, c)
+	return false
+}
+
+// keep makes a new connection available to the next request.
+func (p *Pool) keep(address string, c *connection) {
+	c.expiresAt = clock.Now() + defaultIdleTimeout
+	p.putIdle(address, c)
 }
 
-// Connect opens a connection to an address and keeps it for the next request.
+// Connect opens a connection to an address and keeps it for the next request. It fails if the
+// connection ends at once.
 func (p *Pool) Connect(ctx context.Context, address string) error {
 	c, err := p.open(ctx, address)
 	if err != nil {
 		return err
 	}
-	c.expiresAt = clock.Now() + defaultIdleTimeout
-	p.putIdle(address, c)
+	if time.Sleep(settleTime); !c.isIdle() {
+		_ = c.Close()
+		return &callError{kind: ErrNotSent, cause: syscall.ECONNRESET}
+	}
+	p.keep(address, c)
 	return nil
 }
 
