Brittle back ends reject fewer requests than they bear from all routers together

A back end that names N in its responses fails if it has to reject more than N requests a second for want of capacity, and lets fewer wait. Nobody read that: four plain back ends of 8 slots at three times the load that fits rejected up to 133 a second each (TestBrittleBackendsRejectFew with the header ignored; N was 4).

Only one that knows all requests can keep them within what fits, so the leader grants permits for brittle plain back ends as it does for limits, as many as the back end has slots, and each is held until its request has ended; routers report ends at once. Engines get nothing beyond their slots while they are brittle: the leader places there anyway. Without a leader no permit is granted, as for limits. One back end: 6 of 7, 300 or 985 routers that ask at once are granted.

--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -89,6 +89,8 @@
 	// requests sent to it meanwhile that have not begun.
 	recovering bool
 	trials     int
+	// brittle is set for an engine that fails if it rejects many requests, in a central pool.
+	brittle bool
 	// pace is the speed of an engine in a central pool.
 	pace pace
 }
@@ -115,6 +117,8 @@
 
 	mu   sync.Mutex
 	rows map[string]*row
+	// brittle are the rows with brittle set.
+	brittle []*row
 	// scratch is the reused buffer for candidates.
 	scratch []candidate
 	// troubles is the result of the next call of Troubles.
--- a/internal/backends/room.go
+++ b/internal/backends/room.go
@@ -44,6 +44,9 @@
 		return false
 	}
 	requests, _ := p.taken(c)
+	if c.brittle {
+		return requests < c.slotLimit(q.Slots)
+	}
 	run := entry(p.flows, q.Pool).mean()
 	return requests < c.slotLimit(q.Slots)+slotsFreedWithin(q.Patience, c.scaled(run), q.Slots)
 }
--- a/internal/backends/room_test.go
+++ b/internal/backends/room_test.go
@@ -473,3 +473,23 @@
 	p.Apply(nil, []string{"x"}, false)
 	assert.Equal(t, mustChoose(t, p, 0, roomQuery()).ID, "silent")
 }
+
+// A brittle engine may let fewer requests wait, so that it gets none beyond its slots.
+func TestBrittleEngineGetsNoRequestBeyondItsSlots(t *testing.T) {
+	const slots = 48
+	p := NewPool("a")
+	p.Apply([]state.Backend{{ID: "e", Pool: "llm", Slots: slots, Weights: map[string]int{"m": 1}}}, nil, true)
+	q := &Query{Pool: "llm", Model: "m", Slots: slots, Patience: time.Second}
+	assert.Equal(t, p.Slots("e"), slots)
+	for _, brittle := range []bool{false, true, false} {
+		ids := []string{}
+		if brittle {
+			ids = append(ids, "e", "unknown")
+		}
+		p.SetBrittle(ids)
+		p.rows["e"].running = slots
+		c := &candidate{row: p.rows["e"]}
+		entry(p.flows, "llm").ended(100 * time.Millisecond)
+		assert.Equal(t, p.canBegin(0, q, c, 40), !brittle)
+	}
+}
--- a/internal/coordapi/limit.go
+++ b/internal/coordapi/limit.go
@@ -11,6 +11,10 @@
 	// second.
 	Limited bool    `json:"limited,omitempty"`
 	Rate    float64 `json:"rate,omitempty"`
+	// Brittle is the number of requests per second that the back end may reject for want of capacity
+	// without failing, 0 if it named none, and Plain is set if it is no engine.
+	Brittle float64 `json:"brittle,omitempty"`
+	Plain   bool    `json:"plain,omitempty"`
 	// SentAgo is the time since the request was written, and ReceivedAgo the time since the
 	// response's header was read. The back end stated its limit in between.
 	SentAgo     time.Duration `json:"sent"`
@@ -41,6 +45,8 @@
 	// Permit is the validity of the permit, counted from the moment the Claim was sent; 0 if it
 	// was denied.
 	Permit time.Duration `json:"right,omitempty"`
+	// Running reports whether the permit is held until the request has ended.
+	Running bool `json:"running,omitempty"`
 	// Unlimited reports whether the back end no longer has a limit.
 	Unlimited bool `json:"free,omitempty"`
 	// Wait is the time until the back end accepts another request from anyone; 0 if the next
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -155,6 +155,9 @@
 	// and claims whose permits were not used.
 	Limits []LimitReport `json:"limits,omitempty"`
 	Unused []uint64      `json:"unused,omitempty"`
+	// Finished are the numbers of the claims whose permits are held until the request has ended, and
+	// whose requests have.
+	Finished []uint64 `json:"finished,omitempty"`
 	// FailedAttempts are the attempts that ended without a complete answer, and Answered the
 	// suspects that got one.
 	FailedAttempts []poison.FailedAttempt `json:"endings,omitempty"`
@@ -166,7 +169,7 @@
 
 // Empty reports whether there is nothing to report.
 func (r *Reports) Empty() bool {
-	return len(r.Begun) == 0 && len(r.Ended) == 0 && len(r.Troubles) == 0 && len(r.Spent) == 0 && len(r.Limits) == 0 && len(r.Unused) == 0 &&
+	return len(r.Begun) == 0 && len(r.Ended) == 0 && len(r.Troubles) == 0 && len(r.Spent) == 0 && len(r.Limits) == 0 && len(r.Unused) == 0 && len(r.Finished) == 0 &&
 		len(r.FailedAttempts) == 0 && len(r.Answered) == 0 && len(r.Stalls) == 0
 }
 
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -218,8 +218,8 @@
 	now := s.now()
 	s.recordReports(now, req.Router, &req.Reports)
 	s.placer.ApplyReports(now, req.Router, &req.Reports)
-	verdict := s.backendLimits.Take(now, ratelimit.Request{Router: req.Router, Number: req.Number, Backend: req.Backend, Claimant: req.Claimant})
-	claimed := &coordapi.Claimed{Unlimited: verdict.Unlimited, Wait: verdict.Wait}
+	verdict := s.backendLimits.Take(now, ratelimit.Request{Router: req.Router, Number: req.Number, Backend: req.Backend, Claimant: req.Claimant, Slots: s.placer.Slots(req.Backend)})
+	claimed := &coordapi.Claimed{Unlimited: verdict.Unlimited, Running: verdict.Running, Wait: verdict.Wait}
 	switch {
 	case verdict.Granted:
 		claimed.Permit = ratelimit.PermitTTL
@@ -244,6 +244,7 @@
 	s.tenantLimits.charge(now, reports.Spent)
 	s.placer.ClearLimited(now, s.backendLimits.Observe(now, reports.Limits))
 	s.placer.ClearLimited(now, s.backendLimits.Unused(now, router, reports.Unused))
+	s.backendLimits.Finished(router, reports.Finished)
 	s.blocker.record(now, router, reports)
 	s.markDraining(router, drainingBackends(reports.Troubles))
 }
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -394,6 +394,7 @@
 		return
 	}
 	s.soft.limited, s.soft.limitedChanges = s.backendLimits.Limited()
+	s.placer.SetBrittle(s.backendLimits.Brittle())
 	s.soft.limitedShards = shardLists[coordapi.BackendID]{}
 	s.soft.changes++
 }
--- /dev/null
+++ b/internal/edge/brittle_test.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// rejectBrittle rejects a request if the back end is brittle and all its slots are in use.
+func (e *engine) rejectBrittle(w http.ResponseWriter) bool {
+	d := e.host.deployment
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.host.brittle == "" {
+		return false
+	}
+	w.Header().Set(names.Brittle, e.host.brittle)
+	if len(e.host.slots) < cap(e.host.slots) {
+		return false
+	}
+	e.rejections = append(e.rejections, time.Now())
+	w.Header().Set(names.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// peakRejections returns the most rejections of a plain back end within a second, from a time on.
+func (d *deployment) peakRejections(from time.Time) (peak int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.hosts {
+		times := h.current.rejections
+		for i, first := range times {
+			count := 0
+			for _, at := range times[i:] {
+				if at.Sub(first) < time.Second {
+					count++
+				}
+			}
+			if first.After(from) {
+				peak = max(peak, count)
+			}
+		}
+	}
+	return peak
+}
+
+// overload sends more requests to plain back ends than fit, for a time, and returns how many were served
+// and how many would fit from a second after its start.
+func (d *deployment) overload(duration time.Duration, factor, fits float64) (served, fit float64) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	pause := time.Duration(float64(time.Second) / (factor * fits) * float64(len(d.frontend)))
+	begun := time.Now()
+	for router := range d.frontend {
+		group.Go(func() {
+			var calls sync.WaitGroup
+			for sent := 0; time.Since(begun) < duration; sent++ {
+				time.Sleep(time.Until(begun.Add(time.Duration(sent) * pause)))
+				calls.Go(func() {
+					got := d.sendWithin(2*time.Second, router, "ka", "/pay/", fmt.Sprint("brittle ", d.requests.Load()))
+					mu.Lock()
+					defer mu.Unlock()
+					if got.status == http.StatusOK && time.Since(begun) > time.Second {
+						served++
+					}
+				})
+			}
+			calls.Wait()
+		})
+	}
+	group.Wait()
+	return served, fits * (time.Since(begun) - time.Second).Seconds()
+}
+
+// Brittle back ends must reject fewer requests a second than they bear from all routers together.
+func TestBrittleBackendsRejectFew(t *testing.T) {
+	const (
+		backends, slots = 4, 8
+		runTime         = 60 * time.Millisecond
+		brittle         = 4
+	)
+	d := newDeployment(t, 3, 4, 1)
+	d.mu.Lock()
+	for _, h := range d.hosts {
+		if h.pool == "app" {
+			h.brittle, h.slots, h.runTime = fmt.Sprint(brittle), make(chan struct{}, slots), runTime
+		}
+	}
+	d.mu.Unlock()
+	begun := time.Now()
+	served, fit := d.overload(4*time.Second, 3, float64(backends*slots)/runTime.Seconds())
+	t.Logf("%.0f served of %.0f that fit", served, fit)
+	peak := d.peakRejections(begun.Add(time.Second))
+	assert.Assert(t, peak < brittle, "%d rejections within a second", peak)
+	assert.Assert(t, served > 0)
+}
+
+// No router may send more while the leader that grants permits is lost, and its successor begins
+// without knowledge of what runs.
+func TestBrittleBackendsRejectFewWhileLeaderIsLost(t *testing.T) {
+	const brittle, slots, runTime = 4, 8, 60 * time.Millisecond
+	d := newDeployment(t, 3, 4, 1)
+	d.mu.Lock()
+	for _, h := range d.hosts {
+		if h.pool == "app" {
+			h.brittle, h.slots, h.runTime = fmt.Sprint(brittle), make(chan struct{}, slots), runTime
+		}
+	}
+	d.mu.Unlock()
+	begun := time.Now()
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(1500 * time.Millisecond)
+		d.restartLeader()
+	})
+	served, fit := d.overload(6*time.Second, 2, 4*slots/runTime.Seconds())
+	group.Wait()
+	t.Logf("%.0f served of %.0f that fit", served, fit)
+	peak := d.peakRejections(begun.Add(time.Second))
+	assert.Assert(t, peak < brittle, "%d rejections within a second", peak)
+}
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -85,6 +85,9 @@
 	// nil and 0 for no bound. The deployment's lock guards them.
 	slots   chan struct{}
 	runTime time.Duration
+	// brittle is the rate of rejections that a plain back end names, empty for none. It then rejects
+	// requests beyond its slots. The deployment's lock guards it.
+	brittle string
 	// name is shared by all engines of the host; empty if each has its own.
 	name string
 	// current is the running engine.
@@ -306,6 +309,8 @@
 	// router was first sent the limit.
 	limitedArrivals []arrival
 	limitSent       map[string]time.Time
+	// rejections are the times of rejections of a brittle back end. The deployment's lock guards them.
+	rejections []time.Time
 	// streams is the number of running streams, and peakStreams the largest so far. The deployment's
 	// lock guards them.
 	streams, peakStreams int
@@ -358,6 +363,9 @@
 		return
 	}
 	if e.host.pool == "app" {
+		if e.rejectBrittle(w) {
+			return
+		}
 		e.occupySlot()
 		_, _ = w.Write(body)
 		return
--- a/internal/follower/claim.go
+++ b/internal/follower/claim.go
@@ -35,6 +35,8 @@
 	switch {
 	case reply.Claimed.Unlimited:
 		return ratelimit.Unlimited(id), 0, 0
+	case reply.Claimed.Permit > 0 && reply.Claimed.Running:
+		return ratelimit.Running(id, call.Number, requested, reply.Claimed.Permit), 0, 0
 	case reply.Claimed.Permit > 0:
 		return ratelimit.Granted(id, call.Number, requested, reply.Claimed.Permit), 0, 0
 	}
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -138,6 +138,7 @@
 		pendingReports.Spent = append(pendingReports.Spent, f.config.Quota.Spent()...)
 	}
 	pendingReports.Limits, pendingReports.Unused = f.config.Limits.TakeUnreported(), f.config.Limits.Unused()
+	pendingReports.Finished = f.config.Limits.TakeFinished()
 	f.evidence.take(f.now(), &pendingReports)
 	return pendingReports
 }
@@ -147,6 +148,7 @@
 	f.placements.add(*reports)
 	f.config.Limits.Requeue(reports.Limits)
 	f.config.Limits.ReleaseNumbers(reports.Unused...)
+	f.config.Limits.RequeueFinished(reports.Finished...)
 	f.evidence.requeue(reports)
 }
 
--- a/internal/follower/report.go
+++ b/internal/follower/report.go
@@ -36,6 +36,7 @@
 		case <-time.After(updatePeriod(f.Routers())):
 		case <-f.evidence.updateNow:
 		case <-f.config.Streams.Urgent():
+		case <-f.config.Limits.Urgent():
 		}
 		leader := f.following.Load()
 		if leader == nil {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -240,6 +240,7 @@
 	response, err := h.config.Upstream.Do(ctx, choice.Address, j.request)
 	// A permit that was not consumed by Do is not needed any more.
 	h.config.Limits.Release(choice.Permit)
+	defer h.config.Limits.Finish(choice.Permit)
 	if err != nil {
 		result := h.handleSendError(ctx, j, choice, err)
 		h.reportAttempt(ctx, s, choice, nil, result, started)
@@ -270,7 +271,7 @@
 func (h *Handler) setBackendHeaders(j *job, s *session, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Set(names.Instance, choice.Name())
-	j.request.Backend = pushback.Backend{ID: coordapi.BackendID(choice.ID), Pool: j.pool.Name}
+	j.request.Backend = pushback.Backend{ID: coordapi.BackendID(choice.ID), Pool: j.pool.Name, Plain: j.pool.Engine == nil}
 	j.request.Instance = choice.Name()
 	j.request.Permit = choice.Permit
 	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -138,6 +138,7 @@
 	fmt.Fprintf(w, "quinceridge_limits_named_total %d\n", h.config.Limits.LimitedResponses.Load())
 	fmt.Fprintf(w, "quinceridge_backends_limited %d\n", h.config.Limits.Active())
 	fmt.Fprintf(w, "quinceridge_limits_used_total %d\n", h.config.Limits.PermitsUsed.Load())
+	fmt.Fprintf(w, "quinceridge_brittle_rejections_total %d\n", h.config.Limits.BrittleRejections.Load())
 	fmt.Fprintf(w, "quinceridge_limits_kept_total %d\n", h.config.Limits.SendsBlocked.Load())
 	fmt.Fprintf(w, "quinceridge_limits_no_room_total %d\n", m.noPermit.Load())
 	m.firstEvent.write(w, "quinceridge_first_seconds")
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -35,6 +35,8 @@
 type Backend struct {
 	ID   coordapi.BackendID
 	Pool string
+	// Plain is set for a back end that is no engine.
+	Plain bool
 }
 
 // Registry records the pushbacks of back ends. It is safe for concurrent use.
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -68,7 +68,11 @@
 
 // account tracks one start of a back end.
 type account struct {
-	pool        string
+	pool string
+	// plain is set if the back end is no engine, and running holds the permits of requests that have
+	// not ended at a brittle plain one.
+	plain       bool
+	running     map[grantKey]time.Duration
 	observation observation
 	lines       bounded.LineLimiter
 	// requested averages the requests by urgency, granted the permits by tenant.
@@ -148,10 +152,10 @@
 	latest := observationOf(now, report)
 	a := l.accounts[report.ID]
 	if a == nil {
-		if !latest.limited || len(l.accounts) >= 4*maxBackends {
+		if (!latest.limited && latest.brittle == 0) || len(l.accounts) >= 4*maxBackends {
 			return false
 		}
-		a = &account{pool: report.Pool, requested: map[int]*decay.Sum{}, granted: map[string]*decay.Sum{}}
+		a = &account{pool: report.Pool, plain: report.Plain, running: map[grantKey]time.Duration{}, requested: map[int]*decay.Sum{}, granted: map[string]*decay.Sum{}}
 		l.accounts[report.ID] = a
 	} else {
 		latest = latest.merge(a.observation, reportSkew)
@@ -161,7 +165,7 @@
 	if latest.equal(before) {
 		return false
 	}
-	if latest.limited != before.limited {
+	if latest.limited != before.limited || (latest.brittle > 0) != (before.brittle > 0) {
 		l.changes++
 	}
 	l.updatePool(a.pool, before, latest)
@@ -174,7 +178,7 @@
 		return true
 	}
 	l.logger.Info("back end limit changed", "part", "ratelimit", "backend", report.ID, "pool", a.pool, "limited", latest.limited, "rate", float64(latest.rate),
-		"before", float64(before.rate), "heard_ms_ago", (now - latest.received).Milliseconds())
+		"before", float64(before.rate), "brittle", float64(latest.brittle), "heard_ms_ago", (now - latest.received).Milliseconds())
 	return true
 }
 
@@ -201,6 +205,8 @@
 	// permit.
 	Unlimited bool
 	Granted   bool
+	// Running is set if the permit is held until the request has ended.
+	Running bool
 	// Wait is when the back end takes another request from anyone; 0 if its next permit is kept
 	// for others.
 	Wait time.Duration
@@ -216,6 +222,8 @@
 	Number   uint64
 	Backend  coordapi.BackendID
 	Claimant coordapi.Claimant
+	// Slots is the number of requests that the back end runs at once. It is not used for engines.
+	Slots int
 }
 
 // Take grants a permit if one is available.
@@ -223,7 +231,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[r.Backend]
-	if a == nil || !a.observation.limited {
+	if a == nil || !a.needsPermit() {
 		return Verdict{Unlimited: true}
 	}
 	if !l.leading || now >= l.leaseUntil {
@@ -231,6 +239,17 @@
 		return Verdict{Wait: minRetryAfter}
 	}
 	a.countRequest(now, r.Claimant.Urgency)
+	key := grantKey{r.Router, r.Number}
+	if a.isBrittle() {
+		if a.countRunning(now) >= max(r.Slots, 1) {
+			return l.deny(now, a, minRetryAfter/2)
+		}
+		if !a.observation.limited {
+			a.running[key] = now
+			l.grant(now, a, r)
+			return Verdict{Granted: true, Running: true}
+		}
+	}
 	name := string(r.Backend)
 	if a.yields(now, r.Claimant) && l.quota.Wait(now, name, l.reserve(name)) > 0 {
 		return l.deny(now, a, l.quota.Wait(now, name, 0))
@@ -238,12 +257,70 @@
 	if _, admitted := l.quota.Take(now, name, 1); !admitted {
 		return l.deny(now, a, max(l.quota.Wait(now, name, 0), time.Millisecond))
 	}
+	l.grant(now, a, r)
+	if a.isBrittle() {
+		a.running[key] = now
+	}
+	return Verdict{Granted: true, Running: a.isBrittle()}
+}
+
+// grant records a permit.
+func (l *Limiter) grant(now time.Duration, a *account, r Request) {
 	a.issued(now, r.Claimant.Tenant)
 	a.grants.Add(now, averagingTime, 1)
 	l.sweep(now)
 	l.issued[grantKey{r.Router, r.Number}] = grant{r.Backend, now}
 	l.granted++
-	return Verdict{Granted: true}
+}
+
+// Finished ends the permits that are held until their requests have ended, and returns their back
+// ends.
+func (l *Limiter) Finished(router string, numbers []uint64) (backends []coordapi.BackendID) {
+	if len(numbers) == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, number := range numbers {
+		key := grantKey{router, number}
+		g, known := l.issued[key]
+		if !known {
+			continue
+		}
+		delete(l.issued, key)
+		if a := l.accounts[g.backend]; a != nil {
+			delete(a.running, key)
+			backends = append(backends, g.backend)
+		}
+	}
+	return backends
+}
+
+// isBrittle reports whether permits are held until requests have ended. What brittle engines run is
+// limited by placements.
+func (a *account) isBrittle() bool { return a.plain && a.observation.brittle > 0 }
+
+// needsPermit reports whether a request needs a permit.
+func (a *account) needsPermit() bool { return a.observation.limited || a.isBrittle() }
+
+// countRunning returns the number of requests that have not ended. Those of routers that were lost
+// are dropped after grantRetention.
+func (a *account) countRunning(now time.Duration) int {
+	maps.DeleteFunc(a.running, func(_ grantKey, at time.Duration) bool { return now-at > grantRetention })
+	return len(a.running)
+}
+
+// Brittle returns the engines that are brittle.
+func (l *Limiter) Brittle() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ids []string
+	for id, a := range l.accounts {
+		if !a.plain && a.observation.brittle > 0 {
+			ids = append(ids, string(id))
+		}
+	}
+	return ids
 }
 
 func (l *Limiter) deny(now time.Duration, a *account, wait time.Duration) Verdict {
@@ -296,7 +373,13 @@
 			continue
 		}
 		delete(l.issued, key)
-		l.quota.Charge(now, string(g.backend), -1)
+		a := l.accounts[g.backend]
+		if a != nil {
+			delete(a.running, key)
+		}
+		if a == nil || a.observation.limited {
+			l.quota.Charge(now, string(g.backend), -1)
+		}
 		l.released++
 		backends = append(backends, g.backend)
 	}
@@ -311,7 +394,7 @@
 	l.sweptAt = now
 	maps.DeleteFunc(l.issued, func(_ grantKey, g grant) bool { return now-g.at > grantRetention })
 	maps.DeleteFunc(l.accounts, func(_ coordapi.BackendID, a *account) bool {
-		return !a.observation.limited && now-a.observation.received > endedRetention
+		return !a.observation.limited && a.observation.brittle == 0 && now-a.observation.received > endedRetention
 	})
 }
 
@@ -338,7 +421,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, a := range l.accounts {
-		if a.observation.limited {
+		if a.needsPermit() {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -297,3 +297,58 @@
 		limiter.Take(time.Duration(i)*time.Microsecond, request(i, "7"))
 	}
 }
+
+func brittleReport(id string, plain bool, brittle float64) []coordapi.LimitReport {
+	return []coordapi.LimitReport{{ID: coordapi.BackendID(id), Pool: "app", Brittle: brittle, Plain: plain}}
+}
+
+// However many routers ask, a brittle plain back end must not run more than its slots, and a permit must
+// be free again once its request has ended, was not sent, or its router is lost.
+func TestBrittleBackendRunsNoMoreThanItsSlots(t *testing.T) {
+	const slots = 6
+	for _, routers := range []int{7, 300, 985} {
+		l := NewLimiter(slog.New(slog.DiscardHandler))
+		l.SetLeading(true)
+		l.SetLease(time.Hour)
+		l.Observe(0, brittleReport("b", true, 5))
+		take := func(now time.Duration, router int, number uint64) Verdict {
+			return l.Take(now, Request{Router: fmt.Sprint(router), Number: number, Backend: "b", Slots: slots})
+		}
+		granted := []int{}
+		for router := range routers {
+			if v := take(time.Second, router, 1); v.Granted {
+				assert.Assert(t, v.Running)
+				granted = append(granted, router)
+			} else {
+				assert.Assert(t, v.Wait > 0 && !v.Unlimited)
+			}
+		}
+		assert.Equal(t, len(granted), slots)
+		assert.DeepEqual(t, l.Finished(fmt.Sprint(granted[0]), []uint64{1, 1, 7}), []coordapi.BackendID{"b"})
+		l.Unused(time.Second, fmt.Sprint(granted[1]), []uint64{1})
+		again := 0
+		for router := range routers {
+			if take(2*time.Second, router, 2).Granted {
+				again++
+			}
+		}
+		assert.Equal(t, again, 2)
+		assert.Assert(t, take(time.Second+grantRetention+1, 0, 3).Granted, "permits of lost routers have expired")
+	}
+}
+
+// Permits are needed only while a plain back end is brittle; what engines run is limited by placements.
+func TestPermitsForBrittleBackends(t *testing.T) {
+	l := NewLimiter(slog.New(slog.DiscardHandler))
+	l.SetLeading(true)
+	l.SetLease(time.Hour)
+	l.Observe(0, brittleReport("plain", true, 5))
+	l.Observe(0, brittleReport("engine", false, 5))
+	ids, _ := l.Limited()
+	assert.DeepEqual(t, ids, []coordapi.BackendID{"plain"})
+	assert.DeepEqual(t, l.Brittle(), []string{"engine"})
+	assert.Assert(t, l.Take(0, Request{Router: "r", Number: 1, Backend: "engine", Slots: 1}).Unlimited)
+	l.Observe(2*time.Second, brittleReport("plain", true, 0))
+	assert.Assert(t, l.Take(2*time.Second, Request{Router: "r", Number: 2, Backend: "plain", Slots: 1}).Unlimited)
+	assert.Equal(t, len(l.List(2*time.Second)), 0)
+}
--- a/internal/ratelimit/parse.go
+++ b/internal/ratelimit/parse.go
@@ -16,6 +16,21 @@
 // finite.
 const maxRate PerSecond = 1e6
 
+// minBrittle is the lowest rate of rejections that counts: at 0 a back end fails with the first one.
+const minBrittle PerSecond = 0.1
+
+// parseBrittle reads the rate of rejections above which a back end fails, 0 if the header names none.
+func parseBrittle(header http.Header, name string) (PerSecond, error) {
+	if name == "" {
+		return 0, nil
+	}
+	rate, named, err := parseRate(header, name)
+	if err != nil || !named {
+		return 0, err
+	}
+	return max(rate, minBrittle), nil
+}
+
 // parseRate reads the limit in a header; limited is false if there is none. A value that cannot
 // be parsed is an error, and neither sets nor ends a limit.
 func parseRate(header http.Header, name string) (rate PerSecond, limited bool, err error) {
--- a/internal/ratelimit/permit.go
+++ b/internal/ratelimit/permit.go
@@ -10,7 +10,7 @@
 )
 
 // ErrNoPermit marks requests that were not sent for want of a permit.
-var ErrNoPermit = errors.New("the back end limits its request rate")
+var ErrNoPermit = errors.New("the back end limits its requests")
 
 // Permit allows sending one request to one start of a back end. Sending uses it up; an unused
 // permit is released once.
@@ -20,6 +20,8 @@
 	number uint64
 	// expires is by clock.Now; 0 for never, if the back end has no limit.
 	expires time.Duration
+	// running is set if the permit is held until the request has ended.
+	running bool
 	used    atomic.Bool
 }
 
@@ -33,6 +35,13 @@
 	return &Permit{backend: id, number: number, expires: requested + ttl}
 }
 
+// Running returns a permit like Granted that is held until its request has ended.
+func Running(id coordapi.BackendID, number uint64, requested, ttl time.Duration) *Permit {
+	p := Granted(id, number, requested, ttl)
+	p.running = true
+	return p
+}
+
 // Permit returns the permit of a verdict, nil if there is none.
 func (v Verdict) Permit(id coordapi.BackendID, number uint64, requested time.Duration) *Permit {
 	switch {
--- a/internal/ratelimit/registry.go
+++ b/internal/ratelimit/registry.go
@@ -14,6 +14,7 @@
 package ratelimit
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -55,6 +56,10 @@
 	LimitedResponses atomic.Uint64
 	PermitsUsed      atomic.Uint64
 	SendsBlocked     atomic.Uint64
+	// BrittleRejections counts the rejections by brittle back ends.
+	BrittleRejections atomic.Uint64
+	// urgent receives when finished permits are to be reported.
+	urgent chan struct{}
 
 	mu sync.Mutex
 	// backends holds those that have named a limit in a response to this process.
@@ -65,6 +70,9 @@
 	unreported map[coordapi.BackendID]struct{}
 	// released holds the numbers of unused permits that have not been reported.
 	released []uint64
+	// finished holds the numbers of the permits whose requests have ended and that have not been
+	// reported.
+	finished []uint64
 	// invalidLines limits the log lines on limits that cannot be parsed.
 	invalidLines bounded.LineLimiter
 }
@@ -72,13 +80,20 @@
 // backend is the limit of one start of a back end.
 type backend struct {
 	pool        string
+	plain       bool
 	observation observation
 	lines       bounded.LineLimiter
 }
 
+// needsPermit reports whether a request needs a permit. The leader limits what brittle engines run by
+// its placements.
+func (b *backend) needsPermit() bool {
+	return b.observation.limited || (b.plain && b.observation.brittle > 0)
+}
+
 // New returns an empty registry.
 func New(headers vocabulary.Headers, logger *slog.Logger) *Registry {
-	return &Registry{headers: headers, logger: logger, clock: clock.Now, backends: map[coordapi.BackendID]*backend{},
+	return &Registry{headers: headers, logger: logger, clock: clock.Now, urgent: make(chan struct{}, 1), backends: map[coordapi.BackendID]*backend{},
 		announced: map[coordapi.BackendID]struct{}{}, unreported: map[coordapi.BackendID]struct{}{}}
 }
 
@@ -90,6 +105,8 @@
 		return
 	}
 	rate, limited, err := parseRate(response.Header, r.headers.Limit)
+	brittle, invalid := parseBrittle(response.Header, r.headers.Brittle)
+	err = errors.Join(err, invalid)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
@@ -100,16 +117,19 @@
 		return
 	}
 	b := r.backends[from.ID]
-	if b == nil && !limited {
+	if b == nil && !limited && brittle == 0 {
 		return
 	}
+	if brittle > 0 && response.Header.Get(r.headers.NotRun) != "" && response.StatusCode == http.StatusServiceUnavailable {
+		r.BrittleRejections.Add(1)
+	}
 	if limited {
 		r.LimitedResponses.Add(1)
 	}
-	latest := observation{sent: sent, received: now, limited: limited, rate: rate}
+	latest := observation{sent: sent, received: now, limited: limited, rate: rate, brittle: brittle}
 	if b == nil {
 		r.evict(now)
-		b = &backend{pool: from.Pool}
+		b = &backend{pool: from.Pool, plain: from.Plain}
 		r.backends[from.ID] = b
 	} else {
 		latest = latest.merge(b.observation, 0)
@@ -130,12 +150,18 @@
 	}
 	message := "back end set a limit"
 	switch {
+	case (latest.brittle > 0) != (before.brittle > 0):
+		message = "back end is brittle"
+		if latest.brittle == 0 {
+			message = "back end is no longer brittle"
+		}
 	case !latest.limited:
 		message = "back end removed its limit"
 	case before.limited:
 		message = "back end changed its limit"
 	}
-	r.logger.Info(message, "part", "ratelimit", "backend", from.ID, "pool", from.Pool, "rate", float64(latest.rate), "before", float64(before.rate), "status", status)
+	r.logger.Info(message, "part", "ratelimit", "backend", from.ID, "pool", from.Pool, "rate", float64(latest.rate), "before", float64(before.rate),
+		"brittle", float64(latest.brittle), "status", status)
 }
 
 // evict makes room for a back end: it drops those whose limit ended long ago, then the quarter
@@ -145,7 +171,7 @@
 		return
 	}
 	maps.DeleteFunc(r.backends, func(_ coordapi.BackendID, b *backend) bool {
-		return !b.observation.limited && now-b.observation.received > endedRetention
+		return !b.observation.limited && b.observation.brittle == 0 && now-b.observation.received > endedRetention
 	})
 	if len(r.backends) < maxBackends {
 		return
@@ -162,7 +188,7 @@
 }
 
 func (r *Registry) limited(id coordapi.BackendID) bool {
-	if b := r.backends[id]; b != nil && b.observation.limited {
+	if b := r.backends[id]; b != nil && b.needsPermit() {
 		return true
 	}
 	_, is := r.announced[id]
@@ -202,7 +228,7 @@
 // requeueLimit reports a limit to the leader again if the leader's permit is one for
 // back ends without a limit.
 func (r *Registry) requeueLimit(id coordapi.BackendID, p *Permit) {
-	if b := r.backends[id]; p != nil && p.unlimited() && b != nil && b.observation.limited {
+	if b := r.backends[id]; p != nil && p.unlimited() && b != nil && b.needsPermit() {
 		r.unreported[id] = struct{}{}
 	}
 }
@@ -231,6 +257,55 @@
 	}
 }
 
+// Finish reports the end of a request whose permit is held until then. It does nothing for other
+// permits, or nil.
+func (r *Registry) Finish(p *Permit) {
+	if r == nil || p == nil || !p.running || !p.used.Load() {
+		return
+	}
+	r.RequeueFinished(p.number)
+	select {
+	case r.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Urgent receives when finished requests are to be reported without delay: others wait for their
+// permits. A nil registry never sends.
+func (r *Registry) Urgent() <-chan struct{} {
+	if r == nil {
+		return nil
+	}
+	return r.urgent
+}
+
+// RequeueFinished makes TakeFinished return numbers once more that did not reach a leader. A nil
+// registry ignores them.
+func (r *Registry) RequeueFinished(numbers ...uint64) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.finished = append(r.finished, numbers...)
+	if over := len(r.finished) - maxReleased; over > 0 {
+		r.finished = slices.Delete(r.finished, 0, over)
+	}
+}
+
+// TakeFinished returns the numbers of the permits whose requests have ended since the last call. A
+// nil registry has none.
+func (r *Registry) TakeFinished() []uint64 {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.finished
+	r.finished = nil
+	return out
+}
+
 // Unused returns the numbers of the permits released since the last call. A nil registry
 // has none.
 func (r *Registry) Unused() []uint64 {
@@ -272,7 +347,7 @@
 	out := make([]coordapi.LimitReport, 0, len(r.unreported))
 	for id := range r.unreported {
 		if b := r.backends[id]; b != nil {
-			out = append(out, b.observation.report(now, id, b.pool))
+			out = append(out, b.observation.report(now, id, b.pool, b.plain))
 		}
 	}
 	clear(r.unreported)
@@ -288,7 +363,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, b := range r.backends {
-		if b.observation.limited {
+		if b.observation.limited || b.observation.brittle > 0 {
 			r.unreported[id] = struct{}{}
 		}
 	}
@@ -315,7 +390,7 @@
 	defer r.mu.Unlock()
 	count := len(r.announced)
 	for id, b := range r.backends {
-		if _, is := r.announced[id]; !is && b.observation.limited {
+		if _, is := r.announced[id]; !is && b.needsPermit() {
 			count++
 		}
 	}
--- a/internal/ratelimit/registry_test.go
+++ b/internal/ratelimit/registry_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -201,3 +202,30 @@
 	}
 	assert.Equal(t, len(r.Unused()), maxReleased)
 }
+
+// A brittle plain back end needs permits from its first response on, an engine does not, and both are
+// reported to the leader.
+func TestRegistryObservesBrittleBackends(t *testing.T) {
+	headers := vocabulary.Default()
+	r := New(headers, slog.New(slog.DiscardHandler))
+	observe := func(id string, plain bool, value string) {
+		header := http.Header{}
+		if value != "" {
+			header.Set(headers.Brittle, value)
+		}
+		r.ObserveResponse(pushback.Backend{ID: coordapi.BackendID(id), Pool: "p", Plain: plain}, id, clock.Now(), &http.Response{StatusCode: http.StatusOK, Header: header})
+	}
+	observe("plain", true, "8")
+	observe("engine", false, "0")
+	observe("invalid", true, "-1")
+	assert.ErrorIs(t, r.Check("plain", nil), ErrNoPermit)
+	assert.NilError(t, r.Check("engine", nil))
+	assert.NilError(t, r.Check("invalid", nil))
+	reports := map[coordapi.BackendID]float64{}
+	for _, report := range r.TakeUnreported() {
+		reports[report.ID] = report.Brittle
+	}
+	assert.DeepEqual(t, reports, map[coordapi.BackendID]float64{"plain": 8, "engine": float64(minBrittle)})
+	observe("plain", true, "")
+	assert.NilError(t, r.Check("plain", nil))
+}
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -25,6 +25,9 @@
 	// Limit in a response is the number of requests per second, a decimal number, that the back
 	// end accepts from all machines together. There is no limit if it is missing.
 	Limit string
+	// Brittle in a response is the number of requests per second, a decimal number, that the back end
+	// may reject for want of capacity without failing. It holds while responses name it.
+	Brittle string
 	// LastEvent is the ID of the last event that the caller received.
 	LastEvent string
 	// Model, Usage ("prompt,most" in tokens) and Prefix ("id:tokens,...") describe a generation.
@@ -73,6 +76,7 @@
 		NotRun:           "Not-Run",
 		Draining:         "Engine-Draining",
 		Limit:            "Engine-Limit",
+		Brittle:          "Engine-Brittle",
 		LastEvent:        "Last-Event-Id",
 		Model:            "Model",
 		Usage:            "Prompt-Usage",
