Connections to back ends outlast a second of silence; tests of cuts, heals and stops

A sound back end may be silent for a second and go on. Requests on its connections ended after 700 ms without an acknowledgement, with 502 for those that may run once. The user timeout is now 1.5 s, and that of a body which nobody reads 2 s; lost paths do not need it any more. TestConnectionsOutlastASecondOfSilence failed before; the other tests hold on the code before as well: random histories of cuts, lost engines or application servers alone, all back ends but one, a leader lost beside the cut, a planned stop of a router that others use.

--- a/internal/edge/reach_test.go
+++ b/internal/edge/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -98,3 +99,167 @@
 		})
 	}
 }
+
+// outcome is a request that may run only once, by its body, and its status.
+type outcome struct {
+	body   string
+	status int
+}
+
+// Whatever paths are cut and healed, and although a router that relays ends, a request that may run once
+// must not run twice, and must not have run if it was refused.
+func TestRequestsRunAtMostOnceInRandomHistories(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			const routers = 4
+			r := rand.New(rand.NewPCG(seed, 63))
+			d := newLinkedDeployment(t, 3, routers, 3)
+			all := d.addresses("llm", "app")
+			var mu sync.Mutex
+			var outcomes []outcome
+			var group sync.WaitGroup
+			for begun, n := time.Now(), 0; time.Since(begun) < 5*time.Second; n++ {
+				if n%8 == 0 {
+					d.changeLinks(r, all)
+				}
+				if n == 120 {
+					_ = d.routers[r.IntN(routers)].relayed.Close()
+				}
+				for router := range routers {
+					path, body := []string{"/pay/", "/once/"}[n%2], fmt.Sprintf("history %d %d", n, router)
+					group.Go(func() {
+						got := d.sendWithin(3*time.Second, router, "ka", path, body)
+						mu.Lock()
+						defer mu.Unlock()
+						outcomes = append(outcomes, outcome{body, got.status})
+					})
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			group.Wait()
+			served := 0
+			for _, o := range outcomes {
+				runs := d.runCount(o.body)
+				assert.Assert(t, runs <= 1, "%+v ran %d times", o, runs)
+				switch o.status {
+				case http.StatusOK:
+					served++
+					assert.Equal(t, runs, 1, "%+v", o)
+				case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+					assert.Equal(t, runs, 0, "%+v", o)
+				}
+			}
+			for router := range routers {
+				d.links.set(linkUp, router, all...)
+			}
+			d.mixedLoad(time.Second, time.Second)
+			for router, s := range d.mixedLoad(time.Second, time.Second) {
+				assert.Assert(t, s.share() >= 0.95, "router %d after the cuts: %+v", router, s)
+			}
+			t.Logf("%d of %d served", served, len(outcomes))
+		})
+	}
+}
+
+// changeLinks cuts or heals the paths from a router to all back ends, to all but one, or to one.
+func (d *deployment) changeLinks(r *rand.Rand, all []string) {
+	router, one := r.IntN(len(d.routers)), r.IntN(len(all))
+	state := linkState(r.IntN(int(linkRefuses) + 1))
+	switch r.IntN(4) {
+	case 0:
+		d.links.set(linkUp, router, all...)
+	case 1:
+		d.links.set(state, router, all[one])
+	case 2:
+		d.links.set(state, router, slices.Concat(all[:one], all[one+1:])...)
+	default:
+		d.links.set(state, router, all...)
+	}
+}
+
+// Which pools are lost must be told apart: a router may lose the engines or the application servers
+// alone, or all back ends of a pool but one.
+func TestRoutersServeWithoutPathToPartOfTheBackends(t *testing.T) {
+	for name, cut := range map[string]func(d *deployment) []string{
+		"engines only":             func(d *deployment) []string { return d.addresses("llm") },
+		"application servers only": func(d *deployment) []string { return d.addresses("app") },
+		"all engines but one":      func(d *deployment) []string { return d.addresses("llm")[1:] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newLinkedDeployment(t, 3, 3, 4)
+			d.mixedLoad(500*time.Millisecond, time.Second)
+			d.links.set(linkSilent, 0, cut(d)...)
+			d.mixedLoad(time.Second, 2*time.Second)
+			for router, s := range d.mixedLoad(2*time.Second, time.Second) {
+				assert.Assert(t, s.share() >= 0.95, "router %d: %+v", router, s)
+			}
+		})
+	}
+}
+
+// Back ends that are silent for a second for everybody must get their requests again at once, and those
+// that run there must end well.
+func TestSecondOfSilenceEndsNoRequest(t *testing.T) {
+	const routers = 2
+	d := newLinkedDeployment(t, 3, routers, 2)
+	all := d.addresses("llm", "app")
+	var group sync.WaitGroup
+	for router := range routers {
+		for i := range 3 {
+			group.Go(func() {
+				got := d.sendWithin(5*time.Second, router, "ka", "/once/", fmt.Sprintf("long %d %d", router, i))
+				assert.Check(t, got.status == http.StatusOK && got.complete, "%+v", got)
+			})
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	for router := range routers {
+		d.links.set(linkSilent, router, all...)
+	}
+	d.mixedLoad(time.Second, 2*time.Second)
+	for router := range routers {
+		d.links.set(linkUp, router, all...)
+	}
+	group.Wait()
+	d.mixedLoad(time.Second, time.Second)
+	for router, s := range d.mixedLoad(time.Second, time.Second) {
+		assert.Assert(t, s.share() >= 0.95, "router %d after the silence: %+v", router, s)
+	}
+}
+
+// Cut routers must know other routers before they need them: the leader may be lost at the same time.
+func TestCutRoutersServeWhileLeaderIsLost(t *testing.T) {
+	d := newLinkedDeployment(t, 3, 4, 4)
+	d.mixedLoad(time.Second, time.Second)
+	for router := range 2 {
+		d.links.set(linkSilent, router, d.addresses("llm", "app")...)
+	}
+	d.restartLeader()
+	d.mixedLoad(time.Second, 2*time.Second)
+	got := d.mixedLoad(2*time.Second, time.Second)
+	others := float64(got[2].served+got[3].served) / float64(got[2].sent+got[3].sent)
+	for router := range 2 {
+		assert.Assert(t, got[router].share() >= 0.95*others, "router %d: %+v", router, got)
+	}
+}
+
+// A router that stops as planned must finish the requests of others and decline new ones, so that
+// their callers lose none.
+func TestPlannedStopOfRelayLosesNoRequest(t *testing.T) {
+	d := newLinkedDeployment(t, 3, 4, 4)
+	d.mixedLoad(time.Second, time.Second)
+	for router := range 2 {
+		d.links.set(linkResets, router, d.addresses("llm", "app")...)
+	}
+	d.mixedLoad(time.Second, 2*time.Second)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.routers[3].Stop()
+	}()
+	got := d.mixedLoad(3*time.Second, time.Second)
+	<-stopped
+	for router := range 3 {
+		assert.Assert(t, got[router].share() >= 0.95, "router %d: %+v", router, got)
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -258,3 +260,26 @@
 	_, err := client.Read(make([]byte, 1))
 	assert.Assert(t, err != nil)
 }
+
+// An open connection between processes is noticed as silent once a message is unacknowledged for
+// ackTimeout. If it is idle, the second keep-alive probe ends it whatever the count of probes, since
+// ackTimeout has passed then.
+func TestSilentConnectionIsNoticed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	c := NewClient(&Counters{})
+	connection, err := c.dial(context.Background(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer connection.Close()
+	raw, err := connection.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	options := map[string]int{}
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		options["timeout"], _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		options["alive"], _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+		options["idle"], _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPIDLE)
+		options["interval"], _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPINTVL)
+	}))
+	assert.DeepEqual(t, options, map[string]int{"timeout": int(ackTimeout.Milliseconds()), "alive": 1, "idle": 15, "interval": 15})
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,11 +30,12 @@
 
 const (
 	dialTimeout = 250 * time.Millisecond
-	// userTimeout closes connections whose peer acknowledges no data.
-	userTimeout = 700 * time.Millisecond
+	// userTimeout closes connections whose peer acknowledges no data. A sound back end may be silent
+	// for a second.
+	userTimeout = 1500 * time.Millisecond
 	// bodyStallTimeout is the time after which a back end that reads nothing of a request's body is
 	// given up. It exceeds userTimeout, within which a back end that is suspended shortly goes on.
-	bodyStallTimeout = time.Second
+	bodyStallTimeout = 2 * time.Second
 	// connectAlarm and ackAlarm are the times after which a connect that is pending, and a request
 	// that nobody has acknowledged, are reported to onConnect. They exceed the round trips within a
 	// region by far. The attempt goes on.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/clock"
@@ -563,3 +564,26 @@
 	assert.ErrorIs(t, <-reported, errPending)
 	assert.ErrorIs(t, <-reported, syscall.ETIMEDOUT)
 }
+
+// A back end may be silent for a second and go on: its connections must outlast that. An open connection
+// to a back end that is gone is noticed once a request is unacknowledged for the user timeout;
+// keep-alive probes, which the user timeout would cut short as well, are off.
+func TestConnectionsOutlastASecondOfSilence(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	address := listener.Addr().String()
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	assert.NilError(t, p.Connect(context.Background(), address))
+	c := p.takeIdle(address, false)
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	var timeout, keepAlive int
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		timeout, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		keepAlive, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+	}))
+	assert.Assert(t, timeout >= 1300 && timeout <= 2000, "%d ms", timeout)
+	assert.Equal(t, keepAlive, 0)
+	assert.Assert(t, bodyStallTimeout > userTimeout)
+}
