Routers that respond to nothing get few requests of others

A router without any response for half a second gets one request at a time unless there is no other one. TestSelectorAvoidsRoutersThatRespondToNothing failed before.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -36,6 +36,8 @@
 	Known() int
 	// Choose returns one for a request to a pool, except those tried. Done ends its use.
 	Choose(now time.Duration, pool string, tried []string, draw float64) (address string, done func(), found bool)
+	// Responded records that one has responded.
+	Responded(now time.Duration, address string)
 	// Declined records that one cannot serve a pool, and Unreachable that one was not reached.
 	Declined(now time.Duration, address, pool string)
 	Unreachable(now time.Duration, address string)
@@ -118,6 +120,7 @@
 	}
 	defer response.Close()
 	silence.stop()
+	h.config.Relays.Responded(h.clock(), address)
 	j.trace = append(j.trace, text+": "+strconv.Itoa(response.StatusCode))
 	if response.Header.Get(relay.HeaderDeclined) != "" {
 		h.metrics.relaysDeclined.Add(1)
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -78,6 +78,8 @@
 	return "", nil, false
 }
 
+func (o *orderedRelays) Responded(time.Duration, string) {}
+
 func (o *orderedRelays) Declined(_ time.Duration, address, _ string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,3 +137,50 @@
 	assert.Equal(t, choose(time.Hour), "")
 	assert.Equal(t, s.Known(), 0)
 }
+
+// A router that is suspended accepts connections and responds to nothing. It must not get every second
+// request until the first of them times out.
+func TestSelectorAvoidsRoutersThatRespondToNothing(t *testing.T) {
+	s := NewSelector("a")
+	s.Set([]coordapi.Relay{{Address: "fine", Zone: "a"}, {Address: "suspended", Zone: "a"}})
+	const (
+		openAtFine    = 10
+		callerTimeout = time.Second
+		interval      = 20 * time.Millisecond
+	)
+	counts := map[string]int{}
+	type call struct {
+		until time.Duration
+		done  func()
+	}
+	var calls []call
+	for now := time.Duration(0); now < 5*time.Second; now += interval {
+		for len(calls) > 0 && calls[0].until <= now {
+			calls[0].done()
+			calls = calls[1:]
+		}
+		address, done, found := s.Choose(now, "llm", nil, 0.5)
+		assert.Assert(t, found)
+		until := now + callerTimeout
+		if address == "fine" {
+			s.Responded(now, address)
+			until = now + openAtFine*interval
+		}
+		calls = append(calls, call{until, done})
+		slices.SortStableFunc(calls, func(a, b call) int { return cmp.Compare(a.until, b.until) })
+		counts[address]++
+	}
+	// Those of the first half second, and one for each time-out after it.
+	assert.Assert(t, counts["suspended"] <= openAtFine+5, "%v", counts)
+	// A router with long requests responds to others meanwhile.
+	busy := NewSelector("a")
+	busy.Set([]coordapi.Relay{{Address: "busy", Zone: "a"}, {Address: "far", Zone: "b"}})
+	for now := time.Duration(0); now < time.Second; now += 100 * time.Millisecond {
+		address, done, _ := busy.Choose(now, "llm", nil, 0)
+		assert.Equal(t, address, "busy")
+		busy.Responded(now, address)
+		if now > 0 {
+			done()
+		}
+	}
+}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -15,6 +15,10 @@
 	// is no other one.
 	declinedPause    = 500 * time.Millisecond
 	unreachablePause = time.Second
+	// quietLimit is the time without any response after which a router with open requests gets more
+	// only if there is no other one: its process may be suspended. Requests wait in queues there, but
+	// others are answered meanwhile.
+	quietLimit = 500 * time.Millisecond
 	// zoneCost is the cost of a router in another zone, in requests that it already has, and
 	// pausedCost that of one that could not be reached.
 	zoneCost   = 2
@@ -36,6 +40,10 @@
 	listed bool
 	// open is the number of requests that it has from here.
 	open int
+	// quietSince is the time of its last response, or of the first request since it had none open.
+	// answered is set unless it had no response between these.
+	quietSince time.Duration
+	answered   bool
 	// declined maps pools to the time until which the router gets none of their requests, and
 	// pausedUntil is the time until which others are preferred.
 	declined    map[string]time.Duration
@@ -57,7 +65,7 @@
 	for _, r := range relays {
 		c := s.relays[r.Address]
 		if c == nil {
-			c = &candidate{declined: map[string]time.Duration{}}
+			c = &candidate{declined: map[string]time.Duration{}, answered: true}
 			s.relays[r.Address] = c
 		}
 		c.Relay, c.listed = r, true
@@ -101,7 +109,7 @@
 		if c.Zone != s.zone {
 			mine += zoneCost
 		}
-		if now < c.pausedUntil {
+		if now < c.pausedUntil || (c.open > 0 && now-c.quietSince >= quietLimit) {
 			mine += pausedCost
 		}
 		if len(best) == 0 || mine < cost {
@@ -116,6 +124,14 @@
 	}
 	slices.SortFunc(best, func(a, b *candidate) int { return strings.Compare(a.Address, b.Address) })
 	c := best[int(draw*float64(len(best)))]
+	if c.open == 0 {
+		c.quietSince = now
+		if !c.answered {
+			// One request at a time finds out whether it responds again.
+			c.quietSince -= quietLimit
+		}
+		c.answered = false
+	}
 	c.open++
 	return c.Address, sync.OnceFunc(func() { s.end(c) }), true
 }
@@ -126,6 +142,15 @@
 	c.open--
 }
 
+// Responded records that a router has responded.
+func (s *Selector) Responded(now time.Duration, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.relays[address]; c != nil {
+		c.quietSince, c.answered = now, true
+	}
+}
+
 // Declined records that a router cannot serve a pool.
 func (s *Selector) Declined(now time.Duration, address, pool string) {
 	s.mu.Lock()
