--- a/internal/coordapi/limit.go
+++ b/internal/coordapi/limit.go
@@ -37,6 +37,8 @@
 	Backend  BackendID `json:"backend"`
 	Pool     string    `json:"pool"`
 	Claimant Claimant  `json:"claimant,omitzero"`
+	// Finishes is set if the router reports the ends of requests (Reports.Finished).
+	Finishes bool `json:"finishes,omitempty"`
 	Reports
 }
 
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -218,7 +218,7 @@
 	now := s.now()
 	s.recordReports(now, req.Router, &req.Reports)
 	s.placer.ApplyReports(now, req.Router, &req.Reports)
-	verdict := s.backendLimits.Take(now, ratelimit.Request{Router: req.Router, Number: req.Number, Backend: req.Backend, Claimant: req.Claimant, Slots: s.placer.Slots(req.Backend)})
+	verdict := s.backendLimits.Take(now, ratelimit.Request{Router: req.Router, Number: req.Number, Backend: req.Backend, Claimant: req.Claimant, Slots: s.placer.Slots(req.Backend), Finishes: req.Finishes})
 	claimed := &coordapi.Claimed{Unlimited: verdict.Unlimited, Running: verdict.Running, Wait: verdict.Wait}
 	switch {
 	case verdict.Granted:
--- a/internal/follower/claim.go
+++ b/internal/follower/claim.go
@@ -22,7 +22,7 @@
 	if leader == nil {
 		return nil, placeBackoff, 0
 	}
-	call := &coordapi.Claim{Router: f.name, Number: f.placements.number.Add(1), Backend: id, Pool: q.Pool, Claimant: q.Claimant, Reports: f.pendingReports()}
+	call := &coordapi.Claim{Router: f.name, Number: f.placements.number.Add(1), Backend: id, Pool: q.Pool, Claimant: q.Claimant, Finishes: true, Reports: f.pendingReports()}
 	requested := clock.Now()
 	reply, err := f.call(ctx, *leader, coordapi.Request{Claim: call})
 	if err != nil || reply.Claimed == nil {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -70,7 +70,7 @@
 type account struct {
 	pool string
 	// plain is set if the back end is no engine, and running holds the permits of requests that have
-	// not ended at a brittle plain one.
+	// not ended at a brittle plain one, with the times at which they expire.
 	plain       bool
 	running     map[grantKey]time.Duration
 	observation observation
@@ -224,6 +224,9 @@
 	Claimant coordapi.Claimant
 	// Slots is the number of requests that the back end runs at once. It is not used for engines.
 	Slots int
+	// Finishes is set if the router reports the end of the request. A permit that is held until then
+	// else expires after PermitTTL.
+	Finishes bool
 }
 
 // Take grants a permit if one is available.
@@ -245,7 +248,7 @@
 			return l.deny(now, a, minRetryAfter/2)
 		}
 		if !a.observation.limited {
-			a.running[key] = now
+			a.running[key] = now + r.runningTTL()
 			l.grant(now, a, r)
 			return Verdict{Granted: true, Running: true}
 		}
@@ -259,7 +262,7 @@
 	}
 	l.grant(now, a, r)
 	if a.isBrittle() {
-		a.running[key] = now
+		a.running[key] = now + r.runningTTL()
 	}
 	return Verdict{Granted: true, Running: a.isBrittle()}
 }
@@ -303,13 +306,21 @@
 // needsPermit reports whether a request needs a permit.
 func (a *account) needsPermit() bool { return a.observation.limited || a.isBrittle() }
 
-// countRunning returns the number of requests that have not ended. Those of routers that were lost
-// are dropped after grantRetention.
+// countRunning returns the number of requests that have not ended.
 func (a *account) countRunning(now time.Duration) int {
-	maps.DeleteFunc(a.running, func(_ grantKey, at time.Duration) bool { return now-at > grantRetention })
+	maps.DeleteFunc(a.running, func(_ grantKey, until time.Duration) bool { return now > until })
 	return len(a.running)
 }
 
+// runningTTL returns how long a permit is held at most until the end of the request: the end that a
+// lost router would have reported does not arrive.
+func (r *Request) runningTTL() time.Duration {
+	if r.Finishes {
+		return grantRetention
+	}
+	return PermitTTL
+}
+
 // Brittle returns the engines that are brittle.
 func (l *Limiter) Brittle() []string {
 	l.mu.Lock()
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -312,7 +312,7 @@
 		l.SetLease(time.Hour)
 		l.Observe(0, brittleReport("b", true, 5))
 		take := func(now time.Duration, router int, number uint64) Verdict {
-			return l.Take(now, Request{Router: fmt.Sprint(router), Number: number, Backend: "b", Slots: slots})
+			return l.Take(now, Request{Router: fmt.Sprint(router), Number: number, Backend: "b", Slots: slots, Finishes: true})
 		}
 		granted := []int{}
 		for router := range routers {
@@ -352,3 +352,16 @@
 	assert.Assert(t, l.Take(2*time.Second, Request{Router: "r", Number: 2, Backend: "plain", Slots: 1}).Unlimited)
 	assert.Equal(t, len(l.List(2*time.Second)), 0)
 }
+
+// A router of an older build reports no ends: its permits must not hold the slots for seconds.
+func TestPermitOfOlderRouterExpires(t *testing.T) {
+	l := NewLimiter(slog.New(slog.DiscardHandler))
+	l.SetLeading(true)
+	l.SetLease(time.Hour)
+	l.Observe(0, brittleReport("b", true, 5))
+	older := Request{Router: "older", Number: 1, Backend: "b", Slots: 1}
+	assert.Assert(t, l.Take(0, older).Granted)
+	older.Number = 2
+	assert.Assert(t, !l.Take(PermitTTL, older).Granted)
+	assert.Assert(t, l.Take(PermitTTL+1, older).Granted)
+}
