Routers that declined are asked again after a tenth of a second

A decline costs a round trip, so that they are asked again after 100 ms. TestRouterThatDeclinedIsAskedAgainSoon failed before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -184,3 +184,15 @@
 		}
 	}
 }
+
+// A router may decline while it has no lease for a moment: it must be asked again before the next
+// requests are refused.
+func TestRouterThatDeclinedIsAskedAgainSoon(t *testing.T) {
+	s := NewSelector("a")
+	s.Set([]coordapi.Relay{{Address: "other", Zone: "a"}})
+	s.Declined(0, "other", "llm")
+	_, _, found := s.Choose(50*time.Millisecond, "llm", nil, 0)
+	assert.Assert(t, !found)
+	_, _, found = s.Choose(150*time.Millisecond, "llm", nil, 0)
+	assert.Assert(t, found)
+}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -13,7 +13,7 @@
 	// declinedPause is the time for which a router that declined a pool's request gets none of that
 	// pool, and unreachablePause that for which one that could not be reached gets requests only if there
 	// is no other one.
-	declinedPause    = 500 * time.Millisecond
+	declinedPause    = 100 * time.Millisecond
 	unreachablePause = time.Second
 	// quietLimit is the time without any response after which a router with open requests gets more
 	// only if there is no other one: its process may be suspended. Requests wait in queues there, but
