Routers keep others that the last leader named

Evidence: 'routers without a path to a pool changed' with relays 0 at 41:41.887, the leader's election at 41:41.816, leader lost at 41:42.069.

What a leader names is now added to what is known.

--- a/internal/follower/relays.go
+++ b/internal/follower/relays.go
@@ -96,5 +96,5 @@
 		f.config.Logger.Debug("no exchange of relays", "part", "follower", "address", leader, "not_leader", reply.NotLeader, "error", err)
 		return
 	}
-	f.config.Relays.Selector.Set(reply.Relays.Relays)
+	f.config.Relays.Selector.Set(f.clock(), reply.Relays.Relays)
 }
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/coordapi"
 )
 
@@ -19,10 +21,16 @@
 	// only if there is no other one: its process may be suspended. Requests wait in queues there, but
 	// others are answered meanwhile.
 	quietLimit = 500 * time.Millisecond
-	// zoneCost is the cost of a router in another zone, in requests that it already has, and
-	// pausedCost that of one that could not be reached.
-	zoneCost   = 2
-	pausedCost = 1 << 20
+	// zoneCost is the cost of a router in another zone, in requests that it already has, unlistedCost
+	// that of one that the leader has not named again, and pausedCost that of one that could not be
+	// reached.
+	zoneCost     = 2
+	unlistedCost = 4
+	pausedCost   = 1 << 20
+	// retention is how long a router is kept that the leader has not named again: a new leader names
+	// none until they have registered with it. maxKnown bounds the routers that are kept.
+	retention = time.Minute
+	maxKnown  = 4 * MaxRelays
 )
 
 // Selector chooses routers for the requests that this router passes on. It is safe for concurrent
@@ -32,12 +40,14 @@
 
 	mu     sync.Mutex
 	relays map[string]*candidate
+	// namedAt is when the leader last named any.
+	namedAt time.Duration
 }
 
 type candidate struct {
 	coordapi.Relay
-	// listed is set while the leader names the router.
-	listed bool
+	// listedAt is when the leader last named the router.
+	listedAt time.Duration
 	// open is the number of requests that it has from here.
 	open int
 	// quietSince is the time of its last response, or of the first request since it had none open.
@@ -55,42 +65,35 @@
 	return &Selector{zone: zone, relays: map[string]*candidate{}}
 }
 
-// Set replaces the routers that the leader named.
-func (s *Selector) Set(relays []coordapi.Relay) {
+// Set records the routers that the leader names now.
+func (s *Selector) Set(now time.Duration, relays []coordapi.Relay) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.relays {
-		c.listed = false
-	}
 	for _, r := range relays {
 		c := s.relays[r.Address]
 		if c == nil {
 			c = &candidate{declined: map[string]time.Duration{}, answered: true}
 			s.relays[r.Address] = c
 		}
-		c.Relay, c.listed = r, true
+		c.Relay, c.listedAt = r, now
 	}
-	for address, c := range s.relays {
-		if !c.listed && c.open == 0 {
-			delete(s.relays, address)
-		}
+	if len(relays) > 0 {
+		s.namedAt = now
+	}
+	maps.DeleteFunc(s.relays, func(_ string, c *candidate) bool { return c.open == 0 && now-c.listedAt > retention })
+	if over := len(s.relays) - maxKnown; over > 0 {
+		bounded.DropOldest(s.relays, over, func(c *candidate) time.Duration { return c.listedAt })
 	}
 }
 
-// Known returns the number of routers that the leader named.
+// Known returns the number of routers that are known.
 func (s *Selector) Known() int {
 	if s == nil {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := 0
-	for _, c := range s.relays {
-		if c.listed {
-			count++
-		}
-	}
-	return count
+	return len(s.relays)
 }
 
 // Choose returns the router for a request to a pool that none of the tried ones has accepted: the one
@@ -102,13 +105,16 @@
 	var best []*candidate
 	cost := 0
 	for _, c := range s.relays {
-		if !c.listed || !c.Serves(pool) || now < c.declined[pool] || slices.Contains(tried, c.Address) {
+		if !c.Serves(pool) || now < c.declined[pool] || slices.Contains(tried, c.Address) {
 			continue
 		}
 		mine := c.open
 		if c.Zone != s.zone {
 			mine += zoneCost
 		}
+		if c.listedAt < s.namedAt {
+			mine += unlistedCost
+		}
 		if now < c.pausedUntil || (c.open > 0 && now-c.quietSince >= quietLimit) {
 			mine += pausedCost
 		}
