Soak: cut routers are compared with the others in the same times

The check counted calls at other routers from the start of each cut, and of cuts shorter than a second, but those at cut routers from a second on. Both sides now count from a second after the cut.

--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -116,20 +116,19 @@
 }
 
 // cutState reports whether a call went to a router that was cut, after cutDetection and until the cut
-// ended, and whether it went to another one meanwhile.
+// ended, and whether it went to another one in the same time.
 func (s *Soak) cutState(c *call) (wasCut, beside bool) {
 	for _, k := range s.cuts.past {
-		if c.sent < k.from || c.sent >= k.to {
-			continue
-		}
-		if !slices.Contains(k.routers, c.router) {
-			beside = true
-			continue
-		}
-		if c.sent < k.from+cutDetection {
+		switch {
+		case c.sent < k.from || c.sent >= k.to:
+		case c.sent < k.from+cutDetection && slices.Contains(k.routers, c.router):
 			return false, false
+		case c.sent < k.from+cutDetection:
+		case slices.Contains(k.routers, c.router):
+			wasCut = true
+		default:
+			beside = true
 		}
-		wasCut = true
 	}
 	return wasCut, beside && !wasCut
 }
