A request that is passed on counts against its tenant at the other router only

A request that was first tried here, counted against its tenant's limit, and then passed on since the path turned out to be lost, counted twice: the first count was given back only for requests that had not run anywhere. It is now given back before the request is passed on, if it has not run here. Found by reading; TestPassedOnRequestCountsOnceAgainstItsTenant failed before (200 tokens at the first router in place of 0).

--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -29,6 +29,15 @@
 	return over, false
 }
 
+// returnQuota gives the quota of a request back that has not run here and is passed on: the other
+// router counts it.
+func (h *Handler) returnQuota(j *job) {
+	h.refundQuota(j)
+	if j.ran == 0 {
+		j.quotaCounted = false
+	}
+}
+
 // refundQuota releases the quota of a request that has not run.
 func (h *Handler) refundQuota(j *job) {
 	if j.quotaAmount > 0 && j.quotaCounted && j.ran == 0 {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -69,6 +69,7 @@
 // passOn passes a request on to other routers until one accepts it.
 func (h *Handler) passOn(ctx context.Context, s *session) outcome {
 	j := s.job
+	h.returnQuota(j)
 	result := outcome{verdict: notRun, err: errNoRelay}
 	// A router that broke an earlier attempt off is asked again if there is no other one.
 	broken := j.brokenRelays
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -18,6 +18,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -437,3 +438,26 @@
 	assert.ErrorIs(t, cut.ask("POST", "/chat/x", nil).err, io.ErrUnexpectedEOF)
 	assert.Equal(t, cut.ask("POST", "/chat/x", nil).status, http.StatusOK)
 }
+
+// A request that was counted against its tenant's limit before it was passed on must count at the other
+// router only.
+func TestPassedOnRequestCountsOnceAgainstItsTenant(t *testing.T) {
+	cut, other := newRig(t), newRelayRig(t)
+	here, there := cut.limited(), other.limited()
+	cut.add("app", "gone", good)
+	cut.closeBackends()
+	other.add("app", "a", good)
+	cut.handler.config.Paths = reachability.NewDetector()
+	var once sync.Once
+	cut.handler.config.Upstream.OnConnect(func(string, time.Duration, error) { once.Do(func() { cut.losePath("app") }) })
+	cut.setRelays(other.address())
+	assert.Equal(t, cut.ask("POST", "/unsafe/x", nil).status, http.StatusOK)
+	spent := func(gate *quota.Gate) (total quota.Amount) {
+		for _, s := range gate.Spent() {
+			total += s.Amount
+		}
+		return total
+	}
+	assert.Equal(t, spent(here), quota.Amount(0))
+	assert.Equal(t, spent(there), quota.Amount(200))
+}
