Failures over a lost path are reported as unsure, not dropped

Cause: with all back ends of the pool down the path to it is lost, and dropped the evidence of failures over a lost path. Such failures are now reported as those whose back end may have survived; the leader knows by heartbeats whether it has. TestFailureOverLostPathIsReportedAsUnsure failed before (0 attempts known).

Soak: calls at cut routers count while some router is neither cut nor has another fault.

--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -65,7 +65,8 @@
 	switch {
 	case result.verdict == notRun, isLocal(result.err):
 	case !framed && h.pathLost(j):
-		// The failure is one of this router's path.
+		// It may be a failure of this router's path: heartbeats tell whether the back end has ended.
+		h.config.Observer.RecordFailure(poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started})
 	case result.verdict != mayHaveRun && framed:
 		h.config.Observer.RecordSuccess(j.digest)
 	case errors.Is(context.Cause(ctx), backends.ErrRestarted):
@@ -85,11 +86,11 @@
 	for waited := time.Duration(0); waited < maxCheckWait && !h.config.Pool.PathKnown(choice.ID); waited += checkWaitStep {
 		time.Sleep(checkWaitStep)
 	}
-	known := h.config.Pool.PathKnown(choice.ID)
+	// A refused connection shows that the back end has ended only if others are reached.
+	down = down && h.config.Pool.PathKnown(choice.ID)
 	for _, ended := range h.probes.take(choice.ID) {
-		if ended.Down = down; known {
-			h.config.Observer.RecordFailure(ended)
-		}
+		ended.Down = down
+		h.config.Observer.RecordFailure(ended)
 	}
 }
 
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/poison"
+	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -168,3 +169,20 @@
 	assert.Equal(t, len(w.seen), 0)
 	assert.Equal(t, len(w.answered), 0)
 }
+
+// A request that ends all back ends of a pool makes the path to it look lost. Its failures must still
+// be reported, as ones of which heartbeats tell whether the back end has ended: a router that was cut off
+// sees the same.
+func TestFailureOverLostPathIsReportedAsUnsure(t *testing.T) {
+	r, w := newObserved(t)
+	r.handler.config.Paths = reachability.NewDetector()
+	r.add("app", "a", func(response http.ResponseWriter, q *http.Request) {
+		r.losePath("app")
+		r.closeBackends()
+		dropConnection(response, q)
+	})
+	assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusBadGateway)
+	seen := w.await(t, 1)
+	assert.Equal(t, seen[0].Backend, "a")
+	assert.Assert(t, !seen[0].Down && !seen[0].Silent, "%+v", seen[0])
+}
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -97,6 +97,9 @@
 		if c.status == http.StatusOK && c.complete {
 			served = 1
 		}
+		if wasCut && !s.someRouterServes(c.sent) {
+			continue
+		}
 		if wasCut {
 			s.report.CutCalls++
 			s.report.CutServed += served
@@ -115,6 +118,15 @@
 	}
 }
 
+// someRouterServes reports whether a router was neither cut nor had another fault at a time, so that
+// cut routers could pass requests on.
+func (s *Soak) someRouterServes(at time.Duration) bool {
+	return slices.ContainsFunc(s.routers, func(p *program) bool {
+		isCut := slices.ContainsFunc(s.cuts.past, func(k cut) bool { return k.from <= at && at < k.to && slices.Contains(k.routers, p.name) })
+		return !isCut && !s.disturbed(at, func(d *disturbance) bool { return d.router == p.name })
+	})
+}
+
 // cutState reports whether a call went to a router that was cut, after cutDetection and until the cut
 // ended, and whether it went to another one in the same time.
 func (s *Soak) cutState(c *call) (wasCut, beside bool) {
