Rows, placements and attempts name the software version of back ends; lines name resumed streams

Routers' logs could not tell which software version wrote a stream's events, nor that a request resumes a stream: crossings were found only by joining logs with the operators' log. The adapter decoded the version of each heartbeat and dropped it. It is now in rows, views and departures (level 8), in placements, and in each attempt of a line; answered lines have the version that wrote the first event, the attempt that the client resumes and its last event. quinceridge_streams_begun_total{software}, quinceridge_streams_resumed_by_clients_total. No decision reads any of it yet.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -13,6 +13,7 @@
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/speed"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // Query describes a request for which a back end is chosen.
@@ -94,6 +95,8 @@
 	Instance string
 	Address  string
 	Zone     string
+	// Software is the version of the back end's software.
+	Software state.SoftwareVersion
 	// Version is the weights version that the back end holds; Versioned is set if it is known.
 	Version   int
 	Versioned bool
@@ -199,7 +202,7 @@
 		homeAddress = homes[version].Address
 	}
 	work := Work{Prompt: q.tokensToPrefill(version) + best.copied, Most: q.Work.Most}
-	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Version: version, Versioned: versioned && q.Model != "",
+	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Software: best.Software, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: countRepresented(candidates), Work: work,
 		Ahead: best.ahead, Wait: max(best.wait, best.prefillRate(rate).Wait(best.ahead)), Late: late}, true
 }
--- a/internal/coordapi/check.go
+++ b/internal/coordapi/check.go
@@ -23,6 +23,9 @@
 			return errors.Newf("%s: 1 to %d bytes are required", field, maxName)
 		}
 	}
+	if len(row.Software) > maxName {
+		return errors.Newf("software: at most %d bytes are allowed", maxName)
+	}
 	if address, err := netip.ParseAddrPort(row.Address); err != nil || address.Port() == 0 {
 		return errors.Newf("address: %.64q is no IP number with a port", row.Address)
 	}
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -6,6 +6,7 @@
 	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/quota"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // Place asks the leader to choose an engine for a request. The leader has the placements of all
@@ -91,6 +92,8 @@
 	Instance string `json:"instance,omitempty"`
 	Address  string `json:"address,omitempty"`
 	Zone     string `json:"zone,omitempty"`
+	// Software is the version of the engine's software.
+	Software state.SoftwareVersion `json:"software,omitempty"`
 	// Version is the version of the engine's weights, and Versioned reports whether it is known.
 	Version   int  `json:"version,omitempty"`
 	Versioned bool `json:"versioned,omitempty"`
--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -58,7 +59,7 @@
 	row, changed := mergeHeartbeat(old, known, b.Backend)
 	if changed {
 		s.logger.Info("back end changed", "part", "registry", "backend", row.ID, "pool", row.Pool, "address", row.Address,
-			"draining", row.Draining, "sequence", b.Sequence)
+			"software", row.Software, "draining", row.Draining, "sequence", b.Sequence)
 		return registryChange{rows: []state.Backend{row}}, nil
 	}
 	return s.awaitRow(row), nil
@@ -78,13 +79,15 @@
 	if beat.Born != 0 {
 		row.Born = beat.Born
 	}
+	// A heartbeat that a coordinator of an older build passed on lacks it.
+	row.Software = cmp.Or(beat.Software, old.Software)
 	for model, version := range beat.Weights {
 		if version > row.Weights[model] {
 			row.Weights = withVersion(row.Weights, model, version)
 		}
 	}
 	same := row.Instance == old.Instance && row.Pool == old.Pool && row.Address == old.Address && row.Zone == old.Zone && row.Slots == old.Slots &&
-		row.Draining == old.Draining && row.Born == old.Born && sameWeights(row.Weights, old.Weights)
+		row.Draining == old.Draining && row.Born == old.Born && row.Software == old.Software && sameWeights(row.Weights, old.Weights)
 	return row, !same
 }
 
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -228,6 +228,7 @@
 	defer cancel(nil)
 	silence := h.watchSilence(ctx, j, cancel)
 	defer silence.stop()
+	s.attempted = choice
 	h.setBackendHeaders(j, s, choice)
 	started := h.now()
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
@@ -404,7 +405,7 @@
 
 // choiceText describes a back end and why it was chosen, for the trace.
 func (h *Handler) choiceText(j *job, choice backends.Choice) string {
-	text := fmt.Sprintf("%s (cost %.0f of %d", choice.ID, choice.Cost, choice.Considered)
+	text := fmt.Sprintf("%s (cost %.0f of %d, software %q", choice.ID, choice.Cost, choice.Considered, string(choice.Software))
 	if choice.Versioned {
 		text += fmt.Sprintf(", weights %d, home %t, unread %d, from %s", choice.Version, choice.Home, choice.Work.Prompt,
 			j.request.Header.Get(h.config.Headers.FetchFrom))
@@ -481,5 +482,5 @@
 	}
 	h.config.Logger.Info(message, "part", "forward", "id", j.id, "request", j.digest.String(), "route", j.route.Name, "pool", j.pool.Name,
 		"table", j.table.Version, "key", j.query.Key, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
-		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "relayed_for", j.relayed(), "attempts", strings.Join(j.trace, "; "), h.prefillAttributes(j))
+		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "relayed_for", j.relayed(), "attempts", strings.Join(j.trace, "; "), h.prefillAttributes(j), s.attributes())
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -210,6 +210,8 @@
 	request *upstream.Request
 	// authorization is the client's Authorization header.
 	authorization string
+	// continuation is the stream that the client resumes, if any.
+	continuation continuation
 	// origin is set if another router passed the request on.
 	origin *relay.Origin
 	// unrelayed is set if the other routers that were asked do not reach the pool either.
@@ -302,6 +304,9 @@
 	j.query.Request = j.digest
 	ctx, done := h.deadlines.withDeadline(r.Context(), j.deadline, j.deadline-h.now())
 	defer done()
+	if j.continuation.resumed() {
+		h.metrics.resumedByClients.Add(1)
+	}
 	h.metrics.inFlight.Add(1)
 	defer h.metrics.inFlight.Add(-1)
 	h.serve(ctx, w, j)
@@ -346,7 +351,7 @@
 			return nil, &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 		}
 	}
-	j.authorization = r.Header.Get("Authorization")
+	j.authorization, j.continuation = r.Header.Get("Authorization"), h.continuationOf(r.Header)
 	if j.id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no ID"}
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -55,10 +55,14 @@
 	relayDelay     histogram
 	declined       atomic.Uint64
 	accepted       atomic.Uint64
-	responses      [6]atomic.Uint64
-	local          [6]atomic.Uint64
-	firstEvent     histogram
-	total          histogram
+	// resumedByClients counts the requests whose clients resume a stream, and streams those whose first
+	// event was sent.
+	resumedByClients atomic.Uint64
+	streams          streamCounts
+	responses        [6]atomic.Uint64
+	local            [6]atomic.Uint64
+	firstEvent       histogram
+	total            histogram
 }
 
 type histogram struct {
@@ -124,6 +128,8 @@
 	fmt.Fprintf(w, "quinceridge_unread_bodies_total %d\n", m.unreadBodies.Load())
 	fmt.Fprintf(w, "quinceridge_streams_resumed_unresponsive_total %d\n", m.resumedUnresponsive.Load())
 	fmt.Fprintf(w, "quinceridge_ended_unresponsive_total %d\n", m.endedUnresponsive.Load())
+	fmt.Fprintf(w, "quinceridge_streams_resumed_by_clients_total %d\n", m.resumedByClients.Load())
+	m.streams.writeTo(w, "quinceridge_streams_begun_total")
 	fmt.Fprintf(w, "quinceridge_buffer_bytes %d\n", h.config.Memory.Used())
 	fmt.Fprintf(w, "quinceridge_buffer_limit_bytes %d\n", h.config.Memory.Limit())
 	fmt.Fprintf(w, "quinceridge_attempts_broken_total %d\n", m.failedAttempts.Load())
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -11,9 +11,11 @@
 	"strings"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/relay"
+	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -43,6 +45,10 @@
 	lastEventNumber int64
 	events          int
 	firstAt         time.Duration
+	// attempted is the back end of the present attempt, and software the software version of the one
+	// that wrote the first event.
+	attempted backends.Choice
+	software  state.SoftwareVersion
 	// lastAt is when the last event was forwarded, and longestGap the longest pause between
 	// two.
 	lastAt     time.Duration
@@ -331,6 +337,7 @@
 		s.headerSent = true
 		s.firstAt = s.handler.now()
 		s.lastAt = s.firstAt
+		s.begin()
 	}
 	s.recordGap()
 	// While the client does not read, the back end is not silent.
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -31,8 +31,10 @@
 	// Paths adds the pools to which routers have lost the path, and the routers to which these pass
 	// requests on.
 	Paths Level = 7
+	// Software adds the software versions of back ends.
+	Software Level = 8
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = Paths
+const Current = Software
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -24,6 +24,10 @@
 	Version int    `json:"version"`
 }
 
+// SoftwareVersion is the version of a back end's software, not of the weights that it holds. It is
+// empty if the back end does not report it.
+type SoftwareVersion string
+
 // Backend is the row of a registered back end. Each start of a back end has a row of its own.
 type Backend struct {
 	ID string `json:"id"`
@@ -35,6 +39,8 @@
 	Address  string    `json:"address"`
 	Zone     string    `json:"zone,omitempty"`
 	Slots    int       `json:"slots,omitempty"`
+	// Software is the version of the back end's software.
+	Software SoftwareVersion `json:"software,omitempty"`
 	// Draining is set for a back end that gets no new work. Once set it stays set.
 	Draining bool `json:"draining,omitempty"`
 	// LeftBefore is the wall-clock time of a leave without a start time that another start may
@@ -102,6 +108,10 @@
 	// Draining is set if the back end has left, before or after its row was removed. Its start
 	// must not return.
 	Draining bool `json:"draining,omitempty"`
+	// Software is that of the row.
+	Software SoftwareVersion `json:"software,omitempty"`
+	// Pool is that of the row.
+	Pool string `json:"pool,omitempty"`
 	// LeftBefore is that of the row.
 	LeftBefore UnixMilli `json:"left_before,omitempty"`
 }
@@ -213,7 +223,7 @@
 		d.indexes.countEngine(old, -1)
 		delete(d.Backends, id)
 		departure := Departure{ID: id, Revision: index, Engine: old.IsEngine(), Instance: old.Instance, Born: old.Born, Draining: !known || old.Draining,
-			LeftBefore: old.LeftBefore}
+			LeftBefore: old.LeftBefore, Software: old.Software, Pool: old.Pool}
 		d.Departed = append(d.Departed, departure)
 		d.indexes.departed[id] = departure
 		d.indexes.removeRow(old)
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -30,6 +30,9 @@
 	Brittle string
 	// LastEvent is the ID of the last event that the caller received.
 	LastEvent string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the caller
+	// resumes.
+	Resumes string
 	// Model, Usage ("prompt,most" in tokens) and Prefix ("id:tokens,...") describe a generation.
 	Model  string
 	Usage  string
@@ -78,6 +81,7 @@
 		Limit:            "Engine-Limit",
 		Brittle:          "Engine-Brittle",
 		LastEvent:        "Last-Event-Id",
+		Resumes:          "Resumes",
 		Model:            "Model",
 		Usage:            "Prompt-Usage",
 		Prefix:           "Prompt-Parts",
