Failing test: streams that are resumed hold events of two software versions

Three routers, three coordinators, three engines of each of two versions. Each stream breaks off after three events.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -33,6 +33,8 @@
 	// poisonBody is the body that crashes each engine that runs it for poisonTenant.
 	poisonBody   = "poison"
 	poisonTenant = "alice"
+	// brokenBody is the beginning of the bodies whose streams break off in their first run.
+	brokenBody = "broken"
 )
 
 var names = vocabulary.Default()
@@ -50,6 +52,8 @@
 	links *links
 	// relays is set if routers pass requests on to each other.
 	relays bool
+	// software is the software version of the engines that are added.
+	software state.SoftwareVersion
 	// callerTimeout is when callers cancel, 0 for never.
 	callerTimeout time.Duration
 
@@ -88,6 +92,9 @@
 	// brittle is the rate of rejections that a plain back end names, empty for none. It then rejects
 	// requests beyond its slots. The deployment's lock guards it.
 	brittle string
+	// software is the software version that the engine reports, empty for none. The deployment's lock
+	// guards it.
+	software state.SoftwareVersion
 	// name is shared by all engines of the host; empty if each has its own.
 	name string
 	// current is the running engine.
@@ -213,6 +220,7 @@
 "routes":[{"name":"chat","host":"h","prefix":"/chat/","kind":"stream","timeout":"10s","target":"1s","split":{"llm":1},"max_attempts":1},
 {"name":"check","host":"h","prefix":"/check/","kind":"stream","timeout":"10s","target":"1s","split":{"llm":1},"max_attempts":2,"resumable":true},
 {"name":"talk","host":"h","prefix":"/talk/","kind":"stream","timeout":"10s","target":"1s","gap_target":"400ms","split":{"llm":1},"max_attempts":2,"resumable":true},
+{"name":"resume","host":"h","prefix":"/resume/","kind":"stream","timeout":"10s","target":"1s","split":{"llm":1},"max_attempts":1,"resumable":true},
 {"name":"once","host":"h","prefix":"/once/","kind":"stream","timeout":"10s","target":"1s","gap_target":"400ms","split":{"llm":1},"max_attempts":1},
 {"name":"pay","host":"h","prefix":"/pay/","kind":"unsafe","timeout":"4s","target":"500ms","split":{"app":1},"max_attempts":1},
 {"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout":"4s","target":"500ms","split":{"app":1},"max_attempts":2}],
@@ -260,7 +268,7 @@
 }
 
 func (d *deployment) host(pool string) *host {
-	h := &host{deployment: d, pool: pool, address: freeAddress(d.t), restartDelay: 400 * time.Millisecond}
+	h := &host{deployment: d, pool: pool, software: d.software, address: freeAddress(d.t), restartDelay: 400 * time.Millisecond}
 	d.mu.Lock()
 	d.hosts = append(d.hosts, h)
 	d.mu.Unlock()
@@ -282,7 +290,7 @@
 	h.starts++
 	id := cmp.Or(h.name, fmt.Sprintf("%s#%d", h.address, h.starts))
 	ctx, cancel := context.WithCancel(d.t.Context())
-	e := &engine{host: h, id: id, born: state.UnixMilli(h.starts), end: cancel, rejected: map[string][]time.Time{}, tooEarly: map[string]int{}, limitSent: map[string]time.Time{}}
+	e := &engine{host: h, id: id, born: state.UnixMilli(h.starts), software: h.software, end: cancel, rejected: map[string][]time.Time{}, tooEarly: map[string]int{}, limitSent: map[string]time.Time{}}
 	h.current = e
 	h.stop = cancel
 	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
@@ -296,9 +304,11 @@
 	host *host
 	id   string
 	born state.UnixMilli
-	end  context.CancelFunc
-	once sync.Once
-	hung atomic.Bool
+	// software is that of the host when the engine started.
+	software state.SoftwareVersion
+	end      context.CancelFunc
+	once     sync.Once
+	hung     atomic.Bool
 	// rejected holds the times of rejections by router, and tooEarly counts the requests of each
 	// router that came before Retry-After had passed.
 	rejected map[string][]time.Time
@@ -318,7 +328,7 @@
 
 func (e *engine) heartbeat(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
-		row := state.Backend{ID: e.id, Born: e.born, Pool: e.host.pool, Address: e.host.address, Zone: "z", Slots: 8}
+		row := state.Backend{ID: e.id, Born: e.born, Pool: e.host.pool, Address: e.host.address, Zone: "z", Software: e.software, Slots: 8}
 		if e.host.pool == "llm" {
 			row.Weights = map[string]int{"m": 1}
 		}
@@ -370,6 +380,10 @@
 		_, _ = w.Write(body)
 		return
 	}
+	if strings.HasPrefix(string(body), brokenBody) {
+		e.breakingStream(w, r)
+		return
+	}
 	e.stream(w, r, string(body))
 }
 
--- /dev/null
+++ b/internal/edge/software_test.go
@@ -0,0 +1,181 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+const (
+	oldSoftware = state.SoftwareVersion("v1")
+	newSoftware = state.SoftwareVersion("v2")
+	// brokenStreamEvents is the number of events of a stream of a brokenBody, and firstRunEvents that of
+	// its first run, which breaks off.
+	brokenStreamEvents = 8
+	firstRunEvents     = 3
+	// minResumedShare is the least share of resumed streams that go on, relative to new streams.
+	minResumedShare = 0.95
+)
+
+// breakingStream sends the events after the caller's last one, and each with the engine's software
+// version. A run from the beginning breaks off.
+func (e *engine) breakingStream(w http.ResponseWriter, r *http.Request) {
+	defer e.countStream()()
+	after, _ := strconv.Atoi(r.Header.Get(names.LastEvent))
+	last := brokenStreamEvents
+	if after == 0 {
+		last = firstRunEvents
+	}
+	for i := after + 1; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.software)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(5 * time.Millisecond)
+	}
+	if after == 0 {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+	}
+}
+
+// streamed is what a caller has of a stream.
+type streamed struct {
+	// attempt is the ID of the attempt that brought the first event.
+	attempt string
+	// lastEvent is the ID of the last event, 0 for none, and versions are the software versions that
+	// wrote the events.
+	lastEvent int
+	versions  []string
+	// status is that of the last response, and complete is set once the stream has ended.
+	status   int
+	complete bool
+}
+
+// request sends the next attempt at a stream through a router and adds what it brings.
+func (s *streamed) request(d *deployment, router int, path, body string, change func(*http.Request)) {
+	ctx, cancel := context.WithTimeout(d.t.Context(), 5*time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.frontend[router]+path, strings.NewReader(body))
+	assert.NilError(d.t, err)
+	id := fmt.Sprintf("stream-%d", d.requests.Add(1))
+	q.Host = "h"
+	q.Header.Set(names.RequestID, id)
+	q.Header.Set("Authorization", "Bearer ka")
+	q.Header.Set(names.Model, "m")
+	q.Header.Set(names.Usage, "20,20")
+	if s.lastEvent > 0 {
+		q.Header.Set(names.Resumes, s.attempt)
+		q.Header.Set(names.LastEvent, strconv.Itoa(s.lastEvent))
+	}
+	if change != nil {
+		change(q)
+	}
+	response, err := http.DefaultClient.Do(q)
+	if s.status = 0; err != nil {
+		return
+	}
+	defer response.Body.Close()
+	if s.status = response.StatusCode; s.status != http.StatusOK {
+		return
+	}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if number, is := strings.CutPrefix(lines.Text(), "id: "); is {
+			if s.lastEvent == 0 {
+				s.attempt = id
+			}
+			s.lastEvent, _ = strconv.Atoi(number)
+		}
+		if version, is := strings.CutPrefix(lines.Text(), "data: "); is && !slices.Contains(s.versions, version) {
+			s.versions = append(s.versions, version)
+		}
+	}
+	s.complete = lines.Err() == nil
+}
+
+// newMixedDeployment returns a deployment whose engines have two software versions.
+func newMixedDeployment(t *testing.T, routers, oldEngines, newEngines int) *deployment {
+	t.Helper()
+	d := startDeployment(&deployment{t: t, relays: true, links: newLinks(), software: oldSoftware}, 3, routers, oldEngines)
+	d.software = newSoftware
+	for range newEngines {
+		d.host("llm")
+	}
+	d.awaitSoftware(newSoftware)
+	return d
+}
+
+// awaitSoftware waits until each router sends new streams to a software version.
+func (d *deployment) awaitSoftware(version state.SoftwareVersion) {
+	d.t.Helper()
+	for router := range d.frontend {
+		poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+			var s streamed
+			s.request(d, router, "/resume/", brokenBody+" warm", nil)
+			if !slices.Contains(s.versions, string(version)) {
+				return poll.Continue("%+v", s)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+}
+
+// resumeAll begins streams that break off and has their callers resume them once, and returns the
+// numbers of those that began, that went on to their end, and that hold events of several versions.
+func (d *deployment) resumeAll(path string, count int, pause time.Duration, routerOf func(i int) (first, second int)) (begun, completed, mixed int) {
+	for i := range count {
+		var s streamed
+		first, second := routerOf(i)
+		body := fmt.Sprintf("%s %d", brokenBody, i)
+		if s.request(d, first, path, body, nil); s.lastEvent == 0 {
+			continue
+		}
+		begun++
+		if !s.complete {
+			time.Sleep(pause)
+			s.request(d, second, path, body, nil)
+		}
+		if s.complete && s.lastEvent == brokenStreamEvents {
+			completed++
+		}
+		if len(s.versions) > 1 {
+			mixed++
+		}
+	}
+	return begun, completed, mixed
+}
+
+// Streams must hold the events of one software version, whoever joins their runs.
+func TestStreamsKeepTheirSoftwareVersion(t *testing.T) {
+	const streams = 60
+	cases := map[string]struct {
+		path     string
+		pause    time.Duration
+		routerOf func(i int) (first, second int)
+	}{
+		"within one answer":          {"/check/", 0, func(i int) (int, int) { return i % 3, i % 3 }},
+		"resumed at the same router": {"/resume/", 20 * time.Millisecond, func(i int) (int, int) { return i % 3, i % 3 }},
+		"resumed at another router":  {"/resume/", 20 * time.Millisecond, func(i int) (int, int) { return i % 3, (i + 1) % 3 }},
+	}
+	d := newMixedDeployment(t, 3, 3, 3)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			begun, completed, mixed := d.resumeAll(c.path, streams, c.pause, c.routerOf)
+			t.Logf("%d begun, %d completed, %d of two versions", begun, completed, mixed)
+			assert.Equal(t, mixed, 0)
+			assert.Assert(t, begun >= streams*95/100, "%d of %d streams began", begun, streams)
+			assert.Assert(t, float64(completed) >= minResumedShare*float64(begun), "%d of %d streams completed", completed, begun)
+		})
+	}
+}
