Streams go on at the software version that began them, or are refused at once

Cause: no decision looked at the version. Heartbeats reported it and the adapter dropped it; a repeat within an answer and a stream that a client resumed went to whichever engine cost least, and nothing recorded which back end had begun a stream.

- A router records the back end that writes a stream's first event, before the client gets it, under the tenant and the client's ID of the attempt.
While several versions serve a pool, or did within the life of a stream, three coordinators of all (by rendezvous hashing) get the record; a router that is asked to go on with a stream which it does not know asks all of them.
- The leader names the pools with several versions.
It holds the first back ends of a new version until all routers that may serve know of it, so that a router which knows of one version is right.
Streams that began before are sent to the coordinators then, and again to each new leadership.
- A stream that goes on asks for its version: in placements, in the queue, in local choices, and through other routers.
Without a back end of it, or if nobody knows the version, it is refused at once with 503 and the reason; nothing is guessed.
- A name that another version's process has taken withdraws the records of the last five seconds.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -70,6 +70,8 @@
 	Later bool
 	// Queueing are the terms for the queue at the leader.
 	Queueing coordapi.Queueing
+	// Software is the software version that a resumed stream has to go on at; empty for any.
+	Software state.SoftwareVersion
 	// Draw is a random number in [0, 1) that selects among the candidates.
 	Draw float64
 	// Tried lists back ends that must not be chosen again.
--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -8,7 +8,7 @@
 
 // mayServe reports whether a back end is eligible for a request. An ineligible one is never chosen.
 func (p *Pool) mayServe(r *row, q *Query) bool {
-	if r.Draining || r.wrongInstance || r.unlisted || r.Loading != nil {
+	if r.Draining || r.wrongInstance || r.unlisted || r.Loading != nil || !p.hasSoftware(r, q) {
 		return false
 	}
 	if q.Model == "" {
--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // index groups idle engines so that a choice need not examine each of them. The engines of a group
@@ -35,6 +37,8 @@
 	zone string
 	// weights is the versionsKey of the weights that they hold.
 	weights string
+	// software is the version of their software.
+	software state.SoftwareVersion
 	// factor is their speed and home their home weight.
 	factor float64
 	home   float64
@@ -97,7 +101,7 @@
 
 // addIdle moves an active row to its group.
 func (p *poolIndex) addIdle(r *row) {
-	key := groupKey{zone: r.Zone, weights: versionsKey(r.Weights), factor: r.pace.factor, home: r.pace.home.value()}
+	key := groupKey{zone: r.Zone, weights: versionsKey(r.Weights), software: r.Software, factor: r.pace.factor, home: r.pace.home.value()}
 	group := p.idle[key]
 	if group == nil {
 		group = &idleGroup{}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -106,6 +106,8 @@
 	pushbacks *pushback.Registry
 	// paths tells which pools this process cannot reach; nil means none.
 	paths *reachability.Detector
+	// onSuperseded is called without the lock; nil for no call.
+	onSuperseded func(id string)
 	// index is nil in a router's own pool.
 	index       *index
 	reportDelay time.Duration
@@ -174,9 +176,17 @@
 // Apply updates rows and removes departed back ends. If whole is set, it removes all rows that
 // are not among the changed ones.
 func (p *Pool) Apply(changed []state.Backend, departed []string, whole bool) {
+	for _, id := range p.apply(changed, departed, whole) {
+		p.onSuperseded(id)
+	}
+}
+
+// apply is Apply, and returns the back ends whose name a process of another software version has taken.
+func (p *Pool) apply(changed []state.Backend, departed []string, whole bool) (superseded []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, b := range changed {
+		superseded = append(superseded, p.supersededBy(&b)...)
 		r := p.rows[b.ID]
 		if r == nil {
 			r = &row{}
@@ -210,6 +220,7 @@
 			delete(p.rows, id)
 		}
 	}
+	return superseded
 }
 
 // RestrictToShard removes the engines outside a shard, for which no more updates follow.
--- /dev/null
+++ b/internal/backends/software.go
@@ -0,0 +1,71 @@
+package backends
+
+import (
+	"slices"
+
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// hasSoftware reports whether a back end may write the events of a request's stream: its version is not
+// held back, and is the one that the stream has to go on at, if any.
+func (p *Pool) hasSoftware(r *row, q *Query) bool {
+	if q.Software != "" && r.Software != q.Software {
+		return false
+	}
+	return len(p.notes.Software) == 0 || !slices.Contains(p.notes.Software[r.Pool].Held, r.Software)
+}
+
+// SoftwareVersions returns the software versions that may have begun a stream of a pool, if there are
+// several, and else none.
+func (p *Pool) SoftwareVersions(pool string) coordapi.SoftwareVersions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notes.Software[pool]
+}
+
+// AnySeveralVersions reports whether back ends of several software versions may have begun the streams of
+// any pool.
+func (p *Pool) AnySeveralVersions() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.notes.Software) > 0
+}
+
+// ServesSoftware reports whether a back end of a request's pool and software version may serve it, whatever
+// it runs.
+func (p *Pool) ServesSoftware(q *Query) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.rows {
+		if r.Pool == q.Pool && p.mayServe(r, q) {
+			return true
+		}
+	}
+	return false
+}
+
+// supersededBy returns the IDs of the rows whose streams another process may have continued to write
+// before a row was applied: a start under the same name, or the same start, with another software version.
+// A request names its back end by name only.
+func (p *Pool) supersededBy(b *state.Backend) (ids []string) {
+	if p.onSuperseded == nil || b.Software == "" {
+		return nil
+	}
+	if before := p.rows[b.ID]; before != nil && before.Software != "" && before.Software != b.Software {
+		ids = append(ids, b.ID)
+	}
+	if b.Instance == "" {
+		return ids
+	}
+	for id, r := range p.rows {
+		if id != b.ID && r.Name() == b.Name() && r.EnrolledRevision < b.EnrolledRevision && r.Software != "" && r.Software != b.Software {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// OnSuperseded sets the function that is called with the ID of a back end once a process of another
+// software version has taken its name. It must be called before the pool is used.
+func (p *Pool) OnSuperseded(superseded func(id string)) { p.onSuperseded = superseded }
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -47,6 +47,8 @@
 	ListLimits      *ListLimits        `json:"list_limits,omitempty"`
 	Relays          *Relays            `json:"relays,omitempty"`
 	Unblock         *state.Unblock     `json:"unblock,omitempty"`
+	RecordStreams   *RecordStreams     `json:"record_streams,omitempty"`
+	FindStream      *FindStream        `json:"find_stream,omitempty"`
 }
 
 // Reply is the reply to a Request.
@@ -71,6 +73,8 @@
 	Limits *LimitsInForce `json:"limits,omitempty"`
 	// Relays is the reply to Relays.
 	Relays *RelayList `json:"relays,omitempty"`
+	// Stream is the reply to FindStream.
+	Stream *FoundStream `json:"stream,omitempty"`
 }
 
 // Find requests the leader's address, unless the node itself is the leader.
@@ -169,6 +173,8 @@
 	// Suspects are requests during which back ends failed, but too few to block them. Routers
 	// report when one of them gets a complete answer.
 	Suspects []poison.Digest `json:"suspects,omitempty"`
+	// Software describes the pools whose back ends have, or recently had, several software versions.
+	Software map[string]SoftwareVersions `json:"software,omitempty"`
 	// Rooms is the capacity of each pool with engines, by which routers decide without a leader.
 	// It is set in each View that has Loads.
 	Rooms map[string]Room `json:"rooms,omitempty"`
--- a/internal/coordapi/label.go
+++ b/internal/coordapi/label.go
@@ -23,6 +23,10 @@
 		return "find"
 	case r.Relays != nil:
 		return "relays"
+	case r.RecordStreams != nil:
+		return "record streams"
+	case r.FindStream != nil:
+		return "find stream"
 	}
 	return "other call"
 }
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -41,6 +41,8 @@
 	// its memory in tokens.
 	Slots    int `json:"slots,omitempty"`
 	Capacity int `json:"capacity,omitempty"`
+	// Software is the software version that a resumed stream has to go on at; empty for any.
+	Software state.SoftwareVersion `json:"software,omitempty"`
 	// Tried lists engines that must not be chosen again.
 	Tried []string `json:"tried,omitempty"`
 	// Request is the digest of the request's content; 0 for none.
--- /dev/null
+++ b/internal/coordapi/software.go
@@ -0,0 +1,36 @@
+package coordapi
+
+import (
+	"quinceridge.example/quinceridge/internal/resumption"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// SoftwareGone is the reason of a refused request that has to go on at a software version of which no back
+// end serves.
+const SoftwareGone = "no back end of the software version that began the stream serves"
+
+// SoftwareVersions are the software versions that may have begun a stream of a pool. Each list is sorted.
+type SoftwareVersions struct {
+	// Serving are those of its back ends.
+	Serving []state.SoftwareVersion `json:"serving,omitempty"`
+	// Held are those among Serving that get no requests yet, since some routers may not know of them.
+	Held []state.SoftwareVersion `json:"held,omitempty"`
+	// Former are those of back ends that have left and whose streams may still be resumed.
+	Former []state.SoftwareVersion `json:"former,omitempty"`
+}
+
+// RecordStreams reports the back ends that began streams to a coordinator, which keeps the records in
+// memory. Any coordinator accepts it, whether it leads or not.
+type RecordStreams struct {
+	Streams []resumption.Record `json:"streams"`
+}
+
+// FindStream asks a coordinator for the back end that began a stream.
+type FindStream struct {
+	Key resumption.Key `json:"key"`
+}
+
+// FoundStream is the reply to FindStream. Writer is nil if the coordinator has no record.
+type FoundStream struct {
+	Writer *resumption.Writer `json:"writer,omitempty"`
+}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -115,6 +115,10 @@
 		return s.exchangeRelays(ctx, r.Relays)
 	case r.Unblock != nil:
 		return s.submit(ctx, state.Command{Unblock: r.Unblock})
+	case r.RecordStreams != nil:
+		return s.recordStreams(r.RecordStreams), nil
+	case r.FindStream != nil:
+		return s.findStream(r.FindStream), nil
 	case r.Join != nil:
 		return s.join(ctx, *r.Join)
 	}
@@ -371,7 +375,7 @@
 // view returns what the watcher lacks. It returns nil if there is nothing new and the watcher may
 // wait.
 func (s *Server) view(now time.Duration, w coordapi.Watch, last bool) *coordapi.View {
-	s.soft.recordWatch(now, w.Router, level.Level(w.Level))
+	s.soft.recordWatch(now, w.Router, level.Level(w.Level), w.Leader)
 	s.retryBorrowers.set(s.soft.borrowers, s.soft.watchers())
 	d := s.core.Machine().Deployment()
 	broadcast := &s.soft.broadcast
@@ -394,6 +398,7 @@
 		v.Silent, v.Unresponsive = s.soft.silentAndUnresponsive(d, shard)
 		v.Limited = s.soft.limitedOf(d, shard)
 		v.Suspects = s.blocker.suspects
+		v.Software = s.soft.software
 	}
 	if !sameLeader {
 		w.SavedSince = 0
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -62,6 +62,9 @@
 	gauge("limit_rights_granted_total", granted)
 	gauge("limit_rights_denied_total", denied)
 	gauge("limit_rights_unused_total", unused)
+	streams, dropped := s.streams.Len()
+	gauge("stream_records", streams)
+	gauge("stream_records_dropped_total", dropped)
 	s.loop.Do(r.Context(), func(time.Duration) {
 		gauge("requests_suspected", len(s.blocker.suspects))
 		gauge("requests_blocked", len(s.core.Machine().Deployment().Blocked))
@@ -88,5 +91,8 @@
 			fmt.Fprintf(w, "quinceridge_pool_share{pool=%q,tenant=%q} %.3f\n", part.Pool, part.Tenant, part.Part)
 		}
 		gauge("orders_under_way", len(s.rollout.running))
+		for version, count := range s.core.Machine().Deployment().SoftwareVersions() {
+			fmt.Fprintf(w, "quinceridge_backends_by_software{pool=%q,software=%q} %d\n", version.Pool, string(version.Software), count)
+		}
 	})
 }
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -5,7 +5,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/resumption"
 	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/traffic"
 )
 
 // ErrUnknownPool means that a heartbeat names a pool that is not in the configuration in force.
@@ -16,6 +18,10 @@
 	revision uint64
 	// names is nil before the first configuration, when every pool is accepted.
 	names map[string]bool
+	// resumable are the pools of routes whose streams may be resumed.
+	resumable map[string]bool
+	// longestTimeout is the longest time-out of a route.
+	longestTimeout time.Duration
 }
 
 // updatePools takes the pools of the configuration in force.
@@ -34,13 +40,23 @@
 	for i := range table.Pools {
 		s.pools.names[table.Pools[i].Name] = true
 	}
-	longest := time.Duration(0)
+	s.pools.longestTimeout, s.pools.resumable = 0, map[string]bool{}
 	for i := range table.Routes {
-		longest = max(longest, table.Routes[i].Timeout)
+		route := &table.Routes[i]
+		s.pools.longestTimeout = max(s.pools.longestTimeout, route.Timeout)
+		for _, share := range route.Split {
+			s.pools.resumable[share.Pool] = s.pools.resumable[share.Pool] || (route.Kind == traffic.KindStream && route.Resumable)
+		}
 	}
-	s.placer.SetLongestTimeout(longest)
+	s.placer.SetLongestTimeout(s.pools.longestTimeout)
 }
 
+// resumesStreams reports whether streams of a pool may be resumed.
+func (p *pools) resumesStreams(pool string) bool { return p.resumable[pool] }
+
+// streamLife returns the time for which a stream may be resumed.
+func (p *pools) streamLife() time.Duration { return resumption.Life(p.longestTimeout) }
+
 // contains reports whether a pool is configured.
 func (p *pools) contains(pool string) bool { return p.names == nil || p.names[pool] }
 
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -26,6 +26,7 @@
 	"quinceridge.example/quinceridge/internal/placer"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/ratelimit"
+	"quinceridge.example/quinceridge/internal/resumption"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/version"
 )
@@ -81,6 +82,8 @@
 	permitNumber atomic.Uint64
 	// blocker blocks poison requests.
 	blocker *blocker
+	// streams are the records of streams that routers report.
+	streams *resumption.Table
 	leading atomic.Bool
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
@@ -92,6 +95,7 @@
 	soft       softState
 	notify     notifier
 	rollout    rollout
+	software   softwareTracker
 	digest     digest
 	members    membershipManager
 	rowBatcher rowBatcher
@@ -104,7 +108,7 @@
 	backendLimits := ratelimit.NewLimiter(logger)
 	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines, decode: decode,
 		clock: clock.Now, started: clock.Now(), placer: placer.New(backendLimits), tenantLimits: newTenantLimits(config, decode, logger), backendLimits: backendLimits,
-		blocker: newBlocker(config.BackendHeartbeat, logger)}
+		blocker: newBlocker(config.BackendHeartbeat, logger), streams: resumption.NewTable()}
 	s.loop = control.NewLoop(s.now)
 	var err error
 	if s.identity, err = loadIdentity(vfs.Default, config); err != nil {
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -35,6 +35,10 @@
 	// routers are the watchers, and borrowers the number of them that borrow retries.
 	routers   map[string]watcher
 	borrowers int
+	// forgottenAt is when a router was last removed from routers.
+	forgottenAt time.Duration
+	// software describes the pools with several software versions.
+	software map[string]coordapi.SoftwareVersions
 	// silent are the back ends that are silent or superseded at their address, sorted.
 	silent []string
 	// starts maps names to the latest start that sent a heartbeat. loggedOlder are the older
@@ -110,11 +114,14 @@
 type watcher struct {
 	at      time.Duration
 	borrows bool
+	// known is the last change of this leader's notes that it has received, -1 for none.
+	known int
 }
 
-// recordWatch records a router's watch and whether its build borrows retries.
-func (t *softState) recordWatch(now time.Duration, router string, of level.Level) {
-	w := watcher{at: now, borrows: of >= level.Limits}
+// recordWatch records a router's watch, whether its build borrows retries, and the notes that it has
+// received.
+func (t *softState) recordWatch(now time.Duration, router string, of level.Level, token coordapi.LeaderToken) {
+	w := watcher{at: now, borrows: of >= level.Limits, known: t.knownChange(token)}
 	if before := t.routers[router]; w.borrows && !before.borrows {
 		t.borrowers++
 	}
@@ -131,6 +138,9 @@
 		if expired && w.borrows {
 			t.borrowers--
 		}
+		if expired {
+			t.forgottenAt = now
+		}
 		return expired
 	})
 }
@@ -343,6 +353,7 @@
 	s.tenantLimits.update(now, s.core.LeaseUntil(), d)
 	s.backendLimits.SetLease(s.core.LeaseUntil())
 	if s.lastRole != raft.Leader {
+		s.software.observe(now, s.pools.streamLife(), d, false)
 		s.evaluateBlocks(now, d)
 		return
 	}
@@ -355,6 +366,7 @@
 		s.soft.changes++
 		s.notify.wake()
 	}
+	s.updateSoftware(now, d)
 	s.evaluateBlocks(now, d)
 	if s.soft.routerReports.announce(now, s.soft.watchers()) {
 		s.soft.rooms = s.placer.Rooms()
@@ -417,7 +429,7 @@
 	}
 	if token := s.soft.token(); token != s.soft.placerNotes {
 		notes := s.rollout.notes
-		notes.Silent, notes.Unresponsive = s.soft.silent, s.soft.unresponsive
+		notes.Silent, notes.Unresponsive, notes.Software = s.soft.silent, s.soft.unresponsive, s.soft.software
 		s.placer.ApplyNotes(notes)
 		s.soft.placerNotes = token
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -93,7 +93,7 @@
 	// Other routers' responses say nothing of their back ends' pushbacks and limits that concerns this one.
 	relayConnections := upstream.NewPool(headers.RequestID, pushback.New(headers, logger), ratelimit.New(headers, logger))
 	relayConnections.SetMemory(buffers)
-	forwardConfig := forward.Config{Name: config.Name, Headers: headers, Source: e.follower, Placer: e.follower, Queue: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Pool: pool, Saved: saved, Quota: tenants,
+	forwardConfig := forward.Config{Name: config.Name, Headers: headers, Source: e.follower, Placer: e.follower, Queue: e.follower, Claimer: e.follower, SharedBudget: e.follower, Observer: e.follower, Resumptions: e.follower, Pool: pool, Saved: saved, Quota: tenants,
 		FairShares: fairShares, Streams: streams, Paths: paths, Upstream: connections, Memory: buffers, Pushbacks: pushbacks, Limits: limits, Logger: logger,
 		Budget: forward.BudgetConfig{Ratio: config.RetryRatio, Burst: config.RetryBurst, Window: config.RetryWindow}}
 	if relays != nil {
@@ -130,6 +130,7 @@
 	e.cancel = cancel
 	e.group.Go(func() { e.follower.Run(ctx) })
 	e.group.Go(func() { e.follower.Update(ctx) })
+	e.group.Go(func() { e.follower.RunStreams(ctx) })
 	e.group.Go(func() { periodic.Run(ctx, overdueInterval, e.handler.CancelOverdue) })
 	e.group.Go(func() { periodic.Run(ctx, forward.StreamCheckInterval, e.handler.CheckStreams) })
 	e.group.Go(func() { periodic.Run(ctx, forward.PathCheckInterval, e.handler.CheckPaths) })
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -20,6 +20,7 @@
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/ratelimit"
+	"quinceridge.example/quinceridge/internal/resumption"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
 )
@@ -56,6 +57,9 @@
 	RestrictToShard(shard coordapi.Shard)
 	// ApplyNotes takes the state that only the leader holds.
 	ApplyNotes(notes coordapi.Notes)
+	// OnSuperseded sets the function that is called with the ID of a back end whose name a process of
+	// another software version has taken.
+	OnSuperseded(superseded func(id string))
 	// SetTotalLoads sets the work of all routers together, with its mean age; engines is set if
 	// it includes that of engines.
 	SetTotalLoads(now time.Duration, loads []coordapi.Load, age time.Duration, engines bool)
@@ -122,6 +126,11 @@
 	// announcement numbers the announced capacities of pools.
 	announcement atomic.Uint64
 	evidence     evidence
+	streams      streams
+	// software describes the pools with several software versions, and coordinators are the peer
+	// addresses of the members.
+	software     atomic.Pointer[map[string]coordapi.SoftwareVersions]
+	coordinators atomic.Pointer[[]string]
 
 	// The fields below are used by Run only.
 	revision   uint64
@@ -167,7 +176,8 @@
 	Seeds  []string
 	Lease  time.Duration
 	Decode Decode
-	Pool   Pool
+	// Pool may be nil for a follower that does not run.
+	Pool Pool
 	// Saved may be nil.
 	Saved Saved
 	// Quota may be nil.
@@ -192,6 +202,10 @@
 	f := &Follower{config: config, name: name, clock: clock.Now, started: clock.Now(), nextCandidate: rand.IntN(max(len(config.Seeds), 1))}
 	f.SetSeeds(config.Seeds)
 	f.evidence.init()
+	f.streams = streams{table: resumption.NewTable(), pending: map[string][]resumption.Record{}, sending: map[string]bool{}}
+	if config.Pool != nil {
+		config.Pool.OnSuperseded(f.withdrawStreams)
+	}
 	return f
 }
 
@@ -352,6 +366,7 @@
 	}
 	if v.Leader != f.token {
 		f.config.Pool.ApplyNotes(v.Notes)
+		f.followSoftware(v.Software, v.Leader.Leadership() != f.token.Leadership())
 		f.config.Streams.SetListed(f.clock(), v.Unresponsive)
 		f.config.Limits.Announced(v.Limited)
 		f.evidence.follow(v.Leader, v.Suspects)
@@ -371,6 +386,7 @@
 	f.shards = v.Shard.Count
 	if len(v.Members) > 0 {
 		f.members = v.Members
+		f.coordinators.Store(&v.Members)
 	}
 	if f.table.Load() != nil {
 		f.leaseUntil.Store(max(f.leaseUntil.Load(), int64(sent+f.config.Lease)))
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -27,6 +27,7 @@
 func (discardPool) Apply([]state.Backend, []string, bool)                             {}
 func (discardPool) PathKnown(string) bool                                             { return true }
 func (discardPool) Refused() int                                                      { return 0 }
+func (discardPool) OnSuperseded(func(string))                                         {}
 func (discardPool) ApplyNotes(coordapi.Notes)                                         {}
 func (discardPool) RestrictToShard(coordapi.Shard)                                    {}
 func (discardPool) Troubles() []coordapi.Trouble                                      { return nil }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -54,7 +54,7 @@
 
 // serve makes attempts until one succeeds or no further one is allowed.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
-	s := &session{handler: h, writer: w, job: j}
+	s := &session{handler: h, client: w, job: j}
 	defer h.refundQuota(j)
 	defer j.releaseShare()
 	// ran is the result of the last attempt that the back end may have run.
@@ -70,6 +70,10 @@
 			h.decline(w, j, errNoRelay.Error())
 			return
 		}
+		if !s.keepVersion() {
+			h.finish(ctx, s, outcome{verdict: mayHaveRun, err: errWriterUnknown})
+			return
+		}
 		if h.needsRelay(j) {
 			result := h.passOn(ctx, s)
 			if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
@@ -113,9 +117,12 @@
 			return
 		}
 		if choice.Reason != "" && !errors.Is(context.Cause(ctx), context.Canceled) {
-			if j.beyondShare {
+			switch {
+			case choice.Reason == coordapi.SoftwareGone:
+				h.metrics.refusedSoftwareGone.Add(1)
+			case j.beyondShare:
 				h.metrics.refusedShare.Add(1)
-			} else {
+			default:
 				h.metrics.refusedQueued.Add(1)
 			}
 			h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: choice.Reason, retryAfter: choice.RetryAfter})
@@ -432,13 +439,13 @@
 		s.writeBuffered(result.response)
 		h.logResponse(s, "forwarded a failure")
 	case h.declines(j):
-		h.decline(s.writer, j, h.reason(j, result))
+		h.decline(s.client, j, h.reason(j, result))
 	case j.ran == 0:
-		h.refuse(s.writer, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), retryAfter: h.unavailableRetryAfter(j)})
+		h.refuse(s.client, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), retryAfter: h.unavailableRetryAfter(j)})
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		h.refuse(s.writer, j, &refusal{status: http.StatusGatewayTimeout, reason: h.reason(j, result)})
+		h.refuse(s.client, j, &refusal{status: http.StatusGatewayTimeout, reason: h.reason(j, result)})
 	default:
-		h.refuse(s.writer, j, &refusal{status: http.StatusBadGateway, reason: h.reason(j, result)})
+		h.refuse(s.client, j, &refusal{status: http.StatusBadGateway, reason: h.reason(j, result)})
 	}
 }
 
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -100,6 +100,9 @@
 			return choice, true
 		}
 	}
+	if choice, gone := h.softwareGone(j); gone {
+		return choice, true
+	}
 	if choice, refused := h.refuseBeyondFairShare(j); refused {
 		return choice, true
 	}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -53,7 +53,7 @@
 	}
 	h.config.Logger.Info("request is blocked", "part", "forward", "id", s.job.id, "request", s.job.digest.String(), "backends", under,
 		"revision", revision, "attempts", strings.Join(s.job.trace, "; "))
-	h.refuse(s.writer, s.job, &refusal{status: http.StatusBadGateway, reason: reason, retryAfter: poison.BlockDuration,
+	h.refuse(s.client, s.job, &refusal{status: http.StatusBadGateway, reason: reason, retryAfter: poison.BlockDuration,
 		text: "The back ends that ran this request ended. It is not tried again for now.\n"})
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -139,7 +139,9 @@
 	Paths *reachability.Detector
 	// Relays are the routers to which requests for unreachable pools are passed on over
 	// RelayConnections; nil for none.
-	Relays           Relays
+	Relays Relays
+	// Resumptions keeps which back end began each stream; nil if streams may go on anywhere.
+	Resumptions      Resumptions
 	RelayConnections *upstream.Pool
 	Budget           BudgetConfig
 	Logger           *slog.Logger
@@ -186,7 +188,7 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", "Host", "Expect"}
 
 // relayHeaders are request headers that only routers set for each other.
-var relayHeaders = []string{relay.HeaderOrigin, relay.HeaderDeclined}
+var relayHeaders = []string{relay.HeaderOrigin, relay.HeaderDeclined, relay.HeaderSoftware}
 
 func (h *Handler) now() time.Duration { return h.clock() - h.started }
 
@@ -227,6 +229,8 @@
 	// memory is what the request takes of the memory budget.
 	memory     memory.Reservation
 	receivedAt time.Duration
+	// clientWait is the time for which the client waits, from its request on.
+	clientWait time.Duration
 	// deadline is the time at which the request times out for the client or its route, by the
 	// handler's clock.
 	deadline time.Duration
@@ -290,6 +294,10 @@
 		return
 	}
 	j.continueFrom(origin)
+	if refusal := h.bind(r, j); refusal != nil {
+		h.refuse(w, j, refusal)
+		return
+	}
 	h.config.Memory.Charge(requestBytes)
 	defer h.config.Memory.Release(requestBytes)
 	j.memory = h.config.Memory.NewReservation()
@@ -355,7 +363,8 @@
 	if j.id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no ID"}
 	}
-	j.deadline = h.now() + h.timeout(r, route)
+	j.clientWait = h.clientWait(r)
+	j.deadline = h.now() + timeout(j.clientWait, route)
 	j.pool = table.Pool(h.splits.next(route))
 	h.buildRequest(r, j)
 	return j, nil
@@ -372,15 +381,22 @@
 	}
 }
 
-// timeout returns the time limit of the request: the route's timeout or the client's, whichever
-// is lower, less a margin for the response.
-func (h *Handler) timeout(r *http.Request, route *traffic.Route) time.Duration {
-	limit := route.Timeout
-	if text := r.Header.Get(h.config.Headers.Deadline); text != "" {
-		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms >= 0 {
-			limit = min(limit, time.Duration(ms*float64(time.Millisecond)))
-		}
+// unlimitedWait is the wait of clients that do not state theirs.
+const unlimitedWait = time.Duration(math.MaxInt64)
+
+// clientWait returns the time for which the client of a request waits.
+func (h *Handler) clientWait(r *http.Request) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get(h.config.Headers.Deadline), 64)
+	if err != nil || !(ms >= 0 && ms < float64(unlimitedWait/time.Millisecond)) {
+		return unlimitedWait
 	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// timeout returns the time limit of a request: the route's timeout or the client's wait, whichever is
+// lower, less a margin for the response.
+func timeout(clientWait time.Duration, route *traffic.Route) time.Duration {
+	limit := min(route.Timeout, clientWait)
 	return max(limit-responseMargin, limit/2)
 }
 
@@ -448,5 +464,5 @@
 	_, _ = io.WriteString(w, f.text)
 	h.metrics.CountResponse(f.status, true)
 	h.config.Logger.Info("refused", "part", "forward", "id", j.id, "request", j.digest.String(), "status", f.status, "reason", f.reason,
-		"after_ms", f.retryAfter.Milliseconds(), "relayed_for", j.relayed(), h.prefillAttributes(j))
+		"after_ms", f.retryAfter.Milliseconds(), "relayed_for", j.relayed(), h.prefillAttributes(j), j.continuation.group())
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -58,11 +58,17 @@
 	// resumedByClients counts the requests whose clients resume a stream, and streams those whose first
 	// event was sent.
 	resumedByClients atomic.Uint64
-	streams          streamCounts
-	responses        [6]atomic.Uint64
-	local            [6]atomic.Uint64
-	firstEvent       histogram
-	total            histogram
+	// refusedUnknownWriter counts streams that did not go on because the software version that began them
+	// is not known, refusedSoftwareGone those of a version that no longer serves, and refusedMoved those
+	// of a pool to which their route no longer leads.
+	refusedUnknownWriter atomic.Uint64
+	refusedSoftwareGone  atomic.Uint64
+	refusedMoved         atomic.Uint64
+	streams              streamCounts
+	responses            [6]atomic.Uint64
+	local                [6]atomic.Uint64
+	firstEvent           histogram
+	total                histogram
 }
 
 type histogram struct {
@@ -130,6 +136,9 @@
 	fmt.Fprintf(w, "quinceridge_ended_unresponsive_total %d\n", m.endedUnresponsive.Load())
 	fmt.Fprintf(w, "quinceridge_streams_resumed_by_clients_total %d\n", m.resumedByClients.Load())
 	m.streams.writeTo(w, "quinceridge_streams_begun_total")
+	fmt.Fprintf(w, "quinceridge_streams_refused_total{reason=\"version unknown\"} %d\n", m.refusedUnknownWriter.Load())
+	fmt.Fprintf(w, "quinceridge_streams_refused_total{reason=\"version gone\"} %d\n", m.refusedSoftwareGone.Load())
+	fmt.Fprintf(w, "quinceridge_streams_refused_total{reason=\"pool moved\"} %d\n", m.refusedMoved.Load())
 	fmt.Fprintf(w, "quinceridge_buffer_bytes %d\n", h.config.Memory.Used())
 	fmt.Fprintf(w, "quinceridge_buffer_limit_bytes %d\n", h.config.Memory.Limit())
 	fmt.Fprintf(w, "quinceridge_attempts_broken_total %d\n", m.failedAttempts.Load())
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/traffic"
@@ -44,9 +45,10 @@
 }
 
 var (
-	errNoRelay  = errors.New("no router reaches the back ends")
-	errDeclined = errors.New("declined")
-	errOrigin   = errors.New("an attempt at the router of the client may have run the request")
+	errNoRelay       = errors.New("no router reaches the back ends")
+	errDeclined      = errors.New("declined")
+	errOtherSoftware = errors.New("the router does not tell that the stream goes on at its software version")
+	errOrigin        = errors.New("an attempt at the router of the client may have run the request")
 )
 
 // pathLost reports whether no back end of a job's pool can be reached from here.
@@ -103,6 +105,7 @@
 	defer cancel(nil)
 	silence := h.watchRelay(ctx, j, cancel)
 	defer silence.stop()
+	s.attempted = backends.Choice{}
 	started := h.now()
 	text := fmt.Sprintf("passed on to router %s, path lost for %d ms", address, h.config.Paths.LostFor(h.clock(), j.pool.Name).Milliseconds())
 	response, err := h.config.RelayConnections.Do(ctx, address, h.requestVia(s))
@@ -157,7 +160,7 @@
 		header.Set(names.LastEvent, s.lastEventID)
 	}
 	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
-	origin := relay.Origin{Router: h.config.Name, Age: h.now() - j.receivedAt, Ran: j.ran, Delivered: j.deliveries, Counted: j.counted}
+	origin := relay.Origin{Router: h.config.Name, Age: h.now() - j.receivedAt, Ran: j.ran, Delivered: j.deliveries, Counted: j.counted, Writer: s.boundTo()}
 	header.Set(relay.HeaderOrigin, origin.Encode())
 	return &upstream.Request{Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: header, Body: j.request.Body, ID: j.id,
 		NonIdempotent: j.request.NonIdempotent}
@@ -167,6 +170,10 @@
 // all attempts that the route allows.
 func (h *Handler) forwardVia(ctx context.Context, s *session, response *upstream.BackendResponse, cancel context.CancelCauseFunc) outcome {
 	j := s.job
+	if response.StatusCode == http.StatusOK && j.query.Software != "" && response.Header.Get(relay.HeaderSoftware) != string(j.query.Software) {
+		// Routers of older builds let streams go on anywhere.
+		return outcome{verdict: mayHaveRun, err: errOtherSoftware, delivered: true}
+	}
 	if response.StatusCode < http.StatusInternalServerError && !notRunStatuses[response.StatusCode] {
 		if j.route.Kind == traffic.KindStream && response.StatusCode == http.StatusOK && j.route.Retryable() {
 			s.stall = newWatchdog(max(stallFactor*j.route.GapTarget, minStall), h.cancelForRetry(ctx, j, cancel))
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -15,7 +15,7 @@
 	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/relay"
-	"quinceridge.example/quinceridge/internal/state"
+	"quinceridge.example/quinceridge/internal/resumption"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -31,7 +31,7 @@
 // session is the response to one client request.
 type session struct {
 	handler *Handler
-	writer  http.ResponseWriter
+	client  http.ResponseWriter
 	job     *job
 	status  int
 	// headerSent is set once a part of the response has been written, and bodySent once it is a
@@ -45,10 +45,10 @@
 	lastEventNumber int64
 	events          int
 	firstAt         time.Duration
-	// attempted is the back end of the present attempt, and software the software version of the one
-	// that wrote the first event.
+	// attempted is the back end of the present attempt, empty if that is made through another router, and
+	// writer is the back end that wrote the first event.
 	attempted backends.Choice
-	software  state.SoftwareVersion
+	writer    resumption.Writer
 	// lastAt is when the last event was forwarded, and longestGap the longest pause between
 	// two.
 	lastAt     time.Duration
@@ -141,22 +141,22 @@
 	// The end of a body with neither a length nor chunks cannot be told from a truncation, and
 	// without chunks a truncation could not be shown to the client.
 	if !response.Framed() || (response.ContentLength < 0 && !s.job.chunked) {
-		s.writer.Header().Set("Connection", "close")
+		s.client.Header().Set("Connection", "close")
 		return errBodySize
 	}
 	s.copyHeader(response.Header)
 	if response.ContentLength >= 0 {
-		s.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+		s.client.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	s.setStatus(response.StatusCode)
 	s.firstAt = s.handler.now()
 	s.headerSent, s.bodySent = true, true
-	s.writer.WriteHeader(s.status)
-	if _, err := s.writer.Write(prefix); err != nil {
+	s.client.WriteHeader(s.status)
+	if _, err := s.client.Write(prefix); err != nil {
 		return &clientError{err}
 	}
 	// The response's own errors tell whether the request may have run.
-	_, err := io.Copy(s.writer, response)
+	_, err := io.Copy(s.client, response)
 	if err != nil && !errors.Is(err, upstream.ErrOutcomeUnknown) {
 		return &clientError{err}
 	}
@@ -187,7 +187,7 @@
 
 // copyHeader copies the back end's response headers, except those of the connection.
 func (s *session) copyHeader(header http.Header) {
-	out := s.writer.Header()
+	out := s.client.Header()
 	dropped := connectionHeaders(header)
 	for name, values := range header {
 		if !hopResponseHeaders[name] && !dropped[name] {
@@ -204,7 +204,7 @@
 
 // hopResponseHeaders are response headers that concern one connection only.
 var hopResponseHeaders = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, relay.HeaderDeclined: true}
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, relay.HeaderDeclined: true, relay.HeaderSoftware: true}
 
 // notRunStatuses are the statuses that tell a client that its request has not run and will not
 // run later.
@@ -225,7 +225,7 @@
 func (s *session) setStatus(status int) {
 	s.status = forwardedStatus(status)
 	if s.status != status {
-		s.writer.Header().Del(s.handler.config.Headers.Signature)
+		s.client.Header().Del(s.handler.config.Headers.Signature)
 	}
 }
 
@@ -240,10 +240,10 @@
 func (s *session) writeBody(status int, body []byte) {
 	s.status = status
 	s.firstAt = s.handler.now()
-	s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	s.writer.WriteHeader(status)
+	s.client.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.client.WriteHeader(status)
 	// The back end has done its part; the log names the error.
-	_, s.writeError = s.writer.Write(body)
+	_, s.writeError = s.client.Write(body)
 }
 
 // stream forwards events as they arrive. The header is sent with the first event.
@@ -331,23 +331,26 @@
 		s.lastEventNumber = number
 	}
 	if !s.headerSent {
+		s.begin(response.Header)
 		s.copyHeader(response.Header)
+		if s.job.origin != nil {
+			s.client.Header().Set(relay.HeaderSoftware, string(s.writer.Software))
+		}
 		s.status = response.StatusCode
-		s.writer.WriteHeader(response.StatusCode)
+		s.client.WriteHeader(response.StatusCode)
 		s.headerSent = true
 		s.firstAt = s.handler.now()
 		s.lastAt = s.firstAt
-		s.begin()
 	}
 	s.recordGap()
 	// While the client does not read, the back end is not silent.
 	s.stall.pause()
 	defer s.stall.extend()
-	if _, err := s.writer.Write(event); err != nil {
+	if _, err := s.client.Write(event); err != nil {
 		return &clientError{err}
 	}
 	if flush {
-		if err := http.NewResponseController(s.writer).Flush(); err != nil {
+		if err := http.NewResponseController(s.client).Flush(); err != nil {
 			return &clientError{err}
 		}
 	}
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -31,7 +31,8 @@
 	// Paths adds the pools to which routers have lost the path, and the routers to which these pass
 	// requests on.
 	Paths Level = 7
-	// Software adds the software versions of back ends.
+	// Software adds the software versions of back ends, and the records of streams by which these are
+	// resumed at the version that began them.
 	Software Level = 8
 )
 
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -225,38 +225,40 @@
 // pass grants capacity to waiting requests of a pool in their order, until maxMisses of them found
 // none. It takes the lock for each request anew, since one may take as long as a choice.
 func (p *Placer) pass(now time.Duration, pool string) {
-	for misses := 0; misses < maxMisses; {
-		granted, more := p.serveNext(now, pool)
-		if !more {
+	for missed := (misses{}); !missed.ends(); {
+		if more := p.serveNext(now, pool, missed); !more {
 			return
 		}
-		if !granted {
-			misses++
-		}
 	}
 }
 
-// serveNext grants capacity to the next waiting request of a pool, or skips it. It returns more as
-// false if there is none.
-func (p *Placer) serveNext(now time.Duration, pool string) (granted, more bool) {
+// serveNext grants capacity to the next waiting request of a pool, or skips it and counts the miss. It
+// returns false if there is none.
+func (p *Placer) serveNext(now time.Duration, pool string, missed misses) (more bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	queue := p.queues[pool]
 	if queue == nil {
-		return false, false
+		return false
 	}
 	request, more := queue.Next(now)
 	if !more {
-		return false, false
+		return false
+	}
+	software := p.waitingSoftware(request.Key)
+	if missed.skips(software) {
+		queue.Skip(request.Key)
+		return true
 	}
 	granted, gone := p.grant(now, queue, request.Key)
 	switch {
 	case gone:
 		p.refuse(now, queue.RefuseAll(now, rand.Float64))
 	case !granted:
+		missed[software]++
 		queue.Skip(request.Key)
 	}
-	return granted, !gone
+	return !gone
 }
 
 // grant places a waiting request if there is capacity for it. Gone is true if its pool has no
@@ -268,6 +270,12 @@
 		return true, false
 	}
 	w := r.waiting[key.Number]
+	if p.softwareGone(now, w.ask) {
+		queue.Remove(key)
+		p.settle(w, false)
+		r.finish(now, w, coordapi.Placed{Reason: coordapi.SoftwareGone})
+		return true, false
+	}
 	q := p.query(now, w.ask)
 	q.Room, q.Contended = true, true
 	p.tried++
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/resumption"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 const (
@@ -22,8 +25,12 @@
 	// HeaderDeclined is the response header of a router that did not accept a request. The request
 	// has not run.
 	HeaderDeclined = "Quinceridge-Declined"
-	// maxOrigin bounds the length of an encoded Origin, and maxAttempts its counts.
-	maxOrigin   = 512
+	// HeaderSoftware is the response header that names the software version of the back end that wrote
+	// the first event of a stream.
+	HeaderSoftware = "Quinceridge-Software"
+	// maxOrigin bounds the length of an encoded Origin, which has some names of up to 256 bytes, and
+	// maxAttempts its counts.
+	maxOrigin   = 4096
 	maxAttempts = 64
 )
 
@@ -38,12 +45,21 @@
 	Ran, Delivered int
 	// Counted is set if the request has been counted for the retry budget.
 	Counted bool
+	// Writer is the back end that wrote the events of the stream that the request goes on with; empty if
+	// the stream may go on anywhere.
+	Writer resumption.Writer
 }
 
 // Encode returns the value of HeaderOrigin.
 func (o *Origin) Encode() string {
-	return url.Values{"router": {o.Router}, "age_ms": {strconv.FormatInt(o.Age.Milliseconds(), 10)}, "ran": {strconv.Itoa(o.Ran)},
-		"delivered": {strconv.Itoa(o.Delivered)}, "counted": {strconv.FormatBool(o.Counted)}}.Encode()
+	values := url.Values{"router": {o.Router}, "age_ms": {strconv.FormatInt(o.Age.Milliseconds(), 10)}, "ran": {strconv.Itoa(o.Ran)},
+		"delivered": {strconv.Itoa(o.Delivered)}, "counted": {strconv.FormatBool(o.Counted)}}
+	if o.Writer.Known() {
+		values.Set("pool", o.Writer.Pool)
+		values.Set("backend", o.Writer.Backend)
+		values.Set("software", string(o.Writer.Software))
+	}
+	return values.Encode()
 }
 
 // ParseOrigin parses a value of HeaderOrigin.
@@ -66,7 +82,8 @@
 		return n
 	}
 	o := &Origin{Router: values.Get("router"), Age: time.Duration(number("age_ms", time.Hour.Milliseconds())) * time.Millisecond,
-		Ran: int(number("ran", maxAttempts)), Delivered: int(number("delivered", maxAttempts)), Counted: values.Get("counted") == "true"}
+		Ran: int(number("ran", maxAttempts)), Delivered: int(number("delivered", maxAttempts)), Counted: values.Get("counted") == "true",
+		Writer: resumption.Writer{Pool: values.Get("pool"), Backend: values.Get("backend"), Software: state.SoftwareVersion(values.Get("software"))}}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"encoding/json"
 	"sort"
 )
@@ -199,13 +200,15 @@
 	}
 	b.EnrolledRevision = index
 	if old, known := d.Backends[b.ID]; known {
+		// A leader of an older build drops the version.
+		b.Software = cmp.Or(b.Software, old.Software)
 		b.Draining = b.Draining || old.Draining
 		b.LeftBefore = max(b.LeftBefore, old.LeftBefore)
 		b.EnrolledRevision = old.EnrolledRevision
 	}
 	b.Revision = index
-	d.indexes.countEngine(d.Backends[b.ID], -1)
-	d.indexes.countEngine(b, 1)
+	d.indexes.count(d.Backends[b.ID], -1)
+	d.indexes.count(b, 1)
 	d.Backends[b.ID] = b
 	d.indexes.addRow(d, b)
 	d.indexes.addLeave(b.Name(), b.LeftBefore)
@@ -220,7 +223,7 @@
 			continue
 		}
 		old, known := d.Backends[id]
-		d.indexes.countEngine(old, -1)
+		d.indexes.count(old, -1)
 		delete(d.Backends, id)
 		departure := Departure{ID: id, Revision: index, Engine: old.IsEngine(), Instance: old.Instance, Born: old.Born, Draining: !known || old.Draining,
 			LeftBefore: old.LeftBefore, Software: old.Software, Pool: old.Pool}
@@ -284,6 +287,16 @@
 	return rows, d.Departed[first:]
 }
 
+// PoolSoftware is a software version of the back ends of a pool.
+type PoolSoftware struct {
+	Pool     string
+	Software SoftwareVersion
+}
+
+// SoftwareVersions returns the number of back ends by pool and software version, except of those that
+// report none. It must not be changed.
+func (d *Deployment) SoftwareVersions() map[PoolSoftware]int { return d.indexes.software }
+
 // EngineCount returns the number of back ends that are model engines.
 func (d *Deployment) EngineCount() int { return d.indexes.engines }
 
--- a/internal/state/rows.go
+++ b/internal/state/rows.go
@@ -24,6 +24,8 @@
 	superseded map[string]struct{}
 	// engines is the number of model engines.
 	engines int
+	// software is the number of back ends by pool and software version.
+	software map[PoolSoftware]int
 }
 
 // rowChange is a change of a row by the log entry at revision.
@@ -39,10 +41,11 @@
 // rebuild builds all indexes from the deployment's rows and departures.
 func (x *backendIndexes) rebuild(d *Deployment) {
 	x.changes = make([]rowChange, 0, len(d.Backends))
+	x.software = map[PoolSoftware]int{}
 	x.engines, x.leftBefore = 0, map[string]UnixMilli{}
 	x.current, x.superseded = make(map[string]string, len(d.Backends)), map[string]struct{}{}
 	for id, b := range d.Backends {
-		x.countEngine(b, 1)
+		x.count(b, 1)
 		x.addRow(d, b)
 		x.addLeave(b.Name(), b.LeftBefore)
 		x.changes = append(x.changes, rowChange{id, b.Revision})
@@ -79,11 +82,18 @@
 	x.changes = append(x.changes, rowChange{id, revision})
 }
 
-// countEngine adds sign to the number of engines if the row is one.
-func (x *backendIndexes) countEngine(b Backend, sign int) {
+// count adds sign to the numbers of back ends of the row's kind and software version.
+func (x *backendIndexes) count(b Backend, sign int) {
 	if b.IsEngine() {
 		x.engines += sign
 	}
+	version := PoolSoftware{b.Pool, b.Software}
+	if version.Software == "" {
+		return
+	}
+	if x.software[version] += sign; x.software[version] == 0 {
+		delete(x.software, version)
+	}
 }
 
 // since returns the rows that changed after a revision, sorted by ID.
