Test: streams keep their software version in random histories of losses, cuts, leader changes and releases

Four routers, three coordinators, ten engines of up to three versions, two of which start again under one name: 12 s of streams that break off anywhere and are resumed at any router, also twice at once.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -183,17 +183,52 @@
 
 func (d *deployment) addRouter(i int, seeds []string) {
 	d.t.Helper()
+	s := d.routerSettings(i, seeds)
+	d.routers, d.frontend = append(d.routers, d.startRouter(i, s)), append(d.frontend, s.Listen)
+}
+
+func (d *deployment) routerSettings(i int, seeds []string) settings.DisklessRouter {
 	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), Seeds: seeds,
 		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
 	if d.relays {
 		s.RelayListen = freeAddress(d.t)
 	}
+	return s
+}
+
+func (d *deployment) startRouter(i int, s settings.DisklessRouter) *Edge {
+	d.t.Helper()
 	e := New(s, names, traffic.Parse, discardLogger())
 	if d.links != nil {
 		e.connections.SetDial(d.links.dialFrom(i))
 	}
 	assert.NilError(d.t, e.Start())
-	d.routers, d.frontend = append(d.routers, e), append(d.frontend, s.Listen)
+	return e
+}
+
+// abort ends a router with all its connections.
+func (e *Edge) abort() {
+	_ = e.callers.Close()
+	_ = e.readiness.Close()
+	if e.relayed != nil {
+		_ = e.relayed.Close()
+	}
+	e.cancel()
+	e.peers.Close()
+}
+
+// loseRouter ends a router and starts another one at its addresses after a time.
+func (d *deployment) loseRouter(i int, after time.Duration) {
+	d.mu.Lock()
+	lost := d.routers[i]
+	d.mu.Unlock()
+	lost.abort()
+	lost.group.Wait()
+	time.Sleep(after)
+	next := d.startRouter(i, lost.settings)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routers[i] = next
 }
 
 func (d *deployment) stop() {
@@ -204,10 +239,7 @@
 	}
 	d.mu.Unlock()
 	for _, e := range d.routers {
-		_ = e.callers.Close()
-		_ = e.readiness.Close()
-		e.cancel()
-		e.peers.Close()
+		e.abort()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -384,6 +416,10 @@
 		e.breakingStream(w, r)
 		return
 	}
+	if strings.HasPrefix(string(body), randomBody) {
+		e.randomStream(w, r)
+		return
+	}
 	e.stream(w, r, string(body))
 }
 
