--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -284,6 +284,24 @@
 	assert.ErrorIs(t, d.Resume(context.Background(), job, &recordingSink{}), ErrNotHeld)
 }
 
+// A resumed answer must go on at the start of an engine that began it, so that two builds of an engine
+// never meet in it.
+func TestResumeGoesToStartThatBeganStream(t *testing.T) {
+	other := newFakeEngine(t, serveAnswer)
+	restarted := newFakeEngine(t, func(w http.ResponseWriter, r *http.Request, _ int64) {
+		assert.Check(t, r.Header.Get(engineapi.HeaderIncarnation) == "before")
+		assert.Check(t, r.Header.Get(engineapi.HeaderResumeOnly) == "true")
+		w.WriteHeader(http.StatusConflict)
+		_, _ = fmt.Fprintf(w, `{"error":{"type":%q}}`, engineapi.KindIncarnation)
+	})
+	d, _ := newDispatcher(restarted, other)
+	job := newJob()
+	job.Resume = &Token{Engine: "engine-0", Incarnation: "before", Request: "request", Next: 4}
+	assert.ErrorIs(t, d.Resume(context.Background(), job, &recordingSink{}), ErrNotHeld)
+	assert.Equal(t, restarted.requests.Load(), int64(1))
+	assert.Equal(t, other.requests.Load(), int64(0))
+}
+
 func FuzzParseToken(f *testing.F) {
 	f.Add(Token{Engine: "e", Incarnation: "i", Request: "r", Next: 3}.String())
 	f.Add("")
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -53,10 +53,12 @@
 // backend simulates a model engine or an application worker. Each start is a new backend, even
 // under a name that was used before.
 type backend struct {
-	soak     *Soak
-	pool     string
-	id       string
-	born     state.UnixMilli
+	soak *Soak
+	pool string
+	id   string
+	born state.UnixMilli
+	// software is its software version, which it writes into each event.
+	software string
 	proxy    *proxy
 	server   *http.Server
 	sequence atomic.Uint64
@@ -96,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{soak: s, pool: pool, id: name, born: state.UnixMilli(time.Now().UnixMilli()), version: int(s.weightsVersion.Load()), notices: newNotices()}
+	b := &backend{soak: s, pool: pool, id: name, born: state.UnixMilli(time.Now().UnixMilli()), software: s.softwareOf(pool), version: int(s.weightsVersion.Load()), notices: newNotices()}
 	if b.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -150,7 +152,7 @@
 // sendHeartbeat sends one heartbeat and records when a drain was first acknowledged.
 func (b *backend) sendHeartbeat(ctx context.Context) {
 	draining := b.draining.Load()
-	row := state.Backend{Born: b.born, Pool: b.pool, Address: b.proxy.address(), Zone: "zone", Slots: engineSlots, Draining: draining}
+	row := state.Backend{Born: b.born, Pool: b.pool, Address: b.proxy.address(), Zone: "zone", Software: state.SoftwareVersion(b.software), Slots: engineSlots, Draining: draining}
 	if b.pool == poolEngines {
 		b.mu.Lock()
 		row.Weights = map[string]int{model: b.version}
@@ -268,7 +270,7 @@
 	from, _ := strconv.Atoi(r.Header.Get(names.LastEvent))
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from + 1; i <= streamEvents; i++ {
-		_, _ = io.WriteString(w, eventOf(id, i))
+		_, _ = io.WriteString(w, eventOf(id, i, b.software))
 		_ = http.NewResponseController(w).Flush()
 		if disconnect && i == streamEvents/2 {
 			disconnectAfter(w, "")
@@ -294,8 +296,8 @@
 
 func answerOf(id string, body []byte) []byte { return append([]byte("answer to "+id+": "), body...) }
 
-func eventOf(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, id)
+func eventOf(id string, number int, software string) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s by %s\n\n", number, number, id, software)
 }
 
 // wait sleeps for d and returns false if the context ended first.
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,12 +1,16 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -35,12 +39,20 @@
 	body     string
 	seal     string
 	complete bool
+	// stopped is set if the caller disconnected once it had the events that it wanted.
+	stopped  bool
 	rejected bool
 	// blocked is set if a router rejected the request as a poison request.
 	blocked bool
 	// path and requestBody override the path and the body that are derived from the ID.
 	path        string
 	requestBody string
+	// resumes is the ID of the attempt that brought the first event of the stream that the call resumes,
+	// empty for none, and after the number of its last event.
+	resumes string
+	after   int
+	// stopAfter is the number of events after which the caller disconnects, 0 for never.
+	stopAfter int
 	// router is the name of the router that received the request.
 	router string
 }
@@ -91,15 +103,42 @@
 	request.Header.Set(names.Model, model)
 	request.Header.Set(names.Usage, "100,50")
 	request.Header.Set(names.Prefix, "base:50,own:50")
+	if c.resumes != "" {
+		request.Header.Set(names.Resumes, c.resumes)
+		request.Header.Set(names.LastEvent, strconv.Itoa(c.after))
+	}
 	return request, nil
 }
 
 // readResponse reads the response and closes its body.
 func (c *call) readResponse(response *http.Response) {
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	c.status, c.body, c.complete = response.StatusCode, string(body), err == nil
+	body, stopped, err := c.readBody(response.Body)
+	c.status, c.body, c.complete, c.stopped = response.StatusCode, string(body), err == nil && !stopped, stopped
 	c.seal = response.Header.Get(names.Signature)
 	c.blocked = c.status == http.StatusBadGateway && response.Header.Get("Retry-After") != ""
 	c.rejected = c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
 }
+
+// served reports whether the caller got what it wanted.
+func (c *call) served() bool { return c.status == http.StatusOK && (c.complete || c.stopped) }
+
+// readBody reads a body to its end, or until the caller has the events after which it stops.
+func (c *call) readBody(body io.Reader) (read []byte, stopped bool, err error) {
+	if c.stopAfter == 0 {
+		read, err = io.ReadAll(body)
+		return read, false, err
+	}
+	for reader := bufio.NewReader(body); ; {
+		line, err := reader.ReadBytes('\n')
+		if read = append(read, line...); errors.Is(err, io.EOF) {
+			return read, false, nil
+		}
+		if err != nil {
+			return read, false, err
+		}
+		if bytes.Count(read, []byte("\n\n")) >= c.stopAfter {
+			return read, true, nil
+		}
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,6 +54,12 @@
 	CutServed    int `json:"cut_served"`
 	BesideCalls  int `json:"beside_calls"`
 	BesideServed int `json:"beside_served"`
+	// NewStreams and NewStreamsBegun count the calls for new streams at routers without a fault, and
+	// ResumedStreams and ResumedStreamsServed those that resume a stream.
+	NewStreams           int `json:"new_streams"`
+	NewStreamsBegun      int `json:"new_streams_begun"`
+	ResumedStreams       int `json:"resumed_streams"`
+	ResumedStreamsServed int `json:"resumed_streams_served"`
 }
 
 // results records the calls of all callers.
@@ -133,6 +139,7 @@
 	s.report.EngineArrivals, s.report.EngineRejections = s.engineArrivals.Load(), s.engineRejections.Load()
 	s.checkClosingFlood(s.results.calls)
 	s.checkCuts(s.results.calls)
+	s.checkResumed(s.results.calls)
 	if s.report.Served*2 < s.report.Calls {
 		s.recordBreach("only %d of %d calls were served", s.report.Served, s.report.Calls)
 	}
@@ -186,16 +193,18 @@
 		calls, served, refused = &s.report.FloodCalls, &s.report.FloodServed, &s.report.FloodRefused
 	}
 	*calls++
-	if c.status != 0 && !c.complete {
+	if c.status != 0 && !c.complete && !c.stopped {
 		outcome += "*"
 	}
 	s.report.Outcomes[outcome]++
 	switch {
 	case c.rejected:
 		*refused++
-	case c.status == http.StatusOK && c.complete:
+	case c.served():
 		*served++
-		s.checkResponse(c)
+		if c.complete {
+			s.checkResponse(c)
+		}
 	}
 }
 
@@ -218,15 +227,25 @@
 	return number
 }
 
+// expectedStream returns the events that a call must have brought, all of the software version of the
+// first one. Routers of an older build may join versions.
+func (s *Soak) expectedStream(c *call) string {
+	got, version := parseEvents(c.body), ""
+	var text strings.Builder
+	for i := c.after + 1; i <= streamEvents; i++ {
+		if at := i - c.after - 1; at < len(got) && (at == 0 || s.config.Older != "") {
+			version = got[at].version
+		}
+		text.WriteString(eventOf(c.id, i, version))
+	}
+	return text.String()
+}
+
 // checkResponse compares a complete response with the expected one.
 func (s *Soak) checkResponse(c *call) {
 	want := string(answerOf(c.id, []byte("body of "+c.id)))
 	if c.kind == "stream" || c.kind == "chat" {
-		var text strings.Builder
-		for i := 1; i <= streamEvents; i++ {
-			text.WriteString(eventOf(c.id, i))
-		}
-		want = text.String()
+		want = s.expectedStream(c)
 	}
 	if c.body != want || c.seal != sealOf(c.id) {
 		s.recordBreach("%s %s got a wrong answer: seal %q, %.60q", c.kind, c.id, c.seal, c.body)
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -94,7 +93,7 @@
 			continue
 		}
 		served := 0
-		if c.status == http.StatusOK && c.complete {
+		if c.served() {
 			served = 1
 		}
 		if wasCut && !s.someRouterServes(c.sent) {
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -283,12 +283,13 @@
 		return
 	}
 	for _, c := range calls {
-		// 401 is the correct response to a revoked key.
-		if c.flood || c.status == http.StatusUnauthorized || c.sent < f.windowFrom || c.sent >= f.windowTo {
+		// 401 is the correct response to a revoked key, and 503 that to a stream whose software version has
+		// left: checkResumed counts resumed streams.
+		if c.flood || c.resumes != "" || c.status == http.StatusUnauthorized || c.sent < f.windowFrom || c.sent >= f.windowTo {
 			continue
 		}
 		f.After++
-		if c.status == http.StatusOK && c.complete {
+		if c.served() {
 			f.AfterServed++
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -88,7 +88,9 @@
 	cuts            cuts
 	backendsStarted atomic.Int64
 	weightsVersion  atomic.Int64
-	floods          atomic.Int64
+	// softwareReleases counts the releases of the engines' software.
+	softwareReleases atomic.Int64
+	floods           atomic.Int64
 	// activeFaults is the number of faults that have not ended.
 	activeFaults atomic.Int64
 	// engineArrivals and engineRejections count the requests that engines received, and those that
@@ -148,11 +150,14 @@
 	group.Go(func() { s.runOperator(runCtx) })
 	for i := range s.config.Callers {
 		group.Go(func() {
-			if i%persistentCallerRatio == 0 {
+			switch {
+			case i%persistentCallerRatio == 0:
 				s.persistentCaller(runCtx, i)
-				return
+			case i%resumingCallerRatio == 1:
+				s.resumingCaller(runCtx, i)
+			default:
+				s.caller(runCtx, i)
 			}
-			s.caller(runCtx, i)
 		})
 	}
 	faultCtx, cancelFaults := context.WithTimeout(runCtx, s.config.Length-settle)
@@ -161,6 +166,7 @@
 	group.Go(func() { s.injectResponseFaults(faultCtx) })
 	group.Go(func() { s.injectLimits(faultCtx) })
 	group.Go(func() { s.injectLeaves(faultCtx) })
+	group.Go(func() { s.injectReleases(faultCtx) })
 	group.Go(func() { s.injectFloods(faultCtx) })
 	group.Go(func() {
 		s.activeFaults.Add(1)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -51,4 +51,9 @@
 expect refuted watch FROM_ARRIVAL
 expect refuted watch NO_LEASE
 expect refuted watch STEADY_CLOCK
+expect holds resume
+expect refuted resume NO_HOLD
+expect refuted resume ONE_KNOWS
+expect refuted resume NO_TIME_OUT_RIGHT
+expect refuted resume GUESS
 exit $bad
