Limits: how long permits were out that came back unused; timeline and hypotheses for permits that nobody can use

The leader counted permits that come back, and not how long nobody could use them: quinceridge_limit_rights_unused_seconds_total. The test network can deliver what coordinators send to routers late. No decision changes.

--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -62,6 +62,7 @@
 	gauge("limit_rights_granted_total", granted)
 	gauge("limit_rights_denied_total", denied)
 	gauge("limit_rights_unused_total", unused)
+	gauge("limit_rights_unused_seconds_total", s.backendLimits.IdleTime().Seconds())
 	streams, dropped := s.streams.Len()
 	gauge("stream_records", streams)
 	gauge("stream_records_dropped_total", dropped)
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -33,6 +33,8 @@
 	isolated int
 	healed   chan struct{}
 	drops    bool
+	// late is the delay of what coordinators send to routers.
+	late time.Duration
 	// asks are the calls in order with which routers asked again for a waiting request. inFlight counts
 	// those without a reply by router, and peak is the largest number of one router.
 	asks     []ask
@@ -89,7 +91,9 @@
 		p := &proxied{network: n, node: node}
 		p.source.Store(-1)
 		go p.copyLines(called, caller, p.observeCall)
-		go p.copyLines(caller, called, p.observeReply)
+		sent, received := net.Pipe()
+		go p.copyLines(sent, called, p.observeReply)
+		go p.copyLate(caller, received)
 	}
 }
 
@@ -114,6 +118,51 @@
 	}
 }
 
+// copyLate forwards lines with the delay of the network at the time when they were sent.
+func (p *proxied) copyLate(to, from net.Conn) {
+	type delayed struct {
+		line []byte
+		due  time.Time
+	}
+	lines := make(chan delayed, 1024)
+	go func() {
+		defer close(lines)
+		reader := bufio.NewReader(from)
+		for {
+			line, err := reader.ReadBytes('\n')
+			if err != nil {
+				return
+			}
+			lines <- delayed{line, time.Now().Add(p.lateBy())}
+		}
+	}()
+	defer to.Close()
+	defer from.Close()
+	for d := range lines {
+		time.Sleep(time.Until(d.due))
+		if _, err := to.Write(d.line); err != nil {
+			return
+		}
+	}
+}
+
+// lateBy returns the delay of what is sent over a connection that a router opened.
+func (p *proxied) lateBy() time.Duration {
+	if p.source.Load() >= 0 {
+		return 0
+	}
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	return p.network.late
+}
+
+// setLate sets the delay of what coordinators send to routers from now on.
+func (n *network) setLate(late time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.late = late
+}
+
 // identify sets the source of a connection by the sender of its first consensus message.
 func (p *proxied) identify(line []byte) {
 	if p.source.Load() >= 0 || !bytes.Contains(line, []byte(`"sender":`)) {
@@ -205,7 +254,7 @@
 	for i, address := range n.addresses {
 		d.config = append(d.config, settings.Coordinator{Name: fmt.Sprintf("node-%d", i), Zone: "z", PeerListen: n.targets[i], PeerAddress: address,
 			Seeds: n.addresses, Bootstrap: true, DataDirectory: t.TempDir(), BackendHeartbeat: heartbeatInterval, WeightsDeadline: 8 * time.Second,
-			OrderLease: time.Second})
+			OrderLease: time.Second, Metrics: freeAddress(t)})
 		d.config[i].SetDefaults()
 		d.nodes = append(d.nodes, nil)
 		d.startNode(i)
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -64,6 +64,8 @@
 	granted  uint64
 	denied   uint64
 	released uint64
+	// idle is the total time for which released permits were out.
+	idle time.Duration
 }
 
 // account tracks one start of a back end.
@@ -285,8 +287,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, number := range numbers {
-		if backend, a, known := l.takeIssued(router, number); known && a != nil {
-			backends = append(backends, backend)
+		if g, a, known := l.takeIssued(router, number); known && a != nil {
+			backends = append(backends, g.backend)
 		}
 	}
 	return backends
@@ -294,17 +296,17 @@
 
 // takeIssued removes a permit from those that may still be released or ended. The account is nil if its
 // back end has departed.
-func (l *Limiter) takeIssued(router string, number uint64) (backend coordapi.BackendID, a *account, known bool) {
+func (l *Limiter) takeIssued(router string, number uint64) (g grant, a *account, known bool) {
 	key := grantKey{router, number}
-	g, known := l.issued[key]
+	g, known = l.issued[key]
 	if !known {
-		return "", nil, false
+		return g, nil, false
 	}
 	delete(l.issued, key)
 	if a = l.accounts[g.backend]; a != nil {
 		delete(a.running, key)
 	}
-	return g.backend, a, true
+	return g, a, true
 }
 
 // isBrittle reports whether permits are held until requests have ended. What brittle engines run is
@@ -386,15 +388,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, number := range numbers {
-		backend, a, known := l.takeIssued(router, number)
+		g, a, known := l.takeIssued(router, number)
 		if !known {
 			continue
 		}
 		if a == nil || a.observation.limited {
-			l.quota.Charge(now, string(backend), -1)
+			l.quota.Charge(now, string(g.backend), -1)
 		}
 		l.released++
-		backends = append(backends, backend)
+		l.idle += now - g.at
+		backends = append(backends, g.backend)
 	}
 	return backends
 }
@@ -456,6 +459,13 @@
 	return l.granted, l.denied, l.released
 }
 
+// IdleTime returns the total time for which permits were out that came back unused.
+func (l *Limiter) IdleTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.idle
+}
+
 // countRequest counts a request by its urgency.
 func (a *account) countRequest(now time.Duration, urgency int) {
 	sumFor(a.requested, urgency).Add(now, averagingTime, 1)
