Permits that arrive late serve other requests, in place of going back unused

Limited back ends got nothing while the leader's replies came later than 60 ms, although their callers had thousands of requests: after 60 ms the router decides without the leader, and the permit in the reply, valid for 500 ms, was dropped. Its number went back with the next update; the token was out for 0.14 s in the mean, and what the bucket could not hold then was lost.

A router now awaits the reply of such a call for 350 ms in the background. A permit that arrives is kept as a spare for the next request that chooses that back end, which is a candidate again; it is used once, or released once it has expired. Requests wait no longer than before. The limiter counts the permit at its grant, so that the rate holds as before.

--- a/internal/follower/claim.go
+++ b/internal/follower/claim.go
@@ -24,25 +24,34 @@
 	}
 	call := &coordapi.Claim{Router: f.name, Number: f.placements.number.Add(1), Backend: id, Pool: q.Pool, Claimant: q.Claimant, Finishes: true, Reports: f.pendingReports()}
 	requested := clock.Now()
-	reply, err := f.call(ctx, *leader, coordapi.Request{Claim: call})
+	granted := func(reply *coordapi.Reply) *ratelimit.Permit { return permitOf(reply.Claimed, id, call.Number, requested) }
+	reply, err := f.callForPermit(ctx, *leader, coordapi.Request{Claim: call}, call.Number, granted)
 	if err != nil || reply.Claimed == nil {
-		// The permit may have been granted, and the reports may be lost.
+		// The reports may be lost.
 		f.requeueReports(&call.Reports)
-		f.config.Limits.ReleaseNumbers(call.Number)
 		f.backOff(ctx, err)
 		return nil, placeBackoff, 0
 	}
-	switch {
-	case reply.Claimed.Unlimited:
+	if reply.Claimed.Unlimited {
 		return ratelimit.Unlimited(id), 0, 0
-	case reply.Claimed.Permit > 0 && reply.Claimed.Running:
-		return ratelimit.Running(id, call.Number, requested, reply.Claimed.Permit), 0, 0
-	case reply.Claimed.Permit > 0:
-		return ratelimit.Granted(id, call.Number, requested, reply.Claimed.Permit), 0, 0
+	}
+	if permit = granted(&reply); permit != nil {
+		return permit, 0, 0
 	}
 	return nil, reply.Claimed.Wait, reply.Claimed.RetryAfter
 }
 
+// permitOf returns the permit in the reply to a claim, nil for none.
+func permitOf(claimed *coordapi.Claimed, id coordapi.BackendID, number uint64, requested time.Duration) *ratelimit.Permit {
+	switch {
+	case claimed == nil || claimed.Permit == 0:
+		return nil
+	case claimed.Running:
+		return ratelimit.Running(id, number, requested, claimed.Permit)
+	}
+	return ratelimit.Granted(id, number, requested, claimed.Permit)
+}
+
 // reachableLeader returns the leader that may be called now, nil for none. A leader that did not
 // answer is left out for a moment, since each request would wait for the timeout.
 func (f *Follower) reachableLeader() *string {
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -19,6 +19,10 @@
 	// placeTimeout bounds a request to the leader that a caller waits for: a few round trips
 	// between zones. After it the router decides by itself.
 	placeTimeout = 60 * time.Millisecond
+	// lateReplyTimeout is the time after which a reply is not awaited any more whose caller has gone on
+	// without it: the permit in it may be used for a while yet. It is shorter than the age at which
+	// package peer closes the connection of a call that is cancelled.
+	lateReplyTimeout = 350 * time.Millisecond
 	// placeBackoff is the time without placement requests to a leader that did not answer.
 	placeBackoff = 250 * time.Millisecond
 )
@@ -80,12 +84,16 @@
 		one = f.waiting.add(f.now(), call)
 		defer f.waiting.remove(one)
 	}
-	reply, err := f.call(ctx, *leader, coordapi.Request{Place: call})
+	reply, err := f.callForPermit(ctx, *leader, coordapi.Request{Place: call}, call.Number, func(reply *coordapi.Reply) *ratelimit.Permit {
+		if reply.Placed == nil || reply.Placed.Permit == 0 {
+			return nil
+		}
+		return ratelimit.Granted(coordapi.BackendID(reply.Placed.ID), call.Number, requested, reply.Placed.Permit)
+	})
 	if err != nil || reply.Placed == nil {
 		// The request may have been placed, and the reports may be lost.
 		f.requeueReports(&call.Reports)
 		f.placements.add(coordapi.Reports{Ended: []uint64{call.Number}})
-		f.config.Limits.ReleaseNumbers(call.Number)
 		if ctx.Err() != nil {
 			// The caller has left; the leader may be fine.
 			return choice, false, false
@@ -129,6 +137,47 @@
 	return reply, err
 }
 
+// callForPermit is call for a request whose reply may grant a permit, under a number. A permit that arrives
+// after the caller has gone on without it is kept for another request; granted returns that of a reply, nil
+// for none. Without a reply the number is released: the permit may have been granted.
+func (f *Follower) callForPermit(ctx context.Context, leader string, request coordapi.Request, number uint64, granted func(*coordapi.Reply) *ratelimit.Permit) (coordapi.Reply, error) {
+	type result struct {
+		reply coordapi.Reply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateReplyTimeout)
+		defer cancel()
+		var r result
+		r.err = f.config.Peers.Call(call, leader, coordapi.KindCall, request, &r.reply)
+		done <- r
+	}()
+	timeout := time.NewTimer(placeTimeout)
+	defer timeout.Stop()
+	err := context.DeadlineExceeded
+	select {
+	case r := <-done:
+		if r.err != nil {
+			f.config.Limits.ReleaseNumbers(number)
+		}
+		return r.reply, r.err
+	case <-timeout.C:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	go func() {
+		r := <-done
+		permit := granted(&r.reply)
+		if r.err != nil || permit == nil || f.config.Limits == nil {
+			f.config.Limits.ReleaseNumbers(number)
+			return
+		}
+		f.config.Limits.AddSpare(permit)
+	}()
+	return coordapi.Reply{}, err
+}
+
 // pendingReports returns what has not been reported to the leader. Troubles are lost with a
 // failed report, except for draining, since they are out of date by then.
 func (f *Follower) pendingReports() coordapi.Reports {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -125,6 +125,9 @@
 		// Back ends whose next slot is reserved for others are left out of this choice only.
 		j.query.Tried, j.query.IncludeLimited, j.query.Excluded = j.query.Tried[:tried], false, nil
 	}()
+	for _, id := range h.config.Limits.Spares() {
+		h.config.Pool.SetLimited(h.now(), string(id), 0)
+	}
 	var retryAfter time.Duration
 	for range maxClaims {
 		j.query.Draw = rand.Float64()
@@ -197,6 +200,9 @@
 // claim asks for a permit to send to a limited back end. A back end that grants none for a
 // while is left out of choices until then.
 func (h *Handler) claim(ctx context.Context, j *job, choice backends.Choice) (permit *ratelimit.Permit, wait, retryAfter time.Duration) {
+	if spare := h.config.Limits.TakeSpare(coordapi.BackendID(choice.ID)); spare != nil {
+		return spare, 0, 0
+	}
 	wait = busyRetryAfter
 	if h.config.Claimer != nil {
 		permit, wait, retryAfter = h.config.Claimer.Claim(ctx, &j.query, coordapi.BackendID(choice.ID))
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -152,6 +152,7 @@
 	fmt.Fprintf(w, "quinceridge_backends_heard_draining %d\n", draining)
 	fmt.Fprintf(w, "quinceridge_limits_named_total %d\n", h.config.Limits.LimitedResponses.Load())
 	fmt.Fprintf(w, "quinceridge_backends_limited %d\n", h.config.Limits.Active())
+	fmt.Fprintf(w, "quinceridge_limits_late_total %d\n", h.config.Limits.LatePermits.Load())
 	fmt.Fprintf(w, "quinceridge_limits_used_total %d\n", h.config.Limits.PermitsUsed.Load())
 	fmt.Fprintf(w, "quinceridge_brittle_rejections_total %d\n", h.config.Limits.BrittleRejections.Load())
 	fmt.Fprintf(w, "quinceridge_limits_kept_total %d\n", h.config.Limits.SendsBlocked.Load())
--- a/internal/ratelimit/registry.go
+++ b/internal/ratelimit/registry.go
@@ -58,6 +58,9 @@
 	SendsBlocked     atomic.Uint64
 	// BrittleRejections counts the rejections by brittle back ends.
 	BrittleRejections atomic.Uint64
+	// LatePermits counts the permits that arrived after their request had been decided without the
+	// leader.
+	LatePermits atomic.Uint64
 	// urgent receives when finished permits are to be reported.
 	urgent chan struct{}
 
@@ -68,6 +71,8 @@
 	announced map[coordapi.BackendID]struct{}
 	// unreported holds the back ends whose limit has not been reported to the leader.
 	unreported map[coordapi.BackendID]struct{}
+	// spares holds permits that arrived too late for the request that they were granted for.
+	spares []*Permit
 	// released holds the numbers of unused permits that have not been reported.
 	released []uint64
 	// finished holds the numbers of the permits whose requests have ended and that have not been
@@ -251,6 +256,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.release(numbers...)
+}
+
+func (r *Registry) release(numbers ...uint64) {
 	r.released = append(r.released, numbers...)
 	if over := len(r.released) - maxReleased; over > 0 {
 		r.released = slices.Delete(r.released, 0, over)
@@ -314,6 +323,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.releaseSpares(r.clock())
 	out := r.released
 	r.released = nil
 	return out
