A cut router does not ask others that are cut as well

Cause: the leader names only routers that reach the pool, but a router keeps those that were named before (for a new leader, to which few have registered), as routers that reach everything. The one that serves soon has more requests than the five others seem to have, so that these are chosen first, and a request is given up after three.

The new test of selector and registry failed before (r3 in place of r6).

--- a/internal/coordapi/relay.go
+++ b/internal/coordapi/relay.go
@@ -11,9 +11,11 @@
 	Address string `json:"address,omitempty"`
 	// Lost are the pools of which the router reaches no back end.
 	Lost []string `json:"lost,omitempty"`
+	// Known are the addresses of the routers that it knows, if it has lost a pool.
+	Known []string `json:"known,omitempty"`
 }
 
-// RelayList is the reply to Relays.
+// RelayList is the reply to Relays. It includes the known routers that have lost a pool themselves.
 type RelayList struct {
 	Relays []Relay `json:"relays,omitempty"`
 }
--- a/internal/follower/relays.go
+++ b/internal/follower/relays.go
@@ -88,7 +88,11 @@
 func (f *Follower) exchangeRelays(ctx context.Context, leader string, lost []string) {
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	request := coordapi.Request{Relays: &coordapi.Relays{Router: f.name, Zone: f.config.Zone, Address: f.config.Relays.Address, Lost: lost}}
+	relays := &coordapi.Relays{Router: f.name, Zone: f.config.Zone, Address: f.config.Relays.Address, Lost: lost}
+	if len(lost) > 0 {
+		relays.Known = f.config.Relays.Selector.Addresses()
+	}
+	request := coordapi.Request{Relays: relays}
 	var reply coordapi.Reply
 	err := f.config.Peers.Call(ctx, leader, coordapi.KindCall, request, &reply)
 	if err != nil || reply.Relays == nil {
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -60,7 +60,8 @@
 }
 
 // Choose returns routers to which a router may pass requests on: up to MaxRelays for each pool that it
-// has lost, or for any pool if it has lost none. Alive reports whether a router, by its name, still
+// has lost, or for any pool if it has lost none. It adds those among the known ones that have lost a pool,
+// which would decline its requests. Alive reports whether a router, by its name, still
 // follows the leader.
 func (g *Registry) Choose(now time.Duration, r *coordapi.Relays, alive func(name string) bool) []coordapi.Relay {
 	g.expire(now)
@@ -86,7 +87,17 @@
 			}
 		}
 	}
-	return chosen
+	return append(chosen, g.lostOnes(r, alive)...)
+}
+
+// lostOnes returns the routers that a router knows and that have lost a pool.
+func (g *Registry) lostOnes(r *coordapi.Relays, alive func(name string) bool) (lost []coordapi.Relay) {
+	for _, address := range r.Known[:min(len(r.Known), maxKnown)] {
+		if other := g.routers[address]; len(other.lost) > 0 && alive(other.name) {
+			lost = append(lost, coordapi.Relay{Address: address, Zone: other.zone, Lost: other.lost})
+		}
+	}
+	return lost
 }
 
 // poolCount counts the routers that were chosen for a pool, and those of the asking router's zone.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,8 +20,8 @@
 }
 
 func TestOriginIsBounded(t *testing.T) {
-	long := make([]byte, 600)
-	for _, text := range []string{"", "ran=1", "age_ms=-1&ran=0&delivered=0", "age_ms=1&ran=65&delivered=0", "age_ms=x&ran=0&delivered=0", "%zz", string(long)} {
+	long := "age_ms=1&ran=0&delivered=0&router=" + strings.Repeat("r", maxOrigin)
+	for _, text := range []string{"", "ran=1", "age_ms=-1&ran=0&delivered=0", "age_ms=1&ran=65&delivered=0", "age_ms=x&ran=0&delivered=0", "%zz", long} {
 		_, err := ParseOrigin(text)
 		assert.ErrorContains(t, err, HeaderOrigin, "%.20q", text)
 	}
@@ -221,3 +222,30 @@
 	kept.Set(retention+1, nil)
 	assert.Equal(t, kept.Known(), 0)
 }
+
+// Routers that are cut as well, and were named before, must not be asked in place of the one that serves,
+// however many requests that one has.
+func TestCutRouterDoesNotAskOthersThatAreCut(t *testing.T) {
+	const routers = 7
+	var g Registry
+	for i := range routers {
+		register(&g, 0, fmt.Sprint("r", i), fmt.Sprint("z", i%3))
+	}
+	s := NewSelector("z0")
+	s.Set(0, g.Choose(0, &coordapi.Relays{Router: "r0/1", Address: "r0", Zone: "z0"}, anyone))
+	assert.Equal(t, s.Known(), routers-1)
+	for i := range routers - 1 {
+		register(&g, time.Second, fmt.Sprint("r", i), fmt.Sprint("z", i%3), "llm")
+	}
+	s.Set(time.Second, g.Choose(time.Second, &coordapi.Relays{Router: "r0/1", Address: "r0", Zone: "z0", Lost: []string{"llm"}, Known: s.Addresses()}, anyone))
+	for range 30 {
+		address, _, found := s.Choose(time.Second, "llm", nil, 0)
+		assert.Assert(t, found)
+		assert.Equal(t, address, fmt.Sprint("r", routers-1))
+	}
+	// They are asked again once the leader names them.
+	register(&g, 2*time.Second, "r1", "z1")
+	s.Set(2*time.Second, g.Choose(2*time.Second, &coordapi.Relays{Router: "r0/1", Address: "r0", Zone: "z0", Lost: []string{"llm"}, Known: s.Addresses()}, anyone))
+	address, _, _ := s.Choose(2*time.Second, "llm", nil, 0)
+	assert.Equal(t, address, "r1")
+}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// Addresses returns the addresses of the routers that are known.
+func (s *Selector) Addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.relays))
+}
+
 // Known returns the number of routers that are known.
 func (s *Selector) Known() int {
 	if s == nil {
