--- a/cmd/quinceridge/limits.go
+++ b/cmd/quinceridge/limits.go
@@ -37,25 +37,31 @@
 }
 
 func (c *limitsCommand) fetch() (limits coordapi.LimitsInForce, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	err = fetch(c.Coordinator, "/v1/limits", c.Timeout, &limits)
+	return limits, err
+}
+
+// fetch decodes the JSON that a coordinator returns for a path.
+func fetch(coordinator, path string, timeout time.Duration, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Coordinator+"/v1/limits", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+coordinator+path, nil)
 	if err != nil {
-		return limits, errors.Wrapf(err, "address %q", c.Coordinator)
+		return errors.Wrapf(err, "address %q", coordinator)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return limits, errors.Wrap(err, "query coordinator")
+		return errors.Wrap(err, "query coordinator")
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return limits, errors.Wrap(err, "read coordinator response")
+		return errors.Wrap(err, "read coordinator response")
 	}
 	if response.StatusCode != http.StatusOK {
-		return limits, errors.Newf("%s: %s, %.200s", c.Coordinator, response.Status, body)
+		return errors.Newf("%s: %s, %.200s", coordinator, response.Status, body)
 	}
-	return limits, errors.Wrap(json.Unmarshal(body, &limits), "decode coordinator response")
+	return errors.Wrap(json.Unmarshal(body, into), "decode coordinator response")
 }
 
 // writeLimits prints the limits of back ends and of tenants as two tables.
--- a/cmd/quinceridge/limits_test.go
+++ b/cmd/quinceridge/limits_test.go
@@ -19,3 +19,13 @@
 	// TENANT  UNITS/S  BURST  ASKED/S  REFUSED/S
 	// shop    1000     500    1200.0   200.0
 }
+
+func Example_writeSoftware() {
+	_ = writeSoftware(os.Stdout, []coordapi.SoftwareInService{{Pool: "chat", Software: "v1", State: coordapi.SoftwareFormer},
+		{Pool: "chat", Software: "v2", Backends: 11, State: coordapi.SoftwareServing}, {Pool: "chat", Software: "v3", Backends: 1, State: coordapi.SoftwareHeld}})
+	// Output:
+	// POOL  SOFTWARE  BACK ENDS  STATE
+	// chat  v1        0          former
+	// chat  v2        11         serving
+	// chat  v3        1          held
+}
--- a/cmd/quinceridge/main.go
+++ b/cmd/quinceridge/main.go
@@ -34,6 +34,7 @@
 	Fleet       fleetCommand       `cmd:"" help:"Show control nodes, routers and machines; retire routers."`
 	Member      memberCommand      `cmd:"" help:"Change the members of the control group."`
 	Key         keyCommand         `cmd:"" help:"Make an operator's key."`
+	Software    softwareCommand    `cmd:"" help:"Show the software versions of back ends, in service and before."`
 	Limits      limitsCommand      `cmd:"" help:"Show the limits of back ends and tenants that hold over all routers."`
 	Trace       traceCommand       `cmd:"" help:"Show what happened to one request."`
 	Version     versionCommand     `cmd:"" help:"Print the version."`
--- a/internal/coordapi/software.go
+++ b/internal/coordapi/software.go
@@ -34,3 +34,25 @@
 type FoundStream struct {
 	Writer *resumption.Writer `json:"writer,omitempty"`
 }
+
+// SoftwareState is the state of a software version of a pool.
+type SoftwareState string
+
+// States of a software version.
+const (
+	// SoftwareServing: its back ends get requests.
+	SoftwareServing SoftwareState = "serving"
+	// SoftwareHeld: its back ends get no requests until all routers know of the version.
+	SoftwareHeld SoftwareState = "held"
+	// SoftwareFormer: its back ends have left, and streams that they began may still be resumed.
+	SoftwareFormer SoftwareState = "former"
+)
+
+// SoftwareInService is a software version in the HTTP API of coordinators.
+type SoftwareInService struct {
+	Pool     string                `json:"pool"`
+	Software state.SoftwareVersion `json:"software"`
+	// Backends is the number of back ends, which may drain.
+	Backends int           `json:"backends"`
+	State    SoftwareState `json:"state"`
+}
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -32,6 +32,7 @@
 //	POST /v1/backends/{id}/leave      with ?born= if it may start again under its name
 //	GET  /v1/blocked                  the blocked requests
 //	GET  /v1/limits                   coordapi.LimitsInForce of the leader
+//	GET  /v1/software                 a list of coordapi.SoftwareInService
 //	DELETE /v1/blocked/{digest}       unblocks a request
 //
 // Status 200 means that the change is in force, 400 that it is invalid, and 503 that the outcome
@@ -65,6 +66,7 @@
 // registerOperatorRoutes adds the routes for blocked requests and limits.
 func (s *Server) registerOperatorRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/limits", s.listLimits)
+	mux.HandleFunc("GET /v1/software", s.listSoftware)
 	mux.HandleFunc("GET /v1/blocked", s.listBlocked)
 	mux.HandleFunc("DELETE /v1/blocked/{digest}", func(w http.ResponseWriter, r *http.Request) {
 		digest, err := poison.ParseDigest(r.PathValue("digest"))
--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -1,7 +1,10 @@
 package coordinator
 
 import (
+	"cmp"
+	"encoding/json"
 	"maps"
+	"net/http"
 	"reflect"
 	"slices"
 	"strconv"
@@ -127,6 +130,36 @@
 	return out
 }
 
+// list returns all versions, sorted by pool and version.
+func (t *softwareTracker) list(d *state.Deployment) []coordapi.SoftwareInService {
+	out := make([]coordapi.SoftwareInService, 0, len(t.versions))
+	for version, v := range t.versions {
+		entry := coordapi.SoftwareInService{Pool: version.Pool, Software: version.Software, Backends: d.SoftwareVersions()[version], State: coordapi.SoftwareServing}
+		switch {
+		case !v.serving:
+			entry.State = coordapi.SoftwareFormer
+		case v.held:
+			entry.State = coordapi.SoftwareHeld
+		}
+		out = append(out, entry)
+	}
+	slices.SortFunc(out, func(a, b coordapi.SoftwareInService) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Software, b.Software))
+	})
+	return out
+}
+
+// listSoftware writes the software versions by this node's replica; only the leader tells which are held.
+func (s *Server) listSoftware(w http.ResponseWriter, r *http.Request) {
+	var versions []coordapi.SoftwareInService
+	if !s.loop.Do(r.Context(), func(time.Duration) { versions = s.software.list(s.core.Machine().Deployment()) }) {
+		http.Error(w, "the replica is being read", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(versions)
+}
+
 // updateSoftware updates the notes on software versions and wakes all routers if these have changed.
 func (s *Server) updateSoftware(now time.Duration, d *state.Deployment) {
 	s.software.observe(now, s.pools.streamLife(), d, true)
--- a/internal/coordinator/software_test.go
+++ b/internal/coordinator/software_test.go
@@ -71,6 +71,19 @@
 	assert.DeepEqual(t, r.observe(2*time.Second+trackedLife, true), coordapi.SoftwareVersions{})
 }
 
+func TestSoftwareVersionsAreListed(t *testing.T) {
+	r := newTrackerRig(t)
+	r.enrol("a", "v1")
+	r.enrol("b", "v2")
+	r.enrol("c", "v2")
+	r.observe(0, true)
+	r.enrol("d", "v3")
+	r.depart("a")
+	r.observe(time.Second, true)
+	assert.DeepEqual(t, r.tracker.list(r.machine.Deployment()), []coordapi.SoftwareInService{{Pool: "llm", Software: "v1", State: coordapi.SoftwareFormer},
+		{Pool: "llm", Software: "v2", Backends: 2, State: coordapi.SoftwareServing}, {Pool: "llm", Software: "v3", Backends: 1, State: coordapi.SoftwareHeld}})
+}
+
 // A node that starts does not know when the versions of departed back ends left.
 func TestStartedNodeCountsDepartedSoftwareVersions(t *testing.T) {
 	r := newTrackerRig(t)
