--- a/internal/coordapi/software.go
+++ b/internal/coordapi/software.go
@@ -13,7 +13,7 @@
 type SoftwareVersions struct {
 	// Serving are those of its back ends.
 	Serving []state.SoftwareVersion `json:"serving,omitempty"`
-	// Held are those among Serving that get no requests yet, since some routers may not know of them.
+	// Held are those among Serving that get no requests yet, since some routers may have no notice of them.
 	Held []state.SoftwareVersion `json:"held,omitempty"`
 	// Former are those of back ends that have left and whose streams may still be resumed.
 	Former []state.SoftwareVersion `json:"former,omitempty"`
@@ -42,7 +42,7 @@
 const (
 	// SoftwareServing: its back ends get requests.
 	SoftwareServing SoftwareState = "serving"
-	// SoftwareHeld: its back ends get no requests until all routers know of the version.
+	// SoftwareHeld: its back ends get no requests until all routers have notice of the version.
 	SoftwareHeld SoftwareState = "held"
 	// SoftwareFormer: its back ends have left, and streams that they began may still be resumed.
 	SoftwareFormer SoftwareState = "former"
--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -15,8 +15,8 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// maxServingLease is the longest time for which a router serves without a view. It then knows nothing of
-// software versions that came into service meanwhile.
+// maxServingLease is the longest time for which a router serves without a view, and thus without notice of
+// software versions that have come into service meanwhile.
 const maxServingLease = 5 * time.Second
 
 // softwareTracker tracks the software versions that may have begun a stream which is still resumed: those
@@ -33,7 +33,8 @@
 	// leftAt is when the last back end of the version left, if it does not serve.
 	leftAt time.Duration
 	// heldAt is the time since which the version has been held, and change the change of the leader's
-	// notes that announced it. held is set until all routers know of the version.
+	// notes that announced it. held is set until all routers have received
+	// the notes with the version.
 	held   bool
 	heldAt time.Duration
 	change int
@@ -82,17 +83,18 @@
 	return false
 }
 
-// release ends the hold of versions that all routers know of. Known reports whether they know of a change
-// of the leader's notes; routers that it does not list may serve until the end of their leases.
-func (t *softwareTracker) release(now time.Duration, known func(change int, since time.Duration) bool) {
+// release ends the hold of versions of which all routers have received notice. Received reports whether they
+// have received a change of the leader's notes; routers that it does not list may serve until the end of
+// their leases.
+func (t *softwareTracker) release(now time.Duration, received func(change int, since time.Duration) bool) {
 	for _, v := range t.versions {
-		if v.held && (now >= v.heldAt+maxServingLease || (v.change >= 0 && known(v.change, v.heldAt))) {
+		if v.held && (now >= v.heldAt+maxServingLease || (v.change >= 0 && received(v.change, v.heldAt))) {
 			v.held = false
 		}
 	}
 }
 
-// announced records the change of the notes by which routers learn of the versions that are held.
+// announced records the change of the notes that contains the versions which are held.
 func (t *softwareTracker) announced(change int) {
 	for _, v := range t.versions {
 		if v.held && v.change < 0 {
@@ -149,7 +151,7 @@
 	return out
 }
 
-// listSoftware writes the software versions by this node's replica; only the leader tells which are held.
+// listSoftware writes the software versions by this node's replica; only the leader has which are held.
 func (s *Server) listSoftware(w http.ResponseWriter, r *http.Request) {
 	var versions []coordapi.SoftwareInService
 	if !s.loop.Do(r.Context(), func(time.Duration) { versions = s.software.list(s.core.Machine().Deployment()) }) {
@@ -163,7 +165,7 @@
 // updateSoftware updates the notes on software versions and wakes all routers if these have changed.
 func (s *Server) updateSoftware(now time.Duration, d *state.Deployment) {
 	s.software.observe(now, s.pools.streamLife(), d, true)
-	s.software.release(now, s.soft.allWatchersKnow)
+	s.software.release(now, s.soft.allWatchersReceived)
 	notes := s.software.notes(s.pools.resumesStreams)
 	if reflect.DeepEqual(notes, s.soft.software) {
 		return
@@ -181,9 +183,9 @@
 	}
 }
 
-// allWatchersKnow reports whether all routers that may serve have received a change of the notes; since
+// allWatchersReceived reports whether all routers that may serve have received a change of the notes; since
 // is when it was made.
-func (t *softState) allWatchersKnow(change int, since time.Duration) bool {
+func (t *softState) allWatchersReceived(change int, since time.Duration) bool {
 	if since < t.since+maxServingLease || t.forgottenAt >= since {
 		// Routers that watch a former leader, or none, may serve.
 		return false
--- a/internal/coordinator/software_test.go
+++ b/internal/coordinator/software_test.go
@@ -84,7 +84,7 @@
 		{Pool: "llm", Software: "v2", Backends: 2, State: coordapi.SoftwareServing}, {Pool: "llm", Software: "v3", Backends: 1, State: coordapi.SoftwareHeld}})
 }
 
-// A node that starts does not know when the versions of departed back ends left.
+// A node that starts cannot tell when the versions of departed back ends left.
 func TestStartedNodeCountsDepartedSoftwareVersions(t *testing.T) {
 	r := newTrackerRig(t)
 	r.enrol("a", "v1")
@@ -94,8 +94,8 @@
 	assert.DeepEqual(t, r.observe(time.Second+trackedLife, true), coordapi.SoftwareVersions{})
 }
 
-// Back ends of a version must get no streams before each router knows that there are several versions.
-func TestNewSoftwareVersionIsHeldUntilAllRoutersKnow(t *testing.T) {
+// Back ends of a version must get no streams before each router has notice of several versions.
+func TestNewSoftwareVersionIsHeldUntilAllRoutersHaveNotice(t *testing.T) {
 	r := newTrackerRig(t)
 	r.enrol("a", "v1")
 	r.observe(0, true)
@@ -106,25 +106,25 @@
 
 	var soft softState
 	soft.reset(0)
-	r.tracker.release(10*time.Second, soft.allWatchersKnow)
+	r.tracker.release(10*time.Second, soft.allWatchersReceived)
 	// Nothing was announced yet.
 	assert.DeepEqual(t, r.observe(10*time.Second, true), held)
 	r.tracker.announced(7)
 	soft.recordWatch(10*time.Second, "router-1", 8, coordapi.NewLeaderToken(soft.epoch, 7))
 	soft.recordWatch(10*time.Second, "router-2", 8, coordapi.NewLeaderToken(soft.epoch, 6))
-	r.tracker.release(11*time.Second, soft.allWatchersKnow)
-	// Router-2 does not know.
+	r.tracker.release(11*time.Second, soft.allWatchersReceived)
+	// Router-2 has not received it.
 	assert.DeepEqual(t, r.observe(11*time.Second, true), held)
 	soft.recordWatch(11*time.Second, "router-2", 8, coordapi.NewLeaderToken("former", 9))
-	r.tracker.release(11*time.Second, soft.allWatchersKnow)
-	// Router-2 knows what a former leader announced.
+	r.tracker.release(11*time.Second, soft.allWatchersReceived)
+	// Router-2 has received a change of a former leader.
 	assert.DeepEqual(t, r.observe(11*time.Second, true), held)
 	soft.recordWatch(11*time.Second, "router-2", 8, coordapi.NewLeaderToken(soft.epoch, 7))
-	r.tracker.release(11*time.Second, soft.allWatchersKnow)
+	r.tracker.release(11*time.Second, soft.allWatchersReceived)
 	assert.DeepEqual(t, r.observe(11*time.Second, true), free)
 }
 
-// Routers that the leader does not know may serve until the end of their leases, and no longer.
+// Routers that do not watch the leader may serve until the end of their leases, and no longer.
 func TestNewSoftwareVersionIsHeldForLeaseOfLostRouters(t *testing.T) {
 	for name, lose := range map[string]func(*softState){
 		"router that does not watch":   func(s *softState) { s.forgetWatchers(11 * time.Second) },
@@ -141,9 +141,9 @@
 		lose(&soft)
 		r.tracker.announced(1)
 		soft.routers = nil
-		r.tracker.release(10*time.Second+maxServingLease-1, soft.allWatchersKnow)
+		r.tracker.release(10*time.Second+maxServingLease-1, soft.allWatchersReceived)
 		assert.Equal(t, len(r.observe(15*time.Second, true).Held), 1, name)
-		r.tracker.release(10*time.Second+maxServingLease, soft.allWatchersKnow)
+		r.tracker.release(10*time.Second+maxServingLease, soft.allWatchersReceived)
 		assert.Equal(t, len(r.observe(15*time.Second, true).Held), 0, name)
 	}
 }
--- a/internal/edge/latepermit_test.go
+++ b/internal/edge/latepermit_test.go
@@ -71,6 +71,7 @@
 			rate float64
 		}{"/chat/": {"llm", 1}, "/pay/": {"app", 1.3}} {
 			t.Run(name+" "+c.pool, func(t *testing.T) {
+				t.Parallel()
 				d, n := newIsolatableDeployment(t, 7, 6)
 				for range 3 {
 					d.host("app")
--- a/internal/follower/streams_test.go
+++ b/internal/follower/streams_test.go
@@ -194,7 +194,7 @@
 	awaitFound(t, other, "1")
 }
 
-// A coordinator that does not respond must get a record later, and a router without one says so.
+// A coordinator that does not respond must get a record later, and a lookup without a response is an error.
 func TestRecordIsSentUntilAcknowledged(t *testing.T) {
 	keepers := newKeepers(t, 1)
 	f, _ := recordRouter(t, keepers)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -47,7 +47,7 @@
 var (
 	errNoRelay       = errors.New("no router reaches the back ends")
 	errDeclined      = errors.New("declined")
-	errOtherSoftware = errors.New("the router does not tell that the stream goes on at its software version")
+	errOtherSoftware = errors.New("the other router does not confirm the software version of the stream")
 	errOrigin        = errors.New("an attempt at the router of the client may have run the request")
 )
 
@@ -171,7 +171,7 @@
 func (h *Handler) forwardVia(ctx context.Context, s *session, response *upstream.BackendResponse, cancel context.CancelCauseFunc) outcome {
 	j := s.job
 	if response.StatusCode == http.StatusOK && j.query.Software != "" && response.Header.Get(relay.HeaderSoftware) != string(j.query.Software) {
-		// Routers of older builds let streams go on anywhere.
+		// Routers of older builds ignore the version.
 		return outcome{verdict: mayHaveRun, err: errOtherSoftware, delivered: true}
 	}
 	if response.StatusCode < http.StatusInternalServerError && !notRunStatuses[response.StatusCode] {
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -161,7 +161,7 @@
 	return choice, true
 }
 
-// refuseUnknownWriter returns the refusal of a stream of which nobody can tell the version. Only a lookup
+// refuseUnknownWriter returns the refusal of a stream whose version is not known. Only a lookup
 // without a response may succeed later.
 func (h *Handler) refuseUnknownWriter(err error) *refusal {
 	h.metrics.refusedUnknownWriter.Add(1)
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -238,7 +238,7 @@
 	assert.Equal(t, other.ran("c"), 1)
 }
 
-// A router of an older build does not tell where it sends a stream.
+// A router of an older build does not report where it sends a stream.
 func TestStreamDoesNotGoOnAtRouterOfOlderBuild(t *testing.T) {
 	older := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set(names.RequestID, q.Header.Get(names.RequestID))
@@ -276,7 +276,7 @@
 	assert.Equal(t, r.ran("other"), 0)
 }
 
-// Other routers must know of a stream before its client can have an event of it.
+// A stream must be recorded before its client can have an event of it.
 func TestStreamIsRecordedBeforeItsFirstEventIsSent(t *testing.T) {
 	r := newRig(t)
 	f := r.useResumptions()
