Spare permits are used first; a test waits until all coordinators have the record

With few requests (729 in 11 s at seven routers) no request chose the back end while its spare permit was valid. A request that the router places by itself now goes to a back end with a spare permit first, if that one begins it in time.

TestRecordsAreSentAgainToNewLeadership dropped the records of two coordinators before the third had received its own, which then arrived (once, same run): it waits for all three.

--- a/internal/follower/streams_test.go
+++ b/internal/follower/streams_test.go
@@ -183,7 +183,12 @@
 	other, _ := recordRouter(t, keepers)
 	f.followSoftware(severalVersions, false)
 	f.RecordStream(streamRecord("1"))
-	awaitFound(t, other, "1")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := keptBy(keepers, "1"); n < len(keepers) {
+			return poll.Continue("%d coordinators have the record", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
 	for _, k := range keepers {
 		k.table.Store(resumption.NewTable())
 	}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
@@ -125,8 +126,8 @@
 		// Back ends whose next slot is reserved for others are left out of this choice only.
 		j.query.Tried, j.query.IncludeLimited, j.query.Excluded = j.query.Tried[:tried], false, nil
 	}()
-	for _, id := range h.config.Limits.Spares() {
-		h.config.Pool.SetLimited(h.now(), string(id), 0)
+	if choice, found := h.chooseSpare(j); found {
+		return choice, true
 	}
 	var retryAfter time.Duration
 	for range maxClaims {
@@ -161,6 +162,27 @@
 	return choice, found
 }
 
+// chooseSpare chooses among the back ends for which there are spare permits: these expire within a fraction
+// of a second, and with few requests none would choose such a back end in time.
+func (h *Handler) chooseSpare(j *job) (choice backends.Choice, found bool) {
+	spares := h.config.Limits.Spares()
+	if len(spares) == 0 {
+		return choice, false
+	}
+	for _, id := range spares {
+		h.config.Pool.SetLimited(h.now(), string(id), 0)
+	}
+	j.query.Draw = rand.Float64()
+	j.query.Excluded = func(id string) bool { return !slices.Contains(spares, coordapi.BackendID(id)) }
+	choice, found = h.config.Pool.Choose(h.now(), &j.query)
+	j.query.Excluded = nil
+	if !found || choice.Late {
+		return backends.Choice{}, false
+	}
+	choice.Permit = h.config.Limits.TakeSpare(coordapi.BackendID(choice.ID))
+	return choice, choice.Permit != nil
+}
+
 // place asks the leader for an engine. Answered is false if the router must choose locally.
 func (h *Handler) place(ctx context.Context, j *job) (choice backends.Choice, found, answered bool) {
 	h.setQuotaQuery(j)
