A resumed stream of a pool with one software version waits for no lookup, whatever other pools have

A client that resumed a stream at a router which had not begun it waited up to 60 ms for the coordinators while any other pool had several versions, though its own had one, where nothing may change. Cause: the lookup was for routes that have been moved, and asked whether any pool had several. It now asks for the route's pools. The new case of TestResumedStreamGoesOnAtItsVersionOrNowhere failed before (a search). A stream of a route that was moved to a pool with one version is refused at the router that began it and goes on elsewhere as before.

Whether a pool has several versions was written twice, for routers' records and for requests: SoftwareVersions.Several. A record takes 140 B (measured: 13,000 in a table); 200 had been an estimate.

--- a/internal/backends/software.go
+++ b/internal/backends/software.go
@@ -24,14 +24,6 @@
 	return p.notes.Software[pool]
 }
 
-// AnySeveralVersions reports whether back ends of several software versions may have begun the streams of
-// any pool.
-func (p *Pool) AnySeveralVersions() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.notes.Software) > 0
-}
-
 // ServesSoftware reports whether a back end of a request's pool and software version may serve it, whatever
 // it runs.
 func (p *Pool) ServesSoftware(q *Query) bool {
--- a/internal/coordapi/software.go
+++ b/internal/coordapi/software.go
@@ -19,6 +19,9 @@
 	Former []state.SoftwareVersion `json:"former,omitempty"`
 }
 
+// Several reports whether back ends of several versions may have begun the streams of the pool.
+func (v *SoftwareVersions) Several() bool { return len(v.Serving)+len(v.Former) > 1 }
+
 // RecordStreams reports the back ends that began streams to a coordinator, which keeps the records in
 // memory. Any coordinator accepts it, whether it leads or not.
 type RecordStreams struct {
--- a/internal/follower/streams.go
+++ b/internal/follower/streams.go
@@ -57,7 +57,11 @@
 // mixed reports whether several software versions may have begun a stream of a pool.
 func (f *Follower) mixed(pool string) bool {
 	pools := f.software.Load()
-	return pools != nil && len((*pools)[pool].Serving)+len((*pools)[pool].Former) > 1
+	if pools == nil {
+		return false
+	}
+	versions := (*pools)[pool]
+	return versions.Several()
 }
 
 // LocalStream returns the writer of a stream that this router has recorded.
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -109,10 +109,9 @@
 		c.source = sourceRouter
 		return nil
 	}
-	if !h.config.Pool.AnySeveralVersions() {
+	if !h.mixed(j.route, "") {
 		return errWriterUnknown
 	}
-	// The route may have led to another pool when the stream began.
 	var err error
 	c.writer, recorded, err = h.config.Resumptions.FindStream(ctx, key)
 	switch {
@@ -140,7 +139,7 @@
 // pool.
 func (h *Handler) severalVersions(pool string) bool {
 	versions := h.config.Pool.SoftwareVersions(pool)
-	return len(versions.Serving)+len(versions.Former) > 1
+	return versions.Several()
 }
 
 // leadsTo reports whether a route sends requests to a pool.
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -113,13 +113,14 @@
 		"pool that the route has left": {resumes: "id-1", change: func(_ *rig, f *fakeResumptions) {
 			f.coordinators[key] = resumption.Writer{Pool: "app", Backend: "b", Software: "v1"}
 		}, searched: true, reason: "pool moved"},
-		"version whose back ends drain":  {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.local[key] = firstWriter; r.drain("old") }, reason: "version gone"},
-		"one version, recorded":          {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.local[key] = firstWriter; r.serveVersions() }, served: true},
-		"one version, not recorded":      {resumes: "id-1", change: func(r *rig, _ *fakeResumptions) { r.pool.ApplyNotes(coordapi.Notes{}) }, served: true},
-		"one version, last event alone":  {change: func(r *rig, _ *fakeResumptions) { r.pool.ApplyNotes(coordapi.Notes{}) }, served: true},
-		"one version, none responds":     {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.unreachable = true; r.pool.ApplyNotes(coordapi.Notes{}) }, served: true},
-		"former version, not recorded":   {resumes: "id-1", change: func(r *rig, _ *fakeResumptions) { r.formerVersion() }, searched: true, reason: "version unknown"},
-		"former version, begun by other": {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.coordinators[key] = firstWriter; r.formerVersion() }, served: true, searched: true},
+		"version whose back ends drain":        {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.local[key] = firstWriter; r.drain("old") }, reason: "version gone"},
+		"one version, recorded":                {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.local[key] = firstWriter; r.serveVersions() }, served: true},
+		"one version, not recorded":            {resumes: "id-1", change: func(r *rig, _ *fakeResumptions) { r.pool.ApplyNotes(coordapi.Notes{}) }, served: true},
+		"one version, last event alone":        {change: func(r *rig, _ *fakeResumptions) { r.pool.ApplyNotes(coordapi.Notes{}) }, served: true},
+		"one version, none responds":           {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.unreachable = true; r.pool.ApplyNotes(coordapi.Notes{}) }, served: true},
+		"one version beside a pool of several": {resumes: "id-1", change: func(r *rig, _ *fakeResumptions) { r.otherPoolIsMixed() }, served: true},
+		"former version, not recorded":         {resumes: "id-1", change: func(r *rig, _ *fakeResumptions) { r.formerVersion() }, searched: true, reason: "version unknown"},
+		"former version, begun by other":       {resumes: "id-1", change: func(r *rig, f *fakeResumptions) { f.coordinators[key] = firstWriter; r.formerVersion() }, served: true, searched: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -153,6 +154,11 @@
 	r.pool.Apply([]state.Backend{{ID: id, Pool: "llm", Address: r.servers[0].Listener.Addr().String(), Zone: "a", Software: "v1", Draining: true}}, nil, false)
 }
 
+// otherPoolIsMixed announces that another pool alone has several versions.
+func (r *rig) otherPoolIsMixed() {
+	r.pool.ApplyNotes(coordapi.Notes{Software: map[string]coordapi.SoftwareVersions{"app": {Serving: []state.SoftwareVersion{"v1", "v2"}}}})
+}
+
 // formerVersion announces that v1 serves and v0 did.
 func (r *rig) formerVersion() {
 	r.pool.ApplyNotes(coordapi.Notes{Software: map[string]coordapi.SoftwareVersions{"llm": {Serving: []state.SoftwareVersion{"v1"}, Former: []state.SoftwareVersion{"v0"}}}})
--- a/internal/resumption/table.go
+++ b/internal/resumption/table.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxRecords bounds the records of a Table, which take some 200 bytes each: 1,000 routers begin some
+	// maxRecords bounds the records of a Table, which take some 140 bytes each: 1,000 routers begin some
 	// 3,000 streams a second, and each coordinator of ten keeps a third of them.
 	maxRecords = 1 << 16
 	// sweepInterval is the time between two removals of the expired records.
