Streams do not go to a process that has taken the name of a back end

Callers got streams with events of two software versions when a back end started again under its name as another version: until its first heartbeat is in, the routers take the process for the start before, and neither the request nor the response names a start.

A connection leads to one process for its whole life. While a pool has several versions, a router asks on each connection, once, for the start time, before a resumable stream goes over it, and sends nothing to another start. Where one version serves nothing is asked. A back end with a limit is not asked, since it counts the call.

--- a/cmd/quinceridge/deployment.go
+++ b/cmd/quinceridge/deployment.go
@@ -33,7 +33,7 @@
 	stopped := stopSignal()
 	out := telemetry.NewBuffer(os.Stdout)
 	defer out.Flush()
-	e := edge.New(s, vocabulary.Default(), traffic.Parse, telemetry.NewLogger(out, s.Log, s.Name))
+	e := edge.New(s, vocabulary.Default(), coordinator.StatusRequest(), traffic.Parse, telemetry.NewLogger(out, s.Log, s.Name))
 	if err := e.Start(); err != nil {
 		return err
 	}
--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -7,6 +7,7 @@
 
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/speed"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // Work is the load that a request puts on a back end, in tokens.
@@ -94,6 +95,16 @@
 	return a
 }
 
+// Born returns the start time of the attempt's back end, 0 if it is not known.
+func (a *Attempt) Born() state.UnixMilli {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if a.row == nil {
+		return 0
+	}
+	return a.row.Born
+}
+
 // Allowed returns nil if the request may still be sent, else an error that matches
 // pushback.ErrUnavailable: since the choice, a view has shown that the back end is draining or has
 // departed.
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -15,6 +15,7 @@
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
+	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
@@ -191,10 +192,22 @@
 	return e.SendOrder(ctx, order.Target, "/v1/load", body)
 }
 
+// statusTarget is the path of an engine's report.
+const statusTarget = "/v1/state"
+
+// StatusRequest returns the request for an engine's report with the default vocabulary.
+func StatusRequest() upstream.Status {
+	return upstream.Status{Target: statusTarget, Born: func(body []byte) (state.UnixMilli, error) {
+		var report EngineReport
+		err := json.Unmarshal(body, &report)
+		return report.Born, err
+	}}
+}
+
 // Report implements Engines.
 func (e HTTPEngines) Report(ctx context.Context, to Target) (EngineReport, error) {
 	var report EngineReport
-	status, body, err := e.Call(ctx, to, http.MethodGet, "/v1/state", nil)
+	status, body, err := e.Call(ctx, to, http.MethodGet, statusTarget, nil)
 	if err != nil {
 		return report, err
 	}
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -200,7 +200,7 @@
 
 func (d *deployment) startRouter(i int, s settings.DisklessRouter) *Edge {
 	d.t.Helper()
-	e := New(s, names, traffic.Parse, discardLogger())
+	e := New(s, names, coordinator.StatusRequest(), traffic.Parse, discardLogger())
 	if d.links != nil {
 		e.connections.SetDial(d.links.dialFrom(i))
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -68,8 +68,9 @@
 	group   sync.WaitGroup
 }
 
-// New assembles a router.
-func New(config settings.DisklessRouter, headers vocabulary.Headers, decode follower.Decode, logger *slog.Logger) *Edge {
+// New assembles a router. Headers are the names in use on the wire, status is the request for a back end's
+// start time, and decode reads the configuration.
+func New(config settings.DisklessRouter, headers vocabulary.Headers, status upstream.Status, decode follower.Decode, logger *slog.Logger) *Edge {
 	e := &Edge{settings: config, logger: logger, peers: peer.NewClient(&peer.Counters{})}
 	pool, paths := backends.NewPool(config.Zone), reachability.NewDetector()
 	saved, tenants, pushbacks := forward.NewSaved(), quota.NewGate(), pushback.New(headers, logger)
@@ -86,6 +87,7 @@
 	buffers := memory.NewBudget(int64(config.MemoryLimit) << 20 / memoryDivisor)
 	connections := upstream.NewPool(headers.RequestID, pushbacks, limits)
 	connections.SetMemory(buffers)
+	connections.SetStatus(status)
 	if config.Source != "" {
 		connections.SetSource(net.ParseIP(config.Source))
 	}
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/coordinator"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/traffic"
 )
@@ -18,7 +19,7 @@
 // Guards against a router that does not bound its buffers by its memory limit: half of it is the
 // budget, and connections of clients count.
 func TestMemoryLimitBoundsBuffers(t *testing.T) {
-	e := New(settings.DisklessRouter{Name: "r", MemoryLimit: 100}, names, traffic.Parse, discardLogger())
+	e := New(settings.DisklessRouter{Name: "r", MemoryLimit: 100}, names, coordinator.StatusRequest(), traffic.Parse, discardLogger())
 	defer e.peers.Close()
 	used := func() (bytesUsed, limit int64) {
 		var text bytes.Buffer
@@ -46,7 +47,7 @@
 func TestClientsAreServedThroughBoundingListener(t *testing.T) {
 	s := settings.DisklessRouter{Name: "r", Listen: freeAddress(t), Readiness: freeAddress(t), Seeds: []string{freeAddress(t)},
 		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryWindow: time.Second, MemoryLimit: 100}
-	e := New(s, names, traffic.Parse, discardLogger())
+	e := New(s, names, coordinator.StatusRequest(), traffic.Parse, discardLogger())
 	kinds := make(chan string, 1)
 	charge := e.callers.ConnState
 	e.callers.ConnState = func(c net.Conn, state http.ConnState) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -246,7 +246,7 @@
 		j.endShare = h.shares.begin(j.pool.Name)
 	}
 	defer j.releaseShare()
-	j.request.Allowed = running.Allowed
+	j.request.Allowed, j.request.Born = running.Allowed, h.requiredStart(j, running)
 	if choice.Placement > 0 {
 		defer h.config.Placer.Ended(choice.Placement)
 	}
@@ -311,6 +311,13 @@
 		// Nothing was sent, so this is not a failure of the back end.
 		return outcome{verdict: notRun, err: err}
 	}
+	if errors.Is(err, upstream.ErrOtherStart) || errors.Is(err, upstream.ErrNotIdentified) {
+		if errors.Is(err, upstream.ErrOtherStart) {
+			h.metrics.otherStarts.Add(1)
+			h.config.Pool.Mismatch(choice.ID, j.query.Model, choice.Version, true)
+		}
+		return outcome{verdict: notRun, err: err}
+	}
 	if !errors.Is(context.Cause(ctx), context.Canceled) {
 		h.config.Pool.Failed(h.now(), choice.ID)
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -64,11 +64,13 @@
 	refusedUnknownWriter atomic.Uint64
 	refusedSoftwareGone  atomic.Uint64
 	refusedMoved         atomic.Uint64
-	streams              streamCounts
-	responses            [6]atomic.Uint64
-	local                [6]atomic.Uint64
-	firstEvent           histogram
-	total                histogram
+	// otherStarts counts the attempts that were not sent because a later start served the address.
+	otherStarts atomic.Uint64
+	streams     streamCounts
+	responses   [6]atomic.Uint64
+	local       [6]atomic.Uint64
+	firstEvent  histogram
+	total       histogram
 }
 
 type histogram struct {
@@ -144,6 +146,8 @@
 	fmt.Fprintf(w, "quinceridge_attempts_broken_total %d\n", m.failedAttempts.Load())
 	fmt.Fprintf(w, "quinceridge_store_delay_seconds %.3f\n", h.store.delayAt(h.now()).Seconds())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
+	fmt.Fprintf(w, "quinceridge_upstream_connections_identified_total %d\n", h.config.Upstream.Identified.Load())
+	fmt.Fprintf(w, "quinceridge_upstream_other_starts_total %d\n", m.otherStarts.Load())
 	fmt.Fprintf(w, "quinceridge_pushbacks_total %d\n", h.config.Pushbacks.Received.Load())
 	fmt.Fprintf(w, "quinceridge_pushbacks_kept_total %d\n", h.config.Pushbacks.SendsBlocked.Load())
 	fmt.Fprintf(w, "quinceridge_draining_sends_withheld_total %d\n", h.config.Pushbacks.DrainingSendsBlocked.Load()+h.config.Pool.SendsWithheld.Load())
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -191,6 +191,15 @@
 	}
 }
 
+// requiredStart returns the start time of the start that has to serve an attempt: a process that has taken
+// the name of a back end may have another software version. It is 0 if that does not matter.
+func (h *Handler) requiredStart(j *job, running *backends.Attempt) state.UnixMilli {
+	if !j.route.Resumable || j.route.Kind != traffic.KindStream || !h.severalVersions(j.pool.Name) {
+		return 0
+	}
+	return running.Born()
+}
+
 // streamLife returns the time for which the client of a request may resume its stream: as long as it waits
 // for it, and no longer than streams are resumed at all.
 func (j *job) streamLife() time.Duration { return min(j.clientWait, resumption.Life(j.route.Timeout)) }
--- a/internal/ratelimit/permit.go
+++ b/internal/ratelimit/permit.go
@@ -56,6 +56,10 @@
 // Number identifies the permit to the limiter.
 func (p *Permit) Number() uint64 { return p.number }
 
+// Limited reports whether the permit is for a back end with a limit, which counts each request. A nil
+// permit is for none.
+func (p *Permit) Limited() bool { return p != nil && !p.unlimited() }
+
 // unlimited reports whether the permit is for a back end without a limit.
 func (p *Permit) unlimited() bool { return p.expires == 0 }
 
--- /dev/null
+++ b/internal/upstream/identify.go
@@ -0,0 +1,129 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+const (
+	// identifyTimeout bounds the status request on a connection.
+	identifyTimeout = dialTimeout
+	// maxStatus bounds the body of its response, in bytes.
+	maxStatus = 64 << 10
+	// maxIdentified bounds the connections that are tried: back ends close some after a response.
+	maxIdentified = 2
+)
+
+// Errors of requests that were not sent because of the start that serves the address.
+var (
+	// ErrOtherStart means that a later start than the intended one does.
+	ErrOtherStart = errors.New("a later start of the back end serves the address")
+	// ErrNotIdentified means that it rejected the status request or did not name its start time.
+	ErrNotIdentified = errors.New("the back end does not name its start")
+)
+
+// errUnsuitable means that another connection may lead to the intended start.
+var errUnsuitable = errors.New("the connection ends, or leads to an earlier start of the back end")
+
+// Status is the request with which a router asks a back end for its start time.
+type Status struct {
+	// Target is the path of the request.
+	Target string
+	// Born decodes the start time from the body of a response; 0 if it names none.
+	Born func(body []byte) (state.UnixMilli, error)
+}
+
+// SetStatus sets the request that identifies starts. It must be called before the first request.
+func (p *Pool) SetStatus(status Status) { p.status = status }
+
+// connect returns a connection for a request, an idle one if there is one, that leads to the start which the
+// request is meant for.
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (*connection, error) {
+	var err error
+	for range maxIdentified {
+		var c *connection
+		if c, err = p.take(ctx, address, r); err != nil {
+			return nil, err
+		}
+		if err = p.identify(ctx, address, c, r); err == nil {
+			return c, nil
+		}
+		_ = c.Close()
+		if !errors.Is(err, errUnsuitable) {
+			break
+		}
+	}
+	return nil, &callError{kind: ErrNotSent, cause: err}
+}
+
+// identify asks once on each connection which start of the back end it leads to, if a request must not reach
+// another one: a process is the same for the life of a connection, while names and addresses may be taken
+// by others before their first heartbeat. A back end with a limit counts such calls, so that it is not asked.
+func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request) error {
+	if r.Born == 0 || r.Permit.Limited() || p.status.Born == nil {
+		return nil
+	}
+	if c.born == 0 {
+		born, err := p.requestBorn(ctx, address, c, r)
+		if err != nil {
+			return fmt.Errorf("identify start: %w", err)
+		}
+		p.Identified.Add(1)
+		c.born = born
+	}
+	switch {
+	case c.born > r.Born:
+		return ErrOtherStart
+	case c.born < r.Born:
+		return errUnsuitable
+	}
+	return nil
+}
+
+func (p *Pool) requestBorn(ctx context.Context, address string, c *connection, r *Request) (state.UnixMilli, error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	a := &BackendResponse{pool: p, address: address, connection: c}
+	status := &Request{Method: http.MethodGet, Target: p.status.Target, Host: address, Backend: r.Backend, Instance: r.Instance, Allowed: r.Allowed}
+	if err := a.exchange(ctx, status); err != nil {
+		return 0, err
+	}
+	body, err := io.ReadAll(io.LimitReader(a, maxStatus))
+	switch {
+	case err != nil:
+		return 0, err
+	case a.StatusCode != http.StatusOK:
+		return 0, fmt.Errorf("%w: status %d", ErrNotIdentified, a.StatusCode)
+	case !stop():
+		return 0, context.Cause(ctx)
+	case !a.reusable():
+		return 0, errUnsuitable
+	}
+	born, err := p.status.Born(body)
+	if err == nil && born == 0 {
+		err = ErrNotIdentified
+	}
+	return born, err
+}
+
+// take returns an idle connection to an address, or a new one.
+func (p *Pool) take(ctx context.Context, address string, r *Request) (*connection, error) {
+	if c := p.takeIdle(address, r.NonIdempotent); c != nil {
+		return c, nil
+	}
+	started := clock.Now()
+	alarm := time.AfterFunc(connectAlarm, func() { p.observe(ctx, r.Backend.Pool, started, errPending) })
+	c, err := p.open(ctx, address)
+	alarm.Stop()
+	p.observe(ctx, r.Backend.Pool, started, err)
+	return c, err
+}
--- /dev/null
+++ b/internal/upstream/identify_test.go
@@ -0,0 +1,148 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/ratelimit"
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// identified is a back end that responds to status requests with statuses, the last one from then on, and
+// counts them and the other requests.
+type identified struct {
+	*backend
+	asked, served atomic.Int32
+}
+
+func startIdentified(t testing.TB, statuses ...string) *identified {
+	t.Helper()
+	out := &identified{}
+	out.backend = startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			response := responseTo(r.Header.Get(idHeader), "served")
+			if r.URL.Path == "/status" {
+				response = statuses[min(int(out.asked.Add(1)), len(statuses))-1]
+			} else {
+				out.served.Add(1)
+			}
+			_, _ = conn.Write([]byte(response))
+			if strings.Contains(response, "Connection: close") {
+				return
+			}
+		}
+	})
+	return out
+}
+
+func newIdentifyingPool() *Pool {
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	p.SetStatus(Status{Target: "/status", Born: func(body []byte) (state.UnixMilli, error) {
+		born, err := strconv.Atoi(string(body))
+		return state.UnixMilli(born), err
+	}})
+	return p
+}
+
+func (p *Pool) do(t testing.TB, address string, born state.UnixMilli) error {
+	t.Helper()
+	r := request("1")
+	r.Born, r.Backend = born, pushback.Backend{ID: "b"}
+	_, _, err := p.Call(context.Background(), address, r, 100)
+	return err
+}
+
+func TestStartIsAskedForOnceOnEachConnection(t *testing.T) {
+	b, p := startIdentified(t, responseTo("", "5")), newIdentifyingPool()
+	for range 3 {
+		assert.NilError(t, p.do(t, b.address, 5))
+	}
+	assert.Equal(t, b.accepted.Load(), int32(1))
+	assert.Equal(t, b.asked.Load(), int32(1))
+	assert.Equal(t, b.served.Load(), int32(3))
+	assert.Equal(t, p.Identified.Load(), uint64(1))
+}
+
+func TestRequestsDoNotReachOtherStart(t *testing.T) {
+	const rejected = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	last := strings.Replace(responseTo("", "5"), "Content-Length", "Connection: close\r\nContent-Length", 1)
+	cases := map[string]struct {
+		statuses []string
+		want     error
+		accepted int32
+	}{
+		"later start":                    {[]string{responseTo("", "6")}, ErrOtherStart, 1},
+		"earlier start":                  {[]string{responseTo("", "4")}, errUnsuitable, 2},
+		"earlier start on one":           {[]string{responseTo("", "4"), responseTo("", "5")}, nil, 2},
+		"status rejected":                {[]string{rejected}, ErrNotIdentified, 1},
+		"no start time":                  {[]string{responseTo("", "0")}, ErrNotIdentified, 1},
+		"closed after the status":        {[]string{last, responseTo("", "5")}, nil, 2},
+		"always closed after the status": {[]string{last}, errUnsuitable, 2},
+		"damaged status":                 {[]string{responseTo("", "x")}, strconv.ErrSyntax, 1},
+		"no status":                      {[]string{"Connection: close"}, ErrNotSent, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b, p := startIdentified(t, c.statuses...), newIdentifyingPool()
+			err := p.do(t, b.address, 5)
+			assert.Equal(t, b.accepted.Load(), c.accepted)
+			if c.want == nil {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Assert(t, errors.Is(err, c.want) && errors.Is(err, ErrNotSent), "%v", err)
+			assert.Equal(t, b.served.Load(), int32(0))
+		})
+	}
+}
+
+func TestStatusOfSilentBackendIsBounded(t *testing.T) {
+	b, p := startIdentified(t, ""), newIdentifyingPool()
+	assert.Assert(t, errors.Is(p.do(t, b.address, 5), ErrNotSent))
+	assert.Equal(t, b.served.Load(), int32(0))
+}
+
+func TestStartIsNotAskedForWithoutNeed(t *testing.T) {
+	b, p := startIdentified(t, responseTo("", "6")), newIdentifyingPool()
+	assert.NilError(t, p.do(t, b.address, 0))
+	// A back end with a limit counts status requests.
+	r := request("2")
+	r.Born, r.Backend = 5, pushback.Backend{ID: "b"}
+	r.Permit = ratelimit.Granted("b", 1, clock.Now(), time.Minute)
+	_, _, err := p.Call(context.Background(), b.address, r, 100)
+	assert.NilError(t, err)
+	assert.Equal(t, b.asked.Load(), int32(0))
+	assert.Equal(t, b.served.Load(), int32(2))
+}
+
+// BenchmarkFirstRequest measures a request on a new connection, with and without the status request.
+func BenchmarkFirstRequest(b *testing.B) {
+	for name, born := range map[string]state.UnixMilli{"unidentified": 0, "identified": 5} {
+		b.Run(name, func(b *testing.B) {
+			server := startIdentified(b, responseTo("", "5"))
+			p := newIdentifyingPool()
+			for b.Loop() {
+				if err := p.do(b, server.address, born); err != nil {
+					b.Fatal(err)
+				}
+				p.closeIdle(server.address)
+			}
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -26,6 +26,7 @@
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/socket"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 const (
@@ -111,6 +112,9 @@
 	// Backend is the intended receiver, and Instance the name of its instance in the request.
 	Backend  pushback.Backend
 	Instance string
+	// Born is the start time of the start that has to serve the request; 0 if the name of its instance
+	// tells enough.
+	Born state.UnixMilli
 	// Allowed is called just before the write, and its error keeps the request from being sent.
 	// It may be nil.
 	Allowed func() error
@@ -138,8 +142,10 @@
 	onConnect ConnectFunc
 	// bodyStall is bodyStallTimeout. It is replaced in tests.
 	bodyStall time.Duration
-	// Opened counts new connections.
-	Opened atomic.Uint64
+	// status is the request that identifies starts; without it they are not identified.
+	status Status
+	// Opened counts new connections, and Identified those whose start was asked for.
+	Opened, Identified atomic.Uint64
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -180,6 +186,8 @@
 	reader *bufio.Reader
 	// expiresAt is when the connection must not be reused any more.
 	expiresAt time.Duration
+	// born is the start time of the process that it leads to, 0 if that was not asked for.
+	born state.UnixMilli
 	// memory is the budget that the connection is charged to until it is closed.
 	memory *memory.Budget
 	closed atomic.Bool
@@ -323,17 +331,9 @@
 	if err := p.limits.Check(r.Backend.ID, r.Permit); err != nil {
 		return nil, &callError{kind: ErrNotSent, cause: err}
 	}
-	c := p.takeIdle(address, r.NonIdempotent)
-	if c == nil {
-		started := clock.Now()
-		alarm := time.AfterFunc(connectAlarm, func() { p.observe(ctx, r.Backend.Pool, started, errPending) })
-		var err error
-		c, err = p.open(ctx, address)
-		alarm.Stop()
-		p.observe(ctx, r.Backend.Pool, started, err)
-		if err != nil {
-			return nil, err
-		}
+	c, err := p.connect(ctx, address, r)
+	if err != nil {
+		return nil, err
 	}
 	started := clock.Now()
 	a := &BackendResponse{pool: p, address: address, connection: c}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -41,7 +41,7 @@
 	accepted atomic.Int32
 }
 
-func startBackend(t *testing.T, serve func(number int, conn net.Conn, requests *bufio.Reader)) *backend {
+func startBackend(t testing.TB, serve func(number int, conn net.Conn, requests *bufio.Reader)) *backend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
