No call to coordinators begins once a router has stopped to wait for them

Requests may outlast their router. Callers saw nothing of it.

TestNoCallBeginsOnceRouterHasEnded: the race detector fails it without the fix.

--- a/internal/follower/streams.go
+++ b/internal/follower/streams.go
@@ -40,7 +40,9 @@
 	pending map[string][]resumption.Record
 	// sending are the coordinators to which records are being sent.
 	sending map[string]bool
-	group   sync.WaitGroup
+	// group are the calls to coordinators. None begins once ended is set.
+	group sync.WaitGroup
+	ended bool
 	// ctx is nil until RunStreams begins.
 	ctx context.Context
 }
@@ -75,6 +77,9 @@
 	f.streams.ctx = ctx
 	f.streams.mu.Unlock()
 	<-ctx.Done()
+	f.streams.mu.Lock()
+	f.streams.ended = true
+	f.streams.mu.Unlock()
 	f.streams.group.Wait()
 }
 
@@ -87,7 +92,7 @@
 	s := &f.streams
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ctx == nil || s.ctx.Err() != nil {
+	if s.ctx == nil || s.ended {
 		return
 	}
 	for _, r := range records {
@@ -103,6 +108,19 @@
 	}
 }
 
+// begin calls each coordinator at once. It returns false, and calls none, after the end of RunStreams.
+func (s *streams) begin(coordinators []string, call func(address string)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return false
+	}
+	for _, address := range coordinators {
+		s.group.Go(func() { call(address) })
+	}
+	return true
+}
+
 // sendRecords sends what is pending for a coordinator. Records that it does not acknowledge are sent again
 // until their streams can no longer be resumed.
 func (f *Follower) sendRecords(ctx context.Context, address string) {
@@ -198,14 +216,15 @@
 	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 	defer cancel()
 	replies := make(chan *coordapi.FoundStream, len(*coordinators))
-	for _, address := range *coordinators {
-		f.streams.group.Go(func() {
-			var reply coordapi.Reply
-			if f.config.Peers.Call(ctx, address, coordapi.KindCall, coordapi.Request{FindStream: &coordapi.FindStream{Key: key}}, &reply) != nil {
-				reply.Stream = nil
-			}
-			replies <- reply.Stream
-		})
+	find := func(address string) {
+		var reply coordapi.Reply
+		if f.config.Peers.Call(ctx, address, coordapi.KindCall, coordapi.Request{FindStream: &coordapi.FindStream{Key: key}}, &reply) != nil {
+			reply.Stream = nil
+		}
+		replies <- reply.Stream
+	}
+	if !f.streams.begin(*coordinators, find) {
+		return writer, false, errNoCoordinator
 	}
 	err = errNoCoordinator
 	for range *coordinators {
--- a/internal/follower/streams_test.go
+++ b/internal/follower/streams_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -62,6 +63,12 @@
 
 // recordRouter is a router without a leader that knows some coordinators.
 func recordRouter(t testing.TB, keepers []*keeper) (*Follower, *peer.Counters) {
+	f, counters, _ := endingRouter(t, keepers)
+	return f, counters
+}
+
+// endingRouter is a recordRouter with a function that ends it.
+func endingRouter(t testing.TB, keepers []*keeper) (*Follower, *peer.Counters, func()) {
 	counters := &peer.Counters{}
 	f := New(Config{Name: "router", Seeds: []string{"127.0.0.1:1"}, Pool: discardPool{}, Peers: peer.NewClient(counters), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	var addresses []string
@@ -75,9 +82,12 @@
 		defer close(done)
 		f.RunStreams(ctx)
 	}()
-	t.Cleanup(func() {
+	end := func() {
 		cancel()
 		<-done
+	}
+	t.Cleanup(func() {
+		end()
 		f.config.Peers.Close()
 	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -88,7 +98,7 @@
 		}
 		return poll.Success()
 	})
-	return f, counters
+	return f, counters, end
 }
 
 var severalVersions = map[string]coordapi.SoftwareVersions{"llm": {Serving: []state.SoftwareVersion{"v1", "v2"}}}
@@ -214,6 +224,28 @@
 	awaitFound(t, f, "1")
 }
 
+// Requests that end after their router must not begin calls that it has stopped to wait for.
+func TestNoCallBeginsOnceRouterHasEnded(t *testing.T) {
+	keepers := newKeepers(t, 3)
+	for range 20 {
+		f, _, end := endingRouter(t, keepers)
+		f.followSoftware(severalVersions, false)
+		var requests sync.WaitGroup
+		for i := range 4 {
+			requests.Go(func() {
+				for n := range 20 {
+					f.RecordStream(streamRecord(fmt.Sprint(i, " ", n)))
+					_, _, _ = f.FindStream(t.Context(), resumption.KeyOf("alice", "unknown"))
+				}
+			})
+		}
+		end()
+		requests.Wait()
+		_, _, err := f.FindStream(t.Context(), resumption.KeyOf("alice", "1"))
+		assert.ErrorIs(t, err, errNoCoordinator)
+	}
+}
+
 // The streams of a name that a process of another version has taken are of no known version anywhere.
 func TestWithdrawnStreamsAreReported(t *testing.T) {
 	keepers := newKeepers(t, 3)
