Alarms of an attempt do not read its request once it has ended

A connect or an acknowledgement that was late raised an alarm that read the pool of the back end from the request, while the next attempt wrote it: a data race, after which the path to another pool may have been reported as slow.

TestRequestMayBeChangedAfterSlowAttempt: the race detector fails it without the fix.

--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -120,10 +120,11 @@
 	if c := p.takeIdle(address, r.NonIdempotent); c != nil {
 		return c, nil
 	}
-	started := clock.Now()
-	alarm := time.AfterFunc(connectAlarm, func() { p.observe(ctx, r.Backend.Pool, started, errPending) })
+	// The alarm may still run when the caller changes the request for its next attempt.
+	pool, started := r.Backend.Pool, clock.Now()
+	alarm := time.AfterFunc(connectAlarm, func() { p.observe(ctx, pool, started, errPending) })
 	c, err := p.open(ctx, address)
 	alarm.Stop()
-	p.observe(ctx, r.Backend.Pool, started, err)
+	p.observe(ctx, pool, started, err)
 	return c, err
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -338,10 +338,11 @@
 	started := clock.Now()
 	a := &BackendResponse{pool: p, address: address, connection: c}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	backendPool, size := r.Backend.Pool, len(r.Body)
 	alarm := time.AfterFunc(ackAlarm, func() {
 		// A back end that is slow to read a large body leaves bytes unacknowledged as well.
-		if len(r.Body) < asyncBodySize && socket.Unacknowledged(c.Conn) > 0 {
-			p.observe(ctx, r.Backend.Pool, started, errUnacknowledged)
+		if size < asyncBodySize && socket.Unacknowledged(c.Conn) > 0 {
+			p.observe(ctx, backendPool, started, errUnacknowledged)
 		}
 	})
 	defer alarm.Stop()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -565,6 +565,26 @@
 	assert.ErrorIs(t, <-reported, syscall.ETIMEDOUT)
 }
 
+// The alarms of an attempt must not read the request once the attempt has ended.
+func TestRequestMayBeChangedAfterSlowAttempt(t *testing.T) {
+	b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for id, err := readRequest(requests); err == nil; id, err = readRequest(requests) {
+			time.Sleep(ackAlarm + 20*time.Millisecond)
+			_, _ = io.WriteString(conn, responseTo(id, "body"))
+		}
+	})
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	p.SetDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(connectAlarm + 20*time.Millisecond)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+	p.OnConnect(func(string, time.Duration, error) {})
+	r := request("1")
+	_, _, err := p.Call(t.Context(), b.address, r, 100)
+	assert.NilError(t, err)
+	r.Backend.Pool, r.Body = "other", nil
+}
+
 // A back end may be silent for a second and go on: its connections must outlast that. An open connection
 // to a back end that is gone is noticed once a request is unacknowledged for the user timeout;
 // keep-alive probes, which the user timeout would cut short as well, are off.
