Back ends of a brittle pool get one request at a time until they respond

A brittle plain back end says so in its responses, and a router that has none yet sent it all that came.

Evidence: three race builds on two processors; the 18 rejections of one run are all by one back end to one router, from 47.486 s on, which took it for a plain one until 47.856 s although two others of the pool had told it that they are brittle at 45.9 and 46.4 s; its leader had been lost since 46.2 s.

While one back end of a plain pool is brittle, another one that has not responded gets one request at a time. Pools in which none is brittle are served as before.

--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -152,3 +153,24 @@
 	assert.Assert(t, peak < brittleRate, "%d rejections within a second", peak)
 	assert.Assert(t, served > fit/4, "%.0f served of %.0f that fit", served, fit)
 }
+
+// Guards against routers that flood back ends which have not told yet that they are brittle, while no
+// leader tells it either.
+func TestBackendsOfBrittlePoolGetOneRequestUntilTheyRespond(t *testing.T) {
+	d := newDeployment(t, 3, 4, 1)
+	fits := d.makeBrittle()
+	for _, node := range d.nodes {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		node.Stop(ctx)
+	}
+	begun := time.Now()
+	for router := range d.frontend {
+		got := d.send(router, "ka", "/pay/", "first")
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+	served, fit := d.overload(1500*time.Millisecond, 6, fits)
+	t.Logf("%.0f served of %.0f that fit", served, fit)
+	peak := d.peakRejections(begun)
+	assert.Assert(t, peak < brittleRate, "%d rejections within a second", peak)
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -284,7 +284,7 @@
 func (h *Handler) setBackendHeaders(j *job, s *session, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
 	header.Set(names.Instance, choice.Name())
-	j.request.Backend = pushback.Backend{ID: coordapi.BackendID(choice.ID), Pool: j.pool.Name, Plain: j.pool.Engine == nil}
+	j.request.Backend = j.backend(choice.ID)
 	j.request.Instance = choice.Name()
 	j.request.Permit = choice.Permit
 	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -9,6 +9,7 @@
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/periodic"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 )
 
@@ -141,7 +142,11 @@
 		}
 		if !found || choice.Late || !h.config.Limits.Limited(coordapi.BackendID(choice.ID)) {
 			choice.RetryAfter = retryAfter
-			return choice, found
+			if h.probe(j, &choice, found) {
+				return choice, found
+			}
+			j.query.Tried = append(j.query.Tried, choice.ID)
+			continue
 		}
 		permit, wait, delay := h.claim(ctx, j, choice)
 		if permit != nil {
@@ -156,12 +161,32 @@
 			j.query.Tried = append(j.query.Tried, choice.ID)
 		}
 	}
-	j.query.Excluded = func(id string) bool { return h.config.Limits.Limited(coordapi.BackendID(id)) }
+	j.query.Excluded = func(id string) bool {
+		return h.config.Limits.Limited(coordapi.BackendID(id)) || h.config.Limits.Probing(j.backend(id))
+	}
 	choice, found := h.config.Pool.Choose(h.now(), &j.query)
 	choice.RetryAfter = retryAfter
+	if found && !choice.Late {
+		choice.Permit, found = h.config.Limits.Probe(j.backend(choice.ID))
+	}
 	return choice, found
 }
 
+// probe sets the permit of a chosen back end that needs none of the leader's. It returns false for one that
+// is left out until it has responded.
+func (h *Handler) probe(j *job, choice *backends.Choice, found bool) (usable bool) {
+	if !found || choice.Late {
+		return true
+	}
+	choice.Permit, usable = h.config.Limits.Probe(j.backend(choice.ID))
+	return usable
+}
+
+// backend identifies a back end of the request's pool.
+func (j *job) backend(id string) pushback.Backend {
+	return pushback.Backend{ID: coordapi.BackendID(id), Pool: j.pool.Name, Plain: j.pool.Engine == nil}
+}
+
 // chooseSpare chooses among the back ends for which there are spare permits: these expire within a fraction
 // of a second, and with few requests none would choose such a back end in time.
 func (h *Handler) chooseSpare(j *job) (choice backends.Choice, found bool) {
--- a/internal/ratelimit/permit.go
+++ b/internal/ratelimit/permit.go
@@ -22,7 +22,9 @@
 	expires time.Duration
 	// running is set if the permit is held until the request has ended.
 	running bool
-	used    atomic.Bool
+	// probe is set for the only request to a back end of which it is not known whether it is brittle.
+	probe bool
+	used  atomic.Bool
 }
 
 // Unlimited returns a permit for a back end that has no limit as far as the leader has
@@ -66,7 +68,7 @@
 // valid reports whether a request may be sent to a back end with the permit. A nil permit is not
 // valid.
 func (p *Permit) valid(now time.Duration, id coordapi.BackendID) bool {
-	return p != nil && p.backend == id && (p.unlimited() || now < p.expires) && !p.used.Load()
+	return p != nil && !p.probe && p.backend == id && (p.unlimited() || now < p.expires) && !p.used.Load()
 }
 
 // consume uses the permit up, and reports whether it was valid.
--- a/internal/ratelimit/registry.go
+++ b/internal/ratelimit/registry.go
@@ -71,6 +71,7 @@
 	announced map[coordapi.BackendID]struct{}
 	// unreported holds the back ends whose limit has not been reported to the leader.
 	unreported map[coordapi.BackendID]struct{}
+	probes     probes
 	// spares holds permits that arrived too late for the request that they were granted for.
 	spares []*Permit
 	// released holds the numbers of unused permits that have not been reported.
@@ -123,6 +124,7 @@
 	}
 	b := r.backends[from.ID]
 	if b == nil && !limited && brittle == 0 {
+		r.recordResponse(from)
 		return
 	}
 	if brittle > 0 && response.Header.Get(r.headers.NotRun) != "" && response.StatusCode == http.StatusServiceUnavailable {
@@ -241,6 +243,10 @@
 // Release returns a permit that will not be used. It does nothing for one that was used, or is
 // nil.
 func (r *Registry) Release(p *Permit) {
+	if p != nil && p.probe {
+		r.endProbe(p)
+		return
+	}
 	if p == nil || p.unlimited() || p.used.Swap(true) {
 		return
 	}
