Test: readers stall once all are open, not while others are opened

A reader stalled as soon as it was open, and the router disconnects it 5 s later, as it should; when 1,000 take longer than that to open, 1,000 are never open at once. So the test asked for what its own subject prevents.

The back ends now write a few bytes until all readers are open, and then without end. The streams that are measured begin before that: beside load the router refused some at "dial tcp: i/o timeout" (250 ms), since the 1,000 back ends in the same process took the processors: 28 KB of 171 KB each were written after a second. That a new stream begins beside stalled readers is now asked of one stream, within 20 s as the other waits; before, of 20 that had to begin and had no limit. Bounds of pauses, memory and bytes are as they were; 1,000 readers now stall at once, before it were fewer.

--- a/internal/forward/slowreader_test.go
+++ b/internal/forward/slowreader_test.go
@@ -103,10 +103,28 @@
 	}
 }
 
+// trickle writes few bytes until a channel is closed, so that the stream neither stalls nor ends.
+func trickle(w http.ResponseWriter, q *http.Request, until <-chan struct{}) {
+	w.Header().Set(names.Signature, "seal")
+	for {
+		_, _ = io.WriteString(w, "data: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-until:
+			return
+		case <-q.Context().Done():
+			return
+		case <-time.After(trickleInterval):
+		}
+	}
+}
+
 const (
-	stalledReaders = 1000
-	pauseStreams   = 20
-	eventInterval  = 20 * time.Millisecond
+	// trickleInterval keeps the bytes of a stream within the buffers on its way while others are opened.
+	trickleInterval = 200 * time.Millisecond
+	stalledReaders  = 1000
+	pauseStreams    = 20
+	eventInterval   = 20 * time.Millisecond
 	// maxAddedPause is by how much stalled readers may lengthen the p99 pause of other streams.
 	maxAddedPause = 20 * time.Millisecond
 	// routerMemory is a usual memory limit of a router.
@@ -130,19 +148,30 @@
 	}
 }
 
-// pauses reads streams and returns the 99th percentile of the time between their events.
-func (r *rig) pauses(events int) time.Duration {
+// pauses reads streams and returns the 99th percentile of the time between their events. Once all have
+// begun it calls begun, if that is not nil, and ignores the events that arrive before it returns.
+func (r *rig) pauses(events int, begun func()) time.Duration {
 	var mu sync.Mutex
 	var all []time.Duration
-	var group sync.WaitGroup
+	var group, beginning sync.WaitGroup
+	beginning.Add(pauseStreams)
+	var measures atomic.Bool
+	go func() {
+		if beginning.Wait(); begun != nil {
+			begun()
+		}
+		measures.Store(true)
+	}()
 	for range pauseStreams {
 		group.Go(func() {
 			conn := r.send("POST", "/chat/steady", fmt.Sprintf("X-Events: %d\r\nContent-Length: 4\r\n", events), "body")
 			defer conn.Close()
 			var mine []time.Duration
 			var last time.Time
+			count := 0
 			reader := bufio.NewReader(conn)
 			response, err := http.ReadResponse(reader, nil)
+			beginning.Done()
 			if !assert.Check(r.t, err) || !assert.Check(r.t, response.StatusCode == http.StatusOK, "status %d", response.StatusCode) {
 				return
 			}
@@ -151,13 +180,14 @@
 				if !strings.HasPrefix(lines.Text(), "id:") {
 					continue
 				}
+				count++
 				now := time.Now()
-				if !last.IsZero() {
+				if !last.IsZero() && measures.Load() {
 					mine = append(mine, now.Sub(last))
 				}
 				last = now
 			}
-			assert.Check(r.t, len(mine) == events-1, "%d pauses", len(mine))
+			assert.Check(r.t, count == events, "%d events", count)
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, mine...)
@@ -169,6 +199,14 @@
 	return all[len(all)*99/100]
 }
 
+// streamBegins reports whether a new stream is served.
+func (r *rig) streamBegins() bool {
+	conn := r.send("POST", "/chat/steady", "X-Events: 1\r\nContent-Length: 4\r\n", "body")
+	defer conn.Close()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
 // Guards against slow readers that delay others' streams or take the router's memory. The measurement
 // goes on while they are disconnected; the others, before and after it, are the reference. Other work
 // on the machine lengthens pauses too, so that it is repeated up to twice.
@@ -189,8 +227,10 @@
 	budget := r.bound(routerMemory / 2)
 	r.allow("/chat/x", time.Minute)
 	var written atomic.Int64
+	opened := make(chan struct{})
 	r.addSmall("llm", "e", func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == "/chat/stalled" {
+			trickle(w, q, opened)
 			writeEndless(w, q, &written)
 			return
 		}
@@ -198,8 +238,9 @@
 		_, _ = fmt.Sscan(q.Header.Get("X-Events"), &count)
 		steady(count)(w, q)
 	})
-	without = r.pauses(150)
-	// They are opened in steps: many at once exceed the timeout of connections on a busy machine.
+	without = r.pauses(150, nil)
+	// They are opened in steps: many at once exceed the timeout of connections on a busy machine. None
+	// stalls before, since the first ones would be disconnected while the last ones are opened.
 	await(t, 20*time.Second, "some readers have no stream", func() bool {
 		missing := stalledReaders - r.handler.metrics.inFlight.Load()
 		for range min(missing, 50) {
@@ -208,14 +249,23 @@
 		time.Sleep(20 * time.Millisecond)
 		return missing <= 0
 	})
-	assert.Assert(t, budget.Used() < budget.Limit(), "%d of %d", budget.Used(), budget.Limit())
-	time.Sleep(time.Second)
-	perReader := written.Load() / max(r.handler.metrics.inFlight.Load(), 1)
-	t.Logf("back ends wrote %d bytes for each", perReader)
-	assert.Assert(t, perReader <= maxWaiting)
-	with = r.pauses(400)
+	var further sync.WaitGroup
+	with = r.pauses(450, func() {
+		close(opened)
+		assert.Check(t, budget.Used() < budget.Limit(), "%d of %d", budget.Used(), budget.Limit())
+		time.Sleep(time.Second)
+		perReader := written.Load() / stalledReaders
+		t.Logf("back ends wrote %d bytes for each", perReader)
+		assert.Check(t, perReader <= maxWaiting)
+		further.Go(func() {
+			begun := time.Now()
+			await(t, 20*time.Second, "no further stream begins", r.streamBegins)
+			t.Logf("a further stream began after %v", time.Since(begun))
+		})
+	})
+	further.Wait()
 	await(t, 20*time.Second, "readers are connected", func() bool { return r.handler.metrics.inFlight.Load() == 0 })
-	without = max(without, r.pauses(100))
+	without = max(without, r.pauses(100, nil))
 	assert.Assert(t, r.handler.metrics.stalledClients.Load() >= stalledReaders)
 	var text bytes.Buffer
 	_, _ = r.handler.WriteTo(&text)
