Streams of a back end that starts again as another version go on at others

A caller that resumed such a stream got 503, "the software version that began the stream is not known", although back ends of its version served: the records of the last 5 s were withdrawn with the new start, since that may have written the events before its first heartbeat. These are the streams that break, so that a release without drains, or a crash, lost nearly all that it interrupted.

Since a router asks each connection of a pool with several versions which start it leads to, the events of such a stream are known to be of the start before; its record stays. Records from connections that were not asked are withdrawn as before.

--- a/internal/edge/software_test.go
+++ b/internal/edge/software_test.go
@@ -51,6 +51,8 @@
 
 // streamed is what a caller has of a stream.
 type streamed struct {
+	// body is that of the request, where a test keeps it.
+	body string
 	// attempt is the ID of the attempt that brought the first event.
 	attempt string
 	// lastEvent is the ID of the last event, 0 for none, and versions are the software versions that
@@ -226,6 +228,43 @@
 	}
 }
 
+// Streams that a back end began must go on at others of its version once it has started again as another one
+// under its name.
+func TestStreamsOfReplacedBackendGoOn(t *testing.T) {
+	const streams = 24
+	d := newMixedDeployment(t, 3, 2, 2)
+	d.software = oldSoftware
+	named := d.namedHost("named")
+	d.awaitEngine(named)
+	var begun []*streamed
+	for i := 0; len(begun) < streams; i++ {
+		before := named.arrivals()
+		s := &streamed{body: fmt.Sprintf("%s %d", brokenBody, i)}
+		s.request(d, i%3, "/resume/", s.body, nil)
+		if named.arrivals() > before {
+			begun = append(begun, s)
+		}
+	}
+	d.mu.Lock()
+	named.software = newSoftware
+	d.mu.Unlock()
+	named.restart()
+	d.awaitEngine(named)
+	completed, mixed := 0, 0
+	for i, s := range begun {
+		s.request(d, i%3, "/resume/", s.body, nil)
+		if s.complete && s.lastEvent == brokenStreamEvents {
+			completed++
+		}
+		if len(s.versions) > 1 {
+			mixed++
+		}
+	}
+	t.Logf("%d of %d streams completed, %d of two versions", completed, streams, mixed)
+	assert.Equal(t, mixed, 0)
+	assert.Assert(t, float64(completed) >= minResumedShare*streams, "%d of %d streams completed", completed, streams)
+}
+
 // awaitEngine waits until each router sends streams to the engine of a host.
 func (d *deployment) awaitEngine(h *host) {
 	d.t.Helper()
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -331,7 +331,7 @@
 		s.lastEventNumber = number
 	}
 	if !s.headerSent {
-		s.begin(response.Header)
+		s.begin(response)
 		s.copyHeader(response.Header)
 		if s.job.origin != nil {
 			s.client.Header().Set(relay.HeaderSoftware, string(s.writer.Software))
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -17,6 +17,7 @@
 	"quinceridge.example/quinceridge/internal/resumption"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
+	"quinceridge.example/quinceridge/internal/upstream"
 )
 
 // unknownWriterRetryAfter is the Retry-After, before jitter, of a resumed stream whose software version no
@@ -173,11 +174,11 @@
 }
 
 // begin records that a back end has written the first event of a response, before the client gets it.
-func (s *session) begin(response http.Header) {
+func (s *session) begin(response *upstream.BackendResponse) {
 	h, j := s.handler, s.job
 	s.writer = resumption.Writer{Pool: j.pool.Name, Backend: s.attempted.ID, Software: s.attempted.Software}
 	if s.attempted.ID == "" {
-		s.writer.Software = state.SoftwareVersion(response.Get(relay.HeaderSoftware))
+		s.writer.Software = state.SoftwareVersion(response.Header.Get(relay.HeaderSoftware))
 	}
 	h.metrics.streams.add(s.writer.Software)
 	if h.config.Resumptions == nil || !j.route.Resumable {
@@ -186,7 +187,7 @@
 	left := j.streamLife()
 	for _, attempt := range []string{j.id, j.continuation.attempt} {
 		if attempt != "" {
-			h.config.Resumptions.RecordStream(resumption.Record{Key: resumption.KeyOf(j.tenantName(), attempt), Writer: s.writer, Left: left})
+			h.config.Resumptions.RecordStream(resumption.Record{Key: resumption.KeyOf(j.tenantName(), attempt), Writer: s.writer, Left: left, Identified: response.Identified()})
 		}
 	}
 }
--- a/internal/resumption/resumption.go
+++ b/internal/resumption/resumption.go
@@ -83,6 +83,9 @@
 	Writer Writer `json:"writer"`
 	// Left is the time for which the stream may still be resumed.
 	Left time.Duration `json:"left"`
+	// Identified is set if the back end was asked which start it is, so that no other process can have
+	// written the events in its name. Only the router that began the stream uses it.
+	Identified bool `json:"-"`
 }
 
 // Keepers returns the coordinators that keep the record of a stream, given the addresses of all.
--- a/internal/resumption/table.go
+++ b/internal/resumption/table.go
@@ -27,6 +27,7 @@
 	writer Writer
 	// addedAt is when the writer was recorded, and until the end of the record.
 	addedAt, until time.Duration
+	identified     bool
 }
 
 // NewTable returns an empty table.
@@ -38,8 +39,9 @@
 func (t *Table) Add(now time.Duration, r Record) Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := entry{writer: r.Writer, addedAt: now, until: now + r.Left}
+	e := entry{writer: r.Writer, addedAt: now, until: now + r.Left, identified: r.Identified}
 	if old, recorded := t.find(now, r.Key); recorded {
+		e.identified = e.identified && old.identified
 		e.until = max(e.until, old.until)
 		if !old.writer.fits(&r.Writer) {
 			e.writer.Software = ""
@@ -93,14 +95,14 @@
 	return out
 }
 
-// Withdraw removes the software version from the records of a back end that were added after a time, and
-// returns them: another process may have written the events.
+// Withdraw removes the software version from the records of a back end that were added after a time, unless
+// the back end was identified, and returns them: another process may have written the events.
 func (t *Table) Withdraw(now time.Duration, backend string, after time.Duration) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Record
 	for key, e := range t.entries {
-		if e.writer.Backend == backend && e.addedAt > after && e.until > now {
+		if e.writer.Backend == backend && !e.identified && e.addedAt > after && e.until > now {
 			e.writer.Software = ""
 			t.entries[key] = e
 			out = append(out, Record{Key: key, Writer: e.writer, Left: e.until - now})
--- a/internal/resumption/table_test.go
+++ b/internal/resumption/table_test.go
@@ -76,14 +76,17 @@
 
 func TestWithdrawnStreamIsNotKnown(t *testing.T) {
 	table := NewTable()
-	early, late, other := KeyOf("", "early"), KeyOf("", "late"), KeyOf("", "other")
+	early, late, other, identified, mixed := KeyOf("", "early"), KeyOf("", "late"), KeyOf("", "other"), KeyOf("", "identified"), KeyOf("", "mixed")
 	table.Add(time.Second, Record{Key: early, Writer: writer("a", "v1"), Left: time.Minute})
 	table.Add(3*time.Second, Record{Key: late, Writer: writer("a", "v1"), Left: time.Minute})
 	table.Add(3*time.Second, Record{Key: other, Writer: writer("b", "v1"), Left: time.Minute})
+	for _, key := range []Key{identified, mixed} {
+		table.Add(3*time.Second, Record{Key: key, Writer: writer("a", "v1"), Left: time.Minute, Identified: true})
+	}
+	table.Add(3*time.Second, Record{Key: mixed, Writer: writer("a", "v1"), Left: time.Minute})
 	withdrawn := table.Withdraw(4*time.Second, "a", 2*time.Second)
-	assert.Equal(t, len(withdrawn), 1)
-	assert.Equal(t, withdrawn[0].Key, late)
-	for key, known := range map[Key]bool{early: true, late: false, other: true} {
+	assert.Equal(t, len(withdrawn), 2)
+	for key, known := range map[Key]bool{early: true, late: false, other: true, identified: true, mixed: false} {
 		got, recorded := table.Find(4*time.Second, key)
 		assert.Assert(t, recorded && got.Known() == known)
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -34,6 +34,8 @@
 	phase    atomic.Int32
 	complete bool
 	closed   bool
+	// identified is set if the connection leads to the start that the request names.
+	identified bool
 }
 
 // Values of BackendResponse.phase.
@@ -201,6 +203,9 @@
 	return a.Response.ContentLength >= 0 || len(a.Response.TransferEncoding) > 0
 }
 
+// Identified reports whether the response was written by the start that the request names.
+func (a *BackendResponse) Identified() bool { return a.identified }
+
 func (a *BackendResponse) reusable() bool {
 	r := a.Response
 	if r == nil || a.unlimited || !a.complete || r.Close || !a.Framed() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -336,7 +336,7 @@
 		return nil, err
 	}
 	started := clock.Now()
-	a := &BackendResponse{pool: p, address: address, connection: c}
+	a := &BackendResponse{pool: p, address: address, connection: c, identified: r.Born != 0 && c.born == r.Born}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	backendPool, size := r.Backend.Pool, len(r.Body)
 	alarm := time.AfterFunc(ackAlarm, func() {
