Back ends that name no start time in their status are served as before

A router that asks a connection which start it leads to refused to use it when the status had no start time, or the back end no such request: where heartbeats name a start time and the status does not, no resumable stream of a pool with several versions would have been served. Such back ends cannot be told from a process that took their name; their records are withdrawn then, as before. The status request names the instance, as the coordinators do.

--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -197,7 +197,7 @@
 
 // StatusRequest returns the request for an engine's report with the default vocabulary.
 func StatusRequest() upstream.Status {
-	return upstream.Status{Target: statusTarget, Born: func(body []byte) (state.UnixMilli, error) {
+	return upstream.Status{Target: statusTarget, InstanceHeader: vocabulary.Default().Instance, Born: func(body []byte) (state.UnixMilli, error) {
 		var report EngineReport
 		err := json.Unmarshal(body, &report)
 		return report.Born, err
--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -25,8 +25,8 @@
 var (
 	// ErrOtherStart means that a later start than the intended one does.
 	ErrOtherStart = errors.New("a later start of the back end serves the address")
-	// ErrNotIdentified means that it rejected the status request or did not name its start time.
-	ErrNotIdentified = errors.New("the back end does not name its start")
+	// ErrNotIdentified means that it rejected the status request.
+	ErrNotIdentified = errors.New("the back end rejects status requests")
 )
 
 // errUnsuitable means that another connection may lead to the intended start.
@@ -34,8 +34,8 @@
 
 // Status is the request with which a router asks a back end for its start time.
 type Status struct {
-	// Target is the path of the request.
-	Target string
+	// Target is the path of the request, and InstanceHeader the header that names the intended instance.
+	Target, InstanceHeader string
 	// Born decodes the start time from the body of a response; 0 if it names none.
 	Born func(body []byte) (state.UnixMilli, error)
 }
@@ -70,15 +70,18 @@
 	if r.Born == 0 || r.Permit.Limited() || p.status.Born == nil {
 		return nil
 	}
-	if c.born == 0 {
+	if !c.asked {
 		born, err := p.requestBorn(ctx, address, c, r)
 		if err != nil {
 			return fmt.Errorf("identify start: %w", err)
 		}
 		p.Identified.Add(1)
-		c.born = born
+		c.born, c.asked = born, true
 	}
 	switch {
+	case c.born == 0:
+		// Such a back end cannot be told from one that has taken its name.
+		return nil
 	case c.born > r.Born:
 		return ErrOtherStart
 	case c.born < r.Born:
@@ -93,7 +96,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	a := &BackendResponse{pool: p, address: address, connection: c}
-	status := &Request{Method: http.MethodGet, Target: p.status.Target, Host: address, Backend: r.Backend, Instance: r.Instance, Allowed: r.Allowed}
+	header := http.Header{}
+	header.Set(p.status.InstanceHeader, r.Instance)
+	status := &Request{Method: http.MethodGet, Target: p.status.Target, Host: address, Header: header, Backend: r.Backend, Instance: r.Instance, Allowed: r.Allowed}
 	if err := a.exchange(ctx, status); err != nil {
 		return 0, err
 	}
@@ -101,18 +106,19 @@
 	switch {
 	case err != nil:
 		return 0, err
-	case a.StatusCode != http.StatusOK:
+	case a.StatusCode == http.StatusMisdirectedRequest:
+		return 0, ErrOtherStart
+	case a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable:
 		return 0, fmt.Errorf("%w: status %d", ErrNotIdentified, a.StatusCode)
 	case !stop():
 		return 0, context.Cause(ctx)
 	case !a.reusable():
 		return 0, errUnsuitable
+	case a.StatusCode != http.StatusOK:
+		// The back end has no such request.
+		return 0, nil
 	}
-	born, err := p.status.Born(body)
-	if err == nil && born == 0 {
-		err = ErrNotIdentified
-	}
-	return born, err
+	return p.status.Born(body)
 }
 
 // take returns an idle connection to an address, or a new one.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -186,8 +186,10 @@
 	reader *bufio.Reader
 	// expiresAt is when the connection must not be reused any more.
 	expiresAt time.Duration
-	// born is the start time of the process that it leads to, 0 if that was not asked for.
-	born state.UnixMilli
+	// born is the start time of the process that it leads to, 0 if that is not known, and asked is set once
+	// the process was asked for it.
+	born  state.UnixMilli
+	asked bool
 	// memory is the budget that the connection is charged to until it is closed.
 	memory *memory.Budget
 	closed atomic.Bool
