Soak: back ends start again at the address that they had

Restarts of the soak kept the name and changed the address, so that no router reached a new start before its first heartbeat. Half of them now keep both.

The status request on a connection may take 500 ms: 250 ms is less than two pauses of a tenth of a second and the round trips between zones.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -91,15 +91,19 @@
 // failurePercent is the percentage of requests that an active failure mode affects.
 const failurePercent = 30
 
-// startBackend starts a back end. If muted is set it sends no heartbeats until backend.muted is
-// cleared.
-func (s *Soak) startBackend(pool, name string, muted bool) (*backend, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// anyAddress lets the system choose a port.
+const anyAddress = "127.0.0.1:0"
+
+// startBackend starts a back end at an address. If muted is set it sends no heartbeats until backend.muted
+// is cleared.
+func (s *Soak) startBackend(pool, name, address string, muted bool) (*backend, error) {
+	listener, err := net.Listen("tcp", anyAddress)
 	if err != nil {
 		return nil, err
 	}
 	b := &backend{soak: s, pool: pool, id: name, born: state.UnixMilli(time.Now().UnixMilli()), software: s.softwareOf(pool), version: int(s.weightsVersion.Load()), notices: newNotices()}
-	if b.proxy, err = newProxy(listener.Addr().String()); err != nil {
+	if b.proxy, err = newProxyAt(address, listener.Addr().String()); err != nil {
+		_ = listener.Close()
 		return nil, err
 	}
 	b.proxy.cuts = &s.cuts
--- a/internal/soak/leave.go
+++ b/internal/soak/leave.go
@@ -94,7 +94,7 @@
 // because nothing is known of the back end, is repeated.
 func (s *Soak) leaveEarly(ctx context.Context, r *rand.Rand) {
 	pool := pick(r, []string{poolEngines, poolWorkers})
-	b, err := s.startBackend(pool, fmt.Sprintf("%s-%d", pool, s.backendsStarted.Add(1)), true)
+	b, err := s.startBackend(pool, fmt.Sprintf("%s-%d", pool, s.backendsStarted.Add(1)), anyAddress, true)
 	if err != nil {
 		return
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -26,8 +26,12 @@
 	senders sync.Map
 }
 
-func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy returns a proxy for a target at an address of its own.
+func newProxy(target string) (*proxy, error) { return newProxyAt(anyAddress, target) }
+
+// newProxyAt is newProxy for an address that another proxy may have had.
+func newProxyAt(address, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/pushback.go
+++ b/internal/soak/pushback.go
@@ -93,7 +93,7 @@
 }
 
 // restartBackends crashes up to three back ends and starts others under their names, either at
-// once, before missed heartbeats are detected, or later.
+// once, before missed heartbeats are detected, or later, and either at their addresses or at others.
 func (s *Soak) restartBackends(ctx context.Context, r *rand.Rand) {
 	pause := time.Duration(r.IntN(2)) * faultDuration(r)
 	for range 1 + r.IntN(3) {
@@ -102,9 +102,13 @@
 			continue
 		}
 		b.crash()
+		address := anyAddress
+		if r.IntN(2) == 0 {
+			address = b.proxy.address()
+		}
 		s.group.Go(func() {
 			wait(ctx, pause)
-			s.addBackendNamed(b.pool, b.id)
+			s.addBackendNamed(b.pool, b.id, address)
 		})
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -270,13 +270,17 @@
 }
 
 func (s *Soak) addBackend(pool string) {
-	s.addBackendNamed(pool, fmt.Sprintf("%s-%d", pool, s.backendsStarted.Add(1)))
+	s.addBackendNamed(pool, fmt.Sprintf("%s-%d", pool, s.backendsStarted.Add(1)), anyAddress)
 }
 
-// addBackendNamed starts a back end under the given name, which a stopped back end may have
+// addBackendNamed starts a back end under a name and at an address that a stopped back end may have
 // had.
-func (s *Soak) addBackendNamed(pool, name string) {
-	b, err := s.startBackend(pool, name, false)
+func (s *Soak) addBackendNamed(pool, name, address string) {
+	b, err := s.startBackend(pool, name, address, false)
+	if err != nil && address != anyAddress {
+		// Another process has taken the port.
+		b, err = s.startBackend(pool, name, anyAddress, false)
+	}
 	if err != nil {
 		return
 	}
--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// identifyTimeout bounds the status request on a connection.
-	identifyTimeout = dialTimeout
+	// identifyTimeout bounds the status request on a connection: a few round trips between zones, and pauses of
+	// either process for a tenth of a second.
+	identifyTimeout = 500 * time.Millisecond
 	// maxStatus bounds the body of its response, in bytes.
 	maxStatus = 64 << 10
 	// maxIdentified bounds the connections that are tried: back ends close some after a response.
