Streams do not go to the first start of a second version under an old name

In a pool with one version nothing is asked of a back end, and that stays so. But a process that starts again has lost its connections: where one has ended unexpectedly, or was refused, the next connection for a resumable stream is asked which start it leads to, whatever versions serve.

TestStartIsAskedForWhereConnectionEnded.

--- a/internal/edge/software_test.go
+++ b/internal/edge/software_test.go
@@ -228,6 +228,22 @@
 	}
 }
 
+// The first process of a second version may take the name of a back end in a pool that has one version.
+func TestStreamsDoNotMeetFirstStartOfSecondVersion(t *testing.T) {
+	const streams = 60
+	d := startDeployment(&deployment{t: t, relays: true, links: newLinks(), software: oldSoftware}, 3, 3, 3)
+	named := d.namedHost("named")
+	d.awaitEngine(named)
+	d.mu.Lock()
+	named.software, named.muted = newSoftware, true
+	d.mu.Unlock()
+	named.restart()
+	begun, completed, mixed := d.resumeAll("/resume/", streams, 0, func(i int) (int, int) { return i % 3, (i + 1) % 3 })
+	t.Logf("%d begun, %d completed, %d of two versions", begun, completed, mixed)
+	assert.Equal(t, mixed, 0)
+	assert.Assert(t, float64(completed) >= minResumedShare*float64(begun), "%d of %d streams completed", completed, begun)
+}
+
 // Streams that a back end began must go on at others of its version once it has started again as another one
 // under its name.
 func TestStreamsOfReplacedBackendGoOn(t *testing.T) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -246,7 +246,8 @@
 		j.endShare = h.shares.begin(j.pool.Name)
 	}
 	defer j.releaseShare()
-	j.request.Allowed, j.request.Born = running.Allowed, h.requiredStart(j, running)
+	j.request.Allowed = running.Allowed
+	j.request.Born, j.request.Identify = h.requiredStart(j, running)
 	if choice.Placement > 0 {
 		defer h.config.Placer.Ended(choice.Placement)
 	}
--- a/internal/upstream/identify_test.go
+++ b/internal/upstream/identify_test.go
@@ -63,7 +63,7 @@
 func (p *Pool) do(t testing.TB, address string, born state.UnixMilli) error {
 	t.Helper()
 	r := request("1")
-	r.Born, r.Backend = born, pushback.Backend{ID: "b"}
+	r.Born, r.Identify, r.Backend = born, true, pushback.Backend{ID: "b"}
 	_, _, err := p.Call(context.Background(), address, r, 100)
 	return err
 }
@@ -125,7 +125,7 @@
 	assert.NilError(t, p.do(t, b.address, 0))
 	// A back end with a limit counts status requests.
 	r := request("2")
-	r.Born, r.Backend = 5, pushback.Backend{ID: "b"}
+	r.Born, r.Identify, r.Backend = 5, true, pushback.Backend{ID: "b"}
 	r.Permit = ratelimit.Granted("b", 1, clock.Now(), time.Minute)
 	_, _, err := p.Call(context.Background(), b.address, r, 100)
 	assert.NilError(t, err)
@@ -133,6 +133,49 @@
 	assert.Equal(t, b.served.Load(), int32(2))
 }
 
+// A start under the name and at the address of another one is found where connections have ended, although no
+// request is to identify each connection.
+func TestStartIsAskedForWhereConnectionEnded(t *testing.T) {
+	answered, broken := responseTo("1", "served"), "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 9\r\n\r\nbroken"
+	for name, c := range map[string]struct {
+		first string
+		ends  bool
+	}{"idle": {answered, true}, "in a response": {broken, true}, "without a response": {"", true}, "not at all": {answered, false}} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int32
+			b := startBackend(t, func(number int, conn net.Conn, requests *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(requests)
+					switch {
+					case err != nil:
+						return
+					case r.URL.Path == "/status":
+						asked.Add(1)
+						_, _ = conn.Write([]byte(responseTo("", "6")))
+						continue
+					}
+					_, _ = conn.Write([]byte(c.first))
+					if c.ends && number == 1 {
+						return
+					}
+				}
+			})
+			p := newIdentifyingPool()
+			send := func() error {
+				r := request("1")
+				r.Born, r.Backend = 5, pushback.Backend{ID: "b"}
+				_, _, err := p.Call(context.Background(), b.address, r, 100)
+				return err
+			}
+			_ = send()
+			time.Sleep(20 * time.Millisecond)
+			err := send()
+			assert.Equal(t, errors.Is(err, ErrOtherStart), c.ends, "%v", err)
+			assert.Equal(t, asked.Load() > 0, c.ends)
+		})
+	}
+}
+
 // BenchmarkFirstRequest measures a request on a new connection, with and without the status request.
 func BenchmarkFirstRequest(b *testing.B) {
 	for name, born := range map[string]state.UnixMilli{"unidentified": 0, "identified": 5} {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -176,6 +176,9 @@
 	case err == io.EOF:
 		a.complete = true
 	case err != nil:
+		if endsProcess(err) {
+			a.pool.suspect(a.address)
+		}
 		err = &callError{kind: ErrOutcomeUnknown, cause: err}
 	}
 	return n, err
