--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -388,10 +388,6 @@
 		return
 	}
 	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
-	if r.URL.Path == "/v1/state" {
-		_ = json.NewEncoder(w).Encode(coordinator.EngineReport{Born: e.born})
-		return
-	}
 	if r.Header.Get(names.Instance) != e.id {
 		w.Header().Set(names.ResponseInstance, e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -401,6 +397,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if r.URL.Path == "/v1/state" {
+		_ = json.NewEncoder(w).Encode(coordinator.EngineReport{Born: e.born})
+		return
+	}
 	e.sendLimit(w, r)
 	if e.reject(w, r) {
 		return
