--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -275,6 +275,9 @@
 // checkFloodRejections names the check of the share of requests that engines reject.
 const checkFloodRejections = "soak-flood-rejections"
 
+// checkAfterFlood names the check of the share of calls that are served after the closing flood.
+const checkAfterFlood = "soak-after-flood"
+
 // checkClosingFlood records a breach if engines rejected more than their share during the closing
 // flood, or if callers were not served after it.
 func (s *Soak) checkClosingFlood(calls []*call) {
@@ -304,7 +307,7 @@
 		return
 	}
 	if f.After == 0 || float64(f.AfterServed) < recoveredShare*float64(f.After) {
-		s.recordBreach("%d of %d calls were served %v after the closing flood", f.AfterServed, f.After, floodRecovery)
+		s.recordCheck(checkAfterFlood, "%d of %d calls were served %v after the closing flood", f.AfterServed, f.After, floodRecovery)
 	}
 }
 
