Failed attempts name the shared parts of their prompts

Neither the routers' nor the leader's line of a failed attempt named the parts, so that a part that ends engines could not be told from whole requests that come again in a changed form.

Routers report the digests of the parts with each failed attempt, and both lines list them (prompt_parts, at most 16). No decision reads them yet. The level of the formats rises to 9; builds of level 8 ignore the field.

--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -75,7 +75,7 @@
 	b.dirty = true
 	for _, e := range reports.FailedAttempts {
 		b.detector.Record(now, e)
-		b.logger.Info("back end failed during an attempt", "part", "blocking", "request", e.Request.String(), "backend", e.Backend, "router", router,
+		b.logger.Info("back end failed during an attempt", "part", "blocking", "request", e.Request.String(), "prompt_parts", poison.Join(e.Parts), "backend", e.Backend, "router", router,
 			"age_ms", e.Age.Milliseconds(), "lasted_ms", e.Duration.Milliseconds(), "down", e.Down, "silent", e.Silent)
 	}
 	for _, d := range reports.Answered {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -11,6 +11,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/socket"
@@ -350,7 +351,7 @@
 		h.metrics.failedAttempts.Add(1)
 	}
 	h.config.Logger.Warn("attempt failed", "part", "forward", "id", j.id, "request", j.digest.String(), "backend", choice.ID,
-		"address", choice.Address, "events", events, "given_up", ours, "error", err.Error())
+		"address", choice.Address, "events", events, "given_up", ours, "error", err.Error(), "prompt_parts", poison.Join(j.promptParts()))
 }
 
 // recordVersion records the weights version that a response names.
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -57,24 +57,49 @@
 		text: "The back ends that ran this request ended. It is not tried again for now.\n"})
 }
 
+// promptParts returns the digests of the shared parts of the request's prompt, without duplicates.
+func (j *job) promptParts() []poison.Digest {
+	if j.partDigests == nil && len(j.parts) > 0 {
+		j.partDigests = make([]poison.Digest, 0, len(j.parts))
+		seen := make(map[poison.Digest]bool, len(j.parts))
+		for _, name := range j.parts {
+			if d := poison.PartDigest(j.tenantSuffix(), name); !seen[d] {
+				seen[d] = true
+				j.partDigests = append(j.partDigests, d)
+			}
+		}
+	}
+	return j.partDigests
+}
+
+// failedAttempt describes an attempt at a back end that ends now.
+func (j *job) failedAttempt(backend string, took time.Duration) poison.FailedAttempt {
+	return poison.FailedAttempt{Backend: backend, Request: j.digest, Parts: j.promptParts(), Duration: took}
+}
+
 // reportAttempt reports the end of an attempt to the observer. Response is nil if no header was
 // received.
 func (h *Handler) reportAttempt(ctx context.Context, s *session, choice backends.Choice, response *upstream.BackendResponse, result outcome, started time.Duration) {
 	j, now := s.job, h.now()
 	framed := response != nil && response.Framed()
+	ended := func() poison.FailedAttempt { return j.failedAttempt(choice.ID, now-started) }
 	switch {
 	case result.verdict == notRun, isLocal(result.err):
 	case !framed && h.pathLost(j):
 		// It may be a failure of this router's path: heartbeats tell whether the back end has ended.
-		h.config.Observer.RecordFailure(poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started})
+		h.config.Observer.RecordFailure(ended())
 	case result.verdict != mayHaveRun && framed:
 		h.config.Observer.RecordSuccess(j.digest)
 	case errors.Is(context.Cause(ctx), backends.ErrRestarted):
-		h.config.Observer.RecordFailure(poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started, Down: true})
+		failure := ended()
+		failure.Down = true
+		h.config.Observer.RecordFailure(failure)
 	case context.Cause(ctx) == nil:
-		h.probes.add(choice, poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started}, h.probeBackend)
+		h.probes.add(choice, ended(), h.probeBackend)
 	case now-max(started, s.lastAt) >= minSilence || isUnresponsive(context.Cause(ctx)):
-		h.config.Observer.RecordFailure(poison.FailedAttempt{Backend: choice.ID, Request: j.digest, Duration: now - started, Silent: true})
+		failure := ended()
+		failure.Silent = true
+		h.config.Observer.RecordFailure(failure)
 	}
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -224,8 +224,9 @@
 	// chunked is set if the client understands chunked responses.
 	chunked bool
 	query   backends.Query
-	// parts are the IDs of the prompt's shared parts.
-	parts []string
+	// parts are the IDs of the prompt's shared parts, and partDigests the result of promptParts.
+	parts       []string
+	partDigests []poison.Digest
 	// memory is what the request takes of the memory budget.
 	memory     memory.Reservation
 	receivedAt time.Duration
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -34,8 +34,10 @@
 	// Software adds the software versions of back ends, and the records of streams by which these are
 	// resumed at the version that began them.
 	Software Level = 8
+	// PromptParts adds the shared parts of prompts to the reports of failed attempts.
+	PromptParts Level = 9
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = Software
+const Current = PromptParts
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -49,6 +49,8 @@
 type FailedAttempt struct {
 	Backend string `json:"b"`
 	Request Digest `json:"d"`
+	// Parts are the shared parts of the request's prompt, without duplicates.
+	Parts []Digest `json:"p,omitempty"`
 	// Age is the time since the attempt ended, and Duration the time that it lasted.
 	Age      time.Duration `json:"a,omitempty"`
 	Duration time.Duration `json:"l,omitempty"`
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -8,14 +8,16 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"math"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// Digest identifies the content of a request: requests with the same tenant, method, host,
-// target and body have the same digest. It is a prefix of a SHA-256 sum, so that a client
-// cannot forge the digest of another tenant's request. 0 is no digest.
+// Digest identifies the content of a request, or a shared part of its prompt. Requests with the same
+// tenant, method, host, target and body have the same digest. It is a prefix of a SHA-256 sum, so
+// that a client cannot forge the digest of another tenant's request. 0 is no digest.
 type Digest uint64
 
 // String returns the digest as 16 hexadecimal digits.
@@ -33,6 +35,36 @@
 	return Digest(number), nil
 }
 
+// maxJoined bounds the digests in the result of Join.
+const maxJoined = 16
+
+// Join formats digests for a log line: the first ones, separated by commas.
+func Join(digests []Digest) string {
+	var text strings.Builder
+	for i, d := range digests[:min(len(digests), maxJoined)] {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(d.String())
+	}
+	return text.String()
+}
+
+// partMarker precedes what is hashed of a part of a prompt. It is no length, so that no request has
+// the digest of a part.
+const partMarker = math.MaxUint64
+
+// PartDigest returns the digest of a shared part of a prompt. Scope is the tenant if that one shares
+// no parts with others, and empty for all other tenants.
+func PartDigest(scope, name string) Digest {
+	text := make([]byte, 0, len(scope)+len(name)+2*binary.MaxVarintLen64)
+	text = binary.AppendUvarint(text, partMarker)
+	text = binary.AppendUvarint(text, uint64(len(scope)))
+	text = append(append(text, scope...), name...)
+	sum := sha256.Sum256(text)
+	return max(Digest(binary.BigEndian.Uint64(sum[:])), 1)
+}
+
 // DigestOf returns the digest of a request. Caller is the tenant, empty on routes that need no
 // key; target is the path with its query.
 func DigestOf(caller, method, host, target string, body []byte) Digest {
