Failing test: a part of prompts ends engine after engine

The test sends 17 such requests at three routers, with the part first, in the middle, last, and among others that change, before the first event and after two.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -33,6 +33,9 @@
 	// poisonBody is the body that crashes each engine that runs it for poisonTenant.
 	poisonBody   = "poison"
 	poisonTenant = "alice"
+	// crashingPart is the shared part of prompts that crashes each engine that answers on it, unless
+	// the host's engines have crashesOn set.
+	crashingPart = "bad0"
 	// brokenBody is the beginning of the bodies whose streams break off in their first run.
 	brokenBody = "broken"
 )
@@ -56,6 +59,11 @@
 	software state.SoftwareVersion
 	// callerTimeout is when callers cancel, 0 for never.
 	callerTimeout time.Duration
+	// crashesOn reports whether a prompt with the given shared parts crashes engines; nil for all that
+	// contain crashingPart.
+	crashesOn func(shared []string) bool
+	// crashEvents is the number of events that an engine sends before such a prompt crashes it.
+	crashEvents int
 
 	mu sync.Mutex
 	// runs counts how often engines have begun each body, and crashed lists the engines that the
@@ -418,6 +426,10 @@
 		e.crash(r, string(body))
 		return
 	}
+	if e.host.pool == "llm" && d.crashes(r.Header.Get(names.Prefix)) {
+		e.crashLater(w, r)
+		return
+	}
 	if e.host.pool == "app" {
 		if e.rejectBrittle(w) {
 			return
@@ -540,6 +552,11 @@
 
 // sendWithin is send for a caller that cancels after a time, 0 for never.
 func (d *deployment) sendWithin(timeout time.Duration, frontend int, key, path, body string) result {
+	return d.sendPrompt(timeout, frontend, key, path, body, "")
+}
+
+// sendPrompt is sendWithin for a prompt with parts, as in the header that names them; empty for none.
+func (d *deployment) sendPrompt(timeout time.Duration, frontend int, key, path, body, prefix string) result {
 	ctx := d.t.Context()
 	if timeout > 0 {
 		var cancel context.CancelFunc
@@ -554,6 +571,9 @@
 	if !strings.HasPrefix(path, "/pay") && !strings.HasPrefix(path, "/look") {
 		request.Header.Set(names.Model, "m")
 		request.Header.Set(names.Usage, "20,20")
+		if prefix != "" {
+			request.Header.Set(names.Prefix, prefix)
+		}
 	}
 	begun := time.Now()
 	response, err := http.DefaultClient.Do(request)
