--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -46,6 +46,7 @@
 	Repeat          *Repeat            `json:"repeat,omitempty"`
 	ListLimits      *ListLimits        `json:"list_limits,omitempty"`
 	Relays          *Relays            `json:"relays,omitempty"`
+	Block           *state.Block       `json:"block,omitempty"`
 	Unblock         *state.Unblock     `json:"unblock,omitempty"`
 	RecordStreams   *RecordStreams     `json:"record_streams,omitempty"`
 	FindStream      *FindStream        `json:"find_stream,omitempty"`
@@ -170,8 +171,8 @@
 	// Limited are the back ends that limit their total request rate. Sending a request to one of
 	// them requires a permit.
 	Limited []BackendID `json:"limited,omitempty"`
-	// Suspects are requests during which back ends failed, but too few to block them. Routers
-	// report when one of them gets a complete answer.
+	// Suspects are requests, and shared parts of prompts, during which back ends failed, but too few
+	// to block them. Routers report when one of them gets a complete answer, or has got one.
 	Suspects []poison.Digest `json:"suspects,omitempty"`
 	// Software describes the pools whose back ends have, or recently had, several software versions.
 	Software map[string]SoftwareVersions `json:"software,omitempty"`
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -167,6 +167,9 @@
 	// suspects that got one.
 	FailedAttempts []poison.FailedAttempt `json:"endings,omitempty"`
 	Answered       []poison.Digest        `json:"answered,omitempty"`
+	// AnsweredParts are the suspected parts of prompts, and those of failed attempts, on which the
+	// router has recently received complete answers.
+	AnsweredParts []poison.AnsweredPart `json:"answered_parts,omitempty"`
 	// Stalls are about engines with overdue streams. They are set in an Update only, whose Stalls
 	// replace those of the router's last one.
 	Stalls []liveness.Stall `json:"stalls,omitempty"`
@@ -175,7 +178,7 @@
 // Empty reports whether there is nothing to report.
 func (r *Reports) Empty() bool {
 	return len(r.Begun) == 0 && len(r.Ended) == 0 && len(r.Troubles) == 0 && len(r.Spent) == 0 && len(r.Limits) == 0 && len(r.Unused) == 0 && len(r.Finished) == 0 &&
-		len(r.FailedAttempts) == 0 && len(r.Answered) == 0 && len(r.Stalls) == 0
+		len(r.FailedAttempts) == 0 && len(r.Answered) == 0 && len(r.AnsweredParts) == 0 && len(r.Stalls) == 0
 }
 
 // Begun reports that a placement's first event has arrived.
--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -19,44 +19,55 @@
 	evaluateInterval = 300 * time.Millisecond
 	// proposalTimeout is how long a proposed block counts as pending.
 	proposalTimeout = time.Second
+	// trialDelay is the time after which parts are unblocked for a trial if other requests or parts
+	// met the same ends.
+	trialDelay = 2 * time.Second
 )
 
-// blocker decides on the leader which poison requests are blocked. Blocks are replicated; the
-// evidence is not, and routers report it again to a new leader. Methods are safe for
-// concurrent use only if documented so; everything else belongs to the run goroutine.
+// blocker decides on the leader which poison requests, and which parts of prompts, are blocked.
+// Blocks are replicated; the evidence is not, and routers report it again to a new leader. Methods
+// are safe for concurrent use only if documented so; everything else belongs to the run goroutine.
 type blocker struct {
 	logger    *slog.Logger
 	heartbeat time.Duration
 
 	mu sync.Mutex
 	// detector is nil unless this node leads. dirty is set when evidence arrived after the last
-	// evaluation.
+	// evaluation, or that one waits for answers.
 	detector *poison.Detector
 	dirty    bool
-	// blocked maps requests that are blocked, or proposed to be, to the back ends that crashed
-	// while running them.
-	blocked map[poison.Digest][]string
-	// proposed maps requests to the time at which their block was proposed, until it is applied.
+	// blocked are the blocks in force or proposed.
+	blocked map[poison.Digest]poison.Block
+	// proposed maps blocks to the time at which they were proposed, until they are applied.
 	proposed map[poison.Digest]time.Duration
+	// answered are the blocked sets of parts on which a request has been answered.
+	answered []poison.Digest
 
 	evaluatedAt time.Duration
 	suspects    []poison.Digest
 	// revision is the revision of the blocked requests that were copied into blocked, and
-	// blockedSince the time at which this node first saw each of them.
-	revision     uint64
-	blockedSince map[poison.Digest]time.Duration
+	// applied are those in force, by ID.
+	revision uint64
+	applied  map[poison.Digest]appliedBlock
+}
+
+// appliedBlock is a block in force.
+type appliedBlock struct {
+	// since is when this node first saw it.
+	since     time.Duration
+	ambiguous bool
 }
 
 func newBlocker(heartbeat time.Duration, logger *slog.Logger) *blocker {
-	return &blocker{heartbeat: heartbeat, logger: logger, blockedSince: map[poison.Digest]time.Duration{}}
+	return &blocker{heartbeat: heartbeat, logger: logger, applied: map[poison.Digest]appliedBlock{}}
 }
 
 // reset starts or ends a leadership.
 func (b *blocker) reset(leads bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.detector, b.dirty, b.suspects, b.revision = nil, false, nil, 0
-	b.blocked, b.proposed = map[poison.Digest][]string{}, map[poison.Digest]time.Duration{}
+	b.detector, b.dirty, b.suspects, b.answered, b.revision = nil, false, nil, nil, 0
+	b.blocked, b.proposed = map[poison.Digest]poison.Block{}, map[poison.Digest]time.Duration{}
 	if leads {
 		b.detector = poison.NewDetector(b.heartbeat)
 	}
@@ -64,7 +75,7 @@
 
 // record adds the evidence of a router's reports. It is safe for concurrent use.
 func (b *blocker) record(now time.Duration, router string, reports *coordapi.Reports) {
-	if len(reports.FailedAttempts) == 0 && len(reports.Answered) == 0 {
+	if len(reports.FailedAttempts) == 0 && len(reports.Answered) == 0 && len(reports.AnsweredParts) == 0 {
 		return
 	}
 	b.mu.Lock()
@@ -75,118 +86,193 @@
 	b.dirty = true
 	for _, e := range reports.FailedAttempts {
 		b.detector.Record(now, e)
-		b.logger.Info("back end failed during an attempt", "part", "blocking", "request", e.Request.String(), "prompt_parts", poison.Join(e.Parts), "backend", e.Backend, "router", router,
-			"age_ms", e.Age.Milliseconds(), "lasted_ms", e.Duration.Milliseconds(), "down", e.Down, "silent", e.Silent)
+		b.logger.Info("back end failed during an attempt", "part", "blocking", "request", e.Request.String(), "prompt_parts", poison.Join(e.Parts), "backend", e.Backend,
+			"router", router, "age_ms", e.Age.Milliseconds(), "lasted_ms", e.Duration.Milliseconds(), "down", e.Down, "silent", e.Silent)
+	}
+	for _, answered := range reports.AnsweredParts {
+		b.detector.MarkAnswered(now-answered.Age, answered.Part)
+		if contains(b.suspects, answered.Part) {
+			b.logger.Info("suspected prompt part was answered", "part", "blocking", "prompt_part", answered.Part.String(), "router", router, "age_ms", answered.Age.Milliseconds())
+		}
 	}
 	for _, d := range reports.Answered {
+		b.recordAnswer(now, router, d)
+	}
+}
+
+// recordAnswer records a complete answer to a suspected request, or to one that contains a blocked
+// set of parts. The lock is held.
+func (b *blocker) recordAnswer(now time.Duration, router string, d poison.Digest) {
+	block, blocked := b.blocked[d]
+	if !blocked || len(block.Parts) == 0 {
 		b.detector.MarkHarmless(now, d)
 		b.logger.Info("suspected request was answered", "part", "blocking", "request", d.String(), "router", router)
+		return
+	}
+	for _, part := range block.Parts {
+		b.detector.MarkAnswered(now, part)
 	}
+	b.answered = append(b.answered, d)
+	b.logger.Info("request with blocked prompt parts was answered", "part", "blocking", "block", d.String(), "router", router)
 }
 
-// crashedBackends returns the back ends that crashed while running a blocked request, or nil if
-// the request is not blocked. It is safe for concurrent use.
-func (b *blocker) crashedBackends(request poison.Digest) []string {
+func contains(sorted []poison.Digest, d poison.Digest) bool {
+	_, found := slices.BinarySearch(sorted, d)
+	return found
+}
+
+// crashedBackends returns the back ends that crashed while running a blocked request. Blocked is
+// false if the request is not blocked. It is safe for concurrent use.
+func (b *blocker) crashedBackends(request poison.Digest) (backends []string, blocked bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.blocked[request]
+	block, blocked := b.blocked[request]
+	return block.Backends, blocked && len(block.Parts) == 0
 }
 
-// update copies the blocked requests of the deployment. Evidence against a request from before it
-// was unblocked is discarded, because routers may report it again.
+// update copies what is blocked in the deployment. Evidence from before something was unblocked is
+// discarded, because routers may report it again.
 func (b *blocker) update(now time.Duration, d *state.Deployment) {
 	if d.BlockedRevision == b.revision {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	blockedSince := map[poison.Digest]time.Duration{}
-	maps.DeleteFunc(b.blocked, func(request poison.Digest, _ []string) bool {
-		_, proposed := b.proposed[request]
+	applied := map[poison.Digest]appliedBlock{}
+	maps.DeleteFunc(b.blocked, func(id poison.Digest, _ poison.Block) bool {
+		_, proposed := b.proposed[id]
 		return !proposed
 	})
 	for _, r := range d.Blocked {
-		b.blocked[r.Request] = r.Backends
+		b.blocked[r.Request] = r.Rule()
 		delete(b.proposed, r.Request)
-		blockedSince[r.Request] = now
-		if at, known := b.blockedSince[r.Request]; known {
-			blockedSince[r.Request] = at
+		applied[r.Request] = appliedBlock{since: now, ambiguous: r.Ambiguous}
+		if known, before := b.applied[r.Request]; before {
+			applied[r.Request] = known
 		}
 	}
-	b.blockedSince = blockedSince
+	b.applied = applied
 	for _, c := range d.Cleared {
 		if c.Revision > b.revision && b.detector != nil {
-			b.detector.MarkHarmless(now, c.Request)
-			b.dirty = true
+			b.clear(now, c)
 		}
 	}
 	b.revision = d.BlockedRevision
 }
 
-// evaluate returns the requests to block now, and whether the list of suspects has changed.
-func (b *blocker) evaluate(now time.Duration, signs func(string) poison.Liveness) (verdicts []poison.Verdict, changed bool) {
+// clear applies to the evidence that something was unblocked. The lock is held.
+func (b *blocker) clear(now time.Duration, c state.ClearedRequest) {
+	b.dirty = true
+	switch {
+	case c.Trial:
+		b.detector.BeginTrial(c.Request, c.Backends)
+	case len(c.Parts) > 0:
+		b.detector.ClearParts(now, c.Parts)
+	default:
+		b.detector.MarkHarmless(now, c.Request)
+	}
+}
+
+// evaluate judges the evidence. Changed reports whether the list of suspects has changed.
+func (b *blocker) evaluate(now time.Duration, signs func(string) poison.Liveness) (found poison.Findings, changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.detector == nil || (!b.dirty && now < b.evaluatedAt+evaluateInterval) {
-		return nil, false
-	}
-	b.dirty, b.evaluatedAt = false, now
-	verdicts, suspects := b.detector.Evaluate(now, signs, b.pending(now))
-	for _, v := range verdicts {
-		b.blocked[v.Request] = v.Backends
-		b.proposed[v.Request] = now
-	}
-	changed = !slices.Equal(suspects, b.suspects)
-	b.suspects = suspects
-	return verdicts, changed
-}
-
-// pending returns a function that reports whether a request is blocked or its block was proposed
-// recently.
-func (b *blocker) pending(now time.Duration) func(poison.Digest) bool {
-	return func(d poison.Digest) bool {
-		at, proposed := b.proposed[d]
-		if proposed {
-			return now < at+proposalTimeout
+		return poison.Findings{Suspects: b.suspects}, false
+	}
+	found = b.detector.Evaluate(now, signs, b.pending(now))
+	b.dirty, b.evaluatedAt = found.Waiting, now
+	for _, v := range found.Verdicts {
+		b.blocked[v.ID] = v.Block
+		b.proposed[v.ID] = now
+	}
+	changed = !slices.Equal(found.Suspects, b.suspects)
+	b.suspects = found.Suspects
+	return found, changed
+}
+
+// pending returns the blocks in force and those proposed recently.
+func (b *blocker) pending(now time.Duration) []poison.Block {
+	var out []poison.Block
+	for id, block := range b.blocked {
+		if at, proposed := b.proposed[id]; !proposed || now < at+proposalTimeout {
+			out = append(out, block)
 		}
-		return b.blocked[d] != nil
 	}
+	return out
+}
+
+// blockedByOperator stands in place of the ended back ends of a block by an operator.
+const blockedByOperator = "blocked by an operator"
+
+// unblocking is a block to end, and why.
+type unblocking struct {
+	state.Unblock
+	reason string
 }
 
-// expired returns the requests whose block has lasted for poison.BlockDuration.
-func (b *blocker) expired(now time.Duration) []poison.Digest {
-	var out []poison.Digest
-	for request, at := range b.blockedSince {
-		if now >= at+poison.BlockDuration {
-			out = append(out, request)
+// ending returns the blocks to end: those that have lasted for long enough, those on which a request
+// was answered, and the refuted ones. An ambiguous one ends early, for a trial.
+func (b *blocker) ending(now time.Duration, refuted []poison.Digest) []unblocking {
+	var out []unblocking
+	for id, block := range b.applied {
+		switch {
+		case now >= block.since+poison.BlockDuration:
+			out = append(out, unblocking{state.Unblock{Request: id}, "expired"})
+		case block.ambiguous && now >= block.since+trialDelay:
+			out = append(out, unblocking{state.Unblock{Request: id, Trial: true}, "trial: others met the same ends"})
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range b.answered {
+		if _, applied := b.applied[id]; applied {
+			out = append(out, unblocking{state.Unblock{Request: id}, "answered"})
+		}
+	}
+	b.answered = nil
+	for _, id := range refuted {
+		if _, applied := b.applied[id]; applied {
+			out = append(out, unblocking{state.Unblock{Request: id}, "another block explains all ends"})
 		}
 	}
 	return out
 }
 
-// evaluateBlocks proposes to block requests that crash back ends and to unblock those whose block
-// has expired.
+// evaluateBlocks proposes to block what crashes back ends, and to unblock what is not to be blocked
+// any longer.
 func (s *Server) evaluateBlocks(now time.Duration, d *state.Deployment) {
 	s.blocker.update(now, d)
 	if s.lastRole != raft.Leader || !s.core.HoldsLease(now) {
 		return
 	}
-	verdicts, changed := s.blocker.evaluate(now, s.signs(d))
+	found, changed := s.blocker.evaluate(now, s.signs(d))
 	if changed {
 		s.logger.Info("suspected requests changed", "part", "blocking", "requests", digestStrings(s.blocker.suspects))
 		s.soft.changes++
 		s.notify.wake()
 	}
-	for _, v := range verdicts {
-		s.logger.Warn("blocking poison request", "part", "blocking", "request", v.Request.String(), "backends", v.Backends, "unrelated", v.Unrelated)
-		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.Request, Backends: v.Backends}})
+	for _, v := range found.Verdicts {
+		s.logVerdict(v)
+		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.ID, Parts: v.Parts, Backends: v.Backends, Ambiguous: v.Ambiguous}})
 	}
-	for _, request := range s.blocker.expired(now) {
-		s.logger.Info("unblocking request", "part", "blocking", "request", request.String(), "after_ms", poison.BlockDuration.Milliseconds())
+	for _, ended := range s.blocker.ending(now, found.Refuted) {
+		s.logger.Info("unblocking request", "part", "blocking", "request", ended.Request.String(), "reason", ended.reason)
 		// Restarts the expiry, so that a lost proposal is made again.
-		s.blocker.blockedSince[request] = now
-		s.propose(now, "blocking", state.Command{Unblock: &state.Unblock{Request: request}})
+		block := s.blocker.applied[ended.Request]
+		block.since = now
+		s.blocker.applied[ended.Request] = block
+		s.propose(now, "blocking", state.Command{Unblock: &ended.Unblock})
+	}
+}
+
+func (s *Server) logVerdict(v poison.Verdict) {
+	if len(v.Parts) == 0 {
+		s.logger.Warn("blocking poison request", "part", "blocking", "request", v.ID.String(), "backends", v.Backends, "unrelated", v.Unrelated)
+		return
 	}
+	s.logger.Warn("blocking prompt parts", "part", "blocking", "block", v.ID.String(), "prompt_parts", poison.Join(v.Parts), "backends", v.Backends,
+		"unrelated", v.Unrelated, "ambiguous", v.Ambiguous)
 }
 
 // signs returns a function that reports the state of a back end other than the requests it ran.
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -143,9 +143,12 @@
 // Blocks expire, so that a request blocked by mistake is not blocked forever.
 func TestBlockExpires(t *testing.T) {
 	b := newBlocker(time.Second, nil)
-	b.blockedSince[7] = time.Minute
-	assert.Equal(t, len(b.expired(time.Minute+poison.BlockDuration-1)), 0)
-	assert.DeepEqual(t, b.expired(time.Minute+poison.BlockDuration), []poison.Digest{7})
+	b.applied[7] = appliedBlock{since: time.Minute}
+	assert.Equal(t, len(b.ending(time.Minute+poison.BlockDuration-1, nil)), 0)
+	ended := b.ending(time.Minute+poison.BlockDuration, nil)
+	assert.Equal(t, len(ended), 1)
+	assert.Equal(t, ended[0].Request, poison.Digest(7))
+	assert.Assert(t, !ended[0].Trial)
 }
 
 // Routers report complete answers to suspects.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -114,6 +114,8 @@
 		return reply, err
 	case r.Relays != nil:
 		return s.exchangeRelays(ctx, r.Relays)
+	case r.Block != nil:
+		return s.submit(ctx, state.Command{Block: r.Block})
 	case r.Unblock != nil:
 		return s.submit(ctx, state.Command{Unblock: r.Unblock})
 	case r.RecordStreams != nil:
@@ -164,8 +166,11 @@
 	}
 	now := s.now()
 	s.recordReports(now, req.Router, &req.Reports)
-	if backends := s.blocker.crashedBackends(req.Request); backends != nil {
+	if backends, blocked := s.blocker.crashedBackends(req.Request); blocked {
 		s.placer.ApplyReports(now, req.Router, &req.Reports)
+		if len(backends) == 0 {
+			backends = []string{blockedByOperator}
+		}
 		return coordapi.Reply{Placed: &coordapi.Placed{Blocked: backends}}
 	}
 	if req.Wait && req.Amount > 0 && s.placer.Holds(req.Router, req.Number) {
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/poison"
@@ -69,6 +68,7 @@
 	mux.HandleFunc("GET /v1/limits", s.listLimits)
 	mux.HandleFunc("GET /v1/software", s.listSoftware)
 	mux.HandleFunc("GET /v1/blocked", s.listBlocked)
+	mux.HandleFunc("POST /v1/blocked", s.blockByOperator)
 	mux.HandleFunc("DELETE /v1/blocked/{digest}", func(w http.ResponseWriter, r *http.Request) {
 		digest, err := poison.ParseDigest(r.PathValue("digest"))
 		if err != nil {
@@ -91,33 +91,6 @@
 	_ = json.NewEncoder(w).Encode(reply.Limits)
 }
 
-// listBlocked writes the blocked requests of this node's replica, which may be slightly stale.
-func (s *Server) listBlocked(w http.ResponseWriter, r *http.Request) {
-	blocked := []blockedEntry{}
-	answered := s.loop.Do(r.Context(), func(time.Duration) {
-		for _, b := range s.core.Machine().Deployment().Blocked {
-			blocked = append(blocked, blockedEntry{Request: b.Request.String(), Since: time.UnixMilli(b.At).UTC(), Backends: b.Backends, Revision: b.Revision})
-		}
-	})
-	if !answered {
-		http.Error(w, "the replica is being read", http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(blocked)
-}
-
-// blockedEntry is a blocked request in the HTTP API.
-type blockedEntry struct {
-	// Request is the digest that routers log.
-	Request string `json:"request"`
-	// Since is when it was blocked, by the clock of the leader at that time.
-	Since time.Time `json:"since"`
-	// Backends are the back ends that crashed while running it.
-	Backends []string `json:"backends"`
-	Revision uint64   `json:"revision"`
-}
-
 // heartbeat serves a heartbeat in the default vocabulary.
 func (s *Server) heartbeat(w http.ResponseWriter, r *http.Request) {
 	var beat coordapi.Heartbeat
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -68,7 +68,9 @@
 	gauge("stream_records_dropped_total", dropped)
 	s.loop.Do(r.Context(), func(time.Duration) {
 		gauge("requests_suspected", len(s.blocker.suspects))
-		gauge("requests_blocked", len(s.core.Machine().Deployment().Blocked))
+		requests, parts := s.core.Machine().Deployment().CountBlocked()
+		gauge("requests_blocked", requests)
+		gauge("prompt_parts_blocked", parts)
 		status := s.core.Status()
 		syncs, bytes := s.core.Syncs()
 		leads := 0
--- a/internal/edge/poisonpart_test.go
+++ b/internal/edge/poisonpart_test.go
@@ -133,6 +133,7 @@
 				crashed := d.crashCount()
 				rejected := d.sendCrashing(10, 50*time.Millisecond, shared)
 				served, servedOthers := sharing.stop(), others.stop()
+				t.Logf("%d engines crashed; %.3f and %.3f of the sound requests were served", crashed, served, servedOthers)
 				assert.Equal(t, d.crashCount(), crashed, "requests with the part reached engines again")
 				assert.Assert(t, crashed <= maxCrashes, "%d engines have crashed", crashed)
 				assert.Equal(t, rejected, 10)
--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -18,15 +18,18 @@
 	unsureRetention = 30 * time.Second
 	// maxEvidence bounds the failed attempts kept. The oldest are dropped.
 	maxEvidence = 1024
-	// maxAnswered bounds the answered suspects between two updates.
+	// maxAnswered bounds the answered requests, and the answered parts, between two updates.
 	maxAnswered = 64
+	// maxAnsweredParts bounds each of the two generations of answered parts, about 60 B each. Parts
+	// whose last answer is the oldest are forgotten first.
+	maxAnsweredParts = 4096
 )
 
 // evidence is a router's side of detecting poison requests: its failed attempts, until each
 // leader has them, and the findings of the coordinators. It is safe for concurrent use.
 type evidence struct {
 	// blocked and suspects are the latest from the coordinators.
-	blocked  atomic.Pointer[map[poison.Digest]state.BlockedRequest]
+	blocked  atomic.Pointer[blockedList]
 	suspects atomic.Pointer[map[poison.Digest]struct{}]
 	// updateNow wakes Update.
 	updateNow chan struct{}
@@ -34,10 +37,43 @@
 	mu       sync.Mutex
 	attempts []failedAttempt
 	answered map[poison.Digest]struct{}
+	// answeredAt holds when the parts of prompts last got a complete answer, and reportParts those
+	// that are reported next.
+	answeredAt  answerTimes
+	reportParts map[poison.Digest]struct{}
 	// leader is the leadership that is followed.
 	leader string
 }
 
+// blockedList is the list of what is blocked, with its index.
+type blockedList struct {
+	requests []state.BlockedRequest
+	index    poison.Index
+}
+
+// answerTimes holds the times of the last answers by part, in two generations. The older one is
+// dropped once the younger one is full.
+type answerTimes struct {
+	younger, older map[poison.Digest]time.Duration
+}
+
+func (t *answerTimes) set(part poison.Digest, now time.Duration) {
+	if _, known := t.younger[part]; !known && len(t.younger) >= maxAnsweredParts {
+		t.older, t.younger = t.younger, nil
+	}
+	if t.younger == nil {
+		t.younger = map[poison.Digest]time.Duration{}
+	}
+	t.younger[part] = now
+}
+
+func (t *answerTimes) get(part poison.Digest) (at time.Duration, known bool) {
+	if at, known = t.younger[part]; !known {
+		at, known = t.older[part]
+	}
+	return at, known
+}
+
 // failedAttempt is a failed attempt with the leadership it was reported to.
 type failedAttempt struct {
 	poison.FailedAttempt
@@ -48,17 +84,28 @@
 func (e *evidence) init() {
 	e.updateNow = make(chan struct{}, 1)
 	e.answered = map[poison.Digest]struct{}{}
-	e.blocked.Store(&map[poison.Digest]state.BlockedRequest{})
+	e.reportParts = map[poison.Digest]struct{}{}
+	e.blocked.Store(&blockedList{})
 	e.suspects.Store(&map[poison.Digest]struct{}{})
 }
 
-// setBlocked replaces the blocked requests.
+// setBlocked replaces what is blocked.
 func (e *evidence) setBlocked(list *coordapi.Blocked) {
-	blocked := make(map[poison.Digest]state.BlockedRequest, len(list.Requests))
-	for _, r := range list.Requests {
-		blocked[r.Request] = r
+	blocked := &blockedList{requests: list.Requests}
+	for i, r := range list.Requests {
+		blocked.index.Add(i, r.Request, r.Parts)
 	}
-	e.blocked.Store(&blocked)
+	e.blocked.Store(blocked)
+}
+
+// find returns the block that applies to a request.
+func (e *evidence) find(request poison.Digest, parts func() []poison.Digest) (state.BlockedRequest, bool) {
+	blocked := e.blocked.Load()
+	i, found := blocked.index.Find(request, parts)
+	if !found {
+		return state.BlockedRequest{}, false
+	}
+	return blocked.requests[i], true
 }
 
 // follow sets the leadership that is followed and its suspects.
@@ -67,11 +114,18 @@
 	for _, d := range suspects {
 		named[d] = struct{}{}
 	}
-	e.suspects.Store(&named)
+	before := *e.suspects.Swap(&named)
 	leadership := token.Leadership()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	newLeader := e.leader != leadership
 	e.leader = leadership
+	for _, d := range suspects {
+		_, known := before[d]
+		if _, answered := e.answeredAt.get(d); answered && (!known || newLeader) {
+			e.reportAnswered(d)
+		}
+	}
 	if len(e.attempts) > 0 && e.attempts[len(e.attempts)-1].reportedTo != leadership {
 		e.wake()
 	}
@@ -85,10 +139,27 @@
 	if len(e.attempts) >= maxEvidence {
 		e.attempts = append(e.attempts[:0], e.attempts[maxEvidence/4:]...)
 	}
+	attempt.Parts = e.accused(attempt.Parts)
 	e.attempts = append(e.attempts, failedAttempt{FailedAttempt: attempt, at: now})
 	e.wake()
 }
 
+// accused bounds the parts of a failed attempt. Those on which answers are known are left out first.
+func (e *evidence) accused(parts []poison.Digest) []poison.Digest {
+	if len(parts) <= poison.MaxParts {
+		return parts
+	}
+	var unanswered, answered []poison.Digest
+	for _, part := range parts {
+		if _, known := e.answeredAt.get(part); known {
+			answered = append(answered, part)
+		} else {
+			unanswered = append(unanswered, part)
+		}
+	}
+	return append(unanswered, answered...)[:poison.MaxParts]
+}
+
 func (e *evidence) wake() {
 	select {
 	case e.updateNow <- struct{}{}:
@@ -96,13 +167,41 @@
 	}
 }
 
-// clear records that a request got a complete answer, if it is a suspect.
-func (e *evidence) clear(d poison.Digest) {
-	if _, suspected := (*e.suspects.Load())[d]; !suspected {
+// reportAnswered has an answered part reported. The lock is held.
+func (e *evidence) reportAnswered(part poison.Digest) {
+	if len(e.reportParts) < maxAnswered {
+		e.reportParts[part] = struct{}{}
+	}
+	e.wake()
+}
+
+// clear records that a request got a complete answer. It is reported if the request or one of its
+// parts is a suspect, or if a block applies to the request.
+func (e *evidence) clear(now time.Duration, d poison.Digest, parts []poison.Digest) {
+	suspects := *e.suspects.Load()
+	_, suspected := suspects[d]
+	blocked, isBlocked := e.find(d, func() []poison.Digest { return parts })
+	if len(parts) == 0 && !suspected && !isBlocked {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for _, part := range parts {
+		e.answeredAt.set(part, now)
+		if _, suspected := suspects[part]; suspected {
+			e.reportAnswered(part)
+		}
+	}
+	if suspected {
+		e.addAnswered(d)
+	}
+	if isBlocked && len(blocked.Parts) > 0 {
+		e.addAnswered(blocked.Request)
+	}
+}
+
+// addAnswered has a request, or a blocked set of parts, reported as answered. The lock is held.
+func (e *evidence) addAnswered(d poison.Digest) {
 	if len(e.answered) < maxAnswered {
 		e.answered[d] = struct{}{}
 	}
@@ -128,11 +227,20 @@
 		attempt := s.FailedAttempt
 		attempt.Age = now - s.at
 		reports.FailedAttempts = append(reports.FailedAttempts, attempt)
+		for _, part := range attempt.Parts {
+			e.reportParts[part] = struct{}{}
+		}
 	}
 	for d := range e.answered {
 		reports.Answered = append(reports.Answered, d)
 	}
 	clear(e.answered)
+	for part := range e.reportParts {
+		if at, known := e.answeredAt.get(part); known && now-at <= poison.EvidenceTTL {
+			reports.AnsweredParts = append(reports.AnsweredParts, poison.AnsweredPart{Part: part, Age: now - at})
+		}
+	}
+	clear(e.reportParts)
 }
 
 // requeue has reports sent again that did not arrive.
@@ -149,16 +257,21 @@
 	for _, d := range reports.Answered {
 		e.answered[d] = struct{}{}
 	}
+	for _, answered := range reports.AnsweredParts {
+		e.reportParts[answered.Part] = struct{}{}
+	}
 }
 
-// Blocked reports whether a request is blocked, and by which evidence.
-func (f *Follower) Blocked(d poison.Digest) (state.BlockedRequest, bool) {
-	blocked, is := (*f.evidence.blocked.Load())[d]
-	return blocked, is
+// Blocked reports whether a request is blocked, and by which evidence. The digests of the parts of
+// its prompt are asked for only if some are blocked.
+func (f *Follower) Blocked(d poison.Digest, parts func() []poison.Digest) (state.BlockedRequest, bool) {
+	return f.evidence.find(d, parts)
 }
 
 // RecordFailure records an attempt that failed without a complete answer.
 func (f *Follower) RecordFailure(attempt poison.FailedAttempt) { f.evidence.add(f.now(), attempt) }
 
-// RecordSuccess records that a request got a complete answer.
-func (f *Follower) RecordSuccess(d poison.Digest) { f.evidence.clear(d) }
+// RecordSuccess records that a request, with these parts in its prompt, got a complete answer.
+func (f *Follower) RecordSuccess(d poison.Digest, parts []poison.Digest) {
+	f.evidence.clear(f.now(), d, parts)
+}
--- a/internal/follower/evidence_test.go
+++ b/internal/follower/evidence_test.go
@@ -55,9 +55,9 @@
 func TestAnsweredSuspectsAreReported(t *testing.T) {
 	e := newEvidence()
 	e.follow("first-1", []poison.Digest{7})
-	e.clear(8)
-	e.clear(7)
-	e.clear(7)
+	e.clear(0, 8, nil)
+	e.clear(0, 7, nil)
+	e.clear(0, 7, nil)
 	var reports coordapi.Reports
 	e.take(0, &reports)
 	assert.DeepEqual(t, reports.Answered, []poison.Digest{7})
@@ -85,18 +85,18 @@
 	s.setReply(reply)
 	f := follow(t, time.Minute, s.address)
 	f.await(t, 3)
-	blocked, is := f.Blocked(7)
+	blocked, is := f.Blocked(7, nil)
 	assert.Assert(t, is)
 	assert.Equal(t, blocked.Revision, uint64(2))
 	// A view without blocked requests changes nothing; an empty list clears them.
 	s.setReply(view(4))
 	f.await(t, 4)
-	_, is = f.Blocked(7)
+	_, is = f.Blocked(7, nil)
 	assert.Assert(t, is)
 	reply = view(5)
 	reply.View.Blocked = &coordapi.Blocked{}
 	s.setReply(reply)
 	f.await(t, 5)
-	_, is = f.Blocked(7)
+	_, is = f.Blocked(7, nil)
 	assert.Assert(t, !is)
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -15,6 +15,7 @@
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/socket"
+	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -63,8 +64,8 @@
 	for {
 		// This is checked before each attempt and by digest: a poison request is resent under
 		// new IDs and through other routers.
-		if blocked, is := h.config.Observer.Blocked(j.digest); is {
-			h.refuseBlocked(s, blocked.Backends, blocked.Revision)
+		if blocked, is := h.config.Observer.Blocked(j.digest, j.promptParts); is {
+			h.refuseBlocked(s, blocked)
 			return
 		}
 		if h.declines(j) {
@@ -109,7 +110,7 @@
 			choice, found = backends.Choice{}, false
 		}
 		if len(choice.Blocked) > 0 {
-			h.refuseBlocked(s, choice.Blocked, 0)
+			h.refuseBlocked(s, state.BlockedRequest{Request: j.digest, Backends: choice.Blocked})
 			return
 		}
 		if choice.OverLimit {
@@ -142,6 +143,12 @@
 			h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: behindRetryAfter(&choice, &j.query)})
 			return
 		}
+		if blocked, is := h.config.Observer.Blocked(j.digest, j.promptParts); is {
+			// It was blocked while the request waited for a back end.
+			h.cancelPlacement(choice)
+			h.refuseBlocked(s, blocked)
+			return
+		}
 		result := h.attempt(ctx, s, choice)
 		j.query.Tried = append(j.query.Tried, choice.ID)
 		if !h.settle(ctx, s, result) {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -238,9 +238,11 @@
 	return choice, true, true
 }
 
-// cancelPlacement releases a placement that is not used.
+// cancelPlacement releases a placement, or a permit, that is not used.
 func (h *Handler) cancelPlacement(choice backends.Choice) {
-	h.config.Placer.Ended(choice.Placement)
+	if choice.Placement > 0 {
+		h.config.Placer.Ended(choice.Placement)
+	}
 	h.config.Limits.Release(choice.Permit)
 }
 
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,34 +29,60 @@
 
 // Observer detects poison requests together with all other routers.
 type Observer interface {
-	// Blocked reports whether a request is blocked, and the evidence for it.
-	Blocked(request poison.Digest) (state.BlockedRequest, bool)
+	// Blocked reports whether a request is blocked, and the evidence for it. The digests of the shared
+	// parts of its prompt are asked for only if some are blocked.
+	Blocked(request poison.Digest, parts func() []poison.Digest) (state.BlockedRequest, bool)
 	// RecordFailure records an attempt that ended without a complete response.
 	RecordFailure(ended poison.FailedAttempt)
-	// RecordSuccess records that a request received a complete response.
-	RecordSuccess(request poison.Digest)
+	// RecordSuccess records that a request received a complete response. Parts are the shared parts
+	// of its prompt if an engine has answered on it.
+	RecordSuccess(request poison.Digest, parts []poison.Digest)
 }
 
 // noObserver is an Observer that blocks nothing.
 type noObserver struct{}
 
-func (noObserver) Blocked(poison.Digest) (b state.BlockedRequest, blocked bool) { return b, false }
-func (noObserver) RecordFailure(poison.FailedAttempt)                           {}
-func (noObserver) RecordSuccess(poison.Digest)                                  {}
+func (noObserver) Blocked(poison.Digest, func() []poison.Digest) (b state.BlockedRequest, blocked bool) {
+	return b, false
+}
+func (noObserver) RecordFailure(poison.FailedAttempt)           {}
+func (noObserver) RecordSuccess(poison.Digest, []poison.Digest) {}
 
 // refuseBlocked sends the final response to a blocked request. It is not retryable: another
 // attempt would end another back end and all requests that it runs.
-func (h *Handler) refuseBlocked(s *session, under []string, revision uint64) {
-	h.metrics.refusedBlocked.Add(1)
-	reason := "blocked: back ends ended while they ran it: " + strings.Join(under, ", ")
+func (h *Handler) refuseBlocked(s *session, block state.BlockedRequest) {
+	j := s.job
+	what, text := "they ran it", "The back ends that ran this request ended. It is not tried again for now.\n"
+	if len(block.Parts) > 0 {
+		h.metrics.refusedBlockedParts.Add(1)
+		names := j.partNames(block.Parts)
+		what = "they ran prompts with the parts " + names
+		text = "Back ends ended while they ran prompts with the parts " + names + ". Such requests are not tried for now.\n"
+	} else {
+		h.metrics.refusedBlocked.Add(1)
+	}
+	reason := "blocked: back ends ended while " + what + ": " + strings.Join(block.Backends, ", ")
 	if s.headerSent {
 		h.logResponse(s, reason)
 		panic(http.ErrAbortHandler)
 	}
-	h.config.Logger.Info("request is blocked", "part", "forward", "id", s.job.id, "request", s.job.digest.String(), "backends", under,
-		"revision", revision, "attempts", strings.Join(s.job.trace, "; "))
-	h.refuse(s.client, s.job, &refusal{status: http.StatusBadGateway, reason: reason, retryAfter: poison.BlockDuration,
-		text: "The back ends that ran this request ended. It is not tried again for now.\n"})
+	h.config.Logger.Info("request is blocked", "part", "forward", "id", j.id, "request", j.digest.String(), "block", block.Request.String(),
+		"prompt_parts", poison.Join(block.Parts), "backends", block.Backends, "revision", block.Revision, "attempts", strings.Join(j.trace, "; "))
+	h.refuse(s.client, j, &refusal{status: http.StatusBadGateway, reason: reason, retryAfter: poison.BlockDuration, text: text})
+}
+
+// maxNamed bounds the length of each name of a part in a response.
+const maxNamed = 64
+
+// partNames returns the names that the request has for parts of its prompt, quoted.
+func (j *job) partNames(parts []poison.Digest) string {
+	var names []string
+	for _, name := range j.parts {
+		if quoted := fmt.Sprintf("%.*q", maxNamed, name); slices.Contains(parts, poison.PartDigest(j.tenantSuffix(), name)) && !slices.Contains(names, quoted) {
+			names = append(names, quoted)
+		}
+	}
+	return strings.Join(names, ", ")
 }
 
 // promptParts returns the digests of the shared parts of the request's prompt, without duplicates.
@@ -89,7 +117,11 @@
 		// It may be a failure of this router's path: heartbeats tell whether the back end has ended.
 		h.config.Observer.RecordFailure(ended())
 	case result.verdict != mayHaveRun && framed:
-		h.config.Observer.RecordSuccess(j.digest)
+		var answered []poison.Digest
+		if response.StatusCode < http.StatusMultipleChoices {
+			answered = j.promptParts()
+		}
+		h.config.Observer.RecordSuccess(j.digest, answered)
 	case errors.Is(context.Cause(ctx), backends.ErrRestarted):
 		failure := ended()
 		failure.Down = true
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -24,7 +24,7 @@
 	blocks   bool
 }
 
-func (w *observer) Blocked(d poison.Digest) (state.BlockedRequest, bool) {
+func (w *observer) Blocked(d poison.Digest, _ func() []poison.Digest) (state.BlockedRequest, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return state.BlockedRequest{Request: d, Backends: []string{"a", "b", "c"}, Revision: 9}, w.blocks
@@ -36,7 +36,7 @@
 	w.seen = append(w.seen, e)
 }
 
-func (w *observer) RecordSuccess(d poison.Digest) {
+func (w *observer) RecordSuccess(d poison.Digest, _ []poison.Digest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answered = append(w.answered, d)
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -28,6 +28,8 @@
 	noPermit atomic.Uint64
 	// refusedBlocked counts requests refused because they are blocked as poison requests.
 	refusedBlocked atomic.Uint64
+	// refusedBlockedParts counts requests refused because parts of their prompts are blocked.
+	refusedBlockedParts atomic.Uint64
 	// refusedMemory counts requests refused because the memory for requests was used up.
 	refusedMemory atomic.Uint64
 	// stalledClients counts clients that were disconnected because they read nothing.
@@ -131,6 +133,7 @@
 	}
 	fmt.Fprintf(w, "quinceridge_refused_over_limit_total %d\n", m.refusedOverLimit.Load())
 	fmt.Fprintf(w, "quinceridge_refused_blocked_total %d\n", m.refusedBlocked.Load())
+	fmt.Fprintf(w, "quinceridge_refused_blocked_parts_total %d\n", m.refusedBlockedParts.Load())
 	fmt.Fprintf(w, "quinceridge_refused_memory_total %d\n", m.refusedMemory.Load())
 	fmt.Fprintf(w, "quinceridge_stalled_clients_total %d\n", m.stalledClients.Load())
 	fmt.Fprintf(w, "quinceridge_unread_bodies_total %d\n", m.unreadBodies.Load())
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -34,7 +34,8 @@
 	// Software adds the software versions of back ends, and the records of streams by which these are
 	// resumed at the version that began them.
 	Software Level = 8
-	// PromptParts adds the shared parts of prompts to the reports of failed attempts.
+	// PromptParts adds the shared parts of prompts to the reports of failed attempts and of answers,
+	// and to what is blocked.
 	PromptParts Level = 9
 )
 
--- a/internal/poison/detector_test.go
+++ b/internal/poison/detector_test.go
@@ -18,6 +18,8 @@
 	detector *Detector
 	signs    map[string]Liveness
 	blocked  map[Digest]bool
+	// blocks are the blocks in force.
+	blocks []Block
 }
 
 func newFixture() *fixture {
@@ -34,25 +36,27 @@
 
 // block blocks the requests that Evaluate returns, and returns them.
 func (w *fixture) block(now time.Duration) []Digest {
-	verdicts, _ := w.detector.Evaluate(now, func(id string) Liveness { return w.signs[id] }, func(d Digest) bool { return w.blocked[d] })
 	var out []Digest
-	for _, v := range verdicts {
-		w.blocked[v.Request] = true
-		out = append(out, v.Request)
+	for _, v := range w.evaluate(now).Verdicts {
+		w.blocked[v.ID] = true
+		w.blocks = append(w.blocks, v.Block)
+		out = append(out, v.ID)
 	}
 	return out
 }
 
+func (w *fixture) evaluate(now time.Duration) Findings {
+	return w.detector.Evaluate(now, func(id string) Liveness { return w.signs[id] }, w.blocks)
+}
+
 func TestThreeEndsBlockRequest(t *testing.T) {
 	w := newFixture()
 	w.endBackend(1*time.Second, "a", 1, 2, 3, 4)
 	w.endBackend(2*time.Second, "b", 1, 5, 2)
 	assert.Equal(t, len(w.block(2*time.Second)), 0)
-	_, suspects := w.detector.Evaluate(2*time.Second, func(id string) Liveness { return w.signs[id] }, func(Digest) bool { return false })
-	assert.DeepEqual(t, suspects, []Digest{1, 2})
+	assert.DeepEqual(t, w.evaluate(2*time.Second).Suspects, []Digest{1, 2})
 	w.endBackend(3*time.Second, "c", 6, 1)
-	verdicts, _ := w.detector.Evaluate(3*time.Second, func(id string) Liveness { return w.signs[id] }, func(Digest) bool { return false })
-	assert.DeepEqual(t, verdicts, []Verdict{{Request: 1, Backends: []string{"a", "b", "c"}}})
+	assert.DeepEqual(t, w.evaluate(3*time.Second).Verdicts, []Verdict{{Block: Block{ID: 1, Backends: []string{"a", "b", "c"}}}})
 }
 
 // Reports may be lost and repeated, and each router with a copy of the request sends one.
@@ -168,8 +172,7 @@
 	for i := range 20 {
 		at := time.Duration(i) * 10 * time.Second
 		w.endBackend(at, fmt.Sprint("engine-", i), 1, Digest(100+i))
-		_, suspects := w.detector.Evaluate(at, func(id string) Liveness { return w.signs[id] }, func(d Digest) bool { return w.blocked[d] })
-		if slices.Contains(suspects, Digest(1)) {
+		if slices.Contains(w.evaluate(at).Suspects, Digest(1)) {
 			w.detector.MarkHarmless(at+time.Second, 1)
 		}
 		assert.Equal(t, len(w.block(at)), 0)
@@ -207,9 +210,9 @@
 	w.endBackend(2*time.Second, "b", 1)
 	w.endBackend(2*time.Second+EvidenceTTL, "c", 1)
 	assert.Equal(t, len(w.block(2*time.Second+EvidenceTTL)), 0)
-	for d := Digest(10); d < 10+3*maxRequests; d++ {
+	for d := Digest(10); d < 10+3*maxSubjects; d++ {
 		w.endBackend(time.Hour+time.Duration(d)*time.Millisecond, "x", d)
-		assert.Assert(t, len(w.detector.requests) <= maxRequests)
+		assert.Assert(t, len(w.detector.subjects) <= maxSubjects)
 	}
 }
 
--- /dev/null
+++ b/internal/poison/evaluate.go
@@ -0,0 +1,595 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// endsToBlock is the number of ended back ends at which a request or a set of parts is blocked.
+	// Harmless requests that are retried during several poison requests often meet two ends, but
+	// rarely three.
+	endsToBlock = 3
+	// endsToSuspect is the number of ends from which complete responses to a request are
+	// reported as evidence that it is harmless.
+	endsToSuspect = endsToBlock - 1
+	// unrelatedPerEnd is the number of unrelated ends at about the same time that raise the
+	// number of ends required by one: they show another cause.
+	unrelatedPerEnd = 8
+	// maxExtraEnds bounds the additional ends required, and endsToBlockAlways is the number of
+	// ends that is always enough, even if blocked requests account for some: at most three more
+	// attempts follow the third end, and a harmless request is hardly retried that often.
+	maxExtraEnds      = 2
+	endsToBlockAlways = 6
+	// unrelatedMargin extends the time between the first and last end under a request in which
+	// other ends count as unrelated ones.
+	unrelatedMargin = time.Second
+	// simultaneous is the time within which ends may have one cause, such as the loss of a rack. At
+	// most maxSimultaneous of them count against a part: many requests share it, and stand at many
+	// ends of one moment.
+	simultaneous    = 100 * time.Millisecond
+	maxSimultaneous = 2
+	// answerDelay is the time for which parts are suspects before they are blocked. Routers report
+	// within it which of them have been answered.
+	answerDelay = 200 * time.Millisecond
+	// maxSuspectedParts bounds the suspected parts. Those with the fewest ends are left out.
+	maxSuspectedParts = 64
+	// endsBeyondRequest is the number of ends without a blocked request that are required to block
+	// a part of its prompt as well.
+	endsBeyondRequest = 2
+)
+
+// Verdict is the decision to block a request, or all requests whose prompts contain a set of parts.
+type Verdict struct {
+	Block
+	// Unrelated counts the back ends that ended without it at about the same time, and Ambiguous is
+	// set for parts if others met all of the ends, unless a trial has shown that they end back ends.
+	Unrelated int
+	Ambiguous bool
+}
+
+// Findings are the results of an evaluation.
+type Findings struct {
+	Verdicts []Verdict
+	// Suspects have almost enough evidence, in ascending order.
+	Suspects []Digest
+	// Refuted are the blocked sets of parts of which all ends are due to another block.
+	Refuted []Digest
+	// Waiting is set if a verdict waits for reports of answers.
+	Waiting bool
+}
+
+// Evaluate judges the evidence. Signs returns the liveness of a back end, and blocks are those in
+// force: an end under one of them does not count against others.
+func (l *Detector) Evaluate(now time.Duration, signs func(backend string) Liveness, blocks []Block) Findings {
+	found := Findings{Refuted: refuted(blocks)}
+	if !l.hasCandidates() {
+		clear(l.suspectedSince)
+		return found
+	}
+	c := l.newEvaluation(now, signs, blocks)
+	found.Suspects = c.suspects()
+	l.updateSuspectedSince(now, found.Suspects)
+	for {
+		best := c.worst()
+		if best == nil {
+			return found
+		}
+		if !l.suspectedLongEnough(now, best.parts) {
+			found.Waiting = true
+			return found
+		}
+		v := c.verdict(best)
+		found.Verdicts = append(found.Verdicts, v)
+		c.block(v.Block)
+		found.Suspects = c.suspects()
+	}
+}
+
+// refuted returns the blocks of parts that stand at no end but those of another block with more.
+func refuted(blocks []Block) []Digest {
+	var out []Digest
+	for i := range blocks {
+		b := &blocks[i]
+		if len(b.Parts) > 0 && len(b.Backends) > 0 && slices.ContainsFunc(blocks, func(other Block) bool { return explains(&other, b) }) {
+			out = append(out, b.ID)
+		}
+	}
+	return out
+}
+
+// explains reports whether a block with other parts stands at all ends of a second one and at more.
+func explains(b, second *Block) bool {
+	if len(b.Backends) <= len(second.Backends) || slices.ContainsFunc(second.Parts, b.concerns) {
+		return false
+	}
+	return !slices.ContainsFunc(second.Backends, func(id string) bool { return !slices.Contains(b.Backends, id) })
+}
+
+// hasCandidates reports whether anything may be a suspect.
+func (l *Detector) hasCandidates() bool {
+	for _, s := range l.subjects {
+		if len(s.attempts) >= endsToSuspect {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Detector) updateSuspectedSince(now time.Duration, suspects []Digest) {
+	maps.DeleteFunc(l.suspectedSince, func(d Digest, _ time.Duration) bool { return !contains(suspects, d) })
+	for _, d := range suspects {
+		if _, known := l.suspectedSince[d]; !known && l.subjects[d].isPart {
+			l.suspectedSince[d] = now
+		}
+	}
+}
+
+func (l *Detector) suspectedLongEnough(now time.Duration, parts []Digest) bool {
+	for _, d := range parts {
+		if since, suspected := l.suspectedSince[d]; !suspected || now < since+answerDelay {
+			return false
+		}
+	}
+	return true
+}
+
+// evaluation is the state of one Evaluate call.
+type evaluation struct {
+	detector *Detector
+	now      time.Duration
+	// ends maps requests and parts to the back ends that ended under them, and when. Those with one
+	// failed attempt are left out.
+	ends map[Digest]map[string]time.Duration
+	// times maps each ended back end to the time of its end.
+	times map[string]time.Duration
+	// blocks are those in force and those of the verdicts so far.
+	blocks []blockEnds
+}
+
+// blockEnds is a block with the back ends that ended under it.
+type blockEnds struct {
+	Block
+	ends map[string]bool
+}
+
+func (l *Detector) newEvaluation(now time.Duration, signs func(string) Liveness, blocks []Block) *evaluation {
+	c := &evaluation{detector: l, now: now, ends: map[Digest]map[string]time.Duration{}, times: map[string]time.Duration{}}
+	l.evaluations++
+	known := map[string]Liveness{}
+	for _, s := range l.subjects {
+		for backend, attempts := range s.attempts {
+			for _, a := range attempts {
+				if a.evaluation == l.evaluations {
+					continue
+				}
+				signed, found := known[backend]
+				if !found {
+					signed = signs(backend)
+					known[backend] = signed
+				}
+				a.evaluation, a.ended = l.evaluations, now-a.at <= EvidenceTTL && l.ended(a, signed)
+				if a.ended {
+					c.times[backend] = max(c.times[backend], a.at)
+				}
+			}
+		}
+	}
+	for d, s := range l.subjects {
+		if len(s.attempts) >= endsToSuspect {
+			c.ends[d] = s.ends()
+		}
+	}
+	for _, b := range blocks {
+		c.block(b)
+	}
+	return c
+}
+
+// ends returns the back ends that ended under a request or part since it was last shown to be
+// harmless.
+func (s *evidence) ends() map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for backend, attempts := range s.attempts {
+		for _, a := range attempts {
+			if a.ended && a.at > s.harmlessAt {
+				out[backend] = max(out[backend], a.at)
+			}
+		}
+	}
+	return out
+}
+
+// block adds a block.
+func (c *evaluation) block(b Block) {
+	ends := map[string]bool{}
+	for _, backend := range b.Backends {
+		ends[backend] = true
+	}
+	first := b.ID
+	if len(b.Parts) > 0 {
+		first = b.Parts[0]
+	}
+	if s := c.detector.subjects[first]; s != nil {
+		for backend, attempts := range s.attempts {
+			for _, a := range attempts {
+				ends[backend] = ends[backend] || (a.ended && b.covers(a.digests))
+			}
+		}
+	}
+	c.blocks = append(c.blocks, blockEnds{b, ends})
+}
+
+// candidate is a request, or a set of parts, that may be blocked.
+type candidate struct {
+	id Digest
+	// parts are in ascending order; empty for a request.
+	parts []Digest
+	ends  map[string]time.Duration
+	// counted is the number of ends that count, others the unrelated ends, and ran the sum of the
+	// shortest attempts at each end.
+	counted, others int
+	ran             time.Duration
+	ambiguous       bool
+}
+
+// concerns reports whether a digest is the candidate's request or one of its parts.
+func (x *candidate) concerns(d Digest) bool {
+	return d == x.id || contains(x.parts, d)
+}
+
+// excused reports whether an end is due to a block that has nothing in common with a candidate.
+func (c *evaluation) excused(x *candidate, backend string) bool {
+	for i := range c.blocks {
+		if b := &c.blocks[i]; b.ends[backend] && !c.related(b, x) {
+			return true
+		}
+	}
+	return false
+}
+
+// related reports whether a block names a part of the candidate, or a request that contains it. The
+// candidate may then be what the block has named too narrowly.
+func (c *evaluation) related(b *blockEnds, x *candidate) bool {
+	if len(b.Parts) > 0 {
+		return slices.ContainsFunc(b.Parts, x.concerns)
+	}
+	if b.ID == x.id || len(x.parts) == 0 {
+		return b.ID == x.id
+	}
+	s := c.detector.subjects[b.ID]
+	if s == nil {
+		return false
+	}
+	for _, attempts := range s.attempts {
+		return containsAll(attempts[0].digests, x.parts)
+	}
+	return false
+}
+
+// remaining returns the ends under a candidate that are not excused.
+func (c *evaluation) remaining(x *candidate) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(x.ends))
+	for backend, at := range x.ends {
+		if !c.excused(x, backend) {
+			out[backend] = at
+		}
+	}
+	return out
+}
+
+// subject returns a request or part as a candidate of its own.
+func (c *evaluation) subject(d Digest) *candidate {
+	x := &candidate{id: d, ends: c.ends[d]}
+	if c.detector.subjects[d].isPart {
+		x.parts = []Digest{d}
+	}
+	return x
+}
+
+// isBlocked reports whether a block applies to all requests that a candidate stands for.
+func (c *evaluation) isBlocked(x *candidate) bool {
+	digests := x.parts
+	if len(x.parts) == 0 {
+		digests = []Digest{x.id}
+	}
+	return slices.ContainsFunc(c.blocks, func(b blockEnds) bool { return b.covers(digests) })
+}
+
+// countEnds returns the number of ends that count against a candidate.
+func (x *candidate) countEnds(ends map[string]time.Duration) int {
+	if len(x.parts) == 0 {
+		return len(ends)
+	}
+	count, first, within := 0, never, 0
+	for _, at := range slices.Sorted(maps.Values(ends)) {
+		if at > first+simultaneous {
+			first, within = at, 0
+		}
+		if within++; within <= maxSimultaneous {
+			count++
+		}
+	}
+	return count
+}
+
+// wasAnswered reports whether a complete answer on a part is known.
+func (c *evaluation) wasAnswered(d Digest) bool {
+	s := c.detector.subjects[d]
+	return s != nil && s.answeredAt > c.now-EvidenceTTL
+}
+
+// required returns the number of ends that a candidate needs without regard to others. Parts on
+// which back ends have answered need more.
+func (c *evaluation) required(x *candidate) int {
+	if len(x.parts) > 0 && !slices.ContainsFunc(x.parts, func(d Digest) bool { return !c.wasAnswered(d) }) {
+		return endsToBlockAlways
+	}
+	return endsToBlock
+}
+
+// suspects returns the requests and parts that lack one end to be blocked.
+func (c *evaluation) suspects() []Digest {
+	var requests []Digest
+	parts := map[Digest]int{}
+	for d := range c.ends {
+		x := c.subject(d)
+		n := len(c.remaining(x))
+		if (n < c.required(x)-1 && len(x.ends) < c.endsAlways(x)-1) || c.isBlocked(x) {
+			continue
+		}
+		if len(x.parts) == 0 {
+			requests = append(requests, d)
+		} else {
+			parts[d] = n
+		}
+	}
+	most := slices.SortedFunc(maps.Keys(parts), func(a, b Digest) int { return cmp.Or(cmp.Compare(parts[b], parts[a]), cmp.Compare(a, b)) })
+	out := append(requests, most[:min(len(most), maxSuspectedParts)]...)
+	slices.Sort(out)
+	return out
+}
+
+// candidates returns what may be blocked: for each request or part with enough ends, what all failed
+// attempts with it have in common.
+func (c *evaluation) candidates() []*candidate {
+	seen := map[Digest]bool{}
+	var out []*candidate
+	for d, ends := range c.ends {
+		if c.subject(d).countEnds(ends) < endsToBlock {
+			continue
+		}
+		x := c.narrowest(d)
+		if seen[x.id] || c.isBlocked(x) {
+			continue
+		}
+		seen[x.id] = true
+		out = append(out, x)
+	}
+	return out
+}
+
+// narrowest returns the request, or else the largest set of parts, that all attempts with a request
+// or part have in common. Parts on which back ends have answered are left out unless nothing else is
+// left.
+func (c *evaluation) narrowest(d Digest) *candidate {
+	common := c.common(d)
+	for _, other := range common {
+		if !c.detector.subjects[other].isPart {
+			return &candidate{id: other, ends: c.ends[other]}
+		}
+	}
+	unanswered := slices.DeleteFunc(slices.Clone(common), c.wasAnswered)
+	if len(unanswered) > 0 {
+		common = unanswered
+	}
+	return &candidate{id: SetDigest(common), parts: common, ends: c.endsOfSet(common)}
+}
+
+// endsOfSet returns the back ends that ended under a set of parts since one of them was last shown to
+// be harmless.
+func (c *evaluation) endsOfSet(parts []Digest) map[string]time.Duration {
+	harmlessAt := never
+	for _, d := range parts {
+		harmlessAt = max(harmlessAt, c.detector.subjects[d].harmlessAt)
+	}
+	out := map[string]time.Duration{}
+	for backend, attempts := range c.detector.subjects[parts[0]].attempts {
+		for _, a := range attempts {
+			if a.ended && a.at > harmlessAt && containsAll(a.digests, parts) {
+				out[backend] = max(out[backend], a.at)
+			}
+		}
+	}
+	return out
+}
+
+// common returns what all attempts with a request or part have in common that ended with their back
+// end, in ascending order.
+func (c *evaluation) common(d Digest) []Digest {
+	var out []Digest
+	s := c.detector.subjects[d]
+	for backend := range c.ends[d] {
+		for _, a := range s.attempts[backend] {
+			if !a.ended {
+				continue
+			}
+			if out == nil {
+				out = slices.Clone(a.digests)
+				continue
+			}
+			out = slices.DeleteFunc(out, func(other Digest) bool { return !contains(a.digests, other) })
+		}
+	}
+	// A subject may have been evicted, and is then known no longer.
+	return slices.DeleteFunc(out, func(other Digest) bool { return c.detector.subjects[other] == nil })
+}
+
+// worst returns the candidate with the most ends among those with enough of them; nil for none.
+// Between equal ones the more specific one is returned, and then the one whose attempts were
+// shorter: what ends a back end does so soon after it begins.
+func (c *evaluation) worst() *candidate {
+	var worst *candidate
+	for _, x := range c.candidates() {
+		remaining := c.remaining(x)
+		x.counted = x.countEnds(remaining)
+		enough := x.countEnds(x.ends) >= c.endsAlways(x)
+		if len(x.ends) < endsToBlock || (x.counted < c.required(x) && !enough) || !c.endsBeyondBlocks(x) || !c.endsBeyondTrial(x) {
+			continue
+		}
+		x.others = c.unrelated(x)
+		rivals := c.rivals(x)
+		x.ambiguous = rivals.covering
+		extra := min(x.others/unrelatedPerEnd, maxExtraEnds)
+		switch {
+		case rivals.covering:
+			extra = maxExtraEnds
+		case rivals.shared:
+			extra = min(extra+1, maxExtraEnds)
+		}
+		if x.counted < c.required(x)+extra && !enough {
+			continue
+		}
+		x.ran = c.shortestRuns(x)
+		if worst == nil || compareCandidates(x, worst) < 0 {
+			worst = x
+		}
+	}
+	return worst
+}
+
+// endsAlways returns the number of ends that is enough without regard to others.
+func (c *evaluation) endsAlways(x *candidate) int {
+	return c.required(x) + endsToBlockAlways - endsToBlock
+}
+
+func compareCandidates(a, b *candidate) int {
+	return cmp.Or(cmp.Compare(b.counted, a.counted), cmp.Compare(len(b.parts), len(a.parts)), cmp.Compare(a.ran, b.ran), cmp.Compare(a.id, b.id))
+}
+
+// endsBeyondBlocks reports whether enough ends under a candidate came without each block that names
+// a part of it, or a request that contains it.
+func (c *evaluation) endsBeyondBlocks(x *candidate) bool {
+	for i := range c.blocks {
+		b := &c.blocks[i]
+		if !c.related(b, x) {
+			continue
+		}
+		needed := 1
+		if len(b.Parts) == 0 {
+			needed = endsBeyondRequest
+		}
+		beyond := 0
+		for backend := range x.ends {
+			if !b.ends[backend] {
+				beyond++
+			}
+		}
+		if beyond < needed {
+			return false
+		}
+	}
+	return true
+}
+
+// endsBeyondTrial reports whether a candidate that was unblocked for a trial has met a further end.
+func (c *evaluation) endsBeyondTrial(x *candidate) bool {
+	before, tried := c.detector.trials[x.id]
+	if !tried {
+		return true
+	}
+	for backend := range x.ends {
+		if !slices.Contains(before, backend) {
+			return true
+		}
+	}
+	return false
+}
+
+// rivals tells how far others met the ends that count against a candidate.
+type rivals struct {
+	// shared is set if each end also counts against a suspect, and covering if one met all of them.
+	shared, covering bool
+}
+
+// rivals compares a candidate with all others that may have caused its ends. Parts that are in the
+// same attempts are none, nor are those on which back ends have answered.
+func (c *evaluation) rivals(x *candidate) rivals {
+	remaining := c.remaining(x)
+	shared := map[string]bool{}
+	var out rivals
+	for d := range c.ends {
+		other := c.subject(d)
+		if x.concerns(d) || len(other.ends) < endsToSuspect || c.required(other) > endsToBlock {
+			continue
+		}
+		suspect, covering, common := len(c.remaining(other)) >= endsToSuspect, true, false
+		for backend := range remaining {
+			_, met := other.ends[backend]
+			covering, common = covering && met, common || met
+		}
+		if !covering && !(common && suspect) || c.isBlocked(other) || c.nested(x, d) {
+			continue
+		}
+		for backend := range remaining {
+			_, met := other.ends[backend]
+			shared[backend] = shared[backend] || (met && suspect)
+		}
+		out.covering = out.covering || covering
+	}
+	out.shared = len(shared) > 0
+	for backend := range remaining {
+		out.shared = out.shared && shared[backend]
+	}
+	return out
+}
+
+// nested reports whether all attempts with a request or part are among those of a candidate.
+func (c *evaluation) nested(x *candidate, d Digest) bool {
+	if len(x.parts) == 0 {
+		return contains(c.common(d), x.id)
+	}
+	return containsAll(c.common(d), x.parts)
+}
+
+// unrelated counts the back ends that ended without a candidate at about the time of the ends under
+// it.
+func (c *evaluation) unrelated(x *candidate) int {
+	times := slices.Sorted(maps.Values(x.ends))
+	first, last := times[0], times[len(times)-1]
+	n := 0
+	for backend, at := range c.times {
+		if _, under := x.ends[backend]; !under && !c.excused(x, backend) && at >= first-unrelatedMargin && at <= last+unrelatedMargin {
+			n++
+		}
+	}
+	return n
+}
+
+// shortestRuns returns the sum over the ends under a candidate of the shortest attempt with it.
+func (c *evaluation) shortestRuns(x *candidate) time.Duration {
+	first := x.id
+	if len(x.parts) > 0 {
+		first = x.parts[0]
+	}
+	total := time.Duration(0)
+	for backend := range x.ends {
+		shortest := EvidenceTTL
+		for _, a := range c.detector.subjects[first].attempts[backend] {
+			if a.ended && containsAll(a.digests, x.parts) {
+				shortest = min(shortest, a.at-a.from)
+			}
+		}
+		total += shortest
+	}
+	return total
+}
+
+// verdict returns the decision to block a candidate.
+func (c *evaluation) verdict(x *candidate) Verdict {
+	backends := slices.SortedFunc(maps.Keys(x.ends), func(a, b string) int { return cmp.Or(cmp.Compare(x.ends[a], x.ends[b]), cmp.Compare(a, b)) })
+	_, tried := c.detector.trials[x.id]
+	return Verdict{Block: Block{ID: x.id, Parts: x.parts, Backends: backends}, Unrelated: x.others, Ambiguous: x.ambiguous && !tried && len(x.parts) > 0}
+}
--- a/internal/state/blocked.go
+++ b/internal/state/blocked.go
@@ -13,33 +13,50 @@
 	maxCleared = 256
 )
 
-// Block stops a poison request from being sent to back ends.
+// Block keeps a poison request, or all requests whose prompts contain a set of parts, from back ends.
 type Block struct {
+	// Request is the digest of the request, or that of the set of parts.
 	Request poison.Digest `json:"request"`
-	// Backends are the back ends that ended while they ran the request.
+	// Parts are shared parts of prompts in ascending order; empty for a request.
+	Parts []poison.Digest `json:"parts,omitempty"`
+	// Backends are the back ends that ended while they ran it; none for a block by an operator.
 	Backends []string `json:"backends"`
+	// Ambiguous is set if other requests or parts met the same ends.
+	Ambiguous bool `json:"ambiguous,omitempty"`
 }
 
-// Unblock allows a blocked request to be sent to back ends again and discards the evidence
-// against it.
+// Unblock allows what was blocked to be sent to back ends again and discards the evidence against it.
 type Unblock struct {
 	Request poison.Digest `json:"request"`
+	// Trial retains the evidence: one further end under it is enough to block it again.
+	Trial bool `json:"trial,omitempty"`
 }
 
-// BlockedRequest is a request that must not be sent to back ends.
+// BlockedRequest is a request, or a set of parts of prompts, that must not be sent to back ends.
 type BlockedRequest struct {
-	Request poison.Digest `json:"request"`
-	// Backends are the back ends that ended while they ran the request.
-	Backends []string `json:"backends"`
+	Request poison.Digest   `json:"request"`
+	Parts   []poison.Digest `json:"parts,omitempty"`
+	// Backends are the back ends that ended while they ran it.
+	Backends  []string `json:"backends"`
+	Ambiguous bool     `json:"ambiguous,omitempty"`
 	// At is the time of the block in Unix milliseconds, for display only, and Revision the
 	// log index of the block.
 	At       int64  `json:"at"`
 	Revision uint64 `json:"revision"`
 }
 
-// ClearedRequest is a request that was unblocked.
+// Rule returns what is blocked.
+func (b *BlockedRequest) Rule() poison.Block {
+	return poison.Block{ID: b.Request, Parts: b.Parts, Backends: b.Backends}
+}
+
+// ClearedRequest is a request, or a set of parts, that was unblocked.
 type ClearedRequest struct {
-	Request poison.Digest `json:"request"`
+	Request poison.Digest   `json:"request"`
+	Parts   []poison.Digest `json:"parts,omitempty"`
+	// Trial is that of the Unblock, and Backends are then those of the block.
+	Trial    bool     `json:"trial,omitempty"`
+	Backends []string `json:"backends,omitempty"`
 	// Revision is the log index of the Unblock command.
 	Revision uint64 `json:"revision"`
 }
@@ -49,7 +66,7 @@
 	if d.IsBlocked(b.Request) {
 		return Result{Code: CodeOK}
 	}
-	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Backends: b.Backends, At: m.data.Now, Revision: index})
+	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Parts: b.Parts, Backends: b.Backends, Ambiguous: b.Ambiguous, At: m.data.Now, Revision: index})
 	if len(d.Blocked) > maxBlocked {
 		d.Blocked = d.Blocked[1:]
 	}
@@ -59,11 +76,16 @@
 
 func (m *Machine) unblock(index uint64, u *Unblock) Result {
 	d := &m.data.Deployment
-	if !d.IsBlocked(u.Request) {
+	i := slices.IndexFunc(d.Blocked, func(b BlockedRequest) bool { return b.Request == u.Request })
+	if i < 0 {
 		return Result{Code: CodeUnknown, Message: "the request is not blocked"}
 	}
-	d.Blocked = slices.DeleteFunc(slices.Clone(d.Blocked), func(b BlockedRequest) bool { return b.Request == u.Request })
-	d.Cleared = append(d.Cleared, ClearedRequest{Request: u.Request, Revision: index})
+	cleared := ClearedRequest{Request: u.Request, Parts: d.Blocked[i].Parts, Trial: u.Trial, Revision: index}
+	if u.Trial {
+		cleared.Backends = d.Blocked[i].Backends
+	}
+	d.Blocked = slices.Delete(slices.Clone(d.Blocked), i, i+1)
+	d.Cleared = append(d.Cleared, cleared)
 	if len(d.Cleared) > maxCleared {
 		d.Cleared = d.Cleared[1:]
 	}
@@ -71,7 +93,17 @@
 	return Result{Code: CodeOK}
 }
 
-// IsBlocked reports whether a request is blocked.
+// CountBlocked returns the number of blocked requests and that of blocked sets of parts.
+func (d *Deployment) CountBlocked() (requests, parts int) {
+	for _, b := range d.Blocked {
+		if len(b.Parts) > 0 {
+			parts++
+		}
+	}
+	return len(d.Blocked) - parts, parts
+}
+
+// IsBlocked reports whether a request, or exactly this set of parts, is blocked.
 func (d *Deployment) IsBlocked(request poison.Digest) bool {
 	return slices.ContainsFunc(d.Blocked, func(b BlockedRequest) bool { return b.Request == request })
 }
