Responses that end with their connections count as successes

What callers saw: nothing yet. What was learned was wrong: an answer with neither a length nor chunks, whole, was reported to the leader as a failed attempt, so that a sound request whose back end is replaced within a second was held to have ended it, and no answer of such an engine showed that a request or a part of its prompt is harmless.

Cause: reportAttempt took every response without framing for one that may have been cut off.

A response whose connection was closed, for a stream between two events, is whole. A back end that crashes closes its connections as well, so that it is probed: if it refuses connections the attempt is a failure, if it accepts them a success, and while the path to its pool is lost neither. Resets and streams that end within an event are failures, as before.

--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -100,6 +100,14 @@
 	return j.partDigests
 }
 
+// answeredParts returns the parts of the prompt if a back end has answered on them.
+func (j *job) answeredParts(response *upstream.BackendResponse) []poison.Digest {
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil
+	}
+	return j.promptParts()
+}
+
 // failedAttempt describes an attempt at a back end that ends now.
 func (j *job) failedAttempt(backend string, took time.Duration) poison.FailedAttempt {
 	return poison.FailedAttempt{Backend: backend, Request: j.digest, Parts: j.promptParts(), Duration: took}
@@ -111,23 +119,23 @@
 	j, now := s.job, h.now()
 	framed := response != nil && response.Framed()
 	ended := func() poison.FailedAttempt { return j.failedAttempt(choice.ID, now-started) }
+	complete := result.verdict != mayHaveRun
 	switch {
 	case result.verdict == notRun, isLocal(result.err):
+	case complete && response != nil && !framed:
+		// The connections of a back end that crashes are closed as well.
+		h.probes.add(choice, ending{FailedAttempt: ended(), complete: true, answered: j.answeredParts(response)}, h.probeBackend)
 	case !framed && h.pathLost(j):
 		// It may be a failure of this router's path: heartbeats tell whether the back end has ended.
 		h.config.Observer.RecordFailure(ended())
-	case result.verdict != mayHaveRun && framed:
-		var answered []poison.Digest
-		if response.StatusCode < http.StatusMultipleChoices {
-			answered = j.promptParts()
-		}
-		h.config.Observer.RecordSuccess(j.digest, answered)
+	case complete && framed:
+		h.config.Observer.RecordSuccess(j.digest, j.answeredParts(response))
 	case errors.Is(context.Cause(ctx), backends.ErrRestarted):
 		failure := ended()
 		failure.Down = true
 		h.config.Observer.RecordFailure(failure)
 	case context.Cause(ctx) == nil:
-		h.probes.add(choice, ended(), h.probeBackend)
+		h.probes.add(choice, ending{FailedAttempt: ended()}, h.probeBackend)
 	case now-max(started, s.lastAt) >= minSilence || isUnresponsive(context.Cause(ctx)):
 		failure := ended()
 		failure.Silent = true
@@ -143,30 +151,44 @@
 	for waited := time.Duration(0); waited < maxCheckWait && !h.config.Pool.PathKnown(choice.ID); waited += checkWaitStep {
 		time.Sleep(checkWaitStep)
 	}
-	// A refused connection shows that the back end has ended only if others are reached.
-	down = down && h.config.Pool.PathKnown(choice.ID)
-	for _, ended := range h.probes.take(choice.ID) {
-		ended.Down = down
-		h.config.Observer.RecordFailure(ended)
+	known := h.config.Pool.PathKnown(choice.ID)
+	for _, e := range h.probes.take(choice.ID) {
+		// A refused connection shows that the back end has ended only if others are reached.
+		e.Down = down && known
+		switch {
+		case !e.complete || e.Down:
+			h.config.Observer.RecordFailure(e.FailedAttempt)
+		case known:
+			h.config.Observer.RecordSuccess(e.Request, e.answered)
+		}
 	}
 }
 
 // Wait waits until all probes are done, which takes no longer than a connect timeout.
 func (h *Handler) Wait() { h.probes.group.Wait() }
 
+// ending is an attempt whose result depends on whether its back end has ended.
+type ending struct {
+	poison.FailedAttempt
+	// complete is set if a response ended with its connection, without an error. Answered are then
+	// the parts on which an engine has answered.
+	complete bool
+	answered []poison.Digest
+}
+
 // probes are the running probes of back ends. An engine that ends breaks many attempts at once,
 // which share one probe. It is safe for concurrent use.
 type probes struct {
 	group sync.WaitGroup
 	mu    sync.Mutex
 	// pending maps back ends to the attempts that wait for the result.
-	pending map[string][]poison.FailedAttempt
+	pending map[string][]ending
 }
 
-func newProbes() *probes { return &probes{pending: map[string][]poison.FailedAttempt{}} }
+func newProbes() *probes { return &probes{pending: map[string][]ending{}} }
 
 // add starts a probe of a back end unless one is running.
-func (p *probes) add(choice backends.Choice, ended poison.FailedAttempt, probe func(backends.Choice)) {
+func (p *probes) add(choice backends.Choice, ended ending, probe func(backends.Choice)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waiting, begun := p.pending[choice.ID]
@@ -176,7 +198,7 @@
 	}
 }
 
-func (p *probes) take(id string) []poison.FailedAttempt {
+func (p *probes) take(id string) []ending {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := p.pending[id]
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -154,7 +154,7 @@
 	w.mu.Lock()
 	assert.Equal(t, len(w.answered), 2)
 	w.mu.Unlock()
-	// A response without a self-defined end may have been truncated, so it is no evidence.
+	// A response that ends with its connection is complete if its back end has not ended.
 	r.add("app", "z", func(w http.ResponseWriter, q *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -165,10 +165,11 @@
 	})
 	r.pool.Apply(nil, []string{"x"}, false)
 	assert.Equal(t, r.ask("POST", "/unsafe/1", nil).status, 200)
-	w.await(t, 1)
+	r.finish()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	assert.Equal(t, len(w.answered), 2)
+	assert.Equal(t, len(w.answered), 3)
+	assert.Equal(t, len(w.seen), 0)
 }
 
 // Attempts that were rejected or never reached the back end have not run.
