Large responses that end with their connections are forwarded

What callers saw: 502 for a body above 16 MiB that has neither a length nor chunks, after one or two back ends had run the request.

Cause: such a body was refused since its end cannot be told from a truncation.

A large one is forwarded while it arrives, ended as complete at a clean close and broken off at a reset. A client of HTTP/1.0, to which a break could not be shown, still gets 502, as for a large body in chunks.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -138,9 +138,8 @@
 // streamBody forwards a body while it arrives: the part that has been read, and the rest. An
 // error means that the client's connection must be closed, since the body is incomplete.
 func (s *session) streamBody(response *upstream.BackendResponse, prefix []byte) error {
-	// The end of a body with neither a length nor chunks cannot be told from a truncation, and
-	// without chunks a truncation could not be shown to the client.
-	if !response.Framed() || (response.ContentLength < 0 && !s.job.chunked) {
+	// Without chunks a truncation could not be shown to the client.
+	if response.ContentLength < 0 && !s.job.chunked {
 		s.client.Header().Set("Connection", "close")
 		return errBodySize
 	}
