Soak: requests with a part in their prompts that crashes back ends

The check counts runs later than 3 s after the fifth end, and calls of others that were refused as blocked. Not with older builds, which block none.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -250,6 +250,10 @@
 		b.soak.crashUnderPoison(b, string(body))
 		return
 	}
+	if part := crashingPartOf(r.Header.Get(names.Prefix)); part != "" {
+		b.soak.crashUnderPoison(b, part)
+		return
+	}
 	if failureMode == failureHang && affected {
 		wait(r.Context(), time.Second)
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -47,6 +47,8 @@
 	// path and requestBody override the path and the body that are derived from the ID.
 	path        string
 	requestBody string
+	// crashingPart is a part of the prompt that crashes back ends, empty for none.
+	crashingPart string
 	// resumes is the ID of the attempt that brought the first event of the stream that the call resumes,
 	// empty for none, and after the number of its last event.
 	resumes string
@@ -102,7 +104,7 @@
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	request.Header.Set(names.Model, model)
 	request.Header.Set(names.Usage, "100,50")
-	request.Header.Set(names.Prefix, "base:50,own:50")
+	request.Header.Set(names.Prefix, promptOf(c))
 	if c.resumes != "" {
 		request.Header.Set(names.Resumes, c.resumes)
 		request.Header.Set(names.LastEvent, strconv.Itoa(c.after))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,6 +31,10 @@
 	Poisons int `json:"poisons"`
 	Ends    int `json:"ends"`
 	Blocked int `json:"blocked"`
+	// CrashingParts is the number of parts of prompts that crashed back ends, and EndsOfParts the
+	// number of back ends that these crashed.
+	CrashingParts int `json:"crashing_parts"`
+	EndsOfParts   int `json:"ends_of_parts"`
 	// Replaced is the number of processes that were switched to another build.
 	Replaced int      `json:"replaced,omitempty"`
 	Broken   []string `json:"broken,omitempty"`
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -27,7 +29,15 @@
 	// ended.
 	blockThreshold = 3
 	maxFurtherRuns = 3
-	recoveryTime   = 3 * time.Second
+	// partBlockThreshold is blockThreshold for a part of prompts.
+	partBlockThreshold = 5
+	// partPause is the time between the requests with two crashing parts, and partPrefix begins the
+	// names of such parts.
+	partPause  = 2 * time.Second
+	partPrefix = "bad"
+	// teams is the number of second parts of prompts.
+	teams        = 6
+	recoveryTime = 3 * time.Second
 )
 
 // disturbance is a period in which a process or the link of a back end was affected by a fault.
@@ -90,7 +100,46 @@
 	}
 }
 
-// crashUnderPoison crashes a back end that runs a poison request and schedules its replacement.
+// sendCrashingParts sends requests with a part in their prompts that crashes back ends, no two alike and
+// each to a random router, and begins again with other parts until the context ends.
+func (s *Soak) sendCrashingParts(ctx context.Context) {
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for number := 0; wait(ctx, partPause); number++ {
+		part := fmt.Sprintf("%s%d", partPrefix, number)
+		for n := 0; n < poisonAttempts && wait(ctx, poisonPause); n++ {
+			c := &call{id: fmt.Sprintf("q%d-%d", number, n), kind: []string{"stream", "chat"}[rand.IntN(2)], key: s.key(), crashingPart: part}
+			s.send(client, c)
+			s.results.add(c)
+		}
+	}
+}
+
+// promptOf returns the header that names the parts of a call's prompt. Calls share the first part, and
+// some the second one.
+func promptOf(c *call) string {
+	draw := xxhash.Sum64String(c.id)
+	team := fmt.Sprintf("team%d:10,", draw%teams)
+	switch {
+	case c.crashingPart == "":
+		return "base:50," + team + "own:40"
+	case draw/teams%2 == 0:
+		return "base:50," + team + c.crashingPart + ":10,own:30"
+	}
+	return "base:50," + c.crashingPart + ":10," + team + "own:30"
+}
+
+// crashingPartOf returns the shared part of a prompt that crashes back ends, empty for none.
+func crashingPartOf(prompt string) string {
+	for part := range strings.SplitSeq(prompt, ",") {
+		if name, _, _ := strings.Cut(part, ":"); strings.HasPrefix(name, partPrefix) {
+			return name
+		}
+	}
+	return ""
+}
+
+// crashUnderPoison crashes a back end that runs a poison request, or one with a crashing part, and
+// schedules its replacement.
 func (s *Soak) crashUnderPoison(b *backend, body string) {
 	wait(s.ctx, time.Duration(rand.Int64N(int64(maxPoisonRun))))
 	s.mu.Lock()
@@ -115,7 +164,11 @@
 func (s *Soak) checkPoison(calls []*call, runs map[string][]run) {
 	further := map[string]int{}
 	for _, c := range calls {
-		if !strings.HasPrefix(c.requestBody, poisonBody) {
+		cause, threshold := c.requestBody, blockThreshold
+		if c.crashingPart != "" {
+			cause, threshold = c.crashingPart, partBlockThreshold
+		}
+		if c.crashingPart == "" && !strings.HasPrefix(c.requestBody, poisonBody) {
 			if c.blocked {
 				s.recordBreach("%s %s was taken for one that ends back ends", c.kind, c.id)
 			}
@@ -124,21 +177,26 @@
 		if c.blocked {
 			s.report.Blocked++
 		}
-		crashes := s.crashes[c.requestBody]
-		if len(crashes) < blockThreshold || len(runs[c.id]) == 0 {
+		crashes := s.crashes[cause]
+		if len(crashes) < threshold || len(runs[c.id]) == 0 {
 			continue
 		}
-		if late := crashes[blockThreshold-1] + recoveryTime + slack; c.sent > late && s.undisturbed(c.router, c.sent) {
-			further[c.requestBody]++
+		if late := crashes[threshold-1] + recoveryTime + slack; c.sent > late && s.undisturbed(c.router, c.sent) {
+			further[cause]++
 		}
 	}
-	for body, n := range further {
+	for cause, n := range further {
 		if n > maxFurtherRuns {
-			s.recordBreach("%q was run %d times more after %d back ends had ended under it", body, n, blockThreshold)
+			s.recordBreach("%q was run %d times more after %d back ends had ended under it", cause, n, len(s.crashes[cause]))
 		}
 	}
-	for _, crashes := range s.crashes {
+	for cause, crashes := range s.crashes {
+		if strings.HasPrefix(cause, partPrefix) {
+			s.report.CrashingParts++
+			s.report.EndsOfParts += len(crashes)
+			continue
+		}
+		s.report.Poisons++
 		s.report.Ends += len(crashes)
 	}
-	s.report.Poisons = len(s.crashes)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -168,6 +168,10 @@
 	group.Go(func() { s.injectLeaves(faultCtx) })
 	group.Go(func() { s.injectReleases(faultCtx) })
 	group.Go(func() { s.injectFloods(faultCtx) })
+	if s.config.Older == "" {
+		// Older builds block no parts.
+		group.Go(func() { s.sendCrashingParts(faultCtx) })
+	}
 	group.Go(func() {
 		s.activeFaults.Add(1)
 		defer s.activeFaults.Add(-1)
