--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -399,3 +399,53 @@
 		}
 	}
 }
+
+// In random histories of ends and answers a part that is answered after its last end is never blocked,
+// and one that stands alone at enough ends, and is never answered, always is.
+func TestBlocksOfPartsKeepPromiseInRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newFixture()
+		lastEnd, lastAnswer := map[Digest]time.Duration{}, map[Digest]time.Duration{}
+		crashingEnds := 0
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 40).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(20, 1500).Draw(t, "pause")) * time.Millisecond
+			sound := rapid.SliceOfNDistinct(rapid.Uint64Range(10, 16), 0, 3, rapid.ID[uint64]).Draw(t, "sound")
+			var parts []Digest
+			for _, part := range sound {
+				parts = append(parts, Digest(part))
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				for _, part := range parts {
+					w.detector.MarkAnswered(now, part)
+					lastAnswer[part] = now
+				}
+			case 1:
+				w.endUnder(now, fmt.Sprint("crash-", i), newPrompt(append(slices.Clone(parts), partA)...))
+				crashingEnds++
+			default:
+				w.endUnder(now, fmt.Sprint("other-", i), newPrompt(parts...))
+			}
+			for _, part := range parts {
+				if lastAnswer[part] != now {
+					lastEnd[part] = now
+				}
+			}
+			before := len(w.blocks)
+			w.settle(now)
+			for _, b := range w.blocks[before:] {
+				for _, part := range b.Parts {
+					if part != partA && lastAnswer[part] > lastEnd[part] {
+						t.Fatalf("part %d was blocked at %v, answered at %v and last seen at an end at %v", part, now, lastAnswer[part], lastEnd[part])
+					}
+				}
+			}
+		}
+		// Each end with the part has been at another time, so that few are left out as simultaneous.
+		blocked := slices.ContainsFunc(w.blocks, func(b Block) bool { return b.concerns(partA) })
+		if crashingEnds >= 2*endsToBlockAlways && !blocked {
+			t.Fatalf("the part is not blocked after %d ends", crashingEnds)
+		}
+	})
+}
