--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -24,6 +24,8 @@
 	// intervalPerSubject is MinInterval for each request or part with evidence. The evaluation takes
 	// about half a microsecond for each.
 	intervalPerSubject = 10 * time.Microsecond
+	// expiryInterval is the time between two removals of outdated evidence.
+	expiryInterval = time.Minute
 	// maxTrials bounds the trials that are recorded.
 	maxTrials = 1024
 	// heartbeatMargin is the delay after a failed attempt within which a heartbeat does not
@@ -87,6 +89,8 @@
 	trials map[Digest][]string
 	// evaluations counts the calls of Evaluate.
 	evaluations uint64
+	// expiredAt is when outdated evidence was last removed.
+	expiredAt time.Duration
 }
 
 // evidence is the evidence against one request or part.
@@ -190,7 +194,7 @@
 	if len(l.subjects) < maxSubjects {
 		return
 	}
-	maps.DeleteFunc(l.subjects, func(_ Digest, s *evidence) bool { return s.lastUpdate <= now-EvidenceTTL })
+	l.expire(now)
 	digests := slices.SortedFunc(maps.Keys(l.subjects), func(a, b Digest) int {
 		x, y := l.subjects[a], l.subjects[b]
 		return cmp.Or(cmp.Compare(min(len(x.attempts), endsToSuspect), min(len(y.attempts), endsToSuspect)), cmp.Compare(x.lastUpdate, y.lastUpdate), cmp.Compare(a, b))
@@ -200,6 +204,12 @@
 	}
 }
 
+// expire removes outdated evidence.
+func (l *Detector) expire(now time.Duration) {
+	l.expiredAt = now
+	maps.DeleteFunc(l.subjects, func(_ Digest, s *evidence) bool { return s.lastUpdate <= now-EvidenceTTL })
+}
+
 // MinInterval returns the time that should pass between two evaluations, so that these take a small
 // part of a processor's time.
 func (l *Detector) MinInterval() time.Duration {
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -449,3 +449,14 @@
 		}
 	})
 }
+
+// Evidence must not be evaluated for good once it is outdated.
+func TestOutdatedEvidenceIsRemoved(t *testing.T) {
+	w := newFixture()
+	w.endUnder(1*time.Second, "a", newPrompt(partA, partB))
+	w.endUnder(2*time.Second, "b", newPrompt(partA, partC))
+	w.evaluate(3 * time.Second)
+	assert.Equal(t, len(w.detector.subjects), 5)
+	assert.Equal(t, len(w.evaluate(2*time.Second+EvidenceTTL+expiryInterval).Suspects), 0)
+	assert.Equal(t, len(w.detector.subjects), 0)
+}
