Without a leader a router keeps the part of the capacity that it used

What callers saw: while no leader answered and most new connections went to one router, that one refused streams although engines were free.

Cause: a router without a leader may run what it runs at its first own decision and an equal part of the free capacity. One whose requests have ended by then gave up what it had run, and no other one could use it.

The limit is set when an announcement arrives. All routers together may still run what was announced and no more (TestSharesOfRoutersAddUp).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,6 +102,7 @@
 		forwardConfig.Relays, forwardConfig.RelayConnections = relays, relayConnections
 	}
 	e.handler = forward.New(forwardConfig)
+	e.follower.OnAnnouncement(e.handler.RecordAnnouncement)
 	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
 	if relays != nil {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -123,6 +123,8 @@
 	placements placements
 	waiting    waiting
 	rooms      atomic.Pointer[rooms]
+	// onAnnouncement is called after rooms has changed; nil for none.
+	onAnnouncement func()
 	// announcement numbers the announced capacities of pools.
 	announcement atomic.Uint64
 	evidence     evidence
@@ -209,6 +211,10 @@
 	return f
 }
 
+// OnAnnouncement sets a function that is called after each announcement of the capacity of pools. It
+// must be set before the follower starts.
+func (f *Follower) OnAnnouncement(call func()) { f.onAnnouncement = call }
+
 // SetSeeds replaces the coordinators that are tried when no member is known.
 func (f *Follower) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
 
@@ -355,6 +361,9 @@
 	if v.Announced != f.announced {
 		f.config.Pool.SetTotalLoads(f.now(), f.loads(v), v.LoadsAge, v.EngineLoads)
 		f.rooms.Store(&rooms{number: f.announcement.Add(1), pools: v.Rooms})
+		if f.onAnnouncement != nil {
+			f.onAnnouncement()
+		}
 	}
 	// A leader that announces nothing repeats its last shares, which must expire.
 	if f.config.FairShares != nil && (v.Announced != f.announced || v.Leader.Leadership() != f.token.Leadership()) {
--- a/internal/forward/queueing.go
+++ b/internal/forward/queueing.go
@@ -109,20 +109,37 @@
 	}
 }
 
-// reserve begins a request without the leader if the router may run another one. It may run its
-// equal share of the remainder of an announced capacity in addition to what it runs when it first
-// decides by that. Draw is in [0, 1) and rounds the share, so that the routers together use the
-// remainder.
+// reserve begins a request without the leader if the router may run another one: what it ran when the
+// capacity was announced, and its equal share of the remainder. Draw is in [0, 1) and rounds the share,
+// so that the routers together use the remainder.
 func (s *shares) reserve(name string, room coordapi.Room, announcement uint64, routers int, draw float64) (end func(), allowed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	one := s.pool(name)
+	one.update(room, announcement, routers, draw)
+	if one.running >= one.limit {
+		return nil, false
+	}
+	return s.add(one), true
+}
+
+// update sets the limit by a new announcement.
+func (one *share) update(room coordapi.Room, announcement uint64, routers int, draw float64) {
 	if one.announcement != announcement {
 		part := float64(max(room.Limit-room.Running, 0)) / float64(max(routers, 1))
 		one.announcement, one.limit = announcement, one.running+int(math.Floor(part+draw))
 	}
-	if one.running >= one.limit {
-		return nil, false
+}
+
+// RecordAnnouncement sets what this router may run without the leader, by the announcement that has
+// just arrived. Set only at the first decision, a router whose requests go elsewhere meanwhile would
+// have given up what it ran, although no other one may run it.
+func (h *Handler) RecordAnnouncement() {
+	h.shares.mu.Lock()
+	defer h.shares.mu.Unlock()
+	for name, one := range h.shares.pools {
+		if room, announcement, known := h.config.Queue.Room(name); known {
+			one.update(room, announcement, h.config.Source.Routers(), rand.Float64())
+		}
 	}
-	return s.add(one), true
 }
--- a/internal/forward/queueing_test.go
+++ b/internal/forward/queueing_test.go
@@ -293,3 +293,26 @@
 		assert.Equal(t, total, remainder)
 	}
 }
+
+// What a router ran when the capacity was announced is its own until the next announcement, although its
+// requests have ended before it decides.
+func TestShareCountsWhatRanAtAnnouncement(t *testing.T) {
+	r := newRig(t)
+	rooms := &announcedRooms{room: coordapi.Room{Limit: 8, Running: 6}, number: 1}
+	r.handler.config.Queue = rooms
+	var ends []func()
+	for range 6 {
+		ends = append(ends, r.handler.shares.begin("llm"))
+	}
+	r.handler.RecordAnnouncement()
+	for _, end := range ends {
+		end()
+	}
+	allowed := 0
+	for range 20 {
+		if _, ok := r.handler.shares.reserve("llm", rooms.room, 1, 1, 0); ok {
+			allowed++
+		}
+	}
+	assert.Equal(t, allowed, 8)
+}
