Requests beyond a router's share are passed on while there is no leader

What callers saw: while no leader answered for 1.5 s and nine in ten new connections went to one of six routers, 17 to 38 of some 140 streams got 503, although engines were free.

Cause: without a leader each router has an equal part of the free capacity. The one with the load cannot know that the others do not use theirs.

A request that has waited for 100 ms without a part is passed on to another router, to two at most; one without a part declines at once. Together the routers still run no more than was announced.

TestRequestBeyondShareIsPassedOn and TestRequestBeyondSharesOfAllIsRefused failed before.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -77,20 +77,14 @@
 			return
 		}
 		if h.needsRelay(j) {
-			result := h.passOn(ctx, s)
+			result := h.passOn(ctx, s, maxRelays)
 			if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
 				j.unrelayed = true
 				continue
 			}
-			if result.delivered {
-				j.deliveriesElsewhere++
-			}
-			if !h.settle(ctx, s, result) {
+			if !h.settleRelayed(ctx, s, result, &ran) {
 				return
 			}
-			if result.verdict != notRun {
-				ran = result
-			}
 			continue
 		}
 		if h.unreachable(j) {
@@ -99,6 +93,18 @@
 		}
 		h.countRequest(j)
 		choice, found := h.choose(ctx, j)
+		if h.passesOnShare(j) && ctx.Err() == nil {
+			j.shareAsked = true
+			result := h.passOn(ctx, s, maxShareRelays)
+			if !errors.Is(result.err, errNoRelay) && !errors.Is(result.err, errDeclined) && !h.settleRelayed(ctx, s, result, &ran) {
+				return
+			}
+			continue
+		}
+		if h.declinesShare(j) {
+			h.decline(w, j, choice.Reason)
+			return
+		}
 		if j.ran > 0 && (choice.Late || choice.Reason != "") {
 			// No engine begins a further attempt in time, and the refusals below state that the request
 			// has not run.
@@ -160,6 +166,20 @@
 	}
 }
 
+// settleRelayed is settle for a request that was passed on. Ran becomes its result if it may have run.
+func (h *Handler) settleRelayed(ctx context.Context, s *session, result outcome, ran *outcome) (again bool) {
+	if result.delivered {
+		s.job.deliveriesElsewhere++
+	}
+	if !h.settle(ctx, s, result) {
+		return false
+	}
+	if result.verdict != notRun {
+		*ran = result
+	}
+	return true
+}
+
 // settle records the result of an attempt. It finishes the request and returns false unless another
 // attempt is allowed.
 func (h *Handler) settle(ctx context.Context, s *session, result outcome) (again bool) {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -66,7 +66,11 @@
 		j.viewRevision, j.viewAge = h.config.Source.View()
 		choice, found := h.chooseOnce(ctx, j)
 		j.permitDelay = choice.RetryAfter
-		if j.beyondRoom && h.now() <= begun+j.query.Patience {
+		if waited := h.now() - begun; j.beyondRoom && waited+j.roomWaited <= j.query.Patience && j.origin == nil {
+			if h.passesOnShare(j) && waited >= shareRelayDelay {
+				j.roomWaited = waited
+				return choice, found
+			}
 			// A single late answer of the leader is no lack of capacity: it is asked again within this
 			// time, or requests that the router runs end.
 			if periodic.Sleep(ctx, pollInterval); ctx.Err() != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -260,6 +260,10 @@
 	// beyondRoom is set while the router, which decides without the leader, has no part of the
 	// announced capacity left for the request.
 	beyondRoom bool
+	// shareAsked is set once other routers were asked for their part of that capacity, and roomWaited
+	// is the time for which the request has waited for it until then.
+	shareAsked bool
+	roomWaited time.Duration
 	// standalone is set if the leader did not answer when the back end was chosen.
 	standalone bool
 	// endShare ends the request's part of what the router runs at the pool; nil if it has none.
--- a/internal/forward/queueing_test.go
+++ b/internal/forward/queueing_test.go
@@ -14,6 +14,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/traffic"
 )
 
@@ -316,3 +317,41 @@
 	}
 	assert.Equal(t, allowed, 8)
 }
+
+// standaloneRig returns a router for which no leader answers and that has no part of the free capacity.
+func standaloneRig(t *testing.T, serve http.HandlerFunc) *rig {
+	r, _ := newQueueRig(t, serve)
+	r.handler.config.Queue = &announcedRooms{room: coordapi.Room{Limit: 4, Running: 4}, number: 1}
+	r.handler.config.Placer = &queueingPlacer{place: func(context.Context) (choice backends.Choice, found, answered bool) { return choice, false, false }}
+	return r
+}
+
+// Demand may move to one router while there is no leader. The others have parts of the capacity that they
+// do not use.
+func TestRequestBeyondShareIsPassedOn(t *testing.T) {
+	r, other := standaloneRig(t, oneEvent), newRelayRig(t)
+	other.add("llm", "e", oneEvent)
+	r.setRelays(other.address())
+	got := r.askChat()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, r.ran("e"), 0)
+	assert.Equal(t, other.ran("e"), 1)
+}
+
+// A router that has no part left either declines at once, and is asked again for later requests.
+func TestRequestBeyondSharesOfAllIsRefused(t *testing.T) {
+	r, other := standaloneRig(t, oneEvent), newRelayRig(t)
+	other.add("llm", "e", oneEvent)
+	other.handler.config.Queue, other.handler.config.Placer = r.handler.config.Queue, r.handler.config.Placer
+	r.setRelays(other.address())
+	for range 2 {
+		got := r.askChat()
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+		assert.Equal(t, got.header.Get(relay.HeaderDeclined), "")
+	}
+	assert.Equal(t, r.ran("e")+other.ran("e"), 0)
+	assert.Equal(t, other.handler.metrics.declined.Load(), uint64(2))
+	assert.Equal(t, len(r.handler.config.Relays.(*orderedRelays).declined), 0)
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -23,6 +23,12 @@
 	// maxRelays bounds the routers to which a request is passed on one after the other, when they
 	// decline it or cannot be reached.
 	maxRelays = 3
+	// maxShareRelays bounds the routers to which a request is passed on because this router has no part
+	// of the free capacity left: under overload the others have none either.
+	maxShareRelays = 2
+	// shareRelayDelay is the time for which such a request waits before it is passed on. A single late
+	// answer of the leader is no loss of it.
+	shareRelayDelay = 100 * time.Millisecond
 	// relaySilenceFactor is the timeout for the first byte of a retryable request that was passed
 	// on, in latency targets of its route. It may wait in the queue of its pool there.
 	relaySilenceFactor = 4
@@ -62,21 +68,34 @@
 	return j.origin == nil && !j.unrelayed && h.config.Relays != nil && h.pathLost(j) && h.config.Relays.Known() > 0
 }
 
+// passesOnShare reports whether a request is to be passed on because this router, which decides without
+// the leader, has no part of the pool's free capacity left. Others may have parts that they do not use:
+// demand may have moved here since the last announcement.
+func (h *Handler) passesOnShare(j *job) bool {
+	return j.beyondRoom && !j.shareAsked && j.origin == nil && h.config.Relays != nil && h.config.Relays.Known() > 0
+}
+
+// declinesShare reports whether a request that another router passed on must be declined because this
+// one has no part of the free capacity left either.
+func (h *Handler) declinesShare(j *job) bool {
+	return j.origin != nil && j.ran == j.origin.Ran && j.beyondRoom
+}
+
 // unreachable reports whether a request must be refused at once, since neither this router nor
 // another one reaches the pool.
 func (h *Handler) unreachable(j *job) bool {
 	return h.pathLost(j) && !h.config.Paths.MayTry(h.clock(), j.pool.Name)
 }
 
-// passOn passes a request on to other routers until one accepts it.
-func (h *Handler) passOn(ctx context.Context, s *session) outcome {
+// passOn passes a request on to other routers, at most limit ones, until one accepts it.
+func (h *Handler) passOn(ctx context.Context, s *session, limit int) outcome {
 	j := s.job
 	h.returnQuota(j)
 	result := outcome{verdict: notRun, err: errNoRelay}
 	// A router that broke an earlier attempt off is asked again if there is no other one.
 	broken := j.brokenRelays
 	var tried []string
-	for len(tried) < maxRelays {
+	for len(tried) < limit {
 		address, done, found := h.config.Relays.Choose(h.clock(), j.pool.Name, append(slices.Clone(tried), broken...), rand.Float64())
 		if !found && len(broken) > 0 {
 			broken = nil
@@ -108,6 +127,9 @@
 	s.attempted = backends.Choice{}
 	started := h.now()
 	text := fmt.Sprintf("passed on to router %s, path lost for %d ms", address, h.config.Paths.LostFor(h.clock(), j.pool.Name).Milliseconds())
+	if j.beyondRoom {
+		text = "passed on to router " + address + ", no part of the free capacity left"
+	}
 	response, err := h.config.RelayConnections.Do(ctx, address, h.requestVia(s))
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
@@ -126,9 +148,11 @@
 	silence.stop()
 	h.config.Relays.Responded(h.clock(), address)
 	j.trace = append(j.trace, text+": "+strconv.Itoa(response.StatusCode))
-	if response.Header.Get(relay.HeaderDeclined) != "" {
+	if declined := response.Header.Get(relay.HeaderDeclined); declined != "" {
 		h.metrics.relaysDeclined.Add(1)
-		h.config.Relays.Declined(h.clock(), address, j.pool.Name)
+		if declined != relay.DeclinedShare {
+			h.config.Relays.Declined(h.clock(), address, j.pool.Name)
+		}
 		return outcome{verdict: notRun, err: errDeclined}
 	}
 	h.metrics.passedOn.Add(1)
@@ -217,7 +241,11 @@
 // decline sends the response to a request of another router that has not run here and is not accepted.
 func (h *Handler) decline(w http.ResponseWriter, j *job, reason string) {
 	h.metrics.declined.Add(1)
-	w.Header().Set(relay.HeaderDeclined, "1")
+	value := "1"
+	if j.beyondRoom {
+		value = relay.DeclinedShare
+	}
+	w.Header().Set(relay.HeaderDeclined, value)
 	h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: "declined for router " + j.origin.Router + ": " + reason, retryAfter: lostRetryAfter})
 }
 
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -25,6 +25,9 @@
 	// HeaderDeclined is the response header of a router that did not accept a request. The request
 	// has not run.
 	HeaderDeclined = "Quinceridge-Declined"
+	// DeclinedShare is the value of HeaderDeclined of a router that reaches the pool but has no part of
+	// its free capacity left. Any other value means that it does not reach the pool.
+	DeclinedShare = "share"
 	// HeaderSoftware is the response header that names the software version of the back end that wrote
 	// the first event of a stream.
 	HeaderSoftware = "Quinceridge-Software"
