--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -175,9 +175,9 @@
 	e.wake()
 }
 
-// clear records that a request got a complete answer. It is reported if the request or one of its
+// recordAnswer records that a request got a complete answer. It is reported if the request or one of its
 // parts is a suspect, or if a block applies to the request.
-func (e *evidence) clear(now time.Duration, d poison.Digest, parts []poison.Digest) {
+func (e *evidence) recordAnswer(now time.Duration, d poison.Digest, parts []poison.Digest) {
 	suspects := *e.suspects.Load()
 	_, suspected := suspects[d]
 	blocked, isBlocked := e.find(d, func() []poison.Digest { return parts })
@@ -273,5 +273,5 @@
 
 // RecordSuccess records that a request, with these parts in its prompt, got a complete answer.
 func (f *Follower) RecordSuccess(d poison.Digest, parts []poison.Digest) {
-	f.evidence.clear(f.now(), d, parts)
+	f.evidence.recordAnswer(f.now(), d, parts)
 }
--- a/internal/follower/evidence_test.go
+++ b/internal/follower/evidence_test.go
@@ -55,9 +55,9 @@
 func TestAnsweredSuspectsAreReported(t *testing.T) {
 	e := newEvidence()
 	e.follow("first-1", []poison.Digest{7})
-	e.clear(0, 8, nil)
-	e.clear(0, 7, nil)
-	e.clear(0, 7, nil)
+	e.recordAnswer(0, 8, nil)
+	e.recordAnswer(0, 7, nil)
+	e.recordAnswer(0, 7, nil)
 	var reports coordapi.Reports
 	e.take(0, &reports)
 	assert.DeepEqual(t, reports.Answered, []poison.Digest{7})
@@ -117,7 +117,7 @@
 func TestAnsweredPartsAreReportedWhereTheyMatter(t *testing.T) {
 	e := newEvidence()
 	e.follow("first-1", nil)
-	e.clear(time.Second, 7, []poison.Digest{1, 2})
+	e.recordAnswer(time.Second, 7, []poison.Digest{1, 2})
 	assert.Equal(t, len(e.answers(time.Second)), 0)
 	e.add(2*time.Second, poison.FailedAttempt{Backend: "a", Request: 8, Parts: []poison.Digest{1, 3}})
 	assert.DeepEqual(t, e.answers(3*time.Second), map[poison.Digest]time.Duration{1: 2 * time.Second})
@@ -125,7 +125,7 @@
 	assert.DeepEqual(t, e.answers(4*time.Second), map[poison.Digest]time.Duration{2: 3 * time.Second})
 	e.follow("first-3", []poison.Digest{2, 3})
 	assert.Equal(t, len(e.answers(4*time.Second)), 0)
-	e.clear(5*time.Second, 9, []poison.Digest{3})
+	e.recordAnswer(5*time.Second, 9, []poison.Digest{3})
 	assert.DeepEqual(t, e.answers(5*time.Second), map[poison.Digest]time.Duration{3: 0})
 	e.requeue(&coordapi.Reports{AnsweredParts: []poison.AnsweredPart{{Part: 3}}})
 	assert.DeepEqual(t, e.answers(6*time.Second), map[poison.Digest]time.Duration{3: time.Second})
@@ -139,7 +139,7 @@
 func TestAnsweredPartsAreBounded(t *testing.T) {
 	e := newEvidence()
 	for i := range 5 * maxAnsweredParts {
-		e.clear(time.Duration(i), 7, []poison.Digest{1, poison.Digest(i + 10)})
+		e.recordAnswer(time.Duration(i), 7, []poison.Digest{1, poison.Digest(i + 10)})
 		assert.Assert(t, len(e.answeredAt.younger)+len(e.answeredAt.older) <= 2*maxAnsweredParts)
 	}
 	_, known := e.answeredAt.get(1)
@@ -153,12 +153,12 @@
 	e := newEvidence()
 	e.follow("first-1", nil)
 	e.setBlocked(&coordapi.Blocked{Requests: []state.BlockedRequest{{Request: 50, Parts: []poison.Digest{1, 2}}, {Request: 60}}})
-	e.clear(time.Second, 7, []poison.Digest{1})
+	e.recordAnswer(time.Second, 7, []poison.Digest{1})
 	var reports coordapi.Reports
 	e.take(time.Second, &reports)
 	assert.Equal(t, len(reports.Answered), 0)
-	e.clear(time.Second, 7, []poison.Digest{2, 3, 1})
-	e.clear(time.Second, 60, nil)
+	e.recordAnswer(time.Second, 7, []poison.Digest{2, 3, 1})
+	e.recordAnswer(time.Second, 60, nil)
 	e.take(time.Second, &reports)
 	assert.DeepEqual(t, reports.Answered, []poison.Digest{50})
 }
@@ -171,7 +171,7 @@
 	for i := range poison.Digest(1000) {
 		parts = append(parts, i+1)
 	}
-	e.clear(0, 7, parts[:990])
+	e.recordAnswer(0, 7, parts[:990])
 	e.add(0, poison.FailedAttempt{Backend: "a", Request: 8, Parts: parts})
 	failed := e.failed(0)
 	assert.Equal(t, len(failed[0].Parts), poison.MaxParts)
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -62,6 +62,9 @@
 		h.metrics.refusedBlocked.Add(1)
 	}
 	reason := "blocked: back ends ended while " + what + ": " + strings.Join(block.Backends, ", ")
+	if len(block.Backends) == 0 {
+		reason, text = "blocked by an operator", "An operator has blocked this request.\n"
+	}
 	if s.headerSent {
 		h.logResponse(s, reason)
 		panic(http.ErrAbortHandler)
--- a/internal/poison/candidate.go
+++ b/internal/poison/candidate.go
@@ -45,14 +45,8 @@
 	if b.ID == x.id || len(x.parts) == 0 {
 		return b.ID == x.id
 	}
-	s := c.detector.subjects[b.ID]
-	if s == nil {
-		return false
-	}
-	for _, attempts := range s.attempts {
-		return containsAll(attempts[0].digests, x.parts)
-	}
-	return false
+	blocked := c.detector.subjects[b.ID]
+	return blocked != nil && containsAll(blocked.digests(), x.parts)
 }
 
 // remaining returns the ends under a candidate that are not excused.
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -1,6 +1,7 @@
-// Package poison detects poison requests: requests that end the back ends that run them.
-// Clients resend such a request under new IDs and through any router, and each attempt ends
-// another back end together with all other requests that it runs.
+// Package poison detects what ends the back ends that run it: poison requests, and shared parts of
+// prompts. Clients resend a poison request under new IDs and through any router, and no two requests
+// with such a part are alike. Each attempt ends another back end together with all other requests
+// that it runs.
 //
 // The package does no I/O; time is an argument.
 package poison
--- a/internal/poison/evaluate.go
+++ b/internal/poison/evaluate.go
@@ -204,6 +204,15 @@
 	return out
 }
 
+// digests returns the digests of a request and its parts, which all attempts with it have; nil if none
+// is known.
+func (s *evidence) digests() []Digest {
+	for _, attempts := range s.attempts {
+		return attempts[0].digests
+	}
+	return nil
+}
+
 // block adds a block.
 func (c *evaluation) block(b Block) {
 	ends := map[string]bool{}
