Routers that register first learn of the others soon

Cause: a router without a part of the free capacity passes requests on to routers that the leader has named. One that registers before the others is named none, and asked again after 3 to 3.75 s. If the leader is lost before, it can pass nothing on.

No load is needed: the order of the registrations decides.

The exchange is repeated after 0.2 s, 0.4 s and so on up to 3 s while few routers are known, anew with each leader. In a fleet only the first six routers to register know fewer.

--- a/internal/follower/relays.go
+++ b/internal/follower/relays.go
@@ -17,6 +17,9 @@
 	relayInterval       = 20 * time.Second
 	scarceRelayInterval = 3 * time.Second
 	lostRelayInterval   = 500 * time.Millisecond
+	// firstRelayInterval is the interval after the first exchange with a leader that leaves few known.
+	// It doubles up to scarceRelayInterval: other routers register within moments of this one.
+	firstRelayInterval = 200 * time.Millisecond
 	// relayPoll is the interval at which changes are looked for. It costs no message.
 	relayPoll = 100 * time.Millisecond
 	// relaySpread is the time per router over which routers register with a new leader.
@@ -37,8 +40,9 @@
 type relayExchange struct {
 	leadership string
 	lost       []string
-	// due is the time of the next exchange unless something changes.
-	due time.Duration
+	// due is the time of the next exchange unless something changes, and scarce the next interval
+	// while few routers are known.
+	due, scarce time.Duration
 }
 
 // UpdateRelays registers this router with each leader and keeps the routers to which it may pass
@@ -62,26 +66,28 @@
 		case !slices.Equal(lost, last.lost):
 			last.lost, last.due = lost, now
 		case *leadership != last.leadership:
-			last.due = now + rand.N(relaySpread*time.Duration(f.Routers())+1)
+			last.due, last.scarce = now+rand.N(relaySpread*time.Duration(f.Routers())+1), firstRelayInterval
 		}
 		last.leadership = *leadership
 		if now < last.due {
 			continue
 		}
 		f.exchangeRelays(ctx, *leader, lost)
-		last.due = f.now() + f.relayPeriod(len(lost))
+		last.due = f.now() + last.next(f.config.Relays.Selector.Known())
 	}
 }
 
-// relayPeriod returns the time until the next exchange, with some jitter.
-func (f *Follower) relayPeriod(lost int) time.Duration {
+// next returns the time until the next exchange, with some jitter. Known is the number of routers known.
+func (e *relayExchange) next(known int) time.Duration {
+	interval := relayInterval
 	switch {
-	case lost > 0:
+	case len(e.lost) > 0:
 		return lostRelayInterval
-	case f.config.Relays.Selector.Known() < relay.MaxRelays:
-		return scarceRelayInterval + rand.N(scarceRelayInterval/4)
+	case known < relay.MaxRelays:
+		interval = e.scarce
+		e.scarce = min(2*e.scarce, scarceRelayInterval)
 	}
-	return relayInterval + rand.N(relayInterval/4)
+	return interval + rand.N(interval/4)
 }
 
 // exchangeRelays makes one exchange. Without an answer the last routers named remain.
