Trials of blocked prompt parts let one request through

What callers saw: a sound part that was blocked for ends of another cause stayed refused for ten minutes unless others had met the same ends. Where they had, the block was lifted after 2 s for a trial, and all that waited for it was sent at once: each of these requests could end an engine.

Cause: the way back was bound to one kind of doubt, and it was the end of the block, not a request.

A block of parts is doubtful if others met all of its ends, if as many back ends ended without it, or if most of what ran at its ends had it. It stays in force while the leader lets one request through, on an engine that runs the fewest requests. Its answer ends the block, the end of its engine confirms it. Trials are counted in the log, three at most over all leaders. Routers ask only where this block alone applies, and refuse as before without a leader. Nothing changes while nothing is blocked.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -81,6 +81,9 @@
 	Excluded func(id string) bool
 	// Request is the digest of the request; 0 means none.
 	Request poison.Digest
+	// Trial is the block that applies to the request if it asks to be sent nevertheless, for a trial. It
+	// goes to a back end that runs the fewest requests.
+	Trial poison.Digest
 	// Tenant and Amount are charged to the tenant's limit. Tenant is empty if there is no limit or
 	// the request was charged before.
 	Tenant string
@@ -291,7 +294,9 @@
 
 // usesIndex reports whether the index serves a choice. It does not for pools without engines, whose
 // choice depends on more than the index groups by.
-func (p *Pool) usesIndex(q *Query) bool { return p.index != nil && q.Slots > 0 && q.Excluded == nil }
+func (p *Pool) usesIndex(q *Query) bool {
+	return p.index != nil && q.Slots > 0 && q.Excluded == nil && q.Trial == 0
+}
 
 // examined returns the back ends that a choice examines one by one.
 func (p *Pool) examined(now time.Duration, q *Query) iter.Seq[*row] {
@@ -326,8 +331,24 @@
 		out = p.representatives(now, q, out)
 	}
 	p.scratch = out
-	if lastResort == 0 || lastResort == len(out) {
-		return out
+	if lastResort > 0 && lastResort < len(out) {
+		out = slices.DeleteFunc(out, func(c candidate) bool { return c.lastResort })
+	}
+	if q.Trial != 0 {
+		out = p.leastOccupied(out)
+	}
+	return out
+}
+
+// leastOccupied returns the candidates that run the fewest requests.
+func (p *Pool) leastOccupied(candidates []candidate) []candidate {
+	fewest := math.MaxInt
+	for i := range candidates {
+		requests, _ := p.taken(&candidates[i])
+		fewest = min(fewest, requests)
 	}
-	return slices.DeleteFunc(out, func(c candidate) bool { return c.lastResort })
+	return slices.DeleteFunc(candidates, func(c candidate) bool {
+		requests, _ := p.taken(&c)
+		return requests > fewest
+	})
 }
--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -174,6 +174,9 @@
 	// Suspects are requests, and shared parts of prompts, during which back ends failed, but too few
 	// to block them. Routers report when one of them gets a complete answer, or has got one.
 	Suspects []poison.Digest `json:"suspects,omitempty"`
+	// Trials are the blocks under which the leader lets one request through, to find out whether it ends
+	// its back end. Routers ask for it by a Place.
+	Trials []poison.Digest `json:"trials,omitempty"`
 	// Software describes the pools whose back ends have, or recently had, several software versions.
 	Software map[string]SoftwareVersions `json:"software,omitempty"`
 	// Rooms is the capacity of each pool with engines, by which routers decide without a leader.
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -47,6 +47,8 @@
 	Tried []string `json:"tried,omitempty"`
 	// Request is the digest of the request's content; 0 for none.
 	Request poison.Digest `json:"request,omitempty"`
+	// Trial is the block in force that applies to the request if it asks to be the block's trial.
+	Trial poison.Digest `json:"trial,omitempty"`
 	// Tenant and Amount are the tenant whose limit the request counts against, and the amount;
 	// Tenant is empty if there is no limit or the request was counted before.
 	Tenant string       `json:"tenant,omitempty"`
--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -19,9 +19,6 @@
 	evaluateInterval = 300 * time.Millisecond
 	// proposalTimeout is how long a proposed block counts as pending.
 	proposalTimeout = time.Second
-	// trialDelay is the time after which parts are unblocked for a trial if other requests or parts
-	// met the same ends.
-	trialDelay = 2 * time.Second
 )
 
 // blocker decides on the leader which poison requests, and which parts of prompts, are blocked.
@@ -42,9 +39,13 @@
 	proposed map[poison.Digest]time.Duration
 	// answered are the blocked sets of parts on which a request has been answered.
 	answered []poison.Digest
+	// openTrials are the blocks whose next trial no request has taken yet.
+	openTrials map[poison.Digest]struct{}
 
 	evaluatedAt time.Duration
 	suspects    []poison.Digest
+	// announcedTrials are the open trials as of the last evaluation, in ascending order.
+	announcedTrials []poison.Digest
 	// revision is the revision of the blocked requests that were copied into blocked, and
 	// applied are those in force, by ID.
 	revision uint64
@@ -54,8 +55,8 @@
 // appliedBlock is a block in force.
 type appliedBlock struct {
 	// since is when this node first saw it.
-	since     time.Duration
-	ambiguous bool
+	since time.Duration
+	trials
 }
 
 func newBlocker(heartbeat time.Duration, logger *slog.Logger) *blocker {
@@ -66,8 +67,13 @@
 func (b *blocker) reset(leads bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.detector, b.dirty, b.suspects, b.answered, b.revision = nil, false, nil, nil, 0
-	b.blocked, b.proposed = map[poison.Digest]poison.Block{}, map[poison.Digest]time.Duration{}
+	b.detector, b.dirty, b.suspects, b.answered, b.revision, b.announcedTrials = nil, false, nil, nil, 0, nil
+	b.blocked, b.proposed, b.openTrials = map[poison.Digest]poison.Block{}, map[poison.Digest]time.Duration{}, map[poison.Digest]struct{}{}
+	for id, block := range b.applied {
+		// An entry that an earlier leadership proposed may still be applied.
+		block.proposed = 0
+		b.applied[id] = block
+	}
 	if leads {
 		b.detector = poison.NewDetector(b.heartbeat)
 	}
@@ -146,12 +152,20 @@
 	for _, r := range d.Blocked {
 		b.blocked[r.Request] = r.Rule()
 		delete(b.proposed, r.Request)
-		applied[r.Request] = appliedBlock{since: now, ambiguous: r.Ambiguous}
-		if known, before := b.applied[r.Request]; before {
-			applied[r.Request] = known
+		block, known := b.applied[r.Request]
+		if !known {
+			block = appliedBlock{since: now, trials: newTrials(now, &r)}
 		}
+		if block.begin(now, r.Trials) {
+			b.openTrials[r.Request] = struct{}{}
+		}
+		applied[r.Request] = block
 	}
 	b.applied = applied
+	maps.DeleteFunc(b.openTrials, func(id poison.Digest, _ struct{}) bool {
+		_, inForce := applied[id]
+		return !inForce
+	})
 	for _, c := range d.Cleared {
 		if c.Revision > b.revision && b.detector != nil {
 			b.clear(now, c)
@@ -163,14 +177,11 @@
 // clear applies to the evidence that something was unblocked. The lock is held.
 func (b *blocker) clear(now time.Duration, c state.ClearedRequest) {
 	b.dirty = true
-	switch {
-	case c.Trial:
-		b.detector.BeginTrial(c.Request, c.Backends)
-	case len(c.Parts) > 0:
+	if len(c.Parts) > 0 {
 		b.detector.ClearParts(now, c.Parts)
-	default:
-		b.detector.MarkHarmless(now, c.Request)
+		return
 	}
+	b.detector.MarkHarmless(now, c.Request)
 }
 
 // evaluate judges the evidence. Changed reports whether the list of suspects has changed.
@@ -188,6 +199,13 @@
 	}
 	changed = !slices.Equal(found.Suspects, b.suspects)
 	b.suspects = found.Suspects
+	for _, id := range found.Confirmed {
+		if block, applied := b.applied[id]; applied {
+			block.confirmed = true
+			b.applied[id] = block
+			delete(b.openTrials, id)
+		}
+	}
 	return found, changed
 }
 
@@ -195,9 +213,15 @@
 func (b *blocker) pending(now time.Duration) []poison.Block {
 	var out []poison.Block
 	for id, block := range b.blocked {
-		if at, proposed := b.proposed[id]; !proposed || now < at+proposalTimeout {
-			out = append(out, block)
+		at, proposed := b.proposed[id]
+		if proposed && now >= at+proposalTimeout {
+			continue
+		}
+		block.Since = poison.NotInForce
+		if applied, inForce := b.applied[id]; inForce {
+			block.Since = applied.since
 		}
+		out = append(out, block)
 	}
 	return out
 }
@@ -212,15 +236,12 @@
 }
 
 // ending returns the blocks to end: those that have lasted for long enough, those on which a request
-// was answered, and the refuted ones. An ambiguous one ends early, for a trial.
+// was answered, and the refuted ones.
 func (b *blocker) ending(now time.Duration, refuted []poison.Digest) []unblocking {
 	var out []unblocking
 	for id, block := range b.applied {
-		switch {
-		case now >= block.since+poison.BlockDuration:
+		if now >= block.since+poison.BlockDuration {
 			out = append(out, unblocking{state.Unblock{Request: id}, "expired"})
-		case block.ambiguous && now >= block.since+trialDelay:
-			out = append(out, unblocking{state.Unblock{Request: id, Trial: true}, "trial: others met the same ends"})
 		}
 	}
 	b.mu.Lock()
@@ -254,8 +275,9 @@
 	}
 	for _, v := range found.Verdicts {
 		s.logVerdict(v)
-		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.ID, Parts: v.Parts, Backends: v.Backends, Ambiguous: v.Ambiguous}})
+		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.ID, Parts: v.Parts, Backends: v.Backends, Doubtful: v.Doubtful}})
 	}
+	s.runTrials(now)
 	for _, ended := range s.blocker.ending(now, found.Refuted) {
 		s.logger.Info("unblocking request", "part", "blocking", "request", ended.Request.String(), "reason", ended.reason)
 		// Restarts the expiry, so that a lost proposal is made again.
@@ -272,7 +294,7 @@
 		return
 	}
 	s.logger.Warn("blocking prompt parts", "part", "blocking", "block", v.ID.String(), "prompt_parts", poison.Join(v.Parts), "backends", v.Backends,
-		"unrelated", v.Unrelated, "ambiguous", v.Ambiguous)
+		"unrelated", v.Unrelated, "doubtful", v.Doubtful)
 }
 
 // signs returns a function that reports the state of a back end other than the requests it ran.
--- a/internal/coordinator/blockinghttp.go
+++ b/internal/coordinator/blockinghttp.go
@@ -18,7 +18,7 @@
 	blocked := []blockedEntry{}
 	answered := s.loop.Do(r.Context(), func(time.Duration) {
 		for _, b := range s.core.Machine().Deployment().Blocked {
-			blocked = append(blocked, blockedEntry{Request: b.Request.String(), Since: time.UnixMilli(b.At).UTC(), Parts: digestStrings(b.Parts), Backends: b.Backends, Ambiguous: b.Ambiguous, Revision: b.Revision})
+			blocked = append(blocked, blockedEntry{Request: b.Request.String(), Since: time.UnixMilli(b.At).UTC(), Parts: digestStrings(b.Parts), Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, Revision: b.Revision})
 		}
 	})
 	if !answered {
@@ -40,9 +40,11 @@
 	Since time.Time `json:"since"`
 	// Backends are the back ends that crashed while running it.
 	Backends []string `json:"backends"`
-	// Ambiguous is set if others met the same ends, so that it is unblocked for a trial soon.
-	Ambiguous bool   `json:"ambiguous,omitempty"`
-	Revision  uint64 `json:"revision"`
+	// Doubtful is set if the back ends may have ended for another cause, so that one request is let
+	// through for a trial soon. Trials counts such requests.
+	Doubtful bool   `json:"doubtful,omitempty"`
+	Trials   int    `json:"trials,omitempty"`
+	Revision uint64 `json:"revision"`
 }
 
 // operatorBlock is what an operator blocks: a request, or all requests whose prompts contain some
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -173,6 +173,33 @@
 		}
 		return coordapi.Reply{Placed: &coordapi.Placed{Blocked: backends}}
 	}
+	if req.Trial != 0 {
+		return s.placeTrial(now, req)
+	}
+	return s.placeAllowed(now, req)
+}
+
+// placeTrial places a request as the trial of a block, unless another one is or was.
+func (s *Server) placeTrial(now time.Duration, req *coordapi.Place) coordapi.Reply {
+	backends, taken := s.blocker.takeTrial(req.Trial)
+	if !taken && len(backends) > 0 {
+		s.placer.ApplyReports(now, req.Router, &req.Reports)
+		return coordapi.Reply{Placed: &coordapi.Placed{Blocked: backends}}
+	}
+	req.Wait = false
+	reply := s.placeAllowed(now, req)
+	if placed := reply.Placed; placed.ID == "" || placed.Late {
+		if taken {
+			s.blocker.returnTrial(req.Trial)
+		}
+		return reply
+	}
+	s.logger.Info("request placed for a trial", "part", "blocking", "block", req.Trial.String(), "request", req.Request.String(), "router", req.Router, "backend", reply.Placed.ID)
+	return reply
+}
+
+// placeAllowed chooses an engine for a request that is not blocked.
+func (s *Server) placeAllowed(now time.Duration, req *coordapi.Place) coordapi.Reply {
 	if req.Wait && req.Amount > 0 && s.placer.Holds(req.Router, req.Number) {
 		// It was counted when it was queued.
 		placed := s.placer.Place(now, req)
@@ -403,7 +430,7 @@
 		v.Notes = s.rollout.notes
 		v.Silent, v.Unresponsive = s.soft.silentAndUnresponsive(d, shard)
 		v.Limited = s.soft.limitedOf(d, shard)
-		v.Suspects = s.blocker.suspects
+		v.Suspects, v.Trials = s.blocker.suspects, s.blocker.announcedTrials
 		v.Software = s.soft.software
 	}
 	if !sameLeader {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -68,6 +68,7 @@
 	gauge("stream_records_dropped_total", dropped)
 	s.loop.Do(r.Context(), func(time.Duration) {
 		gauge("requests_suspected", len(s.blocker.suspects))
+		gauge("block_trials_open", len(s.blocker.announcedTrials))
 		requests, parts := s.core.Machine().Deployment().CountBlocked()
 		gauge("requests_blocked", requests)
 		gauge("prompt_parts_blocked", parts)
--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,9 +29,11 @@
 // evidence is a router's side of detecting poison requests: its failed attempts, until each
 // leader has them, and the findings of the coordinators. It is safe for concurrent use.
 type evidence struct {
-	// blocked and suspects are the latest from the coordinators.
+	// blocked, suspects and trials are the latest from the coordinators. The last are the blocks under
+	// which the leader lets one request through.
 	blocked  atomic.Pointer[blockedList]
 	suspects atomic.Pointer[map[poison.Digest]struct{}]
+	trials   atomic.Pointer[[]poison.Digest]
 	// updateNow wakes Update.
 	updateNow chan struct{}
 
@@ -87,6 +90,7 @@
 	e.reportParts = map[poison.Digest]struct{}{}
 	e.blocked.Store(&blockedList{})
 	e.suspects.Store(&map[poison.Digest]struct{}{})
+	e.trials.Store(&[]poison.Digest{})
 }
 
 // setBlocked replaces what is blocked.
@@ -108,6 +112,20 @@
 	return blocked.requests[i], true
 }
 
+// mayTry reports whether the leader lets a request through under the only block that applies to it.
+func (e *evidence) mayTry(request poison.Digest, parts func() []poison.Digest) bool {
+	trials := *e.trials.Load()
+	if len(trials) == 0 {
+		return false
+	}
+	blocked := e.blocked.Load()
+	applying := blocked.index.All(request, parts)
+	return len(applying) == 1 && slices.Contains(trials, blocked.requests[applying[0]].Request)
+}
+
+// setTrials sets the blocks under which the leader lets one request through.
+func (e *evidence) setTrials(trials []poison.Digest) { e.trials.Store(&trials) }
+
 // follow sets the leadership that is followed and its suspects.
 func (e *evidence) follow(token coordapi.LeaderToken, suspects []poison.Digest) {
 	named := make(map[poison.Digest]struct{}, len(suspects))
@@ -268,6 +286,11 @@
 	return f.evidence.find(d, parts)
 }
 
+// MayTry reports whether a blocked request may ask the leader to be sent for a trial.
+func (f *Follower) MayTry(d poison.Digest, parts func() []poison.Digest) bool {
+	return f.evidence.mayTry(d, parts)
+}
+
 // RecordFailure records an attempt that failed without a complete answer.
 func (f *Follower) RecordFailure(attempt poison.FailedAttempt) { f.evidence.add(f.now(), attempt) }
 
--- a/internal/follower/evidence_test.go
+++ b/internal/follower/evidence_test.go
@@ -177,3 +177,19 @@
 	assert.Equal(t, len(failed[0].Parts), poison.MaxParts)
 	assert.DeepEqual(t, failed[0].Parts[:10], parts[990:])
 }
+
+// A request is tried only under the single block that applies to it.
+func TestRequestWithTwoBlocksIsNotTried(t *testing.T) {
+	e := newEvidence()
+	e.setBlocked(&coordapi.Blocked{Requests: []state.BlockedRequest{{Request: 5, Parts: []poison.Digest{5}}, {Request: 6, Parts: []poison.Digest{6}}}})
+	parts := func(digests ...poison.Digest) func() []poison.Digest {
+		return func() []poison.Digest { return digests }
+	}
+	assert.Assert(t, !e.mayTry(1, parts(5)))
+	e.setTrials([]poison.Digest{5})
+	assert.Assert(t, e.mayTry(1, parts(5, 7)))
+	assert.Assert(t, !e.mayTry(1, parts(5, 6)))
+	assert.Assert(t, !e.mayTry(1, parts(6)))
+	e.setTrials(nil)
+	assert.Assert(t, !e.mayTry(1, parts(5)))
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -378,6 +378,7 @@
 		f.followSoftware(v.Software, v.Leader.Leadership() != f.token.Leadership())
 		f.config.Streams.SetListed(f.clock(), v.Unresponsive)
 		f.config.Limits.Announced(v.Limited)
+		f.evidence.setTrials(v.Trials)
 		f.evidence.follow(v.Leader, v.Suspects)
 	}
 	f.routers.Store(int64(v.Routers))
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -64,8 +64,8 @@
 	for {
 		// This is checked before each attempt and by digest: a poison request is resent under
 		// new IDs and through other routers.
-		if blocked, is := h.config.Observer.Blocked(j.digest, j.promptParts); is {
-			h.refuseBlocked(s, blocked)
+		if block, allowed := h.allowedByBlocks(j); !allowed {
+			h.refuseBlocked(s, block)
 			return
 		}
 		if h.declines(j) {
@@ -116,7 +116,11 @@
 			choice, found = backends.Choice{}, false
 		}
 		if len(choice.Blocked) > 0 {
-			h.refuseBlocked(s, state.BlockedRequest{Request: j.digest, Backends: choice.Blocked})
+			block := state.BlockedRequest{Request: j.digest, Backends: choice.Blocked}
+			if j.trial != nil {
+				block = *j.trial
+			}
+			h.refuseBlocked(s, block)
 			return
 		}
 		if choice.OverLimit {
@@ -149,7 +153,7 @@
 			h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: behindRetryAfter(&choice, &j.query)})
 			return
 		}
-		if blocked, is := h.config.Observer.Blocked(j.digest, j.promptParts); is {
+		if blocked, is := h.config.Observer.Blocked(j.digest, j.promptParts); is && (j.trial == nil || blocked.Request != j.trial.Request) {
 			// It was blocked while the request waited for a back end.
 			h.cancelPlacement(choice)
 			h.refuseBlocked(s, blocked)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -95,6 +95,9 @@
 // so are engines while the leader does not reply.
 func (h *Handler) chooseOnce(ctx context.Context, j *job) (backends.Choice, bool) {
 	j.beyondRoom = false
+	if j.trial != nil {
+		return h.placeTrial(ctx, j)
+	}
 	if h.config.Placer != nil && j.pool.Engine != nil {
 		if choice, found, answered := h.place(ctx, j); answered {
 			h.metrics.placedByLeader.Add(1)
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -32,6 +32,8 @@
 	// Blocked reports whether a request is blocked, and the evidence for it. The digests of the shared
 	// parts of its prompt are asked for only if some are blocked.
 	Blocked(request poison.Digest, parts func() []poison.Digest) (state.BlockedRequest, bool)
+	// MayTry reports whether a blocked request may ask the leader to be sent for a trial.
+	MayTry(request poison.Digest, parts func() []poison.Digest) bool
 	// RecordFailure records an attempt that ended without a complete response.
 	RecordFailure(ended poison.FailedAttempt)
 	// RecordSuccess records that a request received a complete response. Parts are the shared parts
@@ -45,8 +47,38 @@
 func (noObserver) Blocked(poison.Digest, func() []poison.Digest) (b state.BlockedRequest, blocked bool) {
 	return b, false
 }
-func (noObserver) RecordFailure(poison.FailedAttempt)           {}
-func (noObserver) RecordSuccess(poison.Digest, []poison.Digest) {}
+func (noObserver) MayTry(poison.Digest, func() []poison.Digest) bool { return false }
+func (noObserver) RecordFailure(poison.FailedAttempt)                {}
+func (noObserver) RecordSuccess(poison.Digest, []poison.Digest)      {}
+
+// allowedByBlocks reports whether a request may be sent, or may ask the leader to be sent for a trial of
+// the block that applies to it. It returns the block otherwise.
+func (h *Handler) allowedByBlocks(j *job) (block state.BlockedRequest, allowed bool) {
+	j.trial, j.query.Trial = nil, 0
+	block, blocked := h.config.Observer.Blocked(j.digest, j.promptParts)
+	if !blocked {
+		return block, true
+	}
+	if j.pool.Engine == nil || h.config.Placer == nil || j.tries() > 0 || !h.config.Observer.MayTry(j.digest, j.promptParts) {
+		return block, false
+	}
+	j.trial, j.query.Trial = &block, block.Request
+	return block, true
+}
+
+// placeTrial asks the leader to place a request for a trial. It returns a blocked choice unless the leader
+// has placed it.
+func (h *Handler) placeTrial(ctx context.Context, j *job) (backends.Choice, bool) {
+	choice, found, answered := h.place(ctx, j)
+	if answered && choice.OverLimit {
+		return choice, found
+	}
+	if !answered || !found || choice.Late || choice.Reason != "" || len(choice.Blocked) > 0 {
+		return backends.Choice{Blocked: j.trial.Backends}, true
+	}
+	h.config.Logger.Info("request is sent for a trial", "part", "forward", "id", j.id, "request", j.digest.String(), "block", j.trial.Request.String(), "backend", choice.ID)
+	return choice, true
+}
 
 // refuseBlocked sends the final response to a blocked request. It is not retryable: another
 // attempt would end another back end and all requests that it runs.
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/state"
@@ -30,8 +31,12 @@
 	parts                  []poison.Digest
 	blockedParts           []poison.Digest
 	questions, blockedFrom int
+	// trial is set while the leader lets a request through under the block.
+	trial bool
 }
 
+func (w *observer) MayTry(poison.Digest, func() []poison.Digest) bool { return w.trial }
+
 func (w *observer) Blocked(d poison.Digest, parts func() []poison.Digest) (state.BlockedRequest, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -269,3 +274,47 @@
 	r.ask("POST", "/chat/1", setPrompt("system:10,team:5,own:3"))
 	assert.DeepEqual(t, w.await(t, 1)[0].Parts, []poison.Digest{poison.PartDigest("", "system"), poison.PartDigest("", "team")})
 }
+
+// A request under a block in trial is sent only if the leader has placed it, and is refused as blocked
+// otherwise, without an attempt.
+func TestBlockedRequestIsSentForTrialOnlyIfLeaderPlacesIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		trial, placed, answered bool
+		status                  int
+	}{
+		"placed":                       {true, true, true, http.StatusOK},
+		"another one has the trial":    {true, false, true, http.StatusBadGateway},
+		"no leader":                    {true, false, false, http.StatusBadGateway},
+		"no trial although it is sent": {false, true, true, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, choice := newQueueRig(t, oneEvent)
+			w := &observer{blocks: true, trial: c.trial}
+			r.handler.config.Observer = w
+			asked := 0
+			r.handler.config.Placer = &trialPlacer{place: func(q *backends.Query) (backends.Choice, bool, bool) {
+				asked++
+				assert.Assert(t, q.Trial != 0 && !q.Queueing.Wait)
+				if !c.placed {
+					return backends.Choice{Blocked: []string{"a"}}, c.answered, c.answered
+				}
+				return choice, true, c.answered
+			}}
+			got := r.askChat()
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, r.ran("e"), map[int]int{http.StatusOK: 1, http.StatusBadGateway: 0}[c.status])
+			assert.Assert(t, asked <= 1)
+			assert.Equal(t, asked == 1, c.trial)
+		})
+	}
+}
+
+// trialPlacer is a Placer with a scripted reply.
+type trialPlacer struct {
+	queueingPlacer
+	place func(q *backends.Query) (choice backends.Choice, found, answered bool)
+}
+
+func (p *trialPlacer) Place(_ context.Context, q *backends.Query) (choice backends.Choice, found, answered bool) {
+	return p.place(q)
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -34,6 +34,7 @@
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/relay"
+	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -264,6 +265,8 @@
 	// is the time for which the request has waited for it until then.
 	shareAsked bool
 	roomWaited time.Duration
+	// trial is the block that applies to the request if it asks to be sent nevertheless; nil for none.
+	trial *state.BlockedRequest
 	// standalone is set if the leader did not answer when the back end was chosen.
 	standalone bool
 	// endShare ends the request's part of what the router runs at the pool; nil if it has none.
--- a/internal/forward/queueing.go
+++ b/internal/forward/queueing.go
@@ -27,9 +27,10 @@
 		Abandon: j.route.AbandonAfter, Deadline: j.deadline - j.receivedAt, Started: j.tries()}
 }
 
-// mayWait reports whether a request may wait in the queue of its pool.
+// mayWait reports whether a request may wait in the queue of its pool. One that is sent for a trial goes at
+// once or not at all.
 func (h *Handler) mayWait(j *job) bool {
-	return j.pool.Engine != nil && j.route.Target > 0 && j.tries() == 0
+	return j.pool.Engine != nil && j.route.Target > 0 && j.tries() == 0 && j.trial == nil
 }
 
 // queueUrgency returns the urgency of a request in the queue.
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -35,7 +35,7 @@
 	// resumed at the version that began them.
 	Software Level = 8
 	// PromptParts adds the shared parts of prompts to the reports of failed attempts and of answers,
-	// and to what is blocked.
+	// and to what is blocked, and the trials of blocks.
 	PromptParts Level = 9
 )
 
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -280,3 +280,18 @@
 	choice, _ := Choice(ask, &placed)
 	assert.Equal(t, choice.Wait, placed.Wait)
 }
+
+// A trial may end its engine, so that it goes to one that runs little else, even away from its cached parts.
+func TestTrialGoesToEngineWithFewestRequests(t *testing.T) {
+	p := newTestPlacer(4)
+	counts := map[string]int{}
+	for i := range 13 {
+		counts[p.Place(time.Second, longPrompt("r", uint64(i+1), "key")).ID]++
+	}
+	trial := longPrompt("r", 100, "key")
+	trial.Trial = 7
+	chosen := p.Place(time.Second, trial).ID
+	for _, row := range engines(4) {
+		assert.Assert(t, counts[chosen] <= counts[row.ID], "%v, chosen %s", counts, chosen)
+	}
+}
--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"math"
 	"slices"
+	"time"
 )
 
 // Block names what is kept from back ends: one request, or all requests whose prompts contain each
@@ -15,8 +17,13 @@
 	Parts []Digest
 	// Backends are those that ended under it, as far as known.
 	Backends []string
+	// Since is when it took effect, by the Detector's clock.
+	Since time.Duration
 }
 
+// NotInForce is the Since of a block that has not taken effect yet.
+const NotInForce = time.Duration(math.MaxInt64)
+
 // setMarker precedes what is hashed of a set of parts.
 const setMarker = partMarker - 1
 
@@ -107,6 +114,26 @@
 	return 0, false
 }
 
+// All returns the positions of all blocks that apply to a request, in ascending order.
+func (x *Index) All(request Digest, parts func() []Digest) []int {
+	var out []int
+	if position, found := x.requests[request]; found {
+		out = append(out, position)
+	}
+	if len(x.parts) > 0 {
+		digests := parts()
+		for _, d := range digests {
+			for _, position := range x.parts[d] {
+				if containsUnsorted(digests, x.sets[position]) {
+					out = append(out, position)
+				}
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 func containsUnsorted(digests, subset []Digest) bool {
 	for _, d := range subset {
 		if !slices.Contains(digests, d) {
--- a/internal/poison/candidate.go
+++ b/internal/poison/candidate.go
@@ -17,8 +17,8 @@
 	// same time, and runTime the sum of the shortest attempts at each end.
 	counted, unrelated int
 	runTime            time.Duration
-	// ambiguous is set if another request or part met all of the ends.
-	ambiguous bool
+	// rivaled is set if another request or part met all of the ends.
+	rivaled bool
 }
 
 // concerns reports whether a digest is the candidate's request or one of its parts.
@@ -225,12 +225,12 @@
 func (c *evaluation) hasEnoughEnds(x *candidate) bool {
 	x.counted = x.countEnds(c.remaining(x))
 	always := x.countEnds(x.ends) >= c.endsAlways(x)
-	if len(x.ends) < endsToBlock || (x.counted < c.required(x) && !always) || !c.endsBeyondBlocks(x) || !c.endsBeyondTrial(x) {
+	if len(x.ends) < endsToBlock || (x.counted < c.required(x) && !always) || !c.endsBeyondBlocks(x) {
 		return false
 	}
 	x.unrelated, x.runTime = c.unrelated(x), c.shortestRuns(x)
 	rivals := c.rivals(x)
-	x.ambiguous = rivals.covering
+	x.rivaled = rivals.covering
 	extra := min(x.unrelated/unrelatedPerEnd, maxExtraEnds)
 	switch {
 	case rivals.covering:
@@ -275,20 +275,6 @@
 	return true
 }
 
-// endsBeyondTrial reports whether a candidate that was unblocked for a trial has met a further end.
-func (c *evaluation) endsBeyondTrial(x *candidate) bool {
-	before, tried := c.detector.trials[x.id]
-	if !tried {
-		return true
-	}
-	for backend := range x.ends {
-		if !slices.Contains(before, backend) {
-			return true
-		}
-	}
-	return false
-}
-
 // rivals tells how far others met the ends that count against a candidate.
 type rivals struct {
 	// shared is set if each end also counts against a suspect, and covering if one met all of them.
@@ -375,6 +361,40 @@
 // verdict returns the decision to block a candidate.
 func (c *evaluation) verdict(x *candidate) Verdict {
 	backends := slices.SortedFunc(maps.Keys(x.ends), func(a, b string) int { return cmp.Or(cmp.Compare(x.ends[a], x.ends[b]), cmp.Compare(a, b)) })
-	_, tried := c.detector.trials[x.id]
-	return Verdict{Block: Block{ID: x.id, Parts: x.parts, Backends: backends}, Unrelated: x.unrelated, Ambiguous: x.ambiguous && !tried && len(x.parts) > 0}
+	return Verdict{Block: Block{ID: x.id, Parts: x.parts, Backends: backends}, Unrelated: x.unrelated, Doubtful: c.doubtful(x)}
+}
+
+// doubtful reports whether the ends under a set of parts may have had another cause: others met all of
+// them, at least as many back ends ended without it, or most of what ran at the ends had it, several
+// attempts at each.
+func (c *evaluation) doubtful(x *candidate) bool {
+	if len(x.parts) == 0 {
+		return false
+	}
+	if x.rivaled || x.unrelated >= len(x.ends) {
+		return true
+	}
+	with, all := c.attemptsAt(x)
+	return 2*with >= all && with >= minCommonAttempts*len(x.ends)
+}
+
+// attemptsAt counts the attempts that ended with the back ends of a candidate, and those with its parts
+// among them.
+func (c *evaluation) attemptsAt(x *candidate) (with, all int) {
+	for d, s := range c.detector.subjects {
+		if s.isPart {
+			continue
+		}
+		for backend := range x.ends {
+			for _, a := range s.attempts[backend] {
+				if a.ended && a.request == d {
+					all++
+					if containsAll(a.digests, x.parts) {
+						with++
+					}
+				}
+			}
+		}
+	}
+	return with, all
 }
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -26,8 +26,6 @@
 	intervalPerSubject = 10 * time.Microsecond
 	// expiryInterval is the time between two removals of outdated evidence.
 	expiryInterval = time.Minute
-	// maxTrials bounds the trials that are recorded.
-	maxTrials = 1024
 	// heartbeatMargin is the delay after a failed attempt within which a heartbeat does not
 	// show that the back end is alive: it may have been in flight.
 	heartbeatMargin = time.Second
@@ -85,8 +83,6 @@
 	subjects map[Digest]*evidence
 	// suspectedSince maps the suspected parts to the time at which they became suspects.
 	suspectedSince map[Digest]time.Duration
-	// trials maps what was unblocked for a trial to the back ends that had ended under it.
-	trials map[Digest][]string
 	// evaluations counts the calls of Evaluate.
 	evaluations uint64
 	// expiredAt is when outdated evidence was last removed.
@@ -119,7 +115,7 @@
 
 // NewDetector returns an empty Detector.
 func NewDetector(heartbeatInterval time.Duration) *Detector {
-	return &Detector{heartbeatInterval: heartbeatInterval, subjects: map[Digest]*evidence{}, suspectedSince: map[Digest]time.Duration{}, trials: map[Digest][]string{}}
+	return &Detector{heartbeatInterval: heartbeatInterval, subjects: map[Digest]*evidence{}, suspectedSince: map[Digest]time.Duration{}}
 }
 
 // Record records a failed attempt. Recording it again has no effect.
@@ -163,15 +159,6 @@
 	}
 }
 
-// BeginTrial records that a request or a set of parts was unblocked for a trial: it is blocked again
-// only if a back end other than the given ones ends under it.
-func (l *Detector) BeginTrial(id Digest, backends []string) {
-	if len(l.trials) >= maxTrials {
-		clear(l.trials)
-	}
-	l.trials[id] = backends
-}
-
 // MarkAnswered records that a request with a part got a complete answer at a time. Failed attempts
 // until then do not count against the part, and later ones count less.
 func (l *Detector) MarkAnswered(at time.Duration, part Digest) {
--- a/internal/poison/evaluate.go
+++ b/internal/poison/evaluate.go
@@ -38,15 +38,18 @@
 	// endsBeyondRequest is the number of ends without a blocked request that are required to block
 	// a part of its prompt as well.
 	endsBeyondRequest = 2
+	// minCommonAttempts is the number of attempts with a part at each end, on average, from which the
+	// part is common. What ends a back end does so with the first of them.
+	minCommonAttempts = 2
 )
 
 // Verdict is the decision to block a request, or all requests whose prompts contain a set of parts.
 type Verdict struct {
 	Block
-	// Unrelated counts the back ends that ended without it at about the same time, and Ambiguous is
-	// set for parts if others met all of the ends, unless a trial has shown that they end back ends.
+	// Unrelated counts the back ends that ended without it at about the same time, and Doubtful is
+	// set for parts that may have met the ends of another cause.
 	Unrelated int
-	Ambiguous bool
+	Doubtful  bool
 }
 
 // Findings are the results of an evaluation.
@@ -54,8 +57,9 @@
 	Verdicts []Verdict
 	// Suspects have almost enough evidence, in ascending order.
 	Suspects []Digest
-	// Refuted are the blocked sets of parts of which all ends are due to another block.
-	Refuted []Digest
+	// Refuted are the blocked sets of parts of which all ends are due to another block, and Confirmed
+	// the blocks under which a back end ended although the attempt began while they were in force.
+	Refuted, Confirmed []Digest
 	// Waiting is set if a verdict waits for reports of answers.
 	Waiting bool
 }
@@ -72,6 +76,7 @@
 		return found
 	}
 	c := l.newEvaluation(now, signs, blocks)
+	found.Confirmed = c.confirmed
 	found.Suspects = c.suspects()
 	l.updateSuspectedSince(now, found.Suspects)
 	for {
@@ -147,8 +152,10 @@
 	ends map[Digest]map[string]time.Duration
 	// times maps each ended back end to the time of its end.
 	times map[string]time.Duration
-	// blocks are those in force and those of the verdicts so far.
-	blocks []blockEnds
+	// blocks are those in force and those of the verdicts so far, and confirmed those among them under
+	// which a back end ended since.
+	blocks    []blockEnds
+	confirmed []Digest
 }
 
 // blockEnds is a block with the back ends that ended under it.
@@ -215,7 +222,7 @@
 
 // block adds a block.
 func (c *evaluation) block(b Block) {
-	ends := map[string]bool{}
+	ends, confirmed := map[string]bool{}, false
 	for _, backend := range b.Backends {
 		ends[backend] = true
 	}
@@ -226,9 +233,14 @@
 	if s := c.detector.subjects[first]; s != nil {
 		for backend, attempts := range s.attempts {
 			for _, a := range attempts {
-				ends[backend] = ends[backend] || (a.ended && b.covers(a.digests))
+				under := a.ended && b.covers(a.digests)
+				ends[backend] = ends[backend] || under
+				confirmed = confirmed || (under && a.from > b.Since)
 			}
 		}
 	}
 	c.blocks = append(c.blocks, blockEnds{b, ends})
+	if confirmed {
+		c.confirmed = append(c.confirmed, b.ID)
+	}
 }
--- a/internal/state/blocked.go
+++ b/internal/state/blocked.go
@@ -21,15 +21,16 @@
 	Parts []poison.Digest `json:"parts,omitempty"`
 	// Backends are the back ends that ended while they ran it; none for a block by an operator.
 	Backends []string `json:"backends"`
-	// Ambiguous is set if other requests or parts met the same ends.
-	Ambiguous bool `json:"ambiguous,omitempty"`
+	// Doubtful is set if the back ends may have ended for another cause.
+	Doubtful bool `json:"doubtful,omitempty"`
+	// Trials is the number of requests that may have been let through for a trial. A Block of what is
+	// blocked already changes nothing but a lower number.
+	Trials int `json:"trials,omitempty"`
 }
 
 // Unblock allows what was blocked to be sent to back ends again and discards the evidence against it.
 type Unblock struct {
 	Request poison.Digest `json:"request"`
-	// Trial retains the evidence: one further end under it is enough to block it again.
-	Trial bool `json:"trial,omitempty"`
 }
 
 // BlockedRequest is a request, or a set of parts of prompts, that must not be sent to back ends.
@@ -37,8 +38,10 @@
 	Request poison.Digest   `json:"request"`
 	Parts   []poison.Digest `json:"parts,omitempty"`
 	// Backends are the back ends that ended while they ran it.
-	Backends  []string `json:"backends"`
-	Ambiguous bool     `json:"ambiguous,omitempty"`
+	Backends []string `json:"backends"`
+	Doubtful bool     `json:"doubtful,omitempty"`
+	// Trials is the number of requests that may have been let through for a trial.
+	Trials int `json:"trials,omitempty"`
 	// At is the time of the block in Unix milliseconds, for display only, and Revision the
 	// log index of the block.
 	At       int64  `json:"at"`
@@ -54,19 +57,21 @@
 type ClearedRequest struct {
 	Request poison.Digest   `json:"request"`
 	Parts   []poison.Digest `json:"parts,omitempty"`
-	// Trial is that of the Unblock, and Backends are then those of the block.
-	Trial    bool     `json:"trial,omitempty"`
-	Backends []string `json:"backends,omitempty"`
 	// Revision is the log index of the Unblock command.
 	Revision uint64 `json:"revision"`
 }
 
 func (m *Machine) block(index uint64, b *Block) Result {
 	d := &m.data.Deployment
-	if d.IsBlocked(b.Request) {
+	if i := d.blockedIndex(b.Request); i >= 0 {
+		if b.Trials > d.Blocked[i].Trials {
+			d.Blocked = slices.Clone(d.Blocked)
+			d.Blocked[i].Trials = b.Trials
+			d.BlockedRevision = index
+		}
 		return Result{Code: CodeOK}
 	}
-	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Parts: b.Parts, Backends: b.Backends, Ambiguous: b.Ambiguous, At: m.data.Now, Revision: index})
+	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Parts: b.Parts, Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, At: m.data.Now, Revision: index})
 	if len(d.Blocked) > maxBlocked {
 		d.Blocked = d.Blocked[1:]
 	}
@@ -76,14 +81,11 @@
 
 func (m *Machine) unblock(index uint64, u *Unblock) Result {
 	d := &m.data.Deployment
-	i := slices.IndexFunc(d.Blocked, func(b BlockedRequest) bool { return b.Request == u.Request })
+	i := d.blockedIndex(u.Request)
 	if i < 0 {
 		return Result{Code: CodeUnknown, Message: "the request is not blocked"}
 	}
-	cleared := ClearedRequest{Request: u.Request, Parts: d.Blocked[i].Parts, Trial: u.Trial, Revision: index}
-	if u.Trial {
-		cleared.Backends = d.Blocked[i].Backends
-	}
+	cleared := ClearedRequest{Request: u.Request, Parts: d.Blocked[i].Parts, Revision: index}
 	d.Blocked = slices.Delete(slices.Clone(d.Blocked), i, i+1)
 	d.Cleared = append(d.Cleared, cleared)
 	if len(d.Cleared) > maxCleared {
@@ -104,6 +106,9 @@
 }
 
 // IsBlocked reports whether a request, or exactly this set of parts, is blocked.
-func (d *Deployment) IsBlocked(request poison.Digest) bool {
-	return slices.ContainsFunc(d.Blocked, func(b BlockedRequest) bool { return b.Request == request })
+func (d *Deployment) IsBlocked(request poison.Digest) bool { return d.blockedIndex(request) >= 0 }
+
+// blockedIndex returns the position of a block, or -1.
+func (d *Deployment) blockedIndex(request poison.Digest) int {
+	return slices.IndexFunc(d.Blocked, func(b BlockedRequest) bool { return b.Request == request })
 }
