A router that loses a path before its first leader keeps running

Cause: the interval until the next exchange about other routers was set with the first leadership, but a changed list of lost pools begins an exchange too, and rand.N panics at an interval of 0.

Evidence: the stack in the router's log. An interval that was not set yet is now the shortest one.

TestRouterThatStartsWithLostPathRegisters and TestExchangesOfRoutersThatKnowFewBecomeRare, now with the zero value, panicked before.

--- a/internal/follower/relays.go
+++ b/internal/follower/relays.go
@@ -40,8 +40,8 @@
 type relayExchange struct {
 	leadership string
 	lost       []string
-	// due is the time of the next exchange unless something changes, and scarce the next interval
-	// while few routers are known.
+	// due is the time of the next exchange unless something changes, and scarce the last interval for
+	// which few routers were known; 0 if there was none with this leader.
 	due, scarce time.Duration
 }
 
@@ -66,9 +66,11 @@
 		case !slices.Equal(lost, last.lost):
 			last.lost, last.due = lost, now
 		case *leadership != last.leadership:
-			last.due, last.scarce = now+rand.N(relaySpread*time.Duration(f.Routers())+1), firstRelayInterval
+			last.due = now + rand.N(relaySpread*time.Duration(f.Routers())+1)
+		}
+		if *leadership != last.leadership {
+			last.leadership, last.scarce = *leadership, 0
 		}
-		last.leadership = *leadership
 		if now < last.due {
 			continue
 		}
@@ -84,8 +86,8 @@
 	case len(e.lost) > 0:
 		return lostRelayInterval
 	case known < relay.MaxRelays:
+		e.scarce = min(max(2*e.scarce, firstRelayInterval), scarceRelayInterval)
 		interval = e.scarce
-		e.scarce = min(2*e.scarce, scarceRelayInterval)
 	}
 	return interval + rand.N(interval/4)
 }
--- a/internal/follower/relays_test.go
+++ b/internal/follower/relays_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,9 +56,14 @@
 
 // registerRouter starts a router that registers with a leader, and returns what it knows of others.
 func registerRouter(t *testing.T, leader, name string) *relay.Selector {
+	return registerLosing(t, leader, name, func() []string { return nil })
+}
+
+// registerLosing is registerRouter for a router that has lost pools.
+func registerLosing(t *testing.T, leader, name string, lost func() []string) *relay.Selector {
 	selector := relay.NewSelector("z")
 	f := New(Config{Name: name, Pool: discardPool{}, Peers: peer.NewClient(&peer.Counters{}), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Relays: Relays{Address: name, Selector: selector, Lost: func() []string { return nil }}})
+		Relays: Relays{Address: name, Selector: selector, Lost: lost}})
 	leadership := "1"
 	f.following.Store(&leader)
 	f.leadership.Store(&leadership)
@@ -101,7 +107,7 @@
 
 // Few other routers must not make a router ask the leader for more at a high rate.
 func TestExchangesOfRoutersThatKnowFewBecomeRare(t *testing.T) {
-	e := relayExchange{scarce: firstRelayInterval}
+	var e relayExchange
 	var last time.Duration
 	for range 8 {
 		last = e.next(2)
@@ -109,3 +115,25 @@
 	assert.Assert(t, last >= scarceRelayInterval)
 	assert.Assert(t, e.next(relay.MaxRelays) >= relayInterval)
 }
+
+// A router may lose a path before it has followed any leader.
+func TestRouterThatStartsWithLostPathRegisters(t *testing.T) {
+	l := &relayLeader{}
+	address := l.start(t)
+	var calls atomic.Int64
+	lost := func() []string {
+		if calls.Add(1) < 3 {
+			return []string{"llm"}
+		}
+		return nil
+	}
+	registerLosing(t, address, "first", lost)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.exchanges < 3 {
+			return poll.Continue("%d exchanges", l.exchanges)
+		}
+		return poll.Success()
+	}, poll.WithDelay(10*time.Millisecond))
+}
