Soak: a process that ends by itself is a breach

A process must end by a signal of the run, and with status 0 if it was SIGTERM. The breach has no name, so that no list can pass over it.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,9 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	// ending is set once the running program was told to end.
+	ending   bool
+	failures []string
 }
 
 // Start starts the program. The output of earlier runs is kept.
@@ -42,14 +46,32 @@
 		return errors.Wrapf(err, "start %s", p.Name)
 	}
 	exited := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command, p.exited, p.ending = command, exited, false
 	go func() {
+		// The state below holds how it ended.
 		_ = command.Wait()
+		p.recordExit(command)
 		close(exited)
 	}()
+	return nil
+}
+
+func (p *Process) recordExit(command *exec.Cmd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command, p.exited = command, exited
-	return nil
+	if !p.ending || command.ProcessState.ExitCode() > 0 {
+		p.failures = append(p.failures, command.ProcessState.String())
+	}
+}
+
+// Failures describes the ends of the program that nobody asked for, and those with an exit status other
+// than 0.
+func (p *Process) Failures() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.failures)
 }
 
 // ID returns the process ID, 0 before the first start.
@@ -67,6 +89,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil && p.command.Process != nil {
+		p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 		_ = p.command.Process.Signal(s)
 	}
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -124,8 +124,18 @@
 	}
 }
 
+// checkProcesses records a breach for each process that ended without a fault of the run.
+func (s *Soak) checkProcesses() {
+	for _, p := range slices.Concat(s.coordinators, s.routers) {
+		for _, failure := range p.process.Failures() {
+			s.recordBreach("process %s ended by itself: %s", p.name, failure)
+		}
+	}
+}
+
 // check verifies the guarantees that can only be checked after the run.
 func (s *Soak) check(ctx context.Context) {
+	s.checkProcesses()
 	s.checkConfiguration(ctx)
 	s.runLog.mu.Lock()
 	runs := make(map[string][]run, len(s.runLog.runs))
