Failed attempts are reported while the path to their pool is being checked

What callers saw: a request that ends every back end of a plain pool reached up to four more of them. Their routers reported the ends 300 ms late.

Cause: a probe of a back end waits for the check of the path to its pool before anything is reported, 300 ms if the path is found lost: and it is lost where all back ends of a pool have ended. The time that such a report gave for the end of the attempt was that of the report.

Evidence: TestPoisonRequestIsBlocked, one of ten processes that were stopped for 0.3 to 2.5 s at random. The leader got two of four ends 308 ms after they had happened, with an age of 0.

An attempt is reported at once, as one of which heartbeats show whether its back end has ended, and again once the path is known; the detector counts it once. Its age counts from its end.

TestFailureIsReportedWhilePathIsChecked failed before.

--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -158,7 +158,7 @@
 		e.attempts = append(e.attempts[:0], e.attempts[maxEvidence/4:]...)
 	}
 	attempt.Parts = e.accused(attempt.Parts)
-	e.attempts = append(e.attempts, failedAttempt{FailedAttempt: attempt, at: now})
+	e.attempts = append(e.attempts, failedAttempt{FailedAttempt: attempt, at: now - attempt.Age})
 	e.wake()
 }
 
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -20,8 +20,8 @@
 // silent. It exceeds the interval of events, which engines send at least twice a second.
 const minSilence = time.Second
 
-// maxCheckWait is the time for which the report of a failed attempt waits for a check of the path to
-// its pool, polled every checkWaitStep.
+// maxCheckWait is the time for which a probe waits for a check of the path to its pool, polled every
+// checkWaitStep.
 const (
 	maxCheckWait  = 300 * time.Millisecond
 	checkWaitStep = 20 * time.Millisecond
@@ -159,7 +159,7 @@
 	case result.verdict == notRun, isLocal(result.err):
 	case complete && response != nil && !framed:
 		// The connections of a back end that crashes are closed as well.
-		h.probes.add(choice, ending{FailedAttempt: ended(), complete: true, answered: j.answeredParts(response)}, h.probeBackend)
+		h.probes.add(choice, ending{FailedAttempt: ended(), at: now, complete: true, answered: j.answeredParts(response)}, h.probeBackend)
 	case !framed && h.pathLost(j):
 		// It may be a failure of this router's path: heartbeats tell whether the back end has ended.
 		h.config.Observer.RecordFailure(ended())
@@ -170,7 +170,7 @@
 		failure.Down = true
 		h.config.Observer.RecordFailure(failure)
 	case context.Cause(ctx) == nil:
-		h.probes.add(choice, ending{FailedAttempt: ended()}, h.probeBackend)
+		h.probes.add(choice, ending{FailedAttempt: ended(), at: now}, h.probeBackend)
 	case now-max(started, s.lastAt) >= minSilence || isUnresponsive(context.Cause(ctx)):
 		failure := ended()
 		failure.Silent = true
@@ -183,6 +183,12 @@
 // stop it.
 func (h *Handler) probeBackend(choice backends.Choice) {
 	down := h.config.Upstream.Down(context.Background(), choice.Address)
+	if !h.config.Pool.PathKnown(choice.ID) {
+		// If it is lost, nothing else may be known soon, and the request may be sent again meanwhile.
+		for _, e := range h.probes.failures(choice.ID) {
+			h.reportEnding(e)
+		}
+	}
 	for waited := time.Duration(0); waited < maxCheckWait && !h.config.Pool.PathKnown(choice.ID); waited += checkWaitStep {
 		time.Sleep(checkWaitStep)
 	}
@@ -191,20 +197,31 @@
 		// A refused connection shows that the back end has ended only if others are reached.
 		e.Down = down && known
 		switch {
+		case e.reported && !e.Down:
 		case !e.complete || e.Down:
-			h.config.Observer.RecordFailure(e.FailedAttempt)
+			h.reportEnding(e)
 		case known:
 			h.config.Observer.RecordSuccess(e.Request, e.answered)
 		}
 	}
 }
 
+// reportEnding reports a failed attempt with the time since its end.
+func (h *Handler) reportEnding(e ending) {
+	e.Age = h.now() - e.at
+	h.config.Observer.RecordFailure(e.FailedAttempt)
+}
+
 // Wait waits until all probes are done, which takes no longer than a connect timeout.
 func (h *Handler) Wait() { h.probes.group.Wait() }
 
 // ending is an attempt whose result depends on whether its back end has ended.
 type ending struct {
 	poison.FailedAttempt
+	// at is when the attempt ended.
+	at time.Duration
+	// reported is set once the attempt has been reported as one whose back end may be alive.
+	reported bool
 	// complete is set if a response ended with its connection, without an error. Answered are then
 	// the parts on which an engine has answered.
 	complete bool
@@ -233,6 +250,20 @@
 	}
 }
 
+// failures returns the failed attempts of a running probe that have not been reported, and marks them.
+func (p *probes) failures(id string) (out []ending) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pending := p.pending[id]
+	for i := range pending {
+		if !pending[i].complete && !pending[i].reported {
+			pending[i].reported = true
+			out = append(out, pending[i])
+		}
+	}
+	return out
+}
+
 func (p *probes) take(id string) []ending {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -318,3 +318,28 @@
 func (p *trialPlacer) Place(_ context.Context, q *backends.Query) (choice backends.Choice, found, answered bool) {
 	return p.place(q)
 }
+
+// While the path to a pool is being checked it is not known whether a refused connection is the back end's.
+// The failure must be reported all the same, and again once the path is known.
+func TestFailureIsReportedWhilePathIsChecked(t *testing.T) {
+	r, w := newObserved(t)
+	paths := reachability.NewDetector()
+	r.handler.config.Paths = paths
+	r.pool.SetPaths(paths)
+	r.add("app", "a", func(response http.ResponseWriter, q *http.Request) {
+		paths.Failed(time.Hour, time.Hour, "app")
+		r.closeBackends()
+		dropConnection(response, q)
+	})
+	go r.ask("POST", "/unsafe/x", nil)
+	seen := w.await(t, 1)
+	assert.Assert(t, !seen[0].Down)
+	paths.Checked(time.Hour, "app", reachability.Result{Tried: reachability.CheckSize, Reached: 1})
+	seen = w.await(t, 2)
+	assert.Assert(t, seen[1].Down)
+	assert.Equal(t, seen[1].Backend, seen[0].Backend)
+	assert.Equal(t, seen[1].Request, seen[0].Request)
+	r.handler.Wait()
+	assert.Equal(t, len(w.await(t, 2)), 2)
+	assert.Assert(t, seen[1].Age >= seen[0].Age)
+}
