Evidence is evaluated when a back end is found to have ended

What callers saw: a request or prompt part ended one or two more back ends than its evidence needed, if the last end was known by the state of its back end (a successor at its address, missed heartbeats) and not by a refused connection.

Cause: between reports the leader evaluates every 300 ms.

A change of the silent back ends, to which superseded ones belong, has the evidence evaluated with the next step if something is suspected.

TestVerdictFollowsStateOfBackends failed before (no verdict after 60 ms).

--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -209,6 +209,14 @@
 	return found, changed
 }
 
+// backendsChanged has the evidence evaluated without delay if something is suspected: a back end has ended
+// or returned, and the next requests with a suspect may end further ones.
+func (b *blocker) backendsChanged() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dirty = b.dirty || len(b.suspects) > 0
+}
+
 // pending returns the blocks in force and those proposed recently.
 func (b *blocker) pending(now time.Duration) []poison.Block {
 	var out []poison.Block
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -295,3 +297,25 @@
 	assert.Equal(t, placed, maxTrials)
 	assert.Assert(t, g.blocked(5))
 }
+
+// The state of a back end may complete the evidence against a suspect. The verdict must follow soon, since
+// the next requests with it end further back ends.
+func TestVerdictFollowsStateOfBackends(t *testing.T) {
+	b := newBlocker(time.Second, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	b.reset(true)
+	reports := crashReport(7, 0, "a", "b").Update.Reports
+	b.record(time.Second, "r", &reports)
+	unsure := crashReport(7, 0, "c").Update.Reports
+	unsure.FailedAttempts[0].Down = false
+	b.record(time.Second, "r", &unsure)
+	gone := false
+	signs := func(id string) poison.Liveness {
+		return poison.Liveness{Gone: id == "c" && gone}
+	}
+	found, _ := b.evaluate(time.Second, signs)
+	assert.DeepEqual(t, found.Suspects, []poison.Digest{7})
+	gone = true
+	b.backendsChanged()
+	found, _ = b.evaluate(time.Second+2*tickInterval, signs)
+	assert.Equal(t, len(found.Verdicts), 1)
+}
--- a/internal/coordinator/soft.go
+++ b/internal/coordinator/soft.go
@@ -476,6 +476,7 @@
 	s.logger.Info("silent back ends changed", "part", "registry", "count", len(s.soft.silent), "fell", truncateIDs(silenced), "back", truncateIDs(recovered))
 	// Watchers are not woken: the list is a hint and is sent with the next news.
 	s.soft.changes++
+	s.blocker.backendsChanged()
 }
 
 // difference returns the elements of a sorted list that are not in another.
