Tests of poison requests wait for routers that have a leader

Evidence: processes of these tests stopped at random. Of fourteen (2.5 to 6 s) one sent its request 4 ms before an election, with a view 3.7 s old, and its routers answered 503, "the configuration may be outdated", after each stop.

The promise is one of routers that have a leader.

--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -9,6 +9,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	// maxViewAge is the age from which a router's view may be that of a leader that is lost. While one
+	// leads, views come several times a second.
+	maxViewAge = 500 * time.Millisecond
+	// verdictDelay is the time in which routers report to a new leader, and it decides.
+	verdictDelay = 300 * time.Millisecond
 )
 
 // A request that crashes each engine that runs it must be blocked at all routers, even if its
@@ -22,7 +31,7 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 			assert.Assert(t, d.crashCount() >= 3)
-			time.Sleep(time.Second)
+			d.awaitVerdict()
 			before := d.runCount(poisonBody)
 			var got []int
 			for i := range 6 {
@@ -51,10 +60,29 @@
 	}
 }
 
+// awaitVerdict gives routers and the leader a second to find what ended engines, and longer while a router
+// has no current view of a leader: it may have lost it when this process was suspended.
+func (d *deployment) awaitVerdict() {
+	d.t.Helper()
+	time.Sleep(time.Second)
+	for i := range d.frontend {
+		poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+			d.mu.Lock()
+			_, age := d.routers[i].follower.View()
+			d.mu.Unlock()
+			if age > maxViewAge {
+				return poll.Continue("the view of router %d is %v old", i, age)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
+	time.Sleep(verdictDelay)
+}
+
 // assertBlocked checks that the poison request reaches no engine through any router.
 func (d *deployment) assertBlocked(path string) {
 	d.t.Helper()
-	time.Sleep(time.Second)
+	d.awaitVerdict()
 	before := d.runCount(poisonBody)
 	for frontend := range d.frontend {
 		got := d.send(frontend, "ka", path, poisonBody)
--- a/internal/edge/poisonpartfaults_test.go
+++ b/internal/edge/poisonpartfaults_test.go
@@ -31,7 +31,7 @@
 // requests with their other parts are served.
 func (d *deployment) assertPartBlocked(path string) {
 	d.t.Helper()
-	time.Sleep(time.Second)
+	d.awaitVerdict()
 	before := d.crashCount()
 	for frontend := range d.frontend {
 		got := d.ask(frontend, path, "system", crashingPart)
