A router that was suspended reads what has arrived before it gives streams up

What callers saw: streams broke off when their router had been stopped for 2 s or longer, although its back ends had gone on: 2 of 96 in one of 18 processes of TestRequestsBesidePoisonRequestAreServed that were stopped at random (2.1 s).

Cause: the timer for silence is due when the process goes on, and fires before the events that wait in the connection are read.

A timer that fires more than 50 ms late waits another 100 ms. While nothing is late, nothing changes.

TestWatchdogWaitsAfterSuspension failed before.

--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/clock"
 )
 
 const (
@@ -17,6 +19,9 @@
 	minStall    = 2 * time.Second
 	// recheckDelay is the delay after which a timed-out attempt asks the retry budget again.
 	recheckDelay = 100 * time.Millisecond
+	// maxTimerDelay is the delay of a watchdog's timer from which the process may have been suspended,
+	// with events of the back end unread.
+	maxTimerDelay = 50 * time.Millisecond
 )
 
 // watchSilence returns a watchdog that cancels a retryable attempt if its back end sends no
@@ -62,12 +67,15 @@
 	timer   *time.Timer
 	stopped bool
 	paused  bool
+	// due is when the timer is to fire, by package clock.
+	due time.Duration
 }
 
 func newWatchdog(timeout time.Duration, onTimeout func() bool) *watchdog {
 	w := &watchdog{timeout: timeout, onTimeout: onTimeout}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.due = clock.Now() + timeout
 	w.timer = time.AfterFunc(timeout, w.fire)
 	return w
 }
@@ -75,9 +83,18 @@
 func (w *watchdog) fire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.stopped && !w.paused && !w.onTimeout() {
-		w.timer.Reset(recheckDelay)
+	if w.stopped || w.paused {
+		return
 	}
+	if clock.Now()-w.due > maxTimerDelay || !w.onTimeout() {
+		w.schedule(recheckDelay)
+	}
+}
+
+// schedule sets the timer. The lock is held.
+func (w *watchdog) schedule(delay time.Duration) {
+	w.due = clock.Now() + delay
+	w.timer.Reset(delay)
 }
 
 func (w *watchdog) stop() { w.reset(true, false) }
@@ -98,7 +115,7 @@
 		w.timer.Stop()
 		return
 	}
-	w.timer.Reset(w.timeout)
+	w.schedule(w.timeout)
 }
 
 var errSilent = errors.New("the back end sent nothing in time")
