A lost rack counts as one cause where a block of parts is doubted

What callers saw: beside the loss of a third of a pool a part that crashes engines ended one engine more than it has to, by the trial of its block.

Cause: a block is doubtful if as many back ends ended without it. Those of one moment, which have one cause, counted each; as evidence two of them count.

TestBlockIsDoubtfulIfEndsMayHaveAnotherCause, case "a rack without it", failed before.

--- a/internal/poison/candidate.go
+++ b/internal/poison/candidate.go
@@ -13,10 +13,11 @@
 	// parts are in ascending order; empty for a request.
 	parts []Digest
 	ends  map[string]time.Duration
-	// counted is the number of ends that count, unrelated that of the ends without it at about the
-	// same time, and runTime the sum of the shortest attempts at each end.
-	counted, unrelated int
-	runTime            time.Duration
+	// counted is the number of ends that count, unrelated that of the ends without it at about the same
+	// time, otherCauses those of them that do not have one cause together, and runTime the sum of the
+	// shortest attempts at each end.
+	counted, unrelated, otherCauses int
+	runTime                         time.Duration
 	// rivaled is set if another request or part met all of the ends.
 	rivaled bool
 }
@@ -83,8 +84,13 @@
 	if len(x.parts) == 0 {
 		return len(ends)
 	}
-	count, first, within := 0, never, 0
-	for _, at := range slices.Sorted(maps.Values(ends)) {
+	return countCauses(slices.Sorted(maps.Values(ends)))
+}
+
+// countCauses counts ends by their times, at most maxSimultaneous of each moment.
+func countCauses(sorted []time.Duration) (count int) {
+	first, within := never, 0
+	for _, at := range sorted {
 		if at > first+simultaneous {
 			first, within = at, 0
 		}
@@ -228,7 +234,8 @@
 	if len(x.ends) < endsToBlock || (x.counted < c.required(x) && !always) || !c.endsBeyondBlocks(x) {
 		return false
 	}
-	x.unrelated, x.runTime = c.unrelated(x), c.shortestRuns(x)
+	unrelated := c.unrelated(x)
+	x.unrelated, x.otherCauses, x.runTime = len(unrelated), countCauses(unrelated), c.shortestRuns(x)
 	rivals := c.rivals(x)
 	x.rivaled = rivals.covering
 	extra := min(x.unrelated/unrelatedPerEnd, maxExtraEnds)
@@ -325,18 +332,18 @@
 	return containsAll(c.common(d), x.parts)
 }
 
-// unrelated counts the back ends that ended without a candidate at about the time of the ends under
-// it.
-func (c *evaluation) unrelated(x *candidate) int {
+// unrelated returns when back ends ended without a candidate at about the time of the ends under it, in
+// ascending order.
+func (c *evaluation) unrelated(x *candidate) (out []time.Duration) {
 	times := slices.Sorted(maps.Values(x.ends))
 	first, last := times[0], times[len(times)-1]
-	n := 0
 	for backend, at := range c.times {
 		if _, under := x.ends[backend]; !under && !c.excused(x, backend) && at >= first-unrelatedMargin && at <= last+unrelatedMargin {
-			n++
+			out = append(out, at)
 		}
 	}
-	return n
+	slices.Sort(out)
+	return out
 }
 
 // shortestRuns returns the sum over the ends under a candidate of the shortest attempt with it.
@@ -365,13 +372,13 @@
 }
 
 // doubtful reports whether the ends under a set of parts may have had another cause: others met all of
-// them, at least as many back ends ended without it, or most of what ran at the ends had it, several
-// attempts at each.
+// them, at least as many ended without it for other causes, or most of what ran at the ends had it,
+// several attempts at each.
 func (c *evaluation) doubtful(x *candidate) bool {
 	if len(x.parts) == 0 {
 		return false
 	}
-	if x.rivaled || x.unrelated >= len(x.ends) {
+	if x.rivaled || x.otherCauses >= len(x.ends) {
 		return true
 	}
 	with, all := c.attemptsAt(x)
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -252,6 +252,12 @@
 			w.endUnder(at+300*time.Millisecond, "without "+backend, newPrompt())
 			return nil
 		}, true},
+		"a rack without it": {func(w *fixture, at time.Duration, _ string) []prompt {
+			for i := range 6 {
+				w.endUnder(2500*time.Millisecond, fmt.Sprint("rack-", i), newPrompt())
+			}
+			return nil
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newFixture()
