The end of a back end under a trial is recorded in the log

What callers saw: a part whose trial had ended its engine could be tried again, twice at most, once the leader that had seen it was lost.

Cause: that a trial confirms its block was kept in the leader's memory and from routers' reports alone, which a coordinator that starts later takes for attempts from before its block.

The leader proposes now that the block is confirmed, and the state machine keeps that; operators see it in the list.

--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -156,6 +156,7 @@
 		if !known {
 			block = appliedBlock{since: now, trials: newTrials(now, &r)}
 		}
+		block.confirmed = block.confirmed || r.Confirmed
 		if block.begin(now, r.Trials) {
 			b.openTrials[r.Request] = struct{}{}
 		}
@@ -199,16 +200,23 @@
 	}
 	changed = !slices.Equal(found.Suspects, b.suspects)
 	b.suspects = found.Suspects
-	for _, id := range found.Confirmed {
-		if block, applied := b.applied[id]; applied {
-			block.confirmed = true
-			b.applied[id] = block
-			delete(b.openTrials, id)
-		}
-	}
+	found.Confirmed = slices.DeleteFunc(found.Confirmed, func(id poison.Digest) bool { return !b.confirm(id) })
 	return found, changed
 }
 
+// confirm ends the trials of a doubtful block under which a back end ended. It returns false if nothing
+// changes. The lock is held.
+func (b *blocker) confirm(id poison.Digest) bool {
+	block, applied := b.applied[id]
+	if !applied || !block.doubtful || block.confirmed {
+		return false
+	}
+	block.confirmed = true
+	b.applied[id] = block
+	delete(b.openTrials, id)
+	return true
+}
+
 // backendsChanged has the evidence evaluated without delay if something is suspected: a back end has ended
 // or returned, and the next requests with a suspect may end further ones.
 func (b *blocker) backendsChanged() {
@@ -285,6 +293,10 @@
 		s.logVerdict(v)
 		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.ID, Parts: v.Parts, Backends: v.Backends, Doubtful: v.Doubtful}})
 	}
+	for _, id := range found.Confirmed {
+		s.logger.Info("block confirmed: a back end ended under a trial", "part", "blocking", "block", id.String())
+		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: id, Confirmed: true}})
+	}
 	s.runTrials(now)
 	for _, ended := range s.blocker.ending(now, found.Refuted) {
 		s.logger.Info("unblocking request", "part", "blocking", "request", ended.Request.String(), "reason", ended.reason)
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -259,7 +259,8 @@
 	g.awaitBlocked(5, false)
 }
 
-// A back end that ends under the trial confirms the block, and there is no further trial.
+// A back end that ends under the trial confirms the block, and there is no further trial, although all
+// coordinators are lost with the evidence.
 func TestTrialThatEndsBackendConfirmsBlock(t *testing.T) {
 	g := newGroup(t, 3)
 	g.enrol("a", "b", "c", "d", "e", "f", "g")
@@ -268,11 +269,35 @@
 	assert.Assert(t, g.askTrial(1, 5))
 	time.Sleep(100 * time.Millisecond)
 	g.call(0, crashReportWithParts(3000, []poison.Digest{5}, "f"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !g.confirmed(5) {
+			return poll.Continue("not confirmed")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	for i := range g.servers {
+		g.kill(i)
+		g.start(i)
+	}
+	g.enrol("a", "b", "c", "d", "e", "f", "g")
 	time.Sleep(trialTimeout + trialDelay)
 	assert.Assert(t, g.blocked(5))
 	assert.Assert(t, !g.askTrial(2, 5))
 }
 
+// confirmed reports whether all coordinators list a block as confirmed.
+func (g *group) confirmed(id poison.Digest) bool {
+	for _, s := range g.servers {
+		list := httptest.NewRecorder()
+		s.Handler().ServeHTTP(list, httptest.NewRequest(http.MethodGet, "/v1/blocked", nil))
+		var blocked []blockedEntry
+		if err := json.Unmarshal(list.Body.Bytes(), &blocked); err != nil || len(blocked) != 1 || blocked[0].Request != id.String() || !blocked[0].Confirmed {
+			return false
+		}
+	}
+	return true
+}
+
 // Leaders that are lost with the results of trials do not let more requests through than the bound.
 func TestTrialsAreBoundedAcrossLeaders(t *testing.T) {
 	g := newGroup(t, 3)
--- a/internal/coordinator/blockinghttp.go
+++ b/internal/coordinator/blockinghttp.go
@@ -18,7 +18,7 @@
 	blocked := []blockedEntry{}
 	answered := s.loop.Do(r.Context(), func(time.Duration) {
 		for _, b := range s.core.Machine().Deployment().Blocked {
-			blocked = append(blocked, blockedEntry{Request: b.Request.String(), Since: time.UnixMilli(b.At).UTC(), Parts: digestStrings(b.Parts), Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, Revision: b.Revision})
+			blocked = append(blocked, blockedEntry{Request: b.Request.String(), Since: time.UnixMilli(b.At).UTC(), Parts: digestStrings(b.Parts), Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, Confirmed: b.Confirmed, Revision: b.Revision})
 		}
 	})
 	if !answered {
@@ -41,10 +41,12 @@
 	// Backends are the back ends that crashed while running it.
 	Backends []string `json:"backends"`
 	// Doubtful is set if the back ends may have ended for another cause, so that one request is let
-	// through for a trial soon. Trials counts such requests.
-	Doubtful bool   `json:"doubtful,omitempty"`
-	Trials   int    `json:"trials,omitempty"`
-	Revision uint64 `json:"revision"`
+	// through for a trial soon. Trials counts such requests, and Confirmed is set once a back end ended
+	// under one.
+	Doubtful  bool   `json:"doubtful,omitempty"`
+	Trials    int    `json:"trials,omitempty"`
+	Confirmed bool   `json:"confirmed,omitempty"`
+	Revision  uint64 `json:"revision"`
 }
 
 // operatorBlock is what an operator blocks: a request, or all requests whose prompts contain some
--- a/internal/coordinator/blocktrials.go
+++ b/internal/coordinator/blocktrials.go
@@ -36,7 +36,7 @@
 	if b.Trials > 0 {
 		delay = trialTimeout
 	}
-	return trials{doubtful: b.Doubtful, begun: b.Trials, dueAt: now + delay}
+	return trials{doubtful: b.Doubtful, confirmed: b.Confirmed, begun: b.Trials, dueAt: now + delay}
 }
 
 // begin records the number of trials in the log. It reports whether this leader has begun one, which a
--- a/internal/state/blocked.go
+++ b/internal/state/blocked.go
@@ -23,9 +23,11 @@
 	Backends []string `json:"backends"`
 	// Doubtful is set if the back ends may have ended for another cause.
 	Doubtful bool `json:"doubtful,omitempty"`
-	// Trials is the number of requests that may have been let through for a trial. A Block of what is
-	// blocked already changes nothing but a lower number.
-	Trials int `json:"trials,omitempty"`
+	// Trials is the number of requests that may have been let through for a trial, and Confirmed is set
+	// once a back end ended under one. A Block of what is blocked already changes only these: it raises
+	// the number and confirms.
+	Trials    int  `json:"trials,omitempty"`
+	Confirmed bool `json:"confirmed,omitempty"`
 }
 
 // Unblock allows what was blocked to be sent to back ends again and discards the evidence against it.
@@ -40,8 +42,10 @@
 	// Backends are the back ends that ended while they ran it.
 	Backends []string `json:"backends"`
 	Doubtful bool     `json:"doubtful,omitempty"`
-	// Trials is the number of requests that may have been let through for a trial.
-	Trials int `json:"trials,omitempty"`
+	// Trials is the number of requests that may have been let through for a trial, and Confirmed is set
+	// once a back end ended under one.
+	Trials    int  `json:"trials,omitempty"`
+	Confirmed bool `json:"confirmed,omitempty"`
 	// At is the time of the block in Unix milliseconds, for display only, and Revision the
 	// log index of the block.
 	At       int64  `json:"at"`
@@ -64,14 +68,16 @@
 func (m *Machine) block(index uint64, b *Block) Result {
 	d := &m.data.Deployment
 	if i := d.blockedIndex(b.Request); i >= 0 {
-		if b.Trials > d.Blocked[i].Trials {
+		known := d.Blocked[i]
+		if b.Trials > known.Trials || (b.Confirmed && !known.Confirmed) {
+			known.Trials, known.Confirmed = max(b.Trials, known.Trials), known.Confirmed || b.Confirmed
 			d.Blocked = slices.Clone(d.Blocked)
-			d.Blocked[i].Trials = b.Trials
+			d.Blocked[i] = known
 			d.BlockedRevision = index
 		}
 		return Result{Code: CodeOK}
 	}
-	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Parts: b.Parts, Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, At: m.data.Now, Revision: index})
+	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Parts: b.Parts, Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, Confirmed: b.Confirmed, At: m.data.Now, Revision: index})
 	if len(d.Blocked) > maxBlocked {
 		d.Blocked = d.Blocked[1:]
 	}
