Log lines and metrics of answers that end before they are complete

New: the line 'answer ended early' (ended_by, cause, last_event_ms, further_attempt) and quinceridge_answers_ended_early_total by cause. No decision is changed.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -109,6 +109,7 @@
 			// No engine begins a further attempt in time, and the refusals below state that the request
 			// has not run.
 			h.metrics.refusedBehind.Add(1)
+			j.noAttempt = lateReason(&choice)
 			h.finish(ctx, s, ran)
 			return
 		}
@@ -144,13 +145,13 @@
 			if j.permitDelay > 0 {
 				h.metrics.noPermit.Add(1)
 			}
+			j.noAttempt = j.noBackendError().Error()
 			h.finish(ctx, s, outcome{verdict: notRun, err: j.noBackendError()})
 			return
 		}
 		if choice.Late {
-			reason := fmt.Sprintf("all engines are behind by at least %d ms", choice.Wait.Milliseconds())
 			h.metrics.refusedBehind.Add(1)
-			h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: behindRetryAfter(&choice, &j.query)})
+			h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: lateReason(&choice), retryAfter: behindRetryAfter(&choice, &j.query)})
 			return
 		}
 		if blocked, is := h.config.Observer.Blocked(j.digest, j.promptParts); is && (j.trial == nil || blocked.Request != j.trial.Request) {
@@ -241,9 +242,22 @@
 	return errNoBackend
 }
 
+// lateReason returns why no engine is chosen: none begins to process the prompt in time.
+func lateReason(choice *backends.Choice) string {
+	if choice.Reason != "" {
+		return choice.Reason
+	}
+	return fmt.Sprintf("all engines are behind by at least %d ms", choice.Wait.Milliseconds())
+}
+
 // shouldRetry reports whether another attempt is allowed after a result.
 func (h *Handler) shouldRetry(ctx context.Context, j *job, s *session, result outcome) bool {
-	if j.tries() >= maxSends || s.bodySent || (s.headerSent && !j.route.Resumable) {
+	switch {
+	case j.tries() >= maxSends:
+		j.noAttempt = "the request was sent too often"
+		return false
+	case s.bodySent || (s.headerSent && !j.route.Resumable):
+		j.noAttempt = "the response has begun and cannot be resumed"
 		return false
 	}
 	if result.verdict == notRun && !result.delivered {
@@ -251,13 +265,22 @@
 		// attempts count.
 		return true
 	}
-	if result.verdict != notRun && (!j.route.Retryable() || j.ran >= max(j.route.MaxAttempts, 1)) {
+	switch {
+	case result.verdict != notRun && !j.route.Retryable():
+		j.noAttempt = "the request may run only once"
+		return false
+	case result.verdict != notRun && j.ran >= max(j.route.MaxAttempts, 1):
+		j.noAttempt = "the attempts of the route are used up"
 		return false
 	}
 	if j.deliveries == 0 || j.retryGranted.Swap(false) {
 		return true
 	}
-	return h.budget.AllowRetry(ctx, h.now(), j.pool.Name, h.config.Source.Routers())
+	if h.budget.AllowRetry(ctx, h.now(), j.pool.Name, h.config.Source.Routers()) {
+		return true
+	}
+	j.noAttempt = "the retry budget is used up"
+	return false
 }
 
 // attempt sends the request to one back end and forwards the response.
@@ -267,9 +290,10 @@
 	defer cancel(nil)
 	silence := h.watchSilence(ctx, j, cancel)
 	defer silence.stop()
-	s.attempted = choice
-	h.setBackendHeaders(j, s, choice)
 	started := h.now()
+	s.attempted, s.attemptedAt, s.gaveUp = choice, started, nil
+	defer func() { s.gaveUp = givenUp(ctx) }()
+	h.setBackendHeaders(j, s, choice)
 	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
 	defer func() { running.End(h.now()) }()
 	s.tracked = h.trackStream(ctx, j, choice, running, cancel)
@@ -471,6 +495,7 @@
 		return
 	}
 	if s.headerSent || errors.Is(context.Cause(ctx), context.Canceled) {
+		h.recordEarlyEnd(ctx, s, result)
 		h.logResponse(s, h.abortReason(ctx, result))
 		panic(http.ErrAbortHandler)
 	}
@@ -483,8 +508,10 @@
 	case j.ran == 0:
 		h.refuse(s.client, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), retryAfter: h.unavailableRetryAfter(j)})
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		h.recordEarlyEnd(ctx, s, result)
 		h.refuse(s.client, j, &refusal{status: http.StatusGatewayTimeout, reason: h.reason(j, result)})
 	default:
+		h.recordEarlyEnd(ctx, s, result)
 		h.refuse(s.client, j, &refusal{status: http.StatusBadGateway, reason: h.reason(j, result)})
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -278,6 +278,8 @@
 	// viewRevision and viewAge describe the view by which the back end was chosen.
 	viewRevision uint64
 	viewAge      time.Duration
+	// noAttempt is why no further attempt was made, for the log.
+	noAttempt string
 	// trace describes the attempts, and prefills are those at engines that ran, for the log.
 	trace    []string
 	prefills []cachemiss.Attempt
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -68,11 +68,13 @@
 	refusedMoved         atomic.Uint64
 	// otherStarts counts the attempts that were not sent because a later start served the address.
 	otherStarts atomic.Uint64
-	streams     streamCounts
-	responses   [6]atomic.Uint64
-	local       [6]atomic.Uint64
-	firstEvent  histogram
-	total       histogram
+	// earlyEnds counts the answers that ended before they were complete.
+	earlyEnds  earlyEnds
+	streams    streamCounts
+	responses  [6]atomic.Uint64
+	local      [6]atomic.Uint64
+	firstEvent histogram
+	total      histogram
 }
 
 type histogram struct {
@@ -139,6 +141,7 @@
 	fmt.Fprintf(w, "quinceridge_unread_bodies_total %d\n", m.unreadBodies.Load())
 	fmt.Fprintf(w, "quinceridge_streams_resumed_unresponsive_total %d\n", m.resumedUnresponsive.Load())
 	fmt.Fprintf(w, "quinceridge_ended_unresponsive_total %d\n", m.endedUnresponsive.Load())
+	m.earlyEnds.writeTo(w)
 	fmt.Fprintf(w, "quinceridge_streams_resumed_by_clients_total %d\n", m.resumedByClients.Load())
 	m.streams.writeTo(w, "quinceridge_streams_begun_total")
 	fmt.Fprintf(w, "quinceridge_streams_refused_total{reason=\"version unknown\"} %d\n", m.refusedUnknownWriter.Load())
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -124,8 +124,9 @@
 	defer cancel(nil)
 	silence := h.watchRelay(ctx, j, cancel)
 	defer silence.stop()
-	s.attempted = backends.Choice{}
 	started := h.now()
+	s.attempted, s.attemptedAt, s.gaveUp = backends.Choice{}, started, nil
+	defer func() { s.gaveUp = givenUp(ctx) }()
 	text := fmt.Sprintf("passed on to router %s, path lost for %d ms", address, h.config.Paths.LostFor(h.clock(), j.pool.Name).Milliseconds())
 	if j.beyondRoom {
 		text = "passed on to router " + address + ", no part of the free capacity left"
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -49,6 +49,10 @@
 	// writer is the back end that wrote the first event.
 	attempted backends.Choice
 	writer    resumption.Writer
+	// attemptedAt is when that attempt began, and gaveUp the cause with which the router cancelled the
+	// last one; nil if it did not.
+	attemptedAt time.Duration
+	gaveUp      error
 	// lastAt is when the last event was forwarded, and longestGap the longest pause between
 	// two.
 	lastAt     time.Duration
