Failing test: answers are ended while their engines are silent for a moment

Callers lose answers that their engines would have completed. Three routers, three coordinators and twelve engines of 8 slots at 0.7 of them; the engines stop with their heartbeats and status responses, and go on.

The configuration document of the second way to run can state abandon_after, as the adapter does.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -57,6 +57,8 @@
 	relays bool
 	// software is the software version of the engines that are added.
 	software state.SoftwareVersion
+	// retryRatio is the routers' setting of that name, 0 for 0.2.
+	retryRatio float64
 	// callerTimeout is when callers cancel, 0 for never.
 	callerTimeout time.Duration
 	// crashesOn reports whether a prompt with the given shared parts crashes engines; nil for all that
@@ -93,8 +95,9 @@
 	// limit is the rate that the engine names in each response, empty for none. The deployment's
 	// lock guards it.
 	limit string
-	// slots bounds the requests that a plain back end runs at once, and runTime is the time of each;
-	// nil and 0 for no bound. The deployment's lock guards them.
+	// slots bounds the requests that a plain back end, or an engine in a silence trial, runs at once, and
+	// runTime is the time of each at a plain back end; nil and 0 for no bound. The deployment's lock
+	// guards them.
 	slots   chan struct{}
 	runTime time.Duration
 	// brittle is the rate of rejections that a plain back end names, empty for none. It then rejects
@@ -107,6 +110,9 @@
 	name string
 	// muted keeps heartbeats from being sent. The deployment's lock guards it.
 	muted bool
+	// paused is closed when the host goes on; nil while it is not paused. The deployment's lock guards
+	// it.
+	paused chan struct{}
 	// current is the running engine.
 	current *engine
 	// restartDelay is the time between a crash and the next start.
@@ -199,7 +205,7 @@
 
 func (d *deployment) routerSettings(i int, seeds []string) settings.DisklessRouter {
 	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), Seeds: seeds,
-		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
+		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: cmp.Or(d.retryRatio, 0.2), RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
 	if d.relays {
 		s.RelayListen = freeAddress(d.t)
 	}
@@ -376,6 +382,7 @@
 		if e.host.pool == "llm" {
 			row.Weights = map[string]int{"m": 1}
 		}
+		e.host.awaitRunning()
 		if !e.muted() {
 			_, _ = e.host.deployment.node(n).Call(ctx, coordapi.Request{Heartbeat: &coordapi.Heartbeat{Backend: row, Sequence: coordapi.Sequence(n)}})
 		}
@@ -397,6 +404,7 @@
 	if err != nil {
 		return
 	}
+	e.host.awaitRunning()
 	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
 	if r.Header.Get(names.Instance) != e.id {
 		w.Header().Set(names.ResponseInstance, e.id)
@@ -444,6 +452,10 @@
 		e.breakingStream(w, r)
 		return
 	}
+	if strings.HasPrefix(string(body), silentBody) {
+		e.silentStream(w, r)
+		return
+	}
 	if strings.HasPrefix(string(body), randomBody) {
 		e.randomStream(w, r)
 		return
--- a/internal/traffic/check.go
+++ b/internal/traffic/check.go
@@ -89,6 +89,9 @@
 	if r.Timeout <= 0 {
 		c.add(path+".timeout", "must be above 0")
 	}
+	if r.AbandonAfter < 0 {
+		c.add(path+".abandon_after", "is negative")
+	}
 	sum := 0
 	for i, share := range r.Split {
 		if _, known := c.table.pools[share.Pool]; !known {
--- a/internal/traffic/document.go
+++ b/internal/traffic/document.go
@@ -22,18 +22,21 @@
 
 // DocumentRoute is the JSON form of a Route.
 type DocumentRoute struct {
-	Name        string         `json:"name"`
-	Host        string         `json:"host"`
-	Prefix      string         `json:"prefix"`
-	Kind        Kind           `json:"kind"`
-	Timeout     string         `json:"timeout"`
-	Target      string         `json:"target,omitempty"`
-	GapTarget   string         `json:"gap_target,omitempty"`
-	Priority    int            `json:"priority,omitempty"`
-	Split       map[string]int `json:"split"`
-	MaxAttempts int            `json:"max_attempts,omitempty"`
-	Public      bool           `json:"public,omitempty"`
-	Resumable   bool           `json:"resumable,omitempty"`
+	Name      string `json:"name"`
+	Host      string `json:"host"`
+	Prefix    string `json:"prefix"`
+	Kind      Kind   `json:"kind"`
+	Timeout   string `json:"timeout"`
+	Target    string `json:"target,omitempty"`
+	GapTarget string `json:"gap_target,omitempty"`
+	// AbandonAfter is the time without a first event, or without a next one, after which callers give
+	// up a stream; empty if unknown.
+	AbandonAfter string         `json:"abandon_after,omitempty"`
+	Priority     int            `json:"priority,omitempty"`
+	Split        map[string]int `json:"split"`
+	MaxAttempts  int            `json:"max_attempts,omitempty"`
+	Public       bool           `json:"public,omitempty"`
+	Resumable    bool           `json:"resumable,omitempty"`
 }
 
 // DocumentPool is the JSON form of a Pool.
@@ -107,7 +110,7 @@
 	durations := []struct {
 		text   string
 		target *time.Duration
-	}{{r.Timeout, &out.Timeout}, {r.Target, &out.Target}, {r.GapTarget, &out.GapTarget}}
+	}{{r.Timeout, &out.Timeout}, {r.Target, &out.Target}, {r.GapTarget, &out.GapTarget}, {r.AbandonAfter, &out.AbandonAfter}}
 	for _, t := range durations {
 		if t.text == "" {
 			continue
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -50,8 +50,8 @@
 	Timeout time.Duration
 	// Target is the target latency of the response or, for a stream, of its first event.
 	Target time.Duration
-	// AbandonAfter is the time after which callers give up a request without a first event; 0 if
-	// unknown.
+	// AbandonAfter is the time after which callers give up a stream without a first event, or without a
+	// next one; 0 if unknown.
 	AbandonAfter time.Duration
 	// GapTarget is the target for the longest gap between two events of a stream.
 	GapTarget time.Duration
