A pause of all engines is no rate at which a pool grants work

Cause: the queue divides what was granted by the time for which requests waited. The silence was part of that time, so that the rate fell to a part of what the engines do once they go on, and all that it could not serve was refused. After a second without a grant the rate counted as unknown, before it as known and low.

While the leader takes fewer than a quarter of a pool's engines for ones that respond, nothing is learned of the rate: that of before decides who may wait, and nobody that waits is refused by an estimate. The time since the last grant belongs to the pause.

--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -26,7 +26,12 @@
 
 // count adds granted work to the rates.
 func (q *Queue) count(r Request) {
-	if len(q.items) > 0 {
+	if !q.pause.gap {
+		q.contended.Add(q.now, rateWindow, q.sinceGrant.Value(q.now, rateWindow))
+	}
+	q.sinceGrant.Reset()
+	q.pause.gap = q.paused()
+	if len(q.items) > 0 && !q.paused() {
 		q.granted.Add(q.now, rateWindow, r.Work)
 		q.grants.Add(q.now, rateWindow, 1)
 	}
--- a/internal/admission/deadlines.go
+++ b/internal/admission/deadlines.go
@@ -20,7 +20,7 @@
 	}
 	q.expired = slices.Delete(q.expired, 0, count)
 
-	if _, known := q.rate(); !known {
+	if _, known := q.rate(); !known || q.paused() {
 		return refusals
 	}
 	budget := expireBudget
@@ -69,10 +69,10 @@
 	if now <= q.now {
 		return
 	}
-	if len(q.items) > 0 {
+	if len(q.items) > 0 && !q.paused() {
 		// The decayed integral over the time in which requests waited.
 		seconds := rateWindow.Seconds() * -math.Expm1(-float64(now-q.now)/float64(rateWindow))
-		q.contended.Add(now, rateWindow, seconds)
+		q.sinceGrant.Add(now, rateWindow, seconds)
 	}
 	q.now = now
 	for left := maxReclassified; left > 0 && len(q.timers) > 0 && q.timers[0].due < now; left-- {
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -5,10 +5,17 @@
 	"time"
 )
 
-// rate returns the work that the pool grants a second while requests wait. It is not known in the
-// first second, until requests have waited for a while, or if nothing was granted lately.
+// rate returns the work that the pool grants a second while requests wait, as of before a pause. It is
+// not known in the first second, until requests have waited for a while, or if nothing was granted
+// lately.
 func (q *Queue) rate() (perSecond float64, known bool) {
+	if q.paused() {
+		return q.pause.rate, q.pause.known
+	}
 	contended := q.contended.Value(q.now, rateWindow)
+	if !q.pause.gap {
+		contended += q.sinceGrant.Value(q.now, rateWindow)
+	}
 	if q.now-q.start < rateWindow || q.now-q.lastGrant > rateWindow || contended < minContended ||
 		q.grants.Value(q.now, rateWindow) < minGrants {
 		return 0, false
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,7 +34,10 @@
 	granted   decay.Sum
 	grants    decay.Sum
 	contended decay.Sum
-	lastGrant time.Duration
+	// sinceGrant is the part of contended since the last grant, which is not in contended yet.
+	sinceGrant decay.Sum
+	lastGrant  time.Duration
+	pause      pause
 
 	accounts map[string]*account
 	// usage sums the recently granted work of all accounts, and work that of waiting requests.
--- a/internal/backends/index.go
+++ b/internal/backends/index.go
@@ -99,6 +99,15 @@
 	p.room.remove(r)
 }
 
+// size returns the number of rows.
+func (p *poolIndex) size() int {
+	n := len(p.active)
+	for _, group := range p.idle {
+		n += len(group.rows)
+	}
+	return n
+}
+
 // addIdle moves an active row to its group.
 func (p *poolIndex) addIdle(r *row) {
 	key := groupKey{zone: r.Zone, weights: versionsKey(r.Weights), software: r.Software, factor: r.pace.factor, home: r.pace.home.value()}
--- a/internal/backends/unresponsive.go
+++ b/internal/backends/unresponsive.go
@@ -72,6 +72,26 @@
 	return liveness.Engine{Streams: max(r.running-r.unanswered, 0), Silent: r.noHeartbeat}, true
 }
 
+// minResponding is the part of a pool's engines that has to respond for the pool to be in service.
+const minResponding = 0.25
+
+// Pauses reports whether nearly all engines of a pool do not respond. They may go on with what they run.
+func (p *Pool) Pauses(pool string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.index == nil || len(p.notes.Silent)+len(p.notes.Unresponsive) == 0 {
+		return false
+	}
+	stopped := map[string]struct{}{}
+	for _, id := range slices.Concat(p.notes.Silent, p.notes.Unresponsive) {
+		if r := p.rows[id]; r != nil && r.Pool == pool && r.IsEngine() {
+			stopped[id] = struct{}{}
+		}
+	}
+	all := p.index.pool(pool).size()
+	return float64(all-len(stopped)) < minResponding*float64(all)
+}
+
 // EngineStatus returns whether the leader lists the attempt's engine as unresponsive, and whether
 // nothing more can arrive from it: its row was removed, or it is listed and its heartbeats are
 // overdue.
--- a/internal/decay/decay.go
+++ b/internal/decay/decay.go
@@ -23,3 +23,6 @@
 func (s *Sum) Value(now, timeConstant time.Duration) float64 {
 	return s.sum * math.Exp(-float64(now-s.at)/float64(timeConstant))
 }
+
+// Reset removes all terms.
+func (s *Sum) Reset() { *s = Sum{} }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -270,6 +270,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changes = p.streams.Check(now, p.pool.EngineState)
+	for pool, queue := range p.queues {
+		queue.SetPaused(now, p.pool.Pauses(pool))
+	}
 	return p.streams.Listed(), changes
 }
 
