An attempt at a silent engine stays open until another one is answered

Callers lost answers that their engines would have completed: streams were cut and requests got 502 within 5 ms after their attempt had been given up, at 0.62 s and later of a silence of the engines.

Cause: a router that took an engine for stopped first cancelled the attempt there and then asked for another one. The belief was right about the last 600 ms and nothing more, and where all engines were silent or full there was no other one. The same held for the watchdogs of the first byte and of stalls, for attempts through another router, and for requests that may run only once, which ended when heartbeats were overdue too.

Now a further attempt, a hedge, begins beside the silent one at the same moments as before, and the first of the two that has an event (a response for calls) is kept; the other one is cancelled at once. A search that finds no place costs no retry and is repeated after 100 ms, 200 ms and so on up to 1 s. A hedge goes only to an engine that responds, and beside an attempt that is merely slow only to free room. Back ends of hedges in vain count as ones that may have run the request: the route's attempts bound the back ends, three the hedges of a request. An attempt that may not be repeated, or has no other place, ends for its engine's silence only after the time for which callers wait, and only if the heartbeats are overdue as well. What the router ends is no failure of an engine. Placements name the conditions (level 10, ignored by older leaders; the router then checks the choice by its own list).

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -68,6 +68,13 @@
 	// Later is set for later attempts, which are not queued. It asks for an engine that has room or,
 	// if none has, for the one with the shortest expected wait, which must be within the patience.
 	Later bool
+	// Responsive excludes back ends that do not respond even if there are no others: the request still
+	// runs at one that may go on.
+	Responsive bool
+	// RoomOnly asks the leader for an engine that has room, also for a later attempt.
+	RoomOnly bool
+	// Among lists the only back ends that may be chosen; empty for all.
+	Among []string
 	// Queueing are the terms for the queue at the leader.
 	Queueing coordapi.Queueing
 	// Software is the software version that a resumed stream has to go on at; empty for any.
@@ -295,7 +302,7 @@
 // usesIndex reports whether the index serves a choice. It does not for pools without engines, whose
 // choice depends on more than the index groups by.
 func (p *Pool) usesIndex(q *Query) bool {
-	return p.index != nil && q.Slots > 0 && q.Excluded == nil && q.Trial == 0
+	return p.index != nil && q.Slots > 0 && q.Excluded == nil && q.Trial == 0 && len(q.Among) == 0
 }
 
 // examined returns the back ends that a choice examines one by one.
@@ -314,14 +321,18 @@
 	out := p.scratch[:0]
 	lastResort := 0
 	for r := range p.examined(now, q) {
-		if r.Pool != q.Pool || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) {
+		if r.Pool != q.Pool || !p.mayServe(r, q) || slices.Contains(q.Tried, r.ID) || (len(q.Among) > 0 && !slices.Contains(q.Among, r.ID)) {
 			continue
 		}
 		if p.pushbackState(r.ID).Unavailable() || (now < r.limitedUntil && !q.IncludeLimited) || (q.Excluded != nil && q.Excluded(r.ID)) {
 			continue
 		}
+		stopped := r.notResponding() || p.unresponsive(now, r, rate)
+		if stopped && q.Responsive {
+			continue
+		}
 		c := candidate{row: r, ahead: p.remainingPrefill(now, r, rate) + r.otherLoad.Prompt,
-			lastResort: now < r.busyUntil || r.notResponding() || r.lastResort(now) || p.unresponsive(now, r, rate), represents: 1}
+			lastResort: now < r.busyUntil || stopped || r.lastResort(now), represents: 1}
 		if c.lastResort {
 			lastResort++
 		}
--- a/internal/backends/unresponsive.go
+++ b/internal/backends/unresponsive.go
@@ -92,6 +92,15 @@
 	return float64(all-len(stopped)) < minResponding*float64(all)
 }
 
+// NotResponding reports whether the leader takes a back end for one that does not respond. It returns
+// false for one without a row.
+func (p *Pool) NotResponding(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[id]
+	return r != nil && r.notResponding()
+}
+
 // EngineStatus returns whether the leader lists the attempt's engine as unresponsive, and whether
 // nothing more can arrive from it: its row was removed, or it is listed and its heartbeats are
 // overdue.
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -45,6 +45,11 @@
 	Software state.SoftwareVersion `json:"software,omitempty"`
 	// Tried lists engines that must not be chosen again.
 	Tried []string `json:"tried,omitempty"`
+	// Responsive excludes engines that do not respond even if there are no others, RoomOnly asks for one
+	// that has room, and Among lists the only engines that may be chosen; empty for all.
+	Responsive bool     `json:"responsive,omitempty"`
+	RoomOnly   bool     `json:"room_only,omitempty"`
+	Among      []string `json:"among,omitempty"`
 	// Request is the digest of the request's content; 0 for none.
 	Request poison.Digest `json:"request,omitempty"`
 	// Trial is the block in force that applies to the request if it asks to be the block's trial.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -16,7 +16,6 @@
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/socket"
 	"quinceridge.example/quinceridge/internal/state"
-	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
 
@@ -52,13 +51,24 @@
 	delivered bool
 	// forwarded is set if a failed attempt's response was forwarded while it arrived.
 	forwarded bool
+	// final is the failure of another router, which has made all attempts that the route allows. It is
+	// forwarded as it is unless a hedge goes on.
+	final *bufferedResponse
+}
+
+// newSession returns the session of a request, which ends with ctx.
+func (h *Handler) newSession(ctx context.Context, client http.ResponseWriter, j *job) *session {
+	s := &session{handler: h, client: client, job: j}
+	s.race = newRace(ctx, s)
+	return s
 }
 
 // serve makes attempts until one succeeds or no further one is allowed.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, j *job) {
-	s := &session{handler: h, client: w, job: j}
+	s := h.newSession(ctx, w, j)
 	defer h.refundQuota(j)
 	defer j.releaseShare()
+	defer s.race.close()
 	// ran is the result of the last attempt that the back end may have run.
 	ran := outcome{verdict: mayHaveRun, err: errOrigin}
 	for {
@@ -92,6 +102,7 @@
 			return
 		}
 		h.countRequest(j)
+		s.race.restrictChoice()
 		choice, found := h.choose(ctx, j)
 		if h.passesOnShare(j) && ctx.Err() == nil {
 			j.shareAsked = true
@@ -162,51 +173,67 @@
 		}
 		result := h.attempt(ctx, s, choice)
 		j.query.Tried = append(j.query.Tried, choice.ID)
-		if !h.settle(ctx, s, result) {
+		if !h.settle(ctx, s, result, &ran) {
 			return
 		}
-		if result.verdict != notRun {
-			ran = result
+	}
+}
+
+// goOn counts an attempt that ended without a response for the client, and forwards the answers of
+// hedges that go on with the request. It returns the result of the last attempt.
+func (h *Handler) goOn(s *session, result outcome) outcome {
+	for {
+		s.race.count(result)
+		g := s.race.await()
+		if g == nil {
+			return result
+		}
+		a := s.adopt(g)
+		result = h.forward(s, a)
+		a.close()
+		if result.verdict == done {
+			return result
+		}
+		if a.relay != "" && result.delivered {
+			s.job.deliveriesElsewhere++
 		}
 	}
 }
 
-// settleRelayed is settle for a request that was passed on. Ran becomes its result if it may have run.
+// settleRelayed is settle for a request that was passed on.
 func (h *Handler) settleRelayed(ctx context.Context, s *session, result outcome, ran *outcome) (again bool) {
 	if result.delivered {
 		s.job.deliveriesElsewhere++
 	}
-	if !h.settle(ctx, s, result) {
-		return false
-	}
-	if result.verdict != notRun {
-		*ran = result
-	}
-	return true
+	return h.settle(ctx, s, result, ran)
 }
 
-// settle records the result of an attempt. It finishes the request and returns false unless another
-// attempt is allowed.
-func (h *Handler) settle(ctx context.Context, s *session, result outcome) (again bool) {
+// settle records the result of an attempt, and those of the hedges that go on with the request. It
+// finishes the request and returns false unless another attempt is allowed. Ran becomes the last result
+// if the request may have run.
+func (h *Handler) settle(ctx context.Context, s *session, result outcome, ran *outcome) (again bool) {
 	j := s.job
+	if result.verdict != done {
+		result = h.goOn(s, result)
+	}
 	if result.verdict == done {
 		j.ran++
 		h.logResponse(s, "answered")
 		return false
 	}
-	if result.delivered {
-		j.deliveries++
-	}
-	if isWithheld(result.err) {
-		j.withheld++
-	}
-	if result.verdict != notRun {
-		j.ran++
+	if result.final != nil {
+		s.copyHeader(result.final.header)
+		s.writeBody(result.final.status, result.final.body)
+		h.logResponse(s, "answered")
+		return false
 	}
 	if ctx.Err() != nil || h.now() >= j.deadline || !h.shouldRetry(ctx, j, s, result) {
 		h.finish(ctx, s, result)
 		return false
 	}
+	if result.verdict != notRun {
+		*ran = result
+	}
 	return true
 }
 
@@ -250,14 +277,39 @@
 	return fmt.Sprintf("all engines are behind by at least %d ms", choice.Wait.Milliseconds())
 }
 
-// shouldRetry reports whether another attempt is allowed after a result.
-func (h *Handler) shouldRetry(ctx context.Context, j *job, s *session, result outcome) bool {
+// Reasons why a request has no further attempt.
+const (
+	tooManySends  = "the request was sent too often"
+	notResumable  = "the response has begun and cannot be resumed"
+	runsOnce      = "the request may run only once"
+	attemptsSpent = "the attempts of the route are used up"
+	noBudget      = "the retry budget is used up"
+)
+
+// noFurther returns why a request that may have run is not sent again, whatever the retry budget and
+// the back ends allow; empty if it may be.
+func noFurther(j *job, p *position) string {
 	switch {
 	case j.tries() >= maxSends:
-		j.noAttempt = "the request was sent too often"
-		return false
-	case s.bodySent || (s.headerSent && !j.route.Resumable):
-		j.noAttempt = "the response has begun and cannot be resumed"
+		return tooManySends
+	case p.bodySent || (p.headerSent && !j.route.Resumable):
+		return notResumable
+	case !j.route.Retryable():
+		return runsOnce
+	case j.ran >= max(j.route.MaxAttempts, 1):
+		return attemptsSpent
+	}
+	return ""
+}
+
+// shouldRetry reports whether another attempt is allowed after a result.
+func (h *Handler) shouldRetry(ctx context.Context, j *job, s *session, result outcome) bool {
+	reason := noFurther(j, &s.position)
+	if result.verdict == notRun && (reason == runsOnce || reason == attemptsSpent) {
+		reason = ""
+	}
+	if reason != "" {
+		j.noAttempt = reason
 		return false
 	}
 	if result.verdict == notRun && !result.delivered {
@@ -265,78 +317,13 @@
 		// attempts count.
 		return true
 	}
-	switch {
-	case result.verdict != notRun && !j.route.Retryable():
-		j.noAttempt = "the request may run only once"
-		return false
-	case result.verdict != notRun && j.ran >= max(j.route.MaxAttempts, 1):
-		j.noAttempt = "the attempts of the route are used up"
-		return false
-	}
-	if j.deliveries == 0 || j.retryGranted.Swap(false) {
-		return true
-	}
-	if h.budget.AllowRetry(ctx, h.now(), j.pool.Name, h.config.Source.Routers()) {
+	if j.deliveries == 0 || j.retry.use() || h.budget.AllowRetry(ctx, h.now(), j.pool.Name, h.config.Source.Routers()) {
 		return true
 	}
-	j.noAttempt = "the retry budget is used up"
+	j.noAttempt = noBudget
 	return false
 }
 
-// attempt sends the request to one back end and forwards the response.
-func (h *Handler) attempt(ctx context.Context, s *session, choice backends.Choice) outcome {
-	j := s.job
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := h.watchSilence(ctx, j, cancel)
-	defer silence.stop()
-	started := h.now()
-	s.attempted, s.attemptedAt, s.gaveUp = choice, started, nil
-	defer func() { s.gaveUp = givenUp(ctx) }()
-	h.setBackendHeaders(j, s, choice)
-	running := h.config.Pool.Begin(started, &choice, &j.query, cancel)
-	defer func() { running.End(h.now()) }()
-	s.tracked = h.trackStream(ctx, j, choice, running, cancel)
-	defer s.tracked.End()
-	if j.pool.Engine != nil && j.endShare == nil {
-		j.endShare = h.shares.begin(j.pool.Name)
-	}
-	defer j.releaseShare()
-	j.request.Allowed = running.Allowed
-	j.request.Born, j.request.Identify = h.requiredStart(j, running)
-	if choice.Placement > 0 {
-		defer h.config.Placer.Ended(choice.Placement)
-	}
-	response, err := h.config.Upstream.Do(ctx, choice.Address, j.request)
-	// A permit that was not consumed by Do is not needed any more.
-	h.config.Limits.Release(choice.Permit)
-	defer h.config.Limits.Finish(choice.Permit)
-	if err != nil {
-		result := h.handleSendError(ctx, j, choice, err)
-		h.reportAttempt(ctx, s, choice, nil, result, started)
-		return result
-	}
-	defer response.Close()
-	h.config.Paths.Responded(h.clock(), j.pool.Name)
-	silence.stop()
-	h.recordBegun(s, response.StatusCode)
-	if choice.Placement > 0 && response.StatusCode == http.StatusOK {
-		h.config.Placer.Begun(choice.Placement, h.now()-started)
-	}
-	h.observeStoreDelay(j, running.Begun(h.now(), response.StatusCode == http.StatusOK))
-	h.recordVersion(j, choice, response.Header)
-	if j.route.Kind == traffic.KindStream && silence != nil {
-		s.stall = newWatchdog(max(stallFactor*j.route.GapTarget, minStall), h.cancelForRetry(ctx, j, cancel))
-		defer s.stall.stop()
-	}
-	begun := h.now()
-	result := h.forwardResponse(ctx, s, response)
-	h.recordPrefill(j, choice, response.Header, result, started, begun)
-	h.recordAttempt(ctx, s, choice, response, result, h.now()-started)
-	h.reportAttempt(ctx, s, choice, response, result, started)
-	return result
-}
-
 // setBackendHeaders sets the headers and fields of the request that depend on the back end.
 func (h *Handler) setBackendHeaders(j *job, s *session, choice backends.Choice) {
 	names, header := &h.config.Headers, j.request.Header
@@ -375,11 +362,13 @@
 		}
 		return outcome{verdict: notRun, err: err}
 	}
-	if !errors.Is(context.Cause(ctx), context.Canceled) {
+	if !errors.Is(context.Cause(ctx), context.Canceled) && !h.provesNothing(j, context.Cause(ctx)) {
 		h.config.Pool.Failed(h.now(), choice.ID)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		h.config.Pool.Unreachable(h.now(), choice.ID)
+		if ctx.Err() == nil {
+			h.config.Pool.Unreachable(h.now(), choice.ID)
+		}
 		return outcome{verdict: notRun, err: err}
 	}
 	if errors.Is(err, upstream.ErrIncomplete) && j.route.Retryable() {
@@ -392,9 +381,20 @@
 	return outcome{verdict: mayHaveRun, err: err, delivered: true}
 }
 
+// provesNothing reports whether the end of an attempt, given its cause of cancellation, says nothing of
+// its back end: the router ended it when another one was answered. Whether an engine has stopped is
+// known from all routers; a plain back end that was silent for longer counts as failing.
+func (h *Handler) provesNothing(j *job, cause error) bool {
+	return errors.Is(cause, errOutrun) && (j.pool.Engine != nil || !errors.Is(cause, errReplaced))
+}
+
 // logFailedAttempt logs an attempt that ended without a complete response. An attempt that the
 // router or the client cancelled is not counted as a failure of the back end.
 func (h *Handler) logFailedAttempt(ctx context.Context, j *job, choice backends.Choice, events int, err error) {
+	if errors.Is(err, errOutrun) || errors.Is(context.Cause(ctx), errOutrun) {
+		// The line of the further attempt names it.
+		return
+	}
 	ours := ""
 	if cause := context.Cause(ctx); cause != nil {
 		ours = cause.Error()
@@ -447,6 +447,9 @@
 			// A pushback is not a failure of the back end.
 			break
 		}
+		if h.provesNothing(j, context.Cause(ctx)) {
+			break
+		}
 		if !isLocal(result.err) && (ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent)) {
 			h.config.Pool.Failed(now, choice.ID)
 		}
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -97,7 +97,7 @@
 		cause = result.err
 	}
 	h.config.Logger.Info("answer ended early", "part", "forward", "id", j.id, "request", j.digest.String(), "ended_by", endedByNames[by], "cause", text,
-		"error", errorText(cause), "backend", s.attempted.ID, "events", s.events, "last_event_ms", s.lastEventAge().Milliseconds(), "further_attempt", j.noAttempt,
+		"error", errorText(cause), "backend", s.attempted.ID, "events", s.events, "last_event_ms", s.lastEventAge().Milliseconds(), "further_attempt", j.noAttempt, "beside", s.race.last(),
 		"attempts", strings.Join(j.trace, "; "))
 }
 
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -156,7 +156,7 @@
 	ended := func() poison.FailedAttempt { return j.failedAttempt(choice.ID, now-started) }
 	complete := result.verdict != mayHaveRun
 	switch {
-	case result.verdict == notRun, isLocal(result.err):
+	case result.verdict == notRun, isLocal(result.err), isOurs(result.err), isOurs(context.Cause(ctx)):
 	case complete && response != nil && !framed:
 		// The connections of a back end that crashes are closed as well.
 		h.probes.add(choice, ending{FailedAttempt: ended(), at: now, complete: true, answered: j.answeredParts(response)}, h.probeBackend)
@@ -212,8 +212,12 @@
 	h.config.Observer.RecordFailure(e.FailedAttempt)
 }
 
-// Wait waits until all probes are done, which takes no longer than a connect timeout.
-func (h *Handler) Wait() { h.probes.group.Wait() }
+// Wait waits until all probes and all attempts beside others are done. It is to be called when all
+// requests are, and takes no longer than a connect timeout.
+func (h *Handler) Wait() {
+	h.hedges.Wait()
+	h.probes.group.Wait()
+}
 
 // ending is an attempt whose result depends on whether its back end has ended.
 type ending struct {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -166,6 +166,7 @@
 	shares      shares
 	probes      *probes
 	deadlines   *deadlines
+	hedges      sync.WaitGroup
 }
 
 // New returns a Handler. Config is not checked.
@@ -236,16 +237,7 @@
 	// deadline is the time at which the request times out for the client or its route, by the
 	// handler's clock.
 	deadline time.Duration
-	// ran counts the attempts that ran or may have run.
-	ran int
-	// withheld counts the attempts that were not sent because of a pushback or limit. They do
-	// not count as tries.
-	withheld int
-	// deliveries counts the attempts that a back end received.
-	deliveries int
-	// deliveriesElsewhere counts the deliveries to other routers, and those of the router that passed
-	// the request on.
-	deliveriesElsewhere int
+	tally
 	// brokenRelays are the routers that did not complete a response.
 	brokenRelays []string
 	// quotaAmount is the request's amount of its tenant's quota, 0 if there is none, and
@@ -271,10 +263,8 @@
 	standalone bool
 	// endShare ends the request's part of what the router runs at the pool; nil if it has none.
 	endShare func()
-	// retryGranted is set if the budget has granted the next attempt. retryMu is held while the
-	// budget is asked, so that two watchdogs spend one retry.
-	retryGranted atomic.Bool
-	retryMu      sync.Mutex
+	// retry holds the retries that the budget has granted and that no attempt has used.
+	retry *retryGrant
 	// viewRevision and viewAge describe the view by which the back end was chosen.
 	viewRevision uint64
 	viewAge      time.Duration
@@ -362,7 +352,7 @@
 	if route == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
-	j := &job{id: r.Header.Get(h.config.Headers.RequestID), table: table, route: route, receivedAt: receivedAt, chunked: r.ProtoAtLeast(1, 1)}
+	j := &job{id: r.Header.Get(h.config.Headers.RequestID), table: table, route: route, receivedAt: receivedAt, chunked: r.ProtoAtLeast(1, 1), retry: &retryGrant{}}
 	if table.NeedsKeys() && !route.Public {
 		key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if j.tenant = table.TenantByKey(strings.TrimSpace(key)); !bearer || j.tenant == nil {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -36,10 +36,12 @@
 	stalledClients atomic.Uint64
 	// unreadBodies counts attempts given up because their back end did not read the request.
 	unreadBodies atomic.Uint64
-	// resumedUnresponsive counts attempts given up for another one because their engine was
-	// unresponsive, and endedUnresponsive requests that ended because nothing more could arrive.
+	// resumedUnresponsive counts attempts that another one replaced because their engine was
+	// unresponsive, and endedUnresponsive those that ended because nothing more arrived and their
+	// callers were taken to have left.
 	resumedUnresponsive atomic.Uint64
 	endedUnresponsive   atomic.Uint64
+	hedges              hedgeCounts
 	// failedAttempts counts attempts that ended without a complete response because of their
 	// back end.
 	failedAttempts atomic.Uint64
@@ -77,6 +79,34 @@
 	total      histogram
 }
 
+// hedgeCounts counts the attempts beside open ones by their result.
+type hedgeCounts struct {
+	// tookOver counts those that were answered first, inVain those beside which the first attempt went
+	// on, failed those that ended without an answer, and notPlaced those that were not sent.
+	tookOver, inVain, failed, notPlaced atomic.Uint64
+}
+
+// count counts a hedge that did not take over.
+func (c *hedgeCounts) count(result string) {
+	switch result {
+	case hedgeInVain:
+		c.inVain.Add(1)
+	case hedgeFailed:
+		c.failed.Add(1)
+	default:
+		c.notPlaced.Add(1)
+	}
+}
+
+func (c *hedgeCounts) writeTo(w io.Writer) {
+	for _, count := range []struct {
+		result string
+		n      *atomic.Uint64
+	}{{hedgeTookOver, &c.tookOver}, {hedgeInVain, &c.inVain}, {hedgeFailed, &c.failed}, {hedgeNotPlaced, &c.notPlaced}} {
+		fmt.Fprintf(w, "quinceridge_further_attempts_total{result=%q} %d\n", count.result, count.n.Load())
+	}
+}
+
 type histogram struct {
 	counts [len(latencyBounds) + 1]atomic.Uint64
 	sum    atomic.Int64
@@ -141,6 +171,7 @@
 	fmt.Fprintf(w, "quinceridge_unread_bodies_total %d\n", m.unreadBodies.Load())
 	fmt.Fprintf(w, "quinceridge_streams_resumed_unresponsive_total %d\n", m.resumedUnresponsive.Load())
 	fmt.Fprintf(w, "quinceridge_ended_unresponsive_total %d\n", m.endedUnresponsive.Load())
+	m.hedges.writeTo(w)
 	m.earlyEnds.writeTo(w)
 	fmt.Fprintf(w, "quinceridge_streams_resumed_by_clients_total %d\n", m.resumedByClients.Load())
 	m.streams.writeTo(w, "quinceridge_streams_begun_total")
--- a/internal/forward/queueing.go
+++ b/internal/forward/queueing.go
@@ -59,7 +59,7 @@
 	return backends.Choice{Reason: coordapi.NoRoomInTime, RetryAfter: standaloneRetryAfter + rand.N(standaloneRetryAfter/2)}, true
 }
 
-// releaseShare ends the request's part of what the router runs.
+// releaseShare ends the request's part of what the router runs, unless an attempt has taken it.
 func (j *job) releaseShare() {
 	if j.endShare != nil {
 		j.endShare()
@@ -67,6 +67,15 @@
 	}
 }
 
+// takeShare returns the function that ends an attempt's part of what the router runs at the pool.
+func (h *Handler) takeShare(j *job) (end func()) {
+	if end = j.endShare; end == nil {
+		return h.shares.begin(j.pool.Name)
+	}
+	j.endShare = nil
+	return end
+}
+
 // shares holds the requests that this router runs at the engines of each pool, and how many it may
 // run without the leader. It is safe for concurrent use.
 type shares struct {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -15,7 +15,6 @@
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/relay"
-	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
 
@@ -87,8 +86,24 @@
 	return h.pathLost(j) && !h.config.Paths.MayTry(h.clock(), j.pool.Name)
 }
 
-// passOn passes a request on to other routers, at most limit ones, until one accepts it.
+// passOn passes a request on to other routers, at most limit ones, until one accepts it, and forwards
+// the response.
 func (h *Handler) passOn(ctx context.Context, s *session, limit int) outcome {
+	a, result := h.openRelay(ctx, s, limit)
+	if a == nil {
+		return result
+	}
+	defer a.close()
+	if result.err != nil {
+		s.job.brokenRelays = append(s.job.brokenRelays, a.relay)
+		return result
+	}
+	return h.forward(s, a)
+}
+
+// openRelay passes a request on to other routers, at most limit ones, until one accepts it. It returns
+// no attempt if none does. The attempt has a response unless the outcome has an error.
+func (h *Handler) openRelay(ctx context.Context, s *session, limit int) (*attempt, outcome) {
 	j := s.job
 	h.returnQuota(j)
 	result := outcome{verdict: notRun, err: errNoRelay}
@@ -105,69 +120,70 @@
 			break
 		}
 		tried = append(tried, address)
-		result = h.attemptVia(ctx, s, address)
-		done()
-		if result.verdict == mayHaveRun {
-			j.brokenRelays = append(j.brokenRelays, address)
+		var a *attempt
+		a, result = h.openVia(ctx, s, address)
+		a.onClose = append(a.onClose, done)
+		if result.verdict != notRun || result.err == nil {
+			return a, result
 		}
-		if result.verdict != notRun || ctx.Err() != nil || h.now() >= j.deadline {
+		a.close()
+		if ctx.Err() != nil || h.now() >= j.deadline {
 			break
 		}
 	}
-	return result
+	return nil, result
 }
 
-// attemptVia passes a request on to one router and forwards the response.
-func (h *Handler) attemptVia(ctx context.Context, s *session, address string) outcome {
+// openVia passes a request on to one router. The attempt has a response unless the outcome has an
+// error. It must be closed.
+func (h *Handler) openVia(ctx context.Context, s *session, address string) (*attempt, outcome) {
 	j := s.job
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := h.watchRelay(ctx, j, cancel)
-	defer silence.stop()
-	started := h.now()
-	s.attempted, s.attemptedAt, s.gaveUp = backends.Choice{}, started, nil
-	defer func() { s.gaveUp = givenUp(ctx) }()
+	a := h.newAttempt(ctx, s)
+	a.relay = address
+	s.attempted, s.attemptedAt, s.gaveUp = backends.Choice{}, a.started, nil
 	text := fmt.Sprintf("passed on to router %s, path lost for %d ms", address, h.config.Paths.LostFor(h.clock(), j.pool.Name).Milliseconds())
 	if j.beyondRoom {
 		text = "passed on to router " + address + ", no part of the free capacity left"
 	}
-	response, err := h.config.RelayConnections.Do(ctx, address, h.requestVia(s))
+	request := h.requestVia(s)
+	s.race.begin(a)
+	a.silence = h.watchSilence(a, relaySilenceFactor)
+	a.onClose = append(a.onClose, a.silence.stop)
+	response, err := h.config.RelayConnections.Do(a.ctx, address, request)
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = fmt.Errorf("%w (%w)", err, cause)
-		}
-		if ctx.Err() == nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, syscall.ETIMEDOUT)) {
-			h.config.Relays.Unreachable(h.clock(), address)
-		}
-		j.trace = append(j.trace, text+": "+err.Error())
-		if errors.Is(err, upstream.ErrNotSent) {
-			return outcome{verdict: notRun, err: err}
-		}
-		return outcome{verdict: mayHaveRun, err: err, delivered: true}
+		s.race.end(a)
+		s.gaveUp = givenUp(a.ctx)
+		return a, h.relayError(a, text, err)
 	}
-	defer response.Close()
-	silence.stop()
+	a.begin(response)
 	h.config.Relays.Responded(h.clock(), address)
 	j.trace = append(j.trace, text+": "+strconv.Itoa(response.StatusCode))
 	if declined := response.Header.Get(relay.HeaderDeclined); declined != "" {
+		s.race.end(a)
 		h.metrics.relaysDeclined.Add(1)
 		if declined != relay.DeclinedShare {
 			h.config.Relays.Declined(h.clock(), address, j.pool.Name)
 		}
-		return outcome{verdict: notRun, err: errDeclined}
+		return a, outcome{verdict: notRun, err: errDeclined}
 	}
 	h.metrics.passedOn.Add(1)
-	h.metrics.relayDelay.add(h.now() - started)
-	return h.forwardVia(ctx, s, response, cancel)
+	h.metrics.relayDelay.add(h.now() - a.started)
+	return a, outcome{}
 }
 
-// watchRelay returns a watchdog that cancels a retryable request that was passed on if no response
-// begins in time, and nil if it must not be sent again.
-func (h *Handler) watchRelay(ctx context.Context, j *job, cancel context.CancelCauseFunc) *watchdog {
-	if !j.route.Retryable() || j.ran+1 >= max(j.route.MaxAttempts, 1) || j.route.Target <= 0 {
-		return nil
+// relayError returns the outcome of an attempt through another router that received no response header.
+func (h *Handler) relayError(a *attempt, text string, err error) outcome {
+	if cause := context.Cause(a.ctx); cause != nil {
+		err = fmt.Errorf("%w (%w)", err, cause)
+	}
+	if a.ctx.Err() == nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, syscall.ETIMEDOUT)) {
+		h.config.Relays.Unreachable(h.clock(), a.relay)
 	}
-	return newWatchdog(relaySilenceFactor*j.route.Target, h.cancelForRetry(ctx, j, cancel))
+	a.session.job.trace = append(a.session.job.trace, text+": "+err.Error())
+	if errors.Is(err, upstream.ErrNotSent) {
+		return outcome{verdict: notRun, err: err}
+	}
+	return outcome{verdict: mayHaveRun, err: err, delivered: true}
 }
 
 // requestVia returns the client's request as another router receives it, with the client's own
@@ -193,18 +209,14 @@
 
 // forwardVia forwards the response of another router. Failures are final: the other router has made
 // all attempts that the route allows.
-func (h *Handler) forwardVia(ctx context.Context, s *session, response *upstream.BackendResponse, cancel context.CancelCauseFunc) outcome {
-	j := s.job
+func (h *Handler) forwardVia(s *session, a *attempt) outcome {
+	j, response := s.job, a.response
 	if response.StatusCode == http.StatusOK && j.query.Software != "" && response.Header.Get(relay.HeaderSoftware) != string(j.query.Software) {
 		// Routers of older builds ignore the version.
 		return outcome{verdict: mayHaveRun, err: errOtherSoftware, delivered: true}
 	}
 	if response.StatusCode < http.StatusInternalServerError && !notRunStatuses[response.StatusCode] {
-		if j.route.Kind == traffic.KindStream && response.StatusCode == http.StatusOK && j.route.Retryable() {
-			s.stall = newWatchdog(max(stallFactor*j.route.GapTarget, minStall), h.cancelForRetry(ctx, j, cancel))
-			defer s.stall.stop()
-		}
-		return h.forwardResponse(ctx, s, response)
+		return h.forwardResponse(s, a)
 	}
 	body, whole, err := readPrefix(response, maxBufferedBody, &j.memory)
 	switch {
@@ -212,15 +224,16 @@
 		return outcome{verdict: mayHaveRun, err: err, delivered: true}
 	case s.headerSent:
 		return outcome{verdict: mayHaveRun, err: errServerError, delivered: true}
-	case !whole:
+	case whole:
+		return outcome{verdict: failed, err: errServerError, final: &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}}
+	case !s.race.goesOn():
+		return replaced()
+	default:
 		if err := s.streamBody(response, body); err != nil {
 			return outcome{verdict: mayHaveRun, err: err, delivered: true}
 		}
 		return outcome{verdict: done}
 	}
-	s.copyHeader(response.Header)
-	s.writeBody(response.StatusCode, body)
-	return outcome{verdict: done}
 }
 
 // ServeRelayed handles a request that another router passes on. The client's credentials are checked
@@ -264,3 +277,17 @@
 	name, _, _ := strings.Cut(j.origin.Router, "/")
 	return name
 }
+
+// checkRelayed returns why the response of another router does not serve beside an open attempt, whose
+// back end may still answer. It has no error for other responses.
+func (s *session) checkRelayed(a *attempt) outcome {
+	switch {
+	case a.relay == "":
+		return outcome{}
+	case a.response.StatusCode >= http.StatusInternalServerError || notRunStatuses[a.response.StatusCode]:
+		return outcome{verdict: mayHaveRun, err: errServerError, delivered: true}
+	case a.response.StatusCode == http.StatusOK && s.job.query.Software != "" && a.response.Header.Get(relay.HeaderSoftware) != string(s.job.query.Software):
+		return outcome{verdict: mayHaveRun, err: errOtherSoftware, delivered: true}
+	}
+	return outcome{}
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -12,11 +11,9 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
-	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/resumption"
-	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
 
@@ -33,34 +30,39 @@
 	handler *Handler
 	client  http.ResponseWriter
 	job     *job
-	status  int
+	race    *race
+	// hedge is the hedge that the session belongs to, which has no client; nil for none.
+	hedge  *hedge
+	status int
+	position
+	// writeError is the error of writing a buffered response.
+	writeError error
+	firstAt    time.Duration
+	// attempted is the back end of the present attempt, empty if that is made through another router.
+	attempted backends.Choice
+	// attemptedAt is when that attempt began, and gaveUp the cause with which the router cancelled the
+	// last one; nil if it did not.
+	attemptedAt time.Duration
+	gaveUp      error
+	longestGap  time.Duration
+	// stall begins a further attempt beside one whose stream has stalled.
+	stall *watchdog
+}
+
+// position is how much of a response has been forwarded.
+type position struct {
 	// headerSent is set once a part of the response has been written, and bodySent once it is a
 	// part of a body that no further attempt can continue.
 	headerSent bool
 	bodySent   bool
-	// writeError is the error of writing a buffered response.
-	writeError error
 	// lastEventID is the ID of the last forwarded event, and lastEventNumber its numeric value.
 	lastEventID     string
 	lastEventNumber int64
 	events          int
-	firstAt         time.Duration
-	// attempted is the back end of the present attempt, empty if that is made through another router, and
+	// lastAt is when the last event was forwarded.
+	lastAt time.Duration
 	// writer is the back end that wrote the first event.
-	attempted backends.Choice
-	writer    resumption.Writer
-	// attemptedAt is when that attempt began, and gaveUp the cause with which the router cancelled the
-	// last one; nil if it did not.
-	attemptedAt time.Duration
-	gaveUp      error
-	// lastAt is when the last event was forwarded, and longestGap the longest pause between
-	// two.
-	lastAt     time.Duration
-	longestGap time.Duration
-	// stall cancels the attempt at a stalled stream that can be resumed elsewhere.
-	stall *watchdog
-	// tracked is the running attempt at an engine; nil for none.
-	tracked *liveness.Stream
+	writer resumption.Writer
 }
 
 // bufferedResponse is a complete response of a back end.
@@ -70,37 +72,68 @@
 	body   []byte
 }
 
+// received is a response that is no stream, as far as it is buffered.
+type received struct {
+	*bufferedResponse
+	// whole is set if that is all of it.
+	whole bool
+	// failure has an error if the response cannot be forwarded as a success.
+	failure outcome
+}
+
 // forwardResponse forwards a response to the client, or returns why it cannot be forwarded.
-func (h *Handler) forwardResponse(ctx context.Context, s *session, response *upstream.BackendResponse) outcome {
-	if response.StatusCode == http.StatusOK && s.job.route.Kind == traffic.KindStream {
-		return s.stream(ctx, response)
+func (h *Handler) forwardResponse(s *session, a *attempt) outcome {
+	if a.isStream() {
+		return s.stream(a)
 	}
+	var read received
+	if a.ahead != nil {
+		read = a.ahead.received
+	} else {
+		read = s.receive(a.response)
+	}
+	switch {
+	case read.failure.verdict == failed && !read.whole:
+		return s.forwardLargeFailure(a.response, read.body)
+	case read.failure.err != nil:
+		return read.failure
+	case !s.race.goesOn():
+		return replaced()
+	case !read.whole:
+		if err := s.streamBody(a.response, read.body); err != nil {
+			return outcome{verdict: mayHaveRun, err: err, delivered: true}
+		}
+		return outcome{verdict: done}
+	}
+	s.writeBuffered(read.bufferedResponse)
+	return outcome{verdict: done}
+}
+
+// replaced is the outcome of an attempt that a hedge has replaced.
+func replaced() outcome { return outcome{verdict: mayHaveRun, err: errReplaced, delivered: true} }
+
+// receive reads a response that is no stream as far as it is buffered.
+func (s *session) receive(response *upstream.BackendResponse) received {
 	body, whole, err := readPrefix(response, maxBufferedBody, &s.job.memory)
 	if err != nil {
-		return outcome{verdict: mayHaveRun, err: err, delivered: true}
+		return received{failure: outcome{verdict: mayHaveRun, err: err, delivered: true}}
 	}
-	read := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
-	names := &h.config.Headers
+	read := received{bufferedResponse: &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, whole: whole}
+	names := &s.handler.config.Headers
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotRun) != "":
-		return outcome{verdict: notRun, response: read, delivered: true, err: errRejected}
-	case response.StatusCode >= http.StatusInternalServerError && !whole:
-		return s.forwardLargeFailure(response, body)
+		read.failure = outcome{verdict: notRun, response: read.bufferedResponse, delivered: true, err: errRejected}
 	case response.StatusCode >= http.StatusInternalServerError:
-		return outcome{verdict: failed, response: read, delivered: true, err: errServerError}
+		read.failure = outcome{verdict: failed, delivered: true, err: errServerError}
+		if whole {
+			read.failure.response = read.bufferedResponse
+		}
 	case response.StatusCode < http.StatusMultipleChoices && response.Header.Get(names.Signature) == "":
-		return outcome{verdict: mayHaveRun, delivered: true, err: errNoSeal}
+		read.failure = outcome{verdict: mayHaveRun, delivered: true, err: errNoSeal}
 	case s.headerSent:
-		return outcome{verdict: mayHaveRun, delivered: true, err: errServerError}
-	}
-	if !whole {
-		if err := s.streamBody(response, body); err != nil {
-			return outcome{verdict: mayHaveRun, err: err, delivered: true}
-		}
-		return outcome{verdict: done}
+		read.failure = outcome{verdict: mayHaveRun, delivered: true, err: errServerError}
 	}
-	s.writeBuffered(read)
-	return outcome{verdict: done}
+	return read
 }
 
 // readPrefix reads a body up to limit bytes. Whole is false if the body is longer or the memory for
@@ -132,6 +165,9 @@
 	if s.headerSent || (s.job.route.Retryable() && s.job.ran+1 < s.job.route.MaxAttempts) {
 		return result
 	}
+	if !s.race.goesOn() {
+		return replaced()
+	}
 	if err := s.streamBody(response, prefix); err != nil {
 		return outcome{verdict: mayHaveRun, delivered: true, err: err}
 	}
@@ -153,7 +189,7 @@
 	}
 	s.setStatus(response.StatusCode)
 	s.firstAt = s.handler.now()
-	s.headerSent, s.bodySent = true, true
+	s.race.advance(func(p *position) { p.headerSent, p.bodySent = true, true })
 	s.client.WriteHeader(s.status)
 	if _, err := s.client.Write(prefix); err != nil {
 		return &clientError{err}
@@ -250,25 +286,25 @@
 }
 
 // stream forwards events as they arrive. The header is sent with the first event.
-func (s *session) stream(ctx context.Context, response *upstream.BackendResponse) outcome {
-	reader := bufio.NewReaderSize(response, streamBuffer)
-	if response.Header.Get(s.handler.config.Headers.Signature) == "" {
+func (s *session) stream(a *attempt) outcome {
+	if a.response.Header.Get(s.handler.config.Headers.Signature) == "" {
 		return outcome{verdict: mayHaveRun, delivered: true, err: errNoSeal}
 	}
 	var event []byte
 	for {
 		var err error
-		event, err = readEvent(reader, event[:0], &s.job.memory)
-		if err == io.EOF && len(event) == 0 {
-			return s.endStream(response)
-		}
+		event, err = a.nextEvent(event[:0])
 		if err == io.EOF {
-			err = errTruncatedEvent
+			return s.endStream()
 		}
 		if err == nil {
-			s.tracked.Event(s.handler.clock())
-			err = s.writeEvent(response, event, !eventBuffered(reader))
-			s.tracked.Forwarded(s.handler.clock())
+			a.tracked.Event(s.handler.clock())
+			if !s.race.goesOn() {
+				return replaced()
+			}
+			err = s.writeEvent(a.response, event, !eventBuffered(a.reader))
+			s.race.forwarded()
+			a.tracked.Forwarded(s.handler.clock())
 		}
 		if err != nil {
 			return outcome{verdict: mayHaveRun, err: err, delivered: true}
@@ -276,10 +312,13 @@
 	}
 }
 
-func (s *session) endStream(response *upstream.BackendResponse) outcome {
+func (s *session) endStream() outcome {
 	if !s.headerSent {
 		return outcome{verdict: mayHaveRun, err: errNoEvent, delivered: true}
 	}
+	if !s.race.goesOn() {
+		return replaced()
+	}
 	return outcome{verdict: done}
 }
 
@@ -331,7 +370,7 @@
 			}
 			return nil
 		}
-		s.lastEventNumber = number
+		s.race.advance(func(p *position) { p.lastEventNumber = number })
 	}
 	if !s.headerSent {
 		s.begin(response)
@@ -341,9 +380,8 @@
 		}
 		s.status = response.StatusCode
 		s.client.WriteHeader(response.StatusCode)
-		s.headerSent = true
 		s.firstAt = s.handler.now()
-		s.lastAt = s.firstAt
+		s.race.advance(func(p *position) { p.headerSent, p.lastAt = true, s.firstAt })
 	}
 	s.recordGap()
 	// While the client does not read, the back end is not silent.
@@ -357,10 +395,12 @@
 			return &clientError{err}
 		}
 	}
-	s.events++
-	if named {
-		s.lastEventID = strings.Clone(id)
-	}
+	s.race.advance(func(p *position) {
+		p.events++
+		if named {
+			p.lastEventID = strings.Clone(id)
+		}
+	})
 	return nil
 }
 
@@ -368,7 +408,7 @@
 func (s *session) recordGap() {
 	now := s.handler.now()
 	s.longestGap = max(s.longestGap, now-s.lastAt)
-	s.lastAt = now
+	s.race.advance(func(p *position) { p.lastAt = now })
 }
 
 // eventID returns the value of an event's id field.
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -176,10 +176,11 @@
 // begin records that a back end has written the first event of a response, before the client gets it.
 func (s *session) begin(response *upstream.BackendResponse) {
 	h, j := s.handler, s.job
-	s.writer = resumption.Writer{Pool: j.pool.Name, Backend: s.attempted.ID, Software: s.attempted.Software}
+	writer := resumption.Writer{Pool: j.pool.Name, Backend: s.attempted.ID, Software: s.attempted.Software}
 	if s.attempted.ID == "" {
-		s.writer.Software = state.SoftwareVersion(response.Header.Get(relay.HeaderSoftware))
+		writer.Software = state.SoftwareVersion(response.Header.Get(relay.HeaderSoftware))
 	}
+	s.race.advance(func(p *position) { p.writer = writer })
 	h.metrics.streams.add(s.writer.Software)
 	if h.config.Resumptions == nil || !j.route.Resumable {
 		return
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -10,50 +9,45 @@
 )
 
 const (
-	// silenceFactor is the timeout for the first byte of a retryable attempt, in latency
-	// targets of its route.
+	// silenceFactor is the time without a first byte after which a retryable attempt is hedged, in
+	// latency targets of its route.
 	silenceFactor = 2
-	// stallFactor is the timeout between two events of a retryable stream, in gap targets of
-	// its route, and minStall its lower bound.
+	// stallFactor is the time between two events after which a retryable stream is hedged, in gap targets
+	// of its route, and minStall its lower bound.
 	stallFactor = 4
 	minStall    = 2 * time.Second
-	// recheckDelay is the delay after which a timed-out attempt asks the retry budget again.
+	// recheckDelay is the delay after which a timed-out attempt looks for a place for another one again.
 	recheckDelay = 100 * time.Millisecond
 	// maxTimerDelay is the delay of a watchdog's timer from which the process may have been suspended,
 	// with events of the back end unread.
 	maxTimerDelay = 50 * time.Millisecond
 )
 
-// watchSilence returns a watchdog that cancels a retryable attempt if its back end sends no
-// response in time. It returns nil if no further attempt is allowed.
-func (h *Handler) watchSilence(ctx context.Context, j *job, cancel context.CancelCauseFunc) *watchdog {
-	if !j.route.Retryable() || j.ran+1 >= max(j.route.MaxAttempts, 1) || j.route.Target <= 0 {
+// watchSilence returns a watchdog that begins a further attempt beside one that has no response after
+// some targets of its route. It returns nil if no further attempt is allowed.
+func (h *Handler) watchSilence(a *attempt, targets int) *watchdog {
+	target := a.session.job.route.Target
+	if target <= 0 || !a.mayHedge() {
 		return nil
 	}
-	return newWatchdog(silenceFactor*j.route.Target, h.cancelForRetry(ctx, j, cancel))
+	return newWatchdog(time.Duration(targets)*target, a.onSilent)
 }
 
-// cancelForRetry returns a watchdog callback that cancels an attempt if the budget allows a
-// retry, which it spends at once. Without a retry the attempt goes on.
-func (h *Handler) cancelForRetry(ctx context.Context, j *job, cancel context.CancelCauseFunc) func() bool {
-	return func() bool {
-		if !h.grantRetry(ctx, j) {
-			return false
-		}
-		cancel(errSilent)
-		return true
+// watchStall returns a watchdog that begins a further attempt beside one whose stream has stalled. It
+// returns nil if no further attempt is allowed.
+func (h *Handler) watchStall(a *attempt) *watchdog {
+	route := a.session.job.route
+	if !a.isStream() || route.Target <= 0 || !a.mayHedge() {
+		return nil
 	}
+	return newWatchdog(max(stallFactor*route.GapTarget, minStall), a.onSilent)
 }
 
-// grantRetry reports whether the budget allows a retry. It spends one unless one has been granted
-// and not used.
-func (h *Handler) grantRetry(ctx context.Context, j *job) bool {
-	j.retryMu.Lock()
-	defer j.retryMu.Unlock()
-	if !j.retryGranted.Load() && h.budget.AllowRetry(ctx, h.now(), j.pool.Name, h.config.Source.Routers()) {
-		j.retryGranted.Store(true)
-	}
-	return j.retryGranted.Load()
+// onSilent begins a further attempt. It is called again while the attempt is silent: there may be no
+// place for another one yet.
+func (a *attempt) onSilent() bool {
+	a.session.race.hedge(a, errSilent)
+	return false
 }
 
 // watchdog calls onTimeout unless it is stopped or extended in time. A nil watchdog does
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -37,8 +37,11 @@
 	// PromptParts adds the shared parts of prompts to the reports of failed attempts and of answers,
 	// and to what is blocked, and the trials of blocks.
 	PromptParts Level = 9
+	// Hedging adds to placements that an engine which does not respond is no use: the request still runs
+	// at one that may go on.
+	Hedging Level = 10
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = PromptParts
+const Current = Hedging
--- a/internal/liveness/streams.go
+++ b/internal/liveness/streams.go
@@ -120,6 +120,16 @@
 	return !s.ended && s.overdue(now)
 }
 
+// Silence returns the time for which the next event has been awaited, as far as this process ran.
+func (s *Stream) Silence(now time.Duration) time.Duration {
+	s.streams.mu.Lock()
+	defer s.streams.mu.Unlock()
+	if s.paused {
+		return 0
+	}
+	return now - max(s.since, s.streams.resumedAt)
+}
+
 func (s *Stream) event(e *engineStreams, now time.Duration) {
 	s.since = now
 	e.newest = max(e.newest, now)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -163,7 +163,7 @@
 	q := p.query(now, ask)
 	if q.Later = ask.Started > 0; q.Later {
 		queue := p.queues[ask.Pool]
-		q.Contended = queue != nil && queue.Len() > 0
+		q.Contended, q.Room = queue != nil && queue.Len() > 0, ask.RoomOnly
 	}
 	choice, found, permitTerm := p.choose(now, ask, q)
 	switch {
@@ -340,7 +340,7 @@
 func (p *Placer) query(now time.Duration, ask *coordapi.Place) *backends.Query {
 	q := &backends.Query{Pool: ask.Pool, Zone: ask.Zone, Model: ask.Model, Key: ask.Key, Target: ask.Target, Patience: ask.Patience, GapTarget: ask.GapTarget,
 		Shared: ask.Shared, Work: backends.Work{Prompt: ask.Own, Most: ask.Most}, Slots: ask.Slots, Capacity: ask.Capacity,
-		Software: ask.Software, Tried: ask.Tried, Parts: ask.Parts, Trial: ask.Trial, Draw: rand.Float64()}
+		Software: ask.Software, Responsive: ask.Responsive, Among: ask.Among, Tried: ask.Tried, Parts: ask.Parts, Trial: ask.Trial, Draw: rand.Float64()}
 	q.UncachedTokens = func(version int) int { return p.parts.uncachedTokens(now, ask, version) }
 	if n := len(ask.Parts); n > 0 {
 		q.Holder = func(version int) string { return p.parts.holder(now, ask.Parts[n-1].Hash, version) }
@@ -351,7 +351,7 @@
 // NewRequest converts a query to a router's request.
 func NewRequest(q *backends.Query) *coordapi.Place {
 	return &coordapi.Place{Pool: q.Pool, Zone: q.Zone, Model: q.Model, Key: q.Key, Target: q.Target, Patience: q.Patience, GapTarget: q.GapTarget, Shared: q.Shared,
-		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Software: q.Software, Tried: q.Tried, Parts: q.Parts, Request: q.Request, Trial: q.Trial, Store: q.Store, StoreTokens: q.StoreTokens, Tenant: q.Tenant, Amount: q.Amount, Claimant: q.Claimant,
+		Own: q.Work.Prompt, Most: q.Work.Most, Slots: q.Slots, Capacity: q.Capacity, Software: q.Software, Responsive: q.Responsive, RoomOnly: q.RoomOnly, Among: q.Among, Tried: q.Tried, Parts: q.Parts, Request: q.Request, Trial: q.Trial, Store: q.Store, StoreTokens: q.StoreTokens, Tenant: q.Tenant, Amount: q.Amount, Claimant: q.Claimant,
 		Queueing: q.Queueing}
 }
 
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -76,6 +76,27 @@
 	return r.Kind == KindSafe || (r.Kind == KindStream && r.Resumable)
 }
 
+// Callers give up a stream, also before its first event, after a gap of patienceTargets times its target
+// latency or patienceGapTargets times its target gap, whichever is longer, and not before minPatience.
+const (
+	minPatience        = 2 * time.Second
+	patienceTargets    = 4
+	patienceGapTargets = 8
+)
+
+// Patience returns the time without an event for which callers of a stream with the given targets wait.
+func Patience(target, gapTarget time.Duration) time.Duration {
+	return max(minPatience, patienceTargets*target, patienceGapTargets*gapTarget)
+}
+
+// SilenceLimit returns the time without an event after which the caller of a stream is taken to have left.
+func (r *Route) SilenceLimit() time.Duration {
+	if r.AbandonAfter > 0 {
+		return r.AbandonAfter
+	}
+	return Patience(r.Target, r.GapTarget)
+}
+
 // Share is the part of a route's traffic that goes to one pool, in proportion to its weight.
 type Share struct {
 	Pool   string
