An operator's block does not end with an answer

What callers saw: TestOperatorBlocksAndUnblocksPart once got 200 for 10 s in place of 502 after an operator had blocked two parts, beside four busy processes.

Cause: a request with the parts that ran already was answered after the block. Its router reports the answer (the block applies to the request), recordAnswer notes it, and ending unblocks whatever is in force under that digest. An answer refutes evidence; an operator's block rests on none (it has no back ends).

Change: ending leaves a block without back ends to the operator and to time. The check stands there and not where the answer is recorded, so that an answer under an earlier block of the same parts, by evidence, does not end the operator's either.

Evidence: TestAnswerDoesNotEndBlockByOperator, an operator's block and a report of an answered request, before: "part" and "parts" fail (unblocked within 0.9 s), "request" passes, since answers end no block of a whole request. After: all three pass, as does TestAnswerEndsBlockOfPart.

--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -245,14 +245,17 @@
 // blockedByOperator stands in place of the ended back ends of a block by an operator.
 const blockedByOperator = "blocked by an operator"
 
+// isByOperator reports whether an operator has set a block. Evidence does not end it.
+func isByOperator(block poison.Block) bool { return len(block.Backends) == 0 }
+
 // unblocking is a block to end, and why.
 type unblocking struct {
 	state.Unblock
 	reason string
 }
 
-// ending returns the blocks to end: those that have lasted for long enough, those on which a request
-// was answered, and the refuted ones.
+// ending returns the blocks to end: those that have lasted for long enough, those by evidence on which a
+// request was answered, and the refuted ones.
 func (b *blocker) ending(now time.Duration, refuted []poison.Digest) []unblocking {
 	var out []unblocking
 	for id, block := range b.applied {
@@ -263,7 +266,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, id := range b.answered {
-		if _, applied := b.applied[id]; applied {
+		if _, applied := b.applied[id]; applied && !isByOperator(b.blocked[id]) {
 			out = append(out, unblocking{state.Unblock{Request: id}, "answered"})
 		}
 	}
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -16,6 +16,7 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/poison"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // crashReport returns a report that back ends crashed while running a request.
@@ -195,6 +196,25 @@
 	g.awaitBlocked(5, false)
 }
 
+// Guards against requests that ran already and end a block that an operator has set.
+func TestAnswerDoesNotEndBlockByOperator(t *testing.T) {
+	for name, block := range map[string]*state.Block{
+		"part":    {Request: 5, Parts: []poison.Digest{5}},
+		"parts":   {Request: poison.SetDigest([]poison.Digest{5, 6}), Parts: []poison.Digest{5, 6}},
+		"request": {Request: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(t, 3)
+			g.enrol("a", "b", "c")
+			g.call(0, coordapi.Request{Block: block})
+			g.awaitBlocked(block.Request, true)
+			g.call(0, coordapi.Request{Update: &coordapi.Update{Router: "r", Reports: coordapi.Reports{Answered: []poison.Digest{block.Request}}}})
+			time.Sleep(3 * evaluateInterval)
+			assert.Assert(t, g.blocked(block.Request))
+		})
+	}
+}
+
 // Answers that were reported before the ends keep a part free.
 func TestAnswersKeepPartFree(t *testing.T) {
 	g := newGroup(t, 1)
