Hold a request that may run only once while its back end is silent

Callers got 502 for a request that may run only once when its back end read nothing of a large body for 2.6 s, or nobody acknowledged the request for that time (packets held), although both went on and nothing better was at hand.

Cause: the connection's user timeout (1.5 s; Linux applies it to a closed window as well) and the limit for unread bodies (2 s) ended the request whatever could be done instead.

Others are given up as before, since another back end may serve them, and a kept connection gets the user timeout of its next request. A body that is unread for 2 s still asks for a check of the path, as the user timeout did.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -10,10 +10,11 @@
 // tcpUserTimeout is the value of TCP_USER_TIMEOUT on Linux.
 const tcpUserTimeout = 0x12
 
-// ClearUserTimeout removes the limit of UserTimeout from a connection, for example because its peer has
-// responded and need not read the rest of a request.
-func ClearUserTimeout(c net.Conn) {
-	withDescriptor(c, func(fd int) { _ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, 0) })
+// SetUserTimeout replaces the limit of UserTimeout for a connection; 0 for none.
+func SetUserTimeout(c net.Conn, limit time.Duration) {
+	withDescriptor(c, func(fd int) {
+		_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+	})
 }
 
 // UserTimeout returns a control function for net.Dialer and net.ListenConfig that closes a
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -30,6 +30,8 @@
 	// has no user timeout any more, so that it must not be reused.
 	writeEnded atomic.Bool
 	unlimited  bool
+	// onStall is called when the back end has read nothing for a while of a request that is held.
+	onStall func()
 	// phase tells whether a byte of the response has arrived or the request was given up before.
 	phase    atomic.Int32
 	complete bool
@@ -71,8 +73,10 @@
 		}
 	} else {
 		a.written = make(chan error, 1)
+		// The caller may change the request once there is a response.
+		body, patience := r.Body, r.Patience
 		go func() {
-			err := a.writeBody(ctx, head, r.Body)
+			err := a.writeBody(ctx, head, body, patience)
 			a.writeEnded.Store(true)
 			a.written <- err
 			// A back end that has begun to respond need not read the rest.
@@ -88,23 +92,30 @@
 	if a.written != nil && !a.writeEnded.Load() {
 		// The back end responds before it has read the whole request. What it leaves unread must not
 		// end the connection before the response is complete.
-		socket.ClearUserTimeout(c.Conn)
+		socket.SetUserTimeout(c.Conn, 0)
 		a.unlimited = true
 	}
 	a.Response = response
 	return nil
 }
 
-// writeBody writes a request until the back end stops reading it or the context ends.
-func (a *BackendResponse) writeBody(ctx context.Context, head, body []byte) error {
+// writeBody writes a request until the back end has read nothing of it for too long or the context
+// ends.
+func (a *BackendResponse) writeBody(ctx context.Context, head, body []byte, patience time.Duration) error {
 	canceled := func() bool { return ctx.Err() != nil }
 	// A part of the body goes with the header, in one packet.
 	first := min(len(body), asyncBodySize)
-	if _, err := socket.Write(a.connection.Conn, append(head, body[:first]...), a.pool.bodyStall, canceled); err != nil {
-		return err
+	for _, part := range [][]byte{append(head, body[:first]...), body[first:]} {
+		n, err := socket.Write(a.connection.Conn, part, a.pool.bodyStall, canceled)
+		if errors.Is(err, socket.ErrStalled) && patience > a.pool.bodyStall {
+			a.onStall()
+			_, err = socket.Write(a.connection.Conn, part[n:], patience, canceled)
+		}
+		if err != nil {
+			return err
+		}
 	}
-	_, err := socket.Write(a.connection.Conn, body[first:], a.pool.bodyStall, canceled)
-	return err
+	return nil
 }
 
 // noResponse returns the error of a request that received no response header. The request has not
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -31,11 +31,12 @@
 
 const (
 	dialTimeout = 250 * time.Millisecond
-	// userTimeout closes connections whose peer acknowledges no data. A sound back end may be silent
-	// for a second.
+	// userTimeout closes connections whose peer acknowledges no data, unless the request has more
+	// patience. A sound back end may be silent for a second.
 	userTimeout = 1500 * time.Millisecond
 	// bodyStallTimeout is the time after which a back end that reads nothing of a request's body is
-	// given up. It exceeds userTimeout, within which a back end that is suspended shortly goes on.
+	// given up, unless the request has more patience. It exceeds userTimeout, within which a back end
+	// that is suspended shortly goes on.
 	bodyStallTimeout = 2 * time.Second
 	// connectAlarm and ackAlarm are the times after which a connect that is pending, and a request
 	// that nobody has acknowledged, are reported to onConnect. They exceed the round trips within a
@@ -126,6 +127,10 @@
 	// NonIdempotent marks a request that must not run twice. It is not sent over a kept connection
 	// that is about to expire.
 	NonIdempotent bool
+	// Patience is the time for which the request is held while its back end reads nothing of it or
+	// nobody acknowledges it. Lower values than those of the pool, after which a request that may be
+	// sent elsewhere is given up, have no effect.
+	Patience time.Duration
 }
 
 // Pool is a pool of connections to back ends by address. It is safe for concurrent use.
@@ -197,6 +202,8 @@
 	// the process was asked for it.
 	born  state.UnixMilli
 	asked bool
+	// userTimeout is the user timeout in force.
+	userTimeout time.Duration
 	// memory is the budget that the connection is charged to until it is closed.
 	memory *memory.Budget
 	closed atomic.Bool
@@ -282,7 +289,15 @@
 	p.Opened.Add(1)
 	p.memory.Charge(connectionBytes)
 	socket.LimitUnsent(raw, maxUnsent)
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), memory: p.memory}, nil
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), userTimeout: userTimeout, memory: p.memory}, nil
+}
+
+// setPatience sets the user timeout for a request with the given patience.
+func (c *connection) setPatience(patience time.Duration) {
+	if limit := max(patience, userTimeout); limit != c.userTimeout {
+		c.userTimeout = limit
+		socket.SetUserTimeout(c.Conn, limit)
+	}
 }
 
 // Down reports whether no process listens at an address: it then refuses connections, while a
@@ -345,14 +360,16 @@
 	if err != nil {
 		return nil, err
 	}
+	c.setPatience(r.Patience)
 	started := clock.Now()
 	a := &BackendResponse{pool: p, address: address, connection: c, identified: r.Born != 0 && c.born == r.Born}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	backendPool, size := r.Backend.Pool, len(r.Body)
+	a.onStall = func() { p.observe(ctx, backendPool, started, errUnacknowledged) }
 	alarm := time.AfterFunc(ackAlarm, func() {
 		// A back end that is slow to read a large body leaves bytes unacknowledged as well.
 		if size < asyncBodySize && socket.Unacknowledged(c.Conn) > 0 {
-			p.observe(ctx, backendPool, started, errUnacknowledged)
+			a.onStall()
 		}
 	})
 	defer alarm.Stop()
