Close idle connections to an address at the first unacknowledged request

All connections to a host may fail at once without a reset while new ones work. Until a request had timed out there (1.5 s, or longer if it is held), each further request took the next idle connection and was lost with it.

A request that nobody has acknowledged for 0.2 s now closes the idle connections to its address. Nothing runs on them, so a wrong alarm costs connects only; the request itself goes on.

Test that failed before: TestIdleConnectionsAreClosedWhenRequestIsUnacknowledged ("1 idle connections" after 750 ms).

--- a/internal/upstream/held_test.go
+++ b/internal/upstream/held_test.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // silentTime is for how long back ends are silent: longer than the pool waits for one that reads or
@@ -90,6 +91,34 @@
 	}
 }
 
+// Guards against sending requests over kept connections, one after the other, while the host no longer
+// acknowledges what is sent over them.
+func TestIdleConnectionsAreClosedWhenRequestIsUnacknowledged(t *testing.T) {
+	address := startSilentBackend(t, silentTime)
+	p := NewPool(idHeader, newPushbacks(), newLimits())
+	for range 2 {
+		assert.NilError(t, p.Connect(t.Context(), address))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r := request("1")
+		r.Body = []byte(strings.Repeat("x", asyncBodySize-1))
+		_, _, _ = p.Call(ctx, address, r, 100)
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if idle := len(p.idle[address]); idle > 0 {
+			return poll.Continue("%d idle connections", idle)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(userTimeout/2), poll.WithDelay(5*time.Millisecond))
+	cancel()
+	<-done
+}
+
 // Guards against a kept connection that holds the next request for as long as the one before, or for less
 // than it may be held.
 func TestUserTimeoutFollowsRequest(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -369,6 +369,7 @@
 	alarm := time.AfterFunc(ackAlarm, func() {
 		// A back end that is slow to read a large body leaves bytes unacknowledged as well.
 		if size < asyncBodySize && socket.Unacknowledged(c.Conn) > 0 {
+			p.closeIdle(address)
 			a.onStall()
 		}
 	})
@@ -407,9 +408,9 @@
 	return response.StatusCode, body, err
 }
 
-// closeIdle closes the idle connections to an address at which a connection timed out. All
-// connections to a host may fail without a reset while new ones work, and each would cost a
-// request.
+// closeIdle closes the idle connections to an address at which a connection timed out, or at which a
+// request is not acknowledged. All connections to a host may fail without a reset while new ones work,
+// and each would cost a request.
 func (p *Pool) closeIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
