Count the requests of a router again that returns after a silence

A router whose reports stop for 3 s loses its placements at the leader, although its requests may go on: it was suspended, or cut from the leader only. After its return these requests counted nowhere until they ended, since the loads that routers announce were compared with placements only in the first seconds of a leadership. Their engines got as many requests too many.

What a router announces beyond its placements now counts from its first message on for the longest time that a request may take, also if that is the first one after a silence, and not from the beginning of the leadership only.

Test that failed before: TestRequestsOfReturningRouterCountAgain (0 of 2 running requests counted after the return). go test -race -count=1 ./internal/placer: ok.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -64,6 +64,9 @@
 
 // router holds the placements of one router.
 type router struct {
+	// since is the time of its first message to this leader, or of the first one after it was silent for
+	// routerTimeout.
+	since      time.Duration
 	lastReport time.Duration
 	open       map[uint64]*placement
 	// waiting are its requests in queues by number. session identifies this record to the router.
@@ -303,7 +306,7 @@
 	p.expireRouters(now)
 	r := p.routers[name]
 	if r == nil {
-		r = &router{open: map[uint64]*placement{}, waiting: map[uint64]*waiting{}, session: newSession()}
+		r = &router{since: now, open: map[uint64]*placement{}, waiting: map[uint64]*waiting{}, session: newSession()}
 		p.routers[name] = r
 	}
 	r.lastReport = now
@@ -312,7 +315,8 @@
 	return r
 }
 
-// expireRouters ends the placements and waits of routers that no longer report.
+// expireRouters ends the placements and waits of routers that no longer report. The loads of one that
+// reports again count as inherited.
 func (p *Placer) expireRouters(now time.Duration) {
 	if now-p.lastSweep < routerTimeout/4 {
 		return
--- a/internal/placer/start.go
+++ b/internal/placer/start.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
@@ -23,10 +24,11 @@
 	// before which nothing is granted from queues.
 	firstMessage time.Duration
 	settledAt    time.Duration
-	// inherited are the loads by router and engine of the running requests that this leader did not
-	// place, and totals their sums by engine.
+	// inherited are the loads by router and engine of the running requests of which this leader has no
+	// placements, and totals their sums by engine. None ends for its age before expiresAt.
 	inherited map[string]map[string]coordapi.Load
 	totals    map[string]coordapi.Load
+	expiresAt time.Duration
 }
 
 func (s *start) begin(now time.Duration) {
@@ -85,25 +87,27 @@
 	return loads
 }
 
-// inheritTime is the time from the first message for which inherited loads count: no request that the
-// predecessor placed runs longer.
+// inheritTime is the time from a router's first message for which its inherited loads count: no request
+// of before runs longer.
 func (p *Placer) inheritTime() time.Duration { return max(p.longestTimeout, newTime) }
 
 // SetLongestTimeout sets the longest time that a request may take.
 func (p *Placer) SetLongestTimeout(timeout time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.longestTimeout = timeout
+	p.longestTimeout, p.start.expiresAt = timeout, 0
 }
 
 // ApplyLoads applies the loads that a router announces. What exceeds the placements of this leader was
-// placed by its predecessor, or by the router itself, and counts for as long as it is announced.
+// placed by its predecessor, or by the router itself, or runs on after its placement ended because the
+// router was silent. It counts for as long as it is announced.
 func (p *Placer) ApplyLoads(now time.Duration, name string, loads []coordapi.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.router(now, name)
-	if now-p.start.firstMessage < p.inheritTime() {
+	if end := r.since + p.inheritTime(); now < end {
 		p.inherit(name, r.inheritedLoads(loads))
+		p.start.expiresAt = min(p.start.expiresAt, end)
 	}
 }
 
@@ -113,13 +117,20 @@
 	}
 }
 
-// expireInherited ends the inherited loads after inheritTime.
+// expireInherited ends the inherited loads of routers that have reported for inheritTime.
 func (p *Placer) expireInherited(now time.Duration) {
-	if len(p.start.inherited) == 0 || now-p.start.firstMessage < p.inheritTime() {
+	if len(p.start.inherited) == 0 || now < p.start.expiresAt {
 		return
 	}
+	p.start.expiresAt = math.MaxInt64
 	for name := range p.start.inherited {
+		if end := p.routers[name].since + p.inheritTime(); now < end {
+			p.start.expiresAt = min(p.start.expiresAt, end)
+			continue
+		}
 		p.inherit(name, nil)
 	}
-	p.start.inherited, p.start.totals = nil, nil
+	if len(p.start.inherited) == 0 {
+		p.start.inherited, p.start.totals = nil, nil
+	}
 }
--- a/internal/placer/start_test.go
+++ b/internal/placer/start_test.go
@@ -96,6 +96,46 @@
 	})
 }
 
+// Guards against engines that get more requests than they have room for after a router was silent for
+// longer than its placements are kept, while its requests went on.
+func TestRequestsOfReturningRouterCountAgain(t *testing.T) {
+	p := newTestPlacer(1)
+	p.SetLongestTimeout(routeTimeout)
+	requests := func() int { return p.pool.Room("llm").Requests }
+	now := time.Second
+	report := func(until time.Duration) {
+		for ; now < until; now += 500 * time.Millisecond {
+			p.ApplyReports(now, "a", &coordapi.Reports{})
+		}
+	}
+	report(routeTimeout + 2*time.Second)
+	p.Place(now, patient("b", 1))
+	p.Place(now, patient("b", 2))
+	assert.Equal(t, requests(), 2)
+	report(now + 2*routerTimeout)
+	assert.Equal(t, requests(), 0)
+
+	p.ApplyLoads(now, "b", loadOf(2))
+	assert.Equal(t, requests(), 2)
+	ask := patient("a", 3)
+	ask.Abandon, ask.Deadline = time.Minute, time.Minute
+	assert.Assert(t, p.Place(now, ask).Queued)
+	// The end of one that the leader does not know any more shows in the loads.
+	p.ApplyReports(now, "b", &coordapi.Reports{Ended: []uint64{1}})
+	p.ApplyLoads(now, "b", loadOf(1))
+	p.Step(now + passInterval)
+	assert.Equal(t, openCount(p), 1)
+	for returned := now; now < returned+routeTimeout; now += 500 * time.Millisecond {
+		p.ApplyLoads(now, "b", loadOf(1))
+		p.ApplyReports(now, "a", &coordapi.Reports{})
+		collect(t, p, now, "a")
+		assert.Equal(t, requests(), 2, "%v", now)
+	}
+	// No request runs for longer.
+	p.ApplyReports(now, "a", &coordapi.Reports{})
+	assert.Equal(t, requests(), 1)
+}
+
 // modelRequest is a request of the model in TestInheritedLoadsMatchRunningRequests.
 type modelRequest struct {
 	number uint64
