Take a silence of many engines for one cause when parts of prompts are judged

After a silence of all engines of a pool, parts that their prompts share were blocked, and requests with them got 502: from 2.5 heartbeat intervals on an engine without heartbeats counts as ended under each attempt that is reported as silent. Ends of one moment count twice at most, but by the times of the reports, and requests that wait for a first event are reported over a second.

Engines that became silent together sent their last heartbeats within an interval. For a part, silences whose last heartbeats reached the leader within an interval and 0.3 s (digests of other coordinators are late by a quarter of a second) now count twice at most, as ends of one moment do. Engines that hang one after the other on a part have their last heartbeats further apart, and the times of their ends are in no other way judged differently. Requests are judged as before.

The other tests of internal/poison pass unchanged; so did TestPartThatHangsEnginesIsBlocked and TestRequestThatHangsEnginesIsBlocked of internal/edge, three times each.

Open: a request whose identical copies run at three engines that become silent together is still blocked (TestSilenceCountsAsEndOnceBackendIsGone demands a block for three such ends).

--- a/internal/poison/candidate.go
+++ b/internal/poison/candidate.go
@@ -79,19 +79,30 @@
 	return slices.ContainsFunc(c.blocks, func(b blockEnds) bool { return b.covers(digests) })
 }
 
-// countEnds returns the number of ends that count against a candidate.
-func (x *candidate) countEnds(ends map[string]time.Duration) int {
+// countEnds returns the number of ends that count against a candidate. Many requests share a part, and
+// stand at all back ends that end at one moment or become silent together.
+func (c *evaluation) countEnds(x *candidate, ends map[string]time.Duration) int {
 	if len(x.parts) == 0 {
 		return len(ends)
 	}
-	return countCauses(slices.Sorted(maps.Values(ends)))
+	var ended, silent []time.Duration
+	for backend, at := range ends {
+		if last, is := c.silent[backend]; is {
+			silent = append(silent, last)
+		} else {
+			ended = append(ended, at)
+		}
+	}
+	slices.Sort(ended)
+	slices.Sort(silent)
+	return countCauses(ended, simultaneous) + countCauses(silent, c.detector.heartbeatInterval+maxHeartbeatDelay)
 }
 
-// countCauses counts ends by their times, at most maxSimultaneous of each moment.
-func countCauses(sorted []time.Duration) (count int) {
+// countCauses counts ends by their times, at most maxSimultaneous of those within a period.
+func countCauses(sorted []time.Duration, period time.Duration) (count int) {
 	first, within := never, 0
 	for _, at := range sorted {
-		if at > first+simultaneous {
+		if at > first+period {
 			first, within = at, 0
 		}
 		if within++; within <= maxSimultaneous {
@@ -144,7 +155,7 @@
 	seen := map[Digest]bool{}
 	var out []*candidate
 	for d, ends := range c.ends {
-		if c.subject(d).countEnds(ends) < endsToBlock {
+		if c.countEnds(c.subject(d), ends) < endsToBlock {
 			continue
 		}
 		x := c.narrowest(d)
@@ -229,13 +240,13 @@
 // hasEnoughEnds reports whether a candidate is to be blocked, and sets the fields on which that
 // depends.
 func (c *evaluation) hasEnoughEnds(x *candidate) bool {
-	x.counted = x.countEnds(c.remaining(x))
-	always := x.countEnds(x.ends) >= c.endsAlways(x)
+	x.counted = c.countEnds(x, c.remaining(x))
+	always := c.countEnds(x, x.ends) >= c.endsAlways(x)
 	if len(x.ends) < endsToBlock || (x.counted < c.required(x) && !always) || !c.endsBeyondBlocks(x) {
 		return false
 	}
 	unrelated := c.unrelated(x)
-	x.unrelated, x.otherCauses, x.runTime = len(unrelated), countCauses(unrelated), c.shortestRuns(x)
+	x.unrelated, x.otherCauses, x.runTime = len(unrelated), countCauses(unrelated, simultaneous), c.shortestRuns(x)
 	rivals := c.rivals(x)
 	x.rivaled = rivals.covering
 	extra := min(x.unrelated/unrelatedPerEnd, maxExtraEnds)
--- a/internal/poison/evaluate.go
+++ b/internal/poison/evaluate.go
@@ -30,6 +30,10 @@
 	// ends of one moment.
 	simultaneous    = 100 * time.Millisecond
 	maxSimultaneous = 2
+	// maxHeartbeatDelay is the time by which a heartbeat may reach the leader later than that of another
+	// back end, through another coordinator. Back ends that became silent together sent their last
+	// heartbeats within an interval.
+	maxHeartbeatDelay = 300 * time.Millisecond
 	// answerDelay is the time for which parts are suspects before they are blocked. Routers report
 	// within it which of them have been answered.
 	answerDelay = 100 * time.Millisecond
@@ -152,6 +156,8 @@
 	ends map[Digest]map[string]time.Duration
 	// times maps each ended back end to the time of its end.
 	times map[string]time.Duration
+	// silent maps the back ends that ended without a sign but silence to their last heartbeats.
+	silent map[string]time.Duration
 	// blocks are those in force and those of the verdicts so far, and confirmed those among them under
 	// which a back end ended since.
 	blocks    []blockEnds
@@ -165,9 +171,9 @@
 }
 
 func (l *Detector) newEvaluation(now time.Duration, signs func(string) Liveness, blocks []Block) *evaluation {
-	c := &evaluation{detector: l, now: now, ends: map[Digest]map[string]time.Duration{}, times: map[string]time.Duration{}}
+	c := &evaluation{detector: l, now: now, ends: map[Digest]map[string]time.Duration{}, times: map[string]time.Duration{}, silent: map[string]time.Duration{}}
 	l.evaluations++
-	known := map[string]Liveness{}
+	known, noticed := map[string]Liveness{}, map[string]bool{}
 	for _, s := range l.subjects {
 		for backend, attempts := range s.attempts {
 			for _, a := range attempts {
@@ -182,10 +188,16 @@
 				a.evaluation, a.ended = l.evaluations, now-a.at <= EvidenceTTL && l.ended(a, signed)
 				if a.ended {
 					c.times[backend] = max(c.times[backend], a.at)
+					if a.silent {
+						c.silent[backend] = signed.LastHeartbeat
+					} else {
+						noticed[backend] = true
+					}
 				}
 			}
 		}
 	}
+	maps.DeleteFunc(c.silent, func(backend string, _ time.Duration) bool { return noticed[backend] })
 	for d, s := range l.subjects {
 		if len(s.attempts) >= endsToSuspect {
 			c.ends[d] = s.ends()
