Test of silences beside changes of the configuration

Streams and calls run at engines and plain back ends that are all silent for 1.2 s while the configuration changes: time-outs, routes and prefixes, gap targets and patience, splits, slots, a pool that goes with its engines, keys, tenants, quotas, attempts; refused, sent twice, overtaken, in series 100 ms apart. As many streams as slots, so that no other engine takes any. The body that the client gets is compared, and runs that work beside another one are found.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -57,8 +57,9 @@
 	relays bool
 	// software is the software version of the engines that are added.
 	software state.SoftwareVersion
-	// retryRatio is the routers' setting of that name, 0 for 0.2.
+	// retryRatio is the routers' setting of that name, 0 for 0.2, and stopGrace theirs, 0 for 2 s.
 	retryRatio float64
+	stopGrace  time.Duration
 	// callerTimeout is when callers cancel, 0 for never.
 	callerTimeout time.Duration
 	// crashesOn reports whether a prompt with the given shared parts crashes engines; nil for all that
@@ -66,6 +67,8 @@
 	crashesOn func(shared []string) bool
 	// crashEvents is the number of events that an engine sends before such a prompt crashes it.
 	crashEvents int
+	// logger is that of routers and coordinators; nil to discard their lines.
+	logger *slog.Logger
 
 	mu sync.Mutex
 	// runs counts how often engines have begun each body, and crashed lists the engines that the
@@ -73,6 +76,8 @@
 	runs    map[string]int
 	crashed []string
 	hosts   []*host
+	// scripted are the runs of scripted requests by their bodies.
+	scripted map[string][]*scriptedRun
 }
 
 // host is an address at which one engine runs at a time.
@@ -168,6 +173,8 @@
 
 func discardLogger() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
+func (d *deployment) log() *slog.Logger { return cmp.Or(d.logger, discardLogger()) }
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	address, err := loopback.FreeAddress()
@@ -177,7 +184,7 @@
 
 func (d *deployment) startNode(i int) {
 	d.t.Helper()
-	node, err := coordinator.New(d.config[i], coordinator.NewHTTPEngines(discardLogger()), traffic.Parse, discardLogger())
+	node, err := coordinator.New(d.config[i], coordinator.NewHTTPEngines(d.log()), traffic.Parse, d.log())
 	assert.NilError(d.t, err)
 	assert.NilError(d.t, node.Start())
 	d.nodes[i] = node
@@ -205,7 +212,7 @@
 
 func (d *deployment) routerSettings(i int, seeds []string) settings.DisklessRouter {
 	s := settings.DisklessRouter{Name: fmt.Sprintf("router-%d", i), Zone: "z", Listen: freeAddress(d.t), Readiness: freeAddress(d.t), Seeds: seeds,
-		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: cmp.Or(d.retryRatio, 0.2), RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
+		Revocation: 5 * time.Second, StopGrace: cmp.Or(d.stopGrace, 2*time.Second), RetryRatio: cmp.Or(d.retryRatio, 0.2), RetryBurst: 50, RetryWindow: 10 * time.Second, MemoryLimit: 100}
 	if d.relays {
 		s.RelayListen = freeAddress(d.t)
 	}
@@ -214,7 +221,7 @@
 
 func (d *deployment) startRouter(i int, s settings.DisklessRouter) *Edge {
 	d.t.Helper()
-	e := New(s, names, coordinator.StatusRequest(), traffic.Parse, discardLogger())
+	e := New(s, names, coordinator.StatusRequest(), traffic.Parse, d.log())
 	if d.links != nil {
 		e.connections.SetDial(d.links.dialFrom(i))
 	}
@@ -379,7 +386,7 @@
 func (e *engine) heartbeat(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
 		row := state.Backend{ID: e.id, Born: e.born, Pool: e.host.pool, Address: e.host.address, Zone: "z", Software: e.software, Slots: 8}
-		if e.host.pool == "llm" {
+		if e.host.pool != "app" {
 			row.Weights = map[string]int{"m": 1}
 		}
 		e.host.awaitRunning()
@@ -440,6 +447,10 @@
 		e.crashLater(w, r)
 		return
 	}
+	if strings.HasPrefix(string(body), scriptedBody) {
+		e.runScript(w, r, string(body))
+		return
+	}
 	if e.host.pool == "app" {
 		if e.rejectBrittle(w) {
 			return
