--- a/internal/edge/silencekinds_test.go
+++ b/internal/edge/silencekinds_test.go
@@ -140,7 +140,7 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
-	ended := s.endedByRouters()
+	ended, passedOn := s.endedByRouters(), s.counter("quinceridge_requests_passed_on_total")
 	var requests []*asked
 	for phase, script := range phases {
 		for _, path := range []string{"single", "double", "triple", "once"} {
@@ -153,6 +153,8 @@
 	silentFor(s.engines("llm"), silenceTime)
 	answers.Wait()
 	s.check(t, requests)
+	passedOn = s.counter("quinceridge_requests_passed_on_total") - passedOn
+	assert.Check(t, passedOn >= len(requests), "%d of %d passed on", passedOn, len(requests))
 	assert.Check(t, s.endedByRouters() == ended, "%d answers ended by routers", s.endedByRouters()-ended)
 }
 
