--- a/internal/edge/silencekinds_test.go
+++ b/internal/edge/silencekinds_test.go
@@ -226,8 +226,9 @@
 				var requests []*asked
 				for i := range streams {
 					path := []string{"double", "triple", "double", "single", "once"}[i%5]
+					// Streams go on for longer than a second run may.
 					requests = append(requests, &asked{kind: path, path: "/" + path + "/", router: i % routers,
-						script: script{Name: fmt.Sprint(duration, " ", play, " ", i), Events: 12, Gap: 30 * time.Millisecond, Resume: time.Duration(i%4) * 40 * time.Millisecond}})
+						script: script{Name: fmt.Sprint(duration, " ", play, " ", i), Events: 26, Gap: 30 * time.Millisecond, Resume: []time.Duration{0, 40 * time.Millisecond, 80 * time.Millisecond, 2 * maxSecondRun}[i%4]}})
 				}
 				answers := s.begin(requests)
 				time.Sleep(50 * time.Millisecond)
