Soak: back ends are suspended, and no router may end an answer whose back end goes on

One engine or worker, half of a pool or all of it is suspended for 0.3 to 3.5 s, once or twice in a row, or up to four engines one after the other: no events, responses, status replies or heartbeats; what arrived meanwhile is handled when they go on. Up to 48 long streams on two further routes (longstream, longchat) load the engines for it.

The check soak-silent-answers compares what callers and back ends saw: no answer is ended by a router while its caller waits and its back end has not ended, is not cut and goes on, unless the soak itself disturbed the router then. The checks of drains, limits and pushbacks use the time at which a request arrived, which a suspended back end handles later; notices to a sender that has closed its connection count no more.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -79,6 +79,9 @@
 	announcesDrain atomic.Bool
 	notices        *notices
 	limit          announcedLimit
+	suspension     suspension
+	// endedAt is when the back end ended, or 0.
+	endedAt atomic.Int64
 	// running is the number of requests in progress. An engine rejects those beyond engineSlots.
 	running atomic.Int32
 	mu      sync.Mutex
@@ -138,6 +141,7 @@
 
 // crash stops the back end without a drain or a final heartbeat.
 func (b *backend) crash() {
+	b.endedAt.CompareAndSwap(0, int64(b.soak.now()))
 	b.cancel()
 	_ = b.server.Close()
 	b.proxy.close()
@@ -146,7 +150,7 @@
 // heartbeatLoop sends heartbeats until the context ends.
 func (b *backend) heartbeatLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !b.muted.Load() {
+		if b.awaitRunning() && !b.muted.Load() {
 			b.sendHeartbeat(ctx)
 		}
 		wait(ctx, heartbeatInterval)
@@ -181,8 +185,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	b.announceLimit(w, order.Holder)
-	if !b.admit(w, order.Holder) {
+	arrived := b.soak.now()
+	if !b.awaitRunning() {
+		return
+	}
+	b.announceLimit(w, r, order.Holder, arrived)
+	if !b.admit(w, r, order.Holder, arrived) {
 		return
 	}
 	b.mu.Lock()
@@ -201,8 +209,12 @@
 	}
 }
 
-func (b *backend) state(w http.ResponseWriter, _ *http.Request) {
-	b.announceLimit(w, coordinatorSender)
+func (b *backend) state(w http.ResponseWriter, r *http.Request) {
+	arrived := b.soak.now()
+	if !b.awaitRunning() {
+		return
+	}
+	b.announceLimit(w, r, coordinatorSender, arrived)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(coordinator.EngineReport{Born: b.born, Orders: b.orders, Weights: map[string]int{model: b.version}})
@@ -216,15 +228,33 @@
 	if err != nil {
 		return
 	}
+	router := b.senderOf(r, id)
+	a, end := b.observe(r.Context(), id, router)
+	defer end()
+	if !b.awaitRunning() {
+		return
+	}
+	switch whole := b.run(w, r, a, body); {
+	case !whole:
+		b.soak.attemptLog.record(func() { a.declined = true })
+	case r.Context().Err() == nil:
+		b.soak.attemptLog.record(func() { a.whole = b.soak.now() })
+	}
+}
+
+// run runs a request that has arrived. It returns false if the back end does not run it or breaks its
+// answer off.
+func (b *backend) run(w http.ResponseWriter, r *http.Request, a *attempt, body []byte) bool {
+	id := a.id
 	if expected := r.Header.Get(names.Instance); expected != b.id {
 		w.Header().Set(names.ResponseInstance, b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+		return false
 	}
-	if router := b.senderOf(r, id); router != "" {
-		b.announceLimit(w, router)
-		if !b.admit(w, router) {
-			return
+	if a.router != "" {
+		b.announceLimit(w, r, a.router, a.arrived)
+		if !b.admit(w, r, a.router, a.arrived) {
+			return false
 		}
 	}
 	if b.pool == poolEngines {
@@ -234,7 +264,7 @@
 			b.soak.engineRejections.Add(1)
 			w.Header().Set(names.NotRun, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+			return false
 		}
 	}
 	failureMode := b.failureMode.Load()
@@ -242,52 +272,55 @@
 	if failureMode == failureOverload && affected {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return false
 	}
 	b.soak.runLog.add(run{id: id, backend: b.id, tenant: r.Header.Get(names.Tenant), at: b.soak.now()})
-	b.soak.checkDrained(b, id, b.senderOf(r, id))
+	b.soak.checkDrained(b, id, a.router, a.arrived)
 	if strings.HasPrefix(string(body), poisonBody) {
 		b.soak.crashUnderPoison(b, string(body))
-		return
+		return false
 	}
 	if part := crashingPartOf(r.Header.Get(names.Prefix)); part != "" {
 		b.soak.crashUnderPoison(b, part)
-		return
+		return false
 	}
 	if failureMode == failureHang && affected {
 		wait(r.Context(), time.Second)
 	}
 	if failureMode == failureStatus && affected {
 		w.WriteHeader(http.StatusInternalServerError)
-		return
+		return false
 	}
 	w.Header().Set(names.Signature, sealOf(id))
-	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/chat/") {
-		b.stream(w, r, id, failureMode == failureDisconnect && affected)
-		return
+	if kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); isStream(kind) {
+		return b.stream(w, r, a, failureMode == failureDisconnect && affected)
 	}
 	if failureMode == failureDisconnect && affected {
 		disconnectAfter(w, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf")
-		return
+		return false
 	}
 	_, _ = w.Write(answerOf(id, body))
+	b.soak.recordSent(a)
+	return true
 }
 
-// stream writes the events that follow the caller's last event.
-func (b *backend) stream(w http.ResponseWriter, r *http.Request, id string, disconnect bool) {
+// stream writes the events that follow the caller's last event. It returns false if it breaks off.
+func (b *backend) stream(w http.ResponseWriter, r *http.Request, a *attempt, disconnect bool) bool {
 	from, _ := strconv.Atoi(r.Header.Get(names.LastEvent))
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from + 1; i <= streamEvents; i++ {
-		_, _ = io.WriteString(w, eventOf(id, i, b.software))
+		_, _ = io.WriteString(w, eventOf(a.id, i, b.software))
 		_ = http.NewResponseController(w).Flush()
+		b.soak.recordSent(a)
 		if disconnect && i == streamEvents/2 {
 			disconnectAfter(w, "")
-			return
+			return false
 		}
-		if !wait(r.Context(), eventPauseOf(id)) {
-			return
+		if open := wait(r.Context(), eventPauseOf(a.id)); !b.awaitRunning() || !open {
+			return true
 		}
 	}
+	return true
 }
 
 func disconnectAfter(w http.ResponseWriter, last string) {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -31,8 +31,12 @@
 	sent time.Duration
 	// took is the time until the response was complete or the call failed.
 	took time.Duration
+	// lastAt is when the caller of a long stream received something last, and left is set if it left
+	// after it had received nothing for its patience.
+	lastAt time.Duration
+	left   bool
 	// tenant is the tenant that the key belongs to, the usual one if empty. flood is set for requests
-	// of a flood.
+	// of a flood and for long streams.
 	tenant   string
 	flood    bool
 	status   int
@@ -57,6 +61,8 @@
 	stopAfter int
 	// router is the name of the router that received the request.
 	router string
+	// onData is called when a part of the response arrives, nil for nothing.
+	onData func()
 }
 
 // caller sends requests to random routers until the context ends.
@@ -77,15 +83,44 @@
 	if err != nil {
 		return
 	}
+	ctx, leave := context.WithCancelCause(request.Context())
+	defer leave(nil)
+	if isLong(c.kind) {
+		timer := time.AfterFunc(patienceOf(c.kind), func() { leave(errNoPatience) })
+		defer timer.Stop()
+		c.onData = func() {
+			timer.Reset(patienceOf(c.kind))
+			c.lastAt = s.now()
+		}
+	}
 	c.sent = s.now()
-	defer func() { c.took = s.now() - c.sent }()
-	response, err := client.Do(request)
+	defer func() {
+		c.took = s.now() - c.sent
+		c.left = errors.Is(context.Cause(ctx), errNoPatience)
+	}()
+	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return
 	}
 	c.readResponse(response)
 }
 
+var errNoPatience = errors.New("nothing arrived for too long")
+
+// noticingReader calls onData after each read that brings data.
+type noticingReader struct {
+	io.Reader
+	onData func()
+}
+
+func (r noticingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 && r.onData != nil {
+		r.onData()
+	}
+	return n, err
+}
+
 // request builds the HTTP request of a call and records its router.
 func (s *Soak) request(c *call, to *program) (*http.Request, error) {
 	path, body := "/"+c.kind+"/"+c.id, "body of "+c.id
@@ -115,7 +150,7 @@
 // readResponse reads the response and closes its body.
 func (c *call) readResponse(response *http.Response) {
 	defer response.Body.Close()
-	body, stopped, err := c.readBody(response.Body)
+	body, stopped, err := c.readBody(noticingReader{response.Body, c.onData})
 	c.status, c.body, c.complete, c.stopped = response.StatusCode, string(body), err == nil && !stopped, stopped
 	c.seal = response.Header.Get(names.Signature)
 	c.blocked = c.status == http.StatusBadGateway && response.Header.Get("Retry-After") != ""
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -64,6 +64,19 @@
 	NewStreamsBegun      int `json:"new_streams_begun"`
 	ResumedStreams       int `json:"resumed_streams"`
 	ResumedStreamsServed int `json:"resumed_streams_served"`
+	// SilentSlots is the number of slots of engines when they fell silent, and SilentSlotsInUse those of
+	// them in use.
+	SilentSlots      int `json:"silent_slots"`
+	SilentSlotsInUse int `json:"silent_slots_in_use"`
+	// Silences is the number of silences of back ends. SilentStreams counts the streams with an attempt
+	// at an engine that was silent meanwhile, whose callers waited, SilentWhole those of them that were
+	// whole and SilentCut those that broke off or got 502 or 504. SilentRefused counts the streams that
+	// were refused while an engine was silent.
+	Silences      int `json:"silences"`
+	SilentStreams int `json:"silent_streams"`
+	SilentWhole   int `json:"silent_whole"`
+	SilentCut     int `json:"silent_cut"`
+	SilentRefused int `json:"silent_refused"`
 }
 
 // results records the calls of all callers.
@@ -102,15 +115,15 @@
 // checkDrained records a breach if a drained back end receives a request from a router that was
 // not disturbed recently. A resumed router may still send requests that it accepted before it
 // received the update.
-func (s *Soak) checkDrained(b *backend, id, router string) {
+func (s *Soak) checkDrained(b *backend, id, router string, arrived time.Duration) {
 	at := b.drainedAt.Load()
-	if at == 0 || s.now() <= time.Duration(at)+drainDeadline+slack {
+	if at == 0 || arrived <= time.Duration(at)+drainDeadline+slack {
 		return
 	}
-	if router != "" && s.disturbed(s.now(), func(d *disturbance) bool { return d.router == router }) {
+	if router != "" && s.disturbed(arrived, func(d *disturbance) bool { return d.router == router }) {
 		return
 	}
-	s.recordBreach("%v: %s got a request by %v %v after its drain was acknowledged", s.now(), b.id, router, s.now()-time.Duration(at))
+	s.recordBreach("%v: %s got a request by %v %v after its drain was acknowledged", arrived, b.id, router, arrived-time.Duration(at))
 }
 
 // recordFence records a breach if two holders used the same fence.
@@ -154,6 +167,7 @@
 	s.checkClosingFlood(s.results.calls)
 	s.checkCuts(s.results.calls)
 	s.checkResumed(s.results.calls)
+	s.checkSilentAnswers(s.results.calls)
 	if s.report.Served*2 < s.report.Calls {
 		s.recordBreach("only %d of %d calls were served", s.report.Served, s.report.Calls)
 	}
@@ -186,7 +200,7 @@
 
 func (s *Soak) checkCall(c *call, runs []run) {
 	s.checkDuration(c)
-	repeatable := c.kind == "safe" || c.kind == "stream"
+	repeatable := c.kind == "safe" || isResumable(c.kind)
 	if len(runs) > 1 && !repeatable {
 		s.recordBreach("%s %s ran %d times", c.kind, c.id, len(runs))
 	}
@@ -258,7 +272,7 @@
 // checkResponse compares a complete response with the expected one.
 func (s *Soak) checkResponse(c *call) {
 	want := string(answerOf(c.id, []byte("body of "+c.id)))
-	if c.kind == "stream" || c.kind == "chat" {
+	if isStream(c.kind) {
 		want = s.expectedStream(c)
 	}
 	if c.body != want || c.seal != sealOf(c.id) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,12 +47,12 @@
 	{"stop a coordinator as planned", func(s *Soak, _ context.Context, r *rand.Rand) { s.restartGracefully(pick(r, s.coordinators)) }},
 	{"cut a coordinator off", func(s *Soak, ctx context.Context, r *rand.Rand) {
 		p := pick(r, s.coordinators)
-		defer s.recordDisturbance(p)()
+		defer s.recordDisturbance(p, false)()
 		p.proxy.cut(func() { wait(ctx, faultDuration(r)) })
 	}},
 	{"reset a coordinator's connections", func(s *Soak, ctx context.Context, r *rand.Rand) {
 		p := pick(r, s.coordinators)
-		defer s.recordDisturbance(p)()
+		defer s.recordDisturbance(p, false)()
 		p.proxy.reset(func() { wait(ctx, faultDuration(r)) })
 	}},
 	{"cut a back end off", func(s *Soak, ctx context.Context, r *rand.Rand) {
@@ -118,11 +118,14 @@
 
 // acquire reserves a process for one fault. The returned function releases it; ok is false if
 // another fault holds the process.
-func (s *Soak) acquire(p *program) (release func(), ok bool) {
+func (s *Soak) acquire(p *program) (release func(), ok bool) { return s.acquireFor(p, false) }
+
+// acquireFor is acquire for a fault that is a graceful stop if planned is set.
+func (s *Soak) acquireFor(p *program, planned bool) (release func(), ok bool) {
 	if !p.busy.CompareAndSwap(false, true) {
 		return nil, false
 	}
-	endDisturbance := s.recordDisturbance(p)
+	endDisturbance := s.recordDisturbance(p, planned)
 	return func() {
 		endDisturbance()
 		p.busy.Store(false)
@@ -152,7 +155,7 @@
 }
 
 func (s *Soak) restartGracefully(p *program) {
-	release, ok := s.acquire(p)
+	release, ok := s.acquireFor(p, true)
 	if !ok {
 		return
 	}
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -131,8 +131,11 @@
 const floodPrefix = "f"
 
 func eventPauseOf(id string) time.Duration {
-	if strings.HasPrefix(id, floodPrefix) {
+	switch {
+	case strings.HasPrefix(id, floodPrefix):
 		return floodSlowdown * eventPause
+	case strings.HasPrefix(id, longPrefix):
+		return longEventPause
 	}
 	return eventPause
 }
@@ -318,7 +321,7 @@
 // was disturbed. The time for which this process was not scheduled, or the router answered no
 // readiness request, is not counted: on a busy machine it exceeds half a second.
 func (s *Soak) checkDuration(c *call) {
-	allowed := routeTimeout + waitTolerance
+	allowed := timeoutOf(c.kind) + waitTolerance
 	if c.took <= allowed {
 		return
 	}
--- a/internal/soak/leave.go
+++ b/internal/soak/leave.go
@@ -47,6 +47,7 @@
 // leave reports once that the back end leaves, with or without its start time, and returns whether
 // a coordinator acknowledged it.
 func (b *backend) leave(ctx context.Context, withStartTime bool) bool {
+	b.awaitRunning()
 	path := "/v1/backends/" + b.id + "/leave"
 	if withStartTime {
 		path += fmt.Sprintf("?born=%d", b.born)
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -43,7 +44,7 @@
 	since time.Duration
 	// notified maps each sender to the time of its first response with the limit.
 	notified map[string]time.Duration
-	// arrivals are the requests within the last limitWindow, oldest first.
+	// arrivals are the requests within the last limitWindow.
 	arrivals []arrival
 }
 
@@ -60,8 +61,9 @@
 	n.rate, _ = strconv.ParseFloat(header, 64)
 }
 
-// announceLimit records a request, checks the limit and adds the limit header to the response.
-func (b *backend) announceLimit(w http.ResponseWriter, sender string) {
+// announceLimit records a request that arrived earlier if the back end was suspended, checks the limit
+// and adds the limit header to the response.
+func (b *backend) announceLimit(w http.ResponseWriter, r *http.Request, sender string, arrived time.Duration) {
 	n := &b.limit
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -72,14 +74,12 @@
 	if n.since == 0 {
 		n.since = now
 	}
-	n.arrivals = append(n.arrivals, arrival{now, sender})
-	for n.arrivals[0].at <= now-limitWindow {
-		n.arrivals = n.arrivals[1:]
-	}
+	n.arrivals = append(n.arrivals, arrival{arrived, sender})
+	n.arrivals = slices.DeleteFunc(n.arrivals, func(a arrival) bool { return a.at <= now-limitWindow })
 	if now >= n.since+limitDeadline {
 		b.checkLimit(now, n)
 	}
-	if _, notified := n.notified[sender]; !notified {
+	if _, notified := n.notified[sender]; !notified && r.Context().Err() == nil {
 		n.notified[sender] = now
 	}
 	w.Header().Set(names.Limit, n.header)
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -21,7 +21,7 @@
 	changeInterval = 700 * time.Millisecond
 	// keyLifetime is the number of consecutive configurations that contain a tenant's key.
 	keyLifetime = 4
-	// routeTimeout is the time-out of all routes.
+	// routeTimeout is the time-out of all routes but those of long streams.
 	routeTimeout = 2 * time.Second
 )
 
@@ -43,6 +43,12 @@
 }
 
 func documentOf(version uint64) []byte {
+	// The time-out of long streams changes while they run.
+	long := func(kind, abandonAfter string, resumable bool, attempts int) traffic.DocumentRoute {
+		return traffic.DocumentRoute{Name: kind, Host: "soak", Prefix: "/" + kind + "/", Kind: traffic.KindStream,
+			Timeout: (longTimeout + time.Duration(version%2)*time.Second).String(), Target: "300ms", GapTarget: "500ms", AbandonAfter: abandonAfter,
+			Split: map[string]int{poolEngines: 1}, MaxAttempts: attempts, Resumable: resumable}
+	}
 	route := func(kind, pool string, k traffic.Kind, resumable bool, attempts int) traffic.DocumentRoute {
 		return traffic.DocumentRoute{Name: kind, Host: "soak", Prefix: "/" + kind + "/", Kind: k, Timeout: routeTimeout.String(), Target: "300ms",
 			GapTarget: "500ms", Split: map[string]int{pool: 1}, MaxAttempts: attempts, Resumable: resumable}
@@ -53,6 +59,8 @@
 			route("unsafe", poolWorkers, traffic.KindUnsafe, false, 1),
 			route("stream", poolEngines, traffic.KindStream, true, 3),
 			route("chat", poolEngines, traffic.KindStream, false, 1),
+			long(longKinds[0], longPatience.String(), true, 2),
+			long(longKinds[1], "", false, 1),
 		},
 		Pools:   []traffic.DocumentPool{{Name: poolEngines, Slots: engineSlots, CapacityTokens: 100000}, {Name: poolWorkers}},
 		Tenants: []traffic.DocumentTenant{{Name: usualTenant, Keys: keysOf(version)}, {Name: floodTenant, Keys: []string{floodKey}}},
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -49,12 +49,14 @@
 	// backend is the back end whose link is affected, or nil for a process.
 	backend  *backend
 	from, to time.Duration
+	// planned is set for a graceful stop.
+	planned bool
 }
 
 // recordDisturbance records that a process is affected by a fault until the returned function
 // is called.
-func (s *Soak) recordDisturbance(p *program) (end func()) {
-	d := &disturbance{program: p.name, from: s.now(), to: -1}
+func (s *Soak) recordDisturbance(p *program, planned bool) (end func()) {
+	d := &disturbance{program: p.name, from: s.now(), to: -1, planned: planned}
 	if p.proxy == nil {
 		d.router = p.name
 	}
@@ -142,6 +144,9 @@
 // schedules its replacement.
 func (s *Soak) crashUnderPoison(b *backend, body string) {
 	wait(s.ctx, time.Duration(rand.Int64N(int64(maxPoisonRun))))
+	if !b.awaitRunning() {
+		return
+	}
 	s.mu.Lock()
 	if b.crashed {
 		s.mu.Unlock()
--- a/internal/soak/pushback.go
+++ b/internal/soak/pushback.go
@@ -113,16 +113,18 @@
 	}
 }
 
-// admit checks the request against earlier notices and adds the current ones to the response.
-// It returns false if it rejected the request with pushback.
-func (b *backend) admit(w http.ResponseWriter, sender string) bool {
+// admit checks the request, which arrived earlier if the back end was suspended, against earlier notices
+// and adds the current ones to the response. It returns false if it rejected the request with pushback.
+func (b *backend) admit(w http.ResponseWriter, r *http.Request, sender string, arrived time.Duration) bool {
 	now := b.soak.now()
 	b.notices.mu.Lock()
 	defer b.notices.mu.Unlock()
-	b.checkNotices(now, sender)
+	b.checkNotices(arrived, sender)
+	// A sender that has closed the connection receives no notice.
+	received := r.Context().Err() == nil
 	if b.announcesDrain.Load() {
 		w.Header().Set(names.Draining, "1")
-		if _, announced := b.notices.drainNotices[sender]; !announced {
+		if _, announced := b.notices.drainNotices[sender]; !announced && received {
 			b.notices.drainNotices[sender] = now
 		}
 	}
@@ -130,7 +132,9 @@
 	if length == 0 {
 		return true
 	}
-	b.notices.pushbacks[sender] = append(b.notices.pushbacks[sender], &pushbackPeriod{from: now + inFlightGrace, to: now + length})
+	if received {
+		b.notices.pushbacks[sender] = append(b.notices.pushbacks[sender], &pushbackPeriod{from: now + inFlightGrace, to: now + length})
+	}
 	w.Header().Set("Retry-After", fmt.Sprintf("%.3f", length.Seconds()))
 	w.Header().Set(names.NotRun, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,8 @@
 	// arriving.
 	drainDeadline = 2 * time.Second
 	revocation    = 5 * time.Second
+	// stopGrace is the time for which a stopping router goes on with what it has begun.
+	stopGrace = 8 * time.Second
 	// persistentCallerRatio makes one of this many callers keep its connection open.
 	persistentCallerRatio = 3
 )
@@ -81,6 +83,7 @@
 	coordinators []*program
 	routers      []*program
 	runLog       runLog
+	attemptLog   attemptLog
 	results      results
 	// requestRouters maps request IDs to the names of the routers that received them.
 	requestRouters sync.Map
@@ -91,6 +94,10 @@
 	// softwareReleases counts the releases of the engines' software.
 	softwareReleases atomic.Int64
 	floods           atomic.Int64
+	// loads counts the times at which engines were loaded with long streams, and longStreams the callers
+	// that send one.
+	loads       atomic.Int64
+	longStreams atomic.Int64
 	// activeFaults is the number of faults that have not ended.
 	activeFaults atomic.Int64
 	// engineArrivals and engineRejections count the requests that engines received, and those that
@@ -168,6 +175,7 @@
 	group.Go(func() { s.injectLeaves(faultCtx) })
 	group.Go(func() { s.injectReleases(faultCtx) })
 	group.Go(func() { s.injectFloods(faultCtx) })
+	group.Go(func() { s.injectSilences(faultCtx) })
 	if s.config.Older == "" {
 		// Older builds block no parts.
 		group.Go(func() { s.sendCrashingParts(faultCtx) })
@@ -264,7 +272,7 @@
 		text += fmt.Sprintf("peer_listen: %q\npeer_address: %q\nbootstrap: %v\ndata_directory: %q\nbackend_heartbeat: %v\nweights_deadline: 8s\norder_lease: 3s\nmetrics: %q\n",
 			p.peer, p.proxy.address(), bootstrap, p.data, heartbeatInterval, p.ready)
 	} else {
-		text += fmt.Sprintf("readiness: %q\nrevocation: %v\nstop_grace: 8s\nretry_ratio: 0.2\nretry_burst: 50\nretry_window: 10s\nmemory_limit: 128\n", p.ready, revocation)
+		text += fmt.Sprintf("readiness: %q\nrevocation: %v\nstop_grace: %v\nretry_ratio: 0.2\nretry_burst: 50\nretry_window: 10s\nmemory_limit: 128\n", p.ready, revocation, stopGrace)
 		if p.process.Binary == s.config.Binary {
 			// Older builds lack these settings.
 			text += fmt.Sprintf("relay_listen: %q\nsource: %q\n", p.relay, p.source)
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -50,7 +50,7 @@
 
 func (s *Soak) replace(ctx context.Context, p *program, binary string) bool {
 	for {
-		release, ok := s.acquire(p)
+		release, ok := s.acquireFor(p, true)
 		if ok {
 			defer release()
 			break
