--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -94,10 +94,13 @@
 		if !met {
 			continue
 		}
-		a := s.cutByRouter(c, attempts[c.id])
-		if a != nil {
-			cut = append(cut, fmt.Sprintf("%s %s (status %d, at %s from %v to %v; at %s by %s from %v, sent %v, closed %v, whole %v)",
-				c.kind, c.id, c.status, c.router, c.sent, end, a.backend.id, a.router, a.arrived, a.sent, a.closed, a.whole))
+		cause := ""
+		if c.unanswered() {
+			var a *attempt
+			if cause, a = s.endOf(c, attempts[c.id]); a != nil {
+				cut = append(cut, fmt.Sprintf("%s %s (status %d, at %s from %v to %v; at %s by %s from %v, sent %v, closed %v, whole %v)",
+					c.kind, c.id, c.status, c.router, c.sent, end, a.backend.id, a.router, a.arrived, a.sent, a.closed, a.whole))
+			}
 		}
 		switch {
 		case !isStream(c.kind) || c.stopped || c.left:
@@ -106,8 +109,8 @@
 			r.SilentWhole++
 		default:
 			r.SilentStreams++
-			if c.unanswered() {
-				r.SilentCut++
+			if cause != "" {
+				r.SilentCut[cause]++
 			}
 		}
 	}
@@ -141,53 +144,66 @@
 	return c.status == http.StatusBadGateway || c.status == http.StatusGatewayTimeout
 }
 
-// cutByRouter returns the attempt at a back end that was silent and went on, or would have, whose answer
-// routers ended or lost. It returns nil if there is none, or if the end is allowed.
-func (s *Soak) cutByRouter(c *call, attempts []*attempt) *attempt {
+// Causes for which an answer that met a silence ends before it is complete.
+const (
+	endedByRouter   = "router"
+	endedByDeadline = "deadline"
+	endedByPatience = "patience over"
+	endedByPoison   = "request ends back ends"
+	endedByBackend  = "back end"
+	endedByLink     = "link of back end"
+	endedByFault    = "fault of router"
+	endedByAnswer   = "another attempt answered"
+)
+
+// endOf returns what ended a call that is unanswered and met a silence. If it was a router, the attempt is
+// that at a back end which went on, or would have.
+func (s *Soak) endOf(c *call, attempts []*attempt) (cause string, cut *attempt) {
 	end := c.sent + c.took
 	switch {
-	case !c.unanswered():
-		return nil
 	case c.took >= timeoutOf(c.kind):
-		return nil
+		return endedByDeadline, nil
 	case end-max(c.sent, c.lastAt) >= patienceOf(c.kind)-noticeDelay:
-		return nil
+		return endedByPatience, nil
 	case c.crashingPart != "" || strings.HasPrefix(c.requestBody, poisonBody):
-		return nil
+		return endedByPoison, nil
 	}
+	cause = endedByBackend
 	for _, a := range attempts {
-		if a.declined || a.end() == 0 || !a.metSilence(end) || s.mayHaveEnded(a, c, attempts) {
+		if a.declined || a.end() == 0 || !a.metSilence(end) {
 			continue
 		}
-		return a
+		if cause = s.endOfAttempt(a, c, attempts); cause == endedByRouter {
+			return cause, a
+		}
 	}
-	return nil
+	return cause, nil
 }
 
-// mayHaveEnded reports whether an attempt ended by something that routers can't prevent: a fault of the
-// run at one of its routers, at its back end or between them, or because another attempt was answered
-// meanwhile.
-func (s *Soak) mayHaveEnded(a *attempt, c *call, attempts []*attempt) bool {
+// endOfAttempt returns what ended an attempt: a fault of the run at its back end, at one of its routers or
+// between them, another attempt that was answered meanwhile, or else a router.
+func (s *Soak) endOfAttempt(a *attempt, c *call, attempts []*attempt) string {
 	end := c.sent + c.took
 	ended := min(a.end(), end)
 	if at := time.Duration(a.backend.endedAt.Load()); at != 0 && at <= ended {
-		return true
+		return endedByBackend
 	}
 	for _, other := range attempts {
 		if other != a && slices.ContainsFunc(other.sent, func(at time.Duration) bool { return a.arrived <= at && at <= ended+noticeDelay }) {
-			return true
+			return endedByAnswer
 		}
 	}
-	for _, router := range []string{c.router, a.router} {
-		if s.routerFailed(router, a.arrived, end) {
-			return true
-		}
+	if s.routerFailed(c.router, a.arrived, end) || s.routerFailed(a.router, a.arrived, end) {
+		return endedByFault
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.disturbances, func(d *disturbance) bool {
+	if slices.ContainsFunc(s.disturbances, func(d *disturbance) bool {
 		return d.backend == a.backend && (&period{d.from, d.to}).overlaps(a.arrived, end)
-	})
+	}) {
+		return endedByLink
+	}
+	return endedByRouter
 }
 
 // routerFailed reports whether a router was killed, frozen, cut from the back ends, or at the end of the
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -70,13 +70,13 @@
 	SilentSlotsInUse int `json:"silent_slots_in_use"`
 	// Silences is the number of silences of back ends. SilentStreams counts the streams with an attempt
 	// at an engine that was silent meanwhile, whose callers waited, SilentWhole those of them that were
-	// whole and SilentCut those that broke off or got 502 or 504. SilentRefused counts the streams that
+	// whole and SilentCut, by cause, those that broke off or got 502 or 504. SilentRefused counts the streams that
 	// were refused while an engine was silent.
-	Silences      int `json:"silences"`
-	SilentStreams int `json:"silent_streams"`
-	SilentWhole   int `json:"silent_whole"`
-	SilentCut     int `json:"silent_cut"`
-	SilentRefused int `json:"silent_refused"`
+	Silences      int            `json:"silences"`
+	SilentStreams int            `json:"silent_streams"`
+	SilentWhole   int            `json:"silent_whole"`
+	SilentRefused int            `json:"silent_refused"`
+	SilentCut     map[string]int `json:"silent_cut"`
 }
 
 // results records the calls of all callers.
