--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -40,7 +40,7 @@
 	usualPatience = 2 * time.Second
 	// refusedPause is the time after which the caller of a long stream that was not served sends another
 	// one.
-	refusedPause = 500 * time.Millisecond
+	refusedPause = 250 * time.Millisecond
 )
 
 // longKinds are the kinds of long streams. Only the first one may be resumed, and only its route states
@@ -124,6 +124,9 @@
 
 // suspend suspends back ends for a time, or until the context ends.
 func (s *Soak) suspend(ctx context.Context, members []*backend, length time.Duration) {
+	if ctx.Err() != nil {
+		return
+	}
 	inUse, slots := 0, 0
 	for _, b := range members {
 		b.suspension.begin(s.now())
