--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -27,8 +27,11 @@
 	// maxInTurn is the number of engines that are silent one after the other, each for maxTurn at most.
 	maxInTurn = 4
 	maxTurn   = 1500 * time.Millisecond
-	// loadTime is the time before a silence in which callers of long streams load the engines.
-	loadTime = time.Second
+	// minLoadTime and maxLoadTime bound the time before a silence in which callers of long streams load the
+	// engines, which ends when loadedShare of their slots are in use.
+	minLoadTime = 500 * time.Millisecond
+	maxLoadTime = 3 * time.Second
+	loadedShare = 0.9
 	// longPrefix begins the IDs of long streams, whose events are longEventPause apart.
 	longPrefix     = "l"
 	longEventPause = 85 * time.Millisecond
@@ -223,7 +226,12 @@
 	for i := range slots {
 		group.Go(func() { s.longCaller(ctx, client, fmt.Sprintf("%s%d-%d", longPrefix, number, i)) })
 	}
-	wait(ctx, loadTime)
+	for begun := s.now(); wait(ctx, queuePollInterval); {
+		loaded := float64(s.runningAtEngines()) >= loadedShare*float64(slots)
+		if elapsed := s.now() - begun; elapsed >= maxLoadTime || loaded && elapsed >= minLoadTime {
+			break
+		}
+	}
 	return func() {
 		cancel()
 		group.Wait()
@@ -234,7 +242,7 @@
 // longCaller sends long streams while engines have free slots. All such callers together have at most
 // as many streams as there are slots.
 func (s *Soak) longCaller(ctx context.Context, client *http.Client, name string) {
-	pause := rand.N(loadTime / 2)
+	pause := rand.N(minLoadTime)
 	for count := 0; wait(ctx, pause); count++ {
 		pause = callPause
 		slots := int64(s.config.Engines * engineSlots)
