--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -16,7 +16,7 @@
 	// gone on.
 	checkSilentAnswers = "soak-silent-answers"
 	// noticeDelay is the time that an event may take from a back end to its caller, or to a check. An
-	// answer may end that much earlier than its caller would leave.
+	// answer may end that much earlier than at its deadline, or than its caller would leave.
 	noticeDelay = 100 * time.Millisecond
 	// maxListedAnswers bounds the answers that a breach lists.
 	maxListedAnswers = 8
@@ -161,9 +161,9 @@
 func (s *Soak) endOf(c *call, attempts []*attempt) (cause string, cut *attempt) {
 	end := c.sent + c.took
 	switch {
-	case c.took >= timeoutOf(c.kind):
+	case c.took >= timeoutOf(c.kind)-noticeDelay:
 		return endedByDeadline, nil
-	case end-max(c.sent, c.lastAt) >= patienceOf(c.kind)-noticeDelay:
+	case isStream(c.kind) && end-max(c.sent, c.lastAt) >= patienceOf(c.kind)-noticeDelay:
 		return endedByPatience, nil
 	case c.crashingPart != "" || strings.HasPrefix(c.requestBody, poisonBody):
 		return endedByPoison, nil
@@ -207,14 +207,24 @@
 }
 
 // routerFailed reports whether a router was killed, frozen, cut from the back ends, or at the end of the
-// grace of a planned stop during a time, or recovered from that.
+// grace of a planned stop during a time.
 func (s *Soak) routerFailed(router string, from, to time.Duration) bool {
-	if s.disturbed(to, func(d *disturbance) bool { return d.router == router && (!d.planned || to >= d.from+stopGrace) }) {
+	s.cuts.mu.Lock()
+	isCut := slices.ContainsFunc(s.cuts.past, func(k cut) bool {
+		return slices.Contains(k.routers, router) && (&period{k.from, k.to}).overlaps(from, to)
+	})
+	s.cuts.mu.Unlock()
+	if isCut {
 		return true
 	}
-	s.cuts.mu.Lock()
-	defer s.cuts.mu.Unlock()
-	return slices.ContainsFunc(s.cuts.past, func(k cut) bool {
-		return slices.Contains(k.routers, router) && (&period{k.from, k.to + cutDetection}).overlaps(from, to)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.disturbances, func(d *disturbance) bool {
+		failed := period{d.from, d.to}
+		if d.planned {
+			failed.from += stopGrace
+		}
+		began := d.to < 0 || failed.from <= d.to
+		return began && d.router != "" && d.router == router && failed.overlaps(from, to)
 	})
 }
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -52,9 +52,10 @@
 		"patience of route without one is over": {change: func(s *scene) {
 			s.call.kind, s.call.took = longKinds[1], 2950*ms
 		}},
-		"deadline passed": {change: func(s *scene) { s.call.took, s.call.lastAt = longTimeout, 10*time.Second }},
-		"poison request":  {change: func(s *scene) { s.call.requestBody = poisonBody + " 1" }},
-		"crashing part":   {change: func(s *scene) { s.call.crashingPart = "bad1" }},
+		"deadline passed":     {change: func(s *scene) { s.call.took, s.call.lastAt = longTimeout, 10*time.Second }},
+		"deadline not passed": {change: func(s *scene) { s.call.took, s.call.lastAt = longTimeout-150*ms, 10*time.Second }, ours: true},
+		"poison request":      {change: func(s *scene) { s.call.requestBody = poisonBody + " 1" }},
+		"crashing part":       {change: func(s *scene) { s.call.crashingPart = "bad1" }},
 		"back end not silent": {change: func(s *scene) {
 			s.first.backend.suspension.periods = []*period{{0, 900 * ms}, {2600 * ms, 3 * time.Second}}
 		}},
@@ -64,9 +65,15 @@
 		"back end's link cut":               {change: disturb(disturbance{from: 2 * time.Second, to: 3 * time.Second})},
 		"back end's link cut earlier":       {change: disturb(disturbance{from: 0, to: 500 * ms}), ours: true},
 		"router killed":                     {change: disturb(disturbance{router: "router-0", from: 2400 * ms, to: -1})},
+		"router killed earlier":             {change: disturb(disturbance{router: "router-0", from: 0, to: time.Second}), ours: true},
+		"router cut earlier":                {change: func(s *scene) { s.soak.cuts.past = []cut{{[]string{"router-0"}, 0, time.Second}} }, ours: true},
 		"another router killed":             {change: disturb(disturbance{router: "router-2", from: 2400 * ms, to: -1}), ours: true},
 		"router that passed it on killed":   {change: disturb(disturbance{router: "router-1", from: 2400 * ms, to: -1})},
 		"router stopped as planned":         {change: disturb(disturbance{router: "router-0", from: 2400 * ms, to: -1, planned: true}), ours: true},
+		"router stopped within its grace": {change: func(s *scene) {
+			s.call.took, s.call.lastAt, s.first.closed = 9500*ms, 10*time.Second, 10500*ms
+			s.soak.disturbances = []*disturbance{{router: "router-0", from: 1500 * ms, to: 3 * time.Second, planned: true}}
+		}, ours: true},
 		"router's grace over": {change: func(s *scene) {
 			s.soak.disturbances = []*disturbance{{router: "router-0", from: 2500*ms - stopGrace, to: -1, planned: true}}
 		}},
