--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -43,7 +43,7 @@
 
 // rig is a router with scripted back ends.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	source  *source
 	pool    *backends.Pool
 	handler *Handler
@@ -64,7 +64,7 @@
 	}
 }
 
-func table(t *testing.T) *traffic.Table {
+func table(t testing.TB) *traffic.Table {
 	t.Helper()
 	built, err := traffic.Build(&traffic.Table{
 		Version: 3,
@@ -83,7 +83,7 @@
 	return built
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	r := &rig{t: t, source: &source{table: table(t)}, pool: backends.NewPool("a"), runs: map[string]int{}}
 	r.source.fresh.Store(true)
 	pushbacks := pushback.New(names, slog.New(slog.DiscardHandler))
