--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -166,3 +166,23 @@
 	}
 	assert.Check(t, b.suspension.met(0, s.now()))
 }
+
+// Guards against a back end that ends while it runs a stream and whose response looks complete.
+func TestEndedBackendAbortsItsResponses(t *testing.T) {
+	s := newChecked()
+	s.ctx, s.startedAt = t.Context(), time.Now()
+	b := &backend{soak: s, pool: poolEngines, id: "engines-1", software: "v1", notices: newNotices(), proxy: &proxy{}}
+	server := httptest.NewServer(http.HandlerFunc(b.serve))
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/stream/c1", strings.NewReader("body"))
+	assert.NilError(t, err)
+	request.Header.Set(names.Instance, b.id)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	b.endedAt.Store(1)
+	_, err = io.ReadAll(response.Body)
+	assert.Check(t, err != nil)
+	_, err = http.DefaultClient.Do(request.Clone(t.Context()))
+	assert.Check(t, err != nil)
+}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -186,9 +186,7 @@
 		return
 	}
 	arrived := b.soak.now()
-	if !b.awaitRunning() {
-		return
-	}
+	b.awaitRunningOrAbort()
 	b.announceLimit(w, r, order.Holder, arrived)
 	if !b.admit(w, r, order.Holder, arrived) {
 		return
@@ -211,9 +209,7 @@
 
 func (b *backend) state(w http.ResponseWriter, r *http.Request) {
 	arrived := b.soak.now()
-	if !b.awaitRunning() {
-		return
-	}
+	b.awaitRunningOrAbort()
 	b.announceLimit(w, r, coordinatorSender, arrived)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -231,9 +227,7 @@
 	router := b.senderOf(r, id)
 	a, end := b.observe(r.Context(), id, router)
 	defer end()
-	if !b.awaitRunning() {
-		return
-	}
+	b.awaitRunningOrAbort()
 	switch whole := b.run(w, r, a, body); {
 	case !whole:
 		b.soak.attemptLog.record(func() { a.declined = true })
@@ -316,7 +310,9 @@
 			disconnectAfter(w, "")
 			return false
 		}
-		if open := wait(r.Context(), eventPauseOf(a.id)); !b.awaitRunning() || !open {
+		open := wait(r.Context(), eventPauseOf(a.id))
+		b.awaitRunningOrAbort()
+		if !open {
 			return true
 		}
 	}
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -144,9 +144,7 @@
 // schedules its replacement.
 func (s *Soak) crashUnderPoison(b *backend, body string) {
 	wait(s.ctx, time.Duration(rand.Int64N(int64(maxPoisonRun))))
-	if !b.awaitRunning() {
-		return
-	}
+	b.awaitRunningOrAbort()
 	s.mu.Lock()
 	if b.crashed {
 		s.mu.Unlock()
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -212,6 +212,14 @@
 	return false
 }
 
+// awaitRunningOrAbort waits while the back end is suspended, for the handler of a request. If the back end
+// has ended, it aborts the response: one that returns might be taken for complete.
+func (b *backend) awaitRunningOrAbort() {
+	if !b.awaitRunning() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // loadEngines loads engines to their slots with long streams, waits until they run, and returns a
 // function that ends the load and waits for the last of them. Workers have no slots.
 func (s *Soak) loadEngines(ctx context.Context, pool string) (end func()) {
