--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,9 +39,9 @@
 	reader   *bufio.Reader
 	// ahead is what a hedge has read of its response; nil for nothing.
 	ahead *readAhead
-	// hedging is set while a hedge of this attempt is running, and backoff spaces the hedges. The lock of
+	// hedged is set while a hedge of this attempt is running, and backoff spaces the hedges. The lock of
 	// the session's race guards them.
-	hedging bool
+	hedged  bool
 	backoff hedging.Backoff
 	// silenceReported is set once the attempt has been reported as one at a stopped engine.
 	silenceReported atomic.Bool
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -95,7 +95,7 @@
 	result, logged := hedgeNotPlaced, true
 	r.mu.Lock()
 	r.pending = slices.DeleteFunc(r.pending, func(other *hedge) bool { return other == g })
-	g.from.hedging = false
+	g.from.hedged = false
 	switch {
 	case outrun:
 		g.from.backoff.Reset()
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -151,14 +151,14 @@
 	now := h.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.open(from) || r.forwarding || from.hedging || !from.backoff.Ready(now) || r.winner != nil || r.ctx.Err() != nil {
+	if !r.open(from) || r.forwarding || from.hedged || !from.backoff.Ready(now) || r.winner != nil || r.ctx.Err() != nil {
 		return
 	}
 	j, allowed := r.fork()
 	if !allowed {
 		return
 	}
-	from.hedging = true
+	from.hedged = true
 	g := &hedge{race: r, from: from, cause: cause, began: now, base: j.tally}
 	g.ctx, g.cancel = context.WithCancelCause(r.ctx)
 	g.session = &session{handler: h, job: j, race: r, hedge: g, position: r.session.position}
