Hold requests that their back end does not read or acknowledge until another attempt has an answer

Callers of safe requests and resumable streams got 503 after 2 s (a large body of which the back end reads nothing) or 502 after 1.5 s (a request that nobody acknowledges) while nobody else had room, although their back end went on 0.6 s later.

Now all are held until their deadline, also those to other routers, and the further attempt of the race begins beside them after the same times as before. A request that is unread has not run: it does not count as an attempt of the route. Where the route allows no attempt beside it, its writer stops while the other attempt is sent, so that it cannot run, and goes on if that one has no answer.

Evidence: TestRepeatableRequestOutlastsSilenceWithoutRoomElsewhere and TestPassedOnRequestOutlastsSilenceOfRouter, 32 of 32 and 4 of 4 cases failed on (502 and 503), none since. TestUnreadRequestMovesOnceAnotherBackendHasRoom guards the other side and passed before too.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -43,6 +43,9 @@
 	// the session's race guards them.
 	hedged  bool
 	backoff hedging.Backoff
+	// hold is set while a hedge that may not run beside the attempt keeps its request from being written
+	// on. The same lock guards it.
+	hold *hold
 	// silenceReported is set once the attempt has been reported as one at a stopped engine.
 	silenceReported atomic.Bool
 	// onClose are called in reverse order when the attempt ends.
@@ -94,7 +97,7 @@
 	if j.pool.Engine != nil {
 		a.onClose = append(a.onClose, h.takeShare(j))
 	}
-	j.request.Allowed = a.running.Allowed
+	j.request.Allowed, j.request.OnHeld = a.running.Allowed, a.onHeld
 	j.request.Born, j.request.Identify = h.requiredStart(j, a.running)
 	if choice.Placement > 0 {
 		a.onClose = append(a.onClose, func() { h.config.Placer.Ended(choice.Placement) })
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -40,6 +40,8 @@
 	began  time.Duration
 	// attempt is the open attempt, nil if there is none, and last the one before.
 	attempt, last *attempt
+	// hold is set while the hedge keeps the silent attempt from running beside it.
+	hold *hold
 }
 
 // run looks for a place, sends the request and waits for the first answer.
@@ -96,6 +98,7 @@
 	r.mu.Lock()
 	r.pending = slices.DeleteFunc(r.pending, func(other *hedge) bool { return other == g })
 	g.from.hedged = false
+	g.release()
 	switch {
 	case outrun:
 		g.from.backoff.Reset()
@@ -203,7 +206,7 @@
 func (g *hedge) choose() (backends.Choice, error) {
 	h, j := g.handler(), g.session.job
 	// An engine that is merely slow answers in the end, and the further run delays others.
-	j.query.Responsive, j.query.RoomOnly = true, !isUnresponsive(g.cause) && !errors.Is(g.cause, errPathLost)
+	j.query.Responsive, j.query.RoomOnly = true, !isUnresponsive(g.cause) && !errors.Is(g.cause, errPathLost) && !isHeld(g.cause)
 	choice, found := h.choose(g.ctx, j)
 	err := j.unusable(&choice, found)
 	if err != nil {
@@ -218,7 +221,11 @@
 		err = errNoBackend
 	case !h.takeRetry(g.ctx, j):
 		err = errNoBudget
-	case g.ctx.Err() != nil:
+	case !g.makeWay():
+		j.retry.giveBack()
+		err = errReadsOn
+	}
+	if err == nil && g.ctx.Err() != nil {
 		j.retry.giveBack()
 		err = context.Cause(g.ctx)
 	}
--- /dev/null
+++ b/internal/forward/held_test.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// heldSilence is a silence that a client survives. It exceeds the time after which another back end is
+// looked for.
+const heldSilence = 2600 * time.Millisecond
+
+// addSilent adds a back end that reads nothing of its first request for a while, and then serves it. Its
+// system takes little and acknowledges no more meanwhile.
+func (r *rig) addSilent(pool, id string, silence time.Duration, serve http.HandlerFunc) (arrived, ran *atomic.Int32) {
+	address, arrived, ran := r.startSilent(silence, serve)
+	r.openRow(id, pool, address)
+	return arrived, ran
+}
+
+// startSilent starts a server as addSilent does.
+func (r *rig) startSilent(silence time.Duration, serve http.HandlerFunc) (address string, arrived, ran *atomic.Int32) {
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1) })
+	}}
+	listener, err := small.Listen(r.t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	arrived, ran = new(atomic.Int32), new(atomic.Int32)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		ran.Add(1)
+		w.Header().Set(names.RequestID, q.Header.Get(names.RequestID))
+		serve(w, q)
+	})}
+	r.t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(&silentListener{Listener: listener, silence: silence, arrived: arrived}) }()
+	return listener.Addr().String(), arrived, ran
+}
+
+// silentListener accepts connections whose first read takes a while.
+type silentListener struct {
+	net.Listener
+	silence time.Duration
+	arrived *atomic.Int32
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.arrived.Add(1)
+	return &silentConn{Conn: conn, until: time.Now().Add(l.silence)}, nil
+}
+
+type silentConn struct {
+	net.Conn
+	until time.Time
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	time.Sleep(time.Until(c.until))
+	return c.Conn.Read(p)
+}
+
+// Sizes of bodies: one that is awaited while the response is, and one that is written at once.
+const (
+	largeSize = 1 << 20
+	smallSize = 4000
+)
+
+// post sends a request with a body of a size.
+func (r *rig) post(path string, size int) result {
+	return r.ask("POST", path, func(q *http.Request) {
+		q.Body, q.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", size))), int64(size)
+	})
+}
+
+// Guards against giving up a request that may run more than once while its back end reads or
+// acknowledges nothing and nobody else has room.
+func TestRepeatableRequestOutlastsSilenceWithoutRoomElsewhere(t *testing.T) {
+	t.Parallel()
+	paths := map[string]struct {
+		path, pool string
+		serve      http.HandlerFunc
+	}{
+		"call":   {"/safe/1", "app", good},
+		"stream": {"/resumable/1", "llm", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 6) }},
+	}
+	elsewhere := map[string]func(r *rig, pool string, serve http.HandlerFunc){
+		"no other back end": func(*rig, string, http.HandlerFunc) {},
+		"others reject":     func(r *rig, pool string, _ http.HandlerFunc) { r.add(pool, "other", reject) },
+		"others are silent": func(r *rig, pool string, serve http.HandlerFunc) {
+			r.addSilent(pool, "other", heldSilence+time.Second, serve)
+		},
+		"no retry is left": func(r *rig, _ string, _ http.HandlerFunc) {
+			r.handler.budget = newBudget(BudgetConfig{Window: time.Minute}, nil)
+		},
+	}
+	for kind, p := range paths {
+		for what, size := range map[string]int{"unread": largeSize, "unacknowledged": smallSize} {
+			for place, prepare := range elsewhere {
+				for attempts := 1; attempts <= 2; attempts++ {
+					t.Run(kind+"/"+what+"/"+place+"/"+string(rune('0'+attempts)), func(t *testing.T) {
+						t.Parallel()
+						r := newStreamRig(t)
+						r.allow(p.path, 10*time.Second)
+						r.source.table.Route("h", p.path).MaxAttempts = attempts
+						arrived, ran := r.addSilent(p.pool, "silent", heldSilence, p.serve)
+						prepare(r, p.pool, p.serve)
+						got := r.post(p.path, size)
+						assert.NilError(t, got.err)
+						assert.Equal(t, got.status, http.StatusOK)
+						assert.Assert(t, ran.Load() <= arrived.Load())
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against a request that stays at a back end which reads nothing although another one has room,
+// and against a second run of one whose route allows one attempt.
+func TestUnreadRequestMovesOnceAnotherBackendHasRoom(t *testing.T) {
+	t.Parallel()
+	for attempts := 1; attempts <= 2; attempts++ {
+		t.Run(string(rune('0'+attempts)), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.allow("/safe/1", 10*time.Second)
+			route := r.source.table.Route("h", "/safe/1")
+			route.MaxAttempts, route.Target = attempts, 0
+			arrived, ran := r.addSilent("app", "silent", time.Minute, good)
+			r.add("app", "other", good)
+			for i := 0; arrived.Load() == 0 && i < 30; i++ {
+				got := r.post("/safe/1", largeSize)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+			}
+			assert.Equal(t, arrived.Load(), int32(1))
+			assert.Equal(t, ran.Load(), int32(0))
+		})
+	}
+}
+
+// Guards against giving up a request that was passed on while the other router is silent.
+func TestPassedOnRequestOutlastsSilenceOfRouter(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/safe/1", "/unsafe/1"} {
+		for what, size := range map[string]int{"unread": largeSize, "unacknowledged": smallSize} {
+			t.Run(path+" "+what, func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t)
+				r.allow(path, 10*time.Second)
+				address, _, ran := r.startSilent(heldSilence, good)
+				r.add("app", "x", good)
+				r.losePath("app")
+				r.setRelays(address)
+				got := r.post(path, size)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, ran.Load(), int32(1))
+				assert.Equal(t, r.ran("x"), 0)
+			})
+		}
+	}
+}
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 )
@@ -154,7 +155,7 @@
 	if !r.open(from) || r.forwarding || from.hedged || !from.backoff.Ready(now) || r.winner != nil || r.ctx.Err() != nil {
 		return
 	}
-	j, allowed := r.fork()
+	j, allowed := r.fork(cause)
 	if !allowed {
 		return
 	}
@@ -166,15 +167,29 @@
 	h.hedges.Go(g.run)
 }
 
+// running returns the number of open attempts that may run the request. The lock is held.
+func (r *race) running() (n int) {
+	for _, a := range r.openAttempts() {
+		if !a.hold.isStopped() {
+			n++
+		}
+	}
+	return n
+}
+
 // fork returns a copy of the request's job for a further attempt beside the open ones, which count as
-// attempts that may have run. Allowed is false if the route permits no other back end than those that
-// are open. The lock is held.
-func (r *race) fork() (j *job, allowed bool) {
-	open := r.openAttempts()
-	if !r.mayOpen(len(open)) {
+// attempts that may have run unless their request is unread. Allowed is false if the route permits no
+// other back end than those. The lock is held.
+func (r *race) fork(cause error) (j *job, allowed bool) {
+	open, running := r.openAttempts(), r.running()
+	if errors.Is(cause, errUnread) {
+		running--
+	}
+	if !r.mayOpen(running) {
 		return nil, false
 	}
 	j = r.session.job.fork(open, &r.spent)
+	j.ran -= len(open) - running
 	if noFurther(j, &r.session.position) != "" {
 		return nil, false
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -146,6 +146,7 @@
 		text = "passed on to router " + address + ", no part of the free capacity left"
 	}
 	request := h.requestVia(s)
+	request.OnHeld = a.onHeld
 	s.race.begin(a)
 	a.silence = h.watchSilence(a, relaySilenceFactor)
 	a.onClose = append(a.onClose, a.silence.stop)
@@ -183,6 +184,10 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		return outcome{verdict: notRun, err: err}
 	}
+	if errors.Is(err, upstream.ErrIncomplete) {
+		// A router sends a request only once it has read all of it.
+		return outcome{verdict: notRun, err: err, delivered: true}
+	}
 	return outcome{verdict: mayHaveRun, err: err, delivered: true}
 }
 
@@ -204,7 +209,7 @@
 	origin := relay.Origin{Router: h.config.Name, Age: h.now() - j.receivedAt, Ran: j.ran, Delivered: j.deliveries, Counted: j.counted, Writer: s.boundTo()}
 	header.Set(relay.HeaderOrigin, origin.Encode())
 	return &upstream.Request{Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: header, Body: j.request.Body, ID: j.id,
-		NonIdempotent: j.request.NonIdempotent}
+		NonIdempotent: j.request.NonIdempotent, Patience: j.deadline - h.now()}
 }
 
 // forwardVia forwards the response of another router. Failures are final: the other router has made
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -29,11 +29,7 @@
 		header.Set(names.Tenant, j.tenant.Name)
 	}
 	j.request = &upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, ID: j.id,
-		NonIdempotent: !j.route.Retryable()}
-	if j.request.NonIdempotent {
-		// No other back end may serve the request if its own is silent.
-		j.request.Patience = j.deadline - h.now()
-	}
+		NonIdempotent: !j.route.Retryable(), Patience: j.deadline - h.now()}
 	j.query = backends.Query{Pool: j.pool.Name, Target: j.route.Target, GapTarget: j.route.GapTarget}
 	j.query.Claimant = coordapi.Claimant{Urgency: urgency(j), Tenant: j.tenantName()}
 	if j.tenant != nil && j.tenant.Quota.Limited() {
--- a/internal/socket/stall.go
+++ b/internal/socket/stall.go
@@ -19,15 +19,25 @@
 // the writer, which counts with many stalled peers.
 const stallChecks = 5
 
+// heldChecks is stallChecks for a writer that is held.
+const heldChecks = 20
+
 // Write writes to a connection and returns ErrStalled once its peer has read nothing for limit while
 // bytes waited. A peer that reads slowly is told from one that does not read by what it acknowledges.
 // Write uses the connection's write deadline. It returns early if canceled, which may be nil, returns
 // true; whoever cancels also sets the deadline to the past.
 func Write(c net.Conn, p []byte, limit time.Duration, canceled func() bool) (int, error) {
+	return WriteHeld(c, p, limit, canceled, func(time.Duration) bool { return false })
+}
+
+// WriteHeld is Write for bytes that may be held beyond limit. Hold is called repeatedly with the time for
+// which the peer has read nothing, and WriteHeld returns ErrStalled once it returns false.
+func WriteHeld(c net.Conn, p []byte, limit time.Duration, canceled func() bool, hold func(stalled time.Duration) bool) (int, error) {
 	written, queued := 0, -1
 	var since time.Duration
+	checks := time.Duration(stallChecks)
 	for {
-		_ = c.SetWriteDeadline(time.Now().Add(limit / stallChecks))
+		_ = c.SetWriteDeadline(time.Now().Add(limit / checks))
 		if canceled != nil && canceled() {
 			_ = c.SetWriteDeadline(time.Unix(1, 0))
 			return written, os.ErrDeadlineExceeded
@@ -42,9 +52,12 @@
 		}
 		now, left := clock.Now(), Unacknowledged(c)
 		if queued < 0 || n > 0 || left < queued {
-			since = now
-		} else if now-since >= limit {
-			return written, ErrStalled
+			since, checks = now, stallChecks
+		} else if stalled := now - since; stalled >= limit {
+			if !hold(stalled) {
+				return written, ErrStalled
+			}
+			checks = heldChecks
 		}
 		queued = left
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -74,9 +74,9 @@
 	} else {
 		a.written = make(chan error, 1)
 		// The caller may change the request once there is a response.
-		body, patience := r.Body, r.Patience
+		held := *r
 		go func() {
-			err := a.writeBody(ctx, head, body, patience)
+			err := a.writeBody(ctx, head, &held)
 			a.writeEnded.Store(true)
 			a.written <- err
 			// A back end that has begun to respond need not read the rest.
@@ -101,17 +101,27 @@
 
 // writeBody writes a request until the back end has read nothing of it for too long or the context
 // ends.
-func (a *BackendResponse) writeBody(ctx context.Context, head, body []byte, patience time.Duration) error {
+func (a *BackendResponse) writeBody(ctx context.Context, head []byte, r *Request) error {
 	canceled := func() bool { return ctx.Err() != nil }
-	// A part of the body goes with the header, in one packet.
-	first := min(len(body), asyncBodySize)
-	for _, part := range [][]byte{append(head, body[:first]...), body[first:]} {
-		n, err := socket.Write(a.connection.Conn, part, a.pool.bodyStall, canceled)
-		if errors.Is(err, socket.ErrStalled) && patience > a.pool.bodyStall {
+	reported := false
+	hold := func(stalled time.Duration) bool {
+		if stalled >= r.Patience {
+			return false
+		}
+		if a.phase.Load() == phaseResponding {
+			// A back end that has begun to respond need not read the rest.
+			return true
+		}
+		if !reported {
+			reported = true
 			a.onStall()
-			_, err = socket.Write(a.connection.Conn, part[n:], patience, canceled)
 		}
-		if err != nil {
+		return r.held(Unread)
+	}
+	// A part of the body goes with the header, in one packet.
+	first := min(len(r.Body), asyncBodySize)
+	for _, part := range [][]byte{append(head, r.Body[:first]...), r.Body[first:]} {
+		if _, err := socket.WriteHeld(a.connection.Conn, part, a.pool.bodyStall, canceled, hold); err != nil {
 			return err
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,6 +38,9 @@
 	// given up, unless the request has more patience. It exceeds userTimeout, within which a back end
 	// that is suspended shortly goes on.
 	bodyStallTimeout = 2 * time.Second
+	// heldInterval is the interval at which Request.OnHeld is called for a request that nobody has
+	// acknowledged.
+	heldInterval = 200 * time.Millisecond
 	// connectAlarm and ackAlarm are the times after which a connect that is pending, and a request
 	// that nobody has acknowledged, are reported to onConnect. They exceed the round trips within a
 	// region by far. The attempt goes on.
@@ -128,11 +131,26 @@
 	// that is about to expire.
 	NonIdempotent bool
 	// Patience is the time for which the request is held while its back end reads nothing of it or
-	// nobody acknowledges it. Lower values than those of the pool, after which a request that may be
-	// sent elsewhere is given up, have no effect.
+	// nobody acknowledges it. Values lower than those of the pool have no effect.
 	Patience time.Duration
+	// OnHeld is called while the request is held, once the pool's own time is over and then repeatedly. It
+	// may be nil. The request is given up if it returns false for one that is unread.
+	OnHeld func(Held) bool
 }
 
+// Held is why a request is held.
+type Held int
+
+const (
+	// Unacknowledged: nobody has acknowledged it, and it may have arrived.
+	Unacknowledged Held = iota
+	// Unread: the back end reads nothing of it and has not received all of it.
+	Unread
+)
+
+// held calls OnHeld.
+func (r *Request) held(why Held) (hold bool) { return r.OnHeld == nil || r.OnHeld(why) }
+
 // Pool is a pool of connections to back ends by address. It is safe for concurrent use.
 type Pool struct {
 	// idHeader is the response header with the request's ID.
@@ -364,16 +382,12 @@
 	started := clock.Now()
 	a := &BackendResponse{pool: p, address: address, connection: c, identified: r.Born != 0 && c.born == r.Born}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	backendPool, size := r.Backend.Pool, len(r.Body)
+	backendPool := r.Backend.Pool
 	a.onStall = func() { p.observe(ctx, backendPool, started, errUnacknowledged) }
-	alarm := time.AfterFunc(ackAlarm, func() {
-		// A back end that is slow to read a large body leaves bytes unacknowledged as well.
-		if size < asyncBodySize && socket.Unacknowledged(c.Conn) > 0 {
-			p.closeIdle(address)
-			a.onStall()
-		}
-	})
-	defer alarm.Stop()
+	// A back end that is slow to read a large body leaves bytes unacknowledged as well.
+	if len(r.Body) < asyncBodySize {
+		defer p.watchAcknowledgement(a, r.OnHeld)()
+	}
 	if err := a.exchange(ctx, r); err != nil {
 		a.Close()
 		if endsProcess(err.cause) && !errors.Is(err, ErrNotSent) {
@@ -393,6 +407,36 @@
 	return a, nil
 }
 
+// watchAcknowledgement reports that nobody has acknowledged a request, until stop is called.
+func (p *Pool) watchAcknowledgement(a *BackendResponse, onHeld func(Held) bool) (stop func()) {
+	unacknowledged := func() bool { return socket.Unacknowledged(a.connection.Conn) > 0 }
+	alarm := time.AfterFunc(ackAlarm, func() {
+		if unacknowledged() {
+			p.closeIdle(a.address)
+			a.onStall()
+		}
+	})
+	if onHeld == nil {
+		return func() { alarm.Stop() }
+	}
+	ended := make(chan struct{})
+	held := time.AfterFunc(userTimeout, func() {
+		for unacknowledged() {
+			onHeld(Unacknowledged)
+			select {
+			case <-ended:
+				return
+			case <-time.After(heldInterval):
+			}
+		}
+	})
+	return func() {
+		alarm.Stop()
+		held.Stop()
+		close(ended)
+	}
+}
+
 // Call sends a request and reads the response's body. A body of more than limit bytes is an error
 // marked ErrOutcomeUnknown.
 func (p *Pool) Call(ctx context.Context, address string, r *Request, limit int64) (status int, body []byte, err error) {
