--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -175,3 +175,32 @@
 		}
 	}
 }
+
+// Guards against two runs of a request whose route allows one attempt, when its back end reads on as
+// another one is sent it.
+func TestBackendReadsOnAsUnreadRequestMoves(t *testing.T) {
+	t.Parallel()
+	for delay := time.Duration(0); delay < 800*time.Millisecond; delay += 40 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.allow("/safe/1", 10*time.Second)
+			route := r.source.table.Route("h", "/safe/1")
+			route.MaxAttempts, route.Target = 1, 0
+			slow := func(w http.ResponseWriter, q *http.Request) {
+				time.Sleep(100 * time.Millisecond)
+				good(w, q)
+			}
+			arrived, ran := r.addSilent("app", "silent", 1900*time.Millisecond+delay, slow)
+			r.add("app", "other", slow)
+			requests := 0
+			for ; arrived.Load() == 0 && requests < 30; requests++ {
+				got := r.post("/safe/1", largeSize)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+			}
+			time.Sleep(500 * time.Millisecond)
+			assert.Equal(t, int(ran.Load())+r.ran("other"), requests)
+		})
+	}
+}
