--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/traffic"
 )
 
@@ -333,3 +335,56 @@
 		assert.Assert(t, !slices.Contains([]string{"x", "y"}, trouble.ID), "%+v", trouble)
 	}
 }
+
+// olderLeader is a Placer that places the first attempt at one engine and all others at another one,
+// whatever their conditions.
+type olderLeader struct {
+	mu            sync.Mutex
+	first, others backends.Choice
+	placed, ended int
+}
+
+func (p *olderLeader) Place(context.Context, *backends.Query) (choice backends.Choice, found, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placed++
+	choice = p.others
+	if p.placed == 1 {
+		choice = p.first
+	}
+	choice.Placement = uint64(p.placed)
+	return choice, true, true
+}
+
+func (*olderLeader) Begun(uint64, time.Duration) {}
+
+func (p *olderLeader) Ended(uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended++
+}
+
+// Guards against a further attempt at an engine that does not respond, at which a leader of an older build
+// places it, and against placements there that are not given back.
+func TestFurtherAttemptPlacedAtSilentEngineIsNotSent(t *testing.T) {
+	r := newStreamRig(t)
+	r.add("llm", "x", goesOnAfter(1200*time.Millisecond))
+	r.add("llm", "y", hang)
+	leader := &olderLeader{}
+	for id, choice := range map[string]*backends.Choice{"x": &leader.first, "y": &leader.others} {
+		found := false
+		*choice, found = r.pool.Choose(0, &backends.Query{Pool: "llm", Among: []string{id}})
+		assert.Assert(t, found)
+	}
+	r.handler.config.Placer = leader
+	answered := r.askInBackground("/resumable/1")
+	await(t, time.Second, "the first attempt has not begun", func() bool { return r.ran("x") == 1 })
+	r.list([]string{"x", "y"}, []string{"y"})
+	got := <-answered
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(6))
+	assert.Equal(t, r.ran("y"), 0)
+	r.finish()
+	assert.Assert(t, leader.placed > 1, "no further attempt was looked for")
+	assert.Equal(t, leader.ended, leader.placed)
+}
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -231,3 +231,41 @@
 	}
 	assert.Assert(t, r.ran("x") >= 8 && r.ran("y") >= 8, "%d and %d of 40 requests", r.ran("x"), r.ran("y"))
 }
+
+// Guards against ending a response that has neither a length nor chunks while its back end is silent, and
+// against forwarding a part of it as complete.
+func TestUnframedResponseSurvivesSilence(t *testing.T) {
+	const silence = 1200 * time.Millisecond
+	for _, path := range []string{"/safe/1", "/unsafe/1", "/chat/1", "/resumable/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			r := newStreamRig(t)
+			r.unhurried(path)
+			body, pool := "fine", "app"
+			if isStream(path) {
+				body, pool = streamBody, "llm"
+			}
+			begun := make(chan struct{}, 1)
+			r.add(pool, "x", func(w http.ResponseWriter, q *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				half := len(body) / 2
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\n%s", names.RequestID, q.Header.Get(names.RequestID), names.Signature, body[:half])
+				begun <- struct{}{}
+				time.Sleep(silence)
+				_, _ = io.WriteString(conn, body[half:])
+			})
+			answered := r.askInBackground(path)
+			<-begun
+			r.list([]string{"x"}, []string{"x"})
+			got := <-answered
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, body)
+			assert.Equal(t, r.ran("x"), 1)
+		})
+	}
+}
