Table of silences: the model bounds further attempts in vain as routers do

The model in virtual time did not count engines that had run a stream in vain as attempts of its route, spent a retry on searches without a place, and placed further attempts beside slow ones at engines without room.

--- a/internal/hedging/model_test.go
+++ b/internal/hedging/model_test.go
@@ -38,6 +38,7 @@
 	watchdogTime   = 2 * time.Second
 	recheckTime    = 100 * ms
 	maxAttempts    = 2
+	maxHedges      = 3
 	checkInterval  = 25 * ms
 	stallInterval  = 245 * ms
 	leaderInterval = 10 * ms
--- a/internal/hedging/stream_test.go
+++ b/internal/hedging/stream_test.go
@@ -27,6 +27,9 @@
 	present, hedge *attempt
 	seeking        bool
 	attempts       []*attempt
+	// vain are the engines of hedges that the present attempt has outrun, and hedges counts all hedges.
+	vain   []string
+	hedges int
 	// granted is set while the retry budget has granted an attempt that was not begun, and retryAt is when
 	// it may be asked again under the rule before.
 	granted bool
@@ -122,6 +125,7 @@
 		s.ran++
 	case s.hedge != nil:
 		s.hedge.close()
+		s.vain = append(s.vain, s.hedge.engine.id)
 		s.hedge = nil
 		p.inVain++
 	}
@@ -154,11 +158,11 @@
 	listed := slices.Contains(s.router.notes.Unresponsive, a.engine.id)
 	lost := a.engine.removed || (listed && slices.Contains(s.router.notes.Silent, a.engine.id))
 	silence := a.tracked.Silence(now)
-	mayRetry := s.ran+1 < maxAttempts && a == s.present
 	if s.play.rule == before {
-		s.overdueBefore(a, mayRetry, listed || lost || silence > watchdogTime, lost)
+		s.overdueBefore(a, s.ran+1 < maxAttempts && a == s.present, listed || lost || silence > watchdogTime, lost)
 		return
 	}
+	mayHedge := a == s.present && s.hedges < maxHedges && (len(s.vain) > 0 || s.ran+1 < maxAttempts)
 	action := Decide(State{Listed: listed, Lost: lost, Silence: silence, Limit: patience})
 	if action == Wait && silence > watchdogTime {
 		action = Hedge
@@ -166,8 +170,8 @@
 	switch {
 	case action == End:
 		s.endAttempt(a)
-	case action == Hedge && mayRetry && s.hedge == nil && !s.seeking && a.backoff.Ready(now):
-		s.seekHedge(a)
+	case action == Hedge && mayHedge && s.hedge == nil && !s.seeking && a.backoff.Ready(now):
+		s.seekHedge(a, !listed && !lost)
 	}
 }
 
@@ -206,41 +210,49 @@
 }
 
 // further asks for a place for a further attempt and calls then with it, or with nil.
-func (s *stream) further(responsive bool, wanted func() bool, then func(*attempt)) {
+func (s *stream) further(ask *coordapi.Place, wanted func() bool, then func(*attempt)) {
 	s.router.number++
 	number := s.router.number
-	ask := &coordapi.Place{Number: number, Own: s.prompt, Responsive: responsive, Queueing: coordapi.Queueing{Started: 1}}
+	ask.Number, ask.Own, ask.Queueing = number, s.prompt, coordapi.Queueing{Started: 1}
 	for _, a := range s.attempts {
-		ask.Tried = append(ask.Tried, a.engine.id)
+		if !slices.Contains(s.vain, a.engine.id) {
+			ask.Tried = append(ask.Tried, a.engine.id)
+		}
 	}
 	s.router.place(ask, func(placed coordapi.Placed) {
 		found := placed.ID != "" && !placed.Late && placed.Reason == ""
+		sent := found && wanted() && s.grant()
 		switch {
-		case found && !wanted():
-			s.router.reports.Ended = append(s.router.reports.Ended, number)
-		case found:
+		case sent:
 			s.granted = false
 			s.play.begun++
 			then(s.begin(number, placed.ID))
-		case wanted():
+			return
+		case found:
+			s.router.reports.Ended = append(s.router.reports.Ended, number)
+		}
+		if wanted() {
 			then(nil)
 		}
 	})
 }
 
-// seekHedge looks for a further attempt beside a silent one.
-func (s *stream) seekHedge(a *attempt) {
-	if !s.grant() {
-		a.backoff.Failed(s.play.Now())
-		return
-	}
+// seekHedge looks for a further attempt beside a silent one. Engines that have run the stream in vain are
+// the only ones once others would exceed the attempts.
+func (s *stream) seekHedge(a *attempt, roomOnly bool) {
 	s.seeking = true
-	s.further(true, func() bool { return s.outcome == open && s.seeking }, func(hedge *attempt) {
+	ask := &coordapi.Place{Responsive: true, RoomOnly: roomOnly}
+	if s.ran+1+len(s.vain) >= maxAttempts {
+		ask.Among = slices.Clone(s.vain)
+	}
+	s.further(ask, func() bool { return s.outcome == open && s.seeking }, func(hedge *attempt) {
 		s.seeking = false
 		if hedge == nil {
 			a.backoff.Failed(s.play.Now())
 			return
 		}
+		s.hedges++
+		s.vain = slices.DeleteFunc(s.vain, func(id string) bool { return id == hedge.engine.id })
 		s.hedge = hedge
 	})
 }
@@ -258,7 +270,7 @@
 		a.close()
 		s.present = nil
 		s.ran++
-		s.further(false, func() bool { return s.outcome == open }, func(next *attempt) {
+		s.further(&coordapi.Place{}, func() bool { return s.outcome == open }, func(next *attempt) {
 			if s.present = next; next == nil {
 				s.end()
 			}
