Permits of brittle back ends are held while their routers report the requests as running

What callers saw: 503 from a brittle plain back end that got requests beyond its slots beside requests of more than 5 s.

Cause: a permit that is held until the end of its request expired 5 s after its grant if no end was reported before. The request went on, the leader counted one less, and granted its slot once more.

Change: updates contain what a router runs at each back end already. A report holds as many of the router's permits there, for 3 s from the report (routers that run requests report each second at least). Nothing new is sent. The bounds for an end that is lost: 3 s after the last report that covers the permit, as reports with fewer requests than permits hold the newest ones; and the longest time-out of a route, as no request runs longer. A lost router's permits end 5 s after their grant as before, or 3 s after its last report, whichever is later. Permits of routers that report no ends expire after 0.5 s as before. The end of a held permit is still accepted: the grant is kept as long as the permit, and freed once.

Not changed: what a former leader has permitted counts for 5 s from the beginning of a leadership.

--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -49,6 +49,7 @@
 		}
 	}
 	s.placer.SetLongestTimeout(s.pools.longestTimeout)
+	s.backendLimits.SetLongestTimeout(s.pools.longestTimeout)
 }
 
 // resumesStreams reports whether streams of a pool may be resumed.
--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -174,3 +175,32 @@
 	peak := d.peakRejections(begun)
 	assert.Assert(t, peak < brittleRate, "%d rejections within a second", peak)
 }
+
+// Guards against brittle back ends that get as many requests beyond their slots as have run for longer than a
+// permit is held without a report.
+func TestBrittleBackendsRejectFewBesideLongRequests(t *testing.T) {
+	d := newDeployment(t, 3, 4, 1)
+	d.configureDocument(2, strings.NewReplacer(`"version":1`, `"version":2`, `"kind":"unsafe","timeout":"4s"`, `"kind":"unsafe","timeout":"20s"`).Replace(testDocument))
+	d.makeBrittleFor(time.Millisecond)
+	d.overload(1500*time.Millisecond, 1, 50)
+	const runTime = 8 * time.Second
+	slots := int(d.makeBrittleFor(runTime)*runTime.Seconds() + 0.5)
+	begun := time.Now()
+	var group sync.WaitGroup
+	send := func(sent int) {
+		group.Go(func() {
+			d.sendWithin(20*time.Second, sent%len(d.frontend), "ka", "/pay/", fmt.Sprint("long ", d.requests.Load()))
+		})
+	}
+	for sent := range slots {
+		send(sent)
+		time.Sleep(20 * time.Millisecond)
+	}
+	for sent := 0; time.Since(begun) < runTime-500*time.Millisecond; sent++ {
+		send(sent)
+		time.Sleep(50 * time.Millisecond)
+	}
+	group.Wait()
+	peak := d.peakRejections(begun)
+	assert.Assert(t, peak < brittleRate, "%d rejections within a second", peak)
+}
--- a/internal/ratelimit/inherited.go
+++ b/internal/ratelimit/inherited.go
@@ -24,11 +24,12 @@
 	running map[coordapi.BackendID]int
 }
 
-// ReportLoads records what a router runs, for the time in which requests may run that a former leader has
-// permitted.
+// ReportLoads records what a router runs: its permits are held for it, and for a time it may include requests
+// that a former leader has permitted.
 func (l *Limiter) ReportLoads(now time.Duration, router string, loads []coordapi.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.holdReported(now, router, loads)
 	if !l.leading || now >= l.leadingSince+inheritTime {
 		l.loads = nil
 		return
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -53,6 +53,8 @@
 	leading      bool
 	leadingSince time.Duration
 	leaseUntil   time.Duration
+	// longestTimeout is the longest time that a request may take, 0 if unknown.
+	longestTimeout time.Duration
 	// loads are what routers report at the beginning of a leadership, by their names.
 	loads    map[string]routerLoad
 	quota    *quota.Limiter
@@ -75,9 +77,9 @@
 type account struct {
 	pool string
 	// plain is set if the back end is no engine, and running holds the permits of requests that have
-	// not ended at a brittle plain one, with the times at which they expire.
+	// not ended at a brittle plain one.
 	plain       bool
-	running     map[grantKey]time.Duration
+	running     map[grantKey]heldPermit
 	observation observation
 	lines       bounded.LineLimiter
 	// requested averages the requests by urgency, granted the permits by tenant.
@@ -87,6 +89,14 @@
 	grants, denied decay.Sum
 }
 
+// heldPermit is a permit that is held until its request has ended.
+type heldPermit struct {
+	// until is the time at which it expires.
+	until time.Duration
+	// finishes is set if the router reports the end of the request.
+	finishes bool
+}
+
 // pool sums up the limited back ends of a pool: their number and their total rate.
 type pool struct {
 	limited int
@@ -160,7 +170,7 @@
 		if (!latest.limited && latest.brittle == 0) || len(l.accounts) >= 4*maxBackends {
 			return false
 		}
-		a = &account{pool: report.Pool, plain: report.Plain, running: map[grantKey]time.Duration{}, requested: map[int]*decay.Sum{}, granted: map[string]*decay.Sum{}}
+		a = &account{pool: report.Pool, plain: report.Plain, running: map[grantKey]heldPermit{}, requested: map[int]*decay.Sum{}, granted: map[string]*decay.Sum{}}
 		l.accounts[report.ID] = a
 	} else {
 		latest = latest.merge(a.observation, reportSkew)
@@ -256,7 +266,7 @@
 			return l.deny(now, a, minRetryAfter/2)
 		}
 		if !a.observation.limited {
-			a.running[key] = now + r.runningTTL()
+			a.running[key] = heldPermit{now + r.runningTTL(), r.Finishes}
 			l.grant(now, a, r)
 			return Verdict{Granted: true, Running: true}
 		}
@@ -270,7 +280,7 @@
 	}
 	l.grant(now, a, r)
 	if a.isBrittle() {
-		a.running[key] = now + r.runningTTL()
+		a.running[key] = heldPermit{now + r.runningTTL(), r.Finishes}
 	}
 	return Verdict{Granted: true, Running: a.isBrittle()}
 }
@@ -324,12 +334,12 @@
 
 // countRunning returns the number of requests that have not ended.
 func (a *account) countRunning(now time.Duration) int {
-	maps.DeleteFunc(a.running, func(_ grantKey, until time.Duration) bool { return now > until })
+	maps.DeleteFunc(a.running, func(_ grantKey, held heldPermit) bool { return now > held.until })
 	return len(a.running)
 }
 
-// runningTTL returns how long a permit is held at most until the end of the request: the end that a
-// lost router would have reported does not arrive.
+// runningTTL returns how long a permit is held without an end of its request or a report that it runs: those
+// of a lost router do not arrive.
 func (r *Request) runningTTL() time.Duration {
 	if r.Finishes {
 		return grantRetention
@@ -414,7 +424,7 @@
 		return
 	}
 	l.sweptAt = now
-	maps.DeleteFunc(l.issued, func(_ grantKey, g grant) bool { return now-g.at > grantRetention })
+	maps.DeleteFunc(l.issued, func(key grantKey, g grant) bool { return now-g.at > grantRetention && !l.holds(now, key, g) })
 	maps.DeleteFunc(l.accounts, func(_ coordapi.BackendID, a *account) bool {
 		return !a.observation.limited && a.observation.brittle == 0 && now-a.observation.received > endedRetention
 	})
