Grants that their router has collected are not withdrawn while the request runs

What callers saw: engines with more requests than slots (longer gaps between events, first events behind others), beside any queue.

Cause: the leader withdraws a grant whose outcome is not acknowledged for a second. A router acknowledges with its next Await, and calls none once it has no waiting request: the last grant of each queue was withdrawn 1 to 1.75 s later although the request ran, without any fault. So was one of a router that was suspended between the reply and its next Await. The slot was granted once more. The loads that routers announce hid it only within the longest time-out after a router's first message to its leader (placer.inheritTime).

Change: a grant in exactly one reply counts until its router reports the end, asks again, or is lost (3 s, as all other placements). One in no reply, or in a second one, which shows that the first was not received, is withdrawn after a second as before.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -289,18 +289,26 @@
 		}
 	}
 	for _, number := range reports.Ended {
-		if a := r.open[number]; a != nil {
-			a.End(now)
-			delete(r.open, number)
-			p.setDue(a.pool)
-			continue
+		if !p.endPlacement(now, r, number) {
+			p.endWait(name, r, number)
 		}
-		p.endWait(name, r, number)
 	}
 	p.pool.ApplyTroubles(now, reports.Troubles)
 	return r
 }
 
+// endPlacement ends a placement of a router. It returns false if there is none.
+func (p *Placer) endPlacement(now time.Duration, r *router, number uint64) bool {
+	a := r.open[number]
+	if a == nil {
+		return false
+	}
+	a.End(now)
+	delete(r.open, number)
+	p.setDue(a.pool)
+	return true
+}
+
 // router returns the record of a router that sends a message.
 func (p *Placer) router(now time.Duration, name string) *router {
 	p.expireRouters(now)
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -19,7 +19,8 @@
 	// they lack, those behind them mostly lack too.
 	maxMisses = 8
 	// uncollectedTime is the time after which a grant that its router has not collected is
-	// withdrawn. A router that waits collects its outcomes within a round trip.
+	// withdrawn. A router that waits collects its outcomes within a round trip, and asks for them again
+	// after a lost reply.
 	uncollectedTime = time.Second
 )
 
@@ -44,6 +45,15 @@
 type outcome struct {
 	coordapi.Outcome
 	at time.Duration
+	// deliveries is the number of replies that contain it, and deliveredAt the time of the last one.
+	deliveries  int
+	deliveredAt time.Duration
+}
+
+// isUncollected reports whether a router that waits would have acknowledged the outcome. The router may have
+// received the only reply that contains it and have no cause to ask again.
+func (o *outcome) isUncollected(now time.Duration) bool {
+	return o.deliveries != 1 && now-max(o.at, o.deliveredAt) >= uncollectedTime
 }
 
 // mayQueue reports whether a request may wait in a queue.
@@ -97,6 +107,8 @@
 		// The router asks again because it may have missed a reply.
 		return queued
 	}
+	// The router does not run what it asks for.
+	p.endPlacement(now, r, ask.Number)
 	request := p.request(now, ask)
 	if ask.Again {
 		p.start.settle(now)
@@ -299,7 +311,7 @@
 	delete(r.waiting, number)
 	placed.Uncounted = w.ask.Amount == 0
 	r.sequence++
-	r.outcomes = append(r.outcomes, outcome{coordapi.Outcome{Number: number, Placed: placed}, now})
+	r.outcomes = append(r.outcomes, outcome{Outcome: coordapi.Outcome{Number: number, Placed: placed}, at: now})
 	r.wakeAwait()
 }
 
@@ -365,14 +377,10 @@
 func (p *Placer) withdraw(now time.Duration, r *router) {
 	for i := range r.outcomes {
 		o := &r.outcomes[i]
-		if now-o.at < uncollectedTime || o.Placed.ID == "" {
+		if o.Placed.ID == "" || !o.isUncollected(now) {
 			continue
 		}
-		if a := r.open[o.Number]; a != nil {
-			a.End(now)
-			delete(r.open, o.Number)
-			p.setDue(a.pool)
-		}
+		p.endPlacement(now, r, o.Number)
 		o.Placed = coordapi.Placed{}
 	}
 	for len(r.outcomes) > 0 && now-r.outcomes[0].at > routerTimeout {
@@ -394,11 +402,14 @@
 	}
 	r.acknowledge(call.Acknowledged)
 	reply.Sequence = r.sequence
-	for _, o := range r.outcomes {
-		if o.Placed.Permit > 0 {
-			o.Placed.Permit = max(o.Placed.Permit-max(arrivedAt-o.at, 0), 1)
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		o.deliveries, o.deliveredAt = o.deliveries+1, now
+		sent := o.Outcome
+		if sent.Placed.Permit > 0 {
+			sent.Placed.Permit = max(sent.Placed.Permit-max(arrivedAt-o.at, 0), 1)
 		}
-		reply.Outcomes = append(reply.Outcomes, o.Outcome)
+		reply.Outcomes = append(reply.Outcomes, sent)
 	}
 	if len(reply.Outcomes) > 0 {
 		return reply, true, nil
