Routers acknowledge the outcomes of their last waiting requests

Cause: the loop that calls Await ended with the last waiting request, before the Await that acknowledges its outcome. If the first reply with a grant was lost, the leader withdrew the grant 1 s after the second one although its request ran.

Change: the loop goes on until an Await has acknowledged what was applied; the leader holds that one for up to 400 ms, as any other, and requests that are queued meanwhile use it. It ends without one if no leader replies within the time after which waits are released. Cost: one Await after each time in which a router has waiting requests.

--- a/internal/follower/waiting.go
+++ b/internal/follower/waiting.go
@@ -53,6 +53,8 @@
 	changes int
 	// acknowledged is the last outcome applied of each recent session.
 	acknowledged map[coordapi.Session]uint64
+	// unacknowledged is set if the last reply contained outcomes, which the next Await acknowledges.
+	unacknowledged bool
 	// interrupt ends the Await in flight.
 	interrupt context.CancelFunc
 	// heardAt is the time of the last reply to an Await, or of the first view of the present leader.
@@ -173,12 +175,13 @@
 }
 
 // next returns the next Await, which interrupt may end. It returns false, and the loop must end, if
-// no request is queued.
+// no request is queued and no outcome is to be acknowledged: the leader withdraws grants without an
+// acknowledgement.
 func (w *waiting) next(router string, interrupt context.CancelFunc) (call coordapi.Await, more bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.interrupt = interrupt
-	if w.queued == 0 {
+	if w.queued == 0 && !w.unacknowledged {
 		w.awaiting, w.interrupt = false, nil
 		return call, false
 	}
@@ -211,6 +214,7 @@
 		}
 	}
 	w.acknowledge(reply.Sequence)
+	w.unacknowledged = len(reply.Outcomes) > 0
 	return unused
 }
 
@@ -278,6 +282,7 @@
 	if now-w.heardAt < coordapi.AwaitHold+leaderlessWait {
 		return nil
 	}
+	w.unacknowledged = false
 	for number, one := range w.requests {
 		if one.queued {
 			numbers = append(numbers, number)
@@ -292,7 +297,7 @@
 func (w *waiting) withdrawSession(now time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.heardAt = now
+	w.heardAt, w.unacknowledged = now, false
 	w.setSession(0)
 }
 
@@ -350,8 +355,8 @@
 	}
 }
 
-// collectOutcomes calls Await until no request is queued any more. Each of them ends with its
-// context at the latest.
+// collectOutcomes calls Await until no request is queued any more and the outcomes are acknowledged. Each
+// of them ends with its context at the latest.
 func (f *Follower) collectOutcomes() {
 	for f.collectOnce() {
 		f.giveBack(f.waiting.release(f.now())...)
@@ -359,8 +364,8 @@
 	}
 }
 
-// collectOnce calls Await once, and delays the next call if it failed. It returns false if no
-// request is queued.
+// collectOnce calls Await once, and delays the next call if it failed. It returns false if there is no
+// cause for one.
 func (f *Follower) collectOnce() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
 	defer cancel()
