Routers show why they do not serve beside a configuration that they cannot decode

What callers saw: 503, "the configuration may be outdated", from each router of an older build 4.3 s (the serving lease of the tests) after a newer configuration that it cannot decode. That is right: the configuration in force may have removed a key, and a router must not serve by an older one for longer than its lease. What was missing: the readiness answer and the metrics had no cause; the log had the error 16 times a second without a bound; the rows, notes and shares of the same view were dropped, and so were all later ones; the view was requested again each 60 ms, and the whole state as soon as a view had no document.

Cause: follower.applyView returned before the rows, and treated the view as one to be repeated.

Change: the view is applied but for its configuration and the lease. The lease is not renewed until a newer configuration has been decoded, whatever a later view contains. One log line for each such configuration, with version, error and right_ms; the cause in the body of the readiness answer; quinceridge_undecodable_configuration_version. Views that cannot be unpacked are logged once a second.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -21,6 +21,7 @@
 
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/coordinator"
+	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/loopback"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
@@ -221,7 +222,13 @@
 
 func (d *deployment) startRouter(i int, s settings.DisklessRouter) *Edge {
 	d.t.Helper()
-	e := New(s, names, coordinator.StatusRequest(), traffic.Parse, d.log())
+	return d.startRouterOfBuild(i, s, traffic.Parse)
+}
+
+// startRouterOfBuild starts a router whose build decodes configurations in another way.
+func (d *deployment) startRouterOfBuild(i int, s settings.DisklessRouter, decode follower.Decode) *Edge {
+	d.t.Helper()
+	e := New(s, names, coordinator.StatusRequest(), decode, d.log())
 	if d.links != nil {
 		e.connections.SetDial(d.links.dialFrom(i))
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,7 +110,7 @@
 			MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { _, _ = e.handler.WriteTo(w) })
+	mux.HandleFunc("/metrics", e.writeMetrics)
 	mux.HandleFunc("/", e.ready)
 	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	e.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -119,11 +119,21 @@
 
 // ready serves the readiness check.
 func (e *Edge) ready(w http.ResponseWriter, _ *http.Request) {
-	if !e.handler.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if e.handler.Ready() {
+		w.WriteHeader(http.StatusOK)
 		return
 	}
-	w.WriteHeader(http.StatusOK)
+	w.WriteHeader(http.StatusServiceUnavailable)
+	if version, cause := e.follower.Undecodable(); cause != nil {
+		_, _ = fmt.Fprintf(w, "cannot decode configuration %d: %v\n", version, cause)
+	}
+}
+
+// writeMetrics serves the metrics.
+func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	_, _ = e.handler.WriteTo(w)
+	version, _ := e.follower.Undecodable()
+	_, _ = fmt.Fprintf(w, "quinceridge_undecodable_configuration_version %d\n", version)
 }
 
 // Start opens the listeners and begins to follow the coordinators.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/fairshare"
@@ -115,6 +116,8 @@
 	seeds      atomic.Pointer[[]string]
 	following  atomic.Pointer[string]
 	viewed     atomic.Pointer[appliedView]
+	// undecodable is the latest configuration if it cannot be decoded, else nil.
+	undecodable atomic.Pointer[undecodable]
 	// leadership identifies the leadership of the last view.
 	leadership atomic.Pointer[string]
 	started    time.Duration
@@ -145,6 +148,14 @@
 	leader        string
 	members       []string
 	nextCandidate int
+	// unreadableLines limits the log lines on views that cannot be unpacked.
+	unreadableLines bounded.LineLimiter
+}
+
+// undecodable is a configuration that this build cannot decode.
+type undecodable struct {
+	version uint64
+	err     error
 }
 
 // rooms are the capacities of pools as announced last.
@@ -221,6 +232,17 @@
 // Table returns the configuration in force, nil before the first.
 func (f *Follower) Table() *traffic.Table { return f.table.Load() }
 
+// Undecodable returns the version of the latest configuration and the cause if this build cannot decode
+// it, else 0. The router then loses its lease: the configuration in force may have removed what older ones
+// permit.
+func (f *Follower) Undecodable() (version uint64, cause error) {
+	u := f.undecodable.Load()
+	if u == nil {
+		return 0, nil
+	}
+	return u.version, u.err
+}
+
 // now is the time since the process started.
 func (f *Follower) now() time.Duration { return f.clock() - f.started }
 
@@ -398,7 +420,7 @@
 		f.members = v.Members
 		f.coordinators.Store(&v.Members)
 	}
-	if f.table.Load() != nil {
+	if f.table.Load() != nil && f.undecodable.Load() == nil {
 		f.leaseUntil.Store(max(f.leaseUntil.Load(), int64(sent+f.config.Lease)))
 	}
 	return true
@@ -422,29 +444,36 @@
 		return true
 	}
 	err := coordapi.Unpack(packed, value)
-	if err != nil {
+	if err != nil && f.unreadableLines.Allow(f.clock(), 1) {
 		f.config.Logger.Error(message, "part", "follower", "version", v.Version, "error", err.Error())
 	}
 	return err == nil
 }
 
-// configure applies a newer configuration. It returns false when the document is missing or
-// cannot be decoded; if missing, the next watch requests the whole state.
+// configure applies a newer configuration. It returns false when the document is missing; the next watch
+// requests the whole state then. One that cannot be decoded is not requested again.
 func (f *Follower) configure(version uint64, document json.RawMessage) bool {
 	current := f.table.Load()
 	if version == 0 || (current != nil && current.Version >= version) {
 		return true
 	}
+	rejected, _ := f.Undecodable()
+	if rejected >= version {
+		return true
+	}
 	if len(document) == 0 {
 		f.revision = 0
 		return false
 	}
 	table, err := f.config.Decode(document)
 	if err != nil {
-		f.config.Logger.Error("cannot decode configuration", "part", "follower", "version", version, "error", err.Error())
-		return false
+		f.undecodable.Store(&undecodable{version, err})
+		f.config.Logger.Error("cannot decode configuration", "part", "follower", "version", version, "error", err.Error(),
+			"right_ms", (f.leaseUntil.Load()-int64(f.now()))/int64(time.Millisecond))
+		return true
 	}
 	f.table.Store(table)
+	f.undecodable.Store(nil)
 	f.config.Logger.Info("configuration applied", "part", "follower", "version", version, "routes", len(table.Routes),
 		"tenants", len(table.Tenants), "bytes", len(document))
 	return true
