A new leader counts long requests at brittle back ends until they end

Cause: what a former leader has permitted counted for 5 s from the beginning of a leadership (inheritTime), although routers report it for as long as it runs.

Change: the reports count up to the longest time-out of a route. The number at a brittle back end never rises after the first second, in which nothing is granted; it falls to what a report leaves beyond this leader's permits of more than 0.75 s, which are in use for certain. A router whose first report comes later counts with what exceeds all its permits. Bound: the longest time-out, since no request runs longer; 1.5 s without a report of the router, as before. Cost of a wrong number: slots unused, never requests beyond them.

--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -179,11 +179,18 @@
 // Guards against brittle back ends that get as many requests beyond their slots as have run for longer than a
 // permit is held without a report.
 func TestBrittleBackendsRejectFewBesideLongRequests(t *testing.T) {
+	t.Run("one leader", func(t *testing.T) { checkLongRequests(t, 8*time.Second, func(*deployment) {}) })
+	t.Run("leader changes", func(t *testing.T) { checkLongRequests(t, 11*time.Second, (*deployment).restartLeader) })
+}
+
+// checkLongRequests fills the slots of brittle back ends with requests that run for a time, calls disturb and
+// checks the rejections of those that come beside them.
+func checkLongRequests(t *testing.T, runTime time.Duration, disturb func(*deployment)) {
+	t.Helper()
 	d := newDeployment(t, 3, 4, 1)
 	d.configureDocument(2, strings.NewReplacer(`"version":1`, `"version":2`, `"kind":"unsafe","timeout":"4s"`, `"kind":"unsafe","timeout":"20s"`).Replace(testDocument))
 	d.makeBrittleFor(time.Millisecond)
 	d.overload(1500*time.Millisecond, 1, 50)
-	const runTime = 8 * time.Second
 	slots := int(d.makeBrittleFor(runTime)*runTime.Seconds() + 0.5)
 	begun := time.Now()
 	var group sync.WaitGroup
@@ -196,6 +203,7 @@
 		send(sent)
 		time.Sleep(20 * time.Millisecond)
 	}
+	disturb(d)
 	for sent := 0; time.Since(begun) < runTime-500*time.Millisecond; sent++ {
 		send(sent)
 		time.Sleep(50 * time.Millisecond)
--- a/internal/ratelimit/inherited.go
+++ b/internal/ratelimit/inherited.go
@@ -10,9 +10,8 @@
 	// settleTime is the time from the beginning of a leadership within which the routers report what
 	// they run. Brittle back ends get no permits before.
 	settleTime = time.Second
-	// inheritTime is the time from the beginning of a leadership for which these reports count beside the
-	// leader's own permits, which are held no longer, and loadTimeout that after which a router's last
-	// report does not count any more.
+	// inheritTime is the least time from the beginning of a leadership for which these reports count beside
+	// the leader's own permits, and loadTimeout that after which a router's last report does not count any more.
 	inheritTime = grantRetention
 	loadTimeout = 1500 * time.Millisecond
 )
@@ -24,47 +23,73 @@
 	running map[coordapi.BackendID]int
 }
 
+// inheritedUntil returns the end of the time in which requests may run that a former leader has permitted: none
+// runs for longer than the longest time.
+func (l *Limiter) inheritedUntil() time.Duration {
+	return l.leadingSince + max(l.longestTimeout, inheritTime)
+}
+
 // ReportLoads records what a router runs: its permits are held for it, and for a time it may include requests
 // that a former leader has permitted.
 func (l *Limiter) ReportLoads(now time.Duration, router string, loads []coordapi.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holdReported(now, router, loads)
-	if !l.leading || now >= l.leadingSince+inheritTime {
+	if !l.leading || now >= l.inheritedUntil() {
 		l.loads = nil
 		return
 	}
-	running := map[coordapi.BackendID]int{}
 	before, known := l.loads[router]
+	settled := now >= l.leadingSince+settleTime
+	after := routerLoad{now, map[coordapi.BackendID]int{}}
 	for _, load := range loads {
-		id := coordapi.BackendID(load.ID)
 		if load.Engine {
 			continue
 		}
-		running[id] = max(load.Running-l.reportedPermits(now, router, id), 0)
-		if known && now >= l.leadingSince+settleTime {
-			// Only this leader's permits have added to what the router ran then.
-			if before.running[id] == 0 {
-				running[id] = 0
-			}
+		id := coordapi.BackendID(load.ID)
+		var inherited int
+		switch {
+		case !settled:
+			inherited = load.Running
+		case known:
+			inherited = l.stillInherited(now, router, id, load.Running, before.running[id])
+		default:
+			// What it ran when the leadership began is unknown.
+			inherited = load.Running - l.permitsBefore(now, router, id)
+		}
+		if inherited > 0 {
+			after.running[id] = inherited
 		}
 	}
 	if l.loads == nil {
 		l.loads = map[string]routerLoad{}
 	}
-	l.loads[router] = routerLoad{now, running}
+	l.loads[router] = after
+}
+
+// stillInherited returns how many requests of a router at a back end have no permit of this leader, by a report
+// of now and the number before it: 0 stays, as only this leader's permits have added to it.
+func (l *Limiter) stillInherited(now time.Duration, router string, id coordapi.BackendID, running, before int) int {
+	a := l.accounts[id]
+	switch {
+	case before == 0:
+		return 0
+	case a == nil || !a.isBrittle():
+		return running - l.permitsBefore(now-reportSkew, router, id)
+	}
+	// The report includes the permits of which it is certain that they are in use.
+	return min(running-l.permitsBefore(now-useDelay, router, id), before)
 }
 
-// reportedPermits returns the number of this leader's permits that a router's report of now includes: a
-// permit is used some time after its grant, and the report was made some time ago.
-func (l *Limiter) reportedPermits(now time.Duration, router string, id coordapi.BackendID) int {
+// permitsBefore returns the number of this leader's permits that a router got before a time for a back end.
+func (l *Limiter) permitsBefore(at time.Duration, router string, id coordapi.BackendID) int {
 	a := l.accounts[id]
 	if a == nil {
 		return 0
 	}
 	count := 0
 	for key := range a.running {
-		if key.router == router && now-l.issued[key].at > reportSkew {
+		if key.router == router && l.issued[key].at < at {
 			count++
 		}
 	}
@@ -74,7 +99,7 @@
 // inheritedRunning returns the number of requests that run at a back end beyond those with a permit of this
 // leader.
 func (l *Limiter) inheritedRunning(now time.Duration, id coordapi.BackendID) int {
-	if now >= l.leadingSince+inheritTime {
+	if now >= l.inheritedUntil() {
 		return 0
 	}
 	total := 0
