Name the router in answers that its planned stop cuts

Cause: Edge.Stop closed the connections after Shutdown had failed, which ends the contexts of the requests as a client's close does.

Now Stop cancels the open requests with a cause of its own before it closes their connections (ended_by "router", cause "stopping", message "aborted: the router stops"). The cause that comes first stays: a client that leaves during the drain is still "client", and its message no longer mentions the router. The cause is a context.Canceled, so that what follows from a cut (no response after the fact, no failure of the back end) is as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -184,16 +184,22 @@
 	return nil
 }
 
-// shutdownRelayed lets the requests of other routers finish.
-func (e *Edge) shutdownRelayed(ctx context.Context) error {
-	if e.relayed == nil {
-		return nil
+// shutdown lets the requests of callers and of other routers finish.
+func (e *Edge) shutdown(ctx context.Context) error {
+	err := e.callers.Shutdown(ctx)
+	if e.relayed != nil {
+		err = errors.Join(err, e.relayed.Shutdown(ctx))
 	}
-	err := e.relayed.Shutdown(ctx)
-	if err != nil {
+	return err
+}
+
+// cut ends the requests that are still open, and closes their connections.
+func (e *Edge) cut() {
+	e.handler.EndRequests()
+	_ = e.callers.Close()
+	if e.relayed != nil {
 		_ = e.relayed.Close()
 	}
-	return err
 }
 
 // Reload applies new seeds.
@@ -210,9 +216,9 @@
 	defer cancel()
 	e.handler.Stop()
 	time.Sleep(min(drainNotice, e.settings.DrainLimit()/2))
-	err := errors.Join(e.callers.Shutdown(ctx), e.shutdownRelayed(ctx))
+	err := e.shutdown(ctx)
 	if err != nil {
-		_ = e.callers.Close()
+		e.cut()
 	}
 	_ = e.readiness.Close()
 	_ = e.metrics.Close()
--- /dev/null
+++ b/internal/edge/stop_test.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	// stopGraceTime is the grace of routers that stop beside answers that outlast it.
+	stopGraceTime = 2 * time.Second
+	earlyEndsOf   = "quinceridge_answers_ended_early_total{by=%q}"
+	stoppingEnds  = `quinceridge_answers_ended_early_total{by="router",cause="stopping"}`
+)
+
+// longAnswers returns streams and calls at a router that outlast its stop.
+func longAnswers(router int, streams ...string) (out []*asked) {
+	for _, path := range streams {
+		out = append(out, &asked{kind: path, path: "/" + path + "/", router: router,
+			script: script{Name: fmt.Sprintf("long %s at %d", path, router), Events: 200, Gap: 50 * time.Millisecond}})
+	}
+	return out
+}
+
+// earlyEnd returns the lines on early ends of a request's answer.
+func (s *silenceTrial) earlyEnd(a *asked) string {
+	var out strings.Builder
+	for line := range strings.Lines(s.lines.about("id=" + a.id + " ")) {
+		if strings.Contains(line, `msg="answer ended early"`) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
+}
+
+// awaitEarlyEnds waits until a number of answers have been logged as ended early: the lines may follow the end of
+// the answer.
+func (s *silenceTrial) awaitEarlyEnds(n int) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if got := strings.Count(s.lines.about(`msg="answer ended early"`), "\n"); got < n {
+			return poll.Continue("%d of %d", got, n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// Guards against answers that a stopping router cuts and that its log and metrics give as left by their clients.
+func TestAnswersCutByPlannedStopNameTheRouter(t *testing.T) {
+	t.Parallel()
+	s := newSilenceTrial(t, &deployment{relays: true, stopGrace: stopGraceTime}, 1, 2, 8)
+	requests := longAnswers(0, "once", "double", "triple", "single")
+	requests = append(requests, &asked{kind: "pay", path: "/pay/", script: script{Name: "long call", Prompt: 4 * time.Second}})
+	leaver := &asked{kind: "once", path: "/once/", script: script{Name: "leaves", Events: 200, Gap: 50 * time.Millisecond}}
+	left, leave := context.WithCancel(t.Context())
+	leaver.change = func(q *http.Request) { *q = *q.WithContext(left) }
+	answers := s.begin(append(requests, leaver))
+	time.AfterFunc(500*time.Millisecond, leave)
+	s.routers[0].Stop()
+	answers.Wait()
+	s.awaitEarlyEnds(len(requests) + 1)
+	for _, a := range requests {
+		assert.Check(t, !a.complete, "%s", a.Name)
+		assert.Check(t, strings.Contains(s.earlyEnd(a), "ended_by=router cause=stopping "), "%s: %s", a.Name, s.lines.about("id="+a.id+" "))
+	}
+	assert.Check(t, strings.Contains(s.earlyEnd(leaver), "ended_by=client "), s.lines.about("id="+leaver.id+" "))
+	assert.Equal(t, s.counter(stoppingEnds), len(requests))
+	assert.Equal(t, s.counter(fmt.Sprintf(earlyEndsOf, "client")), 1)
+	assert.Equal(t, strings.Count(s.lines.about("client disconnected"), "\n"), 1)
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -381,10 +381,10 @@
 		return "client disconnected: " + stalledReason(h.clientStall)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return "aborted at the deadline"
+	case errors.Is(context.Cause(ctx), errStopping):
+		return "aborted: " + errStopping.Error()
 	case ctx.Err() == nil:
 		return "aborted: " + result.err.Error()
-	case h.stopping.Load():
-		return "client disconnected or router stopping"
 	}
 	return "client disconnected"
 }
--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -7,10 +7,13 @@
 )
 
 // deadlines cancels requests whose deadline passed while their timers did not fire: timers do
-// not advance while the machine is suspended. It is safe for concurrent use.
+// not advance while the machine is suspended. It also cancels all of them when the router stops. It is safe
+// for concurrent use.
 type deadlines struct {
 	mu   sync.Mutex
 	open map[*time.Duration]context.CancelCauseFunc
+	// ended is the cause with which all requests are cancelled, also later ones; nil if they are not.
+	ended error
 }
 
 func newDeadlines() *deadlines { return &deadlines{open: map[*time.Duration]context.CancelCauseFunc{}} }
@@ -23,6 +26,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.open[&deadline] = cancel
+	if d.ended != nil {
+		cancel(d.ended)
+	}
 	return ctx, func() {
 		stop()
 		cancel(nil)
@@ -32,6 +38,16 @@
 	}
 }
 
+// cancelAll cancels all requests with a cause, also those that begin later.
+func (d *deadlines) cancelAll(cause error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = cause
+	for _, cancel := range d.open {
+		cancel(cause)
+	}
+}
+
 // cancelExpired cancels the requests whose deadline has passed.
 func (d *deadlines) cancelExpired(now time.Duration) {
 	d.mu.Lock()
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -25,6 +25,10 @@
 
 var endedByNames = [endedByCount]string{"back end", "router", "client", "deadline"}
 
+// errStopping is the cause of cancellation of requests that are open at the end of a router's stop. Like a
+// client's leave it says nothing of back ends.
+var errStopping = fmt.Errorf("the router stops: %w", context.Canceled)
+
 // routerCause is why the router ended an attempt.
 type routerCause int
 
@@ -42,10 +46,12 @@
 	causeExpired
 	// causeRestarted: the back end has restarted.
 	causeRestarted
+	// causeStopping: the router stops.
+	causeStopping
 	routerCauseCount
 )
 
-var routerCauseNames = [routerCauseCount]string{"other", "unresponsive", "lost", "path lost", "silent", "weights expired", "restarted"}
+var routerCauseNames = [routerCauseCount]string{"other", "unresponsive", "lost", "path lost", "silent", "weights expired", "restarted", "stopping"}
 
 // routerCauseOf classifies the cause with which the router cancelled an attempt.
 func routerCauseOf(cause error) routerCause {
@@ -53,7 +59,7 @@
 		err   error
 		cause routerCause
 	}{{errUnresponsive, causeUnresponsive}, {errLost, causeLost}, {errPathLost, causePathLost}, {errSilent, causeSilent},
-		{backends.ErrExpired, causeExpired}, {backends.ErrRestarted, causeRestarted}} {
+		{backends.ErrExpired, causeExpired}, {backends.ErrRestarted, causeRestarted}, {errStopping, causeStopping}} {
 		if errors.Is(cause, c.err) {
 			return c.cause
 		}
@@ -89,7 +95,7 @@
 	h.metrics.earlyEnds.by[by].Add(1)
 	text := ""
 	if by == endedByRouter {
-		c := routerCauseOf(s.gaveUp)
+		c := routerCauseOf(cause)
 		h.metrics.earlyEnds.causes[c].Add(1)
 		text = routerCauseNames[c]
 	}
@@ -105,6 +111,8 @@
 func (h *Handler) endOf(ctx context.Context, s *session, result outcome) (by endedBy, cause error) {
 	var client *clientError
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return endedByRouter, errStopping
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return endedByDeadline, context.Cause(ctx)
 	case ctx.Err() != nil, errors.As(result.err, &client):
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -197,6 +197,10 @@
 // Stop makes the handler close each connection after its next response.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
+// EndRequests ends the answers to all requests, also later ones, as ended by the router's stop. It is to be
+// called before their connections are closed, which shows as a disconnected client.
+func (h *Handler) EndRequests() { h.deadlines.cancelAll(errStopping) }
+
 // Ready reports whether the router accepts requests.
 func (h *Handler) Ready() bool {
 	return !h.stopping.Load() && h.config.Source.Table() != nil && h.config.Source.Fresh()
