Name the other router in answers that it broke off

A router that had passed a request on gave an answer that the other router broke off, for example at its stop, as ended by a back end, with an empty name of one. Operators looked for a back end that had failed.

Cause: endOf took every end that was neither the router's own nor the client's for one of the back end.

ended_by has a fifth name, "other router". "router" stays for this router's own decisions, which the counters keep apart from all others. The line has the address of the other router (other_router), whose own line of the same id has relayed_for and says who ended it.

--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -28,6 +28,19 @@
 	return out
 }
 
+// awaitPassedOn waits until the first router passes requests for engines on to another one.
+func (s *silenceTrial) awaitPassedOn() {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		a := asked{script: script{Name: fmt.Sprint("passed on ", s.requests.Load()), Events: 1}, path: "/double/"}
+		a.send(s.deployment)
+		if s.counter("quinceridge_requests_passed_on_total") == 0 {
+			return poll.Continue("status %d", a.status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
 // earlyEnd returns the lines on early ends of a request's answer.
 func (s *silenceTrial) earlyEnd(a *asked) string {
 	var out strings.Builder
@@ -74,3 +87,30 @@
 	assert.Equal(t, s.counter(fmt.Sprintf(earlyEndsOf, "client")), 1)
 	assert.Equal(t, strings.Count(s.lines.about("client disconnected"), "\n"), 1)
 }
+
+// Guards against an answer that another router's stop cuts and that is given as ended by a back end.
+func TestPassedOnAnswersCutByPlannedStopNameTheOtherRouter(t *testing.T) {
+	t.Parallel()
+	s := newSilenceTrial(t, &deployment{relays: true, links: newLinks(), stopGrace: stopGraceTime}, 2, 2, 8)
+	s.links.set(linkSilent, 0, s.addresses("llm")...)
+	s.awaitPassedOn()
+	// The requests before that ended for other reasons.
+	others := func() int {
+		return s.counter(fmt.Sprintf(earlyEndsOf, "back end")) + s.counter(fmt.Sprintf(earlyEndsOf, "client"))
+	}
+	before, lines := others(), strings.Count(s.lines.about(`msg="answer ended early"`), "\n")
+	requests := longAnswers(0, "once", "twice")
+	answers := s.begin(requests)
+	s.routers[1].Stop()
+	answers.Wait()
+	s.awaitEarlyEnds(lines + 2*len(requests))
+	for _, a := range requests {
+		lines := s.earlyEnd(a)
+		assert.Check(t, !a.complete, "%s", a.Name)
+		assert.Check(t, strings.Contains(lines, "ended_by=router cause=stopping "), "%s: %s", a.Name, lines)
+		assert.Check(t, strings.Contains(lines, `ended_by="other router" `), "%s: %s", a.Name, lines)
+	}
+	assert.Equal(t, s.counter(stoppingEnds), len(requests))
+	assert.Equal(t, s.counter(fmt.Sprintf(earlyEndsOf, "other router")), len(requests))
+	assert.Equal(t, others(), before)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -90,7 +90,7 @@
 	j.promptParts()
 	a := h.newAttempt(ctx, s)
 	a.choice = choice
-	s.attempted, s.attemptedAt, s.gaveUp = choice, a.started, nil
+	s.attempted, s.relay, s.attemptedAt, s.gaveUp = choice, "", a.started, nil
 	h.setBackendHeaders(j, s, choice)
 	a.running = h.config.Pool.Begin(a.started, &choice, &j.query, a.cancel)
 	a.onClose = append(a.onClose, func() { a.running.End(h.now()) })
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -20,10 +20,12 @@
 	endedByRouter
 	endedByClient
 	endedByDeadline
+	// endedByRelay: the router that the request was passed on to.
+	endedByRelay
 	endedByCount
 )
 
-var endedByNames = [endedByCount]string{"back end", "router", "client", "deadline"}
+var endedByNames = [endedByCount]string{"back end", "router", "client", "deadline", "other router"}
 
 // errStopping is the cause of cancellation of requests that are open at the end of a router's stop. Like a
 // client's leave it says nothing of back ends.
@@ -103,7 +105,7 @@
 		cause = result.err
 	}
 	h.config.Logger.Info("answer ended early", "part", "forward", "id", j.id, "request", j.digest.String(), "ended_by", endedByNames[by], "cause", text,
-		"error", errorText(cause), "backend", s.attempted.ID, "events", s.events, "last_event_ms", s.lastEventAge().Milliseconds(), "further_attempt", j.noAttempt, "beside", s.race.last(),
+		"error", errorText(cause), "backend", s.attempted.ID, "other_router", s.relay, "relayed_for", j.relayed(), "events", s.events, "last_event_ms", s.lastEventAge().Milliseconds(), "further_attempt", j.noAttempt, "beside", s.race.last(),
 		"attempts", strings.Join(j.trace, "; "))
 }
 
@@ -119,6 +121,8 @@
 		return endedByClient, context.Cause(ctx)
 	case s.gaveUp != nil:
 		return endedByRouter, s.gaveUp
+	case s.relay != "":
+		return endedByRelay, result.err
 	}
 	return endedByBackend, result.err
 }
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -133,7 +133,7 @@
 	}
 	s.race.mu.Unlock()
 	j.request, j.viewRevision, j.viewAge, j.standalone = forked.request, forked.viewRevision, forked.viewAge, forked.standalone
-	s.attempted, s.attemptedAt = a.choice, a.started
+	s.attempted, s.relay, s.attemptedAt = a.choice, a.relay, a.started
 	a.onClose = append(a.onClose, forked.memory.Release)
 	return a
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -140,7 +140,7 @@
 	j := s.job
 	a := h.newAttempt(ctx, s)
 	a.relay = address
-	s.attempted, s.attemptedAt, s.gaveUp = backends.Choice{}, a.started, nil
+	s.attempted, s.relay, s.attemptedAt, s.gaveUp = backends.Choice{}, address, a.started, nil
 	text := fmt.Sprintf("passed on to router %s, path lost for %d ms", address, h.config.Paths.LostFor(h.clock(), j.pool.Name).Milliseconds())
 	if j.beyondRoom {
 		text = "passed on to router " + address + ", no part of the free capacity left"
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -40,6 +40,8 @@
 	firstAt    time.Duration
 	// attempted is the back end of the present attempt, empty if that is made through another router.
 	attempted backends.Choice
+	// relay is the address of that router, empty for an attempt at a back end.
+	relay string
 	// attemptedAt is when that attempt began, and gaveUp the cause with which the router cancelled the
 	// last one; nil if it did not.
 	attemptedAt time.Duration
