Bound a router's stop, whatever still runs

A router whose stop outlasts its grace is killed, and its last log lines, "stopped" among them, are lost. The drain had a limit, nine tenths of the grace; what followed had none: Stop waited for further attempts, probes of back ends and the router's own tasks for as long as they ran.

Now Stop returns after nineteen twentieths of the grace at the latest, and "stopped" has "ended" false if something still ran.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -209,22 +209,24 @@
 }
 
 // Stop reports the router as not ready, lets requests in progress finish within the drain limit,
-// and releases everything.
+// and releases everything. It returns within the stop limit, whatever still runs.
 func (e *Edge) Stop() {
+	end, release := context.WithTimeout(context.Background(), e.settings.StopLimit())
+	defer release()
 	e.logger.Info("stopping", "part", "edge", "limit_ms", e.settings.DrainLimit().Milliseconds())
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainLimit())
+	drain, cancel := context.WithTimeout(end, e.settings.DrainLimit())
 	defer cancel()
 	e.handler.Stop()
 	time.Sleep(min(drainNotice, e.settings.DrainLimit()/2))
-	err := e.shutdown(ctx)
+	err := e.shutdown(drain)
 	if err != nil {
 		e.cut()
 	}
 	_ = e.readiness.Close()
 	_ = e.metrics.Close()
-	e.handler.Wait()
+	ended := periodic.Await(end, e.handler.Wait)
 	e.cancel()
 	e.peers.Close()
-	e.group.Wait()
-	e.logger.Info("stopped", "part", "edge", "cut", strconv.FormatBool(err != nil))
+	ended = periodic.Await(end, e.group.Wait) && ended
+	e.logger.Info("stopped", "part", "edge", "cut", strconv.FormatBool(err != nil), "ended", strconv.FormatBool(ended))
 }
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,6 +11,10 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"quinceridge.example/quinceridge/internal/coordinator"
+	"quinceridge.example/quinceridge/internal/settings"
+	"quinceridge.example/quinceridge/internal/traffic"
 )
 
 const (
@@ -64,6 +69,31 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
+// Guards against a stop that outlasts its grace because a part of the router does not end, so that the process is
+// killed before it has written its last lines.
+func TestStopEndsBesideTaskThatDoesNot(t *testing.T) {
+	t.Parallel()
+	lines := &recordedLog{}
+	s := settings.DisklessRouter{Name: "r", Listen: freeAddress(t), Readiness: freeAddress(t), Seeds: []string{freeAddress(t)},
+		Revocation: 5 * time.Second, StopGrace: stopGraceTime, RetryWindow: time.Second, MemoryLimit: 100}
+	e := New(s, names, coordinator.StatusRequest(), traffic.Parse, slog.New(slog.NewTextHandler(lines, nil)))
+	assert.NilError(t, e.Start())
+	release := make(chan struct{})
+	defer close(release)
+	e.group.Go(func() { <-release })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.Stop()
+	}()
+	select {
+	case <-stopped:
+		assert.Assert(t, lines.about("msg=stopped part=edge cut=false ended=false") != "", lines.about("msg=stop"))
+	case <-time.After(5 * stopGraceTime):
+		t.Fatal("the stop does not end")
+	}
+}
+
 // Guards against answers that a stopping router cuts and that its log and metrics give as left by their clients.
 func TestAnswersCutByPlannedStopNameTheRouter(t *testing.T) {
 	t.Parallel()
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -28,3 +28,18 @@
 	case <-time.After(wait):
 	}
 }
+
+// Await calls a function that waits. It returns false if the context ends first; the call then goes on.
+func Await(ctx context.Context, wait func()) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		wait()
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/periodic/periodic_test.go
+++ b/internal/periodic/periodic_test.go
@@ -18,3 +18,14 @@
 		assert.Equal(t, calls, 3)
 	})
 }
+
+func TestAwaitEndsWithContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.Assert(t, Await(ctx, func() { time.Sleep(999 * time.Millisecond) }))
+		assert.Assert(t, !Await(ctx, func() { time.Sleep(time.Minute) }))
+		// A bubble's goroutines have to end.
+		time.Sleep(time.Hour)
+	})
+}
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -117,6 +117,9 @@
 // DrainLimit is the maximum duration of a graceful stop.
 func (r *DisklessRouter) DrainLimit() time.Duration { return r.StopGrace - r.StopGrace/10 }
 
+// StopLimit is the maximum duration of a stop, cleanup included. The rest of the grace is for the last log lines.
+func (r *DisklessRouter) StopLimit() time.Duration { return r.StopGrace - r.StopGrace/20 }
+
 // Coordinators returns the peer addresses of the seeds.
 func (r *DisklessRouter) Coordinators() []string { return peerAddresses(r.Seeds, r.PeerPort) }
 
