Write the lines on the answers that a stop cuts before the process ends

The last lines before a router's exit were lost: those on the answers that its stop cut. Stop closed the connections of the requests and did not wait for their handlers, so that "stopped" was written, and the process could end, while they still logged.

Now Stop waits for the handlers, within the stop limit, before it waits for further attempts and probes, of which no request begins any more then.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -224,7 +224,10 @@
 	}
 	_ = e.readiness.Close()
 	_ = e.metrics.Close()
-	ended := periodic.Await(end, e.handler.Wait)
+	ended := periodic.Await(end, func() {
+		e.handler.AwaitRequests()
+		e.handler.Wait()
+	})
 	e.cancel()
 	e.peers.Close()
 	ended = periodic.Await(end, e.group.Wait) && ended
--- a/internal/edge/silencescript_test.go
+++ b/internal/edge/silencescript_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -284,9 +285,12 @@
 type recordedLog struct {
 	mu   sync.Mutex
 	text bytes.Buffer
+	// delay is the time that a line takes, in nanoseconds.
+	delay atomic.Int64
 }
 
 func (l *recordedLog) Write(p []byte) (int, error) {
+	time.Sleep(time.Duration(l.delay.Load()))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.text.Write(p)
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -69,6 +69,23 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
+// Guards against lines on answers that a stop cuts and that are lost because the process ends before they are
+// written.
+func TestLinesOnCutAnswersPrecedeLastLineOfStop(t *testing.T) {
+	t.Parallel()
+	s := newSilenceTrial(t, &deployment{relays: true, stopGrace: stopGraceTime}, 1, 2, 8)
+	requests := longAnswers(0, "once", "double", "triple", "single")
+	answers := s.begin(requests)
+	s.lines.delay.Store(int64(5 * time.Millisecond))
+	s.routers[0].Stop()
+	answers.Wait()
+	s.awaitEarlyEnds(len(requests))
+	before, after, stopped := strings.Cut(s.lines.about(""), "msg=stopped part=edge cut=true ended=true")
+	assert.Assert(t, stopped, s.lines.about("msg=stopped"))
+	assert.Check(t, strings.Count(before, `msg="aborted: the router stops`) == len(requests), "%d answers", strings.Count(before, `msg="aborted: the router stops`))
+	assert.Check(t, !strings.Contains(after, "part=forward"), after)
+}
+
 // Guards against a stop that outlasts its grace because a part of the router does not end, so that the process is
 // killed before it has written its last lines.
 func TestStopEndsBesideTaskThatDoesNot(t *testing.T) {
--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -14,10 +14,42 @@
 	open map[*time.Duration]context.CancelCauseFunc
 	// ended is the cause with which all requests are cancelled, also later ones; nil if they are not.
 	ended error
+	// running is the number of requests that are being handled, also those without a deadline yet.
+	running int
+	// none is closed once no request is being handled; nil while nobody waits for that.
+	none chan struct{}
 }
 
 func newDeadlines() *deadlines { return &deadlines{open: map[*time.Duration]context.CancelCauseFunc{}} }
 
+// begin records that a request is being handled until end is called.
+func (d *deadlines) begin() (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running++
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.running--; d.running == 0 && d.none != nil {
+			close(d.none)
+			d.none = nil
+		}
+	}
+}
+
+// await waits until no request is being handled. It is to be called once.
+func (d *deadlines) await() {
+	d.mu.Lock()
+	if d.running == 0 {
+		d.mu.Unlock()
+		return
+	}
+	none := make(chan struct{})
+	d.none = none
+	d.mu.Unlock()
+	<-none
+}
+
 // withDeadline returns a context that is cancelled at a deadline, which is left from now. Its
 // cause distinguishes the deadline from a disconnected client.
 func (d *deadlines) withDeadline(parent context.Context, deadline, left time.Duration) (ctx context.Context, done func()) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -201,6 +201,10 @@
 // called before their connections are closed, which shows as a disconnected client.
 func (h *Handler) EndRequests() { h.deadlines.cancelAll(errStopping) }
 
+// AwaitRequests waits until all requests have been handled and logged. It is to be called once no connection accepts
+// any more.
+func (h *Handler) AwaitRequests() { h.deadlines.await() }
+
 // Ready reports whether the router accepts requests.
 func (h *Handler) Ready() bool {
 	return !h.stopping.Load() && h.config.Source.Table() != nil && h.config.Source.Fresh()
@@ -288,6 +292,7 @@
 
 // serveHTTP handles one request. Origin is set if another router passed it on.
 func (h *Handler) serveHTTP(w http.ResponseWriter, r *http.Request, origin *relay.Origin) {
+	defer h.deadlines.begin()()
 	receivedAt := h.now()
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
