--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -65,8 +65,9 @@
 	troubleLines    bounded.LineLimiter
 	listener        *peer.Server
 	metrics         *http.Server
-	// clock is clock.Now, except in tests.
+	// clock is clock.Now and disk is vfs.Default, except in tests.
 	clock   func() time.Duration
+	disk    vfs.FS
 	engines Engines
 	decode  Decode
 	loop    *control.Loop
@@ -105,13 +106,18 @@
 // New returns a coordinator that is not yet started. It reads or creates the node's identity in
 // the data directory. engines sends orders to model engines, and decode parses configurations.
 func New(config settings.Coordinator, engines Engines, decode Decode, logger *slog.Logger) (*Server, error) {
+	return NewOnDisk(vfs.Default, config, engines, decode, logger)
+}
+
+// NewOnDisk is New with the data directory on the given disk.
+func NewOnDisk(disk vfs.FS, config settings.Coordinator, engines Engines, decode Decode, logger *slog.Logger) (*Server, error) {
 	backendLimits := ratelimit.NewLimiter(logger)
 	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines, decode: decode,
-		clock: clock.Now, started: clock.Now(), placer: placer.New(backendLimits), tenantLimits: newTenantLimits(config, decode, logger), backendLimits: backendLimits,
+		clock: clock.Now, disk: disk, started: clock.Now(), placer: placer.New(backendLimits), tenantLimits: newTenantLimits(config, decode, logger), backendLimits: backendLimits,
 		blocker: newBlocker(config.BackendHeartbeat, logger), streams: resumption.NewTable()}
 	s.loop = control.NewLoop(s.now)
 	var err error
-	if s.identity, err = loadIdentity(vfs.Default, config); err != nil {
+	if s.identity, err = loadIdentity(disk, config); err != nil {
 		return nil, err
 	}
 	s.peers = peer.NewClient(s.counters)
@@ -191,7 +197,7 @@
 func (s *Server) run(ctx context.Context) {
 	defer s.loop.MarkStopped()
 	for ctx.Err() == nil {
-		core, err := control.NewCore(s.coreConfig(), vfs.Default, s.settings.DataDirectory, s.now())
+		core, err := control.NewCore(s.coreConfig(), s.disk, s.settings.DataDirectory, s.now())
 		if err == nil {
 			s.core = core
 			err = s.drive(ctx)
