Checks of coordinators' tests run on the test's goroutine

Seen: a data race of group.kill and group.call after TestDoubtfulBlockIsTriedByOneRequest had failed.

Cause: poll.WaitOn runs each check in a goroutine of its own and leaves it running at its time-out. The cleanup then stops the nodes that the check still calls.

Change: waitOn checks on the caller's goroutine, with the same time-outs, delays and messages. A check that succeeds later than its time-out fails the test as before. A check that fails the test itself, as a nested call of a node does at its own time-out, now ends it at once.

--- a/internal/coordinator/acknowledgement_test.go
+++ b/internal/coordinator/acknowledgement_test.go
@@ -58,7 +58,7 @@
 	g.register("x", 100)
 	g.restart()
 	s := g.servers[0]
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		silent := false
 		s.loop.Do(t.Context(), func(time.Duration) { silent = s.soft.isSilent("x") })
 		if !silent {
--- a/internal/coordinator/backendlimits_test.go
+++ b/internal/coordinator/backendlimits_test.go
@@ -32,7 +32,7 @@
 // awaitLimited waits until the leader's views name the given back ends as limited.
 func (g *group) awaitLimited(wanted ...coordapi.BackendID) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		reply, err := g.servers[g.leader()].Call(context.Background(), coordapi.Request{Watch: &coordapi.Watch{Router: "w"}})
 		if err != nil || reply.View == nil || len(reply.View.Limited) != len(wanted) {
 			return poll.Continue("%+v, %v", reply.View, err)
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -46,7 +46,7 @@
 
 func (g *group) awaitBlocked(request poison.Digest, wanted bool) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		if g.blocked(request) != wanted {
 			return poll.Continue("blocked is not %v", wanted)
 		}
@@ -108,7 +108,7 @@
 	server := httptest.NewServer(g.servers[0].Handler())
 	defer server.Close()
 	var list []blockedEntry
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		response, err := http.Get(server.URL + "/v1/blocked")
 		if err != nil {
 			return poll.Error(err)
@@ -163,7 +163,7 @@
 		return fmt.Sprint(reply.View.Suspects)
 	}
 	await := func(wanted string) {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
+		waitOn(t, func(poll.LogT) poll.Result {
 			if got := suspects(); got != wanted {
 				return poll.Continue("suspects are %s", got)
 			}
@@ -239,7 +239,7 @@
 // awaitTrial waits until the leader announces a trial of a block.
 func (g *group) awaitTrial(id poison.Digest) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		reply := g.call(0, coordapi.Request{Watch: &coordapi.Watch{Router: "r"}})
 		if reply.View == nil || !contains(reply.View.Trials, id) {
 			return poll.Continue("no trial")
@@ -289,7 +289,7 @@
 	assert.Assert(t, g.askTrial(1, 5))
 	time.Sleep(100 * time.Millisecond)
 	g.call(0, crashReportWithParts(3000, []poison.Digest{5}, "f"))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		if !g.confirmed(5) {
 			return poll.Continue("not confirmed")
 		}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -195,11 +195,36 @@
 	}
 }
 
+// waitOn is poll.WaitOn with the checks on the caller's goroutine: none is left running beside the end of
+// the test, and a check may fail the test.
+func waitOn(t *testing.T, check poll.Check, options ...poll.SettingOp) {
+	t.Helper()
+	settings := poll.Settings{Timeout: 10 * time.Second, Delay: 100 * time.Millisecond}
+	for _, option := range options {
+		option(&settings)
+	}
+	for begun, message := time.Now(), "first check never completed"; ; time.Sleep(settings.Delay) {
+		result := check(t)
+		if result.Error() != nil {
+			t.Fatalf("polling check failed: %s", result.Error())
+		}
+		if !result.Done() {
+			message = result.Message()
+		}
+		if time.Since(begun) > settings.Timeout {
+			t.Fatalf("timeout hit after %s: %s", settings.Timeout, message)
+		}
+		if result.Done() {
+			return
+		}
+	}
+}
+
 // call sends a request to a node until it succeeds.
 func (g *group) call(i int, request coordapi.Request) coordapi.Reply {
 	g.t.Helper()
 	var reply coordapi.Reply
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		var err error
 		if reply, err = g.servers[i].Call(context.Background(), request); err != nil {
 			return poll.Continue("%v", err)
@@ -222,7 +247,7 @@
 
 func (g *group) awaitVoters(i, wanted int) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		if have := g.voters(i); have != wanted {
 			return poll.Continue("%d voters, wanted %d", have, wanted)
 		}
@@ -282,7 +307,7 @@
 
 func (g *group) leader() int {
 	leader := -1
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		for i := range g.servers {
 			g.servers[i].loop.Do(context.Background(), func(now time.Duration) {
 				if g.servers[i].core.HoldsLease(now) {
@@ -341,7 +366,7 @@
 // awaitVersion waits until the leader's row has a version and no load.
 func (g *group) awaitVersion(id string, version int) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		row := g.row(g.leader(), id)
 		if row.Weights["m"] != version || row.Loading != nil {
 			return poll.Continue("row is %+v", row)
@@ -359,7 +384,7 @@
 	}
 	g.call(0, beat("x", 1, false))
 	g.call(0, coordapi.Request{NameWeights: &state.NameWeights{Model: "m", Version: 2}})
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		if g.row(0, "x").Loading == nil {
 			return poll.Continue("no order yet")
 		}
--- a/internal/coordinator/digest_test.go
+++ b/internal/coordinator/digest_test.go
@@ -26,14 +26,14 @@
 	other := (leader + 1) % 3
 	server := g.servers[other]
 	sequence := coordapi.Sequence(1)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		sequence++
 		if !server.answerLocally(context.Background(), *beat("x", sequence, false).Heartbeat) {
 			return poll.Continue("the leader has not accepted a digest of node %d", other)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		if got := g.lastSequence(leader, "x"); got != sequence {
 			return poll.Continue("the leader recorded heartbeat %d of %d", got, sequence)
 		}
--- a/internal/coordinator/drain_test.go
+++ b/internal/coordinator/drain_test.go
@@ -20,7 +20,7 @@
 // awaitDraining waits until all replicas have a back end as draining.
 func (g *group) awaitDraining(id string) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		for i := range g.servers {
 			if !g.row(i, id).Draining {
 				return poll.Continue("not draining on node %d", i)
@@ -64,7 +64,7 @@
 	g.engines.mu.Unlock()
 	// Only the leader acts on the report, but any node may take it from the shared fake, so it is
 	// set repeatedly.
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		if g.row(g.leader(), "x").Draining {
 			return poll.Success()
 		}
--- a/internal/coordinator/fairshares_test.go
+++ b/internal/coordinator/fairshares_test.go
@@ -39,7 +39,7 @@
 	begun := time.Now()
 	await := func(asked int, done func([]fairshare.Share) bool) {
 		t.Helper()
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
+		waitOn(t, func(poll.LogT) poll.Result {
 			if got := report(asked); !done(got) {
 				return poll.Continue("%+v", got)
 			}
--- a/internal/coordinator/leave_test.go
+++ b/internal/coordinator/leave_test.go
@@ -428,7 +428,7 @@
 	g.config[joined].Bootstrap = false
 	g.replaceDisk(joined)
 	g.start(joined)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		left := false
 		g.servers[joined].loop.Do(t.Context(), func(time.Duration) {
 			left = g.servers[joined].core.Machine().Deployment().HasLeft(state.Start{Name: "x", Born: 100})
--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -57,7 +57,7 @@
 	assert.Assert(t, over.Wait > time.Second)
 	// What a router gives back is available again.
 	assert.Equal(t, g.placeFor(1003, 200, quota.Spent{Tenant: "a", Amount: -150}).ID, "x")
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		g.call(0, coordapi.Request{Update: &coordapi.Update{Router: "r"}})
 		g.placeFor(1004, 200)
 		reply := g.call(g.leader(), coordapi.Request{Watch: &coordapi.Watch{Router: "r"}})
@@ -136,14 +136,14 @@
 	g.awaitPlaced("x")
 	// The refill within the test is small beside the burst.
 	g.configure(2, strings.Replace(limitedTo200, `"rate":1,"burst":200`, `"rate":1000,"burst":100000`, 1))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		if g.recordedLevel("a") > 80_000 {
 			return poll.Success()
 		}
 		return poll.Continue("the level of a full bucket is not recorded")
 	}, poll.WithTimeout(10*time.Second))
 	assert.Assert(t, !g.placeFor(1, 60_000).OverLimit)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		if level := g.recordedLevel("a"); level > 20_000 && level < 60_000 {
 			return poll.Success()
 		}
--- a/internal/coordinator/operator_test.go
+++ b/internal/coordinator/operator_test.go
@@ -145,7 +145,7 @@
 // awaitLoad waits until the leader has the expected placements and a queue that is not empty.
 func (o *operated) awaitLoad() {
 	o.t.Helper()
-	poll.WaitOn(o.t, func(poll.LogT) poll.Result {
+	waitOn(o.t, func(poll.LogT) poll.Result {
 		s := o.leading()
 		open, _ := s.placer.OpenPlacements()
 		var metrics bytes.Buffer
@@ -305,7 +305,7 @@
 			}
 		}
 		resume()
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
+		waitOn(t, func(poll.LogT) poll.Result {
 			reply, err := o.servers[node].Call(context.Background(), coordapi.Request{Configure: &state.Configure{
 				Version: version, Document: []byte(documentWithKeys(version, `"k"`))}})
 			if err != nil {
--- a/internal/coordinator/place_test.go
+++ b/internal/coordinator/place_test.go
@@ -22,7 +22,7 @@
 func (g *group) awaitPlaced(id string) {
 	g.t.Helper()
 	number := uint64(0)
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		number++
 		reply, err := g.servers[g.leader()].Call(context.Background(), place(number))
 		if err != nil || reply.Placed == nil || reply.Placed.ID != id {
--- a/internal/coordinator/queue_test.go
+++ b/internal/coordinator/queue_test.go
@@ -90,7 +90,7 @@
 	g, s := newFullGroup(t)
 	g.configure(1, unlimited)
 	g.configure(2, limitedTo200)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		if len(s.tenantLimits.list(s.now())) == 0 {
 			return poll.Continue("no limits yet")
 		}
@@ -146,7 +146,7 @@
 // awaitRooms waits until the leader announces a capacity.
 func (g *group) awaitRooms(wanted coordapi.Room) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		g.call(0, coordapi.Request{Update: &coordapi.Update{Router: "r"}})
 		reply := g.call(g.leader(), coordapi.Request{Watch: &coordapi.Watch{Router: "r"}})
 		if got := reply.View.Rooms["llm"]; got != wanted {
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -34,7 +34,7 @@
 // awaitSingleStart waits until a node's replica has a single start of a back end.
 func (g *group) awaitSingleStart(i int, name string, born state.UnixMilli) {
 	g.t.Helper()
-	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+	waitOn(g.t, func(poll.LogT) poll.Result {
 		var starts []state.UnixMilli
 		g.servers[i].loop.Do(context.Background(), func(time.Duration) {
 			for _, b := range g.servers[i].core.Machine().Deployment().Backends {
@@ -124,7 +124,7 @@
 	assert.Equal(t, g.currentRow(0, "x").Born, state.UnixMilli(200))
 	limit := silentLimit(g.config[0].BackendHeartbeat)
 	g.suspendedFor[0].Add(int64(limit + time.Millisecond))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
+	waitOn(t, func(poll.LogT) poll.Result {
 		g.call(0, heartbeatOf("x", 100, 2, false, 1))
 		if g.currentRow(0, "x").Born != 100 {
 			return poll.Continue("not taken")
--- a/internal/coordinator/unresponsive_test.go
+++ b/internal/coordinator/unresponsive_test.go
@@ -47,7 +47,7 @@
 	// await repeats a report, as routers do, until the list is the wanted one.
 	await := func(report coordapi.Request, wanted ...string) {
 		t.Helper()
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
+		waitOn(t, func(poll.LogT) poll.Result {
 			g.call(0, report)
 			if err := watch(100 * time.Millisecond); err != nil || !slices.Equal(listed, wanted) {
 				return poll.Continue("listed are %v, %v", listed, err)
