Await the status response of a back end until the deadline, with a further attempt beside it

Callers of resumable streams got 503 after 0.5 s where the only back end that may serve them (the only engine of a software version, or a plain back end at whose address a process may have ended) was silent for 1.2 or 2.6 s: the status request before the stream was given up after identifyTimeout, and nobody else was there.

Now it is awaited until the deadline of the request. After 0.5 s a further attempt begins beside it. Nothing has been written by then, so it takes no retry and no attempt of the route. An attempt that was held back passes race.admit before it is written: the first one runs, the others wait while it does, and run only after it or, if it is silent, beside it, as far as the route and the budget allow. The back end is avoided as before once another one has a place. A request that is not written is no evidence at an engine that has stopped, and its deadline header states what is left when it is written.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,6 +46,9 @@
 	// hold is set while a hedge that may not run beside the attempt keeps its request from being written
 	// on. The same lock guards it.
 	hold *hold
+	// unsent is set while the request is not written unless admit allows it, and silent once the back end
+	// has been silent. The same lock guards them.
+	unsent, silent bool
 	// silenceReported is set once the attempt has been reported as one at a stopped engine.
 	silenceReported atomic.Bool
 	// onClose are called in reverse order when the attempt ends.
@@ -98,6 +101,7 @@
 		a.onClose = append(a.onClose, h.takeShare(j))
 	}
 	j.request.Allowed, j.request.OnHeld = a.running.Allowed, a.onHeld
+	j.request.Admit = a.admit
 	j.request.Born, j.request.Identify = h.requiredStart(j, a.running)
 	if choice.Placement > 0 {
 		a.onClose = append(a.onClose, func() { h.config.Placer.Ended(choice.Placement) })
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -329,7 +329,7 @@
 	j.request.Backend = j.backend(choice.ID)
 	j.request.Instance = choice.Name()
 	j.request.Permit = choice.Permit
-	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
+	h.setDeadline(j)
 	if s.lastEventID != "" {
 		header.Set(names.LastEvent, s.lastEventID)
 	}
@@ -343,6 +343,11 @@
 	h.setPromptHeaders(j, choice)
 }
 
+// setDeadline sets the time that the request has left.
+func (h *Handler) setDeadline(j *job) {
+	j.request.Header.Set(h.config.Headers.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
+}
+
 // finish ends a request for which there is no further attempt.
 func (h *Handler) finish(ctx context.Context, s *session, result outcome) {
 	j := s.job
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -156,7 +156,7 @@
 	ended := func() poison.FailedAttempt { return j.failedAttempt(choice.ID, now-started) }
 	complete := result.verdict != mayHaveRun
 	switch {
-	case result.verdict == notRun, isLocal(result.err), isOurs(result.err), isOurs(context.Cause(ctx)):
+	case result.verdict == notRun, errors.Is(result.err, errAttemptsSpent), isLocal(result.err), isOurs(result.err), isOurs(context.Cause(ctx)):
 	case complete && response != nil && !framed:
 		// The connections of a back end that crashes are closed as well.
 		h.probes.add(choice, ending{FailedAttempt: ended(), at: now, complete: true, answered: j.answeredParts(response)}, h.probeBackend)
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -42,6 +42,12 @@
 	attempt, last *attempt
 	// hold is set while the hedge keeps the silent attempt from running beside it.
 	hold *hold
+	// granted is set if the attempt has taken a retry from the budget.
+	granted bool
+	// ran counts the attempts that may have run, and uncounted is set while the last one is missing there.
+	// The lock of the race guards them.
+	ran       int
+	uncounted bool
 }
 
 // run looks for a place, sends the request and waits for the first answer.
@@ -154,7 +160,7 @@
 			h.recordEnd(s, a, result)
 		}
 		a.close()
-		s.job.count(result)
+		g.race.countHedge(g, result)
 		if a.relay != "" {
 			s.job.brokenRelays = append(s.job.brokenRelays, a.relay)
 			s.job.deliveriesElsewhere++
@@ -197,7 +203,7 @@
 	}
 	a, result := h.open(g.ctx, s, choice)
 	if result.err != nil && !result.delivered {
-		j.retry.giveBack()
+		g.giveBack()
 	}
 	return a, result
 }
@@ -219,14 +225,20 @@
 	case h.config.Pool.NotResponding(choice.ID):
 		// Leaders of older builds do not know the condition.
 		err = errNoBackend
+	case errors.Is(g.cause, errUnidentified):
+		// The request has not been sent, and one of the attempts waits for the other.
+		g.granted = false
+		h.config.Pool.Unreachable(h.now(), g.from.choice.ID)
 	case !h.takeRetry(g.ctx, j):
 		err = errNoBudget
 	case !g.makeWay():
 		j.retry.giveBack()
 		err = errReadsOn
+	default:
+		g.granted = true
 	}
 	if err == nil && g.ctx.Err() != nil {
-		j.retry.giveBack()
+		g.giveBack()
 		err = context.Cause(g.ctx)
 	}
 	if err != nil {
@@ -235,6 +247,14 @@
 	return choice, err
 }
 
+// giveBack returns the retry of an attempt that was not delivered.
+func (g *hedge) giveBack() {
+	if g.granted {
+		g.session.job.retry.giveBack()
+		g.granted = false
+	}
+}
+
 var (
 	errBlocked   = errors.New("the request is blocked")
 	errNoBudget  = errors.New("the retry budget is used up")
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -13,13 +13,14 @@
 
 var (
 	errUnread         = fmt.Errorf("the back end reads nothing of the request: %w", errSilent)
+	errUnidentified   = fmt.Errorf("the back end does not respond to the status request: %w", errSilent)
 	errUnacknowledged = fmt.Errorf("nobody acknowledges the request: %w", errSilent)
 	errReadsOn        = errors.New("the back end reads on")
 )
 
 // isHeld reports whether an attempt is silent because its request does not arrive.
 func isHeld(cause error) bool {
-	return errors.Is(cause, errUnread) || errors.Is(cause, errUnacknowledged)
+	return errors.Is(cause, errUnread) || errors.Is(cause, errUnidentified) || errors.Is(cause, errUnacknowledged)
 }
 
 // hold keeps a request that its back end has not read, and so does not run, from being written on. The
@@ -43,7 +44,12 @@
 // request is to be given up.
 func (a *attempt) onHeld(why upstream.Held) (goOn bool) {
 	r := a.session.race
-	if why == upstream.Unacknowledged {
+	switch why {
+	case upstream.Unidentified:
+		r.holdBack(a)
+		r.hedge(a, errUnidentified)
+		return true
+	case upstream.Unacknowledged:
 		if a.relay != "" {
 			a.handler.config.Relays.Unreachable(a.handler.clock(), a.relay)
 		}
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -37,6 +37,10 @@
 	vainRelays, sent int
 	// lastHedge is what became of the last hedge, for the log.
 	lastHedge string
+	// waiting counts the attempts that wait in admit.
+	waiting int
+	// uncounted is set while the present attempt has ended and is not in the job's tally.
+	uncounted bool
 	// changed receives when a hedge ends.
 	changed chan struct{}
 }
@@ -53,6 +57,7 @@
 		g.attempt = a
 		r.sent++
 		r.vain = slices.DeleteFunc(r.vain, func(id string) bool { return id == a.choice.ID })
+		a.unsent = errors.Is(g.cause, errUnidentified)
 		return
 	}
 	r.present = a
@@ -66,10 +71,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.present == a {
-		r.present, r.forwarding = nil, false
+		r.present, r.forwarding, r.uncounted = nil, false, !a.unsent
 	}
 	if g := a.session.hedge; g != nil && g.attempt == a {
-		g.attempt, g.last = nil, a
+		g.attempt, g.last, g.uncounted = nil, a, !a.unsent
 	}
 }
 
@@ -126,6 +131,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.session.job.count(result)
+	r.uncounted = false
+}
+
+// countHedge counts an attempt of a hedge that ended without an answer.
+func (r *race) countHedge(g *hedge, result outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g.session.job.count(result)
+	g.ran, g.uncounted = g.session.job.ran-g.base.ran, false
 }
 
 // open reports whether an attempt is the present one or that of a pending hedge. The lock is held.
@@ -152,7 +166,13 @@
 	now := h.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.open(from) || r.forwarding || from.hedged || !from.backoff.Ready(now) || r.winner != nil || r.ctx.Err() != nil {
+	if !r.open(from) || r.forwarding || r.winner != nil || r.ctx.Err() != nil {
+		return
+	}
+	if from.silent = true; from.unsent {
+		cause = errUnidentified
+	}
+	if from.hedged || !from.backoff.Ready(now) || r.waiting > 0 {
 		return
 	}
 	j, allowed := r.fork(cause)
@@ -167,10 +187,18 @@
 	h.hedges.Go(g.run)
 }
 
-// running returns the number of open attempts that may run the request. The lock is held.
+// running returns the number of attempts that may run the request and are not counted. The lock is held.
 func (r *race) running() (n int) {
+	if r.uncounted {
+		n++
+	}
+	for _, g := range r.pending {
+		if g.uncounted {
+			n++
+		}
+	}
 	for _, a := range r.openAttempts() {
-		if !a.hold.isStopped() {
+		if !a.hold.isStopped() && !a.unsent {
 			n++
 		}
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -146,7 +146,7 @@
 		text = "passed on to router " + address + ", no part of the free capacity left"
 	}
 	request := h.requestVia(s)
-	request.OnHeld = a.onHeld
+	request.OnHeld, request.Admit = a.onHeld, a.admit
 	s.race.begin(a)
 	a.silence = h.watchSilence(a, relaySilenceFactor)
 	a.onClose = append(a.onClose, a.silence.stop)
--- a/internal/forward/unresponsive.go
+++ b/internal/forward/unresponsive.go
@@ -77,7 +77,7 @@
 	if state.Listed || state.Lost {
 		cause = errUnresponsive
 	}
-	if state.Lost {
+	if state.Lost && !a.session.race.heldBack(a) {
 		a.reportSilence()
 	}
 	if action == hedging.End {
--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// identifyTimeout bounds the status request on a connection: a few round trips between zones, and pauses of
-	// either process for a tenth of a second.
+	// identifyTimeout is the time for the status request on a connection after which the request is held, or
+	// given up without patience: a few round trips between zones, and pauses of either process for a tenth
+	// of a second.
 	identifyTimeout = 500 * time.Millisecond
 	// maxStatus bounds the body of its response, in bytes.
 	maxStatus = 64 << 10
@@ -57,6 +58,7 @@
 		if c, err = p.take(ctx, address, r); err != nil {
 			return nil, err
 		}
+		c.setPatience(r.Patience)
 		if err = p.identify(ctx, address, c, r); err == nil {
 			return c, nil
 		}
@@ -129,8 +131,39 @@
 }
 
 func (p *Pool) requestBorn(ctx context.Context, address string, c *connection, r *Request) (state.UnixMilli, error) {
-	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(r.Patience, identifyTimeout))
 	defer cancel()
+	defer r.holdUnidentified()()
+	return p.exchangeStatus(ctx, address, c, r)
+}
+
+// holdUnidentified calls OnHeld while the status request is pending. Release waits for the last call.
+func (r *Request) holdUnidentified() (release func()) {
+	if r.OnHeld == nil || r.Patience <= identifyTimeout {
+		return func() {}
+	}
+	ended, returned := make(chan struct{}), make(chan struct{})
+	timer := time.AfterFunc(identifyTimeout, func() {
+		defer close(returned)
+		for {
+			r.OnHeld(Unidentified)
+			select {
+			case <-ended:
+				return
+			case <-time.After(heldInterval):
+			}
+		}
+	})
+	return func() {
+		if !timer.Stop() {
+			close(ended)
+			<-returned
+		}
+	}
+}
+
+// exchangeStatus sends the status request and returns the start time in its response.
+func (p *Pool) exchangeStatus(ctx context.Context, address string, c *connection, r *Request) (state.UnixMilli, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	a := &BackendResponse{pool: p, address: address, connection: c}
--- a/internal/upstream/identify_test.go
+++ b/internal/upstream/identify_test.go
@@ -120,6 +120,39 @@
 	assert.Equal(t, b.served.Load(), int32(0))
 }
 
+// Guards against giving up a request that has patience while the status request is pending, and against sending
+// it without admission.
+func TestStatusOfSilentBackendIsAwaitedWithPatience(t *testing.T) {
+	for name, rejection := range map[string]error{"admitted": nil, "not admitted": errors.New("another attempt runs")} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var asked, served, held atomic.Int32
+			b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+				for r, err := http.ReadRequest(requests); err == nil; r, err = http.ReadRequest(requests) {
+					if r.URL.Path == "/status" {
+						asked.Add(1)
+						time.Sleep(3 * identifyTimeout)
+						_, _ = conn.Write([]byte(responseTo("", "5")))
+						continue
+					}
+					served.Add(1)
+					_, _ = conn.Write([]byte(responseTo(r.Header.Get(idHeader), "served")))
+				}
+			})
+			p, r := newIdentifyingPool(), request("1")
+			r.Born, r.Identify, r.Backend, r.Patience = 5, true, pushback.Backend{ID: "b"}, 10*time.Second
+			r.OnHeld = func(why Held) bool { held.Add(1); return why == Unidentified && served.Load() == 0 }
+			r.Admit = func() error { return rejection }
+			_, _, err := p.Call(t.Context(), b.address, r, 100)
+			assert.Equal(t, asked.Load(), int32(1))
+			assert.Assert(t, held.Load() > 0)
+			assert.Equal(t, err == nil, rejection == nil, "%v", err)
+			assert.Equal(t, served.Load() == 1, rejection == nil)
+			assert.Assert(t, rejection == nil || (errors.Is(err, rejection) && errors.Is(err, ErrNotSent)), "%v", err)
+		})
+	}
+}
+
 func TestStartIsNotAskedForWithoutNeed(t *testing.T) {
 	b, p := startIdentified(t, responseTo("", "6")), newIdentifyingPool()
 	assert.NilError(t, p.do(t, b.address, 0))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -125,13 +125,16 @@
 	// Allowed is called just before the write, and its error keeps the request from being sent.
 	// It may be nil.
 	Allowed func() error
+	// Admit is called once the start that serves the address is identified. It may wait, and its error keeps
+	// the request from being sent. It may be nil.
+	Admit func() error
 	// Permit is the permit that a back end with a limit requires; otherwise nil.
 	Permit *ratelimit.Permit
 	// NonIdempotent marks a request that must not run twice. It is not sent over a kept connection
 	// that is about to expire.
 	NonIdempotent bool
-	// Patience is the time for which the request is held while its back end reads nothing of it or
-	// nobody acknowledges it. Values lower than those of the pool have no effect.
+	// Patience is the time for which the request is held while its back end reads nothing of it, nobody
+	// acknowledges it or the status request is pending. Values lower than those of the pool have no effect.
 	Patience time.Duration
 	// OnHeld is called while the request is held, once the pool's own time is over and then repeatedly. It
 	// may be nil. The request is given up if it returns false for one that is unread.
@@ -146,6 +149,8 @@
 	Unacknowledged Held = iota
 	// Unread: the back end reads nothing of it and has not received all of it.
 	Unread
+	// Unidentified: nothing of it has been written, since the start that serves the address is not known.
+	Unidentified
 )
 
 // held calls OnHeld.
@@ -378,7 +383,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c.setPatience(r.Patience)
+	if r.Admit != nil {
+		if err := r.Admit(); err != nil {
+			_ = c.Close()
+			return nil, &callError{kind: ErrNotSent, cause: err}
+		}
+	}
 	started := clock.Now()
 	a := &BackendResponse{pool: p, address: address, connection: c, identified: r.Born != 0 && c.born == r.Born}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
