Let streams wait for the engines of their software version that load weights

Clients that resumed a stream got 503 without Retry-After while all engines of the software version that began it loaded weights, which takes a second: an engine that loads counted as one that does not serve, so the version was taken for gone (softwareGone), at the leader and at routers without one.

Now a version is gone only if none of its back ends serves or loads. At the leader the request waits in the queue of its pool, keeps nobody else from being served, and is refused as others once it cannot begin in time, or once the last row drains, departs or is back with too old weights. A router without the leader waits as it does for any back end, and its refusal has a Retry-After.

--- a/internal/backends/filter.go
+++ b/internal/backends/filter.go
@@ -8,7 +8,7 @@
 
 // mayServe reports whether a back end is eligible for a request. An ineligible one is never chosen.
 func (p *Pool) mayServe(r *row, q *Query) bool {
-	if r.Draining || r.wrongInstance || r.unlisted || r.Loading != nil || !p.hasSoftware(r, q) {
+	if r.Loading != nil || !p.isOpen(r, q) {
 		return false
 	}
 	if q.Model == "" {
@@ -24,6 +24,11 @@
 	return version >= p.notes.Minimum[q.Model]
 }
 
+// isOpen reports whether a back end takes requests, as far as that does not depend on its weights.
+func (p *Pool) isOpen(r *row, q *Query) bool {
+	return !r.Draining && !r.wrongInstance && !r.unlisted && p.hasSoftware(r, q)
+}
+
 // heldVersion caches a version in the weights of a row. A choice needs it several times for each
 // back end; lookups in the maps of 10,000 engines took a quarter of its time.
 type heldVersion struct {
--- a/internal/backends/software.go
+++ b/internal/backends/software.go
@@ -25,16 +25,32 @@
 }
 
 // ServesSoftware reports whether a back end of a request's pool and software version may serve it, whatever
-// it runs.
+// it runs, or will once it has loaded weights.
 func (p *Pool) ServesSoftware(q *Query) bool {
+	serves, loads := p.software(q)
+	return serves || loads
+}
+
+// LoadsSoftware reports whether those back ends of a request's pool and software version that are to serve it
+// all load weights.
+func (p *Pool) LoadsSoftware(q *Query) bool {
+	serves, loads := p.software(q)
+	return loads && !serves
+}
+
+func (p *Pool) software(q *Query) (serves, loads bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.rows {
-		if r.Pool == q.Pool && p.mayServe(r, q) {
-			return true
+		if r.Pool != q.Pool {
+			continue
+		}
+		if p.mayServe(r, q) {
+			return true, loads
 		}
+		loads = loads || (r.Loading != nil && p.isOpen(r, q))
 	}
-	return false
+	return false, loads
 }
 
 // supersededBy returns the IDs of the rows whose streams another process may have continued to write
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -149,7 +149,7 @@
 }
 
 // softwareGone returns the choice for a request that has to go on at a software version of which this
-// router lists no back end. The leader may list more.
+// router lists no back end that serves it or loads weights. The leader may list more.
 func (h *Handler) softwareGone(j *job) (choice backends.Choice, gone bool) {
 	if j.query.Software == "" || h.config.Pool.ServesSoftware(&j.query) {
 		return choice, false
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -164,6 +164,32 @@
 	r.pool.ApplyNotes(coordapi.Notes{Software: map[string]coordapi.SoftwareVersions{"llm": {Serving: []state.SoftwareVersion{"v1"}, Former: []state.SoftwareVersion{"v0"}}}})
 }
 
+// Guards against refusing a resumed stream for good while the only engine of its version loads weights.
+func TestResumedStreamWaitsWhileOnlyEngineOfItsVersionLoads(t *testing.T) {
+	for name, loaded := range map[string]bool{"loaded in time": true, "not loaded in time": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.source.table.Route("h", "/resumable/x").Target = 2 * time.Second
+			r.useResumptions().local[resumption.KeyOf("alice", "id-1")] = firstWriter
+			r.addVersion("old", "v1", goOn)
+			r.addVersion("new", "v2", goOn)
+			r.serveVersions("v1", "v2")
+			row := state.Backend{ID: "old", Pool: "llm", Address: r.servers[0].Listener.Addr().String(), Zone: "a", Software: "v1"}
+			loading := row
+			loading.Loading = &state.Loading{Model: "m", Version: 2}
+			r.pool.Apply([]state.Backend{loading}, nil, false)
+			if loaded {
+				time.AfterFunc(100*time.Millisecond, func() { r.pool.Apply([]state.Backend{row}, nil, false) })
+			}
+			got := r.resume("id-1")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status == http.StatusOK, loaded)
+			assert.Equal(t, got.header.Get("Retry-After") != "", !loaded)
+			assert.Equal(t, r.ran("new"), 0)
+		})
+	}
+}
+
 // A resumed stream must go to its version whichever engine costs least.
 func TestResumedStreamNeverGoesToAnotherVersion(t *testing.T) {
 	r := newRig(t)
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -121,7 +121,7 @@
 		case found && !choice.Late:
 			queue.Admitted(now, request)
 			return p.begin(now, r, ask, q, &choice, permitTerm)
-		case !found && !choice.NoRoom:
+		case !found && !choice.NoRoom && !p.softwareLoads(now, ask):
 			return coordapi.Placed{RetryAfter: choice.RetryAfter}
 		}
 	}
--- a/internal/placer/software.go
+++ b/internal/placer/software.go
@@ -8,11 +8,17 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// softwareGone reports whether a request has to go on at a software version of which no engine serves it.
+// softwareGone reports whether a request has to go on at a software version of which no engine serves it or
+// will once it has loaded weights.
 func (p *Placer) softwareGone(now time.Duration, ask *coordapi.Place) bool {
 	return ask.Software != "" && !p.pool.ServesSoftware(p.query(now, ask))
 }
 
+// softwareLoads reports whether a request has to go on at a software version whose engines load weights.
+func (p *Placer) softwareLoads(now time.Duration, ask *coordapi.Place) bool {
+	return ask.Software != "" && p.pool.LoadsSoftware(p.query(now, ask))
+}
+
 // waitingSoftware returns the software version that a waiting request has to go on at, empty for any.
 func (p *Placer) waitingSoftware(key admission.Key) state.SoftwareVersion {
 	if r := p.routers[key.Router]; r != nil && r.waiting[key.Number] != nil {
