Test that a silent engine of a software version is not taken for gone

TestBoundRequestGoesToSilentEngine passed before too: neither overdue heartbeats nor the leader's list of unresponsive engines make a version count as gone.

--- a/internal/placer/software_test.go
+++ b/internal/placer/software_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// Guards against taking an engine for gone whose heartbeats are overdue and whose streams have stopped.
+func TestBoundRequestGoesToSilentEngine(t *testing.T) {
+	p, rows := newMixedPlacer(func(*state.Backend) {})
+	p.ApplyNotes(coordapi.Notes{Silent: []string{rows[0].ID}, Unresponsive: []string{rows[0].ID}})
+	now := time.Second
+	placed := p.Place(now, bound("a", 1))
+	for ; placed.Queued && now < 3*time.Second; now += 10 * time.Millisecond {
+		p.Step(now)
+		if outcomes := collect(t, p, now, "a"); len(outcomes) > 0 {
+			placed = outcomes[0].Placed
+		}
+	}
+	assert.Equal(t, placed.ID, rows[0].ID, "%+v", placed)
+}
+
 // Guards against a wait for an engine that drains or has departed, or whose weights remain too old, and against
 // one that exceeds the time in which the request can begin.
 func TestBoundRequestIsRefusedOnceNoEngineWillServeIt(t *testing.T) {
