Look up the writer of a resumed stream once a second software version is known before it is sent

Now the versions that are known when the request is written decide, for each attempt, also beside another one and at a router that carries the request for another: if several are named and nothing binds the stream, it is not written, its place is given back, its writer is looked up and it is placed again with its time of arrival. A stream whose writer is not known is refused as before. Where one version serves nothing changes: nothing is looked up, sent or waited for.

Evidence: TestResumedStreamIsBoundToVersionAnnouncedBeforeItIsSent (16 of 16 cases: events of v2 after those of v1, or 200 where nobody knows the writer) and TestFurtherAttemptIsBoundToVersionAnnouncedBeforeItIsSent failed before, none since. TestResumedStreamIsNotLookedUpWhileOneVersionServes guards the other side and passed before too.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -100,7 +100,7 @@
 	if j.pool.Engine != nil {
 		a.onClose = append(a.onClose, h.takeShare(j))
 	}
-	j.request.Allowed, j.request.OnHeld = a.running.Allowed, a.onHeld
+	j.request.Allowed, j.request.OnHeld = a.allowed, a.onHeld
 	j.request.Admit = a.admit
 	j.request.Born, j.request.Identify = h.requiredStart(j, a.running)
 	if choice.Placement > 0 {
@@ -129,6 +129,14 @@
 	return a, outcome{}
 }
 
+// allowed returns nil if the request may still be sent to its back end.
+func (a *attempt) allowed() error {
+	if a.session.unbound() {
+		return errUnbound
+	}
+	return a.running.Allowed()
+}
+
 // watch makes the attempt observed: a further one begins while its back end is silent.
 func (h *Handler) watch(a *attempt) {
 	a.session.race.begin(a)
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -84,6 +84,12 @@
 			h.finish(ctx, s, outcome{verdict: mayHaveRun, err: errWriterUnknown})
 			return
 		}
+		if s.unbound() {
+			if err := s.bindLate(ctx); err != nil {
+				h.refuseUnbound(ctx, s, err, ran)
+				return
+			}
+		}
 		if h.needsRelay(j) {
 			result := h.passOn(ctx, s, maxRelays)
 			if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
@@ -170,7 +176,9 @@
 			return
 		}
 		result := h.attempt(ctx, s, choice)
-		j.query.Tried = append(j.query.Tried, choice.ID)
+		if !errors.Is(result.err, errUnbound) {
+			j.query.Tried = append(j.query.Tried, choice.ID)
+		}
 		if !h.settle(ctx, s, result, &ran) {
 			return
 		}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -164,7 +164,7 @@
 		if a.relay != "" {
 			s.job.brokenRelays = append(s.job.brokenRelays, a.relay)
 			s.job.deliveriesElsewhere++
-		} else {
+		} else if !errors.Is(result.err, errUnbound) {
 			s.job.query.Tried = append(s.job.query.Tried, a.choice.ID)
 		}
 		if cause := context.Cause(g.ctx); cause != nil {
@@ -184,6 +184,11 @@
 	if !s.keepVersion() {
 		return nil, outcome{err: errWriterUnknown}
 	}
+	if s.unbound() {
+		if err := s.bindLate(g.ctx); err != nil {
+			return nil, outcome{err: err}
+		}
+	}
 	if h.needsRelay(j) {
 		if !h.takeRetry(g.ctx, j) {
 			return nil, outcome{err: errNoBudget}
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -25,6 +25,9 @@
 		// Nothing was sent, so this is not a failure of the back end.
 		return outcome{verdict: notRun, err: err}
 	}
+	if errors.Is(err, errUnbound) {
+		return outcome{verdict: notRun, err: err}
+	}
 	if errors.Is(err, errAttemptsSpent) {
 		return outcome{verdict: mayHaveRun, err: err}
 	}
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -27,6 +27,7 @@
 var (
 	errWriterUnknown = errors.New("the software version that began the stream is not known")
 	errPoolMoved     = errors.New("the route no longer leads to the pool that began the stream")
+	errUnbound       = errors.New("several software versions may have begun the stream")
 )
 
 // Resumptions keeps which back end began each stream.
@@ -97,6 +98,51 @@
 	return nil
 }
 
+// unbound reports whether a stream that was resumed while one software version served may have been begun by
+// another one than serves next.
+func (s *session) unbound() bool {
+	h, j := s.handler, s.job
+	return j.continuation.resumed() && !s.headerSent && j.route.Kind == traffic.KindStream && h.config.Resumptions != nil &&
+		j.query.Software == "" && h.mixed(j.route, "")
+}
+
+// bindLate binds an unbound stream to the version that began it.
+func (s *session) bindLate(ctx context.Context) error {
+	j := s.job
+	err := s.handler.findWriter(ctx, j)
+	writer := j.continuation.writer
+	switch {
+	case err == nil && !writer.Known():
+		err = errWriterUnknown
+	case err == nil && writer.Pool != j.pool.Name:
+		err = errPoolMoved
+	}
+	if err != nil {
+		j.continuation.writer = resumption.Writer{}
+		return err
+	}
+	j.query.Software = writer.Software
+	return nil
+}
+
+// refuseUnbound ends a request whose stream bindLate has not bound. Ran is the result of the last attempt that may
+// have run.
+func (h *Handler) refuseUnbound(ctx context.Context, s *session, err error, ran outcome) {
+	if s.job.ran > 0 {
+		s.job.noAttempt = err.Error()
+		h.finish(ctx, s, ran)
+		return
+	}
+	out := &refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: unknownWriterRetryAfter + rand.N(unknownWriterRetryAfter/2)}
+	if errors.Is(err, errPoolMoved) {
+		// The next try goes to that pool if the route still leads there.
+		h.metrics.refusedMoved.Add(1)
+	} else {
+		out = h.refuseUnknownWriter(err)
+	}
+	h.refuse(s.client, s.job, out)
+}
+
 // findWriter looks up the back end that began a stream: in this router's records and, while several
 // versions may have begun it, in those of the coordinators.
 func (h *Handler) findWriter(ctx context.Context, j *job) error {
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/relay"
 	"quinceridge.example/quinceridge/internal/resumption"
@@ -321,3 +324,162 @@
 		assert.Equal(t, f.local[resumption.KeyOf("alice", attempt)].Software, state.SoftwareVersion("v1"), attempt)
 	}
 }
+
+// slowPlacer places requests at the first of its engines, and those that are bound to a software version at its
+// engine of that version. It calls before ahead of each answer, with the number of placements so far.
+type slowPlacer struct {
+	fixedPlacer
+	engines []backends.Choice
+	before  func(placed int)
+	placed  int
+}
+
+func (p *slowPlacer) Place(_ context.Context, q *backends.Query) (choice backends.Choice, found, answered bool) {
+	p.mu.Lock()
+	number := p.placed
+	p.placed++
+	p.mu.Unlock()
+	p.before(number)
+	for _, choice := range p.engines {
+		if (q.Software == "" || choice.Software == q.Software) && !slices.Contains(q.Tried, choice.ID) {
+			choice.Placement = uint64(number) + 1
+			return choice, true, true
+		}
+	}
+	return choice, false, true
+}
+
+// placeSlowly makes a placer the router's, with engines in order.
+func (r *rig) placeSlowly(before func(placed int), ids ...string) *slowPlacer {
+	p := &slowPlacer{before: before}
+	for _, id := range ids {
+		choice, found := r.pool.Choose(0, &backends.Query{Pool: "llm", Among: []string{id}})
+		assert.Assert(r.t, found && choice.ID == id)
+		p.engines = append(p.engines, choice)
+	}
+	r.handler.config.Placer = p
+	return p
+}
+
+// Guards against two software versions in one stream whose client resumed it while one version served, when
+// another one is announced before the request is sent.
+func TestResumedStreamIsBoundToVersionAnnouncedBeforeItIsSent(t *testing.T) {
+	key := resumption.KeyOf("alice", "id-1")
+	cases := map[string]struct {
+		// announced is the placement in which the second version is announced, and sent when it is announced
+		// as the request is about to be written.
+		announced int
+		late      bool
+		change    func(f *fakeResumptions)
+		status    int
+	}{
+		"while it waits":             {change: func(f *fakeResumptions) { f.coordinators[key] = firstWriter }, status: http.StatusOK},
+		"begun here":                 {change: func(f *fakeResumptions) { f.local[key] = firstWriter }, status: http.StatusOK},
+		"between choice and write":   {late: true, change: func(f *fakeResumptions) { f.coordinators[key] = firstWriter }, status: http.StatusOK},
+		"for a further attempt":      {announced: 1, change: func(f *fakeResumptions) { f.coordinators[key] = firstWriter }, status: http.StatusOK},
+		"not recorded":               {status: http.StatusServiceUnavailable},
+		"no coordinator responds":    {change: func(f *fakeResumptions) { f.unreachable = true }, status: http.StatusServiceUnavailable},
+		"not recorded, late":         {late: true, status: http.StatusServiceUnavailable},
+		"further attempt, not known": {announced: 1, status: http.StatusBadGateway},
+	}
+	for name, c := range cases {
+		for _, relayed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/%v", name, relayed), func(t *testing.T) {
+				r := newRelayRig(t)
+				f := r.useResumptions()
+				if c.change != nil {
+					c.change(f)
+				}
+				serve := goOn
+				var first sync.Once
+				if c.announced > 0 {
+					serve = func(w http.ResponseWriter, q *http.Request) {
+						breaks := false
+						first.Do(func() { breaks = true })
+						if breaks {
+							dropConnection(w, q)
+							return
+						}
+						goOn(w, q)
+					}
+				}
+				r.addVersion("old", "v1", serve)
+				r.addVersion("old2", "v1", serve)
+				r.addVersion("new", "v2", goOn)
+				announce := func() { r.serveVersions("v1", "v2") }
+				order := []string{"new", "old", "old2"}
+				if c.announced > 0 {
+					order = []string{"old", "new", "old2"}
+				}
+				placer := r.placeSlowly(func(placed int) {
+					if placed == c.announced && !c.late {
+						announce()
+					}
+				}, order...)
+				if c.late {
+					r.handler.config.Upstream.SetDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+						announce()
+						return (&net.Dialer{}).DialContext(ctx, network, address)
+					})
+				}
+				var got result
+				if relayed {
+					cut := newRig(t)
+					cut.useResumptions()
+					cut.losePath("llm")
+					cut.setRelays(r.address())
+					got = cut.resume("id-1")
+				} else {
+					got = r.resume("id-1")
+				}
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, c.status)
+				assert.Equal(t, r.ran("new"), 0)
+				assert.Equal(t, got.header.Get("Retry-After") != "", f.unreachable)
+				placer.mu.Lock()
+				defer placer.mu.Unlock()
+				assert.Equal(t, placer.ended, placer.placed)
+			})
+		}
+	}
+}
+
+// Guards against two software versions in one stream when another one is announced while a further attempt
+// beside a silent one is placed.
+func TestFurtherAttemptIsBoundToVersionAnnouncedBeforeItIsSent(t *testing.T) {
+	r := newStreamRig(t)
+	r.useResumptions().coordinators[resumption.KeyOf("alice", "id-1")] = firstWriter
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	r.addVersion("old", "v1", func(_ http.ResponseWriter, q *http.Request) {
+		select {
+		case <-release:
+		case <-q.Context().Done():
+		}
+	})
+	r.addVersion("old2", "v1", goOn)
+	r.addVersion("new", "v2", goOn)
+	r.placeSlowly(func(placed int) {
+		if placed == 1 {
+			r.serveVersions("v1", "v2")
+		}
+	}, "old", "new", "old2")
+	got := r.resume("id-1")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, r.ran("new"), 0)
+	assert.Equal(t, r.ran("old2"), 1)
+}
+
+// Guards against a lookup, or a second choice, for a resumed stream while one software version serves.
+func TestResumedStreamIsNotLookedUpWhileOneVersionServes(t *testing.T) {
+	r := newRig(t)
+	f := r.useResumptions()
+	r.addVersion("old", "v1", goOn)
+	placer := r.placeSlowly(func(int) {}, "old")
+	for range 3 {
+		assert.Equal(t, r.resume("id-9").status, http.StatusOK)
+	}
+	assert.Equal(t, f.searches, 0)
+	assert.Equal(t, placer.placed, 3)
+}
