End blocks that rest on silences once their back ends send heartbeats again

Callers of a request (or of prompts with a part) that had stood at three back ends which were silent together and went on got 502 with Retry-After of ten minutes, although nothing had ended. Cause: overdue heartbeats make a back end count as ended, which is a belief; the block that followed from it went into the log as if all ends were certain, and nothing took it back.

The log now keeps which back ends of a block are presumed to have ended (none of their attempts met a refused connection). Once heartbeats of the same start continue for more than a second, such an end counts no more; a single late heartbeat is none of that. With fewer than three ends left (six for an answered part) the leader ends the block, with or without the evidence, and the rest of the evidence stays (Unblock.KeepEvidence). A restarted process is another start, so its end stands.

A test of coordinators, TestBlockExpires, passes the findings where it passed the refuted blocks; its bounds are the same.

--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -255,8 +255,8 @@
 }
 
 // ending returns the blocks to end: those that have lasted for long enough, those by evidence on which a
-// request was answered, and the refuted ones.
-func (b *blocker) ending(now time.Duration, refuted []poison.Digest) []unblocking {
+// request was answered, and those that the evaluation found refuted or without enough ends.
+func (b *blocker) ending(now time.Duration, found *poison.Findings) []unblocking {
 	var out []unblocking
 	for id, block := range b.applied {
 		if now >= block.since+poison.BlockDuration {
@@ -271,11 +271,16 @@
 		}
 	}
 	b.answered = nil
-	for _, id := range refuted {
+	for _, id := range found.Refuted {
 		if _, applied := b.applied[id]; applied {
 			out = append(out, unblocking{state.Unblock{Request: id}, "another block explains all ends"})
 		}
 	}
+	for _, id := range found.Recovered {
+		if _, applied := b.applied[id]; applied {
+			out = append(out, unblocking{state.Unblock{Request: id, KeepEvidence: true}, "back ends that were presumed to have ended send heartbeats again"})
+		}
+	}
 	return out
 }
 
@@ -294,14 +299,14 @@
 	}
 	for _, v := range found.Verdicts {
 		s.logVerdict(v)
-		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.ID, Parts: v.Parts, Backends: v.Backends, Doubtful: v.Doubtful}})
+		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: v.ID, Parts: v.Parts, Backends: v.Backends, Presumed: v.Presumed, Doubtful: v.Doubtful}})
 	}
 	for _, id := range found.Confirmed {
 		s.logger.Info("block confirmed: a back end ended under a trial", "part", "blocking", "block", id.String())
 		s.propose(now, "blocking", state.Command{Block: &state.Block{Request: id, Confirmed: true}})
 	}
 	s.runTrials(now)
-	for _, ended := range s.blocker.ending(now, found.Refuted) {
+	for _, ended := range s.blocker.ending(now, &found) {
 		s.logger.Info("unblocking request", "part", "blocking", "request", ended.Request.String(), "reason", ended.reason)
 		// Restarts the expiry, so that a lost proposal is made again.
 		block := s.blocker.applied[ended.Request]
@@ -313,11 +318,11 @@
 
 func (s *Server) logVerdict(v poison.Verdict) {
 	if len(v.Parts) == 0 {
-		s.logger.Warn("blocking poison request", "part", "blocking", "request", v.ID.String(), "backends", v.Backends, "unrelated", v.Unrelated)
+		s.logger.Warn("blocking poison request", "part", "blocking", "request", v.ID.String(), "backends", v.Backends, "presumed", v.Presumed, "unrelated", v.Unrelated)
 		return
 	}
 	s.logger.Warn("blocking prompt parts", "part", "blocking", "block", v.ID.String(), "prompt_parts", poison.Join(v.Parts), "backends", v.Backends,
-		"unrelated", v.Unrelated, "doubtful", v.Doubtful)
+		"presumed", v.Presumed, "unrelated", v.Unrelated, "doubtful", v.Doubtful)
 }
 
 // signs returns a function that reports the state of a back end other than the requests it ran.
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -147,8 +147,8 @@
 func TestBlockExpires(t *testing.T) {
 	b := newBlocker(time.Second, nil)
 	b.applied[7] = appliedBlock{since: time.Minute}
-	assert.Equal(t, len(b.ending(time.Minute+poison.BlockDuration-1, nil)), 0)
-	ended := b.ending(time.Minute+poison.BlockDuration, nil)
+	assert.Equal(t, len(b.ending(time.Minute+poison.BlockDuration-1, &poison.Findings{})), 0)
+	ended := b.ending(time.Minute+poison.BlockDuration, &poison.Findings{})
 	assert.Equal(t, len(ended), 1)
 	assert.Equal(t, ended[0].Request, poison.Digest(7))
 }
--- a/internal/coordinator/blockinghttp.go
+++ b/internal/coordinator/blockinghttp.go
@@ -18,7 +18,7 @@
 	blocked := []blockedEntry{}
 	answered := s.loop.Do(r.Context(), func(time.Duration) {
 		for _, b := range s.core.Machine().Deployment().Blocked {
-			blocked = append(blocked, blockedEntry{Request: b.Request.String(), Since: time.UnixMilli(b.At).UTC(), Parts: digestStrings(b.Parts), Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, Confirmed: b.Confirmed, Revision: b.Revision})
+			blocked = append(blocked, blockedEntry{Request: b.Request.String(), Since: time.UnixMilli(b.At).UTC(), Parts: digestStrings(b.Parts), Backends: b.Backends, Presumed: b.Presumed, Doubtful: b.Doubtful, Trials: b.Trials, Confirmed: b.Confirmed, Revision: b.Revision})
 		}
 	})
 	if !answered {
@@ -40,6 +40,8 @@
 	Since time.Time `json:"since"`
 	// Backends are the back ends that crashed while running it.
 	Backends []string `json:"backends"`
+	// Presumed are those of them of which only overdue heartbeats show that they ended.
+	Presumed []string `json:"presumed,omitempty"`
 	// Doubtful is set if the back ends may have ended for another cause, so that one request is let
 	// through for a trial soon. Trials counts such requests, and Confirmed is set once a back end ended
 	// under one.
--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -17,6 +17,9 @@
 	Parts []Digest
 	// Backends are those that ended under it, as far as known.
 	Backends []string
+	// Presumed are those of them of which only overdue heartbeats show that they ended. Heartbeats of the
+	// same start show that they did not.
+	Presumed []string
 	// Since is when it took effect, by the Detector's clock.
 	Since time.Duration
 }
--- a/internal/poison/candidate.go
+++ b/internal/poison/candidate.go
@@ -379,7 +379,11 @@
 // verdict returns the decision to block a candidate.
 func (c *evaluation) verdict(x *candidate) Verdict {
 	backends := slices.SortedFunc(maps.Keys(x.ends), func(a, b string) int { return cmp.Or(cmp.Compare(x.ends[a], x.ends[b]), cmp.Compare(a, b)) })
-	return Verdict{Block: Block{ID: x.id, Parts: x.parts, Backends: backends}, Unrelated: x.unrelated, Doubtful: c.doubtful(x)}
+	presumed := slices.DeleteFunc(slices.Clone(backends), func(id string) bool { return c.down[id] })
+	if len(presumed) == 0 {
+		presumed = nil
+	}
+	return Verdict{Block: Block{ID: x.id, Parts: x.parts, Backends: backends, Presumed: presumed}, Unrelated: x.unrelated, Doubtful: c.doubtful(x)}
 }
 
 // doubtful reports whether the ends under a set of parts may have had another cause: others met all of
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -83,6 +83,9 @@
 	subjects map[Digest]*evidence
 	// suspectedSince maps the suspected parts to the time at which they became suspects.
 	suspectedSince map[Digest]time.Duration
+	// returns maps blocks to those of their back ends that are presumed to have ended and send heartbeats
+	// again.
+	returns map[Digest]map[string]*backendReturn
 	// evaluations counts the calls of Evaluate.
 	evaluations uint64
 	// expiredAt is when outdated evidence was last removed.
@@ -115,7 +118,7 @@
 
 // NewDetector returns an empty Detector.
 func NewDetector(heartbeatInterval time.Duration) *Detector {
-	return &Detector{heartbeatInterval: heartbeatInterval, subjects: map[Digest]*evidence{}, suspectedSince: map[Digest]time.Duration{}}
+	return &Detector{heartbeatInterval: heartbeatInterval, subjects: map[Digest]*evidence{}, suspectedSince: map[Digest]time.Duration{}, returns: map[Digest]map[string]*backendReturn{}}
 }
 
 // Record records a failed attempt. Recording it again has no effect.
--- a/internal/poison/evaluate.go
+++ b/internal/poison/evaluate.go
@@ -64,6 +64,9 @@
 	// Refuted are the blocked sets of parts of which all ends are due to another block, and Confirmed
 	// the blocks under which a back end ended although the attempt began while they were in force.
 	Refuted, Confirmed []Digest
+	// Recovered are the blocks that too few ends support, since back ends that were presumed to have
+	// ended send heartbeats again.
+	Recovered []Digest
 	// Waiting is set if a verdict waits for reports of answers.
 	Waiting bool
 }
@@ -75,11 +78,13 @@
 		l.expire(now)
 	}
 	found := Findings{Refuted: refuted(blocks)}
-	if !l.hasCandidates() {
+	l.updateReturns(signs, blocks)
+	if !l.hasCandidates() && len(l.returns) == 0 {
 		clear(l.suspectedSince)
 		return found
 	}
 	c := l.newEvaluation(now, signs, blocks)
+	found.Recovered = c.recovered()
 	found.Confirmed = c.confirmed
 	found.Suspects = c.suspects()
 	l.updateSuspectedSince(now, found.Suspects)
@@ -156,8 +161,10 @@
 	ends map[Digest]map[string]time.Duration
 	// times maps each ended back end to the time of its end.
 	times map[string]time.Duration
-	// silent maps the back ends that ended without a sign but silence to their last heartbeats.
+	// silent maps the back ends that ended without a sign but silence to their last heartbeats, and down
+	// contains those that refused connections.
 	silent map[string]time.Duration
+	down   map[string]bool
 	// blocks are those in force and those of the verdicts so far, and confirmed those among them under
 	// which a back end ended since.
 	blocks    []blockEnds
@@ -171,7 +178,7 @@
 }
 
 func (l *Detector) newEvaluation(now time.Duration, signs func(string) Liveness, blocks []Block) *evaluation {
-	c := &evaluation{detector: l, now: now, ends: map[Digest]map[string]time.Duration{}, times: map[string]time.Duration{}, silent: map[string]time.Duration{}}
+	c := &evaluation{detector: l, now: now, ends: map[Digest]map[string]time.Duration{}, times: map[string]time.Duration{}, silent: map[string]time.Duration{}, down: map[string]bool{}}
 	l.evaluations++
 	known, noticed := map[string]Liveness{}, map[string]bool{}
 	for _, s := range l.subjects {
@@ -193,6 +200,7 @@
 					} else {
 						noticed[backend] = true
 					}
+					c.down[backend] = c.down[backend] || a.down
 				}
 			}
 		}
--- a/internal/state/blocked.go
+++ b/internal/state/blocked.go
@@ -21,6 +21,8 @@
 	Parts []poison.Digest `json:"parts,omitempty"`
 	// Backends are the back ends that ended while they ran it; none for a block by an operator.
 	Backends []string `json:"backends"`
+	// Presumed are those of them of which only overdue heartbeats show that they ended.
+	Presumed []string `json:"presumed,omitempty"`
 	// Doubtful is set if the back ends may have ended for another cause.
 	Doubtful bool `json:"doubtful,omitempty"`
 	// Trials is the number of requests that may have been let through for a trial, and Confirmed is set
@@ -30,9 +32,11 @@
 	Confirmed bool `json:"confirmed,omitempty"`
 }
 
-// Unblock allows what was blocked to be sent to back ends again and discards the evidence against it.
+// Unblock allows what was blocked to be sent to back ends again and discards the evidence against it
+// unless KeepEvidence is set.
 type Unblock struct {
-	Request poison.Digest `json:"request"`
+	Request      poison.Digest `json:"request"`
+	KeepEvidence bool          `json:"keep_evidence,omitempty"`
 }
 
 // BlockedRequest is a request, or a set of parts of prompts, that must not be sent to back ends.
@@ -41,6 +45,8 @@
 	Parts   []poison.Digest `json:"parts,omitempty"`
 	// Backends are the back ends that ended while they ran it.
 	Backends []string `json:"backends"`
+	// Presumed are those of them of which only overdue heartbeats show that they ended.
+	Presumed []string `json:"presumed,omitempty"`
 	Doubtful bool     `json:"doubtful,omitempty"`
 	// Trials is the number of requests that may have been let through for a trial, and Confirmed is set
 	// once a back end ended under one.
@@ -54,7 +60,7 @@
 
 // Rule returns what is blocked.
 func (b *BlockedRequest) Rule() poison.Block {
-	return poison.Block{ID: b.Request, Parts: b.Parts, Backends: b.Backends}
+	return poison.Block{ID: b.Request, Parts: b.Parts, Backends: b.Backends, Presumed: b.Presumed}
 }
 
 // ClearedRequest is a request, or a set of parts, that was unblocked.
@@ -77,7 +83,7 @@
 		}
 		return Result{Code: CodeOK}
 	}
-	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Parts: b.Parts, Backends: b.Backends, Doubtful: b.Doubtful, Trials: b.Trials, Confirmed: b.Confirmed, At: m.data.Now, Revision: index})
+	d.Blocked = append(d.Blocked, BlockedRequest{Request: b.Request, Parts: b.Parts, Backends: b.Backends, Presumed: b.Presumed, Doubtful: b.Doubtful, Trials: b.Trials, Confirmed: b.Confirmed, At: m.data.Now, Revision: index})
 	if len(d.Blocked) > maxBlocked {
 		d.Blocked = d.Blocked[1:]
 	}
@@ -93,7 +99,9 @@
 	}
 	cleared := ClearedRequest{Request: u.Request, Parts: d.Blocked[i].Parts, Revision: index}
 	d.Blocked = slices.Delete(slices.Clone(d.Blocked), i, i+1)
-	d.Cleared = append(d.Cleared, cleared)
+	if !u.KeepEvidence {
+		d.Cleared = append(d.Cleared, cleared)
+	}
 	if len(d.Cleared) > maxCleared {
 		d.Cleared = d.Cleared[1:]
 	}
--- a/internal/state/blocked_test.go
+++ b/internal/state/blocked_test.go
@@ -71,3 +71,18 @@
 	assert.Equal(t, applyCommand(t, m, Command{Unblock: &Unblock{Request: 9}}).Code, CodeOK)
 	assert.DeepEqual(t, m.Deployment().Cleared, []ClearedRequest{{Request: 9, Parts: []poison.Digest{3, 4}, Revision: 7}})
 }
+
+// The ends that are left when a block ends by the return of back ends must count on.
+func TestUnblockMayKeepEvidence(t *testing.T) {
+	m := New()
+	applyCommand(t, m, Command{Block: &Block{Request: 7, Backends: []string{"a", "b", "c"}, Presumed: []string{"b"}}})
+	snapshot, err := m.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(snapshot))
+	rule := restored.Deployment().Blocked[0].Rule()
+	assert.DeepEqual(t, rule.Presumed, []string{"b"})
+	assert.Equal(t, applyCommand(t, m, Command{Unblock: &Unblock{Request: 7, KeepEvidence: true}}).Code, CodeOK)
+	assert.Assert(t, !m.Deployment().IsBlocked(7))
+	assert.Equal(t, len(m.Deployment().Cleared), 0)
+}
