Tests of blocks report failed attempts to each leader that follows, as routers do

Seen: TestDoubtfulBlockIsTriedByOneRequest: "timeout hit after 20s: blocked is not true" beside stops of the test's process; TestTrialThatEndsBackendConfirmsBlock: "no trial" and "not confirmed".

Cause: the tests' own. The leader holds the reported attempts in memory until a block is committed. The tests reported them once, and a leader that is lost in between takes them with it. A router reports all of its evidence again to each new leadership (follower's evidence.take).

Change: the stand-in for a router in these two tests and in TestTrialsAreBoundedAcrossLeaders reports again when the leadership has changed, with the ages of then, until the block or its confirmation is in force. What is reported before the coordinators are killed is not reported again after it, as before. All assertions stay.

--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/state"
@@ -225,15 +227,60 @@
 	assert.Assert(t, !g.blocked(5))
 }
 
-// reportDoubtful reports the ends of five back ends under part 5, and longer attempts with part 6 there.
-func (g *group) reportDoubtful() {
+// evidence is what a router reports to each leadership.
+type evidence struct {
+	g       *group
+	reports []coordapi.Request
+	at      []time.Duration
+	// reportedTo is the leadership that has it.
+	reportedTo string
+}
+
+// report reports further failed attempts until done, again to each leader that follows.
+func (e *evidence) report(request coordapi.Request, message string, done func() bool) {
+	e.g.t.Helper()
+	e.reports, e.at, e.reportedTo = append(e.reports, request), append(e.at, clock.Now()), ""
+	waitOn(e.g.t, func(poll.LogT) poll.Result {
+		view := e.g.call(0, coordapi.Request{Watch: &coordapi.Watch{Router: "r"}}).View
+		if view == nil {
+			return poll.Continue("no view")
+		}
+		if leadership := view.Leader.Leadership(); leadership != e.reportedTo {
+			for i := range e.reports {
+				e.g.call(0, aged(e.reports[i], clock.Since(e.at[i])))
+			}
+			e.reportedTo = leadership
+		}
+		if !done() {
+			return poll.Continue("%s", message)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// aged returns a report of failed attempts that is sent after a time.
+func aged(request coordapi.Request, by time.Duration) coordapi.Request {
+	update := *request.Update
+	update.FailedAttempts = slices.Clone(update.FailedAttempts)
+	for i := range update.FailedAttempts {
+		update.FailedAttempts[i].Age += by
+	}
+	return coordapi.Request{Update: &update}
+}
+
+// reportDoubtful reports the ends of five back ends under part 5, and longer attempts with part 6 there,
+// and waits until part 5 is blocked.
+func (g *group) reportDoubtful() *evidence {
+	g.t.Helper()
 	ends := []string{"a", "b", "c", "d", "e"}
 	reports := crashReportWithParts(1000, []poison.Digest{6}, ends...)
 	for i := range reports.Update.FailedAttempts {
 		reports.Update.FailedAttempts[i].Duration = time.Second
 	}
 	reports.Update.FailedAttempts = append(reports.Update.FailedAttempts, crashReportWithParts(2000, []poison.Digest{5}, ends...).Update.FailedAttempts...)
-	g.call(0, reports)
+	e := &evidence{g: g}
+	e.report(reports, "part 5 is not blocked", func() bool { return g.blocked(5) })
+	return e
 }
 
 // awaitTrial waits until the leader announces a trial of a block.
@@ -284,17 +331,11 @@
 func TestTrialThatEndsBackendConfirmsBlock(t *testing.T) {
 	g := newGroup(t, 3)
 	g.enrol("a", "b", "c", "d", "e", "f", "g")
-	g.reportDoubtful()
+	evidence := g.reportDoubtful()
 	g.awaitTrial(5)
 	assert.Assert(t, g.askTrial(1, 5))
 	time.Sleep(100 * time.Millisecond)
-	g.call(0, crashReportWithParts(3000, []poison.Digest{5}, "f"))
-	waitOn(t, func(poll.LogT) poll.Result {
-		if !g.confirmed(5) {
-			return poll.Continue("not confirmed")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	evidence.report(crashReportWithParts(3000, []poison.Digest{5}, "f"), "not confirmed", func() bool { return g.confirmed(5) })
 	for i := range g.servers {
 		g.kill(i)
 		g.start(i)
