--- a/internal/forward/unidentified_test.go
+++ b/internal/forward/unidentified_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/reachability"
 	"quinceridge.example/quinceridge/internal/resumption"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/upstream"
@@ -205,6 +206,30 @@
 	}
 }
 
+// Guards against a stream that waits for the status of a back end whose path is lost, although another router
+// reaches the pool.
+func TestUnsentStreamIsPassedOnOncePathIsLost(t *testing.T) {
+	t.Parallel()
+	for attempts := 1; attempts <= 2; attempts++ {
+		t.Run(strconv.Itoa(attempts), func(t *testing.T) {
+			t.Parallel()
+			r, other := identifyingRig(t, "llm", attempts), newRelayRig(t)
+			other.useResumptions()
+			other.announce("llm")
+			other.addVersion("old", "v1", goOn)
+			r.handler.config.Paths = reachability.NewDetector()
+			r.setRelays(other.address())
+			silent := r.addIdentified("llm", "silent", "v1", time.Minute, goOn)
+			time.AfterFunc(700*time.Millisecond, func() { r.losePath("llm") })
+			got := r.resume("id-1")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, other.ran("old"), 1)
+			assert.Equal(t, silent.ran.Load(), int32(0))
+		})
+	}
+}
+
 // Guards against a second run, at the silent back end or another one, of a stream whose route allows one attempt,
 // once that has broken off.
 func TestUnsentStreamDoesNotRunAfterItsOnlyAttempt(t *testing.T) {
