An unread request runs no more once another attempt has used its route's attempts up

Found by review: on a route of one attempt, a further attempt beside a request that its back end had not read was sent, broke off after it may have run, and the first back end was then sent the rest and ran the request again. The writer that had been stopped for the further attempt went on whatever became of that.

Now the first attempt ends instead, and a request whose attempts are used up is not sent again because its last attempt has not run.

TestUnreadRequestDoesNotRunAfterItsOnlyAttempt failed before (200 by a second run instead of 502), passes since.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -311,7 +311,7 @@
 // shouldRetry reports whether another attempt is allowed after a result.
 func (h *Handler) shouldRetry(ctx context.Context, j *job, s *session, result outcome) bool {
 	reason := noFurther(j, &s.position)
-	if result.verdict == notRun && (reason == runsOnce || reason == attemptsSpent) {
+	if result.verdict == notRun && reason == runsOnce {
 		reason = ""
 	}
 	if reason != "" {
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -104,7 +104,6 @@
 	r.mu.Lock()
 	r.pending = slices.DeleteFunc(r.pending, func(other *hedge) bool { return other == g })
 	g.from.hedged = false
-	g.release()
 	switch {
 	case outrun:
 		g.from.backoff.Reset()
@@ -117,6 +116,7 @@
 	default:
 		logged = g.from.backoff.Failed(h.now())
 	}
+	g.release()
 	r.lastHedge = result + ": " + reason
 	r.signal()
 	r.mu.Unlock()
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -111,10 +111,15 @@
 	return false
 }
 
-// release lets the silent attempt go on. The lock of the race is held.
+// release lets the silent attempt go on, or ends it if the request may have run as often as its route
+// allows. The lock of the race is held.
 func (g *hedge) release() {
-	if g.hold != nil {
-		close(g.hold.resumed)
-		g.hold, g.from.hold = nil, nil
+	if g.hold == nil {
+		return
 	}
+	if !g.race.mayRun(g.from, 0) {
+		g.from.cancel(errAttemptsSpent)
+	}
+	close(g.hold.resumed)
+	g.hold, g.from.hold = nil, nil
 }
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -204,3 +204,23 @@
 		})
 	}
 }
+
+// Guards against a second run of a request whose route allows one attempt, at the back end that has not read it,
+// after another one has broken it off.
+func TestUnreadRequestDoesNotRunAfterItsOnlyAttempt(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.allow("/safe/1", 10*time.Second)
+	route := r.source.table.Route("h", "/safe/1")
+	route.MaxAttempts, route.Target = 1, 0
+	arrived, ran := r.addSilent("app", "silent", heldSilence, good)
+	r.add("app", "other", dropConnection)
+	requests := 0
+	for ; arrived.Load() == 0 && requests < 30; requests++ {
+		got := r.post("/safe/1", largeSize)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusBadGateway)
+	}
+	time.Sleep(heldSilence)
+	assert.Equal(t, int(ran.Load())+r.ran("other"), requests)
+}
