Name the router in answers that end because its memory is used up

An answer with an event for which the router has no memory left was logged and counted as ended by the back end: errMemory fell into the default of endOf. It is ended_by "router" now, cause "memory".

--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -190,7 +190,7 @@
 			o.failed++
 		}
 	}
-	for _, cause := range []string{"other", "unresponsive", "lost", "path lost", "silent", "weights expired", "restarted", "stopping"} {
+	for _, cause := range []string{"other", "unresponsive", "lost", "path lost", "silent", "weights expired", "restarted", "stopping", "memory"} {
 		o.endedByRouter += d.counter(fmt.Sprintf("quinceridge_answers_ended_early_total{by=%q,cause=%q}", "router", cause))
 	}
 	return o
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -50,10 +50,12 @@
 	causeRestarted
 	// causeStopping: the router stops.
 	causeStopping
+	// causeMemory: the memory for responses is used up.
+	causeMemory
 	routerCauseCount
 )
 
-var routerCauseNames = [routerCauseCount]string{"other", "unresponsive", "lost", "path lost", "silent", "weights expired", "restarted", "stopping"}
+var routerCauseNames = [routerCauseCount]string{"other", "unresponsive", "lost", "path lost", "silent", "weights expired", "restarted", "stopping", "memory"}
 
 // routerCauseOf classifies the cause with which the router cancelled an attempt.
 func routerCauseOf(cause error) routerCause {
@@ -61,7 +63,7 @@
 		err   error
 		cause routerCause
 	}{{errUnresponsive, causeUnresponsive}, {errLost, causeLost}, {errPathLost, causePathLost}, {errSilent, causeSilent},
-		{backends.ErrExpired, causeExpired}, {backends.ErrRestarted, causeRestarted}, {errStopping, causeStopping}} {
+		{backends.ErrExpired, causeExpired}, {backends.ErrRestarted, causeRestarted}, {errStopping, causeStopping}, {errMemory, causeMemory}} {
 		if errors.Is(cause, c.err) {
 			return c.cause
 		}
@@ -121,6 +123,8 @@
 		return endedByClient, context.Cause(ctx)
 	case s.gaveUp != nil:
 		return endedByRouter, s.gaveUp
+	case errors.Is(result.err, errMemory):
+		return endedByRouter, errMemory
 	case s.relay != "":
 		return endedByRelay, result.err
 	}
