Record the early ends of answers that are blocked when they have to go on

A stream whose back end broke off and whose request was blocked before it could go on was cut without the line "answer ended early" and without a count, as was a 502 for a blocked request that had run: refuseBlocked ends the answer itself. Both are recorded now, under what ended the last attempt and with further_attempt "the request is blocked".

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -73,7 +73,7 @@
 		// This is checked before each attempt and by digest: a poison request is resent under
 		// new IDs and through other routers.
 		if block, allowed := h.allowedByBlocks(j); !allowed {
-			h.refuseBlocked(s, block)
+			h.refuseBlocked(ctx, s, block, ran)
 			return
 		}
 		if h.declines(j) {
@@ -136,7 +136,7 @@
 			if j.trial != nil {
 				block = *j.trial
 			}
-			h.refuseBlocked(s, block)
+			h.refuseBlocked(ctx, s, block, ran)
 			return
 		}
 		if choice.OverLimit {
@@ -172,7 +172,7 @@
 		if blocked, is := h.config.Observer.Blocked(j.digest, j.promptParts); is && (j.trial == nil || blocked.Request != j.trial.Request) {
 			// It was blocked while the request waited for a back end.
 			h.cancelPlacement(choice)
-			h.refuseBlocked(s, blocked)
+			h.refuseBlocked(ctx, s, blocked, ran)
 			return
 		}
 		result := h.attempt(ctx, s, choice)
--- a/internal/forward/ended_test.go
+++ b/internal/forward/ended_test.go
@@ -9,11 +9,15 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"quinceridge.example/quinceridge/internal/poison"
+	"quinceridge.example/quinceridge/internal/state"
 )
 
 // earlyEndLines keeps the lines on answers that ended early. It is safe for concurrent use.
@@ -56,6 +60,16 @@
 	return l.lines[0]
 }
 
+// blockingObserver blocks all requests once blocked is set.
+type blockingObserver struct {
+	noObserver
+	blocked atomic.Bool
+}
+
+func (o *blockingObserver) Blocked(d poison.Digest, _ func() []poison.Digest) (state.BlockedRequest, bool) {
+	return state.BlockedRequest{Request: d, Backends: []string{"a", "b", "c"}}, o.blocked.Load()
+}
+
 // largeEvent is a stream with an event that takes more memory than a stream has in any case.
 func largeEvent(w http.ResponseWriter, _ *http.Request) {
 	events(w, 1, 1)
@@ -111,3 +125,19 @@
 		})
 	}
 }
+
+// Guards against a stream that is blocked when it has to go on, and whose end is neither logged nor counted.
+func TestEarlyEndOfBlockedStreamIsRecorded(t *testing.T) {
+	r, lines, observer := newRig(t), &earlyEndLines{}, &blockingObserver{}
+	r.handler.config.Logger = slog.New(slog.NewJSONHandler(lines, nil))
+	r.handler.config.Observer = observer
+	r.add("llm", "x", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 2)
+		observer.blocked.Store(true)
+		breakOff(w, 3)
+	})
+	got := r.ask("POST", "/resumable/1", nil)
+	assert.Assert(t, got.err != nil)
+	line := lines.await(t)
+	assert.Equal(t, line, earlyEndLine{Message: line.Message, EndedBy: "back end", Further: errBlocked.Error()})
+}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -81,9 +81,12 @@
 }
 
 // refuseBlocked sends the final response to a blocked request. It is not retryable: another
-// attempt would end another back end and all requests that it runs.
-func (h *Handler) refuseBlocked(s *session, block state.BlockedRequest) {
+// attempt would end another back end and all requests that it runs. Ran is the result of the last attempt that
+// may have run.
+func (h *Handler) refuseBlocked(ctx context.Context, s *session, block state.BlockedRequest, ran outcome) {
 	j := s.job
+	j.noAttempt = errBlocked.Error()
+	h.recordEarlyEnd(ctx, s, ran)
 	what, text := "they ran it", "The back ends that ran this request ended. It is not tried again for now.\n"
 	if len(block.Parts) > 0 {
 		h.metrics.refusedBlockedParts.Add(1)
