Announce blocks when the leader decides on them, not when they are in the log

A further engine ended under a prompt part that the leader had decided to block: its caller got 502 without Retry-After from that engine. Cause: the leader proposed the block, removed the part from the announced suspects, and routers learned of the block only from the log.

Views now contain the blocks that are proposed and not applied (View.Proposed); routers keep to them as to those in force, before each attempt and once an engine is chosen, so that what waits in a queue is covered too. The list is a note of the leader, replaced by that of the next one; a proposal that is not applied within a second is announced no longer and decided on again.

TestVerdictIsAnnouncedBeforeItIsCommitted and TestProposedBlocksApply guard the parts; they do not compile without the announcement.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -177,6 +177,9 @@
 	// Trials are the blocks under which the leader lets one request through, to find out whether it ends
 	// its back end. Routers ask for it by a Place.
 	Trials []poison.Digest `json:"trials,omitempty"`
+	// Proposed are blocks that the leader has decided on and that are not in the log yet. Routers keep to
+	// them as to those in force.
+	Proposed []state.BlockedRequest `json:"proposed,omitempty"`
 	// Software describes the pools whose back ends have, or recently had, several software versions.
 	Software map[string]SoftwareVersions `json:"software,omitempty"`
 	// Rooms is the capacity of each pool with engines, by which routers decide without a leader.
--- a/internal/coordinator/blocking.go
+++ b/internal/coordinator/blocking.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -44,8 +45,10 @@
 
 	evaluatedAt time.Duration
 	suspects    []poison.Digest
-	// announcedTrials are the open trials as of the last evaluation, in ascending order.
-	announcedTrials []poison.Digest
+	// announcedTrials are the open trials as of the last evaluation, in ascending order, and
+	// announcedProposed the blocks that were proposed and not applied then, by ID.
+	announcedTrials   []poison.Digest
+	announcedProposed []state.BlockedRequest
 	// revision is the revision of the blocked requests that were copied into blocked, and
 	// applied are those in force, by ID.
 	revision uint64
@@ -67,7 +70,7 @@
 func (b *blocker) reset(leads bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.detector, b.dirty, b.suspects, b.answered, b.revision, b.announcedTrials = nil, false, nil, nil, 0, nil
+	b.detector, b.dirty, b.suspects, b.answered, b.revision, b.announcedTrials, b.announcedProposed = nil, false, nil, nil, 0, nil, nil
 	b.blocked, b.proposed, b.openTrials = map[poison.Digest]poison.Block{}, map[poison.Digest]time.Duration{}, map[poison.Digest]struct{}{}
 	for id, block := range b.applied {
 		// An entry that an earlier leadership proposed may still be applied.
@@ -242,6 +245,25 @@
 	return out
 }
 
+// updateProposed sets the proposed blocks that are announced, and reports whether they have changed. A
+// commit takes as long as a disk does, and further back ends would end meanwhile.
+func (b *blocker) updateProposed(now time.Duration) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []state.BlockedRequest
+	for id, at := range b.proposed {
+		if block := b.blocked[id]; now < at+proposalTimeout {
+			out = append(out, state.BlockedRequest{Request: id, Parts: block.Parts, Backends: block.Backends, Presumed: block.Presumed})
+		}
+	}
+	slices.SortFunc(out, func(x, y state.BlockedRequest) int { return cmp.Compare(x.Request, y.Request) })
+	changed = !slices.EqualFunc(out, b.announcedProposed, func(x, y state.BlockedRequest) bool {
+		return x.Request == y.Request && slices.Equal(x.Backends, y.Backends)
+	})
+	b.announcedProposed = out
+	return changed
+}
+
 // blockedByOperator stands in place of the ended back ends of a block by an operator.
 const blockedByOperator = "blocked by an operator"
 
@@ -294,6 +316,8 @@
 	found, changed := s.blocker.evaluate(now, s.signs(d))
 	if changed {
 		s.logger.Info("suspected requests changed", "part", "blocking", "requests", digestStrings(s.blocker.suspects))
+	}
+	if s.blocker.updateProposed(now) || changed {
 		s.soft.changes++
 		s.notify.wake()
 	}
--- a/internal/coordinator/blocking_test.go
+++ b/internal/coordinator/blocking_test.go
@@ -405,3 +405,19 @@
 	found, _ = b.evaluate(time.Second+2*tickInterval, signs)
 	assert.Equal(t, len(found.Verdicts), 1)
 }
+
+// Guards against back ends that end under a request after the verdict, while its block is being committed.
+func TestVerdictIsAnnouncedBeforeItIsCommitted(t *testing.T) {
+	b := newBlocker(time.Second, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	b.reset(true)
+	reports := crashReport(7, 0, "a", "b", "c").Update.Reports
+	b.record(time.Second, "r", &reports)
+	found, _ := b.evaluate(time.Second, func(string) poison.Liveness { return poison.Liveness{} })
+	assert.Equal(t, len(found.Verdicts), 1)
+	assert.Assert(t, b.updateProposed(time.Second))
+	assert.DeepEqual(t, b.announcedProposed, []state.BlockedRequest{{Request: 7, Backends: []string{"a", "b", "c"}}})
+	assert.Assert(t, !b.updateProposed(time.Second+tickInterval), "nothing has changed")
+	b.update(time.Second+tickInterval, &state.Deployment{BlockedRevision: 1, Blocked: []state.BlockedRequest{{Request: 7, Backends: []string{"a", "b", "c"}, Revision: 1}}})
+	assert.Assert(t, b.updateProposed(time.Second+tickInterval))
+	assert.Equal(t, len(b.announcedProposed), 0)
+}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -430,7 +430,7 @@
 		v.Notes = s.rollout.notes
 		v.Silent, v.Unresponsive = s.soft.silentAndUnresponsive(d, shard)
 		v.Limited = s.soft.limitedOf(d, shard)
-		v.Suspects, v.Trials = s.blocker.suspects, s.blocker.announcedTrials
+		v.Suspects, v.Trials, v.Proposed = s.blocker.suspects, s.blocker.announcedTrials, s.blocker.announcedProposed
 		v.Software = s.soft.software
 	}
 	if !sameLeader {
--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -50,8 +50,9 @@
 
 // blockedList is the list of what is blocked, with its index.
 type blockedList struct {
-	requests []state.BlockedRequest
-	index    poison.Index
+	// inForce are the blocks in the log, and requests these and those that the leader has proposed.
+	inForce, requests []state.BlockedRequest
+	index             poison.Index
 }
 
 // answerTimes holds the times of the last answers by part, in two generations. The older one is
@@ -93,10 +94,20 @@
 	e.trials.Store(&[]poison.Digest{})
 }
 
-// setBlocked replaces what is blocked.
+// setBlocked replaces the blocks in force, and setProposed those that the leader has proposed. One
+// goroutine calls both.
 func (e *evidence) setBlocked(list *coordapi.Blocked) {
-	blocked := &blockedList{requests: list.Requests}
-	for i, r := range list.Requests {
+	before := e.blocked.Load()
+	e.storeBlocked(list.Requests, before.requests[len(before.inForce):])
+}
+
+func (e *evidence) setProposed(proposed []state.BlockedRequest) {
+	e.storeBlocked(e.blocked.Load().inForce, proposed)
+}
+
+func (e *evidence) storeBlocked(inForce, proposed []state.BlockedRequest) {
+	blocked := &blockedList{inForce: inForce, requests: slices.Concat(inForce, proposed)}
+	for i, r := range blocked.requests {
 		blocked.index.Add(i, r.Request, r.Parts)
 	}
 	e.blocked.Store(blocked)
--- a/internal/follower/evidence_test.go
+++ b/internal/follower/evidence_test.go
@@ -193,3 +193,20 @@
 	e.setTrials(nil)
 	assert.Assert(t, !e.mayTry(1, parts(5)))
 }
+
+// Guards against requests that are sent while the block that applies to them is being committed.
+func TestProposedBlocksApply(t *testing.T) {
+	e := newEvidence()
+	find := func(d poison.Digest) bool {
+		_, found := e.find(d, func() []poison.Digest { return []poison.Digest{d} })
+		return found
+	}
+	e.setBlocked(&coordapi.Blocked{Requests: []state.BlockedRequest{{Request: 7, Backends: []string{"a"}}}})
+	e.setProposed([]state.BlockedRequest{{Request: 8, Parts: []poison.Digest{8}, Backends: []string{"b"}}})
+	assert.Assert(t, find(7) && find(8) && !find(9))
+	// A view with the blocks in force does not end those that are proposed.
+	e.setBlocked(&coordapi.Blocked{Requests: []state.BlockedRequest{{Request: 9, Backends: []string{"a"}}}})
+	assert.Assert(t, !find(7) && find(8) && find(9))
+	e.setProposed(nil)
+	assert.Assert(t, !find(8) && find(9))
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -401,6 +401,7 @@
 		f.config.Streams.SetListed(f.clock(), v.Unresponsive)
 		f.config.Limits.Announced(v.Limited)
 		f.evidence.setTrials(v.Trials)
+		f.evidence.setProposed(v.Proposed)
 		f.evidence.follow(v.Leader, v.Suspects)
 	}
 	f.routers.Store(int64(v.Routers))
