Report all failed attempts again once the leader is lost

Cause: a router reports failed attempts again when a view names another leadership, but its updates reach a new leader before its first view does. The first such update has only what failed since the loss. In one traced failure of TestBlockOfPartSurvivesCoordinators ("after 2 ends", load 15 to 50) the leader began at 29.190 s, got that report at 29.224 s, and the router sent the next request with the part at 30.106 s with a view that was 2.64 s old; the attempt of before was never reported.

When it loses its leader, a router now marks all attempts as not reported. The next leadership gets them once more after its first view, as before, since the first update may have reached a node that is deposed; what is reported twice counts once.

Evidence: TestEvidenceIsReportedAgainOnceLeaderIsLost, 1 attempt for 2 before.

--- a/internal/follower/evidence.go
+++ b/internal/follower/evidence.go
@@ -160,6 +160,16 @@
 	}
 }
 
+// lostLeader has all attempts reported with the next update, which may reach a new leader before the first
+// view of it arrives.
+func (e *evidence) lostLeader() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range e.attempts {
+		e.attempts[i].reportedTo = ""
+	}
+}
+
 // add records a failed attempt and has it reported at once, since the request may be retried
 // within a tenth of a second.
 func (e *evidence) add(now time.Duration, attempt poison.FailedAttempt) {
--- a/internal/follower/evidence_test.go
+++ b/internal/follower/evidence_test.go
@@ -42,6 +42,21 @@
 	assert.Equal(t, len(e.failed(2*time.Second+poison.EvidenceTTL)), 0, "expired")
 }
 
+// Guards against a new leader that gets only what failed since its predecessor was lost, until the router has
+// its first view.
+func TestEvidenceIsReportedAgainOnceLeaderIsLost(t *testing.T) {
+	e := newEvidence()
+	e.follow("first-1", nil)
+	e.add(time.Second, poison.FailedAttempt{Backend: "a", Request: 7, Down: true})
+	assert.Equal(t, len(e.failed(time.Second)), 1)
+	e.lostLeader()
+	e.add(2*time.Second, poison.FailedAttempt{Backend: "b", Request: 7, Down: true})
+	assert.Equal(t, len(e.failed(3*time.Second)), 2)
+	assert.Equal(t, len(e.failed(3*time.Second)), 0)
+	e.follow("second-1", nil)
+	assert.Equal(t, len(e.failed(4*time.Second)), 2, "the first report may have reached another leader")
+}
+
 // A later leader cannot determine whether a back end survived that still listened.
 func TestUnsureEvidenceExpires(t *testing.T) {
 	e := newEvidence()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -342,6 +342,7 @@
 	f.config.Logger.Warn("leader lost", "part", "follower", "address", address, "reason", reason,
 		"right_ms", (f.leaseUntil.Load()-int64(f.now()))/int64(time.Millisecond))
 	f.leader = ""
+	f.evidence.lostLeader()
 }
 
 // candidate returns the next coordinator to ask: the members first, then the seeds, which may be
