Look for another attempt for an unread request as soon as before

The further attempt is looked for from the user timeout (1.5 s) on now. Without patience a request is given up after the same times as before.

--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -105,7 +105,7 @@
 	canceled := func() bool { return ctx.Err() != nil }
 	reported := false
 	hold := func(stalled time.Duration) bool {
-		if stalled >= r.Patience {
+		if stalled >= max(r.Patience, a.pool.bodyStall) {
 			return false
 		}
 		if a.phase.Load() == phaseResponding {
@@ -121,7 +121,7 @@
 	// A part of the body goes with the header, in one packet.
 	first := min(len(r.Body), asyncBodySize)
 	for _, part := range [][]byte{append(head, r.Body[:first]...), r.Body[first:]} {
-		if _, err := socket.WriteHeld(a.connection.Conn, part, a.pool.bodyStall, canceled, hold); err != nil {
+		if _, err := socket.WriteHeld(a.connection.Conn, part, min(userTimeout, a.pool.bodyStall), canceled, hold); err != nil {
 			return err
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -136,8 +136,8 @@
 	// Patience is the time for which the request is held while its back end reads nothing of it, nobody
 	// acknowledges it or the status request is pending. Values lower than those of the pool have no effect.
 	Patience time.Duration
-	// OnHeld is called while the request is held, once the pool's own time is over and then repeatedly. It
-	// may be nil. The request is given up if it returns false for one that is unread.
+	// OnHeld is called repeatedly while the request is silent for longer than a sound back end may be. It may
+	// be nil. The request is given up if it returns false for one that is unread.
 	OnHeld func(Held) bool
 }
 
