Count all runs of an unread request against its route's attempts

Found by review: a request that its back end does not read could run more often than its route allows.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -193,6 +193,10 @@
 		if !h.takeRetry(g.ctx, j) {
 			return nil, outcome{err: errNoBudget}
 		}
+		if !g.makeWay() {
+			j.retry.giveBack()
+			return nil, outcome{err: errReadsOn}
+		}
 		if a, result := h.openRelay(g.ctx, s, maxRelays); a != nil {
 			return a, result
 		}
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -56,7 +56,6 @@
 		r.hedge(a, errUnacknowledged)
 		return true
 	}
-	r.hedge(a, errUnread)
 	r.mu.Lock()
 	o, g := a.hold, a.session.hedge
 	holds := g != nil && g.hold != nil
@@ -68,6 +67,7 @@
 		// The attempt that waits for this one may be as good.
 		return false
 	}
+	r.hedge(a, errUnread)
 	if o != nil {
 		select {
 		case <-o.resumed:
@@ -85,7 +85,7 @@
 	}
 	r, from := g.race, g.from
 	r.mu.Lock()
-	if g.hold != nil || r.mayOpen(r.running()) {
+	if g.hold != nil || r.mayOpen(r.running()+g.ran) {
 		r.mu.Unlock()
 		return true
 	}
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -12,6 +12,8 @@
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/reachability"
 )
 
 // heldSilence is a silence that a client survives. It exceeds the time after which another back end is
@@ -97,14 +99,21 @@
 		"call":   {"/safe/1", "app", good},
 		"stream": {"/resumable/1", "llm", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 6) }},
 	}
-	elsewhere := map[string]func(r *rig, pool string, serve http.HandlerFunc){
-		"no other back end": func(*rig, string, http.HandlerFunc) {},
-		"others reject":     func(r *rig, pool string, _ http.HandlerFunc) { r.add(pool, "other", reject) },
-		"others are silent": func(r *rig, pool string, serve http.HandlerFunc) {
-			r.addSilent(pool, "other", heldSilence+time.Second, serve)
+	// The functions return the number of runs at the other back end.
+	none := func() int { return 0 }
+	elsewhere := map[string]func(r *rig, pool string, serve http.HandlerFunc) (runs func() int){
+		"no other back end": func(*rig, string, http.HandlerFunc) func() int { return none },
+		"others reject": func(r *rig, pool string, _ http.HandlerFunc) func() int {
+			r.add(pool, "other", reject)
+			return none
+		},
+		"others are silent": func(r *rig, pool string, serve http.HandlerFunc) func() int {
+			_, ran := r.addSilent(pool, "other", heldSilence+time.Second, serve)
+			return func() int { return int(ran.Load()) }
 		},
-		"no retry is left": func(r *rig, _ string, _ http.HandlerFunc) {
+		"no retry is left": func(r *rig, _ string, _ http.HandlerFunc) func() int {
 			r.handler.budget = newBudget(BudgetConfig{Window: time.Minute}, nil)
+			return none
 		},
 	}
 	for kind, p := range paths {
@@ -117,11 +126,12 @@
 						r.allow(p.path, 10*time.Second)
 						r.source.table.Route("h", p.path).MaxAttempts = attempts
 						arrived, ran := r.addSilent(p.pool, "silent", heldSilence, p.serve)
-						prepare(r, p.pool, p.serve)
+						otherRuns := prepare(r, p.pool, p.serve)
 						got := r.post(p.path, size)
 						assert.NilError(t, got.err)
 						assert.Equal(t, got.status, http.StatusOK)
 						assert.Assert(t, ran.Load() <= arrived.Load())
+						assert.Assert(t, int(ran.Load())+otherRuns() <= attempts)
 					})
 				}
 			}
@@ -205,22 +215,92 @@
 	}
 }
 
-// Guards against a second run of a request whose route allows one attempt, at the back end that has not read it,
-// after another one has broken it off.
-func TestUnreadRequestDoesNotRunAfterItsOnlyAttempt(t *testing.T) {
+// abortAfter reads the whole request and breaks the connection off after a time.
+func abortAfter(wait time.Duration, runs *atomic.Int32) http.HandlerFunc {
+	return func(_ http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		runs.Add(1)
+		time.Sleep(wait)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against more runs of a request than its route allows, at the back end that has not read it, after
+// others have broken it off.
+func TestUnreadRequestDoesNotRunAfterItsAttemptsAreSpent(t *testing.T) {
+	t.Parallel()
+	for attempts := 1; attempts <= 2; attempts++ {
+		t.Run(string(rune('0'+attempts)), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.allow("/safe/1", 10*time.Second)
+			route := r.source.table.Route("h", "/safe/1")
+			route.MaxAttempts, route.Target = attempts, 0
+			_, ran := r.addSilent("app", "silent", 3400*time.Millisecond, good)
+			var others atomic.Int32
+			time.AfterFunc(time.Second, func() {
+				for _, id := range []string{"x", "y", "z"} {
+					r.add("app", id, abortAfter(300*time.Millisecond, &others))
+				}
+			})
+			got := r.post("/safe/1", largeSize)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, int(ran.Load()+others.Load()), attempts)
+		})
+	}
+}
+
+// Guards against two runs of a request whose route allows one attempt, when its back end reads on as it is
+// passed on to another router.
+func TestUnreadRequestIsNotPassedOnBesideItsBackend(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
 	r.allow("/safe/1", 10*time.Second)
 	route := r.source.table.Route("h", "/safe/1")
 	route.MaxAttempts, route.Target = 1, 0
-	arrived, ran := r.addSilent("app", "silent", heldSilence, good)
-	r.add("app", "other", dropConnection)
-	requests := 0
-	for ; arrived.Load() == 0 && requests < 30; requests++ {
-		got := r.post("/safe/1", largeSize)
-		assert.NilError(t, got.err)
-		assert.Equal(t, got.status, http.StatusBadGateway)
+	_, ran := r.addSilent("app", "silent", heldSilence, good)
+	address, _, passedOn := r.startSilent(0, func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		good(w, q)
+	})
+	r.handler.config.Paths = reachability.NewDetector()
+	r.setRelays(address)
+	time.AfterFunc(time.Second, func() { r.losePath("app") })
+	got := r.post("/safe/1", largeSize)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, ran.Load()+passedOn.Load(), int32(1))
+}
+
+// Guards against two runs beside each other where the route allows one, when the second back end reads
+// nothing either.
+func TestSecondUnreadAttemptHasOneSuccessor(t *testing.T) {
+	t.Parallel()
+	for i := range 8 {
+		t.Run(string(rune('0'+i)), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.allow("/safe/1", 10*time.Second)
+			route := r.source.table.Route("h", "/safe/1")
+			route.MaxAttempts, route.Target = 1, 0
+			r.addSilent("app", "first", time.Minute, good)
+			r.addSilent("app", "second", time.Minute, good)
+			time.AfterFunc(3200*time.Millisecond, func() {
+				for _, id := range []string{"x", "y", "z"} {
+					r.add("app", id, func(w http.ResponseWriter, q *http.Request) {
+						time.Sleep(500 * time.Millisecond)
+						good(w, q)
+					})
+				}
+			})
+			got := r.post("/safe/1", largeSize)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			time.Sleep(time.Second)
+			assert.Equal(t, r.ran("x", "y", "z"), 1)
+		})
 	}
-	time.Sleep(heldSilence)
-	assert.Equal(t, int(ran.Load())+r.ran("other"), requests)
 }
