A further attempt that was outrun does not end the attempt that goes on

A stream of a route with one attempt was cut ("unexpected EOF" at its client) when its back end began to respond before it had read the request, while a further attempt held its writer back: the further attempt counts as one that may have run, so that the first one was ended in its favour although it had just been answered. Only a further attempt that fails ends it now.

TestEarlyResponseToUnreadRequestIsWhole failed before (2 of 2), passes since (3 of 3 with the race detector).

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -116,7 +116,7 @@
 	default:
 		logged = g.from.backoff.Failed(h.now())
 	}
-	g.release()
+	g.release(!outrun)
 	r.lastHedge = result + ": " + reason
 	r.signal()
 	r.mu.Unlock()
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -23,7 +23,7 @@
 	return errors.Is(cause, errUnread) || errors.Is(cause, errUnidentified) || errors.Is(cause, errUnacknowledged)
 }
 
-// hold keeps a request that its back end has not read, and so does not run, from being written on. The
+// hold keeps a request that its back end has not read from being written on, so that it is not run whole. The
 // fields are closed once its writer has stopped, and when it may go on.
 type hold struct{ stopped, resumed chan struct{} }
 
@@ -107,17 +107,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	g.release()
+	g.release(false)
 	return false
 }
 
-// release lets the silent attempt go on, or ends it if the request may have run as often as its route
-// allows. The lock of the race is held.
-func (g *hedge) release() {
+// release lets the silent attempt go on, or ends it if the hedge has failed and the request may have run as
+// often as its route allows. The lock of the race is held.
+func (g *hedge) release(failed bool) {
 	if g.hold == nil {
 		return
 	}
-	if !g.race.mayRun(g.from, 0) {
+	if failed && !g.race.mayRun(g.from, 0) {
 		g.from.cancel(errAttemptsSpent)
 	}
 	close(g.hold.resumed)
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -304,3 +306,40 @@
 		})
 	}
 }
+
+// Guards against cutting a stream whose back end begins to respond before it has read the request, while a
+// further attempt holds its writer back.
+func TestEarlyResponseToUnreadRequestIsWhole(t *testing.T) {
+	t.Parallel()
+	r := newStreamRig(t)
+	r.allow("/resumable/1", 10*time.Second)
+	route := r.source.table.Route("h", "/resumable/1")
+	route.MaxAttempts, route.Target = 1, 0
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_ = conn.(*net.TCPConn).SetReadBuffer(1)
+		request, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
+		if err != nil {
+			return
+		}
+		time.Sleep(heldSilence)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: %d\r\n\r\n%s", names.RequestID, request.Header.Get(names.RequestID), names.Signature, len(eventText(6)), eventText(3))
+		time.Sleep(500 * time.Millisecond)
+		_, _ = io.WriteString(conn, eventText(6)[len(eventText(3)):])
+		time.Sleep(time.Second)
+	}()
+	r.openRow("early", "llm", listener.Addr().String())
+	time.AfterFunc(time.Second, func() { r.add("llm", "other", hang) })
+	got := r.post("/resumable/1", 12<<20)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, eventText(6))
+	assert.Equal(t, r.ran("other"), 1)
+}
