--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -40,8 +40,11 @@
 	// Hedging adds to placements that an engine which does not respond is no use: the request still runs
 	// at one that may go on.
 	Hedging Level = 10
+	// PresumedEnds adds to blocks which of their back ends are only presumed to have ended, the end of a
+	// block that keeps the other evidence, and to views the blocks that the leader has proposed.
+	PresumedEnds Level = 11
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = Hedging
+const Current = PresumedEnds
