--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -218,7 +218,7 @@
 // finishes the request and returns false unless another attempt is allowed. Ran becomes the last result
 // if the request may have run.
 func (h *Handler) settle(ctx context.Context, s *session, result outcome, ran *outcome) (again bool) {
-	j := s.job
+	j, counted := s.job, s.job.ran
 	if result.verdict != done {
 		result = h.goOn(s, result)
 	}
@@ -227,6 +227,11 @@
 		h.logResponse(s, "answered")
 		return false
 	}
+	if result.final != nil && notRunStatuses[result.final.status] && j.ran > counted+1 {
+		// It states that the request has not run, but a hedge may have run it.
+		h.finish(ctx, s, outcome{verdict: mayHaveRun, err: result.err})
+		return false
+	}
 	if result.final != nil {
 		s.copyHeader(result.final.header)
 		s.writeBody(result.final.status, result.final.body)
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -343,3 +343,23 @@
 	assert.Equal(t, got.body, eventText(6))
 	assert.Equal(t, r.ran("other"), 1)
 }
+
+// Guards against a refusal that states that a request has not run, after a further attempt through another
+// router that may have run it.
+func TestRefusalOfOtherRouterIsNotForwardedAfterRunElsewhere(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.allow("/safe/1", 10*time.Second)
+	refused, _, _ := r.startSilent(0, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Second)
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	brokenOff, _, ran := r.startSilent(0, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) })
+	r.losePath("app")
+	r.setRelays(refused, brokenOff)
+	got := r.post("/safe/1", smallSize)
+	assert.NilError(t, got.err)
+	assert.Equal(t, ran.Load(), int32(1))
+	assert.Equal(t, got.status, http.StatusBadGateway)
+}
