A request that a further attempt may be running at its deadline is not refused as not run

It is 504 now.

TestRequestThatRunsElsewhereAtDeadlineIsNotRefused failed before (503, two attempts), passes since with the race detector.

--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -363,3 +363,24 @@
 	assert.Equal(t, ran.Load(), int32(1))
 	assert.Equal(t, got.status, http.StatusBadGateway)
 }
+
+// Guards against a refusal that states that a request has not run, at a deadline at which a further attempt may
+// be running it.
+func TestRequestThatRunsElsewhereAtDeadlineIsNotRefused(t *testing.T) {
+	t.Parallel()
+	for attempts := 1; attempts <= 2; attempts++ {
+		t.Run(string(rune('0'+attempts)), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.allow("/safe/1", 4*time.Second)
+			route := r.source.table.Route("h", "/safe/1")
+			route.MaxAttempts, route.Target = attempts, 0
+			r.addSilent("app", "silent", time.Minute, good)
+			time.AfterFunc(time.Second, func() { r.add("app", "other", hang) })
+			got := r.post("/safe/1", largeSize)
+			assert.NilError(t, got.err)
+			assert.Equal(t, r.ran("other"), 1)
+			assert.Equal(t, got.status, http.StatusGatewayTimeout)
+		})
+	}
+}
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -317,7 +317,19 @@
 		select {
 		case <-r.changed:
 		case <-r.ctx.Done():
+			r.countPending()
 			return nil
 		}
 	}
 }
+
+// countPending counts the attempts of pending hedges that may run the request, which ends before them.
+func (r *race) countPending() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ran := r.running()
+	for _, g := range r.pending {
+		ran += g.ran
+	}
+	r.session.job.ran += ran
+}
