--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,6 +37,7 @@
 	// firstRequests and laterRequests are sent to each router before and after the change.
 	firstRequests = 40
 	laterRequests = 150
+	lastRequests  = 20
 )
 
 // deployment is the state of one run.
@@ -51,6 +52,8 @@
 	runs map[string]string
 	// sent counts the requests sent to each router.
 	sent map[string]int
+	// left are the workers that have left.
+	left map[string]bool
 }
 
 // note writes one line of the record.
@@ -79,7 +82,7 @@
 		return 2
 	}
 	defer os.RemoveAll(folder)
-	d := &deployment{folder: folder, root: os.Args[1], record: record, began: time.Now(), runs: map[string]string{}, sent: map[string]int{}}
+	d := &deployment{folder: folder, root: os.Args[1], record: record, began: time.Now(), runs: map[string]string{}, sent: map[string]int{}, left: map[string]bool{}}
 	defer d.stop()
 	broken, err := d.play(os.Getenv("TROUBLE") != "0")
 	switch {
@@ -151,9 +154,35 @@
 	got := float64(second["canary"]) / float64(served)
 	broken = math.Abs(got-share) > maxOff
 	d.note("from %v after the change on, %d requests: %v; canary's share is %.2f, its weight's %.2f; at most %.1f off is allowed: broken %t", configApply+margin, served, second, got, share, maxOff, broken)
+	if trouble && broken {
+		d.withoutCanary(routers)
+	}
 	return broken, nil
 }
 
+// withoutCanary shows what follows once the service that was taken out of the route has gone. It is not
+// judged.
+func (d *deployment) withoutCanary(routers []string) {
+	if err := d.call("/v1/instances/i-canary/deregister", nil); err != nil {
+		d.note("not shown: %v", err)
+		return
+	}
+	d.mu.Lock()
+	d.left["i-canary"] = true
+	d.mu.Unlock()
+	d.note("the worker of canary has left, which is acknowledged; stable is idle")
+	time.Sleep(configApply + margin)
+	served := 0
+	for n := range lastRequests {
+		for i, router := range routers {
+			if d.request(router, fmt.Sprintf("three-%d-%d", i, n)) != "" {
+				served++
+			}
+		}
+	}
+	d.note("without canary: %d of %d requests were served", served, lastRequests*len(routers))
+}
+
 // document returns a configuration whose only route is split over two services.
 func document(version, stable, canary int) []byte {
 	service := func(name string) map[string]any {
@@ -298,12 +327,21 @@
 	go func() {
 		for sequence := 2; ; sequence++ {
 			time.Sleep(heartbeat)
+			if d.hasLeft(id) {
+				return
+			}
 			_ = beat(sequence)
 		}
 	}()
 	return nil
 }
 
+func (d *deployment) hasLeft(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.left[id]
+}
+
 func (d *deployment) awaitReady(address string) error {
 	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		response, err := http.Get("http://" + address + "/v1/readyz")
