--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,6 @@
 }
 
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
-	"split":    runSplit,
 	"relay":    runRelay,
 	"isolated": runIsolated,
 }
