--- a/review/standin-2/clients.go
+++ b/review/standin-2/clients.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -97,7 +99,10 @@
 	router int
 	sentAt time.Time
 	status int
+	answer []byte
 	err    error
+	// limit is how long the client waits.
+	limit time.Duration
 }
 
 // send sends a request and waits for its answer.
@@ -109,12 +114,13 @@
 	}
 	r.Host = q.host
 	r.Header.Set("X-Attempt-Id", q.id)
-	r.Header.Set("X-Deadline-Ms", "4000")
+	limit := cmp.Or(q.limit, 4*time.Second)
+	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
 	for name, value := range q.header {
 		r.Header.Set(name, value)
 	}
 	q.sentAt = time.Now()
 	d.record.add("client sends %s to front-%d: %s %s%s", q.id, q.router+1, q.method, q.host, q.path)
-	q.status, _, q.err = do(r, 4*time.Second)
+	q.status, q.answer, q.err = do(r, limit)
 	d.record.add("answer to %s: status %d, error %v", q.id, q.status, q.err)
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,8 @@
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
 	"relay":    runRelay,
 	"isolated": runIsolated,
+	"versions": runVersions,
+	"rest":     runRest,
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,25 +20,50 @@
 	onRun func(r *http.Request)
 	// work is how long a run takes.
 	work time.Duration
-	// engine is set for a worker that holds weights.
-	engine   bool
+	// engine is set for a worker that holds weights. It answers with events, a pause apart.
+	engine bool
+	events int
+	pause  time.Duration
+	// software is the version of its software. Its first heartbeat arrives after late.
+	software string
+	late     time.Duration
 	born     int64
 	sequence atomic.Int64
 	server   *http.Server
 	ended    chan struct{}
+	once     sync.Once
 
 	mu sync.Mutex
+	// Until warmAt the worker turns requests away, and wants nothing from their sender for rest.
+	warmAt time.Time
+	rest   time.Duration
+	// turnedAway is when the worker last answered a machine with Retry-After, and tooEarly are the requests
+	// that reached it from there within the rest.
+	turnedAway map[string]time.Time
+	tooEarly   map[string]int
 	// cut are the local IP addresses of routers that cannot reach the worker.
 	cut   map[string]bool
 	conns map[net.Conn]struct{}
 }
 
 func startWorker(d *deployment, id, service string, last, port int, engine bool, onRun func(r *http.Request)) (*worker, error) {
-	w := &worker{id: id, service: service, address: d.address(last, port), record: d.record, onRun: onRun, work: 20 * time.Millisecond, engine: engine,
-		born: time.Now().UnixMilli(), ended: make(chan struct{}), cut: map[string]bool{}, conns: map[net.Conn]struct{}{}}
+	w := newWorker(d, id, service, last, port, engine)
+	w.onRun = onRun
+	return w, w.start(d)
+}
+
+func newWorker(d *deployment, id, service string, last, port int, engine bool) *worker {
+	return &worker{id: id, service: service, address: d.address(last, port), record: d.record, work: 20 * time.Millisecond, engine: engine, events: 3,
+		software: "v1", ended: make(chan struct{}), cut: map[string]bool{}, conns: map[net.Conn]struct{}{},
+		turnedAway: map[string]time.Time{}, tooEarly: map[string]int{}}
+}
+
+// start begins a new life of the worker.
+func (w *worker) start(d *deployment) error {
+	w.born = time.Now().UnixMilli()
 	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(out http.ResponseWriter, _ *http.Request) { out.Header().Set("X-Instance-Id", w.id) })
@@ -46,11 +72,12 @@
 	w.server = &http.Server{Handler: mux, ConnState: w.track}
 	go func() { _ = w.server.Serve(listener) }()
 	go w.beat(d)
-	return w, nil
+	return nil
 }
 
+// stop ends the worker as a crash does: its connections close at once.
 func (w *worker) stop() {
-	close(w.ended)
+	w.once.Do(func() { close(w.ended) })
 	_ = w.server.Close()
 }
 
@@ -111,6 +138,9 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.turnsAway(out, r, id) {
+		return
+	}
 	w.record.add("runs %s at %s (%s), %s %s, %d bytes, tenant %q, from %s", id, w.id, w.service, r.Method, r.RequestURI, len(body), r.Header.Get("X-Tenant"), r.RemoteAddr)
 	w.record.ran(id, w.service)
 	if w.onRun != nil {
@@ -121,14 +151,45 @@
 	if w.engine {
 		out.Header().Set("Content-Type", "text/event-stream")
 		out.Header().Set("X-Weight-Versions", "1")
-		for i := range 3 {
-			_, _ = fmt.Fprintf(out, "id: %d\ndata: token\n\n", i+1)
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for i := after + 1; i <= w.events; i++ {
+			if _, err := fmt.Fprintf(out, "id: %d\ndata: token by %s\n\n", i, w.software); err != nil {
+				return
+			}
+			out.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(w.pause):
+			}
 		}
 		return
 	}
 	_, _ = fmt.Fprintf(out, "answer of %s to %s\n", w.service, id)
 }
 
+// turnsAway answers a request during the warm-up, and counts those that come before the rest is
+// over.
+func (w *worker) turnsAway(out http.ResponseWriter, r *http.Request, id string) bool {
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at, is := w.turnedAway[from]; is && now.Sub(at) > time.Second/2 && now.Sub(at) < w.rest {
+		w.tooEarly[from]++
+		w.record.add("%s reaches %s from %s %v after it asked that machine for %v of rest", id, w.id, from, now.Sub(at).Round(time.Millisecond), w.rest)
+	}
+	if !now.Before(w.warmAt) {
+		return false
+	}
+	w.turnedAway[from] = now
+	w.record.add("%s turns %s of %s away with 503, Retry-After %v", w.id, id, from, w.rest.Seconds())
+	out.Header().Set("X-Not-Executed", "1")
+	out.Header().Set("Retry-After", strconv.FormatFloat(w.rest.Seconds(), 'f', -1, 64))
+	out.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 func (w *worker) models() any {
 	if !w.engine {
 		return nil
@@ -144,8 +205,13 @@
 
 // beat sends a heartbeat at each interval, to the next control if one does not acknowledge it.
 func (w *worker) beat(d *deployment) {
+	select {
+	case <-w.ended:
+		return
+	case <-time.After(w.late):
+	}
 	for at := 0; ; {
-		message := map[string]any{"service": w.service, "address": w.address, "zone": "hall", "version": "v1", "slots": 64, "state": "ready",
+		message := map[string]any{"service": w.service, "address": w.address, "zone": "hall", "version": w.software, "slots": 64, "state": "ready",
 			"cold_remaining_ms": 0, "call_seq": w.sequence.Add(1), "born": w.born}
 		if w.engine {
 			message["stage"], message["models"] = "unified", w.models()
