--- a/review/standin-2/relay.go
+++ b/review/standin-2/relay.go
@@ -33,7 +33,7 @@
 	if err := d.startControls(true); err != nil {
 		return v, err
 	}
-	if err := d.startRouters(3); err != nil {
+	if err := d.startRouters(6); err != nil {
 		return v, err
 	}
 	var workers []*worker
--- a/review/standin-2/rest.go
+++ b/review/standin-2/rest.go
@@ -24,7 +24,7 @@
 		return v, err
 	}
 	var workers []*worker
-	for i := range 3 {
+	for i := range 4 {
 		w, err := startWorker(d, fmt.Sprintf("i-%d", i+1), "orders", 35+i, d.ports.control, false, nil)
 		if err != nil {
 			return v, err
--- a/review/standin-2/versions.go
+++ b/review/standin-2/versions.go
@@ -46,7 +46,7 @@
 		return v, err
 	}
 	var workers []*worker
-	for i := range 3 {
+	for i := range 4 {
 		w := newWorker(d, fmt.Sprintf("i-%d", i+1), "llm", 35+i, d.ports.control, true)
 		w.events, w.pause = 25, 150*time.Millisecond
 		if err := w.start(d); err != nil {
