forward: requests that are passed on are served by no older configuration

Cause: the router without a path to its back ends passes requests on, and the other router resolves them anew by its own configuration; neither knows that these differ. The other one may be cut off from the coordinators and serves for up to 4.3 s.

Evidence: the lines of the requests at the other router have table 1 and relayed_for.

Why it works: relay.Origin names the version. An older router waits 100 ms and declines, which means that nothing has run; what only a newer one denies is declined too. On the same path: a request that has run is not run again where the newer configuration lets it run once, and the first router records the pool that the other one has chosen.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -69,6 +69,12 @@
 	defer s.race.close()
 	// ran is the result of the last attempt that the back end may have run.
 	ran := outcome{verdict: mayHaveRun, err: errOrigin}
+	if reason := noFurther(j, &s.position); j.ran > 0 && reason != "" {
+		// The configuration of the router that passed the request on may have allowed more attempts.
+		j.noAttempt = reason
+		h.finish(ctx, s, ran)
+		return
+	}
 	for {
 		// This is checked before each attempt and by digest: a poison request is resent under
 		// new IDs and through other routers.
@@ -92,6 +98,10 @@
 		}
 		if h.needsRelay(j) {
 			result := h.passOn(ctx, s, maxRelays)
+			if errors.Is(result.err, errNewerConfiguration) {
+				h.refuseByNewer(ctx, s, ran)
+				return
+			}
 			if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
 				j.unrelayed = true
 				continue
@@ -111,6 +121,10 @@
 		if h.passesOnShare(j) && ctx.Err() == nil {
 			j.shareAsked = true
 			result := h.passOn(ctx, s, maxShareRelays)
+			if errors.Is(result.err, errNewerConfiguration) {
+				h.refuseByNewer(ctx, s, ran)
+				return
+			}
 			if !errors.Is(result.err, errNoRelay) && !errors.Is(result.err, errDeclined) && !h.settleRelayed(ctx, s, result, &ran) {
 				return
 			}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -14,7 +14,6 @@
 	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,7 +189,7 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization", "Host", "Expect"}
 
 // relayHeaders are request headers that only routers set for each other.
-var relayHeaders = []string{relay.HeaderOrigin, relay.HeaderDeclined, relay.HeaderSoftware}
+var relayHeaders = []string{relay.HeaderOrigin, relay.HeaderDeclined, relay.HeaderConfiguration, relay.HeaderSoftware, relay.HeaderPool}
 
 func (h *Handler) now() time.Duration { return h.clock() - h.started }
 
@@ -246,6 +245,8 @@
 	// handler's clock.
 	deadline time.Duration
 	tally
+	// newerConfiguration is the version of another router's configuration that does not allow the request.
+	newerConfiguration uint64
 	// brokenRelays are the routers that did not complete a response.
 	brokenRelays []string
 	// quotaAmount is the request's amount of its tenant's quota, 0 if there is none, and
@@ -298,6 +299,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	j, refusal := h.resolve(r, receivedAt)
+	if refusal != nil && origin != nil && h.declineUnresolved(w, r, origin, refusal) {
+		return
+	}
 	if refusal != nil {
 		h.refuse(w, &job{id: r.Header.Get(h.config.Headers.RequestID)}, refusal)
 		return
@@ -347,6 +351,9 @@
 	retryAfter time.Duration
 	// text is the body.
 	text string
+	// configuration is the version of the configuration that does not allow the request; 0 for refusals
+	// for other reasons.
+	configuration uint64
 }
 
 // resolve finds the route, tenant and pool of a request.
@@ -356,19 +363,13 @@
 	if table == nil || !h.config.Source.Fresh() {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "the configuration may be outdated", retryAfter: max(h.config.Source.StartupDelay()-receivedAt, minRetryAfter)}
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := table.Route(r.Host, path)
-	if route == nil {
-		return nil, &refusal{status: http.StatusNotFound, reason: "no route"}
-	}
-	j := &job{id: r.Header.Get(h.config.Headers.RequestID), table: table, route: route, receivedAt: receivedAt, chunked: r.ProtoAtLeast(1, 1), retry: &retryGrant{}}
-	if table.NeedsKeys() && !route.Public {
-		key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if j.tenant = table.TenantByKey(strings.TrimSpace(key)); !bearer || j.tenant == nil {
-			return nil, &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
-		}
+	authorization := r.Header.Get("Authorization")
+	route, tenant, rejected := lookup(table, r.Host, r.RequestURI, authorization)
+	if rejected != nil {
+		return nil, rejected
 	}
-	j.authorization, j.continuation = r.Header.Get("Authorization"), h.continuationOf(r.Header)
+	j := &job{id: r.Header.Get(h.config.Headers.RequestID), table: table, route: route, tenant: tenant, receivedAt: receivedAt, chunked: r.ProtoAtLeast(1, 1), retry: &retryGrant{}}
+	j.authorization, j.continuation = authorization, h.continuationOf(r.Header)
 	if j.id == "" {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no ID"}
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -47,13 +47,18 @@
 	// Declined records that one cannot serve a pool, and Unreachable that one was not reached.
 	Declined(now time.Duration, address, pool string)
 	Unreachable(now time.Duration, address string)
+	// Outdated records that one declined a request because its configuration is older.
+	Outdated(now time.Duration, address string)
 }
 
 var (
 	errNoRelay       = errors.New("no router reaches the back ends")
 	errDeclined      = errors.New("declined")
 	errOtherSoftware = errors.New("the other router does not confirm the software version of the stream")
-	errOrigin        = errors.New("an attempt at the router of the client may have run the request")
+	// errNewerConfiguration is the outcome at a router whose configuration is newer and does not allow the
+	// request.
+	errNewerConfiguration = errors.New("a newer configuration does not allow the request")
+	errOrigin             = errors.New("an attempt at the router of the client may have run the request")
 )
 
 // pathLost reports whether no back end of a job's pool can be reached from here.
@@ -127,7 +132,7 @@
 			return a, result
 		}
 		a.close()
-		if ctx.Err() != nil || h.now() >= j.deadline {
+		if ctx.Err() != nil || h.now() >= j.deadline || errors.Is(result.err, errNewerConfiguration) {
 			break
 		}
 	}
@@ -162,16 +167,33 @@
 	if declined := response.Header.Get(relay.HeaderDeclined); declined != "" {
 		s.race.end(a)
 		h.metrics.relaysDeclined.Add(1)
-		if declined != relay.DeclinedShare {
-			h.config.Relays.Declined(h.clock(), address, j.pool.Name)
-		}
-		return a, outcome{verdict: notRun, err: errDeclined}
+		return a, outcome{verdict: notRun, err: h.declinedBy(a, declined)}
 	}
 	h.metrics.passedOn.Add(1)
 	h.metrics.relayDelay.add(h.now() - a.started)
 	return a, outcome{}
 }
 
+// declinedBy records that another router has declined a request, and returns the error for that.
+func (h *Handler) declinedBy(a *attempt, declined string) error {
+	j := a.session.job
+	switch declined {
+	case relay.DeclinedShare:
+		return errDeclined
+	case relay.DeclinedConfiguration:
+		// A version that cannot be parsed is 0: the router gets no more requests for a while.
+		theirs, _ := strconv.ParseUint(a.response.Header.Get(relay.HeaderConfiguration), 10, 64)
+		if theirs > j.table.Version {
+			j.newerConfiguration = theirs
+			return errNewerConfiguration
+		}
+		h.config.Relays.Outdated(h.clock(), a.relay)
+		return errDeclined
+	}
+	h.config.Relays.Declined(h.clock(), a.relay, j.pool.Name)
+	return errDeclined
+}
+
 // relayError returns the outcome of an attempt through another router that received no response header.
 func (h *Handler) relayError(a *attempt, text string, err error) outcome {
 	if cause := context.Cause(a.ctx); cause != nil {
@@ -206,7 +228,8 @@
 		header.Set(names.LastEvent, s.lastEventID)
 	}
 	header.Set(names.Deadline, strconv.FormatInt(max((j.deadline-h.now()).Milliseconds(), 1), 10))
-	origin := relay.Origin{Router: h.config.Name, Age: h.now() - j.receivedAt, Ran: j.ran, Delivered: j.deliveries, Counted: j.counted, Writer: s.boundTo()}
+	origin := relay.Origin{Router: h.config.Name, Age: h.now() - j.receivedAt, Ran: j.ran, Delivered: j.deliveries, Counted: j.counted,
+		Configuration: j.table.Version, Writer: s.boundTo()}
 	header.Set(relay.HeaderOrigin, origin.Encode())
 	return &upstream.Request{Method: j.request.Method, Target: j.request.Target, Host: j.request.Host, Header: header, Body: j.request.Body, ID: j.id,
 		NonIdempotent: j.request.NonIdempotent, Patience: j.deadline - h.now()}
@@ -254,16 +277,25 @@
 		h.decline(w, &job{id: r.Header.Get(h.config.Headers.RequestID), origin: origin}, "this router does not serve")
 		return
 	}
+	if version := h.awaitConfiguration(r.Context(), origin.Configuration); version < origin.Configuration {
+		h.declineConfiguration(w, r, origin, version, "its configuration is newer")
+		return
+	}
 	h.serveHTTP(w, r, origin)
 }
 
 // decline sends the response to a request of another router that has not run here and is not accepted.
 func (h *Handler) decline(w http.ResponseWriter, j *job, reason string) {
-	h.metrics.declined.Add(1)
 	value := "1"
 	if j.beyondRoom {
 		value = relay.DeclinedShare
 	}
+	h.declineAs(w, j, value, reason)
+}
+
+// declineAs is decline with the value of the response header that tells why.
+func (h *Handler) declineAs(w http.ResponseWriter, j *job, value, reason string) {
+	h.metrics.declined.Add(1)
 	w.Header().Set(relay.HeaderDeclined, value)
 	h.refuse(w, j, &refusal{status: http.StatusServiceUnavailable, reason: "declined for router " + j.origin.Router + ": " + reason, retryAfter: lostRetryAfter})
 }
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -93,6 +93,8 @@
 	o.unreachable = append(o.unreachable, address)
 }
 
+func (o *orderedRelays) Outdated(_ time.Duration, address string) { o.Declined(0, address, "") }
+
 // Requests of all kinds must reach the back end through another router as the client sent them, and
 // responses the client as the back end sent them.
 func TestPassedOnRequestAndResponseAreUnchanged(t *testing.T) {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -245,7 +245,8 @@
 
 // hopResponseHeaders are response headers that concern one connection only.
 var hopResponseHeaders = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, relay.HeaderDeclined: true, relay.HeaderSoftware: true}
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, relay.HeaderDeclined: true,
+	relay.HeaderConfiguration: true, relay.HeaderSoftware: true, relay.HeaderPool: true}
 
 // notRunStatuses are the statuses that tell a client that its request has not run and will not
 // run later.
@@ -379,6 +380,7 @@
 		s.copyHeader(response.Header)
 		if s.job.origin != nil {
 			s.client.Header().Set(relay.HeaderSoftware, string(s.writer.Software))
+			s.client.Header().Set(relay.HeaderPool, s.writer.Pool)
 		}
 		s.status = response.StatusCode
 		s.client.WriteHeader(response.StatusCode)
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -225,6 +226,8 @@
 	writer := resumption.Writer{Pool: j.pool.Name, Backend: s.attempted.ID, Software: s.attempted.Software}
 	if s.attempted.ID == "" {
 		writer.Software = state.SoftwareVersion(response.Header.Get(relay.HeaderSoftware))
+		// The other router has chosen the pool. Those of older builds do not name it.
+		writer.Pool = cmp.Or(response.Header.Get(relay.HeaderPool), writer.Pool)
 	}
 	s.race.advance(func(p *position) { p.writer = writer })
 	h.metrics.streams.add(s.writer.Software)
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -26,8 +26,16 @@
 	// has not run.
 	HeaderDeclined = "Quinceridge-Declined"
 	// DeclinedShare is the value of HeaderDeclined of a router that reaches the pool but has no part of
-	// its free capacity left. Any other value means that it does not reach the pool.
-	DeclinedShare = "share"
+	// its free capacity left, and DeclinedConfiguration that of one whose configuration differs, as
+	// HeaderConfiguration tells. Any other value means that it does not reach the pool.
+	DeclinedShare         = "share"
+	DeclinedConfiguration = "configuration"
+	// HeaderConfiguration is the response header with the version of the configuration in force at a router
+	// that declines a request because of it.
+	HeaderConfiguration = "Quinceridge-Configuration"
+	// HeaderPool is the response header that names the pool of the back end that wrote the first event of a
+	// stream.
+	HeaderPool = "Quinceridge-Pool"
 	// HeaderSoftware is the response header that names the software version of the back end that wrote
 	// the first event of a stream.
 	HeaderSoftware = "Quinceridge-Software"
@@ -48,6 +56,9 @@
 	Ran, Delivered int
 	// Counted is set if the request has been counted for the retry budget.
 	Counted bool
+	// Configuration is the version of the configuration by which the router has accepted the request; 0
+	// if that is not known.
+	Configuration uint64
 	// Writer is the back end that wrote the events of the stream that the request goes on with; empty if
 	// the stream may go on anywhere.
 	Writer resumption.Writer
@@ -57,6 +68,9 @@
 func (o *Origin) Encode() string {
 	values := url.Values{"router": {o.Router}, "age_ms": {strconv.FormatInt(o.Age.Milliseconds(), 10)}, "ran": {strconv.Itoa(o.Ran)},
 		"delivered": {strconv.Itoa(o.Delivered)}, "counted": {strconv.FormatBool(o.Counted)}}
+	if o.Configuration > 0 {
+		values.Set("configuration", strconv.FormatUint(o.Configuration, 10))
+	}
 	if o.Writer.Known() {
 		values.Set("pool", o.Writer.Pool)
 		values.Set("backend", o.Writer.Backend)
@@ -90,5 +104,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// Routers of older builds do not name it.
+	if text := values.Get("configuration"); text != "" {
+		if o.Configuration, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return nil, errors.Wrapf(err, "%s: configuration", HeaderOrigin)
+		}
+	}
 	return o, nil
 }
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -17,6 +17,9 @@
 	// is no other one.
 	declinedPause    = 100 * time.Millisecond
 	unreachablePause = time.Second
+	// outdatedPause is the time for which a router with an older configuration gets no requests. One that
+	// the coordinators reach has the present one by then.
+	outdatedPause = 500 * time.Millisecond
 	// quietLimit is the time without any response after which a router with open requests gets more
 	// only if there is no other one: its process may be suspended. Requests wait in queues there, but
 	// others are answered meanwhile.
@@ -58,6 +61,8 @@
 	// pausedUntil is the time until which others are preferred.
 	declined    map[string]time.Duration
 	pausedUntil time.Duration
+	// outdatedUntil is the time until which the router gets no requests because of its configuration.
+	outdatedUntil time.Duration
 }
 
 // NewSelector returns a Selector of a router in a zone.
@@ -112,7 +117,7 @@
 	var best []*candidate
 	cost := 0
 	for _, c := range s.relays {
-		if !c.Serves(pool) || now < c.declined[pool] || slices.Contains(tried, c.Address) {
+		if !c.Serves(pool) || now < c.declined[pool] || now < c.outdatedUntil || slices.Contains(tried, c.Address) {
 			continue
 		}
 		mine := c.open
@@ -181,3 +186,12 @@
 		c.pausedUntil = now + unreachablePause
 	}
 }
+
+// Outdated records that a router has declined a request because its configuration is older.
+func (s *Selector) Outdated(now time.Duration, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.relays[address]; c != nil {
+		c.outdatedUntil = now + outdatedPause
+	}
+}
