isolation: a tenant that becomes isolated leaves no shared prompts behind

Cause: the salt of shared parts named the tenants that share now. It was the same before and after the change, and what was kept under it was not.

Evidence: the salts that engines receive are m/1 before and after. Tests without the scope in the salt: TestIsolatedTenantLeavesNoSharedPrompts, TestWaitingRequestFollowsIsolation and TestSaltsAreUnambiguous fail.

Why it works: shared parts have a scope, which changes exactly when a tenant that has shared in it becomes isolated. Who has shared is replicated with the configuration. Where the history is not known, the scope is named after the isolated tenants, of whom none has ever used it.

Level 12, fields that older builds ignore.

--- a/internal/coordapi/coordapi.go
+++ b/internal/coordapi/coordapi.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/fairshare"
+	"quinceridge.example/quinceridge/internal/isolation"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/quota"
 	"quinceridge.example/quinceridge/internal/raft"
@@ -112,6 +113,9 @@
 	Document json.RawMessage `json:"document,omitempty"`
 	// PackedDocument replaces a large Document, packed.
 	PackedDocument []byte `json:"packed_document,omitempty"`
+	// PromptScope is the scope of the cached prompts that tenants of the current configuration share, nil
+	// if the leader does not know it.
+	PromptScope *isolation.Scope `json:"prompt_scope,omitempty"`
 	// Shard is the part of the engines that the router receives. It drops all others.
 	Shard Shard `json:"shard,omitzero"`
 	// Backends are the changed rows, and Departed the IDs of the removed ones.
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -77,7 +77,7 @@
 	case r.Watch != nil:
 		return s.watch(ctx, *r.Watch)
 	case r.Configure != nil:
-		return s.submit(ctx, state.Command{Configure: r.Configure})
+		return s.configure(ctx, *r.Configure)
 	case r.NameWeights != nil:
 		return s.submit(ctx, state.Command{NameWeights: r.NameWeights})
 	case r.Read != nil:
@@ -423,6 +423,9 @@
 		return nil
 	}
 	v := &coordapi.View{Revision: broadcast.revision, Leader: s.soft.token(), Version: d.Version, Routers: s.soft.watchers(), Shard: shard}
+	if d.SharedPrompts != nil {
+		v.PromptScope = &d.SharedPrompts.Scope
+	}
 	if !sameLeader || broadcast.membersRevision > w.Since {
 		v.Members = broadcast.members
 	}
--- a/internal/coordinator/pools.go
+++ b/internal/coordinator/pools.go
@@ -1,10 +1,12 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/resumption"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
@@ -52,6 +54,18 @@
 	s.backendLimits.SetLongestTimeout(s.pools.longestTimeout)
 }
 
+// configure proposes a configuration with its tenants.
+func (s *Server) configure(ctx context.Context, c state.Configure) (coordapi.Reply, error) {
+	c.Tenants = nil
+	table, err := s.decode(c.Document)
+	if err != nil {
+		s.logger.Error("cannot decode configuration; prompts will not be shared as before", "part", "registry", "version", c.Version, "error", err.Error())
+	} else {
+		c.Tenants = table.SharingTenants()
+	}
+	return s.submit(ctx, state.Command{Configure: &c})
+}
+
 // resumesStreams reports whether streams of a pool may be resumed.
 func (p *pools) resumesStreams(pool string) bool { return p.resumable[pool] }
 
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -83,7 +83,9 @@
 	// poison request has crashed.
 	runs    map[string]int
 	crashed []string
-	hosts   []*host
+	// salts holds the salts of the requests that engines have received, by tenant.
+	salts map[string]map[string]bool
+	hosts []*host
 	// scripted are the runs of scripted requests by their bodies.
 	scripted map[string][]*scriptedRun
 }
@@ -449,6 +451,7 @@
 	d := e.host.deployment
 	d.mu.Lock()
 	d.runs[string(body)]++
+	d.recordSalt(r.Header)
 	e.arrivals = append(e.arrivals, time.Now())
 	if e.host.draining {
 		w.Header().Set(names.Draining, "1")
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/fairshare"
+	"quinceridge.example/quinceridge/internal/isolation"
 	"quinceridge.example/quinceridge/internal/level"
 	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/peer"
@@ -372,7 +373,7 @@
 	if blocked != nil {
 		f.evidence.setBlocked(blocked)
 	}
-	if !f.configure(v.Version, document) {
+	if !f.configure(v.Version, document, v.PromptScope) {
 		return false
 	}
 	if len(rows) > 0 || len(v.Departed) > 0 || whole {
@@ -454,9 +455,10 @@
 
 // configure applies a newer configuration. It returns false when the document is missing; the next watch
 // requests the whole state then. One that cannot be decoded is not requested again.
-func (f *Follower) configure(version uint64, document json.RawMessage) bool {
+func (f *Follower) configure(version uint64, document json.RawMessage, scope *isolation.Scope) bool {
 	current := f.table.Load()
 	if version == 0 || (current != nil && current.Version >= version) {
+		f.setPromptScope(version, scope)
 		return true
 	}
 	rejected, _ := f.Undecodable()
@@ -474,9 +476,25 @@
 			"right_ms", (f.leaseUntil.Load()-int64(f.now()))/int64(time.Millisecond))
 		return true
 	}
+	table = table.WithPromptScope(scope)
 	f.table.Store(table)
 	f.undecodable.Store(nil)
 	f.config.Logger.Info("configuration applied", "part", "follower", "version", version, "routes", len(table.Routes),
-		"tenants", len(table.Tenants), "bytes", len(document))
+		"tenants", len(table.Tenants), "prompt_scope", table.PromptScope, "bytes", len(document))
 	return true
 }
+
+// setPromptScope changes the scope of shared prompts under the configuration in force: another leader may
+// not know it.
+func (f *Follower) setPromptScope(version uint64, scope *isolation.Scope) {
+	current := f.table.Load()
+	if current == nil || current.Version != version || (scope != nil && current.PromptScope == *scope) {
+		return
+	}
+	changed := current.WithPromptScope(scope)
+	if changed.PromptScope == current.PromptScope {
+		return
+	}
+	f.table.Store(changed)
+	f.config.Logger.Info("scope of shared prompts changed", "part", "follower", "version", version, "prompt_scope", changed.PromptScope, "before", current.PromptScope)
+}
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -102,6 +103,7 @@
 	names, header := &h.config.Headers, j.request.Header
 	header.Del(names.FetchFrom)
 	header.Del(names.SaveTo)
+	h.updateCacheSuffix(j)
 	salt := salt(j, choice.Version)
 	header.Set(names.Salt, salt)
 	if len(j.parts) == 0 || !choice.Versioned {
@@ -141,13 +143,42 @@
 // store returns the store of the request's shared parts, nil for none.
 func (j *job) store() *traffic.Store { return j.table.Store(xxhash.Sum64String(j.query.Key)) }
 
-// salt separates cached prompts by model, version and isolated tenant.
+// salt separates cached prompts by model, version and the tenants that may use them.
 func salt(j *job, version int) string {
-	return j.query.Model + "/" + strconv.Itoa(version) + j.tenantSuffix()
+	return url.PathEscape(j.query.Model) + "/" + strconv.Itoa(version) + j.cacheSuffix
 }
 
-// tenantSuffix returns the suffix that separates the cached prompts of an isolated tenant;
-// empty for all other tenants.
+// cacheSuffix separates the cached prompts of an isolated tenant from all others, and those that tenants
+// share from what they shared before one of them was isolated. An escaped name has no slash.
+func cacheSuffix(table *traffic.Table, tenant *traffic.Tenant) string {
+	switch {
+	case tenant != nil && tenant.Isolated:
+		return "/" + url.PathEscape(tenant.Name)
+	case table.PromptScope != "":
+		return "//" + string(table.PromptScope)
+	}
+	return ""
+}
+
+// updateCacheSuffix applies the configuration in force to a request that has waited: its tenant, or another
+// one, may have become isolated since. A tenant that has been removed shares nothing.
+func (h *Handler) updateCacheSuffix(j *job) {
+	table := h.config.Source.Table()
+	if table == j.table {
+		return
+	}
+	tenant := j.tenant
+	if tenant != nil {
+		tenant = table.TenantByName(tenant.Name)
+	}
+	if j.tenant != nil && tenant == nil {
+		tenant = &traffic.Tenant{Name: j.tenant.Name, Isolated: true}
+	}
+	j.cacheSuffix = cacheSuffix(table, tenant)
+}
+
+// tenantSuffix separates the names that an isolated tenant has for parts of prompts; empty for all other
+// tenants.
 func (j *job) tenantSuffix() string {
 	if j.tenant == nil || !j.tenant.Isolated {
 		return ""
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -8,6 +8,7 @@
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/isolation"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
@@ -28,7 +29,7 @@
 }
 
 func promptHandler() *Handler {
-	return &Handler{config: Config{Headers: names, Saved: NewSaved(), Pool: backends.NewPool("a")}, clock: clock.Now, started: clock.Now()}
+	return &Handler{config: Config{Headers: names, Source: &source{table: &traffic.Table{}}, Saved: NewSaved(), Pool: backends.NewPool("a")}, clock: clock.Now, started: clock.Now()}
 }
 
 // Requests that wait for an overloaded store hold memory at their engines, which then evict
@@ -102,3 +103,58 @@
 	assert.DeepEqual(t, ids, []string{"a", "b"})
 	assert.DeepEqual(t, tokens, []int{30, 5})
 }
+
+// saltWith returns the salt that a waiting request gets once another configuration is in force.
+func saltWith(j *job, scope isolation.Scope, tenants ...traffic.Tenant) string {
+	h := promptHandler()
+	later := *j.table
+	later.Version, later.Tenants = j.table.Version+1, tenants
+	h.config.Source = &source{table: later.WithPromptScope(&scope)}
+	h.setPromptHeaders(j, backends.Choice{ID: "a", Version: 1, Versioned: true})
+	return j.request.Header.Get(names.Salt)
+}
+
+// A request that waits while a tenant becomes isolated must not use what that tenant has cached.
+func TestWaitingRequestFollowsIsolation(t *testing.T) {
+	alice := &traffic.Tenant{Name: "alice"}
+	for _, c := range []struct {
+		name    string
+		scope   isolation.Scope
+		tenants []traffic.Tenant
+		wanted  string
+	}{
+		{"nothing changes", "", []traffic.Tenant{{Name: "alice"}}, "m/1"},
+		{"another tenant becomes isolated", "since-2", []traffic.Tenant{{Name: "alice"}, {Name: "bob", Isolated: true}}, "m/1//since-2"},
+		{"its tenant becomes isolated", "since-2", []traffic.Tenant{{Name: "alice", Isolated: true}}, "m/1/alice"},
+		{"its tenant is removed", "", nil, "m/1/alice"},
+	} {
+		j := promptJob(t)
+		j.tenant = alice
+		assert.Equal(t, saltWith(j, c.scope, c.tenants...), c.wanted, c.name)
+	}
+}
+
+// Names with slashes must not lead to the salt of others.
+func TestSaltsAreUnambiguous(t *testing.T) {
+	seen := map[string]bool{}
+	for _, model := range []string{"m", "m/1"} {
+		for _, tenant := range []string{"", "2", "/since-2", "1/2"} {
+			for _, scope := range []isolation.Scope{"", "since-2"} {
+				if tenant != "" && scope != "" {
+					continue
+				}
+				j := promptJob(t)
+				j.query.Model, j.table.PromptScope = model, scope
+				if tenant != "" {
+					j.tenant = &traffic.Tenant{Name: tenant, Isolated: true}
+				}
+				j.cacheSuffix = cacheSuffix(j.table, j.tenant)
+				for version := 1; version <= 2; version++ {
+					s := salt(j, version)
+					assert.Assert(t, !seen[s], s)
+					seen[s] = true
+				}
+			}
+		}
+	}
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -40,6 +40,7 @@
 	if engine == nil {
 		return
 	}
+	j.cacheSuffix = cacheSuffix(j.table, j.tenant)
 	j.query.Model = r.Header.Get(names.Model)
 	j.query.Slots, j.query.Capacity = engine.Slots, engine.CapacityTokens
 	j.query.Work = parseUsage(r.Header.Get(names.Usage))
@@ -76,7 +77,7 @@
 func placementParts(j *job, tokens []int) []coordapi.Part {
 	out := make([]coordapi.Part, len(j.parts))
 	for i, id := range j.parts {
-		out[i] = coordapi.Part{Hash: coordapi.PartHash(xxhash.Sum64String(id + j.tenantSuffix())), Tokens: tokens[i]}
+		out[i] = coordapi.Part{Hash: coordapi.PartHash(xxhash.Sum64String(id + j.cacheSuffix)), Tokens: tokens[i]}
 	}
 	return out
 }
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -43,8 +43,11 @@
 	// PresumedEnds adds to blocks which of their back ends are only presumed to have ended, the end of a
 	// block that keeps the other evidence, and to views the blocks that the leader has proposed.
 	PresumedEnds Level = 11
+	// PromptScopes adds the tenants to configurations, and to views the scope of the prompts that tenants
+	// share.
+	PromptScopes Level = 12
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = PresumedEnds
+const Current = PromptScopes
--- a/internal/state/deployment.go
+++ b/internal/state/deployment.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"encoding/json"
 	"sort"
+
+	"quinceridge.example/quinceridge/internal/isolation"
 )
 
 // minRetainedDepartures is the least number of departures that are retained. A larger
@@ -17,6 +19,9 @@
 	Version uint64 `json:"version"`
 	// Document is the configuration as the operator sent it.
 	Document json.RawMessage `json:"document"`
+	// Tenants are those of the document, nil if the proposer did not list them. A build that ignores them
+	// loses the history of shared prompts, and routers use a scope that needs none.
+	Tenants *isolation.Tenants `json:"tenants,omitempty"`
 }
 
 // NameWeights publishes a new version of a model's weights.
@@ -129,6 +134,8 @@
 	// Version and Document are the configuration in force. Version is 0 for none.
 	Version  uint64          `json:"version,omitempty"`
 	Document json.RawMessage `json:"document,omitempty"`
+	// SharedPrompts is the history of the prompts that tenants share, nil if it is not known.
+	SharedPrompts *isolation.History `json:"shared_prompts,omitempty"`
 	// ConfigurationRevision, WeightsRevision and BackendsRevision are the log indexes of the
 	// last change of each.
 	ConfigurationRevision uint64             `json:"configured_at,omitempty"`
@@ -163,6 +170,11 @@
 func (m *Machine) configure(index uint64, c *Configure) Result {
 	d := &m.data.Deployment
 	if c.Version > d.Version {
+		before := d.SharedPrompts
+		if d.Version == 0 {
+			before = isolation.First()
+		}
+		d.SharedPrompts = isolation.Next(before, c.Version, c.Tenants)
 		d.Version, d.Document, d.ConfigurationRevision = c.Version, c.Document, index
 	}
 	return Result{Code: CodeOK, Version: d.Version}
--- a/internal/state/deployment_test.go
+++ b/internal/state/deployment_test.go
@@ -25,7 +25,7 @@
 
 func TestConfigureKeepsHighestVersionAndFirstDocument(t *testing.T) {
 	m := New()
-	for _, c := range []Configure{{7, []byte(`"a"`)}, {7, []byte(`"b"`)}, {5, []byte(`"c"`)}} {
+	for _, c := range []Configure{{Version: 7, Document: []byte(`"a"`)}, {Version: 7, Document: []byte(`"b"`)}, {Version: 5, Document: []byte(`"c"`)}} {
 		applyCommands(t, m, Command{Configure: &c})
 	}
 	assert.Equal(t, m.Deployment().Version, uint64(7))
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -4,8 +4,10 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/isolation"
 	"quinceridge.example/quinceridge/internal/quota"
 )
 
@@ -31,6 +33,8 @@
 	Pools   []Pool
 	Tenants []Tenant
 	Limits  Limits
+	// PromptScope is the scope of the cached prompts that tenants share.
+	PromptScope isolation.Scope
 
 	hosts map[string][]*Route
 	keys  map[string]*Tenant
@@ -174,3 +178,37 @@
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 }
+
+// SharingTenants lists the tenants by whether they share cached prompts.
+func (t *Table) SharingTenants() *isolation.Tenants {
+	out := &isolation.Tenants{}
+	for i := range t.Tenants {
+		if tenant := &t.Tenants[i]; tenant.Isolated {
+			out.Isolated = append(out.Isolated, tenant.Name)
+		} else {
+			out.Sharing = append(out.Sharing, tenant.Name)
+		}
+	}
+	return out
+}
+
+// TenantByName returns the tenant with a name, nil for none. It looks at all tenants.
+func (t *Table) TenantByName(name string) *Tenant {
+	at := slices.IndexFunc(t.Tenants, func(tenant Tenant) bool { return tenant.Name == name })
+	if at < 0 {
+		return nil
+	}
+	return &t.Tenants[at]
+}
+
+// WithPromptScope returns a copy of the table with the scope of shared prompts; nil for one that needs no
+// history.
+func (t *Table) WithPromptScope(scope *isolation.Scope) *Table {
+	out := *t
+	if scope != nil {
+		out.PromptScope = *scope
+	} else {
+		out.PromptScope = isolation.ScopeWithout(t.SharingTenants().Isolated)
+	}
+	return &out
+}
