pushback: what a start asks for before its first heartbeat holds

Callers saw: nothing; a back end did.

Cause: a pushback is kept by the row of the back end. Until its first heartbeat a start has none, so that the pushback was kept for the start before, and the row of the new start came without it.

Evidence: the routers' line "pushback received" names the former row. Without the fix TestRetryAfterBeforeFirstHeartbeatHolds fails (103 and 192 requests too early, plain back ends and engines), and TestRetryAfterOfEndedStartIsDropped passes, which guards against the other wrong end.

Why it works: a connection leads to one process for its life. What arrives is recorded with its connection, and a later start adopts what arrived over one that is still open, or that was opened within 30 s after its start. The same for drains, limits and brittle back ends, and for coordinators' calls.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -104,6 +104,11 @@
 	// retryAfter makes the engine reject all requests with this Retry-After; 0 for none. The
 	// deployment's lock guards it.
 	retryAfter time.Duration
+	// rejectUntil is when it stops to reject them; zero for as long as retryAfter is set. The deployment's
+	// lock guards it.
+	rejectUntil time.Time
+	// datesStarts makes engines report the time of day of their starts.
+	datesStarts bool
 	// draining makes the engine announce in each response, but not in its heartbeats, that it
 	// drains. The deployment's lock guards it.
 	draining bool
@@ -366,6 +371,9 @@
 	id := cmp.Or(h.name, fmt.Sprintf("%s#%d", h.address, h.starts))
 	ctx, cancel := context.WithCancel(d.t.Context())
 	e := &engine{host: h, id: id, born: state.UnixMilli(h.starts), software: h.software, end: cancel, rejected: map[string][]time.Time{}, tooEarly: map[string]int{}, limitSent: map[string]time.Time{}}
+	if h.datesStarts {
+		e.born = state.UnixMilli(time.Now().UnixMilli())
+	}
 	h.current = e
 	h.stop = cancel
 	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
--- a/internal/edge/pushback_test.go
+++ b/internal/edge/pushback_test.go
@@ -35,7 +35,7 @@
 			break
 		}
 	}
-	if e.host.retryAfter == 0 {
+	if e.host.retryAfter == 0 || (!e.host.rejectUntil.IsZero() && now.After(e.host.rejectUntil)) {
 		return false
 	}
 	e.rejected[router] = append(e.rejected[router], now)
--- a/internal/pushback/pushback.go
+++ b/internal/pushback/pushback.go
@@ -37,6 +37,8 @@
 	Pool string
 	// Plain is set for a back end that is no engine.
 	Plain bool
+	// From is where a response came from.
+	From Origin
 }
 
 // Registry records the pushbacks of back ends. It is safe for concurrent use.
@@ -68,6 +70,8 @@
 	until     time.Duration
 	// draining is never cleared.
 	draining bool
+	// received are the last pushbacks by their connections, oldest first.
+	received []received
 	// sendsBlocked counts the sends rejected during the present wait.
 	sendsBlocked int
 }
@@ -102,6 +106,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.entryFor(g.clock(), from)
+	s.receive(from.From, 0, true)
 	if s.draining {
 		return
 	}
@@ -127,6 +132,7 @@
 		g.logger.Info("pushback received", "part", "pushback", "backend", from.ID, "pool", from.Pool, "wait_ms", wait.Milliseconds())
 		g.unreported = append(g.unreported, coordapi.Trouble{ID: string(from.ID), Kind: coordapi.Busy, For: wait})
 	}
+	s.receive(from.From, now+wait, false)
 	// A shorter wait does not replace a longer one.
 	s.updatedAt, s.until = now, max(s.until, now+wait)
 }
--- a/internal/ratelimit/registry.go
+++ b/internal/ratelimit/registry.go
@@ -28,6 +28,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/pushback"
+	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
@@ -88,7 +89,9 @@
 	pool        string
 	plain       bool
 	observation observation
-	lines       bounded.LineLimiter
+	// from is where the last response came from.
+	from  pushback.Origin
+	lines bounded.LineLimiter
 }
 
 // needsPermit reports whether a request needs a permit. The leader limits what brittle engines run by
@@ -141,6 +144,7 @@
 	} else {
 		latest = latest.merge(b.observation, 0)
 	}
+	b.from = from.From
 	r.update(from, b, latest, response.StatusCode)
 }
 
@@ -187,6 +191,31 @@
 	bounded.DropOldest(r.backends, maxBackends/4, func(b *backend) time.Duration { return b.observation.received })
 }
 
+// Adopt makes the limit of a back end's later start hold for it that was recorded for an earlier start,
+// because the later one had sent no heartbeat yet. It is called with the row ID of a request's receiver and
+// the name and address under which the request addresses it.
+func (r *Registry) Adopt(id coordapi.BackendID, name, address string) {
+	start, later := state.LaterStart(name, string(id))
+	if !later {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.backends[id]; known {
+		return
+	}
+	for earlier, b := range r.backends {
+		if earlier == id || (!b.observation.limited && b.observation.brittle == 0) || !b.from.IsFrom(start, address) {
+			continue
+		}
+		r.evict(r.clock())
+		adopted := &backend{pool: b.pool, plain: b.plain, from: b.from}
+		r.backends[id] = adopted
+		r.update(pushback.Backend{ID: id, Pool: b.pool}, adopted, b.observation, 0)
+		return
+	}
+}
+
 // Limited reports whether requests to a back end need a permit.
 func (r *Registry) Limited(id coordapi.BackendID) bool {
 	r.mu.Lock()
--- a/internal/state/start.go
+++ b/internal/state/start.go
@@ -180,7 +180,21 @@
 }
 
 // LaterRowID returns the ID of a start's row if it is not the first start of its back end.
-func LaterRowID(s Start) string { return s.Name + "~" + strconv.FormatInt(int64(s.Born), 36) }
+func LaterRowID(s Start) string { return s.Name + laterMark + strconv.FormatInt(int64(s.Born), 36) }
+
+// laterMark precedes the start time in the row ID of a later start.
+const laterMark = "~"
+
+// LaterStart returns the start of a back end that a row ID names, or false for the row of a first start.
+func LaterStart(name, id string) (Start, bool) {
+	id = FormerRowID(id)
+	text, later := strings.CutPrefix(id, name+laterMark)
+	if !later {
+		return Start{}, false
+	}
+	born, err := strconv.ParseInt(text, 36, 64)
+	return Start{Name: name, Born: UnixMilli(born)}, err == nil && born > 0
+}
 
 // addRow adds a row to current or superseded. Of a back end's rows, the one that enrolled last
 // is current.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/socket"
 )
 
@@ -175,8 +176,10 @@
 			continue
 		}
 		if response.Header.Get(a.pool.idHeader) == r.ID {
-			a.pool.pushbacks.ObserveResponse(r.Backend, r.Instance, response)
-			a.pool.limits.ObserveResponse(r.Backend, r.Instance, sent, response)
+			from := r.Backend
+			from.From = pushback.Origin{Name: r.Instance, Address: a.address, Connection: a.connection.link}
+			a.pool.pushbacks.ObserveResponse(from, r.Instance, response)
+			a.pool.limits.ObserveResponse(from, r.Instance, sent, response)
 			return response, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody)); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -230,6 +230,7 @@
 	// memory is the budget that the connection is charged to until it is closed.
 	memory *memory.Budget
 	closed atomic.Bool
+	link   *link
 }
 
 // Close implements net.Conn.
@@ -312,7 +313,8 @@
 	p.Opened.Add(1)
 	p.memory.Charge(connectionBytes)
 	socket.LimitUnsent(raw, maxUnsent)
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), userTimeout: userTimeout, memory: p.memory}, nil
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), userTimeout: userTimeout, memory: p.memory,
+		link: &link{conn: raw, openedAt: state.UnixMilli(time.Now().UnixMilli())}}, nil
 }
 
 // setPatience sets the user timeout for a request with the given patience.
@@ -373,6 +375,8 @@
 // Do sends a request and returns its response once the header has arrived. The end of the
 // context closes the connection, which cancels the request at the back end.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*BackendResponse, error) {
+	p.pushbacks.Adopt(r.Backend.ID, r.Instance, address)
+	p.limits.Adopt(r.Backend.ID, r.Instance, address)
 	if err := p.pushbacks.Check(r.Backend.ID); err != nil {
 		return nil, &callError{kind: ErrNotSent, cause: err}
 	}
