forward: requests follow changed weights from the first one on

Cause: credits of the smooth weighted round robin were kept in units of the weights before, by the position of the part, and a weight of 0 did not keep a part from being chosen.

Evidence: with the splitter as it was, TestSplitFollowsChangedWeights fails (share 0.500 for 1.000 after one request) and TestSplitFollowsLastOfManyChanges (22 of 200 requests at a part with weight 0).

Why it works: a split belongs to one set of weights. Another one begins at a random point of its cycle with credits below one request. Parts with weight 0 are never chosen. Over 200 routers with one request each the shares hold too.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -468,7 +468,7 @@
 	route := &traffic.Route{Name: "r", Split: []traffic.Share{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
 	counts := map[string]int{}
 	for range 1000 {
-		counts[s.next(route)]++
+		counts[s.next(&traffic.Table{Version: 1}, route)]++
 	}
 	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -377,7 +377,7 @@
 	}
 	j.clientWait = h.clientWait(r)
 	j.deadline = h.now() + timeout(j.clientWait, route)
-	j.pool = table.Pool(h.splits.next(route))
+	j.pool = table.Pool(h.splits.next(table, route))
 	h.buildRequest(r, j)
 	return j, nil
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -4,13 +4,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
 	"quinceridge.example/quinceridge/internal/backends"
 	"quinceridge.example/quinceridge/internal/coordapi"
-	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/upstream"
 )
 
@@ -124,36 +122,3 @@
 	}
 	return total
 }
-
-// splitter distributes the requests of a route over its pools by smooth weighted round robin.
-// It is safe for concurrent use.
-type splitter struct {
-	mu      sync.Mutex
-	current map[string][]int
-}
-
-func newSplitter() *splitter { return &splitter{current: map[string][]int{}} }
-
-// next returns the pool of the route's next request.
-func (s *splitter) next(r *traffic.Route) string {
-	if len(r.Split) == 1 {
-		return r.Split[0].Pool
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current := s.current[r.Name]
-	if len(current) != len(r.Split) {
-		current = make([]int, len(r.Split))
-		s.current[r.Name] = current
-	}
-	total, best := 0, 0
-	for i, share := range r.Split {
-		total += share.Weight
-		current[i] += share.Weight
-		if current[i] > current[best] {
-			best = i
-		}
-	}
-	current[best] -= total
-	return r.Split[best].Pool
-}
