quota: a bucket's level keeps its part when the unit of the limit changes

A tenant whose limit changes from tokens to requests has its level in tokens: overdrawn by 10,600 of them, it is refused for 1,060 s at 10 requests a second.

Cause: the limiter knew rate and burst of a limit and not what they count, so a level of the old unit was taken for one of the new.

Evidence: TestLevelKeepsItsPartWhenUnitChanges, which failed before (level -10,600 of requests).

Why it works: a limit has its unit; where that changes, the bucket keeps the part to which it is filled. What a successor may start with, which is recorded in the old unit, binds until the next record.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -111,6 +111,9 @@
 			a.at, a.level = now, l.capacity(limit)
 		default:
 			a.refill(now, l.capacity(a.limit))
+			if a.limit.Unit != limit.Unit {
+				a.convert(l.capacity(a.limit), l.capacity(limit))
+			}
 		}
 		a.limit = limit
 		a.level = min(a.level, l.capacity(limit))
@@ -118,6 +121,19 @@
 	l.initialized, l.restored = true, nil
 }
 
+// convert keeps the part to which a bucket is filled when the unit of its limit changes. A successor may
+// start with the recorded level, whose unit it does not know.
+func (a *account) convert(before, after Amount) {
+	part := Amount(0)
+	if before > 0 {
+		part = after / before
+	}
+	a.level *= part
+	a.waiting *= part
+	a.floor *= part
+	a.wanted, a.kept = 0, min(a.kept, after)
+}
+
 // Limit sets a single limit, in place of SetLimits. A new bucket starts empty, since earlier
 // usage is not known.
 func (l *Limiter) Limit(now time.Duration, name string, limit Limit) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -15,6 +15,8 @@
 	// once.
 	Rate  Amount
 	Burst Amount
+	// Unit is what both count.
+	Unit Unit
 }
 
 // Limited reports whether there is a limit at all.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -328,3 +329,28 @@
 	t.Logf("%.0f within a window beside %.0f of the routers, allowed %.0f", most, part, allowed)
 	assert.Assert(t, most+part <= allowed)
 }
+
+// A bucket's level must not be taken for one in the unit of a new limit: an overdraft of tokens would refuse
+// requests for minutes, and the other way round a level would admit next to nothing.
+func TestLevelKeepsItsPartWhenUnitChanges(t *testing.T) {
+	tokens, requests := Limit{Rate: 10_000, Burst: 100_000, Unit: Tokens}, Limit{Rate: 10, Burst: 100}
+	for _, c := range []struct {
+		name          string
+		before, after Limit
+		part          Amount
+	}{
+		{"overdrawn tokens", tokens, requests, -0.1},
+		{"half of the tokens", tokens, requests, 0.5},
+		{"half of the requests", requests, tokens, 0.5},
+	} {
+		l := NewLimiter(Tolerance{Window: 8 * time.Second, Overshoot: 0.1})
+		l.SetLimits(0, map[string]Limit{"a": c.before})
+		a := l.accounts["a"]
+		a.level, a.kept = c.part*l.capacity(c.before), 0
+		l.SetLimits(0, map[string]Limit{"a": c.after})
+		assert.Assert(t, math.Abs(float64(a.level-c.part*l.capacity(c.after))) < 1e-6, "%s: %v", c.name, a.level)
+		level := a.level
+		l.SetLimits(0, map[string]Limit{"a": {Rate: c.after.Rate, Burst: 2 * c.after.Burst, Unit: c.after.Unit}})
+		assert.Equal(t, a.level, level, "the unit is the same")
+	}
+}
--- a/internal/traffic/document.go
+++ b/internal/traffic/document.go
@@ -67,7 +67,7 @@
 
 func (t *DocumentTenant) tenant() Tenant {
 	return Tenant{Name: t.Name, Keys: t.Keys, Priority: t.Priority, Isolated: t.Isolated,
-		Quota: Quota{Limit: quota.Limit{Rate: t.Rate, Burst: t.Burst}, Unit: t.Unit, PlainTokens: t.PlainTokens}}
+		Quota: Quota{Limit: quota.Limit{Rate: t.Rate, Burst: t.Burst, Unit: t.Unit}, PlainTokens: t.PlainTokens}}
 }
 
 // Parse decodes a Document and builds its Table.
--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -153,9 +153,7 @@
 // Quota is the rate limit of a tenant over all routers.
 type Quota struct {
 	quota.Limit
-	// Unit is what the limit counts. PlainTokens is the number of tokens charged for a request
-	// that does not state its own.
-	Unit        quota.Unit
+	// PlainTokens is the number of tokens charged for a request that does not state its own.
 	PlainTokens int
 }
 
