upstream: responses without an end are given up at once

Cause: the header of a response was bounded neither in bytes nor in time, and up to 16 MiB of a body were read before a decision for which the header is enough.

An unsigned success is not read, failures and rejections are read for 256 KiB and 1 s, bodies without a length are buffered for 256 KiB.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -20,6 +20,12 @@
 const (
 	// maxBufferedBody bounds the body of a response that is buffered before it is forwarded.
 	maxBufferedBody = 16 << 20
+	// maxBufferedUnsized is the same for a body without a length, which may have no end.
+	maxBufferedUnsized = 256 << 10
+	// maxBufferedFailure bounds the body of a response that is no success, and failureTimeout the time in
+	// which it has to arrive: another attempt may follow.
+	maxBufferedFailure = 256 << 10
+	failureTimeout     = time.Second
 	// maxEvent bounds one event of a stream.
 	maxEvent     = 1 << 20
 	streamBuffer = 4 << 10
@@ -114,24 +120,47 @@
 // replaced is the outcome of an attempt that a hedge has replaced.
 func replaced() outcome { return outcome{verdict: mayHaveRun, err: errReplaced, delivered: true} }
 
-// receive reads a response that is no stream as far as it is buffered.
+// receive reads a response that is no stream as far as it is buffered. It does not read what cannot be
+// forwarded.
 func (s *session) receive(response *upstream.BackendResponse) received {
-	body, whole, err := readPrefix(response, maxBufferedBody, &s.job.memory)
+	names := &s.handler.config.Headers
+	success := response.StatusCode < http.StatusMultipleChoices
+	if success && response.Header.Get(names.Signature) == "" {
+		return received{failure: outcome{verdict: mayHaveRun, delivered: true, err: errNoSeal}}
+	}
+	isRejection := response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotRun) != ""
+	isFailure := response.StatusCode >= http.StatusInternalServerError
+	limit := int64(maxBufferedBody)
+	switch {
+	case isRejection, isFailure:
+		limit = maxBufferedFailure
+		response.SetReadTimeout(failureTimeout)
+	case response.ContentLength < 0:
+		limit = maxBufferedUnsized
+	}
+	body, whole, err := readPrefix(response, limit, &s.job.memory)
+	endless := errors.Is(err, upstream.ErrBodyTimeout) || (!whole && response.ContentLength < 0)
+	if (isRejection || isFailure) && endless {
+		// Nothing of it is forwarded: it may have no end.
+		body, whole, err = nil, false, nil
+	}
 	if err != nil {
 		return received{failure: outcome{verdict: mayHaveRun, err: err, delivered: true}}
 	}
 	read := received{bufferedResponse: &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}, whole: whole}
-	names := &s.handler.config.Headers
 	switch {
-	case response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotRun) != "":
+	case isRejection:
 		read.failure = outcome{verdict: notRun, response: read.bufferedResponse, delivered: true, err: errRejected}
-	case response.StatusCode >= http.StatusInternalServerError:
+	case isFailure:
 		read.failure = outcome{verdict: failed, delivered: true, err: errServerError}
-		if whole {
+		switch {
+		case whole:
 			read.failure.response = read.bufferedResponse
+		case endless:
+			read.failure.verdict = mayHaveRun
+		default:
+			response.SetReadTimeout(0)
 		}
-	case response.StatusCode < http.StatusMultipleChoices && response.Header.Get(names.Signature) == "":
-		read.failure = outcome{verdict: mayHaveRun, delivered: true, err: errNoSeal}
 	case s.headerSent:
 		read.failure = outcome{verdict: mayHaveRun, delivered: true, err: errServerError}
 	}
--- a/internal/upstream/link_test.go
+++ b/internal/upstream/link_test.go
@@ -31,7 +31,8 @@
 		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
 	}
 	l, far := connect()
-	go func() { _, _ = l.conn.Read(make([]byte, 1)) }()
+	reading := l.conn
+	go func() { _, _ = reading.Read(make([]byte, 1)) }()
 	assert.Assert(t, l.IsOpen())
 	assert.NilError(t, far.Close())
 	closed(&l)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -37,6 +37,9 @@
 	phase    atomic.Int32
 	complete bool
 	closed   bool
+	// timed is set while the body has to arrive within a time, and ctx is that of the request.
+	timed bool
+	ctx   context.Context
 	// identified is set if the connection leads to the start that the request names.
 	identified bool
 }
@@ -52,6 +55,7 @@
 
 // exchange writes the request and reads the header of its response.
 func (a *BackendResponse) exchange(ctx context.Context, r *Request) *callError {
+	a.ctx = ctx
 	c := a.connection
 	head := encodeHeader(r)
 	// Checked again just before the write: other responses may have arrived, and rows may have
@@ -167,8 +171,18 @@
 	if !a.phase.CompareAndSwap(phaseAwaiting, phaseResponding) {
 		return nil, errRespondedLate
 	}
+	stop := a.connection.watchHead()
+	response, err := a.findResponse(r, request, sent)
+	if !stop() {
+		return nil, errHeadTimeout
+	}
+	return response, err
+}
+
+// findResponse reads headers until that of the response to a request.
+func (a *BackendResponse) findResponse(r *Request, request *http.Request, sent time.Duration) (*http.Response, error) {
 	for range maxForeignResponses {
-		response, err := http.ReadResponse(a.connection.reader, request)
+		response, err := a.connection.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
@@ -182,7 +196,7 @@
 			a.pool.limits.ObserveResponse(from, r.Instance, sent, response)
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody)); err != nil {
+		if err := discardBody(response); err != nil {
 			return nil, err
 		}
 		if response.Close {
@@ -203,11 +217,28 @@
 		if endsProcess(err) {
 			a.pool.suspect(a.address)
 		}
+		if a.timed && a.ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = ErrBodyTimeout
+		}
 		err = &callError{kind: ErrOutcomeUnknown, cause: err}
 	}
 	return n, err
 }
 
+// SetReadTimeout bounds the time in which the rest of the body has to arrive; 0 for no bound. After it, Read
+// returns an error that matches ErrBodyTimeout.
+func (a *BackendResponse) SetReadTimeout(limit time.Duration) {
+	// Errors mean that the connection is closed, which the next read returns.
+	if a.timed = limit > 0; a.timed {
+		_ = a.connection.SetReadDeadline(time.Now().Add(limit))
+	} else {
+		_ = a.connection.SetReadDeadline(time.Time{})
+	}
+	if a.ctx.Err() != nil {
+		_ = a.connection.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 // Close releases the connection. It is reused only after a complete response to a completely
 // written request, with no bytes behind it.
 func (a *BackendResponse) Close() {
@@ -220,6 +251,7 @@
 		_ = a.connection.Close()
 		return
 	}
+	_ = a.connection.SetReadDeadline(time.Time{})
 	a.connection.expiresAt = clock.Now() + idleTimeout(a.Response.Header)
 	a.pool.putIdle(a.address, a.connection)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -231,6 +231,8 @@
 	memory *memory.Budget
 	closed atomic.Bool
 	link   *link
+	// bound is what reader reads from.
+	bound *boundedReader
 }
 
 // Close implements net.Conn.
@@ -313,7 +315,9 @@
 	p.Opened.Add(1)
 	p.memory.Charge(connectionBytes)
 	socket.LimitUnsent(raw, maxUnsent)
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), userTimeout: userTimeout, memory: p.memory,
+	bound := &boundedReader{conn: raw}
+	bound.unlimit()
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound, userTimeout: userTimeout, memory: p.memory,
 		link: &link{conn: raw, openedAt: state.UnixMilli(time.Now().UnixMilli())}}, nil
 }
 
