forward: further attempts keep the salt of an isolated tenant

Cause: the part of the salt that names the tenants had become a field of the job, which the copy for a further attempt beside a silent one did not have.

Why it works: the suffix is computed from configuration and tenant each time, and there is no field that a copy can miss.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -236,8 +236,6 @@
 	// parts are the IDs of the prompt's shared parts, and partDigests the result of promptParts.
 	parts       []string
 	partDigests []poison.Digest
-	// cacheSuffix is the part of the salt that names the tenants which share the prompt.
-	cacheSuffix string
 	// memory is what the request takes of the memory budget.
 	memory     memory.Reservation
 	receivedAt time.Duration
--- a/internal/forward/prompts.go
+++ b/internal/forward/prompts.go
@@ -103,15 +103,14 @@
 	names, header := &h.config.Headers, j.request.Header
 	header.Del(names.FetchFrom)
 	header.Del(names.SaveTo)
-	h.updateCacheSuffix(j)
-	salt := salt(j, choice.Version)
+	salt := salt(j, choice.Version, h.presentSuffix(j))
 	header.Set(names.Salt, salt)
 	if len(j.parts) == 0 || !choice.Versioned {
 		return
 	}
 	store := j.store()
 	if choice.Placement > 0 {
-		h.setPlacedPromptHeaders(j, choice, store)
+		h.setPlacedPromptHeaders(j, choice, store, salt)
 		return
 	}
 	if store != nil && !h.store.worthwhile(h.now(), h.config.Pool.MaxFetchDelay(&j.query)) {
@@ -129,13 +128,13 @@
 }
 
 // setPlacedPromptHeaders sets the same headers as the leader chose them.
-func (h *Handler) setPlacedPromptHeaders(j *job, choice backends.Choice, store *traffic.Store) {
+func (h *Handler) setPlacedPromptHeaders(j *job, choice backends.Choice, store *traffic.Store, salt string) {
 	names, header := &h.config.Headers, j.request.Header
 	if choice.Source != "" {
 		header.Set(names.FetchFrom, choice.Source)
 	}
 	if choice.Save && store != nil {
-		h.config.Saved.MarkSaved(salt(j, choice.Version), j.parts)
+		h.config.Saved.MarkSaved(salt, j.parts)
 		header.Set(names.SaveTo, store.Address)
 	}
 }
@@ -143,9 +142,9 @@
 // store returns the store of the request's shared parts, nil for none.
 func (j *job) store() *traffic.Store { return j.table.Store(xxhash.Sum64String(j.query.Key)) }
 
-// salt separates cached prompts by model, version and the tenants that may use them.
-func salt(j *job, version int) string {
-	return url.PathEscape(j.query.Model) + "/" + strconv.Itoa(version) + j.cacheSuffix
+// salt separates cached prompts by model, version and the tenants that may use them, as suffix tells.
+func salt(j *job, version int, suffix string) string {
+	return url.PathEscape(j.query.Model) + "/" + strconv.Itoa(version) + suffix
 }
 
 // cacheSuffix separates the cached prompts of an isolated tenant from all others, and those that tenants
@@ -160,21 +159,19 @@
 	return ""
 }
 
-// updateCacheSuffix applies the configuration in force to a request that has waited: its tenant, or another
-// one, may have become isolated since. A tenant that has been removed shares nothing.
-func (h *Handler) updateCacheSuffix(j *job) {
+// presentSuffix returns the cache suffix of a request by the configuration in force, which may be newer than
+// the request: its tenant, or another one, may have become isolated since. A tenant that has been removed
+// shares nothing.
+func (h *Handler) presentSuffix(j *job) string {
 	table := h.config.Source.Table()
-	if table == j.table {
-		return
-	}
-	tenant := j.tenant
-	if tenant != nil {
-		tenant = table.TenantByName(tenant.Name)
+	if table == j.table || j.tenant == nil {
+		return cacheSuffix(table, j.tenant)
 	}
-	if j.tenant != nil && tenant == nil {
+	tenant := table.TenantByName(j.tenant.Name)
+	if tenant == nil {
 		tenant = &traffic.Tenant{Name: j.tenant.Name, Isolated: true}
 	}
-	j.cacheSuffix = cacheSuffix(table, tenant)
+	return cacheSuffix(table, tenant)
 }
 
 // tenantSuffix separates the names that an isolated tenant has for parts of prompts; empty for all other
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -66,7 +66,7 @@
 	assert.Equal(t, j.request.Header.Get(names.FetchFrom), away.HomeAddress)
 
 	h.config.Saved = NewSaved()
-	h.config.Saved.ShouldSave(salt(j, 1), j.parts[:1])
+	h.config.Saved.ShouldSave(salt(j, 1, ""), j.parts[:1])
 	h.setPromptHeaders(j, away)
 	assert.Equal(t, j.request.Header.Get(names.FetchFrom), storeAddress)
 	assert.Equal(t, j.request.Header.Get(names.SaveTo), storeAddress)
@@ -148,9 +148,8 @@
 				if tenant != "" {
 					j.tenant = &traffic.Tenant{Name: tenant, Isolated: true}
 				}
-				j.cacheSuffix = cacheSuffix(j.table, j.tenant)
 				for version := 1; version <= 2; version++ {
-					s := salt(j, version)
+					s := salt(j, version, cacheSuffix(j.table, j.tenant))
 					assert.Assert(t, !seen[s], s)
 					seen[s] = true
 				}
@@ -158,3 +157,15 @@
 		}
 	}
 }
+
+// A further attempt beside a silent one must not share the prompts of an isolated tenant.
+func TestFurtherAttemptKeepsIsolation(t *testing.T) {
+	j := promptJob(t)
+	j.tenant, j.table.Tenants = &traffic.Tenant{Name: "alice", Isolated: true}, []traffic.Tenant{{Name: "alice", Isolated: true}}
+	j.request.Header.Set(names.Salt, "none")
+	h := promptHandler()
+	h.config.Source = &source{table: j.table}
+	forked := j.fork(nil, &hedgeRecord{})
+	h.setPromptHeaders(forked, backends.Choice{ID: "a", Version: 1, Versioned: true})
+	assert.Equal(t, forked.request.Header.Get(names.Salt), "m/1/alice")
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -38,7 +38,7 @@
 	if engine == nil {
 		return
 	}
-	j.cacheSuffix = cacheSuffix(j.table, j.tenant)
+	suffix := cacheSuffix(j.table, j.tenant)
 	j.query.Model = r.Header.Get(names.Model)
 	j.query.Slots, j.query.Capacity = engine.Slots, engine.CapacityTokens
 	j.query.Work = parseUsage(r.Header.Get(names.Usage))
@@ -49,11 +49,13 @@
 		j.query.Key = j.parts[len(j.parts)-1]
 	}
 	j.query.Work.Prompt = max(j.query.Work.Prompt-j.query.Shared, 0)
-	j.query.UncachedTokens = func(version int) int { return sum(tokens[h.config.Saved.CountSaved(salt(j, version), j.parts):]) }
+	j.query.UncachedTokens = func(version int) int {
+		return sum(tokens[h.config.Saved.CountSaved(salt(j, version, suffix), j.parts):])
+	}
 	if j.query.Key != "" {
 		j.query.Key += j.tenantSuffix()
 	}
-	j.query.Parts = placementParts(j, tokens)
+	j.query.Parts = placementParts(j, tokens, suffix)
 	if store := j.store(); store != nil && len(j.parts) > 0 {
 		j.query.Store, j.query.StoreTokens = store.Address, store.CapacityTokens
 	}
@@ -72,10 +74,10 @@
 }
 
 // placementParts returns the shared parts as sent to the leader.
-func placementParts(j *job, tokens []int) []coordapi.Part {
+func placementParts(j *job, tokens []int, suffix string) []coordapi.Part {
 	out := make([]coordapi.Part, len(j.parts))
 	for i, id := range j.parts {
-		out[i] = coordapi.Part{Hash: coordapi.PartHash(xxhash.Sum64String(id + j.cacheSuffix)), Tokens: tokens[i]}
+		out[i] = coordapi.Part{Hash: coordapi.PartHash(xxhash.Sum64String(id + suffix)), Tokens: tokens[i]}
 	}
 	return out
 }
