forward: only streams that clients take up require an identified start

Status requests on new connections wait for paused engines, and the streams behind them are not placed.

Change: a connection is identified for streams of which the client has events, beside pools with several versions as before.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -242,14 +242,14 @@
 	}
 }
 
-// requiredStart returns the start time of the start that has to serve an attempt, 0 if that does not matter. A
-// process that has taken the name of a back end may have another software version, also one that no
-// heartbeat has reported yet.
-func (h *Handler) requiredStart(j *job, running *backends.Attempt) state.UnixMilli {
+// requiredStart returns the start time of the start that has to serve an attempt, 0 if that does not matter: a
+// process that has taken the name of a back end may have another software version. Identify is set if
+// several versions serve, or if the client has events: no heartbeat may have reported the version yet.
+func (h *Handler) requiredStart(j *job, running *backends.Attempt) (born state.UnixMilli, identify bool) {
 	if !j.route.Resumable || j.route.Kind != traffic.KindStream {
-		return 0
+		return 0, false
 	}
-	return running.Born()
+	return running.Born(), j.continuation.resumed() || h.severalVersions(j.pool.Name)
 }
 
 // streamLife returns the time for which the client of a request may resume its stream: as long as it waits
