listener: heads are counted before they are parsed, at every address of a router

Callers saw routers end or refuse everybody: 600 requests with 15 KiB of head in short fields took a router of 88 MiB to 303 MiB (300 of 60 KiB: 609 MiB, at the readiness address 384, at the metrics 376, at the relay 388, at a path without a route 362; 300 heads of 900 KiB at readiness 562, at metrics 541).

Cause: a head and the fields that it becomes were charged to the memory budget once the request was resolved, and by a constant; a short field takes some 190 bytes for its 6.

A guard wraps every listener of the router. It counts the bytes and lines of a head as they arrive and reserves what the parser will make of them. When the budget is used up it evicts the connections that hold most and make least progress, and never a request that runs. It applies the limits of the configuration, and bounds how long the server reads the rest of a body that has been refused.

The test of connections' memory now opens a connection in place of calling a hook.

--- a/cmd/quinceridge/deployment.go
+++ b/cmd/quinceridge/deployment.go
@@ -12,12 +12,16 @@
 	"quinceridge.example/quinceridge/internal/config"
 	"quinceridge.example/quinceridge/internal/coordinator"
 	"quinceridge.example/quinceridge/internal/edge"
+	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/telemetry"
 	"quinceridge.example/quinceridge/internal/traffic"
 	"quinceridge.example/quinceridge/internal/vocabulary"
 )
 
+// gcPercent is the garbage collector's target percentage of processes with a memory limit.
+const gcPercent = 50
+
 // edgeCommand runs a diskless router.
 type edgeCommand struct {
 	Config string `required:"" help:"Settings file (docs/SETTINGS.md)." placeholder:"FILE"`
@@ -30,6 +34,7 @@
 		return err
 	}
 	s.SetDefaults()
+	memory.LimitHeap(s.MemoryLimit, gcPercent)
 	stopped := stopSignal()
 	out := telemetry.NewBuffer(os.Stdout)
 	defer out.Flush()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"quinceridge.example/quinceridge/internal/follower"
 	"quinceridge.example/quinceridge/internal/forward"
 	"quinceridge.example/quinceridge/internal/level"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/peer"
@@ -41,10 +42,6 @@
 	// overdueInterval is the time between checks for requests whose deadline passed while the
 	// machine was suspended. They may outlast it by this much.
 	overdueInterval = 250 * time.Millisecond
-	// Limits towards callers. A configuration may set tighter ones.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 64 << 10
 	// memoryDivisor divides the memory limit to give the budget of buffers. The process limits its
 	// heap to three quarters; the rest of that is for tables and for garbage.
 	memoryDivisor = 2
@@ -64,8 +61,10 @@
 	metrics     *http.Server
 	// relayed serves the requests that other routers pass on; nil if the settings name no address.
 	relayed *http.Server
-	cancel  context.CancelFunc
-	group   sync.WaitGroup
+	// guard bounds the connections of all listeners.
+	guard  *listener.Guard
+	cancel context.CancelFunc
+	group  sync.WaitGroup
 }
 
 // New assembles a router. Headers are the names in use on the wire, status is the request for a back end's
@@ -103,20 +102,35 @@
 	}
 	e.handler = forward.New(forwardConfig)
 	e.follower.OnAnnouncement(e.handler.RecordAnnouncement)
-	e.callers = &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+	e.guard = listener.NewGuard(buffers, logger)
+	e.callers = e.newServer(e.handler, listener.HandlerCountsBodies)
 	if relays != nil {
-		e.relayed = &http.Server{Handler: http.HandlerFunc(e.handler.ServeRelayed), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeader, ConnState: e.handler.ConnState, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug)}
+		e.relayed = e.newServer(http.HandlerFunc(e.handler.ServeRelayed), listener.HandlerCountsBodies)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", e.writeMetrics)
 	mux.HandleFunc("/", e.ready)
-	e.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	e.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	e.readiness = e.newServer(mux, listener.CountBodies)
+	e.metrics = e.newServer(mux, listener.CountBodies)
 	return e
 }
 
+// newServer returns a server whose connections the guard bounds.
+func (e *Edge) newServer(handler http.Handler, bodies listener.Bodies) *http.Server {
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug)}
+	e.guard.Bind(server, bodies)
+	return server
+}
+
+// callerLimits returns the limits of the configuration in force.
+func (e *Edge) callerLimits() listener.Limits {
+	table := e.follower.Table()
+	if table == nil {
+		return listener.DefaultLimits()
+	}
+	return listener.Limits{HeadBytes: table.Limits.MaxHeaderBytes, HeadTimeout: table.Limits.HeaderTimeout, IdleTimeout: table.Limits.IdleTimeout}
+}
+
 // ready serves the readiness check.
 func (e *Edge) ready(w http.ResponseWriter, _ *http.Request) {
 	if e.handler.Ready() {
@@ -132,6 +146,7 @@
 // writeMetrics serves the metrics.
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	_, _ = e.handler.WriteTo(w)
+	_, _ = e.guard.WriteTo(w)
 	version, _ := e.follower.Undecodable()
 	_, _ = fmt.Fprintf(w, "quinceridge_undecodable_configuration_version %d\n", version)
 }
@@ -141,6 +156,7 @@
 	clock.LogIfUnavailable(e.logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	e.group.Go(func() { e.guard.Run(ctx) })
 	e.group.Go(func() { e.follower.Run(ctx) })
 	e.group.Go(func() { e.follower.Update(ctx) })
 	e.group.Go(func() { e.follower.RunStreams(ctx) })
@@ -149,20 +165,19 @@
 	e.group.Go(func() { periodic.Run(ctx, forward.PathCheckInterval, e.handler.CheckPaths) })
 	if e.relayed != nil {
 		e.group.Go(func() { e.follower.UpdateRelays(ctx) })
-		if err := e.listen(e.relayed, e.settings.RelayListen, e.handler.Listener); err != nil {
+		if err := e.listen(e.relayed, e.settings.RelayListen, listener.Config{Name: "relay"}); err != nil {
 			return err
 		}
 	}
-	unchanged := func(l net.Listener) net.Listener { return l }
-	if err := e.listen(e.readiness, e.settings.Readiness, unchanged); err != nil {
+	if err := e.listen(e.readiness, e.settings.Readiness, listener.Config{Name: "readiness"}); err != nil {
 		return err
 	}
-	if err := e.listen(e.callers, e.settings.Listen, e.handler.Listener); err != nil {
+	if err := e.listen(e.callers, e.settings.Listen, listener.Config{Name: "callers", Limits: e.callerLimits}); err != nil {
 		return err
 	}
 	if e.settings.Metrics != "" {
 		// A router without metrics still serves.
-		if err := e.listen(e.metrics, e.settings.Metrics, unchanged); err != nil {
+		if err := e.listen(e.metrics, e.settings.Metrics, listener.Config{Name: "metrics"}); err != nil {
 			e.logger.Error("metrics listener failed", "part", "edge", "error", err.Error())
 		}
 	}
@@ -171,13 +186,15 @@
 	return nil
 }
 
-func (e *Edge) listen(server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
-	listener, err := net.Listen("tcp", address)
+// listen serves an address. Clients that read nothing are disconnected.
+func (e *Edge) listen(server *http.Server, address string, config listener.Config) error {
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	bounded := e.handler.Listener(e.guard.Listen(inner, config))
 	e.group.Go(func() {
-		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Error("listener failed", "part", "edge", "address", address, "error", err.Error())
 		}
 	})
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/coordinator"
 	"quinceridge.example/quinceridge/internal/settings"
@@ -19,8 +20,11 @@
 // Guards against a router that does not bound its buffers by its memory limit: half of it is the
 // budget, and connections of clients count.
 func TestMemoryLimitBoundsBuffers(t *testing.T) {
-	e := New(settings.DisklessRouter{Name: "r", MemoryLimit: 100}, names, coordinator.StatusRequest(), traffic.Parse, discardLogger())
-	defer e.peers.Close()
+	s := settings.DisklessRouter{Name: "r", Listen: freeAddress(t), Readiness: freeAddress(t), Seeds: []string{freeAddress(t)},
+		Revocation: 5 * time.Second, StopGrace: 2 * time.Second, RetryWindow: time.Second, MemoryLimit: 100}
+	e := New(s, names, coordinator.StatusRequest(), traffic.Parse, discardLogger())
+	assert.NilError(t, e.Start())
+	defer e.Stop()
 	used := func() (bytesUsed, limit int64) {
 		var text bytes.Buffer
 		_, _ = e.handler.WriteTo(&text)
@@ -30,17 +34,23 @@
 		}
 		return bytesUsed, limit
 	}
-	_, limit := used()
+	none, limit := used()
 	assert.Equal(t, limit, int64(50<<20))
-	a, b := net.Pipe()
-	defer a.Close()
-	defer b.Close()
-	e.callers.ConnState(a, http.StateNew)
-	held, _ := used()
-	assert.Assert(t, held > 0)
-	e.callers.ConnState(a, http.StateClosed)
-	held, _ = used()
-	assert.Equal(t, held, int64(0))
+	assert.Equal(t, none, int64(0))
+	conn, err := net.Dial("tcp", s.Listen)
+	assert.NilError(t, err)
+	awaitHeld := func(held bool) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if bytesUsed, _ := used(); (bytesUsed > 0) != held {
+				return poll.Continue("%d bytes", bytesUsed)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+	awaitHeld(true)
+	assert.NilError(t, conn.Close())
+	awaitHeld(false)
 }
 
 // Guards against a router whose connections of clients lack the rule for those that read nothing.
--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
@@ -16,11 +15,10 @@
 	clientStallTimeout = 5 * time.Second
 	// maxUnsent bounds the bytes that the system keeps for a client before they are sent.
 	maxUnsent = 32 << 10
-	// clientConnectionBytes is the memory of a client's connection, and requestBytes that of a request
-	// without bodies. 1,000 stalled streams of small events take 48.2 KiB each, of which
-	// upstream.Pool charges 8 KiB for the connection to the back end.
-	clientConnectionBytes = 16 << 10
-	requestBytes          = 24 << 10
+	// requestBytes is the memory of a request without bodies. 1,000 stalled streams of small events take
+	// 48.2 KiB each, of which the listener counts 16 KiB for the connection to the client and upstream.Pool
+	// 8 KiB for that to the back end.
+	requestBytes = 24 << 10
 	// maxStallLines bounds the log lines on disconnected clients within a second.
 	maxStallLines = 20
 )
@@ -61,24 +59,16 @@
 				"reason", stalledReason(c.handler.clientStall), "waiting", len(p)-n)
 		}
 		// The system would keep the bytes that were not sent and try to deliver them.
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
+		if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = lingerer.SetLinger(0)
 		}
 	}
 	return n, err
 }
 
+// NetConn returns the connection that c wraps.
+func (c *clientConnection) NetConn() net.Conn { return c.Conn }
+
 func stalledReason(limit time.Duration) string {
 	return "it read nothing for " + limit.String() + " while bytes waited"
 }
-
-// ConnState charges the connections of clients to the memory budget. It is a hook of http.Server.
-func (h *Handler) ConnState(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		h.config.Memory.Charge(clientConnectionBytes)
-	case http.StateClosed, http.StateHijacked:
-		h.config.Memory.Release(clientConnectionBytes)
-	default:
-	}
-}
--- a/internal/forward/slowreader_test.go
+++ b/internal/forward/slowreader_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/state"
@@ -33,8 +34,9 @@
 	r.handler.config.Upstream.SetMemory(budget)
 	r.router.Close()
 	r.router = httptest.NewUnstartedServer(r.handler)
-	r.router.Config.ConnState = r.handler.ConnState
-	r.router.Listener = r.handler.Listener(r.router.Listener)
+	guard := listener.NewGuard(budget, slog.New(slog.DiscardHandler))
+	guard.Bind(r.router.Config, listener.HandlerCountsBodies)
+	r.router.Listener = r.handler.Listener(guard.Listen(r.router.Listener, listener.Config{Name: "test"}))
 	r.router.Start()
 	r.t.Cleanup(func() {
 		r.router.CloseClientConnections()
--- /dev/null
+++ b/internal/listener/conn.go
@@ -0,0 +1,235 @@
+package listener
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/memory"
+)
+
+const (
+	// fieldBytes is the memory that a field of a head takes beside its bytes: a map entry, a slice, and
+	// both again in the request to the back end.
+	fieldBytes = 192
+	// freeHead is the estimate of a head that connectionBytes covers.
+	freeHead = 4 << 10
+	// unreadTimeout is the time for which the rest of a request is read that has been answered.
+	unreadTimeout = time.Second
+)
+
+// errClosed is the error of reading from a connection that is closed for the sake of others. It is a
+// timeout, on which servers close the connection without a response.
+var errClosed = &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}
+
+// Conn is the connection of a client.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	account  *memory.Account
+	head     headCounter
+	// headBytes is what the account holds for the head.
+	headBytes int64
+	// outOfHead is set from the end of a request's head until its response has been written.
+	outOfHead atomic.Bool
+	// headAt is when the first byte of the head arrived, 0 for none.
+	headAt atomic.Int64
+	// used is set once a request has been answered.
+	used atomic.Bool
+	// ending is set once reads fail, and cut once writes fail too.
+	ending, cut atomic.Bool
+	once        sync.Once
+}
+
+// Account returns what the connection holds of the memory budget.
+func (c *Conn) Account() *memory.Account { return c.account }
+
+// overdue reports whether the connection exceeds a time limit.
+func (c *Conn) overdue(limits Limits) (Cause, bool) {
+	switch c.account.State() {
+	case memory.Quiet:
+		return CauseIdle, c.account.Stalled() >= limits.IdleTimeout
+	case memory.Receiving:
+		since := c.headAt.Load()
+		return CauseHead, since > 0 && !c.outOfHead.Load() && clock.Since(time.Duration(since)) >= limits.HeadTimeout
+	default:
+		return 0, false
+	}
+}
+
+// close ends the connection and its request, unless that has been done.
+func (c *Conn) close(cause Cause) {
+	if c.account.MarkEvicted() {
+		c.end(cause)
+	}
+}
+
+// end makes reads fail, on which the request is refused or the connection closed. A response that its peer
+// does not read is cut.
+func (c *Conn) end(cause Cause) {
+	c.listener.guard.record(cause, c)
+	if c.account.State() == memory.Responding {
+		c.cut.Store(true)
+		_ = c.SetWriteDeadline(past)
+	}
+	c.ending.Store(true)
+	_ = c.SetReadDeadline(past)
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// SetReadDeadline implements net.Conn. It has no effect once reads are to fail.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.ending.Load() {
+		return c.Conn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// SetWriteDeadline implements net.Conn. It has no effect once writes are to fail.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	err := c.Conn.SetWriteDeadline(t)
+	if c.cut.Load() {
+		return c.Conn.SetWriteDeadline(past)
+	}
+	return err
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// Read implements net.Conn. It counts the heads of requests before they are parsed.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.ending.Load() {
+		return 0, errClosed
+	}
+	n, err := c.Conn.Read(p)
+	if c.ending.Load() || (n > 0 && !c.countRead(p[:n])) {
+		return 0, errClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It records what the peer reads, so that a peer that does not read can be told from
+// one that reads slowly.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.cut.Load() {
+		return 0, net.ErrClosed
+	}
+	if c.account.State() == memory.Running {
+		c.account.SetState(memory.Responding)
+	}
+	n, err := c.Conn.Write(p)
+	c.account.Moved(n)
+	if err == nil && c.account.State() == memory.Responding {
+		c.account.MarkState(memory.Running)
+	}
+	return n, err
+}
+
+// countRead counts bytes that have arrived, and returns false if there is no memory for them.
+func (c *Conn) countRead(p []byte) bool {
+	if c.outOfHead.Load() {
+		c.account.Moved(len(p))
+		return true
+	}
+	if c.headAt.Load() == 0 {
+		c.headAt.Store(int64(clock.Now()))
+		c.account.SetState(memory.Receiving)
+	}
+	c.account.Moved(len(p))
+	c.head.count(p)
+	return c.reserveHead(c.head.estimate())
+}
+
+// reserveHead makes the account hold the estimate of a head.
+func (c *Conn) reserveHead(estimate int64) bool {
+	more := estimate - freeHead - c.headBytes
+	if more <= 0 {
+		return true
+	}
+	if !c.account.Reserve(more) {
+		return false
+	}
+	c.headBytes += more
+	return true
+}
+
+// releaseHead returns what the account holds for the head.
+func (c *Conn) releaseHead() {
+	c.account.Release(c.headBytes)
+	c.headBytes = 0
+	c.head = headCounter{}
+	c.headAt.Store(0)
+}
+
+// CloseWrite closes the sending side, after which servers wait for the client to close.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// SetLinger sets what the system does with unsent bytes when the connection is closed.
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if inner, ok := c.Conn.(syscall.Conn); ok {
+		return inner.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.once.Do(func() {
+		c.listener.remove(c)
+		c.account.Close()
+	})
+	return c.Conn.Close()
+}
+
+// headCounter estimates the memory of a request's head from its bytes.
+type headCounter struct {
+	bytes, lines int64
+	// ended is set at the empty line that ends the head, and atLineStart is set after a line break.
+	ended, atLineStart bool
+}
+
+// count counts bytes up to the end of the head.
+func (h *headCounter) count(p []byte) {
+	for _, b := range p {
+		if h.ended {
+			return
+		}
+		h.bytes++
+		switch {
+		case b == '\n' && h.atLineStart:
+			h.ended = true
+		case b == '\n':
+			h.lines++
+			h.atLineStart = true
+		case b != '\r':
+			h.atLineStart = false
+		}
+	}
+}
+
+// estimate returns the memory of the head in bytes: its text, which is copied once, and its fields.
+func (h *headCounter) estimate() int64 { return 2*h.bytes + fieldBytes*h.lines }
--- a/internal/traffic/document.go
+++ b/internal/traffic/document.go
@@ -18,6 +18,12 @@
 	Tenants []DocumentTenant `json:"tenants,omitempty"`
 	// MaxBodyBytes is the maximum size of a request body; 0 means no limit.
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	// MaxHeaderBytes is the maximum size of a request's head, HeaderTimeout the time in which it must
+	// arrive, and IdleTimeout the time for which a connection may stay open without a request; empty for
+	// the router's defaults.
+	MaxHeaderBytes int    `json:"max_header_bytes,omitempty"`
+	HeaderTimeout  string `json:"header_timeout,omitempty"`
+	IdleTimeout    string `json:"idle_timeout,omitempty"`
 }
 
 // DocumentRoute is the JSON form of a Route.
@@ -76,7 +82,11 @@
 	if err := json.Unmarshal(text, &d); err != nil {
 		return nil, fmt.Errorf("the configuration cannot be read: %w", err)
 	}
-	t := &Table{Version: d.Version, Limits: Limits{MaxBodyBytes: d.MaxBodyBytes}}
+	limits, err := d.limits()
+	if err != nil {
+		return nil, err
+	}
+	t := &Table{Version: d.Version, Limits: limits}
 	for _, p := range d.Pools {
 		t.Pools = append(t.Pools, p.pool())
 	}
@@ -93,6 +103,24 @@
 	return Build(t)
 }
 
+func (d *Document) limits() (Limits, error) {
+	out := Limits{MaxBodyBytes: d.MaxBodyBytes, MaxHeaderBytes: d.MaxHeaderBytes}
+	for _, t := range []struct {
+		name, text string
+		target     *time.Duration
+	}{{"header_timeout", d.HeaderTimeout, &out.HeaderTimeout}, {"idle_timeout", d.IdleTimeout, &out.IdleTimeout}} {
+		if t.text == "" {
+			continue
+		}
+		value, err := time.ParseDuration(t.text)
+		if err != nil || value <= 0 {
+			return out, fmt.Errorf("$.%s: a duration above 0 is required, not %q", t.name, t.text)
+		}
+		*t.target = value
+	}
+	return out, nil
+}
+
 func (p *DocumentPool) pool() Pool {
 	out := Pool{Name: p.Name}
 	if p.Slots > 0 {
