listener: connections of clients leave descriptors for the router's own

Callers saw nothing: with 1,000 silent connections and 800 descriptors all 800 were gone, accepts failed, and back ends and coordinators could not be reached; 2 of 2 ordinary requests took up to 2.3 s. The same at readiness, metrics and relay.

Cause: no listener bounded its connections.

Each listener has a number of connections, a part of the descriptors (descriptor_limit, or the system's limit) and of the memory budget. Beyond it a new connection takes the place of the one that has been quiet longest, those first that never sent a request. A connection is only closed while its request cannot run: an atomic decision is taken before the handler gets the request or the last byte of its body.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -61,10 +61,11 @@
 	metrics     *http.Server
 	// relayed serves the requests that other routers pass on; nil if the settings name no address.
 	relayed *http.Server
-	// guard bounds the connections of all listeners.
-	guard  *listener.Guard
-	cancel context.CancelFunc
-	group  sync.WaitGroup
+	// guard bounds the connections of all listeners, as capacity divides them.
+	guard    *listener.Guard
+	capacity listener.Capacity
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
 }
 
 // New assembles a router. Headers are the names in use on the wire, status is the request for a back end's
@@ -102,7 +103,7 @@
 	}
 	e.handler = forward.New(forwardConfig)
 	e.follower.OnAnnouncement(e.handler.RecordAnnouncement)
-	e.guard = listener.NewGuard(buffers, logger)
+	e.guard, e.capacity = listener.NewGuard(buffers, logger), listener.CapacityOf(config.DescriptorLimit, buffers)
 	e.callers = e.newServer(e.handler, listener.HandlerCountsBodies)
 	if relays != nil {
 		e.relayed = e.newServer(http.HandlerFunc(e.handler.ServeRelayed), listener.HandlerCountsBodies)
@@ -165,19 +166,19 @@
 	e.group.Go(func() { periodic.Run(ctx, forward.PathCheckInterval, e.handler.CheckPaths) })
 	if e.relayed != nil {
 		e.group.Go(func() { e.follower.UpdateRelays(ctx) })
-		if err := e.listen(e.relayed, e.settings.RelayListen, listener.Config{Name: "relay"}); err != nil {
+		if err := e.listen(e.relayed, e.settings.RelayListen, listener.Config{Name: "relay", Connections: e.capacity.Internal}); err != nil {
 			return err
 		}
 	}
-	if err := e.listen(e.readiness, e.settings.Readiness, listener.Config{Name: "readiness"}); err != nil {
+	if err := e.listen(e.readiness, e.settings.Readiness, listener.Config{Name: "readiness", Connections: e.capacity.Status}); err != nil {
 		return err
 	}
-	if err := e.listen(e.callers, e.settings.Listen, listener.Config{Name: "callers", Limits: e.callerLimits}); err != nil {
+	if err := e.listen(e.callers, e.settings.Listen, listener.Config{Name: "callers", Connections: e.capacity.Clients, Limits: e.callerLimits}); err != nil {
 		return err
 	}
 	if e.settings.Metrics != "" {
 		// A router without metrics still serves.
-		if err := e.listen(e.metrics, e.settings.Metrics, listener.Config{Name: "metrics"}); err != nil {
+		if err := e.listen(e.metrics, e.settings.Metrics, listener.Config{Name: "metrics", Connections: e.capacity.Status}); err != nil {
 			e.logger.Error("metrics listener failed", "part", "edge", "error", err.Error())
 		}
 	}
--- /dev/null
+++ b/internal/listener/capacity.go
@@ -0,0 +1,53 @@
+package listener
+
+import (
+	"golang.org/x/sys/unix"
+
+	"quinceridge.example/quinceridge/internal/memory"
+)
+
+const (
+	// clientPart, internalPart and statusPart divide the descriptors of a process. The rest, a fifth at
+	// least, is for connections to other processes, files, and connections that end.
+	clientPart   = 2
+	internalPart = 8
+	statusPart   = 16
+	// maxStatus bounds the connections for checks and metrics, which few clients need.
+	maxStatus = 64
+	// minConnections is the number of connections that each listener may have in any case.
+	minConnections = 8
+	// connectionsPart is the part of the memory budget that idle connections may take.
+	connectionsPart = 2
+)
+
+// Capacity is the number of connections for each kind of listener of a process.
+type Capacity struct {
+	// Clients is for the main listener, Internal for calls between processes, and Status for checks and
+	// metrics.
+	Clients, Internal, Status int
+}
+
+// CapacityOf divides the descriptors and the memory of a process. With descriptors 0 the limit of the system
+// holds.
+func CapacityOf(descriptors int, budget *memory.Budget) Capacity {
+	if descriptors == 0 {
+		descriptors = systemDescriptors()
+	}
+	idle := int(budget.Limit() / connectionsPart / connectionBytes)
+	return Capacity{
+		Clients:  max(min(descriptors/clientPart, idle), minConnections),
+		Internal: max(min(descriptors/internalPart, idle), minConnections),
+		Status:   max(min(descriptors/statusPart, maxStatus), minConnections),
+	}
+}
+
+// systemDescriptors returns the number of descriptors that the process may open.
+func systemDescriptors() int {
+	const fallback = 1024
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		// The usual limit of a system.
+		return fallback
+	}
+	return int(min(limit.Cur, 1<<20))
+}
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -41,14 +41,63 @@
 	headAt atomic.Int64
 	// used is set once a request has been answered.
 	used atomic.Bool
+	// fate decides between a request that runs and a connection that is closed.
+	fate atomic.Int32
 	// ending is set once reads fail, and cut once writes fail too.
 	ending, cut atomic.Bool
 	once        sync.Once
 }
 
+// Values of Conn.fate. Only an undecided connection may be closed before a response: a request that runs
+// goes on, and one that was closed does not run.
+const (
+	undecided int32 = iota
+	runs
+	closes
+)
+
+// begin lets the request run whose last byte has been read. It returns false if the connection is closed.
+func (c *Conn) begin() bool {
+	if !c.fate.CompareAndSwap(undecided, runs) {
+		return false
+	}
+	c.account.SetState(memory.Running)
+	return true
+}
+
 // Account returns what the connection holds of the memory budget.
 func (c *Conn) Account() *memory.Account { return c.account }
 
+// rank orders connections for closing, lowest first: those that have never sent a request, those without a
+// request, and those whose request arrives. It returns false for those with a request that runs.
+func (c *Conn) rank() (rank int, eligible bool) {
+	state := c.account.State()
+	switch {
+	case state == memory.Quiet && !c.used.Load():
+		return 0, true
+	case state == memory.Quiet, state == memory.Finished && c.account.Stalled() >= flushTime:
+		return 1, true
+	case state == memory.Receiving:
+		return 2, true
+	default:
+		return 0, false
+	}
+}
+
+// mayAbort decides that the connection is closed at once. It returns false if a request runs.
+func (c *Conn) mayAbort() bool {
+	return c.fate.CompareAndSwap(undecided, closes) || c.account.State() == memory.Finished || c.fate.Load() == closes
+}
+
+// abort closes the connection for a new one at once.
+func (c *Conn) abort() {
+	c.account.MarkEvicted()
+	c.ending.Store(true)
+	c.listener.guard.record(CauseConnections, c)
+	_ = c.SetLinger(0)
+	_ = c.Conn.Close()
+}
+
 // overdue reports whether the connection exceeds a time limit.
 func (c *Conn) overdue(limits Limits) (Cause, bool) {
 	switch c.account.State() {
@@ -72,11 +121,13 @@
 // end makes reads fail, on which the request is refused or the connection closed. A response that its peer
 // does not read is cut.
 func (c *Conn) end(cause Cause) {
-	c.listener.guard.record(cause, c)
 	if c.account.State() == memory.Responding {
 		c.cut.Store(true)
 		_ = c.SetWriteDeadline(past)
+	} else if !c.fate.CompareAndSwap(undecided, closes) {
+		return
 	}
+	c.listener.guard.record(cause, c)
 	c.ending.Store(true)
 	_ = c.SetReadDeadline(past)
 }
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -32,6 +32,8 @@
 const (
 	// CauseMemory: others needed the memory that the connection held.
 	CauseMemory Cause = iota
+	// CauseConnections: the listener had its number of connections.
+	CauseConnections
 	// CauseHead: the head of a request did not arrive in time.
 	CauseHead
 	// CauseIdle: no request arrived in time.
@@ -39,7 +41,7 @@
 	causes
 )
 
-var causeNames = [causes]string{"memory", "head", "idle"}
+var causeNames = [causes]string{"memory", "connections", "head", "idle"}
 
 // String returns the name of the cause in metrics and log lines.
 func (c Cause) String() string { return causeNames[c] }
@@ -90,7 +92,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for l := range g.listeners {
-		_, _ = fmt.Fprintf(w, "quinceridge_client_connections{listener=%q} %d\n", l.config.Name, l.count())
+		open, refused := l.count()
+		_, _ = fmt.Fprintf(w, "quinceridge_client_connections{listener=%q} %d\n", l.config.Name, open)
+		_, _ = fmt.Fprintf(w, "quinceridge_client_connections_limit{listener=%q} %d\n", l.config.Name, l.config.Connections)
+		_, _ = fmt.Fprintf(w, "quinceridge_client_connections_refused_total{listener=%q} %d\n", l.config.Name, refused)
 	}
 	return 0, nil
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -7,13 +7,21 @@
 	"time"
 )
 
-// connectionBytes is the memory of an open connection with a small head.
-const connectionBytes = 16 << 10
+const (
+	// connectionBytes is the memory of an open connection with a small head.
+	connectionBytes = 16 << 10
+	// flushTime is the time that a response has to be sent before its connection may be closed for a new
+	// one.
+	flushTime = 20 * time.Millisecond
+)
 
 // Config configures a listener.
 type Config struct {
 	// Name names the listener in metrics and log lines.
 	Name string
+	// Connections is the number of connections that may be open, 0 for no limit. Beyond it the one is closed
+	// that has been quiet longest.
+	Connections int
 	// Limits returns the limits in force.
 	Limits func() Limits
 }
@@ -51,6 +59,7 @@
 
 	mu          sync.Mutex
 	connections map[*Conn]struct{}
+	refused     uint64
 }
 
 // Listen wraps a listener.
@@ -73,22 +82,59 @@
 	return l.Listener.Close()
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes new connections for which no other one can be closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c, victim := l.admit(inner)
+		if victim != nil {
+			victim.abort()
+		}
+		if c != nil {
+			return c, nil
+		}
+		reset(inner)
 	}
-	return l.add(inner), nil
 }
 
-func (l *Listener) add(inner net.Conn) *Conn {
+// admit adds a connection. If there is no room it returns another one to be closed, which it has removed, or
+// no connection if there is none.
+func (l *Listener) admit(inner net.Conn) (c, victim *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &Conn{Conn: inner, listener: l}
+	if limit := l.config.Connections; limit > 0 && len(l.connections) >= limit {
+		if victim = l.quietest(); victim == nil || !victim.mayAbort() {
+			l.refused++
+			return nil, nil
+		}
+		delete(l.connections, victim)
+	}
+	c = &Conn{Conn: inner, listener: l}
 	c.account = l.guard.budget.OpenAccount(connectionBytes, func() { c.end(CauseMemory) })
 	l.connections[c] = struct{}{}
-	return c
+	return c, victim
+}
+
+// quietest returns the connection that is closed first for a new one, nil if all have requests under way:
+// one that has never sent a request before others, then the one without progress for longest.
+func (l *Listener) quietest() *Conn {
+	var best *Conn
+	var bestRank int
+	var bestStall time.Duration
+	for c := range l.connections {
+		rank, eligible := c.rank()
+		if !eligible {
+			continue
+		}
+		stalled := c.account.Stalled()
+		if best == nil || rank < bestRank || (rank == bestRank && stalled > bestStall) {
+			best, bestRank, bestStall = c, rank, stalled
+		}
+	}
+	return best
 }
 
 // closeOverdue closes the connections that exceed a time limit.
@@ -109,9 +155,18 @@
 	delete(l.connections, c)
 }
 
-// count returns the number of open connections.
-func (l *Listener) count() int {
+// count returns the number of open connections and of refused ones.
+func (l *Listener) count() (open int, refused uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.connections)
+	return len(l.connections), l.refused
+}
+
+// reset closes a connection without waiting for its peer.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// The connection ends in any case.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -27,9 +27,12 @@
 
 func serve(t *testing.T, budgetBytes int64, config Config) *service {
 	t.Helper()
-	s := &service{t: t, budget: memory.NewBudget(budgetBytes)}
-	s.guard = NewGuard(s.budget, slog.New(slog.DiscardHandler))
-	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return serveWith(t, budgetBytes, config, (*service).readBody)
+}
+
+// readBody returns a handler that reads the body, except at the path /unread.
+func (s *service) readBody() http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/unread" {
 			w.WriteHeader(http.StatusNotFound)
 			return
@@ -40,7 +43,14 @@
 			return
 		}
 		_, _ = fmt.Fprintf(w, "%d held %d", n, s.budget.Used())
-	})}
+	}
+}
+
+func serveWith(t *testing.T, budgetBytes int64, config Config, handler func(*service) http.HandlerFunc) *service {
+	t.Helper()
+	s := &service{t: t, budget: memory.NewBudget(budgetBytes)}
+	s.guard = NewGuard(s.budget, slog.New(slog.DiscardHandler))
+	s.server = &http.Server{Handler: handler(s)}
 	s.guard.Bind(s.server, CountBodies)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -150,3 +160,53 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.HasPrefix(string(text), "HTTP/1.1 404 "), "%s", text)
 }
+
+// Guards against a crowd of silent connections that keeps others out.
+func TestQuietestConnectionMakesRoomForNewOne(t *testing.T) {
+	s := serve(t, 8<<20, Config{Connections: 2})
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	used := s.dial()
+	status, _ := s.exchange(used, request)
+	assert.Equal(t, status, http.StatusOK)
+	silent := s.dial()
+	status, _ = s.exchange(s.dial(), request)
+	assert.Equal(t, status, http.StatusOK)
+	_, err := silent.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	status, _ = s.exchange(used, request)
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// Guards against requests that are cut for new connections.
+func TestRunningRequestsAreNotClosedForNewConnections(t *testing.T) {
+	begun, end := make(chan struct{}), make(chan struct{})
+	s := serveWith(t, 8<<20, Config{Connections: 1}, func(*service) http.HandlerFunc {
+		return func(http.ResponseWriter, *http.Request) {
+			close(begun)
+			<-end
+		}
+	})
+	c := s.dial()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	<-begun
+	refused, err := net.Dial("tcp", s.addr)
+	if err == nil {
+		_, err = refused.Read(make([]byte, 1))
+		_ = refused.Close()
+	}
+	assert.Assert(t, err != nil)
+	close(end)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	_ = response.Body.Close()
+}
+
+func TestCapacityLeavesDescriptorsForOwnConnections(t *testing.T) {
+	for _, descriptors := range []int{800, 4100, 1 << 20} {
+		c := CapacityOf(descriptors, memory.NewBudget(44<<20))
+		assert.Assert(t, c.Clients+c.Internal+2*c.Status <= descriptors*4/5, "%+v", c)
+		assert.Assert(t, int64(c.Clients*connectionBytes) <= 22<<20, "%+v", c)
+	}
+}
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -90,6 +90,7 @@
 		c.used.Store(true)
 		c.account.SetState(memory.Quiet)
 		c.outOfHead.Store(false)
+		c.fate.CompareAndSwap(runs, undecided)
 	default:
 	}
 }
@@ -100,7 +101,10 @@
 	defer body.finish()
 	if r.Body == nil || r.Body == http.NoBody {
 		body.ended = true
-		c.account.SetState(memory.Running)
+		if !c.begin() {
+			refuse(w, http.StatusServiceUnavailable)
+			return
+		}
 	} else {
 		r.Body = body
 	}
@@ -148,9 +152,10 @@
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
 	switch {
+	case err == io.EOF && !b.ended && !b.conn.begin():
+		return n, ErrMemory
 	case err == io.EOF:
 		b.ended = true
-		b.conn.account.SetState(memory.Running)
 	case err != nil && b.conn.account.Evicted():
 		return n, errors.Join(ErrMemory, err)
 	}
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -101,6 +101,8 @@
 	RetryWindow time.Duration `yaml:"retry_window" validate:"required,min=100ms"`
 	// MemoryLimit is the maximum memory of the process in MiB.
 	MemoryLimit int `yaml:"memory_limit" validate:"required,min=16"`
+	// DescriptorLimit is the number of descriptors that the process may open; 0 means the system's limit.
+	DescriptorLimit int `yaml:"descriptor_limit" validate:"omitempty,min=64"`
 	// Metrics is the address for metrics over HTTP, empty for none.
 	Metrics string `yaml:"metrics" validate:"omitempty,tcp_addr"`
 	// Log configures the log.
