forward: the lists that a prompt's parts become are counted

Callers saw a router of 88 MiB at 443 MiB: 700 requests whose prompt field names 7,000 parts in 15 KiB, their bodies three bytes short. The head alone is counted since the listeners are; with that the router still reached 187 MiB.

Cause: the field becomes lists of names, lengths and digests before the body has been read, some 20 bytes for each byte, and nothing counted them. The leader gets them too.

The router reserves the memory of the parts before it makes the lists, and refuses the request as not run if there is none. It considers the first 512 shared parts, so that one field cannot take the leader's memory either; the rest counts as the request's own prompt.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -299,6 +299,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	j, refusal := h.resolve(r, receivedAt)
+	if j != nil {
+		defer j.memory.Release()
+	}
 	if refusal != nil && origin != nil && h.declineUnresolved(w, r, origin, refusal) {
 		return
 	}
@@ -313,8 +316,6 @@
 	}
 	h.config.Memory.Charge(requestBytes)
 	defer h.config.Memory.Release(requestBytes)
-	j.memory = h.config.Memory.NewReservation()
-	defer j.memory.Release()
 	body, refusal := h.readBody(w, r, j)
 	if refusal != nil {
 		h.refuse(w, j, refusal)
@@ -376,7 +377,10 @@
 	j.clientWait = h.clientWait(r)
 	j.deadline = h.now() + timeout(j.clientWait, route)
 	j.pool = table.Pool(h.splits.next(table, route))
-	h.buildRequest(r, j)
+	j.memory = h.config.Memory.NewReservationFor(memory.AccountOf(r.Context()))
+	if !h.buildRequest(r, j) {
+		return nil, h.refuseMemory()
+	}
 	return j, nil
 }
 
@@ -441,14 +445,19 @@
 	w.Header().Set("Connection", "close")
 	switch {
 	case errors.Is(err, errMemory):
-		h.metrics.refusedMemory.Add(1)
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "the memory for requests is used up", retryAfter: memoryRetryAfter + rand.N(memoryRetryAfter/2)}
+		return nil, h.refuseMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &refusal{status: http.StatusRequestTimeout, reason: "the body did not arrive in time"}
 	}
 	return nil, &refusal{status: http.StatusBadRequest, reason: "the body is incomplete"}
 }
 
+// refuseMemory returns the refusal of a request for which there is no memory.
+func (h *Handler) refuseMemory() *refusal {
+	h.metrics.refusedMemory.Add(1)
+	return &refusal{status: http.StatusServiceUnavailable, reason: "the memory for requests is used up", retryAfter: memoryRetryAfter + rand.N(memoryRetryAfter/2)}
+}
+
 // tenantName returns the tenant's name, empty on routes that need no key.
 func (j *job) tenantName() string {
 	if j.tenant == nil {
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -99,7 +100,7 @@
 }
 
 func TestParseSharedPartsDropsLast(t *testing.T) {
-	ids, tokens := parseSharedParts("a:30, b:5,own:7")
+	ids, tokens := parseSharedParts("a:30, b:5,own:7", 2)
 	assert.DeepEqual(t, ids, []string{"a", "b"})
 	assert.DeepEqual(t, tokens, []int{30, 5})
 }
@@ -169,3 +170,13 @@
 	h.setPromptHeaders(forked, backends.Choice{ID: "a", Version: 1, Versioned: true})
 	assert.Equal(t, forked.request.Header.Get(names.Salt), "m/1/alice")
 }
+
+// Guards against a field of many parts whose lists are many times its size.
+func TestSharedPartsBeyondLimitAreOwn(t *testing.T) {
+	ids, tokens := parseSharedParts(strings.Repeat("a:1,", 3*maxSharedParts)+"own:7", maxSharedParts)
+	assert.Equal(t, len(ids), maxSharedParts)
+	assert.Equal(t, cap(ids), maxSharedParts)
+	assert.Equal(t, sum(tokens), maxSharedParts)
+	ids, _ = parseSharedParts("own:7", 0)
+	assert.Equal(t, len(ids), 0)
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -12,9 +12,18 @@
 	"quinceridge.example/quinceridge/internal/upstream"
 )
 
-// buildRequest fills the request to the back end and the query for the choice. The urgency is
-// not forwarded: a full engine would evict less urgent requests after processing their prompts.
-func (h *Handler) buildRequest(r *http.Request, j *job) {
+const (
+	// maxSharedParts is the number of leading shared parts of a prompt that are considered. The rest counts
+	// as the request's own part.
+	maxSharedParts = 512
+	// partBytes is the memory of a shared part in a request, in its query, and as digests.
+	partBytes = 128
+)
+
+// buildRequest fills the request to the back end and the query for the choice. It returns false if there is no
+// memory for the parts of the prompt. The urgency is not forwarded: a full engine would evict less urgent
+// requests after processing their prompts.
+func (h *Handler) buildRequest(r *http.Request, j *job) bool {
 	names := &h.config.Headers
 	header := make(http.Header, len(r.Header)+8)
 	dropped := connectionHeaders(r.Header)
@@ -36,14 +45,19 @@
 	}
 	engine := j.pool.Engine
 	if engine == nil {
-		return
+		return true
 	}
 	suffix := cacheSuffix(j.table, j.tenant)
 	j.query.Model = r.Header.Get(names.Model)
 	j.query.Slots, j.query.Capacity = engine.Slots, engine.CapacityTokens
 	j.query.Work = parseUsage(r.Header.Get(names.Usage))
+	chain := r.Header.Get(names.Prefix)
+	count := min(strings.Count(chain, ","), maxSharedParts)
+	if !j.memory.Grow(int64(count * partBytes)) {
+		return false
+	}
 	var tokens []int
-	j.parts, tokens = parseSharedParts(r.Header.Get(names.Prefix))
+	j.parts, tokens = parseSharedParts(chain, count)
 	j.query.Shared = sum(tokens)
 	if len(j.parts) > 0 {
 		j.query.Key = j.parts[len(j.parts)-1]
@@ -59,6 +73,7 @@
 	if store := j.store(); store != nil && len(j.parts) > 0 {
 		j.query.Store, j.query.StoreTokens = store.Address, store.CapacityTokens
 	}
+	return true
 }
 
 // maxPriority is the highest priority value of a route; 0 is the most urgent.
@@ -104,13 +119,19 @@
 	return backends.Work{Prompt: p, Most: p + m}
 }
 
-// parseSharedParts returns the parts of a prefix chain that other requests share, which are all
-// but the last: their IDs and their lengths in tokens.
-func parseSharedParts(chain string) (ids []string, tokens []int) {
-	parts := strings.Split(chain, ",")
-	for _, part := range parts[:len(parts)-1] {
-		name, count, _ := strings.Cut(part, ":")
-		number, _ := strconv.Atoi(strings.TrimSpace(count))
+// parseSharedParts returns the first count parts of a prefix chain: their IDs and their lengths in tokens. All
+// parts but the last are shared with other requests.
+func parseSharedParts(chain string, count int) (ids []string, tokens []int) {
+	if count == 0 {
+		return nil, nil
+	}
+	ids, tokens = make([]string, 0, count), make([]int, 0, count)
+	for part := range strings.SplitSeq(chain, ",") {
+		if len(ids) == count {
+			break
+		}
+		name, length, _ := strings.Cut(part, ":")
+		number, _ := strconv.Atoi(strings.TrimSpace(length))
 		ids = append(ids, strings.TrimSpace(name))
 		tokens = append(tokens, number)
 	}
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -93,7 +93,9 @@
 	}
 	if j.pool.Name != c.writer.Pool {
 		j.pool = j.table.Pool(c.writer.Pool)
-		h.buildRequest(r, j)
+		if !h.buildRequest(r, j) {
+			return h.refuseMemory()
+		}
 	}
 	j.query.Software = c.writer.Software
 	return nil
