forward: memory for bodies goes to those that send, not to those that announce

Callers got 503 beside clients that do nothing: with 600 bodies of 4 MiB announced and not sent 19 of 29 ordinary requests were answered, with 300 large responses that nobody reads 1 of 26, with responses read a byte at a time 39 of 153. 200 bodies in chunks of one byte took a router of 88 MiB to 92 MiB and 100 without an end to 135.

Cause: the announced length was reserved and allocated before a byte had arrived, and the budget belonged to whoever held it longest. Buffers without a length doubled, and the reservation counted the growth only.

The router reserves 4 KiB with the request, 64 KiB once those are full, and the announced length after that; old and new buffer count while one is copied. Reservations are those of the connection: they wait a short time and evict the connections that hold most and make least progress, and requests that hold more than 64 KiB leave an eighth of the budget to the others. Small responses are covered by what a request is charged. A body that was evicted is refused as not run, with a Retry-After.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -24,6 +24,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/fairshare"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/liveness"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/periodic"
@@ -421,9 +422,9 @@
 		return nil, nil
 	}
 	limit := j.table.Limits.MaxBodyBytes
-	reader := io.Reader(r.Body)
+	reader, most := io.Reader(r.Body), int64(math.MaxInt64)
 	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
+		reader, most = http.MaxBytesReader(w, r.Body, limit), limit
 	}
 	if !h.config.Memory.Fits(r.ContentLength) || (limit > 0 && r.ContentLength > limit) {
 		w.Header().Set("Connection", "close")
@@ -432,24 +433,28 @@
 	connection := http.NewResponseController(w)
 	// An error means that the connection has no deadlines.
 	_ = connection.SetReadDeadline(time.Now().Add(j.deadline - h.now()))
-	body, err := readReserved(reader, r.ContentLength, math.MaxInt64, &j.memory)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
+	body, err := readRequestBody(reader, r.ContentLength, most, &j.memory)
+	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{})
 		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	}
 	// The rest of the body is not awaited.
 	w.Header().Set("Connection", "close")
+	return nil, h.refuseBody(err)
+}
+
+// refuseBody returns the refusal of a request whose body was not read whole.
+func (h *Handler) refuseBody(err error) *refusal {
+	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errMemory):
-		return nil, h.refuseMemory()
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	case errors.Is(err, errMemory), errors.Is(err, listener.ErrMemory):
+		return h.refuseMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &refusal{status: http.StatusRequestTimeout, reason: "the body did not arrive in time"}
+		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not arrive in time"}
 	}
-	return nil, &refusal{status: http.StatusBadRequest, reason: "the body is incomplete"}
+	return &refusal{status: http.StatusBadRequest, reason: "the body is incomplete"}
 }
 
 // refuseMemory returns the refusal of a request for which there is no memory.
