forward: a request reserves its own memory, and the buffer of a body that is passed on

Callers would have seen a router of 88 MiB end: 1,500 clients that read nothing of a 2 MiB response took it to 149 MiB, once others no longer held the budget.

Cause: what a request takes without its bodies was charged beyond the limit of the budget, and the 32 KiB with which a body is copied were not counted.

A request reserves both, and is refused as not run if there is no room after a short wait. A client that reads nothing for a second while others need the memory is evicted, whatever it holds.

--- a/internal/clienttest/router_test.go
+++ b/internal/clienttest/router_test.go
@@ -45,6 +45,15 @@
 	atRoute(t, unreadForm, http.MethodPost, "/look/large", withKey)
 }
 
+// Guards against running requests that together take more memory than there is.
+func TestRouteSurvivesAsManyUnreadResponsesAsItHasConnections(t *testing.T) {
+	d := startSized(t, 1, machineDescriptors)
+	f := unreadForm
+	f.count = 1500
+	g := target{d.listen, http.MethodPost, "/look/large", withKey}
+	surviveBeside(t, d.router, f, g, d.awaitAnswer, d.observe)
+}
+
 func TestRouteSurvivesLargeResponsesReadSlowly(t *testing.T) {
 	atRoute(t, trickleForm, http.MethodPost, "/look/large", withKey)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -315,8 +315,10 @@
 		h.refuse(w, j, refusal)
 		return
 	}
-	h.config.Memory.Charge(requestBytes)
-	defer h.config.Memory.Release(requestBytes)
+	if !j.memory.Grow(requestBytes) {
+		h.refuse(w, j, h.refuseMemory())
+		return
+	}
 	body, refusal := h.readBody(w, r, j)
 	if refusal != nil {
 		h.refuse(w, j, refusal)
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -29,6 +29,10 @@
 	// maxEvent bounds one event of a stream.
 	maxEvent     = 1 << 20
 	streamBuffer = 4 << 10
+	// copyBuffer is the buffer for a body that is forwarded while it arrives, and smallCopyBuffer the one
+	// while the memory for requests is used up.
+	copyBuffer      = 32 << 10
+	smallCopyBuffer = 4 << 10
 )
 
 // session is the response to one client request.
@@ -225,8 +229,15 @@
 	if _, err := s.client.Write(prefix); err != nil {
 		return &clientError{err}
 	}
-	// The response's own errors tell whether the request may have run.
-	_, err := io.Copy(s.client, response)
+	size := copyBuffer
+	if s.job.memory.Grow(copyBuffer) {
+		defer s.job.memory.Shrink(copyBuffer)
+	} else {
+		size = smallCopyBuffer
+	}
+	// The response's own errors tell whether the request may have run. The client's own copying would take a
+	// buffer that nobody counts.
+	_, err := io.CopyBuffer(struct{ io.Writer }{s.client}, struct{ io.Reader }{response}, make([]byte, size))
 	if err != nil && !errors.Is(err, upstream.ErrOutcomeUnknown) {
 		return &clientError{err}
 	}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -266,7 +266,7 @@
 	case Quiet, Receiving, Finished:
 		return stalled >= stallTime && a.waiting.Load() == 0
 	case Responding:
-		return stalled >= writeStallTime && held > smallHolding
+		return stalled >= writeStallTime
 	default:
 		return false
 	}
