coordinator: its addresses and the messages of peers are counted like a router's

Callers saw nothing, but a coordinator of 280 MiB ended: 150 configurations of 4 MiB, one byte short, took it to 904 MiB, 100 bodies without an end to 817, 300 heads of 900 KiB to 696 (at its metrics 707), 100 unfinished messages at its peer address to 1,540, 200 connections with large messages to 771; 1,000 silent connections took all 800 descriptors.

Cause: no listener of a coordinator counted anything. The peer protocol read lines of up to 64 MiB and held as many replies as calls ran.

The listeners of a coordinator are those of the guard, with a third of memory_limit as their budget. The peer server counts the buffer of a line, the decoded message until it is answered, and replies that are not read. A call whose body found no memory is answered 503, which may be repeated, and not 400.

--- a/cmd/quinceridge/deployment.go
+++ b/cmd/quinceridge/deployment.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
@@ -52,10 +51,7 @@
 	Config string `required:"" help:"Settings file (docs/SETTINGS.md)." placeholder:"FILE"`
 }
 
-const (
-	coordinatorHeaderTimeout = 5 * time.Second
-	coordinatorStopTimeout   = 4 * time.Second
-)
+const coordinatorStopTimeout = 4 * time.Second
 
 // Run runs the coordinator and its HTTP server for operators until a stop signal.
 func (c *coordinatorCommand) Run() error {
@@ -64,6 +60,7 @@
 		return err
 	}
 	s.SetDefaults()
+	memory.LimitHeap(s.MemoryLimit, gcPercent)
 	stopped := stopSignal()
 	out := telemetry.NewBuffer(os.Stdout)
 	defer out.Flush()
@@ -79,8 +76,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	server := &http.Server{Handler: node.Handler(), ReadHeaderTimeout: coordinatorHeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
+	server := node.ServeOperators(listener, node.Handler())
 	<-stopped
 	ctx, cancel := context.WithTimeout(context.Background(), coordinatorStopTimeout)
 	defer cancel()
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/poison"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/traffic"
@@ -95,6 +96,10 @@
 func (s *Server) heartbeat(w http.ResponseWriter, r *http.Request) {
 	var beat coordapi.Heartbeat
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(&beat)
+	if errors.Is(err, listener.ErrMemory) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	beat.Backend.ID = r.PathValue("id")
 	if err == nil {
 		err = beat.Check()
@@ -111,12 +116,21 @@
 func serveCall[Body any](s *Server, w http.ResponseWriter, r *http.Request, translate func(*Body) coordapi.Request) {
 	body := new(Body)
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), unreadStatus(err))
 		return
 	}
 	s.respond(w, r, translate(body))
 }
 
+// unreadStatus returns the status of a call whose body was not read. It may be repeated unless the body is
+// wrong.
+func unreadStatus(err error) int {
+	if errors.Is(err, listener.ErrMemory) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, request coordapi.Request) {
 	if _, err := s.Call(r.Context(), request); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -126,7 +140,7 @@
 func (s *Server) putConfiguration(w http.ResponseWriter, r *http.Request) {
 	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocument))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), unreadStatus(err))
 		return
 	}
 	table, err := traffic.Parse(document)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/version"
 )
@@ -17,21 +18,21 @@
 	if s.settings.Metrics == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", s.settings.Metrics)
+	inner, err := net.Listen("tcp", s.settings.Metrics)
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", s.writeMetrics)
 	s.registerOperatorRoutes(mux)
-	s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: forwardTimeout}
-	s.group.Go(func() { _ = s.metrics.Serve(listener) })
+	s.metrics = s.serveHTTP(inner, mux, listener.Config{Name: "metrics", Connections: s.capacity.Status})
 	return nil
 }
 
 // writeMetrics writes the metrics of the node as text.
 func (s *Server) writeMetrics(w http.ResponseWriter, r *http.Request) {
 	version.WriteTo(w)
+	_, _ = s.guard.WriteTo(w)
 	gauge := func(name string, value any) { fmt.Fprintf(w, "quinceridge_%s %v\n", name, value) }
 	gauge("peer_received_bytes_total", s.counters.BytesIn.Load())
 	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -22,6 +22,7 @@
 	"quinceridge.example/quinceridge/internal/control"
 	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/level"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/placer"
 	"quinceridge.example/quinceridge/internal/raft"
@@ -65,6 +66,9 @@
 	troubleLines    bounded.LineLimiter
 	listener        *peer.Server
 	metrics         *http.Server
+	// guard bounds the connections of all listeners, as capacity divides them.
+	guard    *listener.Guard
+	capacity listener.Capacity
 	// clock is clock.Now and disk is vfs.Default, except in tests.
 	clock   func() time.Duration
 	disk    vfs.FS
@@ -120,6 +124,7 @@
 	if s.identity, err = loadIdentity(disk, config); err != nil {
 		return nil, err
 	}
+	s.guard, s.capacity = listener.NewProcessGuard(config.MemoryLimit, config.DescriptorLimit, logger)
 	s.peers = peer.NewClient(s.counters)
 	seeds := config.Coordinators()
 	s.seeds.Store(&seeds)
@@ -145,7 +150,7 @@
 
 // Start opens the listeners and joins the group.
 func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.settings.PeerListen)
+	peers, err := net.Listen("tcp", s.settings.PeerListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
@@ -162,11 +167,30 @@
 	s.group.Go(func() { s.digestLoop(ctx) })
 	s.group.Go(func() { s.queueLoop(ctx) })
 	s.group.Go(func() { s.logSentLoop(ctx) })
-	s.listener = peer.Serve(listener, s.counters, s.handle)
+	s.group.Go(func() { s.guard.Run(ctx) })
+	s.listener = peer.Serve(s.guard.Listen(peers, listener.Config{Name: "peers", Connections: s.capacity.Clients, Messages: true}), s.counters, s.handle)
 	s.logger.Info("started", "part", "coordinator", "id", s.identity.ID, "listen", s.settings.PeerAddress, "build", version.Build(), "level", level.Current)
 	return nil
 }
 
+// ServeOperators serves operators and back ends on a listener until the returned server is shut down.
+func (s *Server) ServeOperators(inner net.Listener, handler http.Handler) *http.Server {
+	return s.serveHTTP(inner, handler, listener.Config{Name: "operators", Connections: s.capacity.Clients / 2})
+}
+
+// serveHTTP serves HTTP on a listener within the bounds of the process.
+func (s *Server) serveHTTP(inner net.Listener, handler http.Handler, config listener.Config) *http.Server {
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
+	s.guard.Bind(server, listener.CountBodies)
+	bounded := s.guard.Listen(inner, config)
+	go func() {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
+			s.logger.Error("listener failed", "part", "coordinator", "listener", config.Name, "error", err.Error())
+		}
+	}()
+	return server
+}
+
 // Stop hands over leadership, if this node leads, and stops the node.
 func (s *Server) Stop(ctx context.Context) {
 	s.loop.StepDown(ctx, func() *control.Core { return s.core }, tickInterval)
--- a/internal/listener/capacity.go
+++ b/internal/listener/capacity.go
@@ -1,6 +1,8 @@
 package listener
 
 import (
+	"log/slog"
+
 	"golang.org/x/sys/unix"
 
 	"quinceridge.example/quinceridge/internal/memory"
@@ -16,6 +18,8 @@
 	maxStatus = 64
 	// minConnections is the number of connections that each listener may have in any case.
 	minConnections = 8
+	// processPart is the part of the memory of a process with tables of its own that clients may fill.
+	processPart = 3
 	// connectionsPart is the part of the memory budget that idle connections may take.
 	connectionsPart = 2
 )
@@ -41,6 +45,13 @@
 	}
 }
 
+// NewProcessGuard returns the guard of a process that takes calls of other processes, and the capacity of its
+// listeners. Memory is the limit of the process in MiB, of which clients may fill a third.
+func NewProcessGuard(mebibytes, descriptors int, logger *slog.Logger) (*Guard, Capacity) {
+	budget := memory.NewBudget(int64(mebibytes) << 20 / processPart)
+	return NewGuard(budget, logger), CapacityOf(descriptors, budget)
+}
+
 // systemDescriptors returns the number of descriptors that the process may open.
 func systemDescriptors() int {
 	const fallback = 1024
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -73,7 +73,7 @@
 func (c *Conn) rank() (rank int, eligible bool) {
 	state := c.account.State()
 	switch {
-	case state == memory.Quiet && !c.used.Load():
+	case state == memory.Quiet && !c.used.Load() && !c.listener.config.Messages:
 		return 0, true
 	case state == memory.Quiet, state == memory.Finished && c.account.Stalled() >= flushTime:
 		return 1, true
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -22,6 +22,9 @@
 	// Connections is the number of connections that may be open, 0 for no limit. Beyond it the one is closed
 	// that has been quiet longest.
 	Connections int
+	// Messages is set if clients send messages of another protocol than HTTP. The server then counts them, with
+	// Conn.Account, and sets its state.
+	Messages bool
 	// Limits returns the limits in force.
 	Limits func() Limits
 }
@@ -114,6 +117,7 @@
 	}
 	c = &Conn{Conn: inner, listener: l}
 	c.account = l.guard.budget.OpenAccount(connectionBytes, func() { c.end(CauseMemory) })
+	c.outOfHead.Store(l.config.Messages)
 	l.connections[c] = struct{}{}
 	return c, victim
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -303,7 +303,7 @@
 }
 
 func (l *link) receive(connection net.Conn) {
-	lines := newLineReader(connection, l.counters)
+	lines := newLineReader(connection, l.counters, nil)
 	for {
 		e, err := lines.next()
 		if err != nil {
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -11,7 +11,7 @@
 	f.Add([]byte("{\"n\":-1}\n{\"body\""))
 	f.Add([]byte("\n\n[]\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		lines := newLineReader(bytes.NewReader(data), &Counters{})
+		lines := newLineReader(bytes.NewReader(data), &Counters{}, nil)
 		for range len(data) + 2 {
 			if _, err := lines.next(); err != nil {
 				return
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/memory"
 )
 
 // maxLine is the maximum size of a message, well above that of the largest bundle.
@@ -79,32 +81,102 @@
 
 // lineReader reads envelopes.
 type lineReader struct {
-	scanner  *bufio.Scanner
+	reader   *bufio.Reader
 	counters *Counters
+	// account counts long lines; nil for the connections of clients.
+	account *memory.Account
+	// long holds a line that is longer than the reader's buffer.
+	long []byte
+	// size is that of the last line.
+	size int
 }
 
-const initialBuffer = 16 << 10
+const (
+	// readBuffer is the size of a line that is read without a buffer of its own.
+	readBuffer = 16 << 10
+	// decodedFactor is the memory of a line and of its decoded body, in sizes of the line.
+	decodedFactor = 2
+)
+
+var errNoMemory = errors.New("there is no memory for the message")
 
-func newLineReader(r io.Reader, counters *Counters) *lineReader {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, initialBuffer), maxLine)
-	return &lineReader{scanner: scanner, counters: counters}
+func newLineReader(r io.Reader, counters *Counters, account *memory.Account) *lineReader {
+	return &lineReader{reader: bufio.NewReaderSize(r, readBuffer), counters: counters, account: account}
 }
 
+// next returns the next envelope. It returns io.EOF at the end.
 func (l *lineReader) next() (envelope, error) {
 	var e envelope
-	if !l.scanner.Scan() {
-		if err := l.scanner.Err(); err != nil {
-			return e, errors.Wrap(err, "read message")
-		}
-		return e, io.EOF
+	line, err := l.line()
+	if err != nil {
+		return e, err
 	}
-	l.counters.BytesIn.Add(uint64(len(l.scanner.Bytes()) + 1))
+	l.size = len(line)
+	l.counters.BytesIn.Add(uint64(len(line)))
 	l.counters.MessagesIn.Add(1)
-	err := json.Unmarshal(l.scanner.Bytes(), &e)
+	err = json.Unmarshal(line, &e)
+	l.drop()
 	return e, errors.Wrap(err, "decode message")
 }
 
+// line returns the next line, which is valid until the next call. An empty last one is none.
+func (l *lineReader) line() ([]byte, error) {
+	for {
+		part, err := l.reader.ReadSlice('\n')
+		switch {
+		case err == nil && len(l.long) == 0:
+			return part, nil
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull) && !(err == io.EOF && len(l.long)+len(part) > 0):
+			return nil, endOf(err)
+		}
+		if err := l.extend(part); err != nil {
+			return nil, err
+		}
+		if err == nil || err == io.EOF {
+			return l.long, nil
+		}
+	}
+}
+
+// endOf returns io.EOF at the end of the messages, and else the error of reading one.
+func endOf(err error) error {
+	if err == io.EOF {
+		return err
+	}
+	return errors.Wrap(err, "read message")
+}
+
+// extend adds a part to the long line, in a buffer that the account holds.
+func (l *lineReader) extend(part []byte) error {
+	needed := len(l.long) + len(part)
+	if needed > maxLine {
+		return errors.Newf("the message is larger than %d bytes", maxLine)
+	}
+	if needed > cap(l.long) {
+		size := max(2*cap(l.long), 2*readBuffer, needed)
+		if l.account != nil && !l.account.Reserve(int64(size)) {
+			return errNoMemory
+		}
+		old := cap(l.long)
+		l.long = append(make([]byte, 0, size), l.long...)
+		l.release(old)
+	}
+	l.long = append(l.long, part...)
+	return nil
+}
+
+// drop releases the buffer of the long line.
+func (l *lineReader) drop() {
+	l.release(cap(l.long))
+	l.long = nil
+}
+
+func (l *lineReader) release(bytes int) {
+	if l.account != nil {
+		l.account.Release(int64(bytes))
+	}
+}
+
 // bodyField precedes the body in an encoded envelope.
 const bodyField = `"body":`
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/memory"
 )
 
 // Handler executes a call and returns its reply. It is called concurrently.
@@ -32,7 +34,8 @@
 	connections map[net.Conn]struct{}
 }
 
-// Serve starts a server on the listener and returns it.
+// Serve starts a server on the listener and returns it. If the listener is a listener.Listener, messages count in
+// its budget.
 func Serve(listener net.Listener, counters *Counters, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{handler: handler, counters: counters, ctx: ctx, cancel: cancel, listener: listener,
@@ -86,8 +89,8 @@
 		delete(s.connections, connection)
 		s.mu.Unlock()
 	}()
-	lines := newLineReader(connection, s.counters)
-	var writeMutex sync.Mutex
+	c := &serverConnection{Conn: connection, server: s, account: accountOf(connection)}
+	lines := newLineReader(connection, s.counters, c.account)
 	slots := make(chan struct{}, callsPerConnection)
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -96,16 +99,82 @@
 		if err != nil {
 			return
 		}
+		held, ok := c.begin(lines.size)
+		if !ok {
+			return
+		}
 		slots <- struct{}{}
 		calls.Go(func() {
 			defer func() { <-slots }()
-			s.answer(connection, &writeMutex, call)
+			defer c.end(held)
+			c.answer(call)
 		})
 	}
 }
 
-func (s *Server) answer(connection net.Conn, writeMutex *sync.Mutex, call envelope) {
-	reply, err := s.handler(s.ctx, call.Kind, call.Body)
+// accountOf returns the account of a connection, nil if its listener counts nothing.
+func accountOf(connection net.Conn) *memory.Account {
+	if counted, ok := connection.(interface{ Account() *memory.Account }); ok {
+		return counted.Account()
+	}
+	return nil
+}
+
+// freeMessage is the size of a message or reply that the memory of its connection covers.
+const freeMessage = 4 << 10
+
+// serverConnection is a connection with its running calls.
+type serverConnection struct {
+	net.Conn
+	server *Server
+	// account is nil if the listener counts nothing.
+	account *memory.Account
+	// writeMutex keeps replies apart.
+	writeMutex sync.Mutex
+
+	mu      sync.Mutex
+	running int
+}
+
+// reserve takes bytes of the connection's account, except what the connection covers. It returns what it took.
+func (c *serverConnection) reserve(bytes int) (held int64, ok bool) {
+	if c.account == nil || bytes <= freeMessage {
+		return 0, true
+	}
+	return int64(bytes), c.account.Reserve(int64(bytes))
+}
+
+// begin counts a call whose message has a size.
+func (c *serverConnection) begin(size int) (held int64, ok bool) {
+	if c.account == nil {
+		return 0, true
+	}
+	if held, ok = c.reserve(decodedFactor * size); !ok {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running++; c.running == 1 {
+		c.account.SetState(memory.Running)
+	}
+	return held, true
+}
+
+// end ends a call for which begin took held bytes.
+func (c *serverConnection) end(held int64) {
+	if c.account == nil {
+		return
+	}
+	c.account.Release(held)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running--; c.running == 0 {
+		c.account.SetState(memory.Quiet)
+	}
+}
+
+func (c *serverConnection) answer(call envelope) {
+	reply, err := c.server.handler(c.server.ctx, call.Kind, call.Body)
 	if call.Number == 0 {
 		return
 	}
@@ -117,15 +186,23 @@
 		answer.Body = nil
 		answer.Error = err.Error()
 	}
-	line, err := encodeLine(answer, s.counters)
+	line, err := encodeLine(answer, c.server.counters)
 	if err != nil {
 		return
 	}
-	writeMutex.Lock()
-	defer writeMutex.Unlock()
-	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := connection.Write(line); err != nil {
-		_ = connection.Close()
+	held, ok := c.reserve(len(line))
+	if !ok {
+		_ = c.Close()
+		return
+	}
+	if held > 0 {
+		defer c.account.Release(held)
+	}
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := c.Write(line); err != nil {
+		_ = c.Close()
 	}
 }
 
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// defaultMemoryLimit is the default of the memory limits of processes, in MiB.
+const defaultMemoryLimit = 256
+
 // Coordinator holds the settings of a coordinator, which is a control node of a deployment with
 // diskless routers.
 type Coordinator struct {
@@ -51,6 +54,10 @@
 	QuotaWindow    time.Duration `yaml:"quota_window" validate:"omitempty,min=1s"`
 	QuotaOvershoot float64       `yaml:"quota_overshoot" validate:"min=0,max=1"`
 	QuotaSlack     float64       `yaml:"quota_slack" validate:"min=0"`
+	// MemoryLimit is the maximum memory of the process in MiB. Default 256.
+	MemoryLimit int `yaml:"memory_limit" validate:"omitempty,min=32"`
+	// DescriptorLimit is the number of descriptors that the process may open; 0 means the system's limit.
+	DescriptorLimit int `yaml:"descriptor_limit" validate:"omitempty,min=64"`
 	// Metrics is the address for metrics over HTTP, empty for none.
 	Metrics string `yaml:"metrics" validate:"omitempty,tcp_addr"`
 	// Log configures the log.
@@ -65,6 +72,7 @@
 	c.LoadDivisor = orDefault(c.LoadDivisor, 5)
 	c.QuotaWindow = orDefault(c.QuotaWindow, 8*time.Second)
 	c.QuotaOvershoot = orDefault(c.QuotaOvershoot, 0.1)
+	c.MemoryLimit = orDefault(c.MemoryLimit, defaultMemoryLimit)
 	c.Log.setDefaults()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,10 @@
 	// DrainLimit is the maximum duration of a graceful stop, after which open streams are
 	// closed. Default 60s.
 	DrainLimit time.Duration `yaml:"drain_limit" validate:"omitempty,min=1s,max=1h"`
+	// MemoryLimit is the maximum memory of the process in MiB. Default 256.
+	MemoryLimit int `yaml:"memory_limit" validate:"omitempty,min=32"`
+	// DescriptorLimit is the number of descriptors that the process may open; 0 means the system's limit.
+	DescriptorLimit int `yaml:"descriptor_limit" validate:"omitempty,min=64"`
 	// Log configures the log.
 	Log Log `yaml:"log"`
 }
@@ -48,6 +52,7 @@
 	r.Heartbeat = orDefault(r.Heartbeat, 500*time.Millisecond)
 	r.MaxBody = orDefault(r.MaxBody, 4<<20)
 	r.DrainLimit = orDefault(r.DrainLimit, time.Minute)
+	r.MemoryLimit = orDefault(r.MemoryLimit, defaultMemoryLimit)
 	r.Log.setDefaults()
 }
 
@@ -95,6 +100,10 @@
 	Tick time.Duration `yaml:"tick" validate:"omitempty,min=5ms,max=1s"`
 	// SnapshotEvery is the number of applied entries between snapshots. Default 1000.
 	SnapshotEvery uint64 `yaml:"snapshot_every" validate:"omitempty,min=10"`
+	// MemoryLimit is the maximum memory of the process in MiB. Default 256.
+	MemoryLimit int `yaml:"memory_limit" validate:"omitempty,min=32"`
+	// DescriptorLimit is the number of descriptors that the process may open; 0 means the system's limit.
+	DescriptorLimit int `yaml:"descriptor_limit" validate:"omitempty,min=64"`
 	// Log configures the log.
 	Log Log `yaml:"log"`
 }
@@ -105,6 +114,7 @@
 	c.Tick = orDefault(c.Tick, 50*time.Millisecond)
 	c.SnapshotEvery = orDefault(c.SnapshotEvery, 1000)
 	c.Approvals = orDefault(c.Approvals, 1)
+	c.MemoryLimit = orDefault(c.MemoryLimit, defaultMemoryLimit)
 	c.Log.setDefaults()
 }
 
