router, control: the first way to run bounds its clients and peers too

Callers saw nothing, but the processes ended: 300 heads of 60 KiB in short fields took `quinceridge router` to 390 MiB of 280, 100 unfinished messages at its peer address to 1,523; a control node reached 589 MiB with 300 heads of 900 KiB at its status address and 1,626 with unfinished messages; 1,000 silent connections took all 800 descriptors at each address.

Their listeners are those of the guard, with memory_limit (256 MiB unless set) and descriptor_limit as settings, and the commands bound their heap. A body for which there is no memory is refused as not run.

--- a/cmd/quinceridge/control.go
+++ b/cmd/quinceridge/control.go
@@ -12,6 +12,7 @@
 
 	"quinceridge.example/quinceridge/internal/config"
 	"quinceridge.example/quinceridge/internal/control"
+	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/storage"
@@ -42,6 +43,7 @@
 		fmt.Println("the settings are valid")
 		return nil
 	}
+	memory.LimitHeap(s.MemoryLimit, gcPercent)
 	stopped := stopSignal()
 	node, err := control.NewServer(s, telemetry.NewLogger(os.Stderr, s.Log, "control-"+strconv.FormatUint(s.ID, 10)))
 	if err != nil {
--- a/cmd/quinceridge/router.go
+++ b/cmd/quinceridge/router.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/config"
+	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/router"
 	"quinceridge.example/quinceridge/internal/settings"
 	"quinceridge.example/quinceridge/internal/telemetry"
@@ -31,6 +32,7 @@
 		fmt.Println("the settings are valid")
 		return nil
 	}
+	memory.LimitHeap(s.MemoryLimit, gcPercent)
 	stopped := stopSignal()
 	r, err := router.New(s, telemetry.NewLogger(os.Stderr, s.Log, s.Name))
 	if err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -15,6 +15,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/inventory"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/raft"
 	"quinceridge.example/quinceridge/internal/settings"
@@ -46,12 +47,15 @@
 	peers     *peer.Client
 	listener  *peer.Server
 	status    *http.Server
-	loop      *Loop
-	started   time.Duration
-	cancel    context.CancelFunc
-	failure   error
-	metrics   *serverMetrics
-	lastRole  raft.Role
+	// guard bounds the connections of all listeners, as capacity divides them.
+	guard    *listener.Guard
+	capacity listener.Capacity
+	loop     *Loop
+	started  time.Duration
+	cancel   context.CancelFunc
+	failure  error
+	metrics  *serverMetrics
+	lastRole raft.Role
 }
 
 // NewServer opens the data directory and restores its state. Start runs the node.
@@ -64,6 +68,7 @@
 		return nil, err
 	}
 	s.core = core
+	s.guard, s.capacity = listener.NewProcessGuard(config.MemoryLimit, config.DescriptorLimit, s.logger)
 	s.peers = peer.NewClient(s.counters)
 	s.inventory = inventory.New(inventory.Config{Source: config.Listen, Platform: config.Platform,
 		ListInterval: listInterval, StatusInterval: statusInterval, Zones: config.WatchZones})
@@ -99,13 +104,13 @@
 
 // Start opens the sockets and starts the goroutines of the node.
 func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.settings.Listen)
+	peers, err := net.Listen("tcp", s.settings.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
 	status, err := net.Listen("tcp", s.settings.Status)
 	if err != nil {
-		_ = listener.Close()
+		_ = peers.Close()
 		return errors.Wrap(err, "listen for status")
 	}
 	clock.LogIfUnavailable(s.logger)
@@ -113,10 +118,11 @@
 	s.cancel = cancel
 	registry := telemetry.NewRegistry()
 	s.metrics = newServerMetrics(registry, s.counters)
+	go s.guard.Run(ctx)
 	go s.run(ctx)
 	go s.inventory.Run(ctx)
 	go s.runOrders(ctx)
-	s.listener = peer.Serve(listener, s.counters, s.handle)
+	s.listener = peer.Serve(s.guard.Listen(peers, listener.Config{Name: "peers", Connections: s.capacity.Clients, Messages: true}), s.counters, s.handle)
 	s.serveStatus(status, registry)
 	s.logger.Info("started", "id", s.settings.ID, "listen", s.settings.Listen, "applied", s.core.Machine().Applied())
 	return nil
@@ -192,13 +198,19 @@
 	s.logger.Info("role changed", "role", string(status.Role), "term", status.Term, "leader", status.Leader)
 }
 
-func (s *Server) serveStatus(listener net.Listener, registry *prometheus.Registry) {
+func (s *Server) serveStatus(inner net.Listener, registry *prometheus.Registry) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", telemetry.Handler(registry))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
-	s.status = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = s.status.Serve(listener) }()
+	s.status = &http.Server{Handler: mux, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
+	s.guard.Bind(s.status, listener.CountBodies)
+	bounded := s.guard.Listen(inner, listener.Config{Name: "status", Connections: s.capacity.Status})
+	go func() {
+		if err := s.status.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
+			s.logger.Error("listener failed", "listener", "status", "error", err.Error())
+		}
+	}()
 }
 
 // ready serves the readiness check. The node is ready if it is the leader or has one.
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -17,6 +17,7 @@
 	"quinceridge.example/quinceridge/internal/dispatch"
 	"quinceridge.example/quinceridge/internal/engineapi"
 	"quinceridge.example/quinceridge/internal/flowcontrol"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/prefix"
 	"quinceridge.example/quinceridge/internal/scheduling"
 )
@@ -178,6 +179,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, invalid(http.StatusRequestEntityTooLarge, "", "the body is larger than "+strconv.FormatInt(g.config.MaxBody, 10)+" bytes")
+	case errors.Is(err, listener.ErrMemory):
+		return nil, notRun(http.StatusServiceUnavailable, err.Error(), time.Second)
 	case err != nil:
 		return nil, invalid(http.StatusRequestTimeout, "", "the body did not arrive: "+err.Error())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,10 +33,7 @@
 
 // Limits of caller connections.
 const (
-	readHeaderTimeout = 10 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	readTimeout = 30 * time.Second
 	// writeTimeout bounds each write to a caller. A caller that does not read for this long is
 	// disconnected.
 	writeTimeout = 10 * time.Second
@@ -83,12 +80,9 @@
 	e.GET("/v1/models/:model", g.model)
 	e.POST("/app/*", g.application)
 	g.server = &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+		Handler:     e,
+		ReadTimeout: readTimeout,
+		ErrorLog:    slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
 	}
 	return g
 }
--- a/internal/listener/capacity.go
+++ b/internal/listener/capacity.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"log/slog"
 
 	"golang.org/x/sys/unix"
@@ -20,6 +21,8 @@
 	minConnections = 8
 	// processPart is the part of the memory of a process with tables of its own that clients may fill.
 	processPart = 3
+	// defaultMemory is the memory of a process that names none, in MiB.
+	defaultMemory = 256
 	// connectionsPart is the part of the memory budget that idle connections may take.
 	connectionsPart = 2
 )
@@ -46,9 +49,9 @@
 }
 
 // NewProcessGuard returns the guard of a process that takes calls of other processes, and the capacity of its
-// listeners. Memory is the limit of the process in MiB, of which clients may fill a third.
+// listeners. Clients may fill a third of its memory, which is given in MiB; 0 means defaultMemory.
 func NewProcessGuard(mebibytes, descriptors int, logger *slog.Logger) (*Guard, Capacity) {
-	budget := memory.NewBudget(int64(mebibytes) << 20 / processPart)
+	budget := memory.NewBudget(int64(cmp.Or(mebibytes, defaultMemory)) << 20 / processPart)
 	return NewGuard(budget, logger), CapacityOf(descriptors, budget)
 }
 
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -42,8 +42,8 @@
 func (g *Guard) Bind(server *http.Server, bodies Bodies) {
 	next := server.Handler
 	server.MaxHeaderBytes = DefaultHeadBytes
-	// The guard bounds the time of heads and of idle connections.
-	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
+	// The guard bounds the time of heads and of idle connections. Zero would mean server.ReadTimeout.
+	server.ReadHeaderTimeout, server.IdleTimeout = -1, -1
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if inner := connOf(c); inner != nil {
 			return memory.WithAccount(context.WithValue(ctx, connKey{}, inner), inner.account)
--- a/internal/router/controllers.go
+++ b/internal/router/controllers.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/controlapi"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/peer"
 )
 
@@ -46,10 +47,11 @@
 
 // startControllers starts the peer server, which takes over the listener, and the controllers. It
 // returns their context, which shutdown cancels.
-func (r *Router) startControllers(listener net.Listener) context.Context {
+func (r *Router) startControllers(peers net.Listener) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	r.listener = peer.Serve(listener, r.counters, r.handle)
+	r.group.Go(func() { r.guard.Run(ctx) })
+	r.listener = peer.Serve(r.guard.Listen(peers, listener.Config{Name: "peers", Connections: r.capacity.Internal, Messages: true}), r.counters, r.handle)
 	r.group.Go(func() { r.claims.Run(ctx) })
 	r.group.Go(func() { r.membership.run(ctx) })
 	r.group.Go(func() { r.rollout.run(ctx) })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"quinceridge.example/quinceridge/internal/controlclient"
 	"quinceridge.example/quinceridge/internal/dispatch"
 	"quinceridge.example/quinceridge/internal/gateway"
+	"quinceridge.example/quinceridge/internal/listener"
 	"quinceridge.example/quinceridge/internal/membership"
 	"quinceridge.example/quinceridge/internal/peer"
 	"quinceridge.example/quinceridge/internal/scheduling"
@@ -48,6 +49,9 @@
 	draining   *board.Writer[bool]
 
 	listener *peer.Server
+	// guard bounds the connections of all listeners, as capacity divides them.
+	guard    *listener.Guard
+	capacity listener.Capacity
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
 }
@@ -57,6 +61,7 @@
 func New(config settings.Router, logger *slog.Logger) (*Router, error) {
 	r := &Router{settings: config, logger: telemetry.Part(logger, "router"), board: &board.Board{}, counters: &peer.Counters{},
 		traces: trace.NewRecorder()}
+	r.guard, r.capacity = listener.NewProcessGuard(config.MemoryLimit, config.DescriptorLimit, r.logger)
 	r.peers = peer.NewClient(r.counters)
 	r.control = controlclient.New(r.peers, config.Control)
 	r.claims = claims.New(r.control)
@@ -92,19 +97,20 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	r.waitReady(r.startControllers(peerListener))
-	listener, err := net.Listen("tcp", r.settings.Listen)
+	callers, err := net.Listen("tcp", r.settings.Listen)
 	if err != nil {
 		r.shutdown()
 		return errors.Wrap(err, "listen for callers")
 	}
-	go r.serve(listener)
+	r.guard.Bind(r.gateway.Server(), listener.CountBodies)
+	go r.serve(r.guard.Listen(callers, listener.Config{Name: "callers", Connections: r.capacity.Clients}))
 	r.logger.Info("started", "listen", r.settings.Listen)
 	return nil
 }
 
 // serve serves callers until the HTTP server is shut down.
-func (r *Router) serve(listener net.Listener) {
-	if err := r.gateway.Server().Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+func (r *Router) serve(callers net.Listener) {
+	if err := r.gateway.Server().Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 		r.logger.Error("HTTP server failed", "error", err)
 	}
 }
