coordinator: one configuration is decoded at a time

Cause: a decoded configuration takes many times the size of its text, and each call decoded its own.

The new test failed before.

--- a/internal/clienttest/coordinator_test.go
+++ b/internal/clienttest/coordinator_test.go
@@ -26,6 +26,9 @@
 func atPeers(d *deployment) target { return target{d.peer[0], http.MethodPost, "/", ""} }
 
 func TestCoordinatorSurvivesConfigurations(t *testing.T) { atCoordinator(t, documentForm, atOperators) }
+func TestCoordinatorSurvivesWholeConfigurations(t *testing.T) {
+	atCoordinator(t, wholeDocumentForm, atOperators)
+}
 func TestCoordinatorSurvivesEndlessChunks(t *testing.T) {
 	atCoordinator(t, endlessChunksForm, atOperators)
 }
--- a/internal/clienttest/crowd_test.go
+++ b/internal/clienttest/crowd_test.go
@@ -112,7 +112,13 @@
 		}
 	}}
 	documentForm = form{"4 MiB of configuration, one byte short", 150, shortBodyForm.send}
-	piecesForm   = form{"64 KiB of body in pieces of 16 bytes, short", 300, func(c net.Conn, g target) {
+	// wholeDocumentForm sends documents that are decoded and found invalid.
+	wholeDocumentForm = form{"whole configurations of 4 MiB", 60, func(c net.Conn, g target) {
+		const entry = `{"name":"a","keys":["k"]}`
+		document := `{"version":1,"tenants":[` + strings.Repeat(entry+",", maxBody/len(entry)-2) + entry + "]}"
+		write(c, []byte(g.head(contentLength(len(document)), "\r\n")+document))
+	}}
+	piecesForm = form{"64 KiB of body in pieces of 16 bytes, short", 300, func(c net.Conn, g target) {
 		if write(c, []byte(g.head(contentLength(64<<10), "\r\n"))) {
 			writePieces(c, make([]byte, 64<<10-1), 16)
 		}
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -143,7 +143,7 @@
 		http.Error(w, err.Error(), unreadStatus(err))
 		return
 	}
-	table, err := traffic.Parse(document)
+	table, err := s.parse(document)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -151,6 +151,13 @@
 	s.respond(w, r, coordapi.Request{Configure: &state.Configure{Version: table.Version, Document: document}})
 }
 
+// parse decodes a configuration. Only one is decoded at a time, since that takes many times its size.
+func (s *Server) parse(document []byte) (*traffic.Table, error) {
+	s.parsing.Lock()
+	defer s.parsing.Unlock()
+	return traffic.Parse(document)
+}
+
 func (s *Server) getConfiguration(w http.ResponseWriter, r *http.Request) {
 	reply, err := s.Call(r.Context(), coordapi.Request{Read: &coordapi.Read{}})
 	if err != nil || len(reply.Document) == 0 {
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -66,6 +66,8 @@
 	troubleLines    bounded.LineLimiter
 	listener        *peer.Server
 	metrics         *http.Server
+	// parsing is held while a configuration of an operator is decoded.
+	parsing sync.Mutex
 	// guard bounds the connections of all listeners, as capacity divides them.
 	guard    *listener.Guard
 	capacity listener.Capacity
