forward: a crowd of refusals is not a crowd of log lines

Callers saw nothing. Each refusal made a line with the whole ID that the client sent, up to 64 KiB: 30,000 requests ahead at a path without a route made 30,000 lines, which take processor time and push the lines of other requests out of the log's buffer.

Cause: only lines on stalled clients were bounded.

At most 200 refusals a second are logged, others are counted in quinceridge_refusals_unlogged_total; a line holds 128 bytes of an ID.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -442,7 +442,7 @@
 	case s.writeError != nil:
 		message = "client disconnected"
 	}
-	h.config.Logger.Info(message, "part", "forward", "id", j.id, "request", j.digest.String(), "route", j.route.Name, "pool", j.pool.Name,
+	h.config.Logger.Info(message, "part", "forward", "id", loggedID(j.id), "request", j.digest.String(), "route", j.route.Name, "pool", j.pool.Name,
 		"table", j.table.Version, "key", j.query.Key, "status", s.status, "events", s.events, "gap_ms", s.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
 		"first_ms", (s.firstAt - j.receivedAt).Milliseconds(), "relayed_for", j.relayed(), "attempts", strings.Join(j.trace, "; "), h.prefillAttributes(j), s.attributes())
 }
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -106,7 +106,7 @@
 	if cause == nil {
 		cause = result.err
 	}
-	h.config.Logger.Info("answer ended early", "part", "forward", "id", j.id, "request", j.digest.String(), "ended_by", endedByNames[by], "cause", text,
+	h.config.Logger.Info("answer ended early", "part", "forward", "id", loggedID(j.id), "request", j.digest.String(), "ended_by", endedByNames[by], "cause", text,
 		"error", errorText(cause), "backend", s.attempted.ID, "other_router", s.relay, "relayed_for", j.relayed(), "events", s.events, "last_event_ms", s.lastEventAge().Milliseconds(), "further_attempt", j.noAttempt, "beside", s.race.last(),
 		"attempts", strings.Join(j.trace, "; "))
 }
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -76,7 +76,7 @@
 	if !answered || !found || choice.Late || choice.Reason != "" || len(choice.Blocked) > 0 {
 		return backends.Choice{Blocked: j.trial.Backends}, true
 	}
-	h.config.Logger.Info("request is sent for a trial", "part", "forward", "id", j.id, "request", j.digest.String(), "block", j.trial.Request.String(), "backend", choice.ID)
+	h.config.Logger.Info("request is sent for a trial", "part", "forward", "id", loggedID(j.id), "request", j.digest.String(), "block", j.trial.Request.String(), "backend", choice.ID)
 	return choice, true
 }
 
@@ -104,7 +104,7 @@
 		h.logResponse(s, reason)
 		panic(http.ErrAbortHandler)
 	}
-	h.config.Logger.Info("request is blocked", "part", "forward", "id", j.id, "request", j.digest.String(), "block", block.Request.String(),
+	h.config.Logger.Info("request is blocked", "part", "forward", "id", loggedID(j.id), "request", j.digest.String(), "block", block.Request.String(),
 		"prompt_parts", poison.Join(block.Parts), "backends", block.Backends, "revision", block.Revision, "attempts", strings.Join(j.trace, "; "))
 	h.refuse(s.client, j, &refusal{status: http.StatusBadGateway, reason: reason, retryAfter: poison.BlockDuration, text: text})
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -49,6 +49,10 @@
 	freshStep = 5 * time.Millisecond
 	// minRetryAfter is the lowest Retry-After while the router may not serve.
 	minRetryAfter = 500 * time.Millisecond
+	// maxRefusalLines bounds the log lines on refusals within a second, and maxLoggedID the bytes of a
+	// request ID in one.
+	maxRefusalLines = 200
+	maxLoggedID     = 128
 	// memoryRetryAfter is the Retry-After, plus jitter, while the memory for requests is used up.
 	memoryRetryAfter = time.Second
 )
@@ -159,14 +163,17 @@
 	// clientStall is clientStallTimeout. It is replaced in tests.
 	clientStall time.Duration
 	stallLines  bounded.LineLimiter
-	stopping    atomic.Bool
-	forbidden   map[string]bool
-	metrics     Metrics
-	store       storeMonitor
-	shares      shares
-	probes      *probes
-	deadlines   *deadlines
-	hedges      sync.WaitGroup
+	// refusalLines bounds the log lines on refusals, and relayLines those on requests that only seem to come
+	// from other routers.
+	refusalLines, relayLines bounded.LineLimiter
+	stopping                 atomic.Bool
+	forbidden                map[string]bool
+	metrics                  Metrics
+	store                    storeMonitor
+	shares                   shares
+	probes                   *probes
+	deadlines                *deadlines
+	hedges                   sync.WaitGroup
 }
 
 // New returns a Handler. Config is not checked.
@@ -473,6 +480,9 @@
 	return j.tenant.Name
 }
 
+// loggedID returns the part of a client's request ID that log lines hold.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // refuse sends a response that the router generates.
 func (h *Handler) refuse(w http.ResponseWriter, j *job, f *refusal) {
 	header := w.Header()
@@ -489,6 +499,10 @@
 	// A write error means that the client is gone.
 	_, _ = io.WriteString(w, f.text)
 	h.metrics.CountResponse(f.status, true)
-	h.config.Logger.Info("refused", "part", "forward", "id", j.id, "request", j.digest.String(), "status", f.status, "reason", f.reason,
+	if !h.refusalLines.Allow(h.clock(), maxRefusalLines) {
+		h.metrics.unloggedRefusals.Add(1)
+		return
+	}
+	h.config.Logger.Info("refused", "part", "forward", "id", loggedID(j.id), "request", j.digest.String(), "status", f.status, "reason", f.reason,
 		"after_ms", f.retryAfter.Milliseconds(), "relayed_for", j.relayed(), h.prefillAttributes(j), j.continuation.group())
 }
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -294,6 +294,6 @@
 		}
 	}
 	h := g.handler()
-	h.config.Logger.Info("further attempt", "part", "forward", "id", j.id, "request", j.digest.String(), "result", result, "reason", reason, "backend", backend,
+	h.config.Logger.Info("further attempt", "part", "forward", "id", loggedID(j.id), "request", j.digest.String(), "result", result, "reason", reason, "backend", backend,
 		"silent", g.from.choice.ID, "cause", g.cause.Error(), "silent_ms", (g.began - max(g.session.lastAt, g.from.started)).Milliseconds(), "took_ms", (h.now() - g.began).Milliseconds())
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -32,6 +32,8 @@
 	refusedBlockedParts atomic.Uint64
 	// refusedMemory counts requests refused because the memory for requests was used up.
 	refusedMemory atomic.Uint64
+	// unloggedRefusals counts refusals without a log line.
+	unloggedRefusals atomic.Uint64
 	// stalledClients counts clients that were disconnected because they read nothing.
 	stalledClients atomic.Uint64
 	// unreadBodies counts attempts given up because their back end did not read the request.
@@ -167,6 +169,7 @@
 	fmt.Fprintf(w, "quinceridge_refused_blocked_total %d\n", m.refusedBlocked.Load())
 	fmt.Fprintf(w, "quinceridge_refused_blocked_parts_total %d\n", m.refusedBlockedParts.Load())
 	fmt.Fprintf(w, "quinceridge_refused_memory_total %d\n", m.refusedMemory.Load())
+	fmt.Fprintf(w, "quinceridge_refusals_unlogged_total %d\n", m.unloggedRefusals.Load())
 	fmt.Fprintf(w, "quinceridge_stalled_clients_total %d\n", m.stalledClients.Load())
 	fmt.Fprintf(w, "quinceridge_unread_bodies_total %d\n", m.unreadBodies.Load())
 	fmt.Fprintf(w, "quinceridge_streams_resumed_unresponsive_total %d\n", m.resumedUnresponsive.Load())
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -81,7 +81,7 @@
 	if ours == "" {
 		h.metrics.failedAttempts.Add(1)
 	}
-	h.config.Logger.Warn("attempt failed", "part", "forward", "id", j.id, "request", j.digest.String(), "backend", choice.ID,
+	h.config.Logger.Warn("attempt failed", "part", "forward", "id", loggedID(j.id), "request", j.digest.String(), "backend", choice.ID,
 		"address", choice.Address, "events", events, "given_up", ours, "error", err.Error(), "prompt_parts", poison.Join(j.promptParts()))
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -269,7 +269,9 @@
 func (h *Handler) ServeRelayed(w http.ResponseWriter, r *http.Request) {
 	origin, err := relay.ParseOrigin(r.Header.Get(relay.HeaderOrigin))
 	if err != nil {
-		h.config.Logger.Warn("request of another router rejected", "part", "relay", "remote", r.RemoteAddr, "error", err.Error())
+		if h.relayLines.Allow(h.clock(), maxRefusalLines) {
+			h.config.Logger.Warn("request of another router rejected", "part", "relay", "remote", r.RemoteAddr, "error", err.Error())
+		}
 		h.refuse(w, &job{id: r.Header.Get(h.config.Headers.RequestID)}, &refusal{status: http.StatusBadRequest, reason: err.Error()})
 		return
 	}
--- a/internal/forward/unresponsive.go
+++ b/internal/forward/unresponsive.go
@@ -102,7 +102,7 @@
 	j := a.session.job
 	a.handler.metrics.endedUnresponsive.Add(1)
 	a.cancel(cause)
-	a.handler.config.Logger.Info("request at an unresponsive engine given up", "part", "forward", "id", j.id, "request", j.digest.String(),
+	a.handler.config.Logger.Info("request at an unresponsive engine given up", "part", "forward", "id", loggedID(j.id), "request", j.digest.String(),
 		"backend", a.choice.ID, "reason", cause.Error())
 }
 
