listener: a connection that is evicted while its request runs is closed after it

Found by reading: an account that was evicted at the moment at which its request began to run could reserve nothing any more, so that each further request on the connection was refused.

The connection is closed after the response. Writes do not read the clock: a search for accounts to evict records when it first saw one writing. The relay address may take three sixteenths of the descriptors, since other routers pass requests on over a connection each while their paths are lost.

--- a/internal/clienttest/crowd_test.go
+++ b/internal/clienttest/crowd_test.go
@@ -157,6 +157,9 @@
 	aheadForm = form{"300 requests ahead, unread", 100, func(c net.Conn, g target) {
 		write(c, []byte(strings.Repeat(g.head(names.RequestID+": a\r\n", contentLength(0), "\r\n"), 300)))
 	}}
+	fieldsAheadForm = form{"100 requests of short fields ahead, unread", 400, func(c net.Conn, g target) {
+		write(c, []byte(strings.Repeat(g.head(names.RequestID+": a\r\n", contentLength(0), shortFields(3<<10), "\r\n"), 100)))
+	}}
 	aheadBodiesForm = form{"30 requests with bodies ahead, unread", 100, func(c net.Conn, g target) {
 		one := g.head(names.RequestID+": a\r\n", contentLength(64<<10), "\r\n") + strings.Repeat("x", 64<<10)
 		for range 30 {
--- a/internal/clienttest/router_test.go
+++ b/internal/clienttest/router_test.go
@@ -36,6 +36,7 @@
 func TestRouteSurvivesBodiesOverTheLimit(t *testing.T) { atKeyedRoute(t, overLimitForm) }
 func TestRouteSurvivesManyTrailers(t *testing.T)       { atKeyedRoute(t, trailersForm) }
 func TestRouteSurvivesRequestsAhead(t *testing.T)      { atKeyedRoute(t, aheadForm) }
+func TestRouteSurvivesShortFieldsAhead(t *testing.T)   { atKeyedRoute(t, fieldsAheadForm) }
 func TestRouteSurvivesBodiesAhead(t *testing.T)        { atKeyedRoute(t, aheadBodiesForm) }
 func TestRouteSurvivesHalfClosedClients(t *testing.T)  { atKeyedRoute(t, halfClosedForm) }
 func TestRouteSurvivesResets(t *testing.T)             { atKeyedRoute(t, resetForm) }
--- a/internal/listener/capacity.go
+++ b/internal/listener/capacity.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// clientPart, internalPart and statusPart divide the descriptors of a process. The rest, a fifth at
+	// clientShare, internalShare and statusShare divide the descriptors of a process. The rest, a fifth at
 	// least, is for connections to other processes, files, and connections that end.
-	clientPart   = 2
-	internalPart = 8
-	statusPart   = 16
+	clientShare   = 0.5
+	internalShare = 0.1875
+	statusShare   = 0.05
 	// maxStatus bounds the connections for checks and metrics, which few clients need.
 	maxStatus = 64
 	// minConnections is the number of connections that each listener may have in any case.
@@ -41,11 +41,10 @@
 		descriptors = systemDescriptors()
 	}
 	idle := int(budget.Limit() / connectionsPart / connectionBytes)
-	return Capacity{
-		Clients:  max(min(descriptors/clientPart, idle), minConnections),
-		Internal: max(min(descriptors/internalPart, idle), minConnections),
-		Status:   max(min(descriptors/statusPart, maxStatus), minConnections),
+	part := func(share float64, most int) int {
+		return max(min(int(share*float64(descriptors)), most), minConnections)
 	}
+	return Capacity{Clients: part(clientShare, idle), Internal: part(internalShare, idle), Status: part(statusShare, maxStatus)}
 }
 
 // NewProcessGuard returns the guard of a process that takes calls of other processes, and the capacity of its
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -61,7 +61,7 @@
 	if !c.fate.CompareAndSwap(undecided, runs) {
 		return false
 	}
-	c.account.SetState(memory.Running)
+	c.account.SetRunning()
 	return true
 }
 
@@ -128,6 +128,11 @@
 		return
 	}
 	c.listener.guard.record(cause, c)
+	c.stopReading()
+}
+
+// stopReading makes reads fail, on which the server closes the connection.
+func (c *Conn) stopReading() {
 	c.ending.Store(true)
 	_ = c.SetReadDeadline(past)
 }
@@ -177,12 +182,12 @@
 		return 0, net.ErrClosed
 	}
 	if c.account.State() == memory.Running {
-		c.account.SetState(memory.Responding)
+		c.account.BeginWriting()
 	}
 	n, err := c.Conn.Write(p)
 	c.account.Moved(n)
-	if err == nil && c.account.State() == memory.Responding {
-		c.account.MarkState(memory.Running)
+	if err == nil {
+		c.account.EndWriting()
 	}
 	return n, err
 }
@@ -194,8 +199,7 @@
 		return true
 	}
 	if c.headAt.Load() == 0 {
-		c.headAt.Store(int64(clock.Now()))
-		c.account.SetState(memory.Receiving)
+		c.headAt.Store(int64(c.account.SetState(memory.Receiving)))
 	}
 	c.account.Moved(len(p))
 	c.head.count(p)
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -210,3 +210,19 @@
 		assert.Assert(t, int64(c.Clients*connectionBytes) <= 22<<20, "%+v", c)
 	}
 }
+
+// Guards against a connection that is evicted while its request runs and then refuses all others.
+func TestConnectionEvictedDuringRequestIsClosedAfterIt(t *testing.T) {
+	var account *memory.Account
+	s := serveWith(t, 8<<20, Config{}, func(*service) http.HandlerFunc {
+		return func(_ http.ResponseWriter, r *http.Request) {
+			account = memory.AccountOf(r.Context())
+			account.MarkEvicted()
+		}
+	})
+	c := s.dial()
+	status, _ := s.exchange(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.Equal(t, status, http.StatusOK)
+	_, err := c.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+}
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -91,6 +91,10 @@
 		c.account.SetState(memory.Quiet)
 		c.outOfHead.Store(false)
 		c.fate.CompareAndSwap(runs, undecided)
+		if c.account.Evicted() {
+			// It was evicted while a request ran, and could reserve nothing for another one.
+			c.stopReading()
+		}
 	default:
 	}
 }
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -62,7 +62,10 @@
 	// movedAt is when the account last made progress, and moved are the bytes since then.
 	movedAt atomic.Int64
 	moved   atomic.Int64
-	evicted atomic.Bool
+	// blockedAt is when a search first found the account writing since it last made progress, 0 for never.
+	// Writes are frequent, so that they do not read the clock.
+	blockedAt atomic.Int64
+	evicted   atomic.Bool
 	// waiting is the number of reservations that wait for room.
 	waiting atomic.Int32
 }
@@ -91,23 +94,35 @@
 	a.Release(a.held.Load())
 }
 
-// SetState records what the peer does, which counts as progress.
-func (a *Account) SetState(state State) {
-	a.movedAt.Store(int64(a.now()))
+// SetState records what the peer does, which counts as progress. It returns the time.
+func (a *Account) SetState(state State) time.Duration {
+	now := a.now()
+	a.movedAt.Store(int64(now))
 	a.moved.Store(0)
 	a.state.Store(int32(state))
+	return now
 }
 
+// SetRunning records that a whole request is being handled. It does not read the clock.
+func (a *Account) SetRunning() { a.state.Store(int32(Running)) }
+
 // State returns the state that was last set.
 func (a *Account) State() State { return State(a.state.Load()) }
 
-// MarkState changes the state without recording progress.
-func (a *Account) MarkState(state State) { a.state.Store(int32(state)) }
+// BeginWriting records that a response is being written, and EndWriting that the peer has taken it.
+func (a *Account) BeginWriting() {
+	a.blockedAt.Store(0)
+	a.state.Store(int32(Responding))
+}
+
+// EndWriting ends what BeginWriting has begun.
+func (a *Account) EndWriting() { a.state.CompareAndSwap(int32(Responding), int32(Running)) }
 
 // Moved records bytes that the peer has sent or read.
 func (a *Account) Moved(bytes int) {
 	if a.moved.Add(int64(bytes)) >= progressBytes {
 		a.moved.Store(0)
+		a.blockedAt.Store(0)
 		a.movedAt.Store(int64(a.now()))
 	}
 }
@@ -253,7 +268,7 @@
 			continue
 		}
 		stalled := now - time.Duration(a.movedAt.Load())
-		if a.evictable(held, stalled) {
+		if a.evictable(now, stalled) {
 			out = append(out, candidate{a, float64(held) * stalled.Seconds()})
 		}
 	}
@@ -261,12 +276,13 @@
 }
 
 // evictable reports whether an account may be evicted: what it holds makes no progress because of its peer.
-func (a *Account) evictable(held int64, stalled time.Duration) bool {
+func (a *Account) evictable(now, stalled time.Duration) bool {
 	switch a.State() {
 	case Quiet, Receiving, Finished:
 		return stalled >= stallTime && a.waiting.Load() == 0
 	case Responding:
-		return stalled >= writeStallTime
+		a.blockedAt.CompareAndSwap(0, int64(now))
+		return now-time.Duration(a.blockedAt.Load()) >= writeStallTime
 	default:
 		return false
 	}
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -22,6 +22,7 @@
 	})
 	t.SetState(state)
 	t.movedAt.Add(-int64(stalled))
+	t.blockedAt.Store(t.movedAt.Load())
 	return t
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -155,7 +155,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running++; c.running == 1 {
-		c.account.SetState(memory.Running)
+		c.account.SetRunning()
 	}
 	return held, true
 }
