memory: a request returns nothing once its connection's account is closed

Found by reading the diff: the account of a connection returns all that it holds when the connection is closed, and the requests and calls that still ran on it returned theirs again, so that the budget came to count less than was in use (500 bytes below zero in the new test before the fix). A peer that does not read its replies could do that as often as it liked.

A closed account holds nothing, and neither returns nor reserves.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,7 @@
 	evict  func()
 	now    func() time.Duration
 
+	// held is what the account holds, or closedAccount.
 	held  atomic.Int64
 	state atomic.Int32
 	// movedAt is when the account last made progress, and moved are the bytes since then.
@@ -86,12 +88,18 @@
 	return a
 }
 
-// Close returns everything that the account holds.
+// closedAccount is the value of Account.held after Close.
+const closedAccount = math.MinInt64
+
+// Close returns everything that the account holds, also what running requests still use: they return nothing
+// afterwards.
 func (a *Account) Close() {
 	a.budget.mu.Lock()
 	delete(a.budget.accounts, a)
 	a.budget.mu.Unlock()
-	a.Release(a.held.Load())
+	if held := a.held.Swap(closedAccount); held != closedAccount {
+		a.budget.Release(held)
+	}
 }
 
 // SetState records what the peer does, which counts as progress. It returns the time.
@@ -137,12 +145,26 @@
 func (a *Account) MarkEvicted() bool { return a.evicted.CompareAndSwap(false, true) }
 
 // Held returns the bytes that the account holds.
-func (a *Account) Held() int64 { return a.held.Load() }
+func (a *Account) Held() int64 { return max(a.held.Load(), 0) }
 
 // Release returns bytes of the account.
 func (a *Account) Release(bytes int64) {
-	a.held.Add(-bytes)
-	a.budget.Release(bytes)
+	if a.add(-bytes) {
+		a.budget.Release(bytes)
+	}
+}
+
+// add changes what the account holds, and returns false if it is closed.
+func (a *Account) add(bytes int64) bool {
+	for {
+		held := a.held.Load()
+		if held == closedAccount {
+			return false
+		}
+		if a.held.CompareAndSwap(held, held+bytes) {
+			return true
+		}
+	}
 }
 
 // Reserve takes bytes of the budget for the account, and evicts other accounts if there is no room. It
@@ -160,10 +182,13 @@
 // tryReserve takes bytes of the part of the budget that the account may use.
 func (a *Account) tryReserve(bytes int64) bool {
 	b := a.budget
-	if !b.reserveWithin(bytes, b.limitFor(a.held.Load()+bytes)) {
+	if !b.reserveWithin(bytes, b.limitFor(a.Held()+bytes)) {
+		return false
+	}
+	if !a.add(bytes) {
+		b.Release(bytes)
 		return false
 	}
-	a.held.Add(bytes)
 	return true
 }
 
@@ -251,7 +276,7 @@
 		if needed <= 0 {
 			return
 		}
-		needed -= c.account.held.Load()
+		needed -= c.account.Held()
 		if c.account.MarkEvicted() {
 			c.account.evict()
 		}
@@ -262,7 +287,7 @@
 // is held.
 func (b *Budget) candidates(now time.Duration) (out []candidate, ending int64) {
 	for a := range b.accounts {
-		held := a.held.Load()
+		held := a.Held()
 		if a.evicted.Load() {
 			ending += held
 			continue
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -93,3 +93,17 @@
 	assert.Assert(t, !a.MarkEvicted())
 	assert.Assert(t, !a.Reserve(1))
 }
+
+// Guards against memory that is returned twice, by a connection that is closed and by its running request.
+func TestRequestReturnsNothingAfterItsConnectionIsClosed(t *testing.T) {
+	b := NewBudget(1 << 20)
+	a := b.OpenAccount(1000, func() {})
+	r := b.NewReservationFor(a)
+	assert.Assert(t, r.Grow(500))
+	a.Close()
+	a.Close()
+	r.Release()
+	assert.Equal(t, b.Used(), int64(0))
+	assert.Assert(t, !r.Grow(1))
+	assert.Equal(t, b.Used(), int64(0))
+}
