forward: a body that can never be reserved is too large at once

A body a little smaller than what large requests may use of the budget was refused with 503 after a wait each time, and the client told to come back: beside the body, its first buffer and the request count too. It is refused with 413 before it is read. The new test failed before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -435,7 +435,7 @@
 	if limit > 0 {
 		reader, most = http.MaxBytesReader(w, r.Body, limit), limit
 	}
-	if !h.config.Memory.Fits(r.ContentLength) || (limit > 0 && r.ContentLength > limit) {
+	if !h.config.Memory.Fits(r.ContentLength+trustedBuffer+requestBytes) || (limit > 0 && r.ContentLength > limit) {
 		w.Header().Set("Connection", "close")
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	}
--- a/internal/forward/slowreader_test.go
+++ b/internal/forward/slowreader_test.go
@@ -465,6 +465,19 @@
 	await(t, time.Second, "memory is in use", func() bool { return budget.Used() < 100<<10 })
 }
 
+// Guards against asking a client to repeat a body for which there is never room.
+func TestBodyThatNeverFitsIsTooLarge(t *testing.T) {
+	r := newRig(t)
+	r.bound(2 << 20)
+	r.allow("/unsafe/1", time.Second)
+	r.add("app", "x", good)
+	length := (2<<20)*7/8 - 1000
+	got := r.ask("POST", "/unsafe/1", func(q *http.Request) {
+		q.Body, q.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", length))), int64(length)
+	})
+	assert.Assert(t, got.err != nil || got.status == http.StatusRequestEntityTooLarge, "%d", got.status)
+}
+
 // Guards against memory that a client takes by announcing a body.
 func TestAnnouncedBodyTakesNoMemory(t *testing.T) {
 	r := newRig(t)
