peer: callers do not name the counters of replies

Callers saw nothing. A reply with an error was counted under the kind that the caller had sent: a table of the process, and a name in its metrics, for each unknown kind that anybody sends to a peer address, up to 64 MiB each.

Replies with an error share one label.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -120,6 +120,9 @@
 	return nil
 }
 
+// errorLabel is the label of replies with an error.
+const errorLabel = "error"
+
 // freeMessage is the size of a message or reply that the memory of its connection covers.
 const freeMessage = 4 << 10
 
@@ -183,7 +186,8 @@
 		answer.Body, err = json.Marshal(reply)
 	}
 	if err != nil {
-		answer.Body = nil
+		// The caller chose the kind, which may be unknown.
+		answer.Body, answer.Label = nil, errorLabel
 		answer.Error = err.Error()
 	}
 	line, err := encodeLine(answer, c.server.counters)
