listener: a response that is not read does not keep a connection for good

Operators and back ends would have been refused: a client of a coordinator, a control node or `quinceridge router` that read nothing of a response kept one of the connections of the listener until it left, since a request that runs is not closed for a new one and nothing bounded the write. As many such clients as the listener has connections shut out heartbeats.

The new test fails without the check: the second client is refused for 10 s.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -205,7 +205,7 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	s.status = &http.Server{Handler: mux, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
 	s.guard.Bind(s.status, listener.CountBodies)
-	bounded := s.guard.Listen(inner, listener.Config{Name: "status", Connections: s.capacity.Status})
+	bounded := s.guard.Listen(inner, listener.Config{Name: "status", Connections: s.capacity.Status, WriteTimeout: listener.DefaultWriteTimeout})
 	go func() {
 		if err := s.status.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error("listener failed", "listener", "status", "error", err.Error())
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -25,7 +25,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", s.writeMetrics)
 	s.registerOperatorRoutes(mux)
-	s.metrics = s.serveHTTP(inner, mux, listener.Config{Name: "metrics", Connections: s.capacity.Status})
+	s.metrics = s.serveHTTP(inner, mux, listener.Config{Name: "metrics", Connections: s.capacity.Status, WriteTimeout: listener.DefaultWriteTimeout})
 	return nil
 }
 
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -177,7 +177,7 @@
 
 // ServeOperators serves operators and back ends on a listener until the returned server is shut down.
 func (s *Server) ServeOperators(inner net.Listener, handler http.Handler) *http.Server {
-	return s.serveHTTP(inner, handler, listener.Config{Name: "operators", Connections: s.capacity.Clients / 2})
+	return s.serveHTTP(inner, handler, listener.Config{Name: "operators", Connections: s.capacity.Clients / 2, WriteTimeout: listener.DefaultWriteTimeout})
 }
 
 // serveHTTP serves HTTP on a listener within the bounds of the process.
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -105,6 +105,9 @@
 	case memory.Receiving:
 		since := c.headAt.Load()
 		return CauseHead, since > 0 && !c.outOfHead.Load() && now-time.Duration(since) >= limits.HeadTimeout
+	case memory.Responding:
+		limit := c.listener.config.WriteTimeout
+		return CauseUnread, limit > 0 && c.account.Blocked(now) >= limit
 	default:
 		return 0, false
 	}
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -38,10 +38,12 @@
 	CauseHead
 	// CauseIdle: no request arrived in time.
 	CauseIdle
+	// CauseUnread: the client did not read a response in time.
+	CauseUnread
 	causes
 )
 
-var causeNames = [causes]string{"memory", "connections", "head", "idle"}
+var causeNames = [causes]string{"memory", "connections", "head", "idle", "unread"}
 
 // String returns the name of the cause in metrics and log lines.
 func (c Cause) String() string { return causeNames[c] }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -27,6 +27,9 @@
 	// Messages is set if clients send messages of another protocol than HTTP. The server then counts them, with
 	// Conn.Account, and sets its state.
 	Messages bool
+	// WriteTimeout is the time after which a client is disconnected that reads less than 4 KiB while a
+	// response waits; 0 if the server bounds it.
+	WriteTimeout time.Duration
 	// Limits returns the limits in force.
 	Limits func() Limits
 }
@@ -46,6 +49,8 @@
 	DefaultHeadBytes   = 64 << 10
 	DefaultHeadTimeout = 10 * time.Second
 	DefaultIdleTimeout = 2 * time.Minute
+	// DefaultWriteTimeout is the value of Config.WriteTimeout for servers without a limit of their own.
+	DefaultWriteTimeout = 10 * time.Second
 )
 
 // DefaultLimits returns the defaults.
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/memory"
 )
@@ -226,3 +227,32 @@
 	_, err := c.Read(make([]byte, 1))
 	assert.Equal(t, err, io.EOF)
 }
+
+// Guards against clients that read nothing and keep a listener's connections for good.
+func TestResponseThatIsNotReadIsCut(t *testing.T) {
+	s := serveWith(t, 8<<20, Config{Connections: 1, WriteTimeout: 200 * time.Millisecond}, func(*service) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 64<<20)) }
+	})
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	unread := s.dial()
+	_, err := io.WriteString(unread, request)
+	assert.NilError(t, err)
+	_, err = unread.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s.guard.sweep()
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		if _, err := io.WriteString(c, request); err != nil {
+			return poll.Continue("%v", err)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(50*time.Millisecond))
+}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -306,13 +306,22 @@
 	case Quiet, Receiving, Finished:
 		return stalled >= stallTime && a.waiting.Load() == 0
 	case Responding:
-		a.blockedAt.CompareAndSwap(0, int64(now))
-		return now-time.Duration(a.blockedAt.Load()) >= writeStallTime
+		return a.Blocked(now) >= writeStallTime
 	default:
 		return false
 	}
 }
 
+// Blocked returns the time since a search first found the account writing without progress, 0 if it is not. Now is
+// by clock.Now.
+func (a *Account) Blocked(now time.Duration) time.Duration {
+	if a.State() != Responding {
+		return 0
+	}
+	a.blockedAt.CompareAndSwap(0, int64(now))
+	return now - time.Duration(a.blockedAt.Load())
+}
+
 type accountKey struct{}
 
 // WithAccount returns a context with the account of a request's connection.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,7 +103,7 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	r.guard.Bind(r.gateway.Server(), listener.CountBodies)
-	go r.serve(r.guard.Listen(callers, listener.Config{Name: "callers", Connections: r.capacity.Clients}))
+	go r.serve(r.guard.Listen(callers, listener.Config{Name: "callers", Connections: r.capacity.Clients, WriteTimeout: listener.DefaultWriteTimeout}))
 	r.logger.Info("started", "listen", r.settings.Listen)
 	return nil
 }
