listener: connections closed for want of memory show in the metrics of every process

An on-call engineer saw nothing of heads and messages for which there was no room: their connections were closed without a count or a line, requests refused before their route was looked up had no count, and `quinceridge router` and `control` had none of the metrics.

All of them are counted and logged within the bound; the first way to run exposes the same metrics, and coordinators their buffers. The new checks failed before: no count after a head without room, and four names missing at two addresses.

--- a/internal/clienttest/control_test.go
+++ b/internal/clienttest/control_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
 
@@ -75,3 +78,18 @@
 	g := startGroup(t)
 	survive(t, g.router, lineForm, target{address: g.fellows}, func() { g.await(g.listen, "/healthz") })
 }
+
+// Guards against connections that are closed without a trace in the metrics.
+func TestGroupReportsConnectionsOfClients(t *testing.T) {
+	g := startGroup(t)
+	for _, address := range []string{g.status, g.listen} {
+		response, err := http.Get("http://" + address + "/metrics")
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		for _, name := range []string{"quinceridge_clients_closed_total{reason=\"memory\"} 0", "quinceridge_client_connections{listener=\"peers\"} "} {
+			assert.Check(t, strings.Contains(string(text), name), "%s at %s", name, address)
+		}
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -117,6 +117,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	registry := telemetry.NewRegistry()
+	registry.MustRegister(s.guard)
 	s.metrics = newServerMetrics(registry, s.counters)
 	go s.guard.Run(ctx)
 	go s.run(ctx)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -34,6 +34,8 @@
 	version.WriteTo(w)
 	_, _ = s.guard.WriteTo(w)
 	gauge := func(name string, value any) { fmt.Fprintf(w, "quinceridge_%s %v\n", name, value) }
+	gauge("buffer_bytes", s.guard.Budget().Used())
+	gauge("buffer_limit_bytes", s.guard.Budget().Limit())
 	gauge("peer_received_bytes_total", s.counters.BytesIn.Load())
 	gauge("peer_sent_bytes_total", s.counters.BytesOut.Load())
 	gauge("peer_received_messages_total", s.counters.MessagesIn.Load())
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -171,12 +171,24 @@
 		return 0, errClosed
 	}
 	n, err := c.Conn.Read(p)
-	if c.ending.Load() || (n > 0 && !c.countRead(p[:n])) {
+	if c.ending.Load() {
+		return 0, errClosed
+	}
+	if n > 0 && !c.countRead(p[:n]) {
+		c.RecordNoMemory()
 		return 0, errClosed
 	}
 	return n, err
 }
 
+// RecordNoMemory records that the connection is closed since there is no memory for what it has sent, unless it
+// was evicted. Reads fail from then on.
+func (c *Conn) RecordNoMemory() {
+	if c.ending.CompareAndSwap(false, true) {
+		c.listener.guard.record(CauseMemory, c)
+	}
+}
+
 // Write implements net.Conn. It records what the peer reads, so that a peer that does not read can be told from
 // one that reads slowly.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -8,10 +8,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"quinceridge.example/quinceridge/internal/bounded"
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/memory"
@@ -30,7 +33,7 @@
 
 // Causes of closing a connection.
 const (
-	// CauseMemory: others needed the memory that the connection held.
+	// CauseMemory: others needed the memory that the connection held, or there was none for what it sent.
 	CauseMemory Cause = iota
 	// CauseConnections: the listener had its number of connections.
 	CauseConnections
@@ -54,6 +57,9 @@
 	logger *slog.Logger
 	lines  bounded.LineLimiter
 	closed [causes]atomic.Uint64
+	// refusedHeads counts requests whose head was larger than configured, and refusedMemory those for which
+	// there was no memory, as far as the guard answered them.
+	refusedHeads, refusedMemory atomic.Uint64
 
 	mu        sync.Mutex
 	listeners map[*Listener]struct{}
@@ -86,18 +92,62 @@
 	}
 }
 
-// WriteTo writes the metrics in the Prometheus text format.
-func (g *Guard) WriteTo(w io.Writer) (int64, error) {
+// Budget returns the memory that clients share.
+func (g *Guard) Budget() *memory.Budget { return g.budget }
+
+// sample is one value of a metric with a label.
+type sample struct {
+	name, label, value string
+	number             uint64
+}
+
+// Names of metrics.
+const (
+	metricClosed      = "quinceridge_clients_closed_total"
+	metricRefused     = "quinceridge_clients_refused_total"
+	metricConnections = "quinceridge_client_connections"
+)
+
+// samples returns the values of all metrics.
+func (g *Guard) samples() []sample {
+	out := []sample{
+		{metricRefused, "reason", "head", g.refusedHeads.Load()},
+		{metricRefused, "reason", "memory", g.refusedMemory.Load()},
+	}
 	for cause := range causes {
-		_, _ = fmt.Fprintf(w, "quinceridge_clients_closed_total{reason=%q} %d\n", cause.String(), g.closed[cause].Load())
+		out = append(out, sample{metricClosed, "reason", cause.String(), g.closed[cause].Load()})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for l := range g.listeners {
 		open, refused := l.count()
-		_, _ = fmt.Fprintf(w, "quinceridge_client_connections{listener=%q} %d\n", l.config.Name, open)
-		_, _ = fmt.Fprintf(w, "quinceridge_client_connections_limit{listener=%q} %d\n", l.config.Name, l.config.Connections)
-		_, _ = fmt.Fprintf(w, "quinceridge_client_connections_refused_total{listener=%q} %d\n", l.config.Name, refused)
+		name := l.config.Name
+		out = append(out, sample{metricConnections, "listener", name, uint64(open)},
+			sample{metricConnections + "_limit", "listener", name, uint64(l.config.Connections)},
+			sample{metricConnections + "_refused_total", "listener", name, refused})
+	}
+	return out
+}
+
+// WriteTo writes the metrics in the Prometheus text format.
+func (g *Guard) WriteTo(w io.Writer) (int64, error) {
+	for _, s := range g.samples() {
+		_, _ = fmt.Fprintf(w, "%s{%s=%q} %d\n", s.name, s.label, s.value, s.number)
 	}
 	return 0, nil
 }
+
+// Describe implements prometheus.Collector. The metrics are those of WriteTo.
+func (g *Guard) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (g *Guard) Collect(out chan<- prometheus.Metric) {
+	for _, s := range g.samples() {
+		kind := prometheus.GaugeValue
+		if strings.HasSuffix(s.name, "_total") {
+			kind = prometheus.CounterValue
+		}
+		description := prometheus.NewDesc(s.name, "Connections and requests of clients (docs/OPERATIONS.md).", []string{s.label}, nil)
+		out <- prometheus.MustNewConstMetric(description, kind, float64(s.number), s.value)
+	}
+}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -120,6 +120,9 @@
 	assert.Assert(t, err != nil)
 	status, _ := s.exchange(s.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.Equal(t, status, http.StatusOK)
+	var metrics strings.Builder
+	_, _ = s.guard.WriteTo(&metrics)
+	assert.Assert(t, strings.Contains(metrics.String(), `quinceridge_clients_closed_total{reason="memory"} 1`), metrics.String())
 }
 
 func TestTimeLimitsCloseConnections(t *testing.T) {
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -113,10 +113,12 @@
 		r.Body = body
 	}
 	if limit := c.listener.config.Limits().withDefaults().HeadBytes; c.head.bytes > int64(limit) {
+		c.listener.guard.refusedHeads.Add(1)
 		refuse(w, http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
 	if !c.reserveHead(estimateHeader(r.Header)) {
+		c.listener.guard.refusedMemory.Add(1)
 		w.Header().Set("Retry-After", retryAfter)
 		refuse(w, http.StatusServiceUnavailable)
 		return
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -96,11 +96,15 @@
 	defer calls.Wait()
 	for {
 		call, err := lines.next()
+		if errors.Is(err, errNoMemory) {
+			c.recordNoMemory()
+		}
 		if err != nil {
 			return
 		}
 		held, ok := c.begin(lines.size)
 		if !ok {
+			c.recordNoMemory()
 			return
 		}
 		slots <- struct{}{}
@@ -147,6 +151,13 @@
 	return int64(bytes), c.account.Reserve(int64(bytes))
 }
 
+// recordNoMemory records that the connection is closed for want of memory.
+func (c *serverConnection) recordNoMemory() {
+	if recorder, ok := c.Conn.(interface{ RecordNoMemory() }); ok {
+		recorder.RecordNoMemory()
+	}
+}
+
 // begin counts a call whose message has a size.
 func (c *serverConnection) begin(size int) (held int64, ok bool) {
 	if c.account == nil {
@@ -196,6 +207,7 @@
 	}
 	held, ok := c.reserve(len(line))
 	if !ok {
+		c.recordNoMemory()
 		_ = c.Close()
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,6 +83,7 @@
 	dispatcher := dispatch.New(dispatch.Config{Pool: pool, Policy: policies.policy, Now: clock.now,
 		Logger: telemetry.Part(logger, "dispatch")})
 	registry := telemetry.NewRegistry()
+	registry.MustRegister(r.guard)
 	r.registerMetrics(registry)
 	r.gateway = gateway.New(gateway.Config{Zone: config.Zone, MaxBody: config.MaxBody, Board: r.board,
 		Pool: pool, Dispatcher: dispatcher, Claims: r.claims, Traces: r.traces, Logger: logger, Registry: registry, Now: clock.now})
