--- a/internal/clienttest/calm_test.go
+++ b/internal/clienttest/calm_test.go
@@ -130,7 +130,7 @@
 func TestLargeResponseReadSlowlyIsServedInCalm(t *testing.T) {
 	d := start(t, 1)
 	c := d.dial()
-	g := target{d.listen, http.MethodPost, "/look/large", id() + withKey}
+	g := target{address: d.listen, method: http.MethodPost, path: "/look/large", header: id() + withKey}
 	_, err := io.WriteString(c, g.head(contentLength(0), "\r\n"))
 	assert.NilError(t, err)
 	_ = c.SetDeadline(time.Now().Add(answerTimeout))
--- a/internal/clienttest/control_test.go
+++ b/internal/clienttest/control_test.go
@@ -45,13 +45,13 @@
 func atGateway(t *testing.T, f form, path string) {
 	t.Helper()
 	g := startGroup(t)
-	survive(t, g.router, f, target{g.listen, http.MethodPost, path, ""}, func() { g.await(g.listen, "/healthz") })
+	survive(t, g.router, f, target{address: g.listen, method: http.MethodPost, path: path}, func() { g.await(g.listen, "/healthz") })
 }
 
 func atStatus(t *testing.T, f form) {
 	t.Helper()
 	g := startGroup(t)
-	survive(t, g.node, f, target{g.status, http.MethodGet, "/healthz", ""}, func() { g.await(g.status, "/healthz") })
+	survive(t, g.node, f, target{address: g.status, method: http.MethodGet, path: "/healthz"}, func() { g.await(g.status, "/healthz") })
 }
 
 func TestGatewaySurvivesShortFields(t *testing.T) {
--- a/internal/clienttest/coordinator_test.go
+++ b/internal/clienttest/coordinator_test.go
@@ -16,14 +16,16 @@
 }
 
 func atOperators(d *deployment) target {
-	return target{d.operator[0], http.MethodPut, "/v1/configuration", ""}
+	return target{address: d.operator[0], method: http.MethodPut, path: "/v1/configuration"}
 }
 
 func atNodeMetrics(d *deployment) target {
-	return target{d.nodeMetrics, http.MethodPost, "/v1/blocked", ""}
+	return target{address: d.nodeMetrics, method: http.MethodPost, path: "/v1/blocked"}
 }
 
-func atPeers(d *deployment) target { return target{d.peer[0], http.MethodPost, "/", ""} }
+func atPeers(d *deployment) target {
+	return target{address: d.peer[0], method: http.MethodPost, path: "/"}
+}
 
 func TestCoordinatorSurvivesConfigurations(t *testing.T) { atCoordinator(t, documentForm, atOperators) }
 func TestCoordinatorSurvivesWholeConfigurations(t *testing.T) {
@@ -40,7 +42,16 @@
 	atCoordinator(t, silentForm, atOperators)
 }
 func TestCoordinatorSurvivesRequestsAhead(t *testing.T) { atCoordinator(t, aheadForm, atOperators) }
-func TestNodeMetricsSurviveLargeHeads(t *testing.T)     { atCoordinator(t, largeHeadForm, atNodeMetrics) }
+func TestCoordinatorSurvivesSlowHeads(t *testing.T)     { atCoordinator(t, slowHeadForm, atOperators) }
+func TestCoordinatorSurvivesAnnouncedBodies(t *testing.T) {
+	atCoordinator(t, announcedForm, atOperators)
+}
+func TestCoordinatorSurvivesChunksOfOneByte(t *testing.T) {
+	atCoordinator(t, byteChunksForm, atOperators)
+}
+func TestCoordinatorSurvivesResets(t *testing.T)       { atCoordinator(t, resetForm, atOperators) }
+func TestCoordinatorSurvivesManyTrailers(t *testing.T) { atCoordinator(t, trailersForm, atOperators) }
+func TestNodeMetricsSurviveLargeHeads(t *testing.T)    { atCoordinator(t, largeHeadForm, atNodeMetrics) }
 func TestNodeMetricsSurviveSilentConnections(t *testing.T) {
 	atCoordinator(t, silentForm, atNodeMetrics)
 }
--- a/internal/clienttest/crowd_test.go
+++ b/internal/clienttest/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -32,13 +33,15 @@
 	address string
 	method  string
 	path    string
+	// host is the Host field, empty for that of the routes.
+	host string
 	// header holds further lines of the head.
 	header string
 }
 
 // head returns the beginning of a request without the empty line at its end.
 func (g target) head(lines ...string) string {
-	return g.method + " " + g.path + " HTTP/1.1\r\nHost: h\r\n" + g.header + strings.Join(lines, "")
+	return g.method + " " + g.path + " HTTP/1.1\r\nHost: " + cmp.Or(g.host, "h") + "\r\n" + g.header + strings.Join(lines, "")
 }
 
 // form is what one client of a crowd sends. The connection stays open afterwards.
--- a/internal/clienttest/mixed_test.go
+++ b/internal/clienttest/mixed_test.go
@@ -19,7 +19,7 @@
 const mixedPart = 5
 
 func (d *deployment) route() target {
-	return target{d.listen, http.MethodPost, "/pay/x", id() + withKey}
+	return target{address: d.listen, method: http.MethodPost, path: "/pay/x", header: id() + withKey}
 }
 
 // mix sends all forms at once at a route and at the readiness address.
@@ -28,7 +28,7 @@
 	for _, f := range routeForms {
 		group.Go(func() { w.assemble(f, d.route(), f.count/mixedPart) })
 	}
-	ready := target{d.readiness, http.MethodPost, "/readyz", ""}
+	ready := target{address: d.readiness, method: http.MethodPost, path: "/readyz"}
 	for _, f := range []form{largeHeadForm, silentForm, manyShortFieldsForm} {
 		group.Go(func() { w.assemble(f, ready, f.count/mixedPart) })
 	}
--- a/internal/clienttest/router_test.go
+++ b/internal/clienttest/router_test.go
@@ -16,7 +16,7 @@
 func atRoute(t *testing.T, f form, method, path, header string) {
 	t.Helper()
 	d := start(t, 1)
-	surviveBeside(t, d.router, f, target{d.listen, method, path, header}, d.awaitAnswer, d.observe)
+	surviveBeside(t, d.router, f, target{address: d.listen, method: method, path: path, header: header}, d.awaitAnswer, d.observe)
 }
 
 func atKeyedRoute(t *testing.T, f form) {
@@ -51,7 +51,7 @@
 	d := startSized(t, 1, machineDescriptors)
 	f := unreadForm
 	f.count = 1500
-	g := target{d.listen, http.MethodPost, "/look/large", withKey}
+	g := target{address: d.listen, method: http.MethodPost, path: "/look/large", header: withKey}
 	surviveBeside(t, d.router, f, g, d.awaitAnswer, d.observe)
 }
 
@@ -107,11 +107,33 @@
 	atRoute(t, aheadForm, http.MethodPost, "/nowhere", id())
 }
 
+// atUnknownHost tests a crowd that names a host without routes.
+func atUnknownHost(t *testing.T, f form) {
+	t.Helper()
+	d := start(t, 1)
+	g := target{address: d.listen, method: http.MethodPost, path: "/pay/x", host: "unknown", header: id() + withKey}
+	surviveBeside(t, d.router, f, g, d.awaitAnswer, d.observe)
+}
+
+func TestUnknownHostSurvivesShortFields(t *testing.T)   { atUnknownHost(t, manyShortFieldsForm) }
+func TestUnknownHostSurvivesShortBodies(t *testing.T)   { atUnknownHost(t, shortBodyForm) }
+func TestUnknownHostSurvivesEndlessChunks(t *testing.T) { atUnknownHost(t, endlessChunksForm) }
+
+func atStreamRoute(t *testing.T, f form) {
+	t.Helper()
+	atRoute(t, f, http.MethodPost, "/chat/x", id()+withKey+names.Model+": m\r\n"+names.Usage+": 20,20\r\n")
+}
+
+func TestStreamRouteSurvivesShortFields(t *testing.T)     { atStreamRoute(t, shortFieldsForm) }
+func TestStreamRouteSurvivesShortBodies(t *testing.T)     { atStreamRoute(t, shortBodyForm) }
+func TestStreamRouteSurvivesChunksOfOneByte(t *testing.T) { atStreamRoute(t, byteChunksForm) }
+func TestStreamRouteSurvivesResets(t *testing.T)          { atStreamRoute(t, resetForm) }
+
 // atReadiness tests a crowd at the readiness address, which must answer afterwards.
 func atReadiness(t *testing.T, f form, path string) {
 	t.Helper()
 	d := start(t, 1)
-	surviveBeside(t, d.router, f, target{d.readiness, http.MethodPost, path, ""}, func() {
+	surviveBeside(t, d.router, f, target{address: d.readiness, method: http.MethodPost, path: path}, func() {
 		d.poll("readiness", func() error { return get(d.readiness, "/readyz") })
 		d.awaitAnswer()
 	}, d.observe)
@@ -130,7 +152,7 @@
 func atMetrics(t *testing.T, f form) {
 	t.Helper()
 	d := start(t, 1)
-	surviveBeside(t, d.router, f, target{d.metrics, http.MethodGet, "/metrics", ""}, func() {
+	surviveBeside(t, d.router, f, target{address: d.metrics, method: http.MethodGet, path: "/metrics"}, func() {
 		d.poll("metrics", func() error { return get(d.metrics, "/metrics") })
 		d.awaitAnswer()
 	}, d.observe)
@@ -138,6 +160,8 @@
 
 func TestMetricsSurviveShortFields(t *testing.T)       { atMetrics(t, manyShortFieldsForm) }
 func TestMetricsSurviveLargeHeads(t *testing.T)        { atMetrics(t, largeHeadForm) }
+func TestMetricsSurviveShortBodies(t *testing.T)       { atMetrics(t, shortBodyForm) }
+func TestMetricsSurviveSlowHeads(t *testing.T)         { atMetrics(t, slowHeadForm) }
 func TestMetricsSurviveRequestsAhead(t *testing.T)     { atMetrics(t, aheadForm) }
 func TestMetricsSurviveSilentConnections(t *testing.T) { atMetrics(t, silentForm) }
 
@@ -145,9 +169,11 @@
 func atRelay(t *testing.T, f form) {
 	t.Helper()
 	d := start(t, 1)
-	surviveBeside(t, d.router, f, target{d.relay, http.MethodPost, "/pay/x", id() + withKey}, d.awaitAnswer, d.observe)
+	surviveBeside(t, d.router, f, target{address: d.relay, method: http.MethodPost, path: "/pay/x", header: id() + withKey}, d.awaitAnswer, d.observe)
 }
 
 func TestRelaySurvivesShortFields(t *testing.T)       { atRelay(t, manyShortFieldsForm) }
 func TestRelaySurvivesShortBodies(t *testing.T)       { atRelay(t, shortBodyForm) }
+func TestRelaySurvivesEndlessChunks(t *testing.T)     { atRelay(t, endlessChunksForm) }
+func TestRelaySurvivesRequestsAhead(t *testing.T)     { atRelay(t, aheadForm) }
 func TestRelaySurvivesSilentConnections(t *testing.T) { atRelay(t, silentForm) }
