--- a/internal/clienttest/coordinator_test.go
+++ b/internal/clienttest/coordinator_test.go
@@ -58,3 +58,4 @@
 func TestPeerAddressSurvivesEndlessMessages(t *testing.T)   { atCoordinator(t, lineForm, atPeers) }
 func TestPeerAddressSurvivesLargeCalls(t *testing.T)        { atCoordinator(t, callsForm, atPeers) }
 func TestPeerAddressSurvivesSilentConnections(t *testing.T) { atCoordinator(t, silentForm, atPeers) }
+func TestPeerAddressSurvivesUnreadReplies(t *testing.T)     { atCoordinator(t, repliesForm, atPeers) }
--- a/internal/clienttest/crowd_test.go
+++ b/internal/clienttest/crowd_test.go
@@ -215,6 +215,17 @@
 	}}
 )
 
+// repliesForm sends calls whose replies repeat 1 MiB of them, and reads none.
+var repliesForm = form{"large replies unread", 100, func(c net.Conn, _ target) {
+	shrinkReceiveBuffer(c)
+	line := []byte(`{"n":1,"kind":"` + strings.Repeat("x", 1<<20) + "\"}\n")
+	for range 20 {
+		if !write(c, line) {
+			return
+		}
+	}
+}}
+
 // shrinkReceiveBuffer bounds what the system reads on behalf of a client.
 func shrinkReceiveBuffer(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
