coordinator: a call without the end of its body does not run

A caller that stopped in the middle of a body had its call run all the same: the decoder stops at the end of the JSON value, and the connection may meanwhile be closed for another one as if nothing ran.

Calls are decoded once their body has been read whole.

--- a/internal/coordinator/blockinghttp.go
+++ b/internal/coordinator/blockinghttp.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -87,8 +88,12 @@
 
 // blockByOperator serves a request to block something.
 func (s *Server) blockByOperator(w http.ResponseWriter, r *http.Request) {
+	body, ok := readCall(w, r)
+	if !ok {
+		return
+	}
 	var wanted operatorBlock
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall))
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&wanted); err != nil {
 		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -95,11 +95,11 @@
 // heartbeat serves a heartbeat in the default vocabulary.
 func (s *Server) heartbeat(w http.ResponseWriter, r *http.Request) {
 	var beat coordapi.Heartbeat
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(&beat)
-	if errors.Is(err, listener.ErrMemory) {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	body, ok := readCall(w, r)
+	if !ok {
 		return
 	}
+	err := json.Unmarshal(body, &beat)
 	beat.Backend.ID = r.PathValue("id")
 	if err == nil {
 		err = beat.Check()
@@ -114,14 +114,29 @@
 
 // serveCall decodes a body and runs the call that translate makes of it.
 func serveCall[Body any](s *Server, w http.ResponseWriter, r *http.Request, translate func(*Body) coordapi.Request) {
+	text, ok := readCall(w, r)
+	if !ok {
+		return
+	}
 	body := new(Body)
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall)).Decode(body); err != nil {
-		http.Error(w, err.Error(), unreadStatus(err))
+	if err := json.Unmarshal(text, body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	s.respond(w, r, translate(body))
 }
 
+// readCall reads the whole body of a call, which must not run if its client stops in the middle of it. It
+// writes the error response itself and then returns false.
+func readCall(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCall))
+	if err != nil {
+		http.Error(w, err.Error(), unreadStatus(err))
+		return nil, false
+	}
+	return body, true
+}
+
 // unreadStatus returns the status of a call whose body was not read. It may be repeated unless the body is
 // wrong.
 func unreadStatus(err error) int {
