--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -249,5 +249,5 @@
 	e.cancel()
 	e.peers.Close()
 	ended = periodic.Await(end, e.group.Wait) && ended
-	e.logger.Info("stopped", "part", "edge", "cut", strconv.FormatBool(err != nil), "ended", strconv.FormatBool(ended))
+	e.guard.LogOutcomes("stopped", "part", "edge", "cut", strconv.FormatBool(err != nil), "ended", strconv.FormatBool(ended))
 }
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -45,6 +45,7 @@
 	// ending is set once reads fail, and cut once writes fail too.
 	ending, cut atomic.Bool
 	once        sync.Once
+	progress    progress
 }
 
 // Values of Conn.fate. Only an undecided connection may be closed before a response: a request that runs
@@ -171,7 +172,12 @@
 		return 0, errClosed
 	}
 	n, err := c.Conn.Read(p)
+	c.progress.noteRead(err)
 	if c.ending.Load() {
+		if n > 0 && !c.outOfHead.Load() {
+			c.progress.arriving.Store(true)
+			c.head.count(p[:n])
+		}
 		return 0, errClosed
 	}
 	if n > 0 && !c.countRead(p[:n]) {
@@ -199,6 +205,7 @@
 		c.account.BeginWriting()
 	}
 	n, err := c.Conn.Write(p)
+	c.progress.noteWrite(n, err)
 	c.account.Moved(n)
 	if err == nil {
 		c.account.EndWriting()
@@ -212,6 +219,7 @@
 		c.account.Moved(len(p))
 		return true
 	}
+	c.progress.arriving.Store(true)
 	if c.headAt.Load() == 0 {
 		c.headAt.Store(int64(c.account.SetState(memory.Receiving)))
 	}
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -60,6 +60,7 @@
 	// refusedHeads counts requests whose head was larger than configured, and refusedMemory those for which
 	// there was no memory, as far as the guard answered them.
 	refusedHeads, refusedMemory atomic.Uint64
+	outcomes                    outcomeLog
 
 	mu        sync.Mutex
 	listeners map[*Listener]struct{}
@@ -104,6 +105,7 @@
 // Names of metrics.
 const (
 	metricClosed      = "quinceridge_clients_closed_total"
+	metricRequests    = "quinceridge_client_requests_total"
 	metricRefused     = "quinceridge_clients_refused_total"
 	metricConnections = "quinceridge_client_connections"
 )
@@ -114,6 +116,9 @@
 		{metricRefused, "reason", "head", g.refusedHeads.Load()},
 		{metricRefused, "reason", "memory", g.refusedMemory.Load()},
 	}
+	for o := range outcomes {
+		out = append(out, sample{metricRequests, "outcome", o.String(), g.outcomes.counts[o].Load()})
+	}
 	for cause := range causes {
 		out = append(out, sample{metricClosed, "reason", cause.String(), g.closed[cause].Load()})
 	}
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -85,7 +85,10 @@
 	switch state {
 	case http.StateActive:
 		c.outOfHead.Store(true)
+	case http.StateClosed:
+		c.settle()
 	case http.StateIdle:
+		c.settle()
 		c.releaseHead()
 		c.used.Store(true)
 		c.account.SetState(memory.Quiet)
@@ -103,6 +106,13 @@
 func (c *Conn) serve(w http.ResponseWriter, r *http.Request, next http.Handler, bodies Bodies) {
 	body := &countedBody{ReadCloser: r.Body, conn: c, counts: bodies == CountBodies}
 	defer body.finish()
+	c.progress.handled.Store(true)
+	c.handle(w, r, body, next)
+	c.progress.returned.Store(true)
+}
+
+// handle refuses a request that exceeds a bound, and passes others to the handler.
+func (c *Conn) handle(w http.ResponseWriter, r *http.Request, body *countedBody, next http.Handler) {
 	if r.Body == nil || r.Body == http.NoBody {
 		body.ended = true
 		if !c.begin() {
