--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -46,7 +46,7 @@
 	counters  *peer.Counters
 	peers     *peer.Client
 	listener  *peer.Server
-	status    *http.Server
+	status    *listener.Server
 	// guard bounds the connections of all listeners, as capacity divides them.
 	guard    *listener.Guard
 	capacity listener.Capacity
@@ -204,9 +204,8 @@
 	mux.Handle("GET /metrics", telemetry.Handler(registry))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
-	s.status = &http.Server{Handler: mux, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
-	s.guard.Bind(s.status, listener.CountBodies)
-	bounded := s.guard.Listen(inner, listener.Config{Name: "status", Connections: s.capacity.Status, WriteTimeout: listener.DefaultWriteTimeout})
+	s.status = s.guard.Bind(&http.Server{Handler: mux, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}, listener.CountBodies)
+	bounded := s.status.Listen(inner, listener.Config{Name: "status", Connections: s.capacity.Status, WriteTimeout: listener.DefaultWriteTimeout})
 	go func() {
 		if err := s.status.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error("listener failed", "listener", "status", "error", err.Error())
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -65,7 +65,7 @@
 	unreadableLines bounded.LineLimiter
 	troubleLines    bounded.LineLimiter
 	listener        *peer.Server
-	metrics         *http.Server
+	metrics         *listener.Server
 	// parsing is held while a configuration of an operator is decoded.
 	parsing sync.Mutex
 	// guard bounds the connections of all listeners, as capacity divides them.
@@ -176,15 +176,14 @@
 }
 
 // ServeOperators serves operators and back ends on a listener until the returned server is shut down.
-func (s *Server) ServeOperators(inner net.Listener, handler http.Handler) *http.Server {
+func (s *Server) ServeOperators(inner net.Listener, handler http.Handler) *listener.Server {
 	return s.serveHTTP(inner, handler, listener.Config{Name: "operators", Connections: s.capacity.Clients / 2, WriteTimeout: listener.DefaultWriteTimeout})
 }
 
 // serveHTTP serves HTTP on a listener within the bounds of the process.
-func (s *Server) serveHTTP(inner net.Listener, handler http.Handler, config listener.Config) *http.Server {
-	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
-	s.guard.Bind(server, listener.CountBodies)
-	bounded := s.guard.Listen(inner, config)
+func (s *Server) serveHTTP(inner net.Listener, handler http.Handler, config listener.Config) *listener.Server {
+	server := s.guard.Bind(&http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}, listener.CountBodies)
+	bounded := server.Listen(inner, config)
 	go func() {
 		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error("listener failed", "part", "coordinator", "listener", config.Name, "error", err.Error())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,11 +56,11 @@
 	peers    *peer.Client
 	// connections are those to back ends.
 	connections *upstream.Pool
-	callers     *http.Server
-	readiness   *http.Server
-	metrics     *http.Server
+	callers     *listener.Server
+	readiness   *listener.Server
+	metrics     *listener.Server
 	// relayed serves the requests that other routers pass on; nil if the settings name no address.
-	relayed *http.Server
+	relayed *listener.Server
 	// guard bounds the connections of all listeners, as capacity divides them.
 	guard    *listener.Guard
 	capacity listener.Capacity
@@ -117,10 +117,9 @@
 }
 
 // newServer returns a server whose connections the guard bounds.
-func (e *Edge) newServer(handler http.Handler, bodies listener.Bodies) *http.Server {
+func (e *Edge) newServer(handler http.Handler, bodies listener.Bodies) *listener.Server {
 	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug)}
-	e.guard.Bind(server, bodies)
-	return server
+	return e.guard.Bind(server, bodies)
 }
 
 // callerLimits returns the limits of the configuration in force.
@@ -188,12 +187,12 @@
 }
 
 // listen serves an address. Clients that read nothing are disconnected.
-func (e *Edge) listen(server *http.Server, address string, config listener.Config) error {
+func (e *Edge) listen(server *listener.Server, address string, config listener.Config) error {
 	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	bounded := e.handler.Listener(e.guard.Listen(inner, config))
+	bounded := e.handler.Listener(server.Listen(inner, config))
 	e.group.Go(func() {
 		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Error("listener failed", "part", "edge", "address", address, "error", err.Error())
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -23,6 +23,7 @@
 	budget *memory.Budget
 	guard  *Guard
 	server *http.Server
+	bound  *Server
 	addr   string
 }
 
@@ -52,12 +53,12 @@
 	s := &service{t: t, budget: memory.NewBudget(budgetBytes)}
 	s.guard = NewGuard(s.budget, slog.New(slog.DiscardHandler))
 	s.server = &http.Server{Handler: handler(s)}
-	s.guard.Bind(s.server, CountBodies)
+	s.bound = s.guard.Bind(s.server, CountBodies)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.addr = inner.Addr().String()
 	config.Name = "test"
-	l := s.guard.Listen(inner, config)
+	l := s.bound.Listen(inner, config)
 	go func() { _ = s.server.Serve(l) }()
 	t.Cleanup(func() { _ = s.server.Close() })
 	return s
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -39,7 +39,7 @@
 
 // Bind makes an HTTP server count its requests. Its connections must come from a Listener of the guard. The
 // server's handler must be set before, and its hooks must not be replaced afterwards.
-func (g *Guard) Bind(server *http.Server, bodies Bodies) {
+func (g *Guard) Bind(server *http.Server, bodies Bodies) *Server {
 	next := server.Handler
 	server.MaxHeaderBytes = DefaultHeadBytes
 	// The guard bounds the time of heads and of idle connections. Zero would mean server.ReadTimeout.
@@ -63,6 +63,7 @@
 		}
 		c.serve(w, r, next, bodies)
 	})
+	return &Server{Server: server, guard: g}
 }
 
 // connOf returns the guarded connection that a connection wraps, nil if there is none.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,7 @@
 	draining   *board.Writer[bool]
 
 	listener *peer.Server
+	callers  *listener.Server
 	// guard bounds the connections of all listeners, as capacity divides them.
 	guard    *listener.Guard
 	capacity listener.Capacity
@@ -103,15 +104,15 @@
 		r.shutdown()
 		return errors.Wrap(err, "listen for callers")
 	}
-	r.guard.Bind(r.gateway.Server(), listener.CountBodies)
-	go r.serve(r.guard.Listen(callers, listener.Config{Name: "callers", Connections: r.capacity.Clients, WriteTimeout: listener.DefaultWriteTimeout}))
+	r.callers = r.guard.Bind(r.gateway.Server(), listener.CountBodies)
+	go r.serve(r.callers.Listen(callers, listener.Config{Name: "callers", Connections: r.capacity.Clients, WriteTimeout: listener.DefaultWriteTimeout}))
 	r.logger.Info("started", "listen", r.settings.Listen)
 	return nil
 }
 
 // serve serves callers until the HTTP server is shut down.
 func (r *Router) serve(callers net.Listener) {
-	if err := r.gateway.Server().Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+	if err := r.callers.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 		r.logger.Error("HTTP server failed", "error", err)
 	}
 }
@@ -136,10 +137,10 @@
 	r.draining.Store(&draining)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainLimit)
 	defer cancel()
-	err := r.gateway.Server().Shutdown(ctx)
+	err := r.callers.Shutdown(ctx)
 	if err != nil {
 		r.logger.Warn("drain limit reached; closing connections with requests in progress", "limit", r.settings.DrainLimit)
-		_ = r.gateway.Server().Close()
+		_ = r.callers.Close()
 	}
 	r.shutdown()
 	r.logger.Info("stopped")
