--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -161,3 +161,19 @@
 	assert.Equal(t, s.counter(fmt.Sprintf(earlyEndsOf, "other router")), len(requests))
 	assert.Equal(t, others(), before)
 }
+
+// Guards against connections that are closed at the end of a planned stop before the last answers have been sent.
+func TestLastAnswersOfPlannedStopReachTheirClients(t *testing.T) {
+	t.Parallel()
+	s := newSilenceTrial(t, &deployment{stopGrace: stopGraceTime}, 1, 2, 8)
+	var requests []*asked
+	for i := range 20 {
+		requests = append(requests, &asked{kind: "pay", path: "/pay/", script: script{Name: fmt.Sprint("long call ", i), Prompt: 3 * time.Second}})
+	}
+	answers := s.begin(requests)
+	s.routers[0].Stop()
+	answers.Wait()
+	for _, a := range requests {
+		assert.Check(t, a.complete && a.status == http.StatusBadGateway, "%s: status %d: %s", a.Name, a.status, s.lines.about("id="+a.id+" "))
+	}
+}
--- /dev/null
+++ b/internal/forward/stop_test.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/backends"
+)
+
+// Guards against requests without a back end that get neither an answer nor a refusal when the stop of their router
+// ends.
+func TestRequestThatWaitsAtEndOfStopIsRefused(t *testing.T) {
+	r, _ := newQueueRig(t, oneEvent)
+	waits := make(chan struct{})
+	r.handler.config.Placer = &queueingPlacer{place: func(ctx context.Context) (backends.Choice, bool, bool) {
+		close(waits)
+		<-ctx.Done()
+		return backends.Choice{}, false, true
+	}}
+	answered := make(chan result)
+	go func() { answered <- r.askChat() }()
+	<-waits
+	r.handler.Stop()
+	r.handler.EndRequests()
+	response := <-answered
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	assert.Assert(t, response.header.Get("Retry-After") != "")
+	assert.Equal(t, r.ran("e"), 0)
+}
+
+// Guards against a request at a back end that gets no answer when the stop of its router ends, and against a refusal
+// that says that it has not run.
+func TestCallAtBackendAtEndOfStopGetsAnswer(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		r := newRig(t)
+		runs, release := make(chan struct{}), make(chan struct{})
+		r.add("app", "a", func(http.ResponseWriter, *http.Request) {
+			close(runs)
+			<-release
+		})
+		answered := make(chan result)
+		go func() { answered <- r.ask("POST", path, nil) }()
+		<-runs
+		time.AfterFunc(100*time.Millisecond, func() { close(release) })
+		r.handler.Stop()
+		r.handler.EndRequests()
+		response := <-answered
+		assert.Equal(t, response.status, http.StatusBadGateway, path)
+		assert.Equal(t, r.ran("a"), 1, path)
+	}
+}
+
+// Guards against requests that are read after the end of their router's stop and get no answer.
+func TestRequestAfterEndOfStopIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.add("app", "a", good)
+	r.handler.Stop()
+	r.handler.EndRequests()
+	response := r.ask("POST", "/unsafe/x", nil)
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.ran("a"), 0)
+}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -49,13 +50,18 @@
 }
 
 func serveWith(t *testing.T, budgetBytes int64, config Config, handler func(*service) http.HandlerFunc) *service {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return serveOn(t, inner, budgetBytes, config, handler)
+}
+
+func serveOn(t *testing.T, inner net.Listener, budgetBytes int64, config Config, handler func(*service) http.HandlerFunc) *service {
 	t.Helper()
 	s := &service{t: t, budget: memory.NewBudget(budgetBytes)}
 	s.guard = NewGuard(s.budget, slog.New(slog.DiscardHandler))
 	s.server = &http.Server{Handler: handler(s)}
 	s.bound = s.guard.Bind(s.server, CountBodies)
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	s.addr = inner.Addr().String()
 	config.Name = "test"
 	l := s.bound.Listen(inner, config)
@@ -260,3 +266,16 @@
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(50*time.Millisecond))
 }
+
+// openConnections returns the open connections of all listeners.
+func (g *Guard) openConnections() map[*Conn]struct{} {
+	out := map[*Conn]struct{}{}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for l := range g.listeners {
+		l.mu.Lock()
+		maps.Copy(out, l.connections)
+		l.mu.Unlock()
+	}
+	return out
+}
--- a/internal/listener/outcome_test.go
+++ b/internal/listener/outcome_test.go
@@ -12,8 +12,6 @@
 	"gotest.tools/v3/poll"
 )
 
-const simpleRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-
 // awaitOutcomes waits until requests have ended in the given ways, and in no other.
 func (s *service) awaitOutcomes(want map[outcome]int) {
 	s.t.Helper()
@@ -44,7 +42,7 @@
 	s := serveWith(t, 8<<20, Config{}, handler)
 	c := s.dial()
 	for range 3 {
-		status, _ := s.exchange(c, simpleRequest)
+		status, _ := s.exchange(c, getRequest)
 		assert.Equal(t, status, http.StatusOK)
 	}
 	assert.NilError(t, c.Close())
--- /dev/null
+++ b/internal/listener/shutdown_test.go
@@ -0,0 +1,247 @@
+package listener
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// pause is the point at which pausedConn.Read stops once.
+type pause int32
+
+const (
+	never pause = iota
+	beforeRead
+	afterRead
+)
+
+// pausedConn stops in a read, as a process that has used up its part of the processor does.
+type pausedConn struct {
+	net.Conn
+	at      *atomic.Int32
+	paused  chan struct{}
+	release chan struct{}
+}
+
+func (c *pausedConn) Read(p []byte) (int, error) {
+	if err := c.awaitBytes(); err != nil {
+		return 0, err
+	}
+	c.pauseAt(beforeRead)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.pauseAt(afterRead)
+	}
+	return n, err
+}
+
+// awaitBytes waits until bytes can be read, without reading them.
+func (c *pausedConn) awaitBytes() error {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(err, unix.EAGAIN)
+	})
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *pausedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
+
+func (c *pausedConn) pauseAt(point pause) {
+	if c.at.CompareAndSwap(int32(point), int32(never)) {
+		close(c.paused)
+		<-c.release
+	}
+}
+
+// pausedListener returns connections that share one pause.
+type pausedListener struct {
+	net.Listener
+	pausedConn
+}
+
+func (l *pausedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	paused := l.pausedConn
+	paused.Conn = c
+	return &paused, nil
+}
+
+// newPausedListener returns a listener that pauses the reads of its connections.
+func newPausedListener(t *testing.T) *pausedListener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return &pausedListener{Listener: inner, pausedConn: pausedConn{at: &atomic.Int32{}, paused: make(chan struct{}), release: make(chan struct{})}}
+}
+
+// pauseRequest sends two requests over one connection. The server pauses while it reads the second one.
+func (s *service) pauseRequest(l *pausedListener, point pause, request string) net.Conn {
+	s.t.Helper()
+	c := s.dial()
+	status, _ := s.exchange(c, request)
+	assert.Equal(s.t, status, http.StatusOK)
+	l.at.Store(int32(point))
+	_, err := io.WriteString(c, request)
+	assert.NilError(s.t, err)
+	<-l.paused
+	return c
+}
+
+// getRequest and postRequest are whole requests.
+const (
+	getRequest  = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	postRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+)
+
+// readStatus returns the status of the next response.
+func readStatus(t *testing.T, c net.Conn) int {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+// Guards against a stop that closes a connection as idle whose next request has been read.
+func TestStopAnswersRequestThatHasBeenRead(t *testing.T) {
+	for name, request := range map[string]string{"without a body": getRequest, "with a body": postRequest} {
+		t.Run(name, func(t *testing.T) {
+			l := newPausedListener(t)
+			s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+			c := s.pauseRequest(l, afterRead, request)
+			stopped := make(chan error)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				stopped <- s.bound.Shutdown(ctx)
+			}()
+			time.Sleep(100 * time.Millisecond)
+			close(l.release)
+			assert.Equal(t, readStatus(t, c), http.StatusOK)
+			assert.NilError(t, <-stopped)
+			s.awaitOutcomes(map[outcome]int{answered: 2})
+		})
+	}
+}
+
+// Guards against the limit on idle connections that ends a request which has been read.
+func TestIdleLimitKeepsRequestThatHasBeenRead(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{Limits: func() Limits { return Limits{IdleTimeout: 50 * time.Millisecond} }}, (*service).readBody)
+	c := s.pauseRequest(l, afterRead, getRequest)
+	time.Sleep(100 * time.Millisecond)
+	s.guard.sweep()
+	close(l.release)
+	assert.Equal(t, readStatus(t, c), http.StatusOK)
+	s.awaitOutcomes(map[outcome]int{answered: 2})
+}
+
+// Guards against memory that is taken back from an idle connection whose next request has been read, which then has no
+// answer.
+func TestEvictionAnswersRequestThatHasBeenRead(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+	c := s.pauseRequest(l, afterRead, getRequest)
+	for evicted := range s.guard.openConnections() {
+		evicted.close(CauseMemory)
+	}
+	close(l.release)
+	status := readStatus(t, c)
+	assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%d", status)
+}
+
+// Guards against a stop that closes a connection with a request that waits to be read.
+func TestStopAnswersRequestThatWaitsToBeRead(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+	c := s.pauseRequest(l, beforeRead, getRequest)
+	stopped := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		stopped <- s.bound.Shutdown(ctx)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	close(l.release)
+	assert.Equal(t, readStatus(t, c), http.StatusOK)
+	assert.NilError(t, <-stopped)
+}
+
+// Guards against a stop that closes a connection between two requests of which the next one has begun to arrive.
+func TestStopAnswersRequestThatArrivesInParts(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+	c := s.dial()
+	status, _ := s.exchange(c, getRequest)
+	assert.Equal(t, status, http.StatusOK)
+	_, err := io.WriteString(c, getRequest[:10])
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	stopped := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		stopped <- s.bound.Shutdown(ctx)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(c, getRequest[10:])
+	assert.NilError(t, err)
+	assert.Equal(t, readStatus(t, c), http.StatusOK)
+	assert.NilError(t, <-stopped)
+}
+
+// Guards against idle connections that hold a stop up.
+func TestStopClosesIdleConnectionsAtOnce(t *testing.T) {
+	s := serve(t, 8<<20, Config{})
+	c := s.dial()
+	status, _ := s.exchange(c, getRequest)
+	assert.Equal(t, status, http.StatusOK)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	assert.NilError(t, s.bound.Shutdown(ctx))
+	_, err := c.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	_, err = net.Dial("tcp", s.addr)
+	assert.Assert(t, err != nil)
+}
+
+// Guards against a stop that reads the first request of a connection and drops it.
+func TestStopAnswersFirstRequestOfOpenConnection(t *testing.T) {
+	s := serve(t, 8<<20, Config{})
+	status, _ := s.exchange(s.dial(), getRequest)
+	assert.Equal(t, status, http.StatusOK)
+	c := s.dial()
+	time.Sleep(50 * time.Millisecond)
+	stopped := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		stopped <- s.bound.Shutdown(ctx)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	status, _ = s.exchange(c, getRequest)
+	assert.Equal(t, status, http.StatusOK)
+	assert.NilError(t, <-stopped)
+	s.awaitOutcomes(map[outcome]int{answered: 2})
+}
