listener: requests that have been read are served when their server stops

What callers saw: a request that reached a router around the moment at which its planned stop closes idle connections got neither an answer nor a refusal.

Cause: http.Server.Shutdown closes each connection that has no parsed head, and from then on the server drops each request whose head it reads (conn.serve returns if shuttingDown). The limit on idle connections and the budget of memory closed connections in the same way between a read and the handler: Conn.Read dropped what it had read.

Why the fix works: the decision is made by the read itself. A connection that is to end gets a read deadline that has passed only while no byte of a request has been read and none waits in the socket; the read then returns either bytes, and the request is served, or the error on which the server closes. Shutdown of http.Server is called once no connection is left. Connections without any request stay open for 0.6 s, as clients send one right after they have connected; heads that do not go on are given up after 1 s, so that they do not hold a stop up.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/memory"
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 const (
@@ -45,7 +46,16 @@
 	// ending is set once reads fail, and cut once writes fail too.
 	ending, cut atomic.Bool
 	once        sync.Once
+	closed      chan struct{}
 	progress    progress
+
+	// mu guards what follows, and orders it with the read deadline.
+	mu sync.Mutex
+	// idle is set while no byte of the next request has been read, and early if one was read before the last
+	// response had been written.
+	idle, early bool
+	// retiring is set once the connection is to be closed when it is idle.
+	retiring bool
 }
 
 // Values of Conn.fate. Only an undecided connection may be closed before a response: a request that runs
@@ -89,11 +99,20 @@
 	return c.fate.CompareAndSwap(undecided, closes) || c.account.State() == memory.Finished || c.fate.Load() == closes
 }
 
-// abort closes the connection for a new one at once.
+// abort closes the connection for a new one at once. A request that has just been read on an idle one is refused
+// before.
 func (c *Conn) abort() {
 	c.account.MarkEvicted()
-	c.ending.Store(true)
 	c.listener.guard.record(CauseConnections, c)
+	idle := c.account.State() == memory.Quiet
+	c.stopReading()
+	if idle {
+		select {
+		case <-c.closed:
+			return
+		case <-time.After(flushTime):
+		}
+	}
 	_ = c.SetLinger(0)
 	_ = c.Conn.Close()
 }
@@ -104,8 +123,7 @@
 	case memory.Quiet:
 		return CauseIdle, now-c.account.MovedAt() >= limits.IdleTimeout
 	case memory.Receiving:
-		since := c.headAt.Load()
-		return CauseHead, since > 0 && !c.outOfHead.Load() && now-time.Duration(since) >= limits.HeadTimeout
+		return CauseHead, c.headOverdue(now, limits.HeadTimeout)
 	case memory.Responding:
 		limit := c.listener.config.WriteTimeout
 		return CauseUnread, limit > 0 && c.account.Blocked(now) >= limit
@@ -114,6 +132,12 @@
 	}
 }
 
+// headOverdue reports whether the head of a request has not arrived within a time limit.
+func (c *Conn) headOverdue(now, limit time.Duration) bool {
+	since := c.headAt.Load()
+	return since > 0 && !c.outOfHead.Load() && now-time.Duration(since) >= limit
+}
+
 // close ends the connection and its request, unless that has been done.
 func (c *Conn) close(cause Cause) {
 	if c.account.MarkEvicted() {
@@ -124,20 +148,79 @@
 // end makes reads fail, on which the request is refused or the connection closed. A response that its peer
 // does not read is cut.
 func (c *Conn) end(cause Cause) {
-	if c.account.State() == memory.Responding {
+	switch {
+	case c.account.State() == memory.Responding:
 		c.cut.Store(true)
 		_ = c.SetWriteDeadline(past)
-	} else if !c.fate.CompareAndSwap(undecided, closes) {
+		c.stopReading()
+	case c.retire():
+	case c.fate.CompareAndSwap(undecided, closes):
+		c.stopReading()
+	default:
 		return
 	}
 	c.listener.guard.record(cause, c)
-	c.stopReading()
 }
 
 // stopReading makes reads fail, on which the server closes the connection.
 func (c *Conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.ending.Store(true)
-	_ = c.SetReadDeadline(past)
+	// A connection that cannot be bounded has ended.
+	_ = c.Conn.SetReadDeadline(past)
+}
+
+// retire makes the server close the connection once it is idle. A request of which a byte has arrived by then is
+// served. It reports whether the connection is idle.
+func (c *Conn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retiring = true
+	if c.idle {
+		_ = c.setReadDeadline(time.Time{})
+	}
+	return c.idle
+}
+
+// isRetiring reports whether the connection closes after the response to its request.
+func (c *Conn) isRetiring() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retiring
+}
+
+// setReadDeadline sets the deadline of reads, which has passed if the connection is to be closed. The lock is held.
+func (c *Conn) setReadDeadline(t time.Time) error {
+	if c.ending.Load() || (c.idle && c.retiring && socket.Unread(c.Conn) == 0) {
+		t = past
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// beginIdle records that the last response has been written. It returns false if the next request has begun to
+// arrive.
+func (c *Conn) beginIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.early = !c.early, false
+	return c.idle
+}
+
+// endIdle records that a byte has been read.
+func (c *Conn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.idle:
+		c.idle = false
+		if c.retiring {
+			// The rest of the request may follow.
+			_ = c.setReadDeadline(time.Time{})
+		}
+	case c.fate.Load() == runs:
+		c.early = true
+	}
 }
 
 // past is a deadline that has passed.
@@ -145,11 +228,9 @@
 
 // SetReadDeadline implements net.Conn. It has no effect once reads are to fail.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	err := c.Conn.SetReadDeadline(t)
-	if c.ending.Load() {
-		return c.Conn.SetReadDeadline(past)
-	}
-	return err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.setReadDeadline(t)
 }
 
 // SetWriteDeadline implements net.Conn. It has no effect once writes are to fail.
@@ -166,19 +247,16 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// Read implements net.Conn. It counts the heads of requests before they are parsed.
+// Read implements net.Conn. It counts the heads of requests before they are parsed. Bytes that have been read are
+// returned also if the connection is to be closed, so that a whole request gets a response.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.ending.Load() {
 		return 0, errClosed
 	}
 	n, err := c.Conn.Read(p)
 	c.progress.noteRead(err)
-	if c.ending.Load() {
-		if n > 0 && !c.outOfHead.Load() {
-			c.progress.arriving.Store(true)
-			c.head.count(p[:n])
-		}
-		return 0, errClosed
+	if n > 0 {
+		c.endIdle()
 	}
 	if n > 0 && !c.countRead(p[:n]) {
 		c.RecordNoMemory()
@@ -278,6 +356,7 @@
 	c.once.Do(func() {
 		c.listener.remove(c)
 		c.account.Close()
+		close(c.closed)
 	})
 	return c.Conn.Close()
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
@@ -70,6 +72,8 @@
 	mu          sync.Mutex
 	connections map[*Conn]struct{}
 	refused     uint64
+	// stopped is set once the listener accepts no connections any more.
+	stopped atomic.Bool
 }
 
 // Listen wraps a listener.
@@ -92,10 +96,14 @@
 	return l.Listener.Close()
 }
 
-// Accept implements net.Listener. It closes new connections for which no other one can be closed.
+// Accept implements net.Listener. It closes new connections for which no other one can be closed. Its error is
+// http.ErrServerClosed once the server shuts down.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
+		if err != nil && l.stopped.Load() {
+			return nil, http.ErrServerClosed
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -122,7 +130,7 @@
 		}
 		delete(l.connections, victim)
 	}
-	c = &Conn{Conn: inner, listener: l}
+	c = &Conn{Conn: inner, listener: l, closed: make(chan struct{}), idle: true}
 	c.account = l.guard.budget.OpenAccount(connectionBytes, func() { c.end(CauseMemory) })
 	c.outOfHead.Store(l.config.Messages)
 	l.connections[c] = struct{}{}
@@ -153,8 +161,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.connections {
-		if cause, overdue := c.overdue(now, limits); overdue {
+		switch cause, overdue := c.overdue(now, limits); {
+		case !overdue:
+		case cause != CauseIdle:
 			c.close(cause)
+		case !c.isRetiring():
+			c.end(cause)
+		default:
+			// Bytes that waited to be read have kept it.
+			c.retire()
 		}
 	}
 }
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -92,12 +92,16 @@
 		c.settle()
 		c.releaseHead()
 		c.used.Store(true)
-		c.account.SetState(memory.Quiet)
-		c.outOfHead.Store(false)
 		c.fate.CompareAndSwap(runs, undecided)
+		if c.beginIdle() {
+			c.account.SetState(memory.Quiet)
+		} else {
+			c.headAt.Store(int64(c.account.SetState(memory.Receiving)))
+		}
+		c.outOfHead.Store(false)
 		if c.account.Evicted() {
 			// It was evicted while a request ran, and could reserve nothing for another one.
-			c.stopReading()
+			c.retire()
 		}
 	default:
 	}
@@ -108,6 +112,9 @@
 	body := &countedBody{ReadCloser: r.Body, conn: c, counts: bodies == CountBodies}
 	defer body.finish()
 	c.progress.handled.Store(true)
+	if c.isRetiring() {
+		w.Header().Set("Connection", "close")
+	}
 	c.handle(w, r, body, next)
 	c.progress.returned.Store(true)
 }
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -4,7 +4,22 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
+
+	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/memory"
+)
+
+const (
+	// shutdownInterval is the time between two searches for connections that have become idle.
+	shutdownInterval = 10 * time.Millisecond
+	// unusedTime is the time from the start of a shutdown for which connections without any request stay open:
+	// clients send one right after they have connected.
+	unusedTime = 600 * time.Millisecond
+	// shutdownHeadTimeout is the time for which a shutdown waits for the rest of a head.
+	shutdownHeadTimeout = time.Second
 )
 
 // Server is an HTTP server whose connections a guard bounds.
@@ -14,6 +29,8 @@
 
 	mu        sync.Mutex
 	listeners []*Listener
+	// stoppedAt is when the first shutdown began, 0 for none.
+	stoppedAt time.Duration
 }
 
 // Listen wraps a listener that the server is to serve.
@@ -26,5 +43,57 @@
 }
 
 // Shutdown closes the listeners and the idle connections, and waits until the other ones have ended. It returns
-// the context's error if some are left when that ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.Server.Shutdown(ctx) }
+// the context's error if some are left when that ends, and may then be called again. A request of which a byte has
+// arrived is served: http.Server.Shutdown would close its connection, or read the request and drop it.
+func (s *Server) Shutdown(ctx context.Context) error {
+	listeners, stoppedAt := s.beginShutdown()
+	tick := time.NewTicker(shutdownInterval)
+	defer tick.Stop()
+	for {
+		left, now := 0, clock.Now()
+		for _, l := range listeners {
+			left += l.retire(now, now-stoppedAt >= unusedTime)
+		}
+		if left == 0 {
+			return s.Server.Shutdown(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// beginShutdown closes the listeners. It returns them, and when that happened first.
+func (s *Server) beginShutdown() ([]*Listener, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stoppedAt == 0 {
+		s.stoppedAt = clock.Now()
+	}
+	for _, l := range s.listeners {
+		if !l.stopped.Swap(true) {
+			// No connection is accepted in any case.
+			_ = l.Close()
+		}
+	}
+	return slices.Clone(s.listeners), s.stoppedAt
+}
+
+// retire lets connections end once they are idle, also those without any request if unused is set. It returns the
+// number of those that are left.
+func (l *Listener) retire(now time.Duration, unused bool) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.connections {
+		switch state := c.account.State(); {
+		case state == memory.Quiet && !c.used.Load() && !unused:
+		case state == memory.Receiving && c.headOverdue(now, shutdownHeadTimeout):
+			c.close(CauseHead)
+		default:
+			c.retire()
+		}
+	}
+	return len(l.connections)
+}
--- a/internal/socket/stall.go
+++ b/internal/socket/stall.go
@@ -70,6 +70,13 @@
 	return bytes
 }
 
+// Unread returns the bytes of a connection that have arrived and were not read, 0 if unknown.
+func Unread(c net.Conn) int {
+	bytes := 0
+	withDescriptor(c, func(fd int) { bytes, _ = unix.IoctlGetInt(fd, unix.SIOCINQ) })
+	return bytes
+}
+
 // withDescriptor calls use with the descriptor of a connection, if it has one.
 func withDescriptor(c net.Conn, use func(fd int)) {
 	if s, ok := c.(syscall.Conn); ok {
