forward, edge: the end of a stop answers what has no answer yet

What callers saw: a request that waited for room, or was at a back end without a response yet, when the time of its router's stop was over got neither an answer nor a refusal.

Cause: EndRequests cancels what runs, and the handler took that for a client that has left and wrote nothing; all connections were closed right after it.

Why the fix works: only an answer that has begun is cut; what has not run is refused with 503, what may have run ends with 502, as at a deadline. Requests of callers and of other routers are drained at the same time: the relay's listener stayed open until the callers' connections had ended.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -203,16 +203,22 @@
 
 // shutdown lets the requests of callers and of other routers finish.
 func (e *Edge) shutdown(ctx context.Context) error {
-	err := e.callers.Shutdown(ctx)
-	if e.relayed != nil {
-		err = errors.Join(err, e.relayed.Shutdown(ctx))
+	if e.relayed == nil {
+		return e.callers.Shutdown(ctx)
 	}
-	return err
+	relayed := make(chan error, 1)
+	go func() { relayed <- e.relayed.Shutdown(ctx) }()
+	return errors.Join(e.callers.Shutdown(ctx), <-relayed)
 }
 
-// cut ends the requests that are still open, and closes their connections.
-func (e *Edge) cut() {
+// cut ends the requests that are still open, lets their last answers be sent, and closes their connections.
+func (e *Edge) cut(ctx context.Context) {
 	e.handler.EndRequests()
+	last, cancel := context.WithTimeout(ctx, (e.settings.StopLimit()-e.settings.DrainLimit())*3/4)
+	defer cancel()
+	if e.shutdown(last) == nil {
+		return
+	}
 	_ = e.callers.Close()
 	if e.relayed != nil {
 		_ = e.relayed.Close()
@@ -237,7 +243,7 @@
 	time.Sleep(min(drainNotice, e.settings.DrainLimit()/2))
 	err := e.shutdown(drain)
 	if err != nil {
-		e.cut()
+		e.cut(end)
 	}
 	_ = e.readiness.Close()
 	_ = e.metrics.Close()
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -158,7 +158,7 @@
 			h.refuse(w, j, &refusal{status: http.StatusTooManyRequests, reason: "tenant " + j.tenant.Name + " is over its limit", retryAfter: choice.Wait})
 			return
 		}
-		if choice.Reason != "" && !errors.Is(context.Cause(ctx), context.Canceled) {
+		if choice.Reason != "" && !clientLeft(ctx) {
 			switch {
 			case choice.Reason == coordapi.SoftwareGone:
 				h.metrics.refusedSoftwareGone.Add(1)
@@ -382,7 +382,7 @@
 		h.logResponse(s, "forwarded a failure")
 		return
 	}
-	if s.headerSent || errors.Is(context.Cause(ctx), context.Canceled) {
+	if s.headerSent || clientLeft(ctx) {
 		h.recordEarlyEnd(ctx, s, result)
 		h.logResponse(s, h.abortReason(ctx, result))
 		panic(http.ErrAbortHandler)
@@ -404,6 +404,12 @@
 	}
 }
 
+// clientLeft reports whether the client of a request has left, so that it gets no answer.
+func clientLeft(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, context.Canceled) && !errors.Is(cause, errStopping)
+}
+
 // abortReason returns the log message for a response that was aborted. A disconnected client
 // and an expired deadline both show as a read error of the back end's connection, because they
 // close it.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -204,8 +204,9 @@
 // Stop makes the handler close each connection after its next response.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
-// EndRequests ends the answers to all requests, also later ones, as ended by the router's stop. It is to be
-// called before their connections are closed, which shows as a disconnected client.
+// EndRequests ends all requests, also later ones, as ended by the router's stop: answers that have begun are cut, and
+// other requests are refused or get an error. It is to be called before their connections are closed, which shows as a
+// disconnected client.
 func (h *Handler) EndRequests() { h.deadlines.cancelAll(errStopping) }
 
 // AwaitRequests waits until all requests have been handled and logged. It is to be called once no connection accepts
