gateway, router: the end of a stop answers what has no answer yet, also in the first way to run

What callers saw: at the drain limit a call at an application worker, or a stream without an event, ended with its connection. Cause: the class of the router without a disk: connections were closed at once.

Calls that may have run get 502 with outcome_unknown, what was not sent 503; half a second is left for them after the drain limit. The dispatcher's part (streams without an event) is by reading.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -173,6 +173,8 @@
 	switch {
 	case isCallerError(err):
 		return err
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return d.markFailed(p, ErrStopping)
 	case ctx.Err() != nil:
 		return errors.Wrap(ctx.Err(), "caller gone")
 	case p.next > 0 && (!job.Continuation || !p.textComplete):
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -60,6 +60,9 @@
 	return errors.As(err, &caller)
 }
 
+// ErrStopping is the cause with which requests are cancelled when the router's stop reaches its limit.
+var ErrStopping = errors.New("the router stops")
+
 // ErrNotSent marks errors of attempts that failed before any byte was sent.
 var ErrNotSent = errors.New("nothing was sent")
 
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -142,7 +142,33 @@
 	if result.State != state.ClaimGranted {
 		return priorResult(r, result)
 	}
-	return g.runOnce(r, claim)
+	return g.awaitOnce(ctx, func() (workerResponse, error) { return g.runOnce(r, claim) })
+}
+
+// awaitOnce returns the result of a call, or that its outcome is not known once the router's stop ends the request.
+func (g *Gateway) awaitOnce(ctx context.Context, run func() (workerResponse, error)) (workerResponse, error) {
+	type result struct {
+		response workerResponse
+		err      error
+	}
+	done := make(chan result, 1)
+	go func() {
+		response, err := run()
+		done <- result{response, err}
+	}()
+	stopping := ctx.Done()
+	for {
+		select {
+		case got := <-done:
+			return got.response, got.err
+		case <-stopping:
+			if errors.Is(context.Cause(ctx), dispatch.ErrStopping) {
+				return workerResponse{}, unknownOutcome("the router stops; a retry with the same key returns the outcome")
+			}
+			// The caller has left, and may retry.
+			stopping = nil
+		}
+	}
 }
 
 // priorResult returns the result for a call whose key has been used before.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,9 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -61,6 +63,8 @@
 	metrics   *metrics
 	workers   *http.Client
 	server    *http.Server
+	// endRequests cancels the context of all requests.
+	endRequests context.CancelCauseFunc
 }
 
 // New returns a gateway, which Server serves.
@@ -79,7 +83,10 @@
 	e.GET("/v1/models", g.models)
 	e.GET("/v1/models/:model", g.model)
 	e.POST("/app/*", g.application)
+	var requests context.Context
+	requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.server = &http.Server{
+		BaseContext: func(net.Listener) context.Context { return requests },
 		Handler:     e,
 		ReadTimeout: readTimeout,
 		ErrorLog:    slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
@@ -90,6 +97,9 @@
 // Server returns the HTTP server. The router starts and stops it.
 func (g *Gateway) Server() *http.Server { return g.server }
 
+// EndRequests ends all requests, also later ones: responses that have begun are cut, and other requests get an error.
+func (g *Gateway) EndRequests() { g.endRequests(dispatch.ErrStopping) }
+
 // ready serves the readiness check.
 func (g *Gateway) ready(c echo.Context) error {
 	if _, err := g.current(); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,9 @@
 	"quinceridge.example/quinceridge/internal/trace"
 )
 
+// lastAnswersTime is the time after the drain limit in which errors are sent to callers who have no response yet.
+const lastAnswersTime = 500 * time.Millisecond
+
 // startTimeout is the time for which Start waits for a lease and a list of machines. After it, the
 // router listens without being ready.
 const startTimeout = 3 * time.Second
@@ -140,7 +143,12 @@
 	err := r.callers.Shutdown(ctx)
 	if err != nil {
 		r.logger.Warn("drain limit reached; closing connections with requests in progress", "limit", r.settings.DrainLimit)
-		_ = r.callers.Close()
+		r.gateway.EndRequests()
+		last, cancelLast := context.WithTimeout(context.Background(), lastAnswersTime)
+		defer cancelLast()
+		if r.callers.Shutdown(last) != nil {
+			_ = r.callers.Close()
+		}
 	}
 	r.shutdown()
 	r.logger.Info("stopped")
