--- a/internal/forward/ended_test.go
+++ b/internal/forward/ended_test.go
@@ -112,11 +112,16 @@
 			if c.prepare != nil {
 				c.prepare(r)
 			}
-			for _, pool := range []string{"app", "llm"} {
-				r.add(pool, "at "+pool, c.serve)
-			}
+			serve := c.serve
 			if c.during != nil {
-				time.AfterFunc(200*time.Millisecond, func() { c.during(r) })
+				serve = func(w http.ResponseWriter, q *http.Request) {
+					// The event has been forwarded by then.
+					time.AfterFunc(200*time.Millisecond, func() { c.during(r) })
+					c.serve(w, q)
+				}
+			}
+			for _, pool := range []string{"app", "llm"} {
+				r.add(pool, "at "+pool, serve)
 			}
 			r.ask("POST", c.path, c.change)
 			got := lines.await(t)
