--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -19,6 +19,8 @@
 	fieldBytes = 192
 	// freeHead is the estimate of a head that connectionBytes covers.
 	freeHead = 4 << 10
+	// refusedHead is the largest estimate of a head that is parsed without memory for it.
+	refusedHead = 16 << 10
 	// unreadTimeout is the time for which the rest of a request is read that has been answered.
 	unreadTimeout = time.Second
 )
@@ -140,7 +142,8 @@
 
 // close ends the connection and its request, unless that has been done.
 func (c *Conn) close(cause Cause) {
-	if c.account.MarkEvicted() {
+	c.account.MarkEvicted()
+	if !c.ending.Load() {
 		c.end(cause)
 	}
 }
@@ -207,6 +210,18 @@
 	return c.idle
 }
 
+// markActive records that the head of a request has been parsed, which may have been read with the request before.
+func (c *Conn) markActive() {
+	c.progress.arriving.Store(true)
+	c.outOfHead.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		c.idle = false
+		_ = c.setReadDeadline(time.Time{})
+	}
+}
+
 // endIdle records that a byte has been read.
 func (c *Conn) endIdle() {
 	c.mu.Lock()
@@ -258,7 +273,7 @@
 	if n > 0 {
 		c.endIdle()
 	}
-	if n > 0 && !c.countRead(p[:n]) {
+	if n > 0 && !c.countRead(p[:n]) && !c.mayRefuse() {
 		c.RecordNoMemory()
 		return 0, errClosed
 	}
@@ -306,6 +321,10 @@
 	return c.reserveHead(c.head.estimate())
 }
 
+// mayRefuse reports whether a head for which there is no memory is parsed nevertheless, so that its request is refused
+// and not dropped: it is whole and small.
+func (c *Conn) mayRefuse() bool { return c.head.ended && c.head.estimate() <= refusedHead }
+
 // reserveHead makes the account hold the estimate of a head.
 func (c *Conn) reserveHead(estimate int64) bool {
 	more := estimate - freeHead - c.headBytes
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -72,6 +72,8 @@
 	mu          sync.Mutex
 	connections map[*Conn]struct{}
 	refused     uint64
+	closeOnce   sync.Once
+	closeError  error
 	// stopped is set once the listener accepts no connections any more.
 	stopped atomic.Bool
 }
@@ -88,12 +90,15 @@
 	return l
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. Only the first call has an effect.
 func (l *Listener) Close() error {
-	l.guard.mu.Lock()
-	delete(l.guard.listeners, l)
-	l.guard.mu.Unlock()
-	return l.Listener.Close()
+	l.closeOnce.Do(func() {
+		l.guard.mu.Lock()
+		delete(l.guard.listeners, l)
+		l.guard.mu.Unlock()
+		l.closeError = l.Listener.Close()
+	})
+	return l.closeError
 }
 
 // Accept implements net.Listener. It closes new connections for which no other one can be closed. Its error is
@@ -123,6 +128,9 @@
 func (l *Listener) admit(inner net.Conn) (c, victim *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.stopped.Load() {
+		return nil, nil
+	}
 	if limit := l.config.Connections; limit > 0 && len(l.connections) >= limit {
 		if victim = l.quietest(); victim == nil || !victim.mayAbort() {
 			l.refused++
@@ -165,11 +173,11 @@
 		case !overdue:
 		case cause != CauseIdle:
 			c.close(cause)
-		case !c.isRetiring():
-			c.end(cause)
 		default:
-			// Bytes that waited to be read have kept it.
-			c.retire()
+			// Bytes that wait to be read keep the connection until the next request has been served.
+			if again := c.isRetiring(); c.retire() && !again {
+				l.guard.record(cause, c)
+			}
 		}
 	}
 }
--- a/internal/listener/outcome.go
+++ b/internal/listener/outcome.go
@@ -113,9 +113,13 @@
 	p.written.Store(false)
 	g := c.listener.guard
 	g.outcomes.counts[o].Add(1)
+	read := time.Duration(0)
+	if at := c.headAt.Load(); at > 0 {
+		read = clock.Since(time.Duration(at))
+	}
 	if o.withoutResponse() && g.outcomes.lines.Allow(clock.Now(), maxOutcomeLines) {
 		g.logger.Warn("request ended without a response", "part", "listener", "listener", c.listener.config.Name, "address", c.RemoteAddr().String(),
-			"outcome", o.String(), "head_bytes", c.head.bytes, "read_ms", clock.Since(time.Duration(c.headAt.Load())).Milliseconds())
+			"outcome", o.String(), "head_bytes", c.head.bytes, "read_ms", read.Milliseconds())
 	}
 }
 
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -85,7 +85,7 @@
 func (c *Conn) changeState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		c.outOfHead.Store(true)
+		c.markActive()
 	case http.StateClosed:
 		c.settle()
 	case http.StateIdle:
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// ShutdownWithin is Shutdown that closes the connections which are left after a time limit.
+func (s *Server) ShutdownWithin(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		// Their clients have had their time.
+		_ = s.Close()
+	}
+}
+
 // beginShutdown closes the listeners. It returns them, and when that happened first.
 func (s *Server) beginShutdown() ([]*Listener, time.Duration) {
 	s.mu.Lock()
@@ -73,14 +83,20 @@
 		s.stoppedAt = clock.Now()
 	}
 	for _, l := range s.listeners {
-		if !l.stopped.Swap(true) {
-			// No connection is accepted in any case.
-			_ = l.Close()
-		}
+		l.stop()
 	}
 	return slices.Clone(s.listeners), s.stoppedAt
 }
 
+// stop makes the listener accept no connections any more, also none that is being accepted.
+func (l *Listener) stop() {
+	l.mu.Lock()
+	l.stopped.Store(true)
+	l.mu.Unlock()
+	// No connection is accepted in any case.
+	_ = l.Close()
+}
+
 // retire lets connections end once they are idle, also those without any request if unused is set. It returns the
 // number of those that are left.
 func (l *Listener) retire(now time.Duration, unused bool) int {
