--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -178,3 +178,26 @@
 		assert.Check(t, a.complete && a.status == http.StatusBadGateway, "%s: status %d: %s", a.Name, a.status, s.lines.about("id="+a.id+" "))
 	}
 }
+
+// a request that the route allows to be tried again.
+func TestRequestPassedOnToStoppingRouterIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	s := newSilenceTrial(t, &deployment{relays: true, links: newLinks(), stopGrace: stopGraceTime}, 3, 2, 16)
+	s.links.set(linkSilent, 0, s.addresses("llm")...)
+	s.awaitPassedOn()
+	var requests []*asked
+	for i := range 3 {
+		requests = append(requests, &asked{kind: "double", path: "/double/", script: script{Name: fmt.Sprint("passed on long ", i), Prompt: 3 * time.Second, Events: 1}})
+	}
+	// The retry budget counts these.
+	for i := range 100 {
+		a := asked{script: script{Name: fmt.Sprint("quick ", i), Events: 1}, path: "/double/"}
+		a.send(s.deployment)
+	}
+	answers := s.begin(requests)
+	s.routers[1].Stop()
+	answers.Wait()
+	for _, a := range requests {
+		assert.Check(t, a.status == http.StatusOK, "%s: status %d, runs %d\n%s", a.Name, a.status, len(s.scriptedRuns(a.body())), s.lines.about("id="+a.id+" "))
+	}
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -118,6 +118,11 @@
 		h.countRequest(j)
 		s.race.restrictChoice()
 		choice, found := h.choose(ctx, j)
+		if isStopping(ctx) {
+			h.cancelPlacement(choice)
+			h.finish(ctx, s, outcome{verdict: notRun, err: errStopping})
+			return
+		}
 		if h.passesOnShare(j) && ctx.Err() == nil {
 			j.shareAsked = true
 			result := h.passOn(ctx, s, maxShareRelays)
@@ -382,7 +387,7 @@
 		h.logResponse(s, "forwarded a failure")
 		return
 	}
-	if s.headerSent || clientLeft(ctx) {
+	if s.headerSent || clientLeft(ctx) || cutsRelayed(ctx, j) {
 		h.recordEarlyEnd(ctx, s, result)
 		h.logResponse(s, h.abortReason(ctx, result))
 		panic(http.ErrAbortHandler)
@@ -391,7 +396,7 @@
 	case result.verdict == failed && result.response != nil:
 		s.writeBuffered(result.response)
 		h.logResponse(s, "forwarded a failure")
-	case h.declines(j):
+	case h.declines(j), isStopping(ctx) && j.origin != nil:
 		h.decline(s.client, j, h.reason(j, result))
 	case j.ran == 0:
 		h.refuse(s.client, j, &refusal{status: http.StatusServiceUnavailable, reason: h.reason(j, result), retryAfter: h.unavailableRetryAfter(j)})
@@ -406,8 +411,16 @@
 
 // clientLeft reports whether the client of a request has left, so that it gets no answer.
 func clientLeft(ctx context.Context) bool {
-	cause := context.Cause(ctx)
-	return errors.Is(cause, context.Canceled) && !errors.Is(cause, errStopping)
+	return errors.Is(context.Cause(ctx), context.Canceled) && !isStopping(ctx)
+}
+
+// isStopping reports whether the end of the router's stop ends a request.
+func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
+// cutsRelayed reports whether a request of another router that may have run here is cut by the end of the stop, so that
+// the other router decides on a further attempt.
+func cutsRelayed(ctx context.Context, j *job) bool {
+	return isStopping(ctx) && j.origin != nil && j.ran > j.origin.Ran
 }
 
 // abortReason returns the log message for a response that was aborted. A disconnected client
@@ -419,7 +432,7 @@
 		return "client disconnected: " + stalledReason(h.clientStall)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return "aborted at the deadline"
-	case errors.Is(context.Cause(ctx), errStopping):
+	case isStopping(ctx):
 		return "aborted: " + errStopping.Error()
 	case ctx.Err() == nil:
 		return "aborted: " + result.err.Error()
--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -80,6 +80,13 @@
 	}
 }
 
+// allEnded reports whether all requests have been cancelled.
+func (d *deadlines) allEnded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ended != nil
+}
+
 // cancelExpired cancels the requests whose deadline has passed.
 func (d *deadlines) cancelExpired(now time.Duration) {
 	d.mu.Lock()
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -115,7 +115,7 @@
 func (h *Handler) endOf(ctx context.Context, s *session, result outcome) (by endedBy, cause error) {
 	var client *clientError
 	switch {
-	case errors.Is(context.Cause(ctx), errStopping):
+	case isStopping(ctx):
 		return endedByRouter, errStopping
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return endedByDeadline, context.Cause(ctx)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -398,7 +398,7 @@
 // awaitFresh waits a short time until the router may serve: after a restart the first view
 // often arrives within milliseconds.
 func (h *Handler) awaitFresh(ctx context.Context) {
-	for waited := time.Duration(0); waited < freshWait && ctx.Err() == nil; waited += freshStep {
+	for waited := time.Duration(0); waited < freshWait && ctx.Err() == nil && !h.deadlines.allEnded(); waited += freshStep {
 		if h.config.Source.Table() != nil && h.config.Source.Fresh() {
 			return
 		}
