--- a/cmd/quinceridge/deployment.go
+++ b/cmd/quinceridge/deployment.go
@@ -51,7 +51,11 @@
 	Config string `required:"" help:"Settings file (docs/SETTINGS.md)." placeholder:"FILE"`
 }
 
-const coordinatorStopTimeout = 4 * time.Second
+const (
+	coordinatorStopTimeout = 4 * time.Second
+	// coordinatorCallsTimeout is the time for which a stop then waits for calls that are being answered.
+	coordinatorCallsTimeout = 2 * time.Second
+)
 
 // Run runs the coordinator and its HTTP server for operators until a stop signal.
 func (c *coordinatorCommand) Run() error {
@@ -81,5 +85,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), coordinatorStopTimeout)
 	defer cancel()
 	node.Stop(ctx)
-	return errors.Wrap(server.Shutdown(ctx), "stop")
+	server.ShutdownWithin(context.Background(), coordinatorCallsTimeout)
+	return nil
 }
--- a/cmd/quinceridge/router.go
+++ b/cmd/quinceridge/router.go
@@ -48,6 +48,8 @@
 // stopSignal returns a channel that is closed on the first SIGTERM or interrupt. A second signal
 // exits the process immediately.
 func stopSignal() <-chan struct{} {
+	// Without a handler SIGHUP would end the process with all requests that it has read.
+	signal.Ignore(syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	stopped := make(chan struct{})
