edge, coordinator, router: status addresses and operators' calls get their answers in a stop

Readiness, metrics and operators' addresses were closed at once, or with what the hand-over of leadership had left of 4 s: they are shut down within a limit of their own (listener.Server.ShutdownWithin). By reading; no test.

--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -175,6 +175,9 @@
 	return nil
 }
 
+// statusTimeout is the time for which a stop waits for metrics that are being sent.
+const statusTimeout = 50 * time.Millisecond
+
 // ServeOperators serves operators and back ends on a listener until the returned server is shut down.
 func (s *Server) ServeOperators(inner net.Listener, handler http.Handler) *listener.Server {
 	return s.serveHTTP(inner, handler, listener.Config{Name: "operators", Connections: s.capacity.Clients / 2, WriteTimeout: listener.DefaultWriteTimeout})
@@ -203,7 +206,7 @@
 	s.cancel()
 	s.listener.Close()
 	if s.metrics != nil {
-		_ = s.metrics.Close()
+		s.metrics.ShutdownWithin(context.Background(), statusTimeout)
 	}
 	s.peers.Close()
 	s.group.Wait()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,6 +39,8 @@
 	// drainNotice is how long a stopping router still accepts requests, while load balancers
 	// notice that it is not ready.
 	drainNotice = 2300 * time.Millisecond
+	// statusTimeout is the time for which a stop waits for checks and metrics that are being answered.
+	statusTimeout = 50 * time.Millisecond
 	// overdueInterval is the time between checks for requests whose deadline passed while the
 	// machine was suspended. They may outlast it by this much.
 	overdueInterval = 250 * time.Millisecond
@@ -245,8 +247,8 @@
 	if err != nil {
 		e.cut(end)
 	}
-	_ = e.readiness.Close()
-	_ = e.metrics.Close()
+	e.readiness.ShutdownWithin(end, statusTimeout)
+	e.metrics.ShutdownWithin(end, statusTimeout)
 	ended := periodic.Await(end, func() {
 		e.handler.AwaitRequests()
 		e.handler.Wait()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -144,11 +144,7 @@
 	if err != nil {
 		r.logger.Warn("drain limit reached; closing connections with requests in progress", "limit", r.settings.DrainLimit)
 		r.gateway.EndRequests()
-		last, cancelLast := context.WithTimeout(context.Background(), lastAnswersTime)
-		defer cancelLast()
-		if r.callers.Shutdown(last) != nil {
-			_ = r.callers.Close()
-		}
+		r.callers.ShutdownWithin(context.Background(), lastAnswersTime)
 	}
 	r.shutdown()
 	r.logger.Info("stopped")
