--- a/internal/forward/stop_relay_test.go
+++ b/internal/forward/stop_relay_test.go
@@ -12,25 +12,6 @@
 	"quinceridge.example/quinceridge/internal/relay"
 )
 
-// Guards against a request that is sent locally at the end of a stop since its wait for the leader was cancelled.
-func TestRequestThatWaitsForLeaderAtEndOfStopIsRefused(t *testing.T) {
-	r, _ := newQueueRig(t, oneEvent)
-	waits := make(chan struct{})
-	r.handler.config.Placer = &queueingPlacer{place: func(ctx context.Context) (backends.Choice, bool, bool) {
-		close(waits)
-		<-ctx.Done()
-		return backends.Choice{}, false, false
-	}}
-	answered := make(chan result)
-	go func() { answered <- r.askChat() }()
-	<-waits
-	r.handler.Stop()
-	r.handler.EndRequests()
-	response := <-answered
-	assert.Equal(t, response.status, http.StatusServiceUnavailable)
-	assert.Equal(t, r.ran("e"), 0)
-}
-
 // Guards against requests that wait for the first view beyond the end of a stop, which closes their connections.
 func TestRequestThatWaitsForViewAtEndOfStopIsRefusedAtOnce(t *testing.T) {
 	r := newRig(t)
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -12,24 +12,27 @@
 )
 
 // Guards against requests without a back end that get neither an answer nor a refusal when the stop of their router
-// ends.
+// ends, or are sent then.
 func TestRequestThatWaitsAtEndOfStopIsRefused(t *testing.T) {
-	r, _ := newQueueRig(t, oneEvent)
-	waits := make(chan struct{})
-	r.handler.config.Placer = &queueingPlacer{place: func(ctx context.Context) (backends.Choice, bool, bool) {
-		close(waits)
-		<-ctx.Done()
-		return backends.Choice{}, false, true
-	}}
-	answered := make(chan result)
-	go func() { answered <- r.askChat() }()
-	<-waits
-	r.handler.Stop()
-	r.handler.EndRequests()
-	response := <-answered
-	assert.Equal(t, response.status, http.StatusServiceUnavailable)
-	assert.Assert(t, response.header.Get("Retry-After") != "")
-	assert.Equal(t, r.ran("e"), 0)
+	// A leader that did not answer leaves the choice to the router.
+	for _, leaderAnswers := range []bool{true, false} {
+		r, _ := newQueueRig(t, oneEvent)
+		waits := make(chan struct{})
+		r.handler.config.Placer = &queueingPlacer{place: func(ctx context.Context) (backends.Choice, bool, bool) {
+			close(waits)
+			<-ctx.Done()
+			return backends.Choice{}, false, leaderAnswers
+		}}
+		answered := make(chan result)
+		go func() { answered <- r.askChat() }()
+		<-waits
+		r.handler.Stop()
+		r.handler.EndRequests()
+		response := <-answered
+		assert.Equal(t, response.status, http.StatusServiceUnavailable)
+		assert.Assert(t, response.header.Get("Retry-After") != "")
+		assert.Equal(t, r.ran("e"), 0)
+	}
 }
 
 // Guards against a request at a back end that gets no answer when the stop of its router ends, and against a refusal
--- a/internal/listener/shutdown_races_test.go
+++ b/internal/listener/shutdown_races_test.go
@@ -46,12 +46,7 @@
 	assert.NilError(t, err)
 	_ = first.Body.Close()
 	<-begun
-	stopped := make(chan error)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		stopped <- s.bound.Shutdown(ctx)
-	}()
+	stopped := s.stop(5 * time.Second)
 	time.AfterFunc(300*time.Millisecond, func() { close(release) })
 	second, err := http.ReadResponse(responses, nil)
 	assert.NilError(t, err)
@@ -60,27 +55,33 @@
 	assert.NilError(t, <-stopped)
 }
 
-// Guards against an evicted connection that no limit ends once a byte of its next request has waited.
-func TestHeadLimitHoldsForEvictedConnection(t *testing.T) {
-	l := newPausedListener(t)
-	s := serveOn(t, l, 8<<20, Config{Limits: func() Limits { return Limits{HeadTimeout: 100 * time.Millisecond} }}, (*service).readBody)
+// evictWithPartOfHead returns a connection whose memory is taken back while a part of its second request waits to be
+// read.
+func (s *service) evictWithPartOfHead(l *pausedListener) net.Conn {
+	s.t.Helper()
 	c := s.dial()
 	status, _ := s.exchange(c, getRequest)
-	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(s.t, status, http.StatusOK)
 	l.at.Store(int32(beforeRead))
 	_, err := io.WriteString(c, "GET /")
-	assert.NilError(t, err)
+	assert.NilError(s.t, err)
 	<-l.paused
-	for evicted := range s.guard.openConnections() {
-		evicted.close(CauseMemory)
-	}
+	s.evictAll()
 	close(l.release)
+	return c
+}
+
+// Guards against an evicted connection that no limit ends once a byte of its next request has waited.
+func TestHeadLimitHoldsForEvictedConnection(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{Limits: func() Limits { return Limits{HeadTimeout: 100 * time.Millisecond} }}, (*service).readBody)
+	c := s.evictWithPartOfHead(l)
 	for range 10 {
 		time.Sleep(50 * time.Millisecond)
 		s.guard.sweep()
 	}
 	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
-	_, err = io.ReadAll(c)
+	_, err := io.ReadAll(c)
 	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
 
@@ -88,17 +89,7 @@
 func TestStopEndsEvictedConnectionWithPartOfHead(t *testing.T) {
 	l := newPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
-	c := s.dial()
-	status, _ := s.exchange(c, getRequest)
-	assert.Equal(t, status, http.StatusOK)
-	l.at.Store(int32(beforeRead))
-	_, err := io.WriteString(c, "GET /")
-	assert.NilError(t, err)
-	<-l.paused
-	for evicted := range s.guard.openConnections() {
-		evicted.close(CauseMemory)
-	}
-	close(l.release)
+	s.evictWithPartOfHead(l)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*shutdownHeadTimeout)
 	defer cancel()
 	assert.NilError(t, s.bound.Shutdown(ctx))
@@ -110,9 +101,7 @@
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
 	request := "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", 3000) + "\r\n\r\n"
 	c := s.pauseRequest(l, beforeRead, request)
-	for evicted := range s.guard.openConnections() {
-		evicted.close(CauseMemory)
-	}
+	s.evictAll()
 	close(l.release)
 	status := readStatus(t, c)
 	assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%d", status)
@@ -140,46 +129,39 @@
 	return c, nil
 }
 
-// Guards against a stop that reads the request of a connection which is accepted as it begins, and drops it.
-func TestStopAnswersRequestOfConnectionThatIsBeingAccepted(t *testing.T) {
+func newAcceptPausedListener(t *testing.T) *acceptPausedListener {
+	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &acceptPausedListener{Listener: inner, pauses: make(chan struct{}, 1), accepted: make(chan struct{}), release: make(chan struct{})}
+	return &acceptPausedListener{Listener: inner, pauses: make(chan struct{}, 1), accepted: make(chan struct{}), release: make(chan struct{})}
+}
+
+// Guards against a stop that reads the request of a connection which is accepted as it begins, and drops it.
+func TestStopAnswersRequestOfConnectionThatIsBeingAccepted(t *testing.T) {
+	l := newAcceptPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
 	l.pauses <- struct{}{}
 	c := s.dial()
-	_, err = io.WriteString(c, getRequest)
+	_, err := io.WriteString(c, getRequest)
 	assert.NilError(t, err)
 	<-l.accepted
-	stopped := make(chan error, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		stopped <- s.bound.Shutdown(ctx)
-	}()
+	stopped := s.stop(5 * time.Second)
 	time.Sleep(100 * time.Millisecond)
 	close(l.release)
 	_, err = http.ReadResponse(bufio.NewReader(c), nil)
-	for o := range outcomes {
-		t.Logf("%s %d", o, s.guard.outcomes.counts[o].Load())
-	}
+	assert.NilError(t, <-stopped)
 	// Either the connection is reset unread, or its request is answered.
 	assert.Equal(t, s.guard.outcomes.counts[unhandled].Load(), uint64(0), "%v", err)
 }
 
 // Guards against a connection that is accepted as a stop begins and holds it up.
 func TestConnectionThatIsBeingAcceptedDoesNotHoldStopUp(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	l := &acceptPausedListener{Listener: inner, pauses: make(chan struct{}, 1), accepted: make(chan struct{}), release: make(chan struct{})}
+	l := newAcceptPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
 	l.pauses <- struct{}{}
 	s.dial()
 	<-l.accepted
-	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-	defer cancel()
-	stopped := make(chan error, 1)
-	go func() { stopped <- s.bound.Shutdown(ctx) }()
+	stopped := s.stop(3 * time.Second)
 	time.Sleep(2 * time.Millisecond)
 	close(l.release)
 	assert.NilError(t, <-stopped)
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -106,6 +106,24 @@
 	return c
 }
 
+// stop shuts the server down within a time limit.
+func (s *service) stop(limit time.Duration) <-chan error {
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		stopped <- s.bound.Shutdown(ctx)
+	}()
+	return stopped
+}
+
+// evictAll takes the memory of all connections back.
+func (s *service) evictAll() {
+	for evicted := range s.guard.openConnections() {
+		evicted.close(CauseMemory)
+	}
+}
+
 // getRequest and postRequest are whole requests.
 const (
 	getRequest  = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -130,12 +148,7 @@
 			l := newPausedListener(t)
 			s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
 			c := s.pauseRequest(l, afterRead, request)
-			stopped := make(chan error)
-			go func() {
-				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-				defer cancel()
-				stopped <- s.bound.Shutdown(ctx)
-			}()
+			stopped := s.stop(5 * time.Second)
 			time.Sleep(100 * time.Millisecond)
 			close(l.release)
 			assert.Equal(t, readStatus(t, c), http.StatusOK)
@@ -163,9 +176,7 @@
 	l := newPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
 	c := s.pauseRequest(l, afterRead, getRequest)
-	for evicted := range s.guard.openConnections() {
-		evicted.close(CauseMemory)
-	}
+	s.evictAll()
 	close(l.release)
 	status := readStatus(t, c)
 	assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%d", status)
@@ -176,12 +187,7 @@
 	l := newPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
 	c := s.pauseRequest(l, beforeRead, getRequest)
-	stopped := make(chan error)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		stopped <- s.bound.Shutdown(ctx)
-	}()
+	stopped := s.stop(5 * time.Second)
 	time.Sleep(100 * time.Millisecond)
 	close(l.release)
 	assert.Equal(t, readStatus(t, c), http.StatusOK)
@@ -198,12 +204,7 @@
 	_, err := io.WriteString(c, getRequest[:10])
 	assert.NilError(t, err)
 	time.Sleep(50 * time.Millisecond)
-	stopped := make(chan error)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		stopped <- s.bound.Shutdown(ctx)
-	}()
+	stopped := s.stop(5 * time.Second)
 	time.Sleep(100 * time.Millisecond)
 	_, err = io.WriteString(c, getRequest[10:])
 	assert.NilError(t, err)
@@ -233,12 +234,7 @@
 	assert.Equal(t, status, http.StatusOK)
 	c := s.dial()
 	time.Sleep(50 * time.Millisecond)
-	stopped := make(chan error)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		stopped <- s.bound.Shutdown(ctx)
-	}()
+	stopped := s.stop(5 * time.Second)
 	time.Sleep(100 * time.Millisecond)
 	status, _ = s.exchange(c, getRequest)
 	assert.Equal(t, status, http.StatusOK)
