forward: a request that arrives late in a stop and may outlast it is refused at once

Clients use other routers by then: such a request gets 503, unless its time limit ends before the stop does (TestRequestThatMayOutlastStopIsRefusedLateInIt).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -241,7 +241,7 @@
 	e.logger.Info("stopping", "part", "edge", "limit_ms", e.settings.DrainLimit().Milliseconds())
 	drain, cancel := context.WithTimeout(end, e.settings.DrainLimit())
 	defer cancel()
-	e.handler.Stop()
+	e.handler.Stop(e.settings.DrainLimit())
 	time.Sleep(min(drainNotice, e.settings.DrainLimit()/2))
 	err := e.shutdown(drain)
 	if err != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -49,6 +49,9 @@
 	freshStep = 5 * time.Millisecond
 	// minRetryAfter is the lowest Retry-After while the router may not serve.
 	minRetryAfter = 500 * time.Millisecond
+	// acceptTime is the time after the start of a stop for which requests are accepted that may outlast it. Clients
+	// use other routers by then.
+	acceptTime = 3 * time.Second
 	// maxRefusalLines bounds the log lines on refusals within a second, and maxLoggedID the bytes of a
 	// request ID in one.
 	maxRefusalLines = 200
@@ -167,13 +170,15 @@
 	// from other routers.
 	refusalLines, relayLines bounded.LineLimiter
 	stopping                 atomic.Bool
-	forbidden                map[string]bool
-	metrics                  Metrics
-	store                    storeMonitor
-	shares                   shares
-	probes                   *probes
-	deadlines                *deadlines
-	hedges                   sync.WaitGroup
+	// stoppedAt is when the stop began, and stopEnd when its requests end, by now.
+	stoppedAt, stopEnd atomic.Int64
+	forbidden          map[string]bool
+	metrics            Metrics
+	store              storeMonitor
+	shares             shares
+	probes             *probes
+	deadlines          *deadlines
+	hedges             sync.WaitGroup
 }
 
 // New returns a Handler. Config is not checked.
@@ -201,8 +206,19 @@
 
 func (h *Handler) now() time.Duration { return h.clock() - h.started }
 
-// Stop makes the handler close each connection after its next response.
-func (h *Handler) Stop() { h.stopping.Store(true) }
+// Stop makes the handler close each connection after its next response. Limit is the time until EndRequests is called.
+func (h *Handler) Stop(limit time.Duration) {
+	now := h.now()
+	h.stoppedAt.Store(int64(now))
+	h.stopEnd.Store(int64(now + limit))
+	h.stopping.Store(true)
+}
+
+// outlastsStop reports whether a request arrives so late in the router's stop that it is refused: its answer might be
+// cut.
+func (h *Handler) outlastsStop(j *job) bool {
+	return h.stopping.Load() && h.now()-time.Duration(h.stoppedAt.Load()) > acceptTime && j.deadline > time.Duration(h.stopEnd.Load())
+}
 
 // EndRequests ends all requests, also later ones, as ended by the router's stop: answers that have begun are cut, and
 // other requests are refused or get an error. It is to be called before their connections are closed, which shows as a
@@ -323,6 +339,10 @@
 		h.refuse(w, j, refusal)
 		return
 	}
+	if h.outlastsStop(j) {
+		h.refuse(w, j, refuseStopping())
+		return
+	}
 	if !j.memory.Grow(requestBytes) {
 		h.refuse(w, j, h.refuseMemory())
 		return
@@ -473,6 +493,11 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "the memory for requests is used up", retryAfter: memoryRetryAfter + rand.N(memoryRetryAfter/2)}
 }
 
+// refuseStopping returns the refusal of a request that may outlast the router's stop.
+func refuseStopping() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: errStopping.Error(), retryAfter: busyRetryAfter}
+}
+
 // tenantName returns the tenant's name, empty on routes that need no key.
 func (j *job) tenantName() string {
 	if j.tenant == nil {
