--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/memory"
-	"quinceridge.example/quinceridge/internal/socket"
 )
 
 const (
@@ -48,8 +47,9 @@
 	// ending is set once reads fail, and cut once writes fail too.
 	ending, cut atomic.Bool
 	once        sync.Once
-	closed      chan struct{}
-	progress    progress
+	// closed is closed with the connection.
+	closed   chan struct{}
+	progress progress
 
 	// mu guards what follows, and orders it with the read deadline.
 	mu sync.Mutex
@@ -174,70 +174,6 @@
 	_ = c.Conn.SetReadDeadline(past)
 }
 
-// retire makes the server close the connection once it is idle. A request of which a byte has arrived by then is
-// served. It reports whether the connection is idle.
-func (c *Conn) retire() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.retiring = true
-	if c.idle {
-		_ = c.setReadDeadline(time.Time{})
-	}
-	return c.idle
-}
-
-// isRetiring reports whether the connection closes after the response to its request.
-func (c *Conn) isRetiring() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.retiring
-}
-
-// setReadDeadline sets the deadline of reads, which has passed if the connection is to be closed. The lock is held.
-func (c *Conn) setReadDeadline(t time.Time) error {
-	if c.ending.Load() || (c.idle && c.retiring && socket.Unread(c.Conn) == 0) {
-		t = past
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// beginIdle records that the last response has been written. It returns false if the next request has begun to
-// arrive.
-func (c *Conn) beginIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle, c.early = !c.early, false
-	return c.idle
-}
-
-// markActive records that the head of a request has been parsed, which may have been read with the request before.
-func (c *Conn) markActive() {
-	c.progress.arriving.Store(true)
-	c.outOfHead.Store(true)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle {
-		c.idle = false
-		_ = c.setReadDeadline(time.Time{})
-	}
-}
-
-// endIdle records that a byte has been read.
-func (c *Conn) endIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.idle:
-		c.idle = false
-		if c.retiring {
-			// The rest of the request may follow.
-			_ = c.setReadDeadline(time.Time{})
-		}
-	case c.fate.Load() == runs:
-		c.early = true
-	}
-}
-
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
