soak: requests that routers read around planned stops are answered or refused

What callers see: a request that was sent whole to a router that stops as planned has to get a complete response, or be closed unread. That a request was read shows in the response that has begun, in what back ends received, in the line of the router, or in the end of a persistent connection (a connection that is closed with unread bytes is reset).

--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -34,8 +34,9 @@
 	whole   time.Duration
 	// closed is when the router closed its connection before the answer was whole.
 	closed time.Duration
-	// declined is set if the back end did not run the request or broke its answer off.
-	declined bool
+	// declined is set if the back end did not run the request or broke its answer off, and brokenOff if it
+	// broke it off by closing the connection.
+	declined, brokenOff bool
 }
 
 // attemptLog records what all back ends saw of requests. It is safe for concurrent use.
@@ -64,6 +65,10 @@
 	s.attemptLog.record(func() { a.sent = append(a.sent, s.now()) })
 }
 
+func (s *Soak) recordBrokenOff(a *attempt) {
+	s.attemptLog.record(func() { a.brokenOff = true })
+}
+
 // end returns when the attempt ended as the back end saw it, 0 if it has not.
 func (a *attempt) end() time.Duration { return cmp.Or(a.closed, a.whole) }
 
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -271,10 +271,12 @@
 	b.soak.runLog.add(run{id: id, backend: b.id, tenant: r.Header.Get(names.Tenant), at: b.soak.now()})
 	b.soak.checkDrained(b, id, a.router, a.arrived)
 	if strings.HasPrefix(string(body), poisonBody) {
+		b.soak.recordBrokenOff(a)
 		b.soak.crashUnderPoison(b, string(body))
 		return false
 	}
 	if part := crashingPartOf(r.Header.Get(names.Prefix)); part != "" {
+		b.soak.recordBrokenOff(a)
 		b.soak.crashUnderPoison(b, part)
 		return false
 	}
@@ -290,6 +292,7 @@
 		return b.stream(w, r, a, failureMode == failureDisconnect && affected)
 	}
 	if failureMode == failureDisconnect && affected {
+		b.soak.recordBrokenOff(a)
 		disconnectAfter(w, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf")
 		return false
 	}
@@ -307,6 +310,7 @@
 		_ = http.NewResponseController(w).Flush()
 		b.soak.recordSent(a)
 		if disconnect && i == streamEvents/2 {
+			b.soak.recordBrokenOff(a)
 			disconnectAfter(w, "")
 			return false
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -10,8 +10,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,8 +61,13 @@
 	after   int
 	// stopAfter is the number of events after which the caller disconnects, 0 for never.
 	stopAfter int
-	// router is the name of the router that received the request.
-	router string
+	// router is the name of the router that received the request, and address the caller's own of the
+	// connection to it.
+	router  string
+	address string
+	// whole is set once the whole request was sent, and dropped if the connection then ended in a way that
+	// shows that it had been read.
+	whole, dropped bool
 	// onData is called when a part of the response arrives, nil for nothing.
 	onData func()
 }
@@ -98,7 +105,17 @@
 		c.took = s.now() - c.sent
 		c.left = errors.Is(context.Cause(ctx), errNoPatience)
 	}()
-	response, err := client.Do(request.WithContext(ctx))
+	var address atomic.Value
+	var whole atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { address.Store(info.Conn.LocalAddr().String()) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { whole.Store(info.Err == nil) },
+	}
+	defer func() {
+		c.address, _ = address.Load().(string)
+		c.whole = whole.Load()
+	}()
+	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -77,6 +77,13 @@
 	SilentWhole   int            `json:"silent_whole"`
 	SilentRefused int            `json:"silent_refused"`
 	SilentCut     map[string]int `json:"silent_cut"`
+	// Stops is the number of planned stops of routers, and StopCalls that of the requests that were sent
+	// whole to a router while it stopped. StopUnread counts those of them whose connection was closed
+	// before they were read, and StopExcused, by cause, those that were read and got no complete response.
+	Stops       int            `json:"stops"`
+	StopCalls   int            `json:"stop_calls"`
+	StopUnread  int            `json:"stop_unread"`
+	StopExcused map[string]int `json:"stop_excused,omitempty"`
 }
 
 // results records the calls of all callers.
@@ -168,6 +175,7 @@
 	s.checkCuts(s.results.calls)
 	s.checkResumed(s.results.calls)
 	s.checkSilentAnswers(s.results.calls)
+	s.checkPlannedStops(s.results.calls)
 	if s.report.Served*2 < s.report.Calls {
 		s.recordBreach("only %d of %d calls were served", s.report.Served, s.report.Calls)
 	}
--- a/internal/soak/flood_test.go
+++ b/internal/soak/flood_test.go
@@ -10,7 +10,7 @@
 )
 
 func newChecked(known ...string) *Soak {
-	return &Soak{config: Config{Known: known}, routerStalls: map[string]*stalls{"router-0": {}}, report: Report{Outcomes: map[string]int{}, SilentCut: map[string]int{}}}
+	return &Soak{config: Config{Known: known}, routerStalls: map[string]*stalls{"router-0": {}}, report: Report{Outcomes: map[string]int{}, SilentCut: map[string]int{}, StopExcused: map[string]int{}}}
 }
 
 // Guards against a check that accepts requests which wait beyond the time-out, and against one that
--- a/internal/soak/persistent.go
+++ b/internal/soak/persistent.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -20,33 +22,63 @@
 		if err != nil {
 			continue
 		}
-		reader := bufio.NewReader(connection)
+		k := &persistentConnection{TCPConn: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
 		for open := true; open && wait(ctx, callPause); count++ {
 			c := &call{id: fmt.Sprintf("k%d-%d", number, count), kind: kinds[rand.IntN(len(kinds))], key: s.key()}
-			open = s.sendOver(connection, reader, c, to)
+			open = s.sendOver(k, c, to)
 			s.results.add(c)
 		}
 		_ = connection.Close()
 	}
 }
 
+// persistentConnection is a connection that is used until it ends.
+type persistentConnection struct {
+	*net.TCPConn
+	reader *bufio.Reader
+	// closing is set once the router has announced that it closes the connection.
+	closing bool
+}
+
 // sendOver makes one call over a connection and returns false if the connection can't be used
 // again.
-func (s *Soak) sendOver(connection net.Conn, reader *bufio.Reader, c *call, to *program) bool {
+func (s *Soak) sendOver(k *persistentConnection, c *call, to *program) bool {
 	request, err := s.request(c, to)
 	if err != nil {
 		return false
 	}
-	c.sent = s.now()
+	c.address, c.sent = k.LocalAddr().String(), s.now()
 	defer func() { c.took = s.now() - c.sent }()
-	_ = connection.SetDeadline(time.Now().Add(callTimeout))
-	if err := request.Write(connection); err != nil {
+	_ = k.SetDeadline(time.Now().Add(callTimeout))
+	if err := request.Write(k); err != nil {
 		return false
 	}
-	response, err := http.ReadResponse(reader, request)
+	c.whole = true
+	ended := k.closing || k.hasEnded()
+	response, err := http.ReadResponse(k.reader, request)
 	if err != nil {
+		// The system resets a connection that is closed while bytes wait in it, unless the router had ended its
+		// side before.
+		var failed net.Error
+		c.dropped = !ended && !errors.As(err, &failed)
 		return false
 	}
+	k.closing = response.Close
 	c.readResponse(response)
 	return c.complete
 }
+
+// hasEnded reports whether the router has ended its side, true if that is not known.
+func (k *persistentConnection) hasEnded() bool {
+	raw, err := k.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := true
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n <= 0 && !errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err != nil || ended
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,7 +133,7 @@
 	s := &Soak{config: config, ctx: ctx, startedAt: time.Now(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		holders: map[uint64]string{}, crashes: map[string][]time.Duration{}, routerStalls: map[string]*stalls{}}
 	s.weightsVersion.Store(1)
-	s.report = Report{Seed: config.Seed, Faults: map[string]int{}, Outcomes: map[string]int{}, SilentCut: map[string]int{}}
+	s.report = Report{Seed: config.Seed, Faults: map[string]int{}, Outcomes: map[string]int{}, SilentCut: map[string]int{}, StopExcused: map[string]int{}}
 	defer s.stop()
 	if err := s.launch(); err != nil {
 		return nil, err
