forward: further attempts are awaited when the routers beside which they began decline

Cause: a request that a router passes on for want of a share gets a further attempt beside a silent router; when that router then declines, the loop chose anew, found no room and refused, without looking at the attempt that ran or had taken over. Evidence: the routers' lines (took over at 18.136, refused at 18.157) and TestFurtherAttemptIsAwaitedWhenRelayDeclines, 503 before. A decline is settled like any other end of an attempt: hedges that run are awaited, one that took over is forwarded.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -98,14 +98,7 @@
 		}
 		if h.needsRelay(j) {
 			result := h.passOn(ctx, s, maxRelays)
-			if errors.Is(result.err, errNewerConfiguration) {
-				h.refuseByNewer(ctx, s, ran)
-				return
-			}
-			if errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined) {
-				j.unrelayed = true
-				continue
-			}
+			j.unrelayed = j.unrelayed || errors.Is(result.err, errNoRelay) || errors.Is(result.err, errDeclined)
 			if !h.settleRelayed(ctx, s, result, &ran) {
 				return
 			}
@@ -125,12 +118,7 @@
 		}
 		if h.passesOnShare(j) && ctx.Err() == nil {
 			j.shareAsked = true
-			result := h.passOn(ctx, s, maxShareRelays)
-			if errors.Is(result.err, errNewerConfiguration) {
-				h.refuseByNewer(ctx, s, ran)
-				return
-			}
-			if !errors.Is(result.err, errNoRelay) && !errors.Is(result.err, errDeclined) && !h.settleRelayed(ctx, s, result, &ran) {
+			if !h.settleRelayed(ctx, s, h.passOn(ctx, s, maxShareRelays), &ran) {
 				return
 			}
 			continue
@@ -225,12 +213,18 @@
 	}
 }
 
-// settleRelayed is settle for a request that was passed on.
+// settleRelayed is settle for a request that was passed on. Hedges that began beside routers which declined it go on
+// with it.
 func (h *Handler) settleRelayed(ctx context.Context, s *session, result outcome, ran *outcome) (again bool) {
 	if result.delivered {
 		s.job.deliveriesElsewhere++
 	}
-	return h.settle(ctx, s, result, ran)
+	again = h.settle(ctx, s, result, ran)
+	if again && errors.Is(result.err, errNewerConfiguration) {
+		h.refuseByNewer(ctx, s, *ran)
+		return false
+	}
+	return again
 }
 
 // settle records the result of an attempt, and those of the hedges that go on with the request. It
