--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -247,8 +247,9 @@
 	if err != nil {
 		e.cut(end)
 	}
-	e.readiness.ShutdownWithin(end, statusTimeout)
-	e.metrics.ShutdownWithin(end, statusTimeout)
+	for _, server := range []*listener.Server{e.readiness, e.metrics} {
+		e.group.Go(func() { server.ShutdownWithin(end, statusTimeout) })
+	}
 	ended := periodic.Await(end, func() {
 		e.handler.AwaitRequests()
 		e.handler.Wait()
