forward, upstream: a further attempt goes only to an engine that responds when it is sent

Cause: the leader lists an engine that has stopped 0.6 to 0.7 s later. The hedge beside a silent attempt was placed at another engine that had stopped as well and was not listed yet. It was the last attempt that the route allows, so that both ended by the callers' patience.

Now hedges, and attempts after one that may have run, are sent to an engine only once it has answered the status request on its connection. A back end that closes each connection after a response is not asked again on the next one. internal/forward, upstream and hedging pass with -race.

--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -50,6 +50,8 @@
 	// exceeds is set if more requests come meanwhile than engines can begin in time afterwards. Those are
 	// refused without having run.
 	exceeds bool
+	// apart is the time between the beginnings of two engines' silences.
+	apart time.Duration
 }
 
 // silenceOutcome counts the streams that a silence met by what their callers got.
@@ -157,6 +159,7 @@
 	var resume []func()
 	for _, h := range engines[:s.engines] {
 		resume = append(resume, h.pause())
+		time.Sleep(s.apart)
 	}
 	time.Sleep(s.duration)
 	for _, r := range resume {
@@ -206,6 +209,7 @@
 		"all engines, 2.6 s":                     {engines: 12, duration: 2600 * time.Millisecond, slots: 8, exceeds: true},
 		"all engines with room, 1.2 s":           {engines: 12, duration: 1200 * time.Millisecond, slots: 48},
 		"three of twelve, 8 s, others have room": {engines: 3, duration: 8 * time.Second, slots: 8},
+		"three of twelve, one after another":     {engines: 3, duration: 8 * time.Second, slots: 8, apart: 250 * time.Millisecond},
 	}
 	var lines []string
 	for name, s := range cases {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -103,6 +103,9 @@
 	j.request.Allowed, j.request.OnHeld = a.allowed, a.onHeld
 	j.request.Admit = a.admit
 	j.request.Born, j.request.Identify = h.requiredStart(j, a.running)
+	// The leader lists an engine that has stopped only after a while, and the route may allow no further
+	// attempt after this one.
+	j.request.Confirm = (s.hedge != nil || j.ran > 0) && j.pool.Engine != nil
 	if choice.Placement > 0 {
 		a.onClose = append(a.onClose, func() { h.config.Placer.Ended(choice.Placement) })
 	}
--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -53,16 +53,19 @@
 // request is meant for.
 func (p *Pool) connect(ctx context.Context, address string, r *Request) (*connection, error) {
 	var err error
+	confirm := r.Confirm
 	for range maxIdentified {
 		var c *connection
 		if c, err = p.take(ctx, address, r); err != nil {
 			return nil, err
 		}
 		c.setPatience(r.Patience)
-		if err = p.identify(ctx, address, c, r); err == nil {
+		if err = p.identify(ctx, address, c, r, confirm); err == nil {
 			return c, nil
 		}
 		_ = c.Close()
+		// A back end that closes each connection after a response has responded all the same.
+		confirm = confirm && !errors.Is(err, errUnsuitable)
 		if !errors.Is(err, errUnsuitable) {
 			break
 		}
@@ -73,13 +76,13 @@
 // identify asks once on a connection which start of the back end it leads to, if a request must not reach
 // another one and another one may serve: a process is the same for the life of a connection, while names
 // and addresses may be taken by others before their first heartbeat. A back end with a limit counts such
-// calls, so that it is not asked.
-func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request) error {
-	if r.Born == 0 || r.Permit.Limited() || p.status.Born == nil {
+// calls, so that it is not asked. Confirm asks in any case.
+func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request, confirm bool) error {
+	if (r.Born == 0 && !confirm) || r.Permit.Limited() || p.status.Born == nil {
 		return nil
 	}
-	if !c.asked {
-		if !r.Identify && !p.suspected(address) {
+	if !c.asked || confirm {
+		if !confirm && !r.Identify && !p.suspected(address) {
 			return nil
 		}
 		born, err := p.requestBorn(ctx, address, c, r)
@@ -90,6 +93,8 @@
 		c.born, c.asked = born, true
 	}
 	switch {
+	case r.Born == 0:
+		return nil
 	case c.born > r.Born:
 		return ErrOtherStart
 	case c.born != 0 && c.born < r.Born:
--- a/internal/upstream/identify_test.go
+++ b/internal/upstream/identify_test.go
@@ -114,6 +114,39 @@
 	}
 }
 
+// Guards against requests that are sent, as the last ones allowed, to a back end that has just stopped.
+func TestConfirmedRequestIsSentOnlyToBackendThatResponds(t *testing.T) {
+	last := strings.Replace(responseTo("", "5"), "Content-Length", "Connection: close\r\nContent-Length", 1)
+	cases := map[string]struct {
+		statuses        []string
+		born            state.UnixMilli
+		accepted, asked int32
+		sent            bool
+	}{
+		"responds, asked before":         {[]string{responseTo("", "5")}, 5, 1, 2, true},
+		"responds, start does not count": {[]string{responseTo("", "5")}, 0, 1, 2, true},
+		"closes after each response":     {[]string{last}, 0, 3, 2, true},
+		"has stopped since":              {[]string{responseTo("", "5"), ""}, 0, 1, 2, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b, p := startIdentified(t, c.statuses...), newIdentifyingPool()
+			r := request("1")
+			r.Born, r.Confirm, r.Backend = c.born, true, pushback.Backend{ID: "b"}
+			_, _, err := p.Call(context.Background(), b.address, r, 100)
+			assert.NilError(t, err)
+			_, _, err = p.Call(context.Background(), b.address, r, 100)
+			assert.Equal(t, err == nil, c.sent, "%v", err)
+			if !c.sent {
+				assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+				assert.Equal(t, b.served.Load(), int32(1))
+			}
+			assert.Equal(t, b.asked.Load(), c.asked)
+			assert.Equal(t, b.accepted.Load(), c.accepted)
+		})
+	}
+}
+
 func TestStatusOfSilentBackendIsBounded(t *testing.T) {
 	b, p := startIdentified(t, ""), newIdentifyingPool()
 	assert.Assert(t, errors.Is(p.do(t, b.address, 5), ErrNotSent))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -122,6 +122,9 @@
 	// Identify makes the pool ask each connection for its start before the request is sent. Otherwise it
 	// asks where a process may have ended.
 	Identify bool
+	// Confirm makes the pool send the status request on any connection: its response shows that the back end
+	// still responds. It has no effect at back ends with a limit, which count such calls.
+	Confirm bool
 	// Allowed is called just before the write, and its error keeps the request from being sent.
 	// It may be nil.
 	Allowed func() error
