upstream, forward: streams begin at identified starts only, in pools of one version too

A worker starts again under its name with another version, before its first heartbeat; streams begin at it at a router that has no connection to it, and go on at the version of the row, which is that of the start before.

Cause: in a pool of one version a router asked a connection which start it leads to only where one to the same address had ended. Once the process is gone nobody can tell who wrote the events. Each new connection is asked now before the first resumable stream goes over it, so that none begins at a start without a row; the state on addresses where connections ended is not needed any more. This had been left out for what it cost while all engines pause: the further attempt beside a pending status request. A new stream in a pool of one version waits for the status as for its response (Request.Expected).

TestStartIsAskedForWhereConnectionEnded required that a connection is not asked where none has ended, which is the fault. TestStartIsAskedForAgainOnceConnectionEnded has the same cases, with the start that changes between two connections.

--- a/internal/edge/software_test.go
+++ b/internal/edge/software_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -244,6 +245,46 @@
 	assert.Assert(t, float64(completed) >= minResumedShare*float64(begun), "%d of %d streams completed", completed, begun)
 }
 
+// The first process of a second version may take the name of a back end to which a router has no connection that
+// would end with the process before.
+func TestStreamsDoNotBeginAtFirstStartOfSecondVersionWithoutConnections(t *testing.T) {
+	const streams = 24
+	d := startDeployment(&deployment{t: t, relays: true, links: newLinks(), software: oldSoftware}, 3, 3, 3)
+	named := d.namedHost("named")
+	d.awaitEngineAt(0, named)
+	time.Sleep(500 * time.Millisecond)
+	d.mu.Lock()
+	named.software, named.muted = newSoftware, true
+	d.mu.Unlock()
+	named.restart()
+	time.Sleep(200 * time.Millisecond)
+	all := make([]streamed, streams)
+	var group sync.WaitGroup
+	for i := range all {
+		body := fmt.Sprintf("%s %d", brokenBody, i)
+		group.Go(func() {
+			all[i].request(d, 1, "/resume/", body, nil)
+			if all[i].lastEvent > 0 && !all[i].complete {
+				all[i].request(d, 2, "/resume/", body, nil)
+			}
+		})
+	}
+	group.Wait()
+	begun, completed := 0, 0
+	for _, s := range all {
+		assert.Assert(t, len(s.versions) <= 1, "%v", s.trace)
+		if s.lastEvent > 0 {
+			begun++
+		}
+		if s.complete && s.lastEvent == brokenStreamEvents {
+			completed++
+		}
+	}
+	t.Logf("%d begun, %d completed", begun, completed)
+	assert.Assert(t, begun >= streams*95/100, "%d of %d streams began", begun, streams)
+	assert.Assert(t, float64(completed) >= minResumedShare*float64(begun), "%d of %d streams completed", completed, begun)
+}
+
 // Streams that a back end began must go on at others of its version once it has started again as another one
 // under its name.
 func TestStreamsOfReplacedBackendGoOn(t *testing.T) {
@@ -285,18 +326,24 @@
 func (d *deployment) awaitEngine(h *host) {
 	d.t.Helper()
 	for router := range d.frontend {
-		poll.WaitOn(d.t, func(poll.LogT) poll.Result {
-			before := h.arrivals()
-			var s streamed
-			s.request(d, router, "/resume/", brokenBody+" warm", nil)
-			if h.arrivals() == before {
-				return poll.Continue("router %d sends %s nothing", router, h.name)
-			}
-			return poll.Success()
-		}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+		d.awaitEngineAt(router, h)
 	}
 }
 
+// awaitEngineAt waits until a router sends streams to the engine of a host.
+func (d *deployment) awaitEngineAt(router int, h *host) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		before := h.arrivals()
+		var s streamed
+		s.request(d, router, "/resume/", brokenBody+" warm", nil)
+		if h.arrivals() == before {
+			return poll.Continue("router %d sends %s nothing", router, h.name)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
 func (h *host) arrivals() int {
 	h.deployment.mu.Lock()
 	defer h.deployment.mu.Unlock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -102,7 +102,7 @@
 	}
 	j.request.Allowed, j.request.OnHeld = a.allowed, a.onHeld
 	j.request.Admit = a.admit
-	j.request.Born, j.request.Identify = h.requiredStart(j, a.running)
+	j.request.Born, j.request.Expected = h.requiredStart(j, a.running)
 	if choice.Placement > 0 {
 		a.onClose = append(a.onClose, func() { h.config.Placer.Ended(choice.Placement) })
 	}
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -245,13 +245,13 @@
 }
 
 // requiredStart returns the start time of the start that has to serve an attempt, 0 if that does not matter: a
-// process that has taken the name of a back end may have another software version. Identify is set if
-// several versions serve, or if the client has events: no heartbeat may have reported the version yet.
-func (h *Handler) requiredStart(j *job, running *backends.Attempt) (born state.UnixMilli, identify bool) {
+// process that has taken the name of a back end may have another software version, also where one serves, since
+// no heartbeat may have reported it yet. Expected is set where one serves and the client has no events.
+func (h *Handler) requiredStart(j *job, running *backends.Attempt) (born state.UnixMilli, expected bool) {
 	if !j.route.Resumable || j.route.Kind != traffic.KindStream {
 		return 0, false
 	}
-	return running.Born(), j.continuation.resumed() || h.severalVersions(j.pool.Name)
+	return running.Born(), !j.continuation.resumed() && !h.severalVersions(j.pool.Name)
 }
 
 // streamLife returns the time for which the client of a request may resume its stream: as long as it waits
--- a/internal/forward/unidentified_test.go
+++ b/internal/forward/unidentified_test.go
@@ -27,6 +27,7 @@
 
 // identified is a back end of which routers request the start time.
 type identified struct {
+	address    string
 	asked, ran atomic.Int32
 	// gone is closed when the client of a pending status request has left.
 	gone chan struct{}
@@ -61,7 +62,8 @@
 	}))
 	r.t.Cleanup(server.Close)
 	r.t.Cleanup(server.CloseClientConnections)
-	r.pool.Apply([]state.Backend{{ID: id, Pool: pool, Address: server.Listener.Addr().String(), Zone: "a", Software: version, Born: testBorn}}, nil, false)
+	b.address = server.Listener.Addr().String()
+	r.pool.Apply([]state.Backend{{ID: id, Pool: pool, Address: b.address, Zone: "a", Software: version, Born: testBorn}}, nil, false)
 	return b
 }
 
--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"syscall"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
@@ -23,8 +21,6 @@
 	maxStatus = 64 << 10
 	// maxIdentified bounds the connections that are tried: back ends close some after a response.
 	maxIdentified = 2
-	// maxSuspects bounds the addresses at which a process may have ended.
-	maxSuspects = 4096
 )
 
 // Errors of requests that were not sent because of the start that serves the address.
@@ -71,17 +67,13 @@
 }
 
 // identify asks once on a connection which start of the back end it leads to, if a request must not reach
-// another one and another one may serve: a process is the same for the life of a connection, while names
-// and addresses may be taken by others before their first heartbeat. A back end with a limit counts such
-// calls, so that it is not asked.
+// another one: a process is the same for the life of a connection, while names and addresses may be taken by
+// others before their first heartbeat. A back end with a limit counts such calls, so that it is not asked.
 func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request) error {
 	if r.Born == 0 || r.Permit.Limited() || p.status.Born == nil {
 		return nil
 	}
 	if !c.asked {
-		if !r.Identify && !p.suspected(address) {
-			return nil
-		}
 		born, err := p.requestBorn(ctx, address, c, r)
 		if err != nil {
 			return fmt.Errorf("identify start: %w", err)
@@ -96,40 +88,9 @@
 		return errUnsuitable
 	}
 	// A back end that names no start time cannot be told from one that has taken its name.
-	p.clearSuspicion(address)
 	return nil
 }
 
-// suspect records that a connection to an address has ended unexpectedly: its process may have ended, and
-// another one may have taken its name.
-func (p *Pool) suspect(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.suspects) >= maxSuspects {
-		clear(p.suspects)
-	}
-	p.suspects[address] = struct{}{}
-}
-
-func (p *Pool) suspected(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, is := p.suspects[address]
-	return is
-}
-
-func (p *Pool) clearSuspicion(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.suspects, address)
-}
-
-// endsProcess reports whether an error may be the end of the process at an address. A deadline is set by
-// this process.
-func endsProcess(err error) bool {
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, context.Canceled)
-}
-
 func (p *Pool) requestBorn(ctx context.Context, address string, c *connection, r *Request) (state.UnixMilli, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(r.Patience, identifyTimeout))
 	defer cancel()
@@ -139,7 +100,7 @@
 
 // holdUnidentified calls OnHeld while the status request is pending. Release waits for the last call.
 func (r *Request) holdUnidentified() (release func()) {
-	if r.OnHeld == nil || r.Patience <= identifyTimeout {
+	if r.OnHeld == nil || r.Expected || r.Patience <= identifyTimeout {
 		return func() {}
 	}
 	ended, returned := make(chan struct{}), make(chan struct{})
@@ -170,6 +131,11 @@
 	header := http.Header{}
 	header.Set(p.status.InstanceHeader, r.Instance)
 	status := &Request{Method: http.MethodGet, Target: p.status.Target, Host: address, Header: header, Backend: r.Backend, Instance: r.Instance, Allowed: r.Allowed}
+	if r.Expected {
+		started := clock.Now()
+		a.onStall = func() { p.observe(ctx, r.Backend.Pool, started, errUnacknowledged) }
+		defer p.watchAcknowledgement(a, r.OnHeld)()
+	}
 	if err := a.exchange(ctx, status); err != nil {
 		return 0, err
 	}
@@ -203,8 +169,5 @@
 	c, err := p.open(ctx, address)
 	alarm.Stop()
 	p.observe(ctx, pool, started, err)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		p.suspect(address)
-	}
 	return c, err
 }
--- a/internal/upstream/identify_test.go
+++ b/internal/upstream/identify_test.go
@@ -63,7 +63,7 @@
 func (p *Pool) do(t testing.TB, address string, born state.UnixMilli) error {
 	t.Helper()
 	r := request("1")
-	r.Born, r.Identify, r.Backend = born, true, pushback.Backend{ID: "b"}
+	r.Born, r.Backend = born, pushback.Backend{ID: "b"}
 	_, _, err := p.Call(context.Background(), address, r, 100)
 	return err
 }
@@ -140,7 +140,7 @@
 				}
 			})
 			p, r := newIdentifyingPool(), request("1")
-			r.Born, r.Identify, r.Backend, r.Patience = 5, true, pushback.Backend{ID: "b"}, 10*time.Second
+			r.Born, r.Backend, r.Patience = 5, pushback.Backend{ID: "b"}, 10*time.Second
 			r.OnHeld = func(why Held) bool { held.Add(1); return why == Unidentified && served.Load() == 0 }
 			r.Admit = func() error { return rejection }
 			_, _, err := p.Call(t.Context(), b.address, r, 100)
@@ -158,7 +158,7 @@
 	assert.NilError(t, p.do(t, b.address, 0))
 	// A back end with a limit counts status requests.
 	r := request("2")
-	r.Born, r.Identify, r.Backend = 5, true, pushback.Backend{ID: "b"}
+	r.Born, r.Backend = 5, pushback.Backend{ID: "b"}
 	r.Permit = ratelimit.Granted("b", 1, clock.Now(), time.Minute)
 	_, _, err := p.Call(context.Background(), b.address, r, 100)
 	assert.NilError(t, err)
@@ -166,16 +166,15 @@
 	assert.Equal(t, b.served.Load(), int32(2))
 }
 
-// A start under the name and at the address of another one is found where connections have ended, although no
-// request is to identify each connection.
-func TestStartIsAskedForWhereConnectionEnded(t *testing.T) {
+// Each new connection is asked: the start under the name and at the address may be another one by then.
+func TestStartIsAskedForAgainOnceConnectionEnded(t *testing.T) {
 	answered, broken := responseTo("1", "served"), "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 9\r\n\r\nbroken"
 	for name, c := range map[string]struct {
 		first string
 		ends  bool
 	}{"idle": {answered, true}, "in a response": {broken, true}, "without a response": {"", true}, "not at all": {answered, false}} {
 		t.Run(name, func(t *testing.T) {
-			var asked atomic.Int32
+			var asked, served atomic.Int32
 			b := startBackend(t, func(number int, conn net.Conn, requests *bufio.Reader) {
 				for {
 					r, err := http.ReadRequest(requests)
@@ -184,9 +183,10 @@
 						return
 					case r.URL.Path == "/status":
 						asked.Add(1)
-						_, _ = conn.Write([]byte(responseTo("", "6")))
+						_, _ = conn.Write([]byte(responseTo("", strconv.Itoa(4+number))))
 						continue
 					}
+					served.Add(1)
 					_, _ = conn.Write([]byte(c.first))
 					if c.ends && number == 1 {
 						return
@@ -194,17 +194,41 @@
 				}
 			})
 			p := newIdentifyingPool()
-			send := func() error {
-				r := request("1")
-				r.Born, r.Backend = 5, pushback.Backend{ID: "b"}
-				_, _, err := p.Call(context.Background(), b.address, r, 100)
-				return err
-			}
-			_ = send()
+			_ = p.do(t, b.address, 5)
+			assert.Equal(t, asked.Load(), int32(1))
 			time.Sleep(20 * time.Millisecond)
-			err := send()
+			err := p.do(t, b.address, 5)
 			assert.Equal(t, errors.Is(err, ErrOtherStart), c.ends, "%v", err)
-			assert.Equal(t, asked.Load() > 0, c.ends)
+			assert.Equal(t, asked.Load() == 2, c.ends)
+			assert.Equal(t, served.Load() == 1, c.ends)
+		})
+	}
+}
+
+// Guards against further attempts, and a back end that is taken for unreachable, while all that is pending is the
+// status of a start that nothing speaks against.
+func TestStatusOfExpectedStartIsAwaitedLikeResponse(t *testing.T) {
+	t.Parallel()
+	for name, expected := range map[string]bool{"expected": true, "not expected": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startBackend(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+				for r, err := http.ReadRequest(requests); err == nil; r, err = http.ReadRequest(requests) {
+					if r.URL.Path == "/status" {
+						time.Sleep(2 * identifyTimeout)
+						_, _ = conn.Write([]byte(responseTo("", "5")))
+						continue
+					}
+					_, _ = conn.Write([]byte(responseTo(r.Header.Get(idHeader), "served")))
+				}
+			})
+			p, r := newIdentifyingPool(), request("1")
+			r.Born, r.Expected, r.Backend, r.Patience = 5, expected, pushback.Backend{ID: "b"}, 10*time.Second
+			var held atomic.Int32
+			r.OnHeld = func(Held) bool { held.Add(1); return true }
+			_, _, err := p.Call(t.Context(), b.address, r, 100)
+			assert.NilError(t, err)
+			assert.Equal(t, held.Load() == 0, expected)
 		})
 	}
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -214,9 +214,6 @@
 	case err == io.EOF:
 		a.complete = true
 	case err != nil:
-		if endsProcess(err) {
-			a.pool.suspect(a.address)
-		}
 		if a.timed && a.ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = ErrBodyTimeout
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -117,11 +117,11 @@
 	Backend  pushback.Backend
 	Instance string
 	// Born is the start time of the start that has to serve the request; 0 if the name of its instance
-	// tells enough.
+	// tells enough. Each connection is asked once for its start before such a request is sent.
 	Born state.UnixMilli
-	// Identify makes the pool ask each connection for its start before the request is sent. Otherwise it
-	// asks where a process may have ended.
-	Identify bool
+	// Expected is set if nothing shows that another start may serve. The status request is then awaited like the
+	// response itself, and the request is not held as Unidentified.
+	Expected bool
 	// Allowed is called just before the write, and its error keeps the request from being sent.
 	// It may be nil.
 	Allowed func() error
@@ -180,15 +180,11 @@
 
 	mu   sync.Mutex
 	idle map[string][]*connection
-	// suspects are the addresses at which a connection has ended unexpectedly since a start was identified
-	// there.
-	suspects map[string]struct{}
 }
 
 // NewPool returns a pool without connections.
 func NewPool(idHeader string, pushbacks *pushback.Registry, limits *ratelimit.Registry) *Pool {
-	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, limits: limits, bodyStall: bodyStallTimeout, idle: map[string][]*connection{},
-		suspects: map[string]struct{}{}}
+	p := &Pool{idHeader: idHeader, pushbacks: pushbacks, limits: limits, bodyStall: bodyStallTimeout, idle: map[string][]*connection{}}
 	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.ReceiveBuffer(receiveBuffer))}
 	p.dial = p.dialer.DialContext
 	return p
@@ -254,7 +250,6 @@
 		if c == nil || c.isIdle() {
 			return c
 		}
-		p.suspect(address)
 		_ = c.Close()
 	}
 }
@@ -408,9 +403,6 @@
 	}
 	if err := a.exchange(ctx, r); err != nil {
 		a.Close()
-		if endsProcess(err.cause) && !errors.Is(err, ErrNotSent) {
-			p.suspect(address)
-		}
 		if lostConnection(err) {
 			p.observe(ctx, r.Backend.Pool, started, err)
 		}
