coordapi, backends: placements name the start of the engine

The leader may place a request at an engine outside the router's shard. The router then has no row of it, and the placement did not name its start time, so that no connection was asked which start it leads to, however many software versions served: a stream could begin at, or go on at, a start of another version that had taken the name.

Placed and Choice have the start time now (`born`; older builds ignore it, and placements of older leaders are used as before). TestStreamDoesNotBeginAtUnannouncedStartOutsideShard: 200 from the later start without the start time in the row, 503 and not run with it. TestUnlistedEngineHasStartThatLeaderChose: 0 instead of 5 without.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -107,6 +107,8 @@
 	Instance string
 	Address  string
 	Zone     string
+	// Born is the back end's start time, 0 if it is not known.
+	Born state.UnixMilli
 	// Software is the version of the back end's software.
 	Software state.SoftwareVersion
 	// Version is the weights version that the back end holds; Versioned is set if it is known.
@@ -214,7 +216,7 @@
 		homeAddress = homes[version].Address
 	}
 	work := Work{Prompt: q.tokensToPrefill(version) + best.copied, Most: q.Work.Most}
-	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Software: best.Software, Version: version, Versioned: versioned && q.Model != "",
+	return Choice{ID: best.ID, Instance: best.Instance, Address: best.Address, Zone: best.Zone, Born: best.Born, Software: best.Software, Version: version, Versioned: versioned && q.Model != "",
 		Home: best.rank == 0, HomeAddress: homeAddress, Cost: best.cost, Considered: countRepresented(candidates), Work: work,
 		Ahead: best.ahead, Wait: max(best.wait, best.prefillRate(rate).Wait(best.ahead)), Late: late}, true
 }
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -250,7 +250,7 @@
 func (p *Pool) rowOf(choice *Choice, q *Query) *row {
 	r := p.rows[choice.ID]
 	if r == nil && choice.Placement > 0 && choice.Versioned {
-		r = &row{Backend: state.Backend{ID: choice.ID, Instance: choice.Instance, Pool: q.Pool, Address: choice.Address, Zone: choice.Zone, Software: choice.Software,
+		r = &row{Backend: state.Backend{ID: choice.ID, Instance: choice.Instance, Pool: q.Pool, Address: choice.Address, Zone: choice.Zone, Born: choice.Born, Software: choice.Software,
 			Weights: map[string]int{q.Model: choice.Version}}, unlisted: true}
 		p.rows[choice.ID] = r
 	}
--- a/internal/backends/shard_test.go
+++ b/internal/backends/shard_test.go
@@ -93,3 +93,13 @@
 	assert.Assert(t, p.rows[outside.ID] != nil)
 	assert.Equal(t, p.rows[outside.ID].running, 0)
 }
+
+// A stream must reach the start that the leader chose, also outside the router's shard.
+func TestUnlistedEngineHasStartThatLeaderChose(t *testing.T) {
+	p, outside := newShardPool(t, coordapi.Shard{Index: 1, Count: 4}, func(*Pool) {})
+	outside.Born = 5
+	choice := placementAt(outside)
+	choice.Born = outside.Born
+	a := p.Begin(0, choice, &Query{Pool: "llm", Model: "m"}, func(error) {})
+	assert.Equal(t, a.Born(), outside.Born)
+}
--- a/internal/coordapi/placement.go
+++ b/internal/coordapi/placement.go
@@ -101,6 +101,8 @@
 	Instance string `json:"instance,omitempty"`
 	Address  string `json:"address,omitempty"`
 	Zone     string `json:"zone,omitempty"`
+	// Born is the engine's start time, 0 if it is not known.
+	Born state.UnixMilli `json:"born,omitempty"`
 	// Software is the version of the engine's software.
 	Software state.SoftwareVersion `json:"software,omitempty"`
 	// Version is the version of the engine's weights, and Versioned reports whether it is known.
--- a/internal/forward/unannounced_test.go
+++ b/internal/forward/unannounced_test.go
@@ -1,12 +1,16 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/placer"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -36,3 +40,30 @@
 		})
 	}
 }
+
+// Guards against streams that begin at an unannounced start because the leader chose an engine that the router does
+// not list.
+func TestStreamDoesNotBeginAtUnannouncedStartOutsideShard(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		chosen state.UnixMilli
+		status int
+		ran    int32
+	}{"start before": {testBorn - 1, http.StatusServiceUnavailable, 0}, "start of the process": {testBorn, http.StatusOK, 1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newStreamRig(t)
+			engine := r.addIdentified("llm", "outside", "v1", 0, goOn)
+			r.pool.Apply(nil, []string{"outside"}, false)
+			placed := coordapi.Placed{ID: "outside", Address: engine.address, Zone: "a", Born: c.chosen, Software: "v1", Version: 1, Versioned: true}
+			r.handler.config.Placer = &queueingPlacer{place: func(context.Context) (backends.Choice, bool, bool) {
+				choice, found := placer.Choice(&coordapi.Place{Number: 1}, &placed)
+				return choice, found, true
+			}}
+			got := r.ask("POST", "/resumable/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, engine.ran.Load(), c.ran)
+		})
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -368,13 +368,13 @@
 }
 
 func newReply(c *backends.Choice) coordapi.Placed {
-	return coordapi.Placed{ID: c.ID, Instance: c.Instance, Address: c.Address, Zone: c.Zone, Software: c.Software, Version: c.Version, Versioned: c.Versioned, Home: c.Home,
+	return coordapi.Placed{ID: c.ID, Instance: c.Instance, Address: c.Address, Zone: c.Zone, Born: c.Born, Software: c.Software, Version: c.Version, Versioned: c.Versioned, Home: c.Home,
 		Holder: c.Holder, Source: c.Source, Save: c.Save, Cost: c.Cost, Considered: c.Considered, Prompt: c.Work.Prompt, Ahead: c.Ahead, Wait: c.Wait, Late: c.Late}
 }
 
 // Choice converts the reply to a request to a choice. It returns false if no engine may serve.
 func Choice(ask *coordapi.Place, p *coordapi.Placed) (backends.Choice, bool) {
-	return backends.Choice{ID: p.ID, Instance: p.Instance, Address: p.Address, Zone: p.Zone, Software: p.Software, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
+	return backends.Choice{ID: p.ID, Instance: p.Instance, Address: p.Address, Zone: p.Zone, Born: p.Born, Software: p.Software, Version: p.Version, Versioned: p.Versioned, Home: p.Home,
 		Holder: p.Holder, Source: p.Source, Save: p.Save, Cost: p.Cost, Considered: p.Considered, Work: backends.Work{Prompt: p.Prompt, Most: ask.Most},
 		Ahead: p.Ahead, Wait: p.Wait, Late: p.Late, Placement: ask.Number, OverLimit: p.OverLimit, Uncounted: p.Uncounted, RetryAfter: p.RetryAfter,
 		Blocked: p.Blocked, Reason: p.Reason}, p.ID != "" || p.OverLimit || len(p.Blocked) > 0 || p.Reason != ""
