--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"syscall"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
@@ -23,8 +21,6 @@
 	maxStatus = 64 << 10
 	// maxIdentified bounds the connections that are tried: back ends close some after a response.
 	maxIdentified = 2
-	// maxSuspects bounds the addresses at which a process may have ended.
-	maxSuspects = 4096
 )
 
 // Errors of requests that were not sent because of the start that serves the address.
@@ -35,8 +31,16 @@
 	ErrNotIdentified = errors.New("the back end rejects status requests")
 )
 
-// errUnsuitable means that another connection may lead to the intended start.
-var errUnsuitable = errors.New("the connection ends, or leads to an earlier start of the back end")
+var (
+	// errUnsuitable means that another connection may lead to the intended start.
+	errUnsuitable = errors.New("the connection ends, or leads to an earlier start of the back end")
+	// errNotKept is errUnsuitable for a connection that ends with the response to the status request.
+	errNotKept = fmt.Errorf("the back end closes the connection after its status: %w", errUnsuitable)
+)
+
+// question is what a status request on a connection is to tell: which start serves, and whether the back end
+// responds at all.
+type question struct{ start, confirm bool }
 
 // Status is the request with which a router asks a back end for its start time.
 type Status struct {
@@ -53,19 +57,21 @@
 // request is meant for.
 func (p *Pool) connect(ctx context.Context, address string, r *Request) (*connection, error) {
 	var err error
-	confirm := r.Confirm
+	ask := question{start: true, confirm: r.Confirm}
 	for range maxIdentified {
 		var c *connection
 		if c, err = p.take(ctx, address, r); err != nil {
 			return nil, err
 		}
 		c.setPatience(r.Patience)
-		if err = p.identify(ctx, address, c, r, confirm); err == nil {
+		if err = p.identify(ctx, address, c, r, ask); err == nil {
 			return c, nil
 		}
 		_ = c.Close()
-		// A back end that closes each connection after a response has responded all the same.
-		confirm = confirm && !errors.Is(err, errUnsuitable)
+		if errors.Is(err, errNotKept) {
+			// The back end may close each connection after a response, and it has responded.
+			ask = question{start: !r.Expected}
+		}
 		if !errors.Is(err, errUnsuitable) {
 			break
 		}
@@ -74,17 +80,14 @@
 }
 
 // identify asks once on a connection which start of the back end it leads to, if a request must not reach
-// another one and another one may serve: a process is the same for the life of a connection, while names
-// and addresses may be taken by others before their first heartbeat. A back end with a limit counts such
-// calls, so that it is not asked. Confirm asks in any case.
-func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request, confirm bool) error {
-	if (r.Born == 0 && !confirm) || r.Permit.Limited() || p.status.Born == nil {
+// another one: a process is the same for the life of a connection, while names and addresses may be taken by
+// others before their first heartbeat. Confirm asks in any case. A back end with a limit counts such calls, so that
+// it is not asked.
+func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request, ask question) error {
+	if !ask.confirm && (r.Born == 0 || !ask.start) || r.Permit.Limited() || p.status.Born == nil {
 		return nil
 	}
-	if !c.asked || confirm {
-		if !confirm && !r.Identify && !p.suspected(address) {
-			return nil
-		}
+	if !c.asked || ask.confirm {
 		born, err := p.requestBorn(ctx, address, c, r)
 		if err != nil {
 			return fmt.Errorf("identify start: %w", err)
@@ -101,40 +104,9 @@
 		return errUnsuitable
 	}
 	// A back end that names no start time cannot be told from one that has taken its name.
-	p.clearSuspicion(address)
 	return nil
 }
 
-// suspect records that a connection to an address has ended unexpectedly: its process may have ended, and
-// another one may have taken its name.
-func (p *Pool) suspect(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.suspects) >= maxSuspects {
-		clear(p.suspects)
-	}
-	p.suspects[address] = struct{}{}
-}
-
-func (p *Pool) suspected(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, is := p.suspects[address]
-	return is
-}
-
-func (p *Pool) clearSuspicion(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.suspects, address)
-}
-
-// endsProcess reports whether an error may be the end of the process at an address. A deadline is set by
-// this process.
-func endsProcess(err error) bool {
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, context.Canceled)
-}
-
 func (p *Pool) requestBorn(ctx context.Context, address string, c *connection, r *Request) (state.UnixMilli, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(r.Patience, identifyTimeout))
 	defer cancel()
@@ -142,9 +114,12 @@
 	return p.exchangeStatus(ctx, address, c, r)
 }
 
+// awaitsStatus reports whether the status request is awaited like the response itself.
+func (r *Request) awaitsStatus() bool { return r.Expected && !r.Confirm }
+
 // holdUnidentified calls OnHeld while the status request is pending. Release waits for the last call.
 func (r *Request) holdUnidentified() (release func()) {
-	if r.OnHeld == nil || r.Patience <= identifyTimeout {
+	if r.OnHeld == nil || r.awaitsStatus() || r.Patience <= identifyTimeout {
 		return func() {}
 	}
 	ended, returned := make(chan struct{}), make(chan struct{})
@@ -175,6 +150,11 @@
 	header := http.Header{}
 	header.Set(p.status.InstanceHeader, r.Instance)
 	status := &Request{Method: http.MethodGet, Target: p.status.Target, Host: address, Header: header, Backend: r.Backend, Instance: r.Instance, Allowed: r.Allowed}
+	if r.awaitsStatus() {
+		started := clock.Now()
+		a.onStall = func() { p.observe(ctx, r.Backend.Pool, started, errUnacknowledged) }
+		defer p.watchAcknowledgement(a, r.OnHeld)()
+	}
 	if err := a.exchange(ctx, status); err != nil {
 		return 0, err
 	}
@@ -189,7 +169,7 @@
 	case !stop():
 		return 0, context.Cause(ctx)
 	case !a.reusable():
-		return 0, errUnsuitable
+		return 0, errNotKept
 	case a.StatusCode != http.StatusOK:
 		// The back end has no such request.
 		return 0, nil
@@ -208,8 +188,5 @@
 	c, err := p.open(ctx, address)
 	alarm.Stop()
 	p.observe(ctx, pool, started, err)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		p.suspect(address)
-	}
 	return c, err
 }
