listener, socket: a stop accepts what waits in the backlog before it closes the listener

A process that gets little of the processor, or stood still, has a backlog as its stop begins.

Before the close, Shutdown waits until the accept loop of the server has taken as many connections as the backlog held (socket.Backlog, TCP_INFO of the listening socket), so that wrapped listeners, limits on connections and counters apply as ever. A listener whose backlog is unknown is closed at once, as before.

The kernel still resets a connection that is established between the last look and the close; this window can only be kept short.

The pausedListener of the tests passed off its embedded connection, nil there, as its own descriptor; it gives that of its socket.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -71,8 +71,10 @@
 	mu          sync.Mutex
 	connections map[*Conn]struct{}
 	refused     uint64
-	// accepting is the number of calls of Accept that may still add a connection.
+	// accepting is the number of calls of Accept that may still add a connection, and accepted that of connections
+	// which such calls have returned.
 	accepting int
+	accepted  uint64
 	// stopped is set once no call of Accept begins any more, and closed once connections that are being accepted
 	// are reset.
 	stopped, closed bool
@@ -153,6 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.accepting--
+	l.accepted++
 	if l.closed {
 		return nil, nil
 	}
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -40,11 +40,12 @@
 	return l
 }
 
-// Shutdown closes the listeners and the idle connections, and waits until the other ones have ended. It returns
-// the context's error if some are left when that ends, and may then be called again. A request of which a byte has
-// arrived is served: http.Server.Shutdown would close its connection, or read the request and drop it.
+// Shutdown accepts what stands in the backlogs of the listeners, closes them and the idle connections, and waits until
+// the other connections have ended. It returns the context's error if some are left when that ends, and may then be
+// called again. A request of which a byte has arrived is served: http.Server.Shutdown would close its connection, or
+// read the request and drop it.
 func (s *Server) Shutdown(ctx context.Context) error {
-	listeners := s.beginShutdown()
+	listeners := s.beginShutdown(ctx)
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
 	for {
@@ -82,9 +83,10 @@
 }
 
 // beginShutdown closes the listeners and returns them.
-func (s *Server) beginShutdown() []*Listener {
+func (s *Server) beginShutdown(ctx context.Context) []*Listener {
 	listeners := s.boundListeners()
 	for _, l := range listeners {
+		l.acceptBacklog(ctx)
 		l.stop()
 	}
 	return listeners
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -85,6 +85,11 @@
 	return &paused, nil
 }
 
+// SyscallConn implements syscall.Conn for the listener, whose embedded connection has none.
+func (l *pausedListener) SyscallConn() (syscall.RawConn, error) {
+	return l.Listener.(*net.TCPListener).SyscallConn()
+}
+
 // newPausedListener returns a listener that pauses the reads of its connections.
 func newPausedListener(t *testing.T) *pausedListener {
 	t.Helper()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is the value of TCP_USER_TIMEOUT on Linux.
@@ -32,3 +34,15 @@
 		return failure
 	}
 }
+
+// Backlog returns the number of connections of a listener that wait to be accepted, 0 if unknown.
+func Backlog(l net.Listener) int {
+	waiting := 0
+	withDescriptor(l, func(fd int) {
+		// For a listening socket the kernel reports the length of its accept queue as unacknowledged.
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			waiting = int(info.Unacked)
+		}
+	})
+	return waiting
+}
--- a/internal/socket/stall.go
+++ b/internal/socket/stall.go
@@ -77,8 +77,8 @@
 	return bytes
 }
 
-// withDescriptor calls use with the descriptor of a connection, if it has one.
-func withDescriptor(c net.Conn, use func(fd int)) {
+// withDescriptor calls use with the descriptor of a connection or listener, if it has one.
+func withDescriptor(c any, use func(fd int)) {
 	if s, ok := c.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
 			_ = raw.Control(func(fd uintptr) { use(int(fd)) })
