listener: a request that arrives before an idle connection is closed in a stop is served

What callers saw: a connection that a stop had found idle was reset although a whole request had arrived on it meanwhile.

Cause: a stop looks for unread bytes when it sets the read deadline to the past. The goroutine that reads fails by that deadline without another look, and closes the connection whenever it gets the processor, with the request unread.

Such a read looks again and reads what has arrived. Left is the time between this look and the close.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -205,6 +205,9 @@
 		return 0, errClosed
 	}
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.mayReadAgain() {
+		n, err = c.Conn.Read(p)
+	}
 	c.progress.noteRead(err)
 	if n > 0 {
 		c.endIdle()
--- a/internal/listener/idle.go
+++ b/internal/listener/idle.go
@@ -33,6 +33,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// mayReadAgain reports whether the next request has arrived on an idle connection after its deadline was set to the
+// past.
+func (c *Conn) mayReadAgain() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle && c.retiring && !c.ending.Load() && socket.Unread(c.Conn) > 0 && c.setReadDeadline(time.Time{}) == nil
+}
+
 // beginIdle records that the last response has been written. It returns false if the next request has begun to
 // arrive.
 func (c *Conn) beginIdle() bool {
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -23,6 +23,7 @@
 	never pause = iota
 	beforeRead
 	afterRead
+	afterTimeout
 )
 
 // pausedConn stops in a read, as a process that has used up its part of the processor does.
@@ -35,6 +36,7 @@
 
 func (c *pausedConn) Read(p []byte) (int, error) {
 	if err := c.awaitBytes(); err != nil {
+		c.pauseAt(afterTimeout)
 		return 0, err
 	}
 	c.pauseAt(beforeRead)
@@ -199,6 +201,25 @@
 	assert.NilError(t, <-stopped)
 }
 
+// Guards against a stop that drops a request which arrives after the last look at an idle connection and before its
+// close.
+func TestStopAnswersRequestThatArrivesAsIdleConnectionIsClosed(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+	c := s.dial()
+	status, _ := s.exchange(c, getRequest)
+	assert.Equal(t, status, http.StatusOK)
+	l.at.Store(int32(afterTimeout))
+	stopped := s.stop(5 * time.Second)
+	<-l.paused
+	_, err := io.WriteString(c, postRequest)
+	assert.NilError(t, err)
+	close(l.release)
+	assert.Equal(t, readStatus(t, c), http.StatusOK)
+	assert.NilError(t, <-stopped)
+	s.awaitOutcomes(map[outcome]int{answered: 2})
+}
+
 // Guards against a stop that closes a connection between two requests of which the next one has begun to arrive.
 func TestStopAnswersRequestThatArrivesInParts(t *testing.T) {
 	l := newPausedListener(t)
