forward: a router that stops ends connections of other routers when it declines

A router that stops declines requests of other routers from SIGTERM on, 2.3 s before it closes idle connections, but kept their connections open. It ends them with its answers, as with its callers; later requests take new connections, which are accepted from the backlog or refused as not sent.

Left are connections without any request in that time that are used as they are closed, and new ones established as the address is closed.

Evidence: TestStoppingRelayEndsConnectionsWithItsAnswers failed before. With -race: tests of internal/forward on stops, relays and declined requests pass, 3 times each, and so do those of internal/edge named Stop or Relay. All of internal/forward with -race was ended by a time limit of 270 s (load 21), with no test failed up to there. The 502s themselves were not reproduced.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -316,13 +316,19 @@
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serveHTTP(w, r, nil) }
 
+// closeIfStopping ends the connection of a request with its response if the router stops: a request that is on its way
+// when the stop closes idle connections may end without one.
+func (h *Handler) closeIfStopping(w http.ResponseWriter) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // serveHTTP handles one request. Origin is set if another router passed it on.
 func (h *Handler) serveHTTP(w http.ResponseWriter, r *http.Request, origin *relay.Origin) {
 	defer h.deadlines.begin()()
 	receivedAt := h.now()
-	if h.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	h.closeIfStopping(w)
 	j, refusal := h.resolve(r, receivedAt)
 	if j != nil {
 		defer j.memory.Release()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -276,6 +276,7 @@
 		return
 	}
 	if !h.Ready() {
+		h.closeIfStopping(w)
 		h.decline(w, &job{id: r.Header.Get(h.config.Headers.RequestID), origin: origin}, "this router does not serve")
 		return
 	}
--- a/internal/forward/stop_relay_test.go
+++ b/internal/forward/stop_relay_test.go
@@ -71,3 +71,18 @@
 	assert.Equal(t, response.status, http.StatusOK, "%s", response.header.Get(relay.HeaderDeclined))
 	assert.Equal(t, other.ran("a"), 1)
 }
+
+// Guards against connections of other routers that a stop closes as idle while a request is on its way: a router that
+// stops ends them with its answers before.
+func TestStoppingRelayEndsConnectionsWithItsAnswers(t *testing.T) {
+	r := newRelayRig(t)
+	r.handler.Stop(time.Minute)
+	q, err := http.NewRequest("POST", "http://"+r.address()+"/unsafe/x", nil)
+	assert.NilError(t, err)
+	q.Header.Set(relay.HeaderOrigin, (&relay.Origin{Router: "front"}).Encode())
+	response, err := http.DefaultClient.Do(q)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.Header.Get(relay.HeaderDeclined), "1")
+	assert.Assert(t, response.Close)
+}
