listener: a shutdown ends with its last connection

Callers: none; a router's stop lost up to 10 ms of the 100 ms (of a grace of 2 s) that it has between cutting the last requests and its end.

Cause: Server.Shutdown looked for connections that have ended every 10 ms.

Now a listener without open connections wakes it. The search stays for connections that become idle or overdue.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -76,6 +76,8 @@
 	closeError  error
 	// stopped is set once the listener accepts no connections any more.
 	stopped atomic.Bool
+	// empty receives when no connection is open any more; nil if nobody waits for that.
+	empty chan<- struct{}
 }
 
 // Listen wraps a listener.
@@ -186,6 +188,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.connections, c)
+	if len(l.connections) > 0 {
+		return
+	}
+	select {
+	case l.empty <- struct{}{}:
+	default:
+	}
 }
 
 // count returns the number of open connections and of refused ones.
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -63,7 +63,7 @@
 		}
 		c.serve(w, r, next, bodies)
 	})
-	return &Server{Server: server, guard: g}
+	return &Server{Server: server, guard: g, empty: make(chan struct{}, 1)}
 }
 
 // connOf returns the guarded connection that a connection wraps, nil if there is none.
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -31,11 +31,14 @@
 	listeners []*Listener
 	// stoppedAt is when the first shutdown began, 0 for none.
 	stoppedAt time.Duration
+	// empty receives when a listener has no open connection left.
+	empty chan struct{}
 }
 
 // Listen wraps a listener that the server is to serve.
 func (s *Server) Listen(inner net.Listener, config Config) *Listener {
 	l := s.guard.Listen(inner, config)
+	l.empty = s.empty
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listeners = append(s.listeners, l)
@@ -60,6 +63,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-s.empty:
 		case <-tick.C:
 		}
 	}
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -241,3 +242,25 @@
 	assert.NilError(t, <-stopped)
 	s.awaitOutcomes(map[outcome]int{answered: 2})
 }
+
+// Guards against a stop that goes on after its last connection has ended.
+func TestStopEndsWithItsLastConnection(t *testing.T) {
+	least := time.Hour
+	for range 10 {
+		begun, release := make(chan struct{}, 1), make(chan struct{})
+		s := serveWith(t, 8<<20, Config{}, waitingHandler(begun, release))
+		c := s.dial()
+		_, err := io.WriteString(c, strings.Replace(getRequest, "GET /", "GET /wait", 1))
+		assert.NilError(t, err)
+		<-begun
+		stopped := s.stop(5 * time.Second)
+		// The connection ends right after a search for idle ones.
+		time.Sleep(3*shutdownInterval + shutdownInterval/10)
+		close(release)
+		assert.Equal(t, readStatus(t, c), http.StatusOK)
+		answered := time.Now()
+		assert.NilError(t, <-stopped)
+		least = min(least, time.Since(answered))
+	}
+	assert.Assert(t, least < shutdownInterval/2, "%v", least)
+}
