edge: both limits of a stop count from its begin

Callers: none; a stop may have ended with ended=false, and without waiting for its last answers, if its first line was written slowly.

Cause: the limit of the stop counted from before the line "stopping", the limit of draining from after it. What that line took was missing between the cut and the end.

Now both begin before the line. Requests are cut earlier than before by the time of that line, microseconds with the buffered log of a process.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -238,10 +238,10 @@
 func (e *Edge) Stop() {
 	end, release := context.WithTimeout(context.Background(), e.settings.StopLimit())
 	defer release()
-	e.logger.Info("stopping", "part", "edge", "limit_ms", e.settings.DrainLimit().Milliseconds())
 	drain, cancel := context.WithTimeout(end, e.settings.DrainLimit())
 	defer cancel()
 	e.handler.Stop(e.settings.DrainLimit())
+	e.logger.Info("stopping", "part", "edge", "limit_ms", e.settings.DrainLimit().Milliseconds())
 	time.Sleep(min(drainNotice, e.settings.DrainLimit()/2))
 	err := e.shutdown(drain)
 	if err != nil {
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -86,6 +86,18 @@
 	assert.Check(t, !strings.Contains(after, "part=forward"), after)
 }
 
+// Guards against a stop whose first line takes the time of its last steps.
+func TestSlowFirstLineOfStopLeavesTimeForItsEnd(t *testing.T) {
+	t.Parallel()
+	s := newSilenceTrial(t, &deployment{stopGrace: stopGraceTime}, 1, 2, 8)
+	answers := s.begin(longAnswers(0, "once"))
+	s.lines.delay.Store(int64(stopGraceTime / 15))
+	time.AfterFunc(stopGraceTime/2, func() { s.lines.delay.Store(0) })
+	s.routers[0].Stop()
+	answers.Wait()
+	assert.Assert(t, s.lines.about("msg=stopped part=edge cut=true ended=true") != "", s.lines.about("msg=stopped"))
+}
+
 // Guards against a stop that outlasts its grace because a part of the router does not end, so that the process is
 // killed before it has written its last lines.
 func TestStopEndsBesideTaskThatDoesNot(t *testing.T) {
