forward: an attempt that the end of a stop cuts has no line of its own

Callers: none; operators read that a stop had ended with ended=false, and lines on cut requests after its last one.

Cause: each request that is cut at the end of a router's stop had four lines: "attempt failed", "answer ended early", "aborted: the router stops" and, of the listener, "request ended without a response". Lines are written one after the other under the lock of the log, and each request waits for its own ones before its connection closes. Of a grace of 2 s a stop has 100 ms between cutting and its end; sixteen lines for four requests, which the test delays by 5 ms, took 76 to 84 ms of it until the requests had been handled, and 79 to 87 ms until all else had ended. Nothing else took more than some ms; the polls are ticks of 10 ms (internal/listener) and no others.

"attempt failed" repeated the back end, the events and the cause of "answer ended early", or of "further attempt" for an attempt beside another one, and is left out. Its address is in the list of back ends, and the parts of the prompt say nothing of a back end that the router has left.

Evidence: TestRequestCutAtEndOfStopTakesTwoLines failed before ("attempt failed" as a third line) and passes.

--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -71,6 +71,11 @@
 		// The line of the further attempt names it.
 		return
 	}
+	if isStopping(ctx) {
+		// The line on the early end names it, or that of the further attempt. Many are cut at once, while little of
+		// the grace is left.
+		return
+	}
 	ours := ""
 	if cause := context.Cause(ctx); cause != nil {
 		ours = cause.Error()
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -1,8 +1,12 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"log/slog"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +61,32 @@
 	}
 }
 
+// Guards against a stop whose last part passes with log lines that repeat each other.
+func TestRequestCutAtEndOfStopTakesTwoLines(t *testing.T) {
+	for path, last := range map[string]string{"/chat/x": "aborted: the router stops: context canceled", "/unsafe/x": "refused"} {
+		r := newRig(t)
+		var lines bytes.Buffer
+		r.handler.config.Logger = slog.New(slog.NewJSONHandler(&lines, nil))
+		r.add("app", "a", hangAfterOne)
+		r.add("llm", "e", hangAfterOne)
+		// The event has been forwarded by then.
+		time.AfterFunc(200*time.Millisecond, func() {
+			r.handler.Stop(time.Minute)
+			r.handler.EndRequests()
+		})
+		r.ask("POST", path, nil)
+		r.handler.AwaitRequests()
+		var messages []string
+		for line := range strings.Lines(lines.String()) {
+			var l struct{ Msg, Backend, Attempts string }
+			assert.NilError(t, json.Unmarshal([]byte(line), &l))
+			messages = append(messages, l.Msg)
+			assert.Check(t, l.Msg != "answer ended early" || l.Backend != "" && strings.HasPrefix(l.Attempts, l.Backend), line)
+		}
+		assert.DeepEqual(t, messages, []string{"answer ended early", last})
+	}
+}
+
 // Guards against requests that are read after the end of their router's stop and get no answer.
 func TestRequestAfterEndOfStopIsRefused(t *testing.T) {
 	r := newRig(t)
