listener: a shutdown ends after the lines on the requests that it ends

Callers: none; operators may have read "request ended without a response" behind "stopped", or not at all if the process had ended before.

Cause: the line is written after the connection has left the list that a shutdown waits for.

Now a closed connection with a request counts until the outcome of the request has been recorded and logged. Connections of servers with another protocol, which record none, are not counted.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -71,12 +71,14 @@
 
 	mu          sync.Mutex
 	connections map[*Conn]struct{}
-	refused     uint64
-	closeOnce   sync.Once
-	closeError  error
+	// unsettled are closed connections with a request whose outcome has not been recorded yet.
+	unsettled  map[*Conn]struct{}
+	refused    uint64
+	closeOnce  sync.Once
+	closeError error
 	// stopped is set once the listener accepts no connections any more.
 	stopped atomic.Bool
-	// empty receives when no connection is open any more; nil if nobody waits for that.
+	// empty receives when no connection is left; nil if nobody waits for that.
 	empty chan<- struct{}
 }
 
@@ -85,7 +87,7 @@
 	if config.Limits == nil {
 		config.Limits = DefaultLimits
 	}
-	l := &Listener{Listener: inner, guard: g, config: config, connections: map[*Conn]struct{}{}}
+	l := &Listener{Listener: inner, guard: g, config: config, connections: map[*Conn]struct{}{}, unsettled: map[*Conn]struct{}{}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listeners[l] = struct{}{}
@@ -184,11 +186,31 @@
 	}
 }
 
+// remove removes a closed connection.
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.connections, c)
-	if len(l.connections) > 0 {
+	if l.empty != nil && c.progress.arriving.Load() {
+		l.unsettled[c] = struct{}{}
+	}
+	l.signalEmpty()
+}
+
+// settled removes a closed connection whose last outcome has been recorded.
+func (l *Listener) settled(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.unsettled, c)
+	l.signalEmpty()
+}
+
+// left returns the number of connections that a shutdown waits for. The lock is held.
+func (l *Listener) left() int { return len(l.connections) + len(l.unsettled) }
+
+// signalEmpty wakes a shutdown if no connection is left. The lock is held.
+func (l *Listener) signalEmpty() {
+	if l.left() > 0 {
 		return
 	}
 	select {
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -88,6 +88,7 @@
 		c.markActive()
 	case http.StateClosed:
 		c.settle()
+		c.listener.settled(c)
 	case http.StateIdle:
 		c.settle()
 		c.releaseHead()
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -31,7 +31,7 @@
 	listeners []*Listener
 	// stoppedAt is when the first shutdown began, 0 for none.
 	stoppedAt time.Duration
-	// empty receives when a listener has no open connection left.
+	// empty receives when a listener has no connection left.
 	empty chan struct{}
 }
 
@@ -115,5 +115,5 @@
 			c.retire()
 		}
 	}
-	return len(l.connections)
+	return l.left()
 }
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -264,3 +265,31 @@
 	}
 	assert.Assert(t, least < shutdownInterval/2, "%v", least)
 }
+
+// slowLines is an output of log lines that take some time.
+type slowLines struct{ written atomic.Int32 }
+
+func (l *slowLines) Write(p []byte) (int, error) {
+	time.Sleep(200 * time.Millisecond)
+	l.written.Add(1)
+	return len(p), nil
+}
+
+// Guards against lines on requests that a stop ends and that are written after it, or lost with the process.
+func TestStopEndsAfterLinesOnItsRequests(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	s := serveWith(t, 8<<20, Config{}, func(*service) http.HandlerFunc {
+		return func(http.ResponseWriter, *http.Request) {
+			begun <- struct{}{}
+			time.Sleep(3 * shutdownInterval)
+			panic(http.ErrAbortHandler)
+		}
+	})
+	lines := &slowLines{}
+	s.guard.logger = slog.New(slog.NewTextHandler(lines, nil))
+	_, err := io.WriteString(s.dial(), getRequest)
+	assert.NilError(t, err)
+	<-begun
+	assert.NilError(t, <-s.stop(5*time.Second))
+	assert.Equal(t, lines.written.Load(), int32(1))
+}
