--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -70,7 +70,9 @@
 
 	mu          sync.Mutex
 	connections map[*Conn]struct{}
-	refused     uint64
+	// unsettled are closed connections with a request whose outcome has not been recorded yet.
+	unsettled map[*Conn]struct{}
+	refused   uint64
 	// accepting is the number of calls of Accept that may still add a connection, and accepted that of connections
 	// which such calls have returned.
 	accepting int
@@ -82,6 +84,8 @@
 	stoppedAt  time.Duration
 	closeOnce  sync.Once
 	closeError error
+	// empty receives when no connection is left; nil if nobody waits for that.
+	empty chan<- struct{}
 }
 
 // Listen wraps a listener.
@@ -89,7 +93,7 @@
 	if config.Limits == nil {
 		config.Limits = DefaultLimits
 	}
-	l := &Listener{Listener: inner, guard: g, config: config, connections: map[*Conn]struct{}{}}
+	l := &Listener{Listener: inner, guard: g, config: config, connections: map[*Conn]struct{}{}, unsettled: map[*Conn]struct{}{}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listeners[l] = struct{}{}
@@ -210,10 +214,38 @@
 	}
 }
 
+// remove removes a closed connection.
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.connections, c)
+	if l.empty != nil && c.progress.arriving.Load() {
+		l.unsettled[c] = struct{}{}
+	}
+	l.signalEmpty()
+}
+
+// settled removes a closed connection whose last outcome has been recorded.
+func (l *Listener) settled(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.unsettled, c)
+	l.signalEmpty()
+}
+
+// left returns the number of connections that a shutdown waits for, and of those that are being accepted. The lock is
+// held.
+func (l *Listener) left() int { return len(l.connections) + len(l.unsettled) + l.accepting }
+
+// signalEmpty wakes a shutdown if no connection is left. The lock is held.
+func (l *Listener) signalEmpty() {
+	if l.left() > 0 {
+		return
+	}
+	select {
+	case l.empty <- struct{}{}:
+	default:
+	}
 }
 
 // count returns the number of open connections and of refused ones.
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -63,7 +63,7 @@
 		}
 		c.serve(w, r, next, bodies)
 	})
-	return &Server{Server: server, guard: g}
+	return &Server{Server: server, guard: g, empty: make(chan struct{}, 1)}
 }
 
 // connOf returns the guarded connection that a connection wraps, nil if there is none.
@@ -88,6 +88,7 @@
 		c.markActive()
 	case http.StateClosed:
 		c.settle()
+		c.listener.settled(c)
 	case http.StateIdle:
 		c.settle()
 		c.releaseHead()
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -29,11 +29,14 @@
 
 	mu        sync.Mutex
 	listeners []*Listener
+	// empty receives when a listener has no connection left.
+	empty chan struct{}
 }
 
 // Listen wraps a listener that the server is to serve.
 func (s *Server) Listen(inner net.Listener, config Config) *Listener {
 	l := s.guard.Listen(inner, config)
+	l.empty = s.empty
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listeners = append(s.listeners, l)
@@ -59,6 +62,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-s.empty:
 		case <-tick.C:
 		}
 	}
@@ -132,5 +136,5 @@
 			c.retire()
 		}
 	}
-	return len(l.connections) + l.accepting
+	return l.left()
 }
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -267,3 +269,53 @@
 	assert.NilError(t, <-stopped)
 	s.awaitOutcomes(map[outcome]int{answered: 2})
 }
+
+// Guards against a stop that goes on after its last connection has ended.
+func TestStopEndsWithItsLastConnection(t *testing.T) {
+	least := time.Hour
+	for range 10 {
+		begun, release := make(chan struct{}, 1), make(chan struct{})
+		s := serveWith(t, 8<<20, Config{}, waitingHandler(begun, release))
+		c := s.dial()
+		_, err := io.WriteString(c, strings.Replace(getRequest, "GET /", "GET /wait", 1))
+		assert.NilError(t, err)
+		<-begun
+		stopped := s.stop(5 * time.Second)
+		// The connection ends right after a search for idle ones.
+		time.Sleep(3*shutdownInterval + shutdownInterval/10)
+		close(release)
+		assert.Equal(t, readStatus(t, c), http.StatusOK)
+		answered := time.Now()
+		assert.NilError(t, <-stopped)
+		least = min(least, time.Since(answered))
+	}
+	assert.Assert(t, least < shutdownInterval/2, "%v", least)
+}
+
+// slowLines is an output of log lines that take some time.
+type slowLines struct{ written atomic.Int32 }
+
+func (l *slowLines) Write(p []byte) (int, error) {
+	time.Sleep(200 * time.Millisecond)
+	l.written.Add(1)
+	return len(p), nil
+}
+
+// Guards against lines on requests that a stop ends and that are written after it, or lost with the process.
+func TestStopEndsAfterLinesOnItsRequests(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	s := serveWith(t, 8<<20, Config{}, func(*service) http.HandlerFunc {
+		return func(http.ResponseWriter, *http.Request) {
+			begun <- struct{}{}
+			time.Sleep(3 * shutdownInterval)
+			panic(http.ErrAbortHandler)
+		}
+	})
+	lines := &slowLines{}
+	s.guard.logger = slog.New(slog.NewTextHandler(lines, nil))
+	_, err := io.WriteString(s.dial(), getRequest)
+	assert.NilError(t, err)
+	<-begun
+	assert.NilError(t, <-s.stop(5*time.Second))
+	assert.Equal(t, lines.written.Load(), int32(1))
+}
