raft: messages are bounded by the bytes of their entries

Cause: a message was bounded by 256 entries, whatever their size. Entries of a message now have at most 1 MB of data together; one that is larger goes alone. What is left follows the reply, as behind 256 entries.

The format is unchanged, so older builds read the messages and send theirs.

--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -33,13 +33,19 @@
 	return term
 }
 
-// slice returns at most limit entries, starting with index from.
-func (l *log) slice(from uint64, limit int) []Entry {
+// slice returns at most limit entries with at most limitBytes of data, starting with index from. The
+// first entry is returned whatever its size.
+func (l *log) slice(from uint64, limit, limitBytes int) []Entry {
 	if from <= l.offset || from > l.last() {
 		return nil
 	}
 	entries := l.entries[from-l.offset-1:]
-	return slices.Clone(entries[:min(limit, len(entries))])
+	count, bytes := 1, len(entries[0].Data)
+	for count < min(limit, len(entries)) && bytes+len(entries[count].Data) <= limitBytes {
+		bytes += len(entries[count].Data)
+		count++
+	}
+	return slices.Clone(entries[:count])
 }
 
 // upTo returns the entries with from < index <= to.
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -115,7 +115,7 @@
 
 // logHolds reports whether the log still has the membership at its index.
 func (n *Node) logHolds(c membershipAt) bool {
-	entries := n.log.slice(c.index, 1)
+	entries := n.log.slice(c.index, 1, 0)
 	if len(entries) == 0 || entries[0].Kind != EntryMembership {
 		return false
 	}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -12,8 +12,11 @@
 // Limits of replication.
 const (
 	maxEntriesPerMessage = 256
-	maxInflightMessages  = 16
-	maxUncommitted       = 8192
+	// maxBytesPerMessage bounds the data of the entries of a message, unless it has only one. A
+	// message is encoded, sent and written between two heartbeats.
+	maxBytesPerMessage  = 1 << 20
+	maxInflightMessages = 16
+	maxUncommitted      = 8192
 	// compactionSlack is the number of entries before a snapshot that are retained, so that a
 	// follower that lags slightly does not need the snapshot.
 	compactionSlack = 200
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -16,6 +16,8 @@
 	now      time.Duration
 	nodes    map[uint64]*Node
 	isolated map[uint64]bool
+	// observe is called with each message, if it is set.
+	observe func(Message)
 }
 
 func newGroup(t *testing.T, ids ...uint64) *group {
@@ -56,6 +58,9 @@
 				r := n.Ready()
 				n.Advance(r)
 				for _, m := range r.Messages {
+					if g.observe != nil {
+						g.observe(m)
+					}
 					if to := g.nodes[m.To]; to != nil && !g.isolated[m.From] && !g.isolated[m.To] {
 						to.Step(g.now, m)
 					}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -168,7 +168,7 @@
 		n.sendSnapshot(id, p)
 		return
 	}
-	entries := n.log.slice(p.next, maxEntriesPerMessage)
+	entries := n.log.slice(p.next, maxEntriesPerMessage, maxBytesPerMessage)
 	n.send(Message{Type: MessageAppend, To: id, Index: previous, LogTerm: term, Entries: entries,
 		Commit: n.log.commit, SentAt: n.now})
 	p.inflight++
