--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -271,3 +271,28 @@
 	assert.Equal(t, returned.Role(), Follower)
 	assert.Equal(t, g.leader(), leader)
 }
+
+// Guards against a late snapshot that drops entries which the follower has acknowledged.
+func TestSnapshotThatLogHoldsDropsNoAcknowledgedEntries(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	follower := g.nodes[2]
+	entries := []Entry{{Index: 1, Term: 1, Kind: EntryNoOp}, {Index: 2, Term: 1, Kind: EntryCommand}, {Index: 3, Term: 1, Kind: EntryCommand}}
+	step := func(m Message) Ready {
+		m.From, m.To, m.Term = 1, 2, 1
+		follower.Step(g.now, m)
+		r := follower.Ready()
+		follower.Advance(r)
+		return r
+	}
+	acknowledged := step(Message{Type: MessageAppend, Entries: entries, Commit: 1})
+	assert.Equal(t, acknowledged.Messages[0].Index, uint64(3))
+	r := step(Message{Type: MessageInstallSnapshot, Snapshot: &Snapshot{Index: 2, Term: 1, Membership: Membership{Voters: []uint64{1, 2, 3}}}})
+	assert.Equal(t, follower.Status().LastIndex, uint64(3))
+	assert.Equal(t, follower.Status().Commit, uint64(2))
+	assert.Assert(t, r.Snapshot == nil)
+	assert.Equal(t, r.Messages[0].Index, uint64(2))
+	// A snapshot of another term at that index replaces the log.
+	r = step(Message{Type: MessageInstallSnapshot, Snapshot: &Snapshot{Index: 3, Term: 2, Membership: Membership{Voters: []uint64{1, 2, 3}}}})
+	assert.Equal(t, r.Snapshot.Index, uint64(3))
+	assert.Equal(t, follower.Status().FirstIndex, uint64(4))
+}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -135,6 +135,13 @@
 		n.send(reply)
 		return
 	}
+	if term, held := n.log.term(s.Index); held && term == s.Term {
+		// Later entries may have been acknowledged and must be retained.
+		n.log.commit = s.Index
+		reply.Index = s.Index
+		n.send(reply)
+		return
+	}
 	n.log.restore(s.Index, s.Term)
 	n.members = s.Membership.Clone()
 	n.memberships = []membershipAt{{index: s.Index, members: n.members}}
