storage: a data directory is opened without another copy of its log

Cause: each start wrote the whole log to a second file before it replaced the first, and left that file behind when there was no space. Now a start removes what an interrupted replacement left, truncates what follows the last complete batch, syncs the file (a killed process may have written records without a sync) and continues it. A replacement that has no space removes its file and is marked ErrNoSpace; the log is as it was and further writes are possible.

The format is unchanged.

--- a/internal/storage/lines.go
+++ b/internal/storage/lines.go
@@ -29,23 +29,27 @@
 }
 
 // decodeLog decodes the records of a log file. A last batch that a crash left incomplete was never
-// acknowledged and is dropped. Torn is the number of bytes from its first damaged record on. A
+// acknowledged and is dropped. Torn is the number of bytes after the last complete batch. A
 // damaged record in an earlier batch gives ErrCorrupt.
 func decodeLog(data []byte) (records []record, torn int, err error) {
+	torn = len(data)
 	for len(data) > 0 {
 		line, rest, complete := bytes.Cut(data, []byte{'\n'})
 		var r record
 		if complete && decodeLine(line, &r) {
 			records = append(records, r)
 			data = rest
+			if r.Remaining == 0 {
+				torn = len(data)
+			}
 			continue
 		}
 		if hasLaterBatch(rest, records) {
-			return records, len(data), errors.Wrapf(ErrCorrupt, "record %d", len(records)+1)
+			return records, torn, errors.Wrapf(ErrCorrupt, "record %d", len(records)+1)
 		}
-		return completeBatches(records), len(data), nil
+		break
 	}
-	return completeBatches(records), 0, nil
+	return completeBatches(records), torn, nil
 }
 
 // completeBatches returns the records without those of an incomplete last batch.
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -28,6 +28,9 @@
 // restarted.
 var ErrCorrupt = errors.New("stored state is corrupt")
 
+// ErrNoSpace marks a failure to replace a file for want of space. The file was not changed.
+var ErrNoSpace = errors.New("no space to replace a file")
+
 // record is one line of the log file. Exactly one of Hard and Entry is set.
 //
 // Records that are written and synced together form a batch. After a crash any part of the last
@@ -64,50 +67,116 @@
 	dir    string
 	log    vfs.File
 	failed error
-	// batches is the number of batches in the log file.
+	// batches is the number of the last batch in the log file.
 	batches uint64
+	// size is that of the log file, and replacedSize was that when it was last replaced, 0 if it
+	// has not been since the start.
+	size, replacedSize int64
+	// attemptedSize was the size after the last replacement or failure to replace the file.
+	attemptedSize int64
 	// Syncs and Bytes count the file syncs and the bytes written, for metrics.
 	Syncs uint64
 	Bytes uint64
 }
 
-// Open opens a data directory, creating it if needed, and returns the state stored in it.
+// Open opens a data directory, creating it if needed, and returns the state stored in it. It needs no
+// space for another copy of the log.
 func Open(fs vfs.FS, dir string) (*Storage, raft.StoredState, error) {
 	s := &Storage{fs: fs, dir: dir}
 	if err := makeDir(fs, dir); err != nil {
 		return nil, raft.StoredState{}, err
 	}
-	stored, _, err := Read(fs, dir)
+	if err := s.removeTemporary(); err != nil {
+		return nil, raft.StoredState{}, err
+	}
+	c, err := read(fs, dir)
 	if err != nil {
 		return nil, raft.StoredState{}, err
 	}
-	// Rewriting the log drops a torn tail and makes sure that every record is synced.
-	if err := s.rewrite(stored.HardState, stored.Entries); err != nil {
+	if len(c.stored.Entries) == 0 {
+		// What the file has precedes the snapshot or conflicts with it.
+		err = s.rewrite(c.stored.HardState, nil)
+	} else {
+		err = s.resume(c)
+	}
+	if err != nil {
 		return nil, raft.StoredState{}, err
 	}
-	return s, stored, nil
+	return s, c.stored, nil
+}
+
+// removeTemporary removes the files that interrupted replacements left.
+func (s *Storage) removeTemporary() error {
+	for _, name := range []string{logName, snapshotName} {
+		err := s.fs.Remove(s.fs.PathJoin(s.dir, name+tempSuffix))
+		if err != nil && !oserror.IsNotExist(err) {
+			return errors.Wrap(err, "remove temporary file")
+		}
+	}
+	return nil
+}
+
+// truncater is implemented by the files of the operating system.
+type truncater interface{ Truncate(size int64) error }
+
+// resume continues the log file behind its last complete batch.
+func (s *Storage) resume(c contents) error {
+	file, err := s.fs.OpenReadWrite(s.fs.PathJoin(s.dir, logName), vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	s.log, s.size, s.batches = file, c.size, c.batches
+	if c.torn > 0 {
+		t, ok := file.(truncater)
+		if !ok {
+			return s.rewrite(c.stored.HardState, c.stored.Entries)
+		}
+		if err := t.Truncate(c.size); err != nil {
+			return errors.Wrap(err, "truncate log")
+		}
+	}
+	// A process that was killed may have left records that are not synced.
+	if err := file.Sync(); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
+	s.Syncs++
+	return syncDir(s.fs, s.dir)
+}
+
+// contents is what a data directory holds.
+type contents struct {
+	stored raft.StoredState
+	// size is that of the complete batches of the log, batches the number of the last one, and
+	// torn the number of bytes that follow.
+	size    int64
+	batches uint64
+	torn    int
 }
 
 // Read returns the state stored in a data directory without changing it. Torn is the number of
-// bytes at the end of the log that could not be decoded.
+// bytes at the end of the log that are not of a complete batch.
 func Read(fs vfs.FS, dir string) (stored raft.StoredState, torn int, err error) {
-	snapshot, err := readSnapshot(fs, fs.PathJoin(dir, snapshotName))
-	if err != nil {
-		return stored, 0, err
+	c, err := read(fs, dir)
+	return c.stored, c.torn, err
+}
+
+func read(fs vfs.FS, dir string) (c contents, err error) {
+	if c.stored.Snapshot, err = readSnapshot(fs, fs.PathJoin(dir, snapshotName)); err != nil {
+		return c, err
 	}
-	stored.Snapshot = snapshot
 	data, err := readFile(fs, fs.PathJoin(dir, logName))
 	if err != nil {
-		return stored, 0, err
+		return c, err
 	}
 	records, torn, err := decodeLog(data)
+	c.torn, c.size = torn, int64(len(data)-torn)
 	if err != nil {
-		return stored, torn, errors.Wrap(err, logName)
+		return c, errors.Wrap(err, logName)
 	}
-	if err := replay(&stored, records); err != nil {
-		return stored, torn, err
+	if count := len(records); count > 0 {
+		c.batches = records[count-1].Batch
 	}
-	return stored, torn, nil
+	return c, replay(&c.stored, records)
 }
 
 // replay builds the stored state from the log's records.
@@ -196,9 +265,10 @@
 }
 
 func (s *Storage) appendSynced(lines []byte) error {
-	if _, err := s.log.Write(lines); err != nil {
+	if _, err := s.log.WriteAt(lines, s.size); err != nil {
 		return errors.Wrap(err, "write log")
 	}
+	s.size += int64(len(lines))
 	if err := s.log.SyncData(); err != nil {
 		return errors.Wrap(err, "sync log")
 	}
@@ -208,23 +278,39 @@
 }
 
 // SaveSnapshot makes a snapshot durable and then replaces the log with the given entries, which
-// follow the snapshot or overlap it.
+// follow the snapshot or overlap it. After an error with the mark ErrNoSpace the log is unchanged and
+// further writes are possible.
 func (s *Storage) SaveSnapshot(snapshot *raft.Snapshot, hard raft.HardState, entries []raft.Entry) error {
 	if s.failed != nil {
 		return s.failed
 	}
-	if s.failed = s.writeSnapshot(snapshot); s.failed != nil {
-		return s.failed
+	err := s.writeSnapshot(snapshot)
+	if err == nil {
+		err = s.rewrite(hard, entries)
 	}
-	s.failed = s.rewrite(hard, entries)
-	return s.failed
+	if errors.Is(err, ErrNoSpace) {
+		s.attemptedSize = s.size
+		return err
+	}
+	s.failed = err
+	return err
+}
+
+// LogGrowth returns the bytes by which the log has grown since SaveSnapshot or the start, and the
+// size of the log when it was last replaced, 0 if it has not been since the start.
+func (s *Storage) LogGrowth() (grown, replaced int64) {
+	return s.size - s.attemptedSize, s.replacedSize
 }
 
 // rewrite replaces the log file with one that has only these records.
 func (s *Storage) rewrite(hard raft.HardState, entries []raft.Entry) error {
+	batches := s.batches
 	s.batches = 0
-	file, err := s.replace(logName, s.encodeBatch(&hard, entries))
+	lines := s.encodeBatch(&hard, entries)
+	size := int64(len(lines))
+	file, err := s.replace(logName, lines)
 	if err != nil {
+		s.batches = batches
 		return err
 	}
 	if s.log != nil {
@@ -232,7 +318,7 @@
 			return errors.Wrap(err, "close old log")
 		}
 	}
-	s.log = file
+	s.log, s.size, s.replacedSize, s.attemptedSize = file, size, size, size
 	return nil
 }
 
@@ -256,18 +342,18 @@
 }
 
 // replaceFile replaces a file atomically: it writes and syncs a temporary file, renames it and
-// syncs the directory. It returns the file, open for appending.
+// syncs the directory. It returns the file, open for writing.
 func replaceFile(fs vfs.FS, dir, name string, data []byte) (vfs.File, error) {
 	path := fs.PathJoin(dir, name)
-	file, err := fs.Create(path+tempSuffix, vfs.WriteCategoryUnspecified)
+	file, err := createFile(fs, path+tempSuffix, data)
 	if err != nil {
-		return nil, errors.Wrapf(err, "create %s", name)
-	}
-	if _, err := file.Write(data); err != nil {
-		return nil, errors.Wrapf(err, "write %s", name)
-	}
-	if err := file.Sync(); err != nil {
-		return nil, errors.Wrapf(err, "sync %s", name)
+		// What was written takes space that others need. Open removes it if this fails.
+		_ = fs.Remove(path + tempSuffix)
+		err = errors.Wrapf(err, "replace %s", name)
+		if vfs.IsNoSpaceError(err) {
+			err = errors.Mark(err, ErrNoSpace)
+		}
+		return nil, err
 	}
 	if err := fs.Rename(path+tempSuffix, path); err != nil {
 		return nil, errors.Wrapf(err, "rename %s", name)
@@ -275,6 +361,23 @@
 	return file, syncDir(fs, dir)
 }
 
+// createFile writes and syncs a new file, which it closes on an error.
+func createFile(fs vfs.FS, path string, data []byte) (vfs.File, error) {
+	file, err := fs.Create(path, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return nil, errors.Wrap(err, "create")
+	}
+	if _, err = file.Write(data); err != nil {
+		err = errors.Wrap(err, "write")
+	} else if err = file.Sync(); err != nil {
+		err = errors.Wrap(err, "sync")
+	}
+	if err != nil {
+		return nil, errors.CombineErrors(err, file.Close())
+	}
+	return file, nil
+}
+
 // makeDir creates the data directory if needed. It syncs the parent, since a crash could
 // otherwise lose the directory with the files in it.
 func makeDir(fs vfs.FS, dir string) error {
