storage: a failed open closes its log

A start that fails after the log was opened (a sync that fails) is repeated each 0.3 s and left a descriptor open each time. By reading; no test.

--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -100,7 +100,7 @@
 		err = s.resume(c)
 	}
 	if err != nil {
-		return nil, raft.StoredState{}, err
+		return nil, raft.StoredState{}, errors.CombineErrors(err, s.Close())
 	}
 	return s, c.stored, nil
 }
@@ -399,7 +399,12 @@
 }
 
 // Close closes the log file.
-func (s *Storage) Close() error { return errors.Wrap(s.log.Close(), "close log") }
+func (s *Storage) Close() error {
+	if s.log == nil {
+		return nil
+	}
+	return errors.Wrap(s.log.Close(), "close log")
+}
 
 func readSnapshot(fs vfs.FS, path string) (*raft.Snapshot, error) {
 	data, err := readFile(fs, path)
