control: the log is compacted by bytes as well as by entries

At most 2 MiB of entries are retained. A compaction that has no space is logged and leaves the node at work; the next one is tried 4 MiB later. Files and messages have the format that they had.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -31,6 +31,8 @@
 	SnapshotEvery uint64
 	// Lease is the duration of a router's lease.
 	Lease time.Duration
+	// OnNoSpace is called when the log could not be compacted for want of space. It may be nil.
+	OnNoSpace func(error)
 	// Bootstrap holds the operators whose signatures are valid before the first bundle.
 	Bootstrap state.Trust
 }
@@ -223,19 +225,34 @@
 // claimsPerEntry is the number of stored claims that raise the snapshot interval by one entry.
 const claimsPerEntry = 4
 
-// maybeSnapshot takes a snapshot when enough entries were applied and their total size has
-// reached that of the last snapshot. The second condition keeps the bytes written for
-// snapshots proportional to the size of the log, also while the state grows.
+// maxLogGrowth is the number of bytes by which the log may grow before it is compacted, however few
+// its entries are: disks are small, and a start reads the whole log.
+const maxLogGrowth = 4 << 20
+
+// maybeSnapshot takes a snapshot when the log has grown enough by entries or by bytes.
 func (c *Core) maybeSnapshot() error {
-	applied := c.machine.Applied()
-	every := max(c.config.SnapshotEvery, uint64(c.machine.ClaimCount()/claimsPerEntry))
-	if applied < c.snapshotAt+every || c.logBytes < c.snapshotBytes {
+	if !c.hasManyEntries() && !c.hasManyBytes() {
 		return nil
 	}
 	return c.Snapshot()
 }
 
-// Snapshot persists the current state and compacts the log.
+// hasManyEntries reports whether enough entries were applied since the last snapshot and their total
+// size has reached that of the snapshot. The second condition keeps the bytes written for
+// snapshots proportional to the size of the log, also while the state grows.
+func (c *Core) hasManyEntries() bool {
+	every := max(c.config.SnapshotEvery, uint64(c.machine.ClaimCount()/claimsPerEntry))
+	return c.machine.Applied() >= c.snapshotAt+every && c.logBytes >= c.snapshotBytes
+}
+
+// hasManyBytes reports whether the log has grown by maxLogGrowth, and by as much as a compaction writes.
+func (c *Core) hasManyBytes() bool {
+	grown, compacted := c.store.LogGrowth()
+	return c.machine.Applied() > c.snapshotAt && grown >= max(maxLogGrowth, compacted, int64(c.snapshotBytes))
+}
+
+// Snapshot persists the current state and compacts the log. If there is no space for that, the log
+// remains as it is until the next snapshot is due.
 func (c *Core) Snapshot() error {
 	applied := c.machine.Applied()
 	data, err := c.machine.Snapshot()
@@ -245,5 +262,12 @@
 	s := &raft.Snapshot{Index: applied, Term: c.node.Term(applied), Membership: c.node.MembershipAt(applied), Data: data}
 	c.node.Compact(s)
 	c.snapshotAt, c.snapshotBytes, c.logBytes = applied, len(data), 0
-	return c.store.SaveSnapshot(s, c.hard, c.node.Stable())
+	err = c.store.SaveSnapshot(s, c.hard, c.node.Stable())
+	if !errors.Is(err, storage.ErrNoSpace) {
+		return err
+	}
+	if c.config.OnNoSpace != nil {
+		c.config.OnNoSpace(err)
+	}
+	return nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -94,6 +94,7 @@
 		Initial:       initial,
 		SnapshotEvery: s.settings.SnapshotEvery,
 		Lease:         s.settings.RouterLease,
+		OnNoSpace:     func(err error) { s.logger.Error("log not compacted for want of space", "error", err.Error()) },
 		Bootstrap:     state.Trust{Operators: s.settings.Operators, Approvals: s.settings.Approvals},
 	}
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -144,6 +144,9 @@
 		},
 		Initial:       s.identity.Initial,
 		SnapshotEvery: snapshotEvery,
+		OnNoSpace: func(err error) {
+			s.logger.Error("log not compacted for want of space", "part", "coordinator", "error", err.Error())
+		},
 	}
 }
 
--- a/internal/raft/bytes_test.go
+++ b/internal/raft/bytes_test.go
@@ -54,3 +54,25 @@
 		assert.Equal(t, g.leader(), leader)
 	}
 }
+
+// Guards against a compacted log that retains entries without a bound on their bytes.
+func TestCompactionRetainsBoundedBytes(t *testing.T) {
+	for _, test := range []struct{ size, retained int }{
+		{2, compactionSlack}, {700 << 10, 2}, {2 << 20, 1}, {2<<20 + 1, 0},
+	} {
+		g := newGroup(t, 1, 2, 3)
+		g.advance(4 * time.Second)
+		leader := g.leader()
+		g.proposeBytes(leader, compactionSlack+10, test.size)
+		applied := leader.Status().Applied
+		leader.Compact(&Snapshot{Index: applied, Term: leader.Term(applied), Membership: leader.MembershipAt(applied)})
+		assert.Equal(t, leader.Status().LastIndex-leader.Status().FirstIndex+1, uint64(test.retained), "%d bytes each", test.size)
+		assert.Equal(t, len(leader.Stable()), test.retained)
+		// Replication goes on from there.
+		g.proposeBytes(leader, 3, test.size)
+		g.advance(time.Second)
+		for _, n := range g.nodes {
+			assert.Equal(t, n.Status().Applied, applied+3)
+		}
+	}
+}
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -48,6 +48,19 @@
 	return slices.Clone(entries[:count])
 }
 
+// before returns the index before the last entries up to index, which are at most limit with at most
+// limitBytes of data.
+func (l *log) before(index uint64, limit, limitBytes int) uint64 {
+	for ; index > l.offset && limit > 0; index-- {
+		limitBytes -= len(l.entries[index-l.offset-1].Data)
+		if limitBytes < 0 {
+			break
+		}
+		limit--
+	}
+	return index
+}
+
 // upTo returns the entries with from < index <= to.
 func (l *log) upTo(from, to uint64) []Entry {
 	if to <= from {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -18,8 +18,10 @@
 	maxInflightMessages = 16
 	maxUncommitted      = 8192
 	// compactionSlack is the number of entries before a snapshot that are retained, so that a
-	// follower that lags slightly does not need the snapshot.
-	compactionSlack = 200
+	// follower that lags slightly does not need the snapshot. compactionSlackBytes bounds their data,
+	// which the log on disk has as well.
+	compactionSlack      = 200
+	compactionSlackBytes = 2 << 20
 )
 
 // Config holds the settings of a Node.
@@ -311,9 +313,7 @@
 // entry that was dropped.
 func (n *Node) Compact(s *Snapshot) uint64 {
 	n.snapshot = s
-	if s.Index > compactionSlack {
-		n.log.compact(min(s.Index-compactionSlack, n.log.applied))
-	}
+	n.log.compact(min(n.log.before(s.Index, compactionSlack, compactionSlackBytes), n.log.applied))
 	return n.log.offset
 }
 
