storage: a batch whose sync failed is written again when the log is opened

What callers could see: an acknowledged change that is lost with the machine. After a sync that fails the system holds the pages for written; the next process reads the batch, and a sync alone writes nothing. Now a start writes the last complete batch again, in place, before it syncs: after a sync that failed no further batch is written, so that no other one can be affected.

--- a/internal/storage/lines.go
+++ b/internal/storage/lines.go
@@ -65,6 +65,15 @@
 	return records[:count]
 }
 
+// lastBatch returns the lines of the last batch of a log of complete batches.
+func lastBatch(log []byte, records []record) []byte {
+	start := len(log)
+	for i := len(records) - 1; i >= 0 && records[i].Batch == records[len(records)-1].Batch; i-- {
+		start = bytes.LastIndexByte(log[:start-1], '\n') + 1
+	}
+	return log[start:]
+}
+
 // hasLaterBatch reports whether data has a valid record of a batch after the damaged one, which is
 // the batch that follows or continues the records before.
 func hasLaterBatch(data []byte, before []record) bool {
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -135,11 +135,16 @@
 			return errors.Wrap(err, "truncate log")
 		}
 	}
-	// A process that was killed may have left records that are not synced.
+	// A process that was killed may have left records that are not synced. After a sync that failed the system
+	// may hold the last batch for written, which another sync alone does not write.
+	if _, err := file.WriteAt(c.last, c.size-int64(len(c.last))); err != nil {
+		return errors.Wrap(err, "write last batch")
+	}
 	if err := file.Sync(); err != nil {
 		return errors.Wrap(err, "sync log")
 	}
 	s.Syncs++
+	s.Bytes += uint64(len(c.last))
 	return syncDir(s.fs, s.dir)
 }
 
@@ -151,6 +156,8 @@
 	size    int64
 	batches uint64
 	torn    int
+	// last are the lines of the last complete batch.
+	last []byte
 }
 
 // Read returns the state stored in a data directory without changing it. Torn is the number of
@@ -175,6 +182,7 @@
 	}
 	if count := len(records); count > 0 {
 		c.batches = records[count-1].Batch
+		c.last = lastBatch(data[:c.size], records)
 	}
 	return c, replay(&c.stored, records)
 }
