upstream: what the response to a status request shows

Four faults in the status request that identifies starts and confirms further attempts, by review: - The start time of a response that ends its connection was not looked at, and the next connection was not asked: a stream could begin at a later start (TestBackendThatKeepsNoConnectionIsServedWhereItsStartIsExpected, "later start" and "later start on the next", served before). Now both connections are asked, and a third one is used if both named the intended start. - A rejected status (429, 503) ended an attempt whose start does not count, although it shows that the back end responds ("rejects the status" of TestConfirmedRequestIsSentOnlyToBackendThatResponds, not sent before). - A kept connection that the back end had closed as idle ended the attempt (TestStatusRequestOnClosedConnectionIsRepeatedOnAnother); another connection is tried now. - A watch of the status request read the request's pool beside its next attempt (race, by reading; no test).

--- a/internal/upstream/identify.go
+++ b/internal/upstream/identify.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
@@ -38,10 +39,6 @@
 	errNotKept = fmt.Errorf("the back end closes the connection after its status: %w", errUnsuitable)
 )
 
-// question is what a status request on a connection is to tell: which start serves, and whether the back end
-// responds at all.
-type question struct{ start, confirm bool }
-
 // Status is the request with which a router asks a back end for its start time.
 type Status struct {
 	// Target is the path of the request, and InstanceHeader the header that names the intended instance.
@@ -57,25 +54,28 @@
 // request is meant for.
 func (p *Pool) connect(ctx context.Context, address string, r *Request) (*connection, error) {
 	var err error
-	ask := question{start: true, confirm: r.Confirm}
 	for range maxIdentified {
 		var c *connection
 		if c, err = p.take(ctx, address, r); err != nil {
 			return nil, err
 		}
 		c.setPatience(r.Patience)
-		if err = p.identify(ctx, address, c, r, ask); err == nil {
+		if err = p.identify(ctx, address, c, r); err == nil {
 			return c, nil
 		}
 		_ = c.Close()
-		if errors.Is(err, errNotKept) {
-			// The back end may close each connection after a response, and it has responded.
-			ask = question{start: !r.Expected}
-		}
 		if !errors.Is(err, errUnsuitable) {
 			break
 		}
 	}
+	if errors.Is(err, errNotKept) && (r.Born == 0 || r.Expected) {
+		// The back end closes each connection after a response. It responds, and nothing shows another start.
+		c, err := p.take(ctx, address, r)
+		if err == nil {
+			c.setPatience(r.Patience)
+		}
+		return c, err
+	}
 	return nil, &callError{kind: ErrNotSent, cause: err}
 }
 
@@ -83,31 +83,48 @@
 // another one: a process is the same for the life of a connection, while names and addresses may be taken by
 // others before their first heartbeat. Confirm asks in any case. A back end with a limit counts such calls, so that
 // it is not asked.
-func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request, ask question) error {
-	if !ask.confirm && (r.Born == 0 || !ask.start) || r.Permit.Limited() || p.status.Born == nil {
+func (p *Pool) identify(ctx context.Context, address string, c *connection, r *Request) error {
+	if (r.Born == 0 && !r.Confirm) || r.Permit.Limited() || p.status.Born == nil {
 		return nil
 	}
-	if !c.asked || ask.confirm {
-		born, err := p.requestBorn(ctx, address, c, r)
+	kept := true
+	if !c.asked || r.Confirm {
+		status, err := p.requestStatus(ctx, address, c, r)
+		if c.reused && isClosed(err) {
+			// It may have been closed as idle.
+			err = fmt.Errorf("%w: %w", errUnsuitable, err)
+		}
 		if err != nil {
 			return fmt.Errorf("identify start: %w", err)
 		}
 		p.Identified.Add(1)
-		c.born, c.asked = born, true
+		c.born, c.asked, kept = status.born, true, status.kept
 	}
 	switch {
-	case r.Born == 0:
-		return nil
-	case c.born > r.Born:
+	case r.Born != 0 && c.born > r.Born:
 		return ErrOtherStart
-	case c.born != 0 && c.born < r.Born:
+	case r.Born != 0 && c.born != 0 && c.born < r.Born:
 		return errUnsuitable
+	case !kept:
+		return errNotKept
 	}
 	// A back end that names no start time cannot be told from one that has taken its name.
 	return nil
 }
 
-func (p *Pool) requestBorn(ctx context.Context, address string, c *connection, r *Request) (state.UnixMilli, error) {
+// isClosed reports whether an error shows that the back end has closed the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// status is the response to a status request: the start time that it names, 0 if none, and whether the connection
+// is kept.
+type status struct {
+	born state.UnixMilli
+	kept bool
+}
+
+func (p *Pool) requestStatus(ctx context.Context, address string, c *connection, r *Request) (status, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(r.Patience, identifyTimeout))
 	defer cancel()
 	defer r.holdUnidentified()()
@@ -142,44 +159,47 @@
 	}
 }
 
-// exchangeStatus sends the status request and returns the start time in its response.
-func (p *Pool) exchangeStatus(ctx context.Context, address string, c *connection, r *Request) (state.UnixMilli, error) {
+// exchangeStatus sends the status request and returns its response.
+func (p *Pool) exchangeStatus(ctx context.Context, address string, c *connection, r *Request) (out status, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	a := &BackendResponse{pool: p, address: address, connection: c}
 	header := http.Header{}
 	header.Set(p.status.InstanceHeader, r.Instance)
-	status := &Request{Method: http.MethodGet, Target: p.status.Target, Host: address, Header: header, Backend: r.Backend, Instance: r.Instance, Allowed: r.Allowed}
+	ask := &Request{Method: http.MethodGet, Target: p.status.Target, Host: address, Header: header, Backend: r.Backend, Instance: r.Instance, Allowed: r.Allowed}
 	if r.awaitsStatus() {
-		started := clock.Now()
-		a.onStall = func() { p.observe(ctx, r.Backend.Pool, started, errUnacknowledged) }
+		pool, started := r.Backend.Pool, clock.Now()
+		a.onStall = func() { p.observe(ctx, pool, started, errUnacknowledged) }
 		defer p.watchAcknowledgement(a, r.OnHeld)()
 	}
-	if err := a.exchange(ctx, status); err != nil {
-		return 0, err
+	if err := a.exchange(ctx, ask); err != nil {
+		return out, err
 	}
 	body, err := io.ReadAll(io.LimitReader(a, maxStatus))
+	rejected := a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable
 	switch {
 	case err != nil:
-		return 0, err
+		return out, err
 	case a.StatusCode == http.StatusMisdirectedRequest:
-		return 0, ErrOtherStart
-	case a.StatusCode == http.StatusTooManyRequests || a.StatusCode == http.StatusServiceUnavailable:
-		return 0, fmt.Errorf("%w: status %d", ErrNotIdentified, a.StatusCode)
+		return out, ErrOtherStart
+	case rejected && r.Born != 0:
+		return out, fmt.Errorf("%w: status %d", ErrNotIdentified, a.StatusCode)
 	case !stop():
-		return 0, context.Cause(ctx)
-	case !a.reusable():
-		return 0, errNotKept
-	case a.StatusCode != http.StatusOK:
-		// The back end has no such request.
-		return 0, nil
+		return out, context.Cause(ctx)
+	}
+	out.kept = a.reusable()
+	if a.StatusCode != http.StatusOK || r.Born == 0 {
+		// The back end has no such request, or its response alone counts.
+		return out, nil
 	}
-	return p.status.Born(body)
+	out.born, err = p.status.Born(body)
+	return out, err
 }
 
 // take returns an idle connection to an address, or a new one.
 func (p *Pool) take(ctx context.Context, address string, r *Request) (*connection, error) {
 	if c := p.takeIdle(address, r.NonIdempotent); c != nil {
+		c.reused = true
 		return c, nil
 	}
 	// The alarm may still run when the caller changes the request for its next attempt.
--- a/internal/upstream/identify_test.go
+++ b/internal/upstream/identify_test.go
@@ -25,6 +25,8 @@
 type identified struct {
 	*backend
 	asked, served atomic.Int32
+	// closesAfter is the number of the status request at which it closes the connection; 0 for none.
+	closesAfter int32
 }
 
 func startIdentified(t testing.TB, statuses ...string) *identified {
@@ -38,7 +40,11 @@
 			}
 			response := responseTo(r.Header.Get(idHeader), "served")
 			if r.URL.Path == "/status" {
-				response = statuses[min(int(out.asked.Add(1)), len(statuses))-1]
+				number := out.asked.Add(1)
+				if number == out.closesAfter {
+					return
+				}
+				response = statuses[min(int(number), len(statuses))-1]
 			} else {
 				out.served.Add(1)
 			}
@@ -114,20 +120,52 @@
 	}
 }
 
-// Guards against a back end that gets no streams because it closes each connection after a response.
+// Guards against a back end that gets no streams because it closes each connection after a response, and against
+// streams at another start that does.
 func TestBackendThatKeepsNoConnectionIsServedWhereItsStartIsExpected(t *testing.T) {
-	last := strings.Replace(responseTo("", "5"), "Content-Length", "Connection: close\r\nContent-Length", 1)
-	b, p := startIdentified(t, last), newIdentifyingPool()
+	closing := func(born string) string {
+		return strings.Replace(responseTo("", born), "Content-Length", "Connection: close\r\nContent-Length", 1)
+	}
+	for name, c := range map[string]struct {
+		statuses        []string
+		want            error
+		accepted, asked int32
+	}{
+		"intended start":                   {[]string{closing("5")}, nil, 3, 2},
+		"later start":                      {[]string{closing("6")}, ErrOtherStart, 1, 1},
+		"later start on the next":          {[]string{closing("5"), responseTo("", "6")}, ErrOtherStart, 2, 2},
+		"earlier start, then the intended": {[]string{closing("4"), closing("5")}, nil, 3, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, p := startIdentified(t, c.statuses...), newIdentifyingPool()
+			r := request("1")
+			r.Born, r.Expected, r.Backend = 5, true, pushback.Backend{ID: "b"}
+			_, _, err := p.Call(context.Background(), b.address, r, 100)
+			assert.Assert(t, errors.Is(err, c.want), "%v", err)
+			assert.Equal(t, b.served.Load() == 1, c.want == nil)
+			assert.Equal(t, b.asked.Load(), c.asked)
+			assert.Equal(t, b.accepted.Load(), c.accepted)
+		})
+	}
+}
+
+// Guards against a back end that is taken for lost because it closes a kept connection as idle.
+func TestStatusRequestOnClosedConnectionIsRepeatedOnAnother(t *testing.T) {
+	b, p := startIdentified(t, responseTo("", "5"), "", responseTo("", "5")), newIdentifyingPool()
+	b.closesAfter = 2
 	r := request("1")
-	r.Born, r.Expected, r.Backend = 5, true, pushback.Backend{ID: "b"}
-	_, _, err := p.Call(context.Background(), b.address, r, 100)
-	assert.NilError(t, err)
-	assert.Equal(t, b.asked.Load(), int32(1))
+	r.Born, r.Confirm, r.Backend = 5, true, pushback.Backend{ID: "b"}
+	for range 2 {
+		_, _, err := p.Call(context.Background(), b.address, r, 100)
+		assert.NilError(t, err)
+	}
 	assert.Equal(t, b.accepted.Load(), int32(2))
+	assert.Equal(t, b.served.Load(), int32(2))
 }
 
 // Guards against requests that are sent, as the last ones allowed, to a back end that has just stopped.
 func TestConfirmedRequestIsSentOnlyToBackendThatResponds(t *testing.T) {
+	const rejected = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 	last := strings.Replace(responseTo("", "5"), "Content-Length", "Connection: close\r\nContent-Length", 1)
 	cases := map[string]struct {
 		statuses        []string
@@ -137,7 +175,8 @@
 	}{
 		"responds, asked before":         {[]string{responseTo("", "5")}, 5, 1, 2, true},
 		"responds, start does not count": {[]string{responseTo("", "5")}, 0, 1, 2, true},
-		"closes after each response":     {[]string{last}, 0, 3, 2, true},
+		"closes after each response":     {[]string{last}, 0, 5, 4, true},
+		"rejects the status":             {[]string{rejected}, 0, 1, 2, true},
 		"has stopped since":              {[]string{responseTo("", "5"), ""}, 0, 1, 2, false},
 	}
 	for name, c := range cases {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -224,6 +224,8 @@
 	// the process was asked for it.
 	born  state.UnixMilli
 	asked bool
+	// reused is set once the connection was idle.
+	reused bool
 	// userTimeout is the user timeout in force.
 	userTimeout time.Duration
 	// memory is the budget that the connection is charged to until it is closed.
