forward: a further attempt that waits for its status needs one retry

What callers saw: a stream that ended although an engine had room. A hedge took a retry of the budget before its status request; if that took more than 0.5 s, it asked for another one before its request was written, and waited without it until the silent attempt had ended. Meanwhile no other hedge began. The retry goes back to the request once the attempt waits.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"quinceridge.example/quinceridge/internal/backends"
@@ -43,7 +44,7 @@
 	// hold is set while the hedge keeps the silent attempt from running beside it.
 	hold *hold
 	// granted is set if the attempt has taken a retry from the budget.
-	granted bool
+	granted atomic.Bool
 	// ran counts the attempts that may have run, and uncounted is set while the last one is missing there.
 	// The lock of the race guards them.
 	ran       int
@@ -236,7 +237,7 @@
 		err = errNoBackend
 	case errors.Is(g.cause, errUnidentified):
 		// The request has not been sent, and one of the attempts waits for the other.
-		g.granted = false
+		g.granted.Store(false)
 		h.config.Pool.Unreachable(h.now(), g.from.choice.ID)
 	case !h.takeRetry(g.ctx, j):
 		err = errNoBudget
@@ -244,7 +245,7 @@
 		j.retry.giveBack()
 		err = errReadsOn
 	default:
-		g.granted = true
+		g.granted.Store(true)
 	}
 	if err == nil && g.ctx.Err() != nil {
 		g.giveBack()
@@ -256,11 +257,10 @@
 	return choice, err
 }
 
-// giveBack returns the retry of an attempt that was not delivered.
+// giveBack returns the retry of an attempt that was not delivered, or waits for others. A nil hedge has none.
 func (g *hedge) giveBack() {
-	if g.granted {
+	if g != nil && g.granted.Swap(false) {
 		g.session.job.retry.giveBack()
-		g.granted = false
 	}
 }
 
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -47,6 +47,7 @@
 	switch why {
 	case upstream.Unidentified:
 		r.holdBack(a)
+		a.session.hedge.giveBack()
 		r.hedge(a, errUnidentified)
 		return true
 	case upstream.Unacknowledged:
