--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -35,6 +35,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !a.unsent {
+		a.admitted()
 		return nil
 	}
 	r.waiting++
@@ -67,10 +68,17 @@
 			r.mu.Lock()
 		}
 	}
+	a.admitted()
+	return nil
+}
+
+// admitted records that the request is about to be written. The status request may have taken a while. The lock of
+// the race is held.
+func (a *attempt) admitted() {
+	a.written = true
 	if a.relay == "" {
 		a.handler.setDeadline(a.session.job)
 	}
-	return nil
 }
 
 // mayRun reports whether the route permits an attempt to run beside a number of others. The lock is held.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,9 +46,9 @@
 	// hold is set while a hedge that may not run beside the attempt keeps its request from being written
 	// on. The same lock guards it.
 	hold *hold
-	// unsent is set while the request is not written unless admit allows it, and silent once the back end
-	// has been silent. The same lock guards them.
-	unsent, silent bool
+	// unsent is set while the request is not written unless admit allows it, written once it may have been, and
+	// silent once the back end has been silent. The same lock guards them.
+	unsent, written, silent bool
 	// silenceReported is set once the attempt has been reported as one at a stopped engine.
 	silenceReported atomic.Bool
 	// onClose are called in reverse order when the attempt ends.
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -277,7 +277,7 @@
 	r.spent.trace = append(r.spent.trace, g.session.job.trace...)
 	r.spent.prefills = append(r.spent.prefills, g.session.job.prefills...)
 	switch {
-	case g.last == nil:
+	case g.last == nil, !g.last.written && g.last.relay == "":
 	case g.last.relay != "":
 		r.vainRelays++
 	case !slices.Contains(r.vain, g.last.choice.ID):
