coordinator: a silent voter gives way to a ready learner after 1.5 s

Cause: a voter was removed after 5 s of silence, which each new leader counts anew; with the leader among the lost ones three of five voters were lost before the first was removed, while learners were ready. docs/incidents/2026-12-05-lost-voters.md.

--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -14,8 +14,9 @@
 	// until a voter is lost.
 	targetVoters = 5
 	// lostVoterSeconds is the time without contact, in seconds, after which a voter is replaced
-	// by a learner.
-	lostVoterSeconds = 5.0
+	// by a learner. It is a few election time-outs: each new leader counts it anew, and the next
+	// voter may be lost meanwhile. A voter that returns joins again.
+	lostVoterSeconds = 1.5
 	joinInterval     = 250 * time.Millisecond
 )
 
