--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -46,8 +46,10 @@
 	// PromptScopes adds the tenants to configurations, and to views the scope of the prompts that tenants
 	// share.
 	PromptScopes Level = 12
+	// PlacedStarts adds to placements the start time of the engine.
+	PlacedStarts Level = 13
 )
 
 // Current is the level of this build. Each change of a format must raise it, which the test of
 // this package enforces.
-const Current = PromptScopes
+const Current = PlacedStarts
