listener: tests of stops share their steps, and one asserts what its client gets

TestIdleLimitKeepsRequestThatIsBeingRead looked at a field of the connection; it sends a request and wants its answer. Comments of Bind and of the backlog's bound.

--- a/internal/listener/backlog.go
+++ b/internal/listener/backlog.go
@@ -15,7 +15,7 @@
 	// backlogInterval is the time between two looks at a backlog.
 	backlogInterval = time.Millisecond
 	// backlogLooks is the number of looks in a row at which nothing was accepted, after which a shutdown does not
-	// wait for the rest. A time would pass also while the whole process stands still.
+	// wait for the rest. Looks are counted, since time passes while the process is suspended.
 	backlogLooks = 1000
 )
 
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -37,8 +37,8 @@
 
 type connKey struct{}
 
-// Bind makes an HTTP server count its requests. Its connections must come from a Listener of the guard. The
-// server's handler must be set before, and its hooks must not be replaced afterwards.
+// Bind returns a Server that runs an HTTP server and counts its requests. Its connections must come from Listen. The
+// HTTP server's handler must be set before, and its hooks must not be replaced afterwards.
 func (g *Guard) Bind(server *http.Server, bodies Bodies) *Server {
 	next := server.Handler
 	server.MaxHeaderBytes = DefaultHeadBytes
--- a/internal/listener/shutdown_races_test.go
+++ b/internal/listener/shutdown_races_test.go
@@ -60,9 +60,7 @@
 // read.
 func (s *service) evictWithPartOfHead(l *pausedListener) net.Conn {
 	s.t.Helper()
-	c := s.dial()
-	status, _ := s.exchange(c, getRequest)
-	assert.Equal(s.t, status, http.StatusOK)
+	c := s.dialUsed()
 	l.at.Store(int32(beforeRead))
 	_, err := io.WriteString(c, "GET /")
 	assert.NilError(s.t, err)
@@ -137,15 +135,22 @@
 	return &acceptPausedListener{Listener: inner, pauses: make(chan struct{}, 1), accepted: make(chan struct{}), release: make(chan struct{})}
 }
 
-// Guards against a stop that reads the request of a connection which is accepted as it begins, and drops it.
-func TestStopAnswersRequestOfConnectionThatIsBeingAccepted(t *testing.T) {
-	l := newAcceptPausedListener(t)
-	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+// dialPaused returns a connection with a request, while whose Accept the listener pauses.
+func (s *service) dialPaused(l *acceptPausedListener) net.Conn {
+	s.t.Helper()
 	l.pauses <- struct{}{}
 	c := s.dial()
 	_, err := io.WriteString(c, getRequest)
-	assert.NilError(t, err)
+	assert.NilError(s.t, err)
 	<-l.accepted
+	return c
+}
+
+// Guards against a stop that reads the request of a connection which is accepted as it begins, and drops it.
+func TestStopAnswersRequestOfConnectionThatIsBeingAccepted(t *testing.T) {
+	l := newAcceptPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+	c := s.dialPaused(l)
 	stopped := s.stop(5 * time.Second)
 	time.Sleep(100 * time.Millisecond)
 	close(l.release)
@@ -159,11 +164,7 @@
 func TestConnectionAcceptedAfterCloseIsNotRead(t *testing.T) {
 	l := newAcceptPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
-	l.pauses <- struct{}{}
-	c := s.dial()
-	_, err := io.WriteString(c, getRequest)
-	assert.NilError(t, err)
-	<-l.accepted
+	c := s.dialPaused(l)
 	stopError := <-s.stop(50 * time.Millisecond)
 	closed := make(chan error, 1)
 	go func() { closed <- s.bound.Close() }()
@@ -171,7 +172,7 @@
 	close(l.release)
 	<-closed
 	assert.ErrorIs(t, stopError, context.DeadlineExceeded)
-	_, err = c.Read(make([]byte, 1))
+	_, err := c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
 	s.awaitOutcomes(map[outcome]int{})
 }
@@ -252,16 +253,16 @@
 	assert.Equal(t, s.guard.outcomes.counts[answered].Load(), uint64(2))
 }
 
-// Guards against the limit on idle connections that refuses a request whose first bytes have just been read: the
-// sweep comes between Conn.endIdle and Conn.countRead.
+// Guards against the limit on idle connections that ends a request whose first bytes have just been read: the sweep
+// comes between Conn.endIdle and Conn.countRead.
 func TestIdleLimitKeepsRequestThatIsBeingRead(t *testing.T) {
 	s := serve(t, 8<<20, Config{Limits: func() Limits { return Limits{IdleTimeout: 50 * time.Millisecond} }})
-	status, _ := s.exchange(s.dial(), getRequest)
-	assert.Equal(t, status, http.StatusOK)
+	client := s.dialUsed()
 	time.Sleep(100 * time.Millisecond)
 	for c := range s.guard.openConnections() {
 		c.endIdle()
 		s.guard.sweep()
-		assert.Equal(t, c.fate.Load(), undecided)
 	}
+	status, _ := s.exchange(client, getRequest)
+	assert.Equal(t, status, http.StatusOK)
 }
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -115,6 +115,15 @@
 	return c
 }
 
+// dialUsed returns a connection over which a request has been answered.
+func (s *service) dialUsed() net.Conn {
+	s.t.Helper()
+	c := s.dial()
+	status, _ := s.exchange(c, getRequest)
+	assert.Equal(s.t, status, http.StatusOK)
+	return c
+}
+
 // stop shuts the server down within a time limit.
 func (s *service) stop(limit time.Duration) <-chan error {
 	stopped := make(chan error, 1)
@@ -208,9 +217,7 @@
 func TestStopAnswersRequestThatArrivesAsIdleConnectionIsClosed(t *testing.T) {
 	l := newPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
-	c := s.dial()
-	status, _ := s.exchange(c, getRequest)
-	assert.Equal(t, status, http.StatusOK)
+	c := s.dialUsed()
 	l.at.Store(int32(afterTimeout))
 	stopped := s.stop(5 * time.Second)
 	<-l.paused
@@ -226,9 +233,7 @@
 func TestStopAnswersRequestThatArrivesInParts(t *testing.T) {
 	l := newPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
-	c := s.dial()
-	status, _ := s.exchange(c, getRequest)
-	assert.Equal(t, status, http.StatusOK)
+	c := s.dialUsed()
 	_, err := io.WriteString(c, getRequest[:10])
 	assert.NilError(t, err)
 	time.Sleep(50 * time.Millisecond)
@@ -243,9 +248,7 @@
 // Guards against idle connections that hold a stop up.
 func TestStopClosesIdleConnectionsAtOnce(t *testing.T) {
 	s := serve(t, 8<<20, Config{})
-	c := s.dial()
-	status, _ := s.exchange(c, getRequest)
-	assert.Equal(t, status, http.StatusOK)
+	c := s.dialUsed()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	assert.NilError(t, s.bound.Shutdown(ctx))
@@ -258,13 +261,12 @@
 // Guards against a stop that reads the first request of a connection and drops it.
 func TestStopAnswersFirstRequestOfOpenConnection(t *testing.T) {
 	s := serve(t, 8<<20, Config{})
-	status, _ := s.exchange(s.dial(), getRequest)
-	assert.Equal(t, status, http.StatusOK)
+	s.dialUsed()
 	c := s.dial()
 	time.Sleep(50 * time.Millisecond)
 	stopped := s.stop(5 * time.Second)
 	time.Sleep(100 * time.Millisecond)
-	status, _ = s.exchange(c, getRequest)
+	status, _ := s.exchange(c, getRequest)
 	assert.Equal(t, status, http.StatusOK)
 	assert.NilError(t, <-stopped)
 	s.awaitOutcomes(map[outcome]int{answered: 2})
