--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -213,10 +213,16 @@
 	return errors.Join(e.callers.Shutdown(ctx), <-relayed)
 }
 
+// lastAnswersTime returns the time for the answers to requests that the stop ends. The rest of the time up to the limit
+// of the stop is for their log lines.
+func (e *Edge) lastAnswersTime() time.Duration {
+	return (e.settings.StopLimit() - e.settings.DrainLimit()) * 3 / 4
+}
+
 // cut ends the requests that are still open, lets their last answers be sent, and closes their connections.
 func (e *Edge) cut(ctx context.Context) {
 	e.handler.EndRequests()
-	last, cancel := context.WithTimeout(ctx, (e.settings.StopLimit()-e.settings.DrainLimit())*3/4)
+	last, cancel := context.WithTimeout(ctx, e.lastAnswersTime())
 	defer cancel()
 	if e.shutdown(last) == nil {
 		return
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -191,7 +192,38 @@
 	}
 }
 
-// a request that the route allows to be tried again.
+// Guards against a stop that refuses or cuts requests before it closes its listeners.
+func TestStoppingRouterServesRequestsWhileItListens(t *testing.T) {
+	t.Parallel()
+	s := newSilenceTrial(t, &deployment{stopGrace: stopGraceTime}, 1, 2, 8)
+	stopped := make(chan struct{})
+	begun := time.Now()
+	go func() {
+		s.routers[0].Stop()
+		close(stopped)
+	}()
+	var requests []*asked
+	var answers sync.WaitGroup
+	// A router listens for nine twentieths of such a grace.
+	for i := 0; time.Since(begun) < stopGraceTime*2/5; i++ {
+		for _, path := range []string{"double", "once", "pay"} {
+			a := &asked{kind: path, path: "/" + path + "/", script: script{Name: fmt.Sprintf("%s in the stop %d", path, i)}}
+			if path != "pay" {
+				a.Events, a.Gap = 4, 20*time.Millisecond
+			}
+			requests = append(requests, a)
+			answers.Go(func() { a.send(s.deployment) })
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	answers.Wait()
+	s.check(t, requests)
+	<-stopped
+	assert.Assert(t, time.Since(begun) < stopGraceTime, "%v", time.Since(begun))
+}
+
+// Guards against a stream that fails because the router to which it was passed on stops, although its route allows
+// another attempt.
 func TestRequestPassedOnToStoppingRouterIsTriedAgain(t *testing.T) {
 	t.Parallel()
 	s := newSilenceTrial(t, &deployment{relays: true, links: newLinks(), stopGrace: stopGraceTime}, 3, 2, 16)
