--- a/internal/coordinator/members_test.go
+++ b/internal/coordinator/members_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/poll"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/raft"
 )
 
 // lossInterval is the time between two lost voters, and more than a new leader needs to replace one.
@@ -34,6 +35,68 @@
 	}
 }
 
+// Guards against a voter that is removed for a short silence, or while no learner can take its place.
+func TestSilentVoterGivesWayToReadyLearnerOnly(t *testing.T) {
+	const leader, silent, learner = 1, 2, 6
+	for name, c := range map[string]struct {
+		silence  raft.ElapsedSeconds
+		learners []uint64
+		match    uint64
+		gives    bool
+	}{
+		"long silence":       {1.6, []uint64{learner}, 100, true},
+		"short silence":      {1.4, []uint64{learner}, 100, false},
+		"no learner":         {60, nil, 0, false},
+		"learner far behind": {60, []uint64{learner}, 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status := raft.Status{ID: leader, LastIndex: 100, Membership: raft.Membership{Voters: []uint64{leader, silent, 3, 4, 5}, Learners: c.learners},
+				Match: map[uint64]uint64{learner: c.match}, SinceContact: map[uint64]raft.ElapsedSeconds{silent: c.silence}}
+			change, due := (&membershipManager{}).nextChange(status)
+			assert.Equal(t, due, c.gives)
+			if c.gives {
+				assert.Equal(t, change, raft.Change{Kind: raft.RemoveMember, ID: silent})
+			}
+		})
+	}
+}
+
+// Guards against a voter that only stood still and is lost to the group once a learner has its place.
+func TestReplacedVoterThatReturnsJoinsAgain(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, targetVoters+1)
+	g.awaitVotersInContact(targetVoters)
+	returning := g.voter(false)
+	g.kill(returning)
+	waitOn(t, func(poll.LogT) poll.Result {
+		if g.isMember(returning) {
+			return poll.Continue("node %d is a member", returning)
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond))
+	g.start(returning)
+	waitOn(t, func(poll.LogT) poll.Result {
+		if !g.isMember(returning) {
+			return poll.Continue("node %d is no member", returning)
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond))
+	g.awaitVotersInContact(targetVoters)
+}
+
+// isMember reports whether a node is a member of the group by the leader's replica.
+func (g *group) isMember(i int) (is bool) {
+	address := g.config[i].PeerListen
+	s := g.servers[g.voter(true)]
+	s.loop.Do(context.Background(), func(time.Duration) {
+		members := s.core.Status().Membership
+		for id, known := range members.Addresses {
+			is = is || (known == address && (members.IsVoter(id) || members.IsLearner(id)))
+		}
+	})
+	return is
+}
+
 // voter returns a running voter: the leader, or another one.
 func (g *group) voter(leader bool) (found int) {
 	g.t.Helper()
