--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -178,7 +178,7 @@
 	bodyStall time.Duration
 	// status is the request that identifies starts; without it they are not identified.
 	status Status
-	// Opened counts new connections, and Identified those whose start was asked for.
+	// Opened counts new connections, and Identified the status requests that were answered.
 	Opened, Identified atomic.Uint64
 
 	mu   sync.Mutex
