forward: a request whose body ends late in a stop and may outlast it is refused

Callers whose request was still arriving as its router stopped got their answer cut at the end of the stop: the time that decides whether a request may outlast the stop was read when its head had arrived, not when its body had. Found by reading. The new test (head 0.2 s before the end of the time in which such requests are accepted, body 0.4 s later) failed before: the request was sent to a back end. Requests that end before the stop does are served as before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -358,6 +358,11 @@
 		h.refuse(w, j, refusal)
 		return
 	}
+	if h.outlastsStop(j) {
+		// The body has ended so late.
+		h.refuse(w, j, refuseStopping())
+		return
+	}
 	j.request.Body = body
 	j.digest = poison.DigestOf(j.tenantName(), r.Method, r.Host, r.RequestURI, body)
 	j.query.Request = j.digest
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -111,3 +112,27 @@
 	assert.Equal(t, r.ran("e"), 1)
 	assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusOK)
 }
+
+// Guards against a request whose body ends late in a stop and that is cut at its end.
+func TestRequestWhoseBodyEndsLateInStopIsRefused(t *testing.T) {
+	const early = 200 * time.Millisecond
+	for path, status := range map[string]int{"/chat/x": http.StatusServiceUnavailable, "/unsafe/x": http.StatusOK} {
+		r := newRig(t)
+		r.add("llm", "e", oneEvent)
+		r.add("app", "a", good)
+		now := r.handler.clock
+		r.handler.Stop(acceptTime + 700*time.Millisecond)
+		r.handler.clock = func() time.Duration { return now() + acceptTime - early }
+		body, rest := io.Pipe()
+		time.AfterFunc(2*early, func() {
+			_, _ = rest.Write([]byte("rest"))
+			_ = rest.Close()
+		})
+		response := r.ask("POST", path, func(q *http.Request) {
+			q.Header.Set(names.Model, "m")
+			q.Body, q.ContentLength = body, -1
+		})
+		assert.Check(t, response.status == status, "%s: %d", path, response.status)
+		assert.Equal(t, r.ran("e"), 0)
+	}
+}
