cmd: a repeated SIGTERM does not end a process that stops

Callers lost every request of a stopping router (`quinceridge router`, `control`, `edge`, `coordinator`) when two planned stops overlapped: the second SIGTERM ended the process at once, as documented. Who sends it need not know that the stop has begun. Only a second interrupt does so now; the grace ends with SIGKILL as before.

--- a/cmd/quinceridge/router.go
+++ b/cmd/quinceridge/router.go
@@ -45,8 +45,8 @@
 	return r.Stop(context.Background())
 }
 
-// stopSignal returns a channel that is closed on the first SIGTERM or interrupt. A second signal
-// exits the process immediately.
+// stopSignal returns a channel that is closed on the first SIGTERM or interrupt. Another interrupt exits the process
+// immediately. Another SIGTERM has no effect: who repeats it need not know that the stop has begun.
 func stopSignal() <-chan struct{} {
 	// Without a handler SIGHUP would end the process with all requests that it has read.
 	signal.Ignore(syscall.SIGHUP)
@@ -56,8 +56,11 @@
 	go func() {
 		<-signals
 		close(stopped)
-		<-signals
-		os.Exit(exitFailure)
+		for s := range signals {
+			if s == os.Interrupt {
+				os.Exit(exitFailure)
+			}
+		}
 	}()
 	return stopped
 }
