memory, forward: a request that waits for memory is refused at the end of a stop

Callers whose request waited for memory as their router's stop ended got no answer: such a wait takes up to 400 ms, and the last answers have 300 ms of a grace of 8 s, after which their connections are closed. EndRequests ends these waits now; what has no room is refused as not run.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -223,7 +223,10 @@
 // EndRequests ends all requests, also later ones, as ended by the router's stop: answers that have begun are cut, and
 // other requests are refused or get an error. It is to be called before their connections are closed, which shows as a
 // disconnected client.
-func (h *Handler) EndRequests() { h.deadlines.cancelAll(errStopping) }
+func (h *Handler) EndRequests() {
+	h.deadlines.cancelAll(errStopping)
+	h.config.Memory.EndWaits()
+}
 
 // AwaitRequests waits until all requests have been handled and logged. It is to be called once no connection accepts
 // any more.
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/backends"
+	"quinceridge.example/quinceridge/internal/memory"
 )
 
 // Guards against requests without a back end that get neither an answer nor a refusal when the stop of their router
@@ -136,3 +138,28 @@
 		assert.Equal(t, r.ran("e"), 0)
 	}
 }
+
+// Guards against requests that wait for memory beyond the end of a stop, which closes their connections.
+func TestRequestThatWaitsForMemoryAtEndOfStopIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t)
+	budget := memory.NewBudget(1 << 20)
+	r.handler.config.Memory = budget
+	budget.OpenAccount(1<<20, func() {}).SetRunning()
+	account := budget.OpenAccount(0, func() {})
+	q := httptest.NewRequestWithContext(memory.WithAccount(t.Context(), account), "POST", "/unsafe/x", strings.NewReader("body"))
+	q.Host = "h"
+	q.Header.Set(names.RequestID, "id-1")
+	q.Header.Set("Authorization", "Bearer ka")
+	answered := make(chan int)
+	go func() {
+		response := httptest.NewRecorder()
+		r.handler.ServeHTTP(response, q)
+		answered <- response.Code
+	}()
+	time.Sleep(50 * time.Millisecond)
+	r.handler.Stop(time.Minute)
+	ended := time.Now()
+	r.handler.EndRequests()
+	assert.Equal(t, <-answered, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(ended) < 100*time.Millisecond, "%v", time.Since(ended))
+}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -217,6 +217,9 @@
 		if a.tryReserve(bytes) {
 			return true
 		}
+		if b.ended.Load() {
+			return false
+		}
 		b.reclaim(a.now(), bytes)
 		select {
 		case <-changed:
@@ -238,6 +241,14 @@
 	return b.changed
 }
 
+// EndWaits ends the waits of reservations. From then on a reservation without room fails at once.
+func (b *Budget) EndWaits() {
+	if b != nil {
+		b.ended.Store(true)
+		b.notify()
+	}
+}
+
 // notify wakes the reservations that wait for room.
 func (b *Budget) notify() {
 	if !b.awaited.Load() {
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -107,3 +107,17 @@
 	assert.Assert(t, !r.Grow(1))
 	assert.Equal(t, b.Used(), int64(0))
 }
+
+// Guards against a reservation that waits for room beyond the end of its process's stop.
+func TestEndedBudgetWaitsForNoRoom(t *testing.T) {
+	const mib = 1 << 20
+	b := NewBudget(8 * mib)
+	open(b, Running, 7*mib, 0)
+	asking := open(b, Receiving, 0, 0)
+	begun := time.Now()
+	time.AfterFunc(reserveWait/8, b.EndWaits)
+	assert.Assert(t, !asking.Reserve(4*mib))
+	assert.Assert(t, !asking.Reserve(4*mib))
+	assert.Assert(t, time.Since(begun) < reserveWait/2, "%v", time.Since(begun))
+	assert.Assert(t, asking.Reserve(16<<10))
+}
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -14,6 +14,8 @@
 	used  atomic.Int64
 	// awaited is set while changed is not nil.
 	awaited atomic.Bool
+	// ended is set once no reservation waits any more.
+	ended atomic.Bool
 
 	mu       sync.Mutex
 	accounts map[*Account]struct{}
