soak: routers and coordinators get further signals while they stop

A planned stop in the soak gets SIGHUP and SIGTERM again each 0.7 s. An older build beside the present one gets no further signals: it ends at them.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,8 @@
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
 	stopTimeout      = 15 * time.Second
+	// signalInterval is the time between further signals to a process that stops.
+	signalInterval = 700 * time.Millisecond
 	// voterPollInterval is the time between two checks whether a wiped coordinator is a voter
 	// again.
 	voterPollInterval = 100 * time.Millisecond
@@ -160,7 +163,36 @@
 		return
 	}
 	defer release()
-	_ = p.restartWith(p.process.Binary, func() error { return nil })
+	defer func() { _ = p.process.Start() }()
+	if s.config.Older != "" {
+		// Older builds end at once at these signals.
+		p.process.Terminate(stopTimeout)
+		return
+	}
+	p.stopBesideSignals(syscall.SIGHUP, syscall.SIGTERM)
+}
+
+// stopBesideSignals stops the process gracefully while it gets further signals, which must not end it earlier.
+func (p *program) stopBesideSignals(signals ...syscall.Signal) {
+	ended := make(chan struct{})
+	var repeated sync.WaitGroup
+	repeated.Go(func() {
+		tick := time.NewTicker(signalInterval)
+		defer tick.Stop()
+		for {
+			for _, s := range signals {
+				p.process.Signal(s)
+			}
+			select {
+			case <-ended:
+				return
+			case <-tick.C:
+			}
+		}
+	})
+	p.process.Terminate(stopTimeout)
+	close(ended)
+	repeated.Wait()
 }
 
 // restartWith stops the process gracefully, writes its settings and starts the given build.
