--- a/internal/clienttest/deployment_test.go
+++ b/internal/clienttest/deployment_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	eventInterval   = 100 * time.Millisecond
 	// longStream is the number of events of a stream whose body is "long".
 	longStream = 60
+	// stopGrace is the grace of the router's stop.
+	stopGrace = 4 * time.Second
 	// documentIdleTimeout is the idle timeout of the configuration.
 	documentIdleTimeout = 5 * time.Second
 )
@@ -59,6 +62,14 @@
 	metrics        string
 	relay          string
 	requests       atomic.Int64
+	// ran holds the IDs of the requests that back ends have received.
+	ran sync.Map
+}
+
+// noAnswer is the error of an ordinary request whose connection ended without a whole response.
+type noAnswer struct {
+	id string
+	error
 }
 
 // start starts a deployment and waits until an ordinary request is answered.
@@ -84,8 +95,8 @@
 		}
 		d.coordinators = append(d.coordinators, startProgram(t, fmt.Sprintf("coordinator-%d", i), "coordinator", text, nodeMemory, descriptorLimit))
 	}
-	d.router = startProgram(t, "router", "edge", fmt.Sprintf("name: router\nzone: z\nlisten: %q\nreadiness: %q\nmetrics: %q\nrelay_listen: %q\nseeds: %s\nrevocation: 5s\nstop_grace: 4s\nretry_ratio: 0.2\nretry_burst: 50\nretry_window: 10s\nmemory_limit: %d\n",
-		d.listen, d.readiness, d.metrics, d.relay, seeds, routerMemory), routerMemory, descriptors)
+	d.router = startProgram(t, "router", "edge", fmt.Sprintf("name: router\nzone: z\nlisten: %q\nreadiness: %q\nmetrics: %q\nrelay_listen: %q\nseeds: %s\nrevocation: 5s\nstop_grace: %v\nretry_ratio: 0.2\nretry_burst: 50\nretry_window: 10s\nmemory_limit: %d\n",
+		d.listen, d.readiness, d.metrics, d.relay, seeds, stopGrace, routerMemory), routerMemory, descriptors)
 	d.configure()
 	for i, pool := range []string{"llm", "app", "app"} {
 		d.startBackend(fmt.Sprintf("%s-%d", pool, i), pool)
@@ -178,8 +189,9 @@
 	if err != nil {
 		return err
 	}
+	id := fmt.Sprintf("ordinary-%d", d.requests.Add(1))
 	request.Host = "h"
-	request.Header.Set(names.RequestID, fmt.Sprintf("ordinary-%d", d.requests.Add(1)))
+	request.Header.Set(names.RequestID, id)
 	request.Header.Set("Authorization", "Bearer ka")
 	if strings.HasPrefix(path, "/chat/") {
 		request.Header.Set(names.Model, "m")
@@ -187,11 +199,11 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return err
+		return &noAnswer{id, err}
 	}
 	defer response.Body.Close()
 	if _, err = io.Copy(io.Discard, response.Body); err != nil {
-		return err
+		return &noAnswer{id, err}
 	}
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", response.StatusCode)
@@ -221,12 +233,13 @@
 	id   string
 	pool string
 	born state.UnixMilli
+	ran  *sync.Map
 }
 
 func (d *deployment) startBackend(id, pool string) {
 	listener, err := net.Listen("tcp", freeAddress(d.t))
 	assert.NilError(d.t, err)
-	b := &backend{id: id, pool: pool, born: state.UnixMilli(time.Now().UnixMilli())}
+	b := &backend{id: id, pool: pool, born: state.UnixMilli(time.Now().UnixMilli()), ran: &d.ran}
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -276,6 +289,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	b.ran.Store(r.Header.Get(names.RequestID), true)
 	w.Header().Set(names.Signature, "seal")
 	switch {
 	case b.pool == "llm":
