telemetry: log lines are written at once from 4 KiB on

Lines are written from 4 KiB on, so that the last write is short. Also a process that is killed loses less.

--- a/internal/telemetry/buffer.go
+++ b/internal/telemetry/buffer.go
@@ -11,6 +11,9 @@
 	// counted.
 	maxPending = 256 << 10
 	flushDelay = 100 * time.Millisecond
+	// flushSize is the size of the buffered log from which it is written at once: a process that is killed loses
+	// few lines, and the last lines of one that ends fit into one read of a collector.
+	flushSize = 4 << 10
 )
 
 // Buffer writes log lines asynchronously, so that a slow log reader does not delay requests.
@@ -21,7 +24,7 @@
 	pending        []byte
 	writeMutex     sync.Mutex
 	flushScheduled bool
-	// flushing is set while a flush of a half full buffer is due.
+	// flushing is set while a flush of flushSize bytes or more is due.
 	flushing bool
 	// dropped counts the lines that did not fit into the buffer.
 	dropped int
@@ -43,7 +46,7 @@
 		b.flushScheduled = true
 		time.AfterFunc(flushDelay, b.Flush)
 	}
-	if len(b.pending) > maxPending/2 && !b.flushing {
+	if len(b.pending) >= flushSize && !b.flushing {
 		b.flushing = true
 		go b.Flush()
 	}
@@ -65,5 +68,7 @@
 	lines := b.pending
 	b.pending, b.flushScheduled, b.flushing = nil, false, false
 	b.mu.Unlock()
-	_, _ = b.out.Write(lines)
+	if len(lines) > 0 {
+		_, _ = b.out.Write(lines)
+	}
 }
--- a/internal/telemetry/buffer_test.go
+++ b/internal/telemetry/buffer_test.go
@@ -31,6 +31,21 @@
 	})
 }
 
+// Guards against last lines of a process that are lost because many were written with them.
+func TestLinesAreWrittenAtOnceBeyondSizeOfFlush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		b := NewBuffer(&out)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		for range flushSize / len(line) {
+			_, err := b.Write(line)
+			assert.NilError(t, err)
+		}
+		synctest.Wait()
+		assert.Equal(t, out.Len(), flushSize)
+	})
+}
+
 // blockedOutput is an output whose reader does not read until release is closed. It is safe for concurrent use.
 type blockedOutput struct {
 	release chan struct{}
