forward: an answer that has begun lasts until its client stops waiting

Callers saw an answer cut 30 ms before the time that they wait for it: the margin that leaves time for an error response also ended answers that had begun, which no error can replace. Now the time limit of a request moves from its deadline to that of the client or the route once its response begins.

--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -11,7 +11,7 @@
 // for concurrent use.
 type deadlines struct {
 	mu   sync.Mutex
-	open map[*time.Duration]context.CancelCauseFunc
+	open map[*openRequest]struct{}
 	// ended is the cause with which all requests are cancelled, also later ones; nil if they are not.
 	ended error
 	// running is the number of requests that are being handled, also those without a deadline yet.
@@ -20,7 +20,14 @@
 	none chan struct{}
 }
 
-func newDeadlines() *deadlines { return &deadlines{open: map[*time.Duration]context.CancelCauseFunc{}} }
+// openRequest is a request with a deadline. The lock of its deadlines guards it.
+type openRequest struct {
+	// deadline is when the request is cancelled.
+	deadline time.Duration
+	cancel   context.CancelCauseFunc
+}
+
+func newDeadlines() *deadlines { return &deadlines{open: map[*openRequest]struct{}{}} }
 
 // begin records that a request is being handled until end is called.
 func (d *deadlines) begin() (end func()) {
@@ -50,23 +57,32 @@
 	<-none
 }
 
-// withDeadline returns a context that is cancelled at a deadline, which is left from now. Its
-// cause distinguishes the deadline from a disconnected client.
-func (d *deadlines) withDeadline(parent context.Context, deadline, left time.Duration) (ctx context.Context, done func()) {
+// withDeadline returns a context that is cancelled at a deadline, and once extend has been called at a later one, the
+// cutoff. Its cause distinguishes both from a disconnected client. Done must be called once the request has ended.
+func (d *deadlines) withDeadline(parent context.Context, now, deadline, cutoff time.Duration) (ctx context.Context, extend, done func()) {
 	ended, cancel := context.WithCancelCause(parent)
-	ctx, stop := context.WithTimeout(ended, left)
+	ctx, stop := context.WithTimeout(ended, cutoff-now)
+	timer := time.AfterFunc(deadline-now, func() { cancel(context.DeadlineExceeded) })
+	r := &openRequest{deadline: deadline, cancel: cancel}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.open[&deadline] = cancel
+	d.open[r] = struct{}{}
 	if d.ended != nil {
 		cancel(d.ended)
 	}
-	return ctx, func() {
+	extend = func() {
+		timer.Stop()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		r.deadline = cutoff
+	}
+	return ctx, extend, func() {
+		timer.Stop()
 		stop()
 		cancel(nil)
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		delete(d.open, &deadline)
+		delete(d.open, r)
 	}
 }
 
@@ -75,8 +91,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ended = cause
-	for _, cancel := range d.open {
-		cancel(cause)
+	for r := range d.open {
+		r.cancel(cause)
 	}
 }
 
@@ -91,9 +107,9 @@
 func (d *deadlines) cancelExpired(now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for deadline, cancel := range d.open {
-		if now >= *deadline {
-			cancel(context.DeadlineExceeded)
+	for r := range d.open {
+		if now >= r.deadline {
+			r.cancel(context.DeadlineExceeded)
 		}
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -42,7 +42,7 @@
 
 const (
 	// responseMargin is the time before the client's deadline at which the final response is
-	// sent.
+	// sent if no other one has begun.
 	responseMargin = 30 * time.Millisecond
 	// freshWait is the time that a request waits for Source.Fresh, polled every freshStep.
 	freshWait = 300 * time.Millisecond
@@ -269,9 +269,11 @@
 	receivedAt time.Duration
 	// clientWait is the time for which the client waits, from its request on.
 	clientWait time.Duration
-	// deadline is the time at which the request times out for the client or its route, by the
-	// handler's clock.
-	deadline time.Duration
+	// deadline is the time at which the request is refused unless its response has begun, and cutoff that at which
+	// it times out for the client or its route, by the handler's clock.
+	deadline, cutoff time.Duration
+	// extend moves the end of the request from deadline to cutoff.
+	extend func()
 	tally
 	// newerConfiguration is the version of another router's configuration that does not allow the request.
 	newerConfiguration uint64
@@ -369,8 +371,9 @@
 	j.request.Body = body
 	j.digest = poison.DigestOf(j.tenantName(), r.Method, r.Host, r.RequestURI, body)
 	j.query.Request = j.digest
-	ctx, done := h.deadlines.withDeadline(r.Context(), j.deadline, j.deadline-h.now())
+	ctx, extend, done := h.deadlines.withDeadline(r.Context(), h.now(), j.deadline, j.cutoff)
 	defer done()
+	j.extend = extend
 	if j.continuation.resumed() {
 		h.metrics.resumedByClients.Add(1)
 	}
@@ -420,7 +423,8 @@
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no ID"}
 	}
 	j.clientWait = h.clientWait(r)
-	j.deadline = h.now() + timeout(j.clientWait, route)
+	now, limit := h.now(), min(route.Timeout, j.clientWait)
+	j.deadline, j.cutoff = now+withMargin(limit), now+limit
 	j.pool = table.Pool(h.splits.next(table, route))
 	j.memory = h.config.Memory.NewReservationFor(memory.AccountOf(r.Context()))
 	if !h.buildRequest(r, j) {
@@ -452,12 +456,8 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// timeout returns the time limit of a request: the route's timeout or the client's wait, whichever is
-// lower, less a margin for the response.
-func timeout(clientWait time.Duration, route *traffic.Route) time.Duration {
-	limit := min(route.Timeout, clientWait)
-	return max(limit-responseMargin, limit/2)
-}
+// withMargin returns the time limit of a request less a margin for the response.
+func withMargin(limit time.Duration) time.Duration { return max(limit-responseMargin, limit/2) }
 
 // readBody reads the whole body, so that the request can be retried. It ends at the deadline of the
 // request: a body that arrives slowly takes memory.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -224,6 +224,7 @@
 	}
 	s.setStatus(response.StatusCode)
 	s.firstAt = s.handler.now()
+	s.extendDeadline()
 	s.race.advance(func(p *position) { p.headerSent, p.bodySent = true, true })
 	s.client.WriteHeader(s.status)
 	if _, err := s.client.Write(prefix); err != nil {
@@ -425,6 +426,7 @@
 		s.status = response.StatusCode
 		s.client.WriteHeader(response.StatusCode)
 		s.firstAt = s.handler.now()
+		s.extendDeadline()
 		s.race.advance(func(p *position) { p.headerSent, p.lastAt = true, s.firstAt })
 	}
 	s.recordGap()
@@ -448,6 +450,16 @@
 	return nil
 }
 
+// extendDeadline lets a response that has begun go on for as long as its client waits: no error can replace it.
+func (s *session) extendDeadline() {
+	s.race.mu.Lock()
+	defer s.race.mu.Unlock()
+	if s.job.extend != nil {
+		s.job.extend()
+		s.job.deadline = s.job.cutoff
+	}
+}
+
 // recordGap measures the pause before an event.
 func (s *session) recordGap() {
 	now := s.handler.now()
