--- a/internal/listener/review_test.go
+++ b/internal/listener/review_test.go
@@ -178,3 +178,46 @@
 	assert.NilError(t, <-stopped)
 	assert.Equal(t, s.guard.outcomes.counts[aborted].Load(), uint64(1))
 }
+
+// Guards against a whole request that waits before its body is taken and is reset unanswered for a new connection.
+func TestWholeRequestWhoseBodyIsNotTakenYetIsNotReplaced(t *testing.T) {
+	began, release := make(chan struct{}, 1), make(chan struct{})
+	s := serveWith(t, 8<<20, Config{Connections: 1}, func(s *service) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			began <- struct{}{}
+			<-release
+			s.readBody()(w, r)
+		}
+	})
+	c := s.dial()
+	_, err := io.WriteString(c, postRequest)
+	assert.NilError(t, err)
+	<-began
+	_ = s.dial()
+	time.AfterFunc(300*time.Millisecond, func() { close(release) })
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+}
+
+// Guards against a whole request that waits before its body is taken and that the limit on heads or memory drops.
+func TestWholeRequestWhoseBodyIsNotTakenYetIsAnsweredAfterEviction(t *testing.T) {
+	began, release := make(chan struct{}, 1), make(chan struct{})
+	s := serveWith(t, 8<<20, Config{}, func(s *service) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			began <- struct{}{}
+			<-release
+			s.readBody()(w, r)
+		}
+	})
+	c := s.dial()
+	_, err := io.WriteString(c, postRequest)
+	assert.NilError(t, err)
+	<-began
+	s.evictAll()
+	close(release)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+}
