--- a/internal/forward/review_test.go
+++ b/internal/forward/review_test.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,3 +72,42 @@
 	assert.Equal(t, response.Code, http.StatusServiceUnavailable)
 	assert.Assert(t, response.Header().Get(relay.HeaderDeclined) != "")
 }
+
+// Guards against the last answer of a stopping router that is cut since its client has sent a further request behind.
+func TestAnswerOfStoppingRouterIsWholeThoughFurtherRequestWaits(t *testing.T) {
+	const size = 8 << 20
+	for _, further := range []string{"", "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"} {
+		r := newRig(t)
+		r.bound(64 << 20)
+		ran, release := make(chan struct{}, 2), make(chan struct{})
+		r.add("app", "a", func(w http.ResponseWriter, q *http.Request) {
+			ran <- struct{}{}
+			<-release
+			w.Header().Set(names.Signature, "s")
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			_, _ = w.Write(make([]byte, size))
+		})
+		r.handler.Stop(time.Minute)
+		c, err := net.Dial("tcp", r.router.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = fmt.Fprintf(c, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n%s: id\r\nAuthorization: Bearer ka\r\nContent-Length: 0\r\n\r\n", names.RequestID)
+		assert.NilError(t, err)
+		<-ran
+		_, err = io.WriteString(c, further)
+		assert.NilError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		close(release)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		n, part := 0, make([]byte, 64<<10)
+		for err == nil {
+			var read int
+			read, err = response.Body.Read(part)
+			n += read
+			time.Sleep(time.Millisecond)
+		}
+		assert.Check(t, errors.Is(err, io.EOF) && n == size, "further request %t: %d bytes: %v", further != "", n, err)
+	}
+}
--- a/internal/listener/review_test.go
+++ b/internal/listener/review_test.go
@@ -221,3 +221,32 @@
 	_ = response.Body.Close()
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 }
+
+// Guards against a reset right behind a refusal if the client has asked for the connection to be closed.
+func TestRefusalOfWholeRequestThatClosesIsNotResetAtOnce(t *testing.T) {
+	s := serveWith(t, 8<<20, Config{}, func(*service) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { refuse(w, http.StatusServiceUnavailable) }
+	})
+	c := s.dial()
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 20000\r\n\r\n"+strings.Repeat("b", 20000))
+	assert.NilError(t, err)
+	read := bufio.NewReader(c)
+	response, err := http.ReadResponse(read, nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	_, err = read.ReadByte()
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+}
+
+// Guards against a further request that runs behind a response after which the connection closes.
+func TestRequestBehindClosingResponseDoesNotRun(t *testing.T) {
+	began, release := make(chan struct{}, 2), make(chan struct{})
+	close(release)
+	s := serveWith(t, 8<<20, Config{}, closingHandler(began, release))
+	c := s.dial()
+	_, err := io.WriteString(c, getRequest+getRequest)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, c)
+	assert.NilError(t, err)
+	assert.Equal(t, len(began), 1)
+}
