--- a/internal/forward/review_test.go
+++ b/internal/forward/review_test.go
@@ -111,3 +111,44 @@
 		assert.Check(t, errors.Is(err, io.EOF) && n == size, "further request %t: %d bytes: %v", further != "", n, err)
 	}
 }
+
+// partialRequest sends a request to the router whose body does not end.
+func (r *rig) partialRequest() net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.router.Listener.Addr().String())
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprintf(c, "POST /resumable/x HTTP/1.1\r\nHost: h\r\n%s: id\r\n%s: m\r\nAuthorization: Bearer ka\r\nContent-Length: 100\r\n\r\npart", names.RequestID, names.Model)
+	assert.NilError(r.t, err)
+	time.Sleep(100 * time.Millisecond)
+	return c
+}
+
+// Guards against a client that stops in a body and holds a stop up, although its request will be refused in any case.
+func TestBodyThatIsTooLateForStopDoesNotHoldItUp(t *testing.T) {
+	r := newRig(t)
+	r.bound(64 << 20)
+	r.add("llm", "e", oneEvent)
+	r.allow("/resumable/x", time.Minute)
+	c := r.partialRequest()
+	r.handler.Stop(30 * time.Second)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(acceptTime+2*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+}
+
+// Guards against a request whose body has not ended at the end of a stop and that gets no refusal.
+func TestRequestWhoseBodyHasNotEndedAtEndOfStopIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.bound(64 << 20)
+	r.add("llm", "e", oneEvent)
+	r.allow("/resumable/x", time.Minute)
+	c := r.partialRequest()
+	r.handler.Stop(time.Minute)
+	r.handler.EndRequests()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+}
--- a/internal/listener/review_test.go
+++ b/internal/listener/review_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/memory"
 )
 
 // closingHandler answers with a body of 256 KiB and closes the connection, as a stopping router does.
@@ -250,3 +253,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(began), 1)
 }
+
+// Guards against a body that is refused at once since its connection was opened long before the request was sent.
+func TestReadTimeoutBeginsWithRequestOfUnusedConnection(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &service{t: t, budget: memory.NewBudget(8 << 20)}
+	s.guard = NewGuard(s.budget, slog.New(slog.DiscardHandler))
+	s.server = &http.Server{Handler: s.readBody(), ReadTimeout: 400 * time.Millisecond}
+	s.bound = s.guard.Bind(s.server, CountBodies)
+	s.addr = inner.Addr().String()
+	l := s.bound.Listen(inner, Config{Name: "test"})
+	go func() { _ = s.server.Serve(l) }()
+	t.Cleanup(func() { _ = s.server.Close() })
+	c := s.dial()
+	time.Sleep(500 * time.Millisecond)
+	head, body, _ := strings.Cut(postRequest, "body")
+	_, err = io.WriteString(c, head)
+	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	status, _ := s.exchange(c, "body"+body)
+	assert.Equal(t, status, http.StatusOK)
+}
