--- a/internal/listener/review_test.go
+++ b/internal/listener/review_test.go
@@ -275,3 +275,45 @@
 	status, _ := s.exchange(c, "body"+body)
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// Guards against a head that has arrived whole and is dropped by the limit on heads since the process stood still.
+func TestStopReadsHeadThatHasArrivedBeforeItsLimit(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{}, (*service).readBody)
+	c := s.dialUsed()
+	_, err := io.WriteString(c, getRequest[:8])
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	l.at.Store(int32(beforeRead))
+	_, err = io.WriteString(c, getRequest[8:])
+	assert.NilError(t, err)
+	<-l.paused
+	stopped := s.stop(5 * time.Second)
+	time.AfterFunc(shutdownHeadTimeout+300*time.Millisecond, func() { close(l.release) })
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.NilError(t, <-stopped)
+}
+
+// Guards against a whole head whose request the limit on heads drops since the process stood still after it was read.
+func TestHeadLimitKeepsHeadThatHasBeenRead(t *testing.T) {
+	l := newPausedListener(t)
+	s := serveOn(t, l, 8<<20, Config{Limits: func() Limits { return Limits{HeadTimeout: 50 * time.Millisecond} }}, (*service).readBody)
+	c := s.dialUsed()
+	_, err := io.WriteString(c, postRequest[:8])
+	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	l.at.Store(int32(afterRead))
+	_, err = io.WriteString(c, postRequest[8:])
+	assert.NilError(t, err)
+	<-l.paused
+	time.Sleep(100 * time.Millisecond)
+	s.guard.sweep()
+	close(l.release)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+}
