--- a/internal/forward/review_test.go
+++ b/internal/forward/review_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -152,3 +153,35 @@
 	assert.NilError(t, err)
 	_ = response.Body.Close()
 }
+
+// Guards against refusals of long requests late in a stop that a reset overtakes.
+func TestLateRefusalOfLongRequestReachesItsClient(t *testing.T) {
+	const requests = 40
+	r := newRig(t)
+	r.bound(256 << 20)
+	r.add("llm", "e", oneEvent)
+	r.allow("/resumable/x", time.Minute)
+	now := r.handler.clock
+	r.handler.Stop(acceptTime + time.Second)
+	r.handler.clock = func() time.Duration { return now() + acceptTime + 100*time.Millisecond }
+	refused := 0
+	var last error
+	for range requests {
+		q, err := http.NewRequestWithContext(t.Context(), "POST", r.router.URL+"/resumable/x", bytes.NewReader(make([]byte, 1<<20)))
+		assert.NilError(t, err)
+		q.Host = "h"
+		q.Header.Set(names.RequestID, "id")
+		q.Header.Set(names.Model, "m")
+		q.Header.Set("Authorization", "Bearer ka")
+		response, err := http.DefaultClient.Do(q)
+		if err != nil {
+			last = err
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	assert.Equal(t, refused, requests, "%v", last)
+}
