--- a/internal/forward/review_test.go
+++ b/internal/forward/review_test.go
@@ -185,3 +185,19 @@
 	}
 	assert.Equal(t, refused, requests, "%v", last)
 }
+
+// Guards against a request with a further attempt under way that gets no answer, or a false one, at the end of a stop.
+func TestRequestWithFurtherAttemptAtEndOfStopGetsAnswer(t *testing.T) {
+	r := newStreamRig(t)
+	used := r.firstAndOthers(hang, hang, "x", "y")
+	answered := r.askInBackground("/resumable/1")
+	r.list([]string{used()}, nil)
+	for r.ran("x", "y") < 2 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.handler.Stop(time.Minute)
+	r.handler.EndRequests()
+	assert.Equal(t, (<-answered).status, http.StatusBadGateway)
+	r.handler.AwaitRequests()
+	r.handler.Wait()
+}
