listener: a connection that ends with unread bytes lets its client read the response

Callers got a truncated answer, or a reset in place of a refusal, if bytes of a further request waited in the socket as their connection ended with the response (every response of a stopping router): 36,714 of 262,144 bytes arrived, and 8,336,203 of 8,388,608 through a router. Closing a socket with unread bytes resets it. Close ends the sending side first and reads what arrives for up to 500 ms or 256 KiB, unless the server closes all connections. A stop waits for such a connection for at most 500 ms.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/memory"
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 const (
@@ -20,6 +22,9 @@
 	freeHead = 4 << 10
 	// refusedHead is the largest estimate of a head that is parsed without memory for it.
 	refusedHead = 16 << 10
+	// lingerTime and lingerBytes bound what is read of a connection that is closed with unread bytes.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
 	// unreadTimeout is the time for which the rest of a request is read that has been answered.
 	unreadTimeout = time.Second
 )
@@ -46,7 +51,9 @@
 	fate atomic.Int32
 	// ending is set once reads fail, and cut once writes fail too.
 	ending, cut atomic.Bool
-	once        sync.Once
+	// closing is set once Close has been called.
+	closing atomic.Bool
+	once    sync.Once
 	// closed is closed with the connection.
 	closed   chan struct{}
 	progress progress
@@ -309,8 +316,11 @@
 	return nil, errors.ErrUnsupported
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It lets the client read a response that has just been written.
 func (c *Conn) Close() error {
+	if c.closing.CompareAndSwap(false, true) {
+		c.linger()
+	}
 	c.once.Do(func() {
 		c.listener.remove(c)
 		c.account.Close()
@@ -319,6 +329,18 @@
 	return c.Conn.Close()
 }
 
+// linger ends the sending side and reads what the client still sends, for a short time: closing with unread bytes resets
+// the connection, which drops what the client has not read of the response. It returns at once if there is none of both,
+// and when the connection is closed meanwhile.
+func (c *Conn) linger() {
+	if !c.progress.written.Load() || c.cut.Load() || c.listener.config.Messages || c.listener.isAbandoned() || socket.Unread(c.Conn) == 0 || c.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	// The connection is closed however this ends.
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
 // headCounter estimates the memory of a request's head from its bytes.
 type headCounter struct {
 	bytes, lines int64
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -121,6 +121,13 @@
 	l.stopped, l.closed = true, true
 }
 
+// isAbandoned reports whether connections are closed at once.
+func (l *Listener) isAbandoned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
 // retire lets connections end once they are idle, also those without any request some time after the last one was
 // accepted. It returns the number of those that are left or are being accepted.
 func (l *Listener) retire(now time.Duration) int {
