listener: a head that has arrived is read before its time limit ends it

Callers whose head had arrived got 400 if the process stood still for longer than the limit of heads (1 s in a stop) between two reads of it. A connection with bytes that wait to be read is not overdue. Found by review; the test got 400 before.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -141,10 +141,11 @@
 	}
 }
 
-// headOverdue reports whether the head of a request has not arrived within a time limit.
+// headOverdue reports whether the head of a request has not arrived within a time limit. Bytes that wait to be read may
+// be the rest of it.
 func (c *Conn) headOverdue(now, limit time.Duration) bool {
 	since := c.headAt.Load()
-	return since > 0 && !c.outOfHead.Load() && now-time.Duration(since) >= limit
+	return since > 0 && !c.outOfHead.Load() && now-time.Duration(since) >= limit && socket.Unread(c.Conn) == 0
 }
 
 // close ends the connection and its request, unless that has been done.
