--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -41,8 +41,9 @@
 	head     headCounter
 	// headBytes is what the account holds for the head.
 	headBytes int64
-	// outOfHead is set from the end of a request's head until its response has been written.
-	outOfHead atomic.Bool
+	// headRead is set once the whole head of a request has been read, and outOfHead once it has been parsed, until its
+	// response has been written.
+	headRead, outOfHead atomic.Bool
 	// headAt is when the first byte of the head arrived, 0 for none.
 	headAt atomic.Int64
 	// used is set once a request has been answered.
@@ -145,7 +146,7 @@
 // be the rest of it.
 func (c *Conn) headOverdue(now, limit time.Duration) bool {
 	since := c.headAt.Load()
-	return since > 0 && !c.outOfHead.Load() && now-time.Duration(since) >= limit && socket.Unread(c.Conn) == 0
+	return since > 0 && !c.headRead.Load() && !c.outOfHead.Load() && now-time.Duration(since) >= limit && socket.Unread(c.Conn) == 0
 }
 
 // close ends the connection and its request, unless that has been done.
@@ -265,6 +266,9 @@
 	}
 	c.account.Moved(len(p))
 	c.head.count(p)
+	if c.head.ended {
+		c.headRead.Store(true)
+	}
 	return c.reserveHead(c.head.estimate())
 }
 
@@ -290,6 +294,7 @@
 	c.account.Release(c.headBytes)
 	c.headBytes = 0
 	c.head = headCounter{}
+	c.headRead.Store(false)
 	c.headAt.Store(0)
 }
 
