listener: time limits of connections hold while their server stops

A client that reads nothing held a stop to its end: 60 s in the first way to run, in place of 10, and 2 s at operators' addresses. The guard checks only listeners that are open; a stop checks its own now. The test of the review (limit 0.2 s) was not over after 4 s before.

--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -51,11 +51,19 @@
 	listeners := s.beginShutdown(ctx)
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
+	swept := clock.Now()
 	for {
 		left, now := 0, clock.Now()
 		for _, l := range listeners {
 			left += l.retire(now)
 		}
+		if now-swept >= sweepInterval {
+			// The guard checks open listeners only.
+			swept = now
+			for _, l := range listeners {
+				l.closeOverdue()
+			}
+		}
 		if left == 0 {
 			return s.Server.Shutdown(ctx)
 		}
