listener: a request that has been read is refused before its connection is closed for a new one

Callers got a reset if the limit on connections closed theirs and their request had been read: after 20 ms on an idle connection, at once if its head had been counted, and also if its response was about to be written. Who closed the connection did not know what had been read. Such a connection has another second, without a new one being kept waiting, and one whose response has not begun to be sent is not closed within a second.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -58,6 +58,8 @@
 	// closed is closed with the connection.
 	closed   chan struct{}
 	progress progress
+	// overdueBefore is set once a shutdown has found the head overdue. The lock of the listener guards it.
+	overdueBefore bool
 
 	// mu guards what follows, and orders it with the read deadline.
 	mu sync.Mutex
@@ -95,7 +97,7 @@
 	switch {
 	case state == memory.Quiet && !c.used.Load() && !c.listener.config.Messages:
 		return 0, true
-	case state == memory.Quiet, state == memory.Finished && now-c.account.MovedAt() >= flushTime:
+	case state == memory.Quiet, state == memory.Finished && c.isFlushed(now):
 		return 1, true
 	case state == memory.Receiving:
 		return 2, true
@@ -104,27 +106,45 @@
 	}
 }
 
+// isFlushed reports whether a response has had its time to be sent.
+func (c *Conn) isFlushed(now time.Duration) bool {
+	limit := sendTime
+	if c.progress.written.Load() {
+		limit = flushTime
+	}
+	return now-c.account.MovedAt() >= limit
+}
+
 // mayAbort decides that the connection is closed at once. It returns false if a request runs.
 func (c *Conn) mayAbort() bool {
 	return c.fate.CompareAndSwap(undecided, closes) || c.account.State() == memory.Finished || c.fate.Load() == closes
 }
 
-// abort closes the connection for a new one at once. A request that has just been read on an idle one is refused
-// before.
+// abort closes the connection for a new one. A whole request that has been read is refused before, unless that takes
+// long; one that arrives ends with the connection.
 func (c *Conn) abort() {
 	c.account.MarkEvicted()
 	c.listener.guard.record(CauseConnections, c)
-	idle := c.account.State() == memory.Quiet
+	refused := c.account.State() == memory.Quiet || c.headRead.Load()
 	c.stopReading()
-	if idle {
-		select {
-		case <-c.closed:
-			return
-		case <-time.After(flushTime):
-		}
+	if refused && !c.awaitClosed(flushTime) {
+		go func() {
+			c.awaitClosed(sendTime)
+			reset(c.Conn)
+		}()
+		return
+	}
+	reset(c.Conn)
+}
+
+// awaitClosed waits until the server has closed the connection, and returns false if it does not within a time limit.
+func (c *Conn) awaitClosed(limit time.Duration) bool {
+	select {
+	case <-c.closed:
+		return true
+	case <-time.After(limit):
+		return false
 	}
-	_ = c.SetLinger(0)
-	_ = c.Conn.Close()
 }
 
 // overdue reports whether the connection exceeds a time limit.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -13,9 +13,10 @@
 const (
 	// connectionBytes is the memory of an open connection with a small head.
 	connectionBytes = 16 << 10
-	// flushTime is the time that a response has to be sent before its connection may be closed for a new
-	// one.
+	// flushTime is the time that the rest of a response has to be sent before its connection may be closed for a new
+	// one, and sendTime that for one of which nothing has been sent, on a busy processor too.
 	flushTime = 20 * time.Millisecond
+	sendTime  = time.Second
 )
 
 // Config configures a listener.
