listener: a shutdown looks twice before it ends an overdue head

Bytes that have been read and not been counted yet looked like a head that does not arrive: the request of TestStopReadsHeadThatHasArrivedBeforeItsLimit was refused with 503 in 2 of 8 runs.

--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -146,7 +146,11 @@
 		switch state := c.account.State(); {
 		case state == memory.Quiet && !c.used.Load() && !unused:
 		case state == memory.Receiving && c.headOverdue(now, shutdownHeadTimeout):
-			c.close(CauseHead)
+			// What has been read and not counted yet may end the head.
+			if c.overdueBefore {
+				c.close(CauseHead)
+			}
+			c.overdueBefore = true
 		default:
 			c.retire()
 		}
