listener: the time of a body counts from its request

The first request of a connection that had been open for 30 s without one was answered 408 at once in the first way to run, unless its body had arrived with its head: http.Server counts ReadTimeout from the accept, since the guard bounds heads itself. The guard sets the limit for each body now. Found by review; the test got no whole body before.

--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -42,8 +42,9 @@
 func (g *Guard) Bind(server *http.Server, bodies Bodies) *Server {
 	next := server.Handler
 	server.MaxHeaderBytes = DefaultHeadBytes
-	// The guard bounds the time of heads and of idle connections. Zero would mean server.ReadTimeout.
-	server.ReadHeaderTimeout, server.IdleTimeout = -1, -1
+	// The guard bounds the time of heads, of bodies and of idle connections. The server would count from the accept.
+	bodyTimeout := server.ReadTimeout
+	server.ReadTimeout, server.ReadHeaderTimeout, server.IdleTimeout = 0, -1, -1
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if inner := connOf(c); inner != nil {
 			return memory.WithAccount(context.WithValue(ctx, connKey{}, inner), inner.account)
@@ -61,6 +62,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if bodyTimeout > 0 && r.Body != http.NoBody {
+			// A connection that cannot be bounded has ended.
+			_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+		}
 		c.serve(w, r, next, bodies)
 	})
 	return &Server{Server: server, guard: g, empty: make(chan struct{}, 1)}
