listener: a refusal in a stop does not wait for the rest of its body

Callers who were still sending got no refusal if it was made less than a second before the end of a stop, on a connection that was to be kept: http.Server reads the rest of a body before it sends such a response, for up to 1 s. It stops reading once the connection is to be closed.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -68,6 +68,8 @@
 	idle, early bool
 	// retiring is set once the connection is to be closed when it is idle.
 	retiring bool
+	// unread is set while the server reads the rest of a body that the handler has not read.
+	unread bool
 }
 
 // Values of Conn.fate. Only an undecided connection may be closed before a response: a request that runs
--- a/internal/listener/idle.go
+++ b/internal/listener/idle.go
@@ -12,12 +12,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.retiring = true
-	if c.idle {
+	switch {
+	case c.idle:
 		_ = c.setReadDeadline(time.Time{})
+	case c.unread:
+		_ = c.Conn.SetReadDeadline(past)
 	}
 	return c.idle
 }
 
+// limitUnread bounds the time in which the server reads the rest of a body that the handler has not read, before it
+// sends the response. A connection that is to be closed does not wait for it.
+func (c *Conn) limitUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = true
+	limit := time.Now().Add(unreadTimeout)
+	if c.retiring {
+		limit = past
+	}
+	// A connection that cannot be bounded has ended.
+	_ = c.setReadDeadline(limit)
+}
+
 // isRetiring reports whether the connection closes after the response to its request.
 func (c *Conn) isRetiring() bool {
 	c.mu.Lock()
@@ -46,7 +63,7 @@
 func (c *Conn) beginIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.early = !c.early, false
+	c.idle, c.early, c.unread = !c.early, false, false
 	return c.idle
 }
 
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -206,7 +206,6 @@
 	b.conn.account.Release(b.held)
 	b.conn.account.SetState(memory.Finished)
 	if !b.ended {
-		// A connection that cannot be bounded has ended.
-		_ = b.conn.SetReadDeadline(time.Now().Add(unreadTimeout))
+		b.conn.limitUnread()
 	}
 }
