forward: a stopping router declines what it would refuse of other routers

A request that another router had passed on got a final 503 from a stopping router if it waited for memory, or if its body ended late, although other routers could serve it.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -350,26 +350,15 @@
 		h.refuse(w, j, refusal)
 		return
 	}
-	if h.outlastsStop(j) {
-		h.refuse(w, j, refuseStopping())
-		return
-	}
-	if !j.memory.Grow(requestBytes) {
-		h.refuse(w, j, h.refuseMemory())
-		return
-	}
-	body, refusal := h.readBody(w, r, j)
-	if refusal != nil {
+	if refusal := h.receive(w, r, j); refusal != nil {
+		if h.stopping.Load() && j.origin != nil {
+			h.decline(w, j, refusal.reason)
+			return
+		}
 		h.refuse(w, j, refusal)
 		return
 	}
-	if h.outlastsStop(j) {
-		// The body has ended so late.
-		h.refuse(w, j, refuseStopping())
-		return
-	}
-	j.request.Body = body
-	j.digest = poison.DigestOf(j.tenantName(), r.Method, r.Host, r.RequestURI, body)
+	j.digest = poison.DigestOf(j.tenantName(), r.Method, r.Host, r.RequestURI, j.request.Body)
 	j.query.Request = j.digest
 	ctx, extend, done := h.deadlines.withDeadline(r.Context(), h.now(), j.deadline, j.cutoff)
 	defer done()
@@ -382,6 +371,23 @@
 	h.serve(ctx, w, j)
 }
 
+// receive reads the body of a request, or returns why the request is refused.
+func (h *Handler) receive(w http.ResponseWriter, r *http.Request, j *job) *refusal {
+	if h.outlastsStop(j) {
+		return refuseStopping()
+	}
+	if !j.memory.Grow(requestBytes) {
+		return h.refuseMemory()
+	}
+	body, refusal := h.readBody(w, r, j)
+	if refusal == nil && h.outlastsStop(j) {
+		// The body has ended late.
+		refusal = refuseStopping()
+	}
+	j.request.Body = body
+	return refusal
+}
+
 // continueFrom takes over what the router that passed the request on has done with it.
 func (j *job) continueFrom(origin *relay.Origin) {
 	if origin == nil {
--- a/internal/forward/review_test.go
+++ b/internal/forward/review_test.go
@@ -56,6 +56,7 @@
 func TestRelayedRequestWhoseBodyEndsLateInStopIsDeclined(t *testing.T) {
 	r := newRig(t)
 	r.add("llm", "e", oneEvent)
+	r.allow("/resumable/x", time.Minute)
 	var passed atomic.Int64
 	clock := r.handler.clock
 	r.handler.clock = func() time.Duration { return clock() + time.Duration(passed.Load()) }
