forward: a body that has not ended is refused with its router's stop

Callers who were still sending got nothing at the end of a stop, and one of them held it to its limit: the read of a body ended at the deadline of its request only. It ends now once the request would be refused however it goes on, that is when it may outlast the stop after the time for such requests, and at the end of the stop, with 503.

--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -16,6 +16,9 @@
 	ended error
 	// running is the number of requests that are being handled, also those without a deadline yet.
 	running int
+	// arriving are the requests whose bodies are being read. Each is called, with the lock held, to end that if the
+	// request will be refused; ended is set once all requests have been cancelled.
+	arriving map[*func(ended bool)]struct{}
 	// none is closed once no request is being handled; nil while nobody waits for that.
 	none chan struct{}
 }
@@ -27,7 +30,7 @@
 	cancel   context.CancelCauseFunc
 }
 
-func newDeadlines() *deadlines { return &deadlines{open: map[*openRequest]struct{}{}} }
+func newDeadlines() *deadlines { return &deadlines{open: map[*openRequest]struct{}{}, arriving: map[*func(bool)]struct{}{}} }
 
 // begin records that a request is being handled until end is called.
 func (d *deadlines) begin() (end func()) {
@@ -86,6 +89,27 @@
 	}
 }
 
+// awaitBody has check called when the bodies that have not ended are looked at, until done has returned.
+func (d *deadlines) awaitBody(check func(ended bool)) (done func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.arriving[&check] = struct{}{}
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.arriving, &check)
+	}
+}
+
+// checkBodies looks at the bodies that have not ended.
+func (d *deadlines) checkBodies() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for check := range d.arriving {
+		(*check)(d.ended != nil)
+	}
+}
+
 // cancelAll cancels all requests with a cause, also those that begin later.
 func (d *deadlines) cancelAll(cause error) {
 	d.mu.Lock()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -212,6 +212,7 @@
 	h.stoppedAt.Store(int64(now))
 	h.stopEnd.Store(int64(now + limit))
 	h.stopping.Store(true)
+	time.AfterFunc(acceptTime+time.Millisecond, h.deadlines.checkBodies)
 }
 
 // outlastsStop reports whether a request arrives so late in the router's stop that it is refused: its answer might be
@@ -225,6 +226,7 @@
 // disconnected client.
 func (h *Handler) EndRequests() {
 	h.deadlines.cancelAll(errStopping)
+	h.deadlines.checkBodies()
 	h.config.Memory.EndWaits()
 }
 
@@ -380,7 +382,7 @@
 		return h.refuseMemory()
 	}
 	body, refusal := h.readBody(w, r, j)
-	if refusal == nil && h.outlastsStop(j) {
+	if refusal == nil && h.isTooLate(j) {
 		// The body has ended late.
 		refusal = refuseStopping()
 	}
@@ -483,16 +485,28 @@
 	connection := http.NewResponseController(w)
 	// An error means that the connection has no deadlines.
 	_ = connection.SetReadDeadline(time.Now().Add(j.deadline - h.now()))
+	done := h.deadlines.awaitBody(func(ended bool) {
+		if ended || h.outlastsStop(j) {
+			_ = connection.SetReadDeadline(time.Unix(1, 0))
+		}
+	})
 	body, err := readRequestBody(reader, r.ContentLength, most, &j.memory)
+	done()
 	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	// The rest of the body is not awaited.
 	w.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) && h.isTooLate(j) {
+		return nil, refuseStopping()
+	}
 	return nil, h.refuseBody(err)
 }
 
+// isTooLate reports whether a request is refused since the router stops, also once its body has ended.
+func (h *Handler) isTooLate(j *job) bool { return h.outlastsStop(j) || h.deadlines.allEnded() }
+
 // refuseBody returns the refusal of a request whose body was not read whole.
 func (h *Handler) refuseBody(err error) *refusal {
 	var tooLarge *http.MaxBytesError
