edge: checks and metrics are shut down beside the last answers of a stop

One open connection to the readiness address took the last 50 ms of a stop's grace of 4 s, so that it ended with ended=false.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -250,12 +250,12 @@
 	e.logger.Info("stopping", "part", "edge", "limit_ms", e.settings.DrainLimit().Milliseconds())
 	time.Sleep(min(drainNotice, e.settings.DrainLimit()/2))
 	err := e.shutdown(drain)
-	if err != nil {
-		e.cut(end)
-	}
 	for _, server := range []*listener.Server{e.readiness, e.metrics} {
 		e.group.Go(func() { server.ShutdownWithin(end, statusTimeout) })
 	}
+	if err != nil {
+		e.cut(end)
+	}
 	ended := periodic.Await(end, func() {
 		e.handler.AwaitRequests()
 		e.handler.Wait()
