--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -30,7 +30,9 @@
 	cancel   context.CancelCauseFunc
 }
 
-func newDeadlines() *deadlines { return &deadlines{open: map[*openRequest]struct{}{}, arriving: map[*func(bool)]struct{}{}} }
+func newDeadlines() *deadlines {
+	return &deadlines{open: map[*openRequest]struct{}{}, arriving: map[*func(bool)]struct{}{}}
+}
 
 // begin records that a request is being handled until end is called.
 func (d *deadlines) begin() (end func()) {
