--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -42,7 +42,7 @@
 
 const (
 	// responseMargin is the time before the client's deadline at which the final response is
-	// sent.
+	// sent if no other one has begun.
 	responseMargin = 30 * time.Millisecond
 	// freshWait is the time that a request waits for Source.Fresh, polled every freshStep.
 	freshWait = 300 * time.Millisecond
@@ -212,6 +212,7 @@
 	h.stoppedAt.Store(int64(now))
 	h.stopEnd.Store(int64(now + limit))
 	h.stopping.Store(true)
+	time.AfterFunc(acceptTime+time.Millisecond, h.deadlines.checkBodies)
 }
 
 // outlastsStop reports whether a request arrives so late in the router's stop that it is refused: its answer might be
@@ -225,6 +226,7 @@
 // disconnected client.
 func (h *Handler) EndRequests() {
 	h.deadlines.cancelAll(errStopping)
+	h.deadlines.checkBodies()
 	h.config.Memory.EndWaits()
 }
 
@@ -269,9 +271,11 @@
 	receivedAt time.Duration
 	// clientWait is the time for which the client waits, from its request on.
 	clientWait time.Duration
-	// deadline is the time at which the request times out for the client or its route, by the
-	// handler's clock.
-	deadline time.Duration
+	// deadline is the time at which the request is refused unless its response has begun, and cutoff that at which
+	// it times out for the client or its route, by the handler's clock.
+	deadline, cutoff time.Duration
+	// extend moves the end of the request from deadline to cutoff.
+	extend func()
 	tally
 	// newerConfiguration is the version of another router's configuration that does not allow the request.
 	newerConfiguration uint64
@@ -348,29 +352,19 @@
 		h.refuse(w, j, refusal)
 		return
 	}
-	if h.outlastsStop(j) {
-		h.refuse(w, j, refuseStopping())
-		return
-	}
-	if !j.memory.Grow(requestBytes) {
-		h.refuse(w, j, h.refuseMemory())
-		return
-	}
-	body, refusal := h.readBody(w, r, j)
-	if refusal != nil {
+	if refusal := h.receive(w, r, j); refusal != nil {
+		if h.stopping.Load() && j.origin != nil {
+			h.decline(w, j, refusal.reason)
+			return
+		}
 		h.refuse(w, j, refusal)
 		return
 	}
-	if h.outlastsStop(j) {
-		// The body has ended so late.
-		h.refuse(w, j, refuseStopping())
-		return
-	}
-	j.request.Body = body
-	j.digest = poison.DigestOf(j.tenantName(), r.Method, r.Host, r.RequestURI, body)
+	j.digest = poison.DigestOf(j.tenantName(), r.Method, r.Host, r.RequestURI, j.request.Body)
 	j.query.Request = j.digest
-	ctx, done := h.deadlines.withDeadline(r.Context(), j.deadline, j.deadline-h.now())
+	ctx, extend, done := h.deadlines.withDeadline(r.Context(), h.now(), j.deadline, j.cutoff)
 	defer done()
+	j.extend = extend
 	if j.continuation.resumed() {
 		h.metrics.resumedByClients.Add(1)
 	}
@@ -379,6 +373,23 @@
 	h.serve(ctx, w, j)
 }
 
+// receive reads the body of a request, or returns why the request is refused.
+func (h *Handler) receive(w http.ResponseWriter, r *http.Request, j *job) *refusal {
+	if h.outlastsStop(j) {
+		return refuseStopping()
+	}
+	if !j.memory.Grow(requestBytes) {
+		return h.refuseMemory()
+	}
+	body, refusal := h.readBody(w, r, j)
+	if refusal == nil && h.isTooLate(j) {
+		// The body has ended late.
+		refusal = refuseStopping()
+	}
+	j.request.Body = body
+	return refusal
+}
+
 // continueFrom takes over what the router that passed the request on has done with it.
 func (j *job) continueFrom(origin *relay.Origin) {
 	if origin == nil {
@@ -420,7 +431,8 @@
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request has no ID"}
 	}
 	j.clientWait = h.clientWait(r)
-	j.deadline = h.now() + timeout(j.clientWait, route)
+	now, limit := h.now(), min(route.Timeout, j.clientWait)
+	j.deadline, j.cutoff = now+withMargin(limit), now+limit
 	j.pool = table.Pool(h.splits.next(table, route))
 	j.memory = h.config.Memory.NewReservationFor(memory.AccountOf(r.Context()))
 	if !h.buildRequest(r, j) {
@@ -452,12 +464,8 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// timeout returns the time limit of a request: the route's timeout or the client's wait, whichever is
-// lower, less a margin for the response.
-func timeout(clientWait time.Duration, route *traffic.Route) time.Duration {
-	limit := min(route.Timeout, clientWait)
-	return max(limit-responseMargin, limit/2)
-}
+// withMargin returns the time limit of a request less a margin for the response.
+func withMargin(limit time.Duration) time.Duration { return max(limit-responseMargin, limit/2) }
 
 // readBody reads the whole body, so that the request can be retried. It ends at the deadline of the
 // request: a body that arrives slowly takes memory.
@@ -477,16 +485,28 @@
 	connection := http.NewResponseController(w)
 	// An error means that the connection has no deadlines.
 	_ = connection.SetReadDeadline(time.Now().Add(j.deadline - h.now()))
+	done := h.deadlines.awaitBody(func(ended bool) {
+		if ended || h.outlastsStop(j) {
+			_ = connection.SetReadDeadline(time.Unix(1, 0))
+		}
+	})
 	body, err := readRequestBody(reader, r.ContentLength, most, &j.memory)
+	done()
 	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	// The rest of the body is not awaited.
 	w.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) && h.isTooLate(j) {
+		return nil, refuseStopping()
+	}
 	return nil, h.refuseBody(err)
 }
 
+// isTooLate reports whether a request is refused since the router stops, also once its body has ended.
+func (h *Handler) isTooLate(j *job) bool { return h.outlastsStop(j) || h.deadlines.allEnded() }
+
 // refuseBody returns the refusal of a request whose body was not read whole.
 func (h *Handler) refuseBody(err error) *refusal {
 	var tooLarge *http.MaxBytesError
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/memory"
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 const (
@@ -20,6 +22,9 @@
 	freeHead = 4 << 10
 	// refusedHead is the largest estimate of a head that is parsed without memory for it.
 	refusedHead = 16 << 10
+	// lingerTime and lingerBytes bound what is read of a connection that is closed with unread bytes.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
 	// unreadTimeout is the time for which the rest of a request is read that has been answered.
 	unreadTimeout = time.Second
 )
@@ -36,8 +41,9 @@
 	head     headCounter
 	// headBytes is what the account holds for the head.
 	headBytes int64
-	// outOfHead is set from the end of a request's head until its response has been written.
-	outOfHead atomic.Bool
+	// headRead is set once the whole head of a request has been read, and outOfHead once it has been parsed, until its
+	// response has been written.
+	headRead, outOfHead atomic.Bool
 	// headAt is when the first byte of the head arrived, 0 for none.
 	headAt atomic.Int64
 	// used is set once a request has been answered.
@@ -46,10 +52,14 @@
 	fate atomic.Int32
 	// ending is set once reads fail, and cut once writes fail too.
 	ending, cut atomic.Bool
-	once        sync.Once
+	// closing is set once Close has been called.
+	closing atomic.Bool
+	once    sync.Once
 	// closed is closed with the connection.
 	closed   chan struct{}
 	progress progress
+	// overdueBefore is set once a shutdown has found the head overdue. The lock of the listener guards it.
+	overdueBefore bool
 
 	// mu guards what follows, and orders it with the read deadline.
 	mu sync.Mutex
@@ -58,6 +68,8 @@
 	idle, early bool
 	// retiring is set once the connection is to be closed when it is idle.
 	retiring bool
+	// unread is set while the server reads the rest of a body that the handler has not read.
+	unread bool
 }
 
 // Values of Conn.fate. Only an undecided connection may be closed before a response: a request that runs
@@ -87,7 +99,7 @@
 	switch {
 	case state == memory.Quiet && !c.used.Load() && !c.listener.config.Messages:
 		return 0, true
-	case state == memory.Quiet, state == memory.Finished && now-c.account.MovedAt() >= flushTime:
+	case state == memory.Quiet, state == memory.Finished && c.isFlushed(now):
 		return 1, true
 	case state == memory.Receiving:
 		return 2, true
@@ -96,27 +108,45 @@
 	}
 }
 
+// isFlushed reports whether a response has had its time to be sent.
+func (c *Conn) isFlushed(now time.Duration) bool {
+	limit := sendTime
+	if c.progress.written.Load() {
+		limit = flushTime
+	}
+	return now-c.account.MovedAt() >= limit
+}
+
 // mayAbort decides that the connection is closed at once. It returns false if a request runs.
 func (c *Conn) mayAbort() bool {
 	return c.fate.CompareAndSwap(undecided, closes) || c.account.State() == memory.Finished || c.fate.Load() == closes
 }
 
-// abort closes the connection for a new one at once. A request that has just been read on an idle one is refused
-// before.
+// abort closes the connection for a new one. A whole request that has been read is refused before, unless that takes
+// long; one that arrives ends with the connection.
 func (c *Conn) abort() {
 	c.account.MarkEvicted()
 	c.listener.guard.record(CauseConnections, c)
-	idle := c.account.State() == memory.Quiet
+	refused := c.account.State() == memory.Quiet || c.headRead.Load()
 	c.stopReading()
-	if idle {
-		select {
-		case <-c.closed:
-			return
-		case <-time.After(flushTime):
-		}
+	if refused && !c.awaitClosed(flushTime) {
+		go func() {
+			c.awaitClosed(sendTime)
+			reset(c.Conn)
+		}()
+		return
+	}
+	reset(c.Conn)
+}
+
+// awaitClosed waits until the server has closed the connection, and returns false if it does not within a time limit.
+func (c *Conn) awaitClosed(limit time.Duration) bool {
+	select {
+	case <-c.closed:
+		return true
+	case <-time.After(limit):
+		return false
 	}
-	_ = c.SetLinger(0)
-	_ = c.Conn.Close()
 }
 
 // overdue reports whether the connection exceeds a time limit.
@@ -134,10 +164,11 @@
 	}
 }
 
-// headOverdue reports whether the head of a request has not arrived within a time limit.
+// headOverdue reports whether the head of a request has not arrived within a time limit. Bytes that wait to be read may
+// be the rest of it.
 func (c *Conn) headOverdue(now, limit time.Duration) bool {
 	since := c.headAt.Load()
-	return since > 0 && !c.outOfHead.Load() && now-time.Duration(since) >= limit
+	return since > 0 && !c.headRead.Load() && !c.outOfHead.Load() && now-time.Duration(since) >= limit && socket.Unread(c.Conn) == 0
 }
 
 // close ends the connection and its request, unless that has been done.
@@ -257,6 +288,9 @@
 	}
 	c.account.Moved(len(p))
 	c.head.count(p)
+	if c.head.ended {
+		c.headRead.Store(true)
+	}
 	return c.reserveHead(c.head.estimate())
 }
 
@@ -282,6 +316,7 @@
 	c.account.Release(c.headBytes)
 	c.headBytes = 0
 	c.head = headCounter{}
+	c.headRead.Store(false)
 	c.headAt.Store(0)
 }
 
@@ -309,8 +344,11 @@
 	return nil, errors.ErrUnsupported
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It lets the client read a response that has just been written.
 func (c *Conn) Close() error {
+	if c.closing.CompareAndSwap(false, true) {
+		c.linger()
+	}
 	c.once.Do(func() {
 		c.listener.remove(c)
 		c.account.Close()
@@ -319,6 +357,18 @@
 	return c.Conn.Close()
 }
 
+// linger ends the sending side and reads what the client still sends, for a short time: closing with unread bytes resets
+// the connection, which drops what the client has not read of the response. It returns at once if there is none of both,
+// and when the connection is closed meanwhile.
+func (c *Conn) linger() {
+	if !c.progress.written.Load() || c.cut.Load() || c.listener.config.Messages || c.listener.isAbandoned() || socket.Unread(c.Conn) == 0 || c.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	// The connection is closed however this ends.
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
 // headCounter estimates the memory of a request's head from its bytes.
 type headCounter struct {
 	bytes, lines int64
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -42,8 +42,9 @@
 func (g *Guard) Bind(server *http.Server, bodies Bodies) *Server {
 	next := server.Handler
 	server.MaxHeaderBytes = DefaultHeadBytes
-	// The guard bounds the time of heads and of idle connections. Zero would mean server.ReadTimeout.
-	server.ReadHeaderTimeout, server.IdleTimeout = -1, -1
+	// The guard bounds the time of heads, of bodies and of idle connections. The server would count from the accept.
+	bodyTimeout := server.ReadTimeout
+	server.ReadTimeout, server.ReadHeaderTimeout, server.IdleTimeout = 0, -1, -1
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if inner := connOf(c); inner != nil {
 			return memory.WithAccount(context.WithValue(ctx, connKey{}, inner), inner.account)
@@ -61,6 +62,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if bodyTimeout > 0 && r.Body != http.NoBody {
+			// A connection that cannot be bounded has ended.
+			_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+		}
 		c.serve(w, r, next, bodies)
 	})
 	return &Server{Server: server, guard: g, empty: make(chan struct{}, 1)}
@@ -111,6 +116,8 @@
 // serve handles a request within the bounds of its connection.
 func (c *Conn) serve(w http.ResponseWriter, r *http.Request, next http.Handler, bodies Bodies) {
 	body := &countedBody{ReadCloser: r.Body, conn: c, counts: bodies == CountBodies}
+	// By its own type of body the server decides whether the client may still be sending as the connection closes.
+	defer func() { r.Body = body.ReadCloser }()
 	defer body.finish()
 	c.progress.handled.Store(true)
 	if c.isRetiring() {
@@ -199,7 +206,6 @@
 	b.conn.account.Release(b.held)
 	b.conn.account.SetState(memory.Finished)
 	if !b.ended {
-		// A connection that cannot be bounded has ended.
-		_ = b.conn.SetReadDeadline(time.Now().Add(unreadTimeout))
+		b.conn.limitUnread()
 	}
 }
--- a/internal/listener/shutdown.go
+++ b/internal/listener/shutdown.go
@@ -51,11 +51,19 @@
 	listeners := s.beginShutdown(ctx)
 	tick := time.NewTicker(shutdownInterval)
 	defer tick.Stop()
+	swept := clock.Now()
 	for {
 		left, now := 0, clock.Now()
 		for _, l := range listeners {
 			left += l.retire(now)
 		}
+		if now-swept >= sweepInterval {
+			// The guard checks open listeners only.
+			swept = now
+			for _, l := range listeners {
+				l.closeOverdue()
+			}
+		}
 		if left == 0 {
 			return s.Server.Shutdown(ctx)
 		}
@@ -121,6 +129,13 @@
 	l.stopped, l.closed = true, true
 }
 
+// isAbandoned reports whether connections are closed at once.
+func (l *Listener) isAbandoned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
 // retire lets connections end once they are idle, also those without any request some time after the last one was
 // accepted. It returns the number of those that are left or are being accepted.
 func (l *Listener) retire(now time.Duration) int {
@@ -131,7 +146,11 @@
 		switch state := c.account.State(); {
 		case state == memory.Quiet && !c.used.Load() && !unused:
 		case state == memory.Receiving && c.headOverdue(now, shutdownHeadTimeout):
-			c.close(CauseHead)
+			// What has been read and not counted yet may end the head.
+			if c.overdueBefore {
+				c.close(CauseHead)
+			}
+			c.overdueBefore = true
 		default:
 			c.retire()
 		}
