listener: a connection whose response has been sent makes room at once

Since requests that have been read are refused first, a new connection waited 20 ms for each one that had only to be closed after its response.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -127,7 +127,8 @@
 func (c *Conn) abort() {
 	c.account.MarkEvicted()
 	c.listener.guard.record(CauseConnections, c)
-	refused := c.account.State() == memory.Quiet || c.headRead.Load()
+	state := c.account.State()
+	refused := state == memory.Quiet || (state == memory.Receiving && c.headRead.Load())
 	c.stopReading()
 	if refused && !c.awaitClosed(flushTime) {
 		go func() {
