soak: what a back end sends after the end of an attempt does not make it the last one

In the same way an attempt that broke off could excuse a loss. Both cases of the test failed before, one each way.

--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -211,12 +211,15 @@
 	return ""
 }
 
-// lastAt returns when the back end received the request, or sent the last part of its answer.
+// lastAt returns when the back end received the request, or sent the last part of its answer before the attempt ended.
 func (a *attempt) lastAt() time.Duration {
-	if len(a.sent) == 0 {
-		return a.arrived
+	last := a.arrived
+	for _, at := range a.sent {
+		if a.end() == 0 || at <= a.end() {
+			last = at
+		}
 	}
-	return a.sent[len(a.sent)-1]
+	return last
 }
 
 // failedUnplanned reports whether a router was killed, frozen or cut from the back ends during a time, or
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -104,6 +104,13 @@
 		"earlier attempt broke off": {change: func(s *scene) {
 			s.others = []*attempt{{arrived: 3050 * ms, sent: []time.Duration{3100 * ms}, brokenOff: true}}
 		}, lost: true},
+		"part after the end of an attempt": {change: func(s *scene) {
+			s.first.brokenOff = true
+			s.others = []*attempt{{arrived: 3050 * ms, sent: []time.Duration{3100 * ms, 3950 * ms}, closed: 3150 * ms}}
+		}},
+		"part after the end of one that broke off": {change: func(s *scene) {
+			s.others = []*attempt{{arrived: 3050 * ms, sent: []time.Duration{3950 * ms}, closed: 3150 * ms, brokenOff: true}}
+		}, lost: true},
 		"later attempt broke off":         {change: func(s *scene) { s.others = []*attempt{{arrived: 3300 * ms, brokenOff: true}} }},
 		"declined after one broke off":    {change: func(s *scene) { s.first.brokenOff = true; s.others = []*attempt{{arrived: 3300 * ms, declined: true}} }},
 		"declined after one that went on": {change: func(s *scene) { s.others = []*attempt{{arrived: 3300 * ms, declined: true}} }, lost: true},
