--- a/internal/listener/idle.go
+++ b/internal/listener/idle.go
@@ -24,15 +24,14 @@
 // limitUnread bounds the time in which the server reads the rest of a body that the handler has not read, before it
 // sends the response. A connection that is to be closed does not wait for it.
 func (c *Conn) limitUnread() {
+	// A connection that cannot be bounded has ended.
+	_ = c.SetReadDeadline(time.Now().Add(unreadTimeout))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread = true
-	limit := time.Now().Add(unreadTimeout)
 	if c.retiring {
-		limit = past
+		_ = c.Conn.SetReadDeadline(past)
 	}
-	// A connection that cannot be bounded has ended.
-	_ = c.setReadDeadline(limit)
 }
 
 // isRetiring reports whether the connection closes after the response to its request.
