--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -359,8 +359,8 @@
 }
 
 // linger ends the sending side and reads what the client still sends, for a short time: closing with unread bytes resets
-// the connection, which drops what the client has not read of the response. It returns at once if there is none of both,
-// and when the connection is closed meanwhile.
+// the connection, which drops what the client has not read of the response. It does nothing unless a response has been
+// written and bytes are unread, and ends early if the connection is closed meanwhile.
 func (c *Conn) linger() {
 	if !c.progress.written.Load() || c.cut.Load() || c.listener.config.Messages || c.listener.isAbandoned() || socket.Unread(c.Conn) == 0 || c.CloseWrite() != nil {
 		return
