raft: a new leader holds its lease only once it has applied an entry of its term

Cause: LeaseUntil asked whether an entry of the term was committed. The reply that commits it and calls that read the state are run in one batch; the entries are applied after the batch. A call between them read the state without the committed entries: all that a restarted leader has not applied yet. Elsewhere: reads, watches, leases of routers and membership changes all ask HoldsLease, at coordinators and at control nodes; one place is changed.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -204,12 +204,13 @@
 func (n *Node) HoldsLease(now time.Duration) bool { return now < n.LeaseUntil() }
 
 // LeaseUntil returns the end of the lease by the node's clock, or 0 if the node has none. Replies
-// extend it.
+// extend it. A new leader has none until it has applied an entry of its term: its state may lack
+// acknowledged commands before.
 func (n *Node) LeaseUntil() time.Duration {
 	if n.role != Leader || n.transferring != 0 {
 		return 0
 	}
-	if committed, _ := n.log.term(n.log.commit); committed != n.hard.Term {
+	if applied, _ := n.log.term(n.log.applied); applied != n.hard.Term {
 		return 0
 	}
 	return n.quorumAckedSentAt() + n.config.LeaseDuration
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -18,6 +18,8 @@
 	isolated map[uint64]bool
 	// observe is called with each message, if it is set.
 	observe func(Message)
+	// onStep is called with each node that has received a message, if it is set.
+	onStep func(*Node)
 }
 
 func newGroup(t *testing.T, ids ...uint64) *group {
@@ -63,6 +65,9 @@
 					}
 					if to := g.nodes[m.To]; to != nil && !g.isolated[m.From] && !g.isolated[m.To] {
 						to.Step(g.now, m)
+						if g.onStep != nil {
+							g.onStep(to)
+						}
 					}
 				}
 			}
@@ -101,6 +106,27 @@
 	assert.ErrorIs(t, err, ErrNotLeader)
 }
 
+// Guards against reads from a state that lacks committed entries: a leader learns from a reply that its
+// first entry is committed, and applies it later.
+func TestLeaderHoldsNoLeaseBeforeItAppliesItsTerm(t *testing.T) {
+	g := newGroup(t, 1, 2, 3)
+	held, committed := 0, 0
+	g.onStep = func(n *Node) {
+		status := n.Status()
+		if n.Role() != Leader || n.Term(status.Commit) != status.Term || n.Term(status.Applied) == status.Term {
+			return
+		}
+		committed++
+		if n.HoldsLease(g.now) {
+			held++
+		}
+	}
+	g.advance(4 * time.Second)
+	assert.Assert(t, committed > 0, "the leader applied its first entry at once")
+	assert.Equal(t, held, 0)
+	assert.Assert(t, g.leader() != nil)
+}
+
 func TestIsolatedLeaderLosesLeaseBeforeElection(t *testing.T) {
 	g := newGroup(t, 1, 2, 3)
 	g.advance(4 * time.Second)
