edge: tests of the leader's queue do not depend on replies within 60 ms

Cause: routers choose engines by themselves when the leader does not reply within 60 ms, and for 250 ms then, as they should; on a busy machine replies are later, and the test looks at the leader's queue only. Evidence (12 at once with -race): 14 and 2 of 36 fail before; with the lines of the routers, "leader does not place requests; choosing engines locally" stands in the 2 that fail and in none of the 34 that pass. TestWaitingRequestsSurviveLossOfOneCoordinator has the same cause: 44 of 48 fail before. Both run with routers that wait for the leader as long as it can be reached; what they assert is the same. After: 0 of 48 with both tests.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -65,6 +65,9 @@
 	// retryRatio is the routers' setting of that name, 0 for 0.2, and stopGrace theirs, 0 for 2 s.
 	retryRatio float64
 	stopGrace  time.Duration
+	// placeTimeout is the routers' bound of a request to the leader, 0 for their own. Beside a long one routers
+	// choose no engines locally because a busy machine delays a reply.
+	placeTimeout time.Duration
 	// callerTimeout is when callers cancel, 0 for never.
 	callerTimeout time.Duration
 	// crashesOn reports whether a prompt with the given shared parts crashes engines; nil for all that
@@ -186,6 +189,12 @@
 	return d
 }
 
+// newPatientDeployment is newDeployment with routers that leave each choice to the leader while it can be reached.
+func newPatientDeployment(t *testing.T, coordinators, routers, engines int) *deployment {
+	t.Helper()
+	return startDeployment(&deployment{t: t, relays: true, placeTimeout: 5 * time.Second}, coordinators, routers, engines)
+}
+
 func discardLogger() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 func (d *deployment) log() *slog.Logger { return cmp.Or(d.logger, discardLogger()) }
@@ -248,6 +257,9 @@
 	if d.links != nil {
 		e.connections.SetDial(d.links.dialFrom(i))
 	}
+	if d.placeTimeout > 0 {
+		e.follower.SetPlaceTimeout(d.placeTimeout)
+	}
 	assert.NilError(d.t, e.Start())
 	return e
 }
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -50,7 +50,7 @@
 // Requests beyond the capacity of an engine must wait in the leader's queue and run later: an engine
 // with 8 slots never runs more, and none of the 24 requests, which take three rounds, is refused.
 func TestRequestsBeyondCapacityWait(t *testing.T) {
-	d := newDeployment(t, 3, 2, 1)
+	d := newPatientDeployment(t, 3, 2, 1)
 	for i, got := range d.sendMany(0, 24, "/chat/", "long ") {
 		assert.Assert(t, got.status == http.StatusOK && got.complete, "request %d: %+v", i, got)
 		assert.Equal(t, d.runCount(fmt.Sprint("long ", i)), 1)
@@ -93,7 +93,7 @@
 
 // The loss of the leader alone must neither lose a request that waits nor run one twice.
 func TestWaitingRequestsSurviveLossOfOneCoordinator(t *testing.T) {
-	d := newDeployment(t, 3, 2, 1)
+	d := newPatientDeployment(t, 3, 2, 1)
 	time.AfterFunc(300*time.Millisecond, d.restartLeader)
 	for i, got := range d.sendMany(0, 24, "/chat/", "long ") {
 		assert.Assert(t, got.status == http.StatusOK && got.complete, "request %d: %+v", i, got)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -125,8 +125,10 @@
 	// clock is clock.Now except in tests.
 	clock      func() time.Duration
 	placements placements
-	waiting    waiting
-	rooms      atomic.Pointer[rooms]
+	// placeTimeout is placeTimeout except in tests.
+	placeTimeout time.Duration
+	waiting      waiting
+	rooms        atomic.Pointer[rooms]
 	// onAnnouncement is called after rooms has changed; nil for none.
 	onAnnouncement func()
 	// announcement numbers the announced capacities of pools.
@@ -213,7 +215,7 @@
 // New returns a follower without a leader. Its name is unique to each start.
 func New(config Config) *Follower {
 	name := config.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
-	f := &Follower{config: config, name: name, clock: clock.Now, started: clock.Now(), nextCandidate: rand.IntN(max(len(config.Seeds), 1))}
+	f := &Follower{config: config, name: name, clock: clock.Now, started: clock.Now(), placeTimeout: placeTimeout, nextCandidate: rand.IntN(max(len(config.Seeds), 1))}
 	f.SetSeeds(config.Seeds)
 	f.evidence.init()
 	f.streams = streams{table: resumption.NewTable(), pending: map[string][]resumption.Record{}, sending: map[string]bool{}}
@@ -227,6 +229,10 @@
 // must be set before the follower starts.
 func (f *Follower) OnAnnouncement(call func()) { f.onAnnouncement = call }
 
+// SetPlaceTimeout replaces the time for which callers wait for the leader's reply. It must be set before the
+// follower starts.
+func (f *Follower) SetPlaceTimeout(timeout time.Duration) { f.placeTimeout = timeout }
+
 // SetSeeds replaces the coordinators that are tried when no member is known.
 func (f *Follower) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
 
--- a/internal/follower/place.go
+++ b/internal/follower/place.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// placeTimeout bounds a request to the leader that a caller waits for: a few round trips
-	// between zones. After it the router decides by itself.
+	// placeTimeout is the default bound of a request to the leader that a caller waits for: a few round
+	// trips between zones. After it the router decides by itself.
 	placeTimeout = 60 * time.Millisecond
 	// lateReplyTimeout is the time after which a reply is not awaited any more whose caller has gone on
 	// without it: the permit in it may be used for a while yet. It is shorter than the age at which
@@ -131,7 +131,7 @@
 
 // call sends a request to the leader that a caller waits for.
 func (f *Follower) call(ctx context.Context, leader string, request coordapi.Request) (reply coordapi.Reply, err error) {
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.placeTimeout)
 	defer cancel()
 	err = f.config.Peers.Call(ctx, leader, coordapi.KindCall, request, &reply)
 	return reply, err
@@ -147,13 +147,13 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateReplyTimeout)
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(lateReplyTimeout, f.placeTimeout))
 		defer cancel()
 		var r result
 		r.err = f.config.Peers.Call(call, leader, coordapi.KindCall, request, &r.reply)
 		done <- r
 	}()
-	timeout := time.NewTimer(placeTimeout)
+	timeout := time.NewTimer(f.placeTimeout)
 	defer timeout.Stop()
 	err := context.DeadlineExceeded
 	select {
