forward, backends: a restart at the same address ends only attempts that are silent

Cause: when the row of the new start arrives, the pool cancels all attempts at the rows before it of the same name. Back ends serve at an address before routers know of them, so that these may run at the new start. A process that ends closes its connections itself.

--- a/internal/backends/restart.go
+++ b/internal/backends/restart.go
@@ -6,6 +6,10 @@
 // cannot succeed, even if its connection stays open.
 var ErrRestarted = errors.New("the back end has restarted")
 
+// ErrAddressReused is passed to the cancel function of an attempt whose back end has restarted at the same
+// address. The attempt may run at the new start, which serves before routers know of it.
+var ErrAddressReused = errors.New("the back end has restarted at its address")
+
 func (r *row) addAttempt(a *Attempt) {
 	if r.attempts == nil {
 		r.attempts = map[*Attempt]struct{}{}
@@ -13,8 +17,8 @@
 	r.attempts[a] = struct{}{}
 }
 
-// cancelSuperseded cancels the attempts at earlier starts of a back end. Only rows with an instance
-// name can be matched with earlier starts.
+// cancelSuperseded passes a cause to the cancel functions of the attempts at earlier starts of a back end.
+// Only rows with an instance name can be matched with earlier starts.
 func (p *Pool) cancelSuperseded(successor *row) {
 	if p.central || successor.Instance == "" {
 		return
@@ -23,8 +27,12 @@
 		if r == successor || r.Name() != successor.Name() || r.EnrolledRevision > successor.EnrolledRevision {
 			continue
 		}
+		cause := ErrRestarted
+		if r.Address == successor.Address {
+			cause = ErrAddressReused
+		}
 		for a := range r.attempts {
-			a.cancel(ErrRestarted)
+			a.cancel(cause)
 		}
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -33,10 +33,13 @@
 	begun   time.Duration
 	running *backends.Attempt
 	// tracked is nil unless the attempt is at an engine.
-	tracked  *liveness.Stream
-	silence  *watchdog
-	response *upstream.BackendResponse
-	reader   *bufio.Reader
+	tracked *liveness.Stream
+	silence *watchdog
+	// restarted is set once the back end is known to have restarted at its address.
+	restarted atomic.Bool
+	awaited   awaited
+	response  *upstream.BackendResponse
+	reader    *bufio.Reader
 	// ahead is what a hedge has read of its response; nil for nothing.
 	ahead *readAhead
 	// hedged is set while a hedge of this attempt is running, and backoff spaces the hedges. The lock of
@@ -95,7 +98,7 @@
 	a.choice = choice
 	s.attempted, s.relay, s.attemptedAt, s.gaveUp = choice, "", a.started, nil
 	h.setBackendHeaders(j, s, choice)
-	a.running = h.config.Pool.Begin(a.started, &choice, &j.query, a.cancel)
+	a.running = h.config.Pool.Begin(a.started, &choice, &j.query, a.onCancelled)
 	a.onClose = append(a.onClose, func() { a.running.End(h.now()) })
 	if j.pool.Engine != nil {
 		a.onClose = append(a.onClose, h.takeShare(j))
@@ -110,7 +113,9 @@
 		a.onClose = append(a.onClose, func() { h.config.Placer.Ended(choice.Placement) })
 	}
 	h.watch(a)
+	a.awaited.begin(h.clock())
 	response, err := h.config.Upstream.Do(a.ctx, choice.Address, j.request)
+	a.awaited.end()
 	// A permit that was not consumed by Do is not needed any more.
 	h.config.Limits.Release(choice.Permit)
 	a.onClose = append(a.onClose, func() { h.config.Limits.Finish(choice.Permit) })
@@ -152,6 +157,7 @@
 // begin records that the response has begun.
 func (a *attempt) begin(response *upstream.BackendResponse) {
 	a.response, a.begun = response, a.handler.now()
+	response.Body = &awaitedBody{ReadCloser: response.Body, attempt: a}
 	a.onClose = append(a.onClose, response.Close)
 	a.silence.stop()
 	if a.isStream() {
--- a/internal/forward/restart_test.go
+++ b/internal/forward/restart_test.go
@@ -62,3 +62,69 @@
 		})
 	}
 }
+
+// restartInPlace applies the row of a new instance of a back end at the address of the server added last.
+func (r *rig) restartInPlace(pool, name string) {
+	r.mu.Lock()
+	address := r.servers[len(r.servers)-1].Listener.Addr().String()
+	r.mu.Unlock()
+	r.restart(pool, name, address)
+}
+
+// Guards against cut answers of a back end that has started again at its address: it serves before routers
+// have its row.
+func TestRestartKeepsAttemptsThatAnswerAtSameAddress(t *testing.T) {
+	r := newRig(t)
+	r.source.table.Route("h", "/chat/x").Timeout = 20 * time.Second
+	r.source.table.Route("h", "/unsafe/x").Timeout = 20 * time.Second
+	answered := make(chan struct{}, 2)
+	r.add("llm", "engine", func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 8 {
+			events(w, i+1, i+1)
+			answered <- struct{}{}
+			// Longer than restartSilence together.
+			time.Sleep(restartSilence / 6)
+		}
+	})
+	go func() {
+		<-answered
+		r.restartInPlace("llm", "engine")
+		for range 7 {
+			<-answered
+		}
+	}()
+	got := r.ask("POST", "/chat/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(8))
+
+	begun := make(chan struct{})
+	r.add("app", "worker", func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		time.Sleep(restartSilence / 2)
+		w.Header().Set(names.Signature, "seal")
+	})
+	go func() {
+		<-begun
+		r.restartInPlace("app", "worker")
+	}()
+	assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusOK)
+}
+
+// Attempts that stay silent at an address that a new start has taken must end long before their deadline.
+func TestRestartEndsSilentAttemptsAtSameAddress(t *testing.T) {
+	r := newRig(t)
+	r.source.table.Route("h", "/unsafe/x").Timeout = 20 * time.Second
+	begun := make(chan struct{}, 1)
+	r.add("app", "worker", hanging(begun))
+	go func() {
+		<-begun
+		r.restartInPlace("app", "worker")
+	}()
+	start := time.Now()
+	got := r.ask("POST", "/unsafe/x", nil)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, got.header.Get("Retry-After"), "", "it may have run")
+	took := time.Since(start)
+	assert.Assert(t, took >= restartSilence && took < 4*restartSilence, "%v", took)
+}
