--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -115,6 +115,8 @@
 	// suspendedFor is the simulated time for which each node's machine was suspended, in
 	// nanoseconds.
 	suspendedFor []*atomic.Int64
+	// maxBackends replaces the limit of nodes that are started later, unless it is 0.
+	maxBackends int
 }
 
 // dataDirectory is the data directory of nodes with a disk in memory.
@@ -179,6 +181,9 @@
 	assert.NilError(g.t, err)
 	suspendedFor := g.suspendedFor[i]
 	server.clock = func() time.Duration { return clock.Now() + time.Duration(suspendedFor.Load()) }
+	if g.maxBackends > 0 {
+		server.maxBackends = g.maxBackends
+	}
 	assert.NilError(g.t, server.Start())
 	g.servers[i] = server
 }
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -45,6 +45,7 @@
 		fmt.Fprintf(w, "quinceridge_peer_sent_messages_total{carries=%q} %d\n", carries, sent.Messages)
 	}
 	gauge("entries_unreadable_total", s.unreadable.Load())
+	gauge("backends_refused_total", s.refusedBackends.Load())
 	placements, routers := s.placer.OpenPlacements()
 	gauge("placements_open", placements)
 	gauge("placements_routers", routers)
--- a/internal/coordinator/registry.go
+++ b/internal/coordinator/registry.go
@@ -52,6 +52,11 @@
 	if accepted, err := s.pools.checkHeartbeat(old, known, &b.Backend); !accepted {
 		return registryChange{}, err
 	}
+	if !known {
+		if err := s.checkRoom(d, start); err != nil {
+			return registryChange{}, err
+		}
+	}
 	s.recordStart(start, id)
 	if !s.soft.heartbeat(now, id, b.Sequence) && known {
 		return s.drainChange(old, b.Backend.Draining), nil
--- a/internal/coordinator/rowbatcher.go
+++ b/internal/coordinator/rowbatcher.go
@@ -83,6 +83,9 @@
 	e.queued = append(e.queued, pending)
 }
 
+// pending returns the number of uncommitted rows.
+func (e *rowBatcher) pending() int { return len(e.byID) + len(e.inFlight) }
+
 // ready reports whether an entry can be proposed.
 func (e *rowBatcher) ready() bool { return e.inFlight == nil && len(e.queued) > 0 }
 
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -64,6 +64,11 @@
 	unreadable      atomic.Uint64
 	unreadableLines bounded.LineLimiter
 	troubleLines    bounded.LineLimiter
+	// maxBackends is maxBackends except in tests. refusedBackends counts the heartbeats that were refused
+	// because the table is full, and refusedLines limits the log lines about them.
+	maxBackends     int
+	refusedBackends atomic.Uint64
+	refusedLines    bounded.LineLimiter
 	listener        *peer.Server
 	metrics         *listener.Server
 	// parsing is held while a configuration of an operator is decoded.
@@ -119,7 +124,7 @@
 func NewOnDisk(disk vfs.FS, config settings.Coordinator, engines Engines, decode Decode, logger *slog.Logger) (*Server, error) {
 	backendLimits := ratelimit.NewLimiter(logger)
 	s := &Server{settings: config, logger: logger, counters: &peer.Counters{}, engines: engines, decode: decode,
-		clock: clock.Now, disk: disk, started: clock.Now(), placer: placer.New(backendLimits), tenantLimits: newTenantLimits(config, decode, logger), backendLimits: backendLimits,
+		clock: clock.Now, maxBackends: maxBackends, disk: disk, started: clock.Now(), placer: placer.New(backendLimits), tenantLimits: newTenantLimits(config, decode, logger), backendLimits: backendLimits,
 		blocker: newBlocker(config.BackendHeartbeat, logger), streams: resumption.NewTable()}
 	s.loop = control.NewLoop(s.now)
 	var err error
