soak: a call around a planned stop is not judged by a hedge that was outrun

The check took the attempt that was active last for the one that went on. An attempt that its router closed is left out if a back end broke off another one later, which its router had not closed: a silent back end, whose attempts look open, excuses nothing. Case "outrun by one that broke off" fails before; three cases that stay losses pass before and after.

--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -37,6 +37,8 @@
 	// declined is set if the back end did not run the request or broke its answer off, and brokenOff if it
 	// broke it off by closing the connection.
 	declined, brokenOff bool
+	// brokenOffAt is when the back end broke it off, 0 if the router had closed its connection before.
+	brokenOffAt time.Duration
 }
 
 // attemptLog records what all back ends saw of requests. It is safe for concurrent use.
@@ -66,7 +68,12 @@
 }
 
 func (s *Soak) recordBrokenOff(a *attempt) {
-	s.attemptLog.record(func() { a.brokenOff = true })
+	s.attemptLog.record(func() {
+		a.brokenOff = true
+		if a.closed == 0 {
+			a.brokenOffAt = s.now()
+		}
+	})
 }
 
 // end returns when the attempt ended as the back end saw it, 0 if it has not.
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -111,6 +111,22 @@
 		"part after the end of one that broke off": {change: func(s *scene) {
 			s.others = []*attempt{{arrived: 3050 * ms, sent: []time.Duration{3950 * ms}, closed: 3150 * ms, brokenOff: true}}
 		}, lost: true},
+		"outrun by one that broke off": {change: func(s *scene) {
+			s.first.closed, s.first.sent = 3500*ms, []time.Duration{3450 * ms}
+			s.others = []*attempt{{arrived: 3050 * ms, brokenOff: true, brokenOffAt: 3950 * ms}}
+		}},
+		"cut after one broke off": {change: func(s *scene) {
+			s.first.sent = []time.Duration{3950 * ms}
+			s.others = []*attempt{{arrived: 3050 * ms, brokenOff: true, brokenOffAt: 3900 * ms}}
+		}, lost: true},
+		"cut beside one that broke off closed": {change: func(s *scene) {
+			s.first.sent = []time.Duration{3950 * ms}
+			s.others = []*attempt{{arrived: 3050 * ms, closed: 4 * time.Second, brokenOff: true}}
+		}, lost: true},
+		"cut beside a silent back end": {change: func(s *scene) {
+			s.first.closed, s.first.sent = 3500*ms, []time.Duration{3450 * ms}
+			s.others = []*attempt{{arrived: 3050 * ms}}
+		}, lost: true},
 		"later attempt broke off":         {change: func(s *scene) { s.others = []*attempt{{arrived: 3300 * ms, brokenOff: true}} }},
 		"declined after one broke off":    {change: func(s *scene) { s.first.brokenOff = true; s.others = []*attempt{{arrived: 3300 * ms, declined: true}} }},
 		"declined after one that went on": {change: func(s *scene) { s.others = []*attempt{{arrived: 3300 * ms, declined: true}} }, lost: true},
