--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Main targets: make build, make demo, make check (all checks).
 
-.PHONY: build demo check format lint test clients models soak upgrade clean
+.PHONY: build demo check format lint test measure clients models soak upgrade clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -9,7 +9,7 @@
 demo: build
 	./bin/rehearse fleet --deployment grocery --seconds 30
 
-check: format lint test clients models soak upgrade
+check: format lint test measure clients models soak upgrade
 
 format:
 	@unformatted=$$(gofmt -l cmd internal platform); \
@@ -19,11 +19,20 @@
 	go vet ./...
 	go tool staticcheck ./...
 
-# Prints and skips the tests that KNOWN-RED.txt lists, one per line with cause and issue.
+# Tests that check how much is served in time. They are run without the race detector, which slows a process so
+# much that a busy machine decides them; those of MEASURED_WITH_RACES check the rest with it too.
+MEASURED = TestBrittleBackendsRejectFew|TestBrittleBackendsRejectFewWhileLeaderIsLost|TestNewLeaderCountsWhatBrittleBackendsRun|TestLimitedBackendsAreUsedWhileLeaderRespondsLate
+MEASURED_WITH_RACES = TestAnswersSurviveSilenceOfEngines|TestManyEndlessResponsesTakeLittleMemory
+
+# Prints and skips the tests that KNOWN-RED.txt lists, one per line with cause and issue, and skips MEASURED,
+# which measure runs.
 test:
 	@known=""; if [ -s KNOWN-RED.txt ]; then echo "known to fail, not run:"; cat KNOWN-RED.txt; \
-	known="-skip=^($$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|'))$$"; fi; \
-	set -x; go test -race -count=1 -timeout=20m "$${known:--skip=^$$}" $$(go list ./... | grep -v '/internal/clienttest$$')
+	known="|$$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')"; fi; \
+	set -x; go test -race -count=1 -timeout=20m "-skip=^($(MEASURED)$$known)$$" $$(go list ./... | grep -v '/internal/clienttest$$')
+
+measure:
+	go test -count=1 -timeout=20m -p 1 '-run=^($(MEASURED)|$(MEASURED_WITH_RACES))$$' ./internal/edge ./internal/forward
 
 # Sends crowds of clients that break the limits at real processes, one test at a time and without the race
 # detector, whose memory would count. Skips the tests that KNOWN-RED.txt lists, which test prints.
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/racedetector"
 )
 
 const (
@@ -224,9 +226,13 @@
 			t.Log(o)
 			lines = append(lines, name+": "+o.String())
 			assert.Check(t, o.met > 50)
+			assert.Check(t, o.endedByRouter == 0, "ended by routers")
+			if racedetector.Enabled {
+				// With it a busy machine has less capacity than the streams take.
+				return
+			}
 			assert.Check(t, o.cut == 0, "cut")
 			assert.Check(t, o.failed == 0, "502")
-			assert.Check(t, o.endedByRouter == 0, "ended by routers")
 			served := o.met
 			if s.exceeds {
 				served -= o.refused
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/racedetector"
 )
 
 // endlessTimeout is well below the timeout of the routes, at which a response without an end was given up.
@@ -131,7 +133,7 @@
 			for range 10 {
 				started := time.Now()
 				assert.Equal(t, r.ask("POST", "/resumable/x", nil).status, http.StatusOK)
-				assert.Assert(t, time.Since(started) < endlessTimeout)
+				assert.Assert(t, time.Since(started) < endlessTimeout || racedetector.Enabled)
 				var now runtime.MemStats
 				runtime.ReadMemStats(&now)
 				most.HeapAlloc = max(most.HeapAlloc, now.HeapAlloc)
