coordinator: a new leader changes rows only once it holds its lease

Found by review, by the cause of: updateRow asked for the role only, read a row from a state that lacked committed entries, and committed it again: acknowledged weights, orders and addresses were overwritten.

--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -140,8 +140,8 @@
 func (s *Server) updateRow(ctx context.Context, id string, alter func(b *state.Backend)) {
 	done := make(chan struct{}, 1)
 	proposed := false
-	s.loop.Do(ctx, func(time.Duration) {
-		if s.core == nil || s.lastRole != raft.Leader {
+	s.loop.Do(ctx, func(now time.Duration) {
+		if s.core == nil || s.lastRole != raft.Leader || !s.core.HoldsLease(now) {
 			return
 		}
 		row, known := s.rowBatcher.row(s.core.Machine().Deployment(), id)
--- /dev/null
+++ b/internal/coordinator/updaterow_test.go
@@ -0,0 +1,43 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/state"
+)
+
+// Guards against acknowledged rows that a new leader overwrites by rows of its state before it has applied what
+// was committed.
+func TestNewLeaderKeepsAcknowledgedRows(t *testing.T) {
+	for range 3 {
+		g := newGroup(t, 3)
+		leader := g.leader()
+		g.call(leader, heartbeatOf("e", 100, 1, false, 1))
+		g.call(leader, heartbeatOf("e", 100, 2, false, 2))
+		for i := range g.servers {
+			g.kill(i)
+		}
+		for i := range g.servers {
+			g.start(i)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		for _, s := range g.servers {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					s.updateRow(ctx, "e", func(b *state.Backend) { b.Loading = nil })
+				}
+			})
+		}
+		leader = g.leader()
+		time.Sleep(200 * time.Millisecond)
+		cancel()
+		group.Wait()
+		assert.Equal(t, g.currentRow(leader, "e").Weights["m"], 2)
+	}
+}
