coordinator: leaves and restarts fill the table of back ends only up to its bounds

Found by review: 20 leaves under invented names made 24 rows with a limit of 4, and 40 starts of one back end 43. Leaves of starts without a row are refused with 503 when the table is full, and restarts of known back ends have twice the limit. Both cases of the tests fail before.

--- a/internal/coordinator/leave.go
+++ b/internal/coordinator/leave.go
@@ -175,6 +175,9 @@
 		change.departed = state.LaterRowID(start)
 		return change, heldNothing, nil
 	}
+	if err := s.checkRoom(d, start); err != nil {
+		return change, heldNothing, err
+	}
 	s.recordStart(start, id)
 	row := state.Backend{ID: id, Born: start.Born, Draining: true}
 	if id != start.Name {
--- a/internal/coordinator/tablelimit.go
+++ b/internal/coordinator/tablelimit.go
@@ -10,14 +10,18 @@
 // memory at all coordinators and routers, and a sender may invent names.
 const maxBackends = 1 << 15
 
-// ErrTooManyBackends means that a heartbeat names a new back end while the table of back ends is full. It may
+// ErrTooManyBackends means that a heartbeat or a leave names a new back end while the table of back ends is full. It may
 // be repeated.
 var ErrTooManyBackends = errors.New("the table of back ends is full")
 
-// checkRoom returns ErrTooManyBackends if a start is that of a new back end and the table is full. Restarts
-// of known back ends are registered all the same: their former rows depart.
+// checkRoom returns ErrTooManyBackends if a start that has no row is that of a new back end and the table is
+// full. Restarts of known back ends, whose former rows depart, may take as many rows again.
 func (s *Server) checkRoom(d *state.Deployment, start state.Start) error {
-	if _, known := d.Current(start.Name); known || len(d.Backends)+s.rowBatcher.pending() < s.maxBackends {
+	limit := s.maxBackends
+	if _, known := d.Current(start.Name); known {
+		limit *= 2
+	}
+	if len(d.Backends)+s.rowBatcher.pending() < limit {
 		return nil
 	}
 	count := s.refusedBackends.Add(1)
--- a/internal/coordinator/tablelimit_test.go
+++ b/internal/coordinator/tablelimit_test.go
@@ -7,9 +7,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/coordapi"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -48,7 +50,25 @@
 	recorder := httptest.NewRecorder()
 	g.servers[0].writeMetrics(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	assert.Assert(t, strings.Contains(recorder.Body.String(), "quinceridge_backends_refused_total 20\n"))
+	for i := range 20 {
+		leave := coordapi.Request{Leave: &coordapi.Leave{ID: fmt.Sprint("invented ", i), Born: 100}}
+		assert.Assert(t, !g.acknowledges(leave))
+	}
 	g.depart("c")
 	assert.Assert(t, !g.refused("e", 100), "there is room again")
 	assert.Assert(t, g.refused("f", 100))
+	assert.Assert(t, g.acknowledges(coordapi.Request{Leave: &coordapi.Leave{ID: "e", Born: 100}}), "a known back end leaves")
+}
+
+// Guards against a table that grows without bound with the start times that a sender invents.
+func TestInventedStartsDoNotFillTable(t *testing.T) {
+	g := newSmallGroup(t, 4)
+	most := 0
+	for i := range 40 {
+		g.refused("a", state.UnixMilli(100+i))
+		g.servers[0].loop.Do(context.Background(), func(time.Duration) {
+			most = max(most, len(g.servers[0].core.Machine().Deployment().Backends))
+		})
+	}
+	assert.Assert(t, most <= 8, "%d rows", most)
 }
