forward: an attempt that answers after a restart at its address is not ended later

Found by review: a stream that had gone on after the row of the new start was cut at its next pause of 2 s, and a router that was suspended for 3 s ended an attempt whose answer it had not read yet. An attempt is watched until bytes arrive, through a watchdog only, anew for each further start.

--- a/internal/backends/attempt.go
+++ b/internal/backends/attempt.go
@@ -60,7 +60,7 @@
 var ErrExpired = errors.New("the back end did not begin to answer before its weights expired")
 
 // Begin records that a request is sent to a chosen back end. The pool calls cancel to abort the
-// attempt, with ErrAddressReused only if it runs at a start that has ended; it may do so repeatedly.
+// attempt, with AddressReused only if it runs at a start that has ended; it may repeat that.
 func (p *Pool) Begin(now time.Duration, choice *Choice, q *Query, cancel func(error)) *Attempt {
 	a := &Attempt{pool: p, poolName: q.Pool, backendID: choice.ID, work: choice.Work, model: q.Model, version: choice.Version, cancel: cancel, sent: now, target: q.Target}
 	p.mu.Lock()
--- a/internal/backends/restart.go
+++ b/internal/backends/restart.go
@@ -6,9 +6,17 @@
 // cannot succeed, even if its connection stays open.
 var ErrRestarted = errors.New("the back end has restarted")
 
-// ErrAddressReused is passed to the cancel function of an attempt whose back end has restarted at the same
+// AddressReused is passed to the cancel function of an attempt whose back end has restarted at the same
 // address. The attempt may run at the new start, which serves before routers know of it.
-var ErrAddressReused = errors.New("the back end has restarted at its address")
+type AddressReused struct {
+	// Successor is the ID of the new start's row.
+	Successor string
+}
+
+// Error implements error.
+func (e AddressReused) Error() string {
+	return "the back end has restarted at its address as " + e.Successor
+}
 
 func (r *row) addAttempt(a *Attempt) {
 	if r.attempts == nil {
@@ -29,7 +37,7 @@
 		}
 		cause := ErrRestarted
 		if r.Address == successor.Address {
-			cause = ErrAddressReused
+			cause = AddressReused{Successor: successor.ID}
 		}
 		for a := range r.attempts {
 			a.cancel(cause)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -35,8 +35,8 @@
 	// tracked is nil unless the attempt is at an engine.
 	tracked *liveness.Stream
 	silence *watchdog
-	// restarted is set once the back end is known to have restarted at its address.
-	restarted atomic.Bool
+	// successor is the latest start that is known to have taken the back end's address; nil for none.
+	successor atomic.Pointer[string]
 	awaited   awaited
 	response  *upstream.BackendResponse
 	reader    *bufio.Reader
@@ -115,7 +115,7 @@
 	h.watch(a)
 	a.awaited.begin(h.clock())
 	response, err := h.config.Upstream.Do(a.ctx, choice.Address, j.request)
-	a.awaited.end()
+	a.awaited.end(h.clock(), err == nil)
 	// A permit that was not consumed by Do is not needed any more.
 	h.config.Limits.Release(choice.Permit)
 	a.onClose = append(a.onClose, func() { h.config.Limits.Finish(choice.Permit) })
--- a/internal/forward/restart.go
+++ b/internal/forward/restart.go
@@ -17,19 +17,26 @@
 // onCancelled ends the attempt with a cause of the pool's. If a new start has taken the address of its back
 // end, which may run the attempt, it ends once it is silent.
 func (a *attempt) onCancelled(cause error) {
-	if !errors.Is(cause, backends.ErrAddressReused) {
+	var reused backends.AddressReused
+	if !errors.As(cause, &reused) {
 		a.cancel(cause)
 		return
 	}
-	if a.restarted.Swap(true) || a.endIfSilent() {
+	if before := a.successor.Swap(&reused.Successor); before != nil && *before == reused.Successor {
 		return
 	}
-	w := newWatchdog(recheckDelay, a.endIfSilent)
+	knownAt := a.handler.clock()
+	// The watchdog leaves time to read what has arrived while the process was suspended.
+	w := newWatchdog(recheckDelay, func() bool { return a.endIfSilent(knownAt) })
 	context.AfterFunc(a.ctx, w.stop)
 }
 
-// endIfSilent ends the attempt if it has been silent for restartSilence, and reports whether it did.
-func (a *attempt) endIfSilent() bool {
+// endIfSilent ends the attempt if it has been silent for restartSilence. It returns false if it is to be called
+// again: nothing has arrived since the restart was known, which the new start would have sent.
+func (a *attempt) endIfSilent(knownAt time.Duration) bool {
+	if a.awaited.lastAt() > knownAt {
+		return true
+	}
 	if a.awaited.silence(a.handler.clock()) < restartSilence {
 		return false
 	}
@@ -37,15 +44,25 @@
 	return true
 }
 
-// awaited is when a router began to wait for the next bytes of a back end. It is safe for concurrent use.
+// awaited is when a router began to wait for the next bytes of a back end, and when the last ones arrived. It
+// is safe for concurrent use.
 type awaited struct {
-	// since is 0 while the router does not wait.
-	since atomic.Int64
+	// since is 0 while the router does not wait, and last is 0 before the first bytes.
+	since, last atomic.Int64
 }
 
 func (w *awaited) begin(now time.Duration) { w.since.Store(max(int64(now), 1)) }
 
-func (w *awaited) end() { w.since.Store(0) }
+// end records that the wait is over; arrived is set if bytes arrived.
+func (w *awaited) end(now time.Duration, arrived bool) {
+	if arrived {
+		w.last.Store(int64(now))
+	}
+	w.since.Store(0)
+}
+
+// lastAt returns when the last bytes arrived.
+func (w *awaited) lastAt() time.Duration { return time.Duration(w.last.Load()) }
 
 // silence returns the time for which the next bytes have been awaited.
 func (w *awaited) silence(now time.Duration) time.Duration {
@@ -63,7 +80,9 @@
 }
 
 func (b *awaitedBody) Read(buffer []byte) (int, error) {
-	b.attempt.awaited.begin(b.attempt.handler.clock())
-	defer b.attempt.awaited.end()
-	return b.ReadCloser.Read(buffer)
+	a := b.attempt
+	a.awaited.begin(a.handler.clock())
+	n, err := b.ReadCloser.Read(buffer)
+	a.awaited.end(a.handler.clock(), n > 0)
+	return n, err
 }
--- a/internal/forward/restart_test.go
+++ b/internal/forward/restart_test.go
@@ -128,3 +128,47 @@
 	took := time.Since(start)
 	assert.Assert(t, took >= restartSilence && took < 4*restartSilence, "%v", took)
 }
+
+// Guards against cuts of a stream that has gone on since the restart was known and pauses later.
+func TestRestartKeepsAttemptsThatPauseLater(t *testing.T) {
+	r := newRig(t)
+	r.source.table.Route("h", "/chat/x").Timeout = 20 * time.Second
+	begun := make(chan struct{}, 1)
+	r.add("llm", "engine", func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 8 {
+			events(w, i+1, i+1)
+			switch i {
+			case 0:
+				begun <- struct{}{}
+				time.Sleep(restartSilence / 10)
+			case 5:
+				time.Sleep(restartSilence + restartSilence/4)
+			}
+		}
+	})
+	go func() {
+		<-begun
+		r.restartInPlace("llm", "engine")
+	}()
+	got := r.ask("POST", "/chat/x", func(q *http.Request) { q.Header.Set(names.Model, "m") })
+	assert.Equal(t, got.body, eventText(8))
+}
+
+// Guards against attempts that a router ends as silent because it was suspended itself.
+func TestRestartKeepsAttemptsOfSuspendedRouter(t *testing.T) {
+	r := newRig(t)
+	r.source.table.Route("h", "/unsafe/x").Timeout = 20 * time.Second
+	suspendedFor := r.suspendable()
+	begun := make(chan struct{})
+	r.add("app", "worker", func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		time.Sleep(50 * time.Millisecond)
+		w.Header().Set(names.Signature, "seal")
+	})
+	go func() {
+		<-begun
+		suspendedFor.Store(int64(restartSilence + time.Second))
+		r.restartInPlace("app", "worker")
+	}()
+	assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusOK)
+}
