soak: only what broke off before the end of a call excuses a cut

Found by review: an attempt cut by its router was excused by another one that broke off seconds after the call. Case "cut before one broke off" fails before.

--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -192,7 +192,7 @@
 		return endedByFault
 	}
 	// What a back end declined goes on elsewhere, or is refused.
-	attempts = slices.DeleteFunc(slices.Clone(attempts), func(a *attempt) bool { return a.declined && !a.brokenOff || a.wasOutrun(attempts) })
+	attempts = slices.DeleteFunc(slices.Clone(attempts), func(a *attempt) bool { return a.declined && !a.brokenOff || a.wasOutrun(attempts, end) })
 	if len(attempts) == 0 {
 		return ""
 	}
@@ -212,9 +212,12 @@
 }
 
 // wasOutrun reports whether the router closed an attempt in favor of another one, which its back end broke off
-// later. A silent back end shows nothing: the router may have closed that attempt too.
-func (a *attempt) wasOutrun(attempts []*attempt) bool {
-	return a.closed != 0 && !a.brokenOff && slices.ContainsFunc(attempts, func(other *attempt) bool { return other.brokenOffAt > a.closed })
+// later and before the end of the call. A silent back end shows nothing: the router may have closed that
+// attempt too.
+func (a *attempt) wasOutrun(attempts []*attempt, end time.Duration) bool {
+	return a.closed != 0 && !a.brokenOff && slices.ContainsFunc(attempts, func(other *attempt) bool {
+		return other.brokenOffAt > a.closed && other.brokenOffAt <= end
+	})
 }
 
 // lastAt returns when the back end received the request, or sent the last part of its answer before the attempt ended.
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -115,6 +115,10 @@
 			s.first.closed, s.first.sent = 3500*ms, []time.Duration{3450 * ms}
 			s.others = []*attempt{{arrived: 3050 * ms, brokenOff: true, brokenOffAt: 3950 * ms}}
 		}},
+		"cut before one broke off": {change: func(s *scene) {
+			s.first.closed, s.first.sent = 4*time.Second, []time.Duration{3950 * ms}
+			s.others = []*attempt{{arrived: 3050 * ms, brokenOff: true, brokenOffAt: 9 * time.Second}}
+		}, lost: true},
 		"cut after one broke off": {change: func(s *scene) {
 			s.first.sent = []time.Duration{3950 * ms}
 			s.others = []*attempt{{arrived: 3050 * ms, brokenOff: true, brokenOffAt: 3900 * ms}}
