--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,10 @@
 	known="|$$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')"; fi; \
 	set -x; go test -race -count=1 -timeout=20m "-skip=^($(MEASURED)$$known)$$" $$(go list ./... | grep -v '/internal/clienttest$$')
 
+# A name that no test has would be run nowhere.
 measure:
+	@names='$(MEASURED)|$(MEASURED_WITH_RACES)'; found=$$(go test -list "^($$names)$$" ./internal/edge ./internal/forward | grep -c '^Test'); \
+	if [ "$$found" != "$$(echo "$$names" | tr '|' '\n' | wc -l)" ]; then echo "measure: $$found of the tests $$names exist"; exit 1; fi
 	go test -count=1 -timeout=20m -p 1 '-run=^($(MEASURED)|$(MEASURED_WITH_RACES))$$' ./internal/edge ./internal/forward
 
 # Sends crowds of clients that break the limits at real processes, one test at a time and without the race
