--- a/internal/coordinator/tablelimit.go
+++ b/internal/coordinator/tablelimit.go
@@ -10,8 +10,8 @@
 // memory at all coordinators and routers, and a sender may invent names.
 const maxBackends = 1 << 15
 
-// ErrTooManyBackends means that a heartbeat or a leave names a new back end while the table of back ends is full. It may
-// be repeated.
+// ErrTooManyBackends means that a heartbeat or a leave names a new back end while the table of back ends is
+// full. It may be repeated.
 var ErrTooManyBackends = errors.New("the table of back ends is full")
 
 // checkRoom returns ErrTooManyBackends if a start that has no row is that of a new back end and the table is
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -228,7 +228,7 @@
 			assert.Check(t, o.met > 50)
 			assert.Check(t, o.endedByRouter == 0, "ended by routers")
 			if racedetector.Enabled {
-				// With it a busy machine has less capacity than the streams take.
+				// It slows the process: a busy machine then has less capacity than the streams take.
 				return
 			}
 			assert.Check(t, o.cut == 0, "cut")
--- a/internal/forward/restart.go
+++ b/internal/forward/restart.go
@@ -32,7 +32,7 @@
 }
 
 // endIfSilent ends the attempt if it has been silent for restartSilence. It returns false if it is to be called
-// again: nothing has arrived since the restart was known, which the new start would have sent.
+// again. What has arrived since the restart was known comes from the new start.
 func (a *attempt) endIfSilent(knownAt time.Duration) bool {
 	if a.awaited.lastAt() > knownAt {
 		return true
