soak: the check of silent answers allows what a router cuts at the end of its grace

The check of planned stops excuses that (from five sixths of the grace on); the check of silent answers did so only once the whole grace was over, which a router does not outlive. Case "router at the end of its grace" fails before; a cut within the grace stays a breach.

--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -218,7 +218,7 @@
 	return endedByRouter
 }
 
-// routerFailed reports whether a router was killed, frozen, cut from the back ends, or at the end of the
+// routerFailed reports whether a router was killed, frozen, cut from the back ends, or in the last part of the
 // grace of a planned stop during a time.
 func (s *Soak) routerFailed(router string, from, to time.Duration) bool {
 	s.cuts.mu.Lock()
@@ -234,7 +234,7 @@
 	return slices.ContainsFunc(s.disturbances, func(d *disturbance) bool {
 		failed := period{d.from, d.to}
 		if d.planned {
-			failed.from += stopGrace
+			failed.from += cutFrom
 		}
 		began := d.to < 0 || failed.from <= d.to
 		return began && d.router != "" && d.router == router && failed.overlaps(from, to)
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -74,6 +74,9 @@
 			s.call.took, s.call.lastAt, s.first.closed = 9500*ms, 10*time.Second, 10500*ms
 			s.soak.disturbances = []*disturbance{{router: "router-0", from: 1500 * ms, to: 3 * time.Second, planned: true}}
 		}, ours: true},
+		"router at the end of its grace": {change: func(s *scene) {
+			s.soak.disturbances = []*disturbance{{router: "router-0", from: 2500*ms - stopGrace*9/10, to: 2600 * ms, planned: true}}
+		}},
 		"router's grace over": {change: func(s *scene) {
 			s.soak.disturbances = []*disturbance{{router: "router-0", from: 2500*ms - stopGrace, to: -1, planned: true}}
 		}},
