--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -59,10 +59,6 @@
 		// The connection is kept only if its request was not cancelled before the response was closed.
 		a.onClose = slices.Insert(a.onClose, 0, func() { g.cancel(nil) })
 		if g.claim() {
-			h.metrics.hedges.tookOver.Add(1)
-			if isUnresponsive(g.cause) || errors.Is(g.cause, errPathLost) {
-				h.metrics.resumedUnresponsive.Add(1)
-			}
 			g.log(hedgeTookOver, "", a)
 			return
 		}
@@ -78,6 +74,15 @@
 
 func (g *hedge) handler() *Handler { return g.race.handler }
 
+// countTakeover counts that the attempt of the hedge replaces a silent one. It does so before the answer goes on.
+func (g *hedge) countTakeover() {
+	m := &g.handler().metrics
+	m.hedges.tookOver.Add(1)
+	if isUnresponsive(g.cause) || errors.Is(g.cause, errPathLost) {
+		m.resumedUnresponsive.Add(1)
+	}
+}
+
 // claim replaces the present attempt if it is still silent.
 func (g *hedge) claim() bool {
 	r := g.race
@@ -90,6 +95,7 @@
 	r.pending = slices.Delete(r.pending, at, at+1)
 	r.outrun()
 	r.winner = g
+	g.countTakeover()
 	if r.present != nil {
 		r.present.cancel(fmt.Errorf("%w: %w", errReplaced, g.cause))
 	}
