--- a/internal/backends/restart.go
+++ b/internal/backends/restart.go
@@ -7,7 +7,7 @@
 var ErrRestarted = errors.New("the back end has restarted")
 
 // AddressReused is passed to the cancel function of an attempt whose back end has restarted at the same
-// address. The attempt may run at the new start, which serves before routers know of it.
+// address with the same software. The attempt may run at the new start, which serves before routers know of it.
 type AddressReused struct {
 	// Successor is the ID of the new start's row.
 	Successor string
@@ -36,7 +36,7 @@
 			continue
 		}
 		cause := ErrRestarted
-		if r.Address == successor.Address {
+		if r.Address == successor.Address && r.Software == successor.Software {
 			cause = AddressReused{Successor: successor.ID}
 		}
 		for a := range r.attempts {
--- a/internal/forward/restart_test.go
+++ b/internal/forward/restart_test.go
@@ -111,6 +111,22 @@
 	assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusOK)
 }
 
+// Guards against streams that go on at a start of another software version than the router has recorded.
+func TestRestartWithOtherSoftwareEndsAttemptsAtSameAddress(t *testing.T) {
+	r := newRig(t)
+	r.source.table.Route("h", "/unsafe/x").Timeout = 20 * time.Second
+	begun := make(chan struct{}, 1)
+	r.add("app", "worker", hanging(begun))
+	address := r.servers[len(r.servers)-1].Listener.Addr().String()
+	go func() {
+		<-begun
+		r.pool.Apply([]state.Backend{{ID: "worker~2", Instance: "worker", Born: 2, EnrolledRevision: 2, Pool: "app", Address: address, Zone: "a", Software: "v2"}}, nil, false)
+	}()
+	start := time.Now()
+	assert.Equal(t, r.ask("POST", "/unsafe/x", nil).status, http.StatusBadGateway)
+	assert.Assert(t, time.Since(start) < restartSilence/2, "%v", time.Since(start))
+}
+
 // Attempts that stay silent at an address that a new start has taken must end long before their deadline.
 func TestRestartEndsSilentAttemptsAtSameAddress(t *testing.T) {
 	r := newRig(t)
