--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -64,8 +64,8 @@
 	unreadable      atomic.Uint64
 	unreadableLines bounded.LineLimiter
 	troubleLines    bounded.LineLimiter
-	// maxBackends is maxBackends except in tests. refusedBackends counts the heartbeats that were refused
-	// because the table is full, and refusedLines limits the log lines about them.
+	// maxBackends is maxBackends except in tests. refusedBackends counts the heartbeats and leaves that
+	// were refused because the table is full, and refusedLines limits the log lines about them.
 	maxBackends     int
 	refusedBackends atomic.Uint64
 	refusedLines    bounded.LineLimiter
--- a/internal/coordinator/tablelimit.go
+++ b/internal/coordinator/tablelimit.go
@@ -26,7 +26,7 @@
 	}
 	count := s.refusedBackends.Add(1)
 	if s.refusedLines.Allow(s.now(), 1) {
-		s.logger.Warn("table of back ends is full", "part", "registry", "backend", start.Name, "backends", len(d.Backends), "limit", s.maxBackends, "total", count)
+		s.logger.Warn("table of back ends is full", "part", "registry", "backend", start.Name, "backends", len(d.Backends), "limit", limit, "total", count)
 	}
 	return ErrTooManyBackends
 }
--- a/internal/listener/resets_test.go
+++ b/internal/listener/resets_test.go
@@ -182,20 +182,28 @@
 	assert.Equal(t, s.guard.outcomes.counts[aborted].Load(), uint64(1))
 }
 
-// Guards against a whole request that waits before its body is taken and is reset unanswered for a new connection.
-func TestWholeRequestWhoseBodyIsNotTakenYetIsNotReplaced(t *testing.T) {
+// waitBeforeBody returns a service with a connection on which a whole request has been sent. Its handler reads the
+// body once release is closed.
+func waitBeforeBody(t *testing.T, config Config) (s *service, c net.Conn, release chan struct{}) {
+	t.Helper()
 	began, release := make(chan struct{}, 1), make(chan struct{})
-	s := serveWith(t, 8<<20, Config{Connections: 1}, func(s *service) http.HandlerFunc {
+	s = serveWith(t, 8<<20, config, func(s *service) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			began <- struct{}{}
 			<-release
 			s.readBody()(w, r)
 		}
 	})
-	c := s.dial()
+	c = s.dial()
 	_, err := io.WriteString(c, postRequest)
 	assert.NilError(t, err)
 	<-began
+	return s, c, release
+}
+
+// Guards against a whole request that waits before its body is taken and is reset unanswered for a new connection.
+func TestWholeRequestWhoseBodyIsNotTakenYetIsNotReplaced(t *testing.T) {
+	s, c, release := waitBeforeBody(t, Config{Connections: 1})
 	_ = s.dial()
 	time.AfterFunc(300*time.Millisecond, func() { close(release) })
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -205,18 +213,7 @@
 
 // Guards against a whole request that waits before its body is taken and that the limit on heads or memory drops.
 func TestWholeRequestWhoseBodyIsNotTakenYetIsAnsweredAfterEviction(t *testing.T) {
-	began, release := make(chan struct{}, 1), make(chan struct{})
-	s := serveWith(t, 8<<20, Config{}, func(s *service) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			began <- struct{}{}
-			<-release
-			s.readBody()(w, r)
-		}
-	})
-	c := s.dial()
-	_, err := io.WriteString(c, postRequest)
-	assert.NilError(t, err)
-	<-began
+	s, c, release := waitBeforeBody(t, Config{})
 	s.evictAll()
 	close(release)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
