--- a/internal/listener/backlog_test.go
+++ b/internal/listener/backlog_test.go
@@ -40,7 +40,8 @@
 }
 
 func (l *heldListener) Close() error {
-	close(l.closed)
+	// A call of Accept that goes on must find it closed.
+	defer close(l.closed)
 	return l.TCPListener.Close()
 }
 
