upstream: a body without a length that is reset during an upload is not complete

Callers got a part of a worker's body as a complete 200, where the worker answered a long upload before it had read it, without a length, and then reset the connection.

Cause: Linux returns the error of a socket once. The write of the upload runs beside the read of the response and takes ECONNRESET; reads then return the end, which is the whole end of a body without a length. Whatever else asks the socket, such as the peek of link.IsOpen, took it as well.

Fix: connections to back ends report an end only if the peer has ended its side (socket.ReportResets). At the end of the reads the state of the socket tells: CLOSE_WAIT is an orderly end, CLOSE one that was reset or timed out. Where both a FIN and a reset have arrived, the error is EPIPE if the FIN came first and ECONNRESET otherwise; the write that has taken it keeps it. IsOpen asks for the state and takes nothing. Nothing is asked before the end, so that calls cost no more. A worker that closes its socket with the upload unread resets the connection as well (Linux does), which cannot be told from one that broke off: such an answer counts as broken off, since a part must not look whole.

--- /dev/null
+++ b/internal/socket/reset.go
@@ -0,0 +1,118 @@
+package socket
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// States of a TCP connection on Linux. One that is reset or times out is closed at once; one whose peer has only ended its
+// side is not.
+const (
+	tcpEstablished = 1
+	tcpClose       = 7
+)
+
+// ReportResets returns a connection whose reads end with io.EOF only if the peer has ended its side. The system
+// returns the error of a connection once, to a read or to a write beside it; reads then return the end as if the peer
+// had closed the connection. A peer that closes its socket with bytes unread resets the connection, whatever it has sent
+// before.
+func ReportResets(c net.Conn) net.Conn { return &resetConn{Conn: c} }
+
+// resetConn is a connection that keeps the error which a write has received.
+type resetConn struct {
+	net.Conn
+	// mu is held by writes, and guards what follows.
+	mu sync.Mutex
+	// taken is the error of the connection that a write has received, nil for none.
+	taken error
+	// settled is set once end is known, which is the error of reads at the end.
+	settled bool
+	end     error
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *resetConn) SyscallConn() (syscall.RawConn, error) {
+	if inner, ok := c.Conn.(syscall.Conn); ok {
+		return inner.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
+// Write implements net.Conn.
+func (c *resetConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.taken == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.taken = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *resetConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// endError returns io.EOF if the peer has ended its side, and otherwise the error of the connection.
+func (c *resetConn) endError() error {
+	if tcpState(c.Conn) != tcpClose {
+		return io.EOF
+	}
+	// A write in progress ends with the connection.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.settled {
+		c.settled, c.end = true, io.EOF
+		if wasReset(c.taken, pendingError(c.Conn)) {
+			c.end = c.taken
+			if c.end == nil {
+				c.end = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
+			}
+		}
+	}
+	return c.end
+}
+
+// wasReset reports whether a closed connection was lost before its peer had ended its side, by the error that a write
+// has received and the one that nothing has received yet. A reset behind the end of the peer's side is EPIPE, any other
+// one ECONNRESET.
+func wasReset(taken, pending error) bool {
+	return !errors.Is(taken, syscall.EPIPE) && !errors.Is(pending, syscall.EPIPE)
+}
+
+// tcpState returns the state of a connection, 0 if unknown.
+func tcpState(c net.Conn) (state uint8) {
+	withDescriptor(c, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return state
+}
+
+// pendingError returns the error of a connection that nothing has received, and takes it.
+func pendingError(c net.Conn) (pending error) {
+	withDescriptor(c, func(fd int) {
+		if number, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil && number != 0 {
+			pending = syscall.Errno(number)
+		}
+	})
+	return pending
+}
+
+// IsOpen reports whether a peer may still use a connection: it has not ended its side, or bytes of it wait. It does
+// not wait for a read in progress, and leaves the error of the connection to reads.
+func IsOpen(c net.Conn) bool {
+	return tcpState(c) == tcpEstablished || Unread(c) > 0
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -253,8 +253,9 @@
 	a.pool.putIdle(a.address, a.connection)
 }
 
-// Framed reports whether the response has a length or is chunked. Otherwise it ends with its
-// connection, and a truncated one cannot be told from a complete one.
+// Framed reports whether the response has a length or is chunked. Otherwise it is complete once the back end has ended its
+// side of the connection. One that the back end resets is truncated, also if the back end has only closed its socket with
+// the request unread: what it would have sent is not known.
 func (a *BackendResponse) Framed() bool {
 	return a.Response.ContentLength >= 0 || len(a.Response.TransferEncoding) > 0
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -315,6 +315,7 @@
 	p.Opened.Add(1)
 	p.memory.Charge(connectionBytes)
 	socket.LimitUnsent(raw, maxUnsent)
+	raw = socket.ReportResets(raw)
 	bound := &boundedReader{conn: raw}
 	bound.unlimit()
 	return &connection{Conn: raw, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound, userTimeout: userTimeout, memory: p.memory,
