upstream: responses are read strictly

Callers got answers that are no HTTP: statuses 600 and 999 as they were; a 200 behind a head with status 000, 050 or 101, which was skipped as an interim one; a 200 whose head held a field name with a blank, also `Content-Length : 4` and `Transfer-Encoding : chunked`, whose body then was not the worker's; chunk sizes in the body of an HTTP/1.0 answer; HTTP/0.9 and HTTP/2.0. A status 000 alone, control bytes in names, unknown codings, broken lengths and chunks were 502 before (tests kept).

Cause: http.ReadResponse takes any three digits, any version and blanks in names, and ignores Transfer-Encoding in HTTP/1.0; all that follows (limits, pushback, leaving, versions, Keep-Alive) believed such a head.

Fix: internal/httpwire checks each head and trailer section once, in the connection's buffer, before it is parsed (RFC 9112, 4, 5.1, 6.1; RFC 9110, 5.5, 5.6.2, 15): also those of interim responses and of responses to other requests. A malformed response is a failure of the attempt: 502, or a further attempt where the route allows one; the line `attempt failed` gives the reason, quinceridge_responses_malformed_total counts. Heads keep their bound of 64 KiB; the buffer grows for those over 4 KiB and is charged to the memory budget. Obsolete continued lines are refused, as RFC 9112, 5.2 allows.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -187,6 +187,7 @@
 	fmt.Fprintf(w, "quinceridge_store_delay_seconds %.3f\n", h.store.delayAt(h.now()).Seconds())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_total %d\n", h.config.Upstream.Opened.Load())
 	fmt.Fprintf(w, "quinceridge_upstream_connections_identified_total %d\n", h.config.Upstream.Identified.Load())
+	fmt.Fprintf(w, "quinceridge_responses_malformed_total %d\n", h.malformedResponses())
 	fmt.Fprintf(w, "quinceridge_upstream_other_starts_total %d\n", m.otherStarts.Load())
 	fmt.Fprintf(w, "quinceridge_pushbacks_total %d\n", h.config.Pushbacks.Received.Load())
 	fmt.Fprintf(w, "quinceridge_pushbacks_kept_total %d\n", h.config.Pushbacks.SendsBlocked.Load())
@@ -207,6 +208,15 @@
 	return 0, nil
 }
 
+// malformedResponses returns the number of responses of back ends and other routers that were no HTTP.
+func (h *Handler) malformedResponses() uint64 {
+	n := h.config.Upstream.Malformed.Load()
+	if h.config.RelayConnections != nil {
+		n += h.config.RelayConnections.Malformed.Load()
+	}
+	return n
+}
+
 func (h *histogram) write(w io.Writer, name string) {
 	total := uint64(0)
 	for i, bound := range latencyBounds {
--- a/internal/forward/reset_test.go
+++ b/internal/forward/reset_test.go
@@ -16,29 +16,38 @@
 	"quinceridge.example/quinceridge/internal/state"
 )
 
-// addUnread starts a back end in a pool that reads the head of a request only. Respond is called with the connection and
-// the ID of the request.
-func (r *rig) addUnread(pool, id string, respond func(c *net.TCPConn, unread io.Reader, request string)) {
+// respondRaw writes the response to a request. It gets the connection, the unread body and the ID of the request.
+type respondRaw func(c *net.TCPConn, unread io.Reader, request string)
+
+// listenRaw starts a server that reads the head of a request only, and returns its address.
+func listenRaw(t testing.TB, respond respondRaw) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(r.t, err)
-	r.t.Cleanup(func() { _ = l.Close() })
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
 			go func() {
 				defer c.Close()
-				reader := bufio.NewReader(c)
-				q, err := http.ReadRequest(reader)
+				q, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
 					return
 				}
-				r.mu.Lock()
-				r.runs[id]++
-				r.mu.Unlock()
 				respond(c.(*net.TCPConn), q.Body, q.Header.Get(names.RequestID))
 			}()
 		}
 	}()
-	r.pool.Apply([]state.Backend{{ID: id, Pool: pool, Address: l.Addr().String(), Zone: "a"}}, nil, false)
+	return l.Addr().String()
+}
+
+// addRaw starts a back end in a pool that reads the head of a request only.
+func (r *rig) addRaw(pool, id string, respond respondRaw) {
+	address := listenRaw(r.t, func(c *net.TCPConn, unread io.Reader, request string) {
+		r.mu.Lock()
+		r.runs[id]++
+		r.mu.Unlock()
+		respond(c, unread, request)
+	})
+	r.pool.Apply([]state.Backend{{ID: id, Pool: pool, Address: address, Zone: "a"}}, nil, false)
 }
 
 // uploads makes the router accept large bodies that take their time, and returns one.
@@ -69,7 +78,7 @@
 						if isStream(path) {
 							body, pool = eventText(2), "llm"
 						}
-						r.addUnread(pool, "x", func(c *net.TCPConn, _ io.Reader, request string) {
+						r.addRaw(pool, "x", func(c *net.TCPConn, _ io.Reader, request string) {
 							_, _ = io.WriteString(c, signedHead(head.version, request, head.fields)+body)
 							time.Sleep(pause)
 							_ = c.SetLinger(0)
@@ -110,8 +119,8 @@
 					_, _ = io.WriteString(c, signedHead("HTTP/1.1", request, "Content-Length: 4\r\n")+"fine")
 				}
 			}
-			r.addUnread(pool, "x", respond)
-			r.addUnread(pool, "y", respond)
+			r.addRaw(pool, "x", respond)
+			r.addRaw(pool, "y", respond)
 			got := r.ask("POST", path, r.uploads(path, 1<<20))
 			r.finish()
 			assert.NilError(t, got.err)
@@ -165,7 +174,7 @@
 					if isStream(path) {
 						body, pool = streamBody, "llm"
 					}
-					r.addUnread(pool, "x", func(conn *net.TCPConn, unread io.Reader, request string) {
+					r.addRaw(pool, "x", func(conn *net.TCPConn, unread io.Reader, request string) {
 						_, _ = io.WriteString(conn, signedHead(version, request, withLength(c.fields, body))+withLength(c.before, body)+body+c.after)
 						c.end(conn, unread)
 					})
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -3,50 +3,24 @@
 import (
 	"errors"
 	"io"
-	"math"
-	"net"
 	"net/http"
 	"time"
-)
 
-const (
-	// maxHead bounds the header of a response, in bytes.
-	maxHead = 64 << 10
-	// headTimeout is the time from the first byte of a response within which its header has to be complete. A
-	// sound back end may pause for a second meanwhile.
-	headTimeout = 2500 * time.Millisecond
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
-// Errors of responses whose header does not end.
+// headTimeout is the time from the first byte of a response within which its header has to be complete. A
+// sound back end may pause for a second meanwhile.
+const headTimeout = 2500 * time.Millisecond
+
+// Errors of responses that do not end.
 var (
-	errHeadSize    = errors.New("the header of the response is too large")
 	errHeadTimeout = errors.New("the header of the response is not complete in time")
+	errForeignSize = errors.New("the response to another request is too large")
 	// ErrBodyTimeout: the body did not arrive within the time of SetReadTimeout.
 	ErrBodyTimeout = errors.New("the body of the response is not complete in time")
 )
 
-// boundedReader reads from a connection up to a limit. Each connection has one, so that a back end that
-// writes without end takes no memory.
-type boundedReader struct {
-	conn net.Conn
-	left int64
-}
-
-func (r *boundedReader) Read(buffer []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errHeadSize
-	}
-	n, err := r.conn.Read(buffer[:min(int64(len(buffer)), r.left)])
-	r.left -= int64(n)
-	return n, err
-}
-
-// limit bounds what is read from now on, beyond what is buffered.
-func (r *boundedReader) limit(bytes int64) { r.left = bytes }
-
-// unlimit ends the bound.
-func (r *boundedReader) unlimit() { r.left = math.MaxInt64 }
-
 // watchHead ends reads of the connection once a header takes too long. Stop returns false if it has.
 func (c *connection) watchHead() (stop func() bool) {
 	return time.AfterFunc(headTimeout, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) }).Stop
@@ -54,9 +28,11 @@
 
 // readResponse reads one header.
 func (c *connection) readResponse(request *http.Request) (*http.Response, error) {
-	c.bound.limit(maxHead)
-	response, err := http.ReadResponse(c.reader, request)
-	c.bound.unlimit()
+	response, err := c.reader.ReadResponse(request)
+	if grown := int64(c.reader.Size()-readBuffer) - c.grown.Load(); grown > 0 {
+		c.memory.Charge(grown)
+		c.grown.Add(grown)
+	}
 	return response, err
 }
 
@@ -64,7 +40,14 @@
 func discardBody(response *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody))
 	if err == nil && n == maxForeignBody {
-		err = errHeadSize
+		err = errForeignSize
 	}
 	return err
 }
+
+// countMalformed counts a response that is given up because of its bytes.
+func (p *Pool) countMalformed(err error) {
+	if errors.Is(err, httpwire.ErrMalformed) {
+		p.Malformed.Add(1)
+	}
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -165,7 +165,7 @@
 // request was written.
 func (a *BackendResponse) readHeader(r *Request, sent time.Duration) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
-	if _, err := a.connection.reader.Peek(1); err != nil {
+	if err := a.connection.reader.Await(); err != nil {
 		return nil, err
 	}
 	if !a.phase.CompareAndSwap(phaseAwaiting, phaseResponding) {
@@ -184,6 +184,7 @@
 	for range maxForeignResponses {
 		response, err := a.connection.readResponse(request)
 		if err != nil {
+			a.pool.countMalformed(err)
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
@@ -197,6 +198,7 @@
 			return response, nil
 		}
 		if err := discardBody(response); err != nil {
+			a.pool.countMalformed(err)
 			return nil, err
 		}
 		if response.Close {
@@ -214,6 +216,7 @@
 	case err == io.EOF:
 		a.complete = true
 	case err != nil:
+		a.pool.countMalformed(err)
 		if a.timed && a.ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = ErrBodyTimeout
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,7 +7,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +21,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
@@ -49,7 +49,7 @@
 	// connections that it then resets.
 	settleTime = 30 * time.Millisecond
 	ackAlarm   = 200 * time.Millisecond
-	readBuffer = 4 << 10
+	readBuffer = httpwire.BufferSize
 	// receiveBuffer bounds what the system keeps of a response that is read slowly; the system
 	// doubles it for its own data. Within a site it allows for some 60 MB/s.
 	receiveBuffer = 64 << 10
@@ -178,8 +178,9 @@
 	bodyStall time.Duration
 	// status is the request that identifies starts; without it they are not identified.
 	status Status
-	// Opened counts new connections, and Identified the status requests that were answered.
-	Opened, Identified atomic.Uint64
+	// Opened counts new connections, Identified the status requests that were answered, and Malformed the responses
+	// that were given up because their bytes are no HTTP.
+	Opened, Identified, Malformed atomic.Uint64
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -217,7 +218,7 @@
 // connection is a reusable connection.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *httpwire.Reader
 	// expiresAt is when the connection must not be reused any more.
 	expiresAt time.Duration
 	// born is the start time of the process that it leads to, 0 if that is not known, and asked is set once
@@ -231,15 +232,15 @@
 	// memory is the budget that the connection is charged to until it is closed.
 	memory *memory.Budget
 	closed atomic.Bool
-	link   *link
-	// bound is what reader reads from.
-	bound *boundedReader
+	// grown is what the reader's buffer takes beyond readBuffer, for a long header.
+	grown atomic.Int64
+	link  *link
 }
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	if !c.closed.Swap(true) {
-		c.memory.Release(connectionBytes)
+		c.memory.Release(connectionBytes + c.grown.Load())
 	}
 	return c.Conn.Close()
 }
@@ -316,9 +317,7 @@
 	p.memory.Charge(connectionBytes)
 	socket.LimitUnsent(raw, maxUnsent)
 	raw = socket.ReportResets(raw)
-	bound := &boundedReader{conn: raw}
-	bound.unlimit()
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound, userTimeout: userTimeout, memory: p.memory,
+	return &connection{Conn: raw, reader: httpwire.NewReader(raw), userTimeout: userTimeout, memory: p.memory,
 		link: &link{conn: raw, openedAt: state.UnixMilli(time.Now().UnixMilli())}}, nil
 }
 
