httpwire, gateway, dispatch, control, inventory: the first way to run reads responses as strictly

Callers of the first way to run got answers whose heads are no HTTP (blanks in field names, status 600), with bodies that were not the worker's, and a part of a body without a length as a complete answer where the worker reset the connection during the call. A status 000 or 050 panicked in the response writer. Statuses that are none (000, 050, 600) of an engine counted as a refusal, which promises that the request has not run.

Cause: net/http's Transport reads by http.ReadResponse and writes the request beside it, as the connections of internal/upstream did.

Fix: httpwire.Transport runs the same check on each connection before net/http sees a head, and reports resets by socket.ReportResets. Application calls, engines, orders, polls and the commands that ask coordinators use it. ReportResets also holds now where this process closes the connection between the end and the question for its state, which the Transport does once its write has failed. A whole answer beside a failed upload may still be an error there, never a part a whole.

--- a/cmd/quinceridge/limits.go
+++ b/cmd/quinceridge/limits.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quinceridge.example/quinceridge/internal/coordapi"
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 // maxResponseBytes bounds the size of a coordinator's response.
@@ -49,7 +50,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "address %q", coordinator)
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{Transport: httpwire.NewTransport(nil)}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "query coordinator")
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -12,6 +12,7 @@
 	"quinceridge.example/quinceridge/internal/bundle"
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/engineapi"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/state"
 )
 
@@ -33,7 +34,7 @@
 }
 
 func newOrderTracker() *orderTracker {
-	return &orderTracker{client: &http.Client{Timeout: orderTimeout}, sentAt: map[string]time.Duration{}}
+	return &orderTracker{client: &http.Client{Timeout: orderTimeout, Transport: httpwire.NewTransport(nil)}, sentAt: map[string]time.Duration{}}
 }
 
 // dueLoads returns the engines that should load newer weights now. It limits how many engines
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -15,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"quinceridge.example/quinceridge/internal/engineapi"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/scheduling"
 )
 
@@ -28,7 +29,7 @@
 
 func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpwire.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -41,7 +42,7 @@
 		IdleConnTimeout:       30 * time.Second,
 		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
-	}}
+	})}
 }
 
 // stream sends the job to an engine, or resumes it there, and forwards the answer to the sink. It
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -17,6 +17,7 @@
 	"quinceridge.example/quinceridge/internal/bundle"
 	"quinceridge.example/quinceridge/internal/claims"
 	"quinceridge.example/quinceridge/internal/dispatch"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/membership"
 	"quinceridge.example/quinceridge/internal/state"
 )
@@ -54,7 +55,7 @@
 func newWorkerClient() *http.Client {
 	dialer := &net.Dialer{Timeout: workerDialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpwire.NewTransport(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				connection, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
@@ -65,7 +66,7 @@
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -15,9 +15,12 @@
 // only if the peer has ended its side of the connection.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport with the connections and limits of base, which must not be used otherwise. Its
-// connections are not encrypted.
+// NewTransport returns a Transport with the connections and limits of base, which must not be used otherwise, or with those
+// of http.DefaultTransport if it is nil. Its connections are not encrypted.
 func NewTransport(base *http.Transport) *Transport {
+	if base == nil {
+		base = http.DefaultTransport.(*http.Transport).Clone()
+	}
 	dial := base.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -58,8 +61,7 @@
 	// unanswered is set from the beginning of a request until the head of its response has been checked.
 	unanswered atomic.Bool
 	section    section
-	// arrived has been read and not returned. Its first ready bytes are to be returned: they have been checked, or err,
-	// which is the end of the connection, follows.
+	// arrived has been read and not returned. Its first ready bytes have been checked. Err follows them.
 	arrived []byte
 	ready   int
 	err     error
@@ -111,7 +113,9 @@
 			c.err = ErrHeadSize
 			return
 		case c.err != nil:
-			c.ready = len(c.arrived)
+			if c.err == io.EOF && len(c.arrived) > 0 {
+				c.err = io.ErrUnexpectedEOF
+			}
 			return
 		}
 		n, err := c.Conn.Read(part)
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -18,6 +18,7 @@
 	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/engineapi"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/periodic"
 	"quinceridge.example/quinceridge/internal/platformapi"
 )
@@ -59,7 +60,7 @@
 
 // New returns an empty inventory.
 func New(config Config) *Inventory {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 2048, IdleConnTimeout: time.Minute}
+	transport := httpwire.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 2048, IdleConnTimeout: time.Minute})
 	return &Inventory{config: config, client: &http.Client{Transport: transport, Timeout: time.Second},
 		reports: map[string]report{}, heads: newHeadTable()}
 }
--- a/internal/socket/reset.go
+++ b/internal/socket/reset.go
@@ -66,39 +66,50 @@
 
 // endError returns io.EOF if the peer has ended its side, and otherwise the error of the connection.
 func (c *resetConn) endError() error {
-	if tcpState(c.Conn) != tcpClose {
+	state, err := tcpState(c.Conn)
+	if err == nil && state != tcpClose {
 		return io.EOF
 	}
 	// A write in progress ends with the connection.
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.settled {
-		c.settled, c.end = true, io.EOF
-		if wasReset(c.taken, pendingError(c.Conn)) {
-			c.end = c.taken
-			if c.end == nil {
-				c.end = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
-			}
-		}
+		c.settled, c.end = true, endOf(c.taken, pendingError(c.Conn), err)
 	}
 	return c.end
 }
 
-// wasReset reports whether a closed connection was lost before its peer had ended its side, by the error that a write
-// has received and the one that nothing has received yet. A reset behind the end of the peer's side is EPIPE, any other
-// one ECONNRESET.
-func wasReset(taken, pending error) bool {
-	return !errors.Is(taken, syscall.EPIPE) && !errors.Is(pending, syscall.EPIPE)
+// endOf returns the error of reads of a closed connection, by the error that a write has received, the one that nothing has
+// received yet, and closed, which is set if this process has closed the connection. A reset behind the end of the peer's
+// side is EPIPE, any other one ECONNRESET.
+func endOf(taken, pending, closed error) error {
+	switch {
+	case errors.Is(taken, syscall.EPIPE), errors.Is(pending, syscall.EPIPE):
+		return io.EOF
+	case taken != nil:
+		return taken
+	case closed != nil:
+		return closed
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
 }
 
-// tcpState returns the state of a connection, 0 if unknown.
-func tcpState(c net.Conn) (state uint8) {
-	withDescriptor(c, func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+// tcpState returns the state of a connection, 0 if it has none, or an error if this process has closed it.
+func tcpState(c net.Conn) (state uint8, err error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	err = raw.Control(func(fd uintptr) {
+		if info, failure := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); failure == nil {
 			state = info.State
 		}
 	})
-	return state
+	return state, err
 }
 
 // pendingError returns the error of a connection that nothing has received, and takes it.
@@ -114,5 +125,6 @@
 // IsOpen reports whether a peer may still use a connection: it has not ended its side, or bytes of it wait. It does
 // not wait for a read in progress, and leaves the error of the connection to reads.
 func IsOpen(c net.Conn) bool {
-	return tcpState(c) == tcpEstablished || Unread(c) > 0
+	state, err := tcpState(c)
+	return err == nil && (state == tcpEstablished || Unread(c) > 0)
 }
--- a/internal/socket/reset_test.go
+++ b/internal/socket/reset_test.go
@@ -53,8 +53,8 @@
 func awaitClosed(t *testing.T, c net.Conn) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if state := tcpState(c); state != tcpClose {
-			return poll.Continue("state %d", state)
+		if state, err := tcpState(c); state != tcpClose {
+			return poll.Continue("state %d, %v", state, err)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
@@ -124,6 +124,31 @@
 	}
 }
 
+// Guards against a reset that looks like the end of the peer's side because this process closes the connection once a
+// write has received its error.
+func TestReadTellsResetThoughConnectionIsClosedMeanwhile(t *testing.T) {
+	for _, orderly := range []bool{false, true} {
+		for range 300 {
+			dialled, to := pair(t)
+			near := ReportResets(dialled)
+			go func() {
+				_, _ = near.Write(make([]byte, 1<<20))
+				_ = near.Close()
+			}()
+			if orderly {
+				assert.NilError(t, to.CloseWrite())
+			}
+			assert.NilError(t, errors.Join(to.SetLinger(0), to.Close()))
+			_, err := near.Read(make([]byte, 1))
+			if orderly {
+				assert.Assert(t, err == io.EOF || errors.Is(err, net.ErrClosed), "%v", err)
+			} else {
+				assert.Assert(t, err != io.EOF)
+			}
+		}
+	}
+}
+
 // The system returns the error of a connection once, and the states and errors differ as wasReset expects.
 func TestSystemReturnsResetOnce(t *testing.T) {
 	near, to := pair(t)
