gateway: the first 8 MiB of a longer response are not passed on as the whole

Callers of application routes got the first 8 MiB of a longer answer as a complete one, with its status.

Cause: the body was read through a limit, and what the limit cut looked like the end.

--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -26,8 +26,9 @@
 const (
 	workerDialTimeout = 500 * time.Millisecond
 	maxIdempotencyKey = 128
-	maxResponse       = 8 << 20
-	maxWorkerTries    = 3
+	// maxResponse bounds the body of a worker's response, in bytes. A longer one is not passed on.
+	maxResponse    = 8 << 20
+	maxWorkerTries = 3
 	// claimTimeout bounds the wait for a claim.
 	claimTimeout = 2 * time.Second
 	// lostAttemptGrace is the time after a route's deadline at which an unfinished attempt
@@ -236,7 +237,11 @@
 		return workerResponse{}, errors.Wrap(err, "call worker")
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
+	if len(body) > maxResponse {
+		// The worker does its part: it is the answer that cannot be passed on.
+		return workerResponse{}, errors.Newf("the worker response exceeds %d bytes", maxResponse)
+	}
 	if err != nil {
 		g.config.Pool.RecordFailure(g.config.Now(), worker.ID)
 		return workerResponse{}, errors.Wrap(err, "read worker response")
--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -93,3 +94,19 @@
 		})
 	}
 }
+
+// Guards against passing on the first part of a long response as the whole.
+func TestTooLongResponseOfWorkerIsNotPassedOn(t *testing.T) {
+	for size, wanted := range map[int]int{maxResponse: http.StatusOK, maxResponse + 1: http.StatusBadGateway} {
+		f := newFixture(t)
+		f.handle = func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			_, _ = io.WriteString(w, strings.Repeat("x", size))
+		}
+		w := f.call("/app/slots", `{}`)
+		assert.Equal(t, w.Code, wanted)
+		if wanted == http.StatusOK {
+			assert.Equal(t, w.Body.Len(), size)
+		}
+	}
+}
