listener: the test of a request on an idle connection waits until it is idle

A connection whose response may still be on its way is not closed for a new one, so that the request is answered with 200.

--- a/internal/listener/resets_test.go
+++ b/internal/listener/resets_test.go
@@ -108,7 +108,7 @@
 func TestRequestReadOnIdleConnectionIsRefusedBeforeItIsReplaced(t *testing.T) {
 	l := newPausedListener(t)
 	s := serveOn(t, l, 8<<20, Config{Connections: 1}, (*service).readBody)
-	c := s.pauseRequest(l, afterRead, getRequest)
+	c := s.pauseIdleRequest(l, getRequest)
 	time.AfterFunc(150*time.Millisecond, func() { close(l.release) })
 	_ = s.dial()
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
