listener: a truncated response to a client of HTTP/1.0 ends with a reset

A client of HTTP/1.0 got a stream that broke off as a complete one: its answer has no chunks and ends with its connection, which was closed in order also where the answer was cut.

Cause: http.Server closes the connection of an aborted handler like any other; only the missing last chunk tells HTTP/1.1 clients.

Fix: a connection on which a request of HTTP/1.0 ends within its response is reset once the client has received what was written, or after 0.5 s. Responses in chunks end as before.

Whole responses to such clients and chunks (both tests) are as before.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -25,6 +25,8 @@
 	// lingerTime and lingerBytes bound what is read of a connection that is closed with unread bytes.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
+	// sentCheck is the interval at which a connection that is to be reset is checked for unsent bytes.
+	sentCheck = 5 * time.Millisecond
 	// unreadTimeout is the time for which the rest of a request is read that has been answered.
 	unreadTimeout = time.Second
 )
@@ -46,6 +48,9 @@
 	headRead, outOfHead atomic.Bool
 	// headAt is when the first byte of the head arrived, 0 for none.
 	headAt atomic.Int64
+	// unframed is set while a request of HTTP/1.0 is handled, whose client takes the end of the connection for that of the
+	// response unless the response has a length.
+	unframed atomic.Bool
 	// used is set once a request has been answered.
 	used atomic.Bool
 	// fate decides between a request that runs and a connection that is closed.
@@ -348,7 +353,11 @@
 // Close implements net.Conn. It lets the client read a response that has just been written.
 func (c *Conn) Close() error {
 	if c.closing.CompareAndSwap(false, true) {
-		c.linger()
+		if c.isTruncated() {
+			c.resetOnClose()
+		} else {
+			c.linger()
+		}
 	}
 	c.once.Do(func() {
 		c.listener.remove(c)
@@ -358,6 +367,22 @@
 	return c.Conn.Close()
 }
 
+// isTruncated reports whether the connection ends within a response whose client may take that for its end.
+func (c *Conn) isTruncated() bool {
+	return c.unframed.Load() && c.progress.written.Load() && c.progress.outcome(true) != answered
+}
+
+// resetOnClose makes Close reset the connection, once the client has received what was written or has had its time.
+func (c *Conn) resetOnClose() {
+	for until := time.Now().Add(lingerTime); socket.Unacknowledged(c.Conn) > 0 && time.Now().Before(until) && !c.listener.isAbandoned(); {
+		time.Sleep(sentCheck)
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that cannot be reset has ended.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // linger ends the sending side and reads what the client still sends, for a short time: closing with unread bytes resets
 // the connection, which drops what the client has not read of the response. It does nothing unless a response has been
 // written and bytes are unread, and ends early if the connection is closed meanwhile.
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -120,6 +120,7 @@
 	defer func() { r.Body = body.ReadCloser }()
 	defer body.finish()
 	c.progress.handled.Store(true)
+	c.unframed.Store(!r.ProtoAtLeast(1, 1))
 	if c.isRetiring() {
 		w.Header().Set("Connection", "close")
 	}
