forward: a fuzz test of responses

Whatever a router accepts of a back end reaches its client with the same status, fields and body, by a second reading that is written apart from the first and takes nothing but what RFC 9112 allows; all else is an error.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Main targets: make build, make demo, make check (all checks).
 
-.PHONY: build demo check format lint test measure clients models soak upgrade clean
+.PHONY: build demo check format lint test fuzz measure clients models soak upgrade clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -9,7 +9,7 @@
 demo: build
 	./bin/rehearse fleet --deployment grocery --seconds 30
 
-check: format lint test measure clients models soak upgrade
+check: format lint test fuzz measure clients models soak upgrade
 
 format:
 	@unformatted=$$(gofmt -l cmd internal platform); \
@@ -31,6 +31,12 @@
 	known="|$$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')"; fi; \
 	set -x; go test -race -count=1 -timeout=20m "-skip=^($(MEASURED)$$known)$$" $$(go list ./... | grep -v '/internal/clienttest$$')
 
+# Sends responses of back ends that are drawn from sound and malformed ones through a router for a few seconds.
+FUZZ_TIME = 10s
+
+fuzz:
+	go test -run='^$$' -fuzz='^FuzzResponse$$' -fuzztime=$(FUZZ_TIME) ./internal/forward
+
 # A name that no test has would be run nowhere.
 measure:
 	@names='$(MEASURED)|$(MEASURED_WITH_RACES)'; found=$$(go test -list "^($$names)$$" ./internal/edge ./internal/forward | grep -c '^Test'); \
--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -20,13 +20,18 @@
 func respondText(text string, keep bool) respondRaw {
 	return func(c *net.TCPConn, unread io.Reader, request string) {
 		_, _ = io.Copy(io.Discard, unread)
-		_, _ = io.WriteString(c, strings.NewReplacer("{id}", names.RequestID+": "+request, "{seal}", names.Signature+": seal").Replace(text))
+		_, _ = io.WriteString(c, filled(text, request))
 		if keep {
 			_, _ = c.Read(make([]byte, 1))
 		}
 	}
 }
 
+// filled fills in names and the ID of a request.
+func filled(text, request string) string {
+	return strings.NewReplacer("{id}", names.RequestID+": "+request, "{seal}", names.Signature+": seal").Replace(text)
+}
+
 // malformedResponses are responses that are no HTTP, all but for one thing signed successes.
 var malformedResponses = map[string]string{
 	"status 000":                 "HTTP/1.1 000 None\r\n{id}\r\n{seal}\r\nContent-Length: 4\r\n\r\nbad!",
@@ -140,27 +145,30 @@
 	}
 }
 
+// unusualResponses are sound responses with the body "fine".
+var unusualResponses = map[string]struct {
+	text   string
+	status int
+}{
+	"interim responses":     {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" + soundText, 200},
+	"unnamed interim one":   {"HTTP/1.1 199 Odd\r\n\r\n" + soundText, 200},
+	"bytes over 0x7f":       {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nX-Foo: \xe4\xf6\r\nContent-Length: 4\r\n\r\nfine", 200},
+	"unknown fields":        {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\n!#$%&'*+-.^_`|~: 1\r\nContent-Length: 4\r\n\r\nfine", 200},
+	"no length":             {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\n\r\nfine", 200},
+	"HTTP/1.0":              {"HTTP/1.0 200 OK\r\n{id}\r\n{seal}\r\n\r\nfine", 200},
+	"HTTP/1.0 and a length": {"HTTP/1.0 200 OK\r\n{id}\r\n{seal}\r\nContent-Length: 4\r\n\r\nfine", 200},
+	"to be closed":          {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine", 200},
+	"trailers":              {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX-Sum: 1\r\n\r\n", 200},
+	"long head":             {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nX-Foo: " + strings.Repeat("y", 30000) + "\r\nContent-Length: 4\r\n\r\nfine", 200},
+	"unnamed success":       {"HTTP/1.1 299 Odd\r\n{id}\r\n{seal}\r\nContent-Length: 4\r\n\r\nfine", 299},
+	"unnamed redirect":      {"HTTP/1.1 399 Odd\r\n{id}\r\nContent-Length: 4\r\n\r\nfine", 399},
+	"unnamed client error":  {"HTTP/1.1 499 Odd\r\n{id}\r\nContent-Length: 4\r\n\r\nfine", 499},
+	"unnamed server error":  {"HTTP/1.1 599 Odd\r\n{id}\r\nContent-Length: 4\r\n\r\nfine", 599},
+}
+
 // Guards against taking sound responses for malformed ones.
 func TestUnusualResponseIsForwarded(t *testing.T) {
-	for name, c := range map[string]struct {
-		text   string
-		status int
-	}{
-		"interim responses":     {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" + soundText, 200},
-		"unnamed interim one":   {"HTTP/1.1 199 Odd\r\n\r\n" + soundText, 200},
-		"bytes over 0x7f":       {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nX-Foo: \xe4\xf6\r\nContent-Length: 4\r\n\r\nfine", 200},
-		"unknown fields":        {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\n!#$%&'*+-.^_`|~: 1\r\nContent-Length: 4\r\n\r\nfine", 200},
-		"no length":             {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\n\r\nfine", 200},
-		"HTTP/1.0":              {"HTTP/1.0 200 OK\r\n{id}\r\n{seal}\r\n\r\nfine", 200},
-		"HTTP/1.0 and a length": {"HTTP/1.0 200 OK\r\n{id}\r\n{seal}\r\nContent-Length: 4\r\n\r\nfine", 200},
-		"to be closed":          {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine", 200},
-		"trailers":              {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX-Sum: 1\r\n\r\n", 200},
-		"long head":             {"HTTP/1.1 200 OK\r\n{id}\r\n{seal}\r\nX-Foo: " + strings.Repeat("y", 30000) + "\r\nContent-Length: 4\r\n\r\nfine", 200},
-		"unnamed success":       {"HTTP/1.1 299 Odd\r\n{id}\r\n{seal}\r\nContent-Length: 4\r\n\r\nfine", 299},
-		"unnamed redirect":      {"HTTP/1.1 399 Odd\r\n{id}\r\nContent-Length: 4\r\n\r\nfine", 399},
-		"unnamed client error":  {"HTTP/1.1 499 Odd\r\n{id}\r\nContent-Length: 4\r\n\r\nfine", 499},
-		"unnamed server error":  {"HTTP/1.1 599 Odd\r\n{id}\r\nContent-Length: 4\r\n\r\nfine", 599},
-	} {
+	for name, c := range unusualResponses {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.addRaw("app", "x", respondText(c.text, false))
