soak, rehearse: back ends send broken responses, and clients read strictly

The kit judged by readers that take what the product took: no run could show a broken answer.

The soak's proxy passes resets on as resets. Callers, polls and stand-ins of rehearse read by the same reader.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"quinceridge.example/quinceridge/internal/bundle"
 	"quinceridge.example/quinceridge/internal/controlapi"
 	"quinceridge.example/quinceridge/internal/deployment"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/platformapi"
 	"quinceridge.example/quinceridge/internal/process"
 	"quinceridge.example/quinceridge/internal/workload"
@@ -207,7 +208,9 @@
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{Transport: httpwire.NewTransport(nil)}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "update machine list")
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 // Process is a program that can be started and stopped repeatedly. Its output goes to the file
@@ -134,7 +136,8 @@
 
 // AwaitHTTP polls a URL until it responds with status 200 or the context ends.
 func AwaitHTTP(ctx context.Context, url string) error {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{Timeout: time.Second, Transport: httpwire.NewTransport(nil)}
+	defer client.CloseIdleConnections()
 	for {
 		response, err := client.Get(url)
 		if err == nil {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -72,6 +72,8 @@
 	// drainedAt is the time at which a coordinator acknowledged the drain, or 0.
 	drainedAt   atomic.Int64
 	failureMode atomic.Int32
+	// broken is set while some responses are no HTTP, and uploads are answered with a part and reset.
+	broken atomic.Bool
 	// pushback is the Retry-After delay in nanoseconds with which the back end rejects every
 	// request, or 0 if it accepts requests.
 	pushback atomic.Int64
@@ -220,6 +222,12 @@
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
+	if r.ContentLength >= uploadSize && b.broken.Load() {
+		a, end := b.observe(r.Context(), id, b.senderOf(r, id))
+		defer end()
+		b.resetDuringUpload(w, a)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -287,6 +295,12 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return false
 	}
+	if b.broken.Load() && affected {
+		b.soak.recordBrokenOff(a)
+		b.soak.brokenResponses.Add(1)
+		respondBroken(w, id, rand.IntN(len(brokenResponses)))
+		return false
+	}
 	w.Header().Set(names.Signature, sealOf(id))
 	if kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); isStream(kind) {
 		return b.stream(w, r, a, failureMode == failureDisconnect && affected)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -15,11 +15,17 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 const (
 	callTimeout = 3 * time.Second
 	callPause   = 60 * time.Millisecond
+	// uploadEvery is how many calls there are to one with a long body, and uploadSize the bytes of that: more than the
+	// system keeps between a router and a back end that reads nothing.
+	uploadEvery = 10
+	uploadSize  = 4 << 20
 )
 
 // kinds lists the request kinds, which are also the first path segments.
@@ -50,6 +56,10 @@
 	rejected bool
 	// blocked is set if a router rejected the request as a poison request.
 	blocked bool
+	// upload is set if the request has a long body.
+	upload bool
+	// malformed is the error of a response that is no HTTP, nil for none.
+	malformed error
 	// path and requestBody override the path and the body that are derived from the ID.
 	path        string
 	requestBody string
@@ -74,11 +84,11 @@
 
 // caller sends requests to random routers until the context ends.
 func (s *Soak) caller(ctx context.Context, number int) {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	client := &http.Client{Timeout: callTimeout, Transport: httpwire.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext})}
 	defer client.CloseIdleConnections()
 	for count := 0; wait(ctx, callPause); count++ {
-		c := &call{id: fmt.Sprintf("c%d-%d", number, count), kind: kinds[rand.IntN(len(kinds))], key: s.key()}
+		c := &call{id: fmt.Sprintf("c%d-%d", number, count), kind: kinds[rand.IntN(len(kinds))], key: s.key(), upload: rand.IntN(uploadEvery) == 0}
 		s.send(client, c)
 		s.results.add(c)
 	}
@@ -117,11 +127,28 @@
 	}()
 	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
+		c.noteError(err)
 		return
 	}
 	c.readResponse(response)
 }
 
+// bodyText returns the body of the request.
+func (c *call) bodyText() string {
+	text := "body of " + c.id
+	if c.upload {
+		text += strings.Repeat(" and more", uploadSize/len(" and more"))
+	}
+	return text
+}
+
+// noteError records the error of a response that is no HTTP.
+func (c *call) noteError(err error) {
+	if errors.Is(err, httpwire.ErrMalformed) {
+		c.malformed = err
+	}
+}
+
 var errNoPatience = errors.New("nothing arrived for too long")
 
 // noticingReader calls onData after each read that brings data.
@@ -140,7 +167,7 @@
 
 // request builds the HTTP request of a call and records its router.
 func (s *Soak) request(c *call, to *program) (*http.Request, error) {
-	path, body := "/"+c.kind+"/"+c.id, "body of "+c.id
+	path, body := "/"+c.kind+"/"+c.id, c.bodyText()
 	if c.path != "" {
 		path, body = c.path, c.requestBody
 	}
@@ -168,6 +195,7 @@
 func (c *call) readResponse(response *http.Response) {
 	defer response.Body.Close()
 	body, stopped, err := c.readBody(noticingReader{response.Body, c.onData})
+	c.noteError(err)
 	c.status, c.body, c.complete, c.stopped = response.StatusCode, string(body), err == nil && !stopped, stopped
 	c.seal = response.Header.Get(names.Signature)
 	c.blocked = c.status == http.StatusBadGateway && response.Header.Get("Retry-After") != ""
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,6 +35,10 @@
 	// number of back ends that these crashed.
 	CrashingParts int `json:"crashing_parts"`
 	EndsOfParts   int `json:"ends_of_parts"`
+	// BrokenResponses is the number of responses of back ends that were no HTTP, and ResetUploads that of uploads that
+	// were answered with a part and reset.
+	BrokenResponses int64 `json:"broken_responses"`
+	ResetUploads    int64 `json:"reset_uploads"`
 	// Replaced is the number of processes that were switched to another build.
 	Replaced int      `json:"replaced,omitempty"`
 	Broken   []string `json:"broken,omitempty"`
@@ -170,6 +174,7 @@
 		s.checkCall(c, runs[c.id])
 	}
 	s.checkPoison(s.results.calls, runs)
+	s.report.BrokenResponses, s.report.ResetUploads = s.brokenResponses.Load(), s.resetUploads.Load()
 	s.report.EngineArrivals, s.report.EngineRejections = s.engineArrivals.Load(), s.engineRejections.Load()
 	s.checkClosingFlood(s.results.calls)
 	s.checkCuts(s.results.calls)
@@ -208,6 +213,9 @@
 
 func (s *Soak) checkCall(c *call, runs []run) {
 	s.checkDuration(c)
+	if c.malformed != nil {
+		s.recordBreach("%s %s at %s got what is no HTTP: %v", c.kind, c.id, c.router, c.malformed)
+	}
 	repeatable := c.kind == "safe" || isResumable(c.kind)
 	if len(runs) > 1 && !repeatable {
 		s.recordBreach("%s %s ran %d times", c.kind, c.id, len(runs))
@@ -283,7 +291,7 @@
 
 // checkResponse compares a complete response with the expected one.
 func (s *Soak) checkResponse(c *call) {
-	want := string(answerOf(c.id, []byte("body of "+c.id)))
+	want := string(answerOf(c.id, []byte(c.bodyText())))
 	if isStream(c.kind) {
 		want = s.expectedStream(c)
 	}
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 // floodFaults are the faults that send several times the usual rate to the engines, so that
@@ -102,8 +104,8 @@
 // flood sends requests at the planned rate, whether earlier ones are answered or not, and returns
 // when all are.
 func (s *Soak) flood(ctx context.Context, plan floodPlan) {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: plan.rate,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	client := &http.Client{Timeout: callTimeout, Transport: httpwire.NewTransport(&http.Transport{MaxIdleConnsPerHost: plan.rate,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext})}
 	defer client.CloseIdleConnections()
 	number := s.floods.Add(1)
 	var group sync.WaitGroup
@@ -372,7 +374,7 @@
 
 // probe records the time for which a router answers no readiness request, until the context ends.
 func (m *stalls) probe(ctx context.Context, s *Soak, p *program) {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: callTimeout, Transport: httpwire.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	for wait(ctx, probeInterval) {
 		begun := s.now()
 		response, err := client.Get("http://" + p.ready + "/readyz")
--- a/internal/soak/persistent.go
+++ b/internal/soak/persistent.go
@@ -1,15 +1,16 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 // persistentCaller sends requests to one router over a single connection and ignores
@@ -22,9 +23,10 @@
 		if err != nil {
 			continue
 		}
-		k := &persistentConnection{TCPConn: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
+		k := &persistentConnection{TCPConn: connection.(*net.TCPConn), wrapped: socket.ReportResets(connection)}
+		k.reader = httpwire.NewReader(k.wrapped)
 		for open := true; open && wait(ctx, callPause); count++ {
-			c := &call{id: fmt.Sprintf("k%d-%d", number, count), kind: kinds[rand.IntN(len(kinds))], key: s.key()}
+			c := &call{id: fmt.Sprintf("k%d-%d", number, count), kind: kinds[rand.IntN(len(kinds))], key: s.key(), upload: rand.IntN(uploadEvery) == 0}
 			open = s.sendOver(k, c, to)
 			s.results.add(c)
 		}
@@ -35,7 +37,9 @@
 // persistentConnection is a connection that is used until it ends.
 type persistentConnection struct {
 	*net.TCPConn
-	reader *bufio.Reader
+	// wrapped tells resets from ends, and reader reads from it.
+	wrapped net.Conn
+	reader  *httpwire.Reader
 	// closing is set once the router has announced that it closes the connection.
 	closing bool
 }
@@ -50,13 +54,14 @@
 	c.address, c.sent = k.LocalAddr().String(), s.now()
 	defer func() { c.took = s.now() - c.sent }()
 	_ = k.SetDeadline(time.Now().Add(callTimeout))
-	if err := request.Write(k); err != nil {
+	if err := request.Write(k.wrapped); err != nil {
 		return false
 	}
 	c.whole = true
 	ended := k.closing || k.hasEnded()
-	response, err := http.ReadResponse(k.reader, request)
+	response, err := k.reader.ReadResponse(request)
 	if err != nil {
+		c.noteError(err)
 		// The system resets a connection that is closed while bytes wait in it, unless the router had ended its
 		// side before.
 		var failed net.Error
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 const (
@@ -94,7 +96,7 @@
 func (s *Soak) sendPoison(ctx context.Context, r *rand.Rand) {
 	kind := kinds[r.IntN(len(kinds))]
 	body := fmt.Sprintf("%s %d", poisonBody, r.Uint64())
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: callTimeout, Transport: httpwire.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	for n := 0; n < poisonAttempts && wait(ctx, poisonPause); n++ {
 		c := &call{id: fmt.Sprintf("p%d-%d", r.Uint64(), n), kind: kind, key: s.key(), path: "/" + kind + "/poison", requestBody: body}
 		s.send(client, c)
@@ -105,7 +107,7 @@
 // sendCrashingParts sends requests with a part in their prompts that crashes back ends, no two alike and
 // each to a random router, and begins again with other parts until the context ends.
 func (s *Soak) sendCrashingParts(ctx context.Context) {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: callTimeout, Transport: httpwire.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	for number := 0; wait(ctx, partPause); number++ {
 		part := fmt.Sprintf("%s%d", partPrefix, number)
 		for n := 0; n < poisonAttempts && wait(ctx, poisonPause); n++ {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/socket"
 )
 
 // acceptRetryDelay is the delay before the next Accept after a failed one.
@@ -79,15 +82,24 @@
 	defer p.senders.Delete(upstream.LocalAddr().String())
 	p.track(downstream, upstream)
 	defer p.untrack(downstream, upstream)
+	near, far := newProxied(downstream), newProxied(upstream)
 	done := make(chan struct{}, 2)
-	go p.copy(downstream, upstream, done)
-	go p.copy(upstream, downstream, done)
+	go p.copy(near, far, done)
+	go p.copy(far, near, done)
 	<-done
 }
 
+// proxied is one side of a connection through a proxy. Its reads tell resets from ends.
+type proxied struct {
+	net.Conn
+	tcp *net.TCPConn
+}
+
+func newProxied(c net.Conn) proxied { return proxied{socket.ReportResets(c), c.(*net.TCPConn)} }
+
 // copy forwards bytes while the gate is open. At EOF it closes the write side of the
-// destination.
-func (p *proxy) copy(to, from net.Conn, done chan<- struct{}) {
+// destination, and after a reset it resets it.
+func (p *proxy) copy(to, from proxied, done chan<- struct{}) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -98,7 +110,10 @@
 			}
 		}
 		if err == io.EOF {
-			_ = to.(*net.TCPConn).CloseWrite()
+			_ = to.tcp.CloseWrite()
+		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			_ = to.tcp.SetLinger(0)
 		}
 		if err != nil {
 			done <- struct{}{}
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 // silenceFaults suspend back ends, which then go on where they were. They have their own random source,
@@ -227,7 +229,7 @@
 		return func() {}
 	}
 	slots := s.config.Engines * engineSlots
-	client := &http.Client{Timeout: longTimeout + callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: slots}}
+	client := &http.Client{Timeout: longTimeout + callTimeout, Transport: httpwire.NewTransport(&http.Transport{MaxIdleConnsPerHost: slots})}
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	number := s.loads.Add(1)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/loopback"
 	"quinceridge.example/quinceridge/internal/process"
 )
@@ -102,9 +103,11 @@
 	activeFaults atomic.Int64
 	// engineArrivals and engineRejections count the requests that engines received, and those that
 	// they rejected because all their slots were in use.
-	engineArrivals   atomic.Int64
-	engineRejections atomic.Int64
-	stalls           stalls
+	engineArrivals atomic.Int64
+	// brokenResponses and resetUploads count what BrokenResponses and ResetUploads of the report do.
+	brokenResponses, resetUploads atomic.Int64
+	engineRejections              atomic.Int64
+	stalls                        stalls
 	// routerStalls are the times in which each router did not answer, by its name.
 	routerStalls map[string]*stalls
 	group        sync.WaitGroup
@@ -130,7 +133,7 @@
 func Run(ctx context.Context, config Config) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &Soak{config: config, ctx: ctx, startedAt: time.Now(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	s := &Soak{config: config, ctx: ctx, startedAt: time.Now(), client: &http.Client{Transport: httpwire.NewTransport(&http.Transport{DisableKeepAlives: true})},
 		holders: map[uint64]string{}, crashes: map[string][]time.Duration{}, routerStalls: map[string]*stalls{}}
 	s.weightsVersion.Store(1)
 	s.report = Report{Seed: config.Seed, Faults: map[string]int{}, Outcomes: map[string]int{}, SilentCut: map[string]int{}, StopExcused: map[string]int{}}
@@ -176,6 +179,7 @@
 	group.Go(func() { s.injectReleases(faultCtx) })
 	group.Go(func() { s.injectFloods(faultCtx) })
 	group.Go(func() { s.injectSilences(faultCtx) })
+	group.Go(func() { s.injectBrokenResponses(faultCtx) })
 	if s.config.Older == "" {
 		// Older builds block no parts.
 		group.Go(func() { s.sendCrashingParts(faultCtx) })
--- a/internal/soak/software.go
+++ b/internal/soak/software.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 const (
@@ -100,7 +102,7 @@
 // resumingCaller makes calls for streams, disconnects during some of them, and resumes those that are not
 // complete, at any router.
 func (s *Soak) resumingCaller(ctx context.Context, number int) {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	client := &http.Client{Timeout: callTimeout, Transport: httpwire.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext})}
 	for count := 0; wait(ctx, callPause); count++ {
 		stream := resumed{}
 		for try := range maxStreamTries {
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quinceridge.example/quinceridge/internal/httpwire"
 )
 
 // Guards against a check that accepts requests which a stopping router had read and ended without an answer,
@@ -290,7 +292,7 @@
 	connection, err := net.Dial("tcp", to.listen)
 	assert.NilError(t, err)
 	defer connection.Close()
-	k := &persistentConnection{TCPConn: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
+	k := &persistentConnection{TCPConn: connection.(*net.TCPConn), wrapped: connection, reader: httpwire.NewReader(connection)}
 	for {
 		c := &call{id: "k", kind: "chat"}
 		again := s.sendOver(k, c, to)
--- a/internal/standin/callers/callers.go
+++ b/internal/standin/callers/callers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quinceridge.example/quinceridge/internal/deployment"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/workload"
 )
 
@@ -78,8 +79,8 @@
 
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: time.Second}
-	return &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DialContext: dialer.DialContext,
-		MaxIdleConnsPerHost: 512, MaxIdleConns: 4096, ResponseHeaderTimeout: headerTimeout, DisableCompression: true}}
+	return &http.Client{Timeout: requestTimeout, Transport: httpwire.NewTransport(&http.Transport{DialContext: dialer.DialContext,
+		MaxIdleConnsPerHost: 512, MaxIdleConns: 4096, ResponseHeaderTimeout: headerTimeout, DisableCompression: true})}
 }
 
 func sleepUntil(ctx context.Context, at time.Time) {
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -12,6 +12,7 @@
 
 	"quinceridge.example/quinceridge/internal/engineapi"
 	"quinceridge.example/quinceridge/internal/enginemodel"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/prefix"
 	"quinceridge.example/quinceridge/internal/standin"
 	"quinceridge.example/quinceridge/internal/standin/kvstore"
@@ -142,6 +143,9 @@
 	_ = call(http.MethodPut, "http://"+e.config.KVStore+kvstore.PathChains+name, entry, nil)
 }
 
+// storeClient is the client of stores.
+var storeClient = &http.Client{Transport: httpwire.NewTransport(nil)}
+
 // call sends a request to a store and decodes the response into into, unless that is nil.
 func call(method, url string, body, into any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
@@ -154,7 +158,7 @@
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := storeClient.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "call store")
 	}
