gateway: failed calls of application workers have a log line and a count

Why a call had no answer was told nowhere: neither a malformed response nor one that broke off left a line. Each attempt without a whole response logs `call of an application worker failed` with its error, and quinceridge_worker_calls_failed_total counts. A response that is too long counts as the worker's failure as well.

--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -233,23 +233,28 @@
 	request.Header.Set("Request-Key", r.header.Get(headerIdempotencyKey))
 	response, err := g.workers.Do(request)
 	if err != nil {
-		g.config.Pool.RecordFailure(g.config.Now(), worker.ID)
-		return workerResponse{}, errors.Wrap(err, "call worker")
+		return workerResponse{}, g.recordFailure(r, worker, errors.Wrap(err, "call worker"))
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
 	if len(body) > maxResponse {
-		// The worker does its part: it is the answer that cannot be passed on.
-		return workerResponse{}, errors.Newf("the worker response exceeds %d bytes", maxResponse)
+		err = errors.Newf("the worker response exceeds %d bytes", maxResponse)
 	}
 	if err != nil {
-		g.config.Pool.RecordFailure(g.config.Now(), worker.ID)
-		return workerResponse{}, errors.Wrap(err, "read worker response")
+		return workerResponse{}, g.recordFailure(r, worker, errors.Wrap(err, "read worker response"))
 	}
 	g.config.Pool.RecordSuccess(worker.ID)
 	return workerResponse{response.StatusCode, response.Header.Get("Content-Type"), body}, nil
 }
 
+// recordFailure records a call without a whole response, and returns its error.
+func (g *Gateway) recordFailure(r *call, worker membership.Application, err error) error {
+	g.config.Pool.RecordFailure(g.config.Now(), worker.ID)
+	g.metrics.failedCalls.Inc()
+	g.logger.Warn("call of an application worker failed", "id", r.id, "worker", worker.ID, "error", err.Error())
+	return err
+}
+
 // applications returns the workers in the order to try: the router's own zone first, suspect
 // ones last.
 func (g *Gateway) applications() []membership.Application {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,8 @@
 	open       prometheus.Gauge
 	cached     prometheus.Counter
 	prompt     prometheus.Counter
+	// failedCalls counts calls of application workers without a whole response.
+	failedCalls prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -32,8 +34,10 @@
 			Help: "Prompt tokens that engines had cached."}),
 		prompt: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "prompt_tokens_total",
 			Help: "Prompt tokens of answered requests."}),
+		failedCalls: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "worker_calls_failed_total",
+			Help: "Calls of application workers without a whole response."}),
 	}
-	registry.MustRegister(m.requests, m.firstToken, m.tokens, m.open, m.cached, m.prompt)
+	registry.MustRegister(m.requests, m.firstToken, m.tokens, m.open, m.cached, m.prompt, m.failedCalls)
 	return m
 }
 
