--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"quinceridge.example/quinceridge/internal/clock"
 	"quinceridge.example/quinceridge/internal/memory"
 	"quinceridge.example/quinceridge/internal/socket"
 )
@@ -374,7 +375,7 @@
 
 // resetOnClose makes Close reset the connection, once the client has received what was written or has had its time.
 func (c *Conn) resetOnClose() {
-	for until := time.Now().Add(lingerTime); socket.Unacknowledged(c.Conn) > 0 && time.Now().Before(until) && !c.listener.isAbandoned(); {
+	for begun := clock.Now(); clock.Since(begun) < lingerTime && socket.Unacknowledged(c.Conn) > 0 && !c.listener.isAbandoned(); {
 		time.Sleep(sentCheck)
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
