socket: a reset that a read has received is not replaced by an end

By reading the change: once a read has received ECONNRESET, a write gets EPIPE, which a later read took for the sign of an orderly end. No caller reads again behind an error today. TestReadReportsResetAgain failed before.

--- a/internal/socket/reset.go
+++ b/internal/socket/reset.go
@@ -31,9 +31,8 @@
 	mu sync.Mutex
 	// taken is the error of the connection that a write has received, nil for none.
 	taken error
-	// settled is set once end is known, which is the error of reads at the end.
-	settled bool
-	end     error
+	// end is the error of reads at the end of the connection, nil while it is not known.
+	end error
 }
 
 // SyscallConn implements syscall.Conn.
@@ -58,12 +57,24 @@
 // Read implements net.Conn.
 func (c *resetConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		err = c.endError()
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.setEnd(err)
 	}
 	return n, err
 }
 
+// setEnd records the error of the connection that a read has received: writes get another one from then on.
+func (c *resetConn) setEnd(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.end == nil {
+		c.end = err
+	}
+}
+
 // endError returns io.EOF if the peer has ended its side, and otherwise the error of the connection.
 func (c *resetConn) endError() error {
 	state, err := tcpState(c.Conn)
@@ -73,8 +84,8 @@
 	// A write in progress ends with the connection.
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.settled {
-		c.settled, c.end = true, endOf(c.taken, pendingError(c.Conn), err)
+	if c.end == nil {
+		c.end = endOf(c.taken, pendingError(c.Conn), err)
 	}
 	return c.end
 }
--- a/internal/socket/reset_test.go
+++ b/internal/socket/reset_test.go
@@ -149,6 +149,20 @@
 	}
 }
 
+// Guards against an end that replaces a reset which a read has received, once a write has got another error.
+func TestReadReportsResetAgain(t *testing.T) {
+	dialled, to := pair(t)
+	near := ReportResets(dialled)
+	assert.NilError(t, resetFar(to))
+	awaitClosed(t, near)
+	_, err := near.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+	_, err = near.Write([]byte("x"))
+	assert.Assert(t, errors.Is(err, syscall.EPIPE), "%v", err)
+	_, err = near.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
+
 // The system returns the error of a connection once, and the states and errors differ as wasReset expects.
 func TestSystemReturnsResetOnce(t *testing.T) {
 	near, to := pair(t)
