--- a/internal/coordinator/engineclient_test.go
+++ b/internal/coordinator/engineclient_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/state"
 	"quinceridge.example/quinceridge/internal/vocabulary"
@@ -65,3 +67,24 @@
 	}
 	assert.Equal(t, opened.Load(), int32(2))
 }
+
+// Guards against taking a response that is no HTTP for an engine's reply, and against its limit.
+func TestMalformedReplyOfEngineIsAnError(t *testing.T) {
+	names := vocabulary.Default()
+	for _, head := range []string{"HTTP/1.1 202 Accepted\r\nX Foo: 1\r\n", "HTTP/1.1 202 Accepted\r\nX-Foo : 1\r\n", "HTTP/2.0 202 Accepted\r\n", "HTTP/1.1 999 None\r\n"} {
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				_, _ = io.WriteString(conn, head+names.Limit+": 2\r\nContent-Length: 2\r\n\r\n{}")
+				_ = conn.Close()
+			}
+		}))
+		calls := NewHTTPEngines(slog.New(slog.DiscardHandler))
+		to := targetOf(state.Backend{ID: "x", Pool: "llm", Address: engine.Listener.Addr().String()})
+		err := calls.Load(t.Context(), LoadOrder{Target: to})
+		assert.ErrorIs(t, err, httpwire.ErrMalformed)
+		_, _, err = calls.Call(t.Context(), to, http.MethodGet, "/v1/state", nil)
+		assert.ErrorIs(t, err, httpwire.ErrMalformed)
+		assert.Equal(t, len(calls.Limits(true)), 0)
+		engine.Close()
+	}
+}
--- a/internal/upstream/identify_test.go
+++ b/internal/upstream/identify_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"quinceridge.example/quinceridge/internal/clock"
+	"quinceridge.example/quinceridge/internal/httpwire"
 	"quinceridge.example/quinceridge/internal/pushback"
 	"quinceridge.example/quinceridge/internal/ratelimit"
 	"quinceridge.example/quinceridge/internal/state"
@@ -332,3 +333,24 @@
 		})
 	}
 }
+
+// Guards against a start time from a response that is no HTTP, and against a status that only seems to say that there is no
+// status request.
+func TestMalformedStatusIsNotUsed(t *testing.T) {
+	sound := responseTo("", "5")
+	for name, status := range map[string]string{
+		"blank in a name":         strings.Replace(sound, "Content-Length", "X Foo: 1\r\nContent-Length", 1),
+		"blank behind a name":     strings.Replace(sound, "Content-Length", "X-Foo : 1\r\nContent-Length", 1),
+		"status 999":              strings.Replace(sound, "200 OK", "999 None", 1),
+		"status 000 and a status": "HTTP/1.1 000 None\r\n\r\n" + sound,
+		"HTTP/2.0":                strings.Replace(sound, "HTTP/1.1", "HTTP/2.0", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, p := startIdentified(t, status), newIdentifyingPool()
+			err := p.do(t, b.address, 5)
+			assert.Assert(t, errors.Is(err, ErrNotSent) && errors.Is(err, httpwire.ErrMalformed), "%v", err)
+			assert.Equal(t, b.served.Load(), int32(0))
+			assert.Equal(t, p.Malformed.Load(), uint64(1))
+		})
+	}
+}
